--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# The commands that users, newcomers and CI share. `make help` lists them.
+TOOLS := $(CURDIR)/.bin
+BIN := $(CURDIR)/bin
+export BIN
+
+.PHONY: help build demo test check generate tools clean
+
+help: ## List the commands
+	@grep -E '^[a-z-]+:.*## ' Makefile | sed 's/:.*## /\t/'
+
+build: ## Build all binaries into bin/
+	go build -o $(BIN)/ ./cmd/...
+
+demo: build ## Show the promises on a fleet of processes (FLEET=authority|head-office, SIZE=small|full)
+	@FLEET="$(FLEET)" SIZE="$(SIZE)" scripts/demo.sh
+
+test: ## Run all tests with the race detector
+	go test -race ./...
+
+tools: ## Build the pinned tools into .bin/
+	cd tools && GOBIN=$(TOOLS) go install github.com/google/wire/cmd/wire mvdan.cc/gofumpt github.com/mgechev/revive github.com/atombender/go-jsonschema
+
+generate: tools ## Generate code from the schemas, and the wiring
+	schema/generate.sh $(TOOLS)
+	$(TOOLS)/wire ./pkg/app/entry ./pkg/app/control
+
+check: tools ## Formatter, linter, vet, generated code, go.mod
+	@test -z "$$($(TOOLS)/gofumpt -l cmd pkg schema)" || { echo "not formatted:"; $(TOOLS)/gofumpt -l cmd pkg schema; exit 1; }
+	$(TOOLS)/revive -config revive.toml -set_exit_status ./...
+	go vet ./...
+	scripts/check-generated.sh $(TOOLS)
+	go mod tidy -diff
+	cd tools && go mod tidy -diff
+
+clean: ## Remove what was built
+	rm -rf $(BIN) $(TOOLS)
--- /dev/null
+++ b/cmd/ironhollow-control/main.go
@@ -0,0 +1,10 @@
+// Command ironhollow-control runs one control process; see pkg/app/control.
+package main
+
+import (
+	"os"
+
+	"ironhollow/pkg/app/control"
+)
+
+func main() { os.Exit(control.Main()) }
--- /dev/null
+++ b/cmd/ironhollow-entry/main.go
@@ -0,0 +1,10 @@
+// Command ironhollow-entry runs one entry process; see pkg/app/entry.
+package main
+
+import (
+	"os"
+
+	"ironhollow/pkg/app/entry"
+)
+
+func main() { os.Exit(entry.Main()) }
--- /dev/null
+++ b/pkg/app/cli/cli.go
@@ -0,0 +1,164 @@
+// Package cli is the operators' command line.
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"ironhollow/pkg/code"
+	"ironhollow/pkg/fleet"
+	"ironhollow/pkg/operatorclient"
+	"ironhollow/pkg/settings"
+)
+
+// Exit codes; docs/operators/cli.md lists them.
+const (
+	exitOK       = 0
+	exitFault    = 1
+	exitBadFile  = 2
+	exitConflict = 3
+	exitUnknown  = 4
+	// exitDiffers is diff's for a file that differs.
+	exitDiffers = 5
+)
+
+// errDiffers is what diff ends with when there is a difference.
+var errDiffers = errors.New("differs")
+
+// tool is what all commands share.
+type tool struct {
+	servers []string
+	key     string
+	ca      string
+	asJSON  bool
+	out     io.Writer
+}
+
+// Main runs the command line and returns its exit code.
+func Main() int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return Run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+}
+
+// Run runs one command.
+func Run(ctx context.Context, args []string, out, errs io.Writer) int {
+	t := &tool{out: out}
+	root := t.root()
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errs)
+	err := root.ExecuteContext(ctx)
+	if err != nil && !errors.Is(err, errDiffers) {
+		_, _ = fmt.Fprintln(errs, err)
+	}
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var problems settings.Problems
+	var refused *operatorclient.Error
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.Is(err, errDiffers):
+		return exitDiffers
+	case errors.As(err, &problems) || errors.Is(err, errBadFile):
+		return exitBadFile
+	case errors.As(err, &refused):
+		return exitOfCode(refused.Number())
+	}
+	return exitFault
+}
+
+func exitOfCode(number int) int {
+	switch number {
+	case code.RevisionRace.Number():
+		return exitConflict
+	case code.ApplyUnknown.Number():
+		return exitUnknown
+	case code.BadConfig.Number():
+		return exitBadFile
+	}
+	return exitFault
+}
+
+func (t *tool) root() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "ironhollow",
+		Short:         "Operate an ironhollow fleet",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	flags := root.PersistentFlags()
+	flags.StringSliceVar(&t.servers, "server", splitEnv("IRONHOLLOW_SERVERS"), "operator addresses of control processes, tried in order (or IRONHOLLOW_SERVERS)")
+	flags.StringVar(&t.key, "key", os.Getenv("IRONHOLLOW_KEY"), "operator's bearer key (or IRONHOLLOW_KEY)")
+	flags.StringVar(&t.ca, "ca", "", "certificate of the site's authority, if operators' ports use TLS")
+	flags.BoolVar(&t.asJSON, "json", false, "print JSON instead of a table")
+	root.AddCommand(t.checkCommand(), t.diffCommand(), t.applyCommand(), t.getCommand(), t.statusCommand(),
+		t.drainCommand(), t.explainCommand(), t.keysCommand())
+	return root
+}
+
+func splitEnv(name string) []string {
+	if value := os.Getenv(name); value != "" {
+		return strings.Split(value, ",")
+	}
+	return nil
+}
+
+var errNoServer = errors.New("--server: needed, an IP number and port")
+
+func (t *tool) client() (*operatorclient.Client, error) {
+	if len(t.servers) == 0 {
+		return nil, errNoServer
+	}
+	return operatorclient.New(t.servers, t.key, t.ca)
+}
+
+// errBadFile marks files that can't be applied.
+var errBadFile = errors.New("not applied")
+
+// readFile reads and checks a configuration file.
+func readFile(name string) ([]fleet.Section, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errBadFile, err)
+	}
+	sections, err := fleet.Parse(name, data)
+	var problems settings.Problems
+	if err != nil && !errors.As(err, &problems) {
+		return nil, fmt.Errorf("%w: %w", errBadFile, err)
+	}
+	return sections, err
+}
+
+// print writes value as JSON, or calls table.
+func (t *tool) print(value any, table func(w io.Writer)) error {
+	if t.asJSON {
+		encoder := json.NewEncoder(t.out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(value)
+	}
+	w := tabwriter.NewWriter(t.out, 0, 4, 2, ' ', 0)
+	table(w)
+	return w.Flush()
+}
+
+func row(w io.Writer, cells ...any) {
+	texts := make([]string, len(cells))
+	for i, cell := range cells {
+		texts[i] = fmt.Sprint(cell)
+	}
+	_, _ = fmt.Fprintln(w, strings.Join(texts, "\t"))
+}
--- /dev/null
+++ b/pkg/app/cli/status.go
@@ -0,0 +1,193 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"ironhollow/pkg/fleet"
+	"ironhollow/pkg/operatorapi/operatorwire"
+	"ironhollow/pkg/secure"
+)
+
+func (t *tool) statusCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "status",
+		Short: "Show entry hosts, endpoints and shards as one control process knows them",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			client, err := t.client()
+			if err != nil {
+				return err
+			}
+			status, err := client.Status(command.Context())
+			if err != nil {
+				return err
+			}
+			return t.print(status, func(w io.Writer) { printStatus(w, status) })
+		},
+	}
+}
+
+func printStatus(w io.Writer, s operatorwire.ControlStatus) {
+	row(w, "revision", s.Revision)
+	if s.StoreDown {
+		row(w, "table service", "does not answer")
+	}
+	row(w, "shards held by "+s.Node, len(s.Shards))
+	row(w, "")
+	row(w, "NODE", "STATUS", "DATA CENTRE", "CALLERS CONNECT TO", "CONTROL", "LOAD")
+	for _, n := range s.Nodes {
+		status := n.Status
+		if n.Leaving {
+			status += ", leaving"
+		}
+		row(w, n.Node, status, n.DataCenter, n.CallerAddress, n.Control, fmt.Sprintf("%d%%", 10*n.Load))
+	}
+	row(w, "")
+	row(w, "ENDPOINT", "STATE", "DATA CENTRE", "CLASS", "SERVES", "ADDRESS")
+	for _, e := range s.Endpoints {
+		serves := e.Service
+		if e.Model != "" {
+			serves = e.Model + "@" + e.Version
+		}
+		row(w, e.Endpoint, e.State, e.DataCenter, e.Class, serves, e.Address)
+	}
+}
+
+func (t *tool) drainCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "drain ADMIN-ADDRESS",
+		Short: "Begin the planned stop of the entry with this admin address",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, args []string) error {
+			t.servers = []string{args[0]}
+			client, err := t.client()
+			if err != nil {
+				return err
+			}
+			if err := client.Admin(command.Context(), http.MethodPost, args[0], "/drain", nil); err != nil {
+				return err
+			}
+			return t.print(struct {
+				Draining string `json:"draining"`
+			}{args[0]}, func(w io.Writer) { row(w, args[0], "is draining") })
+		},
+	}
+}
+
+var errWhat = errors.New("one of --service and --request is needed, or neither for the latest requests")
+
+func (t *tool) explainCommand() *cobra.Command {
+	var service, request string
+	var count int
+	command := &cobra.Command{
+		Use:   "explain ADMIN-ADDRESS",
+		Short: "Show why requests went where they went, or the sums of a choice made now",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, args []string) error {
+			if service != "" && request != "" {
+				return errWhat
+			}
+			t.servers = []string{args[0]}
+			if service != "" {
+				return t.explainService(command, args[0], service)
+			}
+			return t.explainRequests(command, args[0], request, count)
+		},
+	}
+	command.Flags().StringVar(&service, "service", "", "show every endpoint's sums for this service")
+	command.Flags().StringVar(&request, "request", "", "show one request, by the Ironhollow-Request header of its answer")
+	command.Flags().IntVar(&count, "count", 10, "how many of the latest requests to show")
+	return command
+}
+
+func (t *tool) explainService(command *cobra.Command, address, service string) error {
+	client, err := t.client()
+	if err != nil {
+		return err
+	}
+	var candidates []operatorwire.Candidate
+	if err := client.Admin(command.Context(), http.MethodGet, address, "/explain/services/"+url.PathEscape(service), &candidates); err != nil {
+		return err
+	}
+	return t.print(candidates, func(w io.Writer) {
+		row(w, "ENDPOINT", "DATA CENTRE", "USABLE", "WAIT MS", "+ DECODE MS", "+ RISK MS", "= TOTAL MS", "RUNNING", "RECLAIMS/HOUR")
+		for _, c := range candidates {
+			row(w, c.Endpoint, c.DataCenter, c.Usable, c.WaitMS, c.DecodeMS, c.RiskMS, c.TotalMS, c.Running, fmt.Sprintf("%.3f", c.HazardPerHour))
+		}
+	})
+}
+
+func (t *tool) explainRequests(command *cobra.Command, address, request string, count int) error {
+	client, err := t.client()
+	if err != nil {
+		return err
+	}
+	path := fmt.Sprintf("/explain/requests?count=%d&request=%s", count, url.QueryEscape(request))
+	var list []operatorwire.ServedRequest
+	if err := client.Admin(command.Context(), http.MethodGet, address, path, &list); err != nil {
+		return err
+	}
+	return t.print(list, func(w io.Writer) {
+		for _, r := range list {
+			row(w, r.Request, r.Team, r.Service, fmt.Sprintf("%.1f ms", r.TookMS), fmt.Sprintf("%d tokens", r.Tokens), r.Failure)
+			for i, h := range r.Hops {
+				row(w, fmt.Sprintf("  attempt %d", i+1), h.Endpoint, h.Ending, fmt.Sprintf("expected %.1f ms", h.ExpectedMS),
+					fmt.Sprintf("%d tokens had", h.Tokens), fmt.Sprintf("%d cached", h.Cached))
+			}
+		}
+	})
+}
+
+func (t *tool) keysCommand() *cobra.Command {
+	keys := &cobra.Command{Use: "keys", Short: "Make keys and certificates"}
+	keys.AddCommand(t.keysNewCommand(), t.keysHashCommand())
+	return keys
+}
+
+func (t *tool) keysNewCommand() *cobra.Command {
+	var addresses []string
+	command := &cobra.Command{
+		Use:   "new DIRECTORY",
+		Short: "Make a site's set of keys, or renew its certificates under the same authority",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			var ips []net.IP
+			for _, text := range addresses {
+				ip := net.ParseIP(text)
+				if ip == nil {
+					return fmt.Errorf("--address: got %q, valid: an IP number", text)
+				}
+				ips = append(ips, ip)
+			}
+			if err := secure.MakeSet(args[0], ips, time.Now()); err != nil {
+				return err
+			}
+			return t.print(struct {
+				Directory string `json:"directory"`
+			}{args[0]}, func(w io.Writer) { row(w, "keys are in", args[0]) })
+		},
+	}
+	command.Flags().StringSliceVar(&addresses, "address", nil, "IP numbers that callers and operators connect to")
+	return command
+}
+
+func (t *tool) keysHashCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "hash KEY",
+		Short: "Print the form in which a bearer key stands in files",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			return t.print(struct {
+				Hash string `json:"hash"`
+			}{fleet.HashKey(args[0])}, func(w io.Writer) { row(w, fleet.HashKey(args[0])) })
+		},
+	}
+}
--- /dev/null
+++ b/pkg/app/control/app.go
@@ -0,0 +1,162 @@
+// Package control is the control process: it holds shards of the control work
+// by lease (placing models, watching for reclaims and hosts), relays news to
+// the entries, and serves operators. One runs on every host and none is set
+// aside.
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.opentelemetry.io/otel/sdk/trace"
+
+	"ironhollow/pkg/config"
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/engine"
+	"ironhollow/pkg/httpx"
+	"ironhollow/pkg/lease"
+	"ironhollow/pkg/membership"
+	"ironhollow/pkg/operatorapi"
+	"ironhollow/pkg/peer"
+	"ironhollow/pkg/platform/cloud"
+	"ironhollow/pkg/platform/hostlist"
+	"ironhollow/pkg/platform/table"
+	"ironhollow/pkg/platform/table/tablehttp"
+	"ironhollow/pkg/secure"
+)
+
+// App is a control process with all its parts.
+type App struct {
+	settings  Settings
+	log       *log.Logger
+	registry  *prometheus.Registry
+	tracer    *trace.TracerProvider
+	guard     *table.Guard
+	writer    *table.Writer
+	config    *config.Holder
+	store     *config.Store
+	nodes     *membership.Table
+	endpoints *endpoint.Directory
+	mesh      *peer.Mesh
+	peers     *peer.Server
+	leases    *lease.Manager
+	engines   engine.API
+	cloud     cloud.API
+	hosts     hostlist.List
+	operators *operatorapi.API
+	counters  *Counters
+	operTLS   *secure.Loader
+
+	mu sync.Mutex
+	// noticed is the sequence of the last notice seen.
+	noticed int64
+	// reported holds the last reports of the endpoints of held shards.
+	reported map[string]engine.Report
+	hadGrant map[lease.Shard]int64
+}
+
+// Incarnation identifies this start of the process.
+type Incarnation int64
+
+// Figures of the process's clients.
+const (
+	connsPerHost = 8
+	engineTime   = 3 * time.Second
+)
+
+func newHTTPClient() *http.Client { return httpx.NewClient(connsPerHost) }
+
+func newGuard(s Settings, client *http.Client) *table.Guard {
+	store := tablehttp.New(s.tableAddress, s.platformTime, client)
+	return table.NewGuard(store, table.Budget{ReadsPerSecond: s.readsPerSecond, WritesPerSecond: s.writesPerSecond})
+}
+
+// newWriter names the process in tokens and leases.
+func newWriter(guard *table.Guard, s Settings, incarnation Incarnation) *table.Writer {
+	return table.NewWriter(guard, "control-"+membership.OwnerOf(s.id, int64(incarnation)))
+}
+
+func newLeases(writer *table.Writer, s Settings) *lease.Manager {
+	return lease.New(writer, writer.Incarnation(), s.leaseTiming)
+}
+
+func newMesh(s Settings, incarnation Incarnation, nodes *membership.Table, endpoints *endpoint.Directory, holder *config.Holder) *peer.Mesh {
+	self := membership.Node{ID: s.id, Incarnation: int64(incarnation), Status: membership.Alive, DataCenter: s.dataCenter, Region: s.region}
+	return peer.NewFollower(self, nodes, endpoints, holder)
+}
+
+// TLS holds the keys of both sides, nil where TLS is off.
+type TLS struct {
+	peer, operator *secure.Loader
+}
+
+func newTLS(s Settings) (TLS, error) {
+	var t TLS
+	var err error
+	if !s.peerFiles.Empty() {
+		if t.peer, err = secure.Load(s.peerFiles); err != nil {
+			return t, err
+		}
+	}
+	if !s.operatorFile.Empty() {
+		t.operator, err = secure.Load(s.operatorFile)
+	}
+	return t, err
+}
+
+func newPeers(ctx context.Context, mesh *peer.Mesh, t TLS, counters *peer.Counters) *peer.Server {
+	if t.peer == nil {
+		return peer.NewServer(ctx, mesh, peer.RoleControl, nil, counters)
+	}
+	return peer.NewServer(ctx, mesh, peer.RoleControl, t.peer.PeerClient(), counters)
+}
+
+func newEngines(client *http.Client) engine.API { return engine.New(client, engineTime) }
+
+func newCloud(s Settings, client *http.Client) cloud.API {
+	return cloud.New(s.cloudAddress, s.platformTime, client)
+}
+
+func newHosts(s Settings, client *http.Client) hostlist.List {
+	return hostlist.New(s.hostListAddress, s.platformTime, client)
+}
+
+func newOperators(s Settings, store *config.Store, holder *config.Holder) *operatorapi.API {
+	return operatorapi.New(store, holder, s.operatorKeys)
+}
+
+func newRegisterer(registry *prometheus.Registry) prometheus.Registerer { return registry }
+
+func newApp(
+	settings Settings, logger *log.Logger, registry *prometheus.Registry, tracer *trace.TracerProvider, guard *table.Guard,
+	writer *table.Writer, holder *config.Holder, store *config.Store, nodes *membership.Table, endpoints *endpoint.Directory,
+	mesh *peer.Mesh, peers *peer.Server, leases *lease.Manager, engines engine.API, cloudAPI cloud.API, hosts hostlist.List,
+	operators *operatorapi.API, counters *Counters, t TLS,
+) *App {
+	return &App{
+		settings: settings, log: logger, registry: registry, tracer: tracer, guard: guard, writer: writer, config: holder,
+		store: store, nodes: nodes, endpoints: endpoints, mesh: mesh, peers: peers, leases: leases, engines: engines,
+		cloud: cloudAPI, hosts: hosts, operators: operators, counters: counters, operTLS: t.operator,
+		reported: map[string]engine.Report{}, hadGrant: map[lease.Shard]int64{},
+	}
+}
+
+// every calls do at a period with jitter until ctx ends.
+func every(ctx context.Context, period time.Duration, do func(context.Context)) {
+	for {
+		jitter := time.Duration((0.9 + 0.2*rand.Float64()) * float64(period))
+		timer := time.NewTimer(jitter)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+			do(ctx)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/app/control/settings.go
@@ -0,0 +1,61 @@
+package control
+
+import (
+	"time"
+
+	"ironhollow/pkg/app/process"
+	"ironhollow/pkg/lease"
+	"ironhollow/pkg/secure"
+	"ironhollow/pkg/settings"
+	"ironhollow/pkg/settings/controlschema"
+	"ironhollow/schema"
+)
+
+// Settings are the checked settings of a control process.
+type Settings struct {
+	id, dataCenter, region  string
+	operatorAddress         string
+	adminAddress            string
+	entries                 []string
+	tableAddress            string
+	cloudAddress            string
+	hostListAddress         string
+	platformTime            time.Duration
+	readsPerSecond          float64
+	writesPerSecond         float64
+	operatorKeys            []string
+	shards                  int
+	leaseTiming             lease.Timing
+	watchPeriod             time.Duration
+	peerFiles, operatorFile secure.Files
+	tracing                 process.Tracing
+	logLevel                string
+}
+
+// Read checks a settings file.
+func Read(file string, data []byte) (Settings, error) {
+	shape, err := settings.ParseSchema(schema.Control)
+	if err != nil {
+		return Settings{}, err
+	}
+	var w controlschema.Control
+	if err := shape.Read(file, data, &w); err != nil {
+		return Settings{}, err
+	}
+	return fromWire(w), nil
+}
+
+func fromWire(w controlschema.Control) Settings {
+	return Settings{
+		id: w.Node.ID, dataCenter: w.Node.DataCenter, region: w.Node.Region,
+		operatorAddress: w.Node.OperatorAddress, adminAddress: w.Node.AdminAddress, entries: w.Node.Entries,
+		tableAddress: w.Platform.Table, cloudAddress: w.Platform.Cloud, hostListAddress: w.Platform.HostList,
+		platformTime: w.Platform.Timeout, readsPerSecond: w.Platform.ReadsPerSecond, writesPerSecond: w.Platform.WritesPerSecond,
+		operatorKeys: w.Operators.Keys, shards: w.Shards.Count,
+		leaseTiming: lease.Timing{Duration: w.Shards.Lease, Renew: w.Shards.Renew}, watchPeriod: w.Shards.Watch,
+		peerFiles:    secure.Files{Cert: w.TLS.PeerCert, Key: w.TLS.PeerKey, CA: w.TLS.PeerCa},
+		operatorFile: secure.Files{Cert: w.TLS.OperatorCert, Key: w.TLS.OperatorKey},
+		tracing:      process.Tracing{Address: w.Trace.OtlpAddress, Sample: w.Trace.Sample},
+		logLevel:     string(w.Log.Level),
+	}
+}
--- /dev/null
+++ b/pkg/app/control/wire.go
@@ -0,0 +1,26 @@
+//go:build wireinject
+
+package control
+
+import (
+	"context"
+
+	"github.com/google/wire"
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.opentelemetry.io/otel/sdk/trace"
+
+	"ironhollow/pkg/config"
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/membership"
+	"ironhollow/pkg/peer"
+)
+
+func build(ctx context.Context, settings Settings, incarnation Incarnation, logger *log.Logger, registry *prometheus.Registry, tracer *trace.TracerProvider) (*App, error) {
+	wire.Build(
+		newHTTPClient, newGuard, newWriter, newLeases, newMesh, newTLS, newPeers, newEngines, newCloud, newHosts, newOperators,
+		newRegisterer, newApp, NewCounters,
+		config.New, config.NewStore, membership.NewTable, endpoint.NewDirectory, peer.NewCounters,
+	)
+	return nil, nil
+}
--- /dev/null
+++ b/pkg/app/entry/app.go
@@ -0,0 +1,170 @@
+// Package entry is the entry process: it serves callers and takes part in the
+// mesh. This file holds its parts; run.go its life, loops.go what it does
+// beside serving.
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.opentelemetry.io/otel/sdk/trace"
+
+	"ironhollow/pkg/callerapi"
+	"ironhollow/pkg/claim"
+	"ironhollow/pkg/config"
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/engine"
+	"ironhollow/pkg/explain"
+	"ironhollow/pkg/hazard"
+	"ironhollow/pkg/httpx"
+	"ironhollow/pkg/job"
+	"ironhollow/pkg/limit"
+	"ironhollow/pkg/membership"
+	"ironhollow/pkg/peer"
+	"ironhollow/pkg/plainservice"
+	"ironhollow/pkg/platform/object"
+	"ironhollow/pkg/platform/table"
+	"ironhollow/pkg/platform/table/tablehttp"
+	"ironhollow/pkg/reclaim"
+	"ironhollow/pkg/retry"
+	"ironhollow/pkg/route"
+	"ironhollow/pkg/secure"
+	"ironhollow/pkg/stream"
+)
+
+// App is an entry with all its parts.
+type App struct {
+	settings  Settings
+	self      membership.Node
+	log       *log.Logger
+	registry  *prometheus.Registry
+	tracer    *trace.TracerProvider
+	guard     *table.Guard
+	writer    *table.Writer
+	config    *config.Holder
+	store     *config.Store
+	nodes     *membership.Table
+	endpoints *endpoint.Directory
+	hazard    *hazard.Estimator
+	router    *route.Router
+	engines   engine.API
+	runner    *stream.Runner
+	rates     *limit.Rates
+	gates     *limit.Gates
+	budget    *retry.Budget
+	jobs      *job.Store
+	worker    *job.Worker
+	batcher   *job.Batcher
+	claims    *claim.Claims
+	history   *explain.History
+	mesh      *peer.Mesh
+	peers     *peer.Server
+	api       *callerapi.API
+	peerTLS   *secure.Loader
+	callerTLS *secure.Loader
+
+	recoveredMu sync.Mutex
+	// recovered are incarnations of dead nodes that own no jobs any more.
+	recovered map[string]bool
+
+	drainOnce  sync.Once
+	drainAsked chan struct{}
+}
+
+// engineConns is how many connections are kept to one endpoint.
+const engineConns = 64
+
+// engineTime bounds calls to engines that are not streams.
+const engineTime = 3 * time.Second
+
+func newHTTPClient() *http.Client { return httpx.NewClient(engineConns) }
+
+// Incarnation identifies this start of the process.
+type Incarnation int64
+
+// NewIncarnation returns the time of the start in milliseconds: it grows from
+// start to start, as long as the clock of a replaced host is not behind by more
+// than the restart took; the registration in the table corrects that.
+func NewIncarnation() Incarnation { return Incarnation(time.Now().UnixMilli()) }
+
+func newSelf(s Settings, incarnation Incarnation) membership.Node {
+	self := s.node
+	self.Incarnation = int64(incarnation)
+	return self
+}
+
+func newGuard(s Settings, client *http.Client) *table.Guard {
+	store := tablehttp.New(s.tableAddress, s.platformTime, client)
+	return table.NewGuard(store, table.Budget{ReadsPerSecond: s.readsPerSecond, WritesPerSecond: s.writesPerSecond})
+}
+
+func newWriter(guard *table.Guard, self membership.Node) *table.Writer {
+	return table.NewWriter(guard, self.Owner())
+}
+
+func newObjects(s Settings, client *http.Client) object.Store {
+	return object.New(s.objectAddress, s.platformTime, client)
+}
+
+func newRouter(endpoints *endpoint.Directory, estimator *hazard.Estimator, self membership.Node) *route.Router {
+	return route.New(endpoints, estimator, route.Home{Node: self.ID, DataCenter: self.DataCenter}, rand.Uint64())
+}
+
+func newEngines(client *http.Client) engine.API { return engine.New(client, engineTime) }
+
+func newPlain(client *http.Client) plainservice.API { return plainservice.New(client) }
+
+// startShare is the retry budget's until a configuration is in force.
+const startShare = 0.1
+
+func newBudget() *retry.Budget { return retry.New(startShare, time.Now()) }
+
+func newBatcher(writer *table.Writer, s Settings) *job.Batcher {
+	return job.NewBatcher(writer, s.acceptWindow)
+}
+
+// Figures of the checkpoint interval.
+const (
+	// checkpointCost is the time a checkpoint takes from the store's budget.
+	checkpointCost = 50 * time.Millisecond
+	// lossesPerHour of an entry host: 643 of 420 hosts fail or are replaced a day.
+	lossesPerHour = 643.0 / 420 / 24
+)
+
+func newWorker(ctx context.Context, store *job.Store, generator job.Generator, self membership.Node, s Settings, counters *job.Counters) *job.Worker {
+	interval := func() time.Duration { return reclaim.Interval(checkpointCost, lossesPerHour) }
+	return job.NewWorker(ctx, store, generator, self.Owner(), s.jobs, interval, counters)
+}
+
+// TLS holds the keys of both sides, nil where TLS is off.
+type TLS struct {
+	peer, caller *secure.Loader
+}
+
+func newTLS(s Settings) (TLS, error) {
+	var t TLS
+	var err error
+	if !s.peerFiles.Empty() {
+		if t.peer, err = secure.Load(s.peerFiles); err != nil {
+			return t, err
+		}
+	}
+	if !s.callerFiles.Empty() {
+		t.caller, err = secure.Load(s.callerFiles)
+	}
+	return t, err
+}
+
+func newPeers(ctx context.Context, mesh *peer.Mesh, t TLS, counters *peer.Counters) *peer.Server {
+	if t.peer == nil {
+		return peer.NewServer(ctx, mesh, peer.RoleEntry, nil, counters)
+	}
+	return peer.NewServer(ctx, mesh, peer.RoleEntry, t.peer.PeerClient(), counters)
+}
+
+func newRegisterer(registry *prometheus.Registry) prometheus.Registerer { return registry }
--- /dev/null
+++ b/pkg/app/entry/generator.go
@@ -0,0 +1,55 @@
+package entry
+
+import (
+	"context"
+
+	"ironhollow/pkg/chat"
+	"ironhollow/pkg/code"
+	"ironhollow/pkg/config"
+	"ironhollow/pkg/job"
+	"ironhollow/pkg/route"
+	"ironhollow/pkg/stream"
+)
+
+// generator gives jobs their answers.
+type generator struct {
+	config *config.Holder
+	runner *stream.Runner
+}
+
+func newGenerator(holder *config.Holder, runner *stream.Runner) job.Generator {
+	return &generator{holder, runner}
+}
+
+// Generate runs a job's request, going on after the tokens of a checkpoint if
+// they are of the version that is served still.
+func (g *generator) Generate(ctx context.Context, j job.Job, version string, received []string, started func(job.Progress)) (job.Result, error) {
+	body, err := chat.Parse(j.Body)
+	if err != nil {
+		return job.Result{}, err
+	}
+	c := g.config.Current()
+	s, ok := c.Service(j.Service)
+	if !ok {
+		return job.Result{}, code.New(code.UnknownService, "service "+j.Service+" was removed")
+	}
+	request := body.Request(j.ID, s)
+	request.Prompt.Deadline = j.Deadline
+	request.Patience = s.Deadline()
+	if c.Policy().NaiveRoute() {
+		request.Strategy = route.RoundRobin
+	}
+	if version == s.Version() {
+		request.Received = received
+	}
+	collector := chat.NewCollector(s.Version(), request.Received)
+	started(collector)
+	result, err := g.runner.Run(ctx, request, collector)
+	if err != nil {
+		return job.Result{}, err
+	}
+	return job.Result{
+		Text: collector.Text(), Finish: result.Finish, Model: s.Model() + "@" + result.Version,
+		PromptTokens: result.Usage.PromptTokens, CompletionTokens: result.Usage.CompletionTokens,
+	}, nil
+}
--- /dev/null
+++ b/pkg/app/entry/loops.go
@@ -0,0 +1,267 @@
+package entry
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/engine"
+	"ironhollow/pkg/hazard"
+	"ironhollow/pkg/job"
+	"ironhollow/pkg/membership"
+	"ironhollow/pkg/peer"
+	"ironhollow/pkg/route"
+)
+
+func now() time.Time { return time.Now() }
+
+// Periods of what an entry does beside serving.
+const (
+	// configPeriod is how often the store is asked for a new revision. News of
+	// one comes over the mesh; this is for when that fails.
+	configPeriod = 10 * time.Second
+	// reportPeriod is how often an endpoint in use is asked for its load.
+	reportPeriod = time.Second
+	sharePeriod  = time.Second
+	// recoverPeriod is how often lost owners' jobs are looked for, sweepPeriod
+	// how often among all nodes that ever registered.
+	recoverPeriod = 3 * time.Second
+	sweepPeriod   = 30 * time.Second
+	storeTime     = 5 * time.Second
+)
+
+// every calls do at a period with jitter until ctx ends.
+func every(ctx context.Context, period time.Duration, do func(context.Context)) {
+	for {
+		jitter := time.Duration((0.9 + 0.2*rand.Float64()) * float64(period))
+		timer := time.NewTimer(jitter)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+			do(ctx)
+		}
+	}
+}
+
+// followConfig brings the configuration up to the store's.
+func (a *App) followConfig(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeTime)
+	defer cancel()
+	before := a.config.Current().Revision()
+	head, err := a.store.Head(ctx)
+	if err != nil || head <= before {
+		return
+	}
+	if before == 0 {
+		if a.store.Load(ctx, a.config) != nil {
+			return
+		}
+		a.peers.Send(a.mesh.Tell(peer.News{Changes: a.config.After(0)}, now()))
+	} else {
+		changes, err := a.store.Changes(ctx, before)
+		if err != nil {
+			return
+		}
+		a.peers.Send(a.mesh.Tell(peer.News{Changes: changes}, now()))
+	}
+	a.log.Info().Int64("revision", a.config.Current().Revision()).Msg("configuration in force")
+}
+
+// watchConfig applies what a new revision changes outside the request's path.
+func (a *App) watchConfig(ctx context.Context) {
+	for {
+		changed := a.config.Changed()
+		c := a.config.Current()
+		a.budget.SetShare(c.Policy().RetryShare())
+		for _, row := range c.Capacities() {
+			a.hazard.SetPrior(hazard.Place{DataCenter: row.DataCenter(), Class: row.Class()}, row.Hazard(), now())
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// readReports asks the endpoints this entry uses for their load.
+func (a *App) readReports(ctx context.Context) {
+	for _, info := range a.router.InUse() {
+		go a.readReport(ctx, info)
+	}
+}
+
+func (a *App) readReport(ctx context.Context, info endpoint.Info) {
+	if info.Kind != endpoint.Model || !info.Takes() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportPeriod)
+	defer cancel()
+	report, err := a.engines.Load(ctx, info.Address)
+	if err != nil || report.Incarnation != info.Incarnation {
+		return
+	}
+	a.router.Report(info.Ref(), report)
+	if heard := fromReport(info, report); heard != info {
+		a.peers.Send(a.mesh.Tell(peer.News{Endpoints: []endpoint.Info{heard}}, now()))
+	}
+}
+
+// fromReport is what an engine's own word makes of what is known of it.
+func fromReport(info endpoint.Info, report engine.Report) endpoint.Info {
+	if report.Counter > info.Counter || (info.Counter == 0 && report.Model != info.Model) {
+		info.Model, info.Version, info.Adapter, info.Counter = report.Model, report.Version, report.Adapter, report.Counter
+	}
+	if report.Leaving && info.State == endpoint.Live {
+		info.State = endpoint.Leaving
+	}
+	return info
+}
+
+// onLeave moves work off an endpoint that leaves and learns from it.
+func (a *App) onLeave(ctx context.Context, info endpoint.Info) {
+	a.log.Info().Str("endpoint", info.ID).Str("data_center", info.DataCenter).Time("leave_by", info.LeaveBy).Msg("endpoint is leaving")
+	if info.Reclaimable {
+		a.hazard.Reclaimed(hazard.Place{DataCenter: info.DataCenter, Class: info.Class}, 1, now())
+	}
+	if info.LeaveBy.IsZero() {
+		return
+	}
+	a.runner.Leaving(ctx, info, a.config.Current().Policy().NaiveReclaim())
+}
+
+// gateRoom is how much more than the endpoints run at once is let through, so
+// that they always have the next request at hand.
+const gateRoom = 1.25
+
+// share keeps limits and gates in step with the other entries.
+func (a *App) share(context.Context) {
+	serving := max(len(a.nodes.Serving()), 1)
+	a.router.SetEntries(serving)
+	a.gates.Resize(func(t route.Target) int { return a.gateCapacity(t, serving) })
+	load := int(math.Round(10 * min(a.gates.Load(), 2)))
+	a.peers.Send(a.mesh.SetLoad(min(load, 10)))
+	a.shareDemand(serving)
+	a.countHosts()
+}
+
+func (a *App) gateCapacity(t route.Target, serving int) int {
+	if t.Model == "" {
+		return a.router.Size(t) * plainRoom
+	}
+	slots := a.router.Slots(t)
+	if slots == 0 {
+		if other, ok := a.router.Other(t); ok {
+			slots = a.router.Slots(other)
+		}
+	}
+	return int(math.Ceil(gateRoom * float64(slots) / float64(serving)))
+}
+
+// plainRoom is how many calls one plain endpoint is sent at once by one entry.
+const plainRoom = 256
+
+func (a *App) shareDemand(serving int) {
+	t := now()
+	var own []peer.Demand
+	demands := a.rates.Demands(t)
+	for _, d := range demands {
+		own = append(own, peer.Demand{Team: peer.TeamHash(d.Team), Value: d.PerSecond})
+	}
+	a.mesh.SetDemand(own)
+	for _, d := range demands {
+		if mean, ok := a.mesh.MeanDemand(peer.TeamHash(d.Team)); ok {
+			a.rates.SetTotal(d.Team, mean*float64(serving), t)
+		}
+	}
+}
+
+// countHosts tells the hazard estimate how many hosts there are to lose.
+func (a *App) countHosts() {
+	hosts := map[hazard.Place]int{}
+	for _, info := range a.endpoints.View().Infos() {
+		if info.Reclaimable && info.Takes() {
+			hosts[hazard.Place{DataCenter: info.DataCenter, Class: info.Class}]++
+		}
+	}
+	for place, count := range hosts {
+		a.hazard.SetHosts(place, count, now())
+	}
+}
+
+// helpers is how many survivors share a lost owner's jobs.
+const helpers = 4
+
+// recoverJobs takes over jobs of nodes that died, and own ones of earlier
+// starts or of unknown acceptance.
+func (a *App) recoverJobs(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeTime)
+	defer cancel()
+	if rescued, err := a.worker.Rescue(ctx); err == nil && rescued > 0 {
+		a.log.Info().Int("jobs", rescued).Msg("own jobs found in the store")
+	}
+	for _, n := range a.nodes.Nodes() {
+		if n.Status == membership.Dead {
+			a.recoverNode(ctx, n.ID, n.Incarnation)
+		}
+	}
+}
+
+// recoverNode takes this entry's part of the jobs that incarnations of a node
+// up to the given one still own.
+func (a *App) recoverNode(ctx context.Context, id string, incarnation int64) {
+	serving := a.nodes.Serving()
+	rank := membership.RankOf(id, a.self.ID, serving)
+	of := min(helpers, len(serving))
+	if rank < 0 || rank >= of || a.wasRecovered(id, incarnation) {
+		return
+	}
+	owners, err := a.jobs.Owners(ctx, id)
+	if err != nil {
+		return
+	}
+	left := 0
+	for _, owner := range owners {
+		if membership.IncarnationOfOwner(owner) > incarnation {
+			continue
+		}
+		taken, remaining, err := a.worker.Recover(ctx, owner, job.Part{Rank: rank, Of: of})
+		if err != nil {
+			return
+		}
+		left += taken + remaining
+		if taken > 0 {
+			a.log.Info().Str("owner", owner).Int("jobs", taken).Int("left", remaining).Msg("jobs taken over")
+		}
+	}
+	if left == 0 {
+		a.setRecovered(id, incarnation)
+	}
+}
+
+// sweep looks for jobs of nodes that nobody here remembers: one entry, chosen
+// by rank, asks the store for all that ever registered.
+func (a *App) sweep(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeTime)
+	defer cancel()
+	if membership.RankOf("sweep", a.self.ID, a.nodes.Serving()) != 0 {
+		return
+	}
+	registered, err := a.registered(ctx)
+	if err != nil {
+		return
+	}
+	var unknown []membership.Node
+	for _, n := range registered {
+		if _, known := a.nodes.Get(n.ID); !known {
+			unknown = append(unknown, n)
+		}
+	}
+	if len(unknown) > 0 {
+		a.peers.Send(a.mesh.Tell(peer.News{Nodes: unknown}, now()))
+	}
+}
--- /dev/null
+++ b/pkg/app/entry/parts.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.opentelemetry.io/otel/sdk/trace"
+
+	"ironhollow/pkg/callerapi"
+	"ironhollow/pkg/claim"
+	"ironhollow/pkg/config"
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/engine"
+	"ironhollow/pkg/explain"
+	"ironhollow/pkg/hazard"
+	"ironhollow/pkg/job"
+	"ironhollow/pkg/limit"
+	"ironhollow/pkg/membership"
+	"ironhollow/pkg/peer"
+	"ironhollow/pkg/plainservice"
+	"ironhollow/pkg/platform/table"
+	"ironhollow/pkg/retry"
+	"ironhollow/pkg/route"
+	"ironhollow/pkg/stream"
+)
+
+func newAPI(
+	settings Settings, self membership.Node, holder *config.Holder, nodes *membership.Table, router *route.Router,
+	runner *stream.Runner, rates *limit.Rates, gates *limit.Gates, jobs *job.Store, worker *job.Worker,
+	jobCounters *job.Counters, claims *claim.Claims, plain plainservice.API, budget *retry.Budget,
+	history *explain.History, tracer *trace.TracerProvider, counters *callerapi.Counters,
+) *callerapi.API {
+	return callerapi.New(callerapi.Deps{
+		Node: self.ID, Owner: self.Owner(), Limits: settings.limits, Config: holder, Nodes: nodes, Router: router,
+		Runner: runner, Rates: rates, Gates: gates, Jobs: jobs, Worker: worker, JobStat: jobCounters, Claims: claims,
+		Plain: plain, Budget: budget, History: history, Tracer: tracer.Tracer("ironhollow/entry"), Metrics: counters,
+	})
+}
+
+func newApp(
+	settings Settings, self membership.Node, logger *log.Logger, registry *prometheus.Registry, tracer *trace.TracerProvider,
+	guard *table.Guard, writer *table.Writer, holder *config.Holder, store *config.Store, nodes *membership.Table,
+	endpoints *endpoint.Directory, estimator *hazard.Estimator, router *route.Router, engines engine.API,
+	runner *stream.Runner, rates *limit.Rates, gates *limit.Gates, budget *retry.Budget, jobs *job.Store,
+	worker *job.Worker, batcher *job.Batcher, claims *claim.Claims, history *explain.History, mesh *peer.Mesh,
+	peers *peer.Server, api *callerapi.API, t TLS,
+) *App {
+	return &App{
+		settings: settings, self: self, log: logger, registry: registry, tracer: tracer, guard: guard, writer: writer,
+		config: holder, store: store, nodes: nodes, endpoints: endpoints, hazard: estimator, router: router,
+		engines: engines, runner: runner, rates: rates, gates: gates, budget: budget, jobs: jobs, worker: worker,
+		batcher: batcher, claims: claims, history: history, mesh: mesh, peers: peers, api: api,
+		peerTLS: t.peer, callerTLS: t.caller, recovered: map[string]bool{}, drainAsked: make(chan struct{}),
+	}
+}
--- /dev/null
+++ b/pkg/app/entry/recovered.go
@@ -0,0 +1,16 @@
+package entry
+
+import "ironhollow/pkg/membership"
+
+// wasRecovered reports whether an incarnation is known to own no jobs any more.
+func (a *App) wasRecovered(id string, incarnation int64) bool {
+	a.recoveredMu.Lock()
+	defer a.recoveredMu.Unlock()
+	return a.recovered[membership.OwnerOf(id, incarnation)]
+}
+
+func (a *App) setRecovered(id string, incarnation int64) {
+	a.recoveredMu.Lock()
+	defer a.recoveredMu.Unlock()
+	a.recovered[membership.OwnerOf(id, incarnation)] = true
+}
--- /dev/null
+++ b/pkg/app/entry/settings.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"time"
+
+	"ironhollow/pkg/app/process"
+	"ironhollow/pkg/callerapi"
+	"ironhollow/pkg/membership"
+	"ironhollow/pkg/secure"
+	"ironhollow/pkg/settings"
+	"ironhollow/pkg/settings/entryschema"
+	"ironhollow/schema"
+)
+
+// Settings are the checked settings of an entry.
+type Settings struct {
+	node           membership.Node
+	adminAddress   string
+	seeds          []string
+	tableAddress   string
+	objectAddress  string
+	platformTime   time.Duration
+	readsPerSecond float64
+	// writesPerSecond counts commits.
+	writesPerSecond float64
+	limits          callerapi.Limits
+	readTimeout     time.Duration
+	jobs            int
+	acceptWindow    time.Duration
+	drainNotice     time.Duration
+	drainMost       time.Duration
+	peerFiles       secure.Files
+	callerFiles     secure.Files
+	tracing         process.Tracing
+	logLevel        string
+}
+
+// Read checks a settings file.
+func Read(file string, data []byte) (Settings, error) {
+	shape, err := settings.ParseSchema(schema.Entry)
+	if err != nil {
+		return Settings{}, err
+	}
+	var w entryschema.Entry
+	if err := shape.Read(file, data, &w); err != nil {
+		return Settings{}, err
+	}
+	return fromWire(w), nil
+}
+
+func fromWire(w entryschema.Entry) Settings {
+	return Settings{
+		node: membership.Node{
+			ID: w.Node.ID, Status: membership.Alive, DataCenter: w.Node.DataCenter, Region: w.Node.Region,
+			PeerAddress: w.Node.PeerAddress, CallerAddress: w.Node.CallerAddress,
+		},
+		adminAddress:    w.Node.AdminAddress,
+		seeds:           w.Node.Seeds,
+		tableAddress:    w.Platform.Table,
+		objectAddress:   w.Platform.Objects,
+		platformTime:    w.Platform.Timeout,
+		readsPerSecond:  w.Platform.ReadsPerSecond,
+		writesPerSecond: w.Platform.WritesPerSecond,
+		limits: callerapi.Limits{
+			BodyBytes: int64(w.Limits.BodyBytes), AnswerBytes: int64(w.Limits.AnswerBytes),
+			Requests: int64(w.Limits.Requests), WriteTimeout: w.Limits.WriteTimeout,
+		},
+		readTimeout:  w.Limits.ReadTimeout,
+		jobs:         w.Limits.Jobs,
+		acceptWindow: w.Limits.AcceptWindow,
+		drainNotice:  w.Drain.Notice,
+		drainMost:    w.Drain.Most,
+		peerFiles:    secure.Files{Cert: w.TLS.PeerCert, Key: w.TLS.PeerKey, CA: w.TLS.PeerCa},
+		callerFiles:  secure.Files{Cert: w.TLS.CallerCert, Key: w.TLS.CallerKey},
+		tracing:      process.Tracing{Address: w.Trace.OtlpAddress, Sample: w.Trace.Sample},
+		logLevel:     string(w.Log.Level),
+	}
+}
--- /dev/null
+++ b/pkg/app/entry/wire.go
@@ -0,0 +1,35 @@
+//go:build wireinject
+
+package entry
+
+import (
+	"context"
+
+	"github.com/google/wire"
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.opentelemetry.io/otel/sdk/trace"
+
+	"ironhollow/pkg/callerapi"
+	"ironhollow/pkg/claim"
+	"ironhollow/pkg/config"
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/explain"
+	"ironhollow/pkg/hazard"
+	"ironhollow/pkg/job"
+	"ironhollow/pkg/limit"
+	"ironhollow/pkg/membership"
+	"ironhollow/pkg/peer"
+	"ironhollow/pkg/stream"
+)
+
+func build(ctx context.Context, settings Settings, incarnation Incarnation, logger *log.Logger, registry *prometheus.Registry, tracer *trace.TracerProvider) (*App, error) {
+	wire.Build(
+		newHTTPClient, newSelf, newGuard, newWriter, newObjects, newRouter, newEngines, newPlain, newBudget, newBatcher,
+		newWorker, newTLS, newPeers, newRegisterer, newGenerator, newAPI, newApp,
+		config.New, config.NewStore, membership.NewTable, endpoint.NewDirectory, hazard.New, stream.New, stream.NewCounters,
+		limit.NewRates, limit.NewGates, job.NewStore, job.NewCounters, claim.New, explain.NewHistory,
+		peer.NewMesh, peer.NewCounters, callerapi.NewCounters,
+	)
+	return nil, nil
+}
--- /dev/null
+++ b/pkg/chat/answer.go
@@ -0,0 +1,122 @@
+package chat
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ironhollow/pkg/stream"
+)
+
+// Mark is where a caller stands in a streamed answer: enough for any entry to
+// go on from there, and to tell whether the pieces would join.
+type Mark struct {
+	Request string
+	// Offset is how many tokens the caller has.
+	Offset int
+	// Endpoint ran the stream last.
+	Endpoint string
+	// Sum is a hash of the text of those tokens.
+	Sum uint64
+}
+
+// String gives the mark as an event's id.
+func (m Mark) String() string {
+	return m.Request + ":" + strconv.Itoa(m.Offset) + ":" + m.Endpoint + ":" + strconv.FormatUint(m.Sum, 16)
+}
+
+// errMark says that a text is no mark.
+var errMark = errors.New("is no event id of a stream")
+
+// ParseMark reads an event's id.
+func ParseMark(text string) (Mark, error) {
+	parts := strings.Split(text, ":")
+	if len(parts) != 4 || len(parts[0]) != IDLength || strings.Trim(parts[0], "0123456789abcdef") != "" {
+		return Mark{}, errMark
+	}
+	offset, err := strconv.Atoi(parts[1])
+	if err != nil || offset < 0 {
+		return Mark{}, errMark
+	}
+	sum, err := strconv.ParseUint(parts[3], 16, 64)
+	if err != nil {
+		return Mark{}, errMark
+	}
+	return Mark{parts[0], offset, parts[2], sum}, nil
+}
+
+// IDLength is the length of a request's id.
+const IDLength = 32
+
+// ErrJoin says that the tokens made anew differ from those the caller has.
+var ErrJoin = errors.New("chat: the pieces do not join")
+
+// Joiner drops the tokens a caller has already and checks that what follows
+// joins on to them.
+type Joiner struct {
+	mark   Mark
+	digest *xxhash.Digest
+}
+
+// NewJoiner returns a joiner for a caller that stands at mark; one with offset
+// 0 drops nothing.
+func NewJoiner(mark Mark) *Joiner { return &Joiner{mark: mark, digest: xxhash.New()} }
+
+// Next takes a token and returns whether it is new to the caller, and the mark
+// after it.
+func (j *Joiner) Next(t stream.Token) (isNew bool, mark Mark, err error) {
+	_, _ = j.digest.WriteString(t.Text)
+	after := Mark{j.mark.Request, t.Offset + 1, t.Endpoint, j.digest.Sum64()}
+	if after.Offset < j.mark.Offset {
+		return false, after, nil
+	}
+	if after.Offset == j.mark.Offset {
+		if after.Sum != j.mark.Sum {
+			return false, after, ErrJoin
+		}
+		return false, after, nil
+	}
+	return true, after, nil
+}
+
+// Collector keeps a whole answer.
+type Collector struct {
+	mu      sync.Mutex
+	tokens  []string
+	version string
+}
+
+// NewCollector returns a collector that starts with tokens had before.
+func NewCollector(version string, received []string) *Collector {
+	return &Collector{tokens: append([]string(nil), received...), version: version}
+}
+
+// Token takes a token; it returns an error for one out of order, which the
+// runner never sends.
+func (c *Collector) Token(t stream.Token) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t.Offset != len(c.tokens) {
+		return fmt.Errorf("chat: token %d after %d", t.Offset, len(c.tokens))
+	}
+	c.tokens = append(c.tokens, t.Text)
+	return nil
+}
+
+// Text returns the answer so far.
+func (c *Collector) Text() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return strings.Join(c.tokens, "")
+}
+
+// Tokens returns the tokens so far and the version they are of.
+func (c *Collector) Tokens() (string, []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.version, append([]string(nil), c.tokens...)
+}
--- /dev/null
+++ b/pkg/chat/body.go
@@ -0,0 +1,203 @@
+// Package chat reads callers' model requests in the usual form and turns them
+// into prompts for engines.
+package chat
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ironhollow/pkg/code"
+	"ironhollow/pkg/engine"
+	"ironhollow/pkg/fleet"
+	"ironhollow/pkg/route"
+	"ironhollow/pkg/stream"
+)
+
+// Body is a caller's request.
+type Body struct {
+	service      string
+	messages     json.RawMessage
+	options      json.RawMessage
+	maxTokens    int
+	seed         int64
+	hasSeed      bool
+	stream       bool
+	includeUsage bool
+}
+
+// Service returns the service named in the member "model".
+func (b Body) Service() string { return b.service }
+
+// Stream reports whether the caller wants the answer as a stream.
+func (b Body) Stream() bool { return b.stream }
+
+// IncludeUsage reports whether a stream is to end with its account.
+func (b Body) IncludeUsage() bool { return b.includeUsage }
+
+// members are those of the usual body that ironhollow acts on. All others are
+// passed on to the engine.
+type members struct {
+	Model               string          `json:"model"`
+	Messages            json.RawMessage `json:"messages"`
+	MaxTokens           *int            `json:"max_tokens"`
+	MaxCompletionTokens *int            `json:"max_completion_tokens"`
+	Stream              bool            `json:"stream"`
+	StreamOptions       struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+	Seed *int64 `json:"seed"`
+	N    *int   `json:"n"`
+}
+
+// maxNesting bounds how deep a body may be nested.
+const maxNesting = 32
+
+// Parse reads a body. Errors are BadBody and say which member is at fault.
+func Parse(data []byte) (Body, error) {
+	if err := checkNesting(data); err != nil {
+		return Body{}, code.New(code.BadBody, err.Error())
+	}
+	var m members
+	if err := json.Unmarshal(data, &m); err != nil {
+		return Body{}, code.New(code.BadBody, err.Error())
+	}
+	if fault := m.fault(); fault != "" {
+		return Body{}, code.New(code.BadBody, fault)
+	}
+	b := Body{
+		service: m.Model, messages: m.Messages, stream: m.Stream, includeUsage: m.StreamOptions.IncludeUsage,
+		options: data,
+	}
+	if m.Seed != nil {
+		b.seed, b.hasSeed = *m.Seed, true
+	}
+	for _, limit := range []*int{m.MaxTokens, m.MaxCompletionTokens} {
+		if limit != nil {
+			b.maxTokens = *limit
+		}
+	}
+	return b, nil
+}
+
+func (m members) fault() string {
+	switch {
+	case m.Model == "":
+		return "model: missing; it names the service"
+	case m.N != nil && *m.N != 1:
+		return "n: only 1 answer can be asked for"
+	case m.MaxTokens != nil && *m.MaxTokens < 1:
+		return "max_tokens: must be at least 1"
+	case m.MaxCompletionTokens != nil && *m.MaxCompletionTokens < 1:
+		return "max_completion_tokens: must be at least 1"
+	}
+	return m.messagesFault()
+}
+
+// message is checked for shape only; its content is the engine's business.
+type message struct {
+	Role string `json:"role"`
+}
+
+func (m members) messagesFault() string {
+	var list []message
+	if err := json.Unmarshal(m.Messages, &list); err != nil {
+		return "messages: must be a list of messages"
+	}
+	if len(list) == 0 {
+		return "messages: must not be empty"
+	}
+	for i, one := range list {
+		if one.Role == "" {
+			return fmt.Sprintf("messages[%d].role: missing", i)
+		}
+	}
+	return ""
+}
+
+// checkNesting walks the tokens of a body and stops at one nested too deep, or
+// with a member that stands twice at the top, which would be read differently
+// here and at the engine.
+func checkNesting(data []byte) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	depth := 0
+	seen := map[string]bool{}
+	isKey := false
+	for {
+		token, err := decoder.Token()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		switch t := token.(type) {
+		case json.Delim:
+			if t == '{' || t == '[' {
+				depth++
+				if depth > maxNesting {
+					return fmt.Errorf("nested deeper than %d", maxNesting)
+				}
+				isKey = depth == 1
+				continue
+			}
+			depth--
+		case string:
+			if depth == 1 && isKey {
+				if seen[t] {
+					return fmt.Errorf("%s: stands twice", t)
+				}
+				seen[t] = true
+				isKey = false
+				continue
+			}
+		}
+		isKey = depth == 1
+	}
+}
+
+// bytesPerToken is the usual rule of thumb for text.
+const bytesPerToken = 4
+
+// Request builds the request for a service. id is unique over the fleet, and
+// the seed is made from it where the caller gave none, so that an attempt after
+// the first gives the same answer.
+func (b Body) Request(id string, s fleet.Service) stream.Request {
+	seed := b.seed
+	if !b.hasSeed {
+		seed = SeedOf(id)
+	}
+	maxTokens := s.MaxTokens()
+	if b.maxTokens > 0 {
+		maxTokens = min(maxTokens, b.maxTokens)
+	}
+	return stream.Request{
+		Prompt: engine.Prompt{
+			Request: id, Model: s.Model(), Version: s.Version(), Adapter: s.Adapter(),
+			Messages: b.messages, Options: b.options, MaxTokens: maxTokens, Seed: seed, Priority: s.Priority(),
+		},
+		Prefix:       route.Hash(nil, b.messages),
+		PromptTokens: (len(b.messages) + bytesPerToken - 1) / bytesPerToken,
+		Stake:        stakeOf(s),
+	}
+}
+
+// SeedOf returns the seed of a request that came without one: 52 bits, which
+// survive readers that take numbers for floating point.
+func SeedOf(id string) int64 { return int64(xxhash.Sum64String(id) >> 12) }
+
+// Stakes of lost work: a caller at a counter waits for every second of it.
+const (
+	stakeWaits   = 1.0
+	stakeCounter = 4.0
+)
+
+func stakeOf(s fleet.Service) float64 {
+	if s.MayWait() {
+		return stakeWaits
+	}
+	return stakeCounter
+}
--- /dev/null
+++ b/pkg/engine/client.go
@@ -0,0 +1,224 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"iter"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tmaxmax/go-sse"
+
+	"ironhollow/pkg/httpx"
+)
+
+// maxEvent bounds one event of a stream, in bytes.
+const maxEvent = 1 << 20
+
+// Client is an API over HTTP.
+type Client struct {
+	http    *http.Client
+	timeout time.Duration
+}
+
+// New returns a client. Calls other than streams take no longer than timeout.
+func New(client *http.Client, timeout time.Duration) *Client {
+	return &Client{http: client, timeout: timeout}
+}
+
+// Generate starts an attempt. ErrRefused is returned where it did not start.
+func (c *Client) Generate(ctx context.Context, address string, a Attempt) (Stream, error) {
+	body, err := encodeAttempt(a)
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+PathChat, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	h := request.Header
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderRequest, a.Prompt.Request)
+	h.Set(HeaderAttempt, strconv.Itoa(a.Number))
+	h.Set(HeaderPriority, strconv.Itoa(a.Prompt.Priority))
+	h.Set(HeaderDeadline, strconv.FormatInt(a.Prompt.Deadline.UnixMilli(), 10))
+	return c.open(request)
+}
+
+// encodeAttempt puts the members ironhollow decides over the caller's own.
+func encodeAttempt(a Attempt) ([]byte, error) {
+	members := map[string]json.RawMessage{}
+	if len(a.Prompt.Options) > 0 {
+		if err := json.Unmarshal(a.Prompt.Options, &members); err != nil {
+			return nil, err
+		}
+	}
+	set := func(name string, value any) {
+		// Strings, numbers and lists of them always encode.
+		members[name], _ = json.Marshal(value)
+	}
+	set("model", a.Prompt.Model)
+	set("version", a.Prompt.Version)
+	set("adapter", a.Prompt.Adapter)
+	set("stream", true)
+	set("seed", a.Prompt.Seed)
+	set("max_tokens", a.Prompt.MaxTokens)
+	set("continue", a.Continue)
+	members["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+	members["messages"] = a.Prompt.Messages
+	return json.Marshal(members)
+}
+
+// Attach goes on with a stream that the engine still keeps.
+func (c *Client) Attach(ctx context.Context, address, request string, offset int) (Stream, error) {
+	url := "http://" + address + PathStreams + request + "?offset=" + strconv.Itoa(offset)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	return c.open(r)
+}
+
+func (c *Client) open(request *http.Request) (Stream, error) {
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode == http.StatusOK {
+		return newStream(response.Body), nil
+	}
+	text, _ := io.ReadAll(io.LimitReader(response.Body, 512))
+	_ = response.Body.Close()
+	return nil, errorOf(response.StatusCode, string(text))
+}
+
+func errorOf(status int, text string) error {
+	text = strings.TrimSpace(text)
+	switch status {
+	case http.StatusNotFound:
+		return ErrNoStream
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusConflict:
+		return fmt.Errorf("%w: status %d: %s", ErrRefused, status, text)
+	case http.StatusBadRequest, http.StatusUnprocessableEntity, http.StatusRequestEntityTooLarge:
+		return fmt.Errorf("%w: %s", ErrBadRequest, text)
+	}
+	return fmt.Errorf("engine: status %d: %s", status, text)
+}
+
+// Cancel ends a stream; an unknown one is ended already.
+func (c *Client) Cancel(ctx context.Context, address, request string) error {
+	err := c.call(ctx, http.MethodDelete, address, PathStreams+request, nil, nil)
+	var status *httpx.StatusError
+	if errors.As(err, &status) && status.Status == http.StatusNotFound {
+		return nil
+	}
+	return err
+}
+
+// Import makes the engine at address fetch a stream's KV cache from source.
+func (c *Client) Import(ctx context.Context, address, request, source string) (int, error) {
+	var imported WireImported
+	err := c.call(ctx, http.MethodPost, address, PathImport, WireImport{request, source}, &imported)
+	return imported.Tokens, err
+}
+
+// Load reads the engine's latest report.
+func (c *Client) Load(ctx context.Context, address string) (Report, error) {
+	var w WireReport
+	if err := c.call(ctx, http.MethodGet, address, PathLoad, nil, &w); err != nil {
+		return Report{}, err
+	}
+	return Report{
+		Sequence: w.Sequence, Incarnation: w.Incarnation, Model: w.Model, Version: w.Version, Adapter: w.Adapter,
+		Running: w.Running, Waiting: w.Waiting, Slots: w.Slots, QueuedTokens: w.QueuedTokens, FreeTokens: w.FreeTokens,
+		Leaving: w.Leaving, Counter: w.Counter, Epoch: w.Epoch,
+	}, nil
+}
+
+// Order gives an order; ErrStale where the engine has seen a later epoch.
+func (c *Client) Order(ctx context.Context, address string, o Order) error {
+	err := c.call(ctx, http.MethodPost, address, PathOrders, WireOrder{o.Epoch, o.Model, o.Version, o.Adapter}, nil)
+	var status *httpx.StatusError
+	if errors.As(err, &status) && status.Status == http.StatusConflict {
+		return ErrStale
+	}
+	return err
+}
+
+func (c *Client) call(ctx context.Context, method, address, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	return httpx.CallJSON(ctx, c.http, method, "http://"+address+path, in, out)
+}
+
+// stream reads server-sent events.
+type stream struct {
+	body io.ReadCloser
+	next func() (sse.Event, error, bool)
+	stop func()
+}
+
+func newStream(body io.ReadCloser) *stream {
+	next, stop := iter.Pull2(sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEvent}))
+	return &stream{body: body, next: next, stop: stop}
+}
+
+// doneMark ends a stream in the usual protocol.
+const doneMark = "[DONE]"
+
+// Next returns the next frame. A stream that ends before its mark is broken.
+func (s *stream) Next() (Frame, error) {
+	event, err, ok := s.next()
+	switch {
+	case !ok:
+		return Frame{}, io.ErrUnexpectedEOF
+	case err != nil:
+		return Frame{}, err
+	case event.Data == doneMark:
+		return Frame{}, io.EOF
+	}
+	return DecodeFrame(event.LastEventID, event.Data)
+}
+
+// DecodeFrame reads one event: its id is attempt.offset, its data a chunk.
+func DecodeFrame(id, data string) (Frame, error) {
+	attemptText, offsetText, ok := strings.Cut(id, ".")
+	attempt, err := strconv.Atoi(attemptText)
+	if !ok || err != nil {
+		return Frame{}, fmt.Errorf("engine: bad event id %q", id)
+	}
+	offset, err := strconv.Atoi(offsetText)
+	if err != nil || offset < 0 {
+		return Frame{}, fmt.Errorf("engine: bad event id %q", id)
+	}
+	var chunk Chunk
+	if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+		return Frame{}, fmt.Errorf("engine: bad chunk: %w", err)
+	}
+	frame := Frame{Attempt: attempt, Offset: offset}
+	if len(chunk.Choices) > 0 {
+		frame.Text = chunk.Choices[0].Delta.Content
+		if reason := chunk.Choices[0].FinishReason; reason != nil {
+			frame.Finish = *reason
+		}
+	}
+	if chunk.Usage != nil {
+		frame.Usage = Usage{PromptTokens: chunk.Usage.PromptTokens, CompletionTokens: chunk.Usage.CompletionTokens}
+		if chunk.Usage.Details != nil {
+			frame.Usage.CachedTokens = chunk.Usage.Details.CachedTokens
+		}
+	}
+	return frame, nil
+}
+
+// Close lets go of the stream.
+func (s *stream) Close() {
+	_ = s.body.Close()
+	s.stop()
+}
--- /dev/null
+++ b/pkg/job/recover.go
@@ -0,0 +1,94 @@
+package job
+
+import (
+	"context"
+	"errors"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// recoverPage is how many jobs of a lost owner are looked at in one go.
+const recoverPage = 200
+
+// Part is one survivor's part of a lost owner's jobs: those whose id falls on
+// Rank among Of. Survivors that differ on their ranks do no harm: the row
+// decides who has a job.
+type Part struct {
+	Rank, Of int
+}
+
+// takes reports whether a job falls on this part.
+func (p Part) takes(id string) bool {
+	return p.Of <= 1 || int(xxhash.Sum64String(id)%uint64(p.Of)) == p.Rank
+}
+
+// Recover takes over a page of a lost owner's jobs, earliest deadline first,
+// and adds them to the worker. It returns how many it took and how many are
+// left for others or for another call.
+func (w *Worker) Recover(ctx context.Context, lost string, part Part) (taken, left int, err error) {
+	ids, err := w.store.OwnedBy(ctx, lost, recoverPage)
+	if err != nil {
+		return 0, 0, err
+	}
+	for _, id := range ids {
+		if !part.takes(id) {
+			left++
+			continue
+		}
+		j, err := w.store.TakeOver(ctx, id, lost, w.owner)
+		switch {
+		case err == nil:
+			w.Add(j)
+			taken++
+		case errors.Is(err, ErrTakenOver):
+		default:
+			return taken, left + len(ids) - taken, err
+		}
+	}
+	return taken, left, nil
+}
+
+// Rescue adds jobs that the store says are this entry's own but that it does
+// not have: their acceptance was not known to have taken effect.
+func (w *Worker) Rescue(ctx context.Context) (int, error) {
+	ids, err := w.store.OwnedBy(ctx, w.owner, recoverPage)
+	if err != nil {
+		return 0, err
+	}
+	rescued := 0
+	missed := map[string]bool{}
+	for _, id := range ids {
+		if w.Has(id) {
+			continue
+		}
+		missed[id] = true
+		// A job seen for the first time may be on its way from the store's
+		// answer to the worker: it is taken up if it is missing again.
+		if !w.wasMissed(id) {
+			continue
+		}
+		j, err := w.store.TakeOver(ctx, id, w.owner, w.owner)
+		if errors.Is(err, ErrTakenOver) {
+			continue
+		}
+		if err != nil {
+			return rescued, err
+		}
+		w.Add(j)
+		rescued++
+	}
+	w.setMissed(missed)
+	return rescued, nil
+}
+
+func (w *Worker) wasMissed(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.missed[id]
+}
+
+func (w *Worker) setMissed(missed map[string]bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.missed = missed
+}
--- /dev/null
+++ b/pkg/lease/lease.go
@@ -0,0 +1,319 @@
+// Package lease holds shards of control work by lease. Leases stand in the
+// table service; every grant raises the shard's epoch, and the holder stops by
+// its own clock before anyone else may start by theirs. No two clocks need to
+// agree: whoever waits for a lease to lapse counts from when it first saw the
+// row unchanged.
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+
+	"ironhollow/pkg/platform/table"
+)
+
+// Shard numbers a part of the control work, from 0.
+type Shard int
+
+// Grant is a shard held.
+type Grant struct {
+	Shard Shard
+	// Epoch grows with each grant of the shard; every order carries it.
+	Epoch int64
+}
+
+// Wish is how much a node wants a shard.
+type Wish int
+
+// The wishes.
+const (
+	// NotWanted shards are released if held.
+	NotWanted Wish = iota
+	// Standby watches a shard and takes it once its lease has lapsed.
+	Standby
+	// Wanted takes a shard that is free as well.
+	Wanted
+)
+
+// record is a lease row's JSON.
+type record struct {
+	// Holder is empty for a shard that was released.
+	Holder string `json:"holder"`
+	Epoch  int64  `json:"epoch"`
+}
+
+// Timing of a manager.
+type Timing struct {
+	// Duration is how long a lease lasts without renewal.
+	Duration time.Duration
+	// Renew is the time between renewals, under a third of Duration.
+	Renew time.Duration
+}
+
+// safety is the part of the duration that the holder itself counts on.
+const safety = 0.8
+
+// Manager holds and renews the leases of one process. It is safe for
+// concurrent use.
+type Manager struct {
+	writer *table.Writer
+	holder string
+	timing Timing
+
+	mu   sync.Mutex
+	held map[Shard]*holding
+	// seen is what was read of shards that are not held.
+	seen map[Shard]sighting
+}
+
+// holding is a lease of ours.
+type holding struct {
+	epoch   int64
+	version int64
+	// until is by this process's own monotonic clock.
+	until time.Time
+	since time.Time
+}
+
+// sighting is a row as first read at a version.
+type sighting struct {
+	version int64
+	epoch   int64
+	holder  string
+	since   time.Time
+}
+
+// New returns a manager; holder names this process's incarnation.
+func New(writer *table.Writer, holder string, timing Timing) *Manager {
+	return &Manager{writer: writer, holder: holder, timing: timing, held: map[Shard]*holding{}, seen: map[Shard]sighting{}}
+}
+
+func rowKey(s Shard) string { return fmt.Sprintf("lease/%04d", s) }
+
+// Held returns the grant of a shard if it is held at the moment. Whoever acts
+// under a grant asks again right before each act.
+func (m *Manager) Held(s Shard) (Grant, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h, ok := m.held[s]
+	if !ok || !time.Now().Before(h.until) {
+		return Grant{}, false
+	}
+	return Grant{s, h.epoch}, true
+}
+
+// HeldFor returns how long a shard has been held, 0 if it is not.
+func (m *Manager) HeldFor(s Shard) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h, ok := m.held[s]
+	if !ok {
+		return 0
+	}
+	return time.Since(h.since)
+}
+
+// Grants returns all shards held at the moment, in order.
+func (m *Manager) Grants() []Grant {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	var list []Grant
+	for s, h := range m.held {
+		if now.Before(h.until) {
+			list = append(list, Grant{s, h.epoch})
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Shard < list[j].Shard })
+	return list
+}
+
+// Step renews, takes and releases leases as wished; it is to be called every
+// Renew. All renewals go in one commit.
+func (m *Manager) Step(ctx context.Context, wishes map[Shard]Wish) {
+	m.renew(ctx, wishes)
+	for _, s := range sortedShards(wishes) {
+		if wishes[s] != NotWanted && !m.has(s) {
+			m.tryTake(ctx, s, wishes[s])
+		}
+	}
+}
+
+func sortedShards(wishes map[Shard]Wish) []Shard {
+	list := make([]Shard, 0, len(wishes))
+	for s := range wishes {
+		list = append(list, s)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i] < list[j] })
+	return list
+}
+
+func (m *Manager) has(s Shard) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, ok := m.held[s]
+	return ok
+}
+
+// renew renews the leases still wished for, and releases the others. A shard
+// on standby that is held is kept until the node that wants it is there to
+// take it; the caller wishes NotWanted then.
+func (m *Manager) renew(ctx context.Context, wishes map[Shard]Wish) {
+	started := time.Now()
+	shards, writes := m.renewals(wishes)
+	for len(shards) > 0 {
+		outcome := m.writer.Commit(ctx, writes...)
+		refused, isRefused := outcome.(table.Refused)
+		if !isRefused || len(refused.Conflicts) == 0 {
+			m.noteRenewed(shards, wishes, outcome, started)
+			return
+		}
+		// Another holder has some of them: drop those and renew the rest.
+		m.dropConflicts(refused.Conflicts)
+		shards, writes = m.renewals(wishes)
+	}
+}
+
+func (m *Manager) renewals(wishes map[Shard]Wish) ([]Shard, []table.Write) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var shards []Shard
+	for s := range m.held {
+		shards = append(shards, s)
+	}
+	sort.Slice(shards, func(i, j int) bool { return shards[i] < shards[j] })
+	writes := make([]table.Write, len(shards))
+	for i, s := range shards {
+		h := m.held[s]
+		next := record{m.holder, h.epoch}
+		if wishes[s] == NotWanted {
+			// From here on this process does not act under it any more.
+			h.until = time.Time{}
+			next.Holder = ""
+		}
+		writes[i] = table.Write{Key: rowKey(s), Value: encode(next), If: table.AtVersion{Version: h.version}}
+	}
+	return shards, writes
+}
+
+func (m *Manager) noteRenewed(shards []Shard, wishes map[Shard]Wish, outcome table.Outcome, started time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	done, ok := outcome.(table.Done)
+	if !ok {
+		m.forgetLapsed(shards)
+		return
+	}
+	for _, s := range shards {
+		if wishes[s] == NotWanted {
+			delete(m.held, s)
+			continue
+		}
+		m.held[s].version = done.Version
+		m.held[s].until = m.deadline(started)
+	}
+}
+
+// forgetLapsed drops leases whose renewal is not known to stand and whose time
+// is over by our own clock: they are read anew before they are taken again.
+func (m *Manager) forgetLapsed(shards []Shard) {
+	now := time.Now()
+	for _, s := range shards {
+		if now.After(m.held[s].until) {
+			delete(m.held, s)
+		}
+	}
+}
+
+func (m *Manager) dropConflicts(rows []table.Row) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for s := range m.held {
+		for _, row := range rows {
+			if row.Key == rowKey(s) {
+				delete(m.held, s)
+			}
+		}
+	}
+}
+
+// deadline counts from before the commit was sent: the row can't be older.
+func (m *Manager) deadline(started time.Time) time.Time {
+	return started.Add(time.Duration(safety * float64(m.timing.Duration)))
+}
+
+// tryTake takes a shard that is free or has lapsed.
+func (m *Manager) tryTake(ctx context.Context, s Shard, wish Wish) {
+	row, exists, err := m.writer.Store().Get(ctx, rowKey(s))
+	if err != nil {
+		return
+	}
+	if !exists {
+		if wish == Wanted {
+			m.take(ctx, s, 1, table.Absent{})
+		}
+		return
+	}
+	var held record
+	if json.Unmarshal(row.Value, &held) != nil {
+		return
+	}
+	seen := m.see(s, row.Version, held)
+	if !m.isFree(seen, wish) {
+		return
+	}
+	m.take(ctx, s, held.Epoch+1, table.AtVersion{Version: row.Version})
+}
+
+// see notes since when a row has been at its version.
+func (m *Manager) see(s Shard, version int64, held record) sighting {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	seen, ok := m.seen[s]
+	if !ok || seen.version != version {
+		seen = sighting{version, held.Epoch, held.Holder, time.Now()}
+		m.seen[s] = seen
+	}
+	return seen
+}
+
+// isFree reports whether a lease may be taken: a released one at once by who
+// wants it, by a standby after a renewal's time; any other once it has been
+// seen unchanged for its whole duration.
+func (m *Manager) isFree(seen sighting, wish Wish) bool {
+	waited := time.Since(seen.since)
+	if seen.holder == "" {
+		return wish == Wanted || waited >= m.timing.Renew
+	}
+	return waited >= m.timing.Duration
+}
+
+func (m *Manager) take(ctx context.Context, s Shard, epoch int64, condition table.Condition) {
+	started := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, m.timing.Renew)
+	defer cancel()
+	outcome := m.writer.Commit(ctx, table.Write{Key: rowKey(s), Value: encode(record{m.holder, epoch}), If: condition})
+	done, ok := outcome.(table.Done)
+	if !ok {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.held[s] = &holding{epoch: epoch, version: done.Version, until: m.deadline(started), since: started}
+	delete(m.seen, s)
+}
+
+// Release gives back all leases, for a planned stop.
+func (m *Manager) Release(ctx context.Context) { m.renew(ctx, nil) }
+
+func encode(r record) []byte {
+	encoded, err := json.Marshal(r)
+	if err != nil {
+		panic(err) // A string and a number.
+	}
+	return encoded
+}
--- /dev/null
+++ b/pkg/limit/gate.go
@@ -0,0 +1,237 @@
+package limit
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+)
+
+// Gate shares out a bounded number of places. Free places are given at once;
+// otherwise requests wait, by priority, and among equals by the weights of
+// their teams, so that a large team can't starve a small one. A request whose
+// deadline can't be met is turned away before it waits.
+type Gate struct {
+	mu       sync.Mutex
+	capacity int
+	used     int
+	// mean is how long a place is held, in seconds.
+	mean   float64
+	queues map[queueKey]*queue
+	length int
+	// clock is the pass of the queue served last: a queue that starts anew
+	// starts from here, so that idle time earns no credit.
+	clock float64
+}
+
+type queueKey struct {
+	priority int
+	team     string
+}
+
+// queue is one team's waiting requests of one priority, oldest first.
+type queue struct {
+	weight  float64
+	pass    float64
+	waiters []*waiter
+}
+
+type waiter struct {
+	ready     chan struct{}
+	admitted  bool
+	abandoned bool
+}
+
+// Ask is one request for a place.
+type Ask struct {
+	Team     string
+	Weight   int
+	Priority int
+	// Deadline is when a place is of no more use.
+	Deadline time.Time
+}
+
+// Ticket is a place held; it must be released once.
+type Ticket struct {
+	gate  *Gate
+	since time.Time
+}
+
+// firstMean is assumed until places have been released, in seconds.
+const firstMean = 2.0
+
+// meanWeight is the weight of a new measurement.
+const meanWeight = 0.05
+
+// NewGate returns a gate with capacity places.
+func NewGate(capacity int) *Gate {
+	return &Gate{capacity: max(capacity, 1), mean: firstMean, queues: map[queueKey]*queue{}}
+}
+
+// SetCapacity changes the number of places; those held stay held.
+func (g *Gate) SetCapacity(capacity int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.capacity = max(capacity, 1)
+	g.dispatch()
+}
+
+// TooLate says that the deadline can't be met. RetryAfter is when there should
+// be room.
+type TooLate struct{ RetryAfter time.Duration }
+
+// Error describes the refusal.
+func (e TooLate) Error() string { return "limit: the deadline can't be met" }
+
+// Acquire waits for a place. It returns TooLate at once where the wait that is
+// to be expected passes the deadline, and the context's error if that ends.
+func (g *Gate) Acquire(ctx context.Context, ask Ask, now time.Time) (Ticket, error) {
+	g.mu.Lock()
+	if g.used < g.capacity && g.length == 0 {
+		g.used++
+		g.mu.Unlock()
+		return Ticket{g, now}, nil
+	}
+	expected := g.expectedWait(ask)
+	if !ask.Deadline.IsZero() && now.Add(expected).After(ask.Deadline) {
+		g.mu.Unlock()
+		return Ticket{}, TooLate{expected}
+	}
+	w := &waiter{ready: make(chan struct{})}
+	g.enqueue(ask, w)
+	g.dispatch()
+	g.mu.Unlock()
+	select {
+	case <-w.ready:
+		return Ticket{g, time.Now()}, nil
+	case <-ctx.Done():
+		return Ticket{}, g.abandon(ctx, w)
+	}
+}
+
+// abandon gives up a wait; a place that was given meanwhile is passed on.
+func (g *Gate) abandon(ctx context.Context, w *waiter) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if w.admitted {
+		g.used--
+		g.dispatch()
+		return ctx.Err()
+	}
+	w.abandoned = true
+	g.length--
+	return ctx.Err()
+}
+
+// Release gives the place back.
+func (t Ticket) Release(now time.Time) {
+	t.gate.mu.Lock()
+	defer t.gate.mu.Unlock()
+	t.gate.used--
+	t.gate.mean += meanWeight * (now.Sub(t.since).Seconds() - t.gate.mean)
+	t.gate.dispatch()
+}
+
+// Waiting returns how many requests wait.
+func (g *Gate) Waiting() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.length
+}
+
+// Load returns used places as a part of all; more than 1 counts those waiting.
+func (g *Gate) Load() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return float64(g.used+g.length) / float64(g.capacity)
+}
+
+// expectedWait reckons the wait behind those that go first: all of a higher
+// priority, the own team's, and of other teams as many as their weights give
+// them while the own ones are served. The lock is held.
+func (g *Gate) expectedWait(ask Ask) time.Duration {
+	ahead := 0.0
+	own := 1.0
+	if q, ok := g.queues[queueKey{ask.Priority, ask.Team}]; ok {
+		own += float64(len(q.waiters))
+	}
+	for key, q := range g.queues {
+		switch {
+		case key.priority > ask.Priority:
+			ahead += float64(len(q.waiters))
+		case key.priority == ask.Priority && key.team != ask.Team:
+			ahead += math.Min(float64(len(q.waiters)), own*q.weight/float64(max(ask.Weight, 1)))
+		}
+	}
+	perSecond := float64(g.capacity) / math.Max(g.mean, 1e-3)
+	return time.Duration((ahead + own) / perSecond * float64(time.Second))
+}
+
+func (g *Gate) enqueue(ask Ask, w *waiter) {
+	key := queueKey{ask.Priority, ask.Team}
+	q, ok := g.queues[key]
+	if !ok {
+		q = &queue{pass: g.clock}
+		g.queues[key] = q
+	}
+	q.weight = float64(max(ask.Weight, 1))
+	q.waiters = append(q.waiters, w)
+	g.length++
+}
+
+// dispatch gives free places to those who wait. The lock is held.
+func (g *Gate) dispatch() {
+	for g.used < g.capacity {
+		w := g.next()
+		if w == nil {
+			return
+		}
+		w.admitted = true
+		g.used++
+		g.length--
+		close(w.ready)
+	}
+}
+
+// next takes the waiter whose turn it is: the highest priority, then the queue
+// with the least pass (stride scheduling).
+func (g *Gate) next() *waiter {
+	for {
+		key, q := g.first()
+		if q == nil {
+			return nil
+		}
+		w := q.waiters[0]
+		q.waiters = q.waiters[1:]
+		if len(q.waiters) == 0 {
+			delete(g.queues, key)
+		}
+		if w.abandoned {
+			continue
+		}
+		g.clock = math.Max(g.clock, q.pass)
+		q.pass += 1 / q.weight
+		return w
+	}
+}
+
+func (g *Gate) first() (queueKey, *queue) {
+	var bestKey queueKey
+	var best *queue
+	for key, q := range g.queues {
+		if best == nil || goesBefore(key, q, bestKey, best) {
+			bestKey, best = key, q
+		}
+	}
+	return bestKey, best
+}
+
+func goesBefore(key queueKey, q *queue, otherKey queueKey, other *queue) bool {
+	if key.priority != otherKey.priority {
+		return key.priority > otherKey.priority
+	}
+	if q.pass != other.pass {
+		return q.pass < other.pass
+	}
+	return key.team < otherKey.team
+}
--- /dev/null
+++ b/pkg/operatorapi/operatorwire/wire.go
@@ -0,0 +1,203 @@
+// Package operatorwire holds the JSON that operators' commands and the system
+// exchange.
+package operatorwire
+
+import (
+	"time"
+
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/explain"
+	"ironhollow/pkg/fleet"
+	"ironhollow/pkg/membership"
+	"ironhollow/pkg/route"
+)
+
+// Section is one section of a configuration.
+type Section struct {
+	Kind string `json:"kind"`
+	Name string `json:"name"`
+	// Body is the section as JSON, empty where it was removed.
+	Body string `json:"body"`
+}
+
+// Config is a configuration in force.
+type Config struct {
+	Revision int64     `json:"revision"`
+	Sections []Section `json:"sections"`
+}
+
+// Apply asks for a configuration to be put in force.
+type Apply struct {
+	// Seen is the revision the operator has seen; 0 for none.
+	Seen int64 `json:"seen"`
+	// Request names this apply, so that it may be sent again.
+	Request  string    `json:"request"`
+	Sections []Section `json:"sections"`
+}
+
+// Applied answers an apply.
+type Applied struct {
+	Revision int64 `json:"revision"`
+}
+
+// Error is a numbered error.
+type Error struct {
+	Number  int    `json:"number"`
+	Code    string `json:"code"`
+	Outcome string `json:"outcome"`
+	Message string `json:"message"`
+}
+
+// NodeStatus is one entry host as known.
+type NodeStatus struct {
+	Node          string `json:"node"`
+	Status        string `json:"status"`
+	Leaving       bool   `json:"leaving"`
+	DataCenter    string `json:"data_center"`
+	CallerAddress string `json:"caller_address"`
+	Control       bool   `json:"control"`
+	Load          int    `json:"load"`
+}
+
+// EndpointStatus is one endpoint as known.
+type EndpointStatus struct {
+	Endpoint    string `json:"endpoint"`
+	State       string `json:"state"`
+	DataCenter  string `json:"data_center"`
+	Class       string `json:"class"`
+	Kind        string `json:"kind"`
+	Service     string `json:"service,omitempty"`
+	Model       string `json:"model,omitempty"`
+	Version     string `json:"version,omitempty"`
+	Address     string `json:"address"`
+	Reclaimable bool   `json:"reclaimable"`
+}
+
+// EntryStatus is what one entry knows of itself and the others.
+type EntryStatus struct {
+	Node        string           `json:"node"`
+	Incarnation int64            `json:"incarnation"`
+	DataCenter  string           `json:"data_center"`
+	Leaving     bool             `json:"leaving"`
+	Revision    int64            `json:"revision"`
+	InFlight    int64            `json:"in_flight"`
+	JobsWaiting int              `json:"jobs_waiting"`
+	JobsRunning int              `json:"jobs_running"`
+	Links       int              `json:"links"`
+	StoreDown   bool             `json:"store_down"`
+	Suspected   int64            `json:"suspected"`
+	Refuted     int64            `json:"refuted"`
+	Declared    int64            `json:"declared"`
+	Pauses      int64            `json:"pauses"`
+	Nodes       []NodeStatus     `json:"nodes"`
+	Endpoints   []EndpointStatus `json:"endpoints"`
+}
+
+// ControlStatus is what one control process knows.
+type ControlStatus struct {
+	Node      string           `json:"node"`
+	Revision  int64            `json:"revision"`
+	Shards    []ShardStatus    `json:"shards"`
+	StoreDown bool             `json:"store_down"`
+	Nodes     []NodeStatus     `json:"nodes"`
+	Endpoints []EndpointStatus `json:"endpoints"`
+}
+
+// ShardStatus is one shard held.
+type ShardStatus struct {
+	Shard int   `json:"shard"`
+	Epoch int64 `json:"epoch"`
+}
+
+// ServedRequest is a request as served.
+type ServedRequest struct {
+	Request string  `json:"request"`
+	Team    string  `json:"team"`
+	Service string  `json:"service"`
+	Begun   string  `json:"begun"`
+	TookMS  float64 `json:"took_ms"`
+	Tokens  int     `json:"tokens"`
+	Hops    []Hop   `json:"hops"`
+	Failure string  `json:"failure,omitempty"`
+	Code    int     `json:"code,omitempty"`
+}
+
+// Hop is one attempt.
+type Hop struct {
+	Endpoint   string  `json:"endpoint"`
+	ExpectedMS float64 `json:"expected_ms"`
+	WaitMS     float64 `json:"wait_ms"`
+	Cached     int     `json:"cached_tokens"`
+	Tokens     int     `json:"tokens"`
+	Ending     string  `json:"ending"`
+}
+
+// Candidate is one endpoint's sums.
+type Candidate struct {
+	Endpoint      string  `json:"endpoint"`
+	DataCenter    string  `json:"data_center"`
+	Usable        bool    `json:"usable"`
+	WaitMS        float64 `json:"wait_ms"`
+	DecodeMS      float64 `json:"decode_ms"`
+	RiskMS        float64 `json:"risk_ms"`
+	TotalMS       float64 `json:"total_ms"`
+	Cached        int     `json:"cached_tokens"`
+	Running       int     `json:"running"`
+	HazardPerHour float64 `json:"hazard_per_hour"`
+}
+
+func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+// FromRecord maps a request as remembered.
+func FromRecord(r explain.Record) ServedRequest {
+	s := ServedRequest{
+		Request: r.Request, Team: r.Team, Service: r.Service, Begun: r.Begun.Format(time.RFC3339Nano),
+		TookMS: ms(r.Took), Tokens: r.Tokens, Failure: r.Failure, Code: r.Code, Hops: []Hop{},
+	}
+	for _, h := range r.Hops {
+		s.Hops = append(s.Hops, Hop{h.Endpoint, ms(h.Expected), ms(h.Wait), h.CachedTokens, h.Tokens, h.Ending})
+	}
+	return s
+}
+
+// FromCandidate maps a candidate.
+func FromCandidate(c route.Candidate) Candidate {
+	return Candidate{
+		Endpoint: c.Endpoint.ID, DataCenter: c.Endpoint.DataCenter, Usable: c.Usable, WaitMS: ms(c.Wait),
+		DecodeMS: ms(c.Decode), RiskMS: ms(c.Risk), TotalMS: ms(c.Total), Cached: c.Cached, Running: c.Running,
+		HazardPerHour: c.HazardPerHour,
+	}
+}
+
+// FromSections maps sections of a configuration.
+func FromSections(sections []fleet.Section) []Section {
+	out := make([]Section, len(sections))
+	for i, s := range sections {
+		out[i] = Section{s.Kind(), s.Name(), s.Body()}
+	}
+	return out
+}
+
+// FromNodes maps nodes as known.
+func FromNodes(nodes []membership.Node) []NodeStatus {
+	out := make([]NodeStatus, len(nodes))
+	for i, n := range nodes {
+		out[i] = NodeStatus{
+			Node: n.ID, Status: n.Status.String(), Leaving: n.Leaving, DataCenter: n.DataCenter,
+			CallerAddress: n.CallerAddress, Control: n.Control, Load: n.Load,
+		}
+	}
+	return out
+}
+
+// FromEndpoints maps endpoints as known.
+func FromEndpoints(infos []endpoint.Info) []EndpointStatus {
+	out := make([]EndpointStatus, len(infos))
+	for i, e := range infos {
+		out[i] = EndpointStatus{
+			Endpoint: e.ID, State: e.State.String(), DataCenter: e.DataCenter, Class: e.Class, Kind: string(e.Kind),
+			Service: e.Service, Model: e.Model, Version: e.Version, Address: e.Address, Reclaimable: e.Reclaimable,
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/peer/mesh.go
@@ -0,0 +1,402 @@
+package peer
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"ironhollow/pkg/config"
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/membership"
+)
+
+// Timing of the mesh.
+const (
+	// Heartbeat is the time between digests on a link.
+	Heartbeat = time.Second
+	// silence is how long a link may be silent before its peer is suspected.
+	silence = 3 * Heartbeat
+	// refutation is how long a suspect has to speak up before it counts as dead.
+	refutation = 3 * time.Second
+	// pauseSign is a gap between ticks after which this process takes it that
+	// it was paused itself, and distrusts what it thinks of others.
+	pauseSign = 2500 * time.Millisecond
+	// pullAfter is how many digests in a row must differ before a pull: news
+	// on its way makes digests differ for a moment.
+	pullAfter = 2
+)
+
+// Link names one connection of this process.
+type Link int64
+
+// Out is a message to be sent on a link.
+type Out struct {
+	Link    Link
+	Message Message
+}
+
+// Mesh is the protocol between entries, without I/O: what comes in and the time
+// are passed to it, and it returns what is to be sent. It is safe for
+// concurrent use.
+type Mesh struct {
+	nodes     *membership.Table
+	endpoints *endpoint.Directory
+	config    *config.Holder
+
+	// follower says that this process is no member: it hears and tells.
+	follower bool
+
+	mu   sync.Mutex
+	self membership.Node
+	// links are the live connections that have said hello.
+	links    map[Link]*linkState
+	lastTick time.Time
+	// suspects holds since when each suspected incarnation has been one.
+	suspects map[suspect]time.Time
+	demand   *diffusion
+	counts   Counts
+}
+
+// linkState is one link's state.
+type linkState struct {
+	node  membership.Node
+	role  Role
+	heard time.Time
+	// differs counts digests in a row that differ from ours.
+	differs int
+}
+
+type suspect struct {
+	id          string
+	incarnation int64
+	counter     int64
+}
+
+// Counts are the mesh's own counters.
+type Counts struct {
+	Sent, Received int64
+	// Suspected counts suspicions raised here, Refuted those against this node,
+	// Declared nodes declared dead here.
+	Suspected, Refuted, Declared int64
+	Pulls                        int64
+	Pauses                       int64
+}
+
+// NewMesh returns the mesh of one entry. The incarnation of self must be
+// greater than that of any earlier start of the node.
+func NewMesh(self membership.Node, nodes *membership.Table, endpoints *endpoint.Directory, holder *config.Holder) *Mesh {
+	self.Status = membership.Alive
+	nodes.Merge(self)
+	return &Mesh{
+		nodes: nodes, endpoints: endpoints, config: holder, self: self,
+		links: map[Link]*linkState{}, suspects: map[suspect]time.Time{}, demand: newDiffusion(),
+	}
+}
+
+// NewFollower returns the mesh's side of a process that is attached to an
+// entry: it hears all news and tells its own, but is no member itself.
+func NewFollower(self membership.Node, nodes *membership.Table, endpoints *endpoint.Directory, holder *config.Holder) *Mesh {
+	return &Mesh{
+		nodes: nodes, endpoints: endpoints, config: holder, self: self, follower: true,
+		links: map[Link]*linkState{}, suspects: map[suspect]time.Time{}, demand: newDiffusion(),
+	}
+}
+
+// Self returns this node as it shows itself.
+func (m *Mesh) Self() membership.Node {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.self
+}
+
+// Counts returns the counters so far.
+func (m *Mesh) Counts() Counts {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.counts
+}
+
+// Links returns the nodes linked to, by link.
+func (m *Mesh) Links() map[Link]membership.Node {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	list := make(map[Link]membership.Node, len(m.links))
+	for link, state := range m.links {
+		if state.role == RoleEntry {
+			list[link] = state.node
+		}
+	}
+	return list
+}
+
+// Up notes a link whose other side has said hello, and tells it what it lacks
+// by a digest at once. A control process that comes shows on this node.
+func (m *Mesh) Up(link Link, hello Hello, now time.Time) []Out {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.links[link] = &linkState{node: hello.Node, role: hello.Role, heard: now}
+	out := []Out{{link, m.digest(hello.Role)}}
+	if hello.Role == RoleControl {
+		return append(out, m.showControl()...)
+	}
+	var news News
+	m.mergeNode(hello.Node, now, &news)
+	if !m.follower {
+		out = m.send(out, link, News{Nodes: []membership.Node{m.self}})
+	}
+	return append(out, m.flood(news, link)...)
+}
+
+// Down notes that a link is closed. A node to which no link is left is
+// suspected at the next tick by its silence, not at once: it may be restarting
+// its connection.
+func (m *Mesh) Down(link Link) []Out {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	state, ok := m.links[link]
+	delete(m.links, link)
+	if ok && state.role == RoleControl {
+		return m.showControl()
+	}
+	return nil
+}
+
+// showControl tells whether a control process is attached.
+func (m *Mesh) showControl() []Out {
+	attached := false
+	for _, state := range m.links {
+		attached = attached || state.role == RoleControl
+	}
+	return m.changeSelf(func(n *membership.Node) bool {
+		changed := n.Control != attached
+		n.Control = attached
+		return changed
+	})
+}
+
+// changeSelf changes this node and floods it. The lock is held.
+func (m *Mesh) changeSelf(change func(*membership.Node) bool) []Out {
+	if !change(&m.self) {
+		return nil
+	}
+	m.self.Counter++
+	m.nodes.Merge(m.self)
+	return m.flood(News{Nodes: []membership.Node{m.self}}, 0)
+}
+
+// Leave shows this node as leaving.
+func (m *Mesh) Leave() []Out {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.changeSelf(func(n *membership.Node) bool {
+		changed := !n.Leaving
+		n.Leaving = true
+		return changed
+	})
+}
+
+// SetLoad shows this node's load in tenths of its capacity.
+func (m *Mesh) SetLoad(tenths int) []Out {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.changeSelf(func(n *membership.Node) bool {
+		changed := n.Load != tenths
+		n.Load = tenths
+		return changed
+	})
+}
+
+// Tell takes in news that this process learned by itself, and floods it.
+func (m *Mesh) Tell(news News, now time.Time) []Out {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.take(news, 0, now)
+}
+
+// Receive takes in a message.
+func (m *Mesh) Receive(link Link, message Message, now time.Time) []Out {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	state, ok := m.links[link]
+	if !ok {
+		return nil
+	}
+	m.counts.Received++
+	state.heard = now
+	switch message := message.(type) {
+	case Digest:
+		return m.compare(link, state, message)
+	case Pull:
+		return m.answer(link, message)
+	case News:
+		return m.take(message, link, now)
+	}
+	return nil
+}
+
+// compare answers a digest with a pull where the other side knows something
+// else for longer than news takes on its way.
+func (m *Mesh) compare(link Link, state *linkState, d Digest) []Out {
+	m.demand.heard(link, d.Demands)
+	nodes, endpoints := m.sums()
+	differs := d.Nodes != nodes || d.Endpoints != endpoints
+	behind := d.Revision > m.config.Current().Revision()
+	if !differs && !behind {
+		state.differs = 0
+		return nil
+	}
+	state.differs++
+	if state.differs < pullAfter && !behind {
+		return nil
+	}
+	state.differs = 0
+	m.counts.Pulls++
+	pull := Pull{After: m.config.Current().Revision()}
+	if d.Nodes != nodes {
+		sums := m.nodes.Sums()
+		pull.Nodes = sums[:]
+	}
+	if d.Endpoints != endpoints {
+		sums := m.endpoints.Sums()
+		pull.Endpoints = sums[:]
+	}
+	return m.send(nil, link, pull)
+}
+
+// sums folds the digests' parts into one word each.
+func (m *Mesh) sums() (nodes, endpoints uint64) {
+	for i, sum := range m.nodes.Sums() {
+		nodes ^= sum * uint64(2*i+1)
+	}
+	for i, sum := range m.endpoints.Sums() {
+		endpoints ^= sum * uint64(2*i+1)
+	}
+	// CBOR's integers are signed here: the top bit is left out.
+	return nodes >> 1, endpoints >> 1
+}
+
+// answer sends the parts in which the other side differs.
+func (m *Mesh) answer(link Link, p Pull) []Out {
+	news := News{Changes: m.config.After(p.After)}
+	if len(p.Nodes) == membership.Buckets {
+		var want [membership.Buckets]bool
+		for i, sum := range m.nodes.Sums() {
+			want[i] = sum != p.Nodes[i]
+		}
+		news.Nodes = m.nodes.InBuckets(want)
+	}
+	if len(p.Endpoints) == endpoint.Buckets {
+		var want [endpoint.Buckets]bool
+		for i, sum := range m.endpoints.Sums() {
+			want[i] = sum != p.Endpoints[i]
+		}
+		news.Endpoints = m.endpoints.InBuckets(want)
+	}
+	if news.empty() {
+		return nil
+	}
+	return m.send(nil, link, news)
+}
+
+// take merges news and floods what of it was new. The lock is held.
+func (m *Mesh) take(news News, from Link, now time.Time) []Out {
+	var fresh News
+	for _, n := range news.Nodes {
+		m.mergeNode(n, now, &fresh)
+	}
+	for _, i := range news.Endpoints {
+		if next, isNews := m.endpoints.Merge(i); isNews {
+			fresh.Endpoints = append(fresh.Endpoints, next)
+		}
+	}
+	var out []Out
+	for _, c := range news.Changes {
+		applied, err := m.config.Apply(c)
+		switch {
+		case applied:
+			fresh.Changes = append(fresh.Changes, c)
+		case err == nil && from != 0 && c.Revision > m.config.Current().Revision():
+			// There is a gap before this change.
+			out = m.send(out, from, Pull{After: m.config.Current().Revision()})
+		}
+	}
+	return append(out, m.flood(fresh, from)...)
+}
+
+// mergeNode merges what was heard of a node and notes suspicions; what is said
+// of this node itself is refuted or obeyed.
+func (m *Mesh) mergeNode(heard membership.Node, now time.Time, fresh *News) {
+	if heard.ID == m.self.ID && !m.follower {
+		m.answerForSelf(heard, now, fresh)
+		return
+	}
+	next, isNews := m.nodes.Merge(heard)
+	if !isNews {
+		return
+	}
+	fresh.Nodes = append(fresh.Nodes, next)
+	if next.Status == membership.Suspect {
+		key := suspect{next.ID, next.Incarnation, next.Counter}
+		if _, known := m.suspects[key]; !known {
+			m.suspects[key] = now
+		}
+	}
+}
+
+// answerForSelf refutes a suspicion by a higher counter, and a death by a new
+// incarnation. News of a later start of this node's name is left alone: then
+// two processes bear the same name, which the operator must mend.
+func (m *Mesh) answerForSelf(heard membership.Node, now time.Time, fresh *News) {
+	if heard.Incarnation != m.self.Incarnation || heard.Status == membership.Alive {
+		return
+	}
+	m.counts.Refuted++
+	if heard.Status == membership.Dead {
+		m.self.Incarnation = max(now.UnixMilli(), m.self.Incarnation+1)
+		m.self.Counter = 0
+	} else {
+		m.self.Counter = max(m.self.Counter, heard.Counter) + 1
+	}
+	m.nodes.Merge(m.self)
+	fresh.Nodes = append(fresh.Nodes, m.self)
+}
+
+// flood sends news to all links but the one it came from.
+func (m *Mesh) flood(news News, from Link) []Out {
+	if news.empty() {
+		return nil
+	}
+	var out []Out
+	for _, link := range m.sortedLinks() {
+		if link == from {
+			continue
+		}
+		out = m.send(out, link, news)
+	}
+	return out
+}
+
+func (m *Mesh) send(out []Out, link Link, message Message) []Out {
+	m.counts.Sent++
+	return append(out, Out{link, message})
+}
+
+// sortedLinks makes the order of messages repeatable.
+func (m *Mesh) sortedLinks() []Link {
+	links := make([]Link, 0, len(m.links))
+	for link := range m.links {
+		links = append(links, link)
+	}
+	sort.Slice(links, func(i, j int) bool { return links[i] < links[j] })
+	return links
+}
+
+// digest is the heartbeat for one kind of link.
+func (m *Mesh) digest(role Role) Digest {
+	nodes, endpoints := m.sums()
+	d := Digest{Revision: m.config.Current().Revision(), Nodes: nodes, Endpoints: endpoints}
+	if role == RoleEntry {
+		d.Demands = m.demand.tell()
+	}
+	return d
+}
--- /dev/null
+++ b/pkg/peer/tick.go
@@ -0,0 +1,167 @@
+package peer
+
+import (
+	"time"
+
+	"ironhollow/pkg/membership"
+)
+
+// Tick sends heartbeats and judges silence. It is to be called once every
+// Heartbeat; a much longer gap means that this process was paused.
+func (m *Mesh) Tick(now time.Time) []Out {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.lastTick.IsZero() && now.Sub(m.lastTick) > pauseSign {
+		m.forgive(now.Sub(m.lastTick), now)
+	}
+	m.lastTick = now
+	m.demand.step()
+	var out []Out
+	for _, link := range m.sortedLinks() {
+		out = m.send(out, link, m.digest(m.links[link].role))
+	}
+	var news News
+	if !m.follower {
+		m.suspectSilent(now, &news)
+		m.declareDead(now, &news)
+	}
+	return append(out, m.flood(news, 0)...)
+}
+
+// forgive starts all clocks anew after a pause of this process: the silence it
+// heard was its own.
+func (m *Mesh) forgive(gap time.Duration, now time.Time) {
+	m.counts.Pauses++
+	for _, state := range m.links {
+		state.heard = now
+	}
+	for key, since := range m.suspects {
+		m.suspects[key] = since.Add(gap)
+	}
+}
+
+// suspectSilent raises a suspicion against nodes whose links are silent.
+func (m *Mesh) suspectSilent(now time.Time, news *News) {
+	for _, link := range m.sortedLinks() {
+		state := m.links[link]
+		if state.role == RoleEntry && now.Sub(state.heard) > silence {
+			m.suspect(state.node.ID, now, news)
+		}
+	}
+}
+
+// Unreachable notes that a node could not be reached again and again.
+func (m *Mesh) Unreachable(id string, now time.Time) []Out {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var news News
+	m.suspect(id, now, &news)
+	return m.flood(news, 0)
+}
+
+func (m *Mesh) suspect(id string, now time.Time, news *News) {
+	held, ok := m.nodes.Get(id)
+	if !ok || held.Status != membership.Alive {
+		return
+	}
+	m.counts.Suspected++
+	held.Status = membership.Suspect
+	m.mergeNode(held, now, news)
+}
+
+// declareDead ends the suspicions that nobody refuted in time.
+func (m *Mesh) declareDead(now time.Time, news *News) {
+	for key, since := range m.suspects {
+		held, ok := m.nodes.Get(key.id)
+		stands := ok && held.Status == membership.Suspect && held.Incarnation == key.incarnation && held.Counter == key.counter
+		if !stands {
+			delete(m.suspects, key)
+			continue
+		}
+		if now.Sub(since) < refutation {
+			continue
+		}
+		delete(m.suspects, key)
+		m.counts.Declared++
+		held.Status = membership.Dead
+		m.mergeNode(held, now, news)
+	}
+}
+
+// Dial returns the nodes this process should be linked to and is not: its
+// neighbours, and now and then one that counts as dead, since a part of the
+// fleet that was cut off comes back that way.
+func (m *Mesh) Dial(round int) []membership.Node {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	linked := map[string]bool{m.self.ID: true}
+	for _, state := range m.links {
+		if state.role == RoleEntry {
+			linked[state.node.ID] = true
+		}
+	}
+	nodes := m.nodes.Nodes()
+	var list []membership.Node
+	for _, n := range membership.Neighbours(m.self, nodes) {
+		if !linked[n.ID] {
+			list = append(list, n)
+		}
+	}
+	if dead := pickDead(nodes, round); dead != nil && !linked[dead.ID] {
+		list = append(list, *dead)
+	}
+	return list
+}
+
+// deadEvery is how many rounds pass between tries of a dead node.
+const deadEvery = 5
+
+func pickDead(nodes []membership.Node, round int) *membership.Node {
+	if round%deadEvery != 0 {
+		return nil
+	}
+	var dead []membership.Node
+	for _, n := range nodes {
+		if n.Status == membership.Dead {
+			dead = append(dead, n)
+		}
+	}
+	if len(dead) == 0 {
+		return nil
+	}
+	return &dead[(round/deadEvery)%len(dead)]
+}
+
+// Surplus returns links that neither side needs: a third link between the same
+// two nodes, kept from before the neighbours changed, is closed by the lower id.
+func (m *Mesh) Surplus(most int) []Link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	wanted := map[string]bool{}
+	for _, n := range membership.Neighbours(m.self, m.nodes.Nodes()) {
+		wanted[n.ID] = true
+	}
+	var extra []Link
+	entries := 0
+	for _, link := range m.sortedLinks() {
+		state := m.links[link]
+		if state.role != RoleEntry {
+			continue
+		}
+		entries++
+		if !wanted[state.node.ID] && !m.wantsUs(state.node) && entries > most {
+			extra = append(extra, link)
+		}
+	}
+	return extra
+}
+
+// wantsUs reports whether this node is one the other side dials.
+func (m *Mesh) wantsUs(other membership.Node) bool {
+	for _, n := range membership.Neighbours(other, m.nodes.Nodes()) {
+		if n.ID == m.self.ID {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/platform/object/object.go
@@ -0,0 +1,77 @@
+// Package object is the edge to the platform's object store.
+package object
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+)
+
+// Store keeps objects by key. An object is written whole or not at all; a Put
+// may be repeated, since the same key is only ever given the same bytes or a
+// later state of the same work.
+type Store interface {
+	Put(ctx context.Context, key string, data []byte) error
+	Get(ctx context.Context, key string) (data []byte, ok bool, err error)
+}
+
+// maxObject bounds the bytes read of one object.
+const maxObject = 256 << 20
+
+// Client is a Store over HTTP: PUT and GET of /objects/{key}.
+type Client struct {
+	base    string
+	http    *http.Client
+	timeout time.Duration
+}
+
+// New returns a client of the object store at address.
+func New(address string, timeout time.Duration, client *http.Client) *Client {
+	return &Client{base: "http://" + address + "/objects/", http: client, timeout: timeout}
+}
+
+// Put stores an object.
+func (c *Client) Put(ctx context.Context, key string, data []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, c.base+url.PathEscape(key), bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("object: put %s: %s", key, response.Status)
+	}
+	return nil
+}
+
+// Get reads an object; ok is false where there is none.
+func (c *Client) Get(ctx context.Context, key string) ([]byte, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+url.PathEscape(key), nil)
+	if err != nil {
+		return nil, false, err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, false, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	switch response.StatusCode {
+	case http.StatusOK:
+		data, err := io.ReadAll(io.LimitReader(response.Body, maxObject))
+		return data, err == nil, err
+	case http.StatusNotFound:
+		return nil, false, nil
+	}
+	return nil, false, fmt.Errorf("object: get %s: %s", key, response.Status)
+}
--- /dev/null
+++ b/pkg/platform/table/writer_test.go
@@ -0,0 +1,112 @@
+package table_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"ironhollow/pkg/platform/table"
+	"ironhollow/pkg/standin/tables"
+)
+
+// commitTime bounds each commit of these tests, in the bubble's own time.
+const commitTime = 5 * time.Second
+
+func commit(w *table.Writer, writes ...table.Write) table.Outcome {
+	ctx, cancel := context.WithTimeout(context.Background(), commitTime)
+	defer cancel()
+	return w.Commit(ctx, writes...)
+}
+
+// faultAt returns faults in which only the n-th call is befallen.
+func faultAt(n int64, f tables.Fault) func(tables.Call) tables.Fault {
+	return func(c tables.Call) tables.Fault {
+		if c.Number == n {
+			return f
+		}
+		return tables.None{}
+	}
+}
+
+func TestCommitResolvesUnknownOutcomes(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault tables.Fault
+	}{
+		{"the answer is lost after the write took effect", tables.LoseAnswer{}},
+		{"the request is lost", tables.Down{}},
+		{"the write takes effect long after its answer was given up", tables.Late{For: 30 * time.Millisecond}},
+		{"the write takes effect while it is being resolved", tables.Late{For: 300 * time.Millisecond}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := tables.New()
+				store.SetFaults(faultAt(1, c.fault))
+				w := table.NewWriter(store, "w")
+				outcome := commit(w, table.Write{Key: "a", Value: []byte("1"), If: table.Absent{}})
+				if _, ok := outcome.(table.Done); !ok {
+					t.Errorf("got %#v, want Done", outcome)
+				}
+				time.Sleep(time.Second)
+				row, _, _ := store.Get(context.Background(), "a")
+				if got, want := string(row.Value), "1"; got != want {
+					t.Errorf("row: got %q, want %q", got, want)
+				}
+			})
+		})
+	}
+}
+
+// TestCommitsNeverContradictTheStore has several writers add to one counter
+// under faults at any call. Whatever the faults, a writer that was told Done
+// is in the count, one told Refused is not, and the count is neither less than
+// the Done ones nor more than those and the Unknown ones.
+func TestCommitsNeverContradictTheStore(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		synctest.Test(t, func(t *testing.T) {
+			store := tables.New()
+			faults := rapid.SliceOfN(rapid.IntRange(0, 7), 1, 40).Draw(rt, "faults")
+			store.SetFaults(func(c tables.Call) tables.Fault {
+				switch faults[int(c.Number)%len(faults)] {
+				case 0:
+					return tables.LoseAnswer{}
+				case 1:
+					return tables.Down{}
+				case 2:
+					return tables.Late{For: 200 * time.Millisecond}
+				case 3:
+					return tables.Refuse{}
+				}
+				return tables.None{}
+			})
+			writers := []*table.Writer{table.NewWriter(store, "w1"), table.NewWriter(store, "w2")}
+			done, unknown, refused := 0, 0, map[string]bool{}
+			for i := range 12 {
+				key := string(rune('a' + i))
+				switch commit(writers[i%2], table.Write{Key: key, Value: []byte(key), If: table.Absent{}}).(type) {
+				case table.Done:
+					done++
+				case table.Unknown:
+					unknown++
+				case table.Refused:
+					refused[key] = true
+				}
+			}
+			time.Sleep(time.Second)
+			store.SetFaults(nil)
+			rows, _ := store.List(context.Background(), "", "", 100)
+			if len(rows) < done || len(rows) > done+unknown {
+				rt.Errorf("rows: got %d, want %d to %d", len(rows), done, done+unknown)
+			}
+			for _, row := range rows {
+				if refused[row.Key] {
+					rt.Errorf("row %s: got a row, want none after Refused", row.Key)
+				}
+			}
+		})
+	})
+}
--- /dev/null
+++ b/pkg/reclaim/reclaim.go
@@ -0,0 +1,198 @@
+// Package reclaim decides what is done with running work when its endpoint is
+// given notice: let it finish, move its KV cache, or resume it elsewhere from
+// its tokens. The sums are in the open: tokens that need not be computed again,
+// for each byte that the notice leaves time to send.
+package reclaim
+
+import (
+	"sort"
+	"time"
+
+	"ironhollow/pkg/endpoint"
+)
+
+// Work is one running stream on the endpoint that leaves.
+type Work struct {
+	// ID is the request.
+	ID string
+	// KVTokens is the prompt's and the answer's tokens so far.
+	KVTokens int
+	// Remaining is how many tokens of answer are expected still.
+	Remaining int
+	// Gap is the time between its tokens.
+	Gap time.Duration
+	// Shared is how many of KVTokens other endpoints are thought to have
+	// cached, so that a move would not save them.
+	Shared int
+}
+
+// Destination is an endpoint that could take moved work.
+type Destination struct {
+	Endpoint endpoint.Info
+	// FreeTokens is KV memory left there.
+	FreeTokens int
+	// HazardPerHour is how likely it is to be reclaimed itself.
+	HazardPerHour float64
+	// Running is its requests, to break ties.
+	Running int
+}
+
+// Limits are what the notice leaves.
+type Limits struct {
+	// Notice is the time until the endpoint goes.
+	Notice time.Duration
+	// BytesPerSecond is what this process may move off the endpoint, its part
+	// of the endpoint's bandwidth.
+	BytesPerSecond float64
+	BytesPerToken  float64
+}
+
+// margin is left of the notice for what can't be reckoned: the news itself is
+// late, and a stream must be cancelled and started anew.
+const margin = 300 * time.Millisecond
+
+// Action is what is done with one stream.
+type Action interface{ action() }
+
+// Finish lets the stream run: it ends within the notice.
+type Finish struct{}
+
+// Move sends the KV cache to a destination and goes on there.
+type Move struct{ To endpoint.Info }
+
+// Resume goes on elsewhere from prompt and tokens, as late as the notice allows.
+type Resume struct{}
+
+func (Finish) action() {}
+func (Move) action()   {}
+func (Resume) action() {}
+
+// Step is one stream's part of a plan.
+type Step struct {
+	Work   Work
+	Action Action
+	// SavedTokens is what need not be computed again compared with Resume.
+	SavedTokens int
+}
+
+// Plan decides for all streams of one endpoint that are held here. Every
+// stream gets exactly one step; moves come first, in the order to carry out.
+func Plan(works []Work, destinations []Destination, limits Limits) []Step {
+	usable := limits.Notice - margin
+	budget := usable.Seconds() * limits.BytesPerSecond
+	var steps, rest []Step
+	for _, w := range works {
+		if time.Duration(w.Remaining)*w.Gap <= usable {
+			rest = append(rest, Step{w, Finish{}, w.KVTokens})
+			continue
+		}
+		steps = append(steps, Step{Work: w, Action: Resume{}})
+	}
+	chosen := choose(steps, budget, limits.BytesPerToken)
+	free := append([]Destination(nil), destinations...)
+	sortDestinations(free)
+	var moved []Step
+	for i, step := range steps {
+		to, ok := place(step.Work, free, chosen[i])
+		if !ok {
+			rest = append(rest, step)
+			continue
+		}
+		moved = append(moved, Step{step.Work, Move{to}, saved(step.Work)})
+	}
+	// The largest saving first: if the notice is cut short, least is lost.
+	sort.SliceStable(moved, func(i, j int) bool { return moved[i].SavedTokens > moved[j].SavedTokens })
+	return append(moved, rest...)
+}
+
+// saved is how many tokens a move keeps from being computed again.
+func saved(w Work) int { return max(w.KVTokens-w.Shared, 0) }
+
+func cost(w Work, bytesPerToken float64) float64 { return float64(w.KVTokens) * bytesPerToken }
+
+// choose picks the streams to move within a budget of bytes: by savings for a
+// byte, then by size, filling what is left; or the one best alone if that
+// saves more, which bounds the loss against the optimum to a half.
+func choose(steps []Step, budget, bytesPerToken float64) []bool {
+	order := make([]int, len(steps))
+	for i := range order {
+		order[i] = i
+	}
+	sort.SliceStable(order, func(a, b int) bool { return better(steps[order[a]].Work, steps[order[b]].Work) })
+	chosen := make([]bool, len(steps))
+	total, spent := 0, 0.0
+	best := -1
+	for _, i := range order {
+		w := steps[i].Work
+		c := cost(w, bytesPerToken)
+		if c > budget || saved(w) == 0 {
+			continue
+		}
+		if best < 0 || saved(w) > saved(steps[best].Work) {
+			best = i
+		}
+		if spent+c <= budget {
+			chosen[i] = true
+			spent += c
+			total += saved(w)
+		}
+	}
+	if best >= 0 && saved(steps[best].Work) > total {
+		chosen = make([]bool, len(steps))
+		chosen[best] = true
+	}
+	return chosen
+}
+
+// better orders by savings for a byte, the larger stream first among equals.
+func better(a, b Work) bool {
+	left := saved(a) * b.KVTokens
+	right := saved(b) * a.KVTokens
+	if left != right {
+		return left > right
+	}
+	return a.KVTokens > b.KVTokens
+}
+
+// sortDestinations puts those first that are least likely to go next.
+func sortDestinations(ds []Destination) {
+	sort.SliceStable(ds, func(i, j int) bool {
+		if ds[i].HazardPerHour != ds[j].HazardPerHour {
+			return ds[i].HazardPerHour < ds[j].HazardPerHour
+		}
+		return ds[i].Running < ds[j].Running
+	})
+}
+
+// place finds room for a stream and takes it. Among the destinations of the
+// least hazard that have room, the one with the most is taken.
+func place(w Work, free []Destination, chosen bool) (endpoint.Info, bool) {
+	if !chosen {
+		return endpoint.Info{}, false
+	}
+	need := w.KVTokens + w.Remaining
+	best := -1
+	for i, d := range free {
+		if !d.Endpoint.Takes() || d.FreeTokens < need {
+			continue
+		}
+		if best < 0 || (d.HazardPerHour == free[best].HazardPerHour && d.FreeTokens > free[best].FreeTokens) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return endpoint.Info{}, false
+	}
+	free[best].FreeTokens -= need
+	return free[best].Endpoint, true
+}
+
+// Naive is what the plan is measured against: every stream runs until its
+// endpoint goes, and what is left is computed again elsewhere.
+func Naive(works []Work) []Step {
+	steps := make([]Step, len(works))
+	for i, w := range works {
+		steps[i] = Step{Work: w, Action: Resume{}}
+	}
+	return steps
+}
--- /dev/null
+++ b/pkg/route/feedback.go
@@ -0,0 +1,223 @@
+package route
+
+import (
+	"time"
+
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/engine"
+)
+
+// Result is how a choice ended.
+type Result struct {
+	// Failed says that the endpoint is at fault; false also for a caller who
+	// went away.
+	Failed bool
+	// FirstToken is the time to the first token, 0 if there was none.
+	FirstToken time.Duration
+	// Tokens and Decode give the gap between tokens; 0 if not measured.
+	Tokens int
+	Decode time.Duration
+	// PromptTokens and CachedTokens are the engine's own account, 0 if it gave
+	// none. Measured says whether it did.
+	PromptTokens, CachedTokens int
+	Measured                   bool
+}
+
+// Done ends a choice and learns from it.
+func (r *Router) Done(c Choice, result Result, now time.Time) {
+	r.mu.RLock()
+	s, ok := r.byID[c.Endpoint.ID]
+	r.mu.RUnlock()
+	if !ok || s.info.Ref() != c.Endpoint.Ref() {
+		return
+	}
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	l := &s.load
+	l.ownRunning = max(l.ownRunning-1, 0)
+	// Requests sent before the report are in its count, later ones in ours.
+	if l.sequence > c.sent.UnixMilli() {
+		l.endedSince++
+	} else {
+		l.sentSince = max(l.sentSince-1, 0)
+	}
+	if result.Failed {
+		s.group.fail(s, now)
+		return
+	}
+	s.group.succeed(s)
+	l.learn(result, now.Sub(c.sent))
+	if result.Measured && c.CachedTokens > 0 {
+		l.learnTrust(c.CachedTokens, result.CachedTokens)
+	}
+}
+
+func (l *load) learn(result Result, took time.Duration) {
+	l.meanDuration = smooth(l.meanDuration, took)
+	if result.Tokens > 1 && result.Decode > 0 {
+		l.tokenGap = smooth(l.tokenGap, result.Decode/time.Duration(result.Tokens))
+	}
+	uncached := result.PromptTokens - result.CachedTokens
+	if result.Measured && uncached > 0 && result.FirstToken > 0 {
+		l.prefillPerToken = smooth(l.prefillPerToken, result.FirstToken/time.Duration(uncached))
+	}
+}
+
+// leastTrust keeps an endpoint's cache in play, so that its trust can recover.
+const leastTrust = 0.1
+
+// learnTrust compares what was reckoned cached with the engine's own account.
+// Events of a cache come late and with gaps; its account of each answer is what
+// shows that an endpoint evicts sooner than this process thinks.
+func (l *load) learnTrust(reckoned, actual int) {
+	part := min(1, float64(actual)/float64(reckoned))
+	l.trust = max(leastTrust, l.trust+smoothing*(part-l.trust))
+}
+
+func smooth(held, heard time.Duration) time.Duration {
+	return held + time.Duration(smoothing*float64(heard-held))
+}
+
+// fail counts a failure and takes the endpoint out after some in a row, for
+// longer each time.
+func (g *group) fail(s *slot, now time.Time) {
+	l := &s.load
+	l.failures++
+	if l.failures < ejectAfter {
+		return
+	}
+	if l.failures == ejectAfter {
+		g.ejected++
+	}
+	l.ejectedUntil = now.Add(min(firstEject<<min(l.ejections, 8), mostEject))
+	l.ejections++
+}
+
+func (g *group) succeed(s *slot) {
+	if s.load.failures >= ejectAfter {
+		g.ejected--
+	}
+	s.load.failures = 0
+	s.load.ejections = 0
+	s.load.ejectedUntil = time.Time{}
+}
+
+// Report takes in an endpoint's load report. An older one than held is dropped.
+func (r *Router) Report(ref endpoint.Ref, report engine.Report) {
+	r.mu.RLock()
+	s, ok := r.byID[ref.ID]
+	r.mu.RUnlock()
+	if !ok || s.info.Ref() != ref {
+		return
+	}
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	l := &s.load
+	if report.Sequence <= l.sequence {
+		return
+	}
+	l.sequence = report.Sequence
+	l.running, l.waiting, l.slots = report.Running, report.Waiting, max(report.Slots, 1)
+	l.queuedTokens = report.QueuedTokens
+	l.freeTokens = report.FreeTokens
+	l.sentSince, l.endedSince = 0, 0
+}
+
+// Candidate is one line of an explanation.
+type Candidate struct {
+	Endpoint endpoint.Info
+	Usable   bool
+	Wait     time.Duration
+	Decode   time.Duration
+	Risk     time.Duration
+	Total    time.Duration
+	Cached   int
+	Running  int
+	// FreeTokens is KV memory left, in tokens, as last reported.
+	FreeTokens int
+	// HazardPerHour is the rate the risk was worked out with.
+	HazardPerHour float64
+}
+
+// Explain returns the sums of every candidate, without choosing.
+func (r *Router) Explain(q Query, now time.Time) []Candidate {
+	g, byID := r.groupFor(q.Target)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	marked := g.markCached(q.Prefix, byID)
+	defer g.clearCached(marked)
+	list := make([]Candidate, 0, len(g.slots))
+	for _, s := range g.slots {
+		sc := r.score(s, q, now)
+		list = append(list, Candidate{
+			Endpoint: s.info, Usable: g.usable(s, q, now), Wait: sc.wait, Decode: sc.decode, Risk: sc.risk,
+			Total: sc.total, Cached: sc.cached, Running: s.load.running + s.load.sentSince - s.load.endedSince,
+			FreeTokens: s.load.freeTokens, HazardPerHour: s.load.rate,
+		})
+	}
+	return list
+}
+
+// ChooseAt picks one endpoint that was decided on before; ok is false where it
+// no longer takes work for the target.
+func (r *Router) ChooseAt(t Target, ref endpoint.Ref, now time.Time) (Choice, bool) {
+	g, byID := r.groupFor(t)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s, ok := byID[ref.ID]
+	if !ok || s.group != g || s.info.Ref() != ref {
+		return Choice{}, false
+	}
+	s.load.sentSince++
+	s.load.ownRunning++
+	return Choice{Endpoint: s.info, sent: now}, true
+}
+
+// Lookup returns what is known of an endpoint.
+func (r *Router) Lookup(id string) (endpoint.Info, bool) { return r.directory.Get(id) }
+
+// TokenGap returns the time between tokens measured at an endpoint.
+func (r *Router) TokenGap(id string) time.Duration {
+	r.mu.RLock()
+	s, ok := r.byID[id]
+	r.mu.RUnlock()
+	if !ok {
+		return startTokenGap
+	}
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	return s.load.tokenGap
+}
+
+// Slots returns how many requests the endpoints of a target run at once.
+func (r *Router) Slots(t Target) int {
+	g, _ := r.groupFor(t)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	total := 0
+	for _, s := range g.slots {
+		total += s.load.slots
+	}
+	return total
+}
+
+// Size returns how many endpoints take work for a target.
+func (r *Router) Size(t Target) int {
+	g, _ := r.groupFor(t)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.slots)
+}
+
+// Other returns a target of the same model and adapter that some endpoint
+// serves in another version: while versions are rolled, a service must not go
+// without. ok is false where there is none.
+func (r *Router) Other(t Target) (Target, bool) {
+	for _, info := range r.directory.View().Infos() {
+		other := TargetOf(info)
+		if info.Takes() && t.Model != "" && other.Model == t.Model && other.Adapter == t.Adapter {
+			return other, true
+		}
+	}
+	return t, false
+}
--- /dev/null
+++ b/pkg/route/prefix.go
@@ -0,0 +1,135 @@
+package route
+
+import (
+	"github.com/cespare/xxhash/v2"
+)
+
+// Parameters of the prefix index.
+const (
+	// blockBytes is how much of a prompt one hash covers.
+	blockBytes = 256
+	// blockTokens is the same in tokens, at four bytes a token.
+	blockTokens = blockBytes / 4
+	// MaxBlocks bounds the hashes of one prompt.
+	MaxBlocks = 64
+	// holders is how many endpoints are remembered for one prefix.
+	holders = 4
+	// indexLimit bounds the prefixes remembered for one target.
+	indexLimit = 1 << 15
+)
+
+// Hash appends the hashes of a prompt's prefixes, one for every full block,
+// to dst. Prompts that share a prefix share its hashes.
+func Hash(dst []uint64, prompt []byte) []uint64 {
+	digest := xxhash.New()
+	for end := blockBytes; end <= len(prompt) && len(dst) < MaxBlocks; end += blockBytes {
+		_, _ = digest.Write(prompt[end-blockBytes : end])
+		dst = append(dst, digest.Sum64())
+	}
+	return dst
+}
+
+// prefixIndex remembers which endpoints were sent which prefixes. It is a
+// hint: engines evict without telling, and events come late or not at all.
+// Two generations bound it: when the young one is full the old one is dropped.
+type prefixIndex struct {
+	limit      int
+	young, old map[uint64]holderSet
+}
+
+// holderSet is the latest endpoints a prefix was sent to, newest first.
+type holderSet [holders]string
+
+func newPrefixIndex(limit int) *prefixIndex {
+	return &prefixIndex{limit: limit, young: map[uint64]holderSet{}, old: map[uint64]holderSet{}}
+}
+
+func (x *prefixIndex) get(hash uint64) (holderSet, bool) {
+	if set, ok := x.young[hash]; ok {
+		return set, true
+	}
+	set, ok := x.old[hash]
+	return set, ok
+}
+
+func (x *prefixIndex) put(hash uint64, set holderSet) {
+	if len(x.young) >= x.limit {
+		x.old = x.young
+		x.young = make(map[uint64]holderSet, x.limit/4)
+	}
+	x.young[hash] = set
+}
+
+// note remembers that an endpoint was sent a prompt.
+func (x *prefixIndex) note(prefix []uint64, id string) {
+	for _, hash := range prefix {
+		set, _ := x.get(hash)
+		if set[0] == id {
+			x.put(hash, set)
+			continue
+		}
+		x.put(hash, set.with(id))
+	}
+}
+
+func (s holderSet) with(id string) holderSet {
+	next := holderSet{id}
+	n := 1
+	for _, held := range s {
+		if held != id && held != "" && n < holders {
+			next[n] = held
+			n++
+		}
+	}
+	return next
+}
+
+// markCached notes on each slot how many tokens of the prefix it has cached
+// and returns the slots it marked. The group's lock is held.
+func (g *group) markCached(prefix []uint64, byID map[string]*slot) [holders]*slot {
+	var marked [holders]*slot
+	if len(prefix) == 0 {
+		return marked
+	}
+	first, ok := g.index.get(prefix[0])
+	if !ok {
+		return marked
+	}
+	for i, id := range first {
+		s := byID[id]
+		if s == nil || s.group != g {
+			continue
+		}
+		s.cached = g.index.depth(prefix, id) * blockTokens
+		marked[i] = s
+	}
+	return marked
+}
+
+func (g *group) clearCached(marked [holders]*slot) {
+	for _, s := range marked {
+		if s != nil {
+			s.cached = 0
+		}
+	}
+}
+
+// depth returns how many leading blocks an endpoint was sent before.
+func (x *prefixIndex) depth(prefix []uint64, id string) int {
+	for i, hash := range prefix {
+		set, ok := x.get(hash)
+		if !ok || !set.has(id) {
+			return i
+		}
+	}
+	return len(prefix)
+}
+
+func (s holderSet) has(id string) bool {
+	for _, held := range s {
+		if held == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/route/route.go
@@ -0,0 +1,402 @@
+// Package route chooses the endpoint of a request. It reads no clock and no
+// socket: time, reports and endpoints are passed in. The expected time of each
+// candidate is queueing, prefill of what is not cached and decoding, from load
+// reports that lag, corrected by what this process sent since; on top comes
+// what a reclaim would lose. A naive choice stands beside it (naive.go).
+package route
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/hazard"
+)
+
+// Target names what a request needs to be loaded: a model with version and
+// adapter, or a plain service.
+type Target struct {
+	Service string
+	Model   string
+	Version string
+	Adapter string
+}
+
+// Query is one request for an endpoint.
+type Query struct {
+	Target Target
+	// Prefix is the prompt's prefix hashes (see Hash); it may be empty.
+	Prefix []uint64
+	// PromptTokens and AnswerTokens are what is expected, not known.
+	PromptTokens, AnswerTokens int
+	// Done is tokens of the answer had already, to be prefilled again.
+	Done int
+	// Stake is how many seconds a lost second of work counts for; 1 for work
+	// that waits, more for a caller at a counter.
+	Stake float64
+	// Avoid lists endpoints that this request failed on.
+	Avoid []endpoint.Ref
+}
+
+// Choice is an endpoint chosen. Every Choice must be ended with Done.
+type Choice struct {
+	Endpoint endpoint.Info
+	// Expected is the time to completion that was reckoned with.
+	Expected time.Duration
+	// Wait is the part of it before the first token.
+	Wait time.Duration
+	// CachedTokens is how much of the prompt was reckoned cached there.
+	CachedTokens int
+	sent         time.Time
+}
+
+// Strategy names a way to choose.
+type Strategy int
+
+// The strategies; all but Expected are naive.
+const (
+	Expected Strategy = iota
+	Random
+	RoundRobin
+	LeastReported
+	PowerOfTwo
+)
+
+// Parameters of the choice.
+const (
+	// scanLimit is how many candidates are looked at one by one; of more, a
+	// sample of that size is taken, next to those that have the prefix cached.
+	scanLimit = 32
+	// ejectAfter is how many failures in a row take an endpoint out.
+	ejectAfter = 3
+	// ejectShare bounds the endpoints that are taken out at once.
+	ejectShare = 0.5
+	// firstEject and mostEject bound how long an endpoint is out.
+	firstEject = 2 * time.Second
+	mostEject  = time.Minute
+	// smoothing is the weight of a new measurement.
+	smoothing = 0.2
+	// defaultSlots is assumed until an endpoint has reported its own.
+	defaultSlots = 16
+)
+
+// Router chooses endpoints. It is safe for concurrent use: each group of
+// endpoints that serve the same target has its own lock.
+type Router struct {
+	directory *endpoint.Directory
+	hazard    *hazard.Estimator
+	home      Home
+	seed      uint64
+	// entries is how many entry hosts share the endpoints, 0 if not known.
+	entries atomic.Int64
+
+	mu     sync.RWMutex
+	groups map[Target]*group
+	synced uint64
+	// byID finds the group and place of each endpoint.
+	byID map[string]*slot
+}
+
+// Home says where this process is.
+type Home struct {
+	Node, DataCenter string
+}
+
+// New returns a router over a directory of endpoints. The seed makes its
+// samples repeatable.
+func New(directory *endpoint.Directory, estimator *hazard.Estimator, home Home, seed uint64) *Router {
+	r := &Router{
+		directory: directory,
+		hazard:    estimator,
+		home:      home,
+		seed:      seed,
+		groups:    map[Target]*group{},
+		byID:      map[string]*slot{},
+	}
+	r.synced = ^uint64(0)
+	return r
+}
+
+// group is the endpoints that serve one target.
+type group struct {
+	mu    sync.Mutex
+	slots []*slot
+	// index is what is thought cached where.
+	index  *prefixIndex
+	random *rand.Rand
+	turn   int
+	// ejected counts slots that are out.
+	ejected int
+}
+
+// slot is what is known of one endpoint. Its fields are guarded by its group.
+type slot struct {
+	group *group
+	// place is the slot's index in its group.
+	place int
+	info  endpoint.Info
+	load  load
+	// cached is scratch space of one choice.
+	cached int
+}
+
+// load is the state of an endpoint as far as it is known here.
+type load struct {
+	// reported is from the latest report, taken at reportedAt.
+	running, waiting, slots int
+	queuedTokens            int
+	freeTokens              int
+	sequence                int64
+	// sentSince counts own requests sent after the report; endedSince own
+	// requests, among those the report saw, that have ended since.
+	sentSince, endedSince int
+	ownRunning            int
+	tokenGap              time.Duration
+	prefillPerToken       time.Duration
+	meanDuration          time.Duration
+	// trust is the part of the tokens reckoned cached that were, 0 to 1.
+	trust        float64
+	failures     int
+	ejections    int
+	ejectedUntil time.Time
+	rate         float64
+	rateAt       time.Time
+}
+
+// Figures used until an endpoint's own have been measured.
+const (
+	startTokenGap    = 26 * time.Millisecond
+	startPrefill     = 200 * time.Microsecond
+	startMeanAnswer  = 4 * time.Second
+	hazardKept       = time.Second
+	secondsAnHour    = 3600
+	crossPlaceWeight = time.Millisecond
+)
+
+func newLoad() load {
+	return load{slots: defaultSlots, tokenGap: startTokenGap, prefillPerToken: startPrefill, meanDuration: startMeanAnswer, trust: 1}
+}
+
+// TargetOf returns the target that an endpoint serves at present.
+func TargetOf(i endpoint.Info) Target {
+	if i.Kind == endpoint.Plain {
+		return Target{Service: i.Service}
+	}
+	return Target{Model: i.Model, Version: i.Version, Adapter: i.Adapter}
+}
+
+// groupFor returns the target's group, brought up to date with the directory,
+// and the slots by endpoint. That map is not changed once it is made.
+func (r *Router) groupFor(t Target) (*group, map[string]*slot) {
+	view := r.directory.View()
+	r.mu.RLock()
+	g, known := r.groups[t]
+	byID := r.byID
+	fresh := r.synced == view.Generation()
+	r.mu.RUnlock()
+	if known && fresh {
+		return g, byID
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.synced != view.Generation() {
+		r.sync(view)
+	}
+	g, known = r.groups[t]
+	if !known {
+		g = r.newGroup()
+		r.groups[t] = g
+	}
+	return g, r.byID
+}
+
+func (r *Router) newGroup() *group {
+	return &group{index: newPrefixIndex(indexLimit), random: rand.New(rand.NewPCG(r.seed, uint64(len(r.groups))))}
+}
+
+// sync rebuilds the groups after a change of the directory; the load known of
+// an endpoint's incarnation is kept. The router's lock is held.
+func (r *Router) sync(view *endpoint.View) {
+	old := r.byID
+	for _, g := range r.groups {
+		g.mu.Lock()
+		g.slots = nil
+		g.ejected = 0
+		g.mu.Unlock()
+	}
+	r.byID = make(map[string]*slot, len(view.Infos()))
+	for _, info := range Subset(r.home.Node, int(r.entries.Load()), view.Infos()) {
+		target := TargetOf(info)
+		g, ok := r.groups[target]
+		if !ok {
+			g = r.newGroup()
+			r.groups[target] = g
+		}
+		r.byID[info.ID] = g.add(info, old[info.ID])
+	}
+	r.synced = view.Generation()
+}
+
+// SetEntries tells how many entry hosts share the endpoints.
+func (r *Router) SetEntries(entries int) {
+	if r.entries.Swap(int64(entries)) == int64(entries) {
+		return
+	}
+	view := r.directory.View()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sync(view)
+}
+
+// InUse returns the endpoints this entry may choose.
+func (r *Router) InUse() []endpoint.Info {
+	r.groupFor(Target{})
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	infos := make([]endpoint.Info, 0, len(r.byID))
+	for _, s := range r.byID {
+		infos = append(infos, s.info)
+	}
+	return infos
+}
+
+func (g *group) add(info endpoint.Info, before *slot) *slot {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := &slot{group: g, place: len(g.slots), info: info, load: newLoad()}
+	if before != nil && before.info.Ref() == info.Ref() {
+		s.load = before.load
+	}
+	if s.load.ejections > 0 && s.load.failures >= ejectAfter {
+		g.ejected++
+	}
+	g.slots = append(g.slots, s)
+	return s
+}
+
+// Choose picks an endpoint and notes the request as sent there; ok is false
+// where no endpoint takes work for the target.
+func (r *Router) Choose(q Query, strategy Strategy, now time.Time) (Choice, bool) {
+	g, byID := r.groupFor(q.Target)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var best *slot
+	var score score
+	if strategy == Expected {
+		best, score = r.pickExpected(g, byID, q, now)
+	} else {
+		best = g.pickNaive(q, strategy, now)
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	best.load.sentSince++
+	best.load.ownRunning++
+	g.index.note(q.Prefix, best.info.ID)
+	return Choice{best.info, score.total, score.wait, score.cached, now}, true
+}
+
+// score is the sum behind one candidate.
+type score struct {
+	wait, decode, risk, total time.Duration
+	cached                    int
+}
+
+// pickExpected returns the candidate with the least expected time. The group's
+// lock is held.
+func (r *Router) pickExpected(g *group, byID map[string]*slot, q Query, now time.Time) (*slot, score) {
+	cachedSlots := g.markCached(q.Prefix, byID)
+	defer g.clearCached(cachedSlots)
+	var best *slot
+	var bestScore score
+	consider := func(s *slot) {
+		if !g.usable(s, q, now) {
+			return
+		}
+		sc := r.score(s, q, now)
+		if best == nil || sc.total < bestScore.total {
+			best, bestScore = s, sc
+		}
+	}
+	if len(g.slots) <= scanLimit {
+		for _, s := range g.slots {
+			consider(s)
+		}
+		return best, bestScore
+	}
+	for _, s := range cachedSlots {
+		if s != nil {
+			consider(s)
+		}
+	}
+	for range scanLimit {
+		consider(g.slots[g.random.IntN(len(g.slots))])
+	}
+	if best != nil {
+		return best, bestScore
+	}
+	// The sample met only endpoints that are out: look at all before giving up.
+	for _, s := range g.slots {
+		consider(s)
+	}
+	return best, bestScore
+}
+
+// usable reports whether a slot may take the request at all. Endpoints that
+// are out stay usable once more than ejectShare of the group is out.
+func (g *group) usable(s *slot, q Query, now time.Time) bool {
+	for _, ref := range q.Avoid {
+		if ref == s.info.Ref() {
+			return false
+		}
+	}
+	if now.Before(s.load.ejectedUntil) {
+		return float64(g.ejected) > ejectShare*float64(len(g.slots))
+	}
+	return true
+}
+
+// score works out the expected time at one endpoint.
+func (r *Router) score(s *slot, q Query, now time.Time) score {
+	l := &s.load
+	running := max(l.running+l.sentSince-l.endedSince, l.ownRunning)
+	waiting := l.waiting
+	if running > l.slots {
+		waiting += running - l.slots
+		running = l.slots
+	}
+	cached := int(l.trust * float64(min(s.cached, q.PromptTokens)))
+	uncached := q.PromptTokens - cached + q.Done
+	wait := time.Duration(uncached) * l.prefillPerToken
+	if running >= l.slots {
+		wait += l.meanDuration * time.Duration(waiting+1) / time.Duration(max(l.slots, 1))
+	}
+	wait += time.Duration(l.queuedTokens) * l.prefillPerToken
+	// A fuller batch decodes slower: this also spreads load that fits.
+	crowding := 1 + float64(running)/float64(max(l.slots, 1))
+	decode := time.Duration(float64(q.AnswerTokens) * crowding * float64(l.tokenGap))
+	if s.info.DataCenter != r.home.DataCenter {
+		wait += crossPlaceWeight
+	}
+	total := wait + decode
+	risk := r.riskOf(s, q, total, now)
+	return score{wait: wait, decode: decode, risk: risk, total: total + risk, cached: cached}
+}
+
+// riskOf is the work a reclaim would lose times its probability, in time.
+func (r *Router) riskOf(s *slot, q Query, duration time.Duration, now time.Time) time.Duration {
+	if !s.info.Reclaimable {
+		return 0
+	}
+	l := &s.load
+	if now.Sub(l.rateAt) > hazardKept || l.rateAt.IsZero() {
+		l.rate = r.hazard.Rate(hazard.Place{DataCenter: s.info.DataCenter, Class: s.info.Class}, now)
+		l.rateAt = now
+	}
+	probability := min(1, l.rate*duration.Seconds()/secondsAnHour)
+	// Half the answer is lost on average, and all of the prompt.
+	lost := duration/2 + time.Duration(q.PromptTokens+q.Done)*l.prefillPerToken
+	return time.Duration(probability * max(q.Stake, 1) * float64(lost))
+}
--- /dev/null
+++ b/pkg/standin/services/service.go
@@ -0,0 +1,101 @@
+// Package services is the stand-in of the plain services behind the system: a
+// ledger that counts how often each call ran.
+package services
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"ironhollow/pkg/httpx"
+	"ironhollow/pkg/plainservice"
+)
+
+// Ledger is shared by all stand-in endpoints of one service, as a database
+// behind them would be.
+type Ledger struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger { return &Ledger{runs: map[string]int{}} }
+
+// Runs returns how often the call with a key ran.
+func (l *Ledger) Runs(key string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runs[key]
+}
+
+// All returns the runs of every key.
+func (l *Ledger) All() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	all := map[string]int{}
+	for key, n := range l.runs {
+		all[key] = n
+	}
+	return all
+}
+
+func (l *Ledger) run(key string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[key]++
+	return l.runs[key]
+}
+
+// Options say how a service behaves.
+type Options struct {
+	// Work is how long a call takes before it runs.
+	Work time.Duration
+	// ChecksDeadline makes the service refuse calls past their deadline.
+	ChecksDeadline bool
+	// CutAfterRun cuts the connection after the call has run.
+	CutAfterRun bool
+}
+
+// Answer is what a call gets.
+type Answer struct {
+	Key  string `json:"key"`
+	Run  int    `json:"run"`
+	Path string `json:"path"`
+	Body string `json:"body"`
+}
+
+// Handler serves calls: every POST runs, a GET only reads.
+func Handler(ledger *Ledger, options Options) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /standin/runs", func(w http.ResponseWriter, _ *http.Request) {
+		httpx.WriteJSON(w, http.StatusOK, ledger.All())
+	})
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		serve(ledger, options, w, r)
+	})
+	return mux
+}
+
+func serve(ledger *Ledger, options Options, w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, 1<<20))
+	if err != nil {
+		return
+	}
+	time.Sleep(options.Work)
+	if options.ChecksDeadline && plainservice.DeadlinePassed(r.Header, time.Now()) {
+		w.Header().Set(plainservice.HeaderNotRun, "deadline")
+		http.Error(w, "deadline passed", http.StatusServiceUnavailable)
+		return
+	}
+	answer := Answer{Key: r.Header.Get(plainservice.HeaderKey), Path: r.URL.Path, Body: string(body)}
+	if r.Method != http.MethodGet {
+		answer.Run = ledger.run(answer.Key)
+	}
+	if options.CutAfterRun {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(answer)
+}
--- /dev/null
+++ b/pkg/stream/leave.go
@@ -0,0 +1,109 @@
+package stream
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/hazard"
+	"ironhollow/pkg/reclaim"
+	"ironhollow/pkg/route"
+)
+
+// Figures of a move, until endpoints report their own.
+const (
+	// bytesPerToken is the KV cache of one token of a mid-sized model.
+	bytesPerToken = 128 << 10
+	// bytesPerSecond is what an endpoint may send in all; each entry takes the
+	// part below, as if four entries had streams on the endpoint.
+	bytesPerSecond = 2 << 30
+	ownPart        = 0.25
+	// leadTime is how long before the end a stream that resumes elsewhere is
+	// taken off: every token made before that is had for nothing.
+	leadTime = 300 * time.Millisecond
+)
+
+// Leaving moves this process's work off an endpoint that was given notice. It
+// returns once the plan is carried out or the endpoint is gone. A naive plan
+// leaves every stream to break off.
+func (r *Runner) Leaving(ctx context.Context, info endpoint.Info, naive bool) {
+	if naive {
+		return
+	}
+	now := time.Now()
+	runs := r.active.on(info.Ref())
+	if len(runs) == 0 {
+		return
+	}
+	byID := map[string]*run{}
+	works := make([]reclaim.Work, 0, len(runs))
+	for _, held := range runs {
+		byID[held.request] = held
+		works = append(works, held.work())
+	}
+	steps := reclaim.Plan(works, r.destinations(info, now), reclaim.Limits{
+		Notice:         info.LeaveBy.Sub(now),
+		BytesPerSecond: bytesPerSecond * ownPart,
+		BytesPerToken:  bytesPerToken,
+	})
+	r.carryOut(ctx, info, steps, byID)
+}
+
+// destinations lists the endpoints that serve the same model.
+func (r *Runner) destinations(info endpoint.Info, now time.Time) []reclaim.Destination {
+	var list []reclaim.Destination
+	for _, c := range r.router.Explain(route.Query{Target: route.TargetOf(info)}, now) {
+		if c.Endpoint.ID == info.ID || !c.Usable {
+			continue
+		}
+		place := hazard.Place{DataCenter: c.Endpoint.DataCenter, Class: c.Endpoint.Class}
+		d := reclaim.Destination{Endpoint: c.Endpoint, FreeTokens: c.FreeTokens, Running: c.Running}
+		if c.Endpoint.Reclaimable {
+			d.HazardPerHour = r.hazard.Rate(place, now)
+		}
+		list = append(list, d)
+	}
+	return list
+}
+
+// movesAtOnce bounds the KV caches under way from one endpoint.
+const movesAtOnce = 4
+
+func (r *Runner) carryOut(ctx context.Context, info endpoint.Info, steps []reclaim.Step, byID map[string]*run) {
+	var wait sync.WaitGroup
+	slots := make(chan struct{}, movesAtOnce)
+	for _, step := range steps {
+		held := byID[step.Work.ID]
+		switch action := step.Action.(type) {
+		case reclaim.Finish:
+		case reclaim.Move:
+			wait.Add(1)
+			slots <- struct{}{}
+			go func() {
+				defer wait.Done()
+				r.move(ctx, held, action.To)
+				<-slots
+			}()
+		case reclaim.Resume:
+			wait.Add(1)
+			time.AfterFunc(time.Until(info.LeaveBy.Add(-leadTime)), func() {
+				defer wait.Done()
+				held.cancel(errMoved{})
+			})
+		}
+	}
+	wait.Wait()
+}
+
+// move fetches the KV cache at the destination, then takes the stream there.
+// If the cache can't be had the stream stays: it breaks off at the end of the
+// notice at the latest and is resumed from its tokens.
+func (r *Runner) move(ctx context.Context, held *run, to endpoint.Info) {
+	if _, err := r.engines.Import(ctx, to.Address, held.request, held.endpoint.Address); err != nil {
+		r.counters.MoveFailed.Inc()
+		return
+	}
+	r.counters.Moved.Inc()
+	held.cancel(errMoved{to: &to})
+}
--- /dev/null
+++ b/pkg/stream/runner.go
@@ -0,0 +1,588 @@
+// Package stream runs one model request from its first attempt to its last
+// token. Endpoints may vanish under it: the tokens had so far are kept, and the
+// next attempt goes on after them, so that the caller sees one whole answer.
+package stream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"ironhollow/pkg/code"
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/engine"
+	"ironhollow/pkg/hazard"
+	"ironhollow/pkg/retry"
+	"ironhollow/pkg/route"
+)
+
+// Request is one request to a model service.
+type Request struct {
+	Prompt engine.Prompt
+	// Prefix is route.Hash of the messages, PromptTokens an estimate.
+	Prefix       []uint64
+	PromptTokens int
+	// Received are tokens of the answer had before: by the caller from another
+	// entry, or from a checkpoint. The answer goes on after them.
+	Received []string
+	// At is the id of the endpoint where the stream may still be running, for
+	// a caller who comes back after its entry was lost; empty otherwise.
+	At string
+	// Stake weighs lost work; see route.Query.
+	Stake float64
+	// Patience is how long to wait for an endpoint before giving up.
+	Patience time.Duration
+	// Strategy is how endpoints are chosen.
+	Strategy route.Strategy
+}
+
+// Sink takes the answer's tokens in order, without gap or repeat. An error
+// from Token ends the request: its caller is gone.
+type Sink interface {
+	Token(token Token) error
+}
+
+// Token is one token of the answer, with what is needed to resume after it.
+type Token struct {
+	// Offset counts the answer's tokens before this one.
+	Offset int
+	Text   string
+	// Endpoint is where the stream runs at present.
+	Endpoint string
+}
+
+// Result is a whole answer's account.
+type Result struct {
+	Finish string
+	Usage  engine.Usage
+	// Attempts counts the endpoints tried.
+	Attempts int
+	// Version is the model's version that gave the answer.
+	Version string
+	// Hops are the attempts in order.
+	Hops []Hop
+}
+
+// Hop is one attempt, for explanations.
+type Hop struct {
+	Endpoint string
+	// Expected and Wait are what was reckoned with; see route.Choice.
+	Expected, Wait time.Duration
+	CachedTokens   int
+	// Tokens is the answer's length when the attempt ended.
+	Tokens int
+	Ending string
+}
+
+// Runner runs requests.
+type Runner struct {
+	router   *route.Router
+	engines  engine.API
+	budget   *retry.Budget
+	hazard   *hazard.Estimator
+	counters *Counters
+	active   *active
+	lengths  sync.Map // of model name to *length
+}
+
+// New returns a runner.
+func New(router *route.Router, engines engine.API, budget *retry.Budget, estimator *hazard.Estimator, counters *Counters) *Runner {
+	return &Runner{router: router, engines: engines, budget: budget, hazard: estimator, counters: counters, active: newActive()}
+}
+
+// Bounds of one request.
+const (
+	// mostAttempts ends a request that breaks every endpoint it meets.
+	mostAttempts = 12
+	// stallTime is how long a stream may be silent before it counts as broken.
+	stallTime = 5 * time.Second
+	// firstStall is the same before the first token of an attempt, on top of
+	// the wait that was reckoned with.
+	firstStall = 10 * time.Second
+)
+
+// ending is how one attempt ended.
+type ending interface{ ending() }
+
+// finished: the answer is whole.
+type finished struct{ frame engine.Frame }
+
+// broken: the endpoint failed; the tokens had so far stand.
+type broken struct{ err error }
+
+// refused: the endpoint turned the attempt away unrun.
+type refused struct{ err error }
+
+// rejected: no endpoint can ever serve the request.
+type rejected struct{ err error }
+
+// moved: the attempt was taken off a leaving endpoint.
+type moved struct{ to *endpoint.Info }
+
+// callerGone: nobody reads the answer any more.
+type callerGone struct{ err error }
+
+// overdue: the deadline has passed.
+type overdue struct{}
+
+func (finished) ending()   {}
+func (broken) ending()     {}
+func (refused) ending()    {}
+func (rejected) ending()   {}
+func (moved) ending()      {}
+func (callerGone) ending() {}
+func (overdue) ending()    {}
+
+// errMoved is the cause of an attempt's cancellation by the reclaim plan.
+type errMoved struct{ to *endpoint.Info }
+
+func (errMoved) Error() string { return "moved off a leaving endpoint" }
+
+// errStalled is the cause of an attempt's cancellation by silence.
+var errStalled = errors.New("stream: endpoint went silent")
+
+// progress is a request's state over its attempts.
+type progress struct {
+	request Request
+	sink    Sink
+	// tokens are the answer so far, sent to the sink.
+	tokens   []string
+	target   route.Target
+	attempts int
+	// tries counts attempts since the last one that gave a token.
+	tries int
+	avoid []endpoint.Ref
+	// next is where a move has put the KV cache.
+	next *endpoint.Info
+	// carried says that the attempt starts where its KV cache was moved.
+	carried  bool
+	version  string
+	lastFail error
+	hops     []Hop
+}
+
+// Run runs a request to its end. Errors carry a result code.
+func (r *Runner) Run(ctx context.Context, request Request, sink Sink) (Result, error) {
+	p := &progress{
+		request: request, sink: sink, tokens: append([]string(nil), request.Received...),
+		target: route.Target{Model: request.Prompt.Model, Version: request.Prompt.Version, Adapter: request.Prompt.Adapter},
+	}
+	result, err := r.run(ctx, p)
+	result.Hops = p.hops
+	return result, err
+}
+
+func (r *Runner) run(ctx context.Context, p *progress) (Result, error) {
+	request := p.request
+	r.budget.Sent(time.Now())
+	ctx, cancel := context.WithDeadline(ctx, request.Prompt.Deadline)
+	defer cancel()
+	if request.At != "" {
+		if result, ok := r.reattach(ctx, p); ok {
+			return result, nil
+		}
+	}
+	for {
+		end := r.attempt(ctx, p)
+		switch end := end.(type) {
+		case finished:
+			return r.finish(p, end.frame), nil
+		case rejected:
+			return Result{}, code.New(code.BadBody, end.err.Error())
+		case callerGone:
+			return Result{}, end.err
+		case overdue:
+			return Result{}, overdueError(p)
+		case moved:
+			p.next = end.to
+			p.avoid = p.avoid[:0]
+		case refused:
+			p.lastFail = end.err
+		case broken:
+			p.lastFail = end.err
+			r.counters.Broken.Inc()
+		}
+		if err := r.pauseBeforeNext(ctx, p, end); err != nil {
+			return Result{}, err
+		}
+	}
+}
+
+func overdueError(p *progress) error {
+	if p.attempts == 0 {
+		return code.New(code.NoEndpoint, "no endpoint took the request before its deadline")
+	}
+	return code.New(code.DeadlinePassed, fmt.Sprintf("deadline passed after %d tokens", len(p.tokens)))
+}
+
+// pauseBeforeNext decides whether another attempt may follow, and waits.
+func (r *Runner) pauseBeforeNext(ctx context.Context, p *progress, end ending) error {
+	if _, isMove := end.(moved); isMove {
+		return nil
+	}
+	p.tries++
+	if p.attempts >= mostAttempts {
+		return code.New(code.StreamLost, fmt.Sprintf("gave up after %d attempts: %v", p.attempts, p.lastFail))
+	}
+	for {
+		if !sleep(ctx, retry.Pause(p.tries, globalRandom)) {
+			return endOfWait(ctx, p)
+		}
+		// An attempt that was turned away unrun cost its endpoint nothing, but
+		// it counts all the same: a storm of them is still a storm.
+		if r.budget.Take(time.Now()) {
+			return nil
+		}
+		r.counters.BudgetEmpty.Inc()
+	}
+}
+
+func endOfWait(ctx context.Context, p *progress) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return overdueError(p)
+	}
+	return ctx.Err()
+}
+
+// globalRandom draws jitter; it need not be repeatable.
+var globalRandom = rand.New(globalSource{})
+
+// globalSource is the runtime's own source, safe for concurrent use.
+type globalSource struct{}
+
+// Uint64 returns random bits.
+func (globalSource) Uint64() uint64 { return rand.Uint64() }
+
+func (r *Runner) query(p *progress) route.Query {
+	return route.Query{
+		Target:       p.target,
+		Prefix:       p.request.Prefix,
+		PromptTokens: p.request.PromptTokens,
+		AnswerTokens: max(r.expectedLength(p)-len(p.tokens), 1),
+		Done:         len(p.tokens),
+		Stake:        p.request.Stake,
+		Avoid:        p.avoid,
+	}
+}
+
+// choose finds an endpoint, waiting for one within the request's patience.
+func (r *Runner) choose(ctx context.Context, p *progress) (route.Choice, ending) {
+	since := time.Now()
+	for try := 1; ; try++ {
+		now := time.Now()
+		if c, ok := r.chooseNow(p, now); ok {
+			return c, nil
+		}
+		p.avoid = p.avoid[:0]
+		// An answer begun is waited for until its deadline.
+		if len(p.tokens) == 0 && now.Sub(since) > p.request.Patience {
+			return route.Choice{}, overdue{}
+		}
+		if !sleep(ctx, retry.Pause(try, globalRandom)) {
+			return route.Choice{}, r.endingOf(ctx, ctx.Err())
+		}
+	}
+}
+
+func (r *Runner) chooseNow(p *progress, now time.Time) (route.Choice, bool) {
+	if p.next != nil {
+		c, ok := r.router.ChooseAt(p.target, p.next.Ref(), now)
+		p.next = nil
+		p.carried = ok
+		if ok {
+			return c, true
+		}
+	}
+	c, ok := r.router.Choose(r.query(p), p.request.Strategy, now)
+	if ok || len(p.tokens) > 0 {
+		// An answer begun in one version is not continued in another.
+		return c, ok
+	}
+	other, ok := r.router.Other(p.target)
+	if !ok {
+		return c, false
+	}
+	q := r.query(p)
+	q.Target = other
+	c, ok = r.router.Choose(q, p.request.Strategy, now)
+	return c, ok
+}
+
+// attempt runs one attempt at one endpoint.
+func (r *Runner) attempt(ctx context.Context, p *progress) ending {
+	choice, end := r.choose(ctx, p)
+	if end != nil {
+		return end
+	}
+	p.attempts++
+	p.target = route.TargetOf(choice.Endpoint)
+	p.version = p.target.Version
+	r.countAttempt(p, choice)
+	attemptCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	held := r.newRun(p, choice, cancel)
+	r.active.add(held)
+	defer r.active.remove(held)
+	if info, ok := r.router.Lookup(choice.Endpoint.ID); !ok || !info.Takes() {
+		// It left between the choice and our entry in the list of its streams.
+		r.router.Done(choice, route.Result{}, time.Now())
+		return refused{errLeft}
+	}
+	result, end := r.read(attemptCtx, cancel, p, held, choice)
+	result.Failed = isFailure(end)
+	if result.Failed {
+		p.avoid = append(p.avoid, choice.Endpoint.Ref())
+	}
+	r.router.Done(choice, result, time.Now())
+	p.hops = append(p.hops, Hop{choice.Endpoint.ID, choice.Expected, choice.Wait, choice.CachedTokens, len(p.tokens), nameOf(end)})
+	return end
+}
+
+// nameOf names an ending for explanations.
+func nameOf(end ending) string {
+	switch end.(type) {
+	case finished:
+		return "finished"
+	case broken:
+		return "broken"
+	case refused:
+		return "refused"
+	case rejected:
+		return "rejected"
+	case moved:
+		return "moved"
+	case callerGone:
+		return "caller gone"
+	case overdue:
+		return "overdue"
+	}
+	return "unknown"
+}
+
+// errLeft says that the endpoint chosen is leaving by now.
+var errLeft = errors.New("stream: endpoint is leaving")
+
+// isFailure reports whether an ending is the endpoint's fault.
+func isFailure(end ending) bool {
+	switch end.(type) {
+	case broken, refused:
+		return true
+	}
+	return false
+}
+
+// countAttempt counts, for an attempt after the first, the tokens that will be
+// computed again: all that were had and the prompt, but for what is reckoned
+// cached or was moved there.
+func (r *Runner) countAttempt(p *progress, c route.Choice) {
+	r.counters.Attempts.Inc()
+	if p.attempts == 1 {
+		return
+	}
+	r.counters.Resumed.Inc()
+	if !p.carried {
+		r.counters.Recomputed.Add(float64(p.request.PromptTokens - c.CachedTokens + len(p.tokens)))
+	}
+	p.carried = false
+}
+
+func (r *Runner) newRun(p *progress, c route.Choice, cancel context.CancelCauseFunc) *run {
+	return &run{
+		request: p.request.Prompt.Request, endpoint: c.Endpoint, cancel: cancel,
+		prompt: p.request.PromptTokens, tokens: len(p.tokens),
+		expected: r.expectedLength(p), gap: r.router.TokenGap(c.Endpoint.ID),
+	}
+}
+
+// read opens the engine's stream and passes its tokens on until it ends.
+func (r *Runner) read(ctx context.Context, cancel context.CancelCauseFunc, p *progress, held *run, c route.Choice) (route.Result, ending) {
+	started := time.Now()
+	stall := time.AfterFunc(firstStall+c.Wait, func() { cancel(errStalled) })
+	defer stall.Stop()
+	prompt := p.request.Prompt
+	prompt.Version = p.version
+	stream, err := r.engines.Generate(ctx, c.Endpoint.Address, engine.Attempt{Prompt: prompt, Number: p.attempts, Continue: p.tokens})
+	if err != nil {
+		return route.Result{}, r.endingOf(ctx, err)
+	}
+	defer stream.Close()
+	reader := frameReader{runner: r, progress: p, run: held, stall: stall, started: started, attempt: p.attempts}
+	end := reader.readAll(ctx, stream)
+	return reader.result(end), end
+}
+
+// endingOf classifies an error of an attempt.
+func (r *Runner) endingOf(ctx context.Context, err error) ending {
+	switch {
+	case errors.Is(err, engine.ErrBadRequest):
+		return rejected{err}
+	case errors.Is(err, engine.ErrRefused):
+		return refused{err}
+	}
+	cause := context.Cause(ctx)
+	switch {
+	case cause == nil:
+		return broken{err}
+	case errors.As(cause, &errMoved{}):
+		return movedOf(cause)
+	case errors.Is(cause, errStalled):
+		return broken{cause}
+	case errors.Is(cause, context.DeadlineExceeded):
+		return overdue{}
+	}
+	return callerGone{cause}
+}
+
+func movedOf(cause error) ending {
+	var to errMoved
+	errors.As(cause, &to)
+	return moved(to)
+}
+
+// reattach goes on with a stream that an endpoint may still be running; false
+// where it is not, and the request then runs from its start.
+func (r *Runner) reattach(ctx context.Context, p *progress) (Result, bool) {
+	info, ok := r.router.Lookup(p.request.At)
+	if !ok {
+		return Result{}, false
+	}
+	attemptCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stall := time.AfterFunc(stallTime, func() { cancel(errStalled) })
+	defer stall.Stop()
+	stream, err := r.engines.Attach(attemptCtx, info.Address, p.request.Prompt.Request, len(p.tokens))
+	if err != nil {
+		return Result{}, false
+	}
+	defer stream.Close()
+	held := &run{request: p.request.Prompt.Request, endpoint: info, cancel: cancel, prompt: p.request.PromptTokens, expected: r.expectedLength(p), gap: r.router.TokenGap(info.ID)}
+	r.active.add(held)
+	defer r.active.remove(held)
+	r.counters.Reattached.Inc()
+	p.attempts++
+	p.target = route.TargetOf(info)
+	p.version = p.target.Version
+	reader := frameReader{runner: r, progress: p, run: held, stall: stall, started: time.Now(), attempt: anyAttempt}
+	done, ok := reader.readAll(attemptCtx, stream).(finished)
+	if !ok {
+		return Result{}, false
+	}
+	return r.finish(p, done.frame), true
+}
+
+// anyAttempt makes a reader hold on to the attempt of the first frame it sees:
+// a stream of another entry is at an attempt this process does not know.
+const anyAttempt = 0
+
+// frameReader passes one attempt's frames on.
+type frameReader struct {
+	runner   *Runner
+	progress *progress
+	run      *run
+	stall    *time.Timer
+	started  time.Time
+	attempt  int
+	first    time.Time
+	count    int
+}
+
+// errGap says that frames were lost on the way.
+var errGap = errors.New("stream: a frame is missing")
+
+// errShort says that a stream ended before its last frame.
+var errShort = errors.New("stream: ended without its last frame")
+
+func (f *frameReader) readAll(ctx context.Context, stream engine.Stream) ending {
+	var last *engine.Frame
+	for {
+		frame, err := stream.Next()
+		if errors.Is(err, io.EOF) && last != nil {
+			return finished{*last}
+		}
+		if errors.Is(err, io.EOF) {
+			return broken{errShort}
+		}
+		if err != nil {
+			return f.runner.endingOf(ctx, err)
+		}
+		if f.attempt == anyAttempt {
+			f.attempt = frame.Attempt
+		}
+		if frame.Attempt != f.attempt {
+			f.runner.counters.Foreign.Inc()
+			continue
+		}
+		if frame.Finish != "" && frame.Offset == len(f.progress.tokens) {
+			last = &frame
+			continue
+		}
+		if end := f.take(frame); end != nil {
+			return end
+		}
+	}
+}
+
+// take passes one token on: repeats are dropped, a gap breaks the attempt.
+func (f *frameReader) take(frame engine.Frame) ending {
+	p := f.progress
+	switch {
+	case frame.Offset < len(p.tokens):
+		return nil
+	case frame.Offset > len(p.tokens):
+		return broken{errGap}
+	case frame.Text == "":
+		return nil
+	}
+	if f.count == 0 {
+		f.first = time.Now()
+		p.tries = 0
+	}
+	f.stall.Reset(stallTime)
+	p.tokens = append(p.tokens, frame.Text)
+	f.count++
+	f.run.advance(len(p.tokens))
+	f.runner.counters.Tokens.Inc()
+	if err := p.sink.Token(Token{frame.Offset, frame.Text, f.run.endpoint.ID}); err != nil {
+		return callerGone{err}
+	}
+	return nil
+}
+
+// result is what the router learns from the attempt.
+func (f *frameReader) result(end ending) route.Result {
+	result := route.Result{Tokens: f.count}
+	if f.count > 0 {
+		result.FirstToken = f.first.Sub(f.started)
+		result.Decode = time.Since(f.first)
+	}
+	if done, ok := end.(finished); ok {
+		usage := done.frame.Usage
+		result.Measured = usage.PromptTokens > 0
+		result.PromptTokens = usage.PromptTokens
+		result.CachedTokens = usage.CachedTokens
+	}
+	return result
+}
+
+func (r *Runner) finish(p *progress, last engine.Frame) Result {
+	r.learnLength(p.request.Prompt.Model, len(p.tokens))
+	usage := last.Usage
+	usage.CompletionTokens = len(p.tokens)
+	return Result{Finish: last.Finish, Usage: usage, Attempts: p.attempts, Version: p.version}
+}
+
+// sleep waits and reports whether ctx is still live.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
