Prove jobs, claims, leases and configuration under faults at every call

Cause: the path stood without proofs. Writing them found four faults: a commit with two jobs of one key told both that they were new; a load report before the first choice was dropped, so that KV cache was never moved; a retried apply took 'store down' for its end although the first try's answer was lost; a router's slot was replaced while a request held it. Change: tests in virtual time with faults at each call, histories checked for linearizability, and the four faults mended. Conclusion: a commit never writes one row twice; reports are taken in whenever they come.

--- /dev/null
+++ b/pkg/claim/claim_test.go
@@ -0,0 +1,276 @@
+package claim_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"pgregory.net/rapid"
+
+	"ironhollow/pkg/claim"
+	"ironhollow/pkg/platform/table"
+	"ironhollow/pkg/standin/tables"
+)
+
+// TestMain fixes the seed of property tests: the same verdict on each run.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20261202")
+	os.Exit(m.Run())
+}
+
+var key = claim.Key{Team: "agents", Service: "ledger", Key: "k"}
+
+const callTime = 5 * time.Second
+
+// service counts its runs.
+type service struct {
+	mu   *sync.Mutex
+	runs int
+	// ranFor names the requests that made a run.
+	ranFor []string
+	// lose makes the service run and its answer be lost.
+	lose bool
+	// refuse turns calls away unrun.
+	refuse bool
+	took   time.Duration
+}
+
+// send is the call sent for an unnamed request.
+func (s *service) send(context.Context) (claim.Answer, error) { return s.sendFor("") }
+
+func (s *service) sendFor(request string) (claim.Answer, error) {
+	time.Sleep(s.took)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refuse {
+		return claim.Answer{}, claim.ErrNotSent
+	}
+	s.runs++
+	s.ranFor = append(s.ranFor, request)
+	if s.lose {
+		return claim.Answer{}, errors.New("connection cut")
+	}
+	return claim.Answer{Status: 200, Body: fmt.Appendf(nil, "run %d", s.runs)}, nil
+}
+
+func call(c *claim.Claims, s *service) claim.End {
+	return c.Run(context.Background(), key, "POST /x", time.Now().Add(callTime), s.send)
+}
+
+func TestRepeatGetsTheFirstAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := tables.New()
+		s := &service{mu: &sync.Mutex{}}
+		first := claim.New(table.NewWriter(store, "entry-1"))
+		second := claim.New(table.NewWriter(store, "entry-2"))
+		call(first, s)
+		got, ok := call(second, s).(claim.Ran)
+		if !ok || string(got.Answer.Body) != "run 1" || !got.Replayed || s.runs != 1 {
+			t.Errorf("got %+v after %d runs, want the replay of run 1", got, s.runs)
+		}
+		if _, ok := second.Run(context.Background(), key, "POST /other", time.Now().Add(callTime), s.send).(claim.Reused); !ok {
+			t.Error("a key used for another call: want Reused")
+		}
+	})
+}
+
+// TestEndsAreTold brings about each end of a call and then repeats the call.
+func TestEndsAreTold(t *testing.T) {
+	down := func(tables.Call) tables.Fault { return tables.Down{} }
+	cases := []struct {
+		name      string
+		service   service
+		faults    func(tables.Call) tables.Fault
+		first     string
+		second    string
+		totalRuns int
+	}{
+		{name: "done", first: "claim.Ran", second: "claim.Ran", totalRuns: 1},
+		{name: "turned away unrun, then asked again", service: service{refuse: true}, first: "claim.NotRun", second: "claim.Ran", totalRuns: 1},
+		{name: "answer lost", service: service{lose: true}, first: "claim.Unknown", second: "claim.Unknown", totalRuns: 1},
+		{name: "store down", faults: down, first: "claim.NotRun", second: "claim.Ran", totalRuns: 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := tables.New()
+				store.SetFaults(c.faults)
+				s := c.service
+				s.mu = &sync.Mutex{}
+				claims := claim.New(table.NewWriter(store, "entry-1"))
+				begun := time.Now()
+				if got := fmt.Sprintf("%T", call(claims, &s)); got != c.first {
+					t.Errorf("first: got %s, want %s", got, c.first)
+				}
+				if took := time.Since(begun); took > 2*time.Second {
+					t.Errorf("first: answered after %v, want within 2s", took)
+				}
+				store.SetFaults(nil)
+				s.refuse, s.lose = false, false
+				if got := fmt.Sprintf("%T", call(claims, &s)); got != c.second {
+					t.Errorf("second: got %s, want %s", got, c.second)
+				}
+				if s.runs != c.totalRuns {
+					t.Errorf("runs: got %d, want %d", s.runs, c.totalRuns)
+				}
+				claims.Wait()
+			})
+		})
+	}
+}
+
+// TestOwnerKilled kills the owner of a claim before and after it sent the call:
+// nobody may tell the two apart, so both ends are unknown and nothing is sent.
+func TestOwnerKilled(t *testing.T) {
+	for _, sent := range []bool{false, true} {
+		t.Run(fmt.Sprintf("after sending: %v", sent), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := tables.New()
+				s := &service{mu: &sync.Mutex{}}
+				dead := claim.New(table.NewWriter(store, "entry-1"))
+				stuck := make(chan struct{})
+				killed := make(chan struct{})
+				go func() {
+					defer close(killed)
+					dead.Run(context.Background(), key, "POST /x", time.Now().Add(callTime), func(ctx context.Context) (claim.Answer, error) {
+						if sent {
+							_, _ = s.send(ctx)
+						}
+						<-stuck // The process is gone: it does nothing more.
+						return claim.Answer{}, errors.New("killed")
+					})
+				}()
+				synctest.Wait()
+				other := claim.New(table.NewWriter(store, "entry-2"))
+				if _, ok := call(other, s).(claim.InProgress); !ok {
+					t.Error("while the owner may live: want InProgress")
+				}
+				time.Sleep(11 * time.Second)
+				if _, ok := call(other, s).(claim.Unknown); !ok {
+					t.Error("after the owner's time: want Unknown")
+				}
+				runs := s.runs
+				if want := map[bool]int{false: 0, true: 1}[sent]; runs != want {
+					t.Errorf("runs: got %d, want %d", runs, want)
+				}
+				close(stuck)
+				<-killed
+				dead.Wait()
+				if _, ok := call(other, s).(claim.Unknown); !ok {
+					t.Error("after the owner came back: want Unknown still")
+				}
+			})
+		})
+	}
+}
+
+// history input and output for the linearizability check.
+type input struct{ entry int }
+
+type output struct {
+	kind string
+	body string
+}
+
+// model: the state is the run that happened, 0 for none. Ran must show it;
+// "not run" is allowed at any time, for the request itself; "unknown" hides
+// whether this request made the run.
+var model = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{0} },
+	Step: func(state, _, out any) []any {
+		run, o := state.(int), out.(output)
+		switch o.kind {
+		case "claim.Ran":
+			if o.body == "run 1" {
+				return []any{1}
+			}
+			return nil
+		case "claim.Unknown":
+			return []any{run, 1}
+		}
+		return []any{run}
+	},
+}
+
+// TestHistoriesUnderFaults draws faults at every call of the store and of the
+// service, has four entries race on one key, and checks the history.
+func TestHistoriesUnderFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var operations []porcupine.Operation
+		var runs int
+		var ranFor []string
+		notRun := map[string]bool{}
+		faults := rapid.SliceOfN(rapid.IntRange(0, 8), 1, 30).Draw(rt, "faults")
+		lose := rapid.Bool().Draw(rt, "lose")
+		refuse := rapid.Bool().Draw(rt, "refuse")
+		took := time.Duration(rapid.IntRange(0, 900).Draw(rt, "took")) * time.Millisecond
+		pauses := rapid.SliceOfN(rapid.IntRange(0, 2000), 4, 4).Draw(rt, "pauses")
+		synctest.Test(t, func(*testing.T) {
+			store := tables.New()
+			store.SetFaults(func(c tables.Call) tables.Fault {
+				switch faults[int(c.Number)%len(faults)] {
+				case 0:
+					return tables.LoseAnswer{}
+				case 1:
+					return tables.Down{}
+				case 2:
+					return tables.Late{For: 400 * time.Millisecond}
+				case 3:
+					return tables.Delay{For: 700 * time.Millisecond}
+				}
+				return tables.None{}
+			})
+			s := &service{mu: &sync.Mutex{}, lose: lose, refuse: refuse, took: took}
+			var mu sync.Mutex
+			var wait sync.WaitGroup
+			for entry := range 4 {
+				claims := claim.New(table.NewWriter(store, fmt.Sprintf("entry-%d", entry)))
+				pause := time.Duration(pauses[entry]) * time.Millisecond
+				wait.Go(func() {
+					for try := range 3 {
+						time.Sleep(pause)
+						begun := time.Now().UnixNano()
+						request := fmt.Sprintf("%d.%d", entry, try)
+						end := claims.Run(context.Background(), key, "POST /x", time.Now().Add(callTime), func(context.Context) (claim.Answer, error) {
+							return s.sendFor(request)
+						})
+						out := output{kind: fmt.Sprintf("%T", end)}
+						if ran, ok := end.(claim.Ran); ok {
+							out.body = string(ran.Answer.Body)
+						}
+						mu.Lock()
+						if _, ok := end.(claim.NotRun); ok {
+							notRun[request] = true
+						}
+						operations = append(operations, porcupine.Operation{
+							ClientId: entry, Input: input{entry}, Call: begun, Output: out, Return: time.Now().UnixNano(),
+						})
+						mu.Unlock()
+					}
+				})
+			}
+			wait.Wait()
+			store.SetFaults(nil)
+			time.Sleep(5 * time.Minute) // Late writes and records end.
+			runs, ranFor = s.runs, s.ranFor
+		})
+		if runs > 1 {
+			rt.Fatalf("runs: got %d, want 1 at most", runs)
+		}
+		if !porcupine.CheckOperations(model.ToModel(), operations) {
+			rt.Fatalf("the history is not linearizable: %+v", operations)
+		}
+		for _, request := range ranFor {
+			if notRun[request] {
+				rt.Fatalf("request %s was told \"not run\", but it ran", request)
+			}
+		}
+	})
+}
--- a/pkg/job/batch.go
+++ b/pkg/job/batch.go
@@ -89,15 +89,34 @@
 func (b *Batcher) commit(batch []pending) {
 	ctx, cancel := context.WithTimeout(context.Background(), commitTime)
 	defer cancel()
+	batch, repeats := splitRepeats(batch)
 	for len(batch) > 0 {
 		outcome := b.writer.Commit(ctx, rowsOf(batch)...)
 		refused, ok := outcome.(table.Refused)
 		if !ok || len(refused.Conflicts) == 0 {
 			tell(batch, outcome)
-			return
+			break
 		}
 		batch = settleConflicts(batch, refused)
 	}
+	if len(repeats) > 0 {
+		b.commit(repeats)
+	}
+}
+
+// splitRepeats sets aside jobs whose key is in the batch already: one commit
+// must not write a row twice, and the later job has to find the earlier one's.
+func splitRepeats(batch []pending) (first, repeats []pending) {
+	seen := map[string]bool{}
+	for _, p := range batch {
+		if key := p.rows[0].Key; !seen[key] {
+			seen[key] = true
+			first = append(first, p)
+			continue
+		}
+		repeats = append(repeats, p)
+	}
+	return first, repeats
 }
 
 func rowsOf(batch []pending) []table.Write {
@@ -115,8 +134,7 @@
 }
 
 // settleConflicts tells the jobs whose rows stood in conflict and returns the
-// others. Two jobs with the same key in one batch: the later one has to wait
-// for the round after, and finds the first one's row.
+// others.
 func settleConflicts(batch []pending, refused table.Refused) []pending {
 	conflicts := map[string]table.Row{}
 	for _, row := range refused.Conflicts {
--- /dev/null
+++ b/pkg/job/job_test.go
@@ -0,0 +1,347 @@
+package job_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"pgregory.net/rapid"
+
+	"ironhollow/pkg/code"
+	"ironhollow/pkg/job"
+	"ironhollow/pkg/platform/table"
+	"ironhollow/pkg/standin/objects"
+	"ironhollow/pkg/standin/tables"
+)
+
+// TestMain fixes the seed of property tests: the same verdict on each run.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20261202")
+	os.Exit(m.Run())
+}
+
+// generator gives an answer after some time, with tokens on the way.
+type generator struct {
+	mu   sync.Mutex
+	took time.Duration
+	runs map[string]int
+	// received is what the last run of a job started from.
+	received map[string]int
+	fail     error
+}
+
+func newGenerator(took time.Duration) *generator {
+	return &generator{took: took, runs: map[string]int{}, received: map[string]int{}}
+}
+
+type tokens struct {
+	mu   sync.Mutex
+	list []string
+}
+
+func (t *tokens) Tokens() (string, []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return "1", append([]string(nil), t.list...)
+}
+
+const answerTokens = 100
+
+func (g *generator) Generate(ctx context.Context, j job.Job, _ string, received []string, started func(job.Progress)) (job.Result, error) {
+	g.mu.Lock()
+	g.runs[j.ID]++
+	g.received[j.ID] = len(received)
+	fail := g.fail
+	g.mu.Unlock()
+	if fail != nil {
+		return job.Result{}, fail
+	}
+	p := &tokens{list: append([]string(nil), received...)}
+	started(p)
+	for len(p.list) < answerTokens {
+		timer := time.NewTimer(g.took / answerTokens)
+		select {
+		case <-ctx.Done():
+			return job.Result{}, ctx.Err()
+		case <-timer.C:
+		}
+		p.mu.Lock()
+		p.list = append(p.list, fmt.Sprintf("%s-%d ", j.ID, len(p.list)))
+		p.mu.Unlock()
+	}
+	return job.Result{Text: strings.Join(p.list, ""), Finish: "stop"}, nil
+}
+
+func whole(id string) string {
+	var b strings.Builder
+	for i := range answerTokens {
+		fmt.Fprintf(&b, "%s-%d ", id, i)
+	}
+	return b.String()
+}
+
+// entry is one entry's part of the work on jobs.
+type entry struct {
+	owner  string
+	store  *job.Store
+	worker *job.Worker
+	kill   context.CancelFunc
+}
+
+func newEntry(owner string, rows *tables.Store, bodies *objects.Store, g job.Generator) *entry {
+	ctx, kill := context.WithCancel(context.Background())
+	writer := table.NewWriter(rows, owner)
+	store := job.NewStore(writer, bodies, job.NewBatcher(writer, 10*time.Millisecond))
+	interval := func() time.Duration { return 2 * time.Second }
+	worker := job.NewWorker(ctx, store, g, owner, 8, interval, job.NewCounters(prometheus.NewRegistry()))
+	return &entry{owner, store, worker, kill}
+}
+
+func (e *entry) accept(key string, body string, lasts time.Duration) (job.Job, bool, error) {
+	j := job.Job{
+		ID: job.NewID("team", "review", key), Team: "team", Service: "review", Request: body, Body: []byte(body),
+		Deadline: time.Now().Add(lasts), Accepted: time.Now(), State: job.Accepted, Owner: e.owner,
+	}
+	held, fresh, err := e.store.Accept(context.Background(), j)
+	if err == nil && fresh {
+		e.worker.Add(held)
+	}
+	return held, fresh, err
+}
+
+func (e *entry) result(t *testing.T, id string) job.Job {
+	t.Helper()
+	j, err := e.store.Get(context.Background(), "team", id)
+	if err != nil {
+		t.Fatalf("job %s: %v", id, err)
+	}
+	return j
+}
+
+func TestAcceptedJobIsFinishedAndShownByAnyEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows, bodies, g := tables.New(), objects.New(), newGenerator(5*time.Second)
+		first, second := newEntry("n1@1", rows, bodies, g), newEntry("n2@1", rows, bodies, g)
+		defer first.kill()
+		j, fresh, err := first.accept("k", `"b"`, time.Hour)
+		if err != nil || !fresh {
+			t.Fatalf("got fresh %v, error %v", fresh, err)
+		}
+		again, fresh, err := second.accept("k", `"b"`, time.Hour)
+		if err != nil || fresh || again.ID != j.ID {
+			t.Errorf("the same key again: got job %s fresh %v error %v, want job %s", again.ID, fresh, err, j.ID)
+		}
+		if _, _, err := second.accept("k", `"other"`, time.Hour); code.Of(err).Number() != code.KeyReused.Number() {
+			t.Errorf("the key for another job: got %v, want KeyReused", err)
+		}
+		time.Sleep(6 * time.Second)
+		got := second.result(t, j.ID)
+		if got.State != job.Done || got.Result.Text != whole(j.ID) {
+			t.Errorf("got %s with %d characters, want done with %d", got.State, len(got.Result.Text), len(whole(j.ID)))
+		}
+		if _, err := second.store.Get(context.Background(), "others", j.ID); code.Of(err).Number() != code.UnknownJob.Number() {
+			t.Errorf("another team's job: got %v, want UnknownJob", err)
+		}
+	})
+}
+
+// TestKilledOwnersJobsAreTakenOver kills an entry and lets two survivors share
+// its jobs; the survivors go on from checkpoints.
+func TestKilledOwnersJobsAreTakenOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows, bodies, g := tables.New(), objects.New(), newGenerator(10*time.Second)
+		dead := newEntry("n1@1", rows, bodies, g)
+		var ids []string
+		for i := range 8 {
+			j, _, err := dead.accept(fmt.Sprint(i), `"b"`, time.Hour)
+			if err != nil {
+				t.Fatal(err)
+			}
+			ids = append(ids, j.ID)
+		}
+		time.Sleep(5 * time.Second)
+		dead.kill()
+		survivors := []*entry{newEntry("n2@1", rows, bodies, g), newEntry("n3@1", rows, bodies, g)}
+		for rank, s := range survivors {
+			defer s.kill()
+			if _, _, err := s.worker.Recover(context.Background(), "n1@1", job.Part{Rank: rank, Of: 2}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(12 * time.Second)
+		for _, id := range ids {
+			got := survivors[0].result(t, id)
+			if got.State != job.Done || got.Result.Text != whole(id) {
+				t.Errorf("job %s: got %s with %d characters, want done and whole", id, got.State, len(got.Result.Text))
+			}
+			if g.received[id] < 30 {
+				t.Errorf("job %s: taken over with %d tokens, want at least 30 from its checkpoint", id, g.received[id])
+			}
+		}
+		left, err := survivors[0].store.OwnedBy(context.Background(), "n1@1", 10)
+		if err != nil || len(left) != 0 {
+			t.Errorf("rows of the dead owner: got %d (%v), want 0", len(left), err)
+		}
+	})
+}
+
+// TestOwnerThatCameBackDoesNotAnswerTwice freezes an owner, lets another take
+// its job and finish it, and then lets the first one finish too.
+func TestOwnerThatCameBackDoesNotAnswerTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows, bodies := tables.New(), objects.New()
+		slow, quick := newGenerator(time.Minute), newGenerator(time.Second)
+		frozen := newEntry("n1@1", rows, bodies, slow)
+		other := newEntry("n2@1", rows, bodies, quick)
+		defer frozen.kill()
+		defer other.kill()
+		j, _, err := frozen.accept("k", `"b"`, time.Hour)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if taken, _, err := other.worker.Recover(context.Background(), "n1@1", job.Part{Of: 1}); taken != 1 || err != nil {
+			t.Fatalf("taken over: got %d (%v), want 1", taken, err)
+		}
+		time.Sleep(2 * time.Second)
+		before := other.result(t, j.ID)
+		time.Sleep(2 * time.Minute)
+		after := other.result(t, j.ID)
+		if before.State != job.Done || before.Owner != "n2@1" || after.Owner != before.Owner || after.Result.Text != before.Result.Text {
+			t.Errorf("got owner %s then %s, want n2@1 both times", before.Owner, after.Owner)
+		}
+	})
+}
+
+// TestStoreOutageLosesNothing has the store go down while jobs run and at the
+// moment they finish.
+func TestStoreOutageLosesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows, bodies, g := tables.New(), objects.New(), newGenerator(5*time.Second)
+		e := newEntry("n1@1", rows, bodies, g)
+		defer e.kill()
+		j, _, err := e.accept("k", `"b"`, time.Hour)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rows.SetFaults(func(tables.Call) tables.Fault { return tables.Down{} })
+		bodies.SetDown(true)
+		if _, _, err := e.accept("k2", `"b"`, time.Hour); err == nil {
+			t.Error("a job accepted while the store is down: want an error")
+		}
+		time.Sleep(30 * time.Minute)
+		rows.SetFaults(nil)
+		bodies.SetDown(false)
+		time.Sleep(10 * time.Second)
+		if got := e.result(t, j.ID); got.State != job.Done || got.Result.Text != whole(j.ID) || g.runs[j.ID] != 1 {
+			t.Errorf("got %s after %d runs, want done after 1", got.State, g.runs[j.ID])
+		}
+	})
+}
+
+// TestFailureAtEveryCall lets each call of the store in turn fail in each way,
+// and asks that the job is finished whole whenever its caller was told so.
+func TestFailureAtEveryCall(t *testing.T) {
+	faults := []tables.Fault{tables.LoseAnswer{}, tables.Down{}, tables.Refuse{}, tables.Late{For: 2 * time.Second}, tables.Delay{For: 3 * time.Second}}
+	for _, fault := range faults {
+		for n := int64(1); n <= 6; n++ {
+			t.Run(fmt.Sprintf("%T at call %d", fault, n), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					rows, bodies, g := tables.New(), objects.New(), newGenerator(time.Second)
+					rows.SetFaults(func(c tables.Call) tables.Fault {
+						if c.Number == n {
+							return fault
+						}
+						return tables.None{}
+					})
+					e := newEntry("n1@1", rows, bodies, g)
+					defer e.kill()
+					j, _, err := e.accept("k", `"b"`, time.Hour)
+					if err != nil {
+						// The caller asks again with its key, as it is told to.
+						j, _, err = e.accept("k", `"b"`, time.Hour)
+					}
+					if err != nil {
+						t.Fatalf("accepted neither at first nor when asked again: %v", err)
+					}
+					time.Sleep(10 * time.Second)
+					for range 3 {
+						_, _ = e.worker.Rescue(context.Background())
+						time.Sleep(5 * time.Second)
+					}
+					rows.SetFaults(nil)
+					if got := e.result(t, j.ID); got.State != job.Done || got.Result.Text != whole(j.ID) {
+						t.Errorf("got %s, want done and whole", got.State)
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestHopelessJobFailsWithACode checks that a rerun is tried only where it
+// could help.
+func TestHopelessJobFailsWithACode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows, bodies, g := tables.New(), objects.New(), newGenerator(time.Second)
+		e := newEntry("n1@1", rows, bodies, g)
+		defer e.kill()
+		g.fail = code.New(code.BadBody, "no")
+		bad, _, _ := e.accept("k1", `"b"`, time.Hour)
+		time.Sleep(time.Second)
+		if got := e.result(t, bad.ID); got.State != job.Failed || got.Result.Code != code.BadBody.Number() {
+			t.Errorf("got %s with code %d, want failed with %d", got.State, got.Result.Code, code.BadBody.Number())
+		}
+		g.fail = errors.New("no endpoint")
+		late, _, _ := e.accept("k2", `"b"`, 10*time.Second)
+		time.Sleep(20 * time.Second)
+		if got := e.result(t, late.ID); got.State != job.Failed || g.runs[late.ID] < 3 {
+			t.Errorf("got %s after %d runs, want failed after its deadline and several runs", got.State, g.runs[late.ID])
+		}
+	})
+}
+
+// TestBatchesKeepJobsApart accepts many jobs at once, some with the same key:
+// each key has one job, and few commits carry them all.
+func TestBatchesKeepJobsApart(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		keys := rapid.SliceOfN(rapid.IntRange(0, 20), 1, 60).Draw(rt, "keys")
+		fresh := map[int]int{}
+		var errs []error
+		synctest.Test(t, func(*testing.T) {
+			rows, bodies, g := tables.New(), objects.New(), newGenerator(time.Second)
+			e := newEntry("n1@1", rows, bodies, g)
+			var mu sync.Mutex
+			var wait sync.WaitGroup
+			for _, k := range keys {
+				wait.Go(func() {
+					_, isFresh, err := e.accept(fmt.Sprint(k), `"b"`, time.Hour)
+					mu.Lock()
+					defer mu.Unlock()
+					errs = append(errs, err)
+					if isFresh {
+						fresh[k]++
+					}
+				})
+			}
+			wait.Wait()
+			e.kill()
+			time.Sleep(time.Minute)
+		})
+		if err := errors.Join(errs...); err != nil {
+			rt.Fatalf("got %v, want every job accepted", err)
+		}
+		for _, k := range keys {
+			if fresh[k] != 1 {
+				rt.Fatalf("key %d: got %d fresh jobs, want 1", k, fresh[k])
+			}
+		}
+	})
+}
--- /dev/null
+++ b/pkg/lease/lease_test.go
@@ -0,0 +1,232 @@
+package lease_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ironhollow/pkg/engine"
+	"ironhollow/pkg/lease"
+	"ironhollow/pkg/platform/table"
+	"ironhollow/pkg/standin/engines"
+	"ironhollow/pkg/standin/tables"
+)
+
+var timing = lease.Timing{Duration: 6 * time.Second, Renew: 2 * time.Second}
+
+const shard = lease.Shard(3)
+
+// holder steps a manager until it is paused or killed.
+type holder struct {
+	*lease.Manager
+	wish   lease.Wish
+	paused atomic.Bool
+	stop   chan struct{}
+}
+
+func newHolder(store *tables.Store, name string, wish lease.Wish) *holder {
+	h := &holder{Manager: lease.New(table.NewWriter(store, name), name, timing), wish: wish, stop: make(chan struct{})}
+	go func() {
+		for {
+			if !h.paused.Load() {
+				ctx, cancel := context.WithTimeout(context.Background(), timing.Renew)
+				h.Step(ctx, map[lease.Shard]lease.Wish{shard: h.wish})
+				cancel()
+			}
+			select {
+			case <-h.stop:
+				return
+			case <-time.After(timing.Renew):
+			}
+		}
+	}()
+	return h
+}
+
+func (h *holder) holds() bool {
+	_, ok := h.Held(shard)
+	return ok
+}
+
+// TestTakeOverAfterDeath kills a holder and measures how long its standby takes.
+func TestTakeOverAfterDeath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := tables.New()
+		first := newHolder(store, "a", lease.Wanted)
+		second := newHolder(store, "b", lease.Standby)
+		time.Sleep(10 * time.Second)
+		if !first.holds() || second.holds() {
+			t.Fatalf("got holders %v, %v; want the first alone", first.holds(), second.holds())
+		}
+		before, _ := first.Held(shard)
+		close(first.stop)
+		died := time.Now()
+		for !second.holds() && time.Since(died) < time.Minute {
+			time.Sleep(100 * time.Millisecond)
+		}
+		if took := time.Since(died); took > 10*time.Second {
+			t.Errorf("taken over after %v, want within 10s", took)
+		}
+		if after, _ := second.Held(shard); after.Epoch <= before.Epoch {
+			t.Errorf("epoch: got %d after %d, want a higher one", after.Epoch, before.Epoch)
+		}
+		close(second.stop)
+	})
+}
+
+// TestNeverTwoHolders pauses holders, cuts the store and loses its answers, and
+// looks at every moment for two that hold the shard at once.
+func TestNeverTwoHolders(t *testing.T) {
+	for seed := range 20 {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := tables.New()
+				store.SetFaults(func(c tables.Call) tables.Fault {
+					switch (c.Number*7 + int64(seed)*13) % 11 {
+					case 0:
+						return tables.LoseAnswer{}
+					case 1:
+						return tables.Late{For: 1500 * time.Millisecond}
+					case 2:
+						return tables.Delay{For: 1900 * time.Millisecond}
+					case 3:
+						return tables.Down{}
+					}
+					return tables.None{}
+				})
+				holders := []*holder{newHolder(store, "a", lease.Wanted), newHolder(store, "b", lease.Wanted), newHolder(store, "c", lease.Standby)}
+				held := 0
+				for step := range 2400 {
+					if step%150 == 0 {
+						holders[(step/150+seed)%3].paused.Store((step/150)%2 == 0)
+					}
+					time.Sleep(50 * time.Millisecond)
+					now := 0
+					for _, h := range holders {
+						if h.holds() {
+							now++
+						}
+					}
+					if now > 1 {
+						t.Fatalf("after %v: got %d holders, want 1 at most", time.Duration(step)*50*time.Millisecond, now)
+					}
+					held += now
+				}
+				if held < 400 {
+					t.Errorf("held in %d of 2400 looks, want at least 400: the check must see holders", held)
+				}
+				for _, h := range holders {
+					close(h.stop)
+				}
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
+
+// TestPausedHolderDoesNoHarm lets a holder act after its lease has lapsed while
+// it was paused between asking and acting. An endpoint that checks refuses the
+// order; one that does not is put right by the present holder, who looks at
+// what is loaded.
+func TestPausedHolderDoesNoHarm(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		t.Run(fmt.Sprintf("endpoint checks: %v", checks), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := tables.New()
+				options := engines.DefaultOptions()
+				options.ChecksOrders = checks
+				direct := engines.NewDirect()
+				direct.Add("e", engines.New(1, options))
+				order := func(g lease.Grant, model string) error {
+					return direct.Order(context.Background(), "e", engine.Order{Epoch: g.Epoch, Model: model, Version: "1"})
+				}
+				loaded := func() string {
+					report, err := direct.Load(context.Background(), "e")
+					if err != nil {
+						t.Fatal(err)
+					}
+					return report.Model
+				}
+				paused := newHolder(store, "a", lease.Wanted)
+				time.Sleep(5 * time.Second)
+				stale, ok := paused.Held(shard)
+				if !ok {
+					t.Fatal("the first holder has no lease")
+				}
+				paused.paused.Store(true) // It has asked, and will act when it wakes.
+				next := newHolder(store, "b", lease.Wanted)
+				time.Sleep(15 * time.Second)
+				grant, ok := next.Held(shard)
+				if !ok {
+					t.Fatal("the lease was not taken over")
+				}
+				if err := order(grant, "new"); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(time.Second)
+				err := order(stale, "old")
+				if checks != (err != nil) {
+					t.Errorf("late order: got error %v; refused should be %v", err, checks)
+				}
+				// The present holder re-asserts until the endpoint reports it.
+				for range 5 {
+					time.Sleep(time.Second)
+					if loaded() != "new" {
+						if err := order(grant, "new"); err != nil {
+							t.Fatal(err)
+						}
+					}
+				}
+				if got := loaded(); got != "new" {
+					t.Errorf("loaded: got %q, want %q", got, "new")
+				}
+				close(paused.stop)
+				close(next.stop)
+			})
+		})
+	}
+}
+
+// TestHandOverOnStop releases leases and measures the gap.
+func TestHandOverOnStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := tables.New()
+		first := newHolder(store, "a", lease.Wanted)
+		time.Sleep(5 * time.Second)
+		second := newHolder(store, "b", lease.Wanted)
+		close(first.stop)
+		first.Release(context.Background())
+		if first.holds() {
+			t.Error("the shard is held after its release")
+		}
+		time.Sleep(timing.Renew + time.Millisecond)
+		if !second.holds() {
+			t.Errorf("the shard was not taken within a renewal's time of its release")
+		}
+		close(second.stop)
+	})
+}
+
+// TestRenewalsAreOneCommit holds many shards and counts the store's commits.
+func TestRenewalsAreOneCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := tables.New()
+		m := lease.New(table.NewWriter(store, "a"), "a", timing)
+		wishes := map[lease.Shard]lease.Wish{}
+		for s := range 50 {
+			wishes[lease.Shard(s)] = lease.Wanted
+		}
+		m.Step(context.Background(), wishes)
+		before := store.Count(tables.OperationCommit)
+		for range 10 {
+			time.Sleep(timing.Renew)
+			m.Step(context.Background(), wishes)
+		}
+		if got := store.Count(tables.OperationCommit) - before; got != 10 {
+			t.Errorf("commits of 10 renewals of 50 shards: got %d, want 10", got)
+		}
+	})
+}
--- a/pkg/operatorclient/client.go
+++ b/pkg/operatorclient/client.go
@@ -138,16 +138,17 @@
 	_, _ = rand.Read(raw) // It never fails.
 	in := operatorwire.Apply{Seen: seen, Request: hex.EncodeToString(raw), Sections: operatorwire.FromSections(sections)}
 	var err error
+	lost := false
 	for range applyTries {
 		var applied operatorwire.Applied
 		err = c.call(ctx, http.MethodPost, "/v1/config", in, &applied)
 		if err == nil {
 			return applied.Revision, nil
 		}
-		refused, answered := err.(*Error)
-		if answered && refused.Number() != code.ApplyUnknown.Number() {
+		if isFinal(err, lost) {
 			return 0, err
 		}
+		lost = true
 		timer := time.NewTimer(applyPause)
 		select {
 		case <-ctx.Done():
@@ -159,6 +160,16 @@
 	return 0, fmt.Errorf("it is not known whether the configuration was applied: %w", err)
 }
 
+// isFinal reports whether an error of an apply settles it. Once an answer was
+// lost, "the store is down" says nothing of the first try.
+func isFinal(err error, lost bool) bool {
+	refused, answered := err.(*Error)
+	if !answered || refused.Number() == code.ApplyUnknown.Number() {
+		return false
+	}
+	return !lost || refused.Number() != code.StoreDown.Number()
+}
+
 // Status returns what a control process knows.
 func (c *Client) Status(ctx context.Context) (operatorwire.ControlStatus, error) {
 	var status operatorwire.ControlStatus
--- a/pkg/platform/table/writer_test.go
+++ b/pkg/platform/table/writer_test.go
@@ -67,9 +67,11 @@
 // the Done ones nor more than those and the Unknown ones.
 func TestCommitsNeverContradictTheStore(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		synctest.Test(t, func(t *testing.T) {
+		faults := rapid.SliceOfN(rapid.IntRange(0, 7), 1, 40).Draw(rt, "faults")
+		done, unknown, refused := 0, 0, map[string]bool{}
+		var rows []table.Row
+		synctest.Test(t, func(*testing.T) {
 			store := tables.New()
-			faults := rapid.SliceOfN(rapid.IntRange(0, 7), 1, 40).Draw(rt, "faults")
 			store.SetFaults(func(c tables.Call) tables.Fault {
 				switch faults[int(c.Number)%len(faults)] {
 				case 0:
@@ -84,7 +86,6 @@
 				return tables.None{}
 			})
 			writers := []*table.Writer{table.NewWriter(store, "w1"), table.NewWriter(store, "w2")}
-			done, unknown, refused := 0, 0, map[string]bool{}
 			for i := range 12 {
 				key := string(rune('a' + i))
 				switch commit(writers[i%2], table.Write{Key: key, Value: []byte(key), If: table.Absent{}}).(type) {
@@ -98,15 +99,15 @@
 			}
 			time.Sleep(time.Second)
 			store.SetFaults(nil)
-			rows, _ := store.List(context.Background(), "", "", 100)
-			if len(rows) < done || len(rows) > done+unknown {
-				rt.Errorf("rows: got %d, want %d to %d", len(rows), done, done+unknown)
-			}
-			for _, row := range rows {
-				if refused[row.Key] {
-					rt.Errorf("row %s: got a row, want none after Refused", row.Key)
-				}
-			}
+			rows, _ = store.List(context.Background(), "", "", 100)
 		})
+		if len(rows) < done || len(rows) > done+unknown {
+			rt.Fatalf("rows: got %d, want %d to %d", len(rows), done, done+unknown)
+		}
+		for _, row := range rows {
+			if refused[row.Key] {
+				rt.Fatalf("row %s: got a row, want none after Refused", row.Key)
+			}
+		}
 	})
 }
--- a/pkg/route/feedback.go
+++ b/pkg/route/feedback.go
@@ -25,14 +25,15 @@
 
 // Done ends a choice and learns from it.
 func (r *Router) Done(c Choice, result Result, now time.Time) {
-	r.mu.RLock()
-	s, ok := r.byID[c.Endpoint.ID]
-	r.mu.RUnlock()
-	if !ok || s.info.Ref() != c.Endpoint.Ref() {
+	s, ok := r.slots()[c.Endpoint.ID]
+	if !ok {
 		return
 	}
 	s.group.mu.Lock()
 	defer s.group.mu.Unlock()
+	if s.info.Ref() != c.Endpoint.Ref() {
+		return
+	}
 	l := &s.load
 	l.ownRunning = max(l.ownRunning-1, 0)
 	// Requests sent before the report are in its count, later ones in ours.
@@ -104,14 +105,15 @@
 
 // Report takes in an endpoint's load report. An older one than held is dropped.
 func (r *Router) Report(ref endpoint.Ref, report engine.Report) {
-	r.mu.RLock()
-	s, ok := r.byID[ref.ID]
-	r.mu.RUnlock()
-	if !ok || s.info.Ref() != ref {
+	s, ok := r.slots()[ref.ID]
+	if !ok {
 		return
 	}
 	s.group.mu.Lock()
 	defer s.group.mu.Unlock()
+	if s.info.Ref() != ref {
+		return
+	}
 	l := &s.load
 	if report.Sequence <= l.sequence {
 		return
@@ -178,9 +180,7 @@
 
 // TokenGap returns the time between tokens measured at an endpoint.
 func (r *Router) TokenGap(id string) time.Duration {
-	r.mu.RLock()
-	s, ok := r.byID[id]
-	r.mu.RUnlock()
+	s, ok := r.slots()[id]
 	if !ok {
 		return startTokenGap
 	}
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -133,9 +133,8 @@
 
 // slot is what is known of one endpoint. Its fields are guarded by its group.
 type slot struct {
+	// group never changes.
 	group *group
-	// place is the slot's index in its group.
-	place int
 	info  endpoint.Info
 	load  load
 	// cached is scratch space of one choice.
@@ -190,28 +189,40 @@
 // groupFor returns the target's group, brought up to date with the directory,
 // and the slots by endpoint. That map is not changed once it is made.
 func (r *Router) groupFor(t Target) (*group, map[string]*slot) {
-	view := r.directory.View()
+	byID := r.slots()
 	r.mu.RLock()
 	g, known := r.groups[t]
-	byID := r.byID
-	fresh := r.synced == view.Generation()
 	r.mu.RUnlock()
-	if known && fresh {
+	if known {
 		return g, byID
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.synced != view.Generation() {
-		r.sync(view)
-	}
-	g, known = r.groups[t]
-	if !known {
+	if g, known = r.groups[t]; !known {
 		g = r.newGroup()
 		r.groups[t] = g
 	}
 	return g, r.byID
 }
 
+// slots returns the slots by endpoint, brought up to date with the directory.
+func (r *Router) slots() map[string]*slot {
+	view := r.directory.View()
+	r.mu.RLock()
+	byID := r.byID
+	fresh := r.synced == view.Generation()
+	r.mu.RUnlock()
+	if fresh {
+		return byID
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.synced != view.Generation() {
+		r.sync(view)
+	}
+	return r.byID
+}
+
 func (r *Router) newGroup() *group {
 	return &group{index: newPrefixIndex(indexLimit), random: rand.New(rand.NewPCG(r.seed, uint64(len(r.groups))))}
 }
@@ -252,24 +263,27 @@
 
 // InUse returns the endpoints this entry may choose.
 func (r *Router) InUse() []endpoint.Info {
-	r.groupFor(Target{})
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	infos := make([]endpoint.Info, 0, len(r.byID))
-	for _, s := range r.byID {
+	byID := r.slots()
+	infos := make([]endpoint.Info, 0, len(byID))
+	for _, s := range byID {
+		s.group.mu.Lock()
 		infos = append(infos, s.info)
+		s.group.mu.Unlock()
 	}
 	return infos
 }
 
+// add puts an endpoint into the group. The slot of the same incarnation is
+// used again: requests under way still hold it, and end there.
 func (g *group) add(info endpoint.Info, before *slot) *slot {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	s := &slot{group: g, place: len(g.slots), info: info, load: newLoad()}
-	if before != nil && before.info.Ref() == info.Ref() {
-		s.load = before.load
+	s := before
+	if before == nil || before.group != g || before.info.Ref() != info.Ref() {
+		s = &slot{group: g, load: newLoad()}
 	}
-	if s.load.ejections > 0 && s.load.failures >= ejectAfter {
+	s.info = info
+	if s.load.failures >= ejectAfter {
 		g.ejected++
 	}
 	g.slots = append(g.slots, s)
--- /dev/null
+++ b/pkg/standin/engines/direct.go
@@ -0,0 +1,311 @@
+package engines
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"ironhollow/pkg/engine"
+)
+
+// Direct reaches engines in memory, without a network: a fake at the engine
+// interface for tests in virtual time, with the faults that hosts have.
+type Direct struct {
+	mu      sync.Mutex
+	engines map[string]*host
+}
+
+// host is one engine and what is wrong with its machine.
+type host struct {
+	engine *Engine
+	faults StreamFaults
+	// dead refuses connections and cuts those there are.
+	dead chan struct{}
+	// frozen makes every call hang.
+	frozen bool
+	// refuse turns new attempts away unrun.
+	refuse bool
+	sent   int
+}
+
+// NewDirect returns a way to no engine yet.
+func NewDirect() *Direct { return &Direct{engines: map[string]*host{}} }
+
+// Add makes an engine reachable at an address.
+func (d *Direct) Add(address string, e *Engine) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.engines[address] = &host{engine: e, dead: make(chan struct{})}
+}
+
+// Kill ends the machine at an address: its streams are cut.
+func (d *Direct) Kill(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h := d.engines[address]
+	select {
+	case <-h.dead:
+	default:
+		close(h.dead)
+	}
+}
+
+// Freeze makes the machine at an address hang, or go on.
+func (d *Direct) Freeze(address string, frozen bool) {
+	d.change(address, func(h *host) { h.frozen = frozen })
+}
+
+// Refuse makes an engine turn new attempts away, or take them again.
+func (d *Direct) Refuse(address string, refuse bool) {
+	d.change(address, func(h *host) { h.refuse = refuse })
+}
+
+// SetFaults sets an engine's faults of frames.
+func (d *Direct) SetFaults(address string, f StreamFaults) {
+	d.change(address, func(h *host) { h.faults = f })
+}
+
+// Sent returns how many attempts reached an engine.
+func (d *Direct) Sent(address string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.engines[address].sent
+}
+
+func (d *Direct) change(address string, do func(*host)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	do(d.engines[address])
+}
+
+var errDead = errors.New("standin: connection refused")
+
+// reach returns a live machine, or hangs on a frozen one until ctx ends.
+func (d *Direct) reach(ctx context.Context, address string) (*host, error) {
+	d.mu.Lock()
+	h, ok := d.engines[address]
+	frozen := ok && h.frozen
+	d.mu.Unlock()
+	if !ok {
+		return nil, errDead
+	}
+	select {
+	case <-h.dead:
+		return nil, errDead
+	default:
+	}
+	if frozen {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return h, nil
+}
+
+// Generate starts an attempt.
+func (d *Direct) Generate(ctx context.Context, address string, a engine.Attempt) (engine.Stream, error) {
+	h, err := d.reach(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	d.mu.Lock()
+	h.sent++
+	refuse := h.refuse
+	d.mu.Unlock()
+	if refuse {
+		return nil, engine.ErrRefused
+	}
+	s, err := h.engine.start(promptSpec{
+		request: a.Prompt.Request, attempt: a.Number, loaded: Loaded{a.Prompt.Model, a.Prompt.Version, a.Prompt.Adapter},
+		messages: string(a.Prompt.Messages), seed: a.Prompt.Seed, maxTokens: a.Prompt.MaxTokens, priority: a.Prompt.Priority,
+		done: len(a.Continue),
+	})
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", engine.ErrRefused, err)
+	}
+	return d.read(ctx, h, s, len(a.Continue)), nil
+}
+
+// Attach goes on with a stream that is kept.
+func (d *Direct) Attach(ctx context.Context, address, request string, offset int) (engine.Stream, error) {
+	h, err := d.reach(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	s, err := h.engine.find(request)
+	if err != nil || offset < s.spec.done {
+		return nil, engine.ErrNoStream
+	}
+	return d.read(ctx, h, s, offset), nil
+}
+
+// Cancel ends a stream.
+func (d *Direct) Cancel(ctx context.Context, address, request string) error {
+	h, err := d.reach(ctx, address)
+	if err != nil {
+		return err
+	}
+	if s, err := h.engine.find(request); err == nil {
+		s.cancel()
+	}
+	return nil
+}
+
+// Import fetches a stream's KV cache from another engine.
+func (d *Direct) Import(ctx context.Context, address, request, source string) (int, error) {
+	to, err := d.reach(ctx, address)
+	if err != nil {
+		return 0, err
+	}
+	from, err := d.reach(ctx, source)
+	if err != nil {
+		return 0, err
+	}
+	tokens, err := from.engine.kvTokens(request)
+	if err != nil {
+		return 0, err
+	}
+	to.engine.importTokens(request, tokens)
+	return tokens, nil
+}
+
+// Load reads a fresh report.
+func (d *Direct) Load(ctx context.Context, address string) (engine.Report, error) {
+	h, err := d.reach(ctx, address)
+	if err != nil {
+		return engine.Report{}, err
+	}
+	w := h.engine.report(time.Now())
+	return engine.Report{
+		Sequence: w.Sequence, Incarnation: w.Incarnation, Model: w.Model, Version: w.Version, Adapter: w.Adapter,
+		Running: w.Running, Waiting: w.Waiting, Slots: w.Slots, QueuedTokens: w.QueuedTokens, FreeTokens: w.FreeTokens,
+		Leaving: w.Leaving, Counter: w.Counter, Epoch: w.Epoch,
+	}, nil
+}
+
+// Order gives an order.
+func (d *Direct) Order(ctx context.Context, address string, o engine.Order) error {
+	h, err := d.reach(ctx, address)
+	if err != nil {
+		return err
+	}
+	if err := h.engine.order(o.Epoch, Loaded{o.Model, o.Version, o.Adapter}); err != nil {
+		return engine.ErrStale
+	}
+	return nil
+}
+
+// directStream reads an engine's stream.
+type directStream struct {
+	ctx    context.Context
+	direct *Direct
+	host   *host
+	stream *stream
+	offset int
+	frames []engine.Frame
+	sent   int
+	ended  bool
+}
+
+func (d *Direct) read(ctx context.Context, h *host, s *stream, offset int) engine.Stream {
+	s.attach()
+	return &directStream{ctx: ctx, direct: d, host: h, stream: s, offset: offset}
+}
+
+// Close lets go of the stream.
+func (s *directStream) Close() { s.stream.detach() }
+
+// Next returns the next frame, with the faults that are set.
+func (s *directStream) Next() (engine.Frame, error) {
+	for len(s.frames) == 0 {
+		if s.ended {
+			return engine.Frame{}, io.EOF
+		}
+		if err := s.fill(); err != nil {
+			return engine.Frame{}, err
+		}
+	}
+	frame := s.frames[0]
+	s.frames = s.frames[1:]
+	return frame, nil
+}
+
+// fill waits for the next token and makes frames of it.
+func (s *directStream) fill() error {
+	p := s.stream.progress()
+	if err := s.broken(p); err != nil {
+		return err
+	}
+	switch {
+	case s.offset < p.count:
+		return s.token()
+	case p.finished:
+		s.finish(p)
+		return nil
+	}
+	select {
+	case <-s.ctx.Done():
+		return s.ctx.Err()
+	case <-s.host.dead:
+		return io.ErrUnexpectedEOF
+	case <-p.changed:
+		return nil
+	}
+}
+
+func (s *directStream) broken(p progress) error {
+	select {
+	case <-s.host.dead:
+		return io.ErrUnexpectedEOF
+	default:
+	}
+	s.direct.mu.Lock()
+	frozen := s.host.frozen
+	s.direct.mu.Unlock()
+	if frozen {
+		<-s.ctx.Done()
+		return s.ctx.Err()
+	}
+	if p.cut {
+		return io.ErrUnexpectedEOF
+	}
+	return nil
+}
+
+func (s *directStream) token() error {
+	s.direct.mu.Lock()
+	f := s.host.faults
+	s.direct.mu.Unlock()
+	spec := s.stream.spec
+	frame := engine.Frame{Attempt: spec.attempt, Offset: s.offset, Text: token(s.stream.key, s.offset)}
+	s.offset++
+	s.sent++
+	if f.CutAfter > 0 && s.sent > f.CutAfter {
+		return io.ErrUnexpectedEOF
+	}
+	if f.SkipAt > 0 && f.SkipAt == frame.Offset {
+		return nil
+	}
+	if f.OldAttempt {
+		s.frames = append(s.frames, engine.Frame{Attempt: spec.attempt - 1, Offset: frame.Offset, Text: "OLD "})
+	}
+	s.frames = append(s.frames, frame)
+	if f.Double {
+		s.frames = append(s.frames, frame)
+	}
+	return nil
+}
+
+func (s *directStream) finish(p progress) {
+	s.ended = true
+	reason := "stop"
+	if s.offset == s.stream.spec.maxTokens {
+		reason = "length"
+	}
+	s.frames = append(s.frames, engine.Frame{
+		Attempt: s.stream.spec.attempt, Offset: s.offset, Finish: reason,
+		Usage: engine.Usage{PromptTokens: p.prompt, CompletionTokens: s.offset, CachedTokens: p.cached},
+	})
+}
