--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(CURDIR)/bin
 export BIN
 
-.PHONY: help build demo test check generate tools clean
+.PHONY: help build demo test check generate tools clean bench-scale bench-policy
 
 help: ## List the commands
 	@grep -E '^[a-z-]+:.*## ' Makefile | sed 's/:.*## /\t/'
@@ -17,6 +17,12 @@
 test: ## Run all tests with the race detector
 	go test -race ./...
 
+bench-scale: build ## Measure fleets of growing size (SIZES="3 9 30 100")
+	scripts/bench-scale.sh
+
+bench-policy: ## Measure the decisions in virtual time, with ablations; writes docs/measurements/policy-*
+	POLICY_OUT=$(CURDIR)/docs/measurements go test -tags policybench -run TestReport -timeout 60m -v ./pkg/policybench
+
 tools: ## Build the pinned tools into .bin/
 	cd tools && GOBIN=$(TOOLS) go install github.com/google/wire/cmd/wire mvdan.cc/gofumpt github.com/mgechev/revive github.com/atombender/go-jsonschema
 
--- a/pkg/app/control/app.go
+++ b/pkg/app/control/app.go
@@ -55,9 +55,10 @@
 	mu sync.Mutex
 	// noticed is the sequence of the last notice seen.
 	noticed int64
-	// reported holds the last reports of the endpoints of held shards.
-	reported map[string]engine.Report
-	hadGrant map[lease.Shard]int64
+	// ordered are endpoints that were told to load something else.
+	ordered     map[string]bool
+	reportRound int
+	hadGrant    map[lease.Shard]int64
 }
 
 // Incarnation identifies this start of the process.
@@ -142,7 +143,7 @@
 		settings: settings, log: logger, registry: registry, tracer: tracer, guard: guard, writer: writer, config: holder,
 		store: store, nodes: nodes, endpoints: endpoints, mesh: mesh, peers: peers, leases: leases, engines: engines,
 		cloud: cloudAPI, hosts: hosts, operators: operators, counters: counters, operTLS: t.operator,
-		reported: map[string]engine.Report{}, hadGrant: map[lease.Shard]int64{},
+		ordered: map[string]bool{}, hadGrant: map[lease.Shard]int64{},
 	}
 }
 
--- a/pkg/app/control/run.go
+++ b/pkg/app/control/run.go
@@ -125,25 +125,42 @@
 	go every(ctx, a.settings.leaseTiming.Renew, a.stepLeases)
 	go every(ctx, configPeriod, a.relayConfig)
 	go every(ctx, watch, a.readNotices)
-	go every(ctx, hostListEvery*watch, a.readHosts)
-	go every(ctx, reportEvery*watch, a.readReports)
+	go every(ctx, a.settings.hostListPeriod, a.readHosts)
+	go every(ctx, a.settings.reportPeriod/hurry, a.readReports)
 	go every(ctx, 2*watch, a.place)
 }
 
-// attach keeps a link to an entry, the one on this host first.
+// Attachment to an entry.
+const (
+	// homeTries is how often the entry on this host is tried before another.
+	homeTries = 10
+	// awayTime is how long a link to another one is kept before the entry on
+	// this host is tried again.
+	awayTime = 20 * time.Second
+)
+
+// attach keeps a link to an entry: the one on this host if it answers.
 func (a *App) attach(ctx context.Context) {
-	for next := 0; ; next++ {
-		a.peers.DialAddress(a.settings.entries[next%len(a.settings.entries)])
-		timer := time.NewTimer(attachPeriod)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return
-		case <-timer.C:
+	home, others := a.settings.entries[0], a.settings.entries[1:]
+	for round := 0; ctx.Err() == nil; round++ {
+		for try := 0; try < homeTries && !a.peers.DialAddress(ctx, home); try++ {
+			pause(ctx, attachPeriod)
 		}
-		if next%len(a.settings.entries) == len(a.settings.entries)-1 {
-			next = -1
+		if len(others) > 0 {
+			away, cancel := context.WithTimeout(ctx, awayTime)
+			a.peers.DialAddress(away, others[round%len(others)])
+			cancel()
 		}
+		pause(ctx, attachPeriod)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
 	}
 }
 
--- a/pkg/app/control/settings.go
+++ b/pkg/app/control/settings.go
@@ -27,6 +27,8 @@
 	shards                  int
 	leaseTiming             lease.Timing
 	watchPeriod             time.Duration
+	hostListPeriod          time.Duration
+	reportPeriod            time.Duration
 	peerFiles, operatorFile secure.Files
 	tracing                 process.Tracing
 	logLevel                string
@@ -53,6 +55,7 @@
 		platformTime: w.Platform.Timeout, readsPerSecond: w.Platform.ReadsPerSecond, writesPerSecond: w.Platform.WritesPerSecond,
 		operatorKeys: w.Operators.Keys, shards: w.Shards.Count,
 		leaseTiming: lease.Timing{Duration: w.Shards.Lease, Renew: w.Shards.Renew}, watchPeriod: w.Shards.Watch,
+		hostListPeriod: w.Shards.Hosts, reportPeriod: w.Shards.Reports,
 		peerFiles:    secure.Files{Cert: w.TLS.PeerCert, Key: w.TLS.PeerKey, CA: w.TLS.PeerCa},
 		operatorFile: secure.Files{Cert: w.TLS.OperatorCert, Key: w.TLS.OperatorKey},
 		tracing:      process.Tracing{Address: w.Trace.OtlpAddress, Sample: w.Trace.Sample},
--- a/pkg/app/control/work.go
+++ b/pkg/app/control/work.go
@@ -11,14 +11,6 @@
 	"ironhollow/pkg/placement"
 )
 
-// Periods, as multiples of the watch period.
-const (
-	// hostListEvery: the list is long and lags anyway.
-	hostListEvery = 4
-	// reportEvery: endpoints are asked what they have loaded.
-	reportEvery = 4
-)
-
 const callTime = 3 * time.Second
 
 // tell floods news through the entry this process is attached to.
@@ -107,17 +99,40 @@
 	a.tell(news)
 }
 
+// hurry is how much more often endpoints are asked that have an order under way.
+const hurry = 10
+
 // readReports asks the endpoints of held shards what they have loaded, and
-// passes on what changed.
+// passes on what changed. Those that were ordered to change are asked each
+// time, the others each hurry-th time.
 func (a *App) readReports(ctx context.Context) {
+	a.mu.Lock()
+	a.reportRound++
+	all := a.reportRound%hurry == 1
+	a.mu.Unlock()
 	for _, info := range a.ownEndpoints() {
-		if info.Kind != endpoint.Model {
-			continue
+		if info.Kind == endpoint.Model && (all || info.Model == "" || a.isOrdered(info.ID)) {
+			go a.readReport(ctx, info)
 		}
-		go a.readReport(ctx, info)
 	}
 }
 
+func (a *App) isOrdered(id string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.ordered[id]
+}
+
+func (a *App) setOrdered(id string, ordered bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if ordered {
+		a.ordered[id] = true
+		return
+	}
+	delete(a.ordered, id)
+}
+
 func (a *App) readReport(ctx context.Context, info endpoint.Info) {
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
@@ -125,9 +140,6 @@
 	if err != nil || report.Incarnation != info.Incarnation {
 		return
 	}
-	a.mu.Lock()
-	a.reported[info.ID] = report
-	a.mu.Unlock()
 	heard := info
 	if report.Counter > info.Counter {
 		heard.Model, heard.Version, heard.Adapter, heard.Counter = report.Model, report.Version, report.Adapter, report.Counter
@@ -148,6 +160,7 @@
 		return
 	}
 	for _, assignment := range placement.Plan(placement.Shares(c.Services()), a.endpoints.View().Infos()) {
+		a.setOrdered(assignment.Endpoint.ID, assignment.Change)
 		if assignment.Change {
 			a.order(ctx, assignment)
 		}
--- a/pkg/app/entry/generator.go
+++ b/pkg/app/entry/generator.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"time"
 
 	"ironhollow/pkg/chat"
 	"ironhollow/pkg/code"
 	"ironhollow/pkg/config"
+	"ironhollow/pkg/fleet"
 	"ironhollow/pkg/job"
+	"ironhollow/pkg/limit"
 	"ironhollow/pkg/route"
 	"ironhollow/pkg/stream"
 )
@@ -15,10 +18,49 @@
 type generator struct {
 	config *config.Holder
 	runner *stream.Runner
+	gates  *limit.Gates
 }
 
-func newGenerator(holder *config.Holder, runner *stream.Runner) job.Generator {
-	return &generator{holder, runner}
+func newGenerator(holder *config.Holder, runner *stream.Runner, gates *limit.Gates) job.Generator {
+	return &generator{holder, runner, gates}
+}
+
+// place is one job's place beside callers who wait.
+type place struct {
+	gate   *limit.Gate
+	ask    limit.Ask
+	ticket limit.Ticket
+	held   bool
+}
+
+func (g *generator) placeFor(j job.Job, c *fleet.Config, s fleet.Service) *place {
+	weight := 1
+	if team, ok := c.Team(j.Team); ok {
+		weight = team.Weight()
+	}
+	target := route.Target{Model: s.Model(), Version: s.Version(), Adapter: s.Adapter()}
+	return &place{gate: g.gates.For(target), ask: limit.Ask{
+		Team: j.Team, Weight: weight, Priority: s.Priority(), MayWait: true, Yield: func() bool { return g.runner.Yield(j.ID) },
+	}}
+}
+
+func (p *place) enter(ctx context.Context) error {
+	ticket, err := p.gate.Acquire(ctx, p.ask, time.Now())
+	p.ticket, p.held = ticket, err == nil
+	return err
+}
+
+func (p *place) leave() {
+	if p.held {
+		p.ticket.Release(time.Now())
+		p.held = false
+	}
+}
+
+// reenter gives the place up and queues for another one.
+func (p *place) reenter(ctx context.Context) error {
+	p.leave()
+	return p.enter(ctx)
 }
 
 // Generate runs a job's request, going on after the tokens of a checkpoint if
@@ -42,6 +84,13 @@
 	if version == s.Version() {
 		request.Received = received
 	}
+	place := g.placeFor(j, c, s)
+	if err := place.enter(ctx); err != nil {
+		return job.Result{}, err
+	}
+	defer place.leave()
+	request.MayWait = true
+	request.Reenter = place.reenter
 	collector := chat.NewCollector(s.Version(), request.Received)
 	started(collector)
 	result, err := g.runner.Run(ctx, request, collector)
--- a/pkg/app/entry/loops.go
+++ b/pkg/app/entry/loops.go
@@ -6,10 +6,13 @@
 	"math/rand/v2"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/engine"
 	"ironhollow/pkg/hazard"
 	"ironhollow/pkg/job"
+	"ironhollow/pkg/limit"
 	"ironhollow/pkg/membership"
 	"ironhollow/pkg/peer"
 	"ironhollow/pkg/route"
@@ -21,10 +24,10 @@
 const (
 	// configPeriod is how often the store is asked for a new revision. News of
 	// one comes over the mesh; this is for when that fails.
-	configPeriod = 10 * time.Second
-	// reportPeriod is how often an endpoint in use is asked for its load.
-	reportPeriod = time.Second
-	sharePeriod  = time.Second
+	configPeriod = 30 * time.Second
+	// reportTime bounds one question for an endpoint's load.
+	reportTime  = time.Second
+	sharePeriod = time.Second
 	// recoverPeriod is how often lost owners' jobs are looked for, sweepPeriod
 	// how often among all nodes that ever registered.
 	recoverPeriod = 3 * time.Second
@@ -88,21 +91,32 @@
 	}
 }
 
-// readReports asks the endpoints this entry uses for their load.
+// readReports asks one endpoint after the other for its load, those with the
+// oldest report first. Reports come with every answer too, so an endpoint in
+// use is seldom asked; the rate bounds what this costs a node however many
+// endpoints there are.
 func (a *App) readReports(ctx context.Context) {
-	for _, info := range a.router.InUse() {
-		go a.readReport(ctx, info)
+	limiter := rate.NewLimiter(rate.Limit(a.settings.loadPolls), 1)
+	for limiter.Wait(ctx) == nil {
+		if info, ok := a.router.Stalest(now()); ok {
+			go a.readReport(ctx, info)
+		}
 	}
 }
 
 func (a *App) readReport(ctx context.Context, info endpoint.Info) {
-	if info.Kind != endpoint.Model || !info.Takes() {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, reportPeriod)
+	ctx, cancel := context.WithTimeout(ctx, reportTime)
 	defer cancel()
 	report, err := a.engines.Load(ctx, info.Address)
-	if err != nil || report.Incarnation != info.Incarnation {
+	if err != nil {
+		return
+	}
+	a.takeReport(info, report)
+}
+
+// takeReport takes in an endpoint's word, however it came.
+func (a *App) takeReport(info endpoint.Info, report engine.Report) {
+	if report.Incarnation != info.Incarnation {
 		return
 	}
 	a.router.Report(info.Ref(), report)
@@ -125,7 +139,7 @@
 // onLeave moves work off an endpoint that leaves and learns from it.
 func (a *App) onLeave(ctx context.Context, info endpoint.Info) {
 	a.log.Info().Str("endpoint", info.ID).Str("data_center", info.DataCenter).Time("leave_by", info.LeaveBy).Msg("endpoint is leaving")
-	if info.Reclaimable {
+	if info.Reclaimable && !info.LeaveBy.IsZero() {
 		a.hazard.Reclaimed(hazard.Place{DataCenter: info.DataCenter, Class: info.Class}, 1, now())
 	}
 	if info.LeaveBy.IsZero() {
@@ -134,10 +148,6 @@
 	a.runner.Leaving(ctx, info, a.config.Current().Policy().NaiveReclaim())
 }
 
-// gateRoom is how much more than the endpoints run at once is let through, so
-// that they always have the next request at hand.
-const gateRoom = 1.25
-
 // share keeps limits and gates in step with the other entries.
 func (a *App) share(context.Context) {
 	serving := max(len(a.nodes.Serving()), 1)
@@ -159,7 +169,7 @@
 			slots = a.router.Slots(other)
 		}
 	}
-	return int(math.Ceil(gateRoom * float64(slots) / float64(serving)))
+	return int(math.Ceil(limit.Room * float64(slots) / float64(serving)))
 }
 
 // plainRoom is how many calls one plain endpoint is sent at once by one entry.
@@ -201,7 +211,7 @@
 func (a *App) recoverJobs(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeTime)
 	defer cancel()
-	if rescued, err := a.worker.Rescue(ctx); err == nil && rescued > 0 {
+	if rescued, err := a.worker.RescueIfUnsure(ctx); err == nil && rescued > 0 {
 		a.log.Info().Int("jobs", rescued).Msg("own jobs found in the store")
 	}
 	for _, n := range a.nodes.Nodes() {
--- a/pkg/app/entry/run.go
+++ b/pkg/app/entry/run.go
@@ -109,10 +109,11 @@
 // start begins what an entry does beside serving.
 func (a *App) start(ctx context.Context) {
 	a.endpoints.OnLeave(func(info endpoint.Info) { a.onLeave(ctx, info) })
+	a.runner.OnReport(a.takeReport)
 	go a.peers.Run()
 	go a.watchConfig(ctx)
 	go a.begin(ctx)
-	go every(ctx, reportPeriod, a.readReports)
+	go a.readReports(ctx)
 	go every(ctx, sharePeriod, a.share)
 }
 
@@ -132,7 +133,7 @@
 		if err == nil {
 			break
 		}
-		a.dialSeeds()
+		a.dialSeeds(ctx)
 		timer := time.NewTimer(beginPeriod)
 		select {
 		case <-ctx.Done():
@@ -148,13 +149,13 @@
 	every(ctx, configPeriod, a.followConfig)
 }
 
-func (a *App) dialSeeds() {
+func (a *App) dialSeeds(ctx context.Context) {
 	if a.peers.Linked() > 0 {
 		return
 	}
 	for _, seed := range a.settings.seeds {
 		if seed != a.self.PeerAddress {
-			go a.peers.DialAddress(seed)
+			go a.peers.DialAddress(ctx, seed)
 		}
 	}
 }
--- a/pkg/app/entry/settings.go
+++ b/pkg/app/entry/settings.go
@@ -27,12 +27,14 @@
 	readTimeout     time.Duration
 	jobs            int
 	acceptWindow    time.Duration
-	drainNotice     time.Duration
-	drainMost       time.Duration
-	peerFiles       secure.Files
-	callerFiles     secure.Files
-	tracing         process.Tracing
-	logLevel        string
+	// loadPolls is endpoints asked for their load a second.
+	loadPolls   float64
+	drainNotice time.Duration
+	drainMost   time.Duration
+	peerFiles   secure.Files
+	callerFiles secure.Files
+	tracing     process.Tracing
+	logLevel    string
 }
 
 // Read checks a settings file.
@@ -68,6 +70,7 @@
 		readTimeout:  w.Limits.ReadTimeout,
 		jobs:         w.Limits.Jobs,
 		acceptWindow: w.Limits.AcceptWindow,
+		loadPolls:    w.Limits.LoadPolls,
 		drainNotice:  w.Drain.Notice,
 		drainMost:    w.Drain.Most,
 		peerFiles:    secure.Files{Cert: w.TLS.PeerCert, Key: w.TLS.PeerKey, CA: w.TLS.PeerCa},
--- a/pkg/app/entry/wire_gen.go
+++ b/pkg/app/entry/wire_gen.go
@@ -47,7 +47,7 @@
 	objectStore := newObjects(settings, client)
 	batcher := newBatcher(writer, settings)
 	jobStore := job.NewStore(writer, objectStore, batcher)
-	jobGenerator := newGenerator(holder, runner)
+	jobGenerator := newGenerator(holder, runner, gates)
 	jobCounters := job.NewCounters(registerer)
 	worker := newWorker(ctx, jobStore, jobGenerator, node, settings, jobCounters)
 	claims := claim.New(writer)
--- /dev/null
+++ b/pkg/app/load/scalereport.go
@@ -0,0 +1,177 @@
+package load
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"image/color"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/spf13/cobra"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"ironhollow/pkg/measure"
+)
+
+// plannedNodes is the size to design for.
+const plannedNodes = 420
+
+// figure is one column of the measurements.
+type figure struct {
+	name, unit, file string
+	of               func(scalePoint) float64
+	// budget at the planned size, 0 for none.
+	budget float64
+}
+
+var scaleFigures = []figure{
+	{"entry, processor", "% of a core", "entry-cpu", func(p scalePoint) float64 { return p.EntryCPU }, 0},
+	{"control, processor", "% of a core", "control-cpu", func(p scalePoint) float64 { return p.ControlCPU }, 0},
+	{"both, processor", "% of a core", "both-cpu", func(p scalePoint) float64 { return p.EntryCPU + p.ControlCPU }, 4.4},
+	{"entry, memory", "MB", "entry-memory", func(p scalePoint) float64 { return p.EntryMemory }, 0},
+	{"control, memory", "MB", "control-memory", func(p scalePoint) float64 { return p.ControlMemory }, 0},
+	{"both, memory", "MB", "both-memory", func(p scalePoint) float64 { return p.EntryMemory + p.ControlMemory }, 256},
+	{"all control traffic of a node", "bytes/s", "wire", func(p scalePoint) float64 { return p.WireBytes }, 5000},
+	{"messages between own processes, of a node", "bytes/s of CBOR", "peer-bytes", func(p scalePoint) float64 { return p.PeerBytes }, 0},
+	{"messages between own processes, of a node", "1/s", "peer-messages", func(p scalePoint) float64 { return p.PeerMessages }, 0},
+	{"table service, commits of the fleet", "1/s", "commits", func(p scalePoint) float64 { return p.StoreCommits }, 0},
+	{"table service, reads of the fleet", "1/s", "reads", func(p scalePoint) float64 { return p.StoreReads }, 0},
+	{"a leaving endpoint known to all", "s", "leaving", func(p scalePoint) float64 { return p.LeavingKnown }, 2},
+	{"a revision in force everywhere", "s", "revision", func(p scalePoint) float64 { return p.RevisionKnown }, 10},
+	{"shards taken over after a kill", "s", "take-over", func(p scalePoint) float64 { return p.TakeOver }, 10},
+	{"nodes wrongly declared dead", "count", "wrongly-dead", func(p scalePoint) float64 { return float64(p.WronglyDead) }, 0},
+}
+
+func scaleReportCommand() *cobra.Command {
+	var in, out string
+	command := &cobra.Command{
+		Use:   "scale-report",
+		Short: "Work out slopes, a table and plots from the lines of scale",
+		RunE: func(*cobra.Command, []string) error {
+			points, err := readPoints(in)
+			if err != nil {
+				return err
+			}
+			if err := os.WriteFile(filepath.Join(out, "scale.md"), []byte(scaleTable(points)), 0o644); err != nil {
+				return err
+			}
+			for _, f := range scaleFigures {
+				if err := plotFigure(f, points, filepath.Join(out, "scale-"+f.file+".svg")); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+	command.Flags().StringVar(&in, "in", "", "file of lines")
+	command.Flags().StringVar(&out, "out", "", "directory for the report")
+	return command
+}
+
+func readPoints(path string) ([]scalePoint, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = file.Close() }()
+	var points []scalePoint
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		var p scalePoint
+		if err := json.Unmarshal(lines.Bytes(), &p); err != nil {
+			return nil, err
+		}
+		points = append(points, p)
+	}
+	return points, lines.Err()
+}
+
+func columns(f figure, points []scalePoint) (xs, ys []float64) {
+	for _, p := range points {
+		xs = append(xs, float64(p.Nodes))
+		ys = append(ys, f.of(p))
+	}
+	return xs, ys
+}
+
+func scaleTable(points []scalePoint) string {
+	var b strings.Builder
+	b.WriteString("# Fleets of growing size, measured\n\nMade by `make bench-scale`. One machine, plain processes on the loopback with TLS between them; no\n" +
+		"callers. The slope is for one more node, with the half width of its 95% interval; the value at\n" +
+		fmt.Sprintf("%d nodes is worked out from the line, not measured.\n\n", plannedNodes))
+	b.WriteString("| figure | unit |")
+	for _, p := range points {
+		fmt.Fprintf(&b, " %d nodes, %d endpoints |", p.Nodes, p.Endpoints)
+	}
+	fmt.Fprintf(&b, " slope a node | at %d (worked out) | budget |\n|---|---|%s---|---|---|\n", plannedNodes, strings.Repeat("---|", len(points)))
+	for _, f := range scaleFigures {
+		fmt.Fprintf(&b, "| %s | %s |", f.name, f.unit)
+		for _, p := range points {
+			fmt.Fprintf(&b, " %s |", number(f.of(p)))
+		}
+		line := measure.Fit(columns(f, points))
+		budget := ""
+		if f.budget > 0 {
+			budget = number(f.budget)
+		}
+		fmt.Fprintf(&b, " %s ± %s | %s | %s |\n", number(line.Slope), number(line.SlopeError), number(line.At(plannedNodes)), budget)
+	}
+	return b.String()
+}
+
+// number shows three significant digits.
+func number(v float64) string {
+	switch {
+	case math.IsNaN(v):
+		return "?"
+	case v != 0 && math.Abs(v) < 0.01:
+		return fmt.Sprintf("%.1e", v)
+	case math.Abs(v) >= 1000:
+		return fmt.Sprintf("%.0f", v)
+	}
+	return fmt.Sprintf("%.3g", v)
+}
+
+func plotFigure(f figure, points []scalePoint, path string) error {
+	p := plot.New()
+	p.Title.Text = f.name
+	p.X.Label.Text = "nodes"
+	p.Y.Label.Text = f.unit
+	p.Y.Min = 0
+	xs, ys := columns(f, points)
+	measured := make(plotter.XYs, len(xs))
+	for i := range xs {
+		measured[i].X, measured[i].Y = xs[i], ys[i]
+	}
+	dots, err := plotter.NewScatter(measured)
+	if err != nil {
+		return err
+	}
+	if len(points) < 2 {
+		return nil // No line goes through one point.
+	}
+	line := measure.Fit(xs, ys)
+	drawn, err := plotter.NewLine(plotter.XYs{{X: 0, Y: line.At(0)}, {X: plannedNodes, Y: line.At(plannedNodes)}})
+	if err != nil {
+		return err
+	}
+	drawn.Color = color.Gray{128}
+	p.Add(dots, drawn, plotter.NewGrid())
+	if f.budget > 0 {
+		budget, err := plotter.NewLine(plotter.XYs{{X: 0, Y: f.budget}, {X: plannedNodes, Y: f.budget}})
+		if err != nil {
+			return err
+		}
+		budget.Color = color.RGBA{R: 200, A: 255}
+		p.Add(budget)
+		p.Legend.Add("budget", budget)
+	}
+	p.Legend.Add("measured", dots)
+	p.Legend.Add("fitted", drawn)
+	return p.Save(14*vg.Centimeter, 9*vg.Centimeter, path)
+}
--- a/pkg/app/standin/standin.go
+++ b/pkg/app/standin/standin.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -51,22 +52,47 @@
 		Use:   "ports",
 		Short: "Print free ports of the loopback, one a line",
 		RunE: func(command *cobra.Command, _ []string) error {
-			// All are held before any is let go, so that none is given twice.
-			for range count {
-				listener, err := net.Listen("tcp", "127.0.0.1:0")
-				if err != nil {
-					return err
-				}
-				defer func() { _ = listener.Close() }()
-				_, _ = fmt.Fprintln(command.OutOrStdout(), listener.Addr().(*net.TCPAddr).Port)
+			ports, err := freePorts(count)
+			for _, port := range ports {
+				_, _ = fmt.Fprintln(command.OutOrStdout(), port)
 			}
-			return nil
+			return err
 		},
 	}
 	command.Flags().IntVar(&count, "count", 1, "how many")
 	return command
 }
 
+// Ports are taken below those that the kernel gives to outgoing connections,
+// which would take a free one before its process has started.
+const (
+	firstPort = 10_000
+	lastPort  = 32_000
+)
+
+// freePorts returns ports that were free a moment ago. Two callers at once do
+// well to start at different places, so the start is drawn.
+func freePorts(count int) ([]int, error) {
+	var ports []int
+	port := firstPort + rand.IntN(lastPort-firstPort)
+	for range lastPort - firstPort {
+		if len(ports) == count {
+			return ports, nil
+		}
+		port++
+		if port >= lastPort {
+			port = firstPort
+		}
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		ports = append(ports, port)
+	}
+	return ports, fmt.Errorf("only %d ports are free", len(ports))
+}
+
 func platformCommand() *cobra.Command {
 	var address string
 	var lag time.Duration
--- a/pkg/callerapi/api.go
+++ b/pkg/callerapi/api.go
@@ -201,7 +201,7 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	ticket, err := a.Gates.For(targetOf(s)).Acquire(ctx, limit.Ask{
-		Team: team.Name(), Weight: team.Weight(), Priority: s.Priority(), Deadline: deadline,
+		Team: team.Name(), Weight: team.Weight(), Priority: s.Priority(), Deadline: deadline, MayWait: s.MayWait(),
 	}, time.Now())
 	var late limit.TooLate
 	switch {
--- a/pkg/callerapi/jobs.go
+++ b/pkg/callerapi/jobs.go
@@ -61,6 +61,9 @@
 	}
 	held, fresh, err := a.Jobs.Accept(r.Context(), asked)
 	if err != nil {
+		if code.Of(err) == code.AcceptUnknown {
+			a.Worker.Unsure()
+		}
 		writeError(w, err)
 		return
 	}
--- /dev/null
+++ b/pkg/capacity/capacity.go
@@ -0,0 +1,210 @@
+// Package capacity decides how many hosts to have, where, of which class and
+// on which terms: at the least cost at which the loss of any one data centre
+// still leaves enough for the callers who wait at a counter, and at which work
+// that can wait meets its deadlines.
+package capacity
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+// Offer is one kind of host that can be bought.
+type Offer struct {
+	DataCenter, Class string
+	Reclaimable       bool
+	// Price is for one host an hour.
+	Price float64
+	// Rate is tokens a second that one host gives within the latency target.
+	Rate float64
+	// Most bounds the hosts bought, Least those kept in any case.
+	Least, Most int
+	// HazardPerHour is reclaims expected for one host an hour.
+	HazardPerHour float64
+	// RefusedUntil is when the offer may be tried again after a refusal.
+	RefusedUntil time.Time
+}
+
+// key identifies an offer.
+type key struct {
+	dataCenter, class string
+	reclaimable       bool
+}
+
+func (o Offer) key() key { return key{o.DataCenter, o.Class, o.Reclaimable} }
+
+// Demand is what is asked for, in tokens a second.
+type Demand struct {
+	// Counter is for callers who wait, Waiting the least rate at which work
+	// that can wait meets its deadlines (see Deferred).
+	Counter, Waiting float64
+}
+
+// Costs turn a reclaim into money.
+type Costs struct {
+	// LossPerReclaim is what one host's reclaim costs beside its price: tokens
+	// computed again and the time a new host takes to serve, priced.
+	LossPerReclaim float64
+}
+
+// Count is how many hosts of one offer to have.
+type Count struct {
+	Offer Offer
+	Hosts int
+}
+
+// Room above the mean demand.
+const (
+	// headroom is for demand that is only known with a lag.
+	headroom = 1.1
+	// counterRoom is for callers who wait, after a loss: their bursts go to
+	// twice the mean, and queues are short only where slots are idle.
+	counterRoom = 2.4
+)
+
+// need is the capacity a demand asks for while the largest data centre holds
+// largest: enough for all, and enough for callers who wait without it.
+func (d Demand) need(largest float64) float64 {
+	return math.Max(counterRoom*d.Counter+largest, headroom*(d.Counter+d.Waiting))
+}
+
+// effective is an offer's price with its reclaims.
+func (o Offer) effective(c Costs) float64 {
+	if !o.Reclaimable {
+		return o.Price
+	}
+	return o.Price + o.HazardPerHour*c.LossPerReclaim
+}
+
+// perToken orders offers: the price of a token a second.
+func (o Offer) perToken(c Costs) float64 { return o.effective(c) / o.Rate }
+
+// Plan returns the hosts to have. It tries each bound on the capacity of one
+// data centre: under a bound b, hosts are taken cheapest first with at most b
+// in each data centre until their sum is the counter demand plus b, so that
+// the loss of the largest leaves enough; the cheapest bound wins. Demand that
+// can't be met is met as far as the offers go.
+func Plan(offers []Offer, d Demand, c Costs, now time.Time) []Count {
+	open := available(offers, now)
+	sort.SliceStable(open, func(i, j int) bool { return open[i].perToken(c) < open[j].perToken(c) })
+	var best []Count
+	bestShort, bestCost := math.Inf(1), math.Inf(1)
+	for _, bound := range bounds(open, d) {
+		counts, short := fill(open, bound, d)
+		cost := costOf(counts, c)
+		if short < bestShort-1e-9 || (short < bestShort+1e-9 && cost < bestCost) {
+			best, bestShort, bestCost = counts, short, cost
+		}
+	}
+	return best
+}
+
+// available leaves out offers that were refused lately, but for the hosts that
+// are kept in any case.
+func available(offers []Offer, now time.Time) []Offer {
+	open := make([]Offer, 0, len(offers))
+	for _, o := range offers {
+		if now.Before(o.RefusedUntil) {
+			o.Most = o.Least
+		}
+		if o.Most > 0 && o.Rate > 0 {
+			open = append(open, o)
+		}
+	}
+	return open
+}
+
+// bounds are the capacities of one data centre worth trying: whole numbers of
+// the smallest host.
+func bounds(offers []Offer, d Demand) []float64 {
+	if len(offers) == 0 {
+		return nil
+	}
+	step := math.Inf(1)
+	for _, o := range offers {
+		step = math.Min(step, o.Rate)
+	}
+	most := int(math.Ceil(math.Max(counterRoom*d.Counter, headroom*(d.Counter+d.Waiting))/step)) + 1
+	list := make([]float64, 0, most)
+	for i := 1; i <= most; i++ {
+		list = append(list, float64(i)*step)
+	}
+	return list
+}
+
+// fill takes hosts under a bound and returns them with the capacity missing.
+func fill(offers []Offer, bound float64, d Demand) ([]Count, float64) {
+	counts := make([]Count, len(offers))
+	centre := map[string]float64{}
+	total := 0.0
+	for i, o := range offers {
+		counts[i] = Count{o, o.Least}
+		centre[o.DataCenter] += float64(o.Least) * o.Rate
+		total += float64(o.Least) * o.Rate
+	}
+	need := func() float64 {
+		largest := 0.0
+		for _, held := range centre {
+			largest = math.Max(largest, held)
+		}
+		return d.need(largest)
+	}
+	for i := range counts {
+		o := counts[i].Offer
+		for counts[i].Hosts < o.Most && total < need() && centre[o.DataCenter]+o.Rate <= bound+1e-9 {
+			counts[i].Hosts++
+			centre[o.DataCenter] += o.Rate
+			total += o.Rate
+		}
+	}
+	return counts, math.Max(0, need()-total)
+}
+
+func costOf(counts []Count, c Costs) float64 {
+	cost := 0.0
+	for _, n := range counts {
+		cost += float64(n.Hosts) * n.Offer.effective(c)
+	}
+	return cost
+}
+
+// Spread is a naive plan: reclaimable hosts alone, as many as the demand asks
+// for, evenly over all data centres.
+func Spread(offers []Offer, d Demand) []Count {
+	counts := make([]Count, len(offers))
+	total := 0.0
+	for i, o := range offers {
+		counts[i] = Count{o, o.Least}
+		total += float64(o.Least) * o.Rate
+	}
+	for grown := true; grown && total < headroom*(d.Counter+d.Waiting); {
+		grown = false
+		for i, o := range offers {
+			if o.Reclaimable && counts[i].Hosts < o.Most && total < headroom*(d.Counter+d.Waiting) {
+				counts[i].Hosts++
+				total += o.Rate
+				grown = true
+			}
+		}
+	}
+	return counts
+}
+
+// Naive is another: reclaimable hosts of the lowest price alone.
+func Naive(offers []Offer, d Demand) []Count {
+	cheapest := append([]Offer(nil), offers...)
+	sort.SliceStable(cheapest, func(i, j int) bool { return cheapest[i].Price/cheapest[i].Rate < cheapest[j].Price/cheapest[j].Rate })
+	total := 0.0
+	var counts []Count
+	for _, o := range cheapest {
+		n := Count{o, o.Least}
+		total += float64(o.Least) * o.Rate
+		for o.Reclaimable && n.Hosts < o.Most && total < headroom*(d.Counter+d.Waiting) {
+			n.Hosts++
+			total += o.Rate
+		}
+		counts = append(counts, n)
+	}
+	return counts
+}
--- a/pkg/chat/body.go
+++ b/pkg/chat/body.go
@@ -179,6 +179,7 @@
 			Request: id, Model: s.Model(), Version: s.Version(), Adapter: s.Adapter(),
 			Messages: b.messages, Options: b.options, MaxTokens: maxTokens, Seed: seed, Priority: s.Priority(),
 		},
+		Service:      s.Name(),
 		Prefix:       route.Hash(nil, b.messages),
 		PromptTokens: (len(b.messages) + bytesPerToken - 1) / bytesPerToken,
 		Stake:        stakeOf(s),
--- a/pkg/endpoint/directory.go
+++ b/pkg/endpoint/directory.go
@@ -70,23 +70,23 @@
 	defer s.mu.Unlock()
 	held, known := s.infos[heard.ID]
 	if !known {
-		d.store(s, heard, 0)
+		d.store(s, Info{}, heard, 0)
 		return heard, true
 	}
 	next, isNews := Merge(held, heard)
 	if isNews {
-		d.store(s, next, held.sum())
+		d.store(s, held, next, held.sum())
 	}
 	return next, isNews
 }
 
-func (d *Directory) store(s *shard, next Info, oldSum uint64) {
+func (d *Directory) store(s *shard, held, next Info, oldSum uint64) {
 	s.infos[next.ID] = next
 	d.sumMu.Lock()
 	d.sums[Bucket(next.ID)] ^= oldSum ^ next.sum()
 	d.sumMu.Unlock()
 	d.generation.Add(1)
-	if next.State == Leaving {
+	if next.State == Leaving && (held.State != Leaving || held.LeaveBy != next.LeaveBy) {
 		if call := d.onLeave.Load(); call != nil {
 			go (*call)(next)
 		}
@@ -94,7 +94,7 @@
 }
 
 // OnLeave sets what is called, on a goroutine of its own, when an endpoint is
-// found to be leaving, and again when more is learned of it while it leaves.
+// found to be leaving, and again when it is learned when.
 func (d *Directory) OnLeave(call func(Info)) { d.onLeave.Store(&call) }
 
 // Leave marks an incarnation as leaving and reports the result and whether that
--- a/pkg/endpoint/endpoint.go
+++ b/pkg/endpoint/endpoint.go
@@ -94,6 +94,8 @@
 	}
 	if heard.State > held.State {
 		next.State = heard.State
+	}
+	if held.LeaveBy.IsZero() || (heard.State > held.State && !heard.LeaveBy.IsZero()) {
 		next.LeaveBy = heard.LeaveBy
 	}
 	return next, next != held
--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -86,12 +86,13 @@
 }
 
 func (c *Client) open(request *http.Request) (Stream, error) {
+	request.Header.Set(HeaderLoadFormat, LoadFormat)
 	response, err := c.http.Do(request)
 	if err != nil {
 		return nil, err
 	}
 	if response.StatusCode == http.StatusOK {
-		return newStream(response.Body), nil
+		return newStream(response.Body, response.Header.Get(HeaderLoad)), nil
 	}
 	text, _ := io.ReadAll(io.LimitReader(response.Body, 512))
 	_ = response.Body.Close()
@@ -134,11 +135,7 @@
 	if err := c.call(ctx, http.MethodGet, address, PathLoad, nil, &w); err != nil {
 		return Report{}, err
 	}
-	return Report{
-		Sequence: w.Sequence, Incarnation: w.Incarnation, Model: w.Model, Version: w.Version, Adapter: w.Adapter,
-		Running: w.Running, Waiting: w.Waiting, Slots: w.Slots, QueuedTokens: w.QueuedTokens, FreeTokens: w.FreeTokens,
-		Leaving: w.Leaving, Counter: w.Counter, Epoch: w.Epoch,
-	}, nil
+	return w.Domain(), nil
 }
 
 // Order gives an order; ErrStale where the engine has seen a later epoch.
@@ -162,11 +159,22 @@
 	body io.ReadCloser
 	next func() (sse.Event, error, bool)
 	stop func()
+	// load is the report's header, empty for none.
+	load string
 }
 
-func newStream(body io.ReadCloser) *stream {
+func newStream(body io.ReadCloser, load string) *stream {
 	next, stop := iter.Pull2(sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEvent}))
-	return &stream{body: body, next: next, stop: stop}
+	return &stream{body: body, next: next, stop: stop, load: load}
+}
+
+// Report reads the report that came with the answer's headers.
+func (s *stream) Report() (Report, bool) {
+	var w WireReport
+	if s.load == "" || json.Unmarshal([]byte(s.load), &w) != nil {
+		return Report{}, false
+	}
+	return w.Domain(), true
 }
 
 // doneMark ends a stream in the usual protocol.
--- a/pkg/engine/wire.go
+++ b/pkg/engine/wire.go
@@ -12,6 +12,12 @@
 	HeaderAttempt  = "X-Attempt"
 	HeaderPriority = "X-Priority"
 	HeaderDeadline = "X-Deadline-Ms"
+
+	// HeaderLoadFormat asks for a load report with the answer, HeaderLoad is
+	// the report: the usual pair of headers for endpoint load metrics.
+	HeaderLoadFormat = "Endpoint-Load-Metrics-Format"
+	HeaderLoad       = "Endpoint-Load-Metrics"
+	LoadFormat       = "JSON"
 )
 
 // Chunk is one event of a streamed answer in the usual form.
@@ -67,6 +73,15 @@
 	Epoch        int64  `json:"epoch"`
 }
 
+// Domain maps a report.
+func (w WireReport) Domain() Report {
+	return Report{
+		Sequence: w.Sequence, Incarnation: w.Incarnation, Model: w.Model, Version: w.Version, Adapter: w.Adapter,
+		Running: w.Running, Waiting: w.Waiting, Slots: w.Slots, QueuedTokens: w.QueuedTokens, FreeTokens: w.FreeTokens,
+		Leaving: w.Leaving, Counter: w.Counter, Epoch: w.Epoch,
+	}
+}
+
 // WireOrder is an order as sent.
 type WireOrder struct {
 	Epoch   int64  `json:"epoch"`
--- a/pkg/job/recover.go
+++ b/pkg/job/recover.go
@@ -81,6 +81,35 @@
 	return rescued, nil
 }
 
+// Unsure notes that a job may have been accepted without this entry knowing.
+func (w *Worker) Unsure() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.unsure = unsureRounds
+}
+
+// unsureRounds is how many clean looks end the doubt: an accept may take effect
+// some time after its answer was given up.
+const unsureRounds = 20
+
+// RescueIfUnsure rescues while there is doubt, and costs the store nothing
+// otherwise.
+func (w *Worker) RescueIfUnsure(ctx context.Context) (int, error) {
+	w.mu.Lock()
+	doubt := w.unsure > 0
+	w.mu.Unlock()
+	if !doubt {
+		return 0, nil
+	}
+	rescued, err := w.Rescue(ctx)
+	if err == nil {
+		w.mu.Lock()
+		w.unsure--
+		w.mu.Unlock()
+	}
+	return rescued, err
+}
+
 func (w *Worker) wasMissed(id string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/pkg/job/worker.go
+++ b/pkg/job/worker.go
@@ -38,7 +38,9 @@
 	queue jobQueue
 	known map[string]bool
 	// missed are own jobs that the last rescue found in the store but not here.
-	missed  map[string]bool
+	missed map[string]bool
+	// unsure is how many more rescues are due.
+	unsure  int
 	running int
 	stopped bool
 	idle    chan struct{}
--- a/pkg/limit/gate.go
+++ b/pkg/limit/gate.go
@@ -19,6 +19,8 @@
 	mean   float64
 	queues map[queueKey]*queue
 	length int
+	// yielders are the places that can be asked for, oldest first.
+	yielders []*yielder
 	// clock is the pass of the queue served last: a queue that starts anew
 	// starts from here, so that idle time earns no credit.
 	clock float64
@@ -27,6 +29,8 @@
 type queueKey struct {
 	priority int
 	team     string
+	// mayWait marks work that gets only a part of the places.
+	mayWait bool
 }
 
 // queue is one team's waiting requests of one priority, oldest first.
@@ -49,12 +53,39 @@
 	Priority int
 	// Deadline is when a place is of no more use.
 	Deadline time.Time
+	// MayWait marks work that leaves some places free for callers who wait.
+	MayWait bool
+	// Yield asks such work to give its place up and queue anew; it reports
+	// whether the work will. Nil for work that can't. It is called with no lock
+	// held.
+	Yield func() bool
 }
 
+// Parameters of the places.
+const (
+	// Room is how many places there are for each slot of the endpoints: callers
+	// who wait may queue at an endpoint, which serves them by priority.
+	Room = 2.0
+	// waitingShare is the part of the places that work that can wait may fill.
+	waitingShare = 0.35
+)
+
+// key names the queue an ask waits in.
+func (a Ask) key() queueKey { return queueKey{a.Priority, a.Team, a.MayWait} }
+
 // Ticket is a place held; it must be released once.
 type Ticket struct {
 	gate  *Gate
 	since time.Time
+	// yielding is the place's entry among those that can be asked for, nil for
+	// a place that can't.
+	yielding *yielder
+}
+
+// yielder is a place that its holder may be asked to give up.
+type yielder struct {
+	yield func() bool
+	asked bool
 }
 
 // firstMean is assumed until places have been released, in seconds.
@@ -71,9 +102,10 @@
 // SetCapacity changes the number of places; those held stay held.
 func (g *Gate) SetCapacity(capacity int) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	g.capacity = max(capacity, 1)
 	g.dispatch()
+	g.mu.Unlock()
+	g.askForPlaces()
 }
 
 // TooLate says that the deadline can't be met. RetryAfter is when there should
@@ -87,10 +119,11 @@
 // to be expected passes the deadline, and the context's error if that ends.
 func (g *Gate) Acquire(ctx context.Context, ask Ask, now time.Time) (Ticket, error) {
 	g.mu.Lock()
-	if g.used < g.capacity && g.length == 0 {
+	if g.length == 0 && g.hasRoom(ask.MayWait) {
 		g.used++
+		ticket := g.ticket(ask, now)
 		g.mu.Unlock()
-		return Ticket{g, now}, nil
+		return ticket, nil
 	}
 	expected := g.expectedWait(ask)
 	if !ask.Deadline.IsZero() && now.Add(expected).After(ask.Deadline) {
@@ -101,14 +134,82 @@
 	g.enqueue(ask, w)
 	g.dispatch()
 	g.mu.Unlock()
+	if !ask.MayWait {
+		g.askForPlaces()
+	}
 	select {
 	case <-w.ready:
-		return Ticket{g, time.Now()}, nil
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.ticket(ask, time.Now()), nil
 	case <-ctx.Done():
 		return Ticket{}, g.abandon(ctx, w)
 	}
 }
 
+// ticket notes a place as one that can be asked for, if it can. The lock is held.
+func (g *Gate) ticket(ask Ask, now time.Time) Ticket {
+	t := Ticket{gate: g, since: now}
+	if ask.Yield != nil {
+		t.yielding = &yielder{yield: ask.Yield}
+		g.yielders = append(g.yielders, t.yielding)
+	}
+	return t
+}
+
+// askForPlaces asks work that can wait for as many places as callers who wait
+// lack. The latest comer is asked first: it has the least to compute again.
+func (g *Gate) askForPlaces() {
+	for {
+		y := g.nextYielder()
+		if y == nil {
+			return
+		}
+		if !y.yield() {
+			// It is between two attempts or at its end: the next one is asked.
+			continue
+		}
+	}
+}
+
+// nextYielder returns a place to ask for and marks it as asked, nil if enough
+// are asked or none is left.
+func (g *Gate) nextYielder() *yielder {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	lacking := 0
+	for key, q := range g.queues {
+		if !key.mayWait {
+			lacking += len(q.waiters)
+		}
+	}
+	lacking -= max(g.capacity-g.used, 0)
+	for _, y := range g.yielders {
+		if y.asked {
+			lacking--
+		}
+	}
+	if lacking <= 0 {
+		return nil
+	}
+	for i := len(g.yielders) - 1; i >= 0; i-- {
+		if !g.yielders[i].asked {
+			g.yielders[i].asked = true
+			return g.yielders[i]
+		}
+	}
+	return nil
+}
+
+// hasRoom reports whether a place is free. At least one place is open to work
+// that can wait, however small the gate. The lock is held.
+func (g *Gate) hasRoom(mayWait bool) bool {
+	if mayWait {
+		return g.used < max(1, int(waitingShare*float64(g.capacity)))
+	}
+	return g.used < g.capacity
+}
+
 // abandon gives up a wait; a place that was given meanwhile is passed on.
 func (g *Gate) abandon(ctx context.Context, w *waiter) error {
 	g.mu.Lock()
@@ -128,10 +229,20 @@
 	t.gate.mu.Lock()
 	defer t.gate.mu.Unlock()
 	t.gate.used--
+	t.gate.forget(t.yielding)
 	t.gate.mean += meanWeight * (now.Sub(t.since).Seconds() - t.gate.mean)
 	t.gate.dispatch()
 }
 
+func (g *Gate) forget(gone *yielder) {
+	for i, y := range g.yielders {
+		if y == gone {
+			g.yielders = append(g.yielders[:i], g.yielders[i+1:]...)
+			return
+		}
+	}
+}
+
 // Waiting returns how many requests wait.
 func (g *Gate) Waiting() int {
 	g.mu.Lock()
@@ -152,7 +263,7 @@
 func (g *Gate) expectedWait(ask Ask) time.Duration {
 	ahead := 0.0
 	own := 1.0
-	if q, ok := g.queues[queueKey{ask.Priority, ask.Team}]; ok {
+	if q, ok := g.queues[ask.key()]; ok {
 		own += float64(len(q.waiters))
 	}
 	for key, q := range g.queues {
@@ -168,7 +279,7 @@
 }
 
 func (g *Gate) enqueue(ask Ask, w *waiter) {
-	key := queueKey{ask.Priority, ask.Team}
+	key := ask.key()
 	q, ok := g.queues[key]
 	if !ok {
 		q = &queue{pass: g.clock}
@@ -219,6 +330,9 @@
 	var bestKey queueKey
 	var best *queue
 	for key, q := range g.queues {
+		if !g.hasRoom(key.mayWait) {
+			continue
+		}
 		if best == nil || goesBefore(key, q, bestKey, best) {
 			bestKey, best = key, q
 		}
--- a/pkg/peer/mesh.go
+++ b/pkg/peer/mesh.go
@@ -51,6 +51,7 @@
 	// links are the live connections that have said hello.
 	links    map[Link]*linkState
 	lastTick time.Time
+	ticks    int64
 	// suspects holds since when each suspected incarnation has been one.
 	suspects map[suspect]time.Time
 	demand   *diffusion
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -115,14 +115,14 @@
 	if err != nil {
 		return
 	}
-	s.serve(socket)
+	s.serve(s.ctx, socket)
 }
 
 // serve says hello, waits for the other side's, and runs the link to its end.
-func (s *Server) serve(socket *websocket.Conn) {
+func (s *Server) serve(ctx context.Context, socket *websocket.Conn) {
 	defer func() { _ = socket.CloseNow() }()
 	socket.SetReadLimit(MaxMessage)
-	ctx, cancel := context.WithCancel(s.ctx)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if s.write(ctx, socket, Hello{Node: s.mesh.Self(), Role: s.role}) != nil {
 		return
@@ -273,7 +273,7 @@
 // reached again and again becomes suspect.
 func (s *Server) dialNode(node membership.Node) {
 	go func() {
-		if s.DialAddress(node.PeerAddress) {
+		if s.DialAddress(s.ctx, node.PeerAddress) {
 			return
 		}
 		s.mu.Lock()
@@ -287,9 +287,9 @@
 }
 
 // DialAddress connects to a peer address and reports whether the link came up.
-// It returns once the link has ended, or at once if the dial fails or another
-// one to the address is under way.
-func (s *Server) DialAddress(address string) bool {
+// It returns once the link or ctx has ended, or at once if the dial fails or
+// another one to the address is under way.
+func (s *Server) DialAddress(ctx context.Context, address string) bool {
 	s.mu.Lock()
 	if s.dialing[address] {
 		s.mu.Unlock()
@@ -302,15 +302,15 @@
 		delete(s.dialing, address)
 		s.mu.Unlock()
 	}()
-	ctx, cancel := context.WithTimeout(s.ctx, dialTime)
+	dialCtx, cancel := context.WithTimeout(ctx, dialTime)
 	defer cancel()
-	socket, response, err := websocket.Dial(ctx, s.scheme+"://"+address+Path, &websocket.DialOptions{HTTPClient: s.client})
+	socket, response, err := websocket.Dial(dialCtx, s.scheme+"://"+address+Path, &websocket.DialOptions{HTTPClient: s.client})
 	if response != nil && response.Body != nil {
 		_ = response.Body.Close()
 	}
 	if err != nil {
 		return false
 	}
-	s.serve(socket)
+	s.serve(ctx, socket)
 	return true
 }
--- a/pkg/peer/tick.go
+++ b/pkg/peer/tick.go
@@ -16,9 +16,14 @@
 	}
 	m.lastTick = now
 	m.demand.step()
+	m.ticks++
 	var out []Out
 	for _, link := range m.sortedLinks() {
-		out = m.send(out, link, m.digest(m.links[link].role))
+		role := m.links[link].role
+		if m.isAttachment(role) && m.ticks%attachedEvery != 0 {
+			continue
+		}
+		out = m.send(out, link, m.digest(role))
 	}
 	var news News
 	if !m.follower {
@@ -28,6 +33,12 @@
 	return append(out, m.flood(news, 0)...)
 }
 
+// attachedEvery is how many ticks pass between digests on the link of an
+// attached process: nobody judges its silence, and news floods there at once.
+const attachedEvery = 3
+
+func (m *Mesh) isAttachment(role Role) bool { return m.follower || role == RoleControl }
+
 // forgive starts all clocks anew after a pause of this process: the silence it
 // heard was its own.
 func (m *Mesh) forgive(gap time.Duration, now time.Time) {
--- a/pkg/reclaim/reclaim.go
+++ b/pkg/reclaim/reclaim.go
@@ -5,6 +5,8 @@
 package reclaim
 
 import (
+	"math"
+	"math/rand/v2"
 	"sort"
 	"time"
 
@@ -24,6 +26,8 @@
 	// Shared is how many of KVTokens other endpoints are thought to have
 	// cached, so that a move would not save them.
 	Shared int
+	// MayWait marks work that can be resumed later rather than now.
+	MayWait bool
 }
 
 // Destination is an endpoint that could take moved work.
@@ -33,8 +37,14 @@
 	FreeTokens int
 	// HazardPerHour is how likely it is to be reclaimed itself.
 	HazardPerHour float64
-	// Running is its requests, to break ties.
-	Running int
+	// Running is its requests, Slots how many run at once.
+	Running, Slots int
+}
+
+// takes reports whether the destination has room for a stream. Work that can
+// wait needs memory alone: its cache is kept there until its turn comes.
+func (d *Destination) takes(w Work) bool {
+	return d.Endpoint.Takes() && d.FreeTokens >= w.KVTokens+w.Remaining && (w.MayWait || d.Running < d.Slots)
 }
 
 // Limits are what the notice leaves.
@@ -77,7 +87,7 @@
 
 // Plan decides for all streams of one endpoint that are held here. Every
 // stream gets exactly one step; moves come first, in the order to carry out.
-func Plan(works []Work, destinations []Destination, limits Limits) []Step {
+func Plan(works []Work, destinations []Destination, limits Limits, random *rand.Rand) []Step {
 	usable := limits.Notice - margin
 	budget := usable.Seconds() * limits.BytesPerSecond
 	var steps, rest []Step
@@ -90,10 +100,13 @@
 	}
 	chosen := choose(steps, budget, limits.BytesPerToken)
 	free := append([]Destination(nil), destinations...)
-	sortDestinations(free)
 	var moved []Step
 	for i, step := range steps {
-		to, ok := place(step.Work, free, chosen[i])
+		if !chosen[i] {
+			rest = append(rest, step)
+			continue
+		}
+		to, ok := place(step.Work, free, random)
 		if !ok {
 			rest = append(rest, step)
 			continue
@@ -154,37 +167,43 @@
 	return a.KVTokens > b.KVTokens
 }
 
-// sortDestinations puts those first that are least likely to go next.
-func sortDestinations(ds []Destination) {
-	sort.SliceStable(ds, func(i, j int) bool {
-		if ds[i].HazardPerHour != ds[j].HazardPerHour {
-			return ds[i].HazardPerHour < ds[j].HazardPerHour
+// place finds room for a stream and takes it: of two destinations drawn among
+// those with room, the one that is safer, then the one that is less busy. The
+// draw keeps entries that decide at the same moment from all choosing the same
+// destination (Mitzenmacher 2001).
+func place(w Work, free []Destination, random *rand.Rand) (endpoint.Info, bool) {
+	var room []int
+	for i := range free {
+		if free[i].takes(w) {
+			room = append(room, i)
 		}
-		return ds[i].Running < ds[j].Running
-	})
-}
-
-// place finds room for a stream and takes it. Among the destinations of the
-// least hazard that have room, the one with the most is taken.
-func place(w Work, free []Destination, chosen bool) (endpoint.Info, bool) {
-	if !chosen {
+	}
+	if len(room) == 0 {
 		return endpoint.Info{}, false
 	}
-	need := w.KVTokens + w.Remaining
-	best := -1
-	for i, d := range free {
-		if !d.Endpoint.Takes() || d.FreeTokens < need {
-			continue
-		}
-		if best < 0 || (d.HazardPerHour == free[best].HazardPerHour && d.FreeTokens > free[best].FreeTokens) {
-			best = i
-		}
+	best := &free[room[random.IntN(len(room))]]
+	if other := &free[room[random.IntN(len(room))]]; other.before(best) {
+		best = other
 	}
-	if best < 0 {
-		return endpoint.Info{}, false
+	best.FreeTokens -= w.KVTokens + w.Remaining
+	best.Running++
+	return best.Endpoint, true
+}
+
+// hazardStep tells hazards apart in steps of a factor of two: a small difference is no reason to crowd an endpoint.
+func hazardStep(perHour float64) int {
+	if perHour <= 0 {
+		return math.MinInt
+	}
+	return int(math.Floor(math.Log2(perHour)))
+}
+
+// before reports whether d is the better destination.
+func (d *Destination) before(other *Destination) bool {
+	if a, b := hazardStep(d.HazardPerHour), hazardStep(other.HazardPerHour); a != b {
+		return a < b
 	}
-	free[best].FreeTokens -= need
-	return free[best].Endpoint, true
+	return d.Running < other.Running
 }
 
 // Naive is what the plan is measured against: every stream runs until its
--- a/pkg/route/feedback.go
+++ b/pkg/route/feedback.go
@@ -119,12 +119,38 @@
 		return
 	}
 	l.sequence = report.Sequence
+	l.askedAt = time.UnixMilli(report.Sequence)
 	l.running, l.waiting, l.slots = report.Running, report.Waiting, max(report.Slots, 1)
 	l.queuedTokens = report.QueuedTokens
 	l.freeTokens = report.FreeTokens
 	l.sentSince, l.endedSince = 0, 0
 }
 
+// freshFor is how long a report is good for: asking sooner tells nothing new.
+const freshFor = time.Second
+
+// Stalest returns the engine whose load was heard of longest ago, if that is
+// long enough, and notes it as asked.
+func (r *Router) Stalest(now time.Time) (endpoint.Info, bool) {
+	var oldest *slot
+	var oldestAt time.Time
+	for _, s := range r.slots() {
+		s.group.mu.Lock()
+		at, isModel := s.load.askedAt, s.info.Kind == endpoint.Model
+		s.group.mu.Unlock()
+		if isModel && (oldest == nil || at.Before(oldestAt)) {
+			oldest, oldestAt = s, at
+		}
+	}
+	if oldest == nil || now.Sub(oldestAt) < freshFor {
+		return endpoint.Info{}, false
+	}
+	oldest.group.mu.Lock()
+	defer oldest.group.mu.Unlock()
+	oldest.load.askedAt = now
+	return oldest.info, true
+}
+
 // Candidate is one line of an explanation.
 type Candidate struct {
 	Endpoint endpoint.Info
@@ -135,6 +161,8 @@
 	Total    time.Duration
 	Cached   int
 	Running  int
+	// Slots is how many run at once.
+	Slots int
 	// FreeTokens is KV memory left, in tokens, as last reported.
 	FreeTokens int
 	// HazardPerHour is the rate the risk was worked out with.
@@ -154,25 +182,29 @@
 		list = append(list, Candidate{
 			Endpoint: s.info, Usable: g.usable(s, q, now), Wait: sc.wait, Decode: sc.decode, Risk: sc.risk,
 			Total: sc.total, Cached: sc.cached, Running: s.load.running + s.load.sentSince - s.load.endedSince,
-			FreeTokens: s.load.freeTokens, HazardPerHour: s.load.rate,
+			Slots: s.load.slots, FreeTokens: s.load.freeTokens, HazardPerHour: s.load.rate,
 		})
 	}
 	return list
 }
 
-// ChooseAt picks one endpoint that was decided on before; ok is false where it
-// no longer takes work for the target.
-func (r *Router) ChooseAt(t Target, ref endpoint.Ref, now time.Time) (Choice, bool) {
-	g, byID := r.groupFor(t)
+// ChooseAt picks one endpoint that was decided on before. ok is false where it
+// does not take the request: later is true if it may do so yet, because the
+// request can wait and the endpoint has no room at the moment.
+func (r *Router) ChooseAt(q Query, ref endpoint.Ref, now time.Time) (c Choice, ok, later bool) {
+	g, byID := r.groupFor(q.Target)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	s, ok := byID[ref.ID]
-	if !ok || s.group != g || s.info.Ref() != ref {
-		return Choice{}, false
+	s, known := byID[ref.ID]
+	if !known || s.group != g || s.info.Ref() != ref {
+		return Choice{}, false, false
+	}
+	if q.MayWait && !s.load.hasRoomForWaiting(q.stale) {
+		return Choice{}, false, true
 	}
 	s.load.sentSince++
 	s.load.ownRunning++
-	return Choice{Endpoint: s.info, sent: now}, true
+	return Choice{Endpoint: s.info, sent: now}, true, false
 }
 
 // Lookup returns what is known of an endpoint.
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -34,10 +34,14 @@
 	// Done is tokens of the answer had already, to be prefilled again.
 	Done int
 	// Stake is how many seconds a lost second of work counts for; 1 for work
-	// that waits, more for a caller at a counter.
+	// that waits, more for a caller at a counter, 0 to leave risk out.
 	Stake float64
 	// Avoid lists endpoints that this request failed on.
 	Avoid []endpoint.Ref
+	// MayWait marks work that takes an endpoint only where that leaves room for
+	// callers who wait.
+	MayWait bool
+	stale   bool
 }
 
 // Choice is an endpoint chosen. Every Choice must be ended with Done.
@@ -62,6 +66,9 @@
 	RoundRobin
 	LeastReported
 	PowerOfTwo
+	// ExpectedStale is Expected without the correction of reports by what was
+	// sent since: for measuring what the correction is worth.
+	ExpectedStale
 )
 
 // Parameters of the choice.
@@ -148,6 +155,8 @@
 	queuedTokens            int
 	freeTokens              int
 	sequence                int64
+	// askedAt is when the endpoint was last asked, or heard of unasked.
+	askedAt time.Time
 	// sentSince counts own requests sent after the report; endedSince own
 	// requests, among those the report saw, that have ended since.
 	sentSince, endedSince int
@@ -298,7 +307,8 @@
 	defer g.mu.Unlock()
 	var best *slot
 	var score score
-	if strategy == Expected {
+	if strategy == Expected || strategy == ExpectedStale {
+		q.stale = strategy == ExpectedStale
 		best, score = r.pickExpected(g, byID, q, now)
 	} else {
 		best = g.pickNaive(q, strategy, now)
@@ -366,16 +376,38 @@
 			return false
 		}
 	}
+	if q.MayWait && !s.load.hasRoomForWaiting(q.stale) {
+		return false
+	}
 	if now.Before(s.load.ejectedUntil) {
 		return float64(g.ejected) > ejectShare*float64(len(g.slots))
 	}
 	return true
 }
 
+// WaitingShare is the part of an endpoint's slots that work that can wait may
+// fill; the rest is for callers who wait, also after a data centre is lost and
+// before anything new is bought.
+const WaitingShare = 0.6
+
+// hasRoomForWaiting reports whether work that can wait may be sent.
+func (l *load) hasRoomForWaiting(stale bool) bool {
+	return l.waiting == 0 && float64(l.estimate(stale)) < WaitingShare*float64(l.slots)
+}
+
+// estimate is how many requests are thought to run, by the latest report and,
+// unless only that is to count, by what was sent and ended since.
+func (l *load) estimate(stale bool) int {
+	if stale {
+		return l.running
+	}
+	return max(l.running+l.sentSince-l.endedSince, l.ownRunning)
+}
+
 // score works out the expected time at one endpoint.
 func (r *Router) score(s *slot, q Query, now time.Time) score {
 	l := &s.load
-	running := max(l.running+l.sentSince-l.endedSince, l.ownRunning)
+	running := l.estimate(q.stale)
 	waiting := l.waiting
 	if running > l.slots {
 		waiting += running - l.slots
@@ -401,7 +433,7 @@
 
 // riskOf is the work a reclaim would lose times its probability, in time.
 func (r *Router) riskOf(s *slot, q Query, duration time.Duration, now time.Time) time.Duration {
-	if !s.info.Reclaimable {
+	if !s.info.Reclaimable || q.Stake == 0 {
 		return 0
 	}
 	l := &s.load
@@ -412,5 +444,5 @@
 	probability := min(1, l.rate*duration.Seconds()/secondsAnHour)
 	// Half the answer is lost on average, and all of the prompt.
 	lost := duration/2 + time.Duration(q.PromptTokens+q.Done)*l.prefillPerToken
-	return time.Duration(probability * max(q.Stake, 1) * float64(lost))
+	return time.Duration(probability * q.Stake * float64(lost))
 }
--- a/pkg/settings/controlschema/schema_gen.go
+++ b/pkg/settings/controlschema/schema_gen.go
@@ -95,12 +95,19 @@
 	// Number of shards; the same on every host.
 	Count int `json:"count,omitempty" cbor:"count,omitempty"`
 
+	// Time between looks at the list of hosts, which lags anyway.
+	Hosts time.Duration `json:"hosts,omitempty" cbor:"hosts,omitempty"`
+
 	// Time a shard stays with its holder without renewal.
 	Lease time.Duration `json:"lease,omitempty" cbor:"lease,omitempty"`
 
 	// Time between renewals; under a third of the lease.
 	Renew time.Duration `json:"renew,omitempty" cbor:"renew,omitempty"`
 
+	// Time between looks at what an endpoint has loaded; a tenth of it while an order
+	// is under way.
+	Reports time.Duration `json:"reports,omitempty" cbor:"reports,omitempty"`
+
 	// Time between looks at notices and hosts.
 	Watch time.Duration `json:"watch,omitempty" cbor:"watch,omitempty"`
 }
--- a/pkg/standin/engines/cache.go
+++ b/pkg/standin/engines/cache.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -44,3 +45,18 @@
 	}
 	return cached
 }
+
+// text is a stream's prompt followed by as much of its answer, at the rule of
+// thumb of bytesPerToken for each token so that lengths count the same.
+func (s *stream) text(tokens int) string {
+	var b strings.Builder
+	b.WriteString(s.spec.messages)
+	for b.Len()%bytesPerToken != 0 {
+		b.WriteByte(' ')
+	}
+	for i := range tokens {
+		h := xxhash.Sum64String(token(s.key, i))
+		b.Write([]byte{byte(h), byte(h >> 8), byte(h >> 16), byte(h >> 24)})
+	}
+	return b.String()
+}
--- a/pkg/standin/engines/direct.go
+++ b/pkg/standin/engines/direct.go
@@ -177,12 +177,7 @@
 	if err != nil {
 		return engine.Report{}, err
 	}
-	w := h.engine.report(time.Now())
-	return engine.Report{
-		Sequence: w.Sequence, Incarnation: w.Incarnation, Model: w.Model, Version: w.Version, Adapter: w.Adapter,
-		Running: w.Running, Waiting: w.Waiting, Slots: w.Slots, QueuedTokens: w.QueuedTokens, FreeTokens: w.FreeTokens,
-		Leaving: w.Leaving, Counter: w.Counter, Epoch: w.Epoch,
-	}, nil
+	return h.engine.report(time.Now()).Domain(), nil
 }
 
 // Order gives an order.
@@ -217,6 +212,11 @@
 // Close lets go of the stream.
 func (s *directStream) Close() { s.stream.detach() }
 
+// Report returns the engine's report.
+func (s *directStream) Report() (engine.Report, bool) {
+	return s.host.engine.report(time.Now()).Domain(), true
+}
+
 // Next returns the next frame, with the faults that are set.
 func (s *directStream) Next() (engine.Frame, error) {
 	for len(s.frames) == 0 {
--- a/pkg/standin/engines/engine.go
+++ b/pkg/standin/engines/engine.go
@@ -21,6 +21,12 @@
 	// exceeded, PrefillPerToken the time for each prompt token not cached.
 	TokenGap        time.Duration
 	PrefillPerToken time.Duration
+	// Crowding slows every stream by this part when all slots are taken, and by
+	// less when fewer are: a fuller batch takes longer a step.
+	Crowding float64
+	// StepTokens is how many tokens come at a time; it makes long experiments
+	// cheaper. 0 is 1.
+	StepTokens int
 	// CacheBlocks bounds the prefix cache, in blocks of blockBytes.
 	CacheBlocks int
 	// LoadTime is how long a model takes to load.
@@ -208,6 +214,8 @@
 func (e *Engine) run(s *stream) {
 	defer func() {
 		e.mu.Lock()
+		// What was computed stays cached until it is evicted.
+		e.cache.use(s.text(s.available()))
 		e.running--
 		e.admit()
 		e.mu.Unlock()
@@ -217,13 +225,14 @@
 		return
 	}
 	for s.available() < s.length {
-		if !s.sleep(e.gap()) || s.abandoned(e.options.Linger) {
+		step := min(max(e.options.StepTokens, 1), s.length-s.available())
+		if !s.sleep(time.Duration(step)*e.gap()) || s.abandoned(e.options.Linger) {
 			s.cancel()
 			return
 		}
-		s.append()
+		s.append(step)
 		e.mu.Lock()
-		e.generated++
+		e.generated += int64(step)
 		e.mu.Unlock()
 	}
 	s.finish()
@@ -234,7 +243,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	promptTokens := countTokens(s.spec.messages)
-	cached := min(e.cache.use(s.spec.messages), promptTokens)
+	cached := min(e.cache.use(s.text(s.spec.done)), promptTokens+s.spec.done)
 	if moved, ok := e.imported[s.spec.request]; ok {
 		cached = min(moved, promptTokens+s.spec.done)
 		delete(e.imported, s.spec.request)
@@ -251,7 +260,8 @@
 func (e *Engine) gap() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.options.TokenGap
+	crowding := 1 + e.options.Crowding*float64(e.running)/float64(e.options.Slots)
+	return time.Duration(crowding * float64(e.options.TokenGap))
 }
 
 func (e *Engine) forget(s *stream) {
--- a/pkg/standin/engines/server.go
+++ b/pkg/standin/engines/server.go
@@ -118,6 +118,10 @@
 	st.attach()
 	defer st.detach()
 	w.Header().Set("Content-Type", "text/event-stream")
+	if r.Header.Get(engine.HeaderLoadFormat) == engine.LoadFormat {
+		report, _ := json.Marshal(s.currentReport())
+		w.Header().Set(engine.HeaderLoad, string(report))
+	}
 	w.WriteHeader(http.StatusOK)
 	controller := http.NewResponseController(w)
 	out := frameWriter{w: w, spec: st.spec, faults: *s.faults.Load()}
--- a/pkg/standin/engines/stream.go
+++ b/pkg/standin/engines/stream.go
@@ -37,10 +37,10 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *stream) append() {
+func (s *stream) append(tokens int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.count++
+	s.count += tokens
 	s.signal()
 }
 
--- a/pkg/stream/active.go
+++ b/pkg/stream/active.go
@@ -17,6 +17,8 @@
 // active is the streams this process runs, by endpoint.
 type active struct {
 	shards [activeShards]activeShard
+	// byRequest finds the same runs.
+	byRequest sync.Map
 }
 
 type activeShard struct {
@@ -36,6 +38,7 @@
 	expected       int
 	gap            time.Duration
 	shared         int
+	mayWait        bool
 }
 
 func newActive() *active {
@@ -58,6 +61,15 @@
 		s.running[r.endpoint.ID] = map[string]*run{}
 	}
 	s.running[r.endpoint.ID][r.request] = r
+	a.byRequest.Store(r.request, r)
+}
+
+func (a *active) find(request string) (*run, bool) {
+	held, ok := a.byRequest.Load(request)
+	if !ok {
+		return nil, false
+	}
+	return held.(*run), true
 }
 
 func (a *active) remove(r *run) {
@@ -65,6 +77,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.running[r.endpoint.ID], r.request)
+	a.byRequest.CompareAndDelete(r.request, r)
 	if len(s.running[r.endpoint.ID]) == 0 {
 		delete(s.running, r.endpoint.ID)
 	}
@@ -101,5 +114,6 @@
 		Remaining: max(r.expected-r.tokens, 1),
 		Gap:       r.gap,
 		Shared:    min(r.shared, r.prompt),
+		MayWait:   r.mayWait,
 	}
 }
--- a/pkg/stream/counters.go
+++ b/pkg/stream/counters.go
@@ -9,6 +9,7 @@
 	Reattached  prometheus.Counter
 	Moved       prometheus.Counter
 	MoveFailed  prometheus.Counter
+	Yielded     prometheus.Counter
 	Broken      prometheus.Counter
 	Foreign     prometheus.Counter
 	Tokens      prometheus.Counter
@@ -29,6 +30,7 @@
 		Reattached:  counter("reattached_total", "Streams taken up at the endpoint that still ran them."),
 		Moved:       counter("moved_total", "Streams whose KV cache was moved off a leaving endpoint."),
 		MoveFailed:  counter("move_failed_total", "Moves of KV cache that failed."),
+		Yielded:     counter("yielded_total", "Attempts of work that can wait that gave their place up."),
 		Broken:      counter("broken_total", "Attempts that broke off."),
 		Foreign:     counter("foreign_frames_total", "Frames of another attempt that were dropped."),
 		Tokens:      counter("tokens_total", "Tokens passed on."),
--- a/pkg/stream/leave.go
+++ b/pkg/stream/leave.go
@@ -24,6 +24,11 @@
 	leadTime = 300 * time.Millisecond
 )
 
+// lastLook is the part of a notice after which what was to finish by itself and
+// has not is planned for once more: lengths are guesses, and a cache that is
+// moved for nothing costs less than one that is lost.
+const lastLook = 0.6
+
 // Leaving moves this process's work off an endpoint that was given notice. It
 // returns once the plan is carried out or the endpoint is gone. A naive plan
 // leaves every stream to break off.
@@ -31,6 +36,20 @@
 	if naive {
 		return
 	}
+	notice := time.Until(info.LeaveBy)
+	r.planOnce(ctx, info, 1)
+	if !sleep(ctx, time.Until(info.LeaveBy)-time.Duration((1-lastLook)*float64(notice))) {
+		return
+	}
+	r.planOnce(ctx, info, caution)
+}
+
+// caution is how many times longer than reckoned streams are taken to run on
+// at the last look.
+const caution = 4
+
+// planOnce plans for the streams that run on an endpoint now.
+func (r *Runner) planOnce(ctx context.Context, info endpoint.Info, factor int) {
 	now := time.Now()
 	runs := r.active.on(info.Ref())
 	if len(runs) == 0 {
@@ -39,14 +58,16 @@
 	byID := map[string]*run{}
 	works := make([]reclaim.Work, 0, len(runs))
 	for _, held := range runs {
+		work := held.work()
+		work.Remaining *= factor
 		byID[held.request] = held
-		works = append(works, held.work())
+		works = append(works, work)
 	}
 	steps := reclaim.Plan(works, r.destinations(info, now), reclaim.Limits{
 		Notice:         info.LeaveBy.Sub(now),
 		BytesPerSecond: bytesPerSecond * ownPart,
 		BytesPerToken:  bytesPerToken,
-	})
+	}, globalRandom)
 	r.carryOut(ctx, info, steps, byID)
 }
 
@@ -58,7 +79,7 @@
 			continue
 		}
 		place := hazard.Place{DataCenter: c.Endpoint.DataCenter, Class: c.Endpoint.Class}
-		d := reclaim.Destination{Endpoint: c.Endpoint, FreeTokens: c.FreeTokens, Running: c.Running}
+		d := reclaim.Destination{Endpoint: c.Endpoint, FreeTokens: c.FreeTokens, Running: c.Running, Slots: c.Slots}
 		if c.Endpoint.Reclaimable {
 			d.HazardPerHour = r.hazard.Rate(place, now)
 		}
@@ -71,29 +92,23 @@
 const movesAtOnce = 4
 
 func (r *Runner) carryOut(ctx context.Context, info endpoint.Info, steps []reclaim.Step, byID map[string]*run) {
-	var wait sync.WaitGroup
+	var moves sync.WaitGroup
 	slots := make(chan struct{}, movesAtOnce)
 	for _, step := range steps {
 		held := byID[step.Work.ID]
 		switch action := step.Action.(type) {
 		case reclaim.Finish:
 		case reclaim.Move:
-			wait.Add(1)
 			slots <- struct{}{}
-			go func() {
-				defer wait.Done()
+			moves.Go(func() {
 				r.move(ctx, held, action.To)
 				<-slots
-			}()
-		case reclaim.Resume:
-			wait.Add(1)
-			time.AfterFunc(time.Until(info.LeaveBy.Add(-leadTime)), func() {
-				defer wait.Done()
-				held.cancel(errMoved{})
 			})
+		case reclaim.Resume:
+			time.AfterFunc(time.Until(info.LeaveBy.Add(-leadTime)), func() { held.cancel(errMoved{}) })
 		}
 	}
-	wait.Wait()
+	moves.Wait()
 }
 
 // move fetches the KV cache at the destination, then takes the stream there.
@@ -107,3 +122,15 @@
 	r.counters.Moved.Inc()
 	held.cancel(errMoved{to: &to})
 }
+
+// Yield takes a request's running attempt off its endpoint, to go on later from
+// its tokens. It reports false for a request that has no attempt running.
+func (r *Runner) Yield(request string) bool {
+	held, ok := r.active.find(request)
+	if !ok {
+		return false
+	}
+	r.counters.Yielded.Inc()
+	held.cancel(errMoved{})
+	return true
+}
--- a/pkg/stream/runner.go
+++ b/pkg/stream/runner.go
@@ -10,6 +10,7 @@
 	"io"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"ironhollow/pkg/code"
@@ -23,6 +24,8 @@
 // Request is one request to a model service.
 type Request struct {
 	Prompt engine.Prompt
+	// Service is whose answers' lengths this one's is reckoned from.
+	Service string
 	// Prefix is route.Hash of the messages, PromptTokens an estimate.
 	Prefix       []uint64
 	PromptTokens int
@@ -38,6 +41,11 @@
 	Patience time.Duration
 	// Strategy is how endpoints are chosen.
 	Strategy route.Strategy
+	// MayWait marks work that leaves room for callers who wait.
+	MayWait bool
+	// Reenter is called before an attempt after the first, if it is set: work
+	// that can wait gives its place up and queues for another one.
+	Reenter func(context.Context) error
 }
 
 // Sink takes the answer's tokens in order, without gap or repeat. An error
@@ -86,7 +94,8 @@
 	hazard   *hazard.Estimator
 	counters *Counters
 	active   *active
-	lengths  sync.Map // of model name to *length
+	lengths  sync.Map // of service name to *length
+	onReport atomic.Pointer[func(endpoint.Info, engine.Report)]
 }
 
 // New returns a runner.
@@ -94,8 +103,25 @@
 	return &Runner{router: router, engines: engines, budget: budget, hazard: estimator, counters: counters, active: newActive()}
 }
 
+// OnReport sets what takes the load reports that come with answers.
+func (r *Runner) OnReport(take func(endpoint.Info, engine.Report)) { r.onReport.Store(&take) }
+
+// passReport hands on the report that came with a stream.
+func (r *Runner) passReport(info endpoint.Info, stream engine.Stream) {
+	take := r.onReport.Load()
+	if take == nil {
+		return
+	}
+	if report, ok := stream.Report(); ok {
+		(*take)(info, report)
+	}
+}
+
 // Bounds of one request.
 const (
+	// parkTime is how long work that can wait does so where its KV cache was
+	// moved, before it goes elsewhere and has it computed again.
+	parkTime = time.Minute
 	// mostAttempts ends a request that breaks every endpoint it meets.
 	mostAttempts = 12
 	// stallTime is how long a stream may be silent before it counts as broken.
@@ -158,6 +184,8 @@
 	avoid []endpoint.Ref
 	// next is where a move has put the KV cache.
 	next *endpoint.Info
+	// nextUntil is how long to wait for room there.
+	nextUntil time.Time
 	// carried says that the attempt starts where its KV cache was moved.
 	carried  bool
 	version  string
@@ -199,6 +227,7 @@
 			return Result{}, overdueError(p)
 		case moved:
 			p.next = end.to
+			p.nextUntil = time.Now().Add(parkTime)
 			p.avoid = p.avoid[:0]
 		case refused:
 			p.lastFail = end.err
@@ -209,9 +238,22 @@
 		if err := r.pauseBeforeNext(ctx, p, end); err != nil {
 			return Result{}, err
 		}
+		if err := reenter(ctx, p); err != nil {
+			return Result{}, err
+		}
 	}
 }
 
+func reenter(ctx context.Context, p *progress) error {
+	if p.request.Reenter == nil {
+		return nil
+	}
+	if err := p.request.Reenter(ctx); err != nil {
+		return endOfWait(ctx, p)
+	}
+	return nil
+}
+
 func overdueError(p *progress) error {
 	if p.attempts == 0 {
 		return code.New(code.NoEndpoint, "no endpoint took the request before its deadline")
@@ -266,6 +308,7 @@
 		Done:         len(p.tokens),
 		Stake:        p.request.Stake,
 		Avoid:        p.avoid,
+		MayWait:      p.request.MayWait,
 	}
 }
 
@@ -290,7 +333,10 @@
 
 func (r *Runner) chooseNow(p *progress, now time.Time) (route.Choice, bool) {
 	if p.next != nil {
-		c, ok := r.router.ChooseAt(p.target, p.next.Ref(), now)
+		c, ok, later := r.router.ChooseAt(r.query(p), p.next.Ref(), now)
+		if later && now.Before(p.nextUntil) {
+			return route.Choice{}, false
+		}
 		p.next = nil
 		p.carried = ok
 		if ok {
@@ -394,7 +440,7 @@
 	return &run{
 		request: p.request.Prompt.Request, endpoint: c.Endpoint, cancel: cancel,
 		prompt: p.request.PromptTokens, tokens: len(p.tokens),
-		expected: r.expectedLength(p), gap: r.router.TokenGap(c.Endpoint.ID),
+		expected: r.longLength(p), gap: r.router.TokenGap(c.Endpoint.ID), mayWait: p.request.MayWait,
 	}
 }
 
@@ -410,6 +456,7 @@
 		return route.Result{}, r.endingOf(ctx, err)
 	}
 	defer stream.Close()
+	r.passReport(c.Endpoint, stream)
 	reader := frameReader{runner: r, progress: p, run: held, stall: stall, started: started, attempt: p.attempts}
 	end := reader.readAll(ctx, stream)
 	return reader.result(end), end
@@ -459,7 +506,7 @@
 		return Result{}, false
 	}
 	defer stream.Close()
-	held := &run{request: p.request.Prompt.Request, endpoint: info, cancel: cancel, prompt: p.request.PromptTokens, expected: r.expectedLength(p), gap: r.router.TokenGap(info.ID)}
+	held := &run{request: p.request.Prompt.Request, endpoint: info, cancel: cancel, prompt: p.request.PromptTokens, expected: r.longLength(p), gap: r.router.TokenGap(info.ID)}
 	r.active.add(held)
 	defer r.active.remove(held)
 	r.counters.Reattached.Inc()
@@ -569,7 +616,7 @@
 }
 
 func (r *Runner) finish(p *progress, last engine.Frame) Result {
-	r.learnLength(p.request.Prompt.Model, len(p.tokens))
+	r.learnLength(p.request.Service, len(p.tokens))
 	usage := last.Usage
 	usage.CompletionTokens = len(p.tokens)
 	return Result{Finish: last.Finish, Usage: usage, Attempts: p.attempts, Version: p.version}
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -10,7 +10,6 @@
 stop_all() {
   local pid
   for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
-  wait 2>/dev/null || true
   [ -n "${KEEP:-}" ] || rm -rf "$work"
 }
 
@@ -21,6 +20,7 @@
   "$@" >"$work/$name.log" 2>&1 &
   pid_of[$name]=$!
   pids+=($!)
+  disown $!
 }
 
 # wait_for URL waits until something answers there.
@@ -70,5 +70,7 @@
 lease = 4s
 renew = 1s
 watch = 200ms
+hosts = 800ms
+reports = 2s
 INI
 }
