--- /dev/null
+++ b/pkg/callerapi/callerapi_test.go
@@ -0,0 +1,295 @@
+package callerapi_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"ironhollow/pkg/code"
+	"ironhollow/pkg/load"
+	"ironhollow/pkg/standin/engines"
+	"ironhollow/pkg/standin/services"
+	"ironhollow/pkg/standin/tables"
+)
+
+func want(p load.Prompt, request string) string {
+	return strings.Join(engines.Answer(engines.Loaded{Model: "m", Version: "1"}, string(p.Messages()), load.SeedOf(request), p.MaxTokens), "")
+}
+
+// TestOfficialClientLibrary drives the edge by the library that callers use.
+func TestOfficialClientLibrary(t *testing.T) {
+	e := newSite(t).newEntry(t, "n1")
+	client := openai.NewClient(option.WithBaseURL(e.server.URL+"/v1/"), option.WithAPIKey("secret"), option.WithMaxRetries(0))
+	ctx := context.Background()
+	models, err := client.Models.List(ctx)
+	if err != nil || len(models.Data) != 1 || models.Data[0].ID != "talk" {
+		t.Fatalf("models: got %+v, %v; want talk", models, err)
+	}
+	params := openai.ChatCompletionNewParams{
+		Model: "talk", MaxTokens: openai.Int(40), Seed: openai.Int(7),
+		Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("hello")},
+	}
+	whole, err := client.Chat.Completions.New(ctx, params)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stream := client.Chat.Completions.NewStreaming(ctx, params)
+	text, finish := "", ""
+	for stream.Next() {
+		for _, choice := range stream.Current().Choices {
+			text += choice.Delta.Content
+			finish += choice.FinishReason
+		}
+	}
+	if err := stream.Err(); err != nil {
+		t.Fatal(err)
+	}
+	if text != whole.Choices[0].Message.Content || text == "" || finish != "length" {
+		t.Errorf("streamed %q (%s), whole %q; want the same", text, finish, whole.Choices[0].Message.Content)
+	}
+	if whole.Usage.CompletionTokens != 40 {
+		t.Errorf("usage: got %d tokens, want 40", whole.Usage.CompletionTokens)
+	}
+	params.Model = "nothing"
+	_, err = client.Chat.Completions.New(ctx, params)
+	var refused *openai.Error
+	if !errors.As(err, &refused) || refused.StatusCode != http.StatusNotFound || refused.Code != "unknown-service" {
+		t.Errorf("unknown service: got %v, want 404 unknown-service", err)
+	}
+}
+
+// TestRefusalsAreNumbered sends what can't be served.
+func TestRefusalsAreNumbered(t *testing.T) {
+	e := newSite(t, services.Options{}).newEntry(t, "n1")
+	chat := `{"model":"talk","messages":[{"role":"user"}]}`
+	cases := []struct {
+		name, method, path, key, body string
+		want                          code.Code
+	}{
+		{"no key", "POST", "/v1/chat/completions", "wrong", chat, code.UnknownKey},
+		{"a path that is not", "GET", "/v2", "secret", "", code.UnknownEndpoint},
+		{"a body too long", "POST", "/v1/chat/completions", "secret", `{"model":"` + strings.Repeat("x", 5000) + `"}`, code.BodyTooLong},
+		{"a body that is no JSON", "POST", "/v1/chat/completions", "secret", "{", code.BadBody},
+		{"a plain service as a model", "POST", "/v1/chat/completions", "secret", strings.Replace(chat, "talk", "ledger", 1), code.WrongKind},
+		{"a model as a plain service", "GET", "/v1/services/talk/x", "secret", "", code.WrongKind},
+		{"a service the team may not call", "GET", "/v1/services/ledger/x", "slow", "", code.UnknownService},
+		{"a job that is not", "GET", "/v1/jobs/abc", "secret", "", code.UnknownJob},
+		{"a wait that is none", "GET", "/v1/jobs/abc?wait=long", "secret", "", code.BadHeader},
+	}
+	for _, c := range cases {
+		request, _ := http.NewRequest(c.method, e.server.URL+c.path, strings.NewReader(c.body))
+		request.Header.Set("Authorization", "Bearer "+c.key)
+		response := e.do(t, request)
+		if got := response.Header.Get("Ironhollow-Code"); got != strconv.Itoa(c.want.Number()) || response.StatusCode != c.want.Status() {
+			t.Errorf("%s: got code %s with status %d, want %d with %d", c.name, got, response.StatusCode, c.want.Number(), c.want.Status())
+		}
+	}
+}
+
+func TestTeamOverItsRateIsToldWhenToComeBack(t *testing.T) {
+	e := newSite(t).newEntry(t, "n1")
+	var last *http.Response
+	for range 2 {
+		request, _ := http.NewRequest("POST", e.server.URL+"/v1/chat/completions", strings.NewReader(`{"model":"talk","max_tokens":1,"messages":[{"role":"user"}]}`))
+		request.Header.Set("Authorization", "Bearer slow")
+		last = e.do(t, request)
+	}
+	if got := last.Header.Get("Retry-After"); last.StatusCode != http.StatusTooManyRequests || got != "100" {
+		t.Errorf("got status %d, Retry-After %q; want 429 and 100", last.StatusCode, got)
+	}
+}
+
+// TestBrokenStreamGoesOnAtAnotherEntry reads a part of an answer, loses its
+// entry, and takes the answer up at another one by the last event's id: while
+// the engine still runs the stream, and after that engine has died too.
+func TestBrokenStreamGoesOnAtAnotherEntry(t *testing.T) {
+	for _, engineDies := range []bool{false, true} {
+		site := newSite(t)
+		first, second := site.newEntry(t, "n1"), site.newEntry(t, "n2")
+		prompt := load.Prompt{Service: "talk", Text: "hello", MaxTokens: 300}
+		body, _ := json.Marshal(map[string]any{"model": "talk", "messages": prompt.Messages(), "max_tokens": 300, "stream": true})
+		request, _ := http.NewRequest("POST", first.server.URL+"/v1/chat/completions", bytes.NewReader(body))
+		response := first.do(t, request)
+		id := response.Header.Get("Ironhollow-Request")
+		events := make([]byte, 4000)
+		if _, err := io.ReadFull(response.Body, events); err != nil {
+			t.Fatal(err)
+		}
+		text, mark := readEvents(string(events))
+		first.server.CloseClientConnections()
+		if engineDies {
+			site.direct.Kill("e0")
+			site.direct.Kill("e1")
+			again := newSite(t)
+			second = again.newEntry(t, "n2")
+		}
+		request, _ = http.NewRequest("POST", second.server.URL+"/v1/chat/completions", bytes.NewReader(body))
+		request.Header.Set("Last-Event-ID", mark)
+		rest, err := io.ReadAll(second.do(t, request).Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		more, _ := readEvents(string(rest))
+		if text == "" || more == "" || text+more != want(prompt, id) {
+			t.Errorf("engine dies %v: got %d + %d characters, want the %d of the whole", engineDies, len(text), len(more), len(want(prompt, id)))
+		}
+		if !strings.HasSuffix(string(rest), "data: [DONE]\n\n") {
+			t.Error("the answer has no mark of its end")
+		}
+	}
+}
+
+// readEvents returns the text of whole events and the id of the last.
+func readEvents(events string) (text, mark string) {
+	parts := strings.Split(events, "\n\n")
+	for _, event := range parts[:len(parts)-1] {
+		id, data, ok := strings.Cut(event, "\n")
+		if !ok {
+			continue
+		}
+		var chunk struct {
+			Choices []struct {
+				Delta struct {
+					Content string `json:"content"`
+				} `json:"delta"`
+			} `json:"choices"`
+		}
+		if json.Unmarshal([]byte(strings.TrimPrefix(data, "data: ")), &chunk) == nil && len(chunk.Choices) > 0 {
+			text += chunk.Choices[0].Delta.Content
+			mark = strings.TrimPrefix(id, "id: ")
+		}
+	}
+	return text, mark
+}
+
+// TestPlainCallEndsAreToldApart brings about each end of a call that may not be
+// repeated, with a key and without, and counts the runs.
+func TestPlainCallEndsAreToldApart(t *testing.T) {
+	cases := []struct {
+		name    string
+		options []services.Options
+		down    bool
+		key     string
+		want    string
+		runs    int
+	}{
+		{"done", []services.Options{{}}, false, "k", "done", 1},
+		{"done without a key", []services.Options{{}}, false, "", "done", 1},
+		{"the answer is cut off after the run", []services.Options{{CutAfterRun: true}}, false, "k", "unknown", 1},
+		{"the same without a key", []services.Options{{CutAfterRun: true}}, false, "", "unknown", 1},
+		{"no endpoint", nil, false, "k", "not-run", 0},
+		{"the store is down", []services.Options{{}}, true, "k", "not-run", 0},
+	}
+	for _, c := range cases {
+		site := newSite(t, c.options...)
+		if c.down {
+			site.rows.SetFaults(func(tables.Call) tables.Fault { return tables.Down{} })
+		}
+		first, second := site.newEntry(t, "n1"), site.newEntry(t, "n2")
+		for i, e := range []*entry{first, second} {
+			if i == 1 && c.key == "" {
+				continue
+			}
+			request, _ := http.NewRequest("POST", e.server.URL+"/v1/services/ledger/confirmations", strings.NewReader("x"))
+			if c.key != "" {
+				request.Header.Set("Idempotency-Key", c.key)
+			}
+			response := e.do(t, request)
+			if got := response.Header.Get("Ironhollow-Outcome"); got != c.want {
+				t.Errorf("%s, request %d: got %q (status %d), want %q", c.name, i+1, got, response.StatusCode, c.want)
+			}
+		}
+		if got := site.ledger.Runs(c.key); got != c.runs {
+			t.Errorf("%s: got %d runs, want %d", c.name, got, c.runs)
+		}
+	}
+}
+
+// TestRepeatableCallIsTriedElsewhere has the first endpoint cut its answer.
+func TestRepeatableCallIsTriedElsewhere(t *testing.T) {
+	site := newSite(t, services.Options{CutAfterRun: true}, services.Options{})
+	e := site.newEntry(t, "n1")
+	for range 4 {
+		request, _ := http.NewRequest("POST", e.server.URL+"/v1/services/ledger/notes?x=1", strings.NewReader("body"))
+		request.Header.Set("Connection", "X-Private")
+		request.Header.Set("X-Private", "1")
+		response := e.do(t, request)
+		var answer services.Answer
+		if err := json.NewDecoder(response.Body).Decode(&answer); err != nil || answer.Path != "/notes" || answer.Body != "body" {
+			t.Errorf("got %+v, %v; want the call's path and body", answer, err)
+		}
+	}
+}
+
+// TestLeavingHostTellsItsCallersWhereToGo marks an entry as leaving.
+func TestLeavingHostTellsItsCallersWhereToGo(t *testing.T) {
+	site := newSite(t)
+	e, other := site.newEntry(t, "n1"), site.newEntry(t, "n2")
+	e.nodes.Merge(other.self)
+	leaving := e.self
+	leaving.Leaving = true
+	leaving.Counter++
+	e.nodes.Merge(leaving)
+	request, _ := http.NewRequest("POST", e.server.URL+"/v1/chat/completions", strings.NewReader(`{"model":"talk","max_tokens":2,"messages":[{"role":"user"}]}`))
+	response := e.do(t, request)
+	if response.StatusCode != http.StatusOK || response.Header.Get("Ironhollow-Entries") != other.address() {
+		t.Errorf("got status %d, entries %q; want it served and %q named", response.StatusCode, response.Header.Get("Ironhollow-Entries"), other.address())
+	}
+	request, _ = http.NewRequest("GET", e.server.URL+"/v1/entries", nil)
+	data, _ := io.ReadAll(e.do(t, request).Body)
+	if strings.Contains(string(data), e.address()) || !strings.Contains(string(data), other.address()) {
+		t.Errorf("entries: got %s, want %s alone", data, other.address())
+	}
+}
+
+// TestJobIsAcceptedOnceAndShownByAnyEntry is the way of a job over HTTP.
+func TestJobIsAcceptedOnceAndShownByAnyEntry(t *testing.T) {
+	site := newSite(t)
+	first, second := site.newEntry(t, "n1"), site.newEntry(t, "n2")
+	c := load.NewClient("secret", []string{first.address()}, http.DefaultClient)
+	prompt := load.Prompt{Service: "talk", Text: "review", MaxTokens: 50}
+	ctx := context.Background()
+	j, err := c.PostJob(ctx, first.address(), "k", prompt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := c.PostJob(ctx, second.address(), "k", prompt)
+	if err != nil || again.ID != j.ID {
+		t.Errorf("the same key: got %s, %v; want %s", again.ID, err, j.ID)
+	}
+	done, err := c.GetJob(ctx, second.address(), j.ID, 30*time.Second)
+	if err != nil || done.Result == nil || done.Result.Text != want(prompt, j.ID) {
+		t.Errorf("got %+v, %v; want the whole answer", done, err)
+	}
+}
+
+// TestChunkedBodyIsBounded has a caller send a body without end or length;
+// the bound on bodies holds what is kept of it.
+func TestChunkedBodyIsBounded(t *testing.T) {
+	e := newSite(t).newEntry(t, "n1")
+	reader, writer := io.Pipe()
+	go func() {
+		chunk := bytes.Repeat([]byte("x"), 1024)
+		for {
+			if _, err := writer.Write(chunk); err != nil {
+				return
+			}
+		}
+	}()
+	request, _ := http.NewRequest("POST", e.server.URL+"/v1/chat/completions", reader)
+	response := e.do(t, request)
+	_ = reader.Close()
+	if got := response.Header.Get("Ironhollow-Code"); got != strconv.Itoa(code.BodyTooLong.Number()) {
+		t.Errorf("got code %s, want %d", got, code.BodyTooLong.Number())
+	}
+}
--- /dev/null
+++ b/pkg/callerapi/fleet_test.go
@@ -0,0 +1,178 @@
+package callerapi_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"ironhollow/pkg/callerapi"
+	"ironhollow/pkg/chat"
+	"ironhollow/pkg/claim"
+	"ironhollow/pkg/config"
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/engine"
+	"ironhollow/pkg/explain"
+	"ironhollow/pkg/fleet"
+	"ironhollow/pkg/hazard"
+	"ironhollow/pkg/httpx"
+	"ironhollow/pkg/job"
+	"ironhollow/pkg/limit"
+	"ironhollow/pkg/membership"
+	"ironhollow/pkg/plainservice"
+	"ironhollow/pkg/platform/table"
+	"ironhollow/pkg/retry"
+	"ironhollow/pkg/route"
+	"ironhollow/pkg/standin/engines"
+	"ironhollow/pkg/standin/objects"
+	"ironhollow/pkg/standin/services"
+	"ironhollow/pkg/standin/tables"
+	"ironhollow/pkg/stream"
+)
+
+const configText = `[service talk]
+kind = model
+model = m
+max-tokens = 500
+[service ledger]
+kind = plain
+deadline = 2s
+not-repeated = POST /confirmations
+[team agents]
+keys = %s
+rate = 1000
+burst = 1000
+[team slow]
+keys = %s
+rate = 0.01
+burst = 1
+services = talk
+`
+
+// site is what entries share: engines, a plain service, the platform.
+type site struct {
+	rows   *tables.Store
+	bodies *objects.Store
+	direct *engines.Direct
+	ledger *services.Ledger
+	plain  []*httptest.Server
+	infos  []endpoint.Info
+}
+
+func newSite(t *testing.T, plain ...services.Options) *site {
+	t.Helper()
+	s := &site{rows: tables.New(), bodies: objects.New(), direct: engines.NewDirect(), ledger: services.NewLedger()}
+	options := engines.DefaultOptions()
+	options.TokenGap = time.Millisecond
+	options.LoadTime = 0
+	for i := range 2 {
+		e := engines.New(1, options)
+		address := fmt.Sprintf("e%d", i)
+		s.direct.Add(address, e)
+		if err := s.direct.Order(context.Background(), address, engine.Order{Epoch: 1, Model: "m", Version: "1"}); err != nil {
+			t.Fatal(err)
+		}
+		s.infos = append(s.infos, endpoint.Info{
+			ID: address, Incarnation: 1, State: endpoint.Live, Kind: endpoint.Model, Model: "m", Version: "1", Address: address, Counter: 1,
+		})
+	}
+	for i, o := range plain {
+		server := httptest.NewServer(services.Handler(s.ledger, o))
+		t.Cleanup(server.Close)
+		s.plain = append(s.plain, server)
+		s.infos = append(s.infos, endpoint.Info{
+			ID: fmt.Sprintf("p%d", i), Incarnation: 1, State: endpoint.Live, Kind: endpoint.Plain, Service: "ledger",
+			Address: server.Listener.Addr().String(),
+		})
+	}
+	return s
+}
+
+// entry is one entry's edge over a site.
+type entry struct {
+	server *httptest.Server
+	nodes  *membership.Table
+	self   membership.Node
+	api    *callerapi.API
+}
+
+func (s *site) newEntry(t *testing.T, name string) *entry {
+	t.Helper()
+	registry := prometheus.NewRegistry()
+	holder, nodes, directory := config.New(), membership.NewTable(), endpoint.NewDirectory()
+	sections, err := fleet.Parse("test.ini", fmt.Appendf(nil, configText, fleet.HashKey("secret"), fleet.HashKey("slow")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := holder.Apply(config.Change{Revision: 1, Whole: true, Sections: sections}); err != nil {
+		t.Fatal(err)
+	}
+	for _, info := range s.infos {
+		directory.Merge(info)
+	}
+	estimator := hazard.New()
+	router := route.New(directory, estimator, route.Home{Node: name}, 1)
+	budget := retry.New(0.1, time.Now())
+	runner := stream.New(router, s.direct, budget, estimator, stream.NewCounters(registry))
+	writer := table.NewWriter(s.rows, name)
+	jobs := job.NewStore(writer, s.bodies, job.NewBatcher(writer, time.Millisecond))
+	ctx, cancel := context.WithCancel(context.Background())
+	jobCounters := job.NewCounters(registry)
+	worker := job.NewWorker(ctx, jobs, generator{runner, holder}, name, 4, func() time.Duration { return time.Minute }, jobCounters)
+	e := &entry{nodes: nodes, self: membership.Node{ID: name, Incarnation: 1, Status: membership.Alive}}
+	e.api = callerapi.New(callerapi.Deps{
+		Node: name, Owner: name, Limits: callerapi.Limits{BodyBytes: 4096, AnswerBytes: 4096, Requests: 100, WriteTimeout: 5 * time.Second},
+		Config: holder, Nodes: nodes, Router: router, Runner: runner, Rates: limit.NewRates(), Gates: limit.NewGates(),
+		Jobs: jobs, Worker: worker, JobStat: jobCounters, Claims: claim.New(writer), Plain: plainservice.New(httpx.NewClient(4)),
+		Budget: budget, History: explain.NewHistory(), Tracer: noop.NewTracerProvider().Tracer(""), Metrics: callerapi.NewCounters(registry),
+	})
+	e.server = httptest.NewServer(e.api)
+	e.self.CallerAddress = e.server.Listener.Addr().String()
+	nodes.Merge(e.self)
+	t.Cleanup(func() {
+		cancel()
+		e.server.Close()
+	})
+	return e
+}
+
+func (e *entry) address() string { return e.server.Listener.Addr().String() }
+
+// generator gives jobs their answers as the entry process does, without gates.
+type generator struct {
+	runner *stream.Runner
+	config *config.Holder
+}
+
+func (g generator) Generate(ctx context.Context, j job.Job, _ string, received []string, started func(job.Progress)) (job.Result, error) {
+	body, err := chat.Parse(j.Body)
+	if err != nil {
+		return job.Result{}, err
+	}
+	s, _ := g.config.Current().Service(j.Service)
+	request := body.Request(j.ID, s)
+	request.Prompt.Deadline = j.Deadline
+	collector := chat.NewCollector("1", received)
+	started(collector)
+	result, err := g.runner.Run(ctx, request, collector)
+	return job.Result{Text: collector.Text(), Finish: result.Finish}, err
+}
+
+// do sends a request with the good key and returns the answer.
+func (e *entry) do(t *testing.T, request *http.Request) *http.Response {
+	t.Helper()
+	if request.Header.Get("Authorization") == "" {
+		request.Header.Set("Authorization", "Bearer secret")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = response.Body.Close() })
+	return response
+}
--- a/pkg/entrychoice/entrychoice.go
+++ b/pkg/entrychoice/entrychoice.go
@@ -22,18 +22,29 @@
 // spread evenly whichever hosts they ask; hosts in the caller's data centre
 // come first where it is known and has any with room.
 func Choose(nodes []membership.Node, dataCenter string, random *rand.Rand) []membership.Node {
-	var candidates []candidate
+	best := make([]candidate, 0, mostEntries+1)
 	for _, n := range withRoom(nodes) {
-		candidates = append(candidates, candidate{n, priority(n, dataCenter, random)})
+		best = keep(best, candidate{n, priority(n, dataCenter, random)})
 	}
-	sort.Slice(candidates, func(i, j int) bool { return candidates[i].priority > candidates[j].priority })
-	chosen := make([]membership.Node, 0, mostEntries)
-	for _, c := range candidates[:min(len(candidates), mostEntries)] {
-		chosen = append(chosen, c.node)
+	chosen := make([]membership.Node, len(best))
+	for i, c := range best {
+		chosen[i] = c.node
 	}
 	return chosen
 }
 
+// keep puts a candidate in its place among the best ones, in order.
+func keep(best []candidate, c candidate) []candidate {
+	at := sort.Search(len(best), func(i int) bool { return best[i].priority < c.priority })
+	if at == mostEntries {
+		return best
+	}
+	best = append(best, candidate{})
+	copy(best[at+1:], best[at:])
+	best[at] = c
+	return best[:min(len(best), mostEntries)]
+}
+
 type candidate struct {
 	node     membership.Node
 	priority float64
--- a/pkg/limit/gate.go
+++ b/pkg/limit/gate.go
@@ -118,6 +118,9 @@
 // Acquire waits for a place. It returns TooLate at once where the wait that is
 // to be expected passes the deadline, and the context's error if that ends.
 func (g *Gate) Acquire(ctx context.Context, ask Ask, now time.Time) (Ticket, error) {
+	if err := ctx.Err(); err != nil {
+		return Ticket{}, err
+	}
 	g.mu.Lock()
 	if g.length == 0 && g.hasRoom(ask.MayWait) {
 		g.used++
--- /dev/null
+++ b/pkg/route/route_test.go
@@ -0,0 +1,264 @@
+package route_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/engine"
+	"ironhollow/pkg/hazard"
+	"ironhollow/pkg/route"
+)
+
+// TestMain fixes the seed of property tests: the same verdict on each run.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20261202")
+	os.Exit(m.Run())
+}
+
+var (
+	now    = time.UnixMilli(1_800_000_000_000)
+	target = route.Target{Model: "m", Version: "1"}
+)
+
+func info(i int) endpoint.Info {
+	return endpoint.Info{
+		ID: fmt.Sprintf("e%04d", i), Incarnation: 1, State: endpoint.Live, Kind: endpoint.Model, Model: "m", Version: "1",
+		DataCenter: fmt.Sprintf("dc%d", i%4), Class: "c", Reclaimable: true, Counter: 1,
+	}
+}
+
+func newRouter(count int) (*route.Router, *endpoint.Directory, *hazard.Estimator) {
+	directory, estimator := endpoint.NewDirectory(), hazard.New()
+	for i := range count {
+		directory.Merge(info(i))
+	}
+	r := route.New(directory, estimator, route.Home{Node: "n", DataCenter: "dc0"}, 1)
+	for i := range count {
+		r.Report(info(i).Ref(), engine.Report{Sequence: now.UnixMilli(), Slots: 16})
+	}
+	return r, directory, estimator
+}
+
+func query() route.Query {
+	return route.Query{Target: target, PromptTokens: 500, AnswerTokens: 100, Stake: 1}
+}
+
+// TestOwnSendsSpreadBeforeTheNextReport sends many requests between two reports.
+// The naive choice by reports alone herds them all to one endpoint.
+func TestOwnSendsSpreadBeforeTheNextReport(t *testing.T) {
+	most := func(strategy route.Strategy) int {
+		r, _, _ := newRouter(10)
+		counts := map[string]int{}
+		busiest := 0
+		for range 100 {
+			c, _ := r.Choose(query(), strategy, now)
+			counts[c.Endpoint.ID]++
+			busiest = max(busiest, counts[c.Endpoint.ID])
+		}
+		return busiest
+	}
+	if got := most(route.Expected); got > 13 {
+		t.Errorf("most requests at one of 10 endpoints: got %d of 100, want 13 at most", got)
+	}
+	if got := most(route.LeastReported); got != 100 {
+		t.Errorf("naive choice: got %d, want the herd of 100 that this test is about", got)
+	}
+}
+
+// TestPrefixDrawsUntilItsEndpointIsBusy sends prompts with one prefix.
+func TestPrefixDrawsUntilItsEndpointIsBusy(t *testing.T) {
+	r, _, _ := newRouter(10)
+	q := query()
+	q.PromptTokens = 4000
+	q.Prefix = route.Hash(nil, make([]byte, 16000))
+	first, _ := r.Choose(q, route.Expected, now)
+	r.Done(first, route.Result{}, now.Add(time.Second))
+	second, _ := r.Choose(q, route.Expected, now.Add(time.Second))
+	if second.Endpoint.ID != first.Endpoint.ID || second.CachedTokens < 3900 {
+		t.Errorf("the same prompt again: got %s with %d tokens cached, want %s", second.Endpoint.ID, second.CachedTokens, first.Endpoint.ID)
+	}
+	elsewhere := false
+	for range 60 {
+		c, _ := r.Choose(q, route.Expected, now.Add(time.Second))
+		elsewhere = elsewhere || c.Endpoint.ID != first.Endpoint.ID
+	}
+	if !elsewhere {
+		t.Error("sixty at once: all at the endpoint with the prefix, want some elsewhere")
+	}
+}
+
+// TestCacheThatForgetsLosesItsTrust has an engine report again and again that
+// nothing was cached.
+func TestCacheThatForgetsLosesItsTrust(t *testing.T) {
+	r, _, _ := newRouter(1)
+	q := query()
+	q.Prefix = route.Hash(nil, make([]byte, 2000))
+	last := 0
+	for i := range 30 {
+		c, _ := r.Choose(q, route.Expected, now)
+		last = c.CachedTokens
+		r.Done(c, route.Result{Measured: true, PromptTokens: 500, CachedTokens: 0}, now.Add(time.Duration(i)*time.Second))
+	}
+	if last > 100 {
+		t.Errorf("tokens reckoned cached: got %d, want few after 30 answers without any", last)
+	}
+}
+
+// TestFailingEndpointsAreLeftAloneButNotAll fails endpoints and looks at where
+// requests go; when most fail, they are used again rather than none.
+func TestFailingEndpointsAreLeftAloneButNotAll(t *testing.T) {
+	r, _, _ := newRouter(4)
+	fail := func(id string) {
+		for range 3 {
+			for {
+				c, _ := r.Choose(query(), route.Random, now)
+				if c.Endpoint.ID == id {
+					r.Done(c, route.Result{Failed: true}, now)
+					break
+				}
+				r.Done(c, route.Result{}, now)
+			}
+		}
+	}
+	fail("e0001")
+	for range 50 {
+		c, _ := r.Choose(query(), route.Expected, now.Add(time.Second))
+		if c.Endpoint.ID == "e0001" {
+			t.Fatal("a request went to the endpoint that had failed")
+		}
+	}
+	c, _ := r.Choose(query(), route.Expected, now.Add(5*time.Second))
+	_ = c
+	for _, id := range []string{"e0000", "e0002", "e0003"} {
+		fail(id)
+	}
+	if _, ok := r.Choose(query(), route.Expected, now.Add(time.Second)); !ok {
+		t.Error("all endpoints had failed: want one chosen rather than none")
+	}
+}
+
+// TestReclaimRiskTurnsLongWorkAway has one data centre reclaimed lately.
+func TestReclaimRiskTurnsLongWorkAway(t *testing.T) {
+	r, _, estimator := newRouter(8)
+	estimator.SetHosts(hazard.Place{DataCenter: "dc0", Class: "c"}, 2, now)
+	estimator.Reclaimed(hazard.Place{DataCenter: "dc0", Class: "c"}, 2, now)
+	q := query()
+	q.AnswerTokens = 3000
+	q.Stake = 4
+	for range 20 {
+		c, _ := r.Choose(q, route.Expected, now)
+		if c.Endpoint.DataCenter == "dc0" {
+			t.Fatal("long work went to the data centre that is being reclaimed")
+		}
+		r.Done(c, route.Result{}, now)
+	}
+}
+
+// TestChoiceInvariants draws events and asks what must always hold: no work to
+// an endpoint that leaves or is to be avoided, a choice while any is left.
+func TestChoiceInvariants(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		count := rapid.IntRange(1, 60).Draw(rt, "endpoints")
+		r, directory, _ := newRouter(count)
+		left := map[string]bool{}
+		var running []route.Choice
+		for step := range 60 {
+			at := now.Add(time.Duration(step) * 100 * time.Millisecond)
+			i := rapid.IntRange(0, count-1).Draw(rt, "endpoint")
+			switch rapid.IntRange(0, 4).Draw(rt, "event") {
+			case 0:
+				directory.Leave(info(i).Ref(), func(e *endpoint.Info) { e.State = endpoint.Leaving })
+				left[info(i).ID] = true
+			case 1:
+				r.Report(info(i).Ref(), engine.Report{Sequence: at.UnixMilli(), Running: rapid.IntRange(0, 30).Draw(rt, "running"), Slots: 16})
+			case 2:
+				if len(running) > 0 {
+					r.Done(running[0], route.Result{Failed: rapid.Bool().Draw(rt, "failed")}, at)
+					running = running[1:]
+				}
+			default:
+				q := query()
+				q.Avoid = []endpoint.Ref{info(i).Ref()}
+				c, ok := r.Choose(q, route.Expected, at)
+				usable := count - len(left)
+				if !left[info(i).ID] {
+					usable--
+				}
+				if ok != (usable > 0) {
+					rt.Fatalf("chosen: got %v with %d usable endpoints", ok, usable)
+				}
+				if ok && (left[c.Endpoint.ID] || c.Endpoint.ID == info(i).ID) {
+					rt.Fatalf("chosen: got %s, which leaves or is to be avoided", c.Endpoint.ID)
+				}
+				if ok {
+					running = append(running, c)
+				}
+			}
+		}
+	})
+}
+
+// TestSubsetsCoverEveryEndpoint looks at the planned size: bounded subsets, and
+// no endpoint without entries.
+func TestSubsetsCoverEveryEndpoint(t *testing.T) {
+	var infos []endpoint.Info
+	for i := range 1900 {
+		infos = append(infos, info(i))
+	}
+	users := map[string]int{}
+	for n := range 420 {
+		subset := route.Subset(fmt.Sprintf("n%d", n), 420, infos)
+		if len(subset) > 24 {
+			t.Fatalf("subset: got %d endpoints, want 24 at most", len(subset))
+		}
+		for _, e := range subset {
+			users[e.ID]++
+		}
+	}
+	unused, most := 0, 0
+	for _, e := range infos {
+		if users[e.ID] == 0 {
+			unused++
+		}
+		most = max(most, users[e.ID])
+	}
+	t.Logf("%d of 1900 endpoints are in nobody's subset; the most entries at one are %d", unused, most)
+	if unused > 19 || most > 20 {
+		t.Errorf("got %d endpoints without entries and %d entries at one, want under 1%% and 20 at most", unused, most)
+	}
+}
+
+func benchmarkChoose(b *testing.B, count, entries int) {
+	r, _, _ := newRouter(count)
+	if entries > 0 {
+		r.SetEntries(entries)
+	}
+	q := query()
+	random := rand.New(rand.NewPCG(1, 1))
+	var prefixes [64][]uint64
+	for i := range prefixes {
+		text := make([]byte, 2048)
+		for j := range text {
+			text[j] = byte(random.IntN(256))
+		}
+		prefixes[i] = route.Hash(nil, text)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		q.Prefix = prefixes[i%len(prefixes)]
+		c, _ := r.Choose(q, route.Expected, now)
+		r.Done(c, route.Result{}, now)
+	}
+}
+
+func BenchmarkChoose18(b *testing.B)        { benchmarkChoose(b, 18, 0) }
+func BenchmarkChoose200(b *testing.B)       { benchmarkChoose(b, 200, 0) }
+func BenchmarkChoose1900(b *testing.B)      { benchmarkChoose(b, 1900, 0) }
+func BenchmarkChoose1900Of420(b *testing.B) { benchmarkChoose(b, 1900, 420) }
--- a/pkg/settings/document.go
+++ b/pkg/settings/document.go
@@ -67,6 +67,8 @@
 		IgnoreInlineComment:       true,
 		IgnoreContinuation:        true,
 		UnescapeValueDoubleQuotes: true,
+		SkipUnrecognizableLines:   true,
+		AllowNonUniqueSections:    true,
 	}, data)
 	if err != nil {
 		return nil, Problems{{file, 1, "(file)", err.Error()}}
@@ -78,7 +80,8 @@
 	var sections []section
 	var problems Problems
 	seen := map[string]int{}
-	header := ""
+	header, open := "", (*ini.Section)(nil)
+	places := map[string]int{}
 	for i, raw := range strings.Split(string(data), "\n") {
 		line := strings.TrimSpace(raw)
 		number := i + 1
@@ -90,6 +93,8 @@
 				problems = append(problems, Problem{file, number, "[" + header + "]", fmt.Sprintf("section stands twice, first at line %d", first)})
 			}
 			seen["["+header] = number
+			open = sectionAt(loaded, header, places[header])
+			places[header]++
 			kind, name, _ := strings.Cut(header, " ")
 			sections = append(sections, section{kind: kind, name: strings.TrimSpace(name), line: number})
 		default:
@@ -101,16 +106,25 @@
 			case len(sections) == 0:
 				problems = append(problems, Problem{file, number, key, "stands before any [section]"})
 			default:
-				id := header + "\x00" + key
+				id := fmt.Sprintf("%s\x00%d\x00%s", header, places[header], key)
 				if first, doubled := seen[id]; doubled {
 					problems = append(problems, Problem{file, number, key, fmt.Sprintf("key stands twice, first at line %d", first)})
 					continue
 				}
 				seen[id] = number
 				last := &sections[len(sections)-1]
-				last.entries = append(last.entries, entry{key, loaded.Section(header).Key(key).String(), number})
+				last.entries = append(last.entries, entry{key, open.Key(key).String(), number})
 			}
 		}
 	}
 	return sections, problems
 }
+
+// sectionAt returns the n-th section with a header, counted from 0.
+func sectionAt(loaded *ini.File, header string, n int) *ini.Section {
+	list, err := loaded.SectionsByName(header)
+	if err != nil || n >= len(list) {
+		return ini.Empty().Section("")
+	}
+	return list[n]
+}
