--- a/pkg/app/load/load.go
+++ b/pkg/app/load/load.go
@@ -22,7 +22,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(demoCommand(), runCommand(), scaleCommand(), scaleReportCommand())
+	root.AddCommand(demoCommand(), hopCommand(), runCommand(), scaleCommand(), scaleReportCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "FAILED:", err)
 		return 1
--- a/pkg/app/standin/standin.go
+++ b/pkg/app/standin/standin.go
@@ -17,6 +17,7 @@
 
 	"github.com/spf13/cobra"
 
+	"ironhollow/pkg/app/process"
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/httpx"
 	"ironhollow/pkg/platform/cloud"
@@ -36,7 +37,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(platformCommand(), engineCommand(), serviceCommand(), portsCommand())
+	root.AddCommand(platformCommand(), engineCommand(), serviceCommand(), portsCommand(), passthroughCommand())
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	if err := root.ExecuteContext(ctx); err != nil {
@@ -46,6 +47,25 @@
 	return 0
 }
 
+func passthroughCommand() *cobra.Command {
+	var address, to string
+	command := &cobra.Command{
+		Use:   "passthrough",
+		Short: "A naive hop that checks nothing, to measure against",
+		RunE: func(command *cobra.Command, _ []string) error {
+			mux := process.Admin(process.NewRegistry(), func() error { return nil })
+			mux.Handle("/", services.Passthrough(to, httpx.NewClient(hopConns)))
+			return serveUntil(command.Context(), address, mux, make(chan struct{}))
+		},
+	}
+	command.Flags().StringVar(&address, "listen", "127.0.0.1:0", "address")
+	command.Flags().StringVar(&to, "to", "", "address to pass requests on to")
+	return command
+}
+
+// hopConns is how many connections the naive hop keeps: as many as an entry.
+const hopConns = 64
+
 func portsCommand() *cobra.Command {
 	var count int
 	command := &cobra.Command{
--- a/pkg/callerapi/chat.go
+++ b/pkg/callerapi/chat.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"github.com/tidwall/gjson"
 	"go.opentelemetry.io/otel/attribute"
 
 	"ironhollow/pkg/chat"
@@ -197,16 +198,22 @@
 	w          http.ResponseWriter
 	controller *http.ResponseController
 	timeout    time.Duration
-	joiner     *chat.Joiner
-	chunk      engine.Chunk
-	begun      bool
+	// deadline is the write deadline in force.
+	deadline time.Time
+	joiner   *chat.Joiner
+	chunk    engine.Chunk
+	begun    bool
+	// counted says that the first token was noted.
+	counted    bool
 	firstToken func()
-	// buffer is used again for each event.
+	// head is the part of a token's event before its text, the same for all.
+	head []byte
+	// buffer holds events that are not written yet.
 	buffer []byte
 }
 
 func newEventSink(w http.ResponseWriter, timeout time.Duration, call chatCall) *eventSink {
-	return &eventSink{
+	s := &eventSink{
 		w: w, controller: http.NewResponseController(w), timeout: timeout, joiner: chat.NewJoiner(call.mark),
 		chunk: engine.Chunk{
 			ID: call.mark.Request, Object: "chat.completion.chunk", Created: call.begun.Unix(), Model: call.service.Name(),
@@ -214,34 +221,50 @@
 		},
 		firstToken: func() {},
 	}
+	// Ids, names of services and numbers need no escapes in JSON.
+	s.head = fmt.Appendf(nil, `data: {"id":"%s","object":"%s","created":%d,"model":"%s","choices":[{"index":0,"delta":{"content":`,
+		s.chunk.ID, s.chunk.Object, s.chunk.Created, s.chunk.Model)
+	return s
 }
 
-// Token writes one token; ErrJoin where the pieces would not join.
+// tokenTail is the part of a token's event after its text.
+const tokenTail = "},\"finish_reason\":null}]}\n\n"
+
+// mostBuffered is how many bytes of events wait for a flush at most.
+const mostBuffered = 8 << 10
+
+// Token takes one token; ErrJoin where the pieces would not join.
 func (s *eventSink) Token(t stream.Token) error {
 	isNew, mark, err := s.joiner.Next(t)
 	if err != nil || !isNew {
 		return err
 	}
-	role := ""
-	if !s.begun {
+	if !s.counted {
+		s.counted = true
 		s.firstToken()
-		if mark.Offset == 1 {
-			role = "assistant"
-		}
 	}
-	s.chunk.Choices[0] = engine.ChunkChoice{Delta: engine.ChunkDelta{Role: role, Content: t.Text}}
-	return s.write(mark.String())
+	if mark.Offset == 1 {
+		s.chunk.Choices[0] = engine.ChunkChoice{Delta: engine.ChunkDelta{Role: "assistant", Content: t.Text}}
+		return s.write(mark.String())
+	}
+	s.buffer = append(s.buffer, "id: "...)
+	s.buffer = mark.Append(s.buffer)
+	s.buffer = append(s.buffer, '\n')
+	s.buffer = append(s.buffer, s.head...)
+	s.buffer = gjson.AppendJSONString(s.buffer, t.Text)
+	s.buffer = append(s.buffer, tokenTail...)
+	if len(s.buffer) > mostBuffered {
+		return s.Flush()
+	}
+	return nil
 }
 
-// write sends the chunk as one event. A caller that does not read is cut off
-// after the timeout, so that it holds nothing up.
+// write adds the chunk as one event.
 func (s *eventSink) write(id string) error {
-	s.begin()
 	data, err := json.Marshal(s.chunk)
 	if err != nil {
 		return err
 	}
-	s.buffer = s.buffer[:0]
 	if id != "" {
 		s.buffer = append(s.buffer, "id: "...)
 		s.buffer = append(s.buffer, id...)
@@ -250,7 +273,7 @@
 	s.buffer = append(s.buffer, "data: "...)
 	s.buffer = append(s.buffer, data...)
 	s.buffer = append(s.buffer, "\n\n"...)
-	return s.flush()
+	return nil
 }
 
 func (s *eventSink) begin() {
@@ -264,9 +287,21 @@
 	s.w.WriteHeader(http.StatusOK)
 }
 
-func (s *eventSink) flush() error {
-	_ = s.controller.SetWriteDeadline(time.Now().Add(s.timeout))
-	if _, err := s.w.Write(s.buffer); err != nil {
+// Flush sends the events gathered. A caller that does not read is cut off after
+// the timeout, so that it holds nothing up.
+func (s *eventSink) Flush() error {
+	if len(s.buffer) == 0 {
+		return nil
+	}
+	s.begin()
+	// The deadline is moved seldom: it costs as much as a small write.
+	if now := time.Now(); s.deadline.Sub(now) < s.timeout/2 {
+		s.deadline = now.Add(s.timeout)
+		_ = s.controller.SetWriteDeadline(s.deadline)
+	}
+	_, err := s.w.Write(s.buffer)
+	s.buffer = s.buffer[:0]
+	if err != nil {
 		return err
 	}
 	return s.controller.Flush()
@@ -287,20 +322,20 @@
 			return
 		}
 	}
-	s.buffer = append(s.buffer[:0], "data: [DONE]\n\n"...)
-	_ = s.flush()
+	s.buffer = append(s.buffer, "data: [DONE]\n\n"...)
+	_ = s.Flush()
 }
 
 // fail tells the error: as the answer itself if none has begun, else as a last
 // event without the mark of a whole answer.
 func (s *eventSink) fail(w http.ResponseWriter, err error) {
-	if !s.begun {
+	if !s.begun && len(s.buffer) == 0 {
 		writeError(w, err)
 		return
 	}
 	data, _ := json.Marshal(bodyOf(err))
-	s.buffer = append(s.buffer[:0], "data: "...)
+	s.buffer = append(s.buffer, "data: "...)
 	s.buffer = append(s.buffer, data...)
 	s.buffer = append(s.buffer, "\n\n"...)
-	_ = s.flush()
+	_ = s.Flush()
 }
--- a/pkg/chat/answer.go
+++ b/pkg/chat/answer.go
@@ -26,7 +26,18 @@
 
 // String gives the mark as an event's id.
 func (m Mark) String() string {
-	return m.Request + ":" + strconv.Itoa(m.Offset) + ":" + m.Endpoint + ":" + strconv.FormatUint(m.Sum, 16)
+	return string(m.Append(nil))
+}
+
+// Append appends the mark to b.
+func (m Mark) Append(b []byte) []byte {
+	b = append(b, m.Request...)
+	b = append(b, ':')
+	b = strconv.AppendInt(b, int64(m.Offset), 10)
+	b = append(b, ':')
+	b = append(b, m.Endpoint...)
+	b = append(b, ':')
+	return strconv.AppendUint(b, m.Sum, 16)
 }
 
 // errMark says that a text is no mark.
@@ -107,6 +118,9 @@
 	return nil
 }
 
+// Flush has nothing to do: the answer is kept here.
+func (c *Collector) Flush() error { return nil }
+
 // Text returns the answer so far.
 func (c *Collector) Text() string {
 	c.mu.Lock()
--- a/pkg/chat/body.go
+++ b/pkg/chat/body.go
@@ -3,12 +3,11 @@
 package chat
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/tidwall/gjson"
 
 	"ironhollow/pkg/code"
 	"ironhollow/pkg/engine"
@@ -58,13 +57,13 @@
 
 // Parse reads a body. Errors are BadBody and say which member is at fault.
 func Parse(data []byte) (Body, error) {
-	if err := checkNesting(data); err != nil {
-		return Body{}, code.New(code.BadBody, err.Error())
-	}
 	var m members
 	if err := json.Unmarshal(data, &m); err != nil {
 		return Body{}, code.New(code.BadBody, err.Error())
 	}
+	if err := checkShape(data); err != nil {
+		return Body{}, code.New(code.BadBody, err.Error())
+	}
 	if fault := m.fault(); fault != "" {
 		return Body{}, code.New(code.BadBody, fault)
 	}
@@ -118,45 +117,46 @@
 	return ""
 }
 
-// checkNesting walks the tokens of a body and stops at one nested too deep, or
-// with a member that stands twice at the top, which would be read differently
-// here and at the engine.
-func checkNesting(data []byte) error {
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	depth := 0
+// checkShape stops a body that is nested too deep, or that has a member twice
+// at the top: that would be read differently here and at the engine.
+func checkShape(data []byte) error {
+	if nesting(data) > maxNesting {
+		return fmt.Errorf("nested deeper than %d", maxNesting)
+	}
 	seen := map[string]bool{}
-	isKey := false
-	for {
-		token, err := decoder.Token()
-		if err == io.EOF {
-			return nil
-		}
-		if err != nil {
-			return err
+	var err error
+	gjson.ParseBytes(data).ForEach(func(key, _ gjson.Result) bool {
+		name := key.String()
+		if seen[name] {
+			err = fmt.Errorf("%s: stands twice", name)
 		}
-		switch t := token.(type) {
-		case json.Delim:
-			if t == '{' || t == '[' {
-				depth++
-				if depth > maxNesting {
-					return fmt.Errorf("nested deeper than %d", maxNesting)
-				}
-				isKey = depth == 1
-				continue
-			}
+		seen[name] = true
+		return err == nil
+	})
+	return err
+}
+
+// nesting returns how deep brackets are nested outside strings.
+func nesting(data []byte) int {
+	depth, deepest := 0, 0
+	inString, escaped := false, false
+	for _, c := range data {
+		switch {
+		case escaped:
+			escaped = false
+		case inString:
+			escaped = c == '\\'
+			inString = c != '"'
+		case c == '"':
+			inString = true
+		case c == '{' || c == '[':
+			depth++
+			deepest = max(deepest, depth)
+		case c == '}' || c == ']':
 			depth--
-		case string:
-			if depth == 1 && isKey {
-				if seen[t] {
-					return fmt.Errorf("%s: stands twice", t)
-				}
-				seen[t] = true
-				isKey = false
-				continue
-			}
 		}
-		isKey = depth == 1
 	}
+	return deepest
 }
 
 // bytesPerToken is the usual rule of thumb for text.
--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -7,20 +7,14 @@
 	"errors"
 	"fmt"
 	"io"
-	"iter"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/tmaxmax/go-sse"
-
 	"ironhollow/pkg/httpx"
 )
 
-// maxEvent bounds one event of a stream, in bytes.
-const maxEvent = 1 << 20
-
 // Client is an API over HTTP.
 type Client struct {
 	http    *http.Client
@@ -92,7 +86,7 @@
 		return nil, err
 	}
 	if response.StatusCode == http.StatusOK {
-		return newStream(response.Body, response.Header.Get(HeaderLoad)), nil
+		return newEventReader(response.Body, response.Header.Get(HeaderLoad)), nil
 	}
 	text, _ := io.ReadAll(io.LimitReader(response.Body, 512))
 	_ = response.Body.Close()
@@ -153,80 +147,3 @@
 	defer cancel()
 	return httpx.CallJSON(ctx, c.http, method, "http://"+address+path, in, out)
 }
-
-// stream reads server-sent events.
-type stream struct {
-	body io.ReadCloser
-	next func() (sse.Event, error, bool)
-	stop func()
-	// load is the report's header, empty for none.
-	load string
-}
-
-func newStream(body io.ReadCloser, load string) *stream {
-	next, stop := iter.Pull2(sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEvent}))
-	return &stream{body: body, next: next, stop: stop, load: load}
-}
-
-// Report reads the report that came with the answer's headers.
-func (s *stream) Report() (Report, bool) {
-	var w WireReport
-	if s.load == "" || json.Unmarshal([]byte(s.load), &w) != nil {
-		return Report{}, false
-	}
-	return w.Domain(), true
-}
-
-// doneMark ends a stream in the usual protocol.
-const doneMark = "[DONE]"
-
-// Next returns the next frame. A stream that ends before its mark is broken.
-func (s *stream) Next() (Frame, error) {
-	event, err, ok := s.next()
-	switch {
-	case !ok:
-		return Frame{}, io.ErrUnexpectedEOF
-	case err != nil:
-		return Frame{}, err
-	case event.Data == doneMark:
-		return Frame{}, io.EOF
-	}
-	return DecodeFrame(event.LastEventID, event.Data)
-}
-
-// DecodeFrame reads one event: its id is attempt.offset, its data a chunk.
-func DecodeFrame(id, data string) (Frame, error) {
-	attemptText, offsetText, ok := strings.Cut(id, ".")
-	attempt, err := strconv.Atoi(attemptText)
-	if !ok || err != nil {
-		return Frame{}, fmt.Errorf("engine: bad event id %q", id)
-	}
-	offset, err := strconv.Atoi(offsetText)
-	if err != nil || offset < 0 {
-		return Frame{}, fmt.Errorf("engine: bad event id %q", id)
-	}
-	var chunk Chunk
-	if err := json.Unmarshal([]byte(data), &chunk); err != nil {
-		return Frame{}, fmt.Errorf("engine: bad chunk: %w", err)
-	}
-	frame := Frame{Attempt: attempt, Offset: offset}
-	if len(chunk.Choices) > 0 {
-		frame.Text = chunk.Choices[0].Delta.Content
-		if reason := chunk.Choices[0].FinishReason; reason != nil {
-			frame.Finish = *reason
-		}
-	}
-	if chunk.Usage != nil {
-		frame.Usage = Usage{PromptTokens: chunk.Usage.PromptTokens, CompletionTokens: chunk.Usage.CompletionTokens}
-		if chunk.Usage.Details != nil {
-			frame.Usage.CachedTokens = chunk.Usage.Details.CachedTokens
-		}
-	}
-	return frame, nil
-}
-
-// Close lets go of the stream.
-func (s *stream) Close() {
-	_ = s.body.Close()
-	s.stop()
-}
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -67,6 +67,8 @@
 	// Next returns the next frame; io.EOF after the last, any other error where
 	// the stream broke.
 	Next() (Frame, error)
+	// Buffered reports whether Next will not wait for the engine.
+	Buffered() bool
 	// Report returns the load report that came with the stream, if one did.
 	Report() (Report, bool)
 	// Close lets go of the stream; the engine keeps it for a while.
--- a/pkg/standin/engines/direct.go
+++ b/pkg/standin/engines/direct.go
@@ -212,6 +212,11 @@
 // Close lets go of the stream.
 func (s *directStream) Close() { s.stream.detach() }
 
+// Buffered reports whether a frame is there already.
+func (s *directStream) Buffered() bool {
+	return len(s.frames) > 0 || s.offset < s.stream.progress().count
+}
+
 // Report returns the engine's report.
 func (s *directStream) Report() (engine.Report, bool) {
 	return s.host.engine.report(time.Now()).Domain(), true
--- a/pkg/stream/runner.go
+++ b/pkg/stream/runner.go
@@ -52,6 +52,8 @@
 // from Token ends the request: its caller is gone.
 type Sink interface {
 	Token(token Token) error
+	// Flush is called when no further token is there at once.
+	Flush() error
 }
 
 // Token is one token of the answer, with what is needed to resume after it.
@@ -544,11 +546,12 @@
 var errShort = errors.New("stream: ended without its last frame")
 
 func (f *frameReader) readAll(ctx context.Context, stream engine.Stream) ending {
-	var last *engine.Frame
+	var last engine.Frame
+	ended := false
 	for {
 		frame, err := stream.Next()
-		if errors.Is(err, io.EOF) && last != nil {
-			return finished{*last}
+		if errors.Is(err, io.EOF) && ended {
+			return finished{last}
 		}
 		if errors.Is(err, io.EOF) {
 			return broken{errShort}
@@ -564,12 +567,17 @@
 			continue
 		}
 		if frame.Finish != "" && frame.Offset == len(f.progress.tokens) {
-			last = &frame
+			last, ended = frame, true
 			continue
 		}
 		if end := f.take(frame); end != nil {
 			return end
 		}
+		if !stream.Buffered() {
+			if err := f.progress.sink.Flush(); err != nil {
+				return callerGone{err}
+			}
+		}
 	}
 }
 
--- a/pkg/stream/runner_test.go
+++ b/pkg/stream/runner_test.go
@@ -274,3 +274,4 @@
 type failingSink struct{ err error }
 
 func (s failingSink) Token(stream.Token) error { return s.err }
+func (s failingSink) Flush() error             { return s.err }
