Share commits of accepted jobs within a data centre

Cause: at the planned size an entry accepts a job or two a second, so its own batches hold one job each, and the store would see every job as a commit. Change: the first entry of a data centre by rendezvous hashing commits for the others over the peers' links; whoever gets no answer commits itself, and the rows tell who was first.

--- a/pkg/app/entry/app.go
+++ b/pkg/app/entry/app.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.opentelemetry.io/otel/sdk/trace"
 
+	"ironhollow/pkg/accept"
 	"ironhollow/pkg/callerapi"
 	"ironhollow/pkg/claim"
 	"ironhollow/pkg/config"
@@ -61,6 +62,7 @@
 	worker    *job.Worker
 	batcher   *job.Batcher
 	claims    *claim.Claims
+	accepts   *accept.Gatherer
 	history   *explain.History
 	mesh      *peer.Mesh
 	peers     *peer.Server
@@ -167,4 +169,11 @@
 	return peer.NewServer(ctx, mesh, peer.RoleEntry, t.peer.PeerClient(), counters)
 }
 
+// newAccepts gathers the data centre's accepted jobs over the peers' links.
+func newAccepts(self membership.Node, nodes *membership.Table, batcher *job.Batcher, guard *table.Guard, peers *peer.Server) *accept.Gatherer {
+	gatherer := accept.New(self, nodes, batcher, guard, peers)
+	peers.SetHandler(gatherer.Handle)
+	return gatherer
+}
+
 func newRegisterer(registry *prometheus.Registry) prometheus.Registerer { return registry }
--- a/pkg/app/entry/parts.go
+++ b/pkg/app/entry/parts.go
@@ -5,6 +5,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.opentelemetry.io/otel/sdk/trace"
 
+	"ironhollow/pkg/accept"
 	"ironhollow/pkg/callerapi"
 	"ironhollow/pkg/claim"
 	"ironhollow/pkg/config"
@@ -41,14 +42,14 @@
 	guard *table.Guard, writer *table.Writer, holder *config.Holder, store *config.Store, nodes *membership.Table,
 	endpoints *endpoint.Directory, estimator *hazard.Estimator, router *route.Router, engines engine.API,
 	runner *stream.Runner, rates *limit.Rates, gates *limit.Gates, budget *retry.Budget, jobs *job.Store,
-	worker *job.Worker, batcher *job.Batcher, claims *claim.Claims, history *explain.History, mesh *peer.Mesh,
+	worker *job.Worker, batcher *job.Batcher, claims *claim.Claims, accepts *accept.Gatherer, history *explain.History, mesh *peer.Mesh,
 	peers *peer.Server, api *callerapi.API, t TLS,
 ) *App {
 	return &App{
 		settings: settings, self: self, log: logger, registry: registry, tracer: tracer, guard: guard, writer: writer,
 		config: holder, store: store, nodes: nodes, endpoints: endpoints, hazard: estimator, router: router,
 		engines: engines, runner: runner, rates: rates, gates: gates, budget: budget, jobs: jobs, worker: worker,
-		batcher: batcher, claims: claims, history: history, mesh: mesh, peers: peers, api: api,
+		batcher: batcher, claims: claims, accepts: accepts, history: history, mesh: mesh, peers: peers, api: api,
 		peerTLS: t.peer, callerTLS: t.caller, recovered: map[string]bool{}, drainAsked: make(chan struct{}),
 	}
 }
--- a/pkg/app/entry/wire.go
+++ b/pkg/app/entry/wire.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.opentelemetry.io/otel/sdk/trace"
 
+	"ironhollow/pkg/accept"
 	"ironhollow/pkg/callerapi"
 	"ironhollow/pkg/claim"
 	"ironhollow/pkg/config"
@@ -26,7 +27,8 @@
 func build(ctx context.Context, settings Settings, incarnation Incarnation, logger *log.Logger, registry *prometheus.Registry, tracer *trace.TracerProvider) (*App, error) {
 	wire.Build(
 		newHTTPClient, newSelf, newGuard, newWriter, newObjects, newRouter, newEngines, newPlain, newBudget, newBatcher,
-		newWorker, newTLS, newPeers, newRegisterer, newGenerator, newAPI, newApp,
+		newWorker, newTLS, newPeers, newRegisterer, newGenerator, newAPI, newApp, newAccepts,
+		wire.Bind(new(job.Committer), new(*accept.Gatherer)),
 		config.New, config.NewStore, membership.NewTable, endpoint.NewDirectory, hazard.New, stream.New, stream.NewCounters,
 		limit.NewRates, limit.NewGates, job.NewStore, job.NewCounters, claim.New, explain.NewHistory,
 		peer.NewMesh, peer.NewCounters, callerapi.NewCounters,
--- a/pkg/app/entry/wire_gen.go
+++ b/pkg/app/entry/wire_gen.go
@@ -46,12 +46,6 @@
 	gates := limit.NewGates()
 	objectStore := newObjects(settings, client)
 	batcher := newBatcher(writer, settings)
-	jobStore := job.NewStore(writer, objectStore, batcher)
-	jobGenerator := newGenerator(holder, runner, gates)
-	jobCounters := job.NewCounters(registerer)
-	worker := newWorker(ctx, jobStore, jobGenerator, node, settings, jobCounters)
-	claims := claim.New(writer)
-	history := explain.NewHistory()
 	mesh := peer.NewMesh(node, table, directory, holder)
 	tls, err := newTLS(settings)
 	if err != nil {
@@ -59,9 +53,16 @@
 	}
 	peerCounters := peer.NewCounters(registerer)
 	server := newPeers(ctx, mesh, tls, peerCounters)
+	gatherer := newAccepts(node, table, batcher, guard, server)
+	jobStore := job.NewStore(writer, objectStore, gatherer)
+	jobGenerator := newGenerator(holder, runner, gates)
+	jobCounters := job.NewCounters(registerer)
+	worker := newWorker(ctx, jobStore, jobGenerator, node, settings, jobCounters)
+	claims := claim.New(writer)
+	history := explain.NewHistory()
 	plainserviceAPI := newPlain(client)
 	callerapiCounters := callerapi.NewCounters(registerer)
 	callerapiAPI := newAPI(settings, node, holder, table, router, runner, rates, gates, jobStore, worker, jobCounters, claims, plainserviceAPI, budget, history, tracer, callerapiCounters)
-	app := newApp(settings, node, logger, registry, tracer, guard, writer, holder, store, table, directory, estimator, router, api, runner, rates, gates, budget, jobStore, worker, batcher, claims, history, mesh, server, callerapiAPI, tls)
+	app := newApp(settings, node, logger, registry, tracer, guard, writer, holder, store, table, directory, estimator, router, api, runner, rates, gates, budget, jobStore, worker, batcher, claims, gatherer, history, mesh, server, callerapiAPI, tls)
 	return app, nil
 }
--- a/pkg/job/store.go
+++ b/pkg/job/store.go
@@ -15,11 +15,16 @@
 type Store struct {
 	writer  *table.Writer
 	objects object.Store
-	batcher *Batcher
+	batcher Committer
+}
+
+// Committer inserts the rows of one job, all Absent.
+type Committer interface {
+	Commit(ctx context.Context, rows []table.Write) table.Outcome
 }
 
 // NewStore returns a store of jobs.
-func NewStore(writer *table.Writer, objects object.Store, batcher *Batcher) *Store {
+func NewStore(writer *table.Writer, objects object.Store, batcher Committer) *Store {
 	return &Store{writer: writer, objects: objects, batcher: batcher}
 }
 
--- a/pkg/peer/codec.go
+++ b/pkg/peer/codec.go
@@ -78,7 +78,7 @@
 		}
 		return peerschema.Message{Accept: &peerschema.Accept{Request: int(m.Request), Rows: rows}}
 	case Accepted:
-		return peerschema.Message{Accepted: &peerschema.Accepted{Request: int(m.Request), Outcome: int(m.Outcome), Message: m.Message}}
+		return peerschema.Message{Accepted: &peerschema.Accepted{Request: int(m.Request), Outcome: int(m.Outcome), Version: int(m.Version)}}
 	}
 	panic("peer: unknown message type")
 }
@@ -151,7 +151,7 @@
 		found = append(found, accept)
 	}
 	if w.Accepted != nil {
-		found = append(found, Accepted{int64(w.Accepted.Request), AcceptOutcome(w.Accepted.Outcome), w.Accepted.Message})
+		found = append(found, Accepted{int64(w.Accepted.Request), AcceptOutcome(w.Accepted.Outcome), int64(w.Accepted.Version)})
 	}
 	if len(found) != 1 {
 		return nil, fmt.Errorf("%w: %d kinds in one", ErrMessage, len(found))
--- a/pkg/peer/codec_test.go
+++ b/pkg/peer/codec_test.go
@@ -24,7 +24,7 @@
 		Changes:   []config.Change{{Revision: 2, Whole: true, Sections: []fleet.Section{fleet.NewSection("team", "t", `{}`)}}},
 	},
 	peer.Accept{Request: 1, Rows: []peer.AcceptRow{{Key: "k", Value: []byte("v")}}},
-	peer.Accepted{Request: 1, Outcome: peer.AcceptConflict, Message: "m"},
+	peer.Accepted{Request: 1, Outcome: peer.AcceptConflict, Version: 8},
 }
 
 func TestMessagesSurviveTheWire(t *testing.T) {
--- a/pkg/peer/mesh.go
+++ b/pkg/peer/mesh.go
@@ -63,6 +63,11 @@
 	node  membership.Node
 	role  Role
 	heard time.Time
+	// usedAt is when something beside the mesh's own messages last went over
+	// the link; zero for never.
+	usedAt time.Time
+	// isExtra marks a link in use that the mesh does not ask for.
+	isExtra bool
 	// differs counts digests in a row that differ from ours.
 	differs int
 }
@@ -185,6 +190,19 @@
 	return m.flood(News{Nodes: []membership.Node{m.self}}, 0)
 }
 
+// usedFor is how long a link that the mesh does not ask for is kept after it
+// was last used.
+const usedFor = 5 * time.Minute
+
+// Used notes that a link carried something beside the mesh's own messages.
+func (m *Mesh) Used(link Link, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if state, ok := m.links[link]; ok {
+		state.usedAt = now
+	}
+}
+
 // Leave shows this node as leaving.
 func (m *Mesh) Leave() []Out {
 	m.mu.Lock()
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -77,7 +77,8 @@
 type Accepted struct {
 	Request int64
 	Outcome AcceptOutcome
-	Message string
+	// Version is that of the rows, if they were inserted.
+	Version int64
 }
 
 // AcceptOutcome is how a commit ended, as told to another process.
--- a/pkg/peer/peerschema/schema_gen.go
+++ b/pkg/peer/peerschema/schema_gen.go
@@ -22,14 +22,14 @@
 
 // Answer to an accept.
 type Accepted struct {
-	// Message corresponds to the JSON schema field "message".
-	Message string `json:"message" cbor:"message"`
-
 	// Outcome corresponds to the JSON schema field "outcome".
 	Outcome int `json:"outcome" cbor:"outcome"`
 
 	// Request corresponds to the JSON schema field "request".
 	Request int `json:"request" cbor:"request"`
+
+	// Version corresponds to the JSON schema field "version".
+	Version int `json:"version" cbor:"version"`
 }
 
 // One revision of the configuration as the sections it changed.
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -157,6 +157,7 @@
 			s.handlerMu.RLock()
 			handler := s.handler
 			s.handlerMu.RUnlock()
+			s.mesh.Used(c.link, time.Now())
 			handler(func(m Message) { s.Send([]Out{{c.link, m}}) }, message)
 		default:
 			s.Send(s.mesh.Receive(c.link, message, time.Now()))
@@ -222,6 +223,7 @@
 func (s *Server) SendTo(node string, message Message) bool {
 	for link, n := range s.mesh.Links() {
 		if n.ID == node {
+			s.mesh.Used(link, time.Now())
 			s.Send([]Out{{link, message}})
 			return true
 		}
@@ -229,6 +231,9 @@
 	return false
 }
 
+// Ensure begins to link to a node that the mesh does not ask for by itself.
+func (s *Server) Ensure(node membership.Node) { s.dialNode(node) }
+
 // Run ticks the mesh and keeps up the links it asks for until the context ends.
 func (s *Server) Run() {
 	heartbeat := time.NewTicker(Heartbeat)
@@ -258,7 +263,7 @@
 const surplusEvery = 10
 
 func (s *Server) closeSurplus() {
-	for _, link := range s.mesh.Surplus(spareLinks) {
+	for _, link := range s.mesh.Surplus(spareLinks, time.Now()) {
 		s.close(link)
 	}
 }
--- a/pkg/peer/tick.go
+++ b/pkg/peer/tick.go
@@ -20,7 +20,7 @@
 	var out []Out
 	for _, link := range m.sortedLinks() {
 		role := m.links[link].role
-		if m.isAttachment(role) && m.ticks%attachedEvery != 0 {
+		if (m.isAttachment(role) || m.links[link].isExtra) && m.ticks%attachedEvery != 0 {
 			continue
 		}
 		out = m.send(out, link, m.digest(role))
@@ -55,7 +55,11 @@
 func (m *Mesh) suspectSilent(now time.Time, news *News) {
 	for _, link := range m.sortedLinks() {
 		state := m.links[link]
-		if state.role == RoleEntry && now.Sub(state.heard) > silence {
+		allowed := silence
+		if state.isExtra {
+			allowed *= attachedEvery
+		}
+		if state.role == RoleEntry && now.Sub(state.heard) > allowed {
 			m.suspect(state.node.ID, now, news)
 		}
 	}
@@ -143,9 +147,9 @@
 	return &dead[(round/deadEvery)%len(dead)]
 }
 
-// Surplus returns links that neither side needs: a third link between the same
-// two nodes, kept from before the neighbours changed, is closed by the lower id.
-func (m *Mesh) Surplus(most int) []Link {
+// Surplus returns links that neither side asks for any more, beyond the number
+// that is kept. Links in use are left alone, with fewer heartbeats.
+func (m *Mesh) Surplus(most int, now time.Time) []Link {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	wanted := map[string]bool{}
@@ -160,7 +164,10 @@
 			continue
 		}
 		entries++
-		if !wanted[state.node.ID] && !m.wantsUs(state.node) && entries > most {
+		unwanted := !wanted[state.node.ID] && !m.wantsUs(state.node)
+		inUse := now.Sub(state.usedAt) < usedFor
+		state.isExtra = unwanted && inUse
+		if unwanted && !inUse && entries > most {
 			extra = append(extra, link)
 		}
 	}
