--- a/pkg/app/entry/app.go
+++ b/pkg/app/entry/app.go
@@ -12,7 +12,8 @@
 
 	"github.com/phuslu/log"
 	"github.com/prometheus/client_golang/prometheus"
-	"go.opentelemetry.io/otel/sdk/trace"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
 
 	"ironhollow/pkg/accept"
 	"ironhollow/pkg/callerapi"
@@ -44,7 +45,7 @@
 	self      membership.Node
 	log       *log.Logger
 	registry  *prometheus.Registry
-	tracer    *trace.TracerProvider
+	tracer    *sdktrace.TracerProvider
 	guard     *table.Guard
 	writer    *table.Writer
 	config    *config.Holder
@@ -176,4 +177,8 @@
 	return gatherer
 }
 
+func newTracer(provider *sdktrace.TracerProvider) trace.Tracer {
+	return provider.Tracer("ironhollow/entry")
+}
+
 func newRegisterer(registry *prometheus.Registry) prometheus.Registerer { return registry }
--- a/pkg/app/entry/parts.go
+++ b/pkg/app/entry/parts.go
@@ -3,7 +3,8 @@
 import (
 	"github.com/phuslu/log"
 	"github.com/prometheus/client_golang/prometheus"
-	"go.opentelemetry.io/otel/sdk/trace"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
 
 	"ironhollow/pkg/accept"
 	"ironhollow/pkg/callerapi"
@@ -28,17 +29,17 @@
 	settings Settings, self membership.Node, holder *config.Holder, nodes *membership.Table, router *route.Router,
 	runner *stream.Runner, rates *limit.Rates, gates *limit.Gates, jobs *job.Store, worker *job.Worker,
 	jobCounters *job.Counters, claims *claim.Claims, plain plainservice.API, budget *retry.Budget,
-	history *explain.History, tracer *trace.TracerProvider, counters *callerapi.Counters,
+	history *explain.History, tracer trace.Tracer, counters *callerapi.Counters,
 ) *callerapi.API {
 	return callerapi.New(callerapi.Deps{
 		Node: self.ID, Owner: self.Owner(), Limits: settings.limits, Config: holder, Nodes: nodes, Router: router,
 		Runner: runner, Rates: rates, Gates: gates, Jobs: jobs, Worker: worker, JobStat: jobCounters, Claims: claims,
-		Plain: plain, Budget: budget, History: history, Tracer: tracer.Tracer("ironhollow/entry"), Metrics: counters,
+		Plain: plain, Budget: budget, History: history, Tracer: tracer, Metrics: counters,
 	})
 }
 
 func newApp(
-	settings Settings, self membership.Node, logger *log.Logger, registry *prometheus.Registry, tracer *trace.TracerProvider,
+	settings Settings, self membership.Node, logger *log.Logger, registry *prometheus.Registry, tracer *sdktrace.TracerProvider,
 	guard *table.Guard, writer *table.Writer, holder *config.Holder, store *config.Store, nodes *membership.Table,
 	endpoints *endpoint.Directory, estimator *hazard.Estimator, router *route.Router, engines engine.API,
 	runner *stream.Runner, rates *limit.Rates, gates *limit.Gates, budget *retry.Budget, jobs *job.Store,
--- a/pkg/app/entry/wire_gen.go
+++ b/pkg/app/entry/wire_gen.go
@@ -41,7 +41,8 @@
 	budget := newBudget()
 	registerer := newRegisterer(registry)
 	counters := stream.NewCounters(registerer)
-	runner := stream.New(router, api, budget, estimator, counters)
+	traceTracer := newTracer(tracer)
+	runner := stream.New(router, api, budget, estimator, counters, traceTracer)
 	rates := limit.NewRates()
 	gates := limit.NewGates()
 	objectStore := newObjects(settings, client)
@@ -62,7 +63,7 @@
 	history := explain.NewHistory()
 	plainserviceAPI := newPlain(client)
 	callerapiCounters := callerapi.NewCounters(registerer)
-	callerapiAPI := newAPI(settings, node, holder, table, router, runner, rates, gates, jobStore, worker, jobCounters, claims, plainserviceAPI, budget, history, tracer, callerapiCounters)
+	callerapiAPI := newAPI(settings, node, holder, table, router, runner, rates, gates, jobStore, worker, jobCounters, claims, plainserviceAPI, budget, history, traceTracer, callerapiCounters)
 	app := newApp(settings, node, logger, registry, tracer, guard, writer, holder, store, table, directory, estimator, router, api, runner, rates, gates, budget, jobStore, worker, batcher, claims, gatherer, history, mesh, server, callerapiAPI, tls)
 	return app, nil
 }
--- a/pkg/callerapi/api.go
+++ b/pkg/callerapi/api.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/urfave/negroni/v3"
+	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
 	"ironhollow/pkg/claim"
@@ -141,6 +142,12 @@
 	w.Header().Set(headerEntries, strings.Join(addresses, ", "))
 }
 
+// startSpan begins the span of a request, below the caller's own if it sent one.
+func (a *API) startSpan(r *http.Request, name string) (context.Context, trace.Span) {
+	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	return a.Tracer.Start(ctx, name, trace.WithSpanKind(trace.SpanKindServer))
+}
+
 // handlerFunc serves a team's request under the configuration in force when it
 // began.
 type handlerFunc func(w http.ResponseWriter, r *http.Request, c *fleet.Config, team fleet.Team)
--- a/pkg/callerapi/chat.go
+++ b/pkg/callerapi/chat.go
@@ -43,7 +43,7 @@
 		writeError(w, err)
 		return
 	}
-	ctx, span := a.Tracer.Start(r.Context(), "entry.chat")
+	ctx, span := a.startSpan(r, "entry.chat")
 	defer span.End()
 	span.SetAttributes(attribute.String("service", call.service.Name()), attribute.String("team", team.Name()))
 	ticket, err := a.enter(ctx, call.service, team, call.firstTokenBy)
--- a/pkg/callerapi/fleet_test.go
+++ b/pkg/callerapi/fleet_test.go
@@ -9,6 +9,11 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"ironhollow/pkg/callerapi"
@@ -61,7 +66,11 @@
 	direct *engines.Direct
 	ledger *services.Ledger
 	plain  []*httptest.Server
-	infos  []endpoint.Info
+	// overHTTP reaches the engines by their protocol; nil for in memory.
+	overHTTP engine.API
+	// spans records traces; nil for none.
+	spans *tracetest.InMemoryExporter
+	infos []endpoint.Info
 }
 
 func newSite(t *testing.T, plain ...services.Options) *site {
@@ -93,6 +102,23 @@
 	return s
 }
 
+// engines are reached in memory, or over HTTP where the site says so.
+func (s *site) engines() engine.API {
+	if s.overHTTP != nil {
+		return s.overHTTP
+	}
+	return s.direct
+}
+
+// tracer records the spans of one process of the site.
+func (s *site) tracer(process string) trace.Tracer {
+	if s.spans == nil {
+		return noop.NewTracerProvider().Tracer("")
+	}
+	provider := sdktrace.NewTracerProvider(sdktrace.WithSyncer(s.spans), sdktrace.WithResource(resource.NewSchemaless(attribute.String("process", process))))
+	return provider.Tracer("")
+}
+
 // entry is one entry's edge over a site.
 type entry struct {
 	server *httptest.Server
@@ -118,7 +144,7 @@
 	estimator := hazard.New()
 	router := route.New(directory, estimator, route.Home{Node: name}, 1)
 	budget := retry.New(0.1, time.Now())
-	runner := stream.New(router, s.direct, budget, estimator, stream.NewCounters(registry))
+	runner := stream.New(router, s.engines(), budget, estimator, stream.NewCounters(registry), s.tracer(name))
 	writer := table.NewWriter(s.rows, name)
 	jobs := job.NewStore(writer, s.bodies, job.NewBatcher(writer, time.Millisecond))
 	ctx, cancel := context.WithCancel(context.Background())
@@ -129,7 +155,7 @@
 		Node: name, Owner: name, Limits: callerapi.Limits{BodyBytes: 4096, AnswerBytes: 4096, Requests: 100, WriteTimeout: 5 * time.Second},
 		Config: holder, Nodes: nodes, Router: router, Runner: runner, Rates: limit.NewRates(), Gates: limit.NewGates(),
 		Jobs: jobs, Worker: worker, JobStat: jobCounters, Claims: claim.New(writer), Plain: plainservice.New(httpx.NewClient(4)),
-		Budget: budget, History: explain.NewHistory(), Tracer: noop.NewTracerProvider().Tracer(""), Metrics: callerapi.NewCounters(registry),
+		Budget: budget, History: explain.NewHistory(), Tracer: s.tracer(name), Metrics: callerapi.NewCounters(registry),
 	})
 	e.server = httptest.NewServer(e.api)
 	e.self.CallerAddress = e.server.Listener.Addr().String()
--- a/pkg/callerapi/plain.go
+++ b/pkg/callerapi/plain.go
@@ -30,7 +30,9 @@
 		return
 	}
 	deadline := time.Now().Add(s.Deadline())
-	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	spanned, span := a.startSpan(r, "entry.call")
+	defer span.End()
+	ctx, cancel := context.WithDeadline(spanned, deadline)
 	defer cancel()
 	ticket, err := a.enter(ctx, s, team, deadline)
 	if err != nil {
--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -12,6 +12,8 @@
 	"strings"
 	"time"
 
+	"go.opentelemetry.io/otel/propagation"
+
 	"ironhollow/pkg/httpx"
 )
 
@@ -81,6 +83,7 @@
 
 func (c *Client) open(request *http.Request) (Stream, error) {
 	request.Header.Set(HeaderLoadFormat, LoadFormat)
+	propagation.TraceContext{}.Inject(request.Context(), propagation.HeaderCarrier(request.Header))
 	response, err := c.http.Do(request)
 	if err != nil {
 		return nil, err
--- a/pkg/peer/tick.go
+++ b/pkg/peer/tick.go
@@ -20,7 +20,7 @@
 	var out []Out
 	for _, link := range m.sortedLinks() {
 		role := m.links[link].role
-		if (m.isAttachment(role) || m.links[link].isExtra) && m.ticks%attachedEvery != 0 {
+		if m.isAttachment(role) && m.ticks%attachedEvery != 0 || m.links[link].isExtra && m.ticks%extraEvery != 0 {
 			continue
 		}
 		out = m.send(out, link, m.digest(role))
@@ -37,6 +37,10 @@
 // attached process: nobody judges its silence, and news floods there at once.
 const attachedEvery = 3
 
+// extraEvery is the same for a link in use that the mesh does not ask for. It
+// stays under the silence that raises a suspicion.
+const extraEvery = 2
+
 func (m *Mesh) isAttachment(role Role) bool { return m.follower || role == RoleControl }
 
 // forgive starts all clocks anew after a pause of this process: the silence it
@@ -55,11 +59,7 @@
 func (m *Mesh) suspectSilent(now time.Time, news *News) {
 	for _, link := range m.sortedLinks() {
 		state := m.links[link]
-		allowed := silence
-		if state.isExtra {
-			allowed *= attachedEvery
-		}
-		if state.role == RoleEntry && now.Sub(state.heard) > allowed {
+		if state.role == RoleEntry && now.Sub(state.heard) > silence {
 			m.suspect(state.node.ID, now, news)
 		}
 	}
--- a/pkg/plainservice/plainservice.go
+++ b/pkg/plainservice/plainservice.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"go.opentelemetry.io/otel/propagation"
 )
 
 // Headers between ironhollow and plain services.
@@ -90,6 +92,7 @@
 	request.Header = EndToEnd(call.Header)
 	request.Header.Set(HeaderDeadline, strconv.FormatInt(call.Deadline.UnixMilli(), 10))
 	request.GetBody = nil
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(request.Header))
 	client := c.repeatable
 	if call.Once {
 		client = c.once
--- a/pkg/policybench/run.go
+++ b/pkg/policybench/run.go
@@ -11,6 +11,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/testutil"
+	"go.opentelemetry.io/otel/trace/noop"
 
 	"ironhollow/pkg/capacity"
 	"ironhollow/pkg/chat"
@@ -133,7 +134,7 @@
 	}
 	home := route.Home{Node: fmt.Sprintf("n%d", number), DataCenter: r.fleet.Centres[number%len(r.fleet.Centres)]}
 	e.router = route.New(e.directory, e.hazard, home, r.seed+uint64(number))
-	e.runner = stream.New(e.router, r.direct, e.budget, e.hazard, e.counters)
+	e.runner = stream.New(e.router, r.direct, e.budget, e.hazard, e.counters, noop.NewTracerProvider().Tracer(""))
 	for _, centre := range r.fleet.Centres {
 		e.hazard.SetPrior(hazard.Place{DataCenter: centre, Class: "standard"}, priorHazard, time.Now())
 	}
--- a/pkg/standin/engines/server.go
+++ b/pkg/standin/engines/server.go
@@ -9,6 +9,10 @@
 	"sync/atomic"
 	"time"
 
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
 	"ironhollow/pkg/engine"
 	"ironhollow/pkg/httpx"
 )
@@ -21,6 +25,7 @@
 	report   atomic.Pointer[engine.WireReport]
 	sequence atomic.Int64
 	faults   atomic.Pointer[StreamFaults]
+	tracer   trace.Tracer
 }
 
 // StreamFaults are faults of the frames an engine sends. The zero value has none.
@@ -37,11 +42,14 @@
 
 // NewServer returns the HTTP side of an engine.
 func NewServer(e *Engine, client *http.Client) *Server {
-	s := &Server{engine: e, client: client}
+	s := &Server{engine: e, client: client, tracer: noop.NewTracerProvider().Tracer("")}
 	s.faults.Store(&StreamFaults{})
 	return s
 }
 
+// SetTracer makes the engine record a span for each attempt.
+func (s *Server) SetTracer(tracer trace.Tracer) { s.tracer = tracer }
+
 // SetFaults replaces the faults.
 func (s *Server) SetFaults(f StreamFaults) { s.faults.Store(&f) }
 
@@ -95,6 +103,9 @@
 		priority:  priority,
 		done:      len(sent.Continue),
 	}
+	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	_, span := s.tracer.Start(ctx, "engine.chat", trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
 	started, err := s.engine.start(spec)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
--- a/pkg/stream/runner.go
+++ b/pkg/stream/runner.go
@@ -13,6 +13,9 @@
 	"sync/atomic"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
 	"ironhollow/pkg/code"
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/engine"
@@ -95,14 +98,15 @@
 	budget   *retry.Budget
 	hazard   *hazard.Estimator
 	counters *Counters
+	tracer   trace.Tracer
 	active   *active
 	lengths  sync.Map // of service name to *length
 	onReport atomic.Pointer[func(endpoint.Info, engine.Report)]
 }
 
 // New returns a runner.
-func New(router *route.Router, engines engine.API, budget *retry.Budget, estimator *hazard.Estimator, counters *Counters) *Runner {
-	return &Runner{router: router, engines: engines, budget: budget, hazard: estimator, counters: counters, active: newActive()}
+func New(router *route.Router, engines engine.API, budget *retry.Budget, estimator *hazard.Estimator, counters *Counters, tracer trace.Tracer) *Runner {
+	return &Runner{router: router, engines: engines, budget: budget, hazard: estimator, counters: counters, tracer: tracer, active: newActive()}
 }
 
 // OnReport sets what takes the load reports that come with answers.
@@ -370,7 +374,9 @@
 	p.target = route.TargetOf(choice.Endpoint)
 	p.version = p.target.Version
 	r.countAttempt(p, choice)
-	attemptCtx, cancel := context.WithCancelCause(ctx)
+	attemptCtx, span := r.tracer.Start(ctx, "entry.attempt", trace.WithSpanKind(trace.SpanKindClient))
+	defer span.End()
+	attemptCtx, cancel := context.WithCancelCause(attemptCtx)
 	defer cancel(nil)
 	held := r.newRun(p, choice, cancel)
 	r.active.add(held)
@@ -381,6 +387,9 @@
 		return refused{errLeft}
 	}
 	result, end := r.read(attemptCtx, cancel, p, held, choice)
+	if span.IsRecording() {
+		span.SetAttributes(attribute.String("endpoint", choice.Endpoint.ID), attribute.String("ending", nameOf(end)), attribute.Int("attempt", p.attempts))
+	}
 	result.Failed = isFailure(end)
 	if result.Failed {
 		p.avoid = append(p.avoid, choice.Endpoint.Ref())
--- a/pkg/stream/runner_test.go
+++ b/pkg/stream/runner_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"go.opentelemetry.io/otel/trace/noop"
 
 	"ironhollow/pkg/chat"
 	"ironhollow/pkg/code"
@@ -60,7 +61,7 @@
 	time.Sleep(time.Second)
 	estimator := hazard.New()
 	f.router = route.New(f.directory, estimator, route.Home{Node: "n", DataCenter: "dc"}, 1)
-	f.runner = stream.New(f.router, f.direct, retry.New(0.1, time.Now()), estimator, stream.NewCounters(prometheus.NewRegistry()))
+	f.runner = stream.New(f.router, f.direct, retry.New(0.1, time.Now()), estimator, stream.NewCounters(prometheus.NewRegistry()), noop.NewTracerProvider().Tracer(""))
 	for _, info := range f.infos {
 		report, err := f.direct.Load(context.Background(), info.Address)
 		if err != nil {
