--- a/pkg/app/load/demo.go
+++ b/pkg/app/load/demo.go
@@ -53,9 +53,10 @@
 	entries  []string
 	admins   []string
 	platform string
-	services []string
-	out      io.Writer
-	http     *http.Client
+	// onlyReady waits for the fleet and shows nothing.
+	onlyReady bool
+	out       io.Writer
+	http      *http.Client
 }
 
 func demoCommand() *cobra.Command {
@@ -78,6 +79,7 @@
 	flags.StringSliceVar(&d.entries, "entries", nil, "callers' addresses of the entries")
 	flags.StringSliceVar(&d.admins, "admins", nil, "admin addresses of the same entries")
 	flags.StringVar(&d.platform, "platform", "", "address of the platform stand-in")
+	flags.BoolVar(&d.onlyReady, "only-ready", false, "wait until the fleet is ready, and no more")
 	return command
 }
 
@@ -88,13 +90,18 @@
 func (d *demo) say(format string, args ...any) { _, _ = fmt.Fprintf(d.out, format+"\n", args...) }
 
 func (d *demo) run(ctx context.Context) error {
-	steps := []func(context.Context) error{d.awaitReady, d.shortAnswer, d.jobElsewhere, d.callTwice, d.reclaimUnderJob}
+	steps := []func(context.Context) error{d.awaitReady}
+	if !d.onlyReady {
+		steps = append(steps, d.shortAnswer, d.jobElsewhere, d.callTwice, d.reclaimUnderJob)
+	}
 	for _, step := range steps {
 		if err := step(ctx); err != nil {
 			return err
 		}
 	}
-	d.say("All promises shown were kept.")
+	if !d.onlyReady {
+		d.say("All promises shown were kept.")
+	}
 	return nil
 }
 
--- a/pkg/load/run.go
+++ b/pkg/load/run.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"ironhollow/pkg/code"
 )
 
 // Kind is what a request of a run is.
@@ -147,19 +149,30 @@
 		return err
 	})
 	accepted := time.Since(due)
-	for err == nil && j.Status == "accepted" && time.Since(due) < jobWait {
+	id := j.ID
+	for err == nil && j.Status != "done" && j.Status != "failed" && time.Since(due) < jobWait {
 		err = s.elsewhere(ctx, &cut, func(address string) (err error) {
-			j, err = s.client.GetJob(ctx, address, j.ID, time.Second)
+			j, err = s.client.GetJob(ctx, address, id, time.Second)
 			return err
 		})
+		if isStoreDown(err) {
+			// An accepted job is asked for again until the store is back.
+			time.Sleep(time.Second)
+			err = nil
+		}
 	}
 	fault := "no result"
 	if j.Result != nil {
-		fault = s.source.Check(p, j.ID, j.Result.Text)
+		fault = s.source.Check(p, id, j.Result.Text)
 	}
 	s.note(due, accepted, cut, err, fault)
 }
 
+func isStoreDown(err error) bool {
+	var refused *Refused
+	return errors.As(err, &refused) && refused.Number == code.StoreDown.Number()
+}
+
 func (s sourceRun) call(ctx context.Context, n int, due time.Time) {
 	key := fmt.Sprintf("call-%s-%d-%d", s.source.Team, due.UnixNano(), n)
 	cut := false
--- a/pkg/platform/table/guard.go
+++ b/pkg/platform/table/guard.go
@@ -31,9 +31,11 @@
 	// bound that doubles, so that nodes do not come back together.
 	firstOpen = time.Second
 	mostOpen  = 30 * time.Second
-	// rampTime is how long a node takes to its full budget once the store is
-	// back, rampStart the part of it that it starts with.
-	rampTime  = 20 * time.Second
+	// A node takes as long to its full budget once the store is back as the
+	// store was away, within these bounds: after a blink there is no crowd.
+	leastRamp = time.Second
+	mostRamp  = 20 * time.Second
+	// rampStart is the part of the budget that it starts with.
 	rampStart = 0.05
 	// firstInFlight, mostInFlight and leastInFlight bound calls at once.
 	firstInFlight = 8.0
@@ -58,7 +60,10 @@
 	opened   int
 	retryAt  time.Time
 	probing  bool
-	rampFrom time.Time
+	// downSince is when the failures in a row began.
+	downSince time.Time
+	rampFrom  time.Time
+	rampTime  time.Duration
 	inFlight int
 	most     float64
 	waiters  []chan struct{}
@@ -187,7 +192,7 @@
 	if g.rampFrom.IsZero() {
 		return
 	}
-	part := rampStart + (1-rampStart)*now.Sub(g.rampFrom).Seconds()/rampTime.Seconds()
+	part := rampStart + (1-rampStart)*now.Sub(g.rampFrom).Seconds()/g.rampTime.Seconds()
 	if part >= 1 {
 		part = 1
 		g.rampFrom = time.Time{}
@@ -269,6 +274,9 @@
 
 func (g *Guard) fail(now time.Time) {
 	g.counts.Failed++
+	if g.failures == 0 {
+		g.downSince = now
+	}
 	g.failures++
 	g.most = max(leastInFlight, g.most*shrink)
 	if g.failures < openAfter {
@@ -283,6 +291,7 @@
 func (g *Guard) succeed(now time.Time) {
 	if g.failures >= openAfter {
 		g.rampFrom = now
+		g.rampTime = min(max(now.Sub(g.downSince), leastRamp), mostRamp)
 		g.ramp(now)
 	}
 	g.failures = 0
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -74,3 +74,56 @@
 reports = 2s
 INI
 }
+
+# start_fleet starts stand-ins and hosts; it needs fleet, centres, plain, hosts,
+# engines and plains, and sets platform, entries, admins and servers.
+start_fleet() {
+  mapfile -t ports < <("$bin/ironhollow-standin" ports --count $((1 + 5 * hosts)))
+  platform=127.0.0.1:${ports[0]}
+  seeds=""
+  for i in $(seq 0 $((hosts < 3 ? hosts - 1 : 2))); do
+    seeds+="${seeds:+, }127.0.0.1:${ports[$((1 + 5 * i + 1))]}"
+  done
+
+  start platform "$bin/ironhollow-standin" platform --listen "$platform" --list-lag 1s
+  wait_for "$platform"
+  for c in 0 1 2 3; do
+    start "engines-$c" "$bin/ironhollow-standin" engine --platform "$platform" --prefix "engine-${centres[$c]}" \
+      --data-center "${centres[$c]}" --count "${engines[$c]}" --token-gap 5ms --slots 32
+    [ "${plains[$c]}" = 0 ] || start "plain-$c" "$bin/ironhollow-standin" service --platform "$platform" \
+      --prefix "$plain-${centres[$c]}" --data-center "${centres[$c]}" --service "$plain" --count "${plains[$c]}" --on-demand
+  done
+
+  entries="" admins="" servers=""
+  for i in $(seq "$hosts"); do
+    at=$((1 + 5 * (i - 1)))
+    centre=${centres[$(((i - 1) % 4))]}
+    write_entry "$i" "$centre" "${ports[$at]}" "${ports[$((at + 1))]}" "${ports[$((at + 2))]}"
+    write_control "$i" "$centre" "${ports[$((at + 3))]}" "${ports[$((at + 4))]}" "${ports[$((at + 1))]}"
+    start "entry-$i" "$bin/ironhollow-entry" --settings "$work/entry-$i.ini"
+    start "control-$i" "$bin/ironhollow-control" --settings "$work/control-$i.ini"
+    entries+="${entries:+,}127.0.0.1:${ports[$at]}"
+    admins+="${admins:+,}127.0.0.1:${ports[$((at + 2))]}"
+    servers+="${servers:+,}127.0.0.1:${ports[$((at + 3))]}"
+  done
+  wait_for "${servers%%,*}"
+}
+
+# stop_host and start_host are a planned stop and a start of one host.
+stop_host() {
+  kill -TERM "${pid_of[entry-$1]}" "${pid_of[control-$1]}"
+  while kill -0 "${pid_of[entry-$1]}" 2>/dev/null; do sleep 0.05; done
+}
+start_host() {
+  start "entry-$1" "$bin/ironhollow-entry" --settings "$work/entry-$1.ini"
+  start "control-$1" "$bin/ironhollow-control" --settings "$work/control-$1.ini"
+}
+
+# names_of sets the words of one of the users' fleets.
+names_of() {
+  case $1 in
+    authority) centres=(north east south west) plain=ledger ;;
+    head-office) centres=(hall-a hall-b hall-c hall-d) plain=lobby ;;
+    *) echo "FLEET: got $1, valid: authority, head-office" >&2; exit 2 ;;
+  esac
+}
