--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(CURDIR)/bin
 export BIN
 
-.PHONY: help build demo test check generate tools clean bench-scale bench-policy bench-hop demo-failures
+.PHONY: docs help build demo test check generate tools clean bench-scale bench-policy bench-hop demo-failures
 
 help: ## List the commands
 	@grep -E '^[a-z-]+:.*## ' Makefile | sed 's/:.*## /\t/'
@@ -29,6 +29,11 @@
 bench-policy: ## Measure the decisions in virtual time, with ablations; writes docs/measurements/policy-*
 	POLICY_OUT=$(CURDIR)/docs/measurements go test -tags policybench -run TestReport -timeout 60m -v ./pkg/policybench
 
+docs: build ## Write the settings pages from the schemas
+	$(BIN)/ironhollow-entry --print-defaults > docs/operators/settings-entry.ini
+	$(BIN)/ironhollow-control --print-defaults > docs/operators/settings-control.ini
+	$(BIN)/ironhollow defaults > docs/operators/configuration.ini
+
 tools: ## Build the pinned tools into .bin/
 	cd tools && GOBIN=$(TOOLS) go install github.com/google/wire/cmd/wire mvdan.cc/gofumpt github.com/mgechev/revive github.com/atombender/go-jsonschema
 
--- a/pkg/app/cli/cli.go
+++ b/pkg/app/cli/cli.go
@@ -106,7 +106,7 @@
 	flags.StringVar(&t.ca, "ca", "", "certificate of the site's authority, if operators' ports use TLS")
 	flags.BoolVar(&t.asJSON, "json", false, "print JSON instead of a table")
 	root.AddCommand(t.checkCommand(), t.diffCommand(), t.applyCommand(), t.getCommand(), t.statusCommand(),
-		t.drainCommand(), t.explainCommand(), t.keysCommand())
+		t.drainCommand(), t.explainCommand(), t.keysCommand(), t.defaultsCommand())
 	return root
 }
 
--- a/pkg/app/cli/config.go
+++ b/pkg/app/cli/config.go
@@ -8,6 +8,8 @@
 
 	"ironhollow/pkg/fleet"
 	"ironhollow/pkg/operatorapi/operatorwire"
+	"ironhollow/pkg/settings"
+	"ironhollow/schema"
 )
 
 // checked is check's answer.
@@ -33,6 +35,22 @@
 	}
 }
 
+func (t *tool) defaultsCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "defaults",
+		Short: "Print every key of a configuration with its meaning, range and default",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			shape, err := settings.ParseSchema(schema.Fleet)
+			if err != nil {
+				return err
+			}
+			_, err = io.WriteString(t.out, shape.Defaults())
+			return err
+		},
+	}
+}
+
 // difference is one line of a diff.
 type difference struct {
 	Kind   string `json:"kind"`
--- a/pkg/fleet/config.go
+++ b/pkg/fleet/config.go
@@ -163,9 +163,9 @@
 type Policy struct {
 	naiveRoute   bool
 	naiveReclaim bool
-	// shares are of requests sent, 0 to 1.
-	retryShare, hedgeShare float64
-	entriesKept            time.Duration
+	// retryShare is of requests sent, 0 to 1.
+	retryShare  float64
+	entriesKept time.Duration
 }
 
 // NaiveRoute reports whether the naive choice of endpoint is asked for.
@@ -177,9 +177,6 @@
 // RetryShare returns retries as a share of requests.
 func (p Policy) RetryShare() float64 { return p.retryShare }
 
-// HedgeShare returns hedged requests as a share of requests.
-func (p Policy) HedgeShare() float64 { return p.hedgeShare }
-
 // EntriesKept returns how long callers keep the answer of which entries to use.
 func (p Policy) EntriesKept() time.Duration { return p.entriesKept }
 
--- a/pkg/fleet/decode.go
+++ b/pkg/fleet/decode.go
@@ -105,7 +105,6 @@
 		naiveRoute:   w.Route == fleetschema.FleetPolicyRouteNaive,
 		naiveReclaim: w.Reclaim == fleetschema.FleetPolicyReclaimNaive,
 		retryShare:   w.RetryShare,
-		hedgeShare:   w.HedgeShare,
 		entriesKept:  w.EntriesKept,
 	}
 	return nil
--- a/pkg/fleet/fleetschema/schema_gen.go
+++ b/pkg/fleet/fleetschema/schema_gen.go
@@ -70,9 +70,6 @@
 	// How long callers keep the answer of which entry hosts to use.
 	EntriesKept time.Duration `json:"entries-kept,omitempty" cbor:"entries-kept,omitempty"`
 
-	// Hedged requests as a share of requests.
-	HedgeShare float64 `json:"hedge-share,omitempty" cbor:"hedge-share,omitempty"`
-
 	// What is done with running work when an endpoint is reclaimed.
 	Reclaim FleetPolicyReclaim `json:"reclaim,omitempty" cbor:"reclaim,omitempty"`
 
--- a/pkg/platform/table/guard.go
+++ b/pkg/platform/table/guard.go
@@ -57,17 +57,17 @@
 	mu       sync.Mutex
 	failures int
 	// opened counts how often in a row the guard opened without a success.
-	opened   int
-	retryAt  time.Time
-	probing  bool
+	opened  int
+	retryAt time.Time
+	probing bool
 	// downSince is when the failures in a row began.
 	downSince time.Time
 	rampFrom  time.Time
 	rampTime  time.Duration
-	inFlight int
-	most     float64
-	waiters  []chan struct{}
-	counts   GuardCounts
+	inFlight  int
+	most      float64
+	waiters   []chan struct{}
+	counts    GuardCounts
 }
 
 // GuardCounts count calls.
