--- a/pkg/app/control/app.go
+++ b/pkg/app/control/app.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -15,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.opentelemetry.io/otel/sdk/trace"
 
+	"ironhollow/pkg/app/process"
 	"ironhollow/pkg/config"
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/engine"
@@ -26,8 +26,6 @@
 	"ironhollow/pkg/platform/cloud"
 	"ironhollow/pkg/platform/hostlist"
 	"ironhollow/pkg/platform/table"
-	"ironhollow/pkg/platform/table/tablehttp"
-	"ironhollow/pkg/secure"
 )
 
 // App is a control process with all its parts.
@@ -50,7 +48,7 @@
 	hosts     hostlist.List
 	operators *operatorapi.API
 	counters  *Counters
-	operTLS   *secure.Loader
+	tls       process.TLS
 
 	mu sync.Mutex
 	// noticed is the sequence of the last notice seen.
@@ -81,10 +79,7 @@
 
 func newHTTPClient() *http.Client { return httpx.NewClient(connsPerHost) }
 
-func newGuard(s Settings, client *http.Client) *table.Guard {
-	store := tablehttp.New(s.tableAddress, s.platformTime, client)
-	return table.NewGuard(store, table.Budget{ReadsPerSecond: s.readsPerSecond, WritesPerSecond: s.writesPerSecond})
-}
+func newGuard(s Settings, client *http.Client) *table.Guard { return process.NewGuard(s.table, client) }
 
 // newWriter names the process in tokens and leases.
 func newWriter(guard *table.Guard, s Settings, incarnation Incarnation) *table.Writer {
@@ -100,30 +95,10 @@
 	return peer.NewFollower(self, nodes, endpoints, holder)
 }
 
-// TLS holds the keys of both sides, nil where TLS is off.
-type TLS struct {
-	peer, operator *secure.Loader
-}
-
-func newTLS(s Settings) (TLS, error) {
-	var t TLS
-	var err error
-	if !s.peerFiles.Empty() {
-		if t.peer, err = secure.Load(s.peerFiles); err != nil {
-			return t, err
-		}
-	}
-	if !s.operatorFile.Empty() {
-		t.operator, err = secure.Load(s.operatorFile)
-	}
-	return t, err
-}
+func newTLS(s Settings) (process.TLS, error) { return process.LoadTLS(s.peerFiles, s.operatorFile) }
 
-func newPeers(ctx context.Context, mesh *peer.Mesh, t TLS, counters *peer.Counters) *peer.Server {
-	if t.peer == nil {
-		return peer.NewServer(ctx, mesh, peer.RoleControl, nil, counters)
-	}
-	return peer.NewServer(ctx, mesh, peer.RoleControl, t.peer.PeerClient(), counters)
+func newPeers(ctx context.Context, mesh *peer.Mesh, t process.TLS, counters *peer.Counters) *peer.Server {
+	return peer.NewServer(ctx, mesh, peer.RoleControl, t.PeerClient(), counters)
 }
 
 func newEngines(client *http.Client) engine.API { return engine.New(client, engineTime) }
@@ -146,27 +121,12 @@
 	settings Settings, logger *log.Logger, registry *prometheus.Registry, tracer *trace.TracerProvider, guard *table.Guard,
 	writer *table.Writer, holder *config.Holder, store *config.Store, nodes *membership.Table, endpoints *endpoint.Directory,
 	mesh *peer.Mesh, peers *peer.Server, leases *lease.Manager, engines engine.API, cloudAPI cloud.API, hosts hostlist.List,
-	operators *operatorapi.API, counters *Counters, t TLS,
+	operators *operatorapi.API, counters *Counters, t process.TLS,
 ) *App {
 	return &App{
 		settings: settings, log: logger, registry: registry, tracer: tracer, guard: guard, writer: writer, config: holder,
 		store: store, nodes: nodes, endpoints: endpoints, mesh: mesh, peers: peers, leases: leases, engines: engines,
-		cloud: cloudAPI, hosts: hosts, operators: operators, counters: counters, operTLS: t.operator,
+		cloud: cloudAPI, hosts: hosts, operators: operators, counters: counters, tls: t,
 		ordered: map[string]bool{}, hadGrant: map[lease.Shard]int64{},
 	}
 }
-
-// every calls do at a period with jitter until ctx ends.
-func every(ctx context.Context, period time.Duration, do func(context.Context)) {
-	for {
-		jitter := time.Duration((0.9 + 0.2*rand.Float64()) * float64(period))
-		timer := time.NewTimer(jitter)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return
-		case <-timer.C:
-			do(ctx)
-		}
-	}
-}
--- a/pkg/app/control/counters.go
+++ b/pkg/app/control/counters.go
@@ -1,6 +1,10 @@
 package control
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"ironhollow/pkg/metrics"
+)
 
 // Counters count what a control process does.
 type Counters struct {
@@ -13,16 +17,12 @@
 
 // NewCounters registers the counters.
 func NewCounters(registry prometheus.Registerer) *Counters {
-	counter := func(name, help string) prometheus.Counter {
-		c := prometheus.NewCounter(prometheus.CounterOpts{Namespace: "ironhollow", Subsystem: "control", Name: name, Help: help})
-		registry.MustRegister(c)
-		return c
-	}
+	group := metrics.New(registry, "control")
 	return &Counters{
-		Orders:       counter("orders_total", "Orders to engines that were taken."),
-		OrdersStale:  counter("orders_stale_total", "Orders refused because a later holder had spoken."),
-		OrdersFailed: counter("orders_failed_total", "Orders that failed."),
-		Notices:      counter("notices_total", "Reclaim notices passed on."),
-		Grants:       counter("grants_total", "Leases taken."),
+		Orders:       group.Counter("orders_total", "Orders to engines that were taken."),
+		OrdersStale:  group.Counter("orders_stale_total", "Orders refused because a later holder had spoken."),
+		OrdersFailed: group.Counter("orders_failed_total", "Orders that failed."),
+		Notices:      group.Counter("notices_total", "Reclaim notices passed on."),
+		Grants:       group.Counter("grants_total", "Leases taken."),
 	}
 }
--- a/pkg/app/control/run.go
+++ b/pkg/app/control/run.go
@@ -11,6 +11,7 @@
 	"ironhollow/pkg/config"
 	"ironhollow/pkg/httpx"
 	"ironhollow/pkg/operatorapi/operatorwire"
+	"ironhollow/pkg/pause"
 	"ironhollow/pkg/peer"
 	"ironhollow/schema"
 )
@@ -80,8 +81,8 @@
 	if err != nil {
 		return err
 	}
-	if a.operTLS != nil {
-		operators = tls.NewListener(operators, a.operTLS.Server())
+	if config := a.tls.OuterServer(); config != nil {
+		operators = tls.NewListener(operators, config)
 	}
 	admin, err := process.Listen("[node] admin-address", a.settings.adminAddress)
 	if err != nil {
@@ -122,12 +123,12 @@
 	a.operators.OnApplied(func(ctx context.Context) { a.followConfig(ctx) })
 	go a.peers.Run()
 	go a.attach(ctx)
-	go every(ctx, a.settings.leaseTiming.Renew, a.stepLeases)
-	go every(ctx, configPeriod, a.relayConfig)
-	go every(ctx, watch, a.readNotices)
-	go every(ctx, a.settings.hostListPeriod, a.readHosts)
-	go every(ctx, a.settings.reportPeriod/hurry, a.readReports)
-	go every(ctx, 2*watch, a.place)
+	go pause.Every(ctx, a.settings.leaseTiming.Renew, a.stepLeases)
+	go pause.Every(ctx, configPeriod, a.relayConfig)
+	go pause.Every(ctx, watch, a.readNotices)
+	go pause.Every(ctx, a.settings.hostListPeriod, a.readHosts)
+	go pause.Every(ctx, a.settings.reportPeriod/hurry, a.readReports)
+	go pause.Every(ctx, 2*watch, a.place)
 }
 
 // Attachment to an entry.
@@ -144,23 +145,14 @@
 	home, others := a.settings.entries[0], a.settings.entries[1:]
 	for round := 0; ctx.Err() == nil; round++ {
 		for try := 0; try < homeTries && !a.peers.DialAddress(ctx, home); try++ {
-			pause(ctx, attachPeriod)
+			pause.For(ctx, attachPeriod)
 		}
 		if len(others) > 0 {
 			away, cancel := context.WithTimeout(ctx, awayTime)
 			a.peers.DialAddress(away, others[round%len(others)])
 			cancel()
 		}
-		pause(ctx, attachPeriod)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		pause.For(ctx, attachPeriod)
 	}
 }
 
--- a/pkg/app/control/settings.go
+++ b/pkg/app/control/settings.go
@@ -5,6 +5,7 @@
 
 	"ironhollow/pkg/app/process"
 	"ironhollow/pkg/lease"
+	"ironhollow/pkg/platform/table"
 	"ironhollow/pkg/secure"
 	"ironhollow/pkg/settings"
 	"ironhollow/pkg/settings/controlschema"
@@ -17,12 +18,10 @@
 	operatorAddress         string
 	adminAddress            string
 	entries                 []string
-	tableAddress            string
+	table                   process.Table
 	cloudAddress            string
 	hostListAddress         string
 	platformTime            time.Duration
-	readsPerSecond          float64
-	writesPerSecond         float64
 	operatorKeys            []string
 	shards                  int
 	leaseTiming             lease.Timing
@@ -51,8 +50,8 @@
 	return Settings{
 		id: w.Node.ID, dataCenter: w.Node.DataCenter, region: w.Node.Region,
 		operatorAddress: w.Node.OperatorAddress, adminAddress: w.Node.AdminAddress, entries: w.Node.Entries,
-		tableAddress: w.Platform.Table, cloudAddress: w.Platform.Cloud, hostListAddress: w.Platform.HostList,
-		platformTime: w.Platform.Timeout, readsPerSecond: w.Platform.ReadsPerSecond, writesPerSecond: w.Platform.WritesPerSecond,
+		table: tableOf(w.Platform), cloudAddress: w.Platform.Cloud, hostListAddress: w.Platform.HostList,
+		platformTime: w.Platform.Timeout,
 		operatorKeys: w.Operators.Keys, shards: w.Shards.Count,
 		leaseTiming: lease.Timing{Duration: w.Shards.Lease, Renew: w.Shards.Renew}, watchPeriod: w.Shards.Watch,
 		hostListPeriod: w.Shards.Hosts, reportPeriod: w.Shards.Reports,
@@ -62,3 +61,8 @@
 		logLevel:     string(w.Log.Level),
 	}
 }
+
+func tableOf(w *controlschema.ControlPlatform) process.Table {
+	budget := table.Budget{ReadsPerSecond: w.ReadsPerSecond, WritesPerSecond: w.WritesPerSecond}
+	return process.Table{Address: w.Table, Timeout: w.Timeout, Budget: budget}
+}
--- a/pkg/app/entry/app.go
+++ b/pkg/app/entry/app.go
@@ -16,6 +16,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"ironhollow/pkg/accept"
+	"ironhollow/pkg/app/process"
 	"ironhollow/pkg/callerapi"
 	"ironhollow/pkg/claim"
 	"ironhollow/pkg/config"
@@ -31,11 +32,9 @@
 	"ironhollow/pkg/plainservice"
 	"ironhollow/pkg/platform/object"
 	"ironhollow/pkg/platform/table"
-	"ironhollow/pkg/platform/table/tablehttp"
 	"ironhollow/pkg/reclaim"
 	"ironhollow/pkg/retry"
 	"ironhollow/pkg/route"
-	"ironhollow/pkg/secure"
 	"ironhollow/pkg/stream"
 )
 
@@ -68,8 +67,7 @@
 	mesh      *peer.Mesh
 	peers     *peer.Server
 	api       *callerapi.API
-	peerTLS   *secure.Loader
-	callerTLS *secure.Loader
+	tls       process.TLS
 
 	recoveredMu sync.Mutex
 	// recovered are incarnations of dead nodes that own no jobs any more.
@@ -101,10 +99,7 @@
 	return self
 }
 
-func newGuard(s Settings, client *http.Client) *table.Guard {
-	store := tablehttp.New(s.tableAddress, s.platformTime, client)
-	return table.NewGuard(store, table.Budget{ReadsPerSecond: s.readsPerSecond, WritesPerSecond: s.writesPerSecond})
-}
+func newGuard(s Settings, client *http.Client) *table.Guard { return process.NewGuard(s.table, client) }
 
 func newWriter(guard *table.Guard, self membership.Node) *table.Writer {
 	return table.NewWriter(guard, self.Owner())
@@ -144,30 +139,10 @@
 	return job.NewWorker(ctx, store, generator, self.Owner(), s.jobs, interval, counters)
 }
 
-// TLS holds the keys of both sides, nil where TLS is off.
-type TLS struct {
-	peer, caller *secure.Loader
-}
-
-func newTLS(s Settings) (TLS, error) {
-	var t TLS
-	var err error
-	if !s.peerFiles.Empty() {
-		if t.peer, err = secure.Load(s.peerFiles); err != nil {
-			return t, err
-		}
-	}
-	if !s.callerFiles.Empty() {
-		t.caller, err = secure.Load(s.callerFiles)
-	}
-	return t, err
-}
+func newTLS(s Settings) (process.TLS, error) { return process.LoadTLS(s.peerFiles, s.callerFiles) }
 
-func newPeers(ctx context.Context, mesh *peer.Mesh, t TLS, counters *peer.Counters) *peer.Server {
-	if t.peer == nil {
-		return peer.NewServer(ctx, mesh, peer.RoleEntry, nil, counters)
-	}
-	return peer.NewServer(ctx, mesh, peer.RoleEntry, t.peer.PeerClient(), counters)
+func newPeers(ctx context.Context, mesh *peer.Mesh, t process.TLS, counters *peer.Counters) *peer.Server {
+	return peer.NewServer(ctx, mesh, peer.RoleEntry, t.PeerClient(), counters)
 }
 
 // newAccepts gathers the data centre's accepted jobs over the peers' links.
--- a/pkg/app/entry/generator.go
+++ b/pkg/app/entry/generator.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"ironhollow/pkg/chat"
 	"ironhollow/pkg/code"
@@ -25,42 +24,16 @@
 	return &generator{holder, runner, gates}
 }
 
-// place is one job's place beside callers who wait.
-type place struct {
-	gate   *limit.Gate
-	ask    limit.Ask
-	ticket limit.Ticket
-	held   bool
-}
-
-func (g *generator) placeFor(j job.Job, c *fleet.Config, s fleet.Service) *place {
+// placeFor returns a job's place beside callers who wait.
+func (g *generator) placeFor(j job.Job, c *fleet.Config, s fleet.Service) *limit.Place {
 	weight := 1
 	if team, ok := c.Team(j.Team); ok {
 		weight = team.Weight()
 	}
 	target := route.Target{Model: s.Model(), Version: s.Version(), Adapter: s.Adapter()}
-	return &place{gate: g.gates.For(target), ask: limit.Ask{
+	return limit.NewPlace(g.gates.For(target), limit.Ask{
 		Team: j.Team, Weight: weight, Priority: s.Priority(), MayWait: true, Yield: func() bool { return g.runner.Yield(j.ID) },
-	}}
-}
-
-func (p *place) enter(ctx context.Context) error {
-	ticket, err := p.gate.Acquire(ctx, p.ask, time.Now())
-	p.ticket, p.held = ticket, err == nil
-	return err
-}
-
-func (p *place) leave() {
-	if p.held {
-		p.ticket.Release(time.Now())
-		p.held = false
-	}
-}
-
-// reenter gives the place up and queues for another one.
-func (p *place) reenter(ctx context.Context) error {
-	p.leave()
-	return p.enter(ctx)
+	})
 }
 
 // Generate runs a job's request, going on after the tokens of a checkpoint if
@@ -85,12 +58,12 @@
 		request.Received = received
 	}
 	place := g.placeFor(j, c, s)
-	if err := place.enter(ctx); err != nil {
+	if err := place.Enter(ctx); err != nil {
 		return job.Result{}, err
 	}
-	defer place.leave()
+	defer place.Leave()
 	request.MayWait = true
-	request.Reenter = place.reenter
+	request.Reenter = place.Reenter
 	collector := chat.NewCollector(s.Version(), request.Received)
 	started(collector)
 	result, err := g.runner.Run(ctx, request, collector)
--- a/pkg/app/entry/loops.go
+++ b/pkg/app/entry/loops.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math"
-	"math/rand/v2"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -35,21 +34,6 @@
 	storeTime     = 5 * time.Second
 )
 
-// every calls do at a period with jitter until ctx ends.
-func every(ctx context.Context, period time.Duration, do func(context.Context)) {
-	for {
-		jitter := time.Duration((0.9 + 0.2*rand.Float64()) * float64(period))
-		timer := time.NewTimer(jitter)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return
-		case <-timer.C:
-			do(ctx)
-		}
-	}
-}
-
 // followConfig brings the configuration up to the store's.
 func (a *App) followConfig(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeTime)
--- a/pkg/app/entry/parts.go
+++ b/pkg/app/entry/parts.go
@@ -7,6 +7,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"ironhollow/pkg/accept"
+	"ironhollow/pkg/app/process"
 	"ironhollow/pkg/callerapi"
 	"ironhollow/pkg/claim"
 	"ironhollow/pkg/config"
@@ -44,13 +45,13 @@
 	endpoints *endpoint.Directory, estimator *hazard.Estimator, router *route.Router, engines engine.API,
 	runner *stream.Runner, rates *limit.Rates, gates *limit.Gates, budget *retry.Budget, jobs *job.Store,
 	worker *job.Worker, batcher *job.Batcher, claims *claim.Claims, accepts *accept.Gatherer, history *explain.History, mesh *peer.Mesh,
-	peers *peer.Server, api *callerapi.API, t TLS,
+	peers *peer.Server, api *callerapi.API, t process.TLS,
 ) *App {
 	return &App{
 		settings: settings, self: self, log: logger, registry: registry, tracer: tracer, guard: guard, writer: writer,
 		config: holder, store: store, nodes: nodes, endpoints: endpoints, hazard: estimator, router: router,
 		engines: engines, runner: runner, rates: rates, gates: gates, budget: budget, jobs: jobs, worker: worker,
 		batcher: batcher, claims: claims, accepts: accepts, history: history, mesh: mesh, peers: peers, api: api,
-		peerTLS: t.peer, callerTLS: t.caller, recovered: map[string]bool{}, drainAsked: make(chan struct{}),
+		tls: t, recovered: map[string]bool{}, drainAsked: make(chan struct{}),
 	}
 }
--- a/pkg/app/entry/run.go
+++ b/pkg/app/entry/run.go
@@ -10,6 +10,7 @@
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/job"
 	"ironhollow/pkg/membership"
+	"ironhollow/pkg/pause"
 	"ironhollow/pkg/peer"
 	"ironhollow/schema"
 )
@@ -83,18 +84,10 @@
 		process.Serve(server, listener, faults)
 		return nil
 	}
-	var callerTLS, peerTLS *tls.Config
-	if a.callerTLS != nil {
-		callerTLS = a.callerTLS.Server()
-		callerTLS.NextProtos = []string{"http/1.1"}
-	}
-	if a.peerTLS != nil {
-		peerTLS = a.peerTLS.PeerServer()
-	}
-	if err := open("[node] caller-address", a.self.CallerAddress, a.api, a.settings.readTimeout, callerTLS); err != nil {
+	if err := open("[node] caller-address", a.self.CallerAddress, a.api, a.settings.readTimeout, a.tls.OuterServer()); err != nil {
 		return nil, err
 	}
-	if err := open("[node] peer-address", a.self.PeerAddress, a.peerMux(), 0, peerTLS); err != nil {
+	if err := open("[node] peer-address", a.self.PeerAddress, a.peerMux(), 0, a.tls.PeerServer()); err != nil {
 		return nil, err
 	}
 	return servers, open("[node] admin-address", a.settings.adminAddress, a.admin(), a.settings.readTimeout, nil)
@@ -114,7 +107,7 @@
 	go a.watchConfig(ctx)
 	go a.begin(ctx)
 	go a.readReports(ctx)
-	go every(ctx, sharePeriod, a.share)
+	go pause.Every(ctx, sharePeriod, a.share)
 }
 
 // beginPeriod is how often a start that the store did not answer is repeated.
@@ -134,19 +127,15 @@
 			break
 		}
 		a.dialSeeds(ctx)
-		timer := time.NewTimer(beginPeriod)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !pause.For(ctx, beginPeriod) {
 			return
-		case <-timer.C:
 		}
 	}
 	a.followConfig(ctx)
 	a.recoverOwn(ctx)
-	go every(ctx, recoverPeriod, a.recoverJobs)
-	go every(ctx, sweepPeriod, a.sweep)
-	every(ctx, configPeriod, a.followConfig)
+	go pause.Every(ctx, recoverPeriod, a.recoverJobs)
+	go pause.Every(ctx, sweepPeriod, a.sweep)
+	pause.Every(ctx, configPeriod, a.followConfig)
 }
 
 func (a *App) dialSeeds(ctx context.Context) {
@@ -194,14 +183,14 @@
 	ctx, cancel := context.WithTimeout(ctx, a.settings.drainMost)
 	defer cancel()
 	notice := max(a.settings.drainNotice, a.config.Current().Policy().EntriesKept())
-	sleep(ctx, notice)
+	pause.For(ctx, notice)
 	a.worker.Drain(ctx)
 	// Connections kept by callers are closed as they fall idle; a request that
 	// comes in on one meanwhile is served.
 	for _, server := range servers[:1] {
 		server.SetKeepAlivesEnabled(false)
 	}
-	for sleep(ctx, idlePeriod) {
+	for pause.For(ctx, idlePeriod) {
 		if a.api.InFlight() == 0 {
 			break
 		}
@@ -214,14 +203,3 @@
 		_ = server.Close()
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/pkg/app/entry/settings.go
+++ b/pkg/app/entry/settings.go
@@ -6,6 +6,7 @@
 	"ironhollow/pkg/app/process"
 	"ironhollow/pkg/callerapi"
 	"ironhollow/pkg/membership"
+	"ironhollow/pkg/platform/table"
 	"ironhollow/pkg/secure"
 	"ironhollow/pkg/settings"
 	"ironhollow/pkg/settings/entryschema"
@@ -14,19 +15,16 @@
 
 // Settings are the checked settings of an entry.
 type Settings struct {
-	node           membership.Node
-	adminAddress   string
-	seeds          []string
-	tableAddress   string
-	objectAddress  string
-	platformTime   time.Duration
-	readsPerSecond float64
-	// writesPerSecond counts commits.
-	writesPerSecond float64
-	limits          callerapi.Limits
-	readTimeout     time.Duration
-	jobs            int
-	acceptWindow    time.Duration
+	node          membership.Node
+	adminAddress  string
+	seeds         []string
+	table         process.Table
+	objectAddress string
+	platformTime  time.Duration
+	limits        callerapi.Limits
+	readTimeout   time.Duration
+	jobs          int
+	acceptWindow  time.Duration
 	// loadPolls is endpoints asked for their load a second.
 	loadPolls   float64
 	drainNotice time.Duration
@@ -56,13 +54,11 @@
 			ID: w.Node.ID, Status: membership.Alive, DataCenter: w.Node.DataCenter, Region: w.Node.Region,
 			PeerAddress: w.Node.PeerAddress, CallerAddress: w.Node.CallerAddress,
 		},
-		adminAddress:    w.Node.AdminAddress,
-		seeds:           w.Node.Seeds,
-		tableAddress:    w.Platform.Table,
-		objectAddress:   w.Platform.Objects,
-		platformTime:    w.Platform.Timeout,
-		readsPerSecond:  w.Platform.ReadsPerSecond,
-		writesPerSecond: w.Platform.WritesPerSecond,
+		adminAddress:  w.Node.AdminAddress,
+		seeds:         w.Node.Seeds,
+		table:         tableOf(w.Platform),
+		objectAddress: w.Platform.Objects,
+		platformTime:  w.Platform.Timeout,
 		limits: callerapi.Limits{
 			BodyBytes: int64(w.Limits.BodyBytes), AnswerBytes: int64(w.Limits.AnswerBytes),
 			Requests: int64(w.Limits.Requests), WriteTimeout: w.Limits.WriteTimeout,
@@ -79,3 +75,8 @@
 		logLevel:     string(w.Log.Level),
 	}
 }
+
+func tableOf(w *entryschema.EntryPlatform) process.Table {
+	budget := table.Budget{ReadsPerSecond: w.ReadsPerSecond, WritesPerSecond: w.WritesPerSecond}
+	return process.Table{Address: w.Table, Timeout: w.Timeout, Budget: budget}
+}
--- a/pkg/callerapi/api.go
+++ b/pkg/callerapi/api.go
@@ -7,7 +7,6 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
-	mathrand "math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -315,14 +314,6 @@
 	httpx.WriteJSON(w, http.StatusOK, body)
 }
 
-// shuffles need not be repeatable; the runtime's source serves all threads.
-var shuffles = mathrand.New(runtimeSource{})
-
-type runtimeSource struct{}
-
-// Uint64 returns random bits.
-func (runtimeSource) Uint64() uint64 { return mathrand.Uint64() }
-
 // modelsBody lists services in the usual form.
 type modelsBody struct {
 	Object string      `json:"object"`
--- a/pkg/callerapi/counters.go
+++ b/pkg/callerapi/counters.go
@@ -3,8 +3,10 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
+	"ironhollow/pkg/entropy"
 	"ironhollow/pkg/entrychoice"
 	"ironhollow/pkg/membership"
+	"ironhollow/pkg/metrics"
 )
 
 // Counters count callers' requests.
@@ -19,32 +21,18 @@
 
 // NewCounters registers the counters.
 func NewCounters(registry prometheus.Registerer) *Counters {
-	vector := func(name, help, label string) *prometheus.CounterVec {
-		c := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "ironhollow", Subsystem: "caller", Name: name, Help: help}, []string{label})
-		registry.MustRegister(c)
-		return c
-	}
-	histogram := func(name, help string) *prometheus.HistogramVec {
-		h := prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Namespace: "ironhollow", Subsystem: "caller", Name: name, Help: help,
-			Buckets: prometheus.ExponentialBuckets(0.005, 2, 14),
-		}, []string{"service"})
-		registry.MustRegister(h)
-		return h
-	}
-	panics := prometheus.NewCounter(prometheus.CounterOpts{Namespace: "ironhollow", Subsystem: "caller", Name: "panics_total", Help: "Faults caught while serving a request."})
-	registry.MustRegister(panics)
+	group := metrics.New(registry, "caller")
 	return &Counters{
-		Requests:   vector("requests_total", "Requests of known teams.", "team"),
-		OverRate:   vector("over_rate_total", "Requests refused because the team is over its rate.", "team"),
-		Overloaded: vector("overloaded_total", "Requests refused early because their deadline could not be met.", "service"),
-		Panics:     panics,
-		FirstToken: histogram("first_token_seconds", "Time to the first token of streams."),
-		Duration:   histogram("duration_seconds", "Time of model calls."),
+		Requests:   group.CounterVec("requests_total", "Requests of known teams.", "team"),
+		OverRate:   group.CounterVec("over_rate_total", "Requests refused because the team is over its rate.", "team"),
+		Overloaded: group.CounterVec("overloaded_total", "Requests refused early because their deadline could not be met.", "service"),
+		Panics:     group.Counter("panics_total", "Faults caught while serving a request."),
+		FirstToken: group.HistogramVec("first_token_seconds", "Time to the first token of streams.", "service"),
+		Duration:   group.HistogramVec("duration_seconds", "Time of model calls.", "service"),
 	}
 }
 
 // chooseEntries returns the entry hosts to use now.
 func (a *API) chooseEntries(dataCenter string) []membership.Node {
-	return entrychoice.Choose(a.Nodes.Serving(), dataCenter, shuffles)
+	return entrychoice.Choose(a.Nodes.Serving(), dataCenter, entropy.Rand)
 }
--- a/pkg/callerapi/jobs.go
+++ b/pkg/callerapi/jobs.go
@@ -13,6 +13,7 @@
 	"ironhollow/pkg/fleet"
 	"ironhollow/pkg/httpx"
 	"ironhollow/pkg/job"
+	"ironhollow/pkg/pause"
 	"ironhollow/pkg/plainservice"
 )
 
@@ -138,19 +139,15 @@
 
 func (a *API) awaitJob(ctx context.Context, team, id string, wait time.Duration) (job.Job, error) {
 	until := time.Now().Add(wait)
-	pause := firstPoll
+	poll := firstPoll
 	for {
 		j, err := a.Jobs.Get(ctx, team, id)
 		if err != nil || j.State != job.Accepted || time.Now().After(until) {
 			return j, err
 		}
-		timer := time.NewTimer(min(pause, time.Until(until)+time.Millisecond))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !pause.For(ctx, min(poll, time.Until(until)+time.Millisecond)) {
 			return j, ctx.Err()
-		case <-timer.C:
 		}
-		pause = min(pause*3/2, mostPoll)
+		poll = min(poll*3/2, mostPoll)
 	}
 }
--- a/pkg/job/counters.go
+++ b/pkg/job/counters.go
@@ -1,6 +1,10 @@
 package job
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"ironhollow/pkg/metrics"
+)
 
 // Counters count what happens to jobs.
 type Counters struct {
@@ -15,18 +19,14 @@
 
 // NewCounters registers the counters.
 func NewCounters(registry prometheus.Registerer) *Counters {
-	counter := func(name, help string) prometheus.Counter {
-		c := prometheus.NewCounter(prometheus.CounterOpts{Namespace: "ironhollow", Subsystem: "job", Name: name, Help: help})
-		registry.MustRegister(c)
-		return c
-	}
+	group := metrics.New(registry, "job")
 	return &Counters{
-		Accepted:    counter("accepted_total", "Jobs accepted."),
-		Repeated:    counter("repeated_total", "Requests whose key had a job already."),
-		Finished:    counter("finished_total", "Jobs whose result was written."),
-		Rerun:       counter("rerun_total", "Jobs put back after a failure."),
-		Lost:        counter("lost_total", "Jobs whose result was dropped because another owner has them."),
-		TakenOver:   counter("taken_over_total", "Jobs taken over from another owner."),
-		Checkpoints: counter("checkpoints_total", "Checkpoints written."),
+		Accepted:    group.Counter("accepted_total", "Jobs accepted."),
+		Repeated:    group.Counter("repeated_total", "Requests whose key had a job already."),
+		Finished:    group.Counter("finished_total", "Jobs whose result was written."),
+		Rerun:       group.Counter("rerun_total", "Jobs put back after a failure."),
+		Lost:        group.Counter("lost_total", "Jobs whose result was dropped because another owner has them."),
+		TakenOver:   group.Counter("taken_over_total", "Jobs taken over from another owner."),
+		Checkpoints: group.Counter("checkpoints_total", "Checkpoints written."),
 	}
 }
--- a/pkg/job/worker.go
+++ b/pkg/job/worker.go
@@ -4,11 +4,12 @@
 	"container/heap"
 	"context"
 	"errors"
-	"math/rand/v2"
 	"sync"
 	"time"
 
 	"ironhollow/pkg/code"
+	"ironhollow/pkg/entropy"
+	"ironhollow/pkg/pause"
 	"ironhollow/pkg/retry"
 )
 
@@ -185,12 +186,7 @@
 		if w.superseded(j) {
 			return
 		}
-		pause := time.NewTimer(retry.Pause(try, jitter))
-		select {
-		case <-w.ctx.Done():
-		case <-pause.C:
-		}
-		pause.Stop()
+		pause.For(w.ctx, retry.Pause(try, entropy.Rand))
 	}
 }
 
@@ -205,24 +201,12 @@
 	return err == nil && (held.State != Accepted || held.Owner != w.owner)
 }
 
-// jitter need not be repeatable; the runtime's source is safe for all threads.
-var jitter = rand.New(runtimeSource{})
-
-type runtimeSource struct{}
-
-// Uint64 returns random bits.
-func (runtimeSource) Uint64() uint64 { return rand.Uint64() }
-
 // checkpoint writes a long job's tokens now and then.
 func (w *Worker) checkpoint(ctx context.Context, j Job, p Progress) {
 	written := 0
 	for {
-		timer := time.NewTimer(w.interval())
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !pause.For(ctx, w.interval()) {
 			return
-		case <-timer.C:
 		}
 		version, tokens := p.Tokens()
 		if len(tokens) == written {
--- a/pkg/operatorclient/client.go
+++ b/pkg/operatorclient/client.go
@@ -18,6 +18,7 @@
 	"ironhollow/pkg/code"
 	"ironhollow/pkg/fleet"
 	"ironhollow/pkg/operatorapi/operatorwire"
+	"ironhollow/pkg/pause"
 )
 
 // Client calls one of several control processes.
@@ -149,12 +150,8 @@
 			return 0, err
 		}
 		lost = true
-		timer := time.NewTimer(applyPause)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !pause.For(ctx, applyPause) {
 			return 0, ctx.Err()
-		case <-timer.C:
 		}
 	}
 	return 0, fmt.Errorf("it is not known whether the configuration was applied: %w", err)
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"ironhollow/pkg/membership"
+	"ironhollow/pkg/metrics"
 )
 
 // Parameters of the links.
@@ -74,17 +75,13 @@
 
 // NewCounters registers the counters.
 func NewCounters(registry prometheus.Registerer) *Counters {
-	counter := func(name, help string) prometheus.Counter {
-		c := prometheus.NewCounter(prometheus.CounterOpts{Namespace: "ironhollow", Subsystem: "peer", Name: name, Help: help})
-		registry.MustRegister(c)
-		return c
-	}
+	group := metrics.New(registry, "peer")
 	return &Counters{
-		sentMessages:     counter("sent_messages_total", "Messages sent to peers."),
-		receivedMessages: counter("received_messages_total", "Messages received from peers."),
-		sentBytes:        counter("sent_bytes_total", "Bytes of CBOR sent to peers."),
-		receivedBytes:    counter("received_bytes_total", "Bytes of CBOR received from peers."),
-		overflows:        counter("overflows_total", "Links closed because their queue was full."),
+		sentMessages:     group.Counter("sent_messages_total", "Messages sent to peers."),
+		receivedMessages: group.Counter("received_messages_total", "Messages received from peers."),
+		sentBytes:        group.Counter("sent_bytes_total", "Bytes of CBOR sent to peers."),
+		receivedBytes:    group.Counter("received_bytes_total", "Bytes of CBOR received from peers."),
+		overflows:        group.Counter("overflows_total", "Links closed because their queue was full."),
 	}
 }
 
--- a/pkg/platform/table/writer.go
+++ b/pkg/platform/table/writer.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+
+	"ironhollow/pkg/pause"
 )
 
 // Writer makes commits whose unknown outcomes are resolved by reading back.
@@ -45,13 +47,13 @@
 func (w *Writer) Commit(ctx context.Context, writes ...Write) Outcome {
 	c := Commit{Token: Token{w.incarnation, w.sequence.Add(1)}, Writes: writes}
 	outcome := w.store.Commit(ctx, c)
-	pause := newBackoff()
+	delays := newBackoff()
 	for {
 		unknown, ok := outcome.(Unknown)
 		if !ok {
 			return outcome
 		}
-		if !sleep(ctx, pause.NextBackOff()) {
+		if !pause.For(ctx, delays.NextBackOff()) {
 			return unknown
 		}
 		outcome = w.resolve(ctx, c)
@@ -144,15 +146,3 @@
 	b.RandomizationFactor = 0.5
 	return b
 }
-
-// sleep waits and reports whether ctx is still live.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/pkg/policybench/run.go
+++ b/pkg/policybench/run.go
@@ -241,23 +241,24 @@
 	if a.Class.MayWait {
 		deadline = begun.Add(waitingDeadline)
 	}
-	place := &place{gate: e.gates.For(route.Target{Model: "m", Version: "1"}), ask: limit.Ask{
+	ask := limit.Ask{
 		Team: fmt.Sprint(a.Team), Weight: 1, Priority: a.Class.Priority, MayWait: a.Class.MayWait, Deadline: deadline,
-	}}
+	}
 	if a.Class.MayWait {
-		place.ask.Yield = func() bool { return e.runner.Yield(requestID(number)) }
+		ask.Yield = func() bool { return e.runner.Yield(requestID(number)) }
 	}
+	place := limit.NewPlace(e.gates.For(route.Target{Model: "m", Version: "1"}), ask)
 	if r.policy.Gate {
-		if err := place.enter(context.Background()); err != nil {
+		if err := place.Enter(context.Background()); err != nil {
 			r.note(a, nil, err)
 			return
 		}
-		defer place.leave()
+		defer place.Leave()
 	}
 	w := &watch{Collector: chat.NewCollector("1", nil), begun: begun}
 	request := r.request(a, number, deadline)
 	if r.policy.Gate && a.Class.MayWait {
-		request.Reenter = place.reenter
+		request.Reenter = place.Reenter
 		request.MayWait = true
 	}
 	_, err := e.runner.Run(context.Background(), request, w)
@@ -267,33 +268,6 @@
 	r.note(a, w, err)
 }
 
-// place is one request's place at the gate.
-type place struct {
-	gate   *limit.Gate
-	ask    limit.Ask
-	ticket limit.Ticket
-	held   bool
-}
-
-func (p *place) enter(ctx context.Context) error {
-	ticket, err := p.gate.Acquire(ctx, p.ask, time.Now())
-	p.ticket, p.held = ticket, err == nil
-	return err
-}
-
-func (p *place) leave() {
-	if p.held {
-		p.ticket.Release(time.Now())
-		p.held = false
-	}
-}
-
-// reenter gives the place up and waits for another one.
-func (p *place) reenter(ctx context.Context) error {
-	p.leave()
-	return p.enter(ctx)
-}
-
 // errBroken marks an answer that is not whole: a promise broken.
 var errBroken = errors.New("policybench: the answer is not whole")
 
--- /dev/null
+++ b/pkg/route/score.go
@@ -0,0 +1,75 @@
+package route
+
+import (
+	"time"
+
+	"ironhollow/pkg/hazard"
+)
+
+// score is the sum behind one candidate.
+type score struct {
+	wait, decode, risk, total time.Duration
+	cached                    int
+}
+
+// WaitingShare is the part of an endpoint's slots that work that can wait may
+// fill; the rest is for callers who wait, also after a data centre is lost and
+// before anything new is bought.
+const WaitingShare = 0.6
+
+// hasRoomForWaiting reports whether work that can wait may be sent.
+func (l *load) hasRoomForWaiting(stale bool) bool {
+	return l.waiting == 0 && float64(l.estimate(stale)) < WaitingShare*float64(l.slots)
+}
+
+// estimate is how many requests are thought to run, by the latest report and,
+// unless only that is to count, by what was sent and ended since.
+func (l *load) estimate(stale bool) int {
+	if stale {
+		return l.running
+	}
+	return max(l.running+l.sentSince-l.endedSince, l.ownRunning)
+}
+
+// score works out the expected time at one endpoint.
+func (r *Router) score(s *slot, q Query, now time.Time) score {
+	l := &s.load
+	running := l.estimate(q.stale)
+	waiting := l.waiting
+	if running > l.slots {
+		waiting += running - l.slots
+		running = l.slots
+	}
+	cached := int(l.trust * float64(min(s.cached, q.PromptTokens)))
+	uncached := q.PromptTokens - cached + q.Done
+	wait := time.Duration(uncached) * l.prefillPerToken
+	if running >= l.slots {
+		wait += l.meanDuration * time.Duration(waiting+1) / time.Duration(max(l.slots, 1))
+	}
+	wait += time.Duration(l.queuedTokens) * l.prefillPerToken
+	// A fuller batch decodes slower: this also spreads load that fits.
+	crowding := 1 + float64(running)/float64(max(l.slots, 1))
+	decode := time.Duration(float64(q.AnswerTokens) * crowding * float64(l.tokenGap))
+	if s.info.DataCenter != r.home.DataCenter {
+		wait += crossPlaceWeight
+	}
+	total := wait + decode
+	risk := r.riskOf(s, q, total, now)
+	return score{wait: wait, decode: decode, risk: risk, total: total + risk, cached: cached}
+}
+
+// riskOf is the work a reclaim would lose times its probability, in time.
+func (r *Router) riskOf(s *slot, q Query, duration time.Duration, now time.Time) time.Duration {
+	if !s.info.Reclaimable || q.Stake == 0 {
+		return 0
+	}
+	l := &s.load
+	if now.Sub(l.rateAt) > hazardKept || l.rateAt.IsZero() {
+		l.rate = r.hazard.Rate(hazard.Place{DataCenter: s.info.DataCenter, Class: s.info.Class}, now)
+		l.rateAt = now
+	}
+	probability := min(1, l.rate*duration.Seconds()/secondsAnHour)
+	// Half the answer is lost on average, and all of the prompt.
+	lost := duration/2 + time.Duration(q.PromptTokens+q.Done)*l.prefillPerToken
+	return time.Duration(probability * q.Stake * float64(lost))
+}
--- a/pkg/standin/tables/store.go
+++ b/pkg/standin/tables/store.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"ironhollow/pkg/pause"
 	"ironhollow/pkg/platform/table"
 )
 
@@ -129,7 +130,7 @@
 		time.AfterFunc(f.For, func() { s.apply(c) })
 		return table.Unknown{Err: ErrLost}
 	case Delay:
-		if !wait(ctx, f.For) {
+		if !pause.For(ctx, f.For) {
 			return table.Unknown{Err: ctx.Err()}
 		}
 	}
@@ -230,20 +231,9 @@
 	case Down, LoseAnswer, Refuse, Late:
 		return ErrDown
 	case Delay:
-		if !wait(ctx, f.For) {
+		if !pause.For(ctx, f.For) {
 			return ctx.Err()
 		}
 	}
 	return nil
 }
-
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/pkg/stream/counters.go
+++ b/pkg/stream/counters.go
@@ -1,6 +1,10 @@
 package stream
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"ironhollow/pkg/metrics"
+)
 
 // Counters count what happens to streams.
 type Counters struct {
@@ -19,22 +23,18 @@
 
 // NewCounters registers the counters.
 func NewCounters(registry prometheus.Registerer) *Counters {
-	counter := func(name, help string) prometheus.Counter {
-		c := prometheus.NewCounter(prometheus.CounterOpts{Namespace: "ironhollow", Subsystem: "stream", Name: name, Help: help})
-		registry.MustRegister(c)
-		return c
-	}
+	group := metrics.New(registry, "stream")
 	return &Counters{
-		Attempts:    counter("attempts_total", "Attempts sent to endpoints."),
-		Resumed:     counter("resumed_total", "Attempts after the first of a request."),
-		Reattached:  counter("reattached_total", "Streams taken up at the endpoint that still ran them."),
-		Moved:       counter("moved_total", "Streams whose KV cache was moved off a leaving endpoint."),
-		MoveFailed:  counter("move_failed_total", "Moves of KV cache that failed."),
-		Yielded:     counter("yielded_total", "Attempts of work that can wait that gave their place up."),
-		Broken:      counter("broken_total", "Attempts that broke off."),
-		Foreign:     counter("foreign_frames_total", "Frames of another attempt that were dropped."),
-		Tokens:      counter("tokens_total", "Tokens passed on."),
-		Recomputed:  counter("recomputed_tokens_total", "Prompt and answer tokens computed again, as reckoned when a stream is resumed."),
-		BudgetEmpty: counter("retry_budget_empty_total", "Retries that had to wait for the budget."),
+		Attempts:    group.Counter("attempts_total", "Attempts sent to endpoints."),
+		Resumed:     group.Counter("resumed_total", "Attempts after the first of a request."),
+		Reattached:  group.Counter("reattached_total", "Streams taken up at the endpoint that still ran them."),
+		Moved:       group.Counter("moved_total", "Streams whose KV cache was moved off a leaving endpoint."),
+		MoveFailed:  group.Counter("move_failed_total", "Moves of KV cache that failed."),
+		Yielded:     group.Counter("yielded_total", "Attempts of work that can wait that gave their place up."),
+		Broken:      group.Counter("broken_total", "Attempts that broke off."),
+		Foreign:     group.Counter("foreign_frames_total", "Frames of another attempt that were dropped."),
+		Tokens:      group.Counter("tokens_total", "Tokens passed on."),
+		Recomputed:  group.Counter("recomputed_tokens_total", "Prompt and answer tokens computed again, as reckoned when a stream is resumed."),
+		BudgetEmpty: group.Counter("retry_budget_empty_total", "Retries that had to wait for the budget."),
 	}
 }
--- a/pkg/stream/leave.go
+++ b/pkg/stream/leave.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/entropy"
 	"ironhollow/pkg/hazard"
+	"ironhollow/pkg/pause"
 	"ironhollow/pkg/reclaim"
 	"ironhollow/pkg/route"
 )
@@ -38,7 +40,7 @@
 	}
 	notice := time.Until(info.LeaveBy)
 	r.planOnce(ctx, info, 1)
-	if !sleep(ctx, time.Until(info.LeaveBy)-time.Duration((1-lastLook)*float64(notice))) {
+	if !pause.For(ctx, time.Until(info.LeaveBy)-time.Duration((1-lastLook)*float64(notice))) {
 		return
 	}
 	r.planOnce(ctx, info, caution)
@@ -67,7 +69,7 @@
 		Notice:         info.LeaveBy.Sub(now),
 		BytesPerSecond: bytesPerSecond * ownPart,
 		BytesPerToken:  bytesPerToken,
-	}, globalRandom)
+	}, entropy.Rand)
 	r.carryOut(ctx, info, steps, byID)
 }
 
--- a/pkg/stream/runner.go
+++ b/pkg/stream/runner.go
@@ -7,19 +7,18 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
 	"ironhollow/pkg/code"
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/engine"
+	"ironhollow/pkg/entropy"
 	"ironhollow/pkg/hazard"
+	"ironhollow/pkg/pause"
 	"ironhollow/pkg/retry"
 	"ironhollow/pkg/route"
 )
@@ -277,7 +276,7 @@
 		return code.New(code.StreamLost, fmt.Sprintf("gave up after %d attempts: %v", p.attempts, p.lastFail))
 	}
 	for {
-		if !sleep(ctx, retry.Pause(p.tries, globalRandom)) {
+		if !pause.For(ctx, retry.Pause(p.tries, entropy.Rand)) {
 			return endOfWait(ctx, p)
 		}
 		// An attempt that was turned away unrun cost its endpoint nothing, but
@@ -296,205 +295,6 @@
 	return ctx.Err()
 }
 
-// globalRandom draws jitter; it need not be repeatable.
-var globalRandom = rand.New(globalSource{})
-
-// globalSource is the runtime's own source, safe for concurrent use.
-type globalSource struct{}
-
-// Uint64 returns random bits.
-func (globalSource) Uint64() uint64 { return rand.Uint64() }
-
-func (r *Runner) query(p *progress) route.Query {
-	return route.Query{
-		Target:       p.target,
-		Prefix:       p.request.Prefix,
-		PromptTokens: p.request.PromptTokens,
-		AnswerTokens: max(r.expectedLength(p)-len(p.tokens), 1),
-		Done:         len(p.tokens),
-		Stake:        p.request.Stake,
-		Avoid:        p.avoid,
-		MayWait:      p.request.MayWait,
-	}
-}
-
-// choose finds an endpoint, waiting for one within the request's patience.
-func (r *Runner) choose(ctx context.Context, p *progress) (route.Choice, ending) {
-	since := time.Now()
-	for try := 1; ; try++ {
-		now := time.Now()
-		if c, ok := r.chooseNow(p, now); ok {
-			return c, nil
-		}
-		p.avoid = p.avoid[:0]
-		// An answer begun is waited for until its deadline.
-		if len(p.tokens) == 0 && now.Sub(since) > p.request.Patience {
-			return route.Choice{}, overdue{}
-		}
-		if !sleep(ctx, retry.Pause(try, globalRandom)) {
-			return route.Choice{}, r.endingOf(ctx, ctx.Err())
-		}
-	}
-}
-
-func (r *Runner) chooseNow(p *progress, now time.Time) (route.Choice, bool) {
-	if p.next != nil {
-		c, ok, later := r.router.ChooseAt(r.query(p), p.next.Ref(), now)
-		if later && now.Before(p.nextUntil) {
-			return route.Choice{}, false
-		}
-		p.next = nil
-		p.carried = ok
-		if ok {
-			return c, true
-		}
-	}
-	c, ok := r.router.Choose(r.query(p), p.request.Strategy, now)
-	if ok || len(p.tokens) > 0 {
-		// An answer begun in one version is not continued in another.
-		return c, ok
-	}
-	other, ok := r.router.Other(p.target)
-	if !ok {
-		return c, false
-	}
-	q := r.query(p)
-	q.Target = other
-	c, ok = r.router.Choose(q, p.request.Strategy, now)
-	return c, ok
-}
-
-// attempt runs one attempt at one endpoint.
-func (r *Runner) attempt(ctx context.Context, p *progress) ending {
-	choice, end := r.choose(ctx, p)
-	if end != nil {
-		return end
-	}
-	p.attempts++
-	p.target = route.TargetOf(choice.Endpoint)
-	p.version = p.target.Version
-	r.countAttempt(p, choice)
-	attemptCtx, span := r.tracer.Start(ctx, "entry.attempt", trace.WithSpanKind(trace.SpanKindClient))
-	defer span.End()
-	attemptCtx, cancel := context.WithCancelCause(attemptCtx)
-	defer cancel(nil)
-	held := r.newRun(p, choice, cancel)
-	r.active.add(held)
-	defer r.active.remove(held)
-	if info, ok := r.router.Lookup(choice.Endpoint.ID); !ok || !info.Takes() {
-		// It left between the choice and our entry in the list of its streams.
-		r.router.Done(choice, route.Result{}, time.Now())
-		return refused{errLeft}
-	}
-	result, end := r.read(attemptCtx, cancel, p, held, choice)
-	if span.IsRecording() {
-		span.SetAttributes(attribute.String("endpoint", choice.Endpoint.ID), attribute.String("ending", nameOf(end)), attribute.Int("attempt", p.attempts))
-	}
-	result.Failed = isFailure(end)
-	if result.Failed {
-		p.avoid = append(p.avoid, choice.Endpoint.Ref())
-	}
-	r.router.Done(choice, result, time.Now())
-	p.hops = append(p.hops, Hop{choice.Endpoint.ID, choice.Expected, choice.Wait, choice.CachedTokens, len(p.tokens), nameOf(end)})
-	return end
-}
-
-// nameOf names an ending for explanations.
-func nameOf(end ending) string {
-	switch end.(type) {
-	case finished:
-		return "finished"
-	case broken:
-		return "broken"
-	case refused:
-		return "refused"
-	case rejected:
-		return "rejected"
-	case moved:
-		return "moved"
-	case callerGone:
-		return "caller gone"
-	case overdue:
-		return "overdue"
-	}
-	return "unknown"
-}
-
-// errLeft says that the endpoint chosen is leaving by now.
-var errLeft = errors.New("stream: endpoint is leaving")
-
-// isFailure reports whether an ending is the endpoint's fault.
-func isFailure(end ending) bool {
-	switch end.(type) {
-	case broken, refused:
-		return true
-	}
-	return false
-}
-
-// countAttempt counts, for an attempt after the first, the tokens that will be
-// computed again: all that were had and the prompt, but for what is reckoned
-// cached or was moved there.
-func (r *Runner) countAttempt(p *progress, c route.Choice) {
-	r.counters.Attempts.Inc()
-	if p.attempts == 1 {
-		return
-	}
-	r.counters.Resumed.Inc()
-	if !p.carried {
-		r.counters.Recomputed.Add(float64(p.request.PromptTokens - c.CachedTokens + len(p.tokens)))
-	}
-	p.carried = false
-}
-
-func (r *Runner) newRun(p *progress, c route.Choice, cancel context.CancelCauseFunc) *run {
-	return &run{
-		request: p.request.Prompt.Request, endpoint: c.Endpoint, cancel: cancel,
-		prompt: p.request.PromptTokens, tokens: len(p.tokens),
-		expected: r.longLength(p), gap: r.router.TokenGap(c.Endpoint.ID), mayWait: p.request.MayWait,
-	}
-}
-
-// read opens the engine's stream and passes its tokens on until it ends.
-func (r *Runner) read(ctx context.Context, cancel context.CancelCauseFunc, p *progress, held *run, c route.Choice) (route.Result, ending) {
-	started := time.Now()
-	stall := time.AfterFunc(firstStall+c.Wait, func() { cancel(errStalled) })
-	defer stall.Stop()
-	prompt := p.request.Prompt
-	prompt.Version = p.version
-	stream, err := r.engines.Generate(ctx, c.Endpoint.Address, engine.Attempt{Prompt: prompt, Number: p.attempts, Continue: p.tokens})
-	if err != nil {
-		return route.Result{}, r.endingOf(ctx, err)
-	}
-	defer stream.Close()
-	r.passReport(c.Endpoint, stream)
-	reader := frameReader{runner: r, progress: p, run: held, stall: stall, started: started, attempt: p.attempts}
-	end := reader.readAll(ctx, stream)
-	return reader.result(end), end
-}
-
-// endingOf classifies an error of an attempt.
-func (r *Runner) endingOf(ctx context.Context, err error) ending {
-	switch {
-	case errors.Is(err, engine.ErrBadRequest):
-		return rejected{err}
-	case errors.Is(err, engine.ErrRefused):
-		return refused{err}
-	}
-	cause := context.Cause(ctx)
-	switch {
-	case cause == nil:
-		return broken{err}
-	case errors.As(cause, &errMoved{}):
-		return movedOf(cause)
-	case errors.Is(cause, errStalled):
-		return broken{cause}
-	case errors.Is(cause, context.DeadlineExceeded):
-		return overdue{}
-	}
-	return callerGone{cause}
-}
-
 func movedOf(cause error) ending {
 	var to errMoved
 	errors.As(cause, &to)
@@ -536,117 +336,9 @@
 // a stream of another entry is at an attempt this process does not know.
 const anyAttempt = 0
 
-// frameReader passes one attempt's frames on.
-type frameReader struct {
-	runner   *Runner
-	progress *progress
-	run      *run
-	stall    *time.Timer
-	started  time.Time
-	attempt  int
-	first    time.Time
-	count    int
-}
-
-// errGap says that frames were lost on the way.
-var errGap = errors.New("stream: a frame is missing")
-
-// errShort says that a stream ended before its last frame.
-var errShort = errors.New("stream: ended without its last frame")
-
-func (f *frameReader) readAll(ctx context.Context, stream engine.Stream) ending {
-	var last engine.Frame
-	ended := false
-	for {
-		frame, err := stream.Next()
-		if errors.Is(err, io.EOF) && ended {
-			return finished{last}
-		}
-		if errors.Is(err, io.EOF) {
-			return broken{errShort}
-		}
-		if err != nil {
-			return f.runner.endingOf(ctx, err)
-		}
-		if f.attempt == anyAttempt {
-			f.attempt = frame.Attempt
-		}
-		if frame.Attempt != f.attempt {
-			f.runner.counters.Foreign.Inc()
-			continue
-		}
-		if frame.Finish != "" && frame.Offset == len(f.progress.tokens) {
-			last, ended = frame, true
-			continue
-		}
-		if end := f.take(frame); end != nil {
-			return end
-		}
-		if !stream.Buffered() {
-			if err := f.progress.sink.Flush(); err != nil {
-				return callerGone{err}
-			}
-		}
-	}
-}
-
-// take passes one token on: repeats are dropped, a gap breaks the attempt.
-func (f *frameReader) take(frame engine.Frame) ending {
-	p := f.progress
-	switch {
-	case frame.Offset < len(p.tokens):
-		return nil
-	case frame.Offset > len(p.tokens):
-		return broken{errGap}
-	case frame.Text == "":
-		return nil
-	}
-	if f.count == 0 {
-		f.first = time.Now()
-		p.tries = 0
-	}
-	f.stall.Reset(stallTime)
-	p.tokens = append(p.tokens, frame.Text)
-	f.count++
-	f.run.advance(len(p.tokens))
-	f.runner.counters.Tokens.Inc()
-	if err := p.sink.Token(Token{frame.Offset, frame.Text, f.run.endpoint.ID}); err != nil {
-		return callerGone{err}
-	}
-	return nil
-}
-
-// result is what the router learns from the attempt.
-func (f *frameReader) result(end ending) route.Result {
-	result := route.Result{Tokens: f.count}
-	if f.count > 0 {
-		result.FirstToken = f.first.Sub(f.started)
-		result.Decode = time.Since(f.first)
-	}
-	if done, ok := end.(finished); ok {
-		usage := done.frame.Usage
-		result.Measured = usage.PromptTokens > 0
-		result.PromptTokens = usage.PromptTokens
-		result.CachedTokens = usage.CachedTokens
-	}
-	return result
-}
-
 func (r *Runner) finish(p *progress, last engine.Frame) Result {
 	r.learnLength(p.request.Service, len(p.tokens))
 	usage := last.Usage
 	usage.CompletionTokens = len(p.tokens)
 	return Result{Finish: last.Finish, Usage: usage, Attempts: p.attempts, Version: p.version}
 }
-
-// sleep waits and reports whether ctx is still live.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
