--- a/pkg/app/cli/config.go
+++ b/pkg/app/cli/config.go
@@ -29,7 +29,7 @@
 				return err
 			}
 			return t.print(checked{args[0], len(sections)}, func(w io.Writer) {
-				row(w, args[0]+": good,", len(sections), "sections")
+				row(w, fmt.Sprintf("%s: good, %d sections", args[0], len(sections)))
 			})
 		},
 	}
--- a/pkg/capacity/step.go
+++ b/pkg/capacity/step.go
@@ -138,13 +138,13 @@
 	case usual <= 0 || price >= dear*usual:
 		return must
 	case price <= cheap*usual:
-		return max(must, total/cheapHour.Seconds())
+		return max(must, total/whileCheap.Seconds())
 	}
-	return max(must, total/usualHours.Seconds())
+	return max(must, total/whileUsual.Seconds())
 }
 
 // Times over which waiting work is spread when nothing presses.
 const (
-	cheapHour  = time.Hour
-	usualHours = 4 * time.Hour
+	whileCheap = time.Hour
+	whileUsual = 4 * time.Hour
 )
--- a/pkg/secure/secure.go
+++ b/pkg/secure/secure.go
@@ -92,6 +92,13 @@
 	return l.cert, l.pool
 }
 
+// Recheck makes the next use look at the files, however lately that was done.
+func (l *Loader) Recheck() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.checked = time.Time{}
+}
+
 // errName says that the other side's certificate is not of this site.
 var errName = errors.New("secure: certificate is not signed by the site's authority")
 
