Compare the policy with the naive one on running processes

Cause: the decisions were measured in virtual time only. Change: make bench-wave reclaims two data centres in turn under the same arrivals with each policy.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(CURDIR)/bin
 export BIN
 
-.PHONY: docs help build demo test check generate tools clean bench-scale bench-policy bench-hop demo-failures
+.PHONY: docs help build demo test check generate tools clean bench-scale bench-policy bench-hop bench-wave demo-failures
 
 help: ## List the commands
 	@grep -E '^[a-z-]+:.*## ' Makefile | sed 's/:.*## /\t/'
@@ -20,6 +20,9 @@
 bench-hop: build ## Measure what one entry hop adds
 	scripts/bench-hop.sh
 
+bench-wave: build ## Reclaim two data centres under load, policy as shipped against naive
+	scripts/bench-wave.sh
+
 test: ## Run all tests with the race detector
 	go test -race ./...
 
--- a/pkg/app/load/run.go
+++ b/pkg/app/load/run.go
@@ -21,6 +21,7 @@
 	short, long, once float64
 	lasts             time.Duration
 	seed              uint64
+	longTokens        int
 	allowCuts         bool
 	out               io.Writer
 	http              *http.Client
@@ -47,6 +48,7 @@
 	flags.StringSliceVar(&r.admins, "admins", nil, "admin addresses of the entries")
 	flags.Float64Var(&r.short, "short", 10, "short streamed requests a second")
 	flags.Float64Var(&r.long, "long", 1, "jobs a second")
+	flags.IntVar(&r.longTokens, "long-tokens", 300, "longest answer of a job")
 	flags.Float64Var(&r.once, "once", 10, "calls a second that may not be repeated")
 	flags.DurationVar(&r.lasts, "for", 20*time.Second, "how long")
 	flags.Uint64Var(&r.seed, "seed", 1, "seed of the arrivals")
@@ -66,7 +68,7 @@
 	}
 	sources := []load.Source{
 		{Kind: load.KindStream, Service: words.short, Team: words.shortTeam, Rate: r.short, MaxTokens: 60, Check: check(shortModel)},
-		{Kind: load.KindJob, Service: words.long, Team: words.longTeam, Rate: r.long, MaxTokens: 300, Check: check(words.longModel)},
+		{Kind: load.KindJob, Service: words.long, Team: words.longTeam, Rate: r.long, MaxTokens: r.longTokens, Check: check(words.longModel)},
 		{Kind: load.KindCall, Service: words.plain, Team: words.plainTeam, Rate: r.once, Path: words.oncePath},
 	}
 	report := load.Run(ctx, sources, r.entries, r.http, r.lasts, r.seed)
