Let go of peers that say no hello

Cause: reading the links' code once more: a connection that stays silent held a goroutine for good. Measured: nothing; make demo of both fleets passes.

--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -121,12 +121,8 @@
 	socket.SetReadLimit(MaxMessage)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	if s.write(ctx, socket, Hello{Node: s.mesh.Self(), Role: s.role}) != nil {
-		return
-	}
-	first, err := s.read(ctx, socket)
-	hello, ok := first.(Hello)
-	if err != nil || !ok {
+	hello, ok := s.greet(ctx, socket)
+	if !ok {
 		return
 	}
 	c := &conn{link: Link(s.nextID.Add(1)), socket: socket, queue: make(chan Message, queueLength), cancel: cancel}
@@ -143,6 +139,18 @@
 	s.Send(s.mesh.Down(c.link))
 }
 
+// greet exchanges hellos; whoever connects and says none is let go.
+func (s *Server) greet(ctx context.Context, socket *websocket.Conn) (Hello, bool) {
+	ctx, cancel := context.WithTimeout(ctx, dialTime)
+	defer cancel()
+	if s.write(ctx, socket, Hello{Node: s.mesh.Self(), Role: s.role}) != nil {
+		return Hello{}, false
+	}
+	first, err := s.read(ctx, socket)
+	hello, ok := first.(Hello)
+	return hello, ok && err == nil
+}
+
 func (s *Server) readAll(ctx context.Context, c *conn) {
 	for {
 		message, err := s.read(ctx, c.socket)
