Buy on demand for the mean alone, and keep hosts that are there

Cause: the capacity plan was dearer than an even spread. Change: on-demand hosts are taken for 1.2 times the callers' mean demand only, and reclaimable hosts that are there are kept before others are bought.

--- a/pkg/capacity/capacity.go
+++ b/pkg/capacity/capacity.go
@@ -20,6 +20,9 @@
 	Rate float64
 	// Most bounds the hosts bought, Least those kept in any case.
 	Least, Most int
+	// Held is how many there are: reclaimable hosts that are there are kept
+	// before others are bought, since prices differ by less than a start costs.
+	Held int
 	// HazardPerHour is reclaims expected for one host an hour.
 	HazardPerHour float64
 	// RefusedUntil is when the offer may be tried again after a refusal.
@@ -61,11 +64,22 @@
 	// counterRoom is for callers who wait, after a loss: their bursts go to
 	// twice the mean, and queues are short only where slots are idle.
 	counterRoom = 2.4
+	// dearRoom is the same as far as it is bought on demand, at a multiple of
+	// the price: enough for the mean, not for the bursts, until reclaimable
+	// hosts are to be had again.
+	dearRoom = 1.2
+	// shortIsWorse weighs capacity that is missing for the mean demand after a
+	// loss against capacity that is missing for bursts.
+	shortIsWorse = 1000
 )
 
 // need is the capacity a demand asks for while the largest data centre holds
-// largest: enough for all, and enough for callers who wait without it.
-func (d Demand) need(largest float64) float64 {
+// largest: enough for all, and enough for callers who wait without it. Work
+// that can wait is not bought for on demand.
+func (d Demand) need(largest float64, reclaimable bool) float64 {
+	if !reclaimable {
+		return dearRoom*d.Counter + largest
+	}
 	return math.Max(counterRoom*d.Counter+largest, headroom*(d.Counter+d.Waiting))
 }
 
@@ -143,22 +157,30 @@
 		centre[o.DataCenter] += float64(o.Least) * o.Rate
 		total += float64(o.Least) * o.Rate
 	}
-	need := func() float64 {
+	need := func(reclaimable bool) float64 {
 		largest := 0.0
 		for _, held := range centre {
 			largest = math.Max(largest, held)
 		}
-		return d.need(largest)
+		return d.need(largest, reclaimable)
 	}
-	for i := range counts {
+	take := func(i, most int) {
 		o := counts[i].Offer
-		for counts[i].Hosts < o.Most && total < need() && centre[o.DataCenter]+o.Rate <= bound+1e-9 {
+		for counts[i].Hosts < most && total < need(o.Reclaimable) && centre[o.DataCenter]+o.Rate <= bound+1e-9 {
 			counts[i].Hosts++
 			centre[o.DataCenter] += o.Rate
 			total += o.Rate
 		}
 	}
-	return counts, math.Max(0, need()-total)
+	for i, n := range counts {
+		if n.Offer.Reclaimable {
+			take(i, min(n.Offer.Held, n.Offer.Most))
+		}
+	}
+	for i, n := range counts {
+		take(i, n.Offer.Most)
+	}
+	return counts, math.Max(0, need(false)-total)*shortIsWorse + math.Max(0, need(true)-total)
 }
 
 func costOf(counts []Count, c Costs) float64 {
--- a/pkg/policybench/cloud.go
+++ b/pkg/policybench/cloud.go
@@ -137,6 +137,19 @@
 	return total
 }
 
+// count puts the hosts there are into the offers.
+func (c *fakeCloud) count(offers []capacity.Offer) {
+	living := c.living()
+	for i := range offers {
+		offers[i].Held = 0
+		for _, n := range living {
+			if n.Offer.DataCenter == offers[i].DataCenter && n.Offer.Reclaimable == offers[i].Reclaimable {
+				offers[i].Held += n.Hosts
+			}
+		}
+	}
+}
+
 // learn puts the hazard that one entry has learned into the offers.
 func (c *fakeCloud) learn(offers []capacity.Offer, now time.Time) {
 	for i := range offers {
@@ -156,6 +169,7 @@
 		time.Sleep(period)
 		now := time.Now()
 		stepper.Mark(offers)
+		c.count(offers)
 		c.learn(offers, now)
 		for _, change := range stepper.Step(p.plan(offers, demand, now), c.living(), now) {
 			for range change.Hosts {
