Hold teams' rates within a tenth where demand is uneven over the entries

Cause: the averaging of demand over the mesh had no test. The first one admitted 44 of 60 a second where one of nine nodes asks most, and 36 of 60 where a third of thirty nodes ask: the anchor drew each estimate to its own node's demand, links weighed unequally on their two sides, and a control process, which tells no demand, counted as a neighbour that sees none. Change: a change of own demand goes into the estimate at once and the anchor is small; a link weighs the same on both sides; only entries count.

--- a/pkg/peer/demand.go
+++ b/pkg/peer/demand.go
@@ -9,10 +9,15 @@
 // Parameters of the demand estimate.
 const (
 	// anchor pulls an estimate towards the node's own demand at each step, so
-	// that the sum over all nodes stays true when nodes come and go.
-	anchor = 0.15
-	// blend is what a step takes over from all neighbours together.
-	blend = 0.7
+	// that the sum over all nodes comes true again when nodes have come and
+	// gone. It is small because it also leaves each estimate nearer to its own
+	// node's demand than to the mean.
+	anchor = 0.01
+	// linkWeight is the part of the difference to one neighbour that a step
+	// takes over. It is the same on both sides of a link, so that what one
+	// gives the other gets; mostBlend bounds it for a node with many links.
+	linkWeight = 0.1
+	mostBlend  = 0.8
 	// mostDemands bounds the teams told in one digest: the busiest.
 	mostDemands = 16
 )
@@ -42,6 +47,22 @@
 	d.links[link] = values
 }
 
+// setOwn notes the node's own demand. What changed goes into the estimate at
+// once, so that the sum over all nodes follows without waiting for the anchor.
+func (d *diffusion) setOwn(demands []Demand) {
+	next := make(map[uint32]float64, len(demands))
+	for _, demand := range demands {
+		next[demand.Team] = demand.Value
+		d.estimate[demand.Team] += demand.Value - d.own[demand.Team]
+	}
+	for team, value := range d.own {
+		if _, asks := next[team]; !asks {
+			d.estimate[team] = max(0, d.estimate[team]-value)
+		}
+	}
+	d.own = next
+}
+
 // step moves every estimate towards the neighbours' and its own anchor.
 func (d *diffusion) step() {
 	teams := map[uint32]bool{}
@@ -76,7 +97,8 @@
 	for _, values := range d.links {
 		sum += values[team] - held
 	}
-	return max(0, value+blend*sum/float64(len(d.links)))
+	weight := min(linkWeight, mostBlend/float64(len(d.links)))
+	return max(0, value+weight*sum)
 }
 
 // tell returns the estimates of the busiest teams.
@@ -98,10 +120,7 @@
 func (m *Mesh) SetDemand(demands []Demand) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.demand.own = make(map[uint32]float64, len(demands))
-	for _, demand := range demands {
-		m.demand.own[demand.Team] = demand.Value
-	}
+	m.demand.setOwn(demands)
 	for link := range m.demand.links {
 		if _, live := m.links[link]; !live {
 			delete(m.demand.links, link)
--- a/pkg/peer/news.go
+++ b/pkg/peer/news.go
@@ -10,7 +10,9 @@
 // compare answers a digest with a pull where the other side knows something
 // else for longer than news takes on its way.
 func (m *Mesh) compare(link Link, state *linkState, d Digest) []Out {
-	m.demand.heard(link, d.Demands)
+	if state.role == RoleEntry {
+		m.demand.heard(link, d.Demands)
+	}
 	nodes, endpoints := m.sums()
 	differs := d.Nodes != nodes || d.Endpoints != endpoints
 	behind := d.Revision > m.config.Current().Revision()
