Ask the next job for its place when one declines; take out checks that could not fail

Cause: reading the whole change once more. A job that could not yield counted as asked for good, so that no other was asked and the caller waited on. Two checks could not fail: one in the roll of versions (the bound before it said the same), one choice in a routing test whose result was thrown away. Measured: the new gate test on the old code: asked [2]; on the new: [2 1]. A storm in which every send fails stays under 1.2 sent/accepted by the budget alone. make check and make test (race) pass.

--- a/pkg/limit/gate.go
+++ b/pkg/limit/gate.go
@@ -85,6 +85,7 @@
 // yielder is a place that its holder may be asked to give up.
 type yielder struct {
 	yield func() bool
+	// asked says that the holder was asked and has not given the place up yet.
 	asked bool
 }
 
@@ -163,21 +164,30 @@
 // askForPlaces asks work that can wait for as many places as callers who wait
 // lack. The latest comer is asked first: it has the least to compute again.
 func (g *Gate) askForPlaces() {
+	declined := map[*yielder]bool{}
 	for {
-		y := g.nextYielder()
+		y := g.nextYielder(declined)
 		if y == nil {
 			return
 		}
 		if !y.yield() {
-			// It is between two attempts or at its end: the next one is asked.
-			continue
+			// It is between two attempts or at its end: the next one is asked,
+			// and this one again when the next caller lacks a place.
+			declined[y] = true
+			g.notAsked(y)
 		}
 	}
 }
 
+func (g *Gate) notAsked(y *yielder) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	y.asked = false
+}
+
 // nextYielder returns a place to ask for and marks it as asked, nil if enough
 // are asked or none is left.
-func (g *Gate) nextYielder() *yielder {
+func (g *Gate) nextYielder(declined map[*yielder]bool) *yielder {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	lacking := 0
@@ -196,7 +206,7 @@
 		return nil
 	}
 	for i := len(g.yielders) - 1; i >= 0; i-- {
-		if !g.yielders[i].asked {
+		if !g.yielders[i].asked && !declined[g.yielders[i]] {
 			g.yielders[i].asked = true
 			return g.yielders[i]
 		}
--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -243,3 +243,30 @@
 		}
 	})
 }
+
+// TestPlaceOfOneThatDeclinesIsAskedOfAnother fills a gate with work that can
+// wait, of which the latest is between two attempts and can't yield.
+func TestPlaceOfOneThatDeclinesIsAskedOfAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := limit.NewGate(10)
+		var asked []int
+		for i := range 3 {
+			yield := func() bool {
+				asked = append(asked, i)
+				return i != 2
+			}
+			if _, err := gate.Acquire(context.Background(), limit.Ask{Team: "a", MayWait: true, Yield: yield}, time.Now()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		gate.SetCapacity(3)
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { _, _ = gate.Acquire(ctx, limit.Ask{Team: "b"}, time.Now()) }()
+		synctest.Wait()
+		if got := fmt.Sprint(asked); got != "[2 1]" {
+			t.Errorf("asked to yield: got %s, want the latest, which declines, and then the one before", got)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -84,14 +84,10 @@
 		t.Errorf("naive plan: got %d changes at once, want the 18 that this test is about", naive)
 	}
 	for round := range 40 {
-		old, _ := count(list, load("a", "1"))
 		changed := carryOut(list, next)
 		if changed > 5 {
 			t.Fatalf("round %d: got %d changes at once, want a quarter of 18 at most", round, changed)
 		}
-		if old-changed == 0 && changed == 18 {
-			t.Fatal("nobody serves the model")
-		}
 	}
 	if total, _ := count(list, load("a", "2")); total != 18 {
 		t.Errorf("after 40 rounds: got %d engines of the new version, want 18", total)
--- /dev/null
+++ b/pkg/retry/retry_test.go
@@ -0,0 +1,54 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"ironhollow/pkg/retry"
+)
+
+var start = time.UnixMilli(1_800_000_000_000)
+
+// TestBudgetEndsAStorm sends 100 requests a second for a minute while every
+// send fails and each is tried up to five times: the budget holds what is sent
+// again to its share, where five times as much would be sent without one.
+func TestBudgetEndsAStorm(t *testing.T) {
+	b := retry.New(0.1, start)
+	for i := range 6000 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		b.Sent(now)
+		for range 4 {
+			b.Take(now)
+		}
+	}
+	first, again := b.Counts()
+	ratio := float64(first+again) / float64(first)
+	if ratio > 1.2 || again < 500 {
+		t.Errorf("sent/accepted: got %.3f with %d retries, want under 1.2 and the budget used", ratio, again)
+	}
+}
+
+func TestQuietProcessMayStillRetry(t *testing.T) {
+	b := retry.New(0.1, start)
+	for range 100 {
+		b.Take(start)
+	}
+	if !b.Take(start.Add(1100 * time.Millisecond)) {
+		t.Error("after a second without requests: want one retry allowed")
+	}
+}
+
+func TestPausesSpreadAndAreBounded(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	for try := 1; try <= 40; try++ {
+		least, most := time.Hour, time.Duration(0)
+		for range 200 {
+			p := retry.Pause(try, random)
+			least, most = min(least, p), max(most, p)
+		}
+		if most > 2*time.Second || least <= 0 || least*2 > most {
+			t.Errorf("try %d: got pauses from %v to %v, want them spread below 2s", try, least, most)
+		}
+	}
+}
--- a/pkg/route/route_test.go
+++ b/pkg/route/route_test.go
@@ -134,8 +134,14 @@
 			t.Fatal("a request went to the endpoint that had failed")
 		}
 	}
-	c, _ := r.Choose(query(), route.Expected, now.Add(5*time.Second))
-	_ = c
+	seen := map[string]bool{}
+	for range 12 {
+		c, _ := r.Choose(query(), route.Expected, now.Add(5*time.Second))
+		seen[c.Endpoint.ID] = true
+	}
+	if !seen["e0001"] {
+		t.Error("after its time out: want the endpoint tried again")
+	}
 	for _, id := range []string{"e0000", "e0002", "e0003"} {
 		fail(id)
 	}
