--- /dev/null
+++ b/pkg/app/node/duties.go
@@ -0,0 +1,115 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"ironhollow/pkg/autoscale"
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/lease"
+	"ironhollow/pkg/platform/table"
+)
+
+// dutyShard is the one shard of control work: all duties go together.
+const dutyShard = lease.Shard(0)
+
+// Timing of the duties.
+const (
+	// renewals of the lease within its duration.
+	renewals = 4
+	// dutyCall bounds one call to the platform.
+	dutyCall = time.Second
+	// rowKept is how long the row of a dead process is kept: its usage counts.
+	rowKept = 30 * time.Second
+)
+
+// duties renews the lease and does the duties while it is held.
+func (n *node) duties(ctx context.Context) {
+	defer func() {
+		release, cancel := context.WithTimeout(context.Background(), dutyCall)
+		defer cancel()
+		n.leases.Release(release)
+	}()
+	go n.renew(ctx)
+	held := false
+	for ctx.Err() == nil {
+		wait(ctx, n.settings.Lease/renewals)
+		_, has := n.leases.Held(dutyShard)
+		if has != held {
+			held = has
+			n.log.Info().Bool("held", held).Msg("lease of the duties")
+			n.orderer.Forget()
+		}
+		// The holder before may have acted until its lease ran out, and the one
+		// before that may be this host: nobody acts again within one lease.
+		if !held || n.leases.HeldFor(dutyShard) < n.settings.Lease {
+			continue
+		}
+		n.doDuties(ctx)
+	}
+}
+
+func (n *node) renew(ctx context.Context) {
+	for ctx.Err() == nil {
+		n.leases.Step(ctx, map[lease.Shard]lease.Wish{dutyShard: lease.Wanted})
+		wait(ctx, n.settings.Lease/renewals)
+	}
+}
+
+func (n *node) doDuties(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, dutyCall)
+	defer cancel()
+	held := func() (lease.Grant, bool) { return n.leases.Held(dutyShard) }
+	if n.settings.ReportsUsage {
+		n.reporter.Step(ctx, held)
+	}
+	if n.settings.OrdersEndpoints {
+		n.orderEndpoints(ctx, held)
+	}
+	n.sweepRows(ctx)
+}
+
+func (n *node) orderEndpoints(ctx context.Context, held func() (lease.Grant, bool)) {
+	current := n.world.table.Load()
+	if current == nil {
+		return
+	}
+	running := map[string]float64{}
+	there := map[autoscale.Order]int{}
+	loads := n.world.roster.Loads("")
+	for _, info := range n.world.directory.View().Infos() {
+		if info.State != endpoint.Live {
+			continue
+		}
+		there[autoscale.Order{Service: info.Service, DataCenter: info.DataCenter, Reclaimable: info.Reclaimable}]++
+		running[info.Service] += float64(loads[info.ID].Running)
+	}
+	for _, service := range current.Services() {
+		orders := autoscale.Plan(service, autoscale.Demand{Service: service.Name, Running: n.demand.smooth(service.Name, running[service.Name])})
+		count := func(o autoscale.Order) int { o.Count = 0; return there[o] }
+		n.orderer.Step(ctx, orders, count, n.clock.Now(), held)
+	}
+}
+
+// demandSmoother keeps the peak of a service's load, fading.
+type demandSmoother map[string]float64
+
+// demandFade is what is left of a peak after each step.
+const demandFade = 0.97
+
+func (d demandSmoother) smooth(service string, running float64) float64 {
+	d[service] = max(running, d[service]*demandFade)
+	return d[service]
+}
+
+// sweepRows removes rows of processes that are long dead.
+func (n *node) sweepRows(ctx context.Context) {
+	for _, incarnation := range n.world.roster.Silent(rowKept) {
+		write := table.Write{Key: rosterTable + "/" + incarnation, Delete: true, If: table.Always{}}
+		if _, ok := n.store.Commit(ctx, table.Commit{Writes: []table.Write{write}}).(table.Done); !ok {
+			return
+		}
+		n.log.Info().Str("incarnation", incarnation).Msg("row of a dead process removed")
+		n.world.roster.Remove(incarnation)
+	}
+}
--- /dev/null
+++ b/pkg/app/node/heartbeat.go
@@ -0,0 +1,113 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"ironhollow/pkg/engine"
+	"ironhollow/pkg/platform/table"
+	"ironhollow/pkg/roster"
+)
+
+// rosterTable is the store's table of this system's processes.
+const rosterTable = "hosts"
+
+// Timing of heartbeats.
+const (
+	// heartbeat bounds what of the usage a killed process takes with it.
+	heartbeat = 500 * time.Millisecond
+	// silence is how many heartbeats may be missing in a row; see roster.New.
+	silence = 5 * heartbeat
+	// largeFleet is the hosts up to which heartbeats keep their pace; above, the
+	// store's load would grow with the square of the fleet.
+	largeFleet = 16
+)
+
+// beat writes this process's row until ctx ends.
+func (n *node) beat(ctx context.Context) {
+	for ctx.Err() == nil {
+		n.writeRow(ctx)
+		n.takeLoads()
+		pause := heartbeat * time.Duration(max(n.world.roster.Nodes(), largeFleet)) / largeFleet
+		wait(ctx, min(pause, 2*time.Second))
+	}
+}
+
+func (n *node) writeRow(ctx context.Context) {
+	n.rowMu.Lock()
+	defer n.rowMu.Unlock()
+	n.rowSequence++
+	now := n.clock.Now()
+	offset, known := n.clock.offset()
+	if !known {
+		return
+	}
+	row := roster.Row{
+		Incarnation: n.incarnation,
+		Node:        n.settings.Node,
+		DataCenter:  n.settings.DataCenter,
+		Callers:     n.settings.Callers,
+		Sequence:    n.rowSequence,
+		Leaving:     n.leaving.Load(),
+		ClockOffset: offset,
+		Counts:      n.counter.Recent(),
+	}
+	for _, l := range n.router.OwnLoads() {
+		row.Loads = append(row.Loads, roster.Load{Endpoint: l.Endpoint.ID, Running: l.Running, PrefillTokens: l.PrefillTokens})
+	}
+	for _, d := range n.rates.Demands(now) {
+		row.Demands = append(row.Demands, roster.Demand{Team: d.Team, PerSecond: d.PerSecond})
+	}
+	value, err := row.Encode()
+	if err != nil {
+		n.log.Error().Err(err).Msg("own row not encoded")
+		return
+	}
+	write := table.Write{Key: rosterTable + "/" + n.incarnation, Value: value, If: table.Always{}}
+	outcome := n.store.Commit(ctx, table.Commit{Token: table.Token{Writer: n.incarnation, Sequence: n.rowSequence}, Writes: []table.Write{write}})
+	var failed error
+	switch o := outcome.(type) {
+	case table.Refused:
+		failed = o.Err
+	case table.Unknown:
+		failed = o.Err
+	}
+	if ctx.Err() == nil {
+		n.world.lost.note(n.log, "own row", failed, now)
+	}
+	n.world.roster.Merge(row, now)
+}
+
+// takeLoads hands what the other processes told to the decisions.
+func (n *node) takeLoads() {
+	now := n.clock.Now()
+	loads := n.world.roster.Loads(n.incarnation)
+	own := map[string]int{}
+	for _, l := range n.router.OwnLoads() {
+		own[l.Endpoint.ID] = l.Running
+	}
+	for _, info := range n.router.InUse() {
+		load := loads[info.ID]
+		n.router.Report(info.Ref(), engine.Report{
+			Sequence:     now.UnixMilli(),
+			Running:      load.Running + own[info.ID],
+			Slots:        max(info.Slots, 1),
+			QueuedTokens: load.PrefillTokens,
+		})
+	}
+	others := n.world.roster.Demands(n.incarnation)
+	for _, d := range n.rates.Demands(now) {
+		n.rates.SetTotal(d.Team, d.PerSecond+others[d.Team], now)
+	}
+}
+
+// wait pauses until d has passed or ctx ends.
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
--- /dev/null
+++ b/pkg/app/node/node.go
@@ -0,0 +1,330 @@
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/urfave/negroni/v3"
+
+	"ironhollow/pkg/app/process"
+	"ironhollow/pkg/autoscale"
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/forward"
+	"ironhollow/pkg/hazard"
+	"ironhollow/pkg/lease"
+	"ironhollow/pkg/limit"
+	"ironhollow/pkg/platform/table"
+	"ironhollow/pkg/retry"
+	"ironhollow/pkg/roster"
+	"ironhollow/pkg/route"
+	"ironhollow/pkg/upstream"
+	"ironhollow/pkg/usage"
+)
+
+// Times of a node.
+const (
+	// storeCall bounds one call to the store; it answers within 4 ms as a rule.
+	storeCall = time.Second
+	// deadPeer is how long sent bytes may stay unacknowledged.
+	deadPeer = 3 * time.Second
+	// stopMargin is kept of the grace: the process must be gone before its end.
+	stopMargin = 700 * time.Millisecond
+	// closeTime is how long the close of idle connections may take at the end.
+	closeTime = 400 * time.Millisecond
+	// entriesKept is how long callers keep the answer of which entries to use.
+	entriesKept = 2 * time.Second
+	// sweepPause is the time between looks for connections idle for too long.
+	sweepPause = 500 * time.Millisecond
+	// headerTime bounds how long a caller may take over its headers.
+	headerTime = 10 * time.Second
+	// idleTime is how long a caller's connection may rest.
+	idleTime = 30 * time.Second
+	// headerBytes bounds a caller's headers.
+	headerBytes = 64 << 10
+	// memoryShare of the process's limit is the collector's soft limit; unread
+	// bytes in sockets count towards the limit too.
+	memoryShare = 0.6
+	// collectAt is the growth in percent at which garbage is collected.
+	collectAt = 60
+)
+
+// engineFigures are used until an endpoint's own have been measured: a large
+// model on a current accelerator reads some 50 tokens a millisecond and makes
+// one in about 7 ms.
+var engineFigures = route.Figures{TokenGap: 7 * time.Millisecond, Prefill: 20 * time.Microsecond, MeanAnswer: time.Second}
+
+// node is a running process.
+type node struct {
+	settings    Settings
+	platform    Platform
+	incarnation string
+	log         *log.Logger
+	clock       *clock
+	store       Store
+	world       *world
+	router      *route.Router
+	rates       *limit.Rates
+	pool        *upstream.Pool
+	counter     *usage.Counter
+	reporter    *usage.Reporter
+	orderer     *autoscale.Orderer
+	leases      *lease.Manager
+	demand      demandSmoother
+	forwarder   *forward.Forwarder
+
+	leaving     atomic.Bool
+	rowMu       sync.Mutex
+	rowSequence int64
+}
+
+// Main runs a node on a platform and returns the exit code.
+func Main(platform Platform) int {
+	settings, err := platform.ReadSettings()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return process.ExitSettings
+	}
+	if err := run(platform, settings); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return process.ExitFault
+	}
+	return process.ExitOK
+}
+
+func run(platform Platform, settings Settings) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	tuneMemory(settings)
+	n := newNode(platform, settings)
+	n.log.Info().Str("incarnation", n.incarnation).Str("dc", settings.DataCenter).Msg("start")
+	go n.watchReloads()
+	return n.serve(ctx)
+}
+
+func tuneMemory(s Settings) {
+	debug.SetGCPercent(collectAt)
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
+	}
+}
+
+func newNode(platform Platform, s Settings) *node {
+	n := &node{
+		settings:    s,
+		platform:    platform,
+		incarnation: s.Node + "." + rand.Text()[:10],
+		log:         newLog(s.Node),
+		clock:       newClock(),
+		rates:       limit.NewStrictRates(),
+		pool:        upstream.New(deadPeer),
+		demand:      demandSmoother{},
+	}
+	client := &http.Client{Transport: newTransport()}
+	n.store = platform.Store(client, s)
+	directory := endpoint.NewDirectory()
+	n.world = &world{
+		platform: platform, clock: n.clock, directory: directory, roster: roster.New(silence),
+		log: n.log, self: n.incarnation,
+	}
+	home := route.Home{Node: s.Node, DataCenter: s.DataCenter}
+	n.router = route.NewWithFigures(directory, hazard.New(), home, uint64(n.clock.start.UnixNano()), engineFigures)
+	n.counter = usage.NewCounter(s.UsageWindow, n.trueTime)
+	writer := table.NewWriter(n.store, n.incarnation)
+	cloud := platform.Cloud(client, s)
+	n.reporter = usage.NewReporter(n.counter, n.world.roster, writer, cloud, n.log)
+	n.orderer = autoscale.NewOrderer(cloud, n.log)
+	n.leases = lease.New(writer, n.incarnation, lease.Timing{Duration: s.Lease, Renew: s.Lease / renewals})
+	budget := retry.NewWindow(s.Retry.Share, s.Retry.Slack, s.Retry.Window)
+	registry := process.NewRegistry()
+	n.forwarder = forward.New(platform.Protocol(), n.world, n.router, n.rates, budget, n.pool, n.counter,
+		n.world.roster.Nodes, n.leaving.Load, n.clock.Now, forward.NewMetrics(registry), n.log)
+	return n
+}
+
+// newLog writes to standard output and never waits for its reader: lines that
+// find the queue full are dropped.
+func newLog(name string) *log.Logger {
+	return &log.Logger{
+		Level:      log.InfoLevel,
+		TimeFormat: time.RFC3339Nano,
+		Context:    log.NewContext(nil).Str("node", name).Value(),
+		Writer: &log.AsyncWriter{
+			ChannelSize:   logQueue,
+			DiscardOnFull: true,
+			Writer:        &log.IOWriter{Writer: os.Stdout},
+		},
+	}
+}
+
+// logQueue is how many lines wait for a slow reader of standard output.
+const logQueue = 1024
+
+// newTransport is for calls to the platform. A close that gives up on a call
+// throws away what the network still holds, so that it can't arrive later.
+func newTransport() *http.Transport {
+	dialer := &net.Dialer{
+		Timeout:         storeCall,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3},
+		Control:         upstream.ControlUserTimeout(deadPeer),
+	}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if tcp, ok := conn.(*net.TCPConn); ok {
+				err = errors.Join(err, tcp.SetLinger(0))
+			}
+			return conn, err
+		},
+		MaxIdleConnsPerHost: 8,
+		IdleConnTimeout:     20 * time.Second,
+		DisableCompression:  true,
+	}
+}
+
+// trueTime is the store's clock plus what the hosts agree it differs by from
+// the time of day; this host's own time of day as long as that is not known.
+func (n *node) trueTime() time.Time {
+	storeNow, known := n.clock.store()
+	offset, agreed := n.world.roster.ClockOffset()
+	if !known || !agreed {
+		return n.clock.Now()
+	}
+	return time.Unix(0, int64(storeNow+offset))
+}
+
+// serve runs until ctx ends, and then until callers have left or the grace is
+// nearly over.
+func (n *node) serve(ctx context.Context) error {
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	n.world.follow(background, n.store)
+	go n.beat(background)
+	go n.sweep(background)
+	var duties sync.WaitGroup
+	dutiesCtx, endDuties := context.WithCancel(background)
+	duties.Go(func() { n.duties(dutiesCtx) })
+
+	faults := make(chan error, 3)
+	servers, err := n.listen(faults)
+	if err != nil {
+		endDuties()
+		return err
+	}
+	select {
+	case <-ctx.Done():
+	case err := <-faults:
+		endDuties()
+		return err
+	}
+	started := time.Now()
+	n.leaving.Store(true)
+	n.log.Info().Dur("grace", n.settings.Grace).Msg("stopping")
+	endDuties()
+	go n.writeRow(background)
+	wait(background, n.settings.Grace-stopMargin-closeTime-time.Since(started))
+	closing, done := context.WithTimeout(background, closeTime)
+	defer done()
+	for _, s := range servers {
+		if err := s.Shutdown(closing); err != nil {
+			n.log.Warn().Err(err).Msg("requests were still running at the end of the grace")
+		}
+	}
+	n.log.Info().Msg("stopped")
+	if async, ok := n.log.Writer.(io.Closer); ok {
+		_ = async.Close()
+	}
+	return nil
+}
+
+// listen opens the ports.
+func (n *node) listen(faults chan<- error) ([]*http.Server, error) {
+	callers := &http.Server{
+		Handler: n.forwarder, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: headerBytes,
+	}
+	ports := []struct {
+		name, address string
+		server        *http.Server
+	}{
+		{"callers", n.settings.Callers, callers},
+		{"ready", n.settings.Ready, &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}},
+		{"directory", n.settings.Directory, &http.Server{Handler: n.directoryHandler(), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}},
+	}
+	config := net.ListenConfig{
+		Control:         upstream.ControlUserTimeout(deadPeer),
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3},
+	}
+	var servers []*http.Server
+	for _, p := range ports {
+		listener, err := config.Listen(context.Background(), "tcp", p.address)
+		if err != nil {
+			return nil, fmt.Errorf("port of %s: %w", p.name, err)
+		}
+		process.Serve(p.server, listener, faults)
+		if p.server == callers {
+			servers = append(servers, p.server)
+		}
+	}
+	return servers, nil
+}
+
+func (n *node) readyHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+n.platform.ReadyPath(), func(w http.ResponseWriter, _ *http.Request) {
+		if n.leaving.Load() || !n.world.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return negroni.New(negroni.NewRecovery(), negroni.Wrap(mux))
+}
+
+func (n *node) directoryHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+n.platform.DirectoryPath(), func(w http.ResponseWriter, _ *http.Request) {
+		entries := n.world.roster.Entries()
+		if len(entries) == 0 && !n.leaving.Load() {
+			entries = []roster.Entry{{Node: n.settings.Node, DataCenter: n.settings.DataCenter, Callers: n.settings.Callers}}
+		}
+		if err := n.platform.EncodeEntries(w, entries, entriesKept); err != nil {
+			n.log.Debug().Err(err).Msg("a caller left while it was told the entries")
+		}
+	})
+	return negroni.New(negroni.NewRecovery(), negroni.Wrap(mux))
+}
+
+// sweep closes connections to endpoints that are no longer used.
+func (n *node) sweep(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait(ctx, sweepPause)
+		used := map[string]bool{}
+		for _, info := range n.router.InUse() {
+			used[info.Address] = true
+		}
+		n.pool.Sweep(func(address string) bool { return used[address] })
+	}
+}
+
+// watchReloads notes SIGHUP: all settings in use hold for a process's life.
+func (n *node) watchReloads() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	for range signals {
+		if _, err := n.platform.ReadSettings(); err != nil {
+			n.log.Error().Err(err).Msg("changed settings have faults")
+			continue
+		}
+		n.log.Info().Msg("settings read again")
+	}
+}
--- /dev/null
+++ b/pkg/app/node/settings.go
@@ -0,0 +1,68 @@
+// Package node is the one process of a host on a platform that gives a store:
+// it serves callers, tells them which hosts to use, and takes its turn at the
+// duties that one node has at a time.
+package node
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"ironhollow/pkg/httpx"
+)
+
+// RetryBounds bound what all nodes together send again.
+type RetryBounds struct {
+	// Share is of a service's requests in a window, Slack comes on top.
+	Share, Slack float64
+	Window       time.Duration
+}
+
+// Settings are what a node is told at its start.
+type Settings struct {
+	// Node names the host over all its processes.
+	Node, DataCenter string
+	// Callers, Ready and Directory are IP numbers and ports to listen at. Admin
+	// serves metrics; it may be empty.
+	Callers, Ready, Directory, Admin string
+	Store, Cloud                     string
+	// MemoryMB is the process's limit, 0 for none.
+	MemoryMB int
+	// Grace is the time from SIGTERM to SIGKILL.
+	Grace time.Duration
+	// Lease is how long a duty's lease lasts without renewal.
+	Lease time.Duration
+	Retry RetryBounds
+	// UsageWindow and UsageLate are the length of a window of usage and how long
+	// after its end a report is taken.
+	UsageWindow, UsageLate        time.Duration
+	ReportsUsage, OrdersEndpoints bool
+	// EndpointHeartbeat is how often an endpoint writes its row.
+	EndpointHeartbeat time.Duration
+}
+
+// Check returns every fault of the settings at once.
+func (s Settings) Check() error {
+	var faults []error
+	if s.Node == "" {
+		faults = append(faults, errors.New("the node's name is missing"))
+	}
+	addresses := []struct{ name, address string }{
+		{"callers", s.Callers}, {"ready", s.Ready}, {"directory", s.Directory}, {"store", s.Store},
+	}
+	for _, a := range addresses {
+		if err := httpx.CheckAddress(a.address); err != nil {
+			faults = append(faults, fmt.Errorf("address of %s: %w", a.name, err))
+		}
+	}
+	if s.Grace <= 0 || s.Lease <= 0 {
+		faults = append(faults, errors.New("grace and lease must be above 0"))
+	}
+	if s.ReportsUsage && s.UsageWindow <= 0 {
+		faults = append(faults, errors.New("the window of usage must be above 0"))
+	}
+	if s.Retry.Window <= 0 {
+		faults = append(faults, errors.New("the window of the retry budget must be above 0"))
+	}
+	return errors.Join(faults...)
+}
--- a/pkg/endpoint/endpoint.go
+++ b/pkg/endpoint/endpoint.go
@@ -63,6 +63,10 @@
 	// ChecksOrders says that the endpoint refuses orders of a lower epoch.
 	ChecksOrders bool
 	Reclaimable  bool
+	// Slots is how many requests it runs at once, 0 if it did not tell.
+	Slots int
+	// Engine says that a plain service's endpoint runs batches of a model.
+	Engine bool
 	// LeaveBy is when a leaving endpoint goes, zero if not known.
 	LeaveBy time.Time
 }
--- /dev/null
+++ b/pkg/feed/feed.go
@@ -0,0 +1,122 @@
+// Package feed follows the rows of a table of the platform's store: a snapshot
+// first, then changes, a snapshot again where the history is gone.
+package feed
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+)
+
+// ErrHistoryGone says that the store no longer has the changes asked for.
+var ErrHistoryGone = errors.New("feed: the store has dropped this history")
+
+// Row is one row or the removal of one.
+type Row struct {
+	Key     string
+	Value   []byte
+	Version int64
+	Deleted bool
+}
+
+// Batch is what one call brought.
+type Batch struct {
+	// Full says that rows not listed do not exist.
+	Full bool
+	Rows []Row
+	// Version is where the next call goes on.
+	Version int64
+	// StoreTime is the store's steady clock at the answer, from its own zero.
+	StoreTime time.Duration
+}
+
+// Add appends a page of the same snapshot.
+func (b *Batch) Add(page Batch) {
+	b.Rows = append(b.Rows, page.Rows...)
+	b.StoreTime = page.StoreTime
+}
+
+// Source is a store that can be followed.
+type Source interface {
+	Snapshot(ctx context.Context, table string) (Batch, error)
+	Changes(ctx context.Context, table string, after int64, wait time.Duration) (Batch, error)
+}
+
+// Take receives batches in order. It is called from one goroutine.
+type Take func(Batch)
+
+// Health hears of a store that is lost and regained. A nil err is a success.
+type Health func(table string, err error)
+
+// Timing of a follower.
+type Timing struct {
+	// Wait is how long the store holds a call for changes. It bounds how long a
+	// silent cut stays unnoticed.
+	Wait time.Duration
+	// Pause is the least time between two calls, so that a table with many
+	// changes is read in batches.
+	Pause time.Duration
+	// Retry is the mean pause after a failure; the actual one is half to one
+	// and a half of it, so that nodes do not come back together.
+	Retry time.Duration
+}
+
+// Follower follows one table.
+type Follower struct {
+	source Source
+	table  string
+	timing Timing
+	take   Take
+	health Health
+}
+
+// New returns a follower of a table.
+func New(source Source, table string, timing Timing, take Take, health Health) *Follower {
+	return &Follower{source: source, table: table, timing: timing, take: take, health: health}
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	version := int64(-1)
+	for ctx.Err() == nil {
+		batch, err := f.next(ctx, version)
+		if ctx.Err() != nil {
+			return
+		}
+		f.health(f.table, err)
+		pause := f.timing.Pause
+		switch {
+		case errors.Is(err, ErrHistoryGone):
+			version = -1
+			pause = 0
+		case err != nil:
+			pause = f.timing.Retry/2 + rand.N(f.timing.Retry)
+		default:
+			f.take(batch)
+			version = batch.Version
+		}
+		sleep(ctx, pause)
+	}
+}
+
+func (f *Follower) next(ctx context.Context, version int64) (Batch, error) {
+	if version >= 0 {
+		return f.source.Changes(ctx, f.table, version, f.timing.Wait)
+	}
+	batch, err := f.source.Snapshot(ctx, f.table)
+	batch.Full = true
+	return batch, err
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/pkg/forward/attempt.go
@@ -0,0 +1,173 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/route"
+	"ironhollow/pkg/upstream"
+)
+
+// result is the end of one send: notRun, unclear, answered or streaming.
+type result interface{ result() }
+
+// notRun says that the request did not run and will not by this send.
+type notRun struct {
+	// reached says that the endpoint itself turned the request away.
+	reached bool
+	err     error
+}
+
+// unclear says that the request may have run.
+type unclear struct{ err error }
+
+// answered is a whole answer, or the head of one too long to be held.
+type answered struct {
+	status int
+	header http.Header
+	body   []byte
+	// rest is nil if body is all.
+	rest *upstream.Exchange
+}
+
+// streaming is the head of a stream whose events are yet to be read.
+type streaming struct{ exchange *upstream.Exchange }
+
+func (notRun) result()    {}
+func (unclear) result()   {}
+func (answered) result()  {}
+func (streaming) result() {}
+
+// Parameters of a send.
+const (
+	// holdBytes is how long a body may be to be read whole before its first
+	// byte is passed on: what breaks off before can still be answered in order.
+	holdBytes = 64 << 10
+	// onceIdle is how long a connection may have rested for a request that
+	// can't be sent again: it must not meet one that the endpoint just closes.
+	onceIdle = 2 * time.Second
+)
+
+var (
+	errForeign  = errors.New("the answer belongs to another request")
+	errUnsigned = errors.New("the answer bears no signature")
+)
+
+// send sends the request to the chosen endpoint once and reads its answer.
+func (c *call) send(ctx context.Context, choice route.Choice, lastEvent string) result {
+	request := c.request(choice, lastEvent)
+	outcome := c.f.pool.Send(ctx, choice.Endpoint.Address, c.connectionLimit(), request)
+	switch o := outcome.(type) {
+	case upstream.NotSent:
+		return notRun{err: o.Err}
+	case upstream.Unclear:
+		return unclear{o.Err}
+	case upstream.Answered:
+		return c.judge(o.Exchange)
+	default:
+		return unclear{fmt.Errorf("outcome %T", outcome)}
+	}
+}
+
+func (c *call) request(choice route.Choice, lastEvent string) upstream.Request {
+	h := make(http.Header, len(c.header)+3)
+	for name, values := range c.header {
+		h[name] = values
+	}
+	c.f.protocol.Encode(h, Hop{
+		Endpoint:    choice.Endpoint.ID,
+		Left:        time.Until(c.deadline),
+		Team:        c.teamName(),
+		Priority:    c.priority,
+		Prioritised: choice.Endpoint.Engine,
+		LastEvent:   lastEvent,
+	})
+	request := upstream.Request{
+		Method:  c.in.Method,
+		Target:  c.in.RequestURI,
+		Host:    c.in.Host,
+		Header:  h,
+		Body:    c.body,
+		HasBody: c.hasBody,
+	}
+	if !c.route.MayRepeat() {
+		request.MaxIdle = onceIdle
+	}
+	return request
+}
+
+// connectionLimit is this entry's part of the connections an endpoint accepts.
+func (c *call) connectionLimit() int {
+	if c.service.Connections == 0 {
+		return 0
+	}
+	return max(c.service.Connections/max(c.f.nodes(), 1), 1)
+}
+
+// judge tells what an answer's head says and reads its body.
+func (c *call) judge(e *upstream.Exchange) result {
+	verdict := c.f.protocol.DecodeAnswer(e.Status(), e.Header())
+	if verdict.ID != c.meta.ID {
+		e.Spoil()
+		e.Close()
+		return unclear{errForeign}
+	}
+	if verdict.NotRun {
+		drain(e)
+		e.Close()
+		return notRun{reached: !verdict.Moved, err: fmt.Errorf("the endpoint turned it away with %d", e.Status())}
+	}
+	if e.Status()/100 == 2 && !verdict.Signed {
+		e.Spoil()
+		e.Close()
+		return unclear{errUnsigned}
+	}
+	if e.Status()/100 == 2 && strings.HasPrefix(e.Header().Get("Content-Type"), "text/event-stream") {
+		return streaming{e}
+	}
+	return readAnswer(e)
+}
+
+// drain reads the rest of a short body, so that its connection can be kept.
+func drain(e *upstream.Exchange) {
+	_, _ = io.CopyN(io.Discard, e, holdBytes)
+}
+
+// readAnswer reads a body up to holdBytes.
+func readAnswer(e *upstream.Exchange) result {
+	var held bytes.Buffer
+	_, err := io.CopyN(&held, e, holdBytes)
+	switch {
+	case errors.Is(err, io.EOF):
+		e.Close()
+		return answered{status: e.Status(), header: e.Header(), body: held.Bytes()}
+	case err != nil:
+		e.Close()
+		return unclear{fmt.Errorf("the answer broke off after %d bytes: %w", held.Len(), err)}
+	default:
+		return answered{status: e.Status(), header: e.Header(), body: held.Bytes(), rest: e}
+	}
+}
+
+// ending tells the router how a send ended.
+func ending(r result) route.Result {
+	switch r := r.(type) {
+	case notRun:
+		return route.Result{Failed: !r.reached}
+	case unclear:
+		return route.Result{Failed: !errors.Is(r.err, context.Canceled)}
+	case answered:
+		return route.Result{Failed: r.status >= http.StatusInternalServerError}
+	default:
+		return route.Result{}
+	}
+}
+
+func refOf(c route.Choice) endpoint.Ref { return c.Endpoint.Ref() }
--- /dev/null
+++ b/pkg/forward/forward.go
@@ -0,0 +1,399 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"ironhollow/pkg/code"
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/limit"
+	"ironhollow/pkg/retry"
+	"ironhollow/pkg/route"
+	"ironhollow/pkg/routetable"
+	"ironhollow/pkg/upstream"
+)
+
+// Tables gives the configuration in force.
+type Tables interface {
+	// Current returns nil while no configuration is known. fresh is false while
+	// a newer one may be in force of which this process has not heard.
+	Current() (table *routetable.Table, fresh bool)
+}
+
+// Runs counts requests that began to run, for usage.
+type Runs interface{ Began(team string) }
+
+// Clock tells the time that decisions are taken with.
+type Clock func() time.Time
+
+// Forwarder is the handler of callers' requests. It is safe for concurrent use.
+type Forwarder struct {
+	protocol Protocol
+	tables   Tables
+	router   *route.Router
+	rates    *limit.Rates
+	budget   *retry.Window
+	pool     *upstream.Pool
+	runs     Runs
+	nodes    func() int
+	clock    Clock
+	metrics  *Metrics
+	log      *log.Logger
+	// closing is set once the process is to stop soon.
+	closing func() bool
+}
+
+// New returns a forwarder. nodes returns how many entry hosts serve; closing
+// whether callers are to leave their connections.
+func New(protocol Protocol, tables Tables, router *route.Router, rates *limit.Rates, budget *retry.Window, pool *upstream.Pool,
+	runs Runs, nodes func() int, closing func() bool, clock Clock, metrics *Metrics, logger *log.Logger,
+) *Forwarder {
+	return &Forwarder{
+		protocol: protocol, tables: tables, router: router, rates: rates, budget: budget, pool: pool,
+		runs: runs, nodes: nodes, closing: closing, clock: clock, metrics: metrics, log: logger,
+	}
+}
+
+// Times callers are told to come back after.
+const (
+	// comeBackSoon is where a place or an endpoint is expected within moments.
+	comeBackSoon = 300 * time.Millisecond
+	// comeBackConfigured is where this process has no configuration yet.
+	comeBackConfigured = time.Second
+	// defaultBody bounds a body where the configuration does not.
+	defaultBody = 4 << 20
+)
+
+// call is one request of a caller.
+type call struct {
+	f        *Forwarder
+	w        http.ResponseWriter
+	in       *http.Request
+	meta     Meta
+	table    *routetable.Table
+	route    *routetable.Route
+	team     *routetable.Team
+	service  *routetable.Service
+	priority int
+	started  time.Time
+	deadline time.Time
+	header   http.Header
+	body     []byte
+	hasBody  bool
+	// offered says that an endpoint was sent the request and could run it.
+	offered bool
+	// avoid lists endpoints it failed at.
+	avoid    []endpoint.Ref
+	attempts int
+	trail    trail
+}
+
+// ServeHTTP answers one request.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := &call{f: f, w: w, in: r, started: f.clock()}
+	if f.closing() {
+		w.Header().Set("Connection", "close")
+	}
+	err := c.serve()
+	c.finish(err)
+	if errors.Is(err, errCut) {
+		// The answer can't be completed: the caller must see it break off.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// errCut says that the answer had begun and can't be completed.
+var errCut = errors.New("the answer broke off")
+
+func (c *call) serve() error {
+	var err error
+	if c.meta, err = c.f.protocol.Decode(c.in.Header); err != nil {
+		return c.refuse(code.New(code.BadHeader, err.Error()), 0)
+	}
+	if err = c.findRoute(); err != nil {
+		return c.refuse(err, comeBackConfigured)
+	}
+	if err = c.authorize(); err != nil {
+		return c.refuse(err, comeBackSoon)
+	}
+	c.deadline = time.Now().Add(c.route.Timeout)
+	if c.meta.HasWait {
+		c.deadline = time.Now().Add(min(c.route.Timeout, c.meta.Wait))
+	}
+	if err = c.readBody(); err != nil {
+		return c.refuse(err, 0)
+	}
+	if wait, ok := c.admit(); !ok {
+		return c.refuse(code.New(code.OverRate, "the team is over its rate"), wait)
+	}
+	ctx, cancel := context.WithDeadline(c.in.Context(), c.deadline)
+	defer cancel()
+	return c.run(ctx)
+}
+
+func (c *call) findRoute() error {
+	table, fresh := c.f.tables.Current()
+	if table == nil {
+		return code.New(code.NotReady, "no configuration yet")
+	}
+	c.table = table
+	path, _, _ := cutTarget(c.in.RequestURI)
+	found, ok := table.Match(c.in.Host, path)
+	if !ok && !fresh {
+		return code.New(code.NotReady, "no such route in a configuration that may be old")
+	}
+	if !ok {
+		return code.New(code.UnknownEndpoint, "no route")
+	}
+	c.route = found
+	name := found.Pick(rand.Float64())
+	if c.service, ok = table.Service(name); !ok {
+		c.service = &routetable.Service{Name: name}
+	}
+	return nil
+}
+
+func cutTarget(target string) (path, query string, ok bool) {
+	for i := range len(target) {
+		if target[i] == '?' {
+			return target[:i], target[i+1:], true
+		}
+	}
+	return target, "", false
+}
+
+func (c *call) authorize() error {
+	c.priority = c.route.Priority
+	if c.route.Public || !c.table.NeedsKey() {
+		return nil
+	}
+	team, ok := c.table.Team(c.meta.Key)
+	if !ok {
+		if _, fresh := c.f.tables.Current(); !fresh {
+			return code.New(code.NotReady, "no such key in a configuration that may be old")
+		}
+		return code.New(code.UnknownKey, "unknown key")
+	}
+	c.team = team
+	if team.HasPriority {
+		c.priority = team.Priority
+	}
+	return nil
+}
+
+func (c *call) teamName() string {
+	if c.team == nil {
+		return ""
+	}
+	return c.team.Name
+}
+
+func (c *call) readBody() error {
+	most := c.table.Limits().BodyBytes
+	if most <= 0 {
+		most = defaultBody
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.in.Body, most))
+	var long *http.MaxBytesError
+	if errors.As(err, &long) {
+		return code.New(code.BodyTooLong, "the body is longer than "+strconv.FormatInt(most, 10)+" bytes")
+	}
+	if err != nil {
+		return code.New(code.BadBody, err.Error())
+	}
+	c.body = body
+	c.hasBody = c.in.ContentLength > 0 || len(body) > 0 || c.in.Header.Get("Content-Length") != "" || len(c.in.TransferEncoding) > 0
+	c.header = endToEnd(c.in.Header)
+	return nil
+}
+
+// endToEnd copies headers without those of one connection.
+func endToEnd(h http.Header) http.Header {
+	clean := make(http.Header, len(h))
+	named := h.Values("Connection")
+	for name, values := range h {
+		if !slices.Contains(connectionHeaders, name) {
+			clean[name] = values
+		}
+	}
+	for _, field := range named {
+		for _, name := range splitList(field) {
+			clean.Del(name)
+		}
+	}
+	return clean
+}
+
+// admit asks the team's limit.
+func (c *call) admit() (time.Duration, bool) {
+	if c.team == nil || c.team.Rate <= 0 {
+		return 0, true
+	}
+	cost := 1.0
+	if c.team.ByTokens {
+		cost = float64(c.team.DefaultTokens)
+		if c.meta.HasTokens {
+			cost = float64(c.meta.PromptTokens + c.meta.MostTokens)
+		}
+	}
+	team := limit.Team{Name: c.team.Name, Rate: c.team.Rate, Burst: c.team.Burst}
+	ok, wait := c.f.rates.AllowCost(team, cost, c.f.nodes(), c.f.clock())
+	return wait, ok
+}
+
+// query is what the router needs to know.
+func (c *call) query() route.Query {
+	q := route.Query{
+		Target:       route.Target{Service: c.service.Name},
+		PromptTokens: c.meta.PromptTokens,
+		AnswerTokens: max(c.meta.ExpectedTokens, 1),
+		Avoid:        c.avoid,
+	}
+	covered := 0
+	for _, part := range c.meta.Prefix {
+		covered += part.Tokens
+		q.Prefix = append(q.Prefix, part.Hash)
+		q.PrefixTokens = append(q.PrefixTokens, covered)
+	}
+	q.Shared = max(len(q.Prefix)-1, 0)
+	return q
+}
+
+// run sends the request until it is answered or given up.
+func (c *call) run(ctx context.Context) error {
+	c.f.budget.Sent(c.service.Name, c.f.clock())
+	var last result = notRun{err: errors.New("no endpoint takes work")}
+	for {
+		choice, ok := c.choose(ctx)
+		if !ok {
+			return c.giveUp(ctx, last)
+		}
+		last = c.attempt(ctx, choice)
+		if s, isStream := last.(streaming); isStream {
+			return c.relayStream(ctx, choice, s.exchange)
+		}
+		if a, isAnswer := last.(answered); isAnswer && (a.status < http.StatusInternalServerError || !c.mayResend(ctx, last)) {
+			return c.relay(a)
+		}
+		if !c.mayResend(ctx, last) {
+			return c.giveUp(ctx, last)
+		}
+		if a, isAnswer := last.(answered); isAnswer && a.rest != nil {
+			a.rest.Close()
+		}
+		if !c.f.budget.Take(c.service.Name, c.f.nodes(), c.f.clock()) {
+			c.trail.note("budget-empty")
+			if a, isAnswer := last.(answered); isAnswer && a.rest == nil {
+				return c.relay(a)
+			}
+			return c.giveUp(ctx, last)
+		}
+	}
+}
+
+// choose picks the next endpoint.
+func (c *call) choose(ctx context.Context) (route.Choice, bool) {
+	if ctx.Err() != nil {
+		return route.Choice{}, false
+	}
+	return c.f.router.Choose(c.query(), route.Expected, c.f.clock())
+}
+
+// attempt makes one send and tells the router how it ended. A stream's choice
+// is ended by the relay.
+func (c *call) attempt(ctx context.Context, choice route.Choice) result {
+	sent := c.f.clock()
+	r := c.send(ctx, choice, "")
+	c.noteAttempt(choice, r, c.f.clock().Sub(sent))
+	switch r := r.(type) {
+	case streaming:
+		c.began()
+		c.f.router.Started(choice)
+		return r
+	case answered:
+		c.began()
+	case unclear:
+		c.offered = true
+	case notRun:
+		c.offered = c.offered || r.reached
+	}
+	c.f.router.Done(choice, ending(r), c.f.clock())
+	c.avoid = append(c.avoid, refOf(choice))
+	return r
+}
+
+func (c *call) began() {
+	c.offered = true
+	c.f.runs.Began(c.teamName())
+}
+
+// mayResend reports whether the request may go to another endpoint after a
+// result: within the route's attempts, and only what may run again or has
+// provably not run.
+func (c *call) mayResend(ctx context.Context, last result) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	n, isNotRun := last.(notRun)
+	if isNotRun && !n.reached {
+		// Nothing reached an endpoint; this is bounded by the endpoints to avoid.
+		return true
+	}
+	c.attempts = c.sends()
+	return c.attempts < c.route.Attempts && (isNotRun || c.route.MayRepeat())
+}
+
+// giveUp answers a request that got no answer, at once.
+func (c *call) giveUp(ctx context.Context, last result) error {
+	if c.in.Context().Err() != nil {
+		return errCallerLeft
+	}
+	switch r := last.(type) {
+	case notRun:
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			return c.refuse(code.New(code.NoEndpoint, "its time passed before an endpoint took it"), comeBackSoon)
+		}
+		return c.refuse(code.New(code.NoEndpoint, r.err.Error()), comeBackSoon)
+	case unclear:
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			return c.refuse(code.New(code.DeadlinePassed, "its time passed while an endpoint had it"), 0)
+		}
+		return c.refuse(code.New(code.CallUnknown, r.err.Error()), 0)
+	case answered:
+		return c.relay(r)
+	default:
+		return c.refuse(code.New(code.Internal, "no result"), 0)
+	}
+}
+
+var errCallerLeft = errors.New("the caller left")
+
+// refuse answers with an error of the system's own. Codes that say "not run"
+// are final: nothing is sent after them.
+func (c *call) refuse(err error, comeBack time.Duration) error {
+	found := code.Of(err)
+	status := found.Status()
+	if c.offered && found.Outcome() == code.NotRun && c.everUnclear() {
+		// An earlier send may have run: the promise can't be given.
+		found, status = code.CallUnknown, code.CallUnknown.Status()
+	}
+	h := c.w.Header()
+	c.f.protocol.EncodeRefusal(h, c.meta.ID)
+	h.Set("Content-Type", "application/json")
+	if comeBack > 0 && found.Outcome() == code.NotRun && status != http.StatusNotFound && status != http.StatusUnauthorized {
+		h.Set("Retry-After", strconv.FormatFloat(comeBack.Seconds(), 'f', 3, 64))
+	}
+	body := `{"code":` + strconv.Itoa(found.Number()) + `,"name":` + strconv.Quote(found.Name()) + `,"outcome":` + strconv.Quote(string(found.Outcome())) + "}\n"
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	c.w.WriteHeader(status)
+	_, _ = io.WriteString(c.w, body)
+	return err
+}
--- /dev/null
+++ b/pkg/forward/relay.go
@@ -0,0 +1,204 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"ironhollow/pkg/route"
+	"ironhollow/pkg/upstream"
+)
+
+func splitList(field string) []string {
+	names := strings.Split(field, ",")
+	for i := range names {
+		names[i] = strings.TrimSpace(names[i])
+	}
+	return names
+}
+
+// writeHead passes on an endpoint's status and headers.
+func (c *call) writeHead(status int, header http.Header) {
+	h := c.w.Header()
+	for name, values := range endToEnd(header) {
+		h[name] = values
+	}
+	// The server must add nothing that the endpoint did not say.
+	for _, name := range []string{"Date", "Content-Type"} {
+		if _, ok := h[name]; !ok {
+			h[name] = nil
+		}
+	}
+	c.w.WriteHeader(status)
+	c.trail.status = status
+}
+
+// relay passes an answer on.
+func (c *call) relay(a answered) error {
+	if a.rest == nil {
+		c.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	} else if n := a.rest.Length(); n >= 0 {
+		c.w.Header().Set("Content-Length", strconv.FormatInt(n, 10))
+	}
+	c.writeHead(a.status, a.header)
+	c.trail.bytes += len(a.body)
+	if _, err := c.w.Write(a.body); err != nil {
+		return c.cutOff(a.rest, err)
+	}
+	if a.rest == nil {
+		return nil
+	}
+	defer a.rest.Close()
+	n, err := io.Copy(c.w, a.rest)
+	c.trail.bytes += int(n)
+	if err != nil {
+		return c.cutOff(a.rest, err)
+	}
+	return nil
+}
+
+func (c *call) cutOff(e *upstream.Exchange, err error) error {
+	if e != nil {
+		e.Close()
+	}
+	if c.in.Context().Err() != nil {
+		return errors.Join(errCut, errCallerLeft)
+	}
+	return errors.Join(errCut, err)
+}
+
+// streamBytes is the buffer for events on their way: a few of them.
+const streamBytes = 8 << 10
+
+// relayStream passes a stream on event by event. Where it breaks off it goes
+// on at another endpoint if the route allows that, after the last whole event.
+func (c *call) relayStream(ctx context.Context, choice route.Choice, e *upstream.Exchange) error {
+	c.writeHead(e.Status(), e.Header())
+	s := &stream{call: c, lastEvent: c.meta.LastEvent}
+	for {
+		err := s.copy(e)
+		e.Close()
+		c.f.router.Done(choice, route.Result{Failed: err != nil && ctx.Err() == nil, Started: true}, c.f.clock())
+		if err == nil {
+			return nil
+		}
+		c.trail.note("stream broke off: " + err.Error())
+		if errors.Is(err, errCallerLeft) || ctx.Err() != nil {
+			return errors.Join(errCut, err)
+		}
+		c.avoid = append(c.avoid, refOf(choice))
+		var ok bool
+		if choice, e, ok = c.resume(ctx, s.lastEvent); !ok {
+			return errors.Join(errCut, err)
+		}
+	}
+}
+
+// resume finds another endpoint to go on at.
+func (c *call) resume(ctx context.Context, lastEvent string) (route.Choice, *upstream.Exchange, bool) {
+	last := result(unclear{errCut})
+	for c.mayResend(ctx, last) && c.f.budget.Take(c.service.Name, c.f.nodes(), c.f.clock()) {
+		choice, ok := c.choose(ctx)
+		if !ok {
+			return choice, nil, false
+		}
+		sent := c.f.clock()
+		last = c.send(ctx, choice, lastEvent)
+		c.noteAttempt(choice, last, c.f.clock().Sub(sent))
+		if s, isStream := last.(streaming); isStream {
+			c.f.router.Started(choice)
+			return choice, s.exchange, true
+		}
+		c.f.router.Done(choice, ending(last), c.f.clock())
+		c.avoid = append(c.avoid, refOf(choice))
+		if a, isAnswer := last.(answered); isAnswer {
+			if a.rest != nil {
+				a.rest.Close()
+			}
+			last = unclear{fmt.Errorf("answered %d when asked to go on", a.status)}
+		}
+	}
+	return route.Choice{}, nil, false
+}
+
+// stream is the state of one caller's stream over its endpoints.
+type stream struct {
+	call *call
+	// lastEvent is the id of the last whole event passed on.
+	lastEvent string
+}
+
+// copy passes on whole events until the stream ends; nil means that the
+// endpoint ended it in order. What remains of an event that broke off is
+// dropped.
+func (s *stream) copy(e *upstream.Exchange) error {
+	buffer := make([]byte, 0, streamBytes)
+	for {
+		if len(buffer) == cap(buffer) {
+			buffer = append(buffer, 0)[:len(buffer)]
+		}
+		n, err := e.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+n]
+		whole := wholeEvents(buffer)
+		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			// A stream that ends in order may close without a blank line.
+			whole = len(buffer)
+		}
+		if whole > 0 {
+			if writeErr := s.pass(buffer[:whole]); writeErr != nil {
+				return errors.Join(errCallerLeft, writeErr)
+			}
+			buffer = buffer[:copy(buffer, buffer[whole:])]
+		}
+		switch {
+		case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
+			return nil
+		case err != nil:
+			return err
+		}
+	}
+}
+
+func (s *stream) pass(events []byte) error {
+	if id, ok := lastID(events); ok {
+		s.lastEvent = id
+	}
+	s.call.trail.bytes += len(events)
+	if _, err := s.call.w.Write(events); err != nil {
+		return err
+	}
+	return http.NewResponseController(s.call.w).Flush()
+}
+
+// wholeEvents returns how many leading bytes are whole events.
+func wholeEvents(b []byte) int {
+	end := 0
+	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
+		end = i + 2
+	}
+	if i := bytes.LastIndex(b, []byte("\r\n\r\n")); i >= 0 {
+		end = max(end, i+4)
+	}
+	return end
+}
+
+// lastID returns the id of the last event that has one.
+func lastID(events []byte) (string, bool) {
+	for len(events) > 0 {
+		at := bytes.LastIndex(events, []byte("id:"))
+		if at < 0 {
+			return "", false
+		}
+		if at == 0 || events[at-1] == '\n' {
+			line, _, _ := bytes.Cut(events[at+len("id:"):], []byte("\n"))
+			return string(bytes.TrimSpace(line)), true
+		}
+		events = events[:at]
+	}
+	return "", false
+}
--- /dev/null
+++ b/pkg/forward/types.go
@@ -0,0 +1,76 @@
+// Package forward carries callers' raw HTTP requests to endpoints and the
+// answers back: routes, keys, limits, the choice of endpoint, what may be sent
+// again, and streams that go on at another endpoint.
+package forward
+
+import (
+	"net/http"
+	"time"
+)
+
+// PromptPart is one part of a prompt; parts with the same hash are the same.
+type PromptPart struct {
+	Hash   uint64
+	Tokens int
+}
+
+// Meta is what a caller's request says about itself beside path and body.
+type Meta struct {
+	// ID is the caller's, new with each of its attempts.
+	ID string
+	// Key is the bearer key, empty if there is none.
+	Key string
+	// Wait is how long the caller waits; HasWait is false if it did not say.
+	Wait    time.Duration
+	HasWait bool
+	Model   string
+	// PromptTokens and MostTokens, the longest answer, are there if HasTokens.
+	PromptTokens, MostTokens int
+	HasTokens                bool
+	// ExpectedTokens is the caller's guess of the answer's length.
+	ExpectedTokens int
+	// Prefix is the prompt's parts in order; the last is the request's own.
+	Prefix []PromptPart
+	// LastEvent is the id of the last event the caller has of a stream.
+	LastEvent string
+}
+
+// Hop is what one send adds to a request.
+type Hop struct {
+	// Endpoint is the instance that is meant; any other must refuse.
+	Endpoint string
+	// Left is how much of the request's time is left.
+	Left time.Duration
+	Team string
+	// Priority is set if Prioritised; 0 goes first.
+	Priority    int
+	Prioritised bool
+	// LastEvent is the last event had, where a stream goes on.
+	LastEvent string
+}
+
+// Verdict is what an endpoint's answer says about itself.
+type Verdict struct {
+	// ID is the request's that the answer belongs to.
+	ID string
+	// NotRun is the endpoint's word that it did not run the request.
+	NotRun bool
+	// Moved says that another instance has the address.
+	Moved bool
+	// Signed says that the answer bears the endpoint's signature.
+	Signed bool
+}
+
+// Protocol is how requests and answers are marked on the wire.
+type Protocol interface {
+	Decode(h http.Header) (Meta, error)
+	Encode(h http.Header, hop Hop)
+	DecodeAnswer(status int, h http.Header) Verdict
+	EncodeRefusal(h http.Header, id string)
+}
+
+// connectionHeaders concern one connection only and are not passed on.
+var connectionHeaders = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
--- a/pkg/limit/rate.go
+++ b/pkg/limit/rate.go
@@ -25,6 +25,8 @@
 
 // Rates enforces this entry's shares. It is safe for concurrent use.
 type Rates struct {
+	// strict shares never add up to more than the rate; see NewStrictRates.
+	strict bool
 	shards [rateShards]rateShard
 }
 
@@ -54,10 +56,19 @@
 	return r
 }
 
+// NewStrictRates returns rates whose shares add up to the whole at most, also
+// while demand moves and entries have not heard of each other: half of the rate
+// is shared evenly, half by demand, and nothing idle is lent.
+func NewStrictRates() *Rates {
+	r := NewRates()
+	r.strict = true
+	return r
+}
+
 // Team is a team's configured limits.
 type Team struct {
 	Name string
-	// Rate and Burst are over all entries.
+	// Rate and Burst are over all entries, in the unit of the requests' cost.
 	Rate, Burst float64
 }
 
@@ -67,6 +78,12 @@
 // Allow admits one request of a team or says after how long to come back.
 // entries is how many entry hosts serve at present, at least 1.
 func (r *Rates) Allow(team Team, entries int, now time.Time) (bool, time.Duration) {
+	return r.AllowCost(team, 1, entries, now)
+}
+
+// AllowCost admits one request of a cost, such as its tokens. One that costs
+// more than the burst held here passes on a full bucket and leaves a debt.
+func (r *Rates) AllowCost(team Team, cost float64, entries int, now time.Time) (bool, time.Duration) {
 	s := r.shard(team.Name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -75,16 +92,20 @@
 		b = &bucket{tokens: team.Burst, at: now, demandAt: now}
 		s.teams[team.Name] = b
 	}
-	b.ask(now)
+	b.ask(cost, now)
 	share := b.share(team.Rate, entries, now)
+	if r.strict {
+		share = b.strictShare(entries, now)
+	}
 	burst := max(1, team.Burst*share)
 	rate := team.Rate * share
 	b.tokens = min(burst, b.tokens+now.Sub(b.at).Seconds()*rate)
 	b.at = now
-	if b.tokens < 1 {
-		return false, time.Duration((1 - b.tokens) / rate * float64(time.Second))
+	needed := min(cost, burst)
+	if b.tokens < needed {
+		return false, time.Duration((needed - b.tokens) / rate * float64(time.Second))
 	}
-	b.tokens--
+	b.tokens -= cost
 	return true, 0
 }
 
@@ -93,9 +114,9 @@
 }
 
 // ask adds one request to the averaged demand.
-func (b *bucket) ask(now time.Time) {
+func (b *bucket) ask(cost float64, now time.Time) {
 	b.fade(now)
-	b.demand += 1 / demandTime.Seconds()
+	b.demand += cost / demandTime.Seconds()
 }
 
 func (b *bucket) fade(now time.Time) {
@@ -122,6 +143,16 @@
 	return max(b.demand/(others+b.demand), even*leastShare)
 }
 
+// strictShare is this entry's part where shares must never exceed the whole.
+func (b *bucket) strictShare(entries int, now time.Time) float64 {
+	even := 1 / float64(max(entries, 1))
+	if b.total <= 0 || now.Sub(b.totalAt) > totalKept {
+		return even
+	}
+	// An entry that asks more than was told of it must not take from others.
+	return even/2 + min(b.demand/max(b.total, b.demand), 1)/2
+}
+
 // Demand is one team's demand at one entry.
 type Demand struct {
 	Team string
--- /dev/null
+++ b/pkg/roster/roster.go
@@ -0,0 +1,203 @@
+package roster
+
+import (
+	"slices"
+	"sort"
+	"sync"
+	"time"
+)
+
+// Entry is an entry host that serves.
+type Entry struct {
+	Node, DataCenter, Callers string
+}
+
+// Roster is the rows as far as this process has heard. It is safe for
+// concurrent use.
+type Roster struct {
+	// silence is how long a row may stay unchanged before its process counts
+	// as gone.
+	silence time.Duration
+
+	mu      sync.Mutex
+	members map[string]*member
+	// heardAt is when the store last answered.
+	heardAt time.Time
+	known   bool
+}
+
+type member struct {
+	row Row
+	// changedAt is when its last change was heard.
+	changedAt time.Time
+}
+
+// New returns an empty roster.
+func New(silence time.Duration) *Roster {
+	return &Roster{silence: silence, members: map[string]*member{}}
+}
+
+// Heard notes that the store has answered, with or without changes. Rows age
+// only while it does.
+func (r *Roster) Heard(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.heardAt = now
+	r.known = true
+}
+
+// Known reports whether the rows have been read once.
+func (r *Roster) Known() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.known
+}
+
+// Merge takes in a row. An older one than held is dropped.
+func (r *Roster) Merge(row Row, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m, ok := r.members[row.Incarnation]
+	switch {
+	case !ok:
+		r.members[row.Incarnation] = &member{row, now}
+	case row.Sequence > m.row.Sequence:
+		m.row, m.changedAt = row, now
+	}
+}
+
+// Remove drops a row that the store no longer has.
+func (r *Roster) Remove(incarnation string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.members, incarnation)
+}
+
+// Keep drops all rows that a snapshot does not name.
+func (r *Roster) Keep(named func(incarnation string) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for incarnation := range r.members {
+		if !named(incarnation) {
+			delete(r.members, incarnation)
+		}
+	}
+}
+
+// live returns the rows that are still written, the newest of each node. The
+// lock is held.
+func (r *Roster) live() map[string]*member {
+	byNode := map[string]*member{}
+	for _, m := range r.members {
+		if r.heardAt.Sub(m.changedAt) > r.silence {
+			continue
+		}
+		if other, ok := byNode[m.row.Node]; !ok || m.changedAt.After(other.changedAt) {
+			byNode[m.row.Node] = m
+		}
+	}
+	return byNode
+}
+
+// Entries returns the hosts that take callers, by name.
+func (r *Roster) Entries() []Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []Entry
+	for _, m := range r.live() {
+		if !m.row.Leaving {
+			list = append(list, Entry{m.row.Node, m.row.DataCenter, m.row.Callers})
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Node < list[j].Node })
+	return list
+}
+
+// Nodes returns how many hosts serve, at least 1.
+func (r *Roster) Nodes() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(len(r.live()), 1)
+}
+
+// Loads returns what the other processes have under way, by endpoint.
+func (r *Roster) Loads(self string) map[string]Load {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	loads := map[string]Load{}
+	for _, m := range r.live() {
+		if m.row.Incarnation == self {
+			continue
+		}
+		for _, l := range m.row.Loads {
+			sum := loads[l.Endpoint]
+			sum.Endpoint = l.Endpoint
+			sum.Running += l.Running
+			sum.PrefillTokens += l.PrefillTokens
+			loads[l.Endpoint] = sum
+		}
+	}
+	return loads
+}
+
+// Demands returns what teams ask for at the other processes.
+func (r *Roster) Demands(self string) map[string]float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	demands := map[string]float64{}
+	for _, m := range r.live() {
+		if m.row.Incarnation == self {
+			continue
+		}
+		for _, d := range m.row.Demands {
+			demands[d.Team] += d.PerSecond
+		}
+	}
+	return demands
+}
+
+// Begun returns the requests that began in a window, by team, over all rows,
+// those of dead processes too.
+func (r *Roster) Begun(window int64) map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	counts := map[string]int{}
+	for _, m := range r.members {
+		for _, c := range m.row.Counts {
+			if c.Window == window {
+				counts[c.Team] += c.Begun
+			}
+		}
+	}
+	return counts
+}
+
+// ClockOffset returns the median of the hosts' time of day less the store's
+// clock: a minority of stepped clocks does not move it far. ok is false while
+// no row is known.
+func (r *Roster) ClockOffset() (time.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var offsets []time.Duration
+	for _, m := range r.live() {
+		offsets = append(offsets, m.row.ClockOffset)
+	}
+	if len(offsets) == 0 {
+		return 0, false
+	}
+	slices.Sort(offsets)
+	return offsets[len(offsets)/2], true
+}
+
+// Silent returns processes whose row has not changed for a time.
+func (r *Roster) Silent(after time.Duration) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []string
+	for incarnation, m := range r.members {
+		if r.heardAt.Sub(m.changedAt) > after {
+			list = append(list, incarnation)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/pkg/roster/row.go
@@ -0,0 +1,123 @@
+// Package roster holds what entry hosts tell each other through the platform's
+// store: one row a process, written every heartbeat and followed by all. From
+// the rows each process knows who serves, what is under way at each endpoint,
+// what teams ask for, the requests that began, and the true time.
+package roster
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Load is what one entry has under way at an endpoint.
+type Load struct {
+	Endpoint      string
+	Running       int
+	PrefillTokens int
+}
+
+// Demand is what one entry is asked for by a team, in the unit of its limit.
+type Demand struct {
+	Team      string
+	PerSecond float64
+}
+
+// Count is the requests of a team that began to run in a window.
+type Count struct {
+	Window int64
+	Team   string
+	Begun  int
+}
+
+// Row is what one process tells.
+type Row struct {
+	// Incarnation is new with each start; the row's key.
+	Incarnation string
+	Node        string
+	DataCenter  string
+	// Callers is the address for callers.
+	Callers string
+	// Sequence grows with each write; a late write of an old row is told by it.
+	Sequence int64
+	Leaving  bool
+	// ClockOffset is the host's time of day less the store's steady clock.
+	ClockOffset time.Duration
+	Loads       []Load
+	Demands     []Demand
+	Counts      []Count
+}
+
+// wireRow is a row in the store; lists hold their fields in order.
+type wireRow struct {
+	Node       string      `cbor:"1,keyasint"`
+	DataCenter string      `cbor:"2,keyasint"`
+	Callers    string      `cbor:"3,keyasint"`
+	Sequence   int64       `cbor:"4,keyasint"`
+	Leaving    bool        `cbor:"5,keyasint,omitempty"`
+	OffsetMS   int64       `cbor:"6,keyasint"`
+	Loads      []wireLoad  `cbor:"7,keyasint,omitempty"`
+	Demands    []wireAsk   `cbor:"8,keyasint,omitempty"`
+	Counts     []wireCount `cbor:"9,keyasint,omitempty"`
+}
+
+type wireLoad struct {
+	_             struct{} `cbor:",toarray"`
+	Endpoint      string
+	Running       int
+	PrefillTokens int
+}
+
+type wireAsk struct {
+	_         struct{} `cbor:",toarray"`
+	Team      string
+	PerSecond float32
+}
+
+type wireCount struct {
+	_      struct{} `cbor:",toarray"`
+	Window int64
+	Team   string
+	Begun  int
+}
+
+// Encode returns a row as it is stored.
+func (r Row) Encode() ([]byte, error) {
+	w := wireRow{
+		Node: r.Node, DataCenter: r.DataCenter, Callers: r.Callers, Sequence: r.Sequence,
+		Leaving: r.Leaving, OffsetMS: r.ClockOffset.Milliseconds(),
+	}
+	for _, l := range r.Loads {
+		w.Loads = append(w.Loads, wireLoad{Endpoint: l.Endpoint, Running: l.Running, PrefillTokens: l.PrefillTokens})
+	}
+	for _, d := range r.Demands {
+		w.Demands = append(w.Demands, wireAsk{Team: d.Team, PerSecond: float32(d.PerSecond)})
+	}
+	for _, c := range r.Counts {
+		w.Counts = append(w.Counts, wireCount{Window: c.Window, Team: c.Team, Begun: c.Begun})
+	}
+	return cbor.Marshal(w)
+}
+
+// Decode reads a stored row.
+func Decode(incarnation string, value []byte) (Row, error) {
+	var w wireRow
+	if err := cbor.Unmarshal(value, &w); err != nil {
+		return Row{}, fmt.Errorf("roster: row %q: %w", incarnation, err)
+	}
+	r := Row{
+		Incarnation: incarnation, Node: w.Node, DataCenter: w.DataCenter, Callers: w.Callers, Sequence: w.Sequence,
+		Leaving: w.Leaving, ClockOffset: time.Duration(w.OffsetMS) * time.Millisecond,
+	}
+	for _, l := range w.Loads {
+		r.Loads = append(r.Loads, Load{l.Endpoint, l.Running, l.PrefillTokens})
+	}
+	for _, d := range w.Demands {
+		r.Demands = append(r.Demands, Demand{d.Team, float64(d.PerSecond)})
+	}
+	for _, c := range w.Counts {
+		r.Counts = append(r.Counts, Count{c.Window, c.Team, c.Begun})
+	}
+	return r, nil
+}
--- a/pkg/route/feedback.go
+++ b/pkg/route/feedback.go
@@ -12,6 +12,8 @@
 	// Failed says that the endpoint is at fault; false also for a caller who
 	// went away.
 	Failed bool
+	// Started says that Router.Started was called for the choice.
+	Started bool
 	// FirstToken is the time to the first token, 0 if there was none.
 	FirstToken time.Duration
 	// Tokens and Decode give the gap between tokens; 0 if not measured.
@@ -36,6 +38,9 @@
 	}
 	l := &s.load
 	l.ownRunning = max(l.ownRunning-1, 0)
+	if !result.Started {
+		l.ownPrefill = max(l.ownPrefill-c.uncached, 0)
+	}
 	// Requests sent before the report are in its count, later ones in ours.
 	if l.sequence > c.sent.UnixMilli() {
 		l.endedSince++
@@ -53,6 +58,41 @@
 	}
 }
 
+// Started notes that a request's prompt has been prefilled: its first token is
+// there. Callers that do not tell leave it to Done.
+func (r *Router) Started(c Choice) {
+	s, ok := r.slots()[c.Endpoint.ID]
+	if !ok {
+		return
+	}
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	if s.info.Ref() == c.Endpoint.Ref() {
+		s.load.ownPrefill = max(s.load.ownPrefill-c.uncached, 0)
+	}
+}
+
+// OwnLoad is what this entry has under way at an endpoint.
+type OwnLoad struct {
+	Endpoint endpoint.Info
+	Running  int
+	// PrefillTokens are of requests that have no first token yet.
+	PrefillTokens int
+}
+
+// OwnLoads returns the endpoints at which this entry has requests under way.
+func (r *Router) OwnLoads() []OwnLoad {
+	var list []OwnLoad
+	for _, s := range r.slots() {
+		s.group.mu.Lock()
+		if s.load.ownRunning > 0 {
+			list = append(list, OwnLoad{s.info, s.load.ownRunning, s.load.ownPrefill})
+		}
+		s.group.mu.Unlock()
+	}
+	return list
+}
+
 func (l *load) learn(result Result, took time.Duration) {
 	l.meanDuration = smooth(l.meanDuration, took)
 	if result.Tokens > 1 && result.Decode > 0 {
@@ -174,7 +214,7 @@
 	g, byID := r.groupFor(q.Target)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	marked := g.markCached(q.Prefix, byID)
+	marked := g.markCached(q, byID)
 	defer g.clearCached(marked)
 	list := make([]Candidate, 0, len(g.slots))
 	for _, s := range g.slots {
--- a/pkg/route/prefix.go
+++ b/pkg/route/prefix.go
@@ -86,27 +86,62 @@
 
 // markCached notes on each slot how many tokens of the prefix it has cached
 // and returns the slots it marked. The group's lock is held.
-func (g *group) markCached(prefix []uint64, byID map[string]*slot) [holders]*slot {
-	var marked [holders]*slot
-	if len(prefix) == 0 {
+func (g *group) markCached(q Query, byID map[string]*slot) [holders + 1]*slot {
+	var marked [holders + 1]*slot
+	if len(q.Prefix) == 0 {
 		return marked
 	}
-	first, ok := g.index.get(prefix[0])
-	if !ok {
-		return marked
+	if first, ok := g.index.get(q.Prefix[0]); ok {
+		for i, id := range first {
+			s := byID[id]
+			if s == nil || s.group != g {
+				continue
+			}
+			s.cached = q.tokensOf(g.index.depth(q.Prefix, id))
+			marked[i] = s
+		}
 	}
-	for i, id := range first {
-		s := byID[id]
-		if s == nil || s.group != g {
-			continue
+	if q.Shared > 0 {
+		// The other entries send what shares this prefix there too.
+		if s := g.rendezvous(q.Prefix[q.Shared-1]); s != nil {
+			s.cached = max(s.cached, q.tokensOf(q.Shared))
+			marked[holders] = s
 		}
-		s.cached = g.index.depth(prefix, id) * blockTokens
-		marked[i] = s
 	}
 	return marked
 }
 
-func (g *group) clearCached(marked [holders]*slot) {
+// tokensOf returns the tokens that the leading prefixes cover.
+func (q Query) tokensOf(prefixes int) int {
+	if q.PrefixTokens == nil || prefixes == 0 {
+		return prefixes * blockTokens
+	}
+	return q.PrefixTokens[prefixes-1]
+}
+
+// rendezvous returns the endpoint that every entry holds to be the first for a
+// prefix (Thaler and Ravishankar 1998).
+func (g *group) rendezvous(prefix uint64) *slot {
+	var best *slot
+	var most uint64
+	for _, s := range g.slots {
+		if weight := mix(s.hash ^ prefix); best == nil || weight > most {
+			best, most = s, weight
+		}
+	}
+	return best
+}
+
+// mix spreads the bits of a hash (the finalizer of MurmurHash3).
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+func (g *group) clearCached(marked [holders + 1]*slot) {
 	for _, s := range marked {
 		if s != nil {
 			s.cached = 0
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/hazard"
 )
@@ -29,6 +31,13 @@
 	Target Target
 	// Prefix is the prompt's prefix hashes (see Hash); it may be empty.
 	Prefix []uint64
+	// PrefixTokens is how many tokens each prefix covers, from the prompt's
+	// start; nil where every one is one block longer than the one before.
+	PrefixTokens []int
+	// Shared is how many of the prefixes other requests have too. Requests that
+	// share a prefix go to the same endpoint from every entry unless its load
+	// speaks against it; 0 leaves that to what this entry has sent.
+	Shared int
 	// PromptTokens and AnswerTokens are what is expected, not known.
 	PromptTokens, AnswerTokens int
 	// Done is tokens of the answer had already, to be prefilled again.
@@ -54,6 +63,8 @@
 	// CachedTokens is how much of the prompt was reckoned cached there.
 	CachedTokens int
 	sent         time.Time
+	// uncached is the prompt's part that was reckoned to be prefilled.
+	uncached int
 }
 
 // Strategy names a way to choose.
@@ -96,6 +107,7 @@
 	hazard    *hazard.Estimator
 	home      Home
 	seed      uint64
+	figures   Figures
 	// entries is how many entry hosts share the endpoints, 0 if not known.
 	entries atomic.Int64
 
@@ -111,10 +123,31 @@
 	Node, DataCenter string
 }
 
+// Figures are an endpoint's until its own have been measured.
+type Figures struct {
+	// TokenGap is the time between tokens of one request, at little load.
+	TokenGap time.Duration
+	// Prefill is the time for one token of a prompt.
+	Prefill time.Duration
+	// MeanAnswer is how long a request runs.
+	MeanAnswer time.Duration
+}
+
+// DefaultFigures are those of a large model on one host.
+func DefaultFigures() Figures {
+	return Figures{TokenGap: startTokenGap, Prefill: startPrefill, MeanAnswer: startMeanAnswer}
+}
+
 // New returns a router over a directory of endpoints. The seed makes its
 // samples repeatable.
 func New(directory *endpoint.Directory, estimator *hazard.Estimator, home Home, seed uint64) *Router {
+	return NewWithFigures(directory, estimator, home, seed, DefaultFigures())
+}
+
+// NewWithFigures is New with other figures to begin with.
+func NewWithFigures(directory *endpoint.Directory, estimator *hazard.Estimator, home Home, seed uint64, figures Figures) *Router {
 	r := &Router{
+		figures:   figures,
 		directory: directory,
 		hazard:    estimator,
 		home:      home,
@@ -144,6 +177,8 @@
 	group *group
 	info  endpoint.Info
 	load  load
+	// hash is of the endpoint's id.
+	hash uint64
 	// cached is scratch space of one choice.
 	cached int
 }
@@ -161,6 +196,8 @@
 	// requests, among those the report saw, that have ended since.
 	sentSince, endedSince int
 	ownRunning            int
+	// ownPrefill is tokens of own requests that have no first token yet.
+	ownPrefill int
 	tokenGap              time.Duration
 	prefillPerToken       time.Duration
 	meanDuration          time.Duration
@@ -183,8 +220,13 @@
 	crossPlaceWeight = time.Millisecond
 )
 
-func newLoad() load {
-	return load{slots: defaultSlots, tokenGap: startTokenGap, prefillPerToken: startPrefill, meanDuration: startMeanAnswer, trust: 1}
+func (r *Router) newLoad(info endpoint.Info) load {
+	slots := info.Slots
+	if slots == 0 {
+		slots = defaultSlots
+	}
+	f := r.figures
+	return load{slots: slots, tokenGap: f.TokenGap, prefillPerToken: f.Prefill, meanDuration: f.MeanAnswer, trust: 1}
 }
 
 // TargetOf returns the target that an endpoint serves at present.
@@ -254,7 +296,7 @@
 			g = r.newGroup()
 			r.groups[target] = g
 		}
-		r.byID[info.ID] = g.add(info, old[info.ID])
+		r.byID[info.ID] = g.add(info, old[info.ID], r.newLoad(info))
 	}
 	r.synced = view.Generation()
 }
@@ -284,12 +326,12 @@
 
 // add puts an endpoint into the group. The slot of the same incarnation is
 // used again: requests under way still hold it, and end there.
-func (g *group) add(info endpoint.Info, before *slot) *slot {
+func (g *group) add(info endpoint.Info, before *slot, start load) *slot {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := before
 	if before == nil || before.group != g || before.info.Ref() != info.Ref() {
-		s = &slot{group: g, load: newLoad()}
+		s = &slot{group: g, load: start, hash: xxhash.Sum64String(info.ID)}
 	}
 	s.info = info
 	if s.load.failures >= ejectAfter {
@@ -318,14 +360,16 @@
 	}
 	best.load.sentSince++
 	best.load.ownRunning++
+	uncached := max(q.PromptTokens-score.cached, 0)
+	best.load.ownPrefill += uncached
 	g.index.note(q.Prefix, best.info.ID)
-	return Choice{best.info, score.total, score.wait, score.cached, now}, true
+	return Choice{best.info, score.total, score.wait, score.cached, now, uncached}, true
 }
 
 // pickExpected returns the candidate with the least expected time. The group's
 // lock is held.
 func (r *Router) pickExpected(g *group, byID map[string]*slot, q Query, now time.Time) (*slot, score) {
-	cachedSlots := g.markCached(q.Prefix, byID)
+	cachedSlots := g.markCached(q, byID)
 	defer g.clearCached(cachedSlots)
 	var best *slot
 	var bestScore score
--- a/pkg/route/score.go
+++ b/pkg/route/score.go
@@ -46,7 +46,7 @@
 	if running >= l.slots {
 		wait += l.meanDuration * time.Duration(waiting+1) / time.Duration(max(l.slots, 1))
 	}
-	wait += time.Duration(l.queuedTokens) * l.prefillPerToken
+	wait += time.Duration(l.queuedTokens+l.ownPrefill) * l.prefillPerToken
 	// A fuller batch decodes slower: this also spreads load that fits.
 	crowding := 1 + float64(running)/float64(max(l.slots, 1))
 	decode := time.Duration(float64(q.AnswerTokens) * crowding * float64(l.tokenGap))
--- /dev/null
+++ b/pkg/upstream/pool.go
@@ -0,0 +1,408 @@
+// Package upstream sends requests to endpoints over HTTP/1.1 connections of
+// its own. It differs from the standard transport in what it promises: a
+// request leaves this process once at most, and every result says whether the
+// endpoint can have seen it.
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Outcome is how a send ended: NotSent, Unclear or Answered.
+type Outcome interface{ outcome() }
+
+// NotSent says that no byte of the request has left this process.
+type NotSent struct{ Err error }
+
+// Unclear says that the endpoint may have seen the request, or part of it.
+type Unclear struct{ Err error }
+
+// Answered carries the head of an answer. Its Exchange must be closed.
+type Answered struct {
+	Exchange *Exchange
+}
+
+func (NotSent) outcome()  {}
+func (Unclear) outcome()  {}
+func (Answered) outcome() {}
+
+// ErrNoConnection says that all connections allowed to an endpoint are in use.
+var ErrNoConnection = errors.New("upstream: all connections to the endpoint are in use")
+
+// Request is what is sent.
+type Request struct {
+	Method string
+	// Target is the request target exactly as the caller sent it.
+	Target string
+	Host   string
+	// Header holds no header of one connection only, and no Content-Length.
+	Header http.Header
+	Body   []byte
+	// HasBody says that a length is sent although Body is empty.
+	HasBody bool
+	// MaxIdle bounds how long a kept connection may have rested, 0 for no bound:
+	// a request that can't be sent twice must not meet one that just closes.
+	MaxIdle time.Duration
+}
+
+// Parameters of connections.
+const (
+	// dialTime bounds the opening of a connection: endpoints are under 10 ms
+	// away, so that this is lost packets or a dead host.
+	dialTime = time.Second
+	// defaultIdle is how long a connection is kept whose endpoint names no time.
+	defaultIdle = 4 * time.Second
+	// idleMargin is kept from the time that an endpoint names, in whole seconds.
+	idleMargin = 500 * time.Millisecond
+	// bufferBytes is the read and write buffer of a connection: a head fits.
+	bufferBytes = 4 << 10
+	// mostInformational bounds the 1xx answers before the actual one.
+	mostInformational = 5
+)
+
+// Pool keeps connections to endpoints. It is safe for concurrent use.
+type Pool struct {
+	dialer net.Dialer
+
+	mu    sync.Mutex
+	hosts map[string]*host
+	dials int64
+}
+
+// host is the connections to one address.
+type host struct {
+	// idle is used from its end, so that few connections carry the traffic.
+	idle []*conn
+	open int
+}
+
+// conn is one connection; one exchange uses it at a time.
+type conn struct {
+	net.Conn
+	address string
+	reader  *bufio.Reader
+	// idleSince and idleTime say until when the endpoint keeps it.
+	idleSince time.Time
+	idleTime  time.Duration
+}
+
+// New returns a pool. userTimeout is how long sent bytes may stay
+// unacknowledged before a connection counts as dead.
+func New(userTimeout time.Duration) *Pool {
+	return &Pool{
+		dialer: net.Dialer{
+			Timeout:         dialTime,
+			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3},
+			Control:         ControlUserTimeout(userTimeout),
+		},
+		hosts: map[string]*host{},
+	}
+}
+
+// tcpUserTimeout is Linux's TCP_USER_TIMEOUT.
+const tcpUserTimeout = 18
+
+// ControlUserTimeout returns a socket control that bounds how long sent bytes
+// may stay unacknowledged; it is inherited by connections of a listener.
+func ControlUserTimeout(d time.Duration) func(network, address string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		var set error
+		err := c.Control(func(fd uintptr) {
+			set = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
+		})
+		return errors.Join(err, set)
+	}
+}
+
+// Dials returns how many connections were opened.
+func (p *Pool) Dials() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dials
+}
+
+// Send sends a request once. limit is the most connections to the address, 0
+// for no bound. When ctx ends the connection is closed, which tells the
+// endpoint to stop.
+func (p *Pool) Send(ctx context.Context, address string, limit int, request Request) Outcome {
+	c, err := p.connection(ctx, address, limit, request.MaxIdle)
+	if err != nil {
+		return NotSent{err}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	e := &Exchange{pool: p, conn: c, stop: stop}
+	written, err := c.Write(request.encode())
+	if err != nil {
+		// The endpoint may have answered before it had read all.
+		if written > 0 && ctx.Err() == nil {
+			_ = c.SetReadDeadline(time.Now().Add(earlyAnswer))
+			if e.readHead(request.Method) == nil {
+				e.broken = true
+				return Answered{e}
+			}
+		}
+		e.broken = true
+		e.Close()
+		if written == 0 {
+			return NotSent{err}
+		}
+		return Unclear{err}
+	}
+	if err := e.readHead(request.Method); err != nil {
+		e.broken = true
+		e.Close()
+		if cause := context.Cause(ctx); cause != nil {
+			err = cause
+		}
+		return Unclear{err}
+	}
+	return Answered{e}
+}
+
+// earlyAnswer is how long an answer is waited for after the endpoint has closed
+// its reading side.
+const earlyAnswer = 50 * time.Millisecond
+
+func (r Request) encode() []byte {
+	var b strings.Builder
+	b.Grow(1024 + len(r.Body))
+	b.WriteString(r.Method)
+	b.WriteByte(' ')
+	b.WriteString(r.Target)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(r.Host)
+	b.WriteString("\r\n")
+	_ = r.Header.Write(&b)
+	if r.HasBody || len(r.Body) > 0 {
+		b.WriteString("Content-Length: ")
+		b.WriteString(strconv.Itoa(len(r.Body)))
+		b.WriteString("\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(r.Body)
+	return []byte(b.String())
+}
+
+// connection returns a kept connection or opens one.
+func (p *Pool) connection(ctx context.Context, address string, limit int, maxIdle time.Duration) (*conn, error) {
+	for {
+		c := p.takeIdle(address, maxIdle)
+		if c == nil {
+			break
+		}
+		if c.quiet() {
+			return c, nil
+		}
+		p.drop(c)
+	}
+	if !p.reserve(address, limit) {
+		return nil, ErrNoConnection
+	}
+	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		p.release(address)
+		return nil, err
+	}
+	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, bufferBytes), idleTime: defaultIdle}, nil
+}
+
+func (p *Pool) reserve(address string, limit int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[address]
+	if h == nil {
+		h = &host{}
+		p.hosts[address] = h
+	}
+	if limit > 0 && h.open >= limit {
+		return false
+	}
+	h.open++
+	p.dials++
+	return true
+}
+
+func (p *Pool) release(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[address]
+	h.open--
+	if h.open == 0 && len(h.idle) == 0 {
+		delete(p.hosts, address)
+	}
+}
+
+func (p *Pool) drop(c *conn) {
+	_ = c.Close()
+	p.release(c.address)
+}
+
+func (p *Pool) takeIdle(address string, maxIdle time.Duration) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[address]
+	if h == nil || len(h.idle) == 0 {
+		return nil
+	}
+	c := h.idle[len(h.idle)-1]
+	rested := time.Since(c.idleSince)
+	if maxIdle > 0 && rested > maxIdle && rested <= c.idleTime {
+		return nil
+	}
+	h.idle = h.idle[:len(h.idle)-1]
+	return c
+}
+
+func (p *Pool) put(c *conn) {
+	c.idleSince = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h := p.hosts[c.address]; h != nil {
+		h.idle = append(h.idle, c)
+	}
+}
+
+// Sweep closes connections that have been idle for too long, and those to
+// addresses that keep reports as no longer in use.
+func (p *Pool) Sweep(keep func(address string) bool) {
+	p.mu.Lock()
+	var old []*conn
+	for address, h := range p.hosts {
+		kept := h.idle[:0]
+		for _, c := range h.idle {
+			if time.Since(c.idleSince) <= c.idleTime && keep(address) {
+				kept = append(kept, c)
+				continue
+			}
+			old = append(old, c)
+		}
+		clear(h.idle[len(kept):])
+		h.idle = kept
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		p.drop(c)
+	}
+}
+
+// quiet reports whether a kept connection is still open, in time, and has
+// nothing to be read: bytes that come unasked belong to no request.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 || time.Since(c.idleSince) > c.idleTime {
+		return false
+	}
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, readErr := syscall.Read(int(fd), b[:])
+		quiet = errors.Is(readErr, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// Exchange is an answer being read. It is not safe for concurrent use.
+type Exchange struct {
+	pool     *Pool
+	conn     *conn
+	stop     func() bool
+	response *http.Response
+	broken   bool
+	closed   bool
+}
+
+// Status returns the answer's status.
+func (e *Exchange) Status() int { return e.response.StatusCode }
+
+// Header returns the answer's headers.
+func (e *Exchange) Header() http.Header { return e.response.Header }
+
+// Length returns the body's length, -1 if it is not told.
+func (e *Exchange) Length() int64 { return e.response.ContentLength }
+
+// Read reads the body; io.EOF comes only after a whole body. An answer without
+// length ends where the endpoint closes the connection in order.
+func (e *Exchange) Read(p []byte) (int, error) {
+	n, err := e.response.Body.Read(p)
+	if err != nil && !isEOF(err) {
+		e.broken = true
+	}
+	if isEOF(err) {
+		e.response.Body = http.NoBody
+	}
+	return n, err
+}
+
+// Spoil keeps the connection from being used again.
+func (e *Exchange) Spoil() { e.broken = true }
+
+// Close gives the connection back if its answer was read whole, and closes it
+// otherwise, which tells the endpoint to stop.
+func (e *Exchange) Close() {
+	if e.closed {
+		return
+	}
+	e.closed = true
+	running := e.stop()
+	if !running || !e.reusable() {
+		e.pool.drop(e.conn)
+		return
+	}
+	_ = e.conn.SetReadDeadline(time.Time{})
+	e.pool.put(e.conn)
+}
+
+func (e *Exchange) reusable() bool {
+	if e.broken || e.response == nil || e.response.Close || e.conn.reader.Buffered() > 0 {
+		return false
+	}
+	return e.response.Body == http.NoBody
+}
+
+func isEOF(err error) bool { return errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) }
+
+// readHead reads the head of the answer, past those that are only on the way.
+func (e *Exchange) readHead(method string) error {
+	asked := &http.Request{Method: method}
+	for range mostInformational {
+		response, err := http.ReadResponse(e.conn.reader, asked)
+		if err != nil {
+			return err
+		}
+		if response.StatusCode/100 != 1 {
+			e.response = response
+			e.conn.idleTime = idleTime(response.Header)
+			return nil
+		}
+	}
+	return fmt.Errorf("upstream: more than %d informational answers", mostInformational)
+}
+
+// idleTime reads how long an endpoint keeps an idle connection.
+func idleTime(h http.Header) time.Duration {
+	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
+		value, ok := strings.CutPrefix(strings.TrimSpace(field), "timeout=")
+		if !ok {
+			continue
+		}
+		if secs, err := strconv.Atoi(value); err == nil {
+			return max(time.Duration(secs)*time.Second-idleMargin, 0)
+		}
+	}
+	return defaultIdle
+}
