Fewer store calls, allowance in the bursts, connections kept longer

Change: longer feed calls, heartbeats of 1 s, three standbys for the lease; what may pass the limit goes into the entries' bursts; kept connections rest up to 7 s for calls that can't be repeated (endpoints keep them 10 s). Found: reclaimable endpoints are not ordered again after a reclaim; next.

--- a/pkg/app/node/duties.go
+++ b/pkg/app/node/duties.go
@@ -49,13 +49,33 @@
 	}
 }
 
+// renew renews the lease, or looks whether it has lapsed. Only a few hosts
+// stand by for it: each look is a call.
 func (n *node) renew(ctx context.Context) {
 	for ctx.Err() == nil {
-		n.leases.Step(ctx, map[lease.Shard]lease.Wish{dutyShard: lease.Wanted})
+		_, held := n.leases.Held(dutyShard)
+		if held || n.standsBy() {
+			n.leases.Step(ctx, map[lease.Shard]lease.Wish{dutyShard: lease.Wanted})
+		}
 		wait(ctx, n.settings.Lease/renewals)
 	}
 }
 
+// standbys is how many hosts watch the lease: two may be lost at once.
+const standbys = 3
+
+// standsBy reports whether this host is among those that watch the lease: the
+// ones whose processes are known for longest are not told apart, so it goes by
+// name, which needs no agreement.
+func (n *node) standsBy() bool {
+	for i, e := range n.world.roster.Entries() {
+		if e.Node == n.settings.Node {
+			return i < standbys
+		}
+	}
+	return false
+}
+
 func (n *node) doDuties(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, dutyCall)
 	defer cancel()
--- a/pkg/app/node/heartbeat.go
+++ b/pkg/app/node/heartbeat.go
@@ -15,9 +15,9 @@
 // Timing of heartbeats.
 const (
 	// heartbeat bounds what of the usage a killed process takes with it.
-	heartbeat = 500 * time.Millisecond
+	heartbeat = time.Second
 	// silence is how many heartbeats may be missing in a row; see roster.New.
-	silence = 5 * heartbeat
+	silence = 3 * heartbeat
 	// largeFleet is the hosts up to which heartbeats keep their pace; above, the
 	// store's load would grow with the square of the fleet.
 	largeFleet = 16
@@ -29,7 +29,7 @@
 		n.writeRow(ctx)
 		n.takeLoads()
 		pause := heartbeat * time.Duration(max(n.world.roster.Nodes(), largeFleet)) / largeFleet
-		wait(ctx, min(pause, 2*time.Second))
+		wait(ctx, min(pause, 2*heartbeat))
 	}
 }
 
@@ -110,4 +110,3 @@
 	case <-timer.C:
 	}
 }
-
--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -128,7 +128,7 @@
 		incarnation: s.Node + "." + rand.Text()[:10],
 		log:         newLog(s.Node),
 		clock:       newClock(),
-		rates:       limit.NewStrictRates(),
+		rates:       limit.NewStrictRates(limit.Allowance(s.Limits)),
 		pool:        upstream.New(deadPeer),
 		demand:      demandSmoother{},
 	}
--- a/pkg/app/node/settings.go
+++ b/pkg/app/node/settings.go
@@ -18,6 +18,13 @@
 	Window       time.Duration
 }
 
+// LimitBounds say how far all nodes together may pass a team's limit.
+type LimitBounds struct {
+	Window time.Duration
+	// Overrun is a share of the limit, Slack comes on top, in its unit.
+	Overrun, Slack float64
+}
+
 // Settings are what a node is told at its start.
 type Settings struct {
 	// Node names the host over all its processes.
@@ -31,8 +38,9 @@
 	// Grace is the time from SIGTERM to SIGKILL.
 	Grace time.Duration
 	// Lease is how long a duty's lease lasts without renewal.
-	Lease time.Duration
-	Retry RetryBounds
+	Lease  time.Duration
+	Retry  RetryBounds
+	Limits LimitBounds
 	// UsageWindow and UsageLate are the length of a window of usage and how long
 	// after its end a report is taken.
 	UsageWindow, UsageLate        time.Duration
--- a/pkg/app/node/world.go
+++ b/pkg/app/node/world.go
@@ -16,13 +16,16 @@
 // Timing of the feeds.
 const (
 	// feedWait is how long the store holds a call; with the call's own time it
-	// bounds how long a silent cut stays unnoticed.
-	feedWait = 1500 * time.Millisecond
+	// bounds how long a call without an answer stays unnoticed. Shorter ones
+	// cost: every call is priced.
+	feedWait = 2500 * time.Millisecond
 	// feedRetry is the mean pause after a failure.
 	feedRetry = 300 * time.Millisecond
-	// endpointPause and rosterPause gather changes of busy tables.
-	endpointPause = 250 * time.Millisecond
-	rosterPause   = 300 * time.Millisecond
+	// endpointPause and rosterPause gather changes of busy tables, which would
+	// otherwise answer a call each. A leaving endpoint must get no new work 2 s
+	// after the store's word at the latest.
+	endpointPause = 900 * time.Millisecond
+	rosterPause   = 900 * time.Millisecond
 	// staleAfter is how long after the last word from the store a newer
 	// configuration may be in force unheard.
 	staleAfter = feedWait + 500*time.Millisecond
--- a/pkg/autoscale/autoscale.go
+++ b/pkg/autoscale/autoscale.go
@@ -46,8 +46,8 @@
 	// runningEach is how many requests under way an engine carries in time.
 	runningEach = 8.0
 	// leastEach is the fewest reclaimable endpoints in each data centre, so that
-	// the loss of a whole one's leaves two thirds.
-	leastEach = 2
+	// the loss of a whole one's leaves four fifths of all.
+	leastEach = 4
 )
 
 // Plan returns the orders for a service: one on-demand endpoint in each data
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -52,7 +52,7 @@
 	holdBytes = 64 << 10
 	// onceIdle is how long a connection may have rested for a request that
 	// can't be sent again: it must not meet one that the endpoint just closes.
-	onceIdle = 2 * time.Second
+	onceIdle = 7 * time.Second
 )
 
 var (
--- a/pkg/limit/rate.go
+++ b/pkg/limit/rate.go
@@ -26,8 +26,9 @@
 // Rates enforces this entry's shares. It is safe for concurrent use.
 type Rates struct {
 	// strict shares never add up to more than the rate; see NewStrictRates.
-	strict bool
-	shards [rateShards]rateShard
+	strict    bool
+	allowance Allowance
+	shards    [rateShards]rateShard
 }
 
 type rateShard struct {
@@ -58,13 +59,32 @@
 
 // NewStrictRates returns rates whose shares add up to the whole at most, also
 // while demand moves and entries have not heard of each other: half of the rate
-// is shared evenly, half by demand, and nothing idle is lent.
-func NewStrictRates() *Rates {
+// is shared evenly, half by demand, and nothing idle is lent. What is allowed
+// beyond the rate goes into the bursts: one entry sees few and uneven requests.
+func NewStrictRates(allowance Allowance) *Rates {
 	r := NewRates()
 	r.strict = true
+	r.allowance = allowance
 	return r
 }
 
+// Allowance is how far all entries together may pass a team's rate in a window:
+// by Overrun as a share of what the rate gives in it, and by Slack on top.
+type Allowance struct {
+	Window  time.Duration
+	Overrun float64
+	// Slack is in the unit of the requests' cost.
+	Slack float64
+}
+
+// allowanceUsed is the part of the allowance that is used: entries learn late
+// how many they are, and of each other's demand.
+const allowanceUsed = 0.7
+
+func (a Allowance) of(team Team) float64 {
+	return allowanceUsed * (a.Overrun*(team.Rate*a.Window.Seconds()+team.Burst) + a.Slack)
+}
+
 // Team is a team's configured limits.
 type Team struct {
 	Name string
@@ -89,7 +109,7 @@
 	defer s.mu.Unlock()
 	b, ok := s.teams[team.Name]
 	if !ok {
-		b = &bucket{tokens: team.Burst, at: now, demandAt: now}
+		b = &bucket{tokens: team.Burst + r.allowance.of(team), at: now, demandAt: now}
 		s.teams[team.Name] = b
 	}
 	b.ask(cost, now)
@@ -97,7 +117,7 @@
 	if r.strict {
 		share = b.strictShare(entries, now)
 	}
-	burst := max(1, team.Burst*share)
+	burst := max(1, (team.Burst+r.allowance.of(team))*share)
 	rate := team.Rate * share
 	b.tokens = min(burst, b.tokens+now.Sub(b.at).Seconds()*rate)
 	b.at = now
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -197,10 +197,10 @@
 	sentSince, endedSince int
 	ownRunning            int
 	// ownPrefill is tokens of own requests that have no first token yet.
-	ownPrefill int
-	tokenGap              time.Duration
-	prefillPerToken       time.Duration
-	meanDuration          time.Duration
+	ownPrefill      int
+	tokenGap        time.Duration
+	prefillPerToken time.Duration
+	meanDuration    time.Duration
 	// trust is the part of the tokens reckoned cached that were, 0 to 1.
 	trust        float64
 	failures     int
