Order reclaimed endpoints again, and on-demand ones while none are to be had

Cause: after a reclaim nothing ordered the lost endpoints again (the number wanted was the number given), and the need was read from requests under way, which an overload inflates. Change: a place with too few endpoints after boot is ordered again; the need follows the engine time asked for; on-demand endpoints fill what is missing, in the cheapest data centres.

--- a/pkg/app/node/duties.go
+++ b/pkg/app/node/duties.go
@@ -94,34 +94,28 @@
 	if current == nil {
 		return
 	}
-	running := map[string]float64{}
-	there := map[autoscale.Order]int{}
-	loads := n.world.roster.Loads("")
+	serving := map[autoscale.Place]int{}
 	for _, info := range n.world.directory.View().Infos() {
-		if info.State != endpoint.Live {
-			continue
+		if info.State == endpoint.Live {
+			serving[autoscale.Place{Service: info.Service, DataCenter: info.DataCenter, Reclaimable: info.Reclaimable}]++
 		}
-		there[autoscale.Order{Service: info.Service, DataCenter: info.DataCenter, Reclaimable: info.Reclaimable}]++
-		running[info.Service] += float64(loads[info.ID].Running)
 	}
+	works := n.world.roster.Works()
+	now := n.clock.Now()
 	for _, service := range current.Services() {
-		orders := autoscale.Plan(service, autoscale.Demand{Service: service.Name, Running: n.demand.smooth(service.Name, running[service.Name])})
-		count := func(o autoscale.Order) int { o.Count = 0; return there[o] }
-		n.orderer.Step(ctx, orders, count, n.clock.Now(), held)
+		if service.Scaling == nil {
+			continue
+		}
+		supply := func(dataCenter string, reclaimable bool) (int, int) {
+			place := autoscale.Place{Service: service.Name, DataCenter: dataCenter, Reclaimable: reclaimable}
+			return serving[place], n.orderer.Soon(place, serving[place], service.Scaling.Boot, now)
+		}
+		orders, _ := autoscale.Plan(service, autoscale.Demand{Work: works[service.Name]}, supply)
+		count := func(p autoscale.Place) int { return serving[p] }
+		n.orderer.Step(ctx, orders, count, service.Scaling.Boot, now, held)
 	}
 }
 
-// demandSmoother keeps the peak of a service's load, fading.
-type demandSmoother map[string]float64
-
-// demandFade is what is left of a peak after each step.
-const demandFade = 0.97
-
-func (d demandSmoother) smooth(service string, running float64) float64 {
-	d[service] = max(running, d[service]*demandFade)
-	return d[service]
-}
-
 // sweepRows removes rows of processes that are long dead.
 func (n *node) sweepRows(ctx context.Context) {
 	for _, incarnation := range n.world.roster.Silent(rowKept) {
--- a/pkg/app/node/heartbeat.go
+++ b/pkg/app/node/heartbeat.go
@@ -7,6 +7,7 @@
 	"ironhollow/pkg/engine"
 	"ironhollow/pkg/platform/table"
 	"ironhollow/pkg/roster"
+	"ironhollow/pkg/route"
 )
 
 // rosterTable is the store's table of this system's processes.
@@ -58,6 +59,13 @@
 	for _, d := range n.rates.Demands(now) {
 		row.Demands = append(row.Demands, roster.Demand{Team: d.Team, PerSecond: d.PerSecond})
 	}
+	if current := n.world.table.Load(); current != nil {
+		for _, service := range current.Services() {
+			if rate := n.router.Work(route.Target{Service: service.Name}, now); service.Scaling != nil && rate > 0 {
+				row.Works = append(row.Works, roster.Work{Service: service.Name, Rate: rate})
+			}
+		}
+	}
 	value, err := row.Encode()
 	if err != nil {
 		n.log.Error().Err(err).Msg("own row not encoded")
--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -82,7 +82,6 @@
 	reporter    *usage.Reporter
 	orderer     *autoscale.Orderer
 	leases      *lease.Manager
-	demand      demandSmoother
 	forwarder   *forward.Forwarder
 
 	leaving     atomic.Bool
@@ -130,7 +129,6 @@
 		clock:       newClock(),
 		rates:       limit.NewStrictRates(limit.Allowance(s.Limits)),
 		pool:        upstream.New(deadPeer),
-		demand:      demandSmoother{},
 	}
 	client := &http.Client{Transport: newTransport()}
 	n.store = platform.Store(client, s)
--- /dev/null
+++ b/pkg/autoscale/plan.go
@@ -0,0 +1,94 @@
+package autoscale
+
+import (
+	"math"
+	"sort"
+
+	"ironhollow/pkg/routetable"
+)
+
+// Demand is what a service has to carry.
+type Demand struct {
+	// Work is engine time asked for a second, over all entries.
+	Work float64
+}
+
+// Supply returns how many endpoints of a class serve in a data centre, and how
+// many were ordered and may be there soon.
+type Supply func(dataCenter string, reclaimable bool) (serving, soon int)
+
+// Parameters of the plan.
+const (
+	// busy is the part of an endpoint's time that is planned to be used: above
+	// it first tokens wait for others' prompts.
+	busy = 0.45
+	// leastNeeded is the fewest endpoints in all.
+	leastNeeded = 8
+	// reserve is how many reclaimable endpoints a data centre has beyond its
+	// part of the need: they cost little, and others may vanish at once.
+	reserve = 1
+)
+
+// Plan returns the orders for a service, and how many endpoints it needs. Each
+// data centre keeps one on-demand endpoint, which no reclaim takes; the rest is
+// reclaimable, so many that the loss of one data centre's leaves the need. What
+// is missing of the need while none can be had is bought on demand, where it is
+// cheapest, until they are back.
+func Plan(service routetable.Service, demand Demand, supply Supply) ([]Order, int) {
+	s := service.Scaling
+	if s == nil || len(s.Prices) == 0 {
+		return nil, 0
+	}
+	places := byPrice(s.Prices)
+	need := max(int(math.Ceil(demand.Work/busy)), leastNeeded)
+	kept := make(map[string]int, len(places))
+	spread := max(len(places)-1, 1)
+	each := max((need-len(places)+spread-1)/spread, 1) + reserve
+	each = min(each, max(s.Most-1, 0))
+	there := 0
+	for _, place := range places {
+		kept[place] = 1
+		serving, soon := supply(place, true)
+		there += 1 + min(serving+soon, each)
+	}
+	substitute(places, kept, need-there, s.Most)
+	var orders []Order
+	for _, place := range places {
+		orders = append(orders,
+			Order{service.Name, place, true, min(each, s.Most-kept[place])},
+			Order{service.Name, place, false, kept[place]})
+	}
+	return orders, need
+}
+
+// substitute adds on-demand endpoints for the missing ones, the cheapest data
+// centres first, evenly enough that none carries all of them.
+func substitute(places []string, kept map[string]int, missing, most int) {
+	for missing > 0 {
+		before := missing
+		for _, place := range places {
+			if missing > 0 && kept[place] < most {
+				kept[place]++
+				missing--
+			}
+		}
+		if missing == before {
+			return
+		}
+	}
+}
+
+// byPrice returns the data centres, cheapest first.
+func byPrice(prices map[string]float64) []string {
+	places := make([]string, 0, len(prices))
+	for name := range prices {
+		places = append(places, name)
+	}
+	sort.Slice(places, func(i, j int) bool {
+		if prices[places[i]] != prices[places[j]] {
+			return prices[places[i]] < prices[places[j]]
+		}
+		return places[i] < places[j]
+	})
+	return places
+}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -156,6 +156,20 @@
 	return demands
 }
 
+// Works returns the engine time a second asked for over all processes, by
+// service.
+func (r *Roster) Works() map[string]float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	works := map[string]float64{}
+	for _, m := range r.live() {
+		for _, w := range m.row.Works {
+			works[w.Service] += w.Rate
+		}
+	}
+	return works
+}
+
 // Begun returns the requests that began in a window, by team, over all rows,
 // those of dead processes too.
 func (r *Roster) Begun(window int64) map[string]int {
--- a/pkg/roster/row.go
+++ b/pkg/roster/row.go
@@ -24,6 +24,13 @@
 	PerSecond float64
 }
 
+// Work is the engine time a second that one entry's requests for a service ask
+// for.
+type Work struct {
+	Service string
+	Rate    float64
+}
+
 // Count is the requests of a team that began to run in a window.
 type Count struct {
 	Window int64
@@ -47,6 +54,7 @@
 	Loads       []Load
 	Demands     []Demand
 	Counts      []Count
+	Works       []Work
 }
 
 // wireRow is a row in the store; lists hold their fields in order.
@@ -60,6 +68,7 @@
 	Loads      []wireLoad  `cbor:"7,keyasint,omitempty"`
 	Demands    []wireAsk   `cbor:"8,keyasint,omitempty"`
 	Counts     []wireCount `cbor:"9,keyasint,omitempty"`
+	Works      []wireWork  `cbor:"10,keyasint,omitempty"`
 }
 
 type wireLoad struct {
@@ -75,6 +84,12 @@
 	PerSecond float32
 }
 
+type wireWork struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	Rate    float32
+}
+
 type wireCount struct {
 	_      struct{} `cbor:",toarray"`
 	Window int64
@@ -97,6 +112,9 @@
 	for _, c := range r.Counts {
 		w.Counts = append(w.Counts, wireCount{Window: c.Window, Team: c.Team, Begun: c.Begun})
 	}
+	for _, k := range r.Works {
+		w.Works = append(w.Works, wireWork{Service: k.Service, Rate: float32(k.Rate)})
+	}
 	return cbor.Marshal(w)
 }
 
@@ -119,5 +137,8 @@
 	for _, c := range w.Counts {
 		r.Counts = append(r.Counts, Count{c.Window, c.Team, c.Begun})
 	}
+	for _, k := range w.Works {
+		r.Works = append(r.Works, Work{k.Service, float64(k.Rate)})
+	}
 	return r, nil
 }
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -169,6 +169,7 @@
 	turn   int
 	// ejected counts slots that are out.
 	ejected int
+	work    work
 }
 
 // slot is what is known of one endpoint. Its fields are guarded by its group.
@@ -362,6 +363,7 @@
 	best.load.ownRunning++
 	uncached := max(q.PromptTokens-score.cached, 0)
 	best.load.ownPrefill += uncached
+	g.work.add(r.engineTime(uncached, q.AnswerTokens), now)
 	g.index.note(q.Prefix, best.info.ID)
 	return Choice{best.info, score.total, score.wait, score.cached, now, uncached}, true
 }
