Loads by datagrams, early refusal, shares of limits from common words

Change: hosts tell their loads by UDP several times a second; a stream whose first event would wait too long behind others' prompts is refused at once with the time to come back; shares follow the rows as written, alike for all.

--- a/pkg/app/node/heartbeat.go
+++ b/pkg/app/node/heartbeat.go
@@ -16,7 +16,7 @@
 // Timing of heartbeats.
 const (
 	// heartbeat bounds what of the usage a killed process takes with it.
-	heartbeat = time.Second
+	heartbeat = 1500 * time.Millisecond
 	// silence is how many heartbeats may be missing in a row; see roster.New.
 	silence = 3 * heartbeat
 	// largeFleet is the hosts up to which heartbeats keep their pace; above, the
@@ -28,7 +28,6 @@
 func (n *node) beat(ctx context.Context) {
 	for ctx.Err() == nil {
 		n.writeRow(ctx)
-		n.takeLoads()
 		pause := heartbeat * time.Duration(max(n.world.roster.Nodes(), largeFleet)) / largeFleet
 		wait(ctx, min(pause, 2*heartbeat))
 	}
@@ -48,14 +47,13 @@
 		Node:        n.settings.Node,
 		DataCenter:  n.settings.DataCenter,
 		Callers:     n.settings.Callers,
+		Peers:       n.settings.Peers,
 		Sequence:    n.rowSequence,
 		Leaving:     n.leaving.Load(),
 		ClockOffset: offset,
 		Counts:      n.counter.Recent(),
 	}
-	for _, l := range n.router.OwnLoads() {
-		row.Loads = append(row.Loads, roster.Load{Endpoint: l.Endpoint.ID, Running: l.Running, PrefillTokens: l.PrefillTokens})
-	}
+	row.Loads = n.ownLoads()
 	for _, d := range n.rates.Demands(now) {
 		row.Demands = append(row.Demands, roster.Demand{Team: d.Team, PerSecond: d.PerSecond})
 	}
@@ -86,10 +84,18 @@
 	n.world.roster.Merge(row, now)
 }
 
+func (n *node) ownLoads() []roster.Load {
+	var loads []roster.Load
+	for _, l := range n.router.OwnLoads() {
+		loads = append(loads, roster.Load{Endpoint: l.Endpoint.ID, Running: l.Running, PrefillTokens: l.PrefillTokens})
+	}
+	return loads
+}
+
 // takeLoads hands what the other processes told to the decisions.
 func (n *node) takeLoads() {
 	now := n.clock.Now()
-	loads := n.world.roster.Loads(n.incarnation)
+	loads := n.world.roster.Loads(n.incarnation, now)
 	own := map[string]int{}
 	for _, l := range n.router.OwnLoads() {
 		own[l.Endpoint.ID] = l.Running
@@ -103,9 +109,8 @@
 			QueuedTokens: load.PrefillTokens,
 		})
 	}
-	others := n.world.roster.Demands(n.incarnation)
-	for _, d := range n.rates.Demands(now) {
-		n.rates.SetTotal(d.Team, d.PerSecond+others[d.Team], now)
+	for team, part := range n.world.roster.Shares(n.incarnation) {
+		n.rates.SetShare(team, part, now)
 	}
 }
 
--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -23,6 +23,7 @@
 	"ironhollow/pkg/autoscale"
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/forward"
+	"ironhollow/pkg/gossip"
 	"ironhollow/pkg/hazard"
 	"ironhollow/pkg/lease"
 	"ironhollow/pkg/limit"
@@ -211,6 +212,9 @@
 	n.world.follow(background, n.store)
 	go n.beat(background)
 	go n.sweep(background)
+	if err := n.exchange(background); err != nil {
+		return err
+	}
 	var duties sync.WaitGroup
 	dutiesCtx, endDuties := context.WithCancel(background)
 	duties.Go(func() { n.duties(dutiesCtx) })
@@ -247,6 +251,16 @@
 	return nil
 }
 
+// exchange starts to tell the other hosts what is under way here.
+func (n *node) exchange(ctx context.Context) error {
+	e, err := gossip.Listen(n.settings.Peers, n.incarnation, n.world.roster, n.ownLoads, n.clock.Now, n.log)
+	if err != nil {
+		return err
+	}
+	go e.Run(ctx, n.takeLoads)
+	return nil
+}
+
 // listen opens the ports.
 func (n *node) listen(faults chan<- error) ([]*http.Server, error) {
 	callers := &http.Server{
--- a/pkg/app/node/settings.go
+++ b/pkg/app/node/settings.go
@@ -32,7 +32,9 @@
 	// Callers, Ready and Directory are IP numbers and ports to listen at. Admin
 	// serves metrics; it may be empty.
 	Callers, Ready, Directory, Admin string
-	Store, Cloud                     string
+	// Peers is the address for datagrams of other hosts; it may be empty.
+	Peers        string
+	Store, Cloud string
 	// MemoryMB is the process's limit, 0 for none.
 	MemoryMB int
 	// Grace is the time from SIGTERM to SIGKILL.
--- a/pkg/app/node/world.go
+++ b/pkg/app/node/world.go
@@ -24,8 +24,8 @@
 	// endpointPause and rosterPause gather changes of busy tables, which would
 	// otherwise answer a call each. A leaving endpoint must get no new work 2 s
 	// after the store's word at the latest.
-	endpointPause = 900 * time.Millisecond
-	rosterPause   = 900 * time.Millisecond
+	endpointPause = 1300 * time.Millisecond
+	rosterPause   = 1400 * time.Millisecond
 	// staleAfter is how long after the last word from the store a newer
 	// configuration may be in force unheard.
 	staleAfter = feedWait + 500*time.Millisecond
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -244,6 +244,7 @@
 			cost = float64(c.meta.PromptTokens + c.meta.MostTokens)
 		}
 	}
+	c.trail.cost = cost
 	team := limit.Team{Name: c.team.Name, Rate: c.team.Rate, Burst: c.team.Burst}
 	ok, wait := c.f.rates.AllowCost(team, cost, c.f.nodes(), c.f.clock())
 	return wait, ok
@@ -276,6 +277,10 @@
 		if !ok {
 			return c.giveUp(ctx, last)
 		}
+		if wait, late := c.overloaded(choice); late {
+			c.f.router.Done(choice, route.Result{}, c.f.clock())
+			return c.refuse(code.New(code.Overloaded, "the first token would come too late"), wait)
+		}
 		last = c.attempt(ctx, choice)
 		if s, isStream := last.(streaming); isStream {
 			return c.relayStream(ctx, choice, s.exchange)
@@ -307,6 +312,32 @@
 	return c.f.router.Choose(c.query(), route.Expected, c.f.clock())
 }
 
+// queueShare is the part of a stream's objective that may pass behind other
+// requests' prompts; less for what is less urgent, so that it gives way first.
+func queueShare(priority int) float64 {
+	return max(mostQueueShare-float64(priority)*queueShareStep, leastQueueShare)
+}
+
+const (
+	mostQueueShare  = 0.8
+	queueShareStep  = 0.15
+	leastQueueShare = 0.3
+)
+
+// overloaded reports whether a stream's first event would be late for what is
+// queued before it at the best endpoint, and when to come back. Nothing has
+// been sent then.
+func (c *call) overloaded(choice route.Choice) (time.Duration, bool) {
+	if c.route.Kind != routetable.Stream || c.sends() > 0 || c.route.Objective <= 0 {
+		return 0, false
+	}
+	bearable := time.Duration(queueShare(c.priority) * float64(c.route.Objective))
+	if choice.Queued <= bearable {
+		return 0, false
+	}
+	return max(choice.Queued-bearable/2, comeBackSoon), true
+}
+
 // attempt makes one send and tells the router how it ended. A stream's choice
 // is ended by the relay.
 func (c *call) attempt(ctx context.Context, choice route.Choice) result {
--- a/pkg/forward/trail.go
+++ b/pkg/forward/trail.go
@@ -17,6 +17,8 @@
 	status int
 	bytes  int
 	notes  []string
+	// cost is what the request counts towards its team's limit.
+	cost float64
 }
 
 // hop is one send.
@@ -111,7 +113,7 @@
 	if err != nil {
 		line = line.Str("why", err.Error())
 	}
-	line.Int("bytes", c.trail.bytes).Strs("notes", c.trail.notes).Msg("request")
+	line.Float64("cost", c.trail.cost).Int("bytes", c.trail.bytes).Strs("notes", c.trail.notes).Msg("request")
 }
 
 func (c *call) routeKind() string {
--- /dev/null
+++ b/pkg/gossip/gossip.go
@@ -0,0 +1,142 @@
+// Package gossip tells the other hosts several times a second what this one has
+// under way at each endpoint, over UDP with CBOR. A datagram that is lost or
+// late costs a worse choice, never a wrong answer, so that nothing is repeated
+// or confirmed; what the store's rows tell takes its place after a while.
+package gossip
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/phuslu/log"
+
+	"ironhollow/pkg/roster"
+)
+
+// Parameters of the exchange.
+const (
+	// Interval is the time between two datagrams to each host, in a fleet up to
+	// smallFleet; a larger one tells less often, so that a host's work stays.
+	Interval   = 200 * time.Millisecond
+	smallFleet = 16
+	// mostBytes bounds a datagram: below the usual size of a packet's data.
+	mostBytes = 1400
+)
+
+// message is one datagram.
+type message struct {
+	_           struct{} `cbor:",toarray"`
+	Incarnation string
+	// Sequence grows with each datagram of an incarnation.
+	Sequence int64
+	Loads    []load
+}
+
+type load struct {
+	_             struct{} `cbor:",toarray"`
+	Endpoint      string
+	Running       int
+	PrefillTokens int
+}
+
+// Exchange sends and receives. It is safe for concurrent use.
+type Exchange struct {
+	conn        *net.UDPConn
+	incarnation string
+	roster      *roster.Roster
+	own         func() []roster.Load
+	now         func() time.Time
+	log         *log.Logger
+}
+
+// Listen opens the port of the exchange. own returns what is under way here.
+func Listen(address, incarnation string, members *roster.Roster, own func() []roster.Load, now func() time.Time, logger *log.Logger) (*Exchange, error) {
+	at, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return nil, fmt.Errorf("gossip: %w", err)
+	}
+	conn, err := net.ListenUDP("udp4", at)
+	if err != nil {
+		return nil, fmt.Errorf("gossip: %w", err)
+	}
+	return &Exchange{conn, incarnation, members, own, now, logger}, nil
+}
+
+// Run exchanges until ctx ends; heard is called after each round.
+func (e *Exchange) Run(ctx context.Context, heard func()) {
+	go e.receive()
+	sequence := int64(0)
+	for ctx.Err() == nil {
+		sequence++
+		peers := e.roster.Peers(e.incarnation)
+		e.send(sequence, peers)
+		heard()
+		pause := Interval * time.Duration(max(len(peers)+1, smallFleet)) / smallFleet
+		timer := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+		case <-timer.C:
+		}
+	}
+	_ = e.conn.Close()
+}
+
+func (e *Exchange) send(sequence int64, peers []string) {
+	data, err := e.encode(sequence)
+	if err != nil {
+		e.log.Error().Err(err).Msg("own load not encoded")
+		return
+	}
+	for _, address := range peers {
+		to, err := net.ResolveUDPAddr("udp4", address)
+		if err != nil {
+			e.log.Debug().Err(err).Str("peer", address).Msg("address of a host is not usable")
+			continue
+		}
+		if _, err := e.conn.WriteToUDP(data, to); err != nil {
+			// A host that is gone; its row says so soon.
+			e.log.Debug().Err(err).Str("peer", address).Msg("own load not sent")
+		}
+	}
+}
+
+// encode leaves out what does not fit: the rows in the store tell it.
+func (e *Exchange) encode(sequence int64) ([]byte, error) {
+	m := message{Incarnation: e.incarnation, Sequence: sequence}
+	for _, l := range e.own() {
+		m.Loads = append(m.Loads, load{Endpoint: l.Endpoint, Running: l.Running, PrefillTokens: l.PrefillTokens})
+	}
+	for {
+		data, err := cbor.Marshal(m)
+		if err != nil || len(data) <= mostBytes || len(m.Loads) == 0 {
+			return data, err
+		}
+		m.Loads = m.Loads[:len(m.Loads)*3/4]
+	}
+}
+
+func (e *Exchange) receive() {
+	buffer := make([]byte, mostBytes+1)
+	for {
+		n, _, err := e.conn.ReadFromUDP(buffer)
+		if err != nil {
+			// The socket is closed at the end of the process's life only.
+			e.log.Debug().Err(err).Msg("exchange of loads ends")
+			return
+		}
+		var m message
+		if err := cbor.Unmarshal(buffer[:n], &m); err != nil {
+			e.log.Debug().Err(err).Msg("datagram not understood")
+			continue
+		}
+		loads := make([]roster.Load, 0, len(m.Loads))
+		for _, l := range m.Loads {
+			loads = append(loads, roster.Load{Endpoint: l.Endpoint, Running: l.Running, PrefillTokens: l.PrefillTokens})
+		}
+		e.roster.MergeLoads(m.Incarnation, m.Sequence, loads, e.now())
+	}
+}
--- a/pkg/limit/rate.go
+++ b/pkg/limit/rate.go
@@ -46,6 +46,9 @@
 	// total is the demand over all entries as last told, 0 if not known.
 	total   float64
 	totalAt time.Time
+	// told is this entry's part of the demand as told to all entries.
+	told   float64
+	toldAt time.Time
 }
 
 // NewRates returns rates without any team.
@@ -163,14 +166,29 @@
 	return max(b.demand/(others+b.demand), even*leastShare)
 }
 
-// strictShare is this entry's part where shares must never exceed the whole.
+// strictShare is this entry's part where shares must never exceed the whole. It
+// goes by what all entries have been told alike: what is asked here since then
+// must not take from the others.
 func (b *bucket) strictShare(entries int, now time.Time) float64 {
 	even := 1 / float64(max(entries, 1))
-	if b.total <= 0 || now.Sub(b.totalAt) > totalKept {
+	if b.toldAt.IsZero() || now.Sub(b.toldAt) > totalKept {
 		return even
 	}
-	// An entry that asks more than was told of it must not take from others.
-	return even/2 + min(b.demand/max(b.total, b.demand), 1)/2
+	return even/2 + b.told/2
+}
+
+// SetShare takes in this entry's part of a team's demand, 0 to 1, as all
+// entries work it out from the same words.
+func (r *Rates) SetShare(team string, part float64, now time.Time) {
+	s := r.shard(team)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b, ok := s.teams[team]
+	if !ok {
+		return
+	}
+	b.told = min(max(part, 0), 1)
+	b.toldAt = now
 }
 
 // Demand is one team's demand at one entry.
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -30,8 +30,15 @@
 	row Row
 	// changedAt is when its last change was heard.
 	changedAt time.Time
+	// fresh are loads heard from the process itself, newer than the row's.
+	fresh         []Load
+	freshSequence int64
+	freshAt       time.Time
 }
 
+// freshFor is how long loads heard from a process go before its row's.
+const freshFor = 1500 * time.Millisecond
+
 // New returns an empty roster.
 func New(silence time.Duration) *Roster {
 	return &Roster{silence: silence, members: map[string]*member{}}
@@ -60,7 +67,7 @@
 	m, ok := r.members[row.Incarnation]
 	switch {
 	case !ok:
-		r.members[row.Incarnation] = &member{row, now}
+		r.members[row.Incarnation] = &member{row: row, changedAt: now}
 	case row.Sequence > m.row.Sequence:
 		m.row, m.changedAt = row, now
 	}
@@ -121,7 +128,7 @@
 }
 
 // Loads returns what the other processes have under way, by endpoint.
-func (r *Roster) Loads(self string) map[string]Load {
+func (r *Roster) Loads(self string, now time.Time) map[string]Load {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	loads := map[string]Load{}
@@ -129,7 +136,7 @@
 		if m.row.Incarnation == self {
 			continue
 		}
-		for _, l := range m.row.Loads {
+		for _, l := range m.loads(now) {
 			sum := loads[l.Endpoint]
 			sum.Endpoint = l.Endpoint
 			sum.Running += l.Running
@@ -140,20 +147,58 @@
 	return loads
 }
 
-// Demands returns what teams ask for at the other processes.
-func (r *Roster) Demands(self string) map[string]float64 {
+func (m *member) loads(now time.Time) []Load {
+	if now.Sub(m.freshAt) < freshFor {
+		return m.fresh
+	}
+	return m.row.Loads
+}
+
+// MergeLoads takes in loads heard from a process itself. Those of a process
+// that has no row are dropped.
+func (r *Roster) MergeLoads(incarnation string, sequence int64, loads []Load, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	demands := map[string]float64{}
+	m, ok := r.members[incarnation]
+	if !ok || sequence <= m.freshSequence {
+		return
+	}
+	m.fresh, m.freshSequence, m.freshAt = loads, sequence, now
+}
+
+// Peers returns the addresses for datagrams of the other processes.
+func (r *Roster) Peers(self string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []string
 	for _, m := range r.live() {
-		if m.row.Incarnation == self {
-			continue
+		if m.row.Incarnation != self && m.row.Peers != "" {
+			list = append(list, m.row.Peers)
 		}
+	}
+	return list
+}
+
+// Shares returns a process's part of what each team asks for, 0 to 1, by the
+// rows as written: every process works out parts that add up to one.
+func (r *Roster) Shares(self string) map[string]float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	total := map[string]float64{}
+	own := map[string]float64{}
+	for _, m := range r.live() {
 		for _, d := range m.row.Demands {
-			demands[d.Team] += d.PerSecond
+			total[d.Team] += d.PerSecond
+			if m.row.Incarnation == self {
+				own[d.Team] = d.PerSecond
+			}
 		}
 	}
-	return demands
+	shares := make(map[string]float64, len(total))
+	for team, sum := range total {
+		shares[team] = own[team] / sum
+	}
+	return shares
 }
 
 // Works returns the engine time a second asked for over all processes, by
--- a/pkg/roster/row.go
+++ b/pkg/roster/row.go
@@ -46,6 +46,8 @@
 	DataCenter  string
 	// Callers is the address for callers.
 	Callers string
+	// Peers is the address for datagrams of other hosts, empty for none.
+	Peers string
 	// Sequence grows with each write; a late write of an old row is told by it.
 	Sequence int64
 	Leaving  bool
@@ -69,6 +71,7 @@
 	Demands    []wireAsk   `cbor:"8,keyasint,omitempty"`
 	Counts     []wireCount `cbor:"9,keyasint,omitempty"`
 	Works      []wireWork  `cbor:"10,keyasint,omitempty"`
+	Peers      string      `cbor:"11,keyasint,omitempty"`
 }
 
 type wireLoad struct {
@@ -100,7 +103,7 @@
 // Encode returns a row as it is stored.
 func (r Row) Encode() ([]byte, error) {
 	w := wireRow{
-		Node: r.Node, DataCenter: r.DataCenter, Callers: r.Callers, Sequence: r.Sequence,
+		Node: r.Node, DataCenter: r.DataCenter, Callers: r.Callers, Peers: r.Peers, Sequence: r.Sequence,
 		Leaving: r.Leaving, OffsetMS: r.ClockOffset.Milliseconds(),
 	}
 	for _, l := range r.Loads {
@@ -125,7 +128,7 @@
 		return Row{}, fmt.Errorf("roster: row %q: %w", incarnation, err)
 	}
 	r := Row{
-		Incarnation: incarnation, Node: w.Node, DataCenter: w.DataCenter, Callers: w.Callers, Sequence: w.Sequence,
+		Incarnation: incarnation, Node: w.Node, DataCenter: w.DataCenter, Callers: w.Callers, Peers: w.Peers, Sequence: w.Sequence,
 		Leaving: w.Leaving, ClockOffset: time.Duration(w.OffsetMS) * time.Millisecond,
 	}
 	for _, l := range w.Loads {
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -60,6 +60,8 @@
 	Expected time.Duration
 	// Wait is the part of it before the first token.
 	Wait time.Duration
+	// Queued is the part of Wait for what was there before.
+	Queued time.Duration
 	// CachedTokens is how much of the prompt was reckoned cached there.
 	CachedTokens int
 	sent         time.Time
@@ -365,7 +367,7 @@
 	best.load.ownPrefill += uncached
 	g.work.add(r.engineTime(uncached, q.AnswerTokens), now)
 	g.index.note(q.Prefix, best.info.ID)
-	return Choice{best.info, score.total, score.wait, score.cached, now, uncached}, true
+	return Choice{best.info, score.total, score.wait, score.queued, score.cached, now, uncached}, true
 }
 
 // pickExpected returns the candidate with the least expected time. The group's
--- a/pkg/route/score.go
+++ b/pkg/route/score.go
@@ -8,8 +8,8 @@
 
 // score is the sum behind one candidate.
 type score struct {
-	wait, decode, risk, total time.Duration
-	cached                    int
+	wait, queued, decode, risk, total time.Duration
+	cached                            int
 }
 
 // WaitingShare is the part of an endpoint's slots that work that can wait may
@@ -42,11 +42,13 @@
 	}
 	cached := int(l.trust * float64(min(s.cached, q.PromptTokens)))
 	uncached := q.PromptTokens - cached + q.Done
-	wait := time.Duration(uncached) * l.prefillPerToken
+	own := time.Duration(uncached) * l.prefillPerToken
+	wait := own
 	if running >= l.slots {
 		wait += l.meanDuration * time.Duration(waiting+1) / time.Duration(max(l.slots, 1))
 	}
 	wait += time.Duration(l.queuedTokens+l.ownPrefill) * l.prefillPerToken
+	queued := wait - own
 	// A fuller batch decodes slower: this also spreads load that fits.
 	crowding := 1 + float64(running)/float64(max(l.slots, 1))
 	decode := time.Duration(float64(q.AnswerTokens) * crowding * float64(l.tokenGap))
@@ -55,7 +57,7 @@
 	}
 	total := wait + decode
 	risk := r.riskOf(s, q, total, now)
-	return score{wait: wait, decode: decode, risk: risk, total: total + risk, cached: cached}
+	return score{wait: wait, queued: queued, decode: decode, risk: risk, total: total + risk, cached: cached}
 }
 
 // riskOf is the work a reclaim would lose times its probability, in time.
--- a/pkg/usage/usage.go
+++ b/pkg/usage/usage.go
@@ -90,7 +90,7 @@
 
 // settle is how long after a window's end its counts are complete: a heartbeat,
 // its way through the store, and a margin for late ones.
-const settle = 2500 * time.Millisecond
+const settle = 3300 * time.Millisecond
 
 // reportedKept is how many windows a report stays in the store.
 const reportedKept = 24
