Keep limits while hosts are cut off: silent ones count, and take less by themselves

Change: a silent host counts half in the shares, and one that is out of touch takes half of its own; the retry budget divides its allowance by all hosts that may serve.

--- a/pkg/app/node/heartbeat.go
+++ b/pkg/app/node/heartbeat.go
@@ -109,9 +109,7 @@
 			QueuedTokens: load.PrefillTokens,
 		})
 	}
-	for team, part := range n.world.roster.Shares(n.incarnation) {
-		n.rates.SetShare(team, part, now)
-	}
+	n.rates.SetShares(n.world.roster.Shares(n.incarnation, now))
 }
 
 // wait pauses until d has passed or ctx ends.
--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -128,9 +128,9 @@
 		incarnation: s.Node + "." + rand.Text()[:10],
 		log:         newLog(s.Node),
 		clock:       newClock(),
-		rates:       limit.NewStrictRates(limit.Allowance(s.Limits)),
 		pool:        upstream.New(deadPeer),
 	}
+	n.rates = limit.NewStrictRates(limit.Allowance(s.Limits), n.clock.Now())
 	client := &http.Client{Transport: newTransport()}
 	n.store = platform.Store(client, s)
 	directory := endpoint.NewDirectory()
@@ -149,7 +149,7 @@
 	budget := retry.NewWindow(s.Retry.Share, s.Retry.Slack, s.Retry.Window)
 	registry := process.NewRegistry()
 	n.forwarder = forward.New(platform.Protocol(), n.world, n.router, n.rates, budget, n.pool, n.counter,
-		n.world.roster.Nodes, n.leaving.Load, n.clock.Now, forward.NewMetrics(registry), n.log)
+		n.world.roster.Nodes, n.world.roster.Sharing, n.leaving.Load, n.clock.Now, forward.NewMetrics(registry), n.log)
 	return n
 }
 
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -44,6 +44,7 @@
 	pool     *upstream.Pool
 	runs     Runs
 	nodes    func() int
+	sharing  func() int
 	clock    Clock
 	metrics  *Metrics
 	log      *log.Logger
@@ -51,14 +52,15 @@
 	closing func() bool
 }
 
-// New returns a forwarder. nodes returns how many entry hosts serve; closing
+// New returns a forwarder. nodes returns how many entry
+// hosts serve, sharing how many may serve that are not heard of; closing
 // whether callers are to leave their connections.
 func New(protocol Protocol, tables Tables, router *route.Router, rates *limit.Rates, budget *retry.Window, pool *upstream.Pool,
-	runs Runs, nodes func() int, closing func() bool, clock Clock, metrics *Metrics, logger *log.Logger,
+	runs Runs, nodes, sharing func() int, closing func() bool, clock Clock, metrics *Metrics, logger *log.Logger,
 ) *Forwarder {
 	return &Forwarder{
 		protocol: protocol, tables: tables, router: router, rates: rates, budget: budget, pool: pool,
-		runs: runs, nodes: nodes, closing: closing, clock: clock, metrics: metrics, log: logger,
+		runs: runs, nodes: nodes, sharing: sharing, closing: closing, clock: clock, metrics: metrics, log: logger,
 	}
 }
 
@@ -294,7 +296,7 @@
 		if a, isAnswer := last.(answered); isAnswer && a.rest != nil {
 			a.rest.Close()
 		}
-		if !c.f.budget.Take(c.service.Name, c.f.nodes(), c.f.clock()) {
+		if !c.f.budget.Take(c.service.Name, c.f.sharing(), c.f.clock()) {
 			c.trail.note("budget-empty")
 			if a, isAnswer := last.(answered); isAnswer && a.rest == nil {
 				return c.relay(a)
--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -102,7 +102,7 @@
 // resume finds another endpoint to go on at.
 func (c *call) resume(ctx context.Context, lastEvent string) (route.Choice, *upstream.Exchange, bool) {
 	last := result(unclear{errCut})
-	for c.mayResend(ctx, last) && c.f.budget.Take(c.service.Name, c.f.nodes(), c.f.clock()) {
+	for c.mayResend(ctx, last) && c.f.budget.Take(c.service.Name, c.f.sharing(), c.f.clock()) {
 		choice, ok := c.choose(ctx)
 		if !ok {
 			return choice, nil, false
--- a/pkg/limit/rate.go
+++ b/pkg/limit/rate.go
@@ -7,6 +7,7 @@
 import (
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,7 +29,11 @@
 	// strict shares never add up to more than the rate; see NewStrictRates.
 	strict    bool
 	allowance Allowance
-	shards    [rateShards]rateShard
+	// born is when strict rates began: a restarted entry has no burst at once,
+	// since the process before it may just have used its own.
+	born   time.Time
+	shares atomic.Pointer[Shares]
+	shards [rateShards]rateShard
 }
 
 type rateShard struct {
@@ -46,9 +51,6 @@
 	// total is the demand over all entries as last told, 0 if not known.
 	total   float64
 	totalAt time.Time
-	// told is this entry's part of the demand as told to all entries.
-	told   float64
-	toldAt time.Time
 }
 
 // NewRates returns rates without any team.
@@ -64,10 +66,11 @@
 // while demand moves and entries have not heard of each other: half of the rate
 // is shared evenly, half by demand, and nothing idle is lent. What is allowed
 // beyond the rate goes into the bursts: one entry sees few and uneven requests.
-func NewStrictRates(allowance Allowance) *Rates {
+func NewStrictRates(allowance Allowance, now time.Time) *Rates {
 	r := NewRates()
 	r.strict = true
 	r.allowance = allowance
+	r.born = now
 	return r
 }
 
@@ -81,8 +84,8 @@
 }
 
 // allowanceUsed is the part of the allowance that is used: entries learn late
-// how many they are, and of each other's demand.
-const allowanceUsed = 0.7
+// how many they are, and requests that cost more than a burst leave debts.
+const allowanceUsed = 0.55
 
 func (a Allowance) of(team Team) float64 {
 	return allowanceUsed * (a.Overrun*(team.Rate*a.Window.Seconds()+team.Burst) + a.Slack)
@@ -112,13 +115,16 @@
 	defer s.mu.Unlock()
 	b, ok := s.teams[team.Name]
 	if !ok {
-		b = &bucket{tokens: team.Burst + r.allowance.of(team), at: now, demandAt: now}
+		b = &bucket{tokens: team.Burst, at: now, demandAt: now}
+		if r.strict {
+			b.tokens, b.at = 0, r.born
+		}
 		s.teams[team.Name] = b
 	}
 	b.ask(cost, now)
 	share := b.share(team.Rate, entries, now)
 	if r.strict {
-		share = b.strictShare(entries, now)
+		share = r.strictShare(team.Name, entries)
 	}
 	burst := max(1, (team.Burst+r.allowance.of(team))*share)
 	rate := team.Rate * share
@@ -166,29 +172,28 @@
 	return max(b.demand/(others+b.demand), even*leastShare)
 }
 
-// strictShare is this entry's part where shares must never exceed the whole. It
-// goes by what all entries have been told alike: what is asked here since then
-// must not take from the others.
-func (b *bucket) strictShare(entries int, now time.Time) float64 {
-	even := 1 / float64(max(entries, 1))
-	if b.toldAt.IsZero() || now.Sub(b.toldAt) > totalKept {
-		return even
-	}
-	return even/2 + b.told/2
+// Shares are an entry's parts of the teams' limits, 0 to 1. Every entry works
+// them out from the same words, so that they add up to one at most.
+type Shares struct {
+	// Even is the part of a team that nobody has told of.
+	Even   float64
+	ByTeam map[string]float64
 }
 
-// SetShare takes in this entry's part of a team's demand, 0 to 1, as all
-// entries work it out from the same words.
-func (r *Rates) SetShare(team string, part float64, now time.Time) {
-	s := r.shard(team)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	b, ok := s.teams[team]
-	if !ok {
-		return
+// SetShares takes in this entry's parts, for strict rates.
+func (r *Rates) SetShares(shares Shares) { r.shares.Store(&shares) }
+
+// strictShare is this entry's part where parts must never exceed the whole.
+// What is asked here but not told yet must not take from the others.
+func (r *Rates) strictShare(team string, entries int) float64 {
+	shares := r.shares.Load()
+	if shares == nil {
+		return 1 / float64(max(entries, 1))
+	}
+	if part, told := shares.ByTeam[team]; told {
+		return part
 	}
-	b.told = min(max(part, 0), 1)
-	b.toldAt = now
+	return shares.Even
 }
 
 // Demand is one team's demand at one entry.
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -5,6 +5,8 @@
 	"sort"
 	"sync"
 	"time"
+
+	"ironhollow/pkg/limit"
 )
 
 // Entry is an entry host that serves.
@@ -96,7 +98,7 @@
 func (r *Roster) live() map[string]*member {
 	byNode := map[string]*member{}
 	for _, m := range r.members {
-		if r.heardAt.Sub(m.changedAt) > r.silence {
+		if r.silent(m) {
 			continue
 		}
 		if other, ok := byNode[m.row.Node]; !ok || m.changedAt.After(other.changedAt) {
@@ -179,28 +181,74 @@
 	return list
 }
 
-// Shares returns a process's part of what each team asks for, 0 to 1, by the
-// rows as written: every process works out parts that add up to one.
-func (r *Roster) Shares(self string) map[string]float64 {
+// outOfTouch is how long after the store's last word a process reckons that the
+// others have stopped to count it as one of them.
+const outOfTouch = 3500 * time.Millisecond
+
+// silentWeight is what a process counts for in shares while it is silent: it
+// may be dead, and then its part is lost, or cut off, and then it serves on
+// with this part of what it had.
+const silentWeight = 0.5
+
+// Shares returns a process's parts of the teams' limits: half of each is shared
+// evenly, half by demand as the rows tell it. Every process works them out from
+// the same rows; one that is out of touch takes less by itself, since the
+// others can't know whether it still serves.
+func (r *Roster) Shares(self string, now time.Time) limit.Shares {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	nodes := 0.0
 	total := map[string]float64{}
 	own := map[string]float64{}
-	for _, m := range r.live() {
+	for _, m := range r.sharing() {
+		weight := 1.0
+		if r.silent(m) {
+			weight = silentWeight
+		}
+		nodes += weight
 		for _, d := range m.row.Demands {
-			total[d.Team] += d.PerSecond
+			total[d.Team] += weight * d.PerSecond
 			if m.row.Incarnation == self {
 				own[d.Team] = d.PerSecond
 			}
 		}
 	}
-	shares := make(map[string]float64, len(total))
+	part := 1.0
+	if now.Sub(r.heardAt) > outOfTouch {
+		part = silentWeight
+	}
+	shares := limit.Shares{Even: part / max(nodes, 1), ByTeam: make(map[string]float64, len(total))}
 	for team, sum := range total {
-		shares[team] = own[team] / sum
+		shares.ByTeam[team] = shares.Even/2 + part*own[team]/sum/2
 	}
 	return shares
 }
 
+// sharing returns the newest row of every host that may serve: the silent ones
+// too, but not those that have stopped in order. The lock is held.
+func (r *Roster) sharing() map[string]*member {
+	byNode := map[string]*member{}
+	for _, m := range r.members {
+		if r.silent(m) && m.row.Leaving {
+			continue
+		}
+		if other, ok := byNode[m.row.Node]; !ok || m.changedAt.After(other.changedAt) {
+			byNode[m.row.Node] = m
+		}
+	}
+	return byNode
+}
+
+func (r *Roster) silent(m *member) bool { return r.heardAt.Sub(m.changedAt) > r.silence }
+
+// Sharing returns how many hosts may serve, those that are silent too, at
+// least 1.
+func (r *Roster) Sharing() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(len(r.sharing()), 1)
+}
+
 // Works returns the engine time a second asked for over all processes, by
 // service.
 func (r *Roster) Works() map[string]float64 {
