--- a/pkg/app/node/heartbeat.go
+++ b/pkg/app/node/heartbeat.go
@@ -17,8 +17,10 @@
 const (
 	// heartbeat bounds what of the usage a killed process takes with it.
 	heartbeat = 1500 * time.Millisecond
-	// silence is how many heartbeats may be missing in a row; see roster.New.
-	silence = 3 * heartbeat
+	// silence is how long a host may be unheard before callers are no longer
+	// sent there; see roster.New. Its row may be one heartbeat and one pause of
+	// the feed old, so that two lost datagrams in a row tell nothing.
+	silence = 3200 * time.Millisecond
 	// largeFleet is the hosts up to which heartbeats keep their pace; above, the
 	// store's load would grow with the square of the fleet.
 	largeFleet = 16
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -17,15 +17,17 @@
 // Roster is the rows as far as this process has heard. It is safe for
 // concurrent use.
 type Roster struct {
-	// silence is how long a row may stay unchanged before its process counts
-	// as gone.
+	// silence is how long a process may be unheard, through its row or by its
+	// datagrams, before it counts as gone.
 	silence time.Duration
 
 	mu      sync.Mutex
 	members map[string]*member
-	// heardAt is when the store last answered.
-	heardAt time.Time
-	known   bool
+	// heardAt is when the store or any other process was last heard, storeAt the
+	// store alone. Silence is judged against heardAt: who hears nobody can't
+	// tell who is gone.
+	heardAt, storeAt time.Time
+	known            bool
 }
 
 type member struct {
@@ -51,7 +53,7 @@
 func (r *Roster) Heard(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.heardAt = now
+	r.heardAt, r.storeAt = now, now
 	r.known = true
 }
 
@@ -101,7 +103,7 @@
 		if r.silent(m) {
 			continue
 		}
-		if other, ok := byNode[m.row.Node]; !ok || m.changedAt.After(other.changedAt) {
+		if other, ok := byNode[m.row.Node]; !ok || m.heardAt().After(other.heardAt()) {
 			byNode[m.row.Node] = m
 		}
 	}
@@ -166,6 +168,7 @@
 		return
 	}
 	m.fresh, m.freshSequence, m.freshAt = loads, sequence, now
+	r.heardAt = now
 }
 
 // Peers returns the addresses for datagrams of the other processes.
@@ -214,7 +217,7 @@
 		}
 	}
 	part := 1.0
-	if now.Sub(r.heardAt) > outOfTouch {
+	if now.Sub(r.storeAt) > outOfTouch {
 		part = silentWeight
 	}
 	shares := limit.Shares{Even: part / max(nodes, 1), ByTeam: make(map[string]float64, len(total))}
@@ -232,14 +235,22 @@
 		if r.silent(m) && m.row.Leaving {
 			continue
 		}
-		if other, ok := byNode[m.row.Node]; !ok || m.changedAt.After(other.changedAt) {
+		if other, ok := byNode[m.row.Node]; !ok || m.heardAt().After(other.heardAt()) {
 			byNode[m.row.Node] = m
 		}
 	}
 	return byNode
 }
 
-func (r *Roster) silent(m *member) bool { return r.heardAt.Sub(m.changedAt) > r.silence }
+func (r *Roster) silent(m *member) bool { return r.heardAt.Sub(m.heardAt()) > r.silence }
+
+// heardAt is when the process was last heard: through its row or by itself.
+func (m *member) heardAt() time.Time {
+	if m.freshAt.After(m.changedAt) {
+		return m.freshAt
+	}
+	return m.changedAt
+}
 
 // Sharing returns how many hosts may serve, those that are silent too, at
 // least 1.
@@ -302,7 +313,7 @@
 	defer r.mu.Unlock()
 	var list []string
 	for incarnation, m := range r.members {
-		if r.heardAt.Sub(m.changedAt) > after {
+		if r.heardAt.Sub(m.heardAt()) > after {
 			list = append(list, incarnation)
 		}
 	}
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -166,3 +166,17 @@
 		t.Error("a row cut short: got no error, want one")
 	}
 }
+
+// A host that died is no longer told to callers a few seconds later, by the
+// datagrams that stop to come, also while its row has just been written.
+func TestDeadHostsAreNotToldToCallers(t *testing.T) {
+	hosts := fleet("a", "b", "c")
+	r := hosts[0].roster
+	for at := time.Duration(0); at <= 4*time.Second; at += 200 * time.Millisecond {
+		r.MergeLoads("b", int64(at), nil, start.Add(at))
+	}
+	got := r.Entries()
+	if len(got) != 1 || got[0].Node != "b" {
+		t.Errorf("entries 4 s after c was last heard: got %v, want b alone: a has not told itself", got)
+	}
+}
