One bucket a team for the fleet, counts that outlive a process, lapse instead of release

Change: hosts tell by datagrams what they admitted and count; each keeps the fleet's bucket and leaves room for rivals it has not heard; restarted hosts find each other at the old rows' addresses; the lease is left to lapse, and a call of a duty never outlives it.

--- a/pkg/app/node/duties.go
+++ b/pkg/app/node/duties.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"ironhollow/pkg/autoscale"
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/lease"
 	"ironhollow/pkg/platform/table"
+	"ironhollow/pkg/usage"
 )
 
 // dutyShard is the one shard of control work: all duties go together.
@@ -25,11 +27,8 @@
 
 // duties renews the lease and does the duties while it is held.
 func (n *node) duties(ctx context.Context) {
-	defer func() {
-		release, cancel := context.WithTimeout(context.Background(), dutyCall)
-		defer cancel()
-		n.leases.Release(release)
-	}()
+	// The lease is never given back: the next holder waits until it has lapsed,
+	// so that no two holders act by turns within one lease.
 	go n.renew(ctx)
 	held := false
 	for ctx.Err() == nil {
@@ -40,12 +39,9 @@
 			n.log.Info().Bool("held", held).Msg("lease of the duties")
 			n.orderer.Forget()
 		}
-		// The holder before may have acted until its lease ran out, and the one
-		// before that may be this host: nobody acts again within one lease.
-		if !held || n.leases.HeldFor(dutyShard) < n.settings.Lease {
-			continue
+		if held {
+			n.doDuties(ctx)
 		}
-		n.doDuties(ctx)
 	}
 }
 
@@ -77,8 +73,6 @@
 }
 
 func (n *node) doDuties(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, dutyCall)
-	defer cancel()
 	held := func() (lease.Grant, bool) { return n.leases.Held(dutyShard) }
 	if n.settings.ReportsUsage {
 		n.reporter.Step(ctx, held)
@@ -89,6 +83,47 @@
 	n.sweepRows(ctx)
 }
 
+// dutyCloud ends each call with the lease under which it is made: a call that
+// is still on its way then is thrown away with its connection.
+type dutyCloud struct {
+	cloud  Cloud
+	leases *lease.Manager
+}
+
+// leastLeft is how much of the lease must be left for a call.
+const leastLeft = 100 * time.Millisecond
+
+var errLeaseEnds = errors.New("too little is left of the lease")
+
+func (d *dutyCloud) within(ctx context.Context) (context.Context, context.CancelFunc, error) {
+	left := d.leases.Left(dutyShard)
+	if left < leastLeft {
+		return nil, nil, errLeaseEnds
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(left, dutyCall))
+	return ctx, cancel, nil
+}
+
+// Report sends a window's usage.
+func (d *dutyCloud) Report(ctx context.Context, grant lease.Grant, report usage.Report) error {
+	ctx, cancel, err := d.within(ctx)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	return d.cloud.Report(ctx, grant, report)
+}
+
+// Order orders endpoints.
+func (d *dutyCloud) Order(ctx context.Context, grant lease.Grant, order autoscale.Order) error {
+	ctx, cancel, err := d.within(ctx)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	return d.cloud.Order(ctx, grant, order)
+}
+
 func (n *node) orderEndpoints(ctx context.Context, held func() (lease.Grant, bool)) {
 	current := n.world.table.Load()
 	if current == nil {
--- a/pkg/app/node/heartbeat.go
+++ b/pkg/app/node/heartbeat.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ironhollow/pkg/engine"
+	"ironhollow/pkg/gossip"
 	"ironhollow/pkg/platform/table"
 	"ironhollow/pkg/roster"
 	"ironhollow/pkg/route"
@@ -21,6 +22,8 @@
 	// sent there; see roster.New. Its row may be one heartbeat and one pause of
 	// the feed old, so that two lost datagrams in a row tell nothing.
 	silence = 3200 * time.Millisecond
+	// firstRow is the pause until the store has been heard of.
+	firstRow = 50 * time.Millisecond
 	// largeFleet is the hosts up to which heartbeats keep their pace; above, the
 	// store's load would grow with the square of the fleet.
 	largeFleet = 16
@@ -29,6 +32,10 @@
 // beat writes this process's row until ctx ends.
 func (n *node) beat(ctx context.Context) {
 	for ctx.Err() == nil {
+		if _, known := n.clock.offset(); !known {
+			wait(ctx, firstRow)
+			continue
+		}
 		n.writeRow(ctx)
 		pause := heartbeat * time.Duration(max(n.world.roster.Nodes(), largeFleet)) / largeFleet
 		wait(ctx, min(pause, 2*heartbeat))
@@ -45,20 +52,12 @@
 		return
 	}
 	row := roster.Row{
-		Incarnation: n.incarnation,
-		Node:        n.settings.Node,
-		DataCenter:  n.settings.DataCenter,
-		Callers:     n.settings.Callers,
-		Peers:       n.settings.Peers,
+		Host:        n.host(),
 		Sequence:    n.rowSequence,
-		Leaving:     n.leaving.Load(),
 		ClockOffset: offset,
 		Counts:      n.counter.Recent(),
 	}
 	row.Loads = n.ownLoads()
-	for _, d := range n.rates.Demands(now) {
-		row.Demands = append(row.Demands, roster.Demand{Team: d.Team, PerSecond: d.PerSecond})
-	}
 	if current := n.world.table.Load(); current != nil {
 		for _, service := range current.Services() {
 			if rate := n.router.Work(route.Target{Service: service.Name}, now); service.Scaling != nil && rate > 0 {
@@ -94,6 +93,29 @@
 	return loads
 }
 
+func (n *node) host() roster.Host {
+	return roster.Host{
+		Incarnation: n.incarnation,
+		Node:        n.settings.Node,
+		DataCenter:  n.settings.DataCenter,
+		Callers:     n.settings.Callers,
+		Peers:       n.settings.Peers,
+		Leaving:     n.leaving.Load(),
+	}
+}
+
+// told is what this host tells the others.
+func (n *node) told() gossip.Told {
+	return gossip.Told{Host: n.host(), Loads: n.ownLoads(), Spent: n.limits.Own(n.clock.Now()), Counts: n.counter.Latest()}
+}
+
+// hear takes in what another process tells.
+func (n *node) hear(sequence int64, told gossip.Told) {
+	now := n.clock.Now()
+	n.world.roster.MergeLoads(told.Host, sequence, told.Loads, told.Counts, now)
+	n.limits.Heard(told.Host.Incarnation, told.Spent, now)
+}
+
 // takeLoads hands what the other processes told to the decisions.
 func (n *node) takeLoads() {
 	now := n.clock.Now()
@@ -111,7 +133,7 @@
 			QueuedTokens: load.PrefillTokens,
 		})
 	}
-	n.rates.SetShares(n.world.roster.Shares(n.incarnation, now))
+	n.limits.SetFleet(n.world.roster.Fleet(n.incarnation, now))
 }
 
 // wait pauses until d has passed or ctx ends.
--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -77,7 +77,7 @@
 	store       Store
 	world       *world
 	router      *route.Router
-	rates       *limit.Rates
+	limits      *limit.Shared
 	pool        *upstream.Pool
 	counter     *usage.Counter
 	reporter    *usage.Reporter
@@ -130,7 +130,7 @@
 		clock:       newClock(),
 		pool:        upstream.New(deadPeer),
 	}
-	n.rates = limit.NewStrictRates(limit.Allowance(s.Limits), n.clock.Now())
+	n.limits = limit.NewShared(limit.Allowance(s.Limits), n.clock.Now())
 	client := &http.Client{Transport: newTransport()}
 	n.store = platform.Store(client, s)
 	directory := endpoint.NewDirectory()
@@ -142,13 +142,13 @@
 	n.router = route.NewWithFigures(directory, hazard.New(), home, uint64(n.clock.start.UnixNano()), engineFigures)
 	n.counter = usage.NewCounter(s.UsageWindow, n.trueTime)
 	writer := table.NewWriter(n.store, n.incarnation)
-	cloud := platform.Cloud(client, s)
+	n.leases = lease.New(writer, n.incarnation, lease.Timing{Duration: s.Lease, Renew: s.Lease / renewals})
+	cloud := &dutyCloud{platform.Cloud(client, s), n.leases}
 	n.reporter = usage.NewReporter(n.counter, n.world.roster, writer, cloud, n.log)
 	n.orderer = autoscale.NewOrderer(cloud, n.log)
-	n.leases = lease.New(writer, n.incarnation, lease.Timing{Duration: s.Lease, Renew: s.Lease / renewals})
 	budget := retry.NewWindow(s.Retry.Share, s.Retry.Slack, s.Retry.Window)
 	registry := process.NewRegistry()
-	n.forwarder = forward.New(platform.Protocol(), n.world, n.router, n.rates, budget, n.pool, n.counter,
+	n.forwarder = forward.New(platform.Protocol(), n.world, n.router, n.limits, budget, n.pool, n.counter,
 		n.world.roster.Nodes, n.world.roster.Sharing, n.leaving.Load, n.clock.Now, forward.NewMetrics(registry), n.log)
 	return n
 }
@@ -253,7 +253,7 @@
 
 // exchange starts to tell the other hosts what is under way here.
 func (n *node) exchange(ctx context.Context) error {
-	e, err := gossip.Listen(n.settings.Peers, n.incarnation, n.world.roster, n.ownLoads, n.clock.Now, n.log)
+	e, err := gossip.Listen(n.settings.Peers, n.incarnation, n.world.roster, n.told, n.hear, n.log)
 	if err != nil {
 		return err
 	}
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -39,7 +39,7 @@
 	protocol Protocol
 	tables   Tables
 	router   *route.Router
-	rates    *limit.Rates
+	limits   *limit.Shared
 	budget   *retry.Window
 	pool     *upstream.Pool
 	runs     Runs
@@ -55,11 +55,11 @@
 // New returns a forwarder. nodes returns how many entry
 // hosts serve, sharing how many may serve that are not heard of; closing
 // whether callers are to leave their connections.
-func New(protocol Protocol, tables Tables, router *route.Router, rates *limit.Rates, budget *retry.Window, pool *upstream.Pool,
+func New(protocol Protocol, tables Tables, router *route.Router, limits *limit.Shared, budget *retry.Window, pool *upstream.Pool,
 	runs Runs, nodes, sharing func() int, closing func() bool, clock Clock, metrics *Metrics, logger *log.Logger,
 ) *Forwarder {
 	return &Forwarder{
-		protocol: protocol, tables: tables, router: router, rates: rates, budget: budget, pool: pool,
+		protocol: protocol, tables: tables, router: router, limits: limits, budget: budget, pool: pool,
 		runs: runs, nodes: nodes, sharing: sharing, closing: closing, clock: clock, metrics: metrics, log: logger,
 	}
 }
@@ -248,7 +248,7 @@
 	}
 	c.trail.cost = cost
 	team := limit.Team{Name: c.team.Name, Rate: c.team.Rate, Burst: c.team.Burst}
-	ok, wait := c.f.rates.AllowCost(team, cost, c.f.nodes(), c.f.clock())
+	ok, wait := c.f.limits.Allow(team, cost, c.f.clock())
 	return wait, ok
 }
 
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -1,5 +1,5 @@
 // Package gossip tells the other hosts several times a second what this one has
-// under way at each endpoint, over UDP with CBOR. A datagram that is lost or
+// under way at each endpoint and has admitted of each team, over UDP with CBOR. A datagram that is lost or
 // late costs a worse choice, never a wrong answer, so that nothing is repeated
 // or confirmed; what the store's rows tell takes its place after a while.
 package gossip
@@ -13,6 +13,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/phuslu/log"
 
+	"ironhollow/pkg/limit"
 	"ironhollow/pkg/roster"
 )
 
@@ -30,9 +31,16 @@
 type message struct {
 	_           struct{} `cbor:",toarray"`
 	Incarnation string
+	Node        string
+	DataCenter  string
+	Callers     string
+	Peers       string
+	Leaving     bool
 	// Sequence grows with each datagram of an incarnation.
 	Sequence int64
 	Loads    []load
+	Spent    []spent
+	Counts   []count
 }
 
 type load struct {
@@ -42,18 +50,44 @@
 	PrefillTokens int
 }
 
+type spent struct {
+	_        struct{} `cbor:",toarray"`
+	Team     string
+	Admitted int64
+	Asked    float32
+}
+
+type count struct {
+	_      struct{} `cbor:",toarray"`
+	Window int64
+	Team   string
+	Begun  int
+}
+
+// Told is what a host tells.
+type Told struct {
+	Host  roster.Host
+	Loads []roster.Load
+	Spent []limit.Spent
+	// Counts are of the latest windows: they must outlive this process.
+	Counts []roster.Count
+}
+
+// Take receives what another process tells.
+type Take func(sequence int64, told Told)
+
 // Exchange sends and receives. It is safe for concurrent use.
 type Exchange struct {
 	conn        *net.UDPConn
 	incarnation string
 	roster      *roster.Roster
-	own         func() []roster.Load
-	now         func() time.Time
+	own         func() Told
+	take        Take
 	log         *log.Logger
 }
 
-// Listen opens the port of the exchange. own returns what is under way here.
-func Listen(address, incarnation string, members *roster.Roster, own func() []roster.Load, now func() time.Time, logger *log.Logger) (*Exchange, error) {
+// Listen opens the port of the exchange. own returns what this host tells.
+func Listen(address, incarnation string, members *roster.Roster, own func() Told, take Take, logger *log.Logger) (*Exchange, error) {
 	at, err := net.ResolveUDPAddr("udp4", address)
 	if err != nil {
 		return nil, fmt.Errorf("gossip: %w", err)
@@ -62,7 +96,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("gossip: %w", err)
 	}
-	return &Exchange{conn, incarnation, members, own, now, logger}, nil
+	return &Exchange{conn, incarnation, members, own, take, logger}, nil
 }
 
 // Run exchanges until ctx ends; heard is called after each round.
@@ -106,8 +140,18 @@
 
 // encode leaves out what does not fit: the rows in the store tell it.
 func (e *Exchange) encode(sequence int64) ([]byte, error) {
-	m := message{Incarnation: e.incarnation, Sequence: sequence}
-	for _, l := range e.own() {
+	told := e.own()
+	m := message{
+		Incarnation: told.Host.Incarnation, Node: told.Host.Node, DataCenter: told.Host.DataCenter,
+		Callers: told.Host.Callers, Peers: told.Host.Peers, Leaving: told.Host.Leaving, Sequence: sequence,
+	}
+	for _, l := range told.Spent {
+		m.Spent = append(m.Spent, spent{Team: l.Team, Admitted: int64(l.Admitted), Asked: float32(l.Asked)})
+	}
+	for _, c := range told.Counts {
+		m.Counts = append(m.Counts, count{Window: c.Window, Team: c.Team, Begun: c.Begun})
+	}
+	for _, l := range told.Loads {
 		m.Loads = append(m.Loads, load{Endpoint: l.Endpoint, Running: l.Running, PrefillTokens: l.PrefillTokens})
 	}
 	for {
@@ -133,10 +177,22 @@
 			e.log.Debug().Err(err).Msg("datagram not understood")
 			continue
 		}
-		loads := make([]roster.Load, 0, len(m.Loads))
-		for _, l := range m.Loads {
-			loads = append(loads, roster.Load{Endpoint: l.Endpoint, Running: l.Running, PrefillTokens: l.PrefillTokens})
-		}
-		e.roster.MergeLoads(m.Incarnation, m.Sequence, loads, e.now())
+		e.take(m.Sequence, m.told())
+	}
+}
+
+func (m message) told() Told {
+	t := Told{Host: roster.Host{
+		Incarnation: m.Incarnation, Node: m.Node, DataCenter: m.DataCenter, Callers: m.Callers, Peers: m.Peers, Leaving: m.Leaving,
+	}}
+	for _, l := range m.Loads {
+		t.Loads = append(t.Loads, roster.Load{Endpoint: l.Endpoint, Running: l.Running, PrefillTokens: l.PrefillTokens})
+	}
+	for _, l := range m.Spent {
+		t.Spent = append(t.Spent, limit.Spent{Team: l.Team, Admitted: float64(l.Admitted), Asked: float64(l.Asked)})
+	}
+	for _, c := range m.Counts {
+		t.Counts = append(t.Counts, roster.Count{Window: c.Window, Team: c.Team, Begun: c.Begun})
 	}
+	return t
 }
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -106,6 +106,18 @@
 	return Grant{s, h.epoch}, true
 }
 
+// Left returns how long a shard is held yet without a renewal, by this process's
+// own clock; 0 if it is not held.
+func (m *Manager) Left(s Shard) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h, ok := m.held[s]
+	if !ok {
+		return 0
+	}
+	return max(time.Until(h.until), 0)
+}
+
 // HeldFor returns how long a shard has been held, 0 if it is not.
 func (m *Manager) HeldFor(s Shard) time.Duration {
 	m.mu.Lock()
--- a/pkg/limit/rate.go
+++ b/pkg/limit/rate.go
@@ -7,7 +7,6 @@
 import (
 	"math"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,13 +25,6 @@
 
 // Rates enforces this entry's shares. It is safe for concurrent use.
 type Rates struct {
-	// strict shares never add up to more than the rate; see NewStrictRates.
-	strict    bool
-	allowance Allowance
-	// born is when strict rates began: a restarted entry has no burst at once,
-	// since the process before it may just have used its own.
-	born   time.Time
-	shares atomic.Pointer[Shares]
 	shards [rateShards]rateShard
 }
 
@@ -62,39 +54,10 @@
 	return r
 }
 
-// NewStrictRates returns rates whose shares add up to the whole at most, also
-// while demand moves and entries have not heard of each other: half of the rate
-// is shared evenly, half by demand, and nothing idle is lent. What is allowed
-// beyond the rate goes into the bursts: one entry sees few and uneven requests.
-func NewStrictRates(allowance Allowance, now time.Time) *Rates {
-	r := NewRates()
-	r.strict = true
-	r.allowance = allowance
-	r.born = now
-	return r
-}
-
-// Allowance is how far all entries together may pass a team's rate in a window:
-// by Overrun as a share of what the rate gives in it, and by Slack on top.
-type Allowance struct {
-	Window  time.Duration
-	Overrun float64
-	// Slack is in the unit of the requests' cost.
-	Slack float64
-}
-
-// allowanceUsed is the part of the allowance that is used: entries learn late
-// how many they are, and requests that cost more than a burst leave debts.
-const allowanceUsed = 0.55
-
-func (a Allowance) of(team Team) float64 {
-	return allowanceUsed * (a.Overrun*(team.Rate*a.Window.Seconds()+team.Burst) + a.Slack)
-}
-
 // Team is a team's configured limits.
 type Team struct {
 	Name string
-	// Rate and Burst are over all entries, in the unit of the requests' cost.
+	// Rate and Burst are over all entries.
 	Rate, Burst float64
 }
 
@@ -104,37 +67,24 @@
 // Allow admits one request of a team or says after how long to come back.
 // entries is how many entry hosts serve at present, at least 1.
 func (r *Rates) Allow(team Team, entries int, now time.Time) (bool, time.Duration) {
-	return r.AllowCost(team, 1, entries, now)
-}
-
-// AllowCost admits one request of a cost, such as its tokens. One that costs
-// more than the burst held here passes on a full bucket and leaves a debt.
-func (r *Rates) AllowCost(team Team, cost float64, entries int, now time.Time) (bool, time.Duration) {
 	s := r.shard(team.Name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b, ok := s.teams[team.Name]
 	if !ok {
 		b = &bucket{tokens: team.Burst, at: now, demandAt: now}
-		if r.strict {
-			b.tokens, b.at = 0, r.born
-		}
 		s.teams[team.Name] = b
 	}
-	b.ask(cost, now)
+	b.ask(now)
 	share := b.share(team.Rate, entries, now)
-	if r.strict {
-		share = r.strictShare(team.Name, entries)
-	}
-	burst := max(1, (team.Burst+r.allowance.of(team))*share)
+	burst := max(1, team.Burst*share)
 	rate := team.Rate * share
 	b.tokens = min(burst, b.tokens+now.Sub(b.at).Seconds()*rate)
 	b.at = now
-	needed := min(cost, burst)
-	if b.tokens < needed {
-		return false, time.Duration((needed - b.tokens) / rate * float64(time.Second))
+	if b.tokens < 1 {
+		return false, time.Duration((1 - b.tokens) / rate * float64(time.Second))
 	}
-	b.tokens -= cost
+	b.tokens--
 	return true, 0
 }
 
@@ -143,9 +93,9 @@
 }
 
 // ask adds one request to the averaged demand.
-func (b *bucket) ask(cost float64, now time.Time) {
+func (b *bucket) ask(now time.Time) {
 	b.fade(now)
-	b.demand += cost / demandTime.Seconds()
+	b.demand += 1 / demandTime.Seconds()
 }
 
 func (b *bucket) fade(now time.Time) {
@@ -172,30 +122,6 @@
 	return max(b.demand/(others+b.demand), even*leastShare)
 }
 
-// Shares are an entry's parts of the teams' limits, 0 to 1. Every entry works
-// them out from the same words, so that they add up to one at most.
-type Shares struct {
-	// Even is the part of a team that nobody has told of.
-	Even   float64
-	ByTeam map[string]float64
-}
-
-// SetShares takes in this entry's parts, for strict rates.
-func (r *Rates) SetShares(shares Shares) { r.shares.Store(&shares) }
-
-// strictShare is this entry's part where parts must never exceed the whole.
-// What is asked here but not told yet must not take from the others.
-func (r *Rates) strictShare(team string, entries int) float64 {
-	shares := r.shares.Load()
-	if shares == nil {
-		return 1 / float64(max(entries, 1))
-	}
-	if part, told := shares.ByTeam[team]; told {
-		return part
-	}
-	return shares.Even
-}
-
 // Demand is one team's demand at one entry.
 type Demand struct {
 	Team string
--- /dev/null
+++ b/pkg/limit/shared_test.go
@@ -0,0 +1,167 @@
+package limit_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"ironhollow/pkg/limit"
+)
+
+// tokenLimits are limits in tokens as users with large prompts have them.
+var (
+	tokenAllowance = limit.Allowance{Window: 8 * time.Second, Overrun: 0.1, Slack: 190_000}
+	tokenTeam      = limit.Team{Name: "t", Rate: 287_000, Burst: 287_000}
+)
+
+func bound(team limit.Team) float64 {
+	return (team.Rate*tokenAllowance.Window.Seconds()+team.Burst)*(1+tokenAllowance.Overrun) + tokenAllowance.Slack
+}
+
+// entries is a fleet in virtual time.
+type entries struct {
+	limits []*limit.Shared
+	// hears tells whether one entry's words reach another.
+	hears func(from, to int) bool
+}
+
+func newEntries(n int, start time.Time) *entries {
+	e := &entries{hears: func(int, int) bool { return true }}
+	for range n {
+		s := limit.NewShared(tokenAllowance, start)
+		s.SetFleet(n, 0)
+		e.limits = append(e.limits, s)
+	}
+	return e
+}
+
+func (e *entries) exchange(now time.Time) {
+	for from, l := range e.limits {
+		own := l.Own(now)
+		for to, other := range e.limits {
+			if from != to && e.hears(from, to) {
+				other.Heard(fmt.Sprint(from), own, now)
+			}
+		}
+	}
+}
+
+// play asks for a rate at random entries and returns what was admitted in the
+// worst window, and in all.
+func (e *entries) play(team limit.Team, asked float64, start time.Time, length time.Duration, seed uint64) (worst, total, wanted float64) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	type admission struct {
+		at   time.Duration
+		cost float64
+	}
+	var admitted []admission
+	const step = 5 * time.Millisecond
+	for at := time.Duration(0); at < length; at += step {
+		if at%(200*time.Millisecond) == 0 {
+			e.exchange(start.Add(at))
+		}
+		for budget := asked * step.Seconds(); budget > 0; {
+			cost := 1000 + random.ExpFloat64()*14_000
+			if random.Float64() > budget/cost {
+				break
+			}
+			budget -= cost
+			wanted += cost
+			if ok, _ := e.limits[random.IntN(len(e.limits))].Allow(team, cost, start.Add(at)); ok {
+				admitted = append(admitted, admission{at, cost})
+				total += cost
+			}
+		}
+	}
+	first, sum := 0, 0.0
+	for _, a := range admitted {
+		sum += a.cost
+		for a.at-admitted[first].at > tokenAllowance.Window {
+			sum -= admitted[first].cost
+			first++
+		}
+		worst = max(worst, sum)
+	}
+	return worst, total, wanted
+}
+
+// A team that asks for several times its limit is held to it, and gets it.
+func TestSharedLimitIsHeldOverEntries(t *testing.T) {
+	for _, n := range []int{1, 3, 9, 30} {
+		for seed := range uint64(5) {
+			start := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+			e := newEntries(n, start.Add(-10*time.Second))
+			worst, total, _ := e.play(tokenTeam, 5*tokenTeam.Rate, start, 30*time.Second, seed)
+			if worst > bound(tokenTeam) {
+				t.Errorf("%d entries, seed %d: admitted in a window: got %.0f, want at most %.0f", n, seed, worst, bound(tokenTeam))
+			}
+			if least := 0.95 * tokenTeam.Rate * 30; total < least {
+				t.Errorf("%d entries, seed %d: admitted in 30 s: got %.0f, want %.0f or more", n, seed, total, least)
+			}
+		}
+	}
+}
+
+// A small team whose requests are large and spread over all entries is served
+// while it stays below its limit.
+func TestSharedLimitServesWhatIsBelowIt(t *testing.T) {
+	start := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	team := limit.Team{Name: "t", Rate: 150_000, Burst: 150_000}
+	e := newEntries(9, start.Add(-10*time.Second))
+	_, total, wanted := e.play(team, team.Rate*0.6, start, 60*time.Second, 1)
+	if total < 0.99*wanted {
+		t.Errorf("admitted: got %.0f, want %.0f or more of %.0f asked", total, 0.99*wanted, wanted)
+	}
+}
+
+// Three of nine entries are cut off, each alone, and serve on.
+func TestSharedLimitWhileEntriesAreCutOff(t *testing.T) {
+	start := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	e := newEntries(9, start.Add(-10*time.Second))
+	e.hears = func(from, to int) bool { return from < 6 && to < 6 }
+	for i, l := range e.limits {
+		heard := 6
+		if i >= 6 {
+			heard = 1
+		}
+		l.SetFleet(heard, 9-heard)
+	}
+	worst, _, _ := e.play(tokenTeam, 5*tokenTeam.Rate, start, 30*time.Second, 2)
+	if worst > bound(tokenTeam) {
+		t.Errorf("admitted in a window: got %.0f, want at most %.0f", worst, bound(tokenTeam))
+	}
+}
+
+// A process that takes the place of one that was killed has no burst: the one
+// before may just have used it.
+func TestRestartGivesNoSecondBurst(t *testing.T) {
+	start := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	s := limit.NewShared(limit.Allowance{}, start)
+	team := limit.Team{Name: "t", Rate: 100, Burst: 1000}
+	admitted := 0
+	for range 1000 {
+		if ok, _ := s.Allow(team, 1, start.Add(time.Second)); ok {
+			admitted++
+		}
+	}
+	if want := 100; admitted != want {
+		t.Errorf("admitted a second after the start: got %d, want %d", admitted, want)
+	}
+}
+
+func TestRefusalTellsWhenThereIsRoom(t *testing.T) {
+	start := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	s := limit.NewShared(limit.Allowance{}, start.Add(-time.Minute))
+	team := limit.Team{Name: "t", Rate: 100, Burst: 100}
+	if ok, _ := s.Allow(team, 100, start); !ok {
+		t.Fatal("first request: got refused, want admitted")
+	}
+	ok, wait := s.Allow(team, 50, start)
+	if ok || wait != 500*time.Millisecond {
+		t.Errorf("second request: got %v, %v, want refused for 500ms", ok, wait)
+	}
+	if ok, _ := s.Allow(team, 50, start.Add(wait)); !ok {
+		t.Error("after that time: got refused, want admitted")
+	}
+}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -5,8 +5,6 @@
 	"sort"
 	"sync"
 	"time"
-
-	"ironhollow/pkg/limit"
 )
 
 // Entry is an entry host that serves.
@@ -23,11 +21,10 @@
 
 	mu      sync.Mutex
 	members map[string]*member
-	// heardAt is when the store or any other process was last heard, storeAt the
-	// store alone. Silence is judged against heardAt: who hears nobody can't
-	// tell who is gone.
-	heardAt, storeAt time.Time
-	known            bool
+	// heardAt is when the store or any other process was last heard. Silence is
+	// judged against it: who hears nobody can't tell who is gone.
+	heardAt time.Time
+	known   bool
 }
 
 type member struct {
@@ -38,8 +35,26 @@
 	fresh         []Load
 	freshSequence int64
 	freshAt       time.Time
+	// counts are the highest heard, by window and team: they only grow.
+	counts map[int64]map[string]int
 }
 
+func (m *member) count(counts []Count) {
+	if m.counts == nil {
+		m.counts = map[int64]map[string]int{}
+	}
+	for _, c := range counts {
+		if m.counts[c.Window] == nil {
+			m.counts[c.Window] = map[string]int{}
+			delete(m.counts, c.Window-windowsKept)
+		}
+		m.counts[c.Window][c.Team] = max(m.counts[c.Window][c.Team], c.Begun)
+	}
+}
+
+// windowsKept is how many windows of counts are kept of a process.
+const windowsKept = 12
+
 // freshFor is how long loads heard from a process go before its row's.
 const freshFor = 1500 * time.Millisecond
 
@@ -53,7 +68,7 @@
 func (r *Roster) Heard(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.heardAt, r.storeAt = now, now
+	r.heardAt = now
 	r.known = true
 }
 
@@ -71,9 +86,13 @@
 	m, ok := r.members[row.Incarnation]
 	switch {
 	case !ok:
-		r.members[row.Incarnation] = &member{row: row, changedAt: now}
+		m = &member{row: row, changedAt: now}
+		m.count(row.Counts)
+		r.members[row.Incarnation] = m
 	case row.Sequence > m.row.Sequence:
+		row.Leaving = row.Leaving || m.row.Leaving
 		m.row, m.changedAt = row, now
+		m.count(row.Counts)
 	}
 }
 
@@ -158,25 +177,32 @@
 	return m.row.Loads
 }
 
-// MergeLoads takes in loads heard from a process itself. Those of a process
-// that has no row are dropped.
-func (r *Roster) MergeLoads(incarnation string, sequence int64, loads []Load, now time.Time) {
+// MergeLoads takes in what a process tells itself. One that has no row yet is
+// known from then on: a restarted fleet finds itself before its rows do.
+func (r *Roster) MergeLoads(host Host, sequence int64, loads []Load, counts []Count, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	m, ok := r.members[incarnation]
-	if !ok || sequence <= m.freshSequence {
+	m, ok := r.members[host.Incarnation]
+	if !ok {
+		m = &member{row: Row{Host: host}, changedAt: now}
+		r.members[host.Incarnation] = m
+	}
+	if sequence <= m.freshSequence {
 		return
 	}
+	m.row.Leaving = m.row.Leaving || host.Leaving
 	m.fresh, m.freshSequence, m.freshAt = loads, sequence, now
+	m.count(counts)
 	r.heardAt = now
 }
 
-// Peers returns the addresses for datagrams of the other processes.
+// Peers returns the addresses for datagrams of the other hosts, also of those
+// not heard: a new process may answer there.
 func (r *Roster) Peers(self string) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var list []string
-	for _, m := range r.live() {
+	for _, m := range r.sharing() {
 		if m.row.Incarnation != self && m.row.Peers != "" {
 			list = append(list, m.row.Peers)
 		}
@@ -184,47 +210,25 @@
 	return list
 }
 
-// outOfTouch is how long after the store's last word a process reckons that the
-// others have stopped to count it as one of them.
-const outOfTouch = 3500 * time.Millisecond
+// heardWithin is how recent a process's datagrams are while it is heard.
+const heardWithin = time.Second
 
-// silentWeight is what a process counts for in shares while it is silent: it
-// may be dead, and then its part is lost, or cut off, and then it serves on
-// with this part of what it had.
-const silentWeight = 0.5
-
-// Shares returns a process's parts of the teams' limits: half of each is shared
-// evenly, half by demand as the rows tell it. Every process works them out from
-// the same rows; one that is out of touch takes less by itself, since the
-// others can't know whether it still serves.
-func (r *Roster) Shares(self string, now time.Time) limit.Shares {
+// Fleet returns how many hosts are heard by their datagrams, this one included,
+// and how many others may serve unheard: dead for moments, or cut off.
+func (r *Roster) Fleet(self string, now time.Time) (heard, silent int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	nodes := 0.0
-	total := map[string]float64{}
-	own := map[string]float64{}
+	heard = 1
 	for _, m := range r.sharing() {
-		weight := 1.0
-		if r.silent(m) {
-			weight = silentWeight
+		switch {
+		case m.row.Incarnation == self:
+		case now.Sub(m.freshAt) < heardWithin:
+			heard++
+		default:
+			silent++
 		}
-		nodes += weight
-		for _, d := range m.row.Demands {
-			total[d.Team] += weight * d.PerSecond
-			if m.row.Incarnation == self {
-				own[d.Team] = d.PerSecond
-			}
-		}
-	}
-	part := 1.0
-	if now.Sub(r.storeAt) > outOfTouch {
-		part = silentWeight
 	}
-	shares := limit.Shares{Even: part / max(nodes, 1), ByTeam: make(map[string]float64, len(total))}
-	for team, sum := range total {
-		shares.ByTeam[team] = shares.Even/2 + part*own[team]/sum/2
-	}
-	return shares
+	return heard, silent
 }
 
 // sharing returns the newest row of every host that may serve: the silent ones
@@ -281,24 +285,24 @@
 	defer r.mu.Unlock()
 	counts := map[string]int{}
 	for _, m := range r.members {
-		for _, c := range m.row.Counts {
-			if c.Window == window {
-				counts[c.Team] += c.Begun
-			}
+		for team, begun := range m.counts[window] {
+			counts[team] += begun
 		}
 	}
 	return counts
 }
 
 // ClockOffset returns the median of the hosts' time of day less the store's
-// clock: a minority of stepped clocks does not move it far. ok is false while
-// no row is known.
+// clock: a minority of stepped clocks does not move it far. Hosts known by their
+// datagrams alone tell no clock. ok is false while no row is known.
 func (r *Roster) ClockOffset() (time.Duration, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var offsets []time.Duration
 	for _, m := range r.live() {
-		offsets = append(offsets, m.row.ClockOffset)
+		if m.row.Sequence > 0 {
+			offsets = append(offsets, m.row.ClockOffset)
+		}
 	}
 	if len(offsets) == 0 {
 		return 0, false
--- a/pkg/roster/row.go
+++ b/pkg/roster/row.go
@@ -1,7 +1,7 @@
 // Package roster holds what entry hosts tell each other through the platform's
 // store: one row a process, written every heartbeat and followed by all. From
 // the rows each process knows who serves, what is under way at each endpoint,
-// what teams ask for, the requests that began, and the true time.
+// the requests that began, and the true time.
 package roster
 
 import (
@@ -18,12 +18,6 @@
 	PrefillTokens int
 }
 
-// Demand is what one entry is asked for by a team, in the unit of its limit.
-type Demand struct {
-	Team      string
-	PerSecond float64
-}
-
 // Work is the engine time a second that one entry's requests for a service ask
 // for.
 type Work struct {
@@ -38,8 +32,8 @@
 	Begun  int
 }
 
-// Row is what one process tells.
-type Row struct {
+// Host is one process and where it is reached.
+type Host struct {
 	// Incarnation is new with each start; the row's key.
 	Incarnation string
 	Node        string
@@ -47,14 +41,18 @@
 	// Callers is the address for callers.
 	Callers string
 	// Peers is the address for datagrams of other hosts, empty for none.
-	Peers string
+	Peers   string
+	Leaving bool
+}
+
+// Row is what one process tells.
+type Row struct {
+	Host
 	// Sequence grows with each write; a late write of an old row is told by it.
 	Sequence int64
-	Leaving  bool
 	// ClockOffset is the host's time of day less the store's steady clock.
 	ClockOffset time.Duration
 	Loads       []Load
-	Demands     []Demand
 	Counts      []Count
 	Works       []Work
 }
@@ -68,7 +66,6 @@
 	Leaving    bool        `cbor:"5,keyasint,omitempty"`
 	OffsetMS   int64       `cbor:"6,keyasint"`
 	Loads      []wireLoad  `cbor:"7,keyasint,omitempty"`
-	Demands    []wireAsk   `cbor:"8,keyasint,omitempty"`
 	Counts     []wireCount `cbor:"9,keyasint,omitempty"`
 	Works      []wireWork  `cbor:"10,keyasint,omitempty"`
 	Peers      string      `cbor:"11,keyasint,omitempty"`
@@ -81,12 +78,6 @@
 	PrefillTokens int
 }
 
-type wireAsk struct {
-	_         struct{} `cbor:",toarray"`
-	Team      string
-	PerSecond float32
-}
-
 type wireWork struct {
 	_       struct{} `cbor:",toarray"`
 	Service string
@@ -109,9 +100,6 @@
 	for _, l := range r.Loads {
 		w.Loads = append(w.Loads, wireLoad{Endpoint: l.Endpoint, Running: l.Running, PrefillTokens: l.PrefillTokens})
 	}
-	for _, d := range r.Demands {
-		w.Demands = append(w.Demands, wireAsk{Team: d.Team, PerSecond: float32(d.PerSecond)})
-	}
 	for _, c := range r.Counts {
 		w.Counts = append(w.Counts, wireCount{Window: c.Window, Team: c.Team, Begun: c.Begun})
 	}
@@ -128,15 +116,15 @@
 		return Row{}, fmt.Errorf("roster: row %q: %w", incarnation, err)
 	}
 	r := Row{
-		Incarnation: incarnation, Node: w.Node, DataCenter: w.DataCenter, Callers: w.Callers, Peers: w.Peers, Sequence: w.Sequence,
-		Leaving: w.Leaving, ClockOffset: time.Duration(w.OffsetMS) * time.Millisecond,
+		Host: Host{
+			Incarnation: incarnation, Node: w.Node, DataCenter: w.DataCenter,
+			Callers: w.Callers, Peers: w.Peers, Leaving: w.Leaving,
+		},
+		Sequence: w.Sequence, ClockOffset: time.Duration(w.OffsetMS) * time.Millisecond,
 	}
 	for _, l := range w.Loads {
 		r.Loads = append(r.Loads, Load{l.Endpoint, l.Running, l.PrefillTokens})
 	}
-	for _, d := range w.Demands {
-		r.Demands = append(r.Demands, Demand{d.Team, float64(d.PerSecond)})
-	}
 	for _, c := range w.Counts {
 		r.Counts = append(r.Counts, Count{c.Window, c.Team, c.Begun})
 	}
--- a/pkg/usage/usage.go
+++ b/pkg/usage/usage.go
@@ -83,6 +83,18 @@
 	return list
 }
 
+// Latest returns the counts of the window that runs and the one before.
+func (c *Counter) Latest() []roster.Count {
+	running := c.Window(c.now())
+	var list []roster.Count
+	for _, count := range c.Recent() {
+		if count.Window >= running-1 {
+			list = append(list, count)
+		}
+	}
+	return list
+}
+
 // Sink takes reports; it sends each once.
 type Sink interface {
 	Report(ctx context.Context, grant lease.Grant, report Report) error
@@ -143,10 +155,18 @@
 	if err := r.sink.Report(ctx, grant, Report{window, counts}); err != nil {
 		return err
 	}
-	r.log.Info().Int64("window", window).Int64("epoch", grant.Epoch).Int("teams", len(counts)).Msg("usage reported")
+	r.log.Info().Int64("window", window).Int64("epoch", grant.Epoch).Int("teams", len(counts)).Int("requests", sum(counts)).Msg("usage reported")
 	return nil
 }
 
+func sum(counts map[string]int) int {
+	total := 0
+	for _, n := range counts {
+		total += n
+	}
+	return total
+}
+
 func rowKey(window int64) string { return "usage/" + strconv.FormatInt(window, 10) }
 
 // agreed returns the counts that stand in the store, writing ours if none do.
