Give callers most of the overrun that limits allow

Ruled out: double counting of others' admissions (the sum over hosts equals the flow). Change: 0.6 of the overrun flows in; what an entry admitted in the last moments is reckoned for its rivals too; rows of dead hosts go after 18 s, since they count in the shares.

--- a/pkg/app/node/duties.go
+++ b/pkg/app/node/duties.go
@@ -21,8 +21,9 @@
 	renewals = 4
 	// dutyCall bounds one call to the platform.
 	dutyCall = time.Second
-	// rowKept is how long the row of a dead process is kept: its usage counts.
-	rowKept = 30 * time.Second
+	// rowKept is how long the row of a dead process is kept: its usage counts
+	// until the window is reported, also by a new holder of the lease.
+	rowKept = 18 * time.Second
 )
 
 // duties renews the lease and does the duties while it is held.
--- a/pkg/app/node/heartbeat.go
+++ b/pkg/app/node/heartbeat.go
@@ -111,6 +111,9 @@
 
 // hear takes in what another process tells.
 func (n *node) hear(sequence int64, told gossip.Told) {
+	if told.Host.Incarnation == n.incarnation {
+		return
+	}
 	now := n.clock.Now()
 	n.world.roster.MergeLoads(told.Host, sequence, told.Loads, told.Counts, now)
 	n.limits.Heard(told.Host.Incarnation, told.Spent, now)
--- a/pkg/limit/shared.go
+++ b/pkg/limit/shared.go
@@ -25,7 +25,7 @@
 }
 
 // Allowance is how far all entries together may pass a team's rate in a window:
-// by Overrun as a share of what the rate gives in it, and by Slack on top.
+// by Overrun as a share of what rate and burst give in it, and by Slack on top.
 type Allowance struct {
 	Window  time.Duration
 	Overrun float64
@@ -35,9 +35,10 @@
 
 // Parameters of shared limits.
 const (
-	// allowanceUsed is the part of the allowance that goes into bursts; the rest
-	// covers what entries admit before they hear of each other.
-	allowanceUsed = 0.3
+	// overrunUsed and slackUsed are the parts of the allowance that are given to
+	// callers; the rest covers what entries admit before they hear of each other.
+	overrunUsed = 0.6
+	slackUsed   = 0.25
 	// unheardTime is how old what others tell is at most, as a rule: a round of
 	// datagrams, the way, and a late timer. Above smallFleet hosts the rounds are
 	// rarer, see package gossip.
@@ -49,7 +50,7 @@
 	leastWait = 50 * time.Millisecond
 	// silentWeight is what a host counts for in the fleet's limits while it is
 	// silent: it may be cut off and serve on by itself.
-	silentWeight = 0.9
+	silentWeight = 0.95
 )
 
 // Spent is what one entry tells of a team.
@@ -68,6 +69,9 @@
 	own    Spent
 	// askedAt is when own.Asked was last brought up to date.
 	askedAt time.Time
+	// unheard is what was admitted here in the last moments, fading over
+	// unheardTime.
+	unheard float64
 	// meanCost is of a request, averaged over the latest.
 	meanCost float64
 	others   map[string]heardSpent
@@ -97,18 +101,20 @@
 	defer s.mu.Unlock()
 	b := s.bucket(team.Name)
 	b.ask(cost, now)
-	rate := team.Rate * s.part
+	rate := s.rate(team)
 	most := s.most(team)
 	b.refill(rate, most, now)
-	// As much as all who may admit at the same moment would take; a full bucket
-	// always admits.
-	needed := min(cost*s.rivals(b, now), most)
+	// As much as all who may admit at the same moment would take, and have taken
+	// unheard if they did as this entry did; a full bucket always admits.
+	rivals := s.rivals(b, now)
+	needed := min(cost*rivals+b.unheard*(rivals-1), most)
 	if b.tokens < needed {
 		wait := time.Duration((needed - b.tokens) / rate * float64(time.Second))
 		return false, max(wait, leastWait)
 	}
 	b.tokens -= cost
 	b.own.Admitted += cost
+	b.unheard += cost
 	return true, 0
 }
 
@@ -128,10 +134,15 @@
 	return 1 + min(asked*unheard.Seconds()/max(mean, 1), float64(others))
 }
 
+// beyond is the factor by which a limit may be passed all the time.
+func (s *Shared) beyond() float64 { return 1 + overrunUsed*s.allowance.Overrun }
+
+// rate is what flows into a team's bucket on this side.
+func (s *Shared) rate(team Team) float64 { return team.Rate * s.beyond() * s.part }
+
 // most is a full bucket of a team on this side.
 func (s *Shared) most(team Team) float64 {
-	beyond := allowanceUsed * (s.allowance.Overrun*(team.Rate*s.allowance.Window.Seconds()+team.Burst) + s.allowance.Slack)
-	return max((team.Burst+beyond)*s.part, 1)
+	return max((team.Burst*s.beyond()+slackUsed*s.allowance.Slack)*s.part, 1)
 }
 
 func (s *Shared) bucket(team string) *sharedBucket {
@@ -166,6 +177,7 @@
 func (b *sharedBucket) fade(now time.Time) {
 	if elapsed := now.Sub(b.askedAt); elapsed > 0 {
 		b.own.Asked *= math.Exp(-float64(elapsed) / float64(askTime))
+		b.unheard *= math.Exp(-float64(elapsed) / float64(unheardTime))
 		b.askedAt = now
 	}
 }
@@ -204,8 +216,12 @@
 	for _, told := range spent {
 		b := s.bucket(told.Team)
 		before, known := b.others[process]
+		if known && told.Admitted < before.Admitted {
+			// An older datagram that came later.
+			continue
+		}
 		if known {
-			b.tokens -= max(told.Admitted-before.Admitted, 0)
+			b.tokens -= told.Admitted - before.Admitted
 		}
 		b.others[process] = heardSpent{told, now}
 	}
