--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -20,9 +20,10 @@
 
 // notRun says that the request did not run and will not by this send.
 type notRun struct {
-	// reached says that the endpoint itself turned the request away.
-	reached bool
-	err     error
+	// reached says that the endpoint meant itself turned the request away, arrived
+	// that some endpoint did.
+	reached, arrived bool
+	err              error
 }
 
 // unclear says that the request may have run.
@@ -122,7 +123,7 @@
 	if verdict.NotRun {
 		drain(e)
 		e.Close()
-		return notRun{reached: !verdict.Moved, err: fmt.Errorf("the endpoint turned it away with %d", e.Status())}
+		return notRun{reached: !verdict.Moved, arrived: true, err: fmt.Errorf("the endpoint turned it away with %d", e.Status())}
 	}
 	if e.Status()/100 == 2 && !verdict.Signed {
 		e.Spoil()
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -296,6 +296,10 @@
 		if a, isAnswer := last.(answered); isAnswer && a.rest != nil {
 			a.rest.Close()
 		}
+		if n, isNotRun := last.(notRun); isNotRun && !n.arrived {
+			// Nothing came to an endpoint, so that the next send is the first.
+			continue
+		}
 		if !c.f.budget.Take(c.service.Name, c.f.sharing(), c.f.clock()) {
 			c.trail.note("budget-empty")
 			if a, isAnswer := last.(answered); isAnswer && a.rest == nil {
--- /dev/null
+++ b/pkg/forward/harness_test.go
@@ -0,0 +1,233 @@
+package forward_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/forward"
+	"ironhollow/pkg/hazard"
+	"ironhollow/pkg/limit"
+	"ironhollow/pkg/retry"
+	"ironhollow/pkg/route"
+	"ironhollow/pkg/routetable"
+	"ironhollow/pkg/upstream"
+)
+
+// protocol is a way to mark requests made up for these tests.
+type protocol struct{}
+
+func (protocol) Decode(h http.Header) (forward.Meta, error) {
+	m := forward.Meta{ID: h.Get("Id"), Key: h.Get("Key"), LastEvent: h.Get("Last-Event")}
+	if ms, err := strconv.Atoi(h.Get("Wait-Ms")); err == nil {
+		m.Wait, m.HasWait = time.Duration(ms)*time.Millisecond, true
+	}
+	return m, nil
+}
+
+func (protocol) Encode(h http.Header, hop forward.Hop) {
+	h.Set("Meant", hop.Endpoint)
+	h.Set("Team", hop.Team)
+	h.Set("Left-Ms", strconv.FormatInt(hop.Left.Milliseconds(), 10))
+	if hop.LastEvent != "" {
+		h.Set("Last-Event", hop.LastEvent)
+	}
+}
+
+func (protocol) DecodeAnswer(status int, h http.Header) forward.Verdict {
+	return forward.Verdict{
+		ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest,
+		Moved: status == http.StatusMisdirectedRequest, Signed: h.Get("Signed") != "",
+	}
+}
+
+func (protocol) EncodeRefusal(h http.Header, id string) { h.Set("Id", id) }
+
+// tables is a configuration in force.
+type tables struct {
+	table *routetable.Table
+	fresh bool
+}
+
+func (t tables) Current() (*routetable.Table, bool) { return t.table, t.fresh }
+
+// runs counts what began.
+type runs struct {
+	mu    sync.Mutex
+	begun map[string]int
+}
+
+func (r *runs) Began(team string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.begun[team]++
+}
+
+// seen is one request as an endpoint saw it.
+type seen struct {
+	endpoint string
+	target   string
+	header   http.Header
+	body     string
+}
+
+// site is a forwarder in front of scripted endpoints.
+type site struct {
+	t         *testing.T
+	server    *httptest.Server
+	directory *endpoint.Directory
+	runs      *runs
+	mu        sync.Mutex
+	seen      []seen
+}
+
+// script answers one request at an endpoint and reports whether the connection
+// stays open.
+type script func(c net.Conn, r *http.Request) bool
+
+// newSite starts a forwarder; scripts are endpoints e0, e1 and so on.
+func newSite(t *testing.T, spec routetable.Spec, fresh bool, scripts ...script) *site {
+	t.Helper()
+	s := &site{t: t, directory: endpoint.NewDirectory(), runs: &runs{begun: map[string]int{}}}
+	for i, answer := range scripts {
+		s.addEndpoint("e"+strconv.Itoa(i), answer)
+	}
+	now := time.Now()
+	figures := route.Figures{TokenGap: time.Millisecond, Prefill: time.Microsecond, MeanAnswer: time.Millisecond}
+	router := route.NewWithFigures(s.directory, hazard.New(), route.Home{}, 1, figures)
+	one := func() int { return 1 }
+	forwarder := forward.New(protocol{}, tables{routetable.New(spec), fresh}, router, limit.NewShared(limit.Allowance{}, now.Add(-time.Hour)),
+		retry.NewWindow(0.2, 58, 10*time.Second), upstream.New(time.Second), s.runs, one, one,
+		func() bool { return false }, time.Now, forward.NewMetrics(prometheus.NewRegistry()),
+		&log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
+	s.server = httptest.NewServer(forwarder)
+	t.Cleanup(s.server.Close)
+	return s
+}
+
+func (s *site) addEndpoint(id string, answer script) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = listener.Close() })
+	s.directory.Merge(endpoint.Info{
+		ID: id, Incarnation: 1, State: endpoint.Live, Kind: endpoint.Plain, Service: "svc",
+		Address: listener.Addr().String(), Slots: 4,
+	})
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.connection(id, c, answer)
+		}
+	}()
+}
+
+func (s *site) connection(id string, c net.Conn, answer script) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		s.mu.Lock()
+		s.seen = append(s.seen, seen{id, r.RequestURI, r.Header, string(body)})
+		s.mu.Unlock()
+		if !answer(c, r) {
+			return
+		}
+	}
+}
+
+func (s *site) requests() []seen {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]seen(nil), s.seen...)
+}
+
+// answer is what a caller got; err is set where it broke off.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (s *site) ask(method, path, body string, header ...string) answer {
+	s.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, s.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	r.Host = "h.example"
+	r.Header.Set("Id", "request-1")
+	r.Header.Set("Key", "key")
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	return answer{response.StatusCode, response.Header, string(text), err}
+}
+
+// spec has a route of each kind.
+func spec() routetable.Spec {
+	splits := []routetable.Split{{Service: "svc", Weight: 1}}
+	made := func(prefix string, kind routetable.Kind, attempts int, resumable bool) routetable.Route {
+		return routetable.Route{
+			Name: prefix, Host: "h.example", Prefix: prefix, Kind: kind, Splits: splits, Timeout: 2 * time.Second,
+			Objective: time.Second, Attempts: attempts, Resumable: resumable,
+		}
+	}
+	return routetable.Spec{
+		Version: 1,
+		Routes: []routetable.Route{
+			made("/safe/", routetable.Safe, 2, false),
+			made("/once/", routetable.Once, 2, false),
+			made("/stream/", routetable.Stream, 1, false),
+			made("/resume/", routetable.Stream, 2, true),
+		},
+		Services: []routetable.Service{{Name: "svc"}},
+		Teams:    []routetable.Team{{Name: "team", Keys: []string{"key"}}},
+	}
+}
+
+// text makes a script that writes an answer; %id stands for the request's id.
+func text(answer string, keep bool) script {
+	return func(c net.Conn, r *http.Request) bool {
+		_, _ = io.WriteString(c, strings.ReplaceAll(answer, "%id", r.Header.Get("Id")))
+		return keep
+	}
+}
+
+func whole(body string) script {
+	return text("HTTP/1.1 200 OK\r\nId: %id\r\nSigned: yes\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body, true)
+}
+
+const turnedAway = "HTTP/1.1 503 Service Unavailable\r\nId: %id\r\nNot-Run: yes\r\nContent-Length: 0\r\n\r\n"
+
+// breaks reads a request and closes without an answer.
+func breaks(net.Conn, *http.Request) bool { return false }
