--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -42,7 +42,10 @@
 	// deadPeer is how long sent bytes may stay unacknowledged.
 	deadPeer = 3 * time.Second
 	// stopMargin is kept of the grace: the process must be gone before its end.
-	stopMargin = 700 * time.Millisecond
+	stopMargin = 300 * time.Millisecond
+	// streamsTaken is how long after the stop began new streams are taken: callers
+	// have been told the other hosts by then, and a stream takes seconds.
+	streamsTaken = 2500 * time.Millisecond
 	// closeTime is how long the close of idle connections may take at the end.
 	closeTime = 400 * time.Millisecond
 	// entriesKept is how long callers keep the answer of which entries to use.
@@ -85,9 +88,11 @@
 	leases      *lease.Manager
 	forwarder   *forward.Forwarder
 
-	leaving     atomic.Bool
-	rowMu       sync.Mutex
-	rowSequence int64
+	leaving atomic.Bool
+	// leavingSince is when it began to leave, counted from the start.
+	leavingSince atomic.Int64
+	rowMu        sync.Mutex
+	rowSequence  int64
 }
 
 // Main runs a node on a platform and returns the exit code.
@@ -149,7 +154,7 @@
 	budget := retry.NewWindow(s.Retry.Share, s.Retry.Slack, s.Retry.Window)
 	registry := process.NewRegistry()
 	n.forwarder = forward.New(platform.Protocol(), n.world, n.router, n.limits, budget, n.pool, n.counter,
-		n.world.roster.Nodes, n.world.roster.Sharing, n.leaving.Load, n.clock.Now, forward.NewMetrics(registry), n.log)
+		n.world.roster.Nodes, n.world.roster.Sharing, n.phase, n.clock.Now, forward.NewMetrics(registry), n.log)
 	return n
 }
 
@@ -232,6 +237,7 @@
 		return err
 	}
 	started := time.Now()
+	n.leavingSince.Store(int64(time.Since(n.clock.start)))
 	n.leaving.Store(true)
 	n.log.Info().Dur("grace", n.settings.Grace).Msg("stopping")
 	endDuties()
@@ -328,6 +334,18 @@
 	}
 }
 
+// phase tells the forwarder how far this process is on its way to its end.
+func (n *node) phase() forward.Phase {
+	switch {
+	case !n.leaving.Load():
+		return forward.Serving
+	case time.Since(n.clock.start)-time.Duration(n.leavingSince.Load()) < streamsTaken:
+		return forward.Leaving
+	default:
+		return forward.Ending
+	}
+}
+
 // watchReloads notes SIGHUP: all settings in use hold for a process's life.
 func (n *node) watchReloads() {
 	signals := make(chan os.Signal, 1)
--- a/pkg/code/code.go
+++ b/pkg/code/code.go
@@ -77,6 +77,7 @@
 	ApplyUnknown    = Code{4003, "apply-unknown", http.StatusGatewayTimeout, Unknown, "It is not known whether the revision was written; ask with get."}
 	NotReady        = Code{5002, "not-ready", http.StatusServiceUnavailable, NotRun, "This process has no configuration yet."}
 	Internal        = Code{5003, "internal", http.StatusInternalServerError, Unknown, "A fault in ironhollow itself."}
+	Stopping        = Code{5005, "stopping", http.StatusServiceUnavailable, NotRun, "This host is stopping; another one takes the request."}
 	UnknownEndpoint = Code{5004, "no-such-path", http.StatusNotFound, NotRun, "No such path."}
 )
 
@@ -87,7 +88,7 @@
 		OverRate, Overloaded, NoEndpoint, StreamLost, CannotResume, DeadlinePassed,
 		CallNotRun, CallUnknown, CallInProgress, KeyReused, StoreDown, AcceptUnknown, JobFailed,
 		RevisionRace, BadConfig, ApplyUnknown,
-		NotReady, Internal, UnknownEndpoint,
+		NotReady, Internal, UnknownEndpoint, Stopping,
 	}
 }
 
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -48,19 +48,30 @@
 	clock    Clock
 	metrics  *Metrics
 	log      *log.Logger
-	// closing is set once the process is to stop soon.
-	closing func() bool
+	phase    func() Phase
 }
 
+// Phase is how far the process is on its way to its end.
+type Phase int
+
+// The phases.
+const (
+	// Serving is all the time before a stop.
+	Serving Phase = iota
+	// Leaving asks callers to leave their connections, and serves.
+	Leaving
+	// Ending turns streams away: they would not be whole before the end.
+	Ending
+)
+
 // New returns a forwarder. nodes returns how many entry
-// hosts serve, sharing how many may serve that are not heard of; closing
-// whether callers are to leave their connections.
+// hosts serve, sharing how many may serve that are not heard of.
 func New(protocol Protocol, tables Tables, router *route.Router, limits *limit.Shared, budget *retry.Window, pool *upstream.Pool,
-	runs Runs, nodes, sharing func() int, closing func() bool, clock Clock, metrics *Metrics, logger *log.Logger,
+	runs Runs, nodes, sharing func() int, phase func() Phase, clock Clock, metrics *Metrics, logger *log.Logger,
 ) *Forwarder {
 	return &Forwarder{
 		protocol: protocol, tables: tables, router: router, limits: limits, budget: budget, pool: pool,
-		runs: runs, nodes: nodes, sharing: sharing, closing: closing, clock: clock, metrics: metrics, log: logger,
+		runs: runs, nodes: nodes, sharing: sharing, phase: phase, clock: clock, metrics: metrics, log: logger,
 	}
 }
 
@@ -68,6 +79,8 @@
 const (
 	// comeBackSoon is where a place or an endpoint is expected within moments.
 	comeBackSoon = 300 * time.Millisecond
+	// comeBackElsewhere is where another host takes the request at once.
+	comeBackElsewhere = 20 * time.Millisecond
 	// comeBackConfigured is where this process has no configuration yet.
 	comeBackConfigured = time.Second
 	// defaultBody bounds a body where the configuration does not.
@@ -101,7 +114,7 @@
 // ServeHTTP answers one request.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{f: f, w: w, in: r, started: f.clock()}
-	if f.closing() {
+	if f.phase() != Serving {
 		w.Header().Set("Connection", "close")
 	}
 	err := c.serve()
@@ -126,6 +139,9 @@
 	if err = c.authorize(); err != nil {
 		return c.refuse(err, comeBackSoon)
 	}
+	if c.route.Kind == routetable.Stream && c.f.phase() == Ending {
+		return c.refuse(code.New(code.Stopping, "this host stops before the stream would end"), comeBackElsewhere)
+	}
 	c.deadline = time.Now().Add(c.route.Timeout)
 	if c.meta.HasWait {
 		c.deadline = time.Now().Add(min(c.route.Timeout, c.meta.Wait))
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/forward"
 	"ironhollow/pkg/routetable"
 )
 
@@ -291,3 +292,31 @@
 		t.Errorf("over the limit: got %d, want 413", got.status)
 	}
 }
+
+// While the process stops, callers are asked to leave; near its end streams,
+// which would be cut off, are turned away, and short requests are served.
+func TestStopping(t *testing.T) {
+	s := newSite(t, spec(), true, whole("answer"))
+	cases := []struct {
+		phase  forward.Phase
+		path   string
+		status int
+		leaves bool
+	}{
+		{forward.Serving, "/stream/x", 200, false},
+		{forward.Leaving, "/stream/x", 200, true},
+		{forward.Leaving, "/once/x", 200, true},
+		{forward.Ending, "/stream/x", 503, true},
+		{forward.Ending, "/once/x", 200, true},
+	}
+	for _, c := range cases {
+		s.phase.Store(int64(c.phase))
+		got := s.ask("POST", c.path, "body")
+		if got.status != c.status {
+			t.Errorf("phase %d, %s: got %d, want %d", c.phase, c.path, got.status, c.status)
+		}
+		if got.closes != c.leaves {
+			t.Errorf("phase %d, %s: told to leave %v, want %v", c.phase, c.path, got.closes, c.leaves)
+		}
+	}
+}
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -89,6 +90,7 @@
 	server    *httptest.Server
 	directory *endpoint.Directory
 	runs      *runs
+	phase     atomic.Int64
 	mu        sync.Mutex
 	seen      []seen
 }
@@ -110,7 +112,7 @@
 	one := func() int { return 1 }
 	forwarder := forward.New(protocol{}, tables{routetable.New(spec), fresh}, router, limit.NewShared(limit.Allowance{}, now.Add(-time.Hour)),
 		retry.NewWindow(0.2, 58, 10*time.Second), upstream.New(time.Second), s.runs, one, one,
-		func() bool { return false }, time.Now, forward.NewMetrics(prometheus.NewRegistry()),
+		func() forward.Phase { return forward.Phase(s.phase.Load()) }, time.Now, forward.NewMetrics(prometheus.NewRegistry()),
 		&log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
 	s.server = httptest.NewServer(forwarder)
 	t.Cleanup(s.server.Close)
@@ -167,6 +169,8 @@
 	status int
 	header http.Header
 	body   string
+	// closes says that the caller is asked to leave the connection.
+	closes bool
 	err    error
 }
 
@@ -190,7 +194,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(response.Body)
-	return answer{response.StatusCode, response.Header, string(text), err}
+	return answer{response.StatusCode, response.Header, string(text), response.Close, err}
 }
 
 // spec has a route of each kind.
