--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/spf13/cobra"
 	"github.com/urfave/negroni/v3"
 
 	"ironhollow/pkg/app/process"
@@ -87,6 +89,7 @@
 	orderer     *autoscale.Orderer
 	leases      *lease.Manager
 	forwarder   *forward.Forwarder
+	registry    *prometheus.Registry
 
 	leaving atomic.Bool
 	// leavingSince is when it began to leave, counted from the start.
@@ -95,18 +98,36 @@
 	rowSequence  int64
 }
 
-// Main runs a node on a platform and returns the exit code.
+// Main runs a node's command line and returns the exit code.
 func Main(platform Platform) int {
-	settings, err := platform.ReadSettings()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return process.ExitSettings
+	exit := process.ExitOK
+	var check bool
+	command := &cobra.Command{
+		Use:           "ironhollow-node",
+		Short:         "ironhollow-node serves callers on one host of the platform; see docs/OPERATIONS.md.",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			settings, err := platform.ReadSettings()
+			if err != nil {
+				exit = process.ExitSettings
+				return err
+			}
+			if check {
+				return nil
+			}
+			return run(platform, settings)
+		},
 	}
-	if err := run(platform, settings); err != nil {
+	command.Flags().BoolVar(&check, "check", false, "check the settings and exit")
+	if err := command.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return process.ExitFault
+		if exit == process.ExitOK {
+			exit = process.ExitFault
+		}
 	}
-	return process.ExitOK
+	return exit
 }
 
 func run(platform Platform, settings Settings) error {
@@ -152,9 +173,9 @@
 	n.reporter = usage.NewReporter(n.counter, n.world.roster, writer, cloud, n.log)
 	n.orderer = autoscale.NewOrderer(cloud, n.log)
 	budget := retry.NewWindow(s.Retry.Share, s.Retry.Slack, s.Retry.Window)
-	registry := process.NewRegistry()
+	n.registry = process.NewRegistry()
 	n.forwarder = forward.New(platform.Protocol(), n.world, n.router, n.limits, budget, n.pool, n.counter,
-		n.world.roster.Nodes, n.world.roster.Sharing, n.phase, n.clock.Now, forward.NewMetrics(registry), n.log)
+		n.world.roster.Nodes, n.world.roster.Sharing, n.phase, n.clock.Now, forward.NewMetrics(n.registry), n.log)
 	return n
 }
 
@@ -279,6 +300,7 @@
 		{"callers", n.settings.Callers, callers},
 		{"ready", n.settings.Ready, &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}},
 		{"directory", n.settings.Directory, &http.Server{Handler: n.directoryHandler(), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}},
+		{"metrics", n.settings.Admin, &http.Server{Handler: process.Admin(n.registry, n.isReady), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}},
 	}
 	config := net.ListenConfig{
 		Control:         upstream.ControlUserTimeout(deadPeer),
@@ -286,6 +308,9 @@
 	}
 	var servers []*http.Server
 	for _, p := range ports {
+		if p.address == "" {
+			continue
+		}
 		listener, err := config.Listen(context.Background(), "tcp", p.address)
 		if err != nil {
 			return nil, fmt.Errorf("port of %s: %w", p.name, err)
@@ -298,10 +323,22 @@
 	return servers, nil
 }
 
+// isReady returns why the process does not take callers, nil if it does.
+func (n *node) isReady() error {
+	switch {
+	case n.leaving.Load():
+		return errors.New("stopping")
+	case !n.world.ready():
+		return errors.New("configuration, endpoints or hosts not known yet")
+	default:
+		return nil
+	}
+}
+
 func (n *node) readyHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+n.platform.ReadyPath(), func(w http.ResponseWriter, _ *http.Request) {
-		if n.leaving.Load() || !n.world.ready() {
+		if n.isReady() != nil {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
