Large fleets: hosts are heard for as long as their datagrams may take

Change: what counts as recent follows the interval; the need is guessed from what is there until 12 s of traffic.

--- a/pkg/app/node/duties.go
+++ b/pkg/app/node/duties.go
@@ -146,12 +146,41 @@
 			place := autoscale.Place{Service: service.Name, DataCenter: dataCenter, Reclaimable: reclaimable}
 			return serving[place], n.orderer.Soon(place, serving[place], service.Scaling.Boot, now)
 		}
-		orders, _ := autoscale.Plan(service, autoscale.Demand{Work: works[service.Name]}, supply)
+		orders, _ := autoscale.Plan(service, n.demandOf(service.Name, works[service.Name], serving, now), supply)
 		count := func(p autoscale.Place) int { return serving[p] }
 		n.orderer.Step(ctx, orders, count, service.Scaling.Boot, now, held)
 	}
 }
 
+// knownAfter is how long work must have been asked for until it is taken for
+// the service's traffic; its average looks back some seconds itself.
+const knownAfter = 12 * time.Second
+
+// seenDemand is what the holder has seen of a service.
+type seenDemand struct {
+	found int
+	// since is when work was first asked for.
+	since time.Time
+}
+
+func (n *node) demandOf(service string, work float64, serving map[autoscale.Place]int, now time.Time) autoscale.Demand {
+	seen, ok := n.demands[service]
+	if !ok {
+		seen = &seenDemand{}
+		n.demands[service] = seen
+		for place, count := range serving {
+			if place.Service == service {
+				seen.found += count
+			}
+		}
+	}
+	if work > 0 && seen.since.IsZero() {
+		seen.since = now
+	}
+	known := !seen.since.IsZero() && now.Sub(seen.since) > knownAfter
+	return autoscale.Demand{Work: work, Known: known, Found: seen.found}
+}
+
 // sweepRows removes rows of processes that are long dead.
 func (n *node) sweepRows(ctx context.Context) {
 	for _, incarnation := range n.world.roster.Silent(rowKept) {
--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -88,8 +88,10 @@
 	reporter    *usage.Reporter
 	orderer     *autoscale.Orderer
 	leases      *lease.Manager
-	forwarder   *forward.Forwarder
-	registry    *prometheus.Registry
+	// demands is used by the goroutine of the duties.
+	demands   map[string]*seenDemand
+	forwarder *forward.Forwarder
+	registry  *prometheus.Registry
 
 	leaving atomic.Bool
 	// leavingSince is when it began to leave, counted from the start.
@@ -155,13 +157,14 @@
 		log:         newLog(s.Node),
 		clock:       newClock(),
 		pool:        upstream.New(deadPeer),
+		demands:     map[string]*seenDemand{},
 	}
 	n.limits = limit.NewShared(limit.Allowance(s.Limits), n.clock.Now())
 	client := &http.Client{Transport: newTransport()}
 	n.store = platform.Store(client, s)
 	directory := endpoint.NewDirectory()
 	n.world = &world{
-		platform: platform, clock: n.clock, directory: directory, roster: roster.New(silence),
+		platform: platform, clock: n.clock, directory: directory, roster: roster.New(silence, gossip.Interval),
 		log: n.log, self: n.incarnation,
 	}
 	home := route.Home{Node: s.Node, DataCenter: s.DataCenter}
--- a/pkg/autoscale/plan.go
+++ b/pkg/autoscale/plan.go
@@ -11,6 +11,11 @@
 type Demand struct {
 	// Work is engine time asked for a second, over all entries.
 	Work float64
+	// Known is false until the traffic has been seen for a while: the need is
+	// guessed from what was there then.
+	Known bool
+	// Found is how many endpoints there were at first.
+	Found int
 }
 
 // Supply returns how many endpoints of a class serve in a data centre, and how
@@ -24,6 +29,9 @@
 	busy = 0.45
 	// leastNeeded is the fewest endpoints in all.
 	leastNeeded = 8
+	// foundShare is the part of the endpoints found at first that is taken for
+	// the need until the traffic is known.
+	foundShare = 0.45
 	// reserve is how many reclaimable endpoints a data centre has beyond its
 	// part of the need: they cost little, and others may vanish at once.
 	reserve = 1
@@ -41,6 +49,9 @@
 	}
 	places := byPrice(s.Prices)
 	need := max(int(math.Ceil(demand.Work/busy)), leastNeeded)
+	if !demand.Known {
+		need = max(need, int(foundShare*float64(demand.Found)))
+	}
 	kept := make(map[string]int, len(places))
 	spread := max(len(places)-1, 1)
 	each := max((need-len(places)+spread-1)/spread, 1) + reserve
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -19,14 +19,19 @@
 
 // Parameters of the exchange.
 const (
-	// Interval is the time between two datagrams to each host, in a fleet up to
+	// interval is the time between two datagrams to each host, in a fleet up to
 	// smallFleet; a larger one tells less often, so that a host's work stays.
-	Interval   = 200 * time.Millisecond
+	interval   = 200 * time.Millisecond
 	smallFleet = 16
 	// mostBytes bounds a datagram: below the usual size of a packet's data.
 	mostBytes = 1400
 )
 
+// Interval returns the time between two datagrams to a host in a fleet of a size.
+func Interval(hosts int) time.Duration {
+	return interval * time.Duration(max(hosts, smallFleet)) / smallFleet
+}
+
 // message is one datagram.
 type message struct {
 	_           struct{} `cbor:",toarray"`
@@ -108,8 +113,7 @@
 		peers := e.roster.Peers(e.incarnation)
 		e.send(sequence, peers)
 		heard()
-		pause := Interval * time.Duration(max(len(peers)+1, smallFleet)) / smallFleet
-		timer := time.NewTimer(pause)
+		timer := time.NewTimer(Interval(len(peers) + 1))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
--- a/pkg/limit/shared.go
+++ b/pkg/limit/shared.go
@@ -44,7 +44,8 @@
 	// rarer, see package gossip.
 	unheardTime = 300 * time.Millisecond
 	smallFleet  = 16
-	// heardKept is how long what another entry told is reckoned with.
+	// heardKept is how long what another entry told is reckoned with, in a fleet
+	// up to smallFleet.
 	heardKept = 2 * time.Second
 	// leastWait is the least time callers are told to come back after.
 	leastWait = 50 * time.Millisecond
@@ -124,8 +125,9 @@
 	mean := b.meanCost
 	others := 0
 	asked := 0.0
+	kept := heardKept * time.Duration(max(len(b.others), smallFleet)) / smallFleet
 	for _, heard := range b.others {
-		if now.Sub(heard.at) < heardKept {
+		if now.Sub(heard.at) < kept {
 			asked += heard.Asked
 			others++
 		}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -18,6 +18,9 @@
 	// silence is how long a process may be unheard, through its row or by its
 	// datagrams, before it counts as gone.
 	silence time.Duration
+	// interval returns the time between two datagrams of a host in a fleet of a
+	// size.
+	interval func(hosts int) time.Duration
 
 	mu      sync.Mutex
 	members map[string]*member
@@ -55,14 +58,20 @@
 // windowsKept is how many windows of counts are kept of a process.
 const windowsKept = 12
 
-// freshFor is how long loads heard from a process go before its row's.
-const freshFor = 1500 * time.Millisecond
+// missed is how many datagrams of a host may be missing in a row while it counts
+// as heard.
+const missed = 5
 
-// New returns an empty roster.
-func New(silence time.Duration) *Roster {
-	return &Roster{silence: silence, members: map[string]*member{}}
+// New returns an empty roster; interval returns the time between two datagrams
+// of a host in a fleet of a size.
+func New(silence time.Duration, interval func(hosts int) time.Duration) *Roster {
+	return &Roster{silence: silence, interval: interval, members: map[string]*member{}}
 }
 
+// recent is how old the last datagram of a host is at most while it is heard.
+// The lock is held.
+func (r *Roster) recent() time.Duration { return missed * r.interval(len(r.members)) }
+
 // Heard notes that the store has answered, with or without changes. Rows age
 // only while it does.
 func (r *Roster) Heard(now time.Time) {
@@ -159,7 +168,7 @@
 		if m.row.Incarnation == self {
 			continue
 		}
-		for _, l := range m.loads(now) {
+		for _, l := range m.loads(now, r.recent()) {
 			sum := loads[l.Endpoint]
 			sum.Endpoint = l.Endpoint
 			sum.Running += l.Running
@@ -170,8 +179,10 @@
 	return loads
 }
 
-func (m *member) loads(now time.Time) []Load {
-	if now.Sub(m.freshAt) < freshFor {
+// loads are those heard from the process itself while they are recent, and its
+// row's otherwise.
+func (m *member) loads(now time.Time, recent time.Duration) []Load {
+	if now.Sub(m.freshAt) < recent {
 		return m.fresh
 	}
 	return m.row.Loads
@@ -210,19 +221,17 @@
 	return list
 }
 
-// heardWithin is how recent a process's datagrams are while it is heard.
-const heardWithin = time.Second
-
 // Fleet returns how many hosts are heard by their datagrams, this one included,
 // and how many others may serve unheard: dead for moments, or cut off.
 func (r *Roster) Fleet(self string, now time.Time) (heard, silent int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	heard = 1
+	recent := r.recent()
 	for _, m := range r.sharing() {
 		switch {
 		case m.row.Incarnation == self:
-		case now.Sub(m.freshAt) < heardWithin:
+		case now.Sub(m.freshAt) < recent:
 			heard++
 		default:
 			silent++
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,6 +10,8 @@
 
 const silence = 3 * time.Second
 
+func interval(int) time.Duration { return 200 * time.Millisecond }
+
 var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 
 // host is one process with what it has heard.
@@ -21,7 +24,7 @@
 func fleet(names ...string) []host {
 	hosts := make([]host, 0, len(names))
 	for _, name := range names {
-		hosts = append(hosts, host{name, roster.New(silence)})
+		hosts = append(hosts, host{name, roster.New(silence, interval)})
 	}
 	tell(hosts, hosts, 1, start)
 	return hosts
@@ -81,7 +84,7 @@
 }
 
 func TestLateWritesOfARowAreLeft(t *testing.T) {
-	r := roster.New(silence)
+	r := roster.New(silence, interval)
 	r.Heard(start)
 	r.Merge(roster.Row{Host: roster.Host{Incarnation: "a", Node: "a", Leaving: true}, Sequence: 7}, start)
 	r.Merge(roster.Row{Host: roster.Host{Incarnation: "a", Node: "a"}, Sequence: 6}, start)
@@ -92,7 +95,7 @@
 
 // A third of the clocks is stepped: the fleet's time stays.
 func TestClockOffsetIsNotMovedByAMinority(t *testing.T) {
-	r := roster.New(silence)
+	r := roster.New(silence, interval)
 	r.Heard(start)
 	for i, offset := range []time.Duration{0, time.Millisecond, -time.Millisecond, 2 * time.Millisecond, -2400 * time.Millisecond, -2400 * time.Millisecond} {
 		name := string(rune('a' + i))
@@ -145,7 +148,7 @@
 // All processes are killed at once and start again: each finds the others at
 // the addresses that the old rows name, and does not count the dead.
 func TestRestartedFleetFindsItself(t *testing.T) {
-	r := roster.New(silence)
+	r := roster.New(silence, interval)
 	r.Heard(start)
 	for _, name := range []string{"b", "c"} {
 		r.Merge(roster.Row{Host: roster.Host{Incarnation: name + ".old", Node: name, Peers: name + ":1"}, Sequence: 8}, start)
@@ -166,7 +169,7 @@
 // A killed process leaves its counts with those that heard its datagrams, and a
 // host known by datagrams alone tells no clock.
 func TestCountsOfADeadProcessRemain(t *testing.T) {
-	r := roster.New(silence)
+	r := roster.New(silence, interval)
 	r.Heard(start)
 	r.Merge(roster.Row{
 		Host: roster.Host{Incarnation: "a.1", Node: "a"}, Sequence: 1, ClockOffset: time.Hour,
@@ -181,3 +184,17 @@
 		t.Errorf("clock offset: got %v, want an hour or none", got)
 	}
 }
+
+// In a large fleet datagrams are rarer; its hosts are not silent for that.
+func TestLargeFleetIsHeard(t *testing.T) {
+	r := roster.New(silence, func(hosts int) time.Duration { return time.Duration(hosts) * 12 * time.Millisecond })
+	r.Heard(start)
+	for i := range 91 {
+		name := fmt.Sprint("h", i)
+		r.MergeLoads(roster.Host{Incarnation: name, Node: name}, 1, nil, nil, start)
+	}
+	heard, silent := r.Fleet("h0", start.Add(2*time.Second))
+	if heard != 91 || silent != 0 {
+		t.Errorf("fleet 2 s after a round of datagrams: got %d heard, %d silent, want 91 and 0", heard, silent)
+	}
+}
