Relays for the store's feeds in large fleets; works by datagrams

Change: one host a data centre follows the store, the others follow it, and the store itself whenever it is not up to date; works go with the datagrams; a first holder waits 4 s; hosts count themselves by their own clock.

--- a/pkg/app/node/duties.go
+++ b/pkg/app/node/duties.go
@@ -127,7 +127,8 @@
 
 func (n *node) orderEndpoints(ctx context.Context, held func() (lease.Grant, bool)) {
 	current := n.world.table.Load()
-	if current == nil {
+	grant, ok := held()
+	if current == nil || !ok || !n.endpointsSettled(grant) {
 		return
 	}
 	serving := map[autoscale.Place]int{}
@@ -136,7 +137,7 @@
 			serving[autoscale.Place{Service: info.Service, DataCenter: info.DataCenter, Reclaimable: info.Reclaimable}]++
 		}
 	}
-	works := n.world.roster.Works()
+	works := n.world.roster.Works(n.clock.Now())
 	now := n.clock.Now()
 	for _, service := range current.Services() {
 		if service.Scaling == nil {
@@ -152,6 +153,19 @@
 	}
 }
 
+// settleTime is how long the endpoints' rows take to be there at the first start
+// of all: each writes its own within a heartbeat or two.
+const settleTime = 4 * time.Second
+
+// endpointsSettled reports whether the endpoints known are all there are. Only
+// the very first holder can meet a store in which they are still to write.
+func (n *node) endpointsSettled(grant lease.Grant) bool {
+	if !n.world.endpoints.known.Load() {
+		return false
+	}
+	return grant.Epoch > 1 || time.Since(n.clock.start) > settleTime
+}
+
 // knownAfter is how long work must have been asked for until it is taken for
 // the service's traffic; its average looks back some seconds itself.
 const knownAfter = 12 * time.Second
--- a/pkg/app/node/heartbeat.go
+++ b/pkg/app/node/heartbeat.go
@@ -37,8 +37,7 @@
 			continue
 		}
 		n.writeRow(ctx)
-		pause := heartbeat * time.Duration(max(n.world.roster.Nodes(), largeFleet)) / largeFleet
-		wait(ctx, min(pause, 2*heartbeat))
+		wait(ctx, heartbeat*time.Duration(max(n.world.roster.Sharing(), largeFleet))/largeFleet)
 	}
 }
 
@@ -58,13 +57,7 @@
 		Counts:      n.counter.Recent(),
 	}
 	row.Loads = n.ownLoads()
-	if current := n.world.table.Load(); current != nil {
-		for _, service := range current.Services() {
-			if rate := n.router.Work(route.Target{Service: service.Name}, now); service.Scaling != nil && rate > 0 {
-				row.Works = append(row.Works, roster.Work{Service: service.Name, Rate: rate})
-			}
-		}
-	}
+	row.Works = n.ownWorks(now)
 	value, err := row.Encode()
 	if err != nil {
 		n.log.Error().Err(err).Msg("own row not encoded")
@@ -104,24 +97,46 @@
 	}
 }
 
+// ownWorks is the engine time asked for here, of services whose size follows it.
+func (n *node) ownWorks(now time.Time) []roster.Work {
+	current := n.world.table.Load()
+	if current == nil {
+		return nil
+	}
+	var works []roster.Work
+	for _, service := range current.Services() {
+		if rate := n.router.Work(route.Target{Service: service.Name}, now); service.Scaling != nil && rate > 0 {
+			works = append(works, roster.Work{Service: service.Name, Rate: rate})
+		}
+	}
+	return works
+}
+
 // told is what this host tells the others.
 func (n *node) told() gossip.Told {
-	return gossip.Told{Host: n.host(), Loads: n.ownLoads(), Spent: n.limits.Own(n.clock.Now()), Counts: n.counter.Latest()}
+	now := n.clock.Now()
+	return gossip.Told{
+		Told: roster.Told{
+			Host: n.host(), Loads: n.ownLoads(), Works: n.ownWorks(now), Counts: n.counter.Latest(),
+		},
+		Spent: n.limits.Own(now),
+	}
 }
 
 // hear takes in what another process tells.
-func (n *node) hear(sequence int64, told gossip.Told) {
-	if told.Host.Incarnation == n.incarnation {
+func (n *node) hear(told gossip.Told) {
+	if told.Incarnation == n.incarnation {
 		return
 	}
 	now := n.clock.Now()
-	n.world.roster.MergeLoads(told.Host, sequence, told.Loads, told.Counts, now)
-	n.limits.Heard(told.Host.Incarnation, told.Spent, now)
+	n.world.roster.Hear(told.Told, now)
+	n.limits.Heard(told.Incarnation, told.Spent, now)
 }
 
 // takeLoads hands what the other processes told to the decisions.
 func (n *node) takeLoads() {
 	now := n.clock.Now()
+	n.world.roster.MergeSelf(n.host(), now)
 	loads := n.world.roster.Loads(n.incarnation, now)
 	own := map[string]int{}
 	for _, l := range n.router.OwnLoads() {
--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -30,6 +30,7 @@
 	"ironhollow/pkg/lease"
 	"ironhollow/pkg/limit"
 	"ironhollow/pkg/platform/table"
+	"ironhollow/pkg/relay"
 	"ironhollow/pkg/retry"
 	"ironhollow/pkg/roster"
 	"ironhollow/pkg/route"
@@ -80,14 +81,17 @@
 	log         *log.Logger
 	clock       *clock
 	store       Store
-	world       *world
-	router      *route.Router
-	limits      *limit.Shared
-	pool        *upstream.Pool
-	counter     *usage.Counter
-	reporter    *usage.Reporter
-	orderer     *autoscale.Orderer
-	leases      *lease.Manager
+	// copy is what others follow through this host, by peers.
+	copy     *relay.Copy
+	peers    *http.Client
+	world    *world
+	router   *route.Router
+	limits   *limit.Shared
+	pool     *upstream.Pool
+	counter  *usage.Counter
+	reporter *usage.Reporter
+	orderer  *autoscale.Orderer
+	leases   *lease.Manager
 	// demands is used by the goroutine of the duties.
 	demands   map[string]*seenDemand
 	forwarder *forward.Forwarder
@@ -162,6 +166,8 @@
 	n.limits = limit.NewShared(limit.Allowance(s.Limits), n.clock.Now())
 	client := &http.Client{Transport: newTransport()}
 	n.store = platform.Store(client, s)
+	n.copy = relay.NewCopy(n.clock.Now)
+	n.peers = &http.Client{Transport: newTransport()}
 	directory := endpoint.NewDirectory()
 	n.world = &world{
 		platform: platform, clock: n.clock, directory: directory, roster: roster.New(silence, gossip.Interval),
@@ -238,7 +244,7 @@
 func (n *node) serve(ctx context.Context) error {
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	n.world.follow(background, n.store)
+	n.world.follow(background, relay.NewSource(n.store, n.copy, n.peers, n.relay, n.relayLagOf, n.log), n.isRelay)
 	go n.beat(background)
 	go n.sweep(background)
 	if err := n.exchange(background); err != nil {
@@ -303,6 +309,7 @@
 		{"callers", n.settings.Callers, callers},
 		{"ready", n.settings.Ready, &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}},
 		{"directory", n.settings.Directory, &http.Server{Handler: n.directoryHandler(), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}},
+		{"peers", n.settings.Peers, &http.Server{Handler: n.peersHandler(), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}},
 		{"metrics", n.settings.Admin, &http.Server{Handler: process.Admin(n.registry, n.isReady), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}},
 	}
 	config := net.ListenConfig{
@@ -348,6 +355,12 @@
 	return negroni.New(negroni.NewRecovery(), negroni.Wrap(mux))
 }
 
+func (n *node) peersHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+relay.Path, n.copy)
+	return negroni.New(negroni.NewRecovery(), negroni.Wrap(mux))
+}
+
 func (n *node) directoryHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+n.platform.DirectoryPath(), func(w http.ResponseWriter, _ *http.Request) {
--- /dev/null
+++ b/pkg/app/node/relays.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"hash/fnv"
+	"time"
+)
+
+// Parameters of relays.
+const (
+	// relaysEach is how many hosts of a data centre follow the store in a large
+	// fleet. While one is lost the others of its data centre follow the store.
+	relaysEach = 1
+	// relayLag is how long ago the store may have spoken to a relay of what must
+	// be in force within seconds.
+	relayLag = 1500 * time.Millisecond
+	// relayedFleet is the hosts from which on relays are used: below, all follow
+	// the store, which costs little and depends on nobody.
+	relayedFleet = 24
+)
+
+// relay returns the address of the host through which this one follows the
+// store, empty if it follows the store itself.
+func (n *node) relay() string {
+	if n.world.roster.Sharing() < relayedFleet {
+		return ""
+	}
+	relays := n.world.roster.Relays(n.settings.DataCenter, relaysEach)
+	for _, r := range relays {
+		if r.Node == n.settings.Node {
+			return ""
+		}
+	}
+	if len(relays) == 0 {
+		return ""
+	}
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(n.settings.Node))
+	return relays[int(hash.Sum32()%uint32(len(relays)))].Peers
+}
+
+// isRelay reports whether this host follows the store for others too.
+func (n *node) isRelay() bool {
+	return n.world.roster.Sharing() >= relayedFleet && n.relay() == ""
+}
+
+// relayLagOf returns how far a relay may be behind the store with a table. The
+// hosts' rows are read rarely in a large fleet: datagrams tell what is urgent.
+func (n *node) relayLagOf(table string) time.Duration {
+	if table == rosterTable {
+		return 2*n.world.rosterPause() + relayLag
+	}
+	return relayLag
+}
--- a/pkg/app/node/world.go
+++ b/pkg/app/node/world.go
@@ -26,6 +26,10 @@
 	// after the store's word at the latest.
 	endpointPause = 1300 * time.Millisecond
 	rosterPause   = 1400 * time.Millisecond
+	// relayWait and relayPause are a relay's: it must have heard of the store
+	// within a second, see package relay, so that others hear in time.
+	relayWait  = 800 * time.Millisecond
+	relayPause = 700 * time.Millisecond
 	// staleAfter is how long after the last word from the store a newer
 	// configuration may be in force unheard.
 	staleAfter = feedWait + 500*time.Millisecond
@@ -67,17 +71,36 @@
 	return w.table.Load(), w.clock.Now().Sub(heard) < staleAfter
 }
 
-// follow starts the feeds.
-func (w *world) follow(ctx context.Context, source feed.Source) {
+// follow starts the feeds. isRelay tells whether others follow this host.
+func (w *world) follow(ctx context.Context, source feed.Source, isRelay func() bool) {
 	tables := w.platform.Tables()
 	w.endpoints.lapsed = map[string]time.Time{}
-	start := func(name string, pause time.Duration, take feed.Take) {
-		timing := feed.Timing{Wait: feedWait, Pause: pause, Retry: feedRetry}
+	start := func(name string, pause func() time.Duration, take feed.Take) {
+		timing := feed.Timing{
+			Wait: func() time.Duration {
+				if isRelay() {
+					return relayWait
+				}
+				return feedWait
+			},
+			Pause: pause,
+			Retry: feedRetry,
+		}
 		go feed.New(source, name, timing, take, w.health).Run(ctx)
 	}
-	start(tables.Configuration, 0, w.takeConfiguration)
-	start(tables.Endpoints, endpointPause, w.takeEndpoints)
-	start(rosterTable, rosterPause, w.takeRoster)
+	start(tables.Configuration, func() time.Duration { return 0 }, w.takeConfiguration)
+	start(tables.Endpoints, func() time.Duration {
+		if isRelay() {
+			return relayPause
+		}
+		return endpointPause
+	}, w.takeEndpoints)
+	start(rosterTable, w.rosterPause, w.takeRoster)
+}
+
+// rosterPause grows with the fleet, as the rows' number does.
+func (w *world) rosterPause() time.Duration {
+	return rosterPause * time.Duration(max(w.roster.Sharing(), largeFleet)) / largeFleet
 }
 
 // health notes a dependency that is lost or regained.
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -53,10 +53,10 @@
 type Timing struct {
 	// Wait is how long the store holds a call for changes. It bounds how long a
 	// silent cut stays unnoticed.
-	Wait time.Duration
+	Wait func() time.Duration
 	// Pause is the least time between two calls, so that a table with many
 	// changes is read in batches.
-	Pause time.Duration
+	Pause func() time.Duration
 	// Retry is the mean pause after a failure; the actual one is half to one
 	// and a half of it, so that nodes do not come back together.
 	Retry time.Duration
@@ -85,7 +85,7 @@
 			return
 		}
 		f.health(f.table, err)
-		pause := f.timing.Pause
+		pause := f.timing.Pause()
 		switch {
 		case errors.Is(err, ErrHistoryGone):
 			version = -1
@@ -102,7 +102,7 @@
 
 func (f *Follower) next(ctx context.Context, version int64) (Batch, error) {
 	if version >= 0 {
-		return f.source.Changes(ctx, f.table, version, f.timing.Wait)
+		return f.source.Changes(ctx, f.table, version, f.timing.Wait())
 	}
 	batch, err := f.source.Snapshot(ctx, f.table)
 	batch.Full = true
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -46,6 +46,13 @@
 	Loads    []load
 	Spent    []spent
 	Counts   []count
+	Works    []work
+}
+
+type work struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	Rate    float32
 }
 
 type load struct {
@@ -71,15 +78,12 @@
 
 // Told is what a host tells.
 type Told struct {
-	Host  roster.Host
-	Loads []roster.Load
+	roster.Told
 	Spent []limit.Spent
-	// Counts are of the latest windows: they must outlive this process.
-	Counts []roster.Count
 }
 
 // Take receives what another process tells.
-type Take func(sequence int64, told Told)
+type Take func(told Told)
 
 // Exchange sends and receives. It is safe for concurrent use.
 type Exchange struct {
@@ -146,8 +150,8 @@
 func (e *Exchange) encode(sequence int64) ([]byte, error) {
 	told := e.own()
 	m := message{
-		Incarnation: told.Host.Incarnation, Node: told.Host.Node, DataCenter: told.Host.DataCenter,
-		Callers: told.Host.Callers, Peers: told.Host.Peers, Leaving: told.Host.Leaving, Sequence: sequence,
+		Incarnation: told.Incarnation, Node: told.Node, DataCenter: told.DataCenter,
+		Callers: told.Callers, Peers: told.Peers, Leaving: told.Leaving, Sequence: sequence,
 	}
 	for _, l := range told.Spent {
 		m.Spent = append(m.Spent, spent{Team: l.Team, Admitted: int64(l.Admitted), Asked: float32(l.Asked)})
@@ -155,6 +159,9 @@
 	for _, c := range told.Counts {
 		m.Counts = append(m.Counts, count{Window: c.Window, Team: c.Team, Begun: c.Begun})
 	}
+	for _, w := range told.Works {
+		m.Works = append(m.Works, work{Service: w.Service, Rate: float32(w.Rate)})
+	}
 	for _, l := range told.Loads {
 		m.Loads = append(m.Loads, load{Endpoint: l.Endpoint, Running: l.Running, PrefillTokens: l.PrefillTokens})
 	}
@@ -181,22 +188,26 @@
 			e.log.Debug().Err(err).Msg("datagram not understood")
 			continue
 		}
-		e.take(m.Sequence, m.told())
+		e.take(m.told())
 	}
 }
 
 func (m message) told() Told {
-	t := Told{Host: roster.Host{
+	host := roster.Host{
 		Incarnation: m.Incarnation, Node: m.Node, DataCenter: m.DataCenter, Callers: m.Callers, Peers: m.Peers, Leaving: m.Leaving,
-	}}
+	}
+	t := Told{Told: roster.Told{Host: host, Sequence: m.Sequence}}
 	for _, l := range m.Loads {
 		t.Loads = append(t.Loads, roster.Load{Endpoint: l.Endpoint, Running: l.Running, PrefillTokens: l.PrefillTokens})
 	}
-	for _, l := range m.Spent {
-		t.Spent = append(t.Spent, limit.Spent{Team: l.Team, Admitted: float64(l.Admitted), Asked: float64(l.Asked)})
+	for _, w := range m.Works {
+		t.Works = append(t.Works, roster.Work{Service: w.Service, Rate: float64(w.Rate)})
 	}
 	for _, c := range m.Counts {
 		t.Counts = append(t.Counts, roster.Count{Window: c.Window, Team: c.Team, Begun: c.Begun})
 	}
+	for _, l := range m.Spent {
+		t.Spent = append(t.Spent, limit.Spent{Team: l.Team, Admitted: float64(l.Admitted), Asked: float64(l.Asked)})
+	}
 	return t
 }
--- /dev/null
+++ b/pkg/relay/relay_test.go
@@ -0,0 +1,153 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"ironhollow/pkg/feed"
+	"ironhollow/pkg/relay"
+)
+
+// store is the store's side, counting calls.
+type store struct {
+	mu    sync.Mutex
+	batch feed.Batch
+	calls int
+}
+
+func (s *store) Snapshot(context.Context, string) (feed.Batch, error) { return s.answer() }
+
+func (s *store) Changes(context.Context, string, int64, time.Duration) (feed.Batch, error) {
+	return s.answer()
+}
+
+func (s *store) answer() (feed.Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	return s.batch, nil
+}
+
+func lag(string) time.Duration { return time.Second }
+
+// clock is moved by hand.
+type clock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func (c *clock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *clock) pass(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+}
+
+// follower is a host that follows a relay.
+func follower(t *testing.T, c *clock) (relayCopy *relay.Copy, direct *store, source *relay.Source) {
+	t.Helper()
+	relayCopy = relay.NewCopy(c.Now)
+	mux := http.NewServeMux()
+	mux.Handle(relay.Path, relayCopy)
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	direct = &store{batch: feed.Batch{Version: 99}}
+	address := strings.TrimPrefix(server.URL, "http://")
+	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+	source = relay.NewSource(direct, relay.NewCopy(c.Now), http.DefaultClient, func() string { return address }, lag, logger)
+	return relayCopy, direct, source
+}
+
+func row(key string, version int64) feed.Row {
+	return feed.Row{Key: key, Value: []byte(key), Version: version}
+}
+
+func TestFollowingThroughARelay(t *testing.T) {
+	c := &clock{now: time.Now()}
+	relayCopy, direct, source := follower(t, c)
+	ctx := context.Background()
+	relayCopy.Restart("t", feed.Batch{Version: 10, Rows: []feed.Row{row("a", 7), row("b", 9)}, StoreTime: time.Minute})
+	batch, err := source.Snapshot(ctx, "t")
+	if err != nil || len(batch.Rows) != 2 || batch.Version != 10 || !batch.Full || batch.StoreTime != time.Minute {
+		t.Fatalf("snapshot: got %+v, %v", batch, err)
+	}
+	go func() {
+		time.Sleep(30 * time.Millisecond)
+		relayCopy.Add("t", feed.Batch{Version: 12, Rows: []feed.Row{row("c", 11), {Key: "a", Version: 12, Deleted: true}}})
+	}()
+	batch, err = source.Changes(ctx, "t", 10, time.Second)
+	if err != nil || len(batch.Rows) != 2 || batch.Rows[0].Key != "c" || !batch.Rows[1].Deleted || batch.Version != 12 {
+		t.Fatalf("changes: got %+v, %v", batch, err)
+	}
+	batch, err = source.Changes(ctx, "t", 12, 20*time.Millisecond)
+	if err != nil || len(batch.Rows) != 0 || batch.Version != 12 {
+		t.Errorf("changes without any: got %+v, %v", batch, err)
+	}
+	if direct.calls != 0 {
+		t.Errorf("calls to the store: got %d, want none", direct.calls)
+	}
+}
+
+// What a relay has not heard in time it does not tell: the follower goes to the
+// store at once, and leaves the relay alone for a while.
+func TestStaleRelayIsLeft(t *testing.T) {
+	c := &clock{now: time.Now()}
+	relayCopy, direct, source := follower(t, c)
+	relayCopy.Restart("t", feed.Batch{Version: 10})
+	c.pass(2 * time.Second)
+	for range 2 {
+		if batch, err := source.Changes(context.Background(), "t", 10, time.Second); err != nil || batch.Version != 99 {
+			t.Errorf("changes: got %+v, %v, want the store's", batch, err)
+		}
+	}
+	if direct.calls != 2 {
+		t.Errorf("calls to the store: got %d, want 2", direct.calls)
+	}
+}
+
+// A relay that has read a snapshot itself does not know what happened before.
+func TestHistoryBeforeASnapshotIsGone(t *testing.T) {
+	c := &clock{now: time.Now()}
+	relayCopy, _, source := follower(t, c)
+	relayCopy.Restart("t", feed.Batch{Version: 10})
+	if _, err := source.Changes(context.Background(), "t", 5, time.Second); !errors.Is(err, feed.ErrHistoryGone) {
+		t.Errorf("changes after 5: got %v, want ErrHistoryGone", err)
+	}
+}
+
+// A host that followed others for a while and becomes a relay has a gap in its
+// copy: it reads a snapshot before it tells anything.
+func TestNewRelayReadsASnapshot(t *testing.T) {
+	c := &clock{now: time.Now()}
+	direct := &store{batch: feed.Batch{Version: 200, Rows: []feed.Row{row("a", 150)}}}
+	own := relay.NewCopy(c.Now)
+	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+	source := relay.NewSource(direct, own, http.DefaultClient, func() string { return "" }, lag, logger)
+	ctx := context.Background()
+	if _, err := source.Changes(ctx, "t", 100, time.Second); !errors.Is(err, feed.ErrHistoryGone) {
+		t.Errorf("changes after 100: got %v, want ErrHistoryGone", err)
+	}
+	if _, err := source.Snapshot(ctx, "t"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := source.Changes(ctx, "t", 200, time.Second); err != nil {
+		t.Errorf("changes after the snapshot: got %v, want none", err)
+	}
+	if got, want := own.Version("t"), int64(200); got != want {
+		t.Errorf("version of the copy: got %d, want %d", got, want)
+	}
+}
--- /dev/null
+++ b/pkg/relay/source.go
@@ -0,0 +1,164 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/phuslu/log"
+
+	"ironhollow/pkg/feed"
+)
+
+// Parameters of following through a relay.
+const (
+	// answerTime is how long a relay may take over an answer beyond the wait.
+	answerTime = 700 * time.Millisecond
+	// longestWait bounds a wait at a relay: the connection may be dead.
+	longestWait = time.Second
+	// shunTime is how long a relay that failed is left alone.
+	shunTime = time.Second
+	// mostBytes bounds an answer.
+	mostBytes = 32 << 20
+)
+
+// Choose returns the address of the relay to follow, empty for a host that is a
+// relay itself and follows the store.
+type Choose func() string
+
+// Lag returns how long ago the store may have spoken of a table to the relay:
+// whoever follows there must not fall behind what the table's use allows.
+type Lag func(table string) time.Duration
+
+// Source follows the store through a relay while there is a good one, and the
+// store itself otherwise. It is a feed.Source and safe for concurrent use.
+type Source struct {
+	store  feed.Source
+	copy   *Copy
+	client *http.Client
+	choose Choose
+	lag    Lag
+	log    *log.Logger
+
+	mu sync.Mutex
+	// shunned are relays that failed, until when.
+	shunned map[string]time.Time
+}
+
+// NewSource returns a source. What it reads from the store itself goes into the
+// copy, for those that follow this host.
+func NewSource(store feed.Source, into *Copy, client *http.Client, choose Choose, lag Lag, logger *log.Logger) *Source {
+	return &Source{store: store, copy: into, client: client, choose: choose, lag: lag, log: logger, shunned: map[string]time.Time{}}
+}
+
+// Snapshot reads a whole table.
+func (s *Source) Snapshot(ctx context.Context, name string) (feed.Batch, error) {
+	relay, isRelay := s.relay()
+	if relay != "" {
+		batch, err := s.ask(ctx, relay, name, url.Values{}, answerTime)
+		if err == nil {
+			batch.Full = true
+			return batch, nil
+		}
+		s.shun(relay, err)
+	}
+	batch, err := s.store.Snapshot(ctx, name)
+	if err == nil && isRelay {
+		batch.Full = true
+		s.copy.Restart(name, batch)
+	}
+	return batch, err
+}
+
+// Changes waits for changes of a table after a version.
+func (s *Source) Changes(ctx context.Context, name string, after int64, wait time.Duration) (feed.Batch, error) {
+	relay, isRelay := s.relay()
+	if relay != "" {
+		held := min(wait, longestWait)
+		query := url.Values{
+			"after": {strconv.FormatInt(after, 10)},
+			"wait":  {strconv.FormatInt(held.Milliseconds(), 10)},
+		}
+		batch, err := s.ask(ctx, relay, name, query, held+answerTime)
+		if err == nil || errors.Is(err, feed.ErrHistoryGone) {
+			return batch, err
+		}
+		s.shun(relay, err)
+	}
+	if isRelay && s.copy.Version(name) != after {
+		// What this host followed through others is not in its copy.
+		return feed.Batch{}, feed.ErrHistoryGone
+	}
+	batch, err := s.store.Changes(ctx, name, after, wait)
+	if err == nil && isRelay {
+		s.copy.Add(name, batch)
+	}
+	return batch, err
+}
+
+// relay returns the relay to ask, empty for the store; isRelay says that others
+// may follow this host.
+func (s *Source) relay() (address string, isRelay bool) {
+	address = s.choose()
+	if address == "" {
+		return "", true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if time.Now().Before(s.shunned[address]) {
+		return "", false
+	}
+	return address, false
+}
+
+func (s *Source) shun(relay string, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shunned[relay] = time.Now().Add(shunTime)
+	s.log.Warn().Str("relay", relay).Err(err).Dur("for", shunTime).Msg("store followed directly")
+}
+
+func (s *Source) ask(ctx context.Context, relay, name string, query url.Values, timeout time.Duration) (feed.Batch, error) {
+	query.Set("table", name)
+	query.Set("lag", strconv.FormatInt(s.lag(name).Milliseconds(), 10))
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+relay+Path+"?"+query.Encode(), nil)
+	if err != nil {
+		return feed.Batch{}, err
+	}
+	response, err := s.client.Do(request)
+	if err != nil {
+		return feed.Batch{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, mostBytes))
+	switch {
+	case err != nil:
+		return feed.Batch{}, err
+	case response.StatusCode == http.StatusGone:
+		return feed.Batch{}, feed.ErrHistoryGone
+	case response.StatusCode != http.StatusOK:
+		return feed.Batch{}, fmt.Errorf("relay: status %d", response.StatusCode)
+	}
+	return decode(data)
+}
+
+func decode(data []byte) (feed.Batch, error) {
+	var wire wireBatch
+	if err := cbor.Unmarshal(data, &wire); err != nil {
+		return feed.Batch{}, fmt.Errorf("relay: %w", err)
+	}
+	batch := feed.Batch{Version: wire.Version, StoreTime: time.Duration(wire.StoreMS) * time.Millisecond}
+	for _, row := range wire.Rows {
+		batch.Rows = append(batch.Rows, feed.Row{Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted})
+	}
+	return batch, nil
+}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -34,10 +34,9 @@
 	row Row
 	// changedAt is when its last change was heard.
 	changedAt time.Time
-	// fresh are loads heard from the process itself, newer than the row's.
-	fresh         []Load
-	freshSequence int64
-	freshAt       time.Time
+	// told is what was heard from the process itself, newer than the row.
+	told   Told
+	toldAt time.Time
 	// counts are the highest heard, by window and team: they only grow.
 	counts map[int64]map[string]int
 }
@@ -152,6 +151,21 @@
 	return list
 }
 
+// Relays returns the addresses of the hosts of a data centre that follow the
+// store for the others: the first few by name.
+func (r *Roster) Relays(dataCenter string, most int) []Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var hosts []Host
+	for _, m := range r.live() {
+		if m.row.DataCenter == dataCenter && !m.row.Leaving && m.row.Peers != "" {
+			hosts = append(hosts, m.row.Host)
+		}
+	}
+	sort.Slice(hosts, func(i, j int) bool { return hosts[i].Node < hosts[j].Node })
+	return hosts[:min(most, len(hosts))]
+}
+
 // Nodes returns how many hosts serve, at least 1.
 func (r *Roster) Nodes() int {
 	r.mu.Lock()
@@ -182,15 +196,33 @@
 // loads are those heard from the process itself while they are recent, and its
 // row's otherwise.
 func (m *member) loads(now time.Time, recent time.Duration) []Load {
-	if now.Sub(m.freshAt) < recent {
-		return m.fresh
+	if now.Sub(m.toldAt) < recent {
+		return m.told.Loads
 	}
 	return m.row.Loads
 }
 
-// MergeLoads takes in what a process tells itself. One that has no row yet is
-// known from then on: a restarted fleet finds itself before its rows do.
-func (r *Roster) MergeLoads(host Host, sequence int64, loads []Load, counts []Count, now time.Time) {
+// Hear takes in what a process tells itself. One that has no row yet is known
+// from then on: a restarted fleet finds itself before its rows do.
+func (r *Roster) Hear(told Told, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m, ok := r.members[told.Incarnation]
+	if !ok {
+		m = &member{row: Row{Host: told.Host}, changedAt: now}
+		r.members[told.Incarnation] = m
+	}
+	if told.Sequence <= m.told.Sequence {
+		return
+	}
+	m.row.Leaving = m.row.Leaving || told.Leaving
+	m.told, m.toldAt = told, now
+	m.count(told.Counts)
+	r.heardAt = now
+}
+
+// MergeSelf notes that the process itself lives, which it need not hear.
+func (r *Roster) MergeSelf(host Host, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	m, ok := r.members[host.Incarnation]
@@ -198,13 +230,8 @@
 		m = &member{row: Row{Host: host}, changedAt: now}
 		r.members[host.Incarnation] = m
 	}
-	if sequence <= m.freshSequence {
-		return
-	}
 	m.row.Leaving = m.row.Leaving || host.Leaving
-	m.fresh, m.freshSequence, m.freshAt = loads, sequence, now
-	m.count(counts)
-	r.heardAt = now
+	m.toldAt = now
 }
 
 // Peers returns the addresses for datagrams of the other hosts, also of those
@@ -231,7 +258,7 @@
 	for _, m := range r.sharing() {
 		switch {
 		case m.row.Incarnation == self:
-		case now.Sub(m.freshAt) < recent:
+		case now.Sub(m.toldAt) < recent:
 			heard++
 		default:
 			silent++
@@ -259,8 +286,8 @@
 
 // heardAt is when the process was last heard: through its row or by itself.
 func (m *member) heardAt() time.Time {
-	if m.freshAt.After(m.changedAt) {
-		return m.freshAt
+	if m.toldAt.After(m.changedAt) {
+		return m.toldAt
 	}
 	return m.changedAt
 }
@@ -275,12 +302,16 @@
 
 // Works returns the engine time a second asked for over all processes, by
 // service.
-func (r *Roster) Works() map[string]float64 {
+func (r *Roster) Works(now time.Time) map[string]float64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	works := map[string]float64{}
 	for _, m := range r.live() {
-		for _, w := range m.row.Works {
+		told := m.row.Works
+		if now.Sub(m.toldAt) < r.recent() {
+			told = m.told.Works
+		}
+		for _, w := range told {
 			works[w.Service] += w.Rate
 		}
 	}
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -47,7 +47,7 @@
 	now := start.Add(10 * time.Second)
 	r := hosts[0].roster
 	for _, name := range []string{"b", "c"} {
-		r.MergeLoads(roster.Host{Incarnation: name, Node: name}, 1, nil, nil, now)
+		r.Hear(roster.Told{Host: roster.Host{Incarnation: name, Node: name}, Sequence: 1}, now)
 	}
 	heard, silent := r.Fleet("a", now)
 	if heard != 3 || silent != 3 {
@@ -136,8 +136,8 @@
 func TestDeadHostsAreNotToldToCallers(t *testing.T) {
 	hosts := fleet("a", "b", "c")
 	r := hosts[0].roster
-	for at := time.Duration(0); at <= 4*time.Second; at += 200 * time.Millisecond {
-		r.MergeLoads(roster.Host{Incarnation: "b", Node: "b"}, int64(at), nil, nil, start.Add(at))
+	for at := 200 * time.Millisecond; at <= 4*time.Second; at += 200 * time.Millisecond {
+		r.Hear(roster.Told{Host: roster.Host{Incarnation: "b", Node: "b"}, Sequence: int64(at)}, start.Add(at))
 	}
 	got := r.Entries()
 	if len(got) != 1 || got[0].Node != "b" {
@@ -158,7 +158,7 @@
 	}
 	later := start.Add(300 * time.Millisecond)
 	for _, name := range []string{"b", "c"} {
-		r.MergeLoads(roster.Host{Incarnation: name + ".new", Node: name, Peers: name + ":1"}, 1, nil, nil, later)
+		r.Hear(roster.Told{Host: roster.Host{Incarnation: name + ".new", Node: name, Peers: name + ":1"}, Sequence: 1}, later)
 	}
 	heard, silent := r.Fleet("a.new", later)
 	if heard != 3 || silent != 0 {
@@ -175,8 +175,8 @@
 		Host: roster.Host{Incarnation: "a.1", Node: "a"}, Sequence: 1, ClockOffset: time.Hour,
 		Counts: []roster.Count{{Window: 7, Team: "t", Begun: 3}},
 	}, start)
-	r.MergeLoads(roster.Host{Incarnation: "a.1", Node: "a"}, 1, nil, []roster.Count{{Window: 7, Team: "t", Begun: 5}}, start)
-	r.MergeLoads(roster.Host{Incarnation: "a.2", Node: "a"}, 1, nil, []roster.Count{{Window: 7, Team: "t", Begun: 2}}, start.Add(time.Second))
+	r.Hear(roster.Told{Host: roster.Host{Incarnation: "a.1", Node: "a"}, Sequence: 1, Counts: []roster.Count{{Window: 7, Team: "t", Begun: 5}}}, start)
+	r.Hear(roster.Told{Host: roster.Host{Incarnation: "a.2", Node: "a"}, Sequence: 1, Counts: []roster.Count{{Window: 7, Team: "t", Begun: 2}}}, start.Add(time.Second))
 	if got, want := r.Begun(7)["t"], 7; got != want {
 		t.Errorf("begun in the window: got %d, want %d", got, want)
 	}
@@ -191,10 +191,26 @@
 	r.Heard(start)
 	for i := range 91 {
 		name := fmt.Sprint("h", i)
-		r.MergeLoads(roster.Host{Incarnation: name, Node: name}, 1, nil, nil, start)
+		r.Hear(roster.Told{Host: roster.Host{Incarnation: name, Node: name}, Sequence: 1}, start)
 	}
 	heard, silent := r.Fleet("h0", start.Add(2*time.Second))
 	if heard != 91 || silent != 0 {
 		t.Errorf("fleet 2 s after a round of datagrams: got %d heard, %d silent, want 91 and 0", heard, silent)
 	}
 }
+
+// A host never counts itself as silent, however rarely its row is written.
+func TestHostCountsItself(t *testing.T) {
+	r := roster.New(silence, interval)
+	self := roster.Host{Incarnation: "a.1", Node: "a", DataCenter: "dc", Peers: "a:1"}
+	r.Merge(roster.Row{Host: self, Sequence: 1}, start)
+	later := start.Add(time.Minute)
+	r.Heard(later)
+	r.MergeSelf(self, later)
+	if got := r.Entries(); len(got) != 1 {
+		t.Errorf("entries: got %v, want the host itself", got)
+	}
+	if got := r.Relays("dc", 1); len(got) != 1 || got[0].Node != "a" {
+		t.Errorf("relays: got %v, want the host itself", got)
+	}
+}
--- a/pkg/roster/row.go
+++ b/pkg/roster/row.go
@@ -45,7 +45,18 @@
 	Leaving bool
 }
 
-// Row is what one process tells.
+// Told is what a process tells itself, several times a second.
+type Told struct {
+	Host
+	// Sequence grows with each datagram.
+	Sequence int64
+	Loads    []Load
+	Works    []Work
+	// Counts are of the latest windows: they must outlive the process.
+	Counts []Count
+}
+
+// Row is what one process tells through the store.
 type Row struct {
 	Host
 	// Sequence grows with each write; a late write of an old row is told by it.
