--- a/pkg/autoscale/plan.go
+++ b/pkg/autoscale/plan.go
@@ -31,10 +31,11 @@
 	leastNeeded = 8
 	// foundShare is the part of the endpoints found at first that is taken for
 	// the need until the traffic is known.
-	foundShare = 0.45
-	// reserve is how many reclaimable endpoints a data centre has beyond its
-	// part of the need: they cost little, and others may vanish at once.
-	reserve = 1
+	foundShare = 0.6
+	// reserve is the part by which a data centre has more reclaimable endpoints
+	// than its share of the need: they cost little, and after a reclaim none are
+	// to be had for a while.
+	reserve = 0.4
 )
 
 // Plan returns the orders for a service, and how many endpoints it needs. Each
@@ -54,8 +55,8 @@
 	}
 	kept := make(map[string]int, len(places))
 	spread := max(len(places)-1, 1)
-	each := max((need-len(places)+spread-1)/spread, 1) + reserve
-	each = min(each, max(s.Most-1, 0))
+	each := max((need-len(places)+spread-1)/spread, 1)
+	each = min(int(math.Ceil((1+reserve)*float64(each))), max(s.Most-1, 0))
 	there := 0
 	for _, place := range places {
 		kept[place] = 1
