--- /dev/null
+++ b/pkg/usage/usage_test.go
@@ -0,0 +1,185 @@
+package usage_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"ironhollow/pkg/lease"
+	"ironhollow/pkg/platform/table"
+	"ironhollow/pkg/roster"
+	"ironhollow/pkg/usage"
+)
+
+const window = 5 * time.Second
+
+// rows is a table service in memory.
+type rows struct {
+	mu      sync.Mutex
+	version int64
+	rows    map[string]table.Row
+	down    bool
+}
+
+func (r *rows) Commit(_ context.Context, c table.Commit) table.Outcome {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.down {
+		return table.Refused{Err: errors.New("down")}
+	}
+	for _, w := range c.Writes {
+		if row, there := r.rows[w.Key]; there && w.If == (table.Absent{}) {
+			return table.Refused{Conflicts: []table.Row{row}}
+		}
+	}
+	r.version++
+	for _, w := range c.Writes {
+		if w.Delete {
+			delete(r.rows, w.Key)
+			continue
+		}
+		r.rows[w.Key] = table.Row{Key: w.Key, Value: w.Value, Version: r.version, Token: c.Token}
+	}
+	return table.Done{Version: r.version}
+}
+
+func (r *rows) Get(_ context.Context, key string) (table.Row, bool, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	row, ok := r.rows[key]
+	return row, ok, nil
+}
+
+func (r *rows) List(context.Context, string, string, int) ([]table.Row, error) { return nil, nil }
+
+// sink takes reports; the answers about one window may be lost.
+type sink struct {
+	got   []string
+	loses int64
+}
+
+func (s *sink) Report(_ context.Context, g lease.Grant, r usage.Report) error {
+	s.got = append(s.got, fmt.Sprintf("%d by %d: %v", r.Window, g.Epoch, r.Counts))
+	if s.loses == r.Window {
+		return errors.New("answer lost")
+	}
+	return nil
+}
+
+// holder is a process that may report.
+type holder struct {
+	reporter *usage.Reporter
+	counter  *usage.Counter
+	roster   *roster.Roster
+	now      time.Time
+}
+
+func newHolder(name string, store table.Store, s usage.Sink) *holder {
+	h := &holder{roster: roster.New(3*time.Second, func(int) time.Duration { return time.Second }), now: time.Unix(1000, 0)}
+	h.counter = usage.NewCounter(window, func() time.Time { return h.now })
+	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+	h.reporter = usage.NewReporter(h.counter, h.roster, table.NewWriter(store, name), s, logger)
+	return h
+}
+
+// hears tells the holder what a process counted in the window at 1000 s.
+func (h *holder) hears(process string, begun int) {
+	h.roster.Merge(roster.Row{
+		Host: roster.Host{Incarnation: process, Node: process}, Sequence: int64(begun),
+		Counts: []roster.Count{{Window: 200, Team: "t", Begun: begun}},
+	}, h.now)
+}
+
+func (h *holder) step(epoch int64) {
+	h.reporter.Step(context.Background(), func() (lease.Grant, bool) { return lease.Grant{Epoch: epoch}, true })
+}
+
+// A new holder that has heard other counts repeats to the letter what the one
+// before may have sent.
+func TestReportsAreRepeatedToTheLetter(t *testing.T) {
+	store := &rows{rows: map[string]table.Row{}}
+	s := &sink{loses: 200}
+	first := newHolder("first", store, s)
+	first.hears("a", 3)
+	first.hears("b", 4)
+	first.now = time.Unix(1009, 0)
+	first.step(1)
+	second := newHolder("second", store, s)
+	second.hears("a", 3)
+	second.hears("b", 5)
+	second.now = time.Unix(1009, 0)
+	s.loses = 0
+	second.step(2)
+	sent := map[string]bool{}
+	for _, line := range s.got {
+		if line[:3] == "200" {
+			sent[line[len("200 by 1"):]] = true
+		}
+	}
+	if len(sent) != 1 || !sent[": map[t:7]"] {
+		t.Errorf("reports of window 200: got %v, want 7 from both", s.got)
+	}
+}
+
+func TestNothingIsReportedEarlyOrWithoutTheLease(t *testing.T) {
+	store := &rows{rows: map[string]table.Row{}}
+	s := &sink{}
+	h := newHolder("h", store, s)
+	h.hears("a", 3)
+	h.now = time.Unix(1006, 0)
+	h.step(1)
+	for _, line := range s.got {
+		if line[:3] == "200" {
+			t.Errorf("reported a second after the window's end: %s", line)
+		}
+	}
+	h.now = time.Unix(1009, 0)
+	before := len(s.got)
+	h.reporter.Step(context.Background(), func() (lease.Grant, bool) { return lease.Grant{}, false })
+	if len(s.got) != before {
+		t.Errorf("reported without the lease: %v", s.got[before:])
+	}
+}
+
+// The store takes nothing: nothing is sent, since another holder could not
+// repeat it.
+func TestNothingIsSentThatIsNotWritten(t *testing.T) {
+	store := &rows{rows: map[string]table.Row{}, down: true}
+	s := &sink{}
+	h := newHolder("h", store, s)
+	h.hears("a", 3)
+	h.now = time.Unix(1009, 0)
+	h.step(1)
+	if len(s.got) != 0 {
+		t.Errorf("sent: got %v, want nothing", s.got)
+	}
+	store.down = false
+	h.step(1)
+	if len(s.got) == 0 {
+		t.Error("sent after the store is back: got nothing")
+	}
+}
+
+func TestCounting(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := usage.NewCounter(window, func() time.Time { return now })
+	c.Began("t")
+	c.Began("")
+	now = now.Add(window)
+	c.Began("t")
+	c.Began("u")
+	want := []roster.Count{{Window: 200, Team: "t", Begun: 1}, {Window: 201, Team: "t", Begun: 1}, {Window: 201, Team: "u", Begun: 1}}
+	if got := c.Recent(); fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("counts: got %v, want %v", got, want)
+	}
+	now = now.Add(10 * window)
+	if got := c.Recent(); len(got) != 0 {
+		t.Errorf("counts long after: got %v, want none", got)
+	}
+}
