Discovery and the configuration in force as packages with tests

Cause: what keeps endpoints whose rows lapsed, and versions from going back, stood in the process's own package, where no test reached it. A history that is gone counted as a store that is away, which kept endpoints that had left for 2 s. Change: pkg/discovery, routetable.Holder; a gone history is an answer.

--- a/pkg/app/node/duties.go
+++ b/pkg/app/node/duties.go
@@ -126,7 +126,7 @@
 }
 
 func (n *node) orderEndpoints(ctx context.Context, held func() (lease.Grant, bool)) {
-	current := n.world.table.Load()
+	current, _ := n.world.tables.Current()
 	grant, ok := held()
 	if current == nil || !ok || !n.endpointsSettled(grant) {
 		return
@@ -160,7 +160,7 @@
 // endpointsSettled reports whether the endpoints known are all there are. Only
 // the very first holder can meet a store in which they are still to write.
 func (n *node) endpointsSettled(grant lease.Grant) bool {
-	if !n.world.endpoints.known.Load() {
+	if !n.world.endpoints.Known() {
 		return false
 	}
 	return grant.Epoch > 1 || time.Since(n.clock.start) > settleTime
--- a/pkg/app/node/heartbeat.go
+++ b/pkg/app/node/heartbeat.go
@@ -99,7 +99,7 @@
 
 // ownWorks is the engine time asked for here, of services whose size follows it.
 func (n *node) ownWorks(now time.Time) []roster.Work {
-	current := n.world.table.Load()
+	current, _ := n.world.tables.Current()
 	if current == nil {
 		return nil
 	}
--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -23,7 +23,6 @@
 
 	"ironhollow/pkg/app/process"
 	"ironhollow/pkg/autoscale"
-	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/forward"
 	"ironhollow/pkg/gossip"
 	"ironhollow/pkg/hazard"
@@ -168,13 +167,9 @@
 	n.store = platform.Store(client, s)
 	n.copy = relay.NewCopy(n.clock.Now)
 	n.peers = &http.Client{Transport: newTransport()}
-	directory := endpoint.NewDirectory()
-	n.world = &world{
-		platform: platform, clock: n.clock, directory: directory, roster: roster.New(silence, gossip.Interval),
-		log: n.log, self: n.incarnation,
-	}
+	n.world = newWorld(platform, n.clock, roster.New(silence, gossip.Interval), n.incarnation, n.log)
 	home := route.Home{Node: s.Node, DataCenter: s.DataCenter}
-	n.router = route.NewWithFigures(directory, hazard.New(), home, uint64(n.clock.start.UnixNano()), engineFigures)
+	n.router = route.NewWithFigures(n.world.directory, hazard.New(), home, uint64(n.clock.start.UnixNano()), engineFigures)
 	n.counter = usage.NewCounter(s.UsageWindow, n.trueTime)
 	writer := table.NewWriter(n.store, n.incarnation)
 	n.leases = lease.New(writer, n.incarnation, lease.Timing{Duration: s.Lease, Renew: s.Lease / renewals})
@@ -183,7 +178,7 @@
 	n.orderer = autoscale.NewOrderer(cloud, n.log)
 	budget := retry.NewWindow(s.Retry.Share, s.Retry.Slack, s.Retry.Window)
 	n.registry = process.NewRegistry()
-	n.forwarder = forward.New(platform.Protocol(), n.world, n.router, n.limits, budget, n.pool, n.counter,
+	n.forwarder = forward.New(platform.Protocol(), n.world.tables, n.router, n.limits, budget, n.pool, n.counter,
 		n.world.roster.Nodes, n.world.roster.Sharing, n.phase, n.clock.Now, forward.NewMetrics(n.registry), n.log)
 	return n
 }
--- /dev/null
+++ b/pkg/discovery/discovery.go
@@ -0,0 +1,124 @@
+// Package discovery keeps a directory of endpoints up to date from the rows
+// that they write in the platform's store.
+package discovery
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/feed"
+)
+
+// Decode reads an endpoint's row; id is its key.
+type Decode func(id string, value []byte) (endpoint.Info, error)
+
+// ReturnTime is how long endpoints whose rows lapsed while the store was away
+// have to be back: the users say about two seconds from the store's return.
+const ReturnTime = 2 * time.Second
+
+// Rows takes batches of rows from one goroutine, and Lost from any.
+type Rows struct {
+	directory *endpoint.Directory
+	decode    Decode
+	now       func() time.Time
+	log       *log.Logger
+
+	known atomic.Bool
+	away  atomic.Bool
+	// lapsed are endpoints whose rows went while the store was away, and until
+	// when they have time to come back.
+	lapsed map[string]time.Time
+}
+
+// New returns rows of nothing.
+func New(directory *endpoint.Directory, decode Decode, now func() time.Time, logger *log.Logger) *Rows {
+	return &Rows{directory: directory, decode: decode, now: now, log: logger, lapsed: map[string]time.Time{}}
+}
+
+// Known reports whether the rows have been read once.
+func (r *Rows) Known() bool { return r.known.Load() }
+
+// Lost notes that the store does not answer. Rows that are gone when it does
+// again may have gone because nobody could renew them.
+func (r *Rows) Lost() { r.away.Store(true) }
+
+// Take takes in rows and removals.
+func (r *Rows) Take(batch feed.Batch) {
+	now := r.now()
+	away := r.away.Swap(false)
+	named := map[string]bool{}
+	for _, row := range batch.Rows {
+		if row.Deleted {
+			r.lapse(row.Key, away, now)
+			continue
+		}
+		named[row.Key] = true
+		r.take(row)
+	}
+	if batch.Full {
+		for _, info := range r.directory.View().Infos() {
+			if info.State != endpoint.Gone && !named[info.ID] {
+				r.lapse(info.ID, away, now)
+			}
+		}
+	}
+	r.expire(now)
+	r.known.Store(true)
+}
+
+func (r *Rows) lapse(id string, away bool, now time.Time) {
+	if !away {
+		delete(r.lapsed, id)
+		r.gone(id, "row removed")
+		return
+	}
+	if _, waiting := r.lapsed[id]; !waiting {
+		r.lapsed[id] = now.Add(ReturnTime)
+		r.log.Info().Str("endpoint", id).Dur("kept", ReturnTime).Msg("endpoint's row lapsed while the store was away")
+	}
+}
+
+func (r *Rows) expire(now time.Time) {
+	for id, until := range r.lapsed {
+		if now.After(until) {
+			delete(r.lapsed, id)
+			r.gone(id, "not back after the store was")
+		}
+	}
+}
+
+func (r *Rows) gone(id, why string) {
+	info, ok := r.directory.Get(id)
+	if !ok || info.State == endpoint.Gone {
+		return
+	}
+	info.State = endpoint.Gone
+	r.directory.Merge(info)
+	r.log.Info().Str("endpoint", id).Str("address", info.Address).Str("why", why).Msg("endpoint gone")
+}
+
+func (r *Rows) take(row feed.Row) {
+	delete(r.lapsed, row.Key)
+	heard, err := r.decode(row.Key, row.Value)
+	if err != nil {
+		r.log.Error().Err(err).Int64("row", row.Version).Msg("endpoint's row not taken")
+		return
+	}
+	heard.Counter = row.Version
+	held, known := r.directory.Get(row.Key)
+	if known && held.State != endpoint.Gone {
+		heard.Incarnation = held.Incarnation
+	} else {
+		// A row that is back after it went is of one that was cut off and serves
+		// again: it counts as a new life.
+		heard.Incarnation = row.Version
+	}
+	next, _ := r.directory.Merge(heard)
+	if !known || held.State != next.State {
+		r.log.Info().Str("endpoint", row.Key).Str("service", heard.Service).Str("dc", heard.DataCenter).Str("address", heard.Address).
+			Str("state", next.State.String()).Bool("reclaimable", heard.Reclaimable).Int64("row", row.Version).Msg("endpoint")
+	}
+}
--- /dev/null
+++ b/pkg/discovery/discovery_test.go
@@ -0,0 +1,113 @@
+package discovery_test
+
+import (
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"ironhollow/pkg/discovery"
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/feed"
+)
+
+// site is a directory fed by rows whose value is the endpoint's state.
+type site struct {
+	*discovery.Rows
+	directory *endpoint.Directory
+	now       time.Time
+	version   int64
+}
+
+func decode(id string, value []byte) (endpoint.Info, error) {
+	info := endpoint.Info{ID: id, State: endpoint.Live, Service: "svc", Kind: endpoint.Plain}
+	switch string(value) {
+	case "live":
+	case "leaving":
+		info.State = endpoint.Leaving
+	default:
+		return info, errors.New("no such state")
+	}
+	return info, nil
+}
+
+func newSite() *site {
+	s := &site{directory: endpoint.NewDirectory(), now: time.Unix(1000, 0)}
+	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+	s.Rows = discovery.New(s.directory, decode, func() time.Time { return s.now }, logger)
+	return s
+}
+
+// rows gives rows as id, state; an empty state removes the row.
+func (s *site) rows(full bool, pairs ...string) {
+	batch := feed.Batch{Full: full}
+	for i := 0; i+1 < len(pairs); i += 2 {
+		s.version++
+		batch.Rows = append(batch.Rows, feed.Row{Key: pairs[i], Value: []byte(pairs[i+1]), Version: s.version, Deleted: pairs[i+1] == ""})
+	}
+	s.Take(batch)
+}
+
+func (s *site) want(t *testing.T, when, id string, takes bool) {
+	t.Helper()
+	info, ok := s.directory.Get(id)
+	if got := ok && info.Takes(); got != takes {
+		t.Errorf("%s, %s takes work: got %v, want %v", when, id, got, takes)
+	}
+}
+
+func TestRowsComeAndGo(t *testing.T) {
+	s := newSite()
+	if s.Known() {
+		t.Error("known before anything was read")
+	}
+	s.rows(true, "a", "live", "b", "live", "c", "live")
+	s.rows(false, "a", "leaving")
+	s.want(t, "draining", "a", false)
+	s.rows(false, "a", "live")
+	s.want(t, "a leaving endpoint that says it lives", "a", false)
+	s.rows(false, "b", "")
+	s.want(t, "removed", "b", false)
+	s.rows(false, "b", "live")
+	s.want(t, "back after it was cut off", "b", true)
+	s.rows(false, "c", "of a state to come")
+	s.want(t, "a row that does not decode", "c", true)
+	s.rows(true, "b", "live")
+	s.want(t, "not in a snapshot", "c", false)
+}
+
+// Rows lapse while the store is away: those endpoints stay in use for two
+// seconds after its return.
+func TestRowsThatLapseWhileTheStoreIsAway(t *testing.T) {
+	for _, full := range []bool{false, true} {
+		s := newSite()
+		s.rows(true, "back", "live", "dead", "live", "other", "live")
+		s.Lost()
+		s.now = s.now.Add(10 * time.Second)
+		s.want(t, "away", "dead", true)
+		if full {
+			s.rows(true, "other", "live")
+		} else {
+			s.rows(false, "back", "", "dead", "")
+		}
+		s.want(t, "just returned", "dead", true)
+		s.now = s.now.Add(time.Second)
+		s.rows(false, "back", "live")
+		s.now = s.now.Add(1100 * time.Millisecond)
+		s.rows(false)
+		s.want(t, "two seconds after", "dead", false)
+		s.want(t, "two seconds after", "back", true)
+		s.want(t, "two seconds after", "other", true)
+	}
+}
+
+// An endpoint that leaves while the store is away is not kept.
+func TestLeavingWhileTheStoreIsAway(t *testing.T) {
+	s := newSite()
+	s.rows(true, "a", "live")
+	s.Lost()
+	s.rows(false, "a", "leaving")
+	s.want(t, "returned", "a", false)
+}
