Name the product's edges for what they hold: table, object, cloud, hostlist

Cause: two rooms of one name: pkg/platform held the product's own edges, platform/ the adapter. Change: moved; imports only. Measured: go vet, tests of table, lease and job pass.

--- a/pkg/accept/accept.go
+++ b/pkg/accept/accept.go
@@ -17,7 +17,7 @@
 	"ironhollow/pkg/job"
 	"ironhollow/pkg/membership"
 	"ironhollow/pkg/peer"
-	"ironhollow/pkg/platform/table"
+	"ironhollow/pkg/table"
 )
 
 // Links is how other entries are reached.
--- a/pkg/accept/accept_test.go
+++ b/pkg/accept/accept_test.go
@@ -12,8 +12,8 @@
 	"ironhollow/pkg/job"
 	"ironhollow/pkg/membership"
 	"ironhollow/pkg/peer"
-	"ironhollow/pkg/platform/table"
 	"ironhollow/pkg/standin/tables"
+	"ironhollow/pkg/table"
 )
 
 // site is the entries of one data centre, with messages passed by hand.
--- a/pkg/app/cli/cli_test.go
+++ b/pkg/app/cli/cli_test.go
@@ -15,8 +15,8 @@
 	"ironhollow/pkg/app/cli"
 	"ironhollow/pkg/config"
 	"ironhollow/pkg/operatorapi"
-	"ironhollow/pkg/platform/table"
 	"ironhollow/pkg/standin/tables"
+	"ironhollow/pkg/table"
 )
 
 // control is a control process's edge over a store in memory.
--- a/pkg/app/control/app.go
+++ b/pkg/app/control/app.go
@@ -15,17 +15,17 @@
 	"go.opentelemetry.io/otel/sdk/trace"
 
 	"ironhollow/pkg/app/process"
+	"ironhollow/pkg/cloud"
 	"ironhollow/pkg/config"
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/engine"
+	"ironhollow/pkg/hostlist"
 	"ironhollow/pkg/httpx"
 	"ironhollow/pkg/lease"
 	"ironhollow/pkg/membership"
 	"ironhollow/pkg/operatorapi"
 	"ironhollow/pkg/peer"
-	"ironhollow/pkg/platform/cloud"
-	"ironhollow/pkg/platform/hostlist"
-	"ironhollow/pkg/platform/table"
+	"ironhollow/pkg/table"
 )
 
 // App is a control process with all its parts.
--- a/pkg/app/control/settings.go
+++ b/pkg/app/control/settings.go
@@ -5,10 +5,10 @@
 
 	"ironhollow/pkg/app/process"
 	"ironhollow/pkg/lease"
-	"ironhollow/pkg/platform/table"
 	"ironhollow/pkg/secure"
 	"ironhollow/pkg/settings"
 	"ironhollow/pkg/settings/controlschema"
+	"ironhollow/pkg/table"
 	"ironhollow/schema"
 )
 
--- a/pkg/app/entry/app.go
+++ b/pkg/app/entry/app.go
@@ -28,14 +28,14 @@
 	"ironhollow/pkg/job"
 	"ironhollow/pkg/limit"
 	"ironhollow/pkg/membership"
+	"ironhollow/pkg/object"
 	"ironhollow/pkg/peer"
 	"ironhollow/pkg/plainservice"
-	"ironhollow/pkg/platform/object"
-	"ironhollow/pkg/platform/table"
 	"ironhollow/pkg/reclaim"
 	"ironhollow/pkg/retry"
 	"ironhollow/pkg/route"
 	"ironhollow/pkg/stream"
+	"ironhollow/pkg/table"
 )
 
 // App is an entry with all its parts.
--- a/pkg/app/entry/parts.go
+++ b/pkg/app/entry/parts.go
@@ -20,10 +20,10 @@
 	"ironhollow/pkg/membership"
 	"ironhollow/pkg/peer"
 	"ironhollow/pkg/plainservice"
-	"ironhollow/pkg/platform/table"
 	"ironhollow/pkg/retry"
 	"ironhollow/pkg/route"
 	"ironhollow/pkg/stream"
+	"ironhollow/pkg/table"
 )
 
 func newAPI(
--- a/pkg/app/entry/register.go
+++ b/pkg/app/entry/register.go
@@ -6,7 +6,7 @@
 
 	"ironhollow/pkg/membership"
 	"ironhollow/pkg/peer"
-	"ironhollow/pkg/platform/table"
+	"ironhollow/pkg/table"
 )
 
 // nodePrefix is where nodes register in the table service, once per start.
--- a/pkg/app/entry/settings.go
+++ b/pkg/app/entry/settings.go
@@ -6,10 +6,10 @@
 	"ironhollow/pkg/app/process"
 	"ironhollow/pkg/callerapi"
 	"ironhollow/pkg/membership"
-	"ironhollow/pkg/platform/table"
 	"ironhollow/pkg/secure"
 	"ironhollow/pkg/settings"
 	"ironhollow/pkg/settings/entryschema"
+	"ironhollow/pkg/table"
 	"ironhollow/schema"
 )
 
--- a/pkg/app/node/duties.go
+++ b/pkg/app/node/duties.go
@@ -8,7 +8,7 @@
 	"ironhollow/pkg/autoscale"
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/lease"
-	"ironhollow/pkg/platform/table"
+	"ironhollow/pkg/table"
 	"ironhollow/pkg/usage"
 )
 
--- a/pkg/app/node/heartbeat.go
+++ b/pkg/app/node/heartbeat.go
@@ -6,9 +6,9 @@
 
 	"ironhollow/pkg/engine"
 	"ironhollow/pkg/gossip"
-	"ironhollow/pkg/platform/table"
 	"ironhollow/pkg/roster"
 	"ironhollow/pkg/route"
+	"ironhollow/pkg/table"
 )
 
 // rosterTable is the store's table of this system's processes.
--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -28,11 +28,11 @@
 	"ironhollow/pkg/hazard"
 	"ironhollow/pkg/lease"
 	"ironhollow/pkg/limit"
-	"ironhollow/pkg/platform/table"
 	"ironhollow/pkg/relay"
 	"ironhollow/pkg/retry"
 	"ironhollow/pkg/roster"
 	"ironhollow/pkg/route"
+	"ironhollow/pkg/table"
 	"ironhollow/pkg/upstream"
 	"ironhollow/pkg/usage"
 )
--- a/pkg/app/node/platform.go
+++ b/pkg/app/node/platform.go
@@ -8,9 +8,9 @@
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/feed"
 	"ironhollow/pkg/forward"
-	"ironhollow/pkg/platform/table"
 	"ironhollow/pkg/roster"
 	"ironhollow/pkg/routetable"
+	"ironhollow/pkg/table"
 	"ironhollow/pkg/usage"
 )
 
--- a/pkg/app/process/platform.go
+++ b/pkg/app/process/platform.go
@@ -5,9 +5,9 @@
 	"net/http"
 	"time"
 
-	"ironhollow/pkg/platform/table"
-	"ironhollow/pkg/platform/table/tablehttp"
 	"ironhollow/pkg/secure"
+	"ironhollow/pkg/table"
+	"ironhollow/pkg/table/tablehttp"
 )
 
 // Table says how the table service is reached and how much may be asked of it.
--- a/pkg/app/standin/standin.go
+++ b/pkg/app/standin/standin.go
@@ -18,10 +18,10 @@
 	"github.com/spf13/cobra"
 
 	"ironhollow/pkg/app/process"
+	"ironhollow/pkg/cloud"
 	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/hostlist"
 	"ironhollow/pkg/httpx"
-	"ironhollow/pkg/platform/cloud"
-	"ironhollow/pkg/platform/hostlist"
 	"ironhollow/pkg/standin/clouds"
 	"ironhollow/pkg/standin/engines"
 	"ironhollow/pkg/standin/objects"
--- a/pkg/callerapi/fleet_test.go
+++ b/pkg/callerapi/fleet_test.go
@@ -30,7 +30,6 @@
 	"ironhollow/pkg/limit"
 	"ironhollow/pkg/membership"
 	"ironhollow/pkg/plainservice"
-	"ironhollow/pkg/platform/table"
 	"ironhollow/pkg/retry"
 	"ironhollow/pkg/route"
 	"ironhollow/pkg/standin/engines"
@@ -38,6 +37,7 @@
 	"ironhollow/pkg/standin/services"
 	"ironhollow/pkg/standin/tables"
 	"ironhollow/pkg/stream"
+	"ironhollow/pkg/table"
 )
 
 const configText = `[service talk]
--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	"ironhollow/pkg/platform/table"
+	"ironhollow/pkg/table"
 )
 
 // Key names one call: who makes it, to what, under which key of the caller.
--- a/pkg/claim/claim_test.go
+++ b/pkg/claim/claim_test.go
@@ -15,8 +15,8 @@
 	"pgregory.net/rapid"
 
 	"ironhollow/pkg/claim"
-	"ironhollow/pkg/platform/table"
 	"ironhollow/pkg/standin/tables"
+	"ironhollow/pkg/table"
 )
 
 // TestMain fixes the seed of property tests: the same verdict on each run.
--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -17,8 +17,8 @@
 	"ironhollow/pkg/code"
 	"ironhollow/pkg/config"
 	"ironhollow/pkg/fleet"
-	"ironhollow/pkg/platform/table"
 	"ironhollow/pkg/standin/tables"
+	"ironhollow/pkg/table"
 )
 
 // TestMain fixes the seed of property tests: the same verdict on each run.
--- a/pkg/config/publisher.go
+++ b/pkg/config/publisher.go
@@ -7,7 +7,7 @@
 
 	"ironhollow/pkg/code"
 	"ironhollow/pkg/fleet"
-	"ironhollow/pkg/platform/table"
+	"ironhollow/pkg/table"
 )
 
 // Keys of the configuration in the table service.
--- a/pkg/job/batch.go
+++ b/pkg/job/batch.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"ironhollow/pkg/platform/table"
+	"ironhollow/pkg/table"
 )
 
 // mostInBatch bounds the jobs of one commit.
--- a/pkg/job/job.go
+++ b/pkg/job/job.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"ironhollow/pkg/platform/table"
+	"ironhollow/pkg/table"
 )
 
 // State is how far a job is.
--- a/pkg/job/job_test.go
+++ b/pkg/job/job_test.go
@@ -17,9 +17,9 @@
 
 	"ironhollow/pkg/code"
 	"ironhollow/pkg/job"
-	"ironhollow/pkg/platform/table"
 	"ironhollow/pkg/standin/objects"
 	"ironhollow/pkg/standin/tables"
+	"ironhollow/pkg/table"
 )
 
 // TestMain fixes the seed of property tests: the same verdict on each run.
--- a/pkg/job/store.go
+++ b/pkg/job/store.go
@@ -7,8 +7,8 @@
 	"fmt"
 
 	"ironhollow/pkg/code"
-	"ironhollow/pkg/platform/object"
-	"ironhollow/pkg/platform/table"
+	"ironhollow/pkg/object"
+	"ironhollow/pkg/table"
 )
 
 // Store keeps jobs in the platform's services.
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	"ironhollow/pkg/platform/table"
+	"ironhollow/pkg/table"
 )
 
 // Shard numbers a part of the control work, from 0.
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -10,9 +10,9 @@
 
 	"ironhollow/pkg/engine"
 	"ironhollow/pkg/lease"
-	"ironhollow/pkg/platform/table"
 	"ironhollow/pkg/standin/engines"
 	"ironhollow/pkg/standin/tables"
+	"ironhollow/pkg/table"
 )
 
 var timing = lease.Timing{Duration: 6 * time.Second, Renew: 2 * time.Second}
--- a/pkg/standin/clouds/cloud.go
+++ b/pkg/standin/clouds/cloud.go
@@ -11,10 +11,10 @@
 	"sync"
 	"time"
 
+	"ironhollow/pkg/cloud"
 	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/hostlist"
 	"ironhollow/pkg/httpx"
-	"ironhollow/pkg/platform/cloud"
-	"ironhollow/pkg/platform/hostlist"
 )
 
 // Stopper ends a host at once, as a cloud does when its notice is over.
--- a/pkg/standin/tables/server.go
+++ b/pkg/standin/tables/server.go
@@ -5,8 +5,8 @@
 	"net/http"
 	"strconv"
 
-	"ironhollow/pkg/platform/table"
-	"ironhollow/pkg/platform/table/tablehttp"
+	"ironhollow/pkg/table"
+	"ironhollow/pkg/table/tablehttp"
 )
 
 // Register serves the store on a mux in the table service's protocol.
--- a/pkg/standin/tables/store.go
+++ b/pkg/standin/tables/store.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"ironhollow/pkg/pause"
-	"ironhollow/pkg/platform/table"
+	"ironhollow/pkg/table"
 )
 
 // Fault is what befalls one call.
--- a/pkg/platform/table/guard_test.go
+++ b/pkg/table/guard_test.go
@@ -7,8 +7,8 @@
 	"testing/synctest"
 	"time"
 
-	"ironhollow/pkg/platform/table"
 	"ironhollow/pkg/standin/tables"
+	"ironhollow/pkg/table"
 )
 
 // TestGuardSparesAStoreThatComesBack has callers ask all the time through an
--- a/pkg/platform/table/tablehttp/client.go
+++ b/pkg/table/tablehttp/client.go
@@ -13,7 +13,7 @@
 	"strconv"
 	"time"
 
-	"ironhollow/pkg/platform/table"
+	"ironhollow/pkg/table"
 )
 
 // maxAnswer bounds what is read of one answer, in bytes.
--- a/pkg/platform/table/tablehttp/messages.go
+++ b/pkg/table/tablehttp/messages.go
@@ -2,7 +2,7 @@
 // client speaks it and the stand-in serves it.
 package tablehttp
 
-import "ironhollow/pkg/platform/table"
+import "ironhollow/pkg/table"
 
 // Paths of the protocol.
 const (
--- a/pkg/platform/table/writer_test.go
+++ b/pkg/table/writer_test.go
@@ -8,8 +8,8 @@
 
 	"pgregory.net/rapid"
 
-	"ironhollow/pkg/platform/table"
 	"ironhollow/pkg/standin/tables"
+	"ironhollow/pkg/table"
 )
 
 // commitTime bounds each commit of these tests, in the bubble's own time.
--- a/pkg/usage/usage.go
+++ b/pkg/usage/usage.go
@@ -15,8 +15,8 @@
 	"github.com/phuslu/log"
 
 	"ironhollow/pkg/lease"
-	"ironhollow/pkg/platform/table"
 	"ironhollow/pkg/roster"
+	"ironhollow/pkg/table"
 )
 
 // Report is one window's counts.
--- a/pkg/usage/usage_test.go
+++ b/pkg/usage/usage_test.go
@@ -12,8 +12,8 @@
 	"github.com/phuslu/log"
 
 	"ironhollow/pkg/lease"
-	"ironhollow/pkg/platform/table"
 	"ironhollow/pkg/roster"
+	"ironhollow/pkg/table"
 	"ironhollow/pkg/usage"
 )
 
