--- a/pkg/app/cli/status.go
+++ b/pkg/app/cli/status.go
@@ -7,10 +7,12 @@
 	"net"
 	"net/http"
 	"net/url"
+	"os"
 	"time"
 
 	"github.com/spf13/cobra"
 
+	"ironhollow/pkg/explain"
 	"ironhollow/pkg/fleet"
 	"ironhollow/pkg/operatorapi/operatorwire"
 	"ironhollow/pkg/secure"
@@ -86,12 +88,19 @@
 
 func (t *tool) explainCommand() *cobra.Command {
 	var service, request string
+	var logs []string
 	var count int
 	command := &cobra.Command{
-		Use:   "explain ADMIN-ADDRESS",
+		Use:   "explain [ADMIN-ADDRESS]",
 		Short: "Show why requests went where they went, or the sums of a choice made now",
-		Args:  cobra.ExactArgs(1),
+		Args:  cobra.MaximumNArgs(1),
 		RunE: func(command *cobra.Command, args []string) error {
+			if len(logs) > 0 {
+				return t.explainLogs(request, logs)
+			}
+			if len(args) == 0 {
+				return errNoSource
+			}
 			if service != "" && request != "" {
 				return errWhat
 			}
@@ -104,10 +113,48 @@
 	}
 	command.Flags().StringVar(&service, "service", "", "show every endpoint's sums for this service")
 	command.Flags().StringVar(&request, "request", "", "show one request, by the Ironhollow-Request header of its answer")
+	command.Flags().StringArrayVar(&logs, "logs", nil, "log file of a host, once for each; needs --request and no address")
 	command.Flags().IntVar(&count, "count", 10, "how many of the latest requests to show")
 	return command
 }
 
+var (
+	errNoSource  = errors.New("an admin address or --logs is needed")
+	errNoRequest = errors.New("--logs needs --request")
+)
+
+// explainLogs prints a request's way from the logs of all hosts.
+func (t *tool) explainLogs(request string, files []string) error {
+	if request == "" {
+		return errNoRequest
+	}
+	var lines []explain.Line
+	for _, name := range files {
+		file, err := os.Open(name)
+		if err != nil {
+			return err
+		}
+		read, err := explain.ReadLogs(file)
+		if closeErr := file.Close(); err == nil {
+			err = closeErr
+		}
+		if err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+		lines = append(lines, read...)
+	}
+	steps := explain.Timeline(lines, request)
+	if len(steps) == 0 {
+		return fmt.Errorf("no line of the logs names the request %s", request)
+	}
+	return t.print(steps, func(w io.Writer) {
+		row(w, "TIME", "HOST", "WHAT")
+		for _, s := range steps {
+			row(w, s.At.Format("15:04:05.000"), s.Node, s.Text)
+		}
+	})
+}
+
 func (t *tool) explainService(command *cobra.Command, address, service string) error {
 	client, err := t.client()
 	if err != nil {
--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -157,7 +157,7 @@
 		settings:    s,
 		platform:    platform,
 		incarnation: s.Node + "." + rand.Text()[:10],
-		log:         newLog(s.Node),
+		log:         process.NewAsyncLog(os.Stdout, s.Node),
 		clock:       newClock(),
 		pool:        upstream.New(deadPeer),
 		demands:     map[string]*seenDemand{},
@@ -183,24 +183,6 @@
 	return n
 }
 
-// newLog writes to standard output and never waits for its reader: lines that
-// find the queue full are dropped.
-func newLog(name string) *log.Logger {
-	return &log.Logger{
-		Level:      log.InfoLevel,
-		TimeFormat: time.RFC3339Nano,
-		Context:    log.NewContext(nil).Str("node", name).Value(),
-		Writer: &log.AsyncWriter{
-			ChannelSize:   logQueue,
-			DiscardOnFull: true,
-			Writer:        &log.IOWriter{Writer: os.Stdout},
-		},
-	}
-}
-
-// logQueue is how many lines wait for a slow reader of standard output.
-const logQueue = 1024
-
 // newTransport is for calls to the platform. A close that gives up on a call
 // throws away what the network still holds, so that it can't arrive later.
 func newTransport() *http.Transport {
--- a/pkg/app/process/process.go
+++ b/pkg/app/process/process.go
@@ -102,6 +102,24 @@
 	}
 }
 
+// logQueue is how many lines wait for a slow reader.
+const logQueue = 1024
+
+// NewAsyncLog returns a logger that never waits for its reader: lines that find
+// the queue full are dropped. Close the logger's writer to write out the rest.
+func NewAsyncLog(w io.Writer, node string) *log.Logger {
+	return &log.Logger{
+		Level:      log.InfoLevel,
+		TimeFormat: time.RFC3339Nano,
+		Context:    log.NewContext(nil).Str("node", node).Value(),
+		Writer: &log.AsyncWriter{
+			ChannelSize:   logQueue,
+			DiscardOnFull: true,
+			Writer:        &log.IOWriter{Writer: w},
+		},
+	}
+}
+
 // NewRegistry returns a registry with the process's own figures.
 func NewRegistry() *prometheus.Registry {
 	registry := prometheus.NewRegistry()
--- /dev/null
+++ b/pkg/explain/logs_test.go
@@ -0,0 +1,52 @@
+package explain_test
+
+import (
+	"strings"
+	"testing"
+
+	"ironhollow/pkg/explain"
+)
+
+// Lines of two hosts as processes write them, one with a prefix of a collector.
+const logs = `
+  -9.9 host {"time":"2026-02-04T06:00:00Z","level":"info","node":"a","message":"start"}
+{"time":"2026-02-04T06:00:01Z","level":"info","node":"a","version":7,"routes":17,"message":"configuration in force"}
+{"time":"2026-02-04T06:00:02Z","level":"info","node":"a","endpoint":"i-1","state":"live","row":22,"message":"endpoint"}
+{"time":"2026-02-04T06:00:02Z","level":"info","node":"a","endpoint":"i-9","state":"live","row":23,"message":"endpoint"}
+{"time":"2026-02-04T06:00:03Z","level":"warn","node":"a","feed":"servers","error":"timeout","message":"store lost"}
+not a line of ours
+{"time":"2026-02-04T06:00:04Z","level":"info","node":"b","request":"other","outcome":"served","took":5,"message":"request"}
+{"time":"2026-02-04T06:00:10Z","level":"info","node":"a","request":"r1","outcome":"unknown","took":250,"route":"r-1","service":"s","config":7,"team":"t","hop1":"i-1","hop1-row":22,"hop1-end":"unclear: EOF","hop1-took":200,"hop1-expected":40,"hop1-queued":3,"hop1-cached":800,"why":"EOF","bytes":0,"notes":["budget-empty"],"message":"request"}
+`
+
+func TestTimelineOfARequest(t *testing.T) {
+	lines, err := explain.ReadLogs(strings.NewReader(logs))
+	if err != nil {
+		t.Fatal(err)
+	}
+	steps := explain.Timeline(lines, "r1")
+	var got []string
+	for _, s := range steps {
+		got = append(got, s.At.Format("05.000")+" "+s.Node+" "+s.Text)
+	}
+	want := []string{
+		"01.000 a believed since then: configuration in force (version 7)",
+		"02.000 a believed since then: endpoint (endpoint i-1, state live, row 22)",
+		"03.000 a believed since then: store lost (feed servers, error timeout)",
+		"09.750 a taken: team t, route r-1, service s, configuration 7",
+		"09.750 a sent to i-1 (row 22): expected 40 ms, 3 ms behind others, 800 tokens cached",
+		"09.950 a i-1 after 200ms: unclear: EOF",
+		"10.000 a ended: unknown, EOF [budget-empty], 0 bytes passed on",
+	}
+	if len(got) != len(want) {
+		t.Fatalf("steps: got %d\n%s\nwant %d", len(got), strings.Join(got, "\n"), len(want))
+	}
+	for i := range want {
+		if got[i] != want[i] {
+			t.Errorf("step %d: got %q, want %q", i, got[i], want[i])
+		}
+	}
+	if steps := explain.Timeline(lines, "never seen"); len(steps) != 0 {
+		t.Errorf("a request nobody logged: got %v, want nothing", steps)
+	}
+}
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -48,6 +48,7 @@
 	clock    Clock
 	metrics  *Metrics
 	log      *log.Logger
+	lines    *lineBudget
 	phase    func() Phase
 }
 
@@ -71,7 +72,7 @@
 ) *Forwarder {
 	return &Forwarder{
 		protocol: protocol, tables: tables, router: router, limits: limits, budget: budget, pool: pool,
-		runs: runs, nodes: nodes, sharing: sharing, phase: phase, clock: clock, metrics: metrics, log: logger,
+		runs: runs, nodes: nodes, sharing: sharing, phase: phase, clock: clock, metrics: metrics, log: logger, lines: newLineBudget(clock()),
 	}
 }
 
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -320,3 +320,17 @@
 		}
 	}
 }
+
+// The lines of many requests at once stay within their budget.
+func TestLinesAreBounded(t *testing.T) {
+	s := newSite(t, spec(), true, whole("answer"))
+	const requests = 1000
+	for range requests {
+		if got := s.ask("POST", "/once/x", "body"); got.status != 200 {
+			t.Fatalf("status: got %d, want 200", got.status)
+		}
+	}
+	if got := s.lines.Load(); got == 0 || got > 700 {
+		t.Errorf("lines written for %d requests at once: got %d, want some, 700 at most", requests, got)
+	}
+}
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -91,10 +91,19 @@
 	directory *endpoint.Directory
 	runs      *runs
 	phase     atomic.Int64
+	lines     lineCounter
 	mu        sync.Mutex
 	seen      []seen
 }
 
+// lineCounter counts log lines.
+type lineCounter struct{ atomic.Int64 }
+
+func (l *lineCounter) Write(p []byte) (int, error) {
+	l.Add(1)
+	return len(p), nil
+}
+
 // script answers one request at an endpoint and reports whether the connection
 // stays open.
 type script func(c net.Conn, r *http.Request) bool
@@ -113,7 +122,7 @@
 	forwarder := forward.New(protocol{}, tables{routetable.New(spec), fresh}, router, limit.NewShared(limit.Allowance{}, now.Add(-time.Hour)),
 		retry.NewWindow(0.2, 58, 10*time.Second), upstream.New(time.Second), s.runs, one, one,
 		func() forward.Phase { return forward.Phase(s.phase.Load()) }, time.Now, forward.NewMetrics(prometheus.NewRegistry()),
-		&log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
+		&log.Logger{Writer: &log.IOWriter{Writer: &s.lines}})
 	s.server = httptest.NewServer(forwarder)
 	t.Cleanup(s.server.Close)
 	return s
--- a/pkg/forward/trail.go
+++ b/pkg/forward/trail.go
@@ -24,18 +24,21 @@
 // hop is one send.
 type hop struct {
 	endpoint string
-	expected time.Duration
-	cached   int
-	took     time.Duration
-	outcome  string
-	unclear  bool
-	sent     bool
+	// row is the version of the endpoint's row that was known.
+	row int64
+	// expected is the time to the end, queued the part behind other requests.
+	expected, queued time.Duration
+	cached           int
+	took             time.Duration
+	outcome          string
+	unclear          bool
+	sent             bool
 }
 
 func (t *trail) note(text string) { t.notes = append(t.notes, text) }
 
 func (c *call) noteAttempt(choice route.Choice, r result, took time.Duration) {
-	h := hop{endpoint: choice.Endpoint.ID, expected: choice.Expected, cached: choice.CachedTokens, took: took, sent: true}
+	h := hop{endpoint: choice.Endpoint.ID, row: choice.Endpoint.Counter, expected: choice.Expected, queued: choice.Queued, cached: choice.CachedTokens, took: took, sent: true}
 	switch r := r.(type) {
 	case notRun:
 		h.outcome = "not run: " + r.err.Error()
@@ -102,13 +105,22 @@
 	took := c.f.clock().Sub(c.started)
 	c.f.metrics.requests.WithLabelValues(c.routeKind(), outcome).Inc()
 	c.f.metrics.seconds.WithLabelValues(c.routeKind()).Observe(took.Seconds())
+	write, dropped := c.f.lines.take(err != nil, c.f.clock())
+	if !write {
+		c.f.metrics.dropped.Inc()
+		return
+	}
+	if dropped > 0 {
+		c.f.log.Warn().Int("lines", dropped).Msg("lines of requests dropped: more than the budget")
+	}
 	line := c.f.log.Info().Str("request", c.meta.ID).Str("outcome", outcome).Dur("took", took)
 	if c.route != nil {
 		line = line.Str("route", c.route.Name).Str("service", c.service.Name).Int64("config", c.table.Version()).Str("team", c.teamName())
 	}
 	for i, h := range c.trail.hops {
 		prefix := "hop" + strconv.Itoa(i+1)
-		line = line.Str(prefix, h.endpoint).Str(prefix+"-end", h.outcome).Dur(prefix+"-took", h.took).Dur(prefix+"-expected", h.expected).Int(prefix+"-cached", h.cached)
+		line = line.Str(prefix, h.endpoint).Str(prefix+"-end", h.outcome).Dur(prefix+"-took", h.took).
+			Dur(prefix+"-expected", h.expected).Dur(prefix+"-queued", h.queued).Int(prefix+"-cached", h.cached).Int64(prefix+"-row", h.row)
 	}
 	if err != nil {
 		line = line.Str("why", err.Error())
@@ -128,6 +140,7 @@
 	requests *prometheus.CounterVec
 	attempts *prometheus.CounterVec
 	seconds  *prometheus.HistogramVec
+	dropped  prometheus.Counter
 }
 
 // NewMetrics registers the metrics.
@@ -144,6 +157,9 @@
 			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
 		}, []string{"kind"}),
 	}
-	registry.MustRegister(m.requests, m.attempts, m.seconds)
+	m.dropped = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "ironhollow_log_lines_dropped_total", Help: "Lines of requests that were not written for the budget of lines.",
+	})
+	registry.MustRegister(m.requests, m.attempts, m.seconds, m.dropped)
 	return m
 }
