--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(CURDIR)/bin
 export BIN
 
-.PHONY: docs help build demo test check generate tools clean bench-scale bench-policy bench-hop bench-wave demo-failures
+.PHONY: docs help build soak demo test check generate tools clean bench-scale bench-policy bench-hop bench-wave demo-failures
 
 help: ## List the commands
 	@grep -E '^[a-z-]+:.*## ' Makefile | sed 's/:.*## /\t/'
@@ -27,6 +27,9 @@
 test: ## Run all tests with the race detector
 	go test -race ./...
 
+soak: build ## Run processes under faults drawn from seeds (SEEDS=50 LENGTH=15s FIRST=1; fresh seeds without FIRST)
+	$(BIN)/ironhollow-soak --program $(BIN)/ironhollow-node --seeds $(or $(SEEDS),50) --length $(or $(LENGTH),15s) $(if $(FIRST),--seed $(FIRST))
+
 bench-scale: build ## Measure fleets of growing size (SIZES="3 9 30 100")
 	scripts/bench-scale.sh
 
--- /dev/null
+++ b/pkg/app/soak/soak.go
@@ -0,0 +1,95 @@
+// Package soak is the command line of the fault soak.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"ironhollow/pkg/app/process"
+	"ironhollow/pkg/soak"
+)
+
+// Main runs the command line and returns the exit code.
+func Main() int {
+	var o soak.Options
+	var first uint64
+	var seeds int
+	var keep bool
+	command := &cobra.Command{
+		Use:           "ironhollow-soak",
+		Short:         "Run processes under faults drawn from seeds and check their promises",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			ctx, stop := signal.NotifyContext(command.Context(), os.Interrupt)
+			defer stop()
+			return all(ctx, o, first, seeds, keep, command.OutOrStdout())
+		},
+	}
+	flags := command.Flags()
+	flags.StringVar(&o.Program, "program", "bin/ironhollow-node", "path of ironhollow-node")
+	flags.Uint64Var(&first, "seed", uint64(time.Now().Unix()), "first seed; fresh ones by the clock if left out")
+	flags.IntVar(&seeds, "seeds", 1, "how many seeds to run, one after the other")
+	flags.DurationVar(&o.Length, "length", 15*time.Second, "how long faults are injected for each seed")
+	flags.IntVar(&o.Nodes, "nodes", 4, "how many processes")
+	flags.IntVar(&o.Callers, "callers", 12, "how many callers")
+	flags.StringVar(&o.Folder, "folder", os.TempDir(), "where the logs of failed seeds are kept")
+	flags.BoolVar(&keep, "keep", false, "keep the logs of all seeds")
+	if err := command.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return process.ExitFault
+	}
+	return process.ExitOK
+}
+
+// all runs the seeds and tells of each.
+func all(ctx context.Context, o soak.Options, first uint64, seeds int, keep bool, out io.Writer) error {
+	failed := 0
+	for seed := first; seed < first+uint64(seeds) && ctx.Err() == nil; seed++ {
+		broken, err := one(ctx, o, seed, keep, out)
+		if err != nil {
+			return err
+		}
+		if broken {
+			failed++
+		}
+	}
+	if failed > 0 {
+		return fmt.Errorf("%d of %d seeds broke a promise", failed, seeds)
+	}
+	return ctx.Err()
+}
+
+func one(ctx context.Context, o soak.Options, seed uint64, keep bool, out io.Writer) (broken bool, err error) {
+	folder, err := os.MkdirTemp(o.Folder, fmt.Sprintf("soak-%d-", seed))
+	if err != nil {
+		return false, err
+	}
+	faults, err := os.Create(filepath.Join(folder, "faults.log"))
+	if err != nil {
+		return false, err
+	}
+	defer func() { _ = faults.Close() }()
+	o.Folder, o.Seed, o.Log = folder, seed, faults
+	outcome, err := soak.Run(ctx, o)
+	if err != nil {
+		return false, fmt.Errorf("seed %d: %w (logs in %s)", seed, err, folder)
+	}
+	_, err = fmt.Fprintf(out, "seed %d: %d served, %d failed, %d windows reported, %d promises broken\n", seed, outcome.Served, outcome.Failed, outcome.Reports, len(outcome.Broken))
+	for _, what := range outcome.Broken {
+		_, _ = fmt.Fprintln(out, "  ", what)
+	}
+	if len(outcome.Broken) > 0 || keep {
+		_, _ = fmt.Fprintln(out, "   logs in", folder)
+		return len(outcome.Broken) > 0, err
+	}
+	return false, os.RemoveAll(folder)
+}
--- /dev/null
+++ b/pkg/soak/process.go
@@ -0,0 +1,150 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"ironhollow/platform"
+	"ironhollow/platform/standin"
+)
+
+// node is one host: the same addresses over all its processes.
+type node struct {
+	file    standin.NodeFile
+	program string
+	folder  string
+	// store is the proxy between this host and the store.
+	store *Proxy
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	done    chan struct{}
+	ended   bool
+	// harmedUntil is until when faults or their traces are at this host.
+	harmedUntil time.Time
+}
+
+// freePort returns a loopback address that is free at the moment.
+func freePort() (string, int, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", 0, err
+	}
+	address, ok := listener.Addr().(*net.TCPAddr)
+	if !ok {
+		return "", 0, errors.New("soak: no TCP address")
+	}
+	return address.String(), address.Port, listener.Close()
+}
+
+func newNode(number int, program, folder, storeAddress, cloudAddress string) (*node, error) {
+	proxy, err := NewProxy(storeAddress)
+	if err != nil {
+		return nil, err
+	}
+	n := &node{program: program, folder: folder, store: proxy}
+	n.file = standin.NodeFile{
+		Name: fmt.Sprintf("node-%d", number), Store: proxy.Address(), Cloud: cloudAddress,
+		GraceS: int(grace / time.Second), LeaseMS: 3000, WindowS: 2, RetryWindow: 10,
+	}
+	for _, address := range []*string{&n.file.Callers, &n.file.Ready, &n.file.Directory, &n.file.Admin} {
+		if *address, _, err = freePort(); err != nil {
+			return nil, err
+		}
+	}
+	if _, n.file.PeerPort, err = freePort(); err != nil {
+		return nil, err
+	}
+	path := filepath.Join(folder, n.file.Name+".toml")
+	return n, os.WriteFile(path, []byte(n.file.Settings()), 0o600)
+}
+
+// start starts a process, and another whenever it ends, until end.
+func (n *node) start() error {
+	log, err := os.OpenFile(filepath.Join(n.folder, n.file.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ended {
+		return log.Close()
+	}
+	n.process = exec.Command(n.program)
+	n.process.Env = append(os.Environ(), platform.SettingsVariable+"="+filepath.Join(n.folder, n.file.Name+".toml"))
+	n.process.Stdout, n.process.Stderr = log, log
+	n.done = make(chan struct{})
+	if err := n.process.Start(); err != nil {
+		return errors.Join(err, log.Close())
+	}
+	go n.watch(n.process, n.done, log)
+	return nil
+}
+
+// restartPause is the time from a process's end to the next one's start.
+const restartPause = 300 * time.Millisecond
+
+func (n *node) watch(process *exec.Cmd, done chan struct{}, log *os.File) {
+	// How it ended stands in its log.
+	_ = process.Wait()
+	_ = log.Close()
+	close(done)
+	time.Sleep(restartPause)
+	if err := n.start(); err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+	}
+}
+
+// signal sends a signal to the process that this node started.
+func (n *node) signal(s syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	// It may just have ended: then there is nothing to signal.
+	_ = n.process.Process.Signal(s)
+}
+
+// end ends the node for good and waits for its process.
+func (n *node) end() {
+	n.mu.Lock()
+	n.ended = true
+	process, done := n.process, n.done
+	n.mu.Unlock()
+	n.store.Close()
+	if process != nil {
+		_ = process.Process.Kill()
+		<-done
+	}
+}
+
+// harm notes that faults are at this host until some time.
+func (n *node) harm(until time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if until.After(n.harmedUntil) {
+		n.harmedUntil = until
+	}
+}
+
+func (n *node) harmed(at time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return at.Before(n.harmedUntil)
+}
+
+// ready asks the node whether it is ready.
+func (n *node) ready(client *http.Client) bool {
+	response, err := client.Get(standin.ReadyURL(n.file.Ready))
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/pkg/soak/proxy.go
@@ -0,0 +1,183 @@
+// Package soak runs the real program as separate processes on one machine,
+// injects faults from outside, drawn from a seed, and checks what callers, back
+// ends and the platform see meanwhile.
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Harm is what a proxy does to the connections through it.
+type Harm int
+
+// The harms.
+const (
+	// Pass does no harm.
+	Pass Harm = iota
+	// Delay holds every piece back for a while.
+	Delay
+	// Silence lets nothing through, either way; connections stay open.
+	Silence
+	// OneWay lets requests through and no answers.
+	OneWay
+	// Reset resets connections as they come, and those there are.
+	Reset
+)
+
+// String names the harm.
+func (h Harm) String() string {
+	return [...]string{"pass", "delay", "silence", "one-way", "reset"}[h]
+}
+
+// delay is how long Delay holds a piece back.
+const delay = 150 * time.Millisecond
+
+// Proxy is a loopback proxy of one address. It is safe for concurrent use.
+type Proxy struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	harm  Harm
+	conns map[net.Conn]bool
+	// changed is closed when the harm changes.
+	changed chan struct{}
+}
+
+// NewProxy starts a proxy to a target.
+func NewProxy(target string) (*Proxy, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{listener: listener, target: target, conns: map[net.Conn]bool{}, changed: make(chan struct{})}
+	go p.accept()
+	return p, nil
+}
+
+// Address returns where the proxy listens.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+// Close ends the proxy and its connections.
+func (p *Proxy) Close() {
+	_ = p.listener.Close()
+	p.Set(Reset)
+}
+
+// Set changes what the proxy does.
+func (p *Proxy) Set(h Harm) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.harm = h
+	close(p.changed)
+	p.changed = make(chan struct{})
+	if h == Reset {
+		for c := range p.conns {
+			reset(c)
+		}
+	}
+}
+
+func (p *Proxy) state() (Harm, chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.harm, p.changed
+}
+
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+func (p *Proxy) accept() {
+	for {
+		inner, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		if h, _ := p.state(); h == Reset {
+			reset(inner)
+			continue
+		}
+		go p.connect(inner)
+	}
+}
+
+func (p *Proxy) connect(inner net.Conn) {
+	outer, err := net.DialTimeout("tcp", p.target, time.Second)
+	if err != nil {
+		reset(inner)
+		return
+	}
+	p.keep(inner, outer)
+	go p.copy(outer, inner, false)
+	p.copy(inner, outer, true)
+}
+
+func (p *Proxy) keep(conns ...net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range conns {
+		p.conns[c] = true
+	}
+}
+
+func (p *Proxy) drop(conns ...net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range conns {
+		delete(p.conns, c)
+		_ = c.Close()
+	}
+}
+
+// copy carries one direction; answers says that it is the way back.
+func (p *Proxy) copy(to, from net.Conn, answers bool) {
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			p.hold(answers)
+			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+				reset(from)
+				break
+			}
+		}
+		if err == io.EOF {
+			if tcp, ok := to.(*net.TCPConn); ok {
+				_ = tcp.CloseWrite()
+			}
+			if !answers {
+				// The caller is done sending: the way back goes on.
+				return
+			}
+			break
+		}
+		if err != nil {
+			reset(to)
+			break
+		}
+	}
+	p.drop(to, from)
+}
+
+// hold waits as the harm asks before a piece is passed on.
+func (p *Proxy) hold(answers bool) {
+	for {
+		h, changed := p.state()
+		switch {
+		case h == Delay:
+			time.Sleep(delay)
+			return
+		case h == Silence, h == OneWay && answers:
+			<-changed
+		default:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/pkg/soak/soak.go
@@ -0,0 +1,272 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"ironhollow/platform/standin"
+)
+
+// Options of a run.
+type Options struct {
+	// Program is the path of ironhollow-node, Folder where logs go.
+	Program, Folder string
+	Seed            uint64
+	// Length is how long faults are injected.
+	Length  time.Duration
+	Nodes   int
+	Callers int
+	// Log takes a line for each fault.
+	Log io.Writer
+}
+
+// Outcome is how a run ended.
+type Outcome struct {
+	Served, Failed int
+	// Reports is how many windows of usage were reported.
+	Reports int
+	// Broken is every broken promise.
+	Broken []string
+}
+
+// Figures of a run.
+const (
+	// grace is the time from SIGTERM to SIGKILL.
+	grace = 3 * time.Second
+	// serveOn is how long an endpoint serves after it said that it leaves.
+	serveOn = 3 * time.Second
+	// faultPause is the mean time between two faults: they overlap.
+	faultPause = 700 * time.Millisecond
+	// recovery is how long after the last fault all must be well again, and
+	// calm how long it is watched then.
+	recovery = 8 * time.Second
+	calm     = 3 * time.Second
+	// servedShare is the share of requests that must be served when all is well.
+	servedShare = 0.98
+	// plainEndpoints and streamEndpoints are how many of each there are.
+	plainEndpoints  = 3
+	streamEndpoints = 3
+	startTime       = 10 * time.Second
+)
+
+// run is a run in progress.
+type run struct {
+	options Options
+	random  *rand.Rand
+	store   *standin.Store
+	cloud   *standin.Cloud
+	ledger  *standin.Ledger
+	nodes   []*node
+	report  *report
+	version int
+	started time.Time
+	timers  sync.WaitGroup
+
+	mu        sync.Mutex
+	endpoints []*standin.Endpoint
+	proxies   []*Proxy
+	made      int
+}
+
+// Run makes one run. The error says that it could not be made.
+func Run(ctx context.Context, o Options) (Outcome, error) {
+	r := &run{
+		options: o, random: rand.New(rand.NewPCG(o.Seed, 0)), store: standin.NewStore(), cloud: standin.NewCloud(),
+		ledger: standin.NewLedger(), report: newReport(), version: 1, started: time.Now(),
+	}
+	defer r.end()
+	if err := r.start(); err != nil {
+		return Outcome{}, err
+	}
+	callersCtx, stopCallers := context.WithCancel(ctx)
+	var callers sync.WaitGroup
+	for i := range o.Callers {
+		c := newCaller(i, o.Seed, r.nodes, r.report)
+		callers.Go(func() { c.run(callersCtx) })
+	}
+	r.faults(ctx)
+	r.timers.Wait()
+	r.wait(ctx, recovery)
+	r.checkCalm(ctx)
+	stopCallers()
+	callers.Wait()
+	r.checkRuns()
+	served, failed := r.report.totals()
+	return Outcome{served, failed, r.cloud.Reports(), append(r.report.broken, r.cloud.Broken()...)}, ctx.Err()
+}
+
+func (r *run) log(format string, args ...any) {
+	_, _ = fmt.Fprintf(r.options.Log, "%8.3f  %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// start starts the stand-ins and the processes, and waits until all are ready.
+func (r *run) start() error {
+	storeAddress, _, err := standin.Serve(r.store)
+	if err != nil {
+		return err
+	}
+	cloudAddress, _, err := standin.Serve(r.cloud)
+	if err != nil {
+		return err
+	}
+	if err := standin.PutConfiguration(r.store, r.version, r.version); err != nil {
+		return err
+	}
+	for i := range plainEndpoints + streamEndpoints {
+		r.endpoints = append(r.endpoints, nil)
+		r.proxies = append(r.proxies, nil)
+		if err := r.startEndpoint(i); err != nil {
+			return err
+		}
+	}
+	for i := range r.options.Nodes {
+		n, err := newNode(i, r.options.Program, r.options.Folder, storeAddress, cloudAddress)
+		if err != nil {
+			return err
+		}
+		r.nodes = append(r.nodes, n)
+		if err := n.start(); err != nil {
+			return err
+		}
+	}
+	return r.waitReady(startTime)
+}
+
+func (r *run) waitReady(within time.Duration) error {
+	client := &http.Client{Timeout: time.Second}
+	deadline := time.Now().Add(within)
+	for _, n := range r.nodes {
+		for !n.ready(client) {
+			if time.Now().After(deadline) {
+				return fmt.Errorf("%s is not ready after %v", n.file.Name, within)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+func (r *run) startEndpoint(i int) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.made++
+	service := standin.PlainService
+	if i >= plainEndpoints {
+		service = standin.StreamService
+	}
+	var proxy *Proxy
+	e, err := standin.StartEndpoint(fmt.Sprintf("i-%d-%d", i, r.made), service, r.store, r.ledger, func(address string) (string, error) {
+		var err error
+		if proxy, err = NewProxy(address); err != nil {
+			return "", err
+		}
+		return proxy.Address(), nil
+	})
+	if err != nil {
+		return err
+	}
+	r.endpoints[i], r.proxies[i] = e, proxy
+	return nil
+}
+
+func (r *run) proxyOf(i int) *Proxy {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.proxies[i]
+}
+
+// replace ends an endpoint in some way and starts another in its place.
+func (r *run) replace(i int, end func(*standin.Endpoint)) {
+	r.mu.Lock()
+	old := r.endpoints[i]
+	r.mu.Unlock()
+	if err := r.startEndpoint(i); err != nil {
+		r.report.wrong("endpoint %d: %v", i, err)
+		return
+	}
+	end(old)
+}
+
+func (r *run) later(after time.Duration, what func()) {
+	r.timers.Go(func() {
+		time.Sleep(after)
+		what()
+	})
+}
+
+func (r *run) harmAll(lasting time.Duration) {
+	for _, n := range r.nodes {
+		n.harm(time.Now().Add(lasting))
+	}
+}
+
+func (r *run) wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// faults injects faults for the run's length.
+func (r *run) faults(ctx context.Context) {
+	r.wait(ctx, time.Second)
+	for end := time.Now().Add(r.options.Length); time.Now().Before(end) && ctx.Err() == nil; {
+		r.inject(draw(r.random, len(r.nodes), len(r.endpoints)))
+		r.wait(ctx, time.Duration(r.random.Int64N(int64(2*faultPause))))
+	}
+}
+
+// checkCalm checks that all is well again after the faults.
+func (r *run) checkCalm(ctx context.Context) {
+	if err := r.waitReady(time.Second); err != nil {
+		r.report.wrong("%v after the faults ended: %v", recovery, err)
+	}
+	servedBefore, failedBefore := r.report.totals()
+	r.wait(ctx, calm)
+	served, failed := r.report.totals()
+	served, failed = served-servedBefore, failed-failedBefore
+	if float64(served) < servedShare*float64(served+failed) || served == 0 {
+		r.report.wrong("after the faults ended %d requests were served and %d failed", served, failed)
+	}
+}
+
+// checkRuns checks what endpoints ran against what callers were told.
+func (r *run) checkRuns() {
+	for _, id := range r.report.once {
+		if runs := r.ledger.Runs(id); runs > 1 {
+			r.report.wrong("%s may run once and ran %d times", id, runs)
+		}
+	}
+	for _, id := range r.report.promised {
+		if r.ledger.Runs(id) > 0 {
+			r.report.wrong("%s was said not to have run, and ran", id)
+		}
+	}
+	for _, late := range r.ledger.Late() {
+		calmThen := true
+		for _, n := range r.nodes {
+			calmThen = calmThen && !n.harmed(late.At)
+		}
+		if calmThen {
+			r.report.wrong("%s came to an endpoint %v after it said that it leaves", late.Request, late.After)
+		}
+	}
+}
+
+// end ends all processes that this run started, and its stand-ins.
+func (r *run) end() {
+	for _, n := range r.nodes {
+		n.end()
+	}
+	for i, e := range r.endpoints {
+		if e != nil {
+			e.Crash()
+			r.proxies[i].Close()
+		}
+	}
+}
--- /dev/null
+++ b/pkg/soak/soak_test.go
@@ -0,0 +1,42 @@
+package soak_test
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"ironhollow/pkg/soak"
+)
+
+// seeds are run in every CI: a short one, and each that ever failed, with a line
+// on the cause.
+var seeds = []uint64{1}
+
+func TestShortSoak(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "ironhollow-node")
+	build := exec.Command("go", "build", "-o", program, "ironhollow/cmd/ironhollow-node")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	for _, seed := range seeds {
+		faults, err := os.Create(filepath.Join(t.TempDir(), "faults.log"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		outcome, err := soak.Run(context.Background(), soak.Options{
+			Program: program, Folder: t.TempDir(), Seed: seed, Length: 4 * time.Second, Nodes: 3, Callers: 6, Log: faults,
+		})
+		if closeErr := faults.Close(); err != nil || closeErr != nil {
+			t.Fatal(err, closeErr)
+		}
+		for _, what := range outcome.Broken {
+			t.Errorf("seed %d: %s", seed, what)
+		}
+		if outcome.Served < 100 || outcome.Reports == 0 {
+			t.Errorf("seed %d: got %d served, %d windows reported, want some", seed, outcome.Served, outcome.Reports)
+		}
+	}
+}
