Trial: the next loss is reckoned with, choice among a few in large fleets, denser datagrams

Change: while none are to be had, on-demand endpoints are bought ahead so that another data centre's loss leaves 0.7 of the need; from 24 hosts on three endpoints at random are weighed beside those with the prefix; datagrams every 0.57 s at 91 hosts.

--- a/pkg/autoscale/autoscale_test.go
+++ b/pkg/autoscale/autoscale_test.go
@@ -80,6 +80,20 @@
 	}
 }
 
+// Two data centres' reclaimable endpoints are away and none are to be had: the
+// next loss must leave most of the need.
+func TestPlanExpectsTheNextLoss(t *testing.T) {
+	demand := autoscale.Demand{Work: 14, Known: true}
+	orders, need := autoscale.Plan(service(99), demand, supplied(map[string]int{"a": 14, "b": 14}))
+	if left := total(orders, false) + 14; float64(left) < 0.7*float64(need) {
+		t.Errorf("left after another loss: got %d of %d needed", left, need)
+	}
+	orders, _ = autoscale.Plan(service(99), demand, supplied(map[string]int{"a": 14, "b": 14, "c": 14, "d": 14}))
+	if got := total(orders, false); got != 4 {
+		t.Errorf("on demand while all are there: got %d, want 4", got)
+	}
+}
+
 func TestNeedIsGuessedUntilTheTrafficIsKnown(t *testing.T) {
 	all := supplied(map[string]int{"a": 99, "b": 99, "c": 99, "d": 99})
 	_, guessed := autoscale.Plan(service(30), autoscale.Demand{Found: 60}, all)
--- a/pkg/autoscale/plan.go
+++ b/pkg/autoscale/plan.go
@@ -29,6 +29,9 @@
 	busy = 0.45
 	// leastNeeded is the fewest endpoints in all.
 	leastNeeded = 8
+	// borne is the part of the need that is to be there after another data
+	// centre's reclaimable endpoints have gone, while none are to be had.
+	borne = 0.7
 	// foundShare is the part of the endpoints found at first that is taken for
 	// the need until the traffic is known.
 	foundShare = 0.6
@@ -57,13 +60,16 @@
 	spread := max(len(places)-1, 1)
 	each := max((need-len(places)+spread-1)/spread, 1)
 	each = min(int(math.Ceil((1+reserve)*float64(each))), max(s.Most-1, 0))
-	there := 0
+	there, largest := 0, 0
 	for _, place := range places {
 		kept[place] = 1
 		serving, soon := supply(place, true)
-		there += 1 + min(serving+soon, each)
+		reclaimable := min(serving+soon, each)
+		there += 1 + reclaimable
+		largest = max(largest, reclaimable)
 	}
-	substitute(places, kept, need-there, s.Most)
+	afterLoss := int(math.Ceil(borne*float64(need))) - (there - largest)
+	substitute(places, kept, max(need-there, afterLoss), s.Most)
 	var orders []Order
 	for _, place := range places {
 		orders = append(orders,
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -269,6 +269,13 @@
 	return wait, ok
 }
 
+// Choice in large fleets: from staleFleet hosts on, loads heard of others are
+// older than the time between two of their choices.
+const (
+	staleFleet  = 24
+	staleSample = 3
+)
+
 // query is what the router needs to know.
 func (c *call) query() route.Query {
 	q := route.Query{
@@ -277,6 +284,9 @@
 		AnswerTokens: max(c.meta.ExpectedTokens, 1),
 		Avoid:        c.avoid,
 	}
+	if c.f.nodes() >= staleFleet {
+		q.Sample = staleSample
+	}
 	covered := 0
 	for _, part := range c.meta.Prefix {
 		covered += part.Tokens
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -22,7 +22,7 @@
 	// interval is the time between two datagrams to each host, in a fleet up to
 	// smallFleet; a larger one tells less often, so that a host's work stays.
 	interval   = 200 * time.Millisecond
-	smallFleet = 16
+	smallFleet = 32
 	// mostBytes bounds a datagram: below the usual size of a packet's data.
 	mostBytes = 1400
 )
--- a/pkg/limit/shared.go
+++ b/pkg/limit/shared.go
@@ -43,7 +43,7 @@
 	// datagrams, the way, and a late timer. Above smallFleet hosts the rounds are
 	// rarer, see package gossip.
 	unheardTime = 300 * time.Millisecond
-	smallFleet  = 16
+	smallFleet  = 32
 	// heardKept is how long what another entry told is reckoned with, in a fleet
 	// up to smallFleet.
 	heardKept = 2 * time.Second
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -50,7 +50,11 @@
 	// MayWait marks work that takes an endpoint only where that leaves room for
 	// callers who wait.
 	MayWait bool
-	stale   bool
+	// Sample is how many endpoints are looked at beside those that have the
+	// prefix, 0 for all up to a bound. Where many entries choose by old reports, a
+	// few at random spread better than the best of all (Mitzenmacher 2001).
+	Sample int
+	stale  bool
 }
 
 // Choice is an endpoint chosen. Every Choice must be ended with Done.
@@ -386,7 +390,11 @@
 			best, bestScore = s, sc
 		}
 	}
-	if len(g.slots) <= scanLimit {
+	sample := scanLimit
+	if q.Sample > 0 {
+		sample = q.Sample
+	}
+	if len(g.slots) <= sample {
 		for _, s := range g.slots {
 			consider(s)
 		}
@@ -397,7 +405,7 @@
 			consider(s)
 		}
 	}
-	for range scanLimit {
+	for range sample {
 		consider(g.slots[g.random.IntN(len(g.slots))])
 	}
 	if best != nil {
--- a/pkg/soak/process.go
+++ b/pkg/soak/process.go
@@ -69,14 +69,14 @@
 
 // start starts a process, and another whenever it ends, until end.
 func (n *node) start() error {
-	log, err := os.OpenFile(filepath.Join(n.folder, n.file.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		return err
-	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.ended {
-		return log.Close()
+		return nil
+	}
+	log, err := os.OpenFile(filepath.Join(n.folder, n.file.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
 	}
 	n.process = exec.Command(n.program)
 	n.process.Env = append(os.Environ(), platform.SettingsVariable+"="+filepath.Join(n.folder, n.file.Name+".toml"))
