--- a/pkg/app/node/clock.go
+++ b/pkg/app/node/clock.go
@@ -46,3 +46,14 @@
 	now, ok := c.store()
 	return time.Duration(time.Now().UnixNano()) - now, ok
 }
+
+// since returns the store's clock at the start, rounded so that it stays the
+// same while better answers come; 0 while it is not known.
+func (c *clock) since() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.known {
+		return 0
+	}
+	return c.storeStart.Truncate(time.Second)
+}
--- a/pkg/app/node/duties.go
+++ b/pkg/app/node/duties.go
@@ -62,12 +62,11 @@
 const standbys = 3
 
 // standsBy reports whether this host is among those that watch the lease: the
-// ones whose processes are known for longest are not told apart, so it goes by
-// name, which needs no agreement.
+// oldest, which have heard what dead processes counted.
 func (n *node) standsBy() bool {
-	for i, e := range n.world.roster.Entries() {
-		if e.Node == n.settings.Node {
-			return i < standbys
+	for _, h := range n.world.roster.Oldest(standbys) {
+		if h.Node == n.settings.Node {
+			return true
 		}
 	}
 	return false
--- a/pkg/app/node/heartbeat.go
+++ b/pkg/app/node/heartbeat.go
@@ -93,6 +93,7 @@
 		DataCenter:  n.settings.DataCenter,
 		Callers:     n.settings.Callers,
 		Peers:       n.settings.Peers,
+		Since:       n.clock.since(),
 		Leaving:     n.leaving.Load(),
 	}
 }
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -40,6 +40,7 @@
 	DataCenter  string
 	Callers     string
 	Peers       string
+	SinceMS     int64
 	Leaving     bool
 	// Sequence grows with each datagram of an incarnation.
 	Sequence int64
@@ -151,7 +152,7 @@
 	told := e.own()
 	m := message{
 		Incarnation: told.Incarnation, Node: told.Node, DataCenter: told.DataCenter,
-		Callers: told.Callers, Peers: told.Peers, Leaving: told.Leaving, Sequence: sequence,
+		Callers: told.Callers, Peers: told.Peers, SinceMS: told.Since.Milliseconds(), Leaving: told.Leaving, Sequence: sequence,
 	}
 	for _, l := range told.Spent {
 		m.Spent = append(m.Spent, spent{Team: l.Team, Admitted: int64(l.Admitted), Asked: float32(l.Asked)})
@@ -195,6 +196,7 @@
 func (m message) told() Told {
 	host := roster.Host{
 		Incarnation: m.Incarnation, Node: m.Node, DataCenter: m.DataCenter, Callers: m.Callers, Peers: m.Peers, Leaving: m.Leaving,
+		Since: time.Duration(m.SinceMS) * time.Millisecond,
 	}
 	t := Told{Told: roster.Told{Host: host, Sequence: m.Sequence}}
 	for _, l := range m.Loads {
--- a/pkg/roster/row.go
+++ b/pkg/roster/row.go
@@ -41,7 +41,10 @@
 	// Callers is the address for callers.
 	Callers string
 	// Peers is the address for datagrams of other hosts, empty for none.
-	Peers   string
+	Peers string
+	// Since is the store's clock when the process started: who is there for
+	// longest knows most.
+	Since   time.Duration
 	Leaving bool
 }
 
@@ -80,6 +83,7 @@
 	Counts     []wireCount `cbor:"9,keyasint,omitempty"`
 	Works      []wireWork  `cbor:"10,keyasint,omitempty"`
 	Peers      string      `cbor:"11,keyasint,omitempty"`
+	SinceMS    int64       `cbor:"12,keyasint,omitempty"`
 }
 
 type wireLoad struct {
@@ -105,7 +109,7 @@
 // Encode returns a row as it is stored.
 func (r Row) Encode() ([]byte, error) {
 	w := wireRow{
-		Node: r.Node, DataCenter: r.DataCenter, Callers: r.Callers, Peers: r.Peers, Sequence: r.Sequence,
+		Node: r.Node, DataCenter: r.DataCenter, Callers: r.Callers, Peers: r.Peers, SinceMS: r.Since.Milliseconds(), Sequence: r.Sequence,
 		Leaving: r.Leaving, OffsetMS: r.ClockOffset.Milliseconds(),
 	}
 	for _, l := range r.Loads {
@@ -130,6 +134,7 @@
 		Host: Host{
 			Incarnation: incarnation, Node: w.Node, DataCenter: w.DataCenter,
 			Callers: w.Callers, Peers: w.Peers, Leaving: w.Leaving,
+			Since: time.Duration(w.SinceMS) * time.Millisecond,
 		},
 		Sequence: w.Sequence, ClockOffset: time.Duration(w.OffsetMS) * time.Millisecond,
 	}
