--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -52,9 +52,6 @@
 	closeTime = 400 * time.Millisecond
 	// entriesKept is how long callers keep the answer of which entries to use.
 	entriesKept = 2 * time.Second
-	// mostTold is how many entries callers are told in a large fleet. At the
-	// users' grown sites the busiest host then uses under a tenth of a core.
-	mostTold = 24
 	// sweepPause is the time between looks for connections idle for too long.
 	sweepPause = 500 * time.Millisecond
 	// headerTime bounds how long a caller may take over its headers.
@@ -344,7 +341,7 @@
 func (n *node) directoryHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+n.platform.DirectoryPath(), func(w http.ResponseWriter, _ *http.Request) {
-		entries := n.world.roster.Told(mostTold)
+		entries := n.world.roster.Entries()
 		if len(entries) == 0 && !n.leaving.Load() {
 			entries = []roster.Entry{{Node: n.settings.Node, DataCenter: n.settings.DataCenter, Callers: n.settings.Callers}}
 		}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -5,8 +5,6 @@
 	"sort"
 	"sync"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Entry is an entry host that serves.
@@ -173,31 +171,6 @@
 	return hosts[:min(most, len(hosts))]
 }
 
-// Told returns the entries that callers are told, at most about a number of
-// them: a few of each data centre, by a rank that all hosts work out alike.
-// Requests that come together at few hosts find connections open, and fewer
-// choose among the endpoints without hearing of each other.
-func (r *Roster) Told(most int) []Entry {
-	entries := r.Entries()
-	if len(entries) <= most {
-		return entries
-	}
-	byPlace := map[string][]Entry{}
-	for _, e := range entries {
-		byPlace[e.DataCenter] = append(byPlace[e.DataCenter], e)
-	}
-	each := (most + len(byPlace) - 1) / len(byPlace)
-	var told []Entry
-	for _, list := range byPlace {
-		sort.Slice(list, func(i, j int) bool { return rank(list[i].Node) < rank(list[j].Node) })
-		told = append(told, list[:min(each, len(list))]...)
-	}
-	sort.Slice(told, func(i, j int) bool { return told[i].Node < told[j].Node })
-	return told
-}
-
-func rank(node string) uint64 { return xxhash.Sum64String(node) }
-
 // Relays returns the addresses of the hosts of a data centre that follow the
 // store for the others: the first few by name.
 func (r *Roster) Relays(dataCenter string, most int) []Host {
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -215,32 +215,16 @@
 	}
 }
 
-// Large fleets tell callers a few hosts of each data centre; one that dies is
-// replaced by another.
-func TestToldEntries(t *testing.T) {
+// Who stands by for a duty has heard most.
+func TestOldestHosts(t *testing.T) {
 	r := roster.New(silence, interval)
 	r.Heard(start)
-	for i := range 40 {
+	for i := range 10 {
 		name := fmt.Sprint("h", i)
-		host := roster.Host{Incarnation: name, Node: name, DataCenter: fmt.Sprint("dc", i%4), Since: time.Duration(40-i) * time.Second}
-		r.Merge(roster.Row{Host: host, Sequence: 1}, start)
+		r.Merge(roster.Row{Host: roster.Host{Incarnation: name, Node: name, Since: time.Duration(20-i) * time.Second}, Sequence: 1}, start)
 	}
-	told := r.Told(12)
-	places := map[string]int{}
-	for _, e := range told {
-		places[e.DataCenter]++
-	}
-	if len(told) != 12 || len(places) != 4 {
-		t.Errorf("told: got %d entries in %d data centres, want 12 in 4", len(told), len(places))
-	}
-	r.Remove(told[0].Node)
-	if again := r.Told(12); len(again) != 12 {
-		t.Errorf("told after one is gone: got %d, want 12", len(again))
-	}
-	if all := r.Told(99); len(all) != 39 {
-		t.Errorf("told of a fleet below the bound: got %d, want all 39", len(all))
-	}
-	if oldest := r.Oldest(2); len(oldest) != 2 || oldest[0].Since > oldest[1].Since || oldest[0].Since > 2*time.Second {
-		t.Errorf("oldest: got %+v, want those since 1 and 2 s or the next", oldest)
+	oldest := r.Oldest(2)
+	if len(oldest) != 2 || oldest[0].Node != "h9" || oldest[1].Node != "h8" {
+		t.Errorf("oldest: got %+v, want h9 and h8", oldest)
 	}
 }
