--- a/pkg/soak/process.go
+++ b/pkg/soak/process.go
@@ -32,17 +32,28 @@
 	harmedUntil time.Time
 }
 
-// freePort returns a loopback address that is free at the moment.
+// Ports of hosts lie below those that the kernel gives to outgoing connections:
+// a restarted process must find its own free. Several soaks may run at once.
+const (
+	firstPort = 10_000
+	portSpan  = 20_000
+)
+
+// portAt is the next port to try; each soak begins somewhere else.
+var portAt = os.Getpid() * 97 % portSpan
+
+// freePort returns a loopback address that is free.
 func freePort() (string, int, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", 0, err
-	}
-	address, ok := listener.Addr().(*net.TCPAddr)
-	if !ok {
-		return "", 0, errors.New("soak: no TCP address")
+	for range portSpan {
+		portAt = (portAt + 1) % portSpan
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+portAt)
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		return address, firstPort + portAt, listener.Close()
 	}
-	return address.String(), address.Port, listener.Close()
+	return "", 0, errors.New("soak: no port is free")
 }
 
 func newNode(number int, program, folder, storeAddress, cloudAddress string) (*node, error) {
