--- a/pkg/explain/logs.go
+++ b/pkg/explain/logs.go
@@ -113,6 +113,9 @@
 		add(sent, "%s after %v: %s", l.Text(hopField(i, "")), took, l.Text(hopField(i, "-end")))
 	}
 	end := "ended: " + l.Text("outcome")
+	if status := l.Text("status"); status != "" {
+		end += " with " + status
+	}
 	if why := l.Text("why"); why != "" {
 		end += ", " + why
 	}
--- a/pkg/explain/logs_test.go
+++ b/pkg/explain/logs_test.go
@@ -16,7 +16,7 @@
 {"time":"2026-02-04T06:00:03Z","level":"warn","node":"a","feed":"servers","error":"timeout","message":"store lost"}
 not a line of ours
 {"time":"2026-02-04T06:00:04Z","level":"info","node":"b","request":"other","outcome":"served","took":5,"message":"request"}
-{"time":"2026-02-04T06:00:10Z","level":"info","node":"a","request":"r1","outcome":"unknown","took":250,"route":"r-1","service":"s","config":7,"team":"t","hop1":"i-1","hop1-row":22,"hop1-end":"unclear: EOF","hop1-took":200,"hop1-expected":40,"hop1-queued":3,"hop1-cached":800,"why":"EOF","bytes":0,"notes":["budget-empty"],"message":"request"}
+{"time":"2026-02-04T06:00:10Z","level":"info","node":"a","request":"r1","outcome":"unknown","status":502,"took":250,"route":"r-1","service":"s","config":7,"team":"t","hop1":"i-1","hop1-row":22,"hop1-end":"unclear: EOF","hop1-took":200,"hop1-expected":40,"hop1-queued":3,"hop1-cached":800,"why":"EOF","bytes":0,"notes":["budget-empty"],"message":"request"}
 `
 
 func TestTimelineOfARequest(t *testing.T) {
@@ -36,7 +36,7 @@
 		"09.750 a taken: team t, route r-1, service s, configuration 7",
 		"09.750 a sent to i-1 (row 22): expected 40 ms, 3 ms behind others, 800 tokens cached",
 		"09.950 a i-1 after 200ms: unclear: EOF",
-		"10.000 a ended: unknown, EOF [budget-empty], 0 bytes passed on",
+		"10.000 a ended: unknown with 502, EOF [budget-empty], 0 bytes passed on",
 	}
 	if len(got) != len(want) {
 		t.Fatalf("steps: got %d\n%s\nwant %d", len(got), strings.Join(got, "\n"), len(want))
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -265,8 +266,12 @@
 	}
 	c.trail.cost = cost
 	team := limit.Team{Name: c.team.Name, Rate: c.team.Rate, Burst: c.team.Burst}
-	ok, wait := c.f.limits.Allow(team, cost, c.f.clock())
-	return wait, ok
+	d := c.f.limits.Allow(team, cost, c.f.clock())
+	if !d.Admitted {
+		c.trail.note(fmt.Sprintf("limit: held %.0f, needed %.0f for a cost of %.0f; rate %.0f; part %.2f; %.1f hosts reckoned with",
+			d.Held, d.Needed, cost, c.team.Rate, d.Part, d.Rivals))
+	}
+	return d.Wait, d.Admitted
 }
 
 // Choice in large fleets: from staleFleet hosts on, loads heard of others are
@@ -457,6 +462,7 @@
 	}
 	body := `{"code":` + strconv.Itoa(found.Number()) + `,"name":` + strconv.Quote(found.Name()) + `,"outcome":` + strconv.Quote(string(found.Outcome())) + "}\n"
 	h.Set("Content-Length", strconv.Itoa(len(body)))
+	c.trail.status = status
 	c.w.WriteHeader(status)
 	_, _ = io.WriteString(c.w, body)
 	return err
--- a/pkg/forward/trail.go
+++ b/pkg/forward/trail.go
@@ -125,7 +125,7 @@
 	if err != nil {
 		line = line.Str("why", err.Error())
 	}
-	line.Float64("cost", c.trail.cost).Int("bytes", c.trail.bytes).Strs("notes", c.trail.notes).Msg("request")
+	line.Int("status", c.trail.status).Float64("cost", c.trail.cost).Int("bytes", c.trail.bytes).Strs("notes", c.trail.notes).Msg("request")
 }
 
 func (c *call) routeKind() string {
--- a/pkg/limit/shared.go
+++ b/pkg/limit/shared.go
@@ -96,8 +96,21 @@
 	s.part = float64(max(heard, 1)) / (float64(max(heard, 1)) + silentWeight*float64(silent))
 }
 
+// Decision is an answer of Allow with what decided it.
+type Decision struct {
+	Admitted bool
+	// Wait is when to come back, if it was not admitted.
+	Wait time.Duration
+	// Held is what the team's bucket held, Needed what it had to hold.
+	Held, Needed float64
+	// Part is of the limits, for the hosts heard.
+	Part float64
+	// Rivals is how many hosts were reckoned with.
+	Rivals float64
+}
+
 // Allow admits one request of a cost or says after how long to come back.
-func (s *Shared) Allow(team Team, cost float64, now time.Time) (bool, time.Duration) {
+func (s *Shared) Allow(team Team, cost float64, now time.Time) Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.bucket(team.Name)
@@ -109,14 +122,15 @@
 	// unheard if they did as this entry did; a full bucket always admits.
 	rivals := s.rivals(b, now)
 	needed := min(cost*rivals+b.unheard*(rivals-1), most)
-	if b.tokens < needed {
-		wait := time.Duration((needed - b.tokens) / rate * float64(time.Second))
-		return false, max(wait, leastWait)
+	d := Decision{Admitted: b.tokens >= needed, Held: b.tokens, Needed: needed, Part: s.part, Rivals: rivals}
+	if !d.Admitted {
+		d.Wait = max(time.Duration((needed-b.tokens)/rate*float64(time.Second)), leastWait)
+		return d
 	}
 	b.tokens -= cost
 	b.own.Admitted += cost
 	b.unheard += cost
-	return true, 0
+	return d
 }
 
 // rivals is how many entries, this one included, are to be expected to admit a
--- a/pkg/limit/shared_test.go
+++ b/pkg/limit/shared_test.go
@@ -68,7 +68,7 @@
 			}
 			budget -= cost
 			wanted += cost
-			if ok, _ := e.limits[random.IntN(len(e.limits))].Allow(team, cost, start.Add(at)); ok {
+			if e.limits[random.IntN(len(e.limits))].Allow(team, cost, start.Add(at)).Admitted {
 				admitted = append(admitted, admission{at, cost})
 				total += cost
 			}
@@ -141,7 +141,7 @@
 	team := limit.Team{Name: "t", Rate: 100, Burst: 1000}
 	admitted := 0
 	for range 1000 {
-		if ok, _ := s.Allow(team, 1, start.Add(time.Second)); ok {
+		if s.Allow(team, 1, start.Add(time.Second)).Admitted {
 			admitted++
 		}
 	}
@@ -154,14 +154,14 @@
 	start := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 	s := limit.NewShared(limit.Allowance{}, start.Add(-time.Minute))
 	team := limit.Team{Name: "t", Rate: 100, Burst: 100}
-	if ok, _ := s.Allow(team, 100, start); !ok {
+	if !s.Allow(team, 100, start).Admitted {
 		t.Fatal("first request: got refused, want admitted")
 	}
-	ok, wait := s.Allow(team, 50, start)
-	if ok || wait != 500*time.Millisecond {
-		t.Errorf("second request: got %v, %v, want refused for 500ms", ok, wait)
+	refused := s.Allow(team, 50, start)
+	if refused.Admitted || refused.Wait != 500*time.Millisecond || refused.Held != 0 || refused.Needed != 50 {
+		t.Errorf("second request: got %+v, want refused for 500ms with 0 held of 50", refused)
 	}
-	if ok, _ := s.Allow(team, 50, start.Add(wait)); !ok {
+	if !s.Allow(team, 50, start.Add(refused.Wait)).Admitted {
 		t.Error("after that time: got refused, want admitted")
 	}
 }
