--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -162,7 +162,7 @@
 		pool:        upstream.New(deadPeer),
 		demands:     map[string]*seenDemand{},
 	}
-	n.limits = limit.NewShared(limit.Allowance(s.Limits), n.clock.Now())
+	n.limits = limit.NewShared(limit.Tolerance(s.Limits), n.clock.Now())
 	client := &http.Client{Transport: newTransport()}
 	n.store = platform.Store(client, s)
 	n.copy = relay.NewCopy(n.clock.Now)
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -119,7 +119,7 @@
 	figures := route.Figures{TokenGap: time.Millisecond, Prefill: time.Microsecond, MeanAnswer: time.Millisecond}
 	router := route.NewWithFigures(s.directory, hazard.New(), route.Home{}, 1, figures)
 	one := func() int { return 1 }
-	forwarder := forward.New(protocol{}, tables{routetable.New(spec), fresh}, router, limit.NewShared(limit.Allowance{}, now.Add(-time.Hour)),
+	forwarder := forward.New(protocol{}, tables{routetable.New(spec), fresh}, router, limit.NewShared(limit.Tolerance{}, now.Add(-time.Hour)),
 		retry.NewWindow(0.2, 58, 10*time.Second), upstream.New(time.Second), s.runs, one, one,
 		func() forward.Phase { return forward.Phase(s.phase.Load()) }, time.Now, forward.NewMetrics(prometheus.NewRegistry()),
 		&log.Logger{Writer: &log.IOWriter{Writer: &s.lines}})
--- a/pkg/limit/shared.go
+++ b/pkg/limit/shared.go
@@ -13,7 +13,7 @@
 // only where the bucket holds enough for those that the others may admit
 // unheard at the same moment. It is safe for concurrent use.
 type Shared struct {
-	allowance Allowance
+	tolerance Tolerance
 	// born is when the entry began: it knows of nothing admitted before, so that
 	// its buckets are empty then.
 	born time.Time
@@ -24,9 +24,9 @@
 	teams map[string]*sharedBucket
 }
 
-// Allowance is how far all entries together may pass a team's rate in a window:
+// Tolerance is how far all entries together may pass a team's rate in a window:
 // by Overrun as a share of what rate and burst give in it, and by Slack on top.
-type Allowance struct {
+type Tolerance struct {
 	Window  time.Duration
 	Overrun float64
 	// Slack is in the unit of the requests' cost.
@@ -35,7 +35,7 @@
 
 // Parameters of shared limits.
 const (
-	// overrunUsed and slackUsed are the parts of the allowance that are given to
+	// overrunUsed and slackUsed are the parts of the tolerance that are given to
 	// callers; the rest covers what entries admit before they hear of each other.
 	overrunUsed = 0.6
 	slackUsed   = 0.25
@@ -84,8 +84,8 @@
 }
 
 // NewShared returns limits of an entry that starts now.
-func NewShared(allowance Allowance, now time.Time) *Shared {
-	return &Shared{allowance: allowance, born: now, part: 1, teams: map[string]*sharedBucket{}}
+func NewShared(tolerance Tolerance, now time.Time) *Shared {
+	return &Shared{tolerance: tolerance, born: now, part: 1, teams: map[string]*sharedBucket{}}
 }
 
 // SetFleet tells how many hosts are heard, this one included, and how many may
@@ -151,14 +151,14 @@
 }
 
 // beyond is the factor by which a limit may be passed all the time.
-func (s *Shared) beyond() float64 { return 1 + overrunUsed*s.allowance.Overrun }
+func (s *Shared) beyond() float64 { return 1 + overrunUsed*s.tolerance.Overrun }
 
 // rate is what flows into a team's bucket on this side.
 func (s *Shared) rate(team Team) float64 { return team.Rate * s.beyond() * s.part }
 
 // most is a full bucket of a team on this side.
 func (s *Shared) most(team Team) float64 {
-	return max((team.Burst*s.beyond()+slackUsed*s.allowance.Slack)*s.part, 1)
+	return max((team.Burst*s.beyond()+slackUsed*s.tolerance.Slack)*s.part, 1)
 }
 
 func (s *Shared) bucket(team string) *sharedBucket {
--- a/pkg/limit/shared_test.go
+++ b/pkg/limit/shared_test.go
@@ -11,12 +11,12 @@
 
 // tokenLimits are limits in tokens as users with large prompts have them.
 var (
-	tokenAllowance = limit.Allowance{Window: 8 * time.Second, Overrun: 0.1, Slack: 190_000}
+	tokenTolerance = limit.Tolerance{Window: 8 * time.Second, Overrun: 0.1, Slack: 190_000}
 	tokenTeam      = limit.Team{Name: "t", Rate: 287_000, Burst: 287_000}
 )
 
 func bound(team limit.Team) float64 {
-	return (team.Rate*tokenAllowance.Window.Seconds()+team.Burst)*(1+tokenAllowance.Overrun) + tokenAllowance.Slack
+	return (team.Rate*tokenTolerance.Window.Seconds()+team.Burst)*(1+tokenTolerance.Overrun) + tokenTolerance.Slack
 }
 
 // entries is a fleet in virtual time.
@@ -29,7 +29,7 @@
 func newEntries(n int, start time.Time) *entries {
 	e := &entries{hears: func(int, int) bool { return true }}
 	for range n {
-		s := limit.NewShared(tokenAllowance, start)
+		s := limit.NewShared(tokenTolerance, start)
 		s.SetFleet(n, 0)
 		e.limits = append(e.limits, s)
 	}
@@ -77,7 +77,7 @@
 	first, sum := 0, 0.0
 	for _, a := range admitted {
 		sum += a.cost
-		for a.at-admitted[first].at > tokenAllowance.Window {
+		for a.at-admitted[first].at > tokenTolerance.Window {
 			sum -= admitted[first].cost
 			first++
 		}
@@ -137,7 +137,7 @@
 // before may just have used it.
 func TestRestartGivesNoSecondBurst(t *testing.T) {
 	start := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
-	s := limit.NewShared(limit.Allowance{}, start)
+	s := limit.NewShared(limit.Tolerance{}, start)
 	team := limit.Team{Name: "t", Rate: 100, Burst: 1000}
 	admitted := 0
 	for range 1000 {
@@ -152,7 +152,7 @@
 
 func TestRefusalTellsWhenThereIsRoom(t *testing.T) {
 	start := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
-	s := limit.NewShared(limit.Allowance{}, start.Add(-time.Minute))
+	s := limit.NewShared(limit.Tolerance{}, start.Add(-time.Minute))
 	team := limit.Team{Name: "t", Rate: 100, Burst: 100}
 	if !s.Allow(team, 100, start).Admitted {
 		t.Fatal("first request: got refused, want admitted")
--- a/pkg/retry/window.go
+++ b/pkg/retry/window.go
@@ -6,9 +6,9 @@
 )
 
 // Window bounds what one node sends again to a service, so that all nodes
-// together stay under a share of the service's requests plus an allowance in
+// together stay under a share of the service's requests plus a slack in
 // any span of one window's length. It needs no word from other nodes: the share
-// is of this node's own requests, the allowance is divided by their number. It
+// is of this node's own requests, the slack is divided by their number. It
 // is safe for concurrent use.
 type Window struct {
 	share, slack float64
@@ -46,7 +46,7 @@
 }
 
 // Take reports whether a request may be sent to a service again, and counts it
-// if so. nodes is how many nodes share the allowance, at least 1.
+// if so. nodes is how many nodes share the slack, at least 1.
 func (w *Window) Take(service string, nodes int, now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
