--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -79,8 +79,10 @@
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	version := int64(-1)
+	failed := false
 	for ctx.Err() == nil {
-		batch, err := f.next(ctx, version)
+		batch, err := f.next(ctx, version, failed)
+		failed = err != nil
 		if ctx.Err() != nil {
 			return
 		}
@@ -100,9 +102,15 @@
 	}
 }
 
-func (f *Follower) next(ctx context.Context, version int64) (Batch, error) {
+// next makes one call. After a failure it does not wait for changes: whether the
+// store is back is to be known at once.
+func (f *Follower) next(ctx context.Context, version int64, failed bool) (Batch, error) {
 	if version >= 0 {
-		return f.source.Changes(ctx, f.table, version, f.timing.Wait())
+		wait := f.timing.Wait()
+		if failed {
+			wait = 0
+		}
+		return f.source.Changes(ctx, f.table, version, wait)
 	}
 	batch, err := f.source.Snapshot(ctx, f.table)
 	batch.Full = true
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -52,6 +52,9 @@
 	plainEndpoints  = 3
 	streamEndpoints = 3
 	startTime       = 10 * time.Second
+	// readyTime is how long all hosts together may take to say that they are
+	// ready when all is well: each is asked with a second's patience.
+	readyTime = 5 * time.Second
 )
 
 // run is a run in progress.
@@ -223,7 +226,7 @@
 
 // checkCalm checks that all is well again after the faults.
 func (r *run) checkCalm(ctx context.Context) {
-	if err := r.waitReady(time.Second); err != nil {
+	if err := r.waitReady(readyTime); err != nil {
 		r.report.wrong("%v after the faults ended: %v", recovery, err)
 	}
 	servedBefore, failedBefore := r.report.totals()
