--- a/pkg/autoscale/autoscale_test.go
+++ b/pkg/autoscale/autoscale_test.go
@@ -52,8 +52,8 @@
 				t.Errorf("work %.0f, %s lost: got %d endpoints, want the %d needed", work, o.DataCenter, left, need)
 			}
 		}
-		if kept != 2 {
-			t.Errorf("work %.0f: got %d on demand, want one in each of the two cheapest data centres", work, kept)
+		if kept != 4 {
+			t.Errorf("work %.0f: got %d on demand, want one in each data centre", work, kept)
 		}
 	}
 }
@@ -89,8 +89,8 @@
 		t.Errorf("left after another loss: got %d of %d needed", left, need)
 	}
 	orders, _ = autoscale.Plan(service(99), demand, supplied(map[string]int{"a": 14, "b": 14, "c": 14, "d": 14}))
-	if got := total(orders, false); got != 2 {
-		t.Errorf("on demand while all are there: got %d, want 2", got)
+	if got := total(orders, false); got != 4 {
+		t.Errorf("on demand while all are there: got %d, want 4", got)
 	}
 }
 
--- a/pkg/autoscale/plan.go
+++ b/pkg/autoscale/plan.go
@@ -41,10 +41,9 @@
 	reserve = 0.4
 )
 
-// Plan returns the orders for a service, and how many endpoints it needs. The
-// cheaper half of the data centres keep one on-demand endpoint each, which no
-// reclaim takes; the rest is reclaimable, so many that the loss of one data
-// centre's leaves the need. What
+// Plan returns the orders for a service, and how many endpoints it needs. Each
+// data centre keeps one on-demand endpoint, which no reclaim takes; the rest is
+// reclaimable, so many that the loss of one data centre's leaves the need. What
 // is missing of the need while none can be had is bought on demand, where it is
 // cheapest, until they are back.
 func Plan(service routetable.Service, demand Demand, supply Supply) ([]Order, int) {
@@ -59,17 +58,14 @@
 	}
 	kept := make(map[string]int, len(places))
 	spread := max(len(places)-1, 1)
-	always := (len(places) + 1) / 2
-	each := max((need-always+spread-1)/spread, 1)
+	each := max((need-len(places)+spread-1)/spread, 1)
 	each = min(int(math.Ceil((1+reserve)*float64(each))), max(s.Most-1, 0))
 	there, largest := 0, 0
-	for i, place := range places {
-		if i < always {
-			kept[place] = 1
-		}
+	for _, place := range places {
+		kept[place] = 1
 		serving, soon := supply(place, true)
 		reclaimable := min(serving+soon, each)
-		there += kept[place] + reclaimable
+		there += 1 + reclaimable
 		largest = max(largest, reclaimable)
 	}
 	afterLoss := int(math.Ceil(borne*float64(need))) - (there - largest)
