Soak: a process that is not ready prints its goroutines

Open: the logs can't tell a starved process from a stuck one. Change: SIGQUIT before the run is given up, so that the log tells next time. Conclusion: listed as open.

--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"ironhollow/platform/standin"
@@ -52,6 +53,8 @@
 	plainEndpoints  = 3
 	streamEndpoints = 3
 	startTime       = 10 * time.Second
+	// dumpTime is how long a process that is not ready has to print why.
+	dumpTime = 500 * time.Millisecond
 	// readyTime is how long all hosts together may take to say that they are
 	// ready when all is well: each is asked with a second's patience.
 	readyTime = 5 * time.Second
@@ -146,6 +149,9 @@
 	for _, n := range r.nodes {
 		for !n.ready(client) {
 			if time.Now().After(deadline) {
+				// The program prints what its goroutines do, into its log.
+				n.signal(syscall.SIGQUIT)
+				time.Sleep(dumpTime)
 				return fmt.Errorf("%s is not ready after %v", n.file.Name, within)
 			}
 			time.Sleep(50 * time.Millisecond)
