Keep a lapsed endpoint only after an outage that can have made rows lapse

A single feed call that fails marked the store as away; a removal told by the next call, 1.3 s later, then counted as a lapse and kept the endpoint for 2 s. Change: rows count as lapsed only if nothing was heard for two heartbeats of the endpoints.

--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -167,7 +167,7 @@
 	n.store = platform.Store(client, s)
 	n.copy = relay.NewCopy(n.clock.Now)
 	n.peers = &http.Client{Transport: newTransport()}
-	n.world = newWorld(platform, n.clock, roster.New(silence, gossip.Interval), n.incarnation, n.log)
+	n.world = newWorld(platform, s.EndpointHeartbeat, n.clock, roster.New(silence, gossip.Interval), n.incarnation, n.log)
 	home := route.Home{Node: s.Node, DataCenter: s.DataCenter}
 	n.router = route.NewWithFigures(n.world.directory, hazard.New(), home, uint64(n.clock.start.UnixNano()), engineFigures)
 	n.counter = usage.NewCounter(s.UsageWindow, n.trueTime)
--- a/pkg/app/node/world.go
+++ b/pkg/app/node/world.go
@@ -49,14 +49,14 @@
 	lost      lossLog
 }
 
-func newWorld(platform Platform, c *clock, members *roster.Roster, self string, logger *log.Logger) *world {
+func newWorld(platform Platform, heartbeat time.Duration, c *clock, members *roster.Roster, self string, logger *log.Logger) *world {
 	directory := endpoint.NewDirectory()
 	return &world{
 		platform:  platform,
 		clock:     c,
 		directory: directory,
 		tables:    routetable.NewHolder(staleAfter, c.Now),
-		endpoints: discovery.New(directory, platform.DecodeEndpoint, c.Now, logger),
+		endpoints: discovery.New(directory, platform.DecodeEndpoint, heartbeat, c.Now, logger),
 		roster:    members,
 		log:       logger,
 		self:      self,
--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -26,29 +26,44 @@
 	now       func() time.Time
 	log       *log.Logger
 
+	// lapseTime is how long the store must have been away for rows to lapse by it.
+	lapseTime time.Duration
+
 	known atomic.Bool
-	away  atomic.Bool
+	lost  atomic.Bool
+	// heardAt is when rows were last taken.
+	heardAt time.Time
 	// lapsed are endpoints whose rows went while the store was away, and until
 	// when they have time to come back.
 	lapsed map[string]time.Time
 }
 
-// New returns rows of nothing.
-func New(directory *endpoint.Directory, decode Decode, now func() time.Time, logger *log.Logger) *Rows {
-	return &Rows{directory: directory, decode: decode, now: now, log: logger, lapsed: map[string]time.Time{}}
+// heartbeatsMissed is how many heartbeats in a row an endpoint surely misses
+// before its row lapses: it goes after three.
+const heartbeatsMissed = 2
+
+// New returns rows of nothing; heartbeat is the time between two writes of an
+// endpoint's row.
+func New(directory *endpoint.Directory, decode Decode, heartbeat time.Duration, now func() time.Time, logger *log.Logger) *Rows {
+	return &Rows{
+		directory: directory, decode: decode, lapseTime: heartbeatsMissed * heartbeat, now: now, log: logger,
+		lapsed: map[string]time.Time{},
+	}
 }
 
 // Known reports whether the rows have been read once.
 func (r *Rows) Known() bool { return r.known.Load() }
 
-// Lost notes that the store does not answer. Rows that are gone when it does
-// again may have gone because nobody could renew them.
-func (r *Rows) Lost() { r.away.Store(true) }
+// Lost notes that the store did not answer. Rows that are gone when it does
+// again may have gone because nobody could renew them, if it was away for long
+// enough; a call or two that fail take no row away.
+func (r *Rows) Lost() { r.lost.Store(true) }
 
 // Take takes in rows and removals.
 func (r *Rows) Take(batch feed.Batch) {
 	now := r.now()
-	away := r.away.Swap(false)
+	away := r.lost.Swap(false) && now.Sub(r.heardAt) > r.lapseTime
+	r.heardAt = now
 	named := map[string]bool{}
 	for _, row := range batch.Rows {
 		if row.Deleted {
--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -36,7 +36,7 @@
 func newSite() *site {
 	s := &site{directory: endpoint.NewDirectory(), now: time.Unix(1000, 0)}
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
-	s.Rows = discovery.New(s.directory, decode, func() time.Time { return s.now }, logger)
+	s.Rows = discovery.New(s.directory, decode, 1200*time.Millisecond, func() time.Time { return s.now }, logger)
 	return s
 }
 
@@ -111,3 +111,18 @@
 	s.rows(false, "a", "leaving")
 	s.want(t, "returned", "a", false)
 }
+
+// A call fails and the next one tells of a removal: the row did not lapse for
+// that, and the endpoint gets nothing more.
+func TestShortLossKeepsNoEndpoint(t *testing.T) {
+	s := newSite()
+	s.rows(true, "a", "live", "b", "live")
+	s.Lost()
+	s.now = s.now.Add(1300 * time.Millisecond)
+	s.rows(false, "a", "")
+	s.want(t, "after a call that failed", "a", false)
+	s.Lost()
+	s.now = s.now.Add(1300 * time.Millisecond)
+	s.rows(true)
+	s.want(t, "not in a snapshot after a call that failed", "b", false)
+}
