--- a/pkg/app/node/platform.go
+++ b/pkg/app/node/platform.go
@@ -39,8 +39,6 @@
 	// DirectoryPath and ReadyPath are what callers and the platform ask for.
 	DirectoryPath() string
 	ReadyPath() string
-	// DecodeCaller returns the data centre of a caller that asks for entries.
-	DecodeCaller(r *http.Request) string
 	EncodeEntries(w http.ResponseWriter, entries []roster.Entry, keep time.Duration) error
 }
 
--- a/pkg/app/node/settings.go
+++ b/pkg/app/node/settings.go
@@ -43,9 +43,8 @@
 	Lease  time.Duration
 	Retry  RetryBounds
 	Limits LimitBounds
-	// UsageWindow and UsageLate are the length of a window of usage and how long
-	// after its end a report is taken.
-	UsageWindow, UsageLate        time.Duration
+	// UsageWindow is the length of a window of usage.
+	UsageWindow                   time.Duration
 	ReportsUsage, OrdersEndpoints bool
 	// EndpointHeartbeat is how often an endpoint writes its row.
 	EndpointHeartbeat time.Duration
