A host that was cut off alone does not take removals for lapses

Change: hosts tell each other how long they have been in touch with the store; rows count as lapsed only if no other host has been in touch all the time.

--- a/pkg/app/node/heartbeat.go
+++ b/pkg/app/node/heartbeat.go
@@ -118,7 +118,7 @@
 	now := n.clock.Now()
 	return gossip.Told{
 		Told: roster.Told{
-			Host: n.host(), Loads: n.ownLoads(), Works: n.ownWorks(now), Counts: n.counter.Latest(),
+			Host: n.host(), Loads: n.ownLoads(), Works: n.ownWorks(now), Counts: n.counter.Latest(), InTouch: n.world.inTouch(),
 		},
 		Spent: n.limits.Own(now),
 	}
--- a/pkg/app/node/world.go
+++ b/pkg/app/node/world.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -47,22 +48,42 @@
 	log       *log.Logger
 	self      string
 	lost      lossLog
+	// inTouchSince is since when the endpoints' feed has not failed, heardAt when it
+	// last answered, both counted from the clock's start in nanoseconds; 0 while it
+	// fails.
+	inTouchSince, heardAt atomic.Int64
 }
 
 func newWorld(platform Platform, heartbeat time.Duration, c *clock, members *roster.Roster, self string, logger *log.Logger) *world {
 	directory := endpoint.NewDirectory()
+	othersHeard := func(whole time.Duration) bool { return members.InTouch(self, whole, c.Now()) }
 	return &world{
 		platform:  platform,
 		clock:     c,
 		directory: directory,
 		tables:    routetable.NewHolder(staleAfter, c.Now),
-		endpoints: discovery.New(directory, platform.DecodeEndpoint, heartbeat, c.Now, logger),
+		endpoints: discovery.New(directory, platform.DecodeEndpoint, heartbeat, othersHeard, c.Now, logger),
 		roster:    members,
 		log:       logger,
 		self:      self,
 	}
 }
 
+// contactFresh is how long ago the endpoints' feed must have answered to count as
+// in touch: its rows change all the time, so that a call that hangs is no sign of
+// a quiet store.
+const contactFresh = 2500 * time.Millisecond
+
+// inTouch is how long the endpoints' feed has not failed.
+func (w *world) inTouch() time.Duration {
+	now := time.Since(w.clock.start)
+	since := time.Duration(w.inTouchSince.Load())
+	if since == 0 || now-time.Duration(w.heardAt.Load()) > contactFresh {
+		return 0
+	}
+	return now - since
+}
+
 // follow starts the feeds. isRelay tells whether others follow this host.
 func (w *world) follow(ctx context.Context, source feed.Source, isRelay func() bool) {
 	tables := w.platform.Tables()
@@ -99,12 +120,24 @@
 		w.log.Info().Str("feed", table).Msg("history gone, the table is read anew")
 		return
 	}
-	if table == w.platform.Tables().Endpoints && err != nil {
-		w.endpoints.Lost()
+	if table == w.platform.Tables().Endpoints {
+		w.noteContact(err)
 	}
 	w.lost.note(w.log, table, err, w.clock.Now())
 }
 
+// noteContact keeps since when the endpoints' feed has not failed.
+func (w *world) noteContact(err error) {
+	if err != nil {
+		w.inTouchSince.Store(0)
+		w.endpoints.Lost()
+		return
+	}
+	now := max(int64(time.Since(w.clock.start)), 1)
+	w.heardAt.Store(now)
+	w.inTouchSince.CompareAndSwap(0, now)
+}
+
 func (w *world) takeConfiguration(batch feed.Batch) {
 	w.tables.Heard()
 	for _, row := range batch.Rows {
--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -28,6 +28,9 @@
 
 	// lapseTime is how long the store must have been away for rows to lapse by it.
 	lapseTime time.Duration
+	// othersHeard tells whether another host has been in touch with the store for
+	// the whole of a time: then it was this host that was away.
+	othersHeard func(time.Duration) bool
 
 	known atomic.Bool
 	lost  atomic.Bool
@@ -43,10 +46,11 @@
 const heartbeatsMissed = 2
 
 // New returns rows of nothing; heartbeat is the time between two writes of an
-// endpoint's row.
-func New(directory *endpoint.Directory, decode Decode, heartbeat time.Duration, now func() time.Time, logger *log.Logger) *Rows {
+// endpoint's row, othersHeard tells whether another host has been in touch with
+// the store for the whole of a time.
+func New(directory *endpoint.Directory, decode Decode, heartbeat time.Duration, othersHeard func(time.Duration) bool, now func() time.Time, logger *log.Logger) *Rows {
 	return &Rows{
-		directory: directory, decode: decode, lapseTime: heartbeatsMissed * heartbeat, now: now, log: logger,
+		directory: directory, decode: decode, lapseTime: heartbeatsMissed * heartbeat, othersHeard: othersHeard, now: now, log: logger,
 		lapsed: map[string]time.Time{},
 	}
 }
@@ -62,7 +66,8 @@
 // Take takes in rows and removals.
 func (r *Rows) Take(batch feed.Batch) {
 	now := r.now()
-	away := r.lost.Swap(false) && now.Sub(r.heardAt) > r.lapseTime
+	gap := now.Sub(r.heardAt)
+	away := r.lost.Swap(false) && gap > r.lapseTime && !r.othersHeard(gap)
 	r.heardAt = now
 	named := map[string]bool{}
 	for _, row := range batch.Rows {
--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -19,6 +19,8 @@
 	directory *endpoint.Directory
 	now       time.Time
 	version   int64
+	// others is how long another host has been in touch with the store.
+	others time.Duration
 }
 
 func decode(id string, value []byte) (endpoint.Info, error) {
@@ -36,7 +38,7 @@
 func newSite() *site {
 	s := &site{directory: endpoint.NewDirectory(), now: time.Unix(1000, 0)}
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
-	s.Rows = discovery.New(s.directory, decode, 1200*time.Millisecond, func() time.Time { return s.now }, logger)
+	s.Rows = discovery.New(s.directory, decode, 1200*time.Millisecond, func(d time.Duration) bool { return s.others >= d }, func() time.Time { return s.now }, logger)
 	return s
 }
 
@@ -126,3 +128,15 @@
 	s.rows(true)
 	s.want(t, "not in a snapshot after a call that failed", "b", false)
 }
+
+// This host alone was cut off from the store, and an endpoint left meanwhile: its
+// row did not lapse, since another host was in touch all the time.
+func TestLeavingWhileThisHostIsCutOff(t *testing.T) {
+	s := newSite()
+	s.rows(true, "a", "live")
+	s.Lost()
+	s.now = s.now.Add(6 * time.Second)
+	s.others = time.Minute
+	s.rows(false, "a", "")
+	s.want(t, "back in touch", "a", false)
+}
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -41,6 +41,7 @@
 	Callers     string
 	Peers       string
 	SinceMS     int64
+	InTouchMS   int64
 	Leaving     bool
 	// Sequence grows with each datagram of an incarnation.
 	Sequence int64
@@ -152,7 +153,8 @@
 	told := e.own()
 	m := message{
 		Incarnation: told.Incarnation, Node: told.Node, DataCenter: told.DataCenter,
-		Callers: told.Callers, Peers: told.Peers, SinceMS: told.Since.Milliseconds(), Leaving: told.Leaving, Sequence: sequence,
+		Callers: told.Callers, Peers: told.Peers, SinceMS: told.Since.Milliseconds(),
+		InTouchMS: told.InTouch.Milliseconds(), Leaving: told.Leaving, Sequence: sequence,
 	}
 	for _, l := range told.Spent {
 		m.Spent = append(m.Spent, spent{Team: l.Team, Admitted: int64(l.Admitted), Asked: float32(l.Asked)})
@@ -198,7 +200,7 @@
 		Incarnation: m.Incarnation, Node: m.Node, DataCenter: m.DataCenter, Callers: m.Callers, Peers: m.Peers, Leaving: m.Leaving,
 		Since: time.Duration(m.SinceMS) * time.Millisecond,
 	}
-	t := Told{Told: roster.Told{Host: host, Sequence: m.Sequence}}
+	t := Told{Told: roster.Told{Host: host, Sequence: m.Sequence, InTouch: time.Duration(m.InTouchMS) * time.Millisecond}}
 	for _, l := range m.Loads {
 		t.Loads = append(t.Loads, roster.Load{Endpoint: l.Endpoint, Running: l.Running, PrefillTokens: l.PrefillTokens})
 	}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -268,6 +268,20 @@
 	return list
 }
 
+// InTouch reports whether another host that is heard has been in touch with the
+// store for the whole of a time.
+func (r *Roster) InTouch(self string, whole time.Duration, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	recent := r.recent()
+	for _, m := range r.members {
+		if m.row.Incarnation != self && now.Sub(m.toldAt) < recent && m.told.InTouch >= whole {
+			return true
+		}
+	}
+	return false
+}
+
 // Fleet returns how many hosts are heard by their datagrams, this one included,
 // and how many others may serve unheard: dead for moments, or cut off.
 func (r *Roster) Fleet(self string, now time.Time) (heard, silent int) {
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -228,3 +228,21 @@
 		t.Errorf("oldest: got %+v, want h9 and h8", oldest)
 	}
 }
+
+func TestOthersInTouchWithTheStore(t *testing.T) {
+	r := roster.New(silence, interval)
+	told := roster.Told{Host: roster.Host{Incarnation: "b", Node: "b"}, Sequence: 1, InTouch: 5 * time.Second}
+	r.Hear(told, start)
+	if !r.InTouch("a", 4*time.Second, start) {
+		t.Error("b in touch for 4 s: got no, want yes")
+	}
+	if r.InTouch("a", 6*time.Second, start) {
+		t.Error("b in touch for 6 s: got yes, want no: it was away itself")
+	}
+	if r.InTouch("b", 4*time.Second, start) {
+		t.Error("another host than b: got yes, want no")
+	}
+	if r.InTouch("a", 4*time.Second, start.Add(time.Minute)) {
+		t.Error("a minute after b was last heard: got yes, want no")
+	}
+}
--- a/pkg/roster/row.go
+++ b/pkg/roster/row.go
@@ -57,6 +57,9 @@
 	Works    []Work
 	// Counts are of the latest windows: they must outlive the process.
 	Counts []Count
+	// InTouch is how long the process has been in touch with the store without a
+	// gap, 0 while it is not.
+	InTouch time.Duration
 }
 
 // Row is what one process tells through the store.
