An endpoint's event that does not end is given up at 256 KB

Cause: the relay holds an event until it is whole, without a bound: a faulty endpoint could fill the process's memory, which the platform kills. Change: at 256 KB (events are some 50 to 300 bytes) the stream breaks off like one whose connection broke.

--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -202,6 +202,36 @@
 	}
 }
 
+// An endpoint that never ends its event is given up, before it fills the memory.
+func TestEndlessEventIsGivenUp(t *testing.T) {
+	sent := make(chan int, 1)
+	answer := func(c net.Conn, r *http.Request) bool {
+		_, _ = io.WriteString(c, strings.ReplaceAll(streamHead, "%id", r.Header.Get("Id"))+chunk("id: 1\ndata: a\n\n"))
+		piece := "10000\r\n" + strings.Repeat("x", 0x10000) + "\r\n"
+		total := 0
+		for total < 64<<20 {
+			if _, err := io.WriteString(c, piece); err != nil {
+				break
+			}
+			total += len(piece)
+		}
+		sent <- total
+		return false
+	}
+	s := newSite(t, spec(), true, answer)
+	began := time.Now()
+	got := s.ask("POST", "/stream/x", "prompt")
+	if got.err == nil || !strings.Contains(got.body, "data: a") {
+		t.Errorf("stream: got %d bytes, %v, want the first event and then a break", len(got.body), got.err)
+	}
+	if total := <-sent; total >= 64<<20 {
+		t.Errorf("endpoint's bytes taken: got all %d, want the connection closed long before", total)
+	}
+	if took, timeout := time.Since(began), spec().Routes[2].Timeout; took >= timeout {
+		t.Errorf("given up: got after %v, want for the event's length, before the route's time of %v is over", took, timeout)
+	}
+}
+
 // A failed answer where a stream should go on must not be passed into it.
 func TestStreamDoesNotGoOnWithAFailure(t *testing.T) {
 	answer := func(c net.Conn, r *http.Request) bool {
--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -72,8 +72,15 @@
 	return errors.Join(errCut, err)
 }
 
-// streamBytes is the buffer for events on their way: a few of them.
-const streamBytes = 8 << 10
+const (
+	// streamBytes is the buffer for events on their way: a few of them.
+	streamBytes = 8 << 10
+	// mostEvent bounds one event, which is held until it is whole: some thousand
+	// times those of a model's answer.
+	mostEvent = 256 << 10
+)
+
+var errLongEvent = errors.New("an event is longer than is held")
 
 // relayStream passes a stream on event by event. Where it breaks off it goes
 // on at another endpoint if the route allows that, after the last whole event.
@@ -102,7 +109,7 @@
 // resume finds another endpoint to go on at.
 func (c *call) resume(ctx context.Context, lastEvent string) (route.Choice, *upstream.Exchange, bool) {
 	last := result(unclear{errCut})
-	for c.mayResend(ctx, last) && c.f.budget.Take(c.service.Name, c.f.sharing(), c.f.clock()) {
+	for c.mayResend(ctx, last) && c.f.budget.Take(c.service.Name, c.f.fleet.Sharing(), c.f.clock()) {
 		choice, ok := c.choose(ctx)
 		if !ok {
 			return choice, nil, false
@@ -139,6 +146,9 @@
 func (s *stream) copy(e *upstream.Exchange) error {
 	buffer := make([]byte, 0, streamBytes)
 	for {
+		if len(buffer) >= mostEvent {
+			return errLongEvent
+		}
 		if len(buffer) == cap(buffer) {
 			buffer = append(buffer, 0)[:len(buffer)]
 		}
