Callers of a large fleet are told its largest hosts

Ruled out: fewer endpoints a host (the shared parts of prompts would be read once a subset). Change: from 24 hosts on callers are told the largest hosts, two a data centre at least, until they have a quarter of the fleet's cores; these tell each other every 0.2 s and all others every 1.1 s; bounds on connections follow (0.8 for those told).

--- a/pkg/app/node/heartbeat.go
+++ b/pkg/app/node/heartbeat.go
@@ -29,6 +29,9 @@
 	largeFleet = 16
 )
 
+// millicores are in a core.
+const millicores = 1000
+
 // beat writes this process's row until ctx ends.
 func (n *node) beat(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -94,6 +97,7 @@
 		Callers:     n.settings.Callers,
 		Peers:       n.settings.Peers,
 		Since:       n.clock.since(),
+		Millicores:  int(millicores * n.settings.Cores),
 		Leaving:     n.leaving.Load(),
 	}
 }
--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -178,10 +178,19 @@
 	budget := retry.NewWindow(s.Retry.Share, s.Retry.Slack, s.Retry.Window)
 	n.registry = process.NewRegistry()
 	n.forwarder = forward.New(platform.Protocol(), n.world.tables, n.router, n.limits, budget, n.pool, n.counter,
-		n.world.roster.Nodes, n.world.roster.Sharing, n.phase, n.clock.Now, forward.NewMetrics(n.registry), n.log)
+		fleet{n.world.roster, s.Node}, n.phase, n.clock.Now, forward.NewMetrics(n.registry), n.log)
 	return n
 }
 
+// fleet is the roster as one host sees it.
+type fleet struct {
+	*roster.Roster
+	node string
+}
+
+// Share returns the part of a bound on all hosts together that this one may use.
+func (f fleet) Share() float64 { return f.Roster.Share(f.node) }
+
 // newTransport is for calls to the platform. A close that gives up on a call
 // throws away what the network still holds, so that it can't arrive later.
 func newTransport() *http.Transport {
@@ -265,7 +274,7 @@
 
 // exchange starts to tell the other hosts what is under way here.
 func (n *node) exchange(ctx context.Context) error {
-	e, err := gossip.Listen(n.settings.Peers, n.incarnation, n.world.roster, n.told, n.hear, n.log)
+	e, err := gossip.Listen(n.settings.Peers, n.host(), n.world.roster, n.told, n.hear, n.log)
 	if err != nil {
 		return err
 	}
--- a/pkg/app/node/settings.go
+++ b/pkg/app/node/settings.go
@@ -37,6 +37,8 @@
 	Store, Cloud string
 	// MemoryMB is the process's limit, 0 for none.
 	MemoryMB int
+	// Cores is the process's share of the processor, in cores; 0 if unknown.
+	Cores float64
 	// Grace is the time from SIGTERM to SIGKILL.
 	Grace time.Duration
 	// Lease is how long a duty's lease lasts without renewal.
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -109,7 +109,7 @@
 	if c.service.Connections == 0 {
 		return 0
 	}
-	return max(c.service.Connections/max(c.f.nodes(), 1), 1)
+	return max(int(c.f.fleet.Share()*float64(c.service.Connections)), 1)
 }
 
 // judge tells what an answer's head says and reads its body.
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -29,6 +29,16 @@
 // Runs counts requests that began to run, for usage.
 type Runs interface{ Began(team string) }
 
+// Fleet is what is known of the entry hosts.
+type Fleet interface {
+	// Advertised is how many hosts callers are told.
+	Advertised() int
+	// Share is the part of a bound on all hosts together that this one may use.
+	Share() float64
+	// Sharing is how many hosts may serve, those that are not heard too.
+	Sharing() int
+}
+
 // Clock tells the time that decisions are taken with.
 type Clock func() time.Time
 
@@ -41,8 +51,7 @@
 	budget   *retry.Window
 	pool     *upstream.Pool
 	runs     Runs
-	nodes    func() int
-	sharing  func() int
+	fleet    Fleet
 	clock    Clock
 	metrics  *Metrics
 	log      *log.Logger
@@ -63,14 +72,13 @@
 	Ending
 )
 
-// New returns a forwarder. nodes returns how many entry
-// hosts serve, sharing how many may serve that are not heard of.
+// New returns a forwarder.
 func New(protocol Protocol, tables Tables, router *route.Router, limits *limit.Shared, budget *retry.Window, pool *upstream.Pool,
-	runs Runs, nodes, sharing func() int, phase func() Phase, clock Clock, metrics *Metrics, logger *log.Logger,
+	runs Runs, fleet Fleet, phase func() Phase, clock Clock, metrics *Metrics, logger *log.Logger,
 ) *Forwarder {
 	return &Forwarder{
 		protocol: protocol, tables: tables, router: router, limits: limits, budget: budget, pool: pool,
-		runs: runs, nodes: nodes, sharing: sharing, phase: phase, clock: clock, metrics: metrics, log: logger, lines: newLineBudget(clock()),
+		runs: runs, fleet: fleet, phase: phase, clock: clock, metrics: metrics, log: logger, lines: newLineBudget(clock()),
 	}
 }
 
@@ -156,8 +164,8 @@
 	return c.run(ctx)
 }
 
-// Choice in large fleets: from staleFleet hosts on, loads heard of others are
-// older than the time between two of their choices.
+// Choice where many hosts take callers: from staleFleet of them on, loads heard of
+// others are older than the time between two of their choices.
 const (
 	staleFleet  = 24
 	staleSample = 3
@@ -171,7 +179,7 @@
 		AnswerTokens: max(c.meta.ExpectedTokens, 1),
 		Avoid:        c.avoid,
 	}
-	if c.f.nodes() >= staleFleet {
+	if c.f.fleet.Advertised() >= staleFleet {
 		q.Sample = staleSample
 	}
 	covered := 0
@@ -214,7 +222,7 @@
 			// Nothing came to an endpoint, so that the next send is the first.
 			continue
 		}
-		if !c.f.budget.Take(c.service.Name, c.f.sharing(), c.f.clock()) {
+		if !c.f.budget.Take(c.service.Name, c.f.fleet.Sharing(), c.f.clock()) {
 			c.trail.note("budget-empty")
 			if a, isAnswer := last.(answered); isAnswer && a.rest == nil {
 				return c.relay(a)
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -108,6 +108,15 @@
 // stays open.
 type script func(c net.Conn, r *http.Request) bool
 
+// oneHost is a fleet of one.
+type oneHost struct{}
+
+func (oneHost) Advertised() int { return 1 }
+
+func (oneHost) Share() float64 { return 1 }
+
+func (oneHost) Sharing() int { return 1 }
+
 // newSite starts a forwarder; scripts are endpoints e0, e1 and so on.
 func newSite(t *testing.T, spec routetable.Spec, fresh bool, scripts ...script) *site {
 	t.Helper()
@@ -118,9 +127,8 @@
 	now := time.Now()
 	figures := route.Figures{TokenGap: time.Millisecond, Prefill: time.Microsecond, MeanAnswer: time.Millisecond}
 	router := route.NewWithFigures(s.directory, hazard.New(), route.Home{}, 1, figures)
-	one := func() int { return 1 }
 	forwarder := forward.New(protocol{}, tables{routetable.New(spec), fresh}, router, limit.NewShared(limit.Tolerance{}, now.Add(-time.Hour)),
-		retry.NewWindow(0.2, 58, 10*time.Second), upstream.New(time.Second), s.runs, one, one,
+		retry.NewWindow(0.2, 58, 10*time.Second), upstream.New(time.Second), s.runs, oneHost{},
 		func() forward.Phase { return forward.Phase(s.phase.Load()) }, time.Now, forward.NewMetrics(prometheus.NewRegistry()),
 		&log.Logger{Writer: &log.IOWriter{Writer: &s.lines}})
 	s.server = httptest.NewServer(forwarder)
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -19,8 +19,8 @@
 
 // Parameters of the exchange.
 const (
-	// interval is the time between two datagrams to each host, in a fleet up to
-	// smallFleet; a larger one tells less often, so that a host's work stays.
+	// interval is the time between two datagrams to each host that shares callers,
+	// of up to smallFleet; more are told less often, so that a host's work stays.
 	interval   = 200 * time.Millisecond
 	smallFleet = 32
 	// mostBytes bounds a datagram: below the usual size of a packet's data.
@@ -49,6 +49,8 @@
 	Spent    []spent
 	Counts   []count
 	Works    []work
+	// Millicores is the host's processor share.
+	Millicores int
 }
 
 type work struct {
@@ -89,16 +91,18 @@
 
 // Exchange sends and receives. It is safe for concurrent use.
 type Exchange struct {
-	conn        *net.UDPConn
-	incarnation string
-	roster      *roster.Roster
-	own         func() Told
-	take        Take
-	log         *log.Logger
+	conn *net.UDPConn
+	self roster.Host
+	// sequence is of the last datagram; one goroutine sends.
+	sequence int64
+	roster   *roster.Roster
+	own      func() Told
+	take     Take
+	log      *log.Logger
 }
 
 // Listen opens the port of the exchange. own returns what this host tells.
-func Listen(address, incarnation string, members *roster.Roster, own func() Told, take Take, logger *log.Logger) (*Exchange, error) {
+func Listen(address string, self roster.Host, members *roster.Roster, own func() Told, take Take, logger *log.Logger) (*Exchange, error) {
 	at, err := net.ResolveUDPAddr("udp4", address)
 	if err != nil {
 		return nil, fmt.Errorf("gossip: %w", err)
@@ -107,19 +111,26 @@
 	if err != nil {
 		return nil, fmt.Errorf("gossip: %w", err)
 	}
-	return &Exchange{conn, incarnation, members, own, take, logger}, nil
+	return &Exchange{conn: conn, self: self, roster: members, own: own, take: take, log: logger}, nil
 }
 
+// farRounds is how many times rarer hosts are told that do not share this one's
+// callers, or while this one has none: they need to know that it lives.
+const farRounds = 2
+
 // Run exchanges until ctx ends; heard is called after each round.
 func (e *Exchange) Run(ctx context.Context, heard func()) {
 	go e.receive()
-	sequence := int64(0)
+	rounds := pace{}
 	for ctx.Err() == nil {
-		sequence++
-		peers := e.roster.Peers(e.incarnation)
-		e.send(sequence, peers)
+		near, far := e.roster.Peers(e.self)
+		pause, tellFar := rounds.next(len(near), len(far))
+		if tellFar {
+			near = append(near, far...)
+		}
+		e.send(near)
 		heard()
-		timer := time.NewTimer(Interval(len(peers) + 1))
+		timer := time.NewTimer(pause)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -129,8 +140,31 @@
 	_ = e.conn.Close()
 }
 
-func (e *Exchange) send(sequence int64, peers []string) {
-	data, err := e.encode(sequence)
+// pace says when which hosts are told.
+type pace struct{ sinceFar time.Duration }
+
+// next returns the pause to the next round and whether far hosts are told in
+// this one.
+func (p *pace) next(near, far int) (pause time.Duration, tellFar bool) {
+	farPause := Interval(near + far + 1)
+	pause = Interval(near + 1)
+	if near == 0 {
+		pause = farPause
+	}
+	if far > 0 {
+		farPause *= farRounds
+	}
+	tellFar = p.sinceFar <= 0
+	if tellFar {
+		p.sinceFar = farPause
+	}
+	p.sinceFar -= pause
+	return pause, tellFar
+}
+
+func (e *Exchange) send(peers []string) {
+	e.sequence++
+	data, err := e.encode(e.sequence)
 	if err != nil {
 		e.log.Error().Err(err).Msg("own load not encoded")
 		return
@@ -154,7 +188,7 @@
 	m := message{
 		Incarnation: told.Incarnation, Node: told.Node, DataCenter: told.DataCenter,
 		Callers: told.Callers, Peers: told.Peers, SinceMS: told.Since.Milliseconds(),
-		InTouchMS: told.InTouch.Milliseconds(), Leaving: told.Leaving, Sequence: sequence,
+		InTouchMS: told.InTouch.Milliseconds(), Leaving: told.Leaving, Sequence: sequence, Millicores: told.Millicores,
 	}
 	for _, l := range told.Spent {
 		m.Spent = append(m.Spent, spent{Team: l.Team, Admitted: int64(l.Admitted), Asked: float32(l.Asked)})
@@ -198,7 +232,7 @@
 func (m message) told() Told {
 	host := roster.Host{
 		Incarnation: m.Incarnation, Node: m.Node, DataCenter: m.DataCenter, Callers: m.Callers, Peers: m.Peers, Leaving: m.Leaving,
-		Since: time.Duration(m.SinceMS) * time.Millisecond,
+		Since: time.Duration(m.SinceMS) * time.Millisecond, Millicores: m.Millicores,
 	}
 	t := Told{Told: roster.Told{Host: host, Sequence: m.Sequence, InTouch: time.Duration(m.InTouchMS) * time.Millisecond}}
 	for _, l := range m.Loads {
--- a/pkg/limit/shared.go
+++ b/pkg/limit/shared.go
@@ -133,6 +133,10 @@
 	return d
 }
 
+// idleAsked is the requests a second below which an entry is none that others
+// reckon with: its last one is some askTimes ago.
+const idleAsked = 0.02
+
 // rivals is how many entries, this one included, are to be expected to admit a
 // request of the team before they hear of each other.
 func (s *Shared) rivals(b *sharedBucket, now time.Time) float64 {
@@ -141,7 +145,7 @@
 	asked := 0.0
 	kept := heardKept * time.Duration(max(len(b.others), smallFleet)) / smallFleet
 	for _, heard := range b.others {
-		if now.Sub(heard.at) < kept {
+		if now.Sub(heard.at) < kept && heard.Asked > idleAsked*mean {
 			asked += heard.Asked
 			others++
 		}
--- /dev/null
+++ b/pkg/roster/advertised.go
@@ -0,0 +1,176 @@
+package roster
+
+import (
+	"cmp"
+	"slices"
+	"sort"
+	"time"
+)
+
+// Entry is an entry host that serves.
+type Entry struct {
+	Node, DataCenter, Callers string
+}
+
+// Parameters of the hosts that callers are told. In a large fleet a few take all
+// callers: each of them sees more of the traffic, so that connections to endpoints
+// are used again before they time out, and few have to agree on loads and limits.
+const (
+	// smallFleet is the hosts below which callers are told all.
+	smallFleet = 24
+	// advertisedPart is the part of the fleet's cores that callers are told: a
+	// request takes 2 ms of a core, and a host must bear running several times slower.
+	advertisedPart = 0.25
+	// advertisedEach is how many hosts of a data centre are told at least.
+	advertisedEach = 2
+	// advertisedShare is the part of bounds on all hosts together that those that
+	// are told have; the others serve callers with old answers.
+	advertisedShare = 0.8
+)
+
+// Entries returns the hosts that callers are told, by name.
+func (r *Roster) Entries() []Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []Entry
+	for _, m := range r.advertised() {
+		list = append(list, Entry{m.row.Node, m.row.DataCenter, m.row.Callers})
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Node < list[j].Node })
+	return list
+}
+
+// Advertises reports whether callers are told a host.
+func (r *Roster) Advertises(node string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(r.advertised(), func(m *member) bool { return m.row.Node == node })
+}
+
+// Advertised returns how many hosts callers are told, at least 1.
+func (r *Roster) Advertised() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(len(r.advertised()), 1)
+}
+
+// Share returns the part of a bound on all hosts together that a host may use.
+func (r *Roster) Share(node string) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	told := r.advertised()
+	others := len(r.live()) - len(told)
+	switch {
+	case others <= 0:
+		return 1 / float64(max(len(told), 1))
+	case slices.ContainsFunc(told, func(m *member) bool { return m.row.Node == node }):
+		return advertisedShare / float64(len(told))
+	default:
+		return (1 - advertisedShare) / float64(others)
+	}
+}
+
+// rankedFor is how long the hosts that callers are told are kept for: they are
+// asked for with each request.
+const rankedFor = 100 * time.Millisecond
+
+// advertised returns the hosts that callers are told. The lock is held.
+func (r *Roster) advertised() []*member {
+	if r.told == nil || r.heardAt.Sub(r.toldAt) >= rankedFor {
+		r.told, r.toldAt = r.rank(), r.heardAt
+	}
+	return r.told
+}
+
+// rank picks the hosts that callers are told: all in a small fleet, and the
+// largest of each data centre and of all in a large one. The lock is held.
+func (r *Roster) rank() []*member {
+	var ranked []*member
+	all := 0
+	for _, m := range r.live() {
+		if !m.row.Leaving {
+			ranked = append(ranked, m)
+			all += m.size()
+		}
+	}
+	if len(ranked) < smallFleet {
+		return ranked
+	}
+	slices.SortFunc(ranked, compareSize)
+	var told []*member
+	each := map[string]int{}
+	sum := 0
+	for _, m := range ranked {
+		if each[m.row.DataCenter] < advertisedEach {
+			each[m.row.DataCenter]++
+			sum += m.size()
+			told = append(told, m)
+		}
+	}
+	for _, m := range ranked {
+		if float64(sum) >= advertisedPart*float64(all) {
+			break
+		}
+		if !slices.Contains(told, m) {
+			sum += m.size()
+			told = append(told, m)
+		}
+	}
+	return told
+}
+
+// Peers returns the addresses for datagrams of the other hosts, also of those
+// not heard: a new process may answer there. Near are those that share the
+// callers with this host, far all others.
+func (r *Roster) Peers(self Host) (near, far []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	told := map[string]bool{}
+	for _, m := range r.advertised() {
+		told[m.row.Node] = true
+	}
+	for _, m := range r.sharing() {
+		if m.row.Incarnation == self.Incarnation || m.row.Peers == "" {
+			continue
+		}
+		if told[self.Node] && told[m.row.Node] {
+			near = append(near, m.row.Peers)
+			continue
+		}
+		far = append(far, m.row.Peers)
+	}
+	return near, far
+}
+
+// compareSize puts the largest hosts first.
+func compareSize(a, b *member) int {
+	return cmp.Or(cmp.Compare(b.size(), a.size()), cmp.Compare(a.row.Node, b.row.Node))
+}
+
+// size is the process's processor share in thousandths of a core; hosts of
+// unknown size count alike.
+func (m *member) size() int {
+	if m.row.Millicores <= 0 {
+		return 1000
+	}
+	return m.row.Millicores
+}
+
+// Relays returns the hosts of a data centre that follow the store for the others:
+// the largest few.
+func (r *Roster) Relays(dataCenter string, most int) []Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var ranked []*member
+	for _, m := range r.live() {
+		if m.row.DataCenter == dataCenter && !m.row.Leaving && m.row.Peers != "" {
+			ranked = append(ranked, m)
+		}
+	}
+	slices.SortFunc(ranked, compareSize)
+	var hosts []Host
+	for _, m := range ranked[:min(most, len(ranked))] {
+		hosts = append(hosts, m.row.Host)
+	}
+	return hosts
+}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -7,11 +7,6 @@
 	"time"
 )
 
-// Entry is an entry host that serves.
-type Entry struct {
-	Node, DataCenter, Callers string
-}
-
 // Roster is the rows as far as this process has heard. It is safe for
 // concurrent use.
 type Roster struct {
@@ -28,6 +23,9 @@
 	// judged against it: who hears nobody can't tell who is gone.
 	heardAt time.Time
 	known   bool
+	// told are the hosts that callers are told as of toldAt, nil after a change.
+	told   []*member
+	toldAt time.Time
 }
 
 type member struct {
@@ -96,9 +94,12 @@
 	case !ok:
 		m = &member{row: row, changedAt: now}
 		m.count(row.Counts)
-		r.members[row.Incarnation] = m
+		r.add(m)
 	case row.Sequence > m.row.Sequence:
 		row.Leaving = row.Leaving || m.row.Leaving
+		if row.Leaving != m.row.Leaving {
+			r.told = nil
+		}
 		m.row, m.changedAt = row, now
 		m.count(row.Counts)
 	}
@@ -109,6 +110,21 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.members, incarnation)
+	r.told = nil
+}
+
+// add takes in a process that was not known. The lock is held.
+func (r *Roster) add(m *member) {
+	r.members[m.row.Incarnation] = m
+	r.told = nil
+}
+
+// leave notes that a process has begun to stop. The lock is held.
+func (r *Roster) leave(m *member) {
+	if !m.row.Leaving {
+		m.row.Leaving = true
+		r.told = nil
+	}
 }
 
 // Keep drops all rows that a snapshot does not name.
@@ -118,6 +134,7 @@
 	for incarnation := range r.members {
 		if !named(incarnation) {
 			delete(r.members, incarnation)
+			r.told = nil
 		}
 	}
 }
@@ -137,20 +154,6 @@
 	return byNode
 }
 
-// Entries returns the hosts that take callers, by name.
-func (r *Roster) Entries() []Entry {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var list []Entry
-	for _, m := range r.live() {
-		if !m.row.Leaving {
-			list = append(list, Entry{m.row.Node, m.row.DataCenter, m.row.Callers})
-		}
-	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Node < list[j].Node })
-	return list
-}
-
 // Oldest returns the hosts that have served for longest, at most a number of
 // them: they have heard what others counted.
 func (r *Roster) Oldest(most int) []Host {
@@ -171,21 +174,6 @@
 	return hosts[:min(most, len(hosts))]
 }
 
-// Relays returns the addresses of the hosts of a data centre that follow the
-// store for the others: the first few by name.
-func (r *Roster) Relays(dataCenter string, most int) []Host {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var hosts []Host
-	for _, m := range r.live() {
-		if m.row.DataCenter == dataCenter && !m.row.Leaving && m.row.Peers != "" {
-			hosts = append(hosts, m.row.Host)
-		}
-	}
-	sort.Slice(hosts, func(i, j int) bool { return hosts[i].Node < hosts[j].Node })
-	return hosts[:min(most, len(hosts))]
-}
-
 // Nodes returns how many hosts serve, at least 1.
 func (r *Roster) Nodes() int {
 	r.mu.Lock()
@@ -230,12 +218,14 @@
 	m, ok := r.members[told.Incarnation]
 	if !ok {
 		m = &member{row: Row{Host: told.Host}, changedAt: now}
-		r.members[told.Incarnation] = m
+		r.add(m)
 	}
 	if told.Sequence <= m.told.Sequence {
 		return
 	}
-	m.row.Leaving = m.row.Leaving || told.Leaving
+	if told.Leaving {
+		r.leave(m)
+	}
 	m.told, m.toldAt = told, now
 	m.count(told.Counts)
 	r.heardAt = now
@@ -248,24 +238,12 @@
 	m, ok := r.members[host.Incarnation]
 	if !ok {
 		m = &member{row: Row{Host: host}, changedAt: now}
-		r.members[host.Incarnation] = m
+		r.add(m)
 	}
-	m.row.Leaving = m.row.Leaving || host.Leaving
-	m.toldAt = now
-}
-
-// Peers returns the addresses for datagrams of the other hosts, also of those
-// not heard: a new process may answer there.
-func (r *Roster) Peers(self string) []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var list []string
-	for _, m := range r.sharing() {
-		if m.row.Incarnation != self && m.row.Peers != "" {
-			list = append(list, m.row.Peers)
-		}
+	if host.Leaving {
+		r.leave(m)
 	}
-	return list
+	m.toldAt = now
 }
 
 // InTouch reports whether another host that is heard has been in touch with the
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -147,13 +147,19 @@
 
 // All processes are killed at once and start again: each finds the others at
 // the addresses that the old rows name, and does not count the dead.
+// peersOf returns all addresses that a host tells.
+func peersOf(r *roster.Roster, self string) []string {
+	near, far := r.Peers(roster.Host{Incarnation: self, Node: self})
+	return append(near, far...)
+}
+
 func TestRestartedFleetFindsItself(t *testing.T) {
 	r := roster.New(silence, interval)
 	r.Heard(start)
 	for _, name := range []string{"b", "c"} {
 		r.Merge(roster.Row{Host: roster.Host{Incarnation: name + ".old", Node: name, Peers: name + ":1"}, Sequence: 8}, start)
 	}
-	if got := r.Peers("a.new"); len(got) != 2 {
+	if got := peersOf(r, "a.new"); len(got) != 2 {
 		t.Errorf("addresses of the others: got %v, want b's and c's", got)
 	}
 	later := start.Add(300 * time.Millisecond)
@@ -215,6 +221,29 @@
 	}
 }
 
+// All hosts rank the hosts alike, whether they know them from their rows or by
+// themselves: two that each took the other for the relay would follow nobody.
+func TestHostsAgreeOnRelays(t *testing.T) {
+	hosts := []roster.Host{sized(0, 0.8), sized(4, 0.8)}
+	for i := range hosts {
+		r := roster.New(silence, interval)
+		r.Heard(start)
+		r.MergeSelf(hosts[i], start)
+		stored, err := roster.Row{Host: hosts[1-i], Sequence: 1}.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		row, err := roster.Decode(hosts[1-i].Incarnation, stored)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Merge(row, start)
+		if got := r.Relays("dc0", 1); len(got) != 1 || got[0].Node != "h00" {
+			t.Errorf("relay as %s sees it: got %+v, want h00", hosts[i].Node, got)
+		}
+	}
+}
+
 // Who stands by for a duty has heard most.
 func TestOldestHosts(t *testing.T) {
 	r := roster.New(silence, interval)
--- a/pkg/roster/row.go
+++ b/pkg/roster/row.go
@@ -44,8 +44,11 @@
 	Peers string
 	// Since is the store's clock when the process started: who is there for
 	// longest knows most.
-	Since   time.Duration
-	Leaving bool
+	Since time.Duration
+	// Millicores is the processor share that the process has, in thousandths of a
+	// core; 0 if unknown. Hosts compare it, so that it must be the same for all.
+	Millicores int
+	Leaving    bool
 }
 
 // Told is what a process tells itself, several times a second.
@@ -87,6 +90,7 @@
 	Works      []wireWork  `cbor:"10,keyasint,omitempty"`
 	Peers      string      `cbor:"11,keyasint,omitempty"`
 	SinceMS    int64       `cbor:"12,keyasint,omitempty"`
+	Millicores int         `cbor:"13,keyasint,omitempty"`
 }
 
 type wireLoad struct {
@@ -113,7 +117,7 @@
 func (r Row) Encode() ([]byte, error) {
 	w := wireRow{
 		Node: r.Node, DataCenter: r.DataCenter, Callers: r.Callers, Peers: r.Peers, SinceMS: r.Since.Milliseconds(), Sequence: r.Sequence,
-		Leaving: r.Leaving, OffsetMS: r.ClockOffset.Milliseconds(),
+		Millicores: r.Millicores, Leaving: r.Leaving, OffsetMS: r.ClockOffset.Milliseconds(),
 	}
 	for _, l := range r.Loads {
 		w.Loads = append(w.Loads, wireLoad{Endpoint: l.Endpoint, Running: l.Running, PrefillTokens: l.PrefillTokens})
@@ -136,7 +140,7 @@
 	r := Row{
 		Host: Host{
 			Incarnation: incarnation, Node: w.Node, DataCenter: w.DataCenter,
-			Callers: w.Callers, Peers: w.Peers, Leaving: w.Leaving,
+			Callers: w.Callers, Peers: w.Peers, Millicores: w.Millicores, Leaving: w.Leaving,
 			Since: time.Duration(w.SinceMS) * time.Millisecond,
 		},
 		Sequence: w.Sequence, ClockOffset: time.Duration(w.OffsetMS) * time.Millisecond,
