Lapsed endpoints go in time although the store tells nothing

An endpoint whose row lapsed while the store was away was taken out at the next batch after two seconds only, up to 3.8 s after the return.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -3,6 +3,7 @@
 package discovery
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,7 +20,7 @@
 // have to be back: the users say about two seconds from the store's return.
 const ReturnTime = 2 * time.Second
 
-// Rows takes batches of rows from one goroutine, and Lost from any.
+// Rows takes batches of rows in order. It is safe for concurrent use.
 type Rows struct {
 	directory *endpoint.Directory
 	decode    Decode
@@ -34,6 +35,9 @@
 
 	known atomic.Bool
 	lost  atomic.Bool
+
+	// mu guards what follows.
+	mu sync.Mutex
 	// heardAt is when rows were last taken.
 	heardAt time.Time
 	// lapsed are endpoints whose rows went while the store was away, and until
@@ -65,6 +69,8 @@
 
 // Take takes in rows and removals.
 func (r *Rows) Take(batch feed.Batch) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	now := r.now()
 	gap := now.Sub(r.heardAt)
 	away := r.lost.Swap(false) && gap > r.lapseTime && !r.othersHeard(gap)
@@ -89,6 +95,14 @@
 	r.known.Store(true)
 }
 
+// Expire takes out endpoints that are not back in time after the store was. The
+// store may have nothing to tell just then, so that no batch comes.
+func (r *Rows) Expire() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expire(r.now())
+}
+
 func (r *Rows) lapse(id string, away bool, now time.Time) {
 	if !away {
 		delete(r.lapsed, id)
--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -105,6 +105,21 @@
 	}
 }
 
+// The store tells nothing more after its return: what is missing goes in time.
+func TestLapsedEndpointGoesWithoutABatch(t *testing.T) {
+	s := newSite()
+	s.rows(true, "dead", "live")
+	s.Lost()
+	s.now = s.now.Add(10 * time.Second)
+	s.rows(false, "dead", "")
+	s.now = s.now.Add(discovery.ReturnTime)
+	s.Expire()
+	s.want(t, "two seconds after", "dead", true)
+	s.now = s.now.Add(time.Millisecond)
+	s.Expire()
+	s.want(t, "over two seconds after", "dead", false)
+}
+
 // An endpoint that leaves while the store is away is not kept.
 func TestLeavingWhileTheStoreIsAway(t *testing.T) {
 	s := newSite()
