Fewer calls to the store; what hosts with callers count is kept by the standbys

Change: the holder of the lease says so in its datagrams, and standbys look only if that is not heard for 0.6 s; standbys are hosts without callers, and near those with callers (0.2 s); hosts with callers write their row every 1.5 s, others every 68 s; at the first start of all (the platform says so) configuration and endpoints are followed after a second.

--- a/pkg/app/node/duties.go
+++ b/pkg/app/node/duties.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"ironhollow/pkg/autoscale"
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/lease"
+	"ironhollow/pkg/roster"
 	"ironhollow/pkg/table"
 	"ironhollow/pkg/usage"
 )
@@ -46,30 +48,25 @@
 	}
 }
 
+// holderHeard is how long ago the holder of the lease may have told that it holds
+// it for standbys not to look: three datagrams between hosts near each other.
+const holderHeard = 600 * time.Millisecond
+
 // renew renews the lease, or looks whether it has lapsed. Only a few hosts
-// stand by for it: each look is a call.
+// stand by for it, and only while no holder is heard: each look is a call.
 func (n *node) renew(ctx context.Context) {
 	for ctx.Err() == nil {
 		_, held := n.leases.Held(dutyShard)
-		if held || n.standsBy() {
+		if held || n.standsBy() && !n.world.roster.DutiesHeld(n.incarnation, holderHeard, n.clock.Now()) {
 			n.leases.Step(ctx, map[lease.Shard]lease.Wish{dutyShard: lease.Wanted})
 		}
 		wait(ctx, n.settings.Lease/renewals)
 	}
 }
 
-// standbys is how many hosts watch the lease: two may be lost at once.
-const standbys = 3
-
-// standsBy reports whether this host is among those that watch the lease: the
-// oldest, which have heard what dead processes counted.
+// standsBy reports whether this host is among those that watch the lease.
 func (n *node) standsBy() bool {
-	for _, h := range n.world.roster.Oldest(standbys) {
-		if h.Node == n.settings.Node {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(n.world.roster.Standbys(), func(h roster.Host) bool { return h.Node == n.settings.Node })
 }
 
 func (n *node) doDuties(ctx context.Context) {
--- a/pkg/app/node/heartbeat.go
+++ b/pkg/app/node/heartbeat.go
@@ -22,6 +22,8 @@
 	// sent there; see roster.New. Its row may be one heartbeat and one pause of
 	// the feed old, so that two lost datagrams in a row tell nothing.
 	silence = 3200 * time.Millisecond
+	// rowCheck is the time between two looks whether the row is due.
+	rowCheck = 300 * time.Millisecond
 	// firstRow is the pause until the store has been heard of.
 	firstRow = 50 * time.Millisecond
 	// largeFleet is the hosts up to which heartbeats keep their pace; above, the
@@ -39,11 +41,28 @@
 			wait(ctx, firstRow)
 			continue
 		}
+		written := time.Now()
 		n.writeRow(ctx)
-		wait(ctx, heartbeat*time.Duration(max(n.world.roster.Sharing(), largeFleet))/largeFleet)
+		// Whether this host has callers changes meanwhile.
+		for wait(ctx, rowCheck); ctx.Err() == nil && time.Since(written) < n.rowPause(); {
+			wait(ctx, rowCheck)
+		}
 	}
 }
 
+// rowPause is the time between two writes of the row, by how many hosts write as
+// often: those with callers keep what they counted, the others show that they live.
+func (n *node) rowPause() time.Duration {
+	if n.world.roster.Advertises(n.settings.Node) || len(n.router.OwnLoads()) > 0 {
+		return heartbeat * time.Duration(max(n.world.roster.Advertised(), largeFleet)) / largeFleet
+	}
+	return idleHeartbeats * heartbeat * time.Duration(max(n.world.roster.Sharing(), largeFleet)) / largeFleet
+}
+
+// idleHeartbeats is how many times rarer a host without callers writes its row:
+// its datagrams tell that it lives.
+const idleHeartbeats = 8
+
 func (n *node) writeRow(ctx context.Context) {
 	n.rowMu.Lock()
 	defer n.rowMu.Unlock()
@@ -120,9 +139,11 @@
 // told is what this host tells the others.
 func (n *node) told() gossip.Told {
 	now := n.clock.Now()
+	_, holds := n.leases.Held(dutyShard)
 	return gossip.Told{
 		Told: roster.Told{
 			Host: n.host(), Loads: n.ownLoads(), Works: n.ownWorks(now), Counts: n.counter.Latest(), InTouch: n.world.inTouch(),
+			Duties: holds,
 		},
 		Spent: n.limits.Own(now),
 	}
@@ -156,6 +177,7 @@
 			QueuedTokens: load.PrefillTokens,
 		})
 	}
+	n.world.endpoints.Expire()
 	n.limits.SetFleet(n.world.roster.Fleet(n.incarnation, now))
 }
 
--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -229,7 +229,8 @@
 func (n *node) serve(ctx context.Context) error {
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	n.world.follow(background, relay.NewSource(n.store, n.copy, n.peers, n.relay, n.relayLagOf, n.log), n.isRelay)
+	source := relay.NewSource(n.store, n.copy, n.peers, n.relay, n.relayLagOf, n.log)
+	go n.world.follow(background, source, n.isRelay, n.settings.FirstStart)
 	go n.beat(background)
 	go n.sweep(background)
 	if err := n.exchange(background); err != nil {
--- a/pkg/app/node/settings.go
+++ b/pkg/app/node/settings.go
@@ -37,6 +37,8 @@
 	Store, Cloud string
 	// MemoryMB is the process's limit, 0 for none.
 	MemoryMB int
+	// FirstStart says that the whole system starts for the first time.
+	FirstStart bool
 	// Cores is the process's share of the processor, in cores; 0 if unknown.
 	Cores float64
 	// Grace is the time from SIGTERM to SIGKILL.
--- a/pkg/app/node/world.go
+++ b/pkg/app/node/world.go
@@ -84,8 +84,12 @@
 	return now - since
 }
 
+// relaysFound is how long hosts that all start for the first time take to find
+// their relays; whoever follows before that follows the store itself.
+const relaysFound = time.Second
+
 // follow starts the feeds. isRelay tells whether others follow this host.
-func (w *world) follow(ctx context.Context, source feed.Source, isRelay func() bool) {
+func (w *world) follow(ctx context.Context, source feed.Source, isRelay func() bool, firstStart bool) {
 	tables := w.platform.Tables()
 	either := func(relay, other time.Duration) func() time.Duration {
 		return func() time.Duration {
@@ -103,9 +107,12 @@
 		}
 		go feed.New(source, name, timing, heard, w.health).Run(ctx)
 	}
+	start(rosterTable, w.rosterPause, w.takeRoster)
+	if firstStart {
+		wait(ctx, relaysFound)
+	}
 	start(tables.Configuration, func() time.Duration { return 0 }, w.takeConfiguration)
 	start(tables.Endpoints, either(relayPause, endpointPause), w.endpoints.Take)
-	start(rosterTable, w.rosterPause, w.takeRoster)
 }
 
 // rosterPause grows with the fleet, as the rows' number does.
--- a/pkg/roster/advertised.go
+++ b/pkg/roster/advertised.go
@@ -119,21 +119,65 @@
 	return told
 }
 
+// standbys is how many hosts watch the lease of the duties: two may be lost at
+// once.
+const standbys = 3
+
+// Standbys returns the hosts that watch the lease of the duties: those that have
+// served for longest and so have heard what others counted, best without callers.
+func (r *Roster) Standbys() []Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var hosts []Host
+	for _, m := range r.standbys() {
+		hosts = append(hosts, m.row.Host)
+	}
+	return hosts
+}
+
+// standbys is Standbys for a caller that holds the lock.
+func (r *Roster) standbys() []*member {
+	told := r.advertised()
+	var ranked []*member
+	for _, m := range r.live() {
+		if !m.row.Leaving {
+			ranked = append(ranked, m)
+		}
+	}
+	slices.SortFunc(ranked, func(a, b *member) int {
+		return cmp.Or(cmp.Compare(a.row.Since, b.row.Since),
+			compareBool(slices.Contains(told, a), slices.Contains(told, b)), cmp.Compare(a.row.Node, b.row.Node))
+	})
+	return ranked[:min(standbys, len(ranked))]
+}
+
+// compareBool puts false first.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // Peers returns the addresses for datagrams of the other hosts, also of those
 // not heard: a new process may answer there. Near are those that share the
-// callers with this host, far all others.
+// callers with this host or keep what it counts, far all others.
 func (r *Roster) Peers(self Host) (near, far []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	told := map[string]bool{}
-	for _, m := range r.advertised() {
-		told[m.row.Node] = true
+	group := map[string]bool{}
+	for _, m := range append(r.standbys(), r.advertised()...) {
+		group[m.row.Node] = true
 	}
 	for _, m := range r.sharing() {
 		if m.row.Incarnation == self.Incarnation || m.row.Peers == "" {
 			continue
 		}
-		if told[self.Node] && told[m.row.Node] {
+		if group[self.Node] && group[m.row.Node] {
 			near = append(near, m.row.Peers)
 			continue
 		}
--- a/pkg/roster/advertised_test.go
+++ b/pkg/roster/advertised_test.go
@@ -103,12 +103,18 @@
 	}
 }
 
-// Those that share the callers are near each other; all others are far.
+// Those that share the callers, and those that keep what they count, are near
+// each other; all others are far.
 func TestNearPeers(t *testing.T) {
 	r := large(91)
 	near, far := r.Peers(sized(0, 0.8))
-	if len(near) != 7 || len(far) != 83 {
-		t.Errorf("of a host that callers are told: got %d near and %d far, want 7 and 83", len(near), len(far))
+	if len(near) != 10 || len(far) != 80 {
+		t.Errorf("of a host that callers are told: got %d near and %d far, want 10 and 80", len(near), len(far))
+	}
+	for _, h := range r.Standbys() {
+		if r.Advertises(h.Node) {
+			t.Errorf("standby %s: got told to callers, want one without callers", h.Node)
+		}
 	}
 	near, far = r.Peers(sized(50, 0.2))
 	if len(near) != 0 || len(far) != 90 {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sort"
 	"sync"
 	"time"
 )
@@ -154,26 +153,6 @@
 	return byNode
 }
 
-// Oldest returns the hosts that have served for longest, at most a number of
-// them: they have heard what others counted.
-func (r *Roster) Oldest(most int) []Host {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var hosts []Host
-	for _, m := range r.live() {
-		if !m.row.Leaving {
-			hosts = append(hosts, m.row.Host)
-		}
-	}
-	sort.Slice(hosts, func(i, j int) bool {
-		if hosts[i].Since != hosts[j].Since {
-			return hosts[i].Since < hosts[j].Since
-		}
-		return hosts[i].Node < hosts[j].Node
-	})
-	return hosts[:min(most, len(hosts))]
-}
-
 // Nodes returns how many hosts serve, at least 1.
 func (r *Roster) Nodes() int {
 	r.mu.Lock()
@@ -260,6 +239,19 @@
 	return false
 }
 
+// DutiesHeld reports whether another process has told within a time that it holds
+// the lease of the duties.
+func (r *Roster) DutiesHeld(self string, within time.Duration, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, m := range r.members {
+		if m.row.Incarnation != self && m.told.Duties && now.Sub(m.toldAt) < within {
+			return true
+		}
+	}
+	return false
+}
+
 // Fleet returns how many hosts are heard by their datagrams, this one included,
 // and how many others may serve unheard: dead for moments, or cut off.
 func (r *Roster) Fleet(self string, now time.Time) (heard, silent int) {
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -252,9 +252,30 @@
 		name := fmt.Sprint("h", i)
 		r.Merge(roster.Row{Host: roster.Host{Incarnation: name, Node: name, Since: time.Duration(20-i) * time.Second}, Sequence: 1}, start)
 	}
-	oldest := r.Oldest(2)
-	if len(oldest) != 2 || oldest[0].Node != "h9" || oldest[1].Node != "h8" {
-		t.Errorf("oldest: got %+v, want h9 and h8", oldest)
+	oldest := r.Standbys()
+	if len(oldest) != 3 || oldest[0].Node != "h9" || oldest[1].Node != "h8" || oldest[2].Node != "h7" {
+		t.Errorf("standbys: got %+v, want h9, h8 and h7", oldest)
+	}
+}
+
+// Standbys of the duties need not look at the lease while its holder is heard.
+func TestHolderOfTheDutiesIsHeard(t *testing.T) {
+	r := roster.New(silence, interval)
+	told := roster.Told{Host: roster.Host{Incarnation: "b", Node: "b"}, Sequence: 1, Duties: true}
+	r.Hear(told, start)
+	within := 600 * time.Millisecond
+	if !r.DutiesHeld("a", within, start.Add(within/2)) {
+		t.Error("just after b told that it holds them: got not held, want held")
+	}
+	if r.DutiesHeld("a", within, start.Add(2*within)) {
+		t.Error("b is silent: got held, want not known to be")
+	}
+	if r.DutiesHeld("b", within, start) {
+		t.Error("by another than b: got held, want not")
+	}
+	r.Hear(roster.Told{Host: told.Host, Sequence: 2}, start)
+	if r.DutiesHeld("a", within, start) {
+		t.Error("b has lost them: got held, want not")
 	}
 }
 
--- a/pkg/roster/row.go
+++ b/pkg/roster/row.go
@@ -63,6 +63,8 @@
 	// InTouch is how long the process has been in touch with the store without a
 	// gap, 0 while it is not.
 	InTouch time.Duration
+	// Duties says that the process holds the lease of the duties.
+	Duties bool
 }
 
 // Row is what one process tells through the store.
