Standbys hear the version of the lease's row: taken over as soon as by one that reads it

Ruled out: looks all the time (4 calls a second). Change: the holder tells the row's version by which it holds; a standby waits the lease's duration from when it heard a version first, as from when it read one. TestNeverTwoHolders runs 20 more seeds in which versions are heard and lost.

--- a/pkg/app/node/duties.go
+++ b/pkg/app/node/duties.go
@@ -52,18 +52,24 @@
 // it for standbys not to look: three datagrams between hosts near each other.
 const holderHeard = 600 * time.Millisecond
 
-// renew renews the lease, or looks whether it has lapsed. Only a few hosts
-// stand by for it, and only while no holder is heard: each look is a call.
+// renew renews the lease, or looks whether it has lapsed. Only a few hosts stand
+// by for it: each look is a call.
 func (n *node) renew(ctx context.Context) {
 	for ctx.Err() == nil {
 		_, held := n.leases.Held(dutyShard)
-		if held || n.standsBy() && !n.world.roster.DutiesHeld(n.incarnation, holderHeard, n.clock.Now()) {
+		if held || n.standsBy() && n.mustLook() {
 			n.leases.Step(ctx, map[lease.Shard]lease.Wish{dutyShard: lease.Wanted})
 		}
 		wait(ctx, n.settings.Lease/renewals)
 	}
 }
 
+// mustLook reports whether the holder of the lease is not heard, or has not
+// renewed it for its duration: it may have lost the store.
+func (n *node) mustLook() bool {
+	return n.leases.MayHaveLapsed(dutyShard) || !n.world.roster.DutiesHeld(n.incarnation, holderHeard, n.clock.Now())
+}
+
 // standsBy reports whether this host is among those that watch the lease.
 func (n *node) standsBy() bool {
 	return slices.ContainsFunc(n.world.roster.Standbys(), func(h roster.Host) bool { return h.Node == n.settings.Node })
--- a/pkg/app/node/heartbeat.go
+++ b/pkg/app/node/heartbeat.go
@@ -139,11 +139,10 @@
 // told is what this host tells the others.
 func (n *node) told() gossip.Told {
 	now := n.clock.Now()
-	_, holds := n.leases.Held(dutyShard)
 	return gossip.Told{
 		Told: roster.Told{
 			Host: n.host(), Loads: n.ownLoads(), Works: n.ownWorks(now), Counts: n.counter.Latest(), InTouch: n.world.inTouch(),
-			Duties: holds,
+			LeaseVersion: n.leases.Version(dutyShard),
 		},
 		Spent: n.limits.Own(now),
 	}
@@ -157,6 +156,9 @@
 	now := n.clock.Now()
 	n.world.roster.Hear(told.Told, now)
 	n.limits.Heard(told.Incarnation, told.Spent, now)
+	if told.LeaseVersion > 0 {
+		n.leases.Heard(dutyShard, told.LeaseVersion)
+	}
 }
 
 // takeLoads hands what the other processes told to the decisions.
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -51,7 +51,8 @@
 	Works    []work
 	// Millicores is the host's processor share.
 	Millicores int
-	Duties     bool
+	// LeaseVersion is the row's by which the host holds the lease of the duties.
+	LeaseVersion int64
 }
 
 type work struct {
@@ -189,7 +190,7 @@
 	m := message{
 		Incarnation: told.Incarnation, Node: told.Node, DataCenter: told.DataCenter,
 		Callers: told.Callers, Peers: told.Peers, SinceMS: told.Since.Milliseconds(),
-		InTouchMS: told.InTouch.Milliseconds(), Leaving: told.Leaving, Sequence: sequence, Millicores: told.Millicores, Duties: told.Duties,
+		InTouchMS: told.InTouch.Milliseconds(), Leaving: told.Leaving, Sequence: sequence, Millicores: told.Millicores, LeaseVersion: told.LeaseVersion,
 	}
 	for _, l := range told.Spent {
 		m.Spent = append(m.Spent, spent{Team: l.Team, Admitted: int64(l.Admitted), Asked: float32(l.Asked)})
@@ -235,7 +236,7 @@
 		Incarnation: m.Incarnation, Node: m.Node, DataCenter: m.DataCenter, Callers: m.Callers, Peers: m.Peers, Leaving: m.Leaving,
 		Since: time.Duration(m.SinceMS) * time.Millisecond, Millicores: m.Millicores,
 	}
-	t := Told{Told: roster.Told{Host: host, Sequence: m.Sequence, InTouch: time.Duration(m.InTouchMS) * time.Millisecond, Duties: m.Duties}}
+	t := Told{Told: roster.Told{Host: host, Sequence: m.Sequence, InTouch: time.Duration(m.InTouchMS) * time.Millisecond, LeaseVersion: m.LeaseVersion}}
 	for _, l := range m.Loads {
 		t.Loads = append(t.Loads, roster.Load{Endpoint: l.Endpoint, Running: l.Running, PrefillTokens: l.PrefillTokens})
 	}
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -118,7 +118,7 @@
 	members.Hear(roster.Told{Host: other.host, Sequence: 1}, now)
 	self := host(0, 800)
 	want := roster.Told{
-		Host: self, InTouch: 3 * time.Second, Duties: true,
+		Host: self, InTouch: 3 * time.Second, LeaseVersion: 12,
 		Loads:  []roster.Load{{Endpoint: "e1", Running: 3, PrefillTokens: 500}},
 		Works:  []roster.Work{{Service: "svc", Rate: 0.5}},
 		Counts: []roster.Count{{Window: 7, Team: "red", Begun: 4}},
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -118,6 +118,41 @@
 	return max(time.Until(h.until), 0)
 }
 
+// Version returns the row's version of a shard that is held, 0 if it is not: others
+// that hear of it need not read the row.
+func (m *Manager) Version(s Shard) int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h, ok := m.held[s]
+	if !ok || !time.Now().Before(h.until) {
+		return 0
+	}
+	return h.version
+}
+
+// Heard notes a shard's version that its holder has just told. The row was at that
+// version or a later one: if it is still there when it is read, it has not been
+// renewed since.
+func (m *Manager) Heard(s Shard, version int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if seen, ok := m.seen[s]; !ok || seen.version != version {
+		m.seen[s] = sighting{version: version, holder: heardHolder, since: time.Now()}
+	}
+}
+
+// heardHolder stands for a holder whose row has not been read.
+const heardHolder = "heard"
+
+// MayHaveLapsed reports whether a shard has not been seen to be renewed for the
+// duration of a lease.
+func (m *Manager) MayHaveLapsed(s Shard) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	seen, ok := m.seen[s]
+	return !ok || time.Since(seen.since) >= m.timing.Duration
+}
+
 // HeldFor returns how long a shard has been held, 0 if it is not.
 func (m *Manager) HeldFor(s Shard) time.Duration {
 	m.mu.Lock()
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -77,10 +77,56 @@
 	})
 }
 
+// hearEachOther lets each manager hear the version that each other one holds by,
+// unless it is lost on the way.
+func hearEachOther(holders []*holder, lost func(from, to int) bool) {
+	for i, from := range holders {
+		for j, to := range holders {
+			if version := from.Version(shard); i != j && version > 0 && !lost(i, j) && !from.paused.Load() {
+				to.Heard(shard, version)
+			}
+		}
+	}
+}
+
+// A standby that hears the holder's version does not read the row, and takes over
+// as soon as one that reads it all the time.
+func TestTakeOverByOneThatHears(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := tables.New()
+		first := newHolder(store, "a", lease.Wanted)
+		second := lease.New(table.NewWriter(store, "b"), "b", timing)
+		look := func() { second.Step(context.Background(), map[lease.Shard]lease.Wish{shard: lease.Wanted}) }
+		holders := []*holder{first, {Manager: second}}
+		for range 100 {
+			time.Sleep(200 * time.Millisecond)
+			hearEachOther(holders, func(int, int) bool { return false })
+			if second.MayHaveLapsed(shard) {
+				t.Fatal("while the holder is heard: got a lease that may have lapsed, want none")
+			}
+		}
+		// Between two renewals, and after the last one was heard.
+		time.Sleep(time.Second)
+		hearEachOther(holders, func(int, int) bool { return false })
+		close(first.stop)
+		died := time.Now()
+		for time.Since(died) < time.Minute && second.Version(shard) == 0 {
+			time.Sleep(200 * time.Millisecond)
+			if second.MayHaveLapsed(shard) {
+				look()
+			}
+		}
+		if took := time.Since(died); took > timing.Duration+time.Second {
+			t.Errorf("taken over after %v, want about the lease's %v", took, timing.Duration)
+		}
+	})
+}
+
 // TestNeverTwoHolders pauses holders, cuts the store and loses its answers, and
-// looks at every moment for two that hold the shard at once.
+// looks at every moment for two that hold the shard at once. From seed 20 on they
+// hear each other's versions, of which some are lost.
 func TestNeverTwoHolders(t *testing.T) {
-	for seed := range 20 {
+	for seed := range 40 {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				store := tables.New()
@@ -104,6 +150,9 @@
 						holders[(step/150+seed)%3].paused.Store((step/150)%2 == 0)
 					}
 					time.Sleep(50 * time.Millisecond)
+					if seed >= 20 && step%4 == 0 {
+						hearEachOther(holders, func(from, to int) bool { return (step/4+from+2*to+seed)%3 == 0 })
+					}
 					now := 0
 					for _, h := range holders {
 						if h.holds() {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -245,7 +245,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, m := range r.members {
-		if m.row.Incarnation != self && m.told.Duties && now.Sub(m.toldAt) < within {
+		if m.row.Incarnation != self && m.told.LeaseVersion > 0 && now.Sub(m.toldAt) < within {
 			return true
 		}
 	}
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -261,7 +261,7 @@
 // Standbys of the duties need not look at the lease while its holder is heard.
 func TestHolderOfTheDutiesIsHeard(t *testing.T) {
 	r := roster.New(silence, interval)
-	told := roster.Told{Host: roster.Host{Incarnation: "b", Node: "b"}, Sequence: 1, Duties: true}
+	told := roster.Told{Host: roster.Host{Incarnation: "b", Node: "b"}, Sequence: 1, LeaseVersion: 12}
 	r.Hear(told, start)
 	within := 600 * time.Millisecond
 	if !r.DutiesHeld("a", within, start.Add(within/2)) {
--- a/pkg/roster/row.go
+++ b/pkg/roster/row.go
@@ -63,8 +63,9 @@
 	// InTouch is how long the process has been in touch with the store without a
 	// gap, 0 while it is not.
 	InTouch time.Duration
-	// Duties says that the process holds the lease of the duties.
-	Duties bool
+	// LeaseVersion is the version of the row by which the process holds the lease of
+	// the duties, 0 if it does not.
+	LeaseVersion int64
 }
 
 // Row is what one process tells through the store.
