Hosts tell each other where prompts were sent; a session is found behind a shared base

A host knew its own sends only and held that a shared part is at its home (rendezvous), also where it had gone elsewhere or nowhere: of 98 late first tokens of the largest kind, a third came from endpoints reckoned to have all but 3,000 tokens and to have no queue. Of a base that all sessions share, four endpoints are remembered, so that a session's own was not found. Change: datagrams carry the shared prefixes sent since the one before; the home counts only for what nobody was seen to send; endpoints are looked up by the deepest shared prefix first. Each new test was seen to fail with its part taken out.

--- a/pkg/app/node/heartbeat.go
+++ b/pkg/app/node/heartbeat.go
@@ -144,7 +144,8 @@
 			Host: n.host(), Loads: n.ownLoads(), Works: n.ownWorks(now), Counts: n.counter.Latest(), InTouch: n.world.inTouch(),
 			LeaseVersion: n.leases.Version(dutyShard),
 		},
-		Spent: n.limits.Own(now),
+		Spent:  n.limits.Own(now),
+		Placed: n.router.TakePlacements(),
 	}
 }
 
@@ -156,6 +157,9 @@
 	now := n.clock.Now()
 	n.world.roster.Hear(told.Told, now)
 	n.limits.Heard(told.Incarnation, told.Spent, now)
+	for _, placed := range told.Placed {
+		n.router.Place(placed)
+	}
 	if told.LeaseVersion > 0 {
 		n.leases.Heard(dutyShard, told.LeaseVersion)
 	}
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -15,6 +15,7 @@
 
 	"ironhollow/pkg/limit"
 	"ironhollow/pkg/roster"
+	"ironhollow/pkg/route"
 )
 
 // Parameters of the exchange.
@@ -53,6 +54,13 @@
 	Millicores int
 	// LeaseVersion is the row's by which the host holds the lease of the duties.
 	LeaseVersion int64
+	Placed       []placement
+}
+
+type placement struct {
+	_        struct{} `cbor:",toarray"`
+	Endpoint string
+	Prefix   []uint64
 }
 
 type work struct {
@@ -86,6 +94,8 @@
 type Told struct {
 	roster.Told
 	Spent []limit.Spent
+	// Placed is where prompts were sent since the datagram before.
+	Placed []route.Placement
 }
 
 // Take receives what another process tells.
@@ -195,6 +205,9 @@
 	for _, l := range told.Spent {
 		m.Spent = append(m.Spent, spent{Team: l.Team, Admitted: int64(l.Admitted), Asked: float32(l.Asked)})
 	}
+	for _, p := range told.Placed {
+		m.Placed = append(m.Placed, placement{Endpoint: p.Endpoint, Prefix: p.Prefix})
+	}
 	for _, c := range told.Counts {
 		m.Counts = append(m.Counts, count{Window: c.Window, Team: c.Team, Begun: c.Begun})
 	}
@@ -206,9 +219,13 @@
 	}
 	for {
 		data, err := cbor.Marshal(m)
-		if err != nil || len(data) <= mostBytes || len(m.Loads) == 0 {
+		if err != nil || len(data) <= mostBytes || len(m.Loads)+len(m.Placed) == 0 {
 			return data, err
 		}
+		if len(m.Placed) > 0 {
+			m.Placed = m.Placed[:len(m.Placed)/2]
+			continue
+		}
 		m.Loads = m.Loads[:len(m.Loads)*3/4]
 	}
 }
@@ -240,6 +257,9 @@
 	for _, l := range m.Loads {
 		t.Loads = append(t.Loads, roster.Load{Endpoint: l.Endpoint, Running: l.Running, PrefillTokens: l.PrefillTokens})
 	}
+	for _, p := range m.Placed {
+		t.Placed = append(t.Placed, route.Placement{Endpoint: p.Endpoint, Prefix: p.Prefix})
+	}
 	for _, w := range m.Works {
 		t.Works = append(t.Works, roster.Work{Service: w.Service, Rate: float64(w.Rate)})
 	}
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -13,6 +13,7 @@
 
 	"ironhollow/pkg/gossip"
 	"ironhollow/pkg/roster"
+	"ironhollow/pkg/route"
 )
 
 const silence = 3 * time.Second
@@ -123,12 +124,16 @@
 		Works:  []roster.Work{{Service: "svc", Rate: 0.5}},
 		Counts: []roster.Count{{Window: 7, Team: "red", Begun: 4}},
 	}
-	tell(t, self, members, gossip.Told{Told: want}, 300*time.Millisecond)
+	placed := []route.Placement{{Endpoint: "e1", Prefix: []uint64{1, 1 << 63}}}
+	tell(t, self, members, gossip.Told{Told: want, Placed: placed}, 300*time.Millisecond)
 	other.mu.Lock()
 	defer other.mu.Unlock()
 	if len(other.got) == 0 {
 		t.Fatal("datagrams: got none")
 	}
+	if got := other.got[0].Placed; fmt.Sprint(got) != fmt.Sprint(placed) {
+		t.Errorf("placed: got %v, want %v", got, placed)
+	}
 	got := other.got[0].Told
 	want.Sequence = got.Sequence
 	if fmt.Sprint(got) != fmt.Sprint(want) {
--- a/pkg/route/feedback.go
+++ b/pkg/route/feedback.go
@@ -214,8 +214,8 @@
 	g, byID := r.groupFor(q.Target)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	marked := g.markCached(q, byID)
-	defer g.clearCached(marked)
+	cachedSlots := g.markCached(q, byID)
+	defer cachedSlots.clear()
 	list := make([]Candidate, 0, len(g.slots))
 	for _, s := range g.slots {
 		sc := r.score(s, q, now)
--- /dev/null
+++ b/pkg/route/placement_test.go
@@ -0,0 +1,92 @@
+package route_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ironhollow/pkg/engine"
+	"ironhollow/pkg/route"
+)
+
+// prompts numbers the prompts' own parts.
+var prompts uint64
+
+// chat is a prompt of a base that all share and a session's own part.
+func chat(session uint64) route.Query {
+	q := query()
+	q.PromptTokens = 7000
+	prompts++
+	q.Prefix = []uint64{1, 1000 + session, 1<<40 + prompts}
+	q.PrefixTokens = []int{2500, 6500, 7000}
+	q.Shared = 2
+	return q
+}
+
+// An entry sends a session's prompt where it had to go for load, away from its
+// home; the others follow there once they are told.
+func TestEntriesFollowEachOthersPlacements(t *testing.T) {
+	first, _, _ := newRouter(8)
+	second, _, _ := newRouter(8)
+	third, _, _ := newRouter(8)
+	home, _ := third.Choose(chat(2), route.Expected, now)
+	first.Report(home.Endpoint.Ref(), engine.Report{Sequence: now.UnixMilli() + 1, Running: 200, Slots: 16, QueuedTokens: 100_000})
+	placed, _ := first.Choose(chat(2), route.Expected, now)
+	if placed.Endpoint.ID == home.Endpoint.ID {
+		t.Fatal("first entry: got the loaded home, want another endpoint")
+	}
+	sent := chat(2)
+	for _, p := range first.TakePlacements() {
+		second.Place(p)
+		if p.Endpoint != placed.Endpoint.ID || fmt.Sprint(p.Prefix) != fmt.Sprint(sent.Prefix[:2]) {
+			t.Errorf("placement: got %+v, want the shared prefixes at %s", p, placed.Endpoint.ID)
+		}
+	}
+	followed, _ := second.Choose(chat(2), route.Expected, now.Add(time.Second))
+	if followed.Endpoint.ID != placed.Endpoint.ID || followed.CachedTokens != 6500 {
+		t.Errorf("second entry: got %s with %d tokens cached, want %s with 6500", followed.Endpoint.ID, followed.CachedTokens, placed.Endpoint.ID)
+	}
+	if again := first.TakePlacements(); len(again) != 0 {
+		t.Errorf("placements taken again: got %v, want none", again)
+	}
+}
+
+// A prefix that someone was seen to have sent elsewhere is not thought to be at its
+// home as well: what is queued there would be reckoned too low.
+func TestHomeIsNotThoughtToHaveWhatWentElsewhere(t *testing.T) {
+	r, _, _ := newRouter(8)
+	q := chat(3)
+	home, _ := r.Choose(q, route.Expected, now)
+	r.Done(home, route.Result{}, now)
+	other := info(0).ID
+	if home.Endpoint.ID == other {
+		other = info(1).ID
+	}
+	fresh, _, _ := newRouter(8)
+	fresh.Place(route.Placement{Endpoint: other, Prefix: q.Prefix[:2]})
+	for _, c := range fresh.Explain(q, now) {
+		want := 0
+		if c.Endpoint.ID == other {
+			want = 6500
+		}
+		if c.Cached != want {
+			t.Errorf("%s: got %d tokens reckoned cached, want %d", c.Endpoint.ID, c.Cached, want)
+		}
+	}
+}
+
+// Many sessions share a base, of which only the latest endpoints are remembered;
+// each session's endpoint is found by the session's own part.
+func TestSessionIsFoundBehindASharedBase(t *testing.T) {
+	r, _, _ := newRouter(30)
+	for session := range 30 {
+		r.Place(route.Placement{Endpoint: info(session).ID, Prefix: chat(uint64(session)).Prefix[:2]})
+	}
+	for session := range 30 {
+		c, _ := r.Choose(chat(uint64(session)), route.Expected, now)
+		r.Done(c, route.Result{}, now)
+		if want := info(session).ID; c.Endpoint.ID != want || c.CachedTokens != 6500 {
+			t.Errorf("session %d: got %s with %d tokens cached, want %s with 6500", session, c.Endpoint.ID, c.CachedTokens, want)
+		}
+	}
+}
--- a/pkg/route/prefix.go
+++ b/pkg/route/prefix.go
@@ -84,31 +84,53 @@
 	return next
 }
 
+// mostMarked is the slots that one prompt can mark: those that were sent its
+// deepest shared prefix or its first, and the home of the shared one.
+const mostMarked = 2*holders + 1
+
+// marked is the slots whose cached is set, for one choice.
+type marked struct {
+	slots [mostMarked]*slot
+	count int
+}
+
+func (m *marked) add(s *slot, cached int) {
+	if s.cached == 0 && m.count < mostMarked {
+		m.slots[m.count] = s
+		m.count++
+	}
+	s.cached = max(s.cached, cached)
+}
+
 // markCached notes on each slot how many tokens of the prefix it has cached
 // and returns the slots it marked. The group's lock is held.
-func (g *group) markCached(q Query, byID map[string]*slot) [holders + 1]*slot {
-	var marked [holders + 1]*slot
+func (g *group) markCached(q Query, byID map[string]*slot) marked {
+	var m marked
 	if len(q.Prefix) == 0 {
-		return marked
+		return m
 	}
-	if first, ok := g.index.get(q.Prefix[0]); ok {
-		for i, id := range first {
-			s := byID[id]
-			if s == nil || s.group != g {
-				continue
+	known := false
+	mark := func(prefix uint64) {
+		set, _ := g.index.get(prefix)
+		for _, id := range set {
+			if s := byID[id]; s != nil && s.group == g {
+				depth := g.index.depth(q.Prefix, id)
+				known = known || depth >= q.Shared
+				m.add(s, q.tokensOf(depth))
 			}
-			s.cached = q.tokensOf(g.index.depth(q.Prefix, id))
-			marked[i] = s
 		}
 	}
 	if q.Shared > 0 {
+		mark(q.Prefix[q.Shared-1])
+	}
+	mark(q.Prefix[0])
+	if q.Shared > 0 && !known {
 		// The other entries send what shares this prefix there too.
 		if s := g.rendezvous(q.Prefix[q.Shared-1]); s != nil {
-			s.cached = max(s.cached, q.tokensOf(q.Shared))
-			marked[holders] = s
+			m.add(s, q.tokensOf(q.Shared))
 		}
 	}
-	return marked
+	return m
 }
 
 // tokensOf returns the tokens that the leading prefixes cover.
@@ -141,23 +163,22 @@
 	return h ^ h>>33
 }
 
-func (g *group) clearCached(marked [holders + 1]*slot) {
-	for _, s := range marked {
-		if s != nil {
-			s.cached = 0
-		}
+func (m *marked) clear() {
+	for _, s := range m.slots[:m.count] {
+		s.cached = 0
 	}
 }
 
-// depth returns how many leading blocks an endpoint was sent before.
+// depth returns how many leading prefixes an endpoint has: all up to the deepest
+// that it was sent, since it had those before when it read that. Of a prefix that
+// many share only the latest endpoints are remembered.
 func (x *prefixIndex) depth(prefix []uint64, id string) int {
-	for i, hash := range prefix {
-		set, ok := x.get(hash)
-		if !ok || !set.has(id) {
-			return i
+	for i := len(prefix) - 1; i >= 0; i-- {
+		if set, ok := x.get(prefix[i]); ok && set.has(id) {
+			return i + 1
 		}
 	}
-	return len(prefix)
+	return 0
 }
 
 func (s holderSet) has(id string) bool {
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -300,6 +300,7 @@
 	best.load.ownPrefill += uncached
 	g.work.add(r.engineTime(uncached, q.AnswerTokens), now)
 	g.index.note(q.Prefix, best.info.ID)
+	g.place(q, best.info.ID)
 	return Choice{best.info, score.total, score.wait, score.queued, score.cached, now, uncached}, true
 }
 
@@ -307,7 +308,7 @@
 // lock is held.
 func (r *Router) pickExpected(g *group, byID map[string]*slot, q Query, now time.Time) (*slot, score) {
 	cachedSlots := g.markCached(q, byID)
-	defer g.clearCached(cachedSlots)
+	defer cachedSlots.clear()
 	var best *slot
 	var bestScore score
 	consider := func(s *slot) {
@@ -329,10 +330,8 @@
 		}
 		return best, bestScore
 	}
-	for _, s := range cachedSlots {
-		if s != nil {
-			consider(s)
-		}
+	for _, s := range cachedSlots.slots[:cachedSlots.count] {
+		consider(s)
 	}
 	for range sample {
 		consider(g.slots[g.random.IntN(len(g.slots))])
--- a/pkg/route/slot.go
+++ b/pkg/route/slot.go
@@ -19,6 +19,8 @@
 	// ejected counts slots that are out.
 	ejected int
 	work    work
+	// placed is what was sent since the other entries were last told.
+	placed []Placement
 }
 
 // slot is what is known of one endpoint. Its fields are guarded by its group.
