On-demand endpoints in the cheaper half of the data centres only

Change: the least on demand is one in each of the cheaper half; reclaimable ones carry the difference.

--- a/pkg/autoscale/plan.go
+++ b/pkg/autoscale/plan.go
@@ -31,8 +31,8 @@
 	reserve = 0.4
 )
 
-// Plan returns the orders for a service, and how many endpoints it needs. Each
-// data centre keeps one on-demand endpoint, which no reclaim takes; the rest is
+// Plan returns the orders for a service, and how many endpoints it needs. The
+// cheaper data centres keep an on-demand endpoint, which no reclaim takes; the rest is
 // reclaimable, so many that the loss of one data centre's leaves the need. What
 // is missing of the need while none can be had is bought on demand, where it is
 // cheapest, until they are back and serve.
@@ -50,8 +50,9 @@
 		coming.add(min(there+soon, each))
 		serving.add(min(there, each))
 	}
-	bought := onDemand(places, coming.missing(need, len(places)), s.Most)
-	kept := onDemand(places, serving.missing(need, len(places)), s.Most)
+	least := leastOnDemand(len(places))
+	bought := onDemand(places, least, coming.missing(need, least), s.Most)
+	kept := onDemand(places, least, serving.missing(need, least), s.Most)
 	var orders []Order
 	for _, place := range places {
 		keep := max(bought[place], kept[place])
@@ -66,7 +67,7 @@
 // reclaimableEach is how many reclaimable endpoints each data centre has.
 func reclaimableEach(s *routetable.Scaling, demand Demand, need, places int) int {
 	spread := max(places-1, 1)
-	each := max((need-places+spread-1)/spread, 1)
+	each := max((need-leastOnDemand(places)+spread-1)/spread, 1)
 	each = int(math.Ceil((1 + reserve) * float64(each)))
 	if !demand.Known {
 		each = max(each, int(guessShare*float64(s.Most)))
@@ -82,18 +83,23 @@
 	r.largest = max(r.largest, count)
 }
 
-// missing is how many on-demand endpoints are missing beside the one in each
-// place: of the need, or of what is to be there after the next reclaim.
-func (r *reclaimables) missing(need, places int) int {
-	there := places + r.all
+// missing is how many on-demand endpoints are missing beside the least: of the
+// need, or of what is to be there after the next reclaim.
+func (r *reclaimables) missing(need, least int) int {
+	there := least + r.all
 	afterLoss := int(math.Ceil(borne*float64(need))) - (there - r.largest)
 	return max(need-there, afterLoss)
 }
 
-// onDemand returns the on-demand endpoints of each place: one, and the missing.
-func onDemand(places []string, missing, most int) map[string]int {
+// leastOnDemand is how many on-demand endpoints there always are: one in each of
+// the cheaper half of the data centres.
+func leastOnDemand(places int) int { return (places + 1) / 2 }
+
+// onDemand returns the on-demand endpoints of each place: the least, cheapest
+// first, and the missing.
+func onDemand(places []string, least, missing, most int) map[string]int {
 	kept := make(map[string]int, len(places))
-	for _, place := range places {
+	for _, place := range places[:least] {
 		kept[place] = 1
 	}
 	substitute(places, kept, missing, most)
