Limits reserve room for what others usually admit, not for their number times this request

After a restart the usual cost was taken for a tenth of the first request's, so that all hosts were reckoned with and teams below their limit refused (log: a bucket of 168,761 did not admit 19,265). Ruled out: the bound itself (windows of 8 s held 50 to 75 in 100 of what is allowed).

--- a/pkg/limit/shared.go
+++ b/pkg/limit/shared.go
@@ -118,10 +118,10 @@
 	rate := s.rate(team)
 	most := s.most(team)
 	b.refill(rate, most, now)
-	// As much as all who may admit at the same moment would take, and have taken
-	// unheard if they did as this entry did; a full bucket always admits.
+	// As much as all who may admit at the same moment would take; a full bucket
+	// always admits.
 	rivals := s.rivals(b, now)
-	needed := min(cost*rivals+b.unheard*(rivals-1), most)
+	needed := min(cost+b.rivalCost(cost)*(rivals-1), most)
 	d := Decision{Admitted: b.tokens >= needed, Held: b.tokens, Needed: needed, Part: s.part, Rivals: rivals}
 	if !d.Admitted {
 		d.Wait = max(time.Duration((needed-b.tokens)/rate*float64(time.Second)), leastWait)
@@ -182,6 +182,21 @@
 	b.tokens = min(b.tokens, most)
 }
 
+// negligible is the part of the usual cost up to which requests are as good as
+// free: they pass while others of their kind would fit.
+const negligible = 0.05
+
+// rivalCost is what another entry is thought to admit at the same moment as a
+// request of a cost: one of the usual cost, so that a large request does not need
+// more room than a small one beyond its own, and what it has admitted unheard if it
+// did as this entry did.
+func (b *sharedBucket) rivalCost(cost float64) float64 {
+	if cost < negligible*b.meanCost {
+		return cost
+	}
+	return b.meanCost + b.unheard
+}
+
 // costWeight is the weight of one request in the mean cost.
 const costWeight = 0.1
 
@@ -191,6 +206,9 @@
 func (b *sharedBucket) ask(cost float64, now time.Time) {
 	b.fade(now)
 	b.own.Asked += cost / askTime.Seconds()
+	if b.meanCost == 0 {
+		b.meanCost = cost
+	}
 	b.meanCost += costWeight * (cost - b.meanCost)
 }
 
--- a/pkg/limit/shared_test.go
+++ b/pkg/limit/shared_test.go
@@ -165,3 +165,51 @@
 		t.Error("after that time: got refused, want admitted")
 	}
 }
+
+// All entries restart and know nothing of what was admitted; a team that asks for
+// less than half its rate is served from the first second on all the same.
+func TestRestartedEntriesServeWhatIsBelowTheLimit(t *testing.T) {
+	var total, wanted float64
+	for seed := range uint64(10) {
+		start := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+		e := newEntries(9, start.Add(-time.Second))
+		_, got, asked := e.play(tokenTeam, 0.4*tokenTeam.Rate, start, 3*time.Second, seed)
+		total += got
+		wanted += asked
+	}
+	if share := total / wanted; share < 0.97 {
+		t.Errorf("admitted of what was asked in 3 s: got %.3f, want 0.97 or more", share)
+	}
+}
+
+// A team that is over its limit gets large requests through as well as small ones:
+// what the others may admit meanwhile does not depend on this one's size.
+func TestLargeRequestsAreNotHeldBackMore(t *testing.T) {
+	start := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	e := newEntries(9, start.Add(-10*time.Second))
+	random := rand.New(rand.NewPCG(1, 1))
+	var asked, admitted [3]float64
+	for at := time.Duration(0); at < 20*time.Second; at += 10 * time.Millisecond {
+		if at%(200*time.Millisecond) == 0 {
+			e.exchange(start.Add(at))
+		}
+		size, cost := 0, 3000.0
+		switch draw := random.Float64(); {
+		case draw < 0.3:
+			size, cost = 1, 20_000
+		case draw < 0.4:
+			size, cost = 2, 200
+		}
+		asked[size]++
+		if e.limits[random.IntN(9)].Allow(tokenTeam, cost, start.Add(at)).Admitted {
+			admitted[size]++
+		}
+	}
+	small, large, tiny := admitted[0]/asked[0], admitted[1]/asked[1], admitted[2]/asked[2]
+	if large < 0.5*small {
+		t.Errorf("admitted: got %.2f of the large requests and %.2f of the small ones, want no less than half as often", large, small)
+	}
+	if tiny < 0.95 {
+		t.Errorf("admitted: got %.2f of requests that cost next to nothing, want 0.95 or more", tiny)
+	}
+}
