The node's feeds and the store's clock in packages of their own

Cause: pkg/app/node held over 1,100 lines, among them what is known through the feeds and the relation to the store's clock, neither with a test; a pause that a context cuts short stood there and in pkg/feed beside pkg/pause. Change: pkg/storeview (feeds, relays, what is lost and regained), pkg/storeclock, pkg/app/node/listen.go; pkg/pause in all places; the stretch of pauses by the fleet's size once, in pkg/roster. No behaviour changes.

--- a/pkg/app/node/duties.go
+++ b/pkg/app/node/duties.go
@@ -9,7 +9,9 @@
 	"ironhollow/pkg/autoscale"
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/lease"
+	"ironhollow/pkg/pause"
 	"ironhollow/pkg/roster"
+	"ironhollow/pkg/storeview"
 	"ironhollow/pkg/table"
 	"ironhollow/pkg/usage"
 )
@@ -35,7 +37,7 @@
 	go n.renew(ctx)
 	held := false
 	for ctx.Err() == nil {
-		wait(ctx, n.settings.Lease/renewals)
+		pause.For(ctx, n.settings.Lease/renewals)
 		_, has := n.leases.Held(dutyShard)
 		if has != held {
 			held = has
@@ -60,19 +62,19 @@
 		if held || n.standsBy() && n.mustLook() {
 			n.leases.Step(ctx, map[lease.Shard]lease.Wish{dutyShard: lease.Wanted})
 		}
-		wait(ctx, n.settings.Lease/renewals)
+		pause.For(ctx, n.settings.Lease/renewals)
 	}
 }
 
 // mustLook reports whether the holder of the lease is not heard, or has not
 // renewed it for its duration: it may have lost the store.
 func (n *node) mustLook() bool {
-	return n.leases.MayHaveLapsed(dutyShard) || !n.world.roster.DutiesHeld(n.incarnation, holderHeard, n.clock.Now())
+	return n.leases.MayHaveLapsed(dutyShard) || !n.view.Roster().DutiesHeld(n.incarnation, holderHeard, n.clock.Now())
 }
 
 // standsBy reports whether this host is among those that watch the lease.
 func (n *node) standsBy() bool {
-	return slices.ContainsFunc(n.world.roster.Standbys(), func(h roster.Host) bool { return h.Node == n.settings.Node })
+	return slices.ContainsFunc(n.view.Roster().Standbys(), func(h roster.Host) bool { return h.Node == n.settings.Node })
 }
 
 func (n *node) doDuties(ctx context.Context) {
@@ -128,17 +130,17 @@
 }
 
 func (n *node) orderEndpoints(ctx context.Context, held func() (lease.Grant, bool)) {
-	current, _ := n.world.tables.Current()
-	if current == nil || !n.world.endpoints.Known() {
+	current, _ := n.view.Tables().Current()
+	if current == nil || !n.view.Endpoints().Known() {
 		return
 	}
 	serving := map[autoscale.Place]int{}
-	for _, info := range n.world.directory.View().Infos() {
+	for _, info := range n.view.Directory().View().Infos() {
 		if info.State == endpoint.Live {
 			serving[autoscale.Place{Service: info.Service, DataCenter: info.DataCenter, Reclaimable: info.Reclaimable}]++
 		}
 	}
-	works := n.world.roster.Works(n.clock.Now())
+	works := n.view.Roster().Works(n.clock.Now())
 	now := n.clock.Now()
 	for _, service := range current.Services() {
 		if service.Scaling == nil {
@@ -156,12 +158,12 @@
 
 // sweepRows removes rows of processes that are long dead.
 func (n *node) sweepRows(ctx context.Context) {
-	for _, incarnation := range n.world.roster.Silent(rowKept) {
-		write := table.Write{Key: rosterTable + "/" + incarnation, Delete: true, If: table.Always{}}
+	for _, incarnation := range n.view.Roster().Silent(rowKept) {
+		write := table.Write{Key: storeview.RosterTable + "/" + incarnation, Delete: true, If: table.Always{}}
 		if _, ok := n.store.Commit(ctx, table.Commit{Writes: []table.Write{write}}).(table.Done); !ok {
 			return
 		}
 		n.log.Info().Str("incarnation", incarnation).Msg("row of a dead process removed")
-		n.world.roster.Remove(incarnation)
+		n.view.Roster().Remove(incarnation)
 	}
 }
--- a/pkg/app/node/heartbeat.go
+++ b/pkg/app/node/heartbeat.go
@@ -6,14 +6,13 @@
 
 	"ironhollow/pkg/engine"
 	"ironhollow/pkg/gossip"
+	"ironhollow/pkg/pause"
 	"ironhollow/pkg/roster"
 	"ironhollow/pkg/route"
+	"ironhollow/pkg/storeview"
 	"ironhollow/pkg/table"
 )
 
-// rosterTable is the store's table of this system's processes.
-const rosterTable = "hosts"
-
 // Timing of heartbeats.
 const (
 	// heartbeat bounds what of the usage a killed process takes with it.
@@ -26,9 +25,6 @@
 	rowCheck = 300 * time.Millisecond
 	// firstRow is the pause until the store has been heard of.
 	firstRow = 50 * time.Millisecond
-	// largeFleet is the hosts up to which heartbeats keep their pace; above, the
-	// store's load would grow with the square of the fleet.
-	largeFleet = 16
 )
 
 // millicores are in a core.
@@ -37,15 +33,15 @@
 // beat writes this process's row until ctx ends.
 func (n *node) beat(ctx context.Context) {
 	for ctx.Err() == nil {
-		if _, known := n.clock.offset(); !known {
-			wait(ctx, firstRow)
+		if _, known := n.clock.Offset(); !known {
+			pause.For(ctx, firstRow)
 			continue
 		}
 		written := time.Now()
 		n.writeRow(ctx)
 		// Whether this host has callers changes meanwhile.
-		for wait(ctx, rowCheck); ctx.Err() == nil && time.Since(written) < n.rowPause(); {
-			wait(ctx, rowCheck)
+		for pause.For(ctx, rowCheck); ctx.Err() == nil && time.Since(written) < n.rowPause(); {
+			pause.For(ctx, rowCheck)
 		}
 	}
 }
@@ -53,10 +49,10 @@
 // rowPause is the time between two writes of the row, by how many hosts write as
 // often: those with callers keep what they counted, the others show that they live.
 func (n *node) rowPause() time.Duration {
-	if n.world.roster.Advertises(n.settings.Node) || len(n.router.OwnLoads()) > 0 {
-		return heartbeat * time.Duration(max(n.world.roster.Advertised(), largeFleet)) / largeFleet
+	if n.view.Roster().Advertises(n.settings.Node) || len(n.router.OwnLoads()) > 0 {
+		return roster.Pace(heartbeat, n.view.Roster().Advertised())
 	}
-	return idleHeartbeats * heartbeat * time.Duration(max(n.world.roster.Sharing(), largeFleet)) / largeFleet
+	return roster.Pace(idleHeartbeats*heartbeat, n.view.Roster().Sharing())
 }
 
 // idleHeartbeats is how many times rarer a host without callers writes its row:
@@ -68,7 +64,7 @@
 	defer n.rowMu.Unlock()
 	n.rowSequence++
 	now := n.clock.Now()
-	offset, known := n.clock.offset()
+	offset, known := n.clock.Offset()
 	if !known {
 		return
 	}
@@ -85,7 +81,7 @@
 		n.log.Error().Err(err).Msg("own row not encoded")
 		return
 	}
-	write := table.Write{Key: rosterTable + "/" + n.incarnation, Value: value, If: table.Always{}}
+	write := table.Write{Key: storeview.RosterTable + "/" + n.incarnation, Value: value, If: table.Always{}}
 	outcome := n.store.Commit(ctx, table.Commit{Token: table.Token{Writer: n.incarnation, Sequence: n.rowSequence}, Writes: []table.Write{write}})
 	var failed error
 	switch o := outcome.(type) {
@@ -95,9 +91,9 @@
 		failed = o.Err
 	}
 	if ctx.Err() == nil {
-		n.world.lost.note(n.log, "own row", failed, now)
+		n.view.NoteCall("own row", failed)
 	}
-	n.world.roster.Merge(row, now)
+	n.view.Roster().Merge(row, now)
 }
 
 func (n *node) ownLoads() []roster.Load {
@@ -115,7 +111,7 @@
 		DataCenter:  n.settings.DataCenter,
 		Callers:     n.settings.Callers,
 		Peers:       n.settings.Peers,
-		Since:       n.clock.since(),
+		Since:       n.clock.Since(),
 		Millicores:  int(millicores * n.settings.Cores),
 		Leaving:     n.leaving.Load(),
 	}
@@ -123,7 +119,7 @@
 
 // ownWorks is the engine time asked for here, of services whose size follows it.
 func (n *node) ownWorks(now time.Time) []roster.Work {
-	current, _ := n.world.tables.Current()
+	current, _ := n.view.Tables().Current()
 	if current == nil {
 		return nil
 	}
@@ -141,7 +137,7 @@
 	now := n.clock.Now()
 	return gossip.Told{
 		Told: roster.Told{
-			Host: n.host(), Loads: n.ownLoads(), Works: n.ownWorks(now), Counts: n.counter.Latest(), InTouch: n.world.inTouch(),
+			Host: n.host(), Loads: n.ownLoads(), Works: n.ownWorks(now), Counts: n.counter.Latest(), InTouch: n.view.InTouch(),
 			LeaseVersion: n.leases.Version(dutyShard),
 		},
 		Spent:  n.limits.Own(now),
@@ -155,7 +151,7 @@
 		return
 	}
 	now := n.clock.Now()
-	n.world.roster.Hear(told.Told, now)
+	n.view.Roster().Hear(told.Told, now)
 	n.limits.Heard(told.Incarnation, told.Spent, now)
 	for _, placed := range told.Placed {
 		n.router.Place(placed)
@@ -168,8 +164,8 @@
 // takeLoads hands what the other processes told to the decisions.
 func (n *node) takeLoads() {
 	now := n.clock.Now()
-	n.world.roster.MergeSelf(n.host(), now)
-	loads := n.world.roster.Loads(n.incarnation, now)
+	n.view.Roster().MergeSelf(n.host(), now)
+	loads := n.view.Roster().Loads(n.incarnation, now)
 	own := map[string]int{}
 	for _, l := range n.router.OwnLoads() {
 		own[l.Endpoint.ID] = l.Running
@@ -183,16 +179,6 @@
 			QueuedTokens: load.PrefillTokens,
 		})
 	}
-	n.world.endpoints.Expire()
-	n.limits.SetFleet(n.world.roster.Fleet(n.incarnation, now))
-}
-
-// wait pauses until d has passed or ctx ends.
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	n.view.Endpoints().Expire()
+	n.limits.SetFleet(n.view.Roster().Fleet(n.incarnation, now))
 }
--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -19,7 +19,6 @@
 	"github.com/phuslu/log"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/spf13/cobra"
-	"github.com/urfave/negroni/v3"
 
 	"ironhollow/pkg/app/process"
 	"ironhollow/pkg/autoscale"
@@ -28,10 +27,13 @@
 	"ironhollow/pkg/hazard"
 	"ironhollow/pkg/lease"
 	"ironhollow/pkg/limit"
+	"ironhollow/pkg/pause"
 	"ironhollow/pkg/relay"
 	"ironhollow/pkg/retry"
 	"ironhollow/pkg/roster"
 	"ironhollow/pkg/route"
+	"ironhollow/pkg/storeclock"
+	"ironhollow/pkg/storeview"
 	"ironhollow/pkg/table"
 	"ironhollow/pkg/upstream"
 	"ironhollow/pkg/usage"
@@ -50,16 +52,8 @@
 	streamsTaken = 2500 * time.Millisecond
 	// closeTime is how long the close of idle connections may take at the end.
 	closeTime = 400 * time.Millisecond
-	// entriesKept is how long callers keep the answer of which entries to use.
-	entriesKept = 2 * time.Second
 	// sweepPause is the time between looks for connections idle for too long.
 	sweepPause = 500 * time.Millisecond
-	// headerTime bounds how long a caller may take over its headers.
-	headerTime = 10 * time.Second
-	// idleTime is how long a caller's connection may rest.
-	idleTime = 30 * time.Second
-	// headerBytes bounds a caller's headers.
-	headerBytes = 64 << 10
 	// memoryShare of the process's limit is the collector's soft limit; unread
 	// bytes in sockets count towards the limit too.
 	memoryShare = 0.6
@@ -78,12 +72,12 @@
 	platform    Platform
 	incarnation string
 	log         *log.Logger
-	clock       *clock
+	clock       *storeclock.Clock
 	store       Store
 	// copy is what others follow through this host, by peers.
 	copy      *relay.Copy
 	peers     *http.Client
-	world     *world
+	view      *storeview.View
 	router    *route.Router
 	limits    *limit.Shared
 	pool      *upstream.Pool
@@ -157,7 +151,7 @@
 		platform:    platform,
 		incarnation: s.Node + "." + rand.Text()[:10],
 		log:         process.NewAsyncLog(os.Stdout, s.Node),
-		clock:       newClock(),
+		clock:       storeclock.New(),
 		pool:        upstream.New(deadPeer),
 		traffic:     autoscale.NewTraffic(),
 	}
@@ -166,19 +160,19 @@
 	n.store = platform.Store(client, s)
 	n.copy = relay.NewCopy(n.clock.Now)
 	n.peers = &http.Client{Transport: newTransport()}
-	n.world = newWorld(platform, s.EndpointHeartbeat, n.clock, roster.New(silence, gossip.Interval), n.incarnation, n.log)
 	home := route.Home{Node: s.Node, DataCenter: s.DataCenter}
-	n.router = route.NewWithFigures(n.world.directory, hazard.New(), home, uint64(n.clock.start.UnixNano()), engineFigures)
+	n.view = storeview.New(platform, s.EndpointHeartbeat, n.clock, roster.New(silence, gossip.Interval), home, n.incarnation, n.log)
+	n.router = route.NewWithFigures(n.view.Directory(), hazard.New(), home, uint64(n.clock.Now().UnixNano()), engineFigures)
 	n.counter = usage.NewCounter(s.UsageWindow, n.trueTime)
 	writer := table.NewWriter(n.store, n.incarnation)
 	n.leases = lease.New(writer, n.incarnation, lease.Timing{Duration: s.Lease, Renew: s.Lease / renewals})
 	cloud := &dutyCloud{platform.Cloud(client, s), n.leases}
-	n.reporter = usage.NewReporter(n.counter, n.world.roster, writer, cloud, n.log)
+	n.reporter = usage.NewReporter(n.counter, n.view.Roster(), writer, cloud, n.log)
 	n.orderer = autoscale.NewOrderer(cloud, n.log)
 	budget := retry.NewWindow(s.Retry.Share, s.Retry.Slack, s.Retry.Window)
 	n.registry = process.NewRegistry()
-	n.forwarder = forward.New(platform.Protocol(), n.world.tables, n.router, n.limits, budget, n.pool, n.counter,
-		fleet{n.world.roster, s.Node}, n.phase, n.clock.Now, forward.NewMetrics(n.registry), n.log)
+	n.forwarder = forward.New(platform.Protocol(), n.view.Tables(), n.router, n.limits, budget, n.pool, n.counter,
+		fleet{n.view.Roster(), s.Node}, n.phase, n.clock.Now, forward.NewMetrics(n.registry), n.log)
 	return n
 }
 
@@ -216,8 +210,8 @@
 // trueTime is the store's clock plus what the hosts agree it differs by from
 // the time of day; this host's own time of day as long as that is not known.
 func (n *node) trueTime() time.Time {
-	storeNow, known := n.clock.store()
-	offset, agreed := n.world.roster.ClockOffset()
+	storeNow, known := n.clock.Store()
+	offset, agreed := n.view.Roster().ClockOffset()
 	if !known || !agreed {
 		return n.clock.Now()
 	}
@@ -229,8 +223,8 @@
 func (n *node) serve(ctx context.Context) error {
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	source := relay.NewSource(n.store, n.copy, n.peers, n.relay, n.relayLagOf, n.log)
-	go n.world.follow(background, source, n.isRelay, n.settings.FirstStart)
+	source := relay.NewSource(n.store, n.copy, n.peers, n.view.Relay, n.view.RelayLag, n.log)
+	go n.view.Follow(background, source, n.settings.FirstStart)
 	go n.beat(background)
 	go n.sweep(background)
 	if err := n.exchange(background); err != nil {
@@ -253,12 +247,12 @@
 		return err
 	}
 	started := time.Now()
-	n.leavingSince.Store(int64(time.Since(n.clock.start)))
+	n.leavingSince.Store(int64(n.clock.Running()))
 	n.leaving.Store(true)
 	n.log.Info().Dur("grace", n.settings.Grace).Msg("stopping")
 	endDuties()
 	go n.writeRow(background)
-	wait(background, n.settings.Grace-stopMargin-closeTime-time.Since(started))
+	pause.For(background, n.settings.Grace-stopMargin-closeTime-time.Since(started))
 	closing, done := context.WithTimeout(background, closeTime)
 	defer done()
 	for _, s := range servers {
@@ -275,7 +269,7 @@
 
 // exchange starts to tell the other hosts what is under way here.
 func (n *node) exchange(ctx context.Context) error {
-	e, err := gossip.Listen(n.settings.Peers, n.host(), n.world.roster, n.told, n.hear, n.log)
+	e, err := gossip.Listen(n.settings.Peers, n.host(), n.view.Roster(), n.told, n.hear, n.log)
 	if err != nil {
 		return err
 	}
@@ -283,88 +277,22 @@
 	return nil
 }
 
-// listen opens the ports.
-func (n *node) listen(faults chan<- error) ([]*http.Server, error) {
-	callers := &http.Server{
-		Handler: n.forwarder, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: headerBytes,
-	}
-	ports := []struct {
-		name, address string
-		server        *http.Server
-	}{
-		{"callers", n.settings.Callers, callers},
-		{"ready", n.settings.Ready, &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}},
-		{"directory", n.settings.Directory, &http.Server{Handler: n.directoryHandler(), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}},
-		{"peers", n.settings.Peers, &http.Server{Handler: n.peersHandler(), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}},
-		{"metrics", n.settings.Admin, &http.Server{Handler: process.Admin(n.registry, n.isReady), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}},
-	}
-	config := net.ListenConfig{
-		Control:         upstream.ControlUserTimeout(deadPeer),
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3},
-	}
-	var servers []*http.Server
-	for _, p := range ports {
-		if p.address == "" {
-			continue
-		}
-		listener, err := config.Listen(context.Background(), "tcp", p.address)
-		if err != nil {
-			return nil, fmt.Errorf("port of %s: %w", p.name, err)
-		}
-		process.Serve(p.server, listener, faults)
-		if p.server == callers {
-			servers = append(servers, p.server)
-		}
-	}
-	return servers, nil
-}
-
 // isReady returns why the process does not take callers, nil if it does.
 func (n *node) isReady() error {
 	switch {
 	case n.leaving.Load():
 		return errors.New("stopping")
-	case !n.world.ready():
+	case !n.view.Ready():
 		return errors.New("configuration, endpoints or hosts not known yet")
 	default:
 		return nil
 	}
 }
 
-func (n *node) readyHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+n.platform.ReadyPath(), func(w http.ResponseWriter, _ *http.Request) {
-		if n.isReady() != nil {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
-	return negroni.New(negroni.NewRecovery(), negroni.Wrap(mux))
-}
-
-func (n *node) peersHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("GET "+relay.Path, n.copy)
-	return negroni.New(negroni.NewRecovery(), negroni.Wrap(mux))
-}
-
-func (n *node) directoryHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+n.platform.DirectoryPath(), func(w http.ResponseWriter, _ *http.Request) {
-		entries := n.world.roster.Entries()
-		if len(entries) == 0 && !n.leaving.Load() {
-			entries = []roster.Entry{{Node: n.settings.Node, DataCenter: n.settings.DataCenter, Callers: n.settings.Callers}}
-		}
-		if err := n.platform.EncodeEntries(w, entries, entriesKept); err != nil {
-			n.log.Debug().Err(err).Msg("a caller left while it was told the entries")
-		}
-	})
-	return negroni.New(negroni.NewRecovery(), negroni.Wrap(mux))
-}
-
 // sweep closes connections to endpoints that are no longer used.
 func (n *node) sweep(ctx context.Context) {
 	for ctx.Err() == nil {
-		wait(ctx, sweepPause)
+		pause.For(ctx, sweepPause)
 		used := map[string]bool{}
 		for _, info := range n.router.InUse() {
 			used[info.Address] = true
@@ -378,7 +306,7 @@
 	switch {
 	case !n.leaving.Load():
 		return forward.Serving
-	case time.Since(n.clock.start)-time.Duration(n.leavingSince.Load()) < streamsTaken:
+	case n.clock.Running()-time.Duration(n.leavingSince.Load()) < streamsTaken:
 		return forward.Leaving
 	default:
 		return forward.Ending
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -7,6 +7,8 @@
 	"errors"
 	"math/rand/v2"
 	"time"
+
+	"ironhollow/pkg/pause"
 )
 
 // ErrHistoryGone says that the store no longer has the changes asked for.
@@ -87,18 +89,18 @@
 			return
 		}
 		f.health(f.table, err)
-		pause := f.timing.Pause()
+		rest := f.timing.Pause()
 		switch {
 		case errors.Is(err, ErrHistoryGone):
 			version = -1
-			pause = 0
+			rest = 0
 		case err != nil:
-			pause = f.timing.Retry/2 + rand.N(f.timing.Retry)
+			rest = f.timing.Retry/2 + rand.N(f.timing.Retry)
 		default:
 			f.take(batch)
 			version = batch.Version
 		}
-		sleep(ctx, pause)
+		pause.For(ctx, rest)
 	}
 }
 
@@ -116,15 +118,3 @@
 	batch.Full = true
 	return batch, err
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -58,6 +58,15 @@
 // as heard.
 const missed = 5
 
+// pacedFleet is the hosts up to which rows keep their pace; above, the store's load
+// would grow with the square of the fleet.
+const pacedFleet = 16
+
+// Pace stretches a pause between writes or reads of rows for a number of hosts.
+func Pace(pause time.Duration, hosts int) time.Duration {
+	return pause * time.Duration(max(hosts, pacedFleet)) / pacedFleet
+}
+
 // New returns an empty roster; interval returns the time between two datagrams
 // of a host in a fleet of a size.
 func New(silence time.Duration, interval func(hosts int) time.Duration) *Roster {
--- a/pkg/app/node/loss.go
+++ b/pkg/storeview/loss.go
@@ -1,4 +1,4 @@
-package node
+package storeview
 
 import (
 	"sync"
--- a/pkg/app/node/relays.go
+++ b/pkg/storeview/relays.go
@@ -1,4 +1,4 @@
-package node
+package storeview
 
 import (
 	"hash/fnv"
@@ -18,15 +18,15 @@
 	relayedFleet = 24
 )
 
-// relay returns the address of the host through which this one follows the
+// Relay returns the address of the host through which this one follows the
 // store, empty if it follows the store itself.
-func (n *node) relay() string {
-	if n.world.roster.Sharing() < relayedFleet {
+func (v *View) Relay() string {
+	if v.roster.Sharing() < relayedFleet {
 		return ""
 	}
-	relays := n.world.roster.Relays(n.settings.DataCenter, relaysEach)
+	relays := v.roster.Relays(v.home.DataCenter, relaysEach)
 	for _, r := range relays {
-		if r.Node == n.settings.Node {
+		if r.Node == v.home.Node {
 			return ""
 		}
 	}
@@ -34,20 +34,20 @@
 		return ""
 	}
 	hash := fnv.New32a()
-	_, _ = hash.Write([]byte(n.settings.Node))
+	_, _ = hash.Write([]byte(v.home.Node))
 	return relays[int(hash.Sum32()%uint32(len(relays)))].Peers
 }
 
 // isRelay reports whether this host follows the store for others too.
-func (n *node) isRelay() bool {
-	return n.world.roster.Sharing() >= relayedFleet && n.relay() == ""
+func (v *View) isRelay() bool {
+	return v.roster.Sharing() >= relayedFleet && v.Relay() == ""
 }
 
-// relayLagOf returns how far a relay may be behind the store with a table. The
+// RelayLag returns how far a relay may be behind the store with a table. The
 // hosts' rows are read rarely in a large fleet: datagrams tell what is urgent.
-func (n *node) relayLagOf(table string) time.Duration {
-	if table == rosterTable {
-		return 2*n.world.rosterPause() + relayLag
+func (v *View) RelayLag(table string) time.Duration {
+	if table == RosterTable {
+		return 2*v.rosterPause() + relayLag
 	}
 	return relayLag
 }
--- /dev/null
+++ b/pkg/storeview/relays_test.go
@@ -0,0 +1,68 @@
+package storeview_test
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/roster"
+	"ironhollow/pkg/route"
+	"ironhollow/pkg/routetable"
+	"ironhollow/pkg/storeclock"
+	"ironhollow/pkg/storeview"
+)
+
+// decoder decodes nothing: these tests follow no store.
+type decoder struct{}
+
+func (decoder) Tables() storeview.Tables { return storeview.Tables{} }
+
+func (decoder) DecodeConfiguration([]byte) (routetable.Spec, error) { return routetable.Spec{}, nil }
+
+func (decoder) DecodeEndpoint(string, []byte) (endpoint.Info, error) { return endpoint.Info{}, nil }
+
+func host(i int) roster.Host {
+	name := fmt.Sprintf("h%02d", i)
+	h := roster.Host{Incarnation: name, Node: name, DataCenter: fmt.Sprint("dc", i%4), Peers: name + ":1", Millicores: 200}
+	if i >= 8 && i < 12 {
+		h.Millicores = 800
+	}
+	return h
+}
+
+// viewOf is what one host of a fleet knows that has heard all others.
+func viewOf(self, hosts int) *storeview.View {
+	now := time.Now()
+	members := roster.New(time.Minute, func(int) time.Duration { return time.Second })
+	members.Heard(now)
+	for i := range hosts {
+		members.Hear(roster.Told{Host: host(i), Sequence: 1}, now)
+	}
+	h := host(self)
+	home := route.Home{Node: h.Node, DataCenter: h.DataCenter}
+	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+	return storeview.New(decoder{}, time.Second, storeclock.New(), members, home, h.Incarnation, logger)
+}
+
+// In a large fleet the largest host of a data centre follows the store, and the
+// others follow it; in a small one all follow the store.
+func TestWhoFollowsThroughWhom(t *testing.T) {
+	for _, c := range []struct {
+		what        string
+		self, hosts int
+		want        string
+	}{
+		{"small fleet", 0, 20, ""},
+		{"large fleet", 0, 40, "h08:1"},
+		{"another data centre", 5, 40, "h09:1"},
+		{"the relay itself", 8, 40, ""},
+	} {
+		if got := viewOf(c.self, c.hosts).Relay(); got != c.want {
+			t.Errorf("%s: got %q, want %q", c.what, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/storeview/view.go
@@ -0,0 +1,234 @@
+// Package storeview holds what a node knows through the feeds of the platform's
+// store: the configuration in force, the endpoints and the hosts, followed directly
+// or through a relay.
+package storeview
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"ironhollow/pkg/discovery"
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/feed"
+	"ironhollow/pkg/pause"
+	"ironhollow/pkg/roster"
+	"ironhollow/pkg/route"
+	"ironhollow/pkg/routetable"
+	"ironhollow/pkg/storeclock"
+)
+
+// Timing of the feeds.
+const (
+	// feedWait is how long the store holds a call; with the call's own time it
+	// bounds how long a call without an answer stays unnoticed. Shorter ones
+	// cost: every call is priced.
+	feedWait = 2500 * time.Millisecond
+	// feedRetry is the mean pause after a failure.
+	feedRetry = 300 * time.Millisecond
+	// endpointPause and rosterPause gather changes of busy tables, which would
+	// otherwise answer a call each. A leaving endpoint must get no new work 2 s
+	// after the store's word at the latest.
+	endpointPause = 1300 * time.Millisecond
+	rosterPause   = 1400 * time.Millisecond
+	// relayWait and relayPause are a relay's: it must have heard of the store
+	// within a second or so, see package relay, so that others hear in time.
+	relayWait  = 800 * time.Millisecond
+	relayPause = 700 * time.Millisecond
+	// staleAfter is how long after the last word from the store a newer
+	// configuration may be in force unheard.
+	staleAfter = feedWait + 500*time.Millisecond
+)
+
+// RosterTable is the store's table of this system's processes.
+const RosterTable = "hosts"
+
+// Tables are names of tables in the platform's store.
+type Tables struct {
+	Configuration, ConfigurationKey string
+	Endpoints                       string
+}
+
+// Decoder reads what others write to the store.
+type Decoder interface {
+	// Tables names the tables that are followed.
+	Tables() Tables
+	DecodeConfiguration(value []byte) (routetable.Spec, error)
+	DecodeEndpoint(id string, value []byte) (endpoint.Info, error)
+}
+
+// View is what a node knows. It is safe for concurrent use.
+type View struct {
+	decoder   Decoder
+	clock     *storeclock.Clock
+	directory *endpoint.Directory
+	tables    *routetable.Holder
+	endpoints *discovery.Rows
+	roster    *roster.Roster
+	log       *log.Logger
+	home      route.Home
+	self      string
+	lost      lossLog
+	// inTouchSince is since when the endpoints' feed has not failed, heardAt when it
+	// last answered, both counted from the clock's start in nanoseconds; 0 while it
+	// fails.
+	inTouchSince, heardAt atomic.Int64
+}
+
+// New returns the view of a host whose process has the incarnation self. heartbeat
+// is the time between two writes of an endpoint's row.
+func New(decoder Decoder, heartbeat time.Duration, c *storeclock.Clock, members *roster.Roster, home route.Home, self string, logger *log.Logger) *View {
+	directory := endpoint.NewDirectory()
+	othersHeard := func(whole time.Duration) bool { return members.InTouch(self, whole, c.Now()) }
+	return &View{
+		decoder:   decoder,
+		clock:     c,
+		directory: directory,
+		tables:    routetable.NewHolder(staleAfter, c.Now),
+		endpoints: discovery.New(directory, decoder.DecodeEndpoint, heartbeat, othersHeard, c.Now, logger),
+		roster:    members,
+		log:       logger,
+		home:      home,
+		self:      self,
+	}
+}
+
+// contactFresh is how long ago the endpoints' feed must have answered to count as
+// in touch: its rows change all the time, so that a call that hangs is no sign of
+// a quiet store.
+const contactFresh = 2500 * time.Millisecond
+
+// InTouch is how long the endpoints' feed has not failed.
+func (v *View) InTouch() time.Duration {
+	now := v.clock.Running()
+	since := time.Duration(v.inTouchSince.Load())
+	if since == 0 || now-time.Duration(v.heardAt.Load()) > contactFresh {
+		return 0
+	}
+	return now - since
+}
+
+// relaysFound is how long hosts that all start for the first time take to find
+// their relays; whoever follows before that follows the store itself.
+const relaysFound = time.Second
+
+// Follow starts the feeds; it returns once all have begun.
+func (v *View) Follow(ctx context.Context, source feed.Source, firstStart bool) {
+	tables := v.decoder.Tables()
+	either := func(relay, other time.Duration) func() time.Duration {
+		return func() time.Duration {
+			if v.isRelay() {
+				return relay
+			}
+			return other
+		}
+	}
+	start := func(name string, pause func() time.Duration, take feed.Take) {
+		timing := feed.Timing{Wait: either(relayWait, feedWait), Pause: pause, Retry: feedRetry}
+		heard := func(batch feed.Batch) {
+			v.clock.Heard(batch.StoreTime)
+			take(batch)
+		}
+		go feed.New(source, name, timing, heard, v.health).Run(ctx)
+	}
+	start(RosterTable, v.rosterPause, v.takeRoster)
+	if firstStart {
+		pause.For(ctx, relaysFound)
+	}
+	start(tables.Configuration, func() time.Duration { return 0 }, v.takeConfiguration)
+	start(tables.Endpoints, either(relayPause, endpointPause), v.endpoints.Take)
+}
+
+// rosterPause grows with the fleet, as the rows' number does.
+func (v *View) rosterPause() time.Duration {
+	return roster.Pace(rosterPause, v.roster.Sharing())
+}
+
+// Directory returns the endpoints as they are known.
+func (v *View) Directory() *endpoint.Directory { return v.directory }
+
+// Tables returns the configuration in force.
+func (v *View) Tables() *routetable.Holder { return v.tables }
+
+// Endpoints returns the rows of endpoints.
+func (v *View) Endpoints() *discovery.Rows { return v.endpoints }
+
+// Roster returns the hosts.
+func (v *View) Roster() *roster.Roster { return v.roster }
+
+// NoteCall writes a line when something that is asked of the store, told by name,
+// is lost or regained; a nil err is a success.
+func (v *View) NoteCall(name string, err error) { v.lost.note(v.log, name, err, v.clock.Now()) }
+
+// health notes a dependency that is lost or regained. A history that is gone is
+// an answer: the rows are read anew, and nothing had to lapse for it.
+func (v *View) health(table string, err error) {
+	if errors.Is(err, feed.ErrHistoryGone) {
+		v.log.Info().Str("feed", table).Msg("history gone, the table is read anew")
+		return
+	}
+	if table == v.decoder.Tables().Endpoints {
+		v.noteContact(err)
+	}
+	v.NoteCall(table, err)
+}
+
+// noteContact keeps since when the endpoints' feed has not failed.
+func (v *View) noteContact(err error) {
+	if err != nil {
+		v.inTouchSince.Store(0)
+		v.endpoints.Lost()
+		return
+	}
+	now := max(int64(v.clock.Running()), 1)
+	v.heardAt.Store(now)
+	v.inTouchSince.CompareAndSwap(0, now)
+}
+
+func (v *View) takeConfiguration(batch feed.Batch) {
+	v.tables.Heard()
+	for _, row := range batch.Rows {
+		if row.Key != v.decoder.Tables().ConfigurationKey || row.Deleted {
+			continue
+		}
+		spec, err := v.decoder.DecodeConfiguration(row.Value)
+		if err != nil {
+			v.log.Error().Err(err).Int64("row", row.Version).Msg("configuration not taken")
+			continue
+		}
+		if v.tables.Adopt(spec) {
+			v.log.Info().Int64("version", spec.Version).Int("routes", len(spec.Routes)).Int("teams", len(spec.Teams)).Msg("configuration in force")
+		}
+	}
+}
+
+func (v *View) takeRoster(batch feed.Batch) {
+	now := v.clock.Now()
+	v.roster.Heard(now)
+	named := map[string]bool{v.self: true}
+	for _, stored := range batch.Rows {
+		if stored.Deleted {
+			v.roster.Remove(stored.Key)
+			continue
+		}
+		named[stored.Key] = true
+		row, err := roster.Decode(stored.Key, stored.Value)
+		if err != nil {
+			v.log.Error().Err(err).Msg("host's row not taken")
+			continue
+		}
+		v.roster.Merge(row, now)
+	}
+	if batch.Full {
+		v.roster.Keep(func(incarnation string) bool { return named[incarnation] })
+	}
+}
+
+// Ready reports whether all that is needed to serve is known.
+func (v *View) Ready() bool {
+	table, _ := v.tables.Current()
+	return table != nil && v.endpoints.Known() && v.roster.Known()
+}
