New limiters take over what older ones know; some credit when all began anew

Ruled out: levels in the store's rows (1.5 s old at a kill, in which a bucket can be drained). Change: datagrams tell what each bucket holds; a new process takes it over from one that is 2 s old. Where none is heard for 0.4 s all began anew: 0.3 of the bound's slack as credit, which overrunUsed and slackUsed leave twice in a window.

--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -81,6 +81,8 @@
 	Team     string
 	Admitted int64
 	Asked    float32
+	Held     int64
+	Settled  bool
 }
 
 type count struct {
@@ -203,7 +205,7 @@
 		InTouchMS: told.InTouch.Milliseconds(), Leaving: told.Leaving, Sequence: sequence, Millicores: told.Millicores, LeaseVersion: told.LeaseVersion,
 	}
 	for _, l := range told.Spent {
-		m.Spent = append(m.Spent, spent{Team: l.Team, Admitted: int64(l.Admitted), Asked: float32(l.Asked)})
+		m.Spent = append(m.Spent, spent{Team: l.Team, Admitted: int64(l.Admitted), Asked: float32(l.Asked), Held: int64(l.Held), Settled: l.Settled})
 	}
 	for _, p := range told.Placed {
 		m.Placed = append(m.Placed, placement{Endpoint: p.Endpoint, Prefix: p.Prefix})
@@ -267,7 +269,7 @@
 		t.Counts = append(t.Counts, roster.Count{Window: c.Window, Team: c.Team, Begun: c.Begun})
 	}
 	for _, l := range m.Spent {
-		t.Spent = append(t.Spent, limit.Spent{Team: l.Team, Admitted: float64(l.Admitted), Asked: float64(l.Asked)})
+		t.Spent = append(t.Spent, limit.Spent{Team: l.Team, Admitted: float64(l.Admitted), Asked: float64(l.Asked), Held: float64(l.Held), Settled: l.Settled})
 	}
 	return t
 }
--- a/pkg/limit/shared.go
+++ b/pkg/limit/shared.go
@@ -22,6 +22,8 @@
 	// part is of the limits, for the hosts that this one hears and itself.
 	part  float64
 	teams map[string]*sharedBucket
+	// elders says that an entry was heard that was there before this one.
+	elders bool
 }
 
 // Tolerance is how far all entries together may pass a team's rate in a window:
@@ -52,6 +54,15 @@
 	// silentWeight is what a host counts for in the fleet's limits while it is
 	// silent: it may be cut off and serve on by itself.
 	silentWeight = 0.95
+	// settleTime is the age from which an entry knows what a bucket holds.
+	settleTime = 2 * time.Second
+	// eldersHeard is how long a new entry waits for word of one that is settled; if
+	// none comes, all began anew.
+	eldersHeard = 400 * time.Millisecond
+	// restartCredit is the part of the tolerance's slack that buckets hold when all
+	// entries began anew and what was admitted before is not known: two such starts
+	// in a window stay within what overrunUsed and slackUsed leave.
+	restartCredit = 0.3
 )
 
 // Spent is what one entry tells of a team.
@@ -61,6 +72,10 @@
 	Admitted float64
 	// Asked is the cost asked for a second, admitted or not.
 	Asked float64
+	// Held is what the fleet's bucket holds as this entry knows it. It counts only
+	// if Settled: the entry is old enough to know.
+	Held    float64
+	Settled bool
 }
 
 // sharedBucket is the fleet's bucket of one team, as known here.
@@ -75,7 +90,9 @@
 	unheard float64
 	// meanCost is of a request, averaged over the latest.
 	meanCost float64
-	others   map[string]heardSpent
+	// started says that it was settled what the bucket held when the entry began.
+	started bool
+	others  map[string]heardSpent
 }
 
 type heardSpent struct {
@@ -118,6 +135,7 @@
 	rate := s.rate(team)
 	most := s.most(team)
 	b.refill(rate, most, now)
+	s.start(b, now)
 	// As much as all who may admit at the same moment would take; a full bucket
 	// always admits.
 	rivals := s.rivals(b, now)
@@ -220,6 +238,30 @@
 	}
 }
 
+// start gives a bucket its credit if all entries began anew.
+func (s *Shared) start(b *sharedBucket, now time.Time) {
+	if b.started || now.Sub(s.born) < eldersHeard {
+		return
+	}
+	b.started = true
+	if !s.elders {
+		b.tokens += restartCredit * s.tolerance.Slack * s.part
+	}
+}
+
+// adopt takes what an entry that is settled knows of a bucket, if this one is new.
+func (s *Shared) adopt(b *sharedBucket, told Spent, now time.Time) {
+	if !told.Settled || now.Sub(s.born) >= settleTime {
+		return
+	}
+	s.elders = true
+	if !b.started {
+		b.started = true
+		b.tokens = told.Held
+		b.at = now
+	}
+}
+
 // prune drops processes that have told nothing for long: they are gone.
 func (b *sharedBucket) prune(now time.Time) {
 	for process, heard := range b.others {
@@ -240,7 +282,10 @@
 	for _, b := range s.teams {
 		b.fade(now)
 		b.prune(now)
-		list = append(list, b.own)
+		told := b.own
+		told.Held = max(b.tokens, 0)
+		told.Settled = now.Sub(s.born) >= settleTime
+		list = append(list, told)
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Team < list[j].Team })
 	return list
@@ -258,6 +303,7 @@
 			// An older datagram that came later.
 			continue
 		}
+		s.adopt(b, told, now)
 		if known {
 			b.tokens -= told.Admitted - before.Admitted
 		}
--- a/pkg/limit/shared_test.go
+++ b/pkg/limit/shared_test.go
@@ -22,16 +22,32 @@
 // entries is a fleet in virtual time.
 type entries struct {
 	limits []*limit.Shared
+	// names are of the entries' processes, new after each restart.
+	names []string
+	lives int
+	// restarts says which entries restart when, from the start of play.
+	restarts map[time.Duration][]int
 	// hears tells whether one entry's words reach another.
 	hears func(from, to int) bool
 }
 
+// restart replaces entries by new ones that know nothing.
+func (e *entries) restart(now time.Time, which ...int) {
+	for _, i := range which {
+		e.limits[i] = limit.NewShared(tokenTolerance, now)
+		e.limits[i].SetFleet(len(e.limits), 0)
+		e.lives++
+		e.names[i] = fmt.Sprint(i, ".", e.lives)
+	}
+}
+
 func newEntries(n int, start time.Time) *entries {
 	e := &entries{hears: func(int, int) bool { return true }}
 	for range n {
 		s := limit.NewShared(tokenTolerance, start)
 		s.SetFleet(n, 0)
 		e.limits = append(e.limits, s)
+		e.names = append(e.names, fmt.Sprint(len(e.names)))
 	}
 	return e
 }
@@ -41,7 +57,7 @@
 		own := l.Own(now)
 		for to, other := range e.limits {
 			if from != to && e.hears(from, to) {
-				other.Heard(fmt.Sprint(from), own, now)
+				other.Heard(e.names[from], own, now)
 			}
 		}
 	}
@@ -58,6 +74,7 @@
 	var admitted []admission
 	const step = 5 * time.Millisecond
 	for at := time.Duration(0); at < length; at += step {
+		e.restart(start.Add(at), e.restarts[at]...)
 		if at%(200*time.Millisecond) == 0 {
 			e.exchange(start.Add(at))
 		}
@@ -213,3 +230,74 @@
 		t.Errorf("admitted: got %.2f of requests that cost next to nothing, want 0.95 or more", tiny)
 	}
 }
+
+// all are the numbers of n entries.
+func all(n int) []int {
+	list := make([]int, n)
+	for i := range list {
+		list[i] = i
+	}
+	return list
+}
+
+// All entries begin anew, twice in a window, or one after the other, while a team
+// asks for several times its limit: the bound holds over the restarts.
+func TestSharedLimitOverRestarts(t *testing.T) {
+	inTurn := map[time.Duration][]int{}
+	for i := range 9 {
+		inTurn[10*time.Second+time.Duration(i)*1300*time.Millisecond] = []int{i}
+	}
+	for name, restarts := range map[string]map[time.Duration][]int{
+		"all at once":       {10 * time.Second: all(9)},
+		"all, twice":        {10 * time.Second: all(9), 14 * time.Second: all(9)},
+		"half, then others": {10 * time.Second: {0, 1, 2, 3, 4}, 12 * time.Second: {5, 6, 7, 8}},
+		"in turn":           inTurn,
+	} {
+		for seed := range uint64(8) {
+			start := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+			for _, team := range []limit.Team{tokenTeam, {Name: "t", Rate: 60_000, Burst: 60_000}} {
+				e := newEntries(9, start.Add(-10*time.Second))
+				e.restarts = restarts
+				worst, _, _ := e.play(team, 5*team.Rate, start, 30*time.Second, seed)
+				if worst > bound(team) {
+					t.Errorf("%s, seed %d, rate %.0f: admitted in a window: got %.0f, want at most %.0f", name, seed, team.Rate, worst, bound(team))
+				}
+			}
+		}
+	}
+}
+
+// A new entry takes over what an older one knows the bucket to hold; if it hears of
+// none, all began anew, and there is some credit.
+func TestNewEntryTakesOverTheBucket(t *testing.T) {
+	start := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	team := limit.Team{Name: "t", Rate: 140_000, Burst: 140_000}
+	for _, c := range []struct {
+		what string
+		// elder says that there is an older entry, which has admitted drained.
+		elder   bool
+		drained float64
+		after   time.Duration
+		cost    float64
+		want    bool
+	}{
+		{"the older one's bucket is full", true, 0, 300 * time.Millisecond, 150_000, true},
+		{"the older one's bucket is drained", true, 190_000, 450 * time.Millisecond, 100_000, false},
+		{"none is older", false, 0, 450 * time.Millisecond, 100_000, true},
+		{"none is older, more than the credit", false, 0, 450 * time.Millisecond, 150_000, false},
+		{"not known yet whether one is older", false, 0, 300 * time.Millisecond, 80_000, false},
+	} {
+		s := limit.NewShared(tokenTolerance, start)
+		if c.elder {
+			elder := limit.NewShared(tokenTolerance, start.Add(-10*time.Second))
+			elder.Allow(team, 1, start)
+			if c.drained > 0 && !elder.Allow(team, c.drained, start).Admitted {
+				t.Fatalf("%s: the older entry did not admit %.0f", c.what, c.drained)
+			}
+			s.Heard("elder", elder.Own(start), start.Add(c.after-time.Millisecond))
+		}
+		if got := s.Allow(team, c.cost, start.Add(c.after)).Admitted; got != c.want {
+			t.Errorf("%s, %v after the start: got a cost of %.0f admitted %v, want %v", c.what, c.after, c.cost, got, c.want)
+		}
+	}
+}
