--- a/Makefile
+++ b/Makefile
@@ -46,7 +46,7 @@
 
 generate: tools ## Generate code from the schemas, and the wiring
 	schema/generate.sh $(TOOLS)
-	$(TOOLS)/wire ./pkg/app/entry ./pkg/app/control
+	$(TOOLS)/wire ./pkg/app/entry ./pkg/app/control ./pkg/app/node
 
 check: tools ## Formatter, linter, vet, generated code, go.mod
 	@test -z "$$($(TOOLS)/gofumpt -l cmd pkg platform schema)" || { echo "not formatted:"; $(TOOLS)/gofumpt -l cmd pkg platform schema; exit 1; }
--- a/pkg/app/node/duties.go
+++ b/pkg/app/node/duties.go
@@ -69,7 +69,7 @@
 // mustLook reports whether the holder of the lease is not heard, or has not
 // renewed it for its duration: it may have lost the store.
 func (n *node) mustLook() bool {
-	return n.leases.MayHaveLapsed(dutyShard) || !n.view.Roster().DutiesHeld(n.incarnation, holderHeard, n.clock.Now())
+	return n.leases.MayHaveLapsed(dutyShard) || !n.view.Roster().DutiesHeld(string(n.incarnation), holderHeard, n.clock.Now())
 }
 
 // standsBy reports whether this host is among those that watch the lease.
--- a/pkg/app/node/heartbeat.go
+++ b/pkg/app/node/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"ironhollow/pkg/engine"
@@ -30,6 +31,13 @@
 // millicores are in a core.
 const millicores = 1000
 
+// ownRow is this process's row in the store. Writes of it go one by one.
+type ownRow struct {
+	mu sync.Mutex
+	// sequence is of the last write.
+	sequence int64
+}
+
 // beat writes this process's row until ctx ends.
 func (n *node) beat(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -60,9 +68,9 @@
 const idleHeartbeats = 8
 
 func (n *node) writeRow(ctx context.Context) {
-	n.rowMu.Lock()
-	defer n.rowMu.Unlock()
-	n.rowSequence++
+	n.row.mu.Lock()
+	defer n.row.mu.Unlock()
+	n.row.sequence++
 	now := n.clock.Now()
 	offset, known := n.clock.Offset()
 	if !known {
@@ -70,7 +78,7 @@
 	}
 	row := roster.Row{
 		Host:        n.host(),
-		Sequence:    n.rowSequence,
+		Sequence:    n.row.sequence,
 		ClockOffset: offset,
 		Counts:      n.counter.Recent(),
 	}
@@ -81,8 +89,8 @@
 		n.log.Error().Err(err).Msg("own row not encoded")
 		return
 	}
-	write := table.Write{Key: storeview.RosterTable + "/" + n.incarnation, Value: value, If: table.Always{}}
-	outcome := n.store.Commit(ctx, table.Commit{Token: table.Token{Writer: n.incarnation, Sequence: n.rowSequence}, Writes: []table.Write{write}})
+	write := table.Write{Key: storeview.RosterTable + "/" + string(n.incarnation), Value: value, If: table.Always{}}
+	outcome := n.store.Commit(ctx, table.Commit{Token: table.Token{Writer: string(n.incarnation), Sequence: n.row.sequence}, Writes: []table.Write{write}})
 	var failed error
 	switch o := outcome.(type) {
 	case table.Refused:
@@ -106,14 +114,14 @@
 
 func (n *node) host() roster.Host {
 	return roster.Host{
-		Incarnation: n.incarnation,
+		Incarnation: string(n.incarnation),
 		Node:        n.settings.Node,
 		DataCenter:  n.settings.DataCenter,
 		Callers:     n.settings.Callers,
 		Peers:       n.settings.Peers,
 		Since:       n.clock.Since(),
 		Millicores:  int(millicores * n.settings.Cores),
-		Leaving:     n.leaving.Load(),
+		Leaving:     n.life.leaving(),
 	}
 }
 
@@ -147,7 +155,7 @@
 
 // hear takes in what another process tells.
 func (n *node) hear(told gossip.Told) {
-	if told.Incarnation == n.incarnation {
+	if told.Incarnation == string(n.incarnation) {
 		return
 	}
 	now := n.clock.Now()
@@ -165,7 +173,7 @@
 func (n *node) takeLoads() {
 	now := n.clock.Now()
 	n.view.Roster().MergeSelf(n.host(), now)
-	loads := n.view.Roster().Loads(n.incarnation, now)
+	loads := n.view.Roster().Loads(string(n.incarnation), now)
 	own := map[string]int{}
 	for _, l := range n.router.OwnLoads() {
 		own[l.Endpoint.ID] = l.Running
@@ -180,5 +188,5 @@
 		})
 	}
 	n.view.Endpoints().Expire()
-	n.limits.SetFleet(n.view.Roster().Fleet(n.incarnation, now))
+	n.limits.SetFleet(n.view.Roster().Fleet(string(n.incarnation), now))
 }
--- a/pkg/app/node/listen.go
+++ b/pkg/app/node/listen.go
@@ -83,7 +83,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+n.platform.DirectoryPath(), func(w http.ResponseWriter, _ *http.Request) {
 		entries := n.view.Roster().Entries()
-		if len(entries) == 0 && !n.leaving.Load() {
+		if len(entries) == 0 && !n.life.leaving() {
 			entries = []roster.Entry{{Node: n.settings.Node, DataCenter: n.settings.DataCenter, Callers: n.settings.Callers}}
 		}
 		if err := n.platform.EncodeEntries(w, entries, entriesKept); err != nil {
--- /dev/null
+++ b/pkg/app/node/providers.go
@@ -0,0 +1,161 @@
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"ironhollow/pkg/app/process"
+	"ironhollow/pkg/autoscale"
+	"ironhollow/pkg/forward"
+	"ironhollow/pkg/gossip"
+	"ironhollow/pkg/hazard"
+	"ironhollow/pkg/lease"
+	"ironhollow/pkg/limit"
+	"ironhollow/pkg/relay"
+	"ironhollow/pkg/retry"
+	"ironhollow/pkg/roster"
+	"ironhollow/pkg/route"
+	"ironhollow/pkg/storeclock"
+	"ironhollow/pkg/storeview"
+	"ironhollow/pkg/table"
+	"ironhollow/pkg/upstream"
+	"ironhollow/pkg/usage"
+)
+
+// Times of calls.
+const (
+	// storeCall bounds one call to the store; it answers within 4 ms as a rule.
+	storeCall = time.Second
+	// deadPeer is how long sent bytes may stay unacknowledged.
+	deadPeer = 3 * time.Second
+)
+
+// engineFigures are used until an endpoint's own have been measured: a large
+// model on a current accelerator reads some 50 tokens a millisecond and makes
+// one in about 7 ms.
+var engineFigures = route.Figures{TokenGap: 7 * time.Millisecond, Prefill: 20 * time.Microsecond, MeanAnswer: time.Second}
+
+// Incarnation names one life of a process on a host.
+type Incarnation string
+
+func newIncarnation(s Settings) Incarnation { return Incarnation(s.Node + "." + rand.Text()[:10]) }
+
+// storeClient is for calls to the platform, peerClient for those to other hosts.
+type (
+	storeClient struct{ *http.Client }
+	peerClient  struct{ *http.Client }
+)
+
+func newStoreClient() storeClient { return storeClient{&http.Client{Transport: newTransport()}} }
+
+func newPeerClient() peerClient { return peerClient{&http.Client{Transport: newTransport()}} }
+
+func newLog(s Settings) *log.Logger { return process.NewAsyncLog(os.Stdout, s.Node) }
+
+func newPool() *upstream.Pool { return upstream.New(deadPeer) }
+
+func newStore(platform Platform, client storeClient, s Settings) Store {
+	return platform.Store(client.Client, s)
+}
+
+func newCopy(clock *storeclock.Clock) *relay.Copy { return relay.NewCopy(clock.Now) }
+
+func newHome(s Settings) route.Home { return route.Home{Node: s.Node, DataCenter: s.DataCenter} }
+
+func newView(platform Platform, s Settings, clock *storeclock.Clock, home route.Home, self Incarnation, logger *log.Logger) *storeview.View {
+	members := roster.New(silence, gossip.Interval)
+	return storeview.New(platform, s.EndpointHeartbeat, clock, members, home, string(self), logger)
+}
+
+func newRouter(view *storeview.View, home route.Home, clock *storeclock.Clock) *route.Router {
+	seed := uint64(clock.Now().UnixNano())
+	return route.NewWithFigures(view.Directory(), hazard.New(), home, seed, engineFigures)
+}
+
+func newLimits(s Settings, clock *storeclock.Clock) *limit.Shared {
+	return limit.NewShared(limit.Tolerance(s.Limits), clock.Now())
+}
+
+// newCounter counts by the store's clock plus what the hosts agree it differs by
+// from the time of day; by this host's own time of day while that is not known.
+func newCounter(s Settings, clock *storeclock.Clock, view *storeview.View) *usage.Counter {
+	trueTime := func() time.Time {
+		storeNow, known := clock.Store()
+		offset, agreed := view.Roster().ClockOffset()
+		if !known || !agreed {
+			return clock.Now()
+		}
+		return time.Unix(0, int64(storeNow+offset))
+	}
+	return usage.NewCounter(s.UsageWindow, trueTime)
+}
+
+func newWriter(store Store, self Incarnation) *table.Writer {
+	return table.NewWriter(store, string(self))
+}
+
+func newLeases(writer *table.Writer, self Incarnation, s Settings) *lease.Manager {
+	return lease.New(writer, string(self), lease.Timing{Duration: s.Lease, Renew: s.Lease / renewals})
+}
+
+func newDutyCloud(platform Platform, client storeClient, s Settings, leases *lease.Manager) *dutyCloud {
+	return &dutyCloud{platform.Cloud(client.Client, s), leases}
+}
+
+func newReporter(counter *usage.Counter, view *storeview.View, writer *table.Writer, cloud *dutyCloud, logger *log.Logger) *usage.Reporter {
+	return usage.NewReporter(counter, view.Roster(), writer, cloud, logger)
+}
+
+func newOrderer(cloud *dutyCloud, logger *log.Logger) *autoscale.Orderer {
+	return autoscale.NewOrderer(cloud, logger)
+}
+
+func newBudget(s Settings) *retry.Window {
+	return retry.NewWindow(s.Retry.Share, s.Retry.Slack, s.Retry.Window)
+}
+
+func newForwarder(platform Platform, view *storeview.View, home route.Home, router *route.Router, limits *limit.Shared, budget *retry.Window,
+	pool *upstream.Pool, counter *usage.Counter, life *life, clock *storeclock.Clock, registry *prometheus.Registry, logger *log.Logger,
+) *forward.Forwarder {
+	return forward.New(platform.Protocol(), view.Tables(), router, limits, budget, pool, counter,
+		fleet{view.Roster(), home.Node}, life.phase, clock.Now, forward.NewMetrics(registry), logger)
+}
+
+// fleet is the roster as one host sees it.
+type fleet struct {
+	*roster.Roster
+	node string
+}
+
+// Share returns the part of a bound on all hosts together that this one may use.
+func (f fleet) Share() float64 { return f.Roster.Share(f.node) }
+
+// newTransport is for calls to the platform. A close that gives up on a call
+// throws away what the network still holds, so that it can't arrive later.
+func newTransport() *http.Transport {
+	dialer := &net.Dialer{
+		Timeout:         storeCall,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3},
+		Control:         upstream.ControlUserTimeout(deadPeer),
+	}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if tcp, ok := conn.(*net.TCPConn); ok {
+				err = errors.Join(err, tcp.SetLinger(0))
+			}
+			return conn, err
+		},
+		MaxIdleConnsPerHost: 8,
+		IdleConnTimeout:     20 * time.Second,
+		DisableCompression:  true,
+	}
+}
--- /dev/null
+++ b/pkg/app/node/wire.go
@@ -0,0 +1,21 @@
+//go:build wireinject
+
+package node
+
+import (
+	"github.com/google/wire"
+
+	"ironhollow/pkg/app/process"
+	"ironhollow/pkg/autoscale"
+	"ironhollow/pkg/storeclock"
+)
+
+func build(platform Platform, settings Settings, incarnation Incarnation) *node {
+	wire.Build(
+		newLog, newLife, newPool, newStoreClient, newPeerClient, newStore, newCopy, newHome, newView, newRouter, newLimits,
+		newCounter, newWriter, newLeases, newDutyCloud, newReporter, newOrderer, newBudget, newForwarder,
+		storeclock.New, autoscale.NewTraffic, process.NewRegistry,
+		wire.Struct(new(ownRow)), wire.Struct(new(node), "*"),
+	)
+	return nil
+}
--- a/scripts/check-generated.sh
+++ b/scripts/check-generated.sh
@@ -8,7 +8,7 @@
 mapfile -t files < <(find pkg -name '*_gen.go')
 for f in "${files[@]}"; do mkdir -p "$before/$(dirname "$f")"; cp "$f" "$before/$f"; done
 schema/generate.sh "$tools"
-"$tools/wire" ./pkg/app/entry ./pkg/app/control >/dev/null 2>&1
+"$tools/wire" ./pkg/app/entry ./pkg/app/control ./pkg/app/node >/dev/null 2>&1
 status=0
 for f in "${files[@]}"; do cmp -s "$f" "$before/$f" || { echo "out of date: $f" >&2; status=1; }; done
 exit $status
