--- a/pkg/app/node/heartbeat.go
+++ b/pkg/app/node/heartbeat.go
@@ -169,6 +169,31 @@
 	}
 }
 
+// fleetRole is what this host does for the fleet, as last logged. One goroutine
+// uses it.
+type fleetRole struct {
+	advertised, relay, standby bool
+	// hosts is how many hosts callers are told.
+	hosts int
+}
+
+// noteRole writes a line when this host's part in the fleet changes.
+func (n *node) noteRole() {
+	members := n.view.Roster()
+	now := fleetRole{
+		advertised: members.Advertises(n.settings.Node),
+		relay:      n.view.IsRelay(),
+		standby:    n.standsBy(),
+		hosts:      members.Advertised(),
+	}
+	if now == *n.role {
+		return
+	}
+	*n.role = now
+	n.log.Info().Bool("advertised", now.advertised).Bool("relay", now.relay).Bool("standby", now.standby).
+		Int("hosts-told", now.hosts).Int("hosts-sharing", members.Sharing()).Msg("part in the fleet")
+}
+
 // takeLoads hands what the other processes told to the decisions.
 func (n *node) takeLoads() {
 	now := n.clock.Now()
@@ -188,5 +213,6 @@
 		})
 	}
 	n.view.Endpoints().Expire()
+	n.noteRole()
 	n.limits.SetFleet(n.view.Roster().Fleet(string(n.incarnation), now))
 }
--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -70,6 +70,7 @@
 	forwarder *forward.Forwarder
 	registry  *prometheus.Registry
 	row       *ownRow
+	role      *fleetRole
 }
 
 // Main runs a node's command line and returns the exit code.
--- a/pkg/app/node/wire.go
+++ b/pkg/app/node/wire.go
@@ -15,7 +15,7 @@
 		newLog, newLife, newPool, newStoreClient, newPeerClient, newStore, newCopy, newHome, newView, newRouter, newLimits,
 		newCounter, newWriter, newLeases, newDutyCloud, newReporter, newOrderer, newBudget, newForwarder,
 		storeclock.New, autoscale.NewTraffic, process.NewRegistry,
-		wire.Struct(new(ownRow)), wire.Struct(new(node), "*"),
+		wire.Struct(new(ownRow)), wire.Struct(new(fleetRole)), wire.Struct(new(node), "*"),
 	)
 	return nil
 }
--- a/pkg/app/node/wire_gen.go
+++ b/pkg/app/node/wire_gen.go
@@ -38,6 +38,7 @@
 	registry := process.NewRegistry()
 	forwarder := newForwarder(platform, view, home, router, shared, window, pool, counter, nodeLife, clock, registry, logger)
 	nodeOwnRow := &ownRow{}
+	nodeFleetRole := &fleetRole{}
 	nodeNode := &node{
 		settings:    settings,
 		platform:    platform,
@@ -60,6 +61,7 @@
 		forwarder:   forwarder,
 		registry:    registry,
 		row:         nodeOwnRow,
+		role:        nodeFleetRole,
 	}
 	return nodeNode
 }
--- a/pkg/explain/logs.go
+++ b/pkg/explain/logs.go
@@ -141,7 +141,7 @@
 			continue
 		}
 		switch b.Message {
-		case "configuration in force", "stopping", "lease of the duties":
+		case "configuration in force", "stopping", "lease of the duties", "part in the fleet":
 			latest[b.Message] = b
 		case "endpoint", "endpoint gone", "endpoint's row lapsed while the store was away":
 			if hops[b.Text("endpoint")] {
--- a/pkg/storeview/relays.go
+++ b/pkg/storeview/relays.go
@@ -38,8 +38,8 @@
 	return relays[int(hash.Sum32()%uint32(len(relays)))].Peers
 }
 
-// isRelay reports whether this host follows the store for others too.
-func (v *View) isRelay() bool {
+// IsRelay reports whether this host follows the store for others too.
+func (v *View) IsRelay() bool {
 	return v.roster.Sharing() >= relayedFleet && v.Relay() == ""
 }
 
--- a/pkg/storeview/view.go
+++ b/pkg/storeview/view.go
@@ -120,7 +120,7 @@
 	tables := v.decoder.Tables()
 	either := func(relay, other time.Duration) func() time.Duration {
 		return func() time.Duration {
-			if v.isRelay() {
+			if v.IsRelay() {
 				return relay
 			}
 			return other
