Names: older entries, not elders; a count of hosts that nothing asks for is gone

Cause: read as a newcomer would: a metaphor in pkg/limit, and roster.Nodes without a caller since bounds go by shares. Change: names and that function only; no behaviour. Measured: tests of both packages.

--- a/pkg/limit/shared.go
+++ b/pkg/limit/shared.go
@@ -22,8 +22,8 @@
 	// part is of the limits, for the hosts that this one hears and itself.
 	part  float64
 	teams map[string]*sharedBucket
-	// elders says that an entry was heard that was there before this one.
-	elders bool
+	// olderHeard says that an entry was heard that was there before this one.
+	olderHeard bool
 }
 
 // Tolerance is how far all entries together may pass a team's rate in a window:
@@ -56,9 +56,9 @@
 	silentWeight = 0.95
 	// settleTime is the age from which an entry knows what a bucket holds.
 	settleTime = 2 * time.Second
-	// eldersHeard is how long a new entry waits for word of one that is settled; if
+	// olderWait is how long a new entry waits for word of one that is settled; if
 	// none comes, all began anew.
-	eldersHeard = 400 * time.Millisecond
+	olderWait = 400 * time.Millisecond
 	// restartCredit is the part of the tolerance's slack that buckets hold when all
 	// entries began anew and what was admitted before is not known: two such starts
 	// in a window stay within what overrunUsed and slackUsed leave.
@@ -240,11 +240,11 @@
 
 // start gives a bucket its credit if all entries began anew.
 func (s *Shared) start(b *sharedBucket, now time.Time) {
-	if b.started || now.Sub(s.born) < eldersHeard {
+	if b.started || now.Sub(s.born) < olderWait {
 		return
 	}
 	b.started = true
-	if !s.elders {
+	if !s.olderHeard {
 		b.tokens += restartCredit * s.tolerance.Slack * s.part
 	}
 }
@@ -254,7 +254,7 @@
 	if !told.Settled || now.Sub(s.born) >= settleTime {
 		return
 	}
-	s.elders = true
+	s.olderHeard = true
 	if !b.started {
 		b.started = true
 		b.tokens = told.Held
--- a/pkg/limit/shared_test.go
+++ b/pkg/limit/shared_test.go
@@ -274,8 +274,8 @@
 	team := limit.Team{Name: "t", Rate: 140_000, Burst: 140_000}
 	for _, c := range []struct {
 		what string
-		// elder says that there is an older entry, which has admitted drained.
-		elder   bool
+		// older says that there is an older entry, which has admitted drained.
+		older   bool
 		drained float64
 		after   time.Duration
 		cost    float64
@@ -288,13 +288,13 @@
 		{"not known yet whether one is older", false, 0, 300 * time.Millisecond, 80_000, false},
 	} {
 		s := limit.NewShared(tokenTolerance, start)
-		if c.elder {
-			elder := limit.NewShared(tokenTolerance, start.Add(-10*time.Second))
-			elder.Allow(team, 1, start)
-			if c.drained > 0 && !elder.Allow(team, c.drained, start).Admitted {
+		if c.older {
+			older := limit.NewShared(tokenTolerance, start.Add(-10*time.Second))
+			older.Allow(team, 1, start)
+			if c.drained > 0 && !older.Allow(team, c.drained, start).Admitted {
 				t.Fatalf("%s: the older entry did not admit %.0f", c.what, c.drained)
 			}
-			s.Heard("elder", elder.Own(start), start.Add(c.after-time.Millisecond))
+			s.Heard("older", older.Own(start), start.Add(c.after-time.Millisecond))
 		}
 		if got := s.Allow(team, c.cost, start.Add(c.after)).Admitted; got != c.want {
 			t.Errorf("%s, %v after the start: got a cost of %.0f admitted %v, want %v", c.what, c.after, c.cost, got, c.want)
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -162,13 +162,6 @@
 	return byNode
 }
 
-// Nodes returns how many hosts serve, at least 1.
-func (r *Roster) Nodes() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return max(len(r.live()), 1)
-}
-
 // Loads returns what the other processes have under way, by endpoint.
 func (r *Roster) Loads(self string, now time.Time) map[string]Load {
 	r.mu.Lock()
