Headers that are the system's to set do not pass from callers

Cause: Protocol.Encode removed the team's and the instance's header only; X-Hold, X-Pin-Ms, X-Kv-Backup, Kv-From, Kv-Fetch and X-Expect-Version went on as the caller had sent them, and X-Request-Urgency to plain services. Endpoints obey them, and turned away 29 in 100 sends for holds and handles that nobody had made. Ruled out: answers; what endpoints say passes back unchanged and carries none of these. Test: TestReservedHeadersOfCallersDoNotPass.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -140,6 +140,7 @@
 	if c.meta, err = c.f.protocol.Decode(c.in.Header); err != nil {
 		return c.refuse(code.New(code.BadHeader, err.Error()), 0)
 	}
+	c.f.metrics.reserved.Add(float64(c.meta.Reserved))
 	if err = c.findRoute(); err != nil {
 		return c.refuse(err, comeBackConfigured)
 	}
--- a/pkg/forward/trail.go
+++ b/pkg/forward/trail.go
@@ -141,6 +141,7 @@
 	attempts *prometheus.CounterVec
 	seconds  *prometheus.HistogramVec
 	dropped  prometheus.Counter
+	reserved prometheus.Counter
 }
 
 // NewMetrics registers the metrics.
@@ -160,6 +161,9 @@
 	m.dropped = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "ironhollow_log_lines_dropped_total", Help: "Lines of requests that were not written for the budget of lines.",
 	})
-	registry.MustRegister(m.requests, m.attempts, m.seconds, m.dropped)
+	m.reserved = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "ironhollow_reserved_headers_total", Help: "Headers that callers sent though they are the system's to set; they were removed.",
+	})
+	registry.MustRegister(m.requests, m.attempts, m.seconds, m.dropped, m.reserved)
 	return m
 }
--- a/pkg/forward/types.go
+++ b/pkg/forward/types.go
@@ -33,6 +33,9 @@
 	Prefix []PromptPart
 	// LastEvent is the id of the last event the caller has of a stream.
 	LastEvent string
+	// Reserved is how many headers the caller sent that are the system's to set;
+	// they do not pass.
+	Reserved int
 }
 
 // Hop is what one send adds to a request.
