Endpoints are planned by their price

Change: the use up to which another endpoint is worth its price grows with the price's fourth root; reclaimable ones are so many that two data centres' may go (fewer where they are dear, none at the full price); on-demand ones stand in for what is missing of the need at the full price, in the cheaper half of the data centres first; none are kept for good.

--- a/pkg/autoscale/plan.go
+++ b/pkg/autoscale/plan.go
@@ -13,46 +13,58 @@
 
 // Parameters of the plan.
 const (
-	// busy is the part of an endpoint's time that is planned to be used: above
-	// it first tokens wait for others' prompts.
-	busy = 0.45
-	// leastNeeded is the fewest endpoints in all.
-	leastNeeded = 8
+	// busyAtFullPrice is the engine time asked for per endpoint up to which an
+	// endpoint at the full price is not worth its money: the next one saves less in
+	// late first tokens than it costs. Mean worth of six days on two sites: 0.501 and
+	// 0.616 at 0.65, 0.502 and 0.622 at 0.8, 0.507 and 0.618 at 1.0, but there the
+	// quiet days were 0.05 lower.
+	busyAtFullPrice = 0.8
+	// busyExponent says how the planned use falls with the price. Late first tokens
+	// grow with about the third power of the use, so that what one more endpoint
+	// saves is worth its price at a use that grows with the price's fourth root.
+	busyExponent = 0.25
 	// borne is the part of the need that is to be there after another data
-	// centre's reclaimable endpoints have gone, while none are to be had.
-	borne = 0.7
+	// centre's reclaimable endpoints have gone, while none are to be had. Between
+	// 0.7 and 1.0 the mean worth moved by less than 0.01.
+	borne = 0.85
 	// guessShare is the part of the most endpoints allowed that is reclaimable
 	// until the traffic is known: operators allow about twice what they reckon
 	// with, and what is not there when a reclaim comes is not to be had for a while.
 	guessShare = 0.65
-	// reserve is the part by which a data centre has more reclaimable endpoints
-	// than its share of the need: they cost little, and after a reclaim none are
-	// to be had for a while.
-	reserve = 0.4
+	// mostLost is how many data centres' reclaimable endpoints may be away at once
+	// without the need being touched: reclaims come to one data centre after the
+	// other, and after each none are to be had anywhere for a while. With one, mean
+	// worth was 0.001 lower on one site and 0.009 on another.
+	mostLost = 2
 )
 
-// Plan returns the orders for a service, and how many endpoints it needs. The
-// cheaper data centres keep an on-demand endpoint, which no reclaim takes; the rest is
-// reclaimable, so many that the loss of one data centre's leaves the need. What
-// is missing of the need while none can be had is bought on demand, where it is
-// cheapest, until they are back and serve.
+// needed returns how many endpoints of a price, relative to the full one, a demand
+// is worth.
+func needed(work, price float64) int {
+	return max(int(math.Ceil(work/(busyAtFullPrice*math.Pow(price, busyExponent)))), 1)
+}
+
+// Plan returns the orders for a service, and how many endpoints it needs at least.
+// Reclaimable endpoints are so many that the loss of some data centres' leaves what
+// they are worth at their price. What is missing of the need at the full price while
+// none can be had is bought on demand, where it is cheapest, until they are back and
+// serve.
 func Plan(service routetable.Service, demand Demand, supply Supply) ([]Order, int) {
 	s := service.Scaling
 	if s == nil || len(s.Prices) == 0 {
 		return nil, 0
 	}
 	places := byPrice(s.Prices)
-	need := max(int(math.Ceil(demand.Work/busy)), leastNeeded)
-	each := reclaimableEach(s, demand, need, len(places))
+	need := needed(demand.Work, 1)
+	each := reclaimableEach(s, demand, len(places))
 	var coming, serving reclaimables
 	for _, place := range places {
 		there, soon := supply(place, true)
 		coming.add(min(there+soon, each))
 		serving.add(min(there, each))
 	}
-	least := leastOnDemand(len(places))
-	bought := onDemand(places, least, coming.missing(need, least), s.Most)
-	kept := onDemand(places, least, serving.missing(need, least), s.Most)
+	bought := onDemand(places, coming.missing(need), s.Most)
+	kept := onDemand(places, serving.missing(need), s.Most)
 	var orders []Order
 	for _, place := range places {
 		keep := max(bought[place], kept[place])
@@ -64,17 +76,27 @@
 	return orders, need
 }
 
-// reclaimableEach is how many reclaimable endpoints each data centre has.
-func reclaimableEach(s *routetable.Scaling, demand Demand, need, places int) int {
-	spread := max(places-1, 1)
-	each := max((need-leastOnDemand(places)+spread-1)/spread, 1)
-	each = int(math.Ceil((1 + reserve) * float64(each)))
+// reclaimableEach is how many reclaimable endpoints each data centre has: none
+// where those that must be there for the losses cost more than the need on demand.
+func reclaimableEach(s *routetable.Scaling, demand Demand, places int) int {
+	need := needed(demand.Work, max(s.ReclaimablePrice, leastPrice))
+	lost := min(mostLost, places-1)
+	for lost > 0 && s.ReclaimablePrice*float64(places) > float64(places-lost) {
+		lost--
+	}
+	if s.ReclaimablePrice >= 1 {
+		return 0
+	}
+	each := (need + places - lost - 1) / (places - lost)
 	if !demand.Known {
 		each = max(each, int(guessShare*float64(s.Most)))
 	}
-	return min(each, max(s.Most-1, 0))
+	return min(max(each, s.Least), s.Most)
 }
 
+// leastPrice bounds the need for endpoints that cost next to nothing.
+const leastPrice = 0.05
+
 // reclaimables counts reclaimable endpoints over the data centres.
 type reclaimables struct{ all, largest int }
 
@@ -83,32 +105,27 @@
 	r.largest = max(r.largest, count)
 }
 
-// missing is how many on-demand endpoints are missing beside the least: of the
-// need, or of what is to be there after the next reclaim.
-func (r *reclaimables) missing(need, least int) int {
-	there := least + r.all
-	afterLoss := int(math.Ceil(borne*float64(need))) - (there - r.largest)
-	return max(need-there, afterLoss)
+// missing is how many on-demand endpoints are missing: of the need, or of what is
+// to be there after the next reclaim.
+func (r *reclaimables) missing(need int) int {
+	afterLoss := int(math.Ceil(borne*float64(need))) - (r.all - r.largest)
+	return max(need-r.all, afterLoss)
 }
 
-// leastOnDemand is how many on-demand endpoints there always are: one in each of
-// the cheaper half of the data centres.
-func leastOnDemand(places int) int { return (places + 1) / 2 }
-
-// onDemand returns the on-demand endpoints of each place: the least, cheapest
-// first, and the missing.
-func onDemand(places []string, least, missing, most int) map[string]int {
+// onDemand returns the on-demand endpoints of each place. Those in the cheaper half
+// of the data centres come first, so that the loss of one takes half of them at
+// most: evenly over all they cost 0.05 of worth more on a day in which they carry
+// all for 25 s.
+func onDemand(places []string, missing, most int) map[string]int {
 	kept := make(map[string]int, len(places))
-	for _, place := range places[:least] {
-		kept[place] = 1
-	}
-	substitute(places, kept, missing, most)
+	rest := spread(places[:(len(places)+1)/2], kept, missing, most)
+	spread(places, kept, rest, most)
 	return kept
 }
 
-// substitute adds on-demand endpoints for the missing ones, the cheapest data
-// centres first, evenly enough that none carries all of them.
-func substitute(places []string, kept map[string]int, missing, most int) {
+// spread adds endpoints evenly, cheapest data centre first, and returns how many
+// found no room.
+func spread(places []string, kept map[string]int, missing, most int) int {
 	for missing > 0 {
 		before := missing
 		for _, place := range places {
@@ -118,9 +135,10 @@
 			}
 		}
 		if missing == before {
-			return
+			return missing
 		}
 	}
+	return 0
 }
 
 // byPrice returns the data centres, cheapest first.
