Within a team's limit the more urgent routes go first

Change: of a full bucket 0.12 a step of the route's priority is kept from a request of the usual cost; cheap ones need their part only. Tests: TestUrgentRequestsGoFirstWithinALimit, TestCheapRequestsNeedNoReserve.

--- a/pkg/limit/shared.go
+++ b/pkg/limit/shared.go
@@ -126,10 +126,18 @@
 	Rivals float64
 }
 
-// Allow admits one request of a cost or says after how long to come back.
-func (s *Shared) Allow(team Team, cost float64, now time.Time) Decision {
+// Request is what is asked of a limit.
+type Request struct {
+	Cost float64
+	// Priority ranks requests; 0 goes first.
+	Priority int
+}
+
+// Allow admits one request or says after how long to come back.
+func (s *Shared) Allow(team Team, request Request, now time.Time) Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	cost := request.Cost
 	b := s.bucket(team.Name)
 	b.ask(cost, now)
 	rate := s.rate(team)
@@ -139,7 +147,7 @@
 	// As much as all who may admit at the same moment would take; a full bucket
 	// always admits.
 	rivals := s.rivals(b, now)
-	needed := min(cost+b.rivalCost(cost)*(rivals-1), most)
+	needed := min(cost+b.rivalCost(cost)*(rivals-1)+b.reserve(request, most), most)
 	d := Decision{Admitted: b.tokens >= needed, Held: b.tokens, Needed: needed, Part: s.part, Rivals: rivals}
 	if !d.Admitted {
 		d.Wait = max(time.Duration((needed-b.tokens)/rate*float64(time.Second)), leastWait)
@@ -215,6 +223,23 @@
 	return b.meanCost + b.unheard
 }
 
+// Parameters of what is kept for the more urgent.
+const (
+	// reserveStep is the part of a full bucket that is kept, for each step of
+	// priority, from a request of the usual cost: a team beyond its limit gets its
+	// most urgent requests through, and is refused what can wait.
+	reserveStep = 0.12
+	// mostReserve bounds it: the least urgent must get their part as well.
+	mostReserve = 0.36
+)
+
+// reserve is what must stay in the bucket for more urgent requests. Those that cost
+// little take little from them.
+func (b *sharedBucket) reserve(r Request, most float64) float64 {
+	kept := min(float64(r.Priority)*reserveStep, mostReserve)
+	return kept * most * min(r.Cost/max(b.meanCost, 1), 1)
+}
+
 // costWeight is the weight of one request in the mean cost.
 const costWeight = 0.1
 
--- a/pkg/limit/shared_test.go
+++ b/pkg/limit/shared_test.go
@@ -85,7 +85,7 @@
 			}
 			budget -= cost
 			wanted += cost
-			if e.limits[random.IntN(len(e.limits))].Allow(team, cost, start.Add(at)).Admitted {
+			if e.limits[random.IntN(len(e.limits))].Allow(team, limit.Request{Cost: cost}, start.Add(at)).Admitted {
 				admitted = append(admitted, admission{at, cost})
 				total += cost
 			}
@@ -158,7 +158,7 @@
 	team := limit.Team{Name: "t", Rate: 100, Burst: 1000}
 	admitted := 0
 	for range 1000 {
-		if s.Allow(team, 1, start.Add(time.Second)).Admitted {
+		if s.Allow(team, limit.Request{Cost: 1}, start.Add(time.Second)).Admitted {
 			admitted++
 		}
 	}
@@ -171,14 +171,14 @@
 	start := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 	s := limit.NewShared(limit.Tolerance{}, start.Add(-time.Minute))
 	team := limit.Team{Name: "t", Rate: 100, Burst: 100}
-	if !s.Allow(team, 100, start).Admitted {
+	if !s.Allow(team, limit.Request{Cost: 100}, start).Admitted {
 		t.Fatal("first request: got refused, want admitted")
 	}
-	refused := s.Allow(team, 50, start)
+	refused := s.Allow(team, limit.Request{Cost: 50}, start)
 	if refused.Admitted || refused.Wait != 500*time.Millisecond || refused.Held != 0 || refused.Needed != 50 {
 		t.Errorf("second request: got %+v, want refused for 500ms with 0 held of 50", refused)
 	}
-	if !s.Allow(team, 50, start.Add(refused.Wait)).Admitted {
+	if !s.Allow(team, limit.Request{Cost: 50}, start.Add(refused.Wait)).Admitted {
 		t.Error("after that time: got refused, want admitted")
 	}
 }
@@ -193,7 +193,7 @@
 	for i := range 8 {
 		s.Heard(fmt.Sprint(i), []limit.Spent{{Team: tokenTeam.Name, Asked: cost}}, at)
 	}
-	d := s.Allow(tokenTeam, cost, at)
+	d := s.Allow(tokenTeam, limit.Request{Cost: cost}, at)
 	// Eight entries ask for one request a second each, and are unheard for 0.3 s.
 	if want := 1 + 8*0.3; d.Rivals < want-0.1 || d.Rivals > want+0.1 {
 		t.Errorf("rivals: got %.1f, want about %.1f", d.Rivals, want)
@@ -222,7 +222,7 @@
 			size, cost = 2, 200
 		}
 		asked[size]++
-		if e.limits[random.IntN(9)].Allow(tokenTeam, cost, start.Add(at)).Admitted {
+		if e.limits[random.IntN(9)].Allow(tokenTeam, limit.Request{Cost: cost}, start.Add(at)).Admitted {
 			admitted[size]++
 		}
 	}
@@ -294,14 +294,56 @@
 		s := limit.NewShared(tokenTolerance, start)
 		if c.older {
 			older := limit.NewShared(tokenTolerance, start.Add(-10*time.Second))
-			older.Allow(team, 1, start)
-			if c.drained > 0 && !older.Allow(team, c.drained, start).Admitted {
+			older.Allow(team, limit.Request{Cost: 1}, start)
+			if c.drained > 0 && !older.Allow(team, limit.Request{Cost: c.drained}, start).Admitted {
 				t.Fatalf("%s: the older entry did not admit %.0f", c.what, c.drained)
 			}
 			s.Heard("older", older.Own(start), start.Add(c.after-time.Millisecond))
 		}
-		if got := s.Allow(team, c.cost, start.Add(c.after)).Admitted; got != c.want {
+		if got := s.Allow(team, limit.Request{Cost: c.cost}, start.Add(c.after)).Admitted; got != c.want {
 			t.Errorf("%s, %v after the start: got a cost of %.0f admitted %v, want %v", c.what, c.after, c.cost, got, c.want)
 		}
 	}
 }
+
+// A team asks for three times its limit, a third of it urgent: what is urgent gets
+// through, what can wait is refused, and the limit is held as before.
+func TestUrgentRequestsGoFirstWithinALimit(t *testing.T) {
+	start := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	s := limit.NewShared(tokenTolerance, start.Add(-10*time.Second))
+	random := rand.New(rand.NewPCG(3, 3))
+	asked, admitted := [3]float64{}, [3]float64{}
+	for at := time.Duration(0); at < 30*time.Second; at += 10 * time.Millisecond {
+		for priority := range asked {
+			cost := 3 * tokenTeam.Rate / 300 * (0.5 + random.Float64())
+			asked[priority] += cost
+			if s.Allow(tokenTeam, limit.Request{Cost: cost, Priority: priority}, start.Add(at)).Admitted {
+				admitted[priority] += cost
+			}
+		}
+	}
+	parts := [3]float64{}
+	for i := range parts {
+		parts[i] = admitted[i] / asked[i]
+	}
+	if parts[0] < 0.95 || parts[2] > 0.2 {
+		t.Errorf("admitted parts by priority: got %.2f, want nearly all of the first and little of the last", parts)
+	}
+	if total, least := admitted[0]+admitted[1]+admitted[2], 0.95*tokenTeam.Rate*30; total < least {
+		t.Errorf("admitted in all: got %.0f, want %.0f or more", total, least)
+	}
+}
+
+// Requests that cost next to nothing pass although they are the least urgent.
+func TestCheapRequestsNeedNoReserve(t *testing.T) {
+	start := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	s := limit.NewShared(tokenTolerance, start.Add(-10*time.Second))
+	for s.Allow(tokenTeam, limit.Request{Cost: 10_000, Priority: 2}, start).Admitted {
+	}
+	if !s.Allow(tokenTeam, limit.Request{Cost: 200, Priority: 2}, start).Admitted {
+		t.Error("a request of 200 beside ones of 10,000: got it refused, want it admitted")
+	}
+	if !s.Allow(tokenTeam, limit.Request{Cost: 10_000}, start).Admitted {
+		t.Error("an urgent request: got it refused, want it to find what was kept for it")
+	}
+}
