--- a/pkg/route/feedback.go
+++ b/pkg/route/feedback.go
@@ -54,7 +54,7 @@
 	}
 	s.group.succeed(s)
 	l.meanDuration = smooth(l.meanDuration, now.Sub(c.sent))
-	s.learn(c, result, now)
+	s.group.learn(c, result)
 	if result.Measured && c.CachedTokens > 0 {
 		l.learnTrust(c.CachedTokens, result.CachedTokens)
 	}
@@ -95,15 +95,13 @@
 	return list
 }
 
-// learn takes what an answer shows into the estimates of speed.
-func (s *slot) learn(c Choice, result Result, now time.Time) {
+// learn takes what an answer shows into the estimate of speed.
+func (g *group) learn(c Choice, result Result) {
 	uncached := c.uncached
 	if result.Measured {
 		uncached = max(result.PromptTokens-result.CachedTokens, 0)
 	}
-	shown := enginemodel.Answer{Tokens: uncached + c.ahead, First: result.FirstToken, Made: result.Tokens, Decode: result.Decode}
-	s.load.speed.Learn(shown, s.group.model.Figures(), now)
-	s.group.model.Learn(shown)
+	g.model.Learn(enginemodel.Answer{Tokens: uncached + c.ahead, First: result.FirstToken, Made: result.Tokens, Decode: result.Decode})
 }
 
 // leastTrust keeps an endpoint's cache in play, so that its trust can recover.
@@ -256,15 +254,16 @@
 // Lookup returns what is known of an endpoint.
 func (r *Router) Lookup(id string) (endpoint.Info, bool) { return r.directory.Get(id) }
 
-// TokenGap returns the time between tokens at an endpoint.
-func (r *Router) TokenGap(id string, now time.Time) time.Duration {
+// TokenGap returns the time between tokens at an endpoint, as learned from all of
+// its service.
+func (r *Router) TokenGap(id string) time.Duration {
 	s, ok := r.slots()[id]
 	if !ok {
 		return startTokenGap
 	}
 	s.group.mu.Lock()
 	defer s.group.mu.Unlock()
-	return s.figures(now).TokenGap
+	return s.group.model.Figures().TokenGap
 }
 
 // Slots returns how many requests the endpoints of a target run at once.
--- a/pkg/route/score.go
+++ b/pkg/route/score.go
@@ -48,7 +48,7 @@
 // score works out the expected time at one endpoint.
 func (r *Router) score(s *slot, q Query, now time.Time) score {
 	l := &s.load
-	f := s.figures(now)
+	f := s.group.model.Figures()
 	running := l.estimate(q.stale)
 	waiting := l.waiting
 	if running > l.slots {
--- a/pkg/route/slot.go
+++ b/pkg/route/slot.go
@@ -55,7 +55,6 @@
 	ownRunning            int
 	// ownPrefill is tokens of own requests that have no first token yet.
 	ownPrefill   int
-	speed        enginemodel.Endpoint
 	meanDuration time.Duration
 	// trust is the part of the tokens reckoned cached that were, 0 to 1.
 	trust        float64
@@ -84,16 +83,6 @@
 	return load{slots: slots, meanDuration: r.figures.MeanAnswer, trust: 1}
 }
 
-// figures returns how fast the endpoint is at present. The group's lock is held.
-func (s *slot) figures(now time.Time) enginemodel.Figures {
-	f := s.group.model.Figures()
-	slowness := s.load.speed.Slowness(now)
-	f.Fixed = time.Duration(slowness * float64(f.Fixed))
-	f.Prefill = time.Duration(slowness * float64(f.Prefill))
-	f.TokenGap = time.Duration(slowness * float64(f.TokenGap))
-	return f
-}
-
 // ahead returns the prompt tokens that are thought to be read before a request
 // sent now: own requests' without a first token, and what others told, less what
 // the endpoint has read since.
--- a/pkg/stream/attempt.go
+++ b/pkg/stream/attempt.go
@@ -161,7 +161,7 @@
 	return &run{
 		request: p.request.Prompt.Request, endpoint: c.Endpoint, cancel: cancel,
 		prompt: p.request.PromptTokens, tokens: len(p.tokens),
-		expected: r.longLength(p), gap: r.router.TokenGap(c.Endpoint.ID, time.Now()), mayWait: p.request.MayWait,
+		expected: r.longLength(p), gap: r.router.TokenGap(c.Endpoint.ID), mayWait: p.request.MayWait,
 	}
 }
 
--- a/pkg/stream/runner.go
+++ b/pkg/stream/runner.go
@@ -317,7 +317,7 @@
 		return Result{}, false
 	}
 	defer stream.Close()
-	held := &run{request: p.request.Prompt.Request, endpoint: info, cancel: cancel, prompt: p.request.PromptTokens, expected: r.longLength(p), gap: r.router.TokenGap(info.ID, time.Now())}
+	held := &run{request: p.request.Prompt.Request, endpoint: info, cancel: cancel, prompt: p.request.PromptTokens, expected: r.longLength(p), gap: r.router.TokenGap(info.ID)}
 	r.active.add(held)
 	defer r.active.remove(held)
 	r.counters.Reattached.Inc()
