--- a/pkg/autoscale/autoscale.go
+++ b/pkg/autoscale/autoscale.go
@@ -35,6 +35,14 @@
 // Place returns what the order is about.
 func (o Order) Place() Place { return Place{o.Service, o.DataCenter, o.Reclaimable} }
 
+// lowerWait returns how long a lower number must be wanted before it is ordered.
+func (o Order) lowerWait() time.Duration {
+	if o.Reclaimable {
+		return lowerWait
+	}
+	return standInWait
+}
+
 // Sink takes orders; it sends each once.
 type Sink interface {
 	Order(ctx context.Context, grant lease.Grant, order Order) error
@@ -50,6 +58,10 @@
 	// lowerWait is how long a lower number must be wanted before it is ordered:
 	// an endpoint that is given up loses its cache.
 	lowerWait = 6 * time.Second
+	// standInWait is the same for on-demand endpoints, which go once others serve in
+	// their place: at 6 s the mean worth over 3 seeds of three days was 0.544, at 2 s
+	// 0.560.
+	standInWait = 2 * time.Second
 	// bootMargin is how long after their boot endpoints are looked for.
 	bootMargin = 2500 * time.Millisecond
 )
@@ -165,5 +177,5 @@
 	if s.lowerSince.IsZero() {
 		s.lowerSince = now
 	}
-	return keep, now.Sub(s.lowerSince) >= lowerWait
+	return keep, now.Sub(s.lowerSince) >= order.lowerWait()
 }
--- a/pkg/autoscale/autoscale_test.go
+++ b/pkg/autoscale/autoscale_test.go
@@ -287,8 +287,10 @@
 		t.Errorf("orders while the others boot: got %d, want 0", got)
 	}
 	onDemand.Keep = 1
-	o.stepTo(time.Second, onDemand)
-	if got := o.stepTo(7*time.Second, onDemand); got != 1 || o.sink.orders[1].Count != 1 {
+	if got := o.stepTo(time.Second, onDemand); got != 0 {
+		t.Errorf("orders as soon as the others serve: got %d, want 0", got)
+	}
+	if got := o.stepTo(2*time.Second, onDemand); got != 1 || o.sink.orders[1].Count != 1 {
 		t.Errorf("orders once the others serve: got %v, want one of 1", o.sink.orders[1:])
 	}
 }
--- a/pkg/limit/shared_test.go
+++ b/pkg/limit/shared_test.go
@@ -338,7 +338,10 @@
 func TestCheapRequestsNeedNoReserve(t *testing.T) {
 	start := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 	s := limit.NewShared(tokenTolerance, start.Add(-10*time.Second))
-	for s.Allow(tokenTeam, limit.Request{Cost: 10_000, Priority: 2}, start).Admitted {
+	for i := 0; s.Allow(tokenTeam, limit.Request{Cost: 10_000, Priority: 2}, start).Admitted; i++ {
+		if i > 1000 {
+			t.Fatal("the bucket is never empty")
+		}
 	}
 	if !s.Allow(tokenTeam, limit.Request{Cost: 200, Priority: 2}, start).Admitted {
 		t.Error("a request of 200 beside ones of 10,000: got it refused, want it admitted")
