--- a/pkg/gossip/urgent.go
+++ b/pkg/gossip/urgent.go
@@ -8,13 +8,9 @@
 	"ironhollow/pkg/pause"
 )
 
-// Parameters of what is told at once.
-const (
-	// urgentPause is the least time between two brief datagrams to each of up to
-	// urgentPeers hosts; more are told less often, so that a host's work stays.
-	urgentPause = 10 * time.Millisecond
-	urgentPeers = 8
-)
+// urgentPause is the least time between two brief rounds for each host that is
+// told: at most 400 brief datagrams a second leave a host, of whatever fleet.
+const urgentPause = 2500 * time.Microsecond
 
 // TellAtOnce tells the hosts that share this one's callers of single endpoints as
 // they come, until ctx ends; own returns what is under way at them. Between two
@@ -30,7 +26,7 @@
 			endpoints := drain(urgent, []string{first})
 			near, _ := e.roster.Peers(e.self)
 			e.sendBrief(own(endpoints), near)
-			pause.For(ctx, urgentPause*time.Duration(max(len(near), urgentPeers))/urgentPeers)
+			pause.For(ctx, urgentPause*time.Duration(max(len(near), 1)))
 		}
 	}
 }
