--- a/pkg/gossip/urgent.go
+++ b/pkg/gossip/urgent.go
@@ -9,8 +9,8 @@
 )
 
 // urgentPause is the least time between two brief rounds for each host that is
-// told: at most 400 brief datagrams a second leave a host, of whatever fleet.
-const urgentPause = 2500 * time.Microsecond
+// told: at most 600 brief datagrams a second leave a host, of whatever fleet.
+const urgentPause = time.Second / 600
 
 // TellAtOnce tells the hosts that share this one's callers of single endpoints as
 // they come, until ctx ends; own returns what is under way at them. Between two
