--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -34,67 +34,6 @@
 	return interval * time.Duration(max(hosts, smallFleet)) / smallFleet
 }
 
-// message is one datagram.
-type message struct {
-	_           struct{} `cbor:",toarray"`
-	Incarnation string
-	Node        string
-	DataCenter  string
-	Callers     string
-	Peers       string
-	SinceMS     int64
-	InTouchMS   int64
-	Leaving     bool
-	// Sequence grows with each datagram of an incarnation.
-	Sequence int64
-	Loads    []load
-	Spent    []spent
-	Counts   []count
-	Works    []work
-	// Millicores is the host's processor share.
-	Millicores int
-	// LeaseVersion is the row's by which the host holds the lease of the duties.
-	LeaseVersion int64
-	Placed       []placement
-	// Brief marks a datagram that tells of single endpoints only.
-	Brief bool
-}
-
-type placement struct {
-	_        struct{} `cbor:",toarray"`
-	Endpoint string
-	Prefix   []uint64
-}
-
-type work struct {
-	_       struct{} `cbor:",toarray"`
-	Service string
-	Rate    float32
-}
-
-type load struct {
-	_             struct{} `cbor:",toarray"`
-	Endpoint      string
-	Running       int
-	PrefillTokens int
-}
-
-type spent struct {
-	_        struct{} `cbor:",toarray"`
-	Team     string
-	Admitted int64
-	Asked    float32
-	Held     int64
-	Settled  bool
-}
-
-type count struct {
-	_      struct{} `cbor:",toarray"`
-	Window int64
-	Team   string
-	Begun  int
-}
-
 // Told is what a host tells.
 type Told struct {
 	roster.Told
@@ -207,42 +146,6 @@
 	}
 }
 
-// encode leaves out what does not fit: the rows in the store tell it.
-func encode(told Told, sequence int64) ([]byte, error) {
-	m := message{
-		Incarnation: told.Incarnation, Node: told.Node, DataCenter: told.DataCenter,
-		Callers: told.Callers, Peers: told.Peers, SinceMS: told.Since.Milliseconds(),
-		InTouchMS: told.InTouch.Milliseconds(), Leaving: told.Leaving, Sequence: sequence, Millicores: told.Millicores, LeaseVersion: told.LeaseVersion,
-		Brief: told.Brief,
-	}
-	for _, l := range told.Spent {
-		m.Spent = append(m.Spent, spent{Team: l.Team, Admitted: int64(l.Admitted), Asked: float32(l.Asked), Held: int64(l.Held), Settled: l.Settled})
-	}
-	for _, p := range told.Placed {
-		m.Placed = append(m.Placed, placement{Endpoint: p.Endpoint, Prefix: p.Prefix})
-	}
-	for _, c := range told.Counts {
-		m.Counts = append(m.Counts, count{Window: c.Window, Team: c.Team, Begun: c.Begun})
-	}
-	for _, w := range told.Works {
-		m.Works = append(m.Works, work{Service: w.Service, Rate: float32(w.Rate)})
-	}
-	for _, l := range told.Loads {
-		m.Loads = append(m.Loads, load{Endpoint: l.Endpoint, Running: l.Running, PrefillTokens: l.PrefillTokens})
-	}
-	for {
-		data, err := cbor.Marshal(m)
-		if err != nil || len(data) <= mostBytes || len(m.Loads)+len(m.Placed) == 0 {
-			return data, err
-		}
-		if len(m.Placed) > 0 {
-			m.Placed = m.Placed[:len(m.Placed)/2]
-			continue
-		}
-		m.Loads = m.Loads[:len(m.Loads)*3/4]
-	}
-}
-
 func (e *Exchange) receive() {
 	buffer := make([]byte, mostBytes+1)
 	for {
@@ -260,27 +163,3 @@
 		e.take(m.told())
 	}
 }
-
-func (m message) told() Told {
-	host := roster.Host{
-		Incarnation: m.Incarnation, Node: m.Node, DataCenter: m.DataCenter, Callers: m.Callers, Peers: m.Peers, Leaving: m.Leaving,
-		Since: time.Duration(m.SinceMS) * time.Millisecond, Millicores: m.Millicores,
-	}
-	t := Told{Brief: m.Brief, Told: roster.Told{Host: host, Sequence: m.Sequence, InTouch: time.Duration(m.InTouchMS) * time.Millisecond, LeaseVersion: m.LeaseVersion}}
-	for _, l := range m.Loads {
-		t.Loads = append(t.Loads, roster.Load{Endpoint: l.Endpoint, Running: l.Running, PrefillTokens: l.PrefillTokens})
-	}
-	for _, p := range m.Placed {
-		t.Placed = append(t.Placed, route.Placement{Endpoint: p.Endpoint, Prefix: p.Prefix})
-	}
-	for _, w := range m.Works {
-		t.Works = append(t.Works, roster.Work{Service: w.Service, Rate: float64(w.Rate)})
-	}
-	for _, c := range m.Counts {
-		t.Counts = append(t.Counts, roster.Count{Window: c.Window, Team: c.Team, Begun: c.Begun})
-	}
-	for _, l := range m.Spent {
-		t.Spent = append(t.Spent, limit.Spent{Team: l.Team, Admitted: float64(l.Admitted), Asked: float64(l.Asked), Held: float64(l.Held), Settled: l.Settled})
-	}
-	return t
-}
--- /dev/null
+++ b/pkg/roster/loads.go
@@ -0,0 +1,104 @@
+package roster
+
+import "time"
+
+// Loads returns what the other processes have under way, by endpoint.
+func (r *Roster) Loads(self string, now time.Time) map[string]Load {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	loads := map[string]Load{}
+	r.eachLoad(self, now, func(l Load) {
+		loads[l.Endpoint] = loads[l.Endpoint].plus(l)
+	})
+	return loads
+}
+
+// Load returns what the other processes have under way at one endpoint.
+func (r *Roster) Load(self, endpoint string, now time.Time) Load {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sum := Load{Endpoint: endpoint}
+	r.eachLoad(self, now, func(l Load) {
+		if l.Endpoint == endpoint {
+			sum = sum.plus(l)
+		}
+	})
+	return sum
+}
+
+// eachLoad calls visit for each load of each other process. The lock is held.
+func (r *Roster) eachLoad(self string, now time.Time, visit func(Load)) {
+	for _, m := range r.live() {
+		if m.row.Incarnation == self {
+			continue
+		}
+		for _, l := range m.loads(now, r.recent()) {
+			visit(l)
+		}
+	}
+}
+
+// plus adds what another process has under way. The sum is as old as the latest
+// part with prompts to be read.
+func (l Load) plus(other Load) Load {
+	l.Endpoint = other.Endpoint
+	l.Running += other.Running
+	l.PrefillTokens += other.PrefillTokens
+	if other.PrefillTokens > 0 && other.At.After(l.At) {
+		l.At = other.At
+	}
+	return l
+}
+
+// loads are those heard from the process itself while they are recent, and its
+// row's otherwise.
+func (m *member) loads(now time.Time, recent time.Duration) []Load {
+	if now.Sub(m.toldAt) < recent {
+		return m.told.Loads
+	}
+	return m.row.Loads
+}
+
+// HearLoads takes in what a process tells of single endpoints between its full
+// datagrams. One that was not heard before is left out: its next one tells all.
+func (r *Roster) HearLoads(incarnation string, sequence int64, loads []Load, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m, ok := r.members[incarnation]
+	if !ok || m.told.Sequence == 0 || sequence <= m.told.Sequence {
+		return
+	}
+	m.told.Sequence = sequence
+	for _, l := range loads {
+		l.At = now
+		m.told.setLoad(l)
+	}
+}
+
+func (t *Told) setLoad(l Load) {
+	for i := range t.Loads {
+		if t.Loads[i].Endpoint == l.Endpoint {
+			t.Loads[i] = l
+			return
+		}
+	}
+	t.Loads = append(t.Loads, l)
+}
+
+// Works returns the engine time a second asked for over all processes, by
+// service.
+func (r *Roster) Works(now time.Time) map[string]float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	works := map[string]float64{}
+	for _, m := range r.live() {
+		told := m.row.Works
+		if now.Sub(m.toldAt) < r.recent() {
+			told = m.told.Works
+		}
+		for _, w := range told {
+			works[w.Service] += w.Rate
+		}
+	}
+	return works
+}
