What streams show of engines reaches the router: tested; comments in the project's words

Cause (read from the change): nothing tested that the forwarder hands first token, tokens and decoding time of a stream to the router; with that line broken all tests passed. The tokens in an event were decoded untested, and the plan at the full price was tested for its reclaimable endpoints only. One comment used a word of the users' pages, three still spoke of figures measured for each endpoint. Left: the codecs of datagrams and rows look alike, as the house style maps by hand.

--- a/pkg/app/node/providers.go
+++ b/pkg/app/node/providers.go
@@ -38,7 +38,7 @@
 	deadPeer = 3 * time.Second
 )
 
-// engineFigures are used until an endpoint's own have been measured: a large
+// engineFigures are used until answers have shown an engine's speed: a large
 // model on a current accelerator reads some 50 tokens a millisecond and makes
 // one in about 7 ms.
 var engineFigures = route.Figures{TokenGap: 7 * time.Millisecond, Prefill: 20 * time.Microsecond, MeanAnswer: time.Second}
--- a/pkg/autoscale/autoscale_test.go
+++ b/pkg/autoscale/autoscale_test.go
@@ -68,11 +68,18 @@
 	for _, price := range []float64{0.1, 0.22, 0.4, 0.6, 0.9, 1} {
 		dear := service(99)
 		dear.Scaling.ReclaimablePrice = price
-		orders, need := autoscale.Plan(dear, demand, supplied(map[string]int{"a": 99, "b": 99, "c": 99, "d": 99}))
+		serving := map[string]int{"a": 99, "b": 99, "c": 99, "d": 99}
+		if price >= 1 {
+			serving = nil
+		}
+		orders, need := autoscale.Plan(dear, demand, supplied(serving))
 		got := total(orders, true)
 		if got > before || price < 1 && got < need || price >= 1 && got != 0 {
 			t.Errorf("price %.2f: got %d reclaimable of a need of %d, %d at the price before", price, got, need, before)
 		}
+		if bought := total(orders, false); price >= 1 && bought != need {
+			t.Errorf("price %.2f: got %d on demand, want the need of %d", price, bought, need)
+		}
 		before = got
 	}
 }
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -88,6 +88,7 @@
 type site struct {
 	t         *testing.T
 	server    *httptest.Server
+	router    *route.Router
 	directory *endpoint.Directory
 	runs      *runs
 	phase     atomic.Int64
@@ -127,6 +128,7 @@
 	now := time.Now()
 	figures := route.Figures{TokenGap: time.Millisecond, Prefill: time.Microsecond, MeanAnswer: time.Millisecond}
 	router := route.NewWithFigures(s.directory, hazard.New(), route.Home{}, 1, figures)
+	s.router = router
 	forwarder := forward.New(protocol{}, tables{routetable.New(spec), fresh}, router, limit.NewShared(limit.Tolerance{}, now.Add(-time.Hour)),
 		retry.NewWindow(0.2, 58, 10*time.Second), upstream.New(time.Second), s.runs, oneHost{},
 		func() forward.Phase { return forward.Phase(s.phase.Load()) }, time.Now, forward.NewMetrics(prometheus.NewRegistry()),
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -133,7 +133,7 @@
 	Node, DataCenter string
 }
 
-// Figures are an endpoint's until its own have been measured.
+// Figures are those of a target's engines until answers have shown their speed.
 type Figures struct {
 	// TokenGap is the time between tokens of one request, at little load.
 	TokenGap time.Duration
--- a/pkg/route/slot.go
+++ b/pkg/route/slot.go
@@ -65,7 +65,7 @@
 	rateAt       time.Time
 }
 
-// Figures used until an endpoint's own have been measured.
+// Figures used until answers have shown how fast the engines are.
 const (
 	startTokenGap    = 26 * time.Millisecond
 	startPrefill     = 200 * time.Microsecond
