Parts of prompts that nobody has read are not reckoned cached at a home; a load test in virtual time

Cause: for a shared part that no host had sent anywhere, the endpoint that all hosts hold to be its home (by hash) was marked as having it. Its time to the first token was reckoned too short by up to four fifths, the other hosts were told too few tokens to be read, and queues arose that nobody knew of. Change: no home. Where the first prompt went is told at once, and the others follow. pkg/lab plays loads against router, roster and refusals as shipped, on engines that batch; pkg/loadsync is what node and lab share; refusals go to pkg/admission unchanged.

In the same commit, as its wiring is the same: calls to the store are counted by what they do and by table (pkg/storecalls), and told in a line every 10 s.

--- a/pkg/app/node/heartbeat.go
+++ b/pkg/app/node/heartbeat.go
@@ -79,7 +79,7 @@
 		ClockOffset: offset,
 		Counts:      n.counter.Recent(),
 	}
-	row.Loads = n.ownLoads()
+	row.Loads = n.loads.Own()
 	row.Works = n.ownWorks(now)
 	value, err := row.Encode()
 	if err != nil {
--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -22,9 +22,11 @@
 	"ironhollow/pkg/gossip"
 	"ironhollow/pkg/lease"
 	"ironhollow/pkg/limit"
+	"ironhollow/pkg/loadsync"
 	"ironhollow/pkg/pause"
 	"ironhollow/pkg/relay"
 	"ironhollow/pkg/route"
+	"ironhollow/pkg/storecalls"
 	"ironhollow/pkg/storeclock"
 	"ironhollow/pkg/storeview"
 	"ironhollow/pkg/upstream"
@@ -54,12 +56,13 @@
 	log         *log.Logger
 	clock       *storeclock.Clock
 	life        *life
-	store       Store
+	store       *storecalls.Counted
 	// copy is what others follow through this host, by peers.
 	copy      *relay.Copy
 	peers     peerClient
 	view      *storeview.View
 	router    *route.Router
+	loads     *loadsync.Sync
 	limits    *limit.Shared
 	pool      *upstream.Pool
 	counter   *usage.Counter
@@ -131,6 +134,7 @@
 	go n.view.Follow(background, source, n.settings.FirstStart)
 	go n.beat(background)
 	go n.sweep(background)
+	go n.tellCalls(background)
 	if err := n.exchange(background); err != nil {
 		return err
 	}
@@ -205,6 +209,18 @@
 	}
 }
 
+// callsTold is the time between two lines on this host's calls to the store.
+const callsTold = 10 * time.Second
+
+// tellCalls writes what this host has asked of the store, if anything.
+func (n *node) tellCalls(ctx context.Context) {
+	for pause.For(ctx, callsTold) {
+		if calls := n.store.Summary(); calls != "" {
+			n.log.Info().Str("calls", calls).Msg("calls to the store")
+		}
+	}
+}
+
 // watchReloads notes SIGHUP: all settings in use hold for a process's life.
 func (n *node) watchReloads() {
 	signals := make(chan os.Signal, 1)
--- a/pkg/app/node/providers.go
+++ b/pkg/app/node/providers.go
@@ -19,10 +19,12 @@
 	"ironhollow/pkg/hazard"
 	"ironhollow/pkg/lease"
 	"ironhollow/pkg/limit"
+	"ironhollow/pkg/loadsync"
 	"ironhollow/pkg/relay"
 	"ironhollow/pkg/retry"
 	"ironhollow/pkg/roster"
 	"ironhollow/pkg/route"
+	"ironhollow/pkg/storecalls"
 	"ironhollow/pkg/storeclock"
 	"ironhollow/pkg/storeview"
 	"ironhollow/pkg/table"
@@ -62,8 +64,8 @@
 
 func newPool() *upstream.Pool { return upstream.New(deadPeer) }
 
-func newStore(platform Platform, client storeClient, s Settings) Store {
-	return platform.Store(client.Client, s)
+func newStore(platform Platform, client storeClient, s Settings, registry *prometheus.Registry) *storecalls.Counted {
+	return storecalls.New(platform.Store(client.Client, s), registry)
 }
 
 func newCopy(clock *storeclock.Clock) *relay.Copy { return relay.NewCopy(clock.Now) }
@@ -80,6 +82,10 @@
 	return route.NewWithFigures(view.Directory(), hazard.New(), home, seed, engineFigures)
 }
 
+func newLoads(router *route.Router, view *storeview.View, self Incarnation) *loadsync.Sync {
+	return loadsync.New(router, view.Roster(), string(self))
+}
+
 func newLimits(s Settings, clock *storeclock.Clock) *limit.Shared {
 	return limit.NewShared(limit.Tolerance(s.Limits), clock.Now())
 }
@@ -98,7 +104,7 @@
 	return usage.NewCounter(s.UsageWindow, trueTime)
 }
 
-func newWriter(store Store, self Incarnation) *table.Writer {
+func newWriter(store *storecalls.Counted, self Incarnation) *table.Writer {
 	return table.NewWriter(store, string(self))
 }
 
--- a/pkg/app/node/wire.go
+++ b/pkg/app/node/wire.go
@@ -12,7 +12,7 @@
 
 func build(platform Platform, settings Settings, incarnation Incarnation) *node {
 	wire.Build(
-		newLog, newLife, newPool, newStoreClient, newPeerClient, newStore, newCopy, newHome, newView, newRouter, newLimits,
+		newLog, newLife, newPool, newStoreClient, newPeerClient, newStore, newCopy, newHome, newView, newRouter, newLoads, newLimits,
 		newCounter, newWriter, newLeases, newDutyCloud, newReporter, newOrderer, newBudget, newForwarder,
 		storeclock.New, autoscale.NewTraffic, process.NewRegistry,
 		wire.Struct(new(ownRow)), wire.Struct(new(fleetRole)), wire.Struct(new(node), "*"),
--- a/pkg/app/node/wire_gen.go
+++ b/pkg/app/node/wire_gen.go
@@ -19,23 +19,24 @@
 	clock := storeclock.New()
 	nodeLife := newLife(clock)
 	nodeStoreClient := newStoreClient()
-	store := newStore(platform, nodeStoreClient, settings)
+	registry := process.NewRegistry()
+	counted := newStore(platform, nodeStoreClient, settings, registry)
 	relayCopy := newCopy(clock)
 	nodePeerClient := newPeerClient()
 	home := newHome(settings)
 	view := newView(platform, settings, clock, home, incarnation, logger)
 	router := newRouter(view, home, clock)
+	sync := newLoads(router, view, incarnation)
 	shared := newLimits(settings, clock)
 	pool := newPool()
 	counter := newCounter(settings, clock, view)
-	writer := newWriter(store, incarnation)
+	writer := newWriter(counted, incarnation)
 	manager := newLeases(writer, incarnation, settings)
 	nodeDutyCloud := newDutyCloud(platform, nodeStoreClient, settings, manager)
 	reporter := newReporter(counter, view, writer, nodeDutyCloud, logger)
 	orderer := newOrderer(nodeDutyCloud, logger)
 	traffic := autoscale.NewTraffic()
 	window := newBudget(settings)
-	registry := process.NewRegistry()
 	forwarder := newForwarder(platform, view, home, router, shared, window, pool, counter, nodeLife, clock, registry, logger)
 	nodeOwnRow := &ownRow{}
 	nodeFleetRole := &fleetRole{}
@@ -46,11 +47,12 @@
 		log:         logger,
 		clock:       clock,
 		life:        nodeLife,
-		store:       store,
+		store:       counted,
 		copy:        relayCopy,
 		peers:       nodePeerClient,
 		view:        view,
 		router:      router,
+		loads:       sync,
 		limits:      shared,
 		pool:        pool,
 		counter:     counter,
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -10,6 +10,7 @@
 
 	"github.com/phuslu/log"
 
+	"ironhollow/pkg/admission"
 	"ironhollow/pkg/code"
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/limit"
@@ -242,30 +243,14 @@
 	return c.f.router.Choose(c.query(), route.Expected, c.f.clock())
 }
 
-// queueShare is the part of a stream's objective that may pass behind other
-// requests' prompts; less for what is less urgent, so that it gives way first.
-func queueShare(priority int) float64 {
-	return max(mostQueueShare-float64(priority)*queueShareStep, leastQueueShare)
-}
-
-const (
-	mostQueueShare  = 0.8
-	queueShareStep  = 0.15
-	leastQueueShare = 0.3
-)
-
 // overloaded reports whether a stream's first event would be late for what is
 // queued before it at the best endpoint, and when to come back. Nothing has
 // been sent then.
 func (c *call) overloaded(choice route.Choice) (time.Duration, bool) {
-	if c.route.Kind != routetable.Stream || c.sends() > 0 || c.route.Objective <= 0 {
-		return 0, false
-	}
-	bearable := time.Duration(queueShare(c.priority) * float64(c.route.Objective))
-	if choice.Queued <= bearable {
+	if c.route.Kind != routetable.Stream || c.sends() > 0 {
 		return 0, false
 	}
-	return max(choice.Queued-bearable/2, comeBackSoon), true
+	return admission.Stream{Objective: c.route.Objective, Priority: c.priority}.Late(choice.Queued)
 }
 
 // attempt makes one send and tells the router how it ended. A stream's choice
--- a/pkg/gossip/urgent.go
+++ b/pkg/gossip/urgent.go
@@ -12,6 +12,9 @@
 // told: at most 600 brief datagrams a second leave a host, of whatever fleet.
 const urgentPause = time.Second / 600
 
+// UrgentPause is the least time between two brief rounds to a number of hosts.
+func UrgentPause(hosts int) time.Duration { return urgentPause * time.Duration(max(hosts, 1)) }
+
 // TellAtOnce tells the hosts that share this one's callers of single endpoints as
 // they come, until ctx ends; own returns what is under way at them. Between two
 // rounds 0.2 s apart several hosts chose the endpoint whose queue one of them had
@@ -26,7 +29,7 @@
 			endpoints := drain(urgent, []string{first})
 			near, _ := e.roster.Peers(e.self)
 			e.sendBrief(own(endpoints), near)
-			pause.For(ctx, urgentPause*time.Duration(max(len(near), 1)))
+			pause.For(ctx, UrgentPause(len(near)))
 		}
 	}
 }
--- /dev/null
+++ b/pkg/lab/host.go
@@ -0,0 +1,148 @@
+package lab
+
+import (
+	"fmt"
+	"time"
+
+	"ironhollow/pkg/admission"
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/gossip"
+	"ironhollow/pkg/hazard"
+	"ironhollow/pkg/loadsync"
+	"ironhollow/pkg/roster"
+	"ironhollow/pkg/route"
+)
+
+// service is the target of all requests.
+const service = "model"
+
+// host is one that callers are told, with the decisions as shipped.
+type host struct {
+	play      *play
+	self      roster.Host
+	directory *endpoint.Directory
+	router    *route.Router
+	members   *roster.Roster
+	loads     *loadsync.Sync
+	pace      gossip.Pace
+	sequence  int64
+	// briefAt is when the next brief datagram may leave.
+	briefAt time.Duration
+	// briefDue says that one waits for that.
+	briefDue bool
+}
+
+func newHost(p *play, number int) *host {
+	name := fmt.Sprintf("h%03d", number)
+	self := roster.Host{Incarnation: name, Node: name, DataCenter: p.dataCenter(number), Peers: name, Millicores: 800}
+	directory := endpoint.NewDirectory()
+	home := route.Home{Node: name, DataCenter: self.DataCenter}
+	figures := route.Figures{TokenGap: 7 * time.Millisecond, Prefill: 20 * time.Microsecond, MeanAnswer: time.Second}
+	router := route.NewWithFigures(directory, hazard.New(), home, p.seed+uint64(number), figures)
+	members := roster.New(silence, gossip.Interval)
+	return &host{
+		play: p, self: self, directory: directory, router: router, members: members, loads: loadsync.New(router, members, name),
+	}
+}
+
+// silence is how long a host may be unheard.
+const silence = 3200 * time.Millisecond
+
+// round tells all others what is under way here, and takes in what they told.
+func (h *host) round() {
+	pause, _ := h.pace.Next(len(h.play.hosts)-1, 0)
+	h.tell(roster.Told{Host: h.self, Loads: h.loads.Own()}, false)
+	h.loads.Take(h.play.time())
+	h.play.after(pause, h.round)
+}
+
+// urgent tells at once of endpoints whose queue has just grown, within the pace of
+// brief datagrams.
+func (h *host) urgent() {
+	if h.briefDue || len(h.router.Urgent()) == 0 {
+		return
+	}
+	h.briefDue = true
+	h.play.after(max(h.briefAt-h.play.now, 0), func() {
+		h.briefDue = false
+		h.briefAt = h.play.now + gossip.UrgentPause(len(h.play.hosts)-1)
+		var endpoints []string
+		for len(h.router.Urgent()) > 0 {
+			endpoints = append(endpoints, <-h.router.Urgent())
+		}
+		h.tell(roster.Told{Host: roster.Host{Incarnation: h.self.Incarnation}, Loads: h.loads.OwnAt(endpoints)}, true)
+	})
+}
+
+// tell sends a datagram to all others; some are lost.
+func (h *host) tell(told roster.Told, brief bool) {
+	h.sequence++
+	told.Sequence = h.sequence
+	placed := h.router.TakePlacements()
+	for _, other := range h.play.hosts {
+		if other == h || h.play.random.Float64() < h.play.fleet.Loss {
+			continue
+		}
+		copied := told
+		copied.Loads = append([]roster.Load(nil), told.Loads...)
+		h.play.after(h.play.fleet.Way, func() { other.hear(copied, placed, brief) })
+	}
+}
+
+func (h *host) hear(told roster.Told, placed []route.Placement, brief bool) {
+	now := h.play.time()
+	if brief {
+		h.loads.HearBrief(told.Incarnation, told.Sequence, told.Loads, placed, now)
+		return
+	}
+	h.members.Hear(told, now)
+	h.loads.HearPlaced(placed)
+}
+
+// serve chooses an endpoint for a request, or refuses it.
+func (h *host) serve(r *request) {
+	now := h.play.time()
+	choice, ok := h.router.Choose(query(r), route.Expected, now)
+	if !ok {
+		h.play.refused(r, comeBackNoEndpoint)
+		return
+	}
+	h.urgent()
+	stream := admission.Stream{Objective: r.kind.Objective, Priority: r.kind.Priority}
+	if comeBack, late := stream.Late(choice.Queued); late {
+		h.router.Done(choice, route.Result{}, now)
+		h.play.refused(r, comeBack)
+		return
+	}
+	h.play.after(h.play.fleet.Way, func() { h.send(r, choice) })
+}
+
+// comeBackNoEndpoint is what callers are told where no endpoint serves.
+const comeBackNoEndpoint = 300 * time.Millisecond
+
+func query(r *request) route.Query {
+	return route.Query{
+		Target: route.Target{Service: service}, Prefix: r.prefix, PrefixTokens: r.covered, Shared: len(r.prefix) - 1,
+		PromptTokens: r.promptTokens(), AnswerTokens: r.hint,
+	}
+}
+
+// send gives a request to its endpoint's engine.
+func (h *host) send(r *request, choice route.Choice) {
+	sent := h.play.now
+	at := &run{request: r}
+	var first time.Duration
+	at.first = func() {
+		first = h.play.now
+		h.router.Started(choice)
+		h.play.served(r, choice)
+	}
+	at.done = func() {
+		result := route.Result{Started: true, FirstToken: first - sent + h.play.fleet.Way, Tokens: r.answer - 1, Decode: h.play.now - first}
+		h.router.Done(choice, result, h.play.time())
+	}
+	if !h.play.engines[choice.Endpoint.ID].accept(at) {
+		h.router.Done(choice, route.Result{Failed: true}, h.play.time())
+		h.play.lost(r)
+	}
+}
--- /dev/null
+++ b/pkg/lab/lab_test.go
@@ -0,0 +1,95 @@
+package lab_test
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"ironhollow/pkg/lab"
+)
+
+// seeds is for looking at more runs by hand.
+var seeds = flag.Int("seeds", 1, "runs of each load")
+
+// credit is a model for loan files on hosts of one region: 16 take callers.
+func credit() lab.Fleet {
+	return lab.Fleet{
+		Hosts: 16, Endpoints: 78, DataCenters: 6, Way: time.Millisecond, Loss: 0.005,
+		Engine: lab.Engine{
+			Batch: 64, Queue: 134, Chunk: 4096, Step: 5950 * time.Microsecond, StepSlot: 44500 * time.Nanosecond,
+			Prefill: 19720 * time.Nanosecond, Pair: 0, First: 10 * time.Millisecond, Memory: 583_000,
+		},
+	}
+}
+
+// files is full reviews of many files, each met for the first time during the run,
+// summaries and short questions.
+func files() []lab.Kind {
+	return []lab.Kind{
+		{
+			Name: "review", Rate: 99.5, Parts: []lab.Part{{Tokens: 13_300, Spread: 0.7, Things: 661}}, Own: 3720, OwnSpread: 1.1,
+			Answer: 120, Objective: time.Second, Limit: 15 * time.Second, Priority: 1, Worth: 3,
+		},
+		{
+			Name: "summary", Rate: 43.7, Parts: []lab.Part{{Tokens: 2520, Spread: 0.4, Things: 4}, {Tokens: 3780, Spread: 0.7, Things: 291}},
+			Own: 2890, OwnSpread: 1, Answer: 52, Objective: time.Second, Limit: 8 * time.Second, Worth: 2.5,
+		},
+		{
+			Name: "question", Rate: 123, Parts: []lab.Part{{Tokens: 210, Spread: 0.4, Things: 39}, {Tokens: 140, Spread: 0.7, Things: 549}},
+			Own: 1110, OwnSpread: 1, Answer: 172, Objective: 800 * time.Millisecond, Limit: 15 * time.Second, Priority: 2, Worth: 0.34,
+		},
+	}
+}
+
+// Full reviews of files that nobody has asked for before: what is queued for them is
+// known, so that those behind go elsewhere. With a home for each new file, reckoned
+// as read there, 0.947 to 0.956 of the reviews had their first token within a second
+// (seeds 1 to 3) and 1 in 100 of all first tokens came 1.2 s later than reckoned; now
+// 0.979 to 0.993 (seeds 1 to 6), and 0.2 s.
+func TestNewFiles(t *testing.T) {
+	for seed := range *seeds {
+		o := lab.Run(credit(), lab.Load{Kinds: files(), Lasts: 20 * time.Second, Settle: 3 * time.Second}, uint64(seed+1))
+		t.Logf("seed %d\n%v", seed+1, o)
+		atLeast(t, "reviews in time", o.Of("review").InTimeShare(), 0.97)
+		atLeast(t, "summaries in time", o.Of("summary").InTimeShare(), 0.99)
+		atLeast(t, "questions in time", o.Of("question").InTimeShare(), 0.99)
+		if got, want := o.OffAt(0.99), 400*time.Millisecond; got > want {
+			t.Errorf("seed %d: 1 in 100 first tokens later than reckoned: got %v, want %v at most", seed+1, got, want)
+		}
+	}
+}
+
+func atLeast(t *testing.T, what string, got, want float64) {
+	t.Helper()
+	if got < want {
+		t.Errorf("%s: got %.3f, want %.3f at least", what, got, want)
+	}
+}
+
+// A run of a seed gives the same each time.
+func TestRunsRepeat(t *testing.T) {
+	load := lab.Load{Kinds: files(), Lasts: 3 * time.Second, Settle: time.Second}
+	first, second := lab.Run(credit(), load, 7), lab.Run(credit(), load, 7)
+	if got, want := second.String(), first.String(); got != want {
+		t.Errorf("second run: got\n%s\nwant\n%s", got, want)
+	}
+}
+
+// Prompts come twice as fast as the engines read them: what can't be served in time
+// is refused at once, and the most urgent are refused least.
+func TestOverload(t *testing.T) {
+	fleet := credit()
+	fleet.Endpoints = 24
+	o := lab.Run(fleet, lab.Load{Kinds: files(), Lasts: 12 * time.Second, Settle: 3 * time.Second}, 1)
+	t.Logf("\n%v", o)
+	summary, review := o.Of("summary"), o.Of("review")
+	if got := summary.InTimeShare(); got <= review.InTimeShare() {
+		t.Errorf("summaries in time: got %.3f, want more than of the less urgent reviews, %.3f", got, review.InTimeShare())
+	}
+	if review.SentBack == 0 {
+		t.Error("reviews sent back: got none, want some at twice the load that fits")
+	}
+	if got, want := review.FirstAt(0.9), 2*time.Second; got > want {
+		t.Errorf("first token of the reviews that were taken, 9 in 10: got %v, want %v at most", got, want)
+	}
+}
--- /dev/null
+++ b/pkg/lab/play.go
@@ -0,0 +1,216 @@
+package lab
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/route"
+)
+
+// Fleet is what a load is played against.
+type Fleet struct {
+	// Hosts is how many take callers, Endpoints how many engines there are; both
+	// are spread over DataCenters.
+	Hosts, Endpoints, DataCenters int
+	Engine                        Engine
+	// Way is the time of a datagram or a request between two hosts, Loss the part
+	// of the datagrams that do not arrive.
+	Way  time.Duration
+	Loss float64
+}
+
+// Load is what is asked of a fleet.
+type Load struct {
+	Kinds  []Kind
+	Bursts []Burst
+	// Lasts is how long requests come; those of the time up to Settle are not
+	// counted, in which hosts learn how fast the engines are.
+	Lasts, Settle time.Duration
+	// Lost is when the engines of a data centre end, in turn.
+	Lost []time.Duration
+}
+
+// play is one run.
+type play struct {
+	fleet   Fleet
+	seed    uint64
+	random  *rand.Rand
+	now     time.Duration
+	events  events
+	order   int
+	hosts   []*host
+	engines map[string]*engine
+	read    map[uint64]bool
+	settle  time.Duration
+	outcome *Outcome
+}
+
+// epoch is the time of day at which runs begin.
+var epoch = time.Date(2024, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func (p *play) time() time.Time { return epoch.Add(p.now) }
+
+// Run plays a load and returns what callers got. The same seed gives the same.
+func Run(fleet Fleet, load Load, seed uint64) *Outcome {
+	p := &play{
+		fleet: fleet, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), engines: map[string]*engine{}, read: map[uint64]bool{},
+		settle: load.Settle, outcome: newOutcome(),
+	}
+	p.build()
+	for _, r := range arrivals(load.Kinds, load.Bursts, load.Lasts, rand.New(rand.NewPCG(seed, 2))) {
+		p.after(r.asked, func() { p.ask(r) })
+	}
+	for i, at := range load.Lost {
+		p.after(at, func() { p.lose(p.dataCenter(i)) })
+	}
+	for len(p.events) > 0 && p.now < load.Lasts+drainTime {
+		e := heap.Pop(&p.events).(event)
+		p.now = e.at
+		e.do()
+	}
+	p.outcome.close()
+	return p.outcome
+}
+
+// drainTime is how long a run goes on after the last request.
+const drainTime = 20 * time.Second
+
+func (p *play) dataCenter(i int) string { return fmt.Sprintf("dc%d", i%p.fleet.DataCenters) }
+
+func (p *play) build() {
+	for i := range p.fleet.Hosts {
+		p.hosts = append(p.hosts, newHost(p, i))
+	}
+	for i := range p.fleet.Endpoints {
+		info := endpoint.Info{
+			ID: fmt.Sprintf("e%04d", i), Incarnation: 1, Counter: 1, State: endpoint.Live, Kind: endpoint.Plain, Service: service,
+			DataCenter: p.dataCenter(i), Slots: p.fleet.Engine.Batch, Engine: true,
+		}
+		p.engines[info.ID] = newEngine(p, p.fleet.Engine)
+		for _, h := range p.hosts {
+			h.directory.Merge(info)
+		}
+	}
+	for i, h := range p.hosts {
+		// Rounds of different hosts fall at different times.
+		p.after(time.Duration(i)*time.Millisecond, h.round)
+	}
+}
+
+// lose ends the engines of a data centre; hosts know it at once, callers of what
+// ran there get nothing.
+func (p *play) lose(dataCenter string) {
+	for _, info := range p.hosts[0].directory.View().Infos() {
+		if info.DataCenter != dataCenter {
+			continue
+		}
+		p.engines[info.ID].gone = true
+		info.State = endpoint.Gone
+		for _, h := range p.hosts {
+			h.directory.Merge(info)
+		}
+	}
+}
+
+func (p *play) ask(r *request) {
+	if r.asked >= p.settle && !r.returned {
+		o := p.outcome.of(r.kind.Name)
+		o.Asked++
+		o.Worth += r.worth()
+	}
+	p.hosts[p.random.IntN(len(p.hosts))].serve(r)
+}
+
+// refused lets a caller come back once, as told.
+func (p *play) refused(r *request, comeBack time.Duration) {
+	left := r.asked + r.kind.Limit - p.now
+	if r.returned || comeBack > left/3 {
+		p.lost(r)
+		return
+	}
+	r.returned = true
+	if r.asked >= p.settle {
+		p.outcome.of(r.kind.Name).SentBack++
+	}
+	p.after(comeBack, func() { p.ask(r) })
+}
+
+func (p *play) lost(r *request) {
+	if r.asked >= p.settle {
+		p.outcome.of(r.kind.Name).Lost++
+	}
+}
+
+// served notes a first token.
+func (p *play) served(r *request, choice route.Choice) {
+	if r.asked < p.settle {
+		return
+	}
+	o := p.outcome.of(r.kind.Name)
+	first := p.now - r.asked
+	o.First = append(o.First, first)
+	if first <= r.kind.Objective {
+		o.InTime++
+		o.Earned += r.worth()
+	} else {
+		o.Earned += lateWorth * r.worth()
+	}
+	p.outcome.reckoned(choice.Wait, p.time().Sub(choice.Sent()))
+}
+
+// noteRead counts the tokens of a prompt that an engine reads, and of shared parts
+// those that some engine had read before.
+func (p *play) noteRead(r *run, held int) {
+	if r.asked < p.settle {
+		return
+	}
+	p.outcome.Read += r.promptTokens() - held
+	before := 0
+	for i, hash := range r.prefix[:len(r.prefix)-1] {
+		if r.covered[i] > held && p.read[hash] {
+			p.outcome.ReadAgain += r.covered[i] - max(before, held)
+		}
+		before = r.covered[i]
+		p.read[hash] = true
+	}
+}
+
+// after calls do in virtual time.
+func (p *play) after(pause time.Duration, do func()) {
+	p.order++
+	heap.Push(&p.events, event{p.now + pause, p.order, do})
+}
+
+// event is something that will happen; those of one time in the order in which
+// they were made.
+type event struct {
+	at    time.Duration
+	order int
+	do    func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+
+func (e events) Less(i, j int) bool {
+	if e[i].at != e[j].at {
+		return e[i].at < e[j].at
+	}
+	return e[i].order < e[j].order
+}
+
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push and Pop are for package heap.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+func (e *events) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	*e = (*e)[:last]
+	return x
+}
--- /dev/null
+++ b/pkg/loadsync/loadsync.go
@@ -0,0 +1,83 @@
+// Package loadsync carries loads of endpoints between the router and the roster of
+// hosts: what this host tells the others, and what they told, handed to the choice
+// of endpoint. Time is passed in; nothing here does I/O.
+package loadsync
+
+import (
+	"time"
+
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/engine"
+	"ironhollow/pkg/roster"
+	"ironhollow/pkg/route"
+)
+
+// Sync joins one host's router and roster. It is safe for concurrent use.
+type Sync struct {
+	router  *route.Router
+	members *roster.Roster
+	// self is this process's incarnation.
+	self string
+}
+
+// New returns the join of a process's router and roster.
+func New(router *route.Router, members *roster.Roster, self string) *Sync {
+	return &Sync{router: router, members: members, self: self}
+}
+
+// Own returns what this host has under way, by endpoint.
+func (s *Sync) Own() []roster.Load {
+	var loads []roster.Load
+	for _, l := range s.router.OwnLoads() {
+		loads = append(loads, roster.Load{Endpoint: l.Endpoint.ID, Running: l.Running, PrefillTokens: l.PrefillTokens})
+	}
+	return loads
+}
+
+// OwnAt returns what this host has under way at some endpoints.
+func (s *Sync) OwnAt(endpoints []string) []roster.Load {
+	var loads []roster.Load
+	for _, id := range endpoints {
+		own := s.router.OwnLoad(id)
+		loads = append(loads, roster.Load{Endpoint: id, Running: own.Running, PrefillTokens: own.PrefillTokens})
+	}
+	return loads
+}
+
+// HearBrief takes in what another process tells of single endpoints between its
+// full datagrams.
+func (s *Sync) HearBrief(incarnation string, sequence int64, loads []roster.Load, placed []route.Placement, now time.Time) {
+	s.members.HearLoads(incarnation, sequence, loads, now)
+	s.HearPlaced(placed)
+	for _, l := range loads {
+		if info, ok := s.router.Lookup(l.Endpoint); ok {
+			s.report(info, s.members.Load(s.self, l.Endpoint, now), now)
+		}
+	}
+}
+
+// HearPlaced takes in where another process sent prompts.
+func (s *Sync) HearPlaced(placed []route.Placement) {
+	for _, p := range placed {
+		s.router.Place(p)
+	}
+}
+
+// Take hands what all others told to the router.
+func (s *Sync) Take(now time.Time) {
+	loads := s.members.Loads(s.self, now)
+	for _, info := range s.router.InUse() {
+		s.report(info, loads[info.ID], now)
+	}
+}
+
+// report hands the load of one endpoint to the router.
+func (s *Sync) report(info endpoint.Info, others roster.Load, now time.Time) {
+	s.router.Report(info.Ref(), engine.Report{
+		Sequence:     now.UnixMilli(),
+		Running:      others.Running + s.router.OwnLoad(info.ID).Running,
+		Slots:        max(info.Slots, 1),
+		QueuedTokens: others.PrefillTokens,
+		QueuedAt:     others.At,
+	})
+}
--- a/pkg/route/placement_test.go
+++ b/pkg/route/placement_test.go
@@ -127,3 +127,17 @@
 		t.Errorf("queued: got %v at once and %v two seconds later, want about 1 s and none", first.Queued, second.Queued)
 	}
 }
+
+// A part that nobody has read yet is not cached anywhere: what is queued behind it
+// would be reckoned too low by all that come after.
+func TestPartThatNobodyHasReadIsNotCached(t *testing.T) {
+	r, _, _ := newRouter(8)
+	q := chat(4)
+	c, _ := r.Choose(q, route.Expected, now)
+	if c.CachedTokens != 0 {
+		t.Errorf("first prompt of a session: got %d tokens reckoned cached, want 0", c.CachedTokens)
+	}
+	if got := r.OwnLoad(c.Endpoint.ID).PrefillTokens; got != q.PromptTokens {
+		t.Errorf("told to the others: got %d tokens to be read, want %d", got, q.PromptTokens)
+	}
+}
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -11,8 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/enginemodel"
 	"ironhollow/pkg/hazard"
@@ -35,9 +33,9 @@
 	// PrefixTokens is how many tokens each prefix covers, from the prompt's
 	// start; nil where every one is one block longer than the one before.
 	PrefixTokens []int
-	// Shared is how many of the prefixes other requests have too. Requests that
-	// share a prefix go to the same endpoint from every entry unless its load
-	// speaks against it; 0 leaves that to what this entry has sent.
+	// Shared is how many of the prefixes other requests have too. Where they were
+	// sent is told to the other entries, so that all go there unless its load speaks
+	// against it; 0 leaves that to what this entry has sent.
 	Shared int
 	// PromptTokens and AnswerTokens are what is expected, not known.
 	PromptTokens, AnswerTokens int
@@ -75,6 +73,9 @@
 	uncached, ahead int
 }
 
+// Sent returns when the endpoint was chosen.
+func (c Choice) Sent() time.Time { return c.sent }
+
 // Strategy names a way to choose.
 type Strategy int
 
@@ -276,7 +277,7 @@
 	defer g.mu.Unlock()
 	s := before
 	if before == nil || before.group != g || before.info.Ref() != info.Ref() {
-		s = &slot{group: g, load: start, hash: xxhash.Sum64String(info.ID)}
+		s = &slot{group: g, load: start}
 	}
 	s.info = info
 	if s.load.failures >= ejectAfter {
--- a/pkg/route/slot.go
+++ b/pkg/route/slot.go
@@ -32,8 +32,6 @@
 	group *group
 	info  endpoint.Info
 	load  load
-	// hash is of the endpoint's id.
-	hash uint64
 	// cached is scratch space of one choice.
 	cached int
 }
