--- /dev/null
+++ b/pkg/loadsync/loadsync_test.go
@@ -0,0 +1,66 @@
+package loadsync_test
+
+import (
+	"testing"
+	"time"
+
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/hazard"
+	"ironhollow/pkg/loadsync"
+	"ironhollow/pkg/roster"
+	"ironhollow/pkg/route"
+)
+
+var now = time.Date(2024, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const id = "e1"
+
+// host is one host with an endpoint that all know.
+type host struct {
+	router  *route.Router
+	members *roster.Roster
+	loads   *loadsync.Sync
+}
+
+func newHost(name string) host {
+	directory := endpoint.NewDirectory()
+	directory.Merge(endpoint.Info{ID: id, Incarnation: 1, State: endpoint.Live, Kind: endpoint.Plain, Service: "s", Slots: 8})
+	router := route.New(directory, hazard.New(), route.Home{Node: name}, 1)
+	members := roster.New(time.Minute, func(int) time.Duration { return time.Second })
+	return host{router, members, loadsync.New(router, members, name)}
+}
+
+func prompt() route.Query {
+	return route.Query{
+		Target: route.Target{Service: "s"}, PromptTokens: 9000, AnswerTokens: 10,
+		Prefix: []uint64{1, 2}, PrefixTokens: []int{8000, 9000}, Shared: 1,
+	}
+}
+
+// What one host has under way is queued before what another sends: by a full
+// datagram, and at once by a brief one.
+func TestLoadsReachTheOtherHost(t *testing.T) {
+	for _, brief := range []bool{false, true} {
+		a, b := newHost("a"), newHost("b")
+		a.router.Choose(prompt(), route.Expected, now)
+		told := roster.Told{Host: roster.Host{Incarnation: "a", Node: "a"}, Sequence: 1, Loads: a.loads.Own()}
+		if len(told.Loads) != 1 || told.Loads[0].PrefillTokens != 9000 {
+			t.Fatalf("own loads: got %+v, want 9000 tokens at one endpoint", told.Loads)
+		}
+		if brief {
+			b.members.Hear(roster.Told{Host: told.Host, Sequence: 1}, now)
+			b.loads.HearBrief("a", 2, a.loads.OwnAt([]string{id}), a.router.TakePlacements(), now)
+		} else {
+			b.members.Hear(told, now)
+			b.loads.HearPlaced(a.router.TakePlacements())
+			b.loads.Take(now)
+		}
+		c, ok := b.router.Choose(prompt(), route.Expected, now)
+		if !ok || c.Queued <= 0 {
+			t.Errorf("brief %v: got %v queued before the second host's prompt, want some", brief, c.Queued)
+		}
+		if got, want := c.CachedTokens, 8000; got != want {
+			t.Errorf("brief %v: got %d tokens reckoned cached, want %d", brief, got, want)
+		}
+	}
+}
