--- a/pkg/app/node/heartbeat.go
+++ b/pkg/app/node/heartbeat.go
@@ -71,7 +71,7 @@
 
 // rowPause is the time between two writes of the row, by how many hosts write as
 // often: those with callers keep what they counted, the others show that they live.
-// That is least at least for a host that has served nobody yet.
+// A host that has served nobody yet waits for least, whoever it takes itself for.
 func (n *node) rowPause(least time.Duration) time.Duration {
 	serving := len(n.router.OwnLoads()) > 0 || len(n.counter.Recent()) > 0
 	if serving || n.view.Roster().Advertises(n.settings.Node) {
