--- a/pkg/roster/advertised.go
+++ b/pkg/roster/advertised.go
@@ -88,7 +88,9 @@
 	var ranked []*member
 	all := 0
 	for _, m := range r.live() {
-		if !m.row.Leaving {
+		// Whoever is unheard for the silence is not told, however rarely it is heard:
+		// a host that was slow itself heard others rarely and named one 7 s after its end.
+		if !m.row.Leaving && r.heardAt.Sub(m.heardAt()) <= r.silence {
 			ranked = append(ranked, m)
 			all += m.size()
 		}
--- a/pkg/roster/advertised_test.go
+++ b/pkg/roster/advertised_test.go
@@ -121,3 +121,22 @@
 		t.Errorf("of another host: got %d near and %d far, want 0 and 90", len(near), len(far))
 	}
 }
+
+// A host whose datagrams were heard rarely, as this one was slow, is not told to
+// callers for longer than any other once it is silent.
+func TestRarelyHeardHostIsNotToldForLonger(t *testing.T) {
+	const silence = 3 * time.Second
+	members := roster.New(silence, func(int) time.Duration { return time.Second })
+	now := time.Unix(1000, 0)
+	for sequence := range int64(4) {
+		now = now.Add(4 * time.Second)
+		members.Hear(roster.Told{Host: roster.Host{Incarnation: "a", Node: "a"}, Sequence: sequence + 1}, now)
+	}
+	if got := len(members.Entries()); got != 1 {
+		t.Fatalf("heard just now: got %d hosts told, want 1", got)
+	}
+	members.Heard(now.Add(silence + 200*time.Millisecond))
+	if got := members.Entries(); len(got) != 0 {
+		t.Errorf("silent: got %v told, want none", got)
+	}
+}
