A host's row counts from when it was written, not from when it was read

In a fleet of 70 hosts rows are read every 6 s; the last row of a dead host, written before its end, counted as news at that moment and kept it known for 3.2 s more. Change: rows tell the store's clock at their writing; a new row of a known host shows that it lived then. A row of a host that is not known counts as heard, since hosts that all start anew find each other by rows of before. The test fails before.

--- a/pkg/app/node/heartbeat.go
+++ b/pkg/app/node/heartbeat.go
@@ -97,9 +97,11 @@
 	if !known {
 		return
 	}
+	written, _ := n.clock.Store()
 	row := roster.Row{
 		Host:        n.host(),
 		Sequence:    n.row.sequence,
+		Written:     written,
 		ClockOffset: offset,
 		Counts:      n.counter.Recent(),
 	}
--- a/pkg/roster/advertised.go
+++ b/pkg/roster/advertised.go
@@ -89,7 +89,7 @@
 	all := 0
 	for _, m := range r.live() {
 		// Whoever is unheard for the silence is not told, however rarely it is heard:
-		// a host that was slow itself heard others rarely and named one 7 s after its end.
+		// callers must not be sent to a host for longer that has ended.
 		if !m.row.Leaving && r.heardAt.Sub(m.heardAt()) <= r.silence {
 			ranked = append(ranked, m)
 			all += m.size()
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -29,7 +29,7 @@
 
 type member struct {
 	row Row
-	// changedAt is when its last change was heard.
+	// changedAt is when its last change was written, as far as that is known.
 	changedAt time.Time
 	// told is what was heard from the process itself, newer than the row.
 	told   Told
@@ -96,7 +96,11 @@
 	return r.known
 }
 
-// Merge takes in a row. An older one than held is dropped.
+// Merge takes in a row. An older one than held is dropped. A new row of a process that
+// is known shows that it lived when the row was written, not now: where rows are read
+// every 6 s, one written before its process died kept it known, and told to callers,
+// for 7 s after its end. One that is not known yet counts as heard: hosts that have all
+// started anew find each other by rows of before.
 func (r *Roster) Merge(row Row, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -111,7 +115,10 @@
 		if row.Leaving != m.row.Leaving {
 			r.told = nil
 		}
-		m.row, m.changedAt = row, now
+		m.row = row
+		if at := now.Add(-row.Age); at.After(m.changedAt) {
+			m.changedAt = at
+		}
 		m.count(row.Counts)
 	}
 }
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -322,3 +322,23 @@
 		t.Errorf("load among all: got %+v, want %+v", all, got)
 	}
 }
+
+// A row that was written before its process died and is read long after does not make
+// the process known again; one that was written just now does.
+func TestOldRowDoesNotReviveItsHost(t *testing.T) {
+	for _, c := range []struct {
+		age  time.Duration
+		want int
+	}{{5 * time.Second, 0}, {100 * time.Millisecond, 1}} {
+		r := roster.New(3*time.Second, func(int) time.Duration { return time.Second })
+		row := roster.Row{Host: roster.Host{Incarnation: "a", Node: "a"}, Sequence: 1}
+		r.Merge(row, start)
+		later := start.Add(6 * time.Second)
+		r.Heard(later)
+		row.Sequence, row.Age = 2, c.age
+		r.Merge(row, later)
+		if got := len(r.Entries()); got != c.want {
+			t.Errorf("row written %v before it was read: got %d hosts told, want %d", c.age, got, c.want)
+		}
+	}
+}
--- a/pkg/roster/row.go
+++ b/pkg/roster/row.go
@@ -75,6 +75,10 @@
 	Host
 	// Sequence grows with each write; a late write of an old row is told by it.
 	Sequence int64
+	// Written is the store's steady clock at the write, 0 if not told.
+	Written time.Duration
+	// Age is how long ago it was written when it was read; it is not stored.
+	Age time.Duration
 	// ClockOffset is the host's time of day less the store's steady clock.
 	ClockOffset time.Duration
 	Loads       []Load
@@ -96,6 +100,7 @@
 	Peers      string      `cbor:"11,keyasint,omitempty"`
 	SinceMS    int64       `cbor:"12,keyasint,omitempty"`
 	Millicores int         `cbor:"13,keyasint,omitempty"`
+	WrittenMS  int64       `cbor:"14,keyasint,omitempty"`
 }
 
 type wireLoad struct {
@@ -122,7 +127,7 @@
 func (r Row) Encode() ([]byte, error) {
 	w := wireRow{
 		Node: r.Node, DataCenter: r.DataCenter, Callers: r.Callers, Peers: r.Peers, SinceMS: r.Since.Milliseconds(), Sequence: r.Sequence,
-		Millicores: r.Millicores, Leaving: r.Leaving, OffsetMS: r.ClockOffset.Milliseconds(),
+		Millicores: r.Millicores, Leaving: r.Leaving, OffsetMS: r.ClockOffset.Milliseconds(), WrittenMS: r.Written.Milliseconds(),
 	}
 	for _, l := range r.Loads {
 		w.Loads = append(w.Loads, wireLoad{Endpoint: l.Endpoint, Running: l.Running, PrefillTokens: l.PrefillTokens})
@@ -149,6 +154,7 @@
 			Since: time.Duration(w.SinceMS) * time.Millisecond,
 		},
 		Sequence: w.Sequence, ClockOffset: time.Duration(w.OffsetMS) * time.Millisecond,
+		Written: time.Duration(w.WrittenMS) * time.Millisecond,
 	}
 	for _, l := range w.Loads {
 		r.Loads = append(r.Loads, Load{Endpoint: l.Endpoint, Running: l.Running, PrefillTokens: l.PrefillTokens})
--- a/pkg/storeview/view.go
+++ b/pkg/storeview/view.go
@@ -236,6 +236,9 @@
 			v.log.Error().Err(err).Msg("host's row not taken")
 			continue
 		}
+		if row.Written > 0 {
+			row.Age = max(batch.StoreTime-row.Written, 0)
+		}
 		v.roster.Merge(row, now)
 	}
 	if batch.Full {
