Relays pass on only what says something new; one copy of what a choice reckons with

Cause: 3,000 endpoints write their rows every 1.2 s; a relay passed 2,500 rows a second on to each of 75 followers, and its 4,096 changes held 1.6 s of history, so that followers that pause 1.3 s read the 1 MB table anew. Test first: fails before.

--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -5,7 +5,11 @@
 // or does I/O.
 package admission
 
-import "time"
+import (
+	"time"
+
+	"ironhollow/pkg/route"
+)
 
 // Stream is a stream that has not been sent anywhere.
 type Stream struct {
@@ -24,11 +28,17 @@
 	Least time.Duration
 }
 
+// ExpectedOf returns what a choice reckons with.
+func ExpectedOf(c route.Choice) Expected {
+	return Expected{Queued: c.Queued, Own: c.Wait - c.Queued, Least: c.Least}
+}
+
 // Thresholds of a refusal, found by playing reviews, summaries and questions on 24,
 // 34, 50 and 78 engines with a burst of 1.7 times (package lab, four seeds). Where only
 // the queue was judged, at 0.8 of the objective, callers got 0.291, 0.698, 0.973 and
-// 0.980 of the worth, and 2868, 1144, 9 and 4 requests got nothing; with these 0.588,
-// 0.825, 0.971 and 0.979, and 1585, 457, 5 and 0.
+// 0.980 of the worth, and 2868, 1144, 9 and 4 requests got nothing; with these 0.609,
+// 0.827, 0.964 and 0.978, and 1390, 379, 7 and 0 (TestOverload prints them). Figures at
+// the thresholds are of single ones changed, before homes counted in the choice.
 const (
 	// freeShare is the part of the objective up to which a queue is none: where any
 	// endpoint has so little to read, the engines are not overloaded, and a stream that
--- a/pkg/app/node/providers.go
+++ b/pkg/app/node/providers.go
@@ -68,7 +68,21 @@
 	return storecalls.New(platform.Store(client.Client, s), registry)
 }
 
-func newCopy(clock *storeclock.Clock) *relay.Copy { return relay.NewCopy(clock.Now) }
+// newCopy passes on rows of endpoints only where something of them has changed that
+// is decoded: their heartbeats tell nothing but that they live, and a row that is not
+// renewed is removed by the store.
+func newCopy(platform Platform, clock *storeclock.Clock) *relay.Copy {
+	endpoints := platform.Tables().Endpoints
+	says := func(table string, before, now []byte) bool {
+		if table != endpoints {
+			return true
+		}
+		held, errHeld := platform.DecodeEndpoint("", before)
+		heard, errHeard := platform.DecodeEndpoint("", now)
+		return errHeld != nil || errHeard != nil || held != heard
+	}
+	return relay.NewCopy(clock.Now, says)
+}
 
 func newHome(s Settings) route.Home { return route.Home{Node: s.Node, DataCenter: s.DataCenter} }
 
--- a/pkg/app/node/wire_gen.go
+++ b/pkg/app/node/wire_gen.go
@@ -21,7 +21,7 @@
 	nodeStoreClient := newStoreClient()
 	registry := process.NewRegistry()
 	counted := newStore(platform, nodeStoreClient, settings, registry)
-	relayCopy := newCopy(clock)
+	relayCopy := newCopy(platform, clock)
 	nodePeerClient := newPeerClient()
 	home := newHome(settings)
 	view := newView(platform, settings, clock, home, incarnation, logger)
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -253,8 +253,8 @@
 	if c.route.Kind != routetable.Stream || c.sends() > 0 {
 		return true
 	}
-	expected := admission.Expected{Queued: choice.Queued, Own: choice.Wait - choice.Queued, Least: choice.Least}
-	comeBack, late := admission.Stream{Objective: c.route.Objective, Priority: c.priority}.Late(expected)
+	stream := admission.Stream{Objective: c.route.Objective, Priority: c.priority}
+	comeBack, late := stream.Late(admission.ExpectedOf(choice))
 	c.comeBack = comeBack
 	return !late
 }
--- a/pkg/lab/host.go
+++ b/pkg/lab/host.go
@@ -119,8 +119,8 @@
 	comeBack := comeBackNoEndpoint
 	q := query(r)
 	q.Accepts = func(c route.Choice) bool {
-		expected := admission.Expected{Queued: c.Queued, Own: c.Wait - c.Queued, Least: c.Least}
-		wait, late := admission.Stream{Objective: r.kind.Objective, Priority: r.kind.Priority}.Late(expected)
+		stream := admission.Stream{Objective: r.kind.Objective, Priority: r.kind.Priority}
+		wait, late := stream.Late(admission.ExpectedOf(c))
 		if late {
 			comeBack = wait
 		}
--- a/pkg/lab/lab_test.go
+++ b/pkg/lab/lab_test.go
@@ -46,15 +46,24 @@
 // as read there, 0.947 to 0.956 of the reviews had their first token within a second
 // (seeds 1 to 3) and 1 in 100 of all first tokens came 1.2 s later than reckoned.
 func TestNewFiles(t *testing.T) {
-	for seed := range *seeds {
-		o := lab.Run(credit(), lab.Load{Kinds: files(), Lasts: 20 * time.Second, Settle: 3 * time.Second}, uint64(seed+1))
-		t.Logf("seed %d\n%v", seed+1, o)
+	load := lab.Load{Kinds: files(), Lasts: 20 * time.Second, Settle: 3 * time.Second}
+	eachSeed(t, credit(), load, func(o *lab.Outcome) {
 		atLeast(t, "reviews in time", o.Of("review").InTimeShare(), 0.97)
 		atLeast(t, "summaries in time", o.Of("summary").InTimeShare(), 0.99)
 		atLeast(t, "questions in time", o.Of("question").InTimeShare(), 0.99)
 		if got, want := o.OffAt(0.99), 400*time.Millisecond; got > want {
-			t.Errorf("seed %d: 1 in 100 first tokens later than reckoned: got %v, want %v at most", seed+1, got, want)
+			t.Errorf("1 in 100 first tokens later than reckoned: got %v, want %v at most", got, want)
 		}
+	})
+}
+
+// eachSeed plays a load with each seed, prints what callers got, and checks it.
+func eachSeed(t *testing.T, fleet lab.Fleet, load lab.Load, check func(*lab.Outcome)) {
+	t.Helper()
+	for seed := range *seeds {
+		o := lab.Run(fleet, load, uint64(seed+1))
+		t.Logf("%d engines, seed %d\n%v", fleet.Endpoints, seed+1, o)
+		check(o)
 	}
 }
 
@@ -85,23 +94,21 @@
 		engines int
 		earned  float64
 		lost    int
-	}{{34, 0.78, 650}, {24, 0.5, 1900}} {
+	}{{78, 0.965, 10}, {50, 0.95, 40}, {34, 0.78, 650}, {24, 0.5, 1900}} {
 		fleet := credit()
 		fleet.Endpoints = c.engines
 		load := lab.Load{
 			Kinds: files(), Lasts: 20 * time.Second, Settle: 3 * time.Second,
 			Bursts: []lab.Burst{{At: 8 * time.Second, For: 3 * time.Second, Times: 1.7}},
 		}
-		for seed := range *seeds {
-			o := lab.Run(fleet, load, uint64(seed+1))
-			t.Logf("%d engines, seed %d\n%v", c.engines, seed+1, o)
+		eachSeed(t, fleet, load, func(o *lab.Outcome) {
 			summary, review, question := o.Of("summary"), o.Of("review"), o.Of("question")
 			atLeast(t, "worth earned", o.EarnedShare(), c.earned)
 			atLeast(t, "summaries in time, the most urgent", summary.InTimeShare(), review.InTimeShare())
 			if got := summary.Lost + review.Lost + question.Lost; got > c.lost {
 				t.Errorf("%d engines: got %d requests that got nothing, want %d at most", c.engines, got, c.lost)
 			}
-		}
+		})
 	}
 }
 
@@ -113,11 +120,9 @@
 	load := lab.Load{
 		Kinds: files(), Lasts: 18 * time.Second, Settle: 3 * time.Second, Lost: []time.Duration{6 * time.Second, 10 * time.Second},
 	}
-	for seed := range *seeds {
-		o := lab.Run(fleet, load, uint64(seed+1))
-		t.Logf("seed %d\n%v", seed+1, o)
+	eachSeed(t, fleet, load, func(o *lab.Outcome) {
 		atLeast(t, "worth earned", o.EarnedShare(), 0.94)
-	}
+	})
 }
 
 // All hosts start anew twice: the parts that engines keep are found again, though
@@ -129,12 +134,10 @@
 	load := lab.Load{
 		Kinds: files(), Lasts: 20 * time.Second, Settle: 3 * time.Second, Restarts: []time.Duration{9 * time.Second, 13 * time.Second},
 	}
-	for seed := range *seeds {
-		o := lab.Run(fleet, load, uint64(seed+1))
-		t.Logf("seed %d\n%v", seed+1, o)
+	eachSeed(t, fleet, load, func(o *lab.Outcome) {
 		atLeast(t, "worth earned", o.EarnedShare(), 0.955)
 		if got, want := o.ReadAgain, 6_000_000; got > want {
 			t.Errorf("shared tokens read again: got %d, want %d at most", got, want)
 		}
-	}
+	})
 }
--- a/pkg/relay/copy.go
+++ b/pkg/relay/copy.go
@@ -16,10 +16,15 @@
 // asks for older ones reads a snapshot.
 const mostChanges = 4096
 
+// Says reports whether a row's new value says something that the one before did not.
+type Says func(table string, before, now []byte) bool
+
 // Copy is what a host has read of the store's tables itself. It is safe for
 // concurrent use.
 type Copy struct {
 	now func() time.Time
+	// says reports whether a row's new value says something that the one before did not.
+	says Says
 
 	mu     sync.Mutex
 	tables map[string]*tableCopy
@@ -39,9 +44,11 @@
 	changed chan struct{}
 }
 
-// NewCopy returns a copy of nothing.
-func NewCopy(now func() time.Time) *Copy {
-	return &Copy{now: now, tables: map[string]*tableCopy{}}
+// NewCopy returns a copy of nothing. Rows that say nothing new are not passed on as
+// changes: 3,000 endpoints that each write theirs every 1.2 s are 2,500 rows a second,
+// and went to each of 75 followers of a relay (9 MB/s at the busiest of 300 hosts).
+func NewCopy(now func() time.Time, says Says) *Copy {
+	return &Copy{now: now, says: says, tables: map[string]*tableCopy{}}
 }
 
 func (c *Copy) table(name string) *tableCopy {
@@ -75,8 +82,26 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.table(name)
-	t.add(batch)
-	t.heard(c.now(), batch, len(batch.Rows) > 0)
+	news := c.news(name, t, batch.Rows)
+	t.add(batch.Rows, news)
+	t.heard(c.now(), batch, len(news) > 0)
+}
+
+// news returns the rows that say something new, in order.
+func (c *Copy) news(name string, t *tableCopy, rows []feed.Row) []feed.Row {
+	held := map[string]feed.Row{}
+	var news []feed.Row
+	for _, row := range rows {
+		before, ok := held[row.Key]
+		if !ok {
+			before, ok = t.rows[row.Key]
+		}
+		if !ok || row.Deleted || before.Deleted || c.says(name, before.Value, row.Value) {
+			news = append(news, row)
+		}
+		held[row.Key] = row
+	}
+	return news
 }
 
 func (t *tableCopy) heard(now time.Time, batch feed.Batch, changed bool) {
@@ -101,15 +126,16 @@
 	t.version = batch.Version
 }
 
-func (t *tableCopy) add(batch feed.Batch) {
-	for _, row := range batch.Rows {
+// add takes in rows, of which news are passed on.
+func (t *tableCopy) add(rows, news []feed.Row) {
+	for _, row := range rows {
 		if row.Deleted {
 			delete(t.rows, row.Key)
 		} else {
 			t.rows[row.Key] = row
 		}
-		t.changes = append(t.changes, row)
 	}
+	t.changes = append(t.changes, news...)
 	if extra := len(t.changes) - mostChanges; extra > 0 {
 		t.dropped = t.changes[extra-1].Version
 		t.changes = append([]feed.Row(nil), t.changes[extra:]...)
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -37,6 +37,13 @@
 	return s.batch, nil
 }
 
+// says tells values apart by what stands before a dot; behind it a row counts.
+func says(_ string, before, now []byte) bool {
+	first, _, _ := strings.Cut(string(before), ".")
+	second, _, _ := strings.Cut(string(now), ".")
+	return first != second
+}
+
 func lag(string) time.Duration { return time.Second }
 
 // clock is moved by hand.
@@ -60,14 +67,18 @@
 // follower is a host that follows a relay.
 func follower(t *testing.T, c *clock) (relayCopy *relay.Copy, direct *store, source *relay.Source) {
 	t.Helper()
-	relayCopy = relay.NewCopy(c.Now)
+	relayCopy = relay.NewCopy(c.Now, says)
 	direct = &store{batch: feed.Batch{Version: 99}}
-	address := serve(t, relayCopy)
-	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
-	source = relay.NewSource(direct, relay.NewCopy(c.Now), http.DefaultClient, func() []string { return []string{address} }, lag, logger)
+	source = newSource(direct, relay.NewCopy(c.Now, says), serve(t, relayCopy))
 	return relayCopy, direct, source
 }
 
+// newSource returns the source of a host that chooses among relays.
+func newSource(direct *store, own *relay.Copy, addresses ...string) *relay.Source {
+	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+	return relay.NewSource(direct, own, http.DefaultClient, func() []string { return addresses }, lag, logger)
+}
+
 // serve returns the address at which a copy is followed.
 func serve(t *testing.T, relayCopy *relay.Copy) string {
 	t.Helper()
@@ -161,10 +172,7 @@
 	c.pass(2 * time.Second)
 	fresh.Restart("t", feed.Batch{Version: 10})
 	fresh.Add("t", feed.Batch{Version: 11, Rows: []feed.Row{row("a", 11)}})
-	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
-	addresses := []string{serve(t, stale), serve(t, fresh)}
-	relays := func() []string { return addresses }
-	source := relay.NewSource(direct, relay.NewCopy(c.Now), http.DefaultClient, relays, lag, logger)
+	source := newSource(direct, relay.NewCopy(c.Now, says), serve(t, stale), serve(t, fresh))
 	batch, err := source.Changes(context.Background(), "t", 10, time.Second)
 	if err != nil || batch.Version != 11 || len(batch.Rows) != 1 {
 		t.Errorf("changes: got %+v, %v, want those of the other relay", batch, err)
@@ -182,8 +190,7 @@
 	address := strings.TrimPrefix(silent.URL, "http://")
 	addresses := []string{address, strings.Replace(address, "127.0.0.1", "127.0.0.2", 1), strings.Replace(address, "127.0.0.1", "127.0.0.3", 1)}
 	direct := &store{batch: feed.Batch{Version: 99}}
-	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
-	source := relay.NewSource(direct, relay.NewCopy(time.Now), http.DefaultClient, func() []string { return addresses }, lag, logger)
+	source := newSource(direct, relay.NewCopy(time.Now, says), addresses...)
 	asked := time.Now()
 	batch, err := source.Changes(context.Background(), "t", 10, 100*time.Millisecond)
 	if err != nil || batch.Version != 99 {
@@ -202,6 +209,33 @@
 	}
 }
 
+// Rows that say nothing new are not passed on, but are in the table that a new
+// follower reads; a row that goes and comes back is news.
+func TestOnlyNewsIsPassedOn(t *testing.T) {
+	c := &clock{now: time.Now()}
+	relayCopy, _, source := follower(t, c)
+	value := func(text string, version int64) feed.Row {
+		return feed.Row{Key: "a", Value: []byte(text), Version: version}
+	}
+	relayCopy.Restart("t", feed.Batch{Version: 10, Rows: []feed.Row{value("live.1", 10)}})
+	relayCopy.Add("t", feed.Batch{Version: 12, Rows: []feed.Row{value("live.2", 11), value("live.3", 12)}})
+	ctx := context.Background()
+	batch, err := source.Changes(ctx, "t", 10, 20*time.Millisecond)
+	if err != nil || len(batch.Rows) != 0 || batch.Version != 12 {
+		t.Errorf("changes without news: got %+v, %v, want none up to 12", batch, err)
+	}
+	if batch, err = source.Snapshot(ctx, "t"); err != nil || len(batch.Rows) != 1 || string(batch.Rows[0].Value) != "live.3" {
+		t.Errorf("snapshot: got %+v, %v, want the latest row", batch, err)
+	}
+	relayCopy.Add("t", feed.Batch{Version: 16, Rows: []feed.Row{
+		value("leaving.4", 13), {Key: "a", Version: 14, Deleted: true}, value("leaving.5", 15), value("leaving.6", 16),
+	}})
+	batch, err = source.Changes(ctx, "t", 12, time.Second)
+	if err != nil || len(batch.Rows) != 3 || batch.Rows[0].Version != 13 || !batch.Rows[1].Deleted || batch.Rows[2].Version != 15 {
+		t.Errorf("changes: got %+v, %v, want leaving, gone and back", batch, err)
+	}
+}
+
 // A relay that has read a snapshot itself does not know what happened before.
 func TestHistoryBeforeASnapshotIsGone(t *testing.T) {
 	c := &clock{now: time.Now()}
@@ -217,9 +251,8 @@
 func TestNewRelayReadsASnapshot(t *testing.T) {
 	c := &clock{now: time.Now()}
 	direct := &store{batch: feed.Batch{Version: 200, Rows: []feed.Row{row("a", 150)}}}
-	own := relay.NewCopy(c.Now)
-	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
-	source := relay.NewSource(direct, own, http.DefaultClient, func() []string { return nil }, lag, logger)
+	own := relay.NewCopy(c.Now, says)
+	source := newSource(direct, own)
 	ctx := context.Background()
 	if _, err := source.Changes(ctx, "t", 100, time.Second); !errors.Is(err, feed.ErrHistoryGone) {
 		t.Errorf("changes after 100: got %v, want ErrHistoryGone", err)
--- a/pkg/route/prefix.go
+++ b/pkg/route/prefix.go
@@ -118,8 +118,8 @@
 // markCached notes on each slot how many tokens of the prefix it has cached
 // and returns the slots it marked. Only what was sent there counts: with the home of a
 // part that nobody had read reckoned as having it, 5 in 100 of 100 reviews a second
-// missed their second on 78 engines, and 1.5 in 100 do without (package lab, the load
-// of new files). The group's lock is held.
+// missed their second on 78 engines, and 1.4 in 100 do without (package lab, the load
+// of new files, seeds 1 to 4). The group's lock is held.
 func (g *group) markCached(q Query, byID map[string]*slot) marked {
 	var m marked
 	if len(q.Prefix) == 0 {
--- /dev/null
+++ b/pkg/route/query.go
@@ -0,0 +1,88 @@
+package route
+
+import (
+	"time"
+
+	"ironhollow/pkg/endpoint"
+)
+
+// Target names what a request needs to be loaded: a model with version and
+// adapter, or a plain service.
+type Target struct {
+	Service string
+	Model   string
+	Version string
+	Adapter string
+}
+
+// Query is one request for an endpoint.
+type Query struct {
+	Target Target
+	// Prefix is the prompt's prefix hashes (see Hash); it may be empty.
+	Prefix []uint64
+	// PrefixTokens is how many tokens each prefix covers, from the prompt's
+	// start; nil where every one is one block longer than the one before.
+	PrefixTokens []int
+	// Shared is how many of the prefixes other requests have too. Requests that share
+	// a prefix go to the same endpoint from every entry, where it was sent before or
+	// has its home, unless its load speaks against it; 0 leaves that to what this entry
+	// has sent.
+	Shared int
+	// PromptTokens and AnswerTokens are what is expected, not known.
+	PromptTokens, AnswerTokens int
+	// Done is tokens of the answer had already, to be prefilled again.
+	Done int
+	// Stake is how many seconds a lost second of work counts for; 1 for work
+	// that waits, more for a caller at a counter, 0 to leave risk out.
+	Stake float64
+	// Avoid lists endpoints that this request failed on.
+	Avoid []endpoint.Ref
+	// MayWait marks work that takes an endpoint only where that leaves room for
+	// callers who wait.
+	MayWait bool
+	// Sample is how many endpoints are looked at beside those that have the
+	// prefix, 0 for all up to a bound. Where many entries choose by old reports, a
+	// few at random spread better than the best of all (Mitzenmacher 2001).
+	Sample int
+	// Accepts is asked whether the best endpoint is used; nil uses it. What is not
+	// accepted leaves no trace but the work asked for: a part that was refused is not
+	// taken for read.
+	Accepts func(Choice) bool
+	stale   bool
+}
+
+// Choice is an endpoint chosen. Every Choice must be ended with Done.
+type Choice struct {
+	Endpoint endpoint.Info
+	// Expected is the time to completion that was reckoned with.
+	Expected time.Duration
+	// Wait is the part of it before the first token.
+	Wait time.Duration
+	// Queued is the part of Wait for what was there before, Least the least such time
+	// at any endpoint that was looked at.
+	Queued, Least time.Duration
+	// CachedTokens is how much of the prompt was reckoned cached there.
+	CachedTokens int
+	sent         time.Time
+	// uncached is the prompt's part that was reckoned to be prefilled, ahead the
+	// tokens of others that were reckoned to be prefilled before it.
+	uncached, ahead int
+}
+
+// Sent returns when the endpoint was chosen.
+func (c Choice) Sent() time.Time { return c.sent }
+
+// Strategy names a way to choose.
+type Strategy int
+
+// The strategies; all but Expected are naive.
+const (
+	Expected Strategy = iota
+	Random
+	RoundRobin
+	LeastReported
+	PowerOfTwo
+	// ExpectedStale is Expected without the correction of reports by what was
+	// sent since: for measuring what the correction is worth.
+	ExpectedStale
+)
