--- a/pkg/app/node/duties.go
+++ b/pkg/app/node/duties.go
@@ -150,13 +150,13 @@
 		return
 	}
 	serving := map[autoscale.Place]int{}
+	now := n.clock.Now()
 	for _, info := range n.view.Directory().View().Infos() {
-		if info.State == endpoint.Live {
+		if info.State == endpoint.Live && n.rollouts.Counts(&info, now) {
 			serving[autoscale.Place{Service: info.Service, DataCenter: info.DataCenter, Reclaimable: info.Reclaimable}]++
 		}
 	}
-	works := n.view.Roster().Works(n.clock.Now())
-	now := n.clock.Now()
+	works := n.view.Roster().Works(now)
 	for _, service := range current.Services() {
 		if service.Scaling == nil {
 			continue
@@ -166,11 +166,22 @@
 			return serving[place], n.orderer.Soon(place, serving[place], service.Scaling.Boot, now)
 		}
 		orders, _ := autoscale.Plan(service, n.traffic.Demand(service.Name, works[service.Name], now), supply)
+		if n.rollouts.IsOpen(service.Name) {
+			keepAll(orders, service.Scaling.Most)
+		}
 		count := func(p autoscale.Place) int { return serving[p] }
 		n.orderer.Step(ctx, orders, count, service.Scaling.Boot, now, held)
 	}
 }
 
+// keepAll keeps orders from giving up endpoints while a version is rolled out: those of
+// the version before must carry all requests until it is decided.
+func keepAll(orders []autoscale.Order, most int) {
+	for i := range orders {
+		orders[i].Keep = most
+	}
+}
+
 // sweepRows removes rows of processes that are long dead.
 func (n *node) sweepRows(ctx context.Context) {
 	for _, incarnation := range n.view.Roster().Silent(rowKept) {
--- a/pkg/app/node/loads.go
+++ b/pkg/app/node/loads.go
@@ -42,6 +42,10 @@
 		return
 	}
 	now := n.clock.Now()
+	if len(told.Rollouts) > 0 {
+		n.hearRollouts(told, now)
+		return
+	}
 	if told.Brief {
 		n.loads.HearBrief(told.Incarnation, told.Sequence, told.Loads, told.Placed, now)
 		return
@@ -69,5 +73,6 @@
 	n.loads.Take(now)
 	n.view.Endpoints().Expire()
 	n.noteRole()
+	n.surveyRollouts(now)
 	n.limits.SetFleet(n.view.Roster().Fleet(string(n.incarnation), now))
 }
--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -27,6 +27,8 @@
 	"ironhollow/pkg/loadsync"
 	"ironhollow/pkg/pause"
 	"ironhollow/pkg/relay"
+	"ironhollow/pkg/rollout"
+	"ironhollow/pkg/rolloutsync"
 	"ironhollow/pkg/route"
 	"ironhollow/pkg/storecalls"
 	"ironhollow/pkg/storeclock"
@@ -76,6 +78,9 @@
 	registry  *prometheus.Registry
 	row       *ownRow
 	role      *fleetRole
+	rollouts  *rollout.Switch
+	desk      *rolloutsync.Desk
+	datagrams *datagrams
 }
 
 // Main runs a node's command line and returns the exit code.
@@ -137,12 +142,15 @@
 	go n.beat(background)
 	go n.sweep(background)
 	go n.tellCalls(background)
+	go n.followRollouts(background, source)
 	if err := n.exchange(background); err != nil {
 		return err
 	}
 	var duties sync.WaitGroup
 	dutiesCtx, endDuties := context.WithCancel(background)
 	duties.Go(func() { n.duties(dutiesCtx) })
+	duties.Go(func() { n.ownRollouts(dutiesCtx) })
+	go n.tellRollouts(dutiesCtx)
 
 	faults := make(chan error, 3)
 	servers, err := n.listen(faults)
@@ -205,6 +213,7 @@
 	if err != nil {
 		return err
 	}
+	n.datagrams.set(e)
 	go e.Run(ctx, n.takeLoads)
 	go e.TellAtOnce(ctx, n.router.Urgent(), n.toldOf)
 	return nil
--- a/pkg/app/node/platform.go
+++ b/pkg/app/node/platform.go
@@ -7,6 +7,7 @@
 	"ironhollow/pkg/autoscale"
 	"ironhollow/pkg/feed"
 	"ironhollow/pkg/forward"
+	"ironhollow/pkg/rolloutsync"
 	"ironhollow/pkg/roster"
 	"ironhollow/pkg/storeview"
 	"ironhollow/pkg/table"
@@ -28,6 +29,7 @@
 // Platform is what a node runs on. It decides nothing.
 type Platform interface {
 	storeview.Decoder
+	rolloutsync.Status
 	ReadSettings() (Settings, error)
 	Store(client *http.Client, s Settings) Store
 	Cloud(client *http.Client, s Settings) Cloud
--- a/pkg/app/node/providers.go
+++ b/pkg/app/node/providers.go
@@ -22,6 +22,8 @@
 	"ironhollow/pkg/loadsync"
 	"ironhollow/pkg/relay"
 	"ironhollow/pkg/retry"
+	"ironhollow/pkg/rollout"
+	"ironhollow/pkg/rolloutsync"
 	"ironhollow/pkg/roster"
 	"ironhollow/pkg/route"
 	"ironhollow/pkg/storecalls"
@@ -86,9 +88,22 @@
 
 func newHome(s Settings) route.Home { return route.Home{Node: s.Node, DataCenter: s.DataCenter} }
 
-func newView(platform Platform, s Settings, clock *storeclock.Clock, home route.Home, self Incarnation, logger *log.Logger) *storeview.View {
+func newRollouts(s Settings) *rollout.Switch { return rollout.New(s.Rollouts) }
+
+func newDesk(platform Platform, rollouts *rollout.Switch, view *storeview.View, writer *table.Writer, clock *storeclock.Clock,
+	leases *lease.Manager, logger *log.Logger,
+) *rolloutsync.Desk {
+	held := func() (lease.Grant, time.Duration, bool) {
+		grant, ok := leases.Held(dutyShard)
+		return grant, leases.Left(dutyShard), ok
+	}
+	fleet := func(order rollout.Order) rollout.Fleet { return rolloutFleet(view, order) }
+	return rolloutsync.NewDesk(rollouts, rollout.DefaultWay, writer, platform, fleet, clock, held, logger)
+}
+
+func newView(platform Platform, s Settings, clock *storeclock.Clock, home route.Home, self Incarnation, rollouts *rollout.Switch, logger *log.Logger) *storeview.View {
 	members := roster.New(silence, gossip.Interval)
-	return storeview.New(platform, s.EndpointHeartbeat, clock, members, home, string(self), logger)
+	return storeview.New(platform, s.EndpointHeartbeat, clock, members, home, string(self), rollouts, logger)
 }
 
 func newRouter(view *storeview.View, home route.Home, clock *storeclock.Clock) *route.Router {
@@ -143,10 +158,10 @@
 }
 
 func newForwarder(platform Platform, view *storeview.View, home route.Home, router *route.Router, limits *limit.Shared, budget *retry.Window,
-	pool *upstream.Pool, counter *usage.Counter, life *life, clock *storeclock.Clock, registry *prometheus.Registry, logger *log.Logger,
+	pool *upstream.Pool, counter *usage.Counter, rollouts *rollout.Switch, life *life, clock *storeclock.Clock, registry *prometheus.Registry, logger *log.Logger,
 ) *forward.Forwarder {
 	return forward.New(platform.Protocol(), view.Tables(), router, limits, budget, pool, counter,
-		fleet{view.Roster(), home.Node}, life.phase, clock.Now, forward.NewMetrics(registry), logger)
+		fleet{view.Roster(), home.Node}, rollouts, life.phase, clock.Now, forward.NewMetrics(registry), logger)
 }
 
 // fleet is the roster as one host sees it.
--- /dev/null
+++ b/pkg/app/node/rollouts.go
@@ -0,0 +1,202 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/feed"
+	"ironhollow/pkg/gossip"
+	"ironhollow/pkg/pause"
+	"ironhollow/pkg/rollout"
+	"ironhollow/pkg/rolloutsync"
+	"ironhollow/pkg/storeview"
+)
+
+// Timing of roll-outs.
+const (
+	// decidePause is the time between two decisions of the owner of an order, idlePause
+	// between two looks whether there is one.
+	decidePause = 100 * time.Millisecond
+	idlePause   = 400 * time.Millisecond
+	// wordPause is the time between two words to each host, in fleets of up to
+	// wordHosts; more are told less often, so that the owner's work stays.
+	wordPause = 250 * time.Millisecond
+	wordHosts = 250
+	// rowsFollowed is how long the orders' rows are followed after the last has ended.
+	rowsFollowed = 5 * time.Second
+)
+
+// datagrams is the exchange with other hosts, once it is there.
+type datagrams struct {
+	exchange atomic.Pointer[gossip.Exchange]
+}
+
+func (d *datagrams) set(e *gossip.Exchange) { d.exchange.Store(e) }
+
+// tell sends words or reports to one host, or to all where to is empty.
+func (d *datagrams) tell(data []byte, to string) {
+	if e := d.exchange.Load(); e != nil {
+		e.TellRollouts(data, to)
+	}
+}
+
+// ownRollouts decides on open orders while this host holds the lease of the duties.
+func (n *node) ownRollouts(ctx context.Context) {
+	if !n.rollouts.Bounds().Enabled() {
+		return
+	}
+	for ctx.Err() == nil {
+		n.desk.Step(ctx)
+		if len(n.rollouts.Open()) > 0 {
+			pause.For(ctx, decidePause)
+		} else {
+			pause.For(ctx, idlePause)
+		}
+	}
+}
+
+// tellRollouts tells all hosts what this one has decided.
+func (n *node) tellRollouts(ctx context.Context) {
+	if !n.rollouts.Bounds().Enabled() {
+		return
+	}
+	for ctx.Err() == nil {
+		words := n.desk.Words()
+		if len(words) == 0 {
+			pause.For(ctx, wordPause)
+			continue
+		}
+		data, err := rolloutsync.EncodeWords(words)
+		if err != nil {
+			n.log.Error().Err(err).Msg("words of roll-outs not encoded")
+			return
+		}
+		n.datagrams.tell(data, "")
+		n.takeWords(words, n.clock.Now())
+		for _, r := range n.reports(words) {
+			n.desk.Hear(string(n.incarnation), r)
+		}
+		pause.For(ctx, wordPause*time.Duration(max(n.view.Roster().Sharing(), wordHosts))/wordHosts)
+	}
+}
+
+// takeWords takes in an owner's words.
+func (n *node) takeWords(words []rollout.Word, now time.Time) {
+	for _, w := range words {
+		if n.rollouts.Hear(w, now) {
+			n.log.Info().Str("service", w.Service).Int64("order", w.Order).Str("phase", w.Phase.String()).Float64("share", w.Share).
+				Int64("epoch", w.Epoch).Int64("word", w.Number).Msg("share of a roll-out")
+		}
+	}
+}
+
+// reports returns what this host tells of the orders that words are about.
+func (n *node) reports(words []rollout.Word) []rollout.Report {
+	var reports []rollout.Report
+	for _, w := range words {
+		if r, ok := n.rollouts.Report(w.Service, w.Order, n.clock.Now()); ok {
+			reports = append(reports, r)
+		}
+	}
+	return reports
+}
+
+// hearRollouts takes in words and answers with reports, or takes in these.
+func (n *node) hearRollouts(told gossip.Told, now time.Time) {
+	words, reports, err := rolloutsync.Decode(told.Rollouts)
+	if err != nil {
+		n.log.Debug().Err(err).Str("from", told.Incarnation).Msg("datagram on roll-outs not understood")
+		return
+	}
+	for _, r := range reports {
+		n.desk.Hear(told.Incarnation, r)
+	}
+	if len(words) == 0 {
+		return
+	}
+	n.takeWords(words, now)
+	own := n.reports(words)
+	if len(own) == 0 || told.Peers == "" {
+		return
+	}
+	data, err := rolloutsync.EncodeReports(own)
+	if err != nil {
+		n.log.Error().Err(err).Msg("reports of roll-outs not encoded")
+		return
+	}
+	n.datagrams.tell(data, told.Peers)
+}
+
+// surveyRollouts brings the split of requests up to date with the endpoints.
+func (n *node) surveyRollouts(now time.Time) {
+	if !n.rollouts.Bounds().Enabled() || !n.view.Endpoints().Known() {
+		return
+	}
+	_, fresh := n.view.Tables().Current()
+	n.rollouts.Survey(n.view.Directory().View().Infos(), fresh, now)
+	for _, order := range n.rollouts.Lapsed(now) {
+		n.log.Warn().Str("service", order.Service).Str("target", order.Target).Int64("order", order.ID).
+			Msg("the owner of the roll-out is not heard: requests go to the version before")
+	}
+}
+
+// followRollouts follows the orders' rows while there are open ones: hosts that do not
+// hear the owner learn from them how an order ended. Without orders it makes no call.
+func (n *node) followRollouts(ctx context.Context, source feed.Source) {
+	if !n.rollouts.Bounds().Enabled() {
+		return
+	}
+	for ctx.Err() == nil {
+		pause.For(ctx, idlePause)
+		if len(n.rollouts.Open()) == 0 {
+			continue
+		}
+		following, stop := context.WithCancel(ctx)
+		go n.view.FollowRows(following, source, rolloutsync.Table, n.takeRolloutRows)
+		openAt := time.Now()
+		for ctx.Err() == nil && time.Since(openAt) < rowsFollowed {
+			pause.For(ctx, idlePause)
+			if len(n.rollouts.Open()) > 0 {
+				openAt = time.Now()
+			}
+		}
+		stop()
+	}
+}
+
+func (n *node) takeRolloutRows(batch feed.Batch) {
+	for _, stored := range batch.Rows {
+		if stored.Deleted {
+			continue
+		}
+		state, err := rolloutsync.DecodeState(stored.Value)
+		if err != nil {
+			n.log.Error().Err(err).Str("row", stored.Key).Msg("state of a roll-out not taken")
+			continue
+		}
+		if n.rollouts.Ended(state, n.clock.Now()) {
+			n.log.Info().Str("service", state.Order.Service).Int64("order", state.Order.ID).Str("phase", state.Phase.String()).
+				Str("why", state.Why).Msg("roll-out as its row tells")
+		}
+	}
+}
+
+// rolloutFleet is what an owner needs to know of hosts and endpoints.
+func rolloutFleet(view *storeview.View, order rollout.Order) rollout.Fleet {
+	f := rollout.Fleet{Live: view.Roster().Live(), Callers: view.Roster().Advertised()}
+	for _, info := range view.Directory().View().Infos() {
+		switch {
+		case info.Service != order.Service || info.State != endpoint.Live:
+		case info.Release != order.Target:
+			f.Others++
+		case info.Cold:
+			f.Targets++
+		default:
+			f.Targets++
+			f.Warm++
+		}
+	}
+	return f
+}
--- a/pkg/app/node/settings.go
+++ b/pkg/app/node/settings.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"ironhollow/pkg/httpx"
+	"ironhollow/pkg/rollout"
 )
 
 // RetryBounds bound what all nodes together send again.
@@ -47,6 +48,9 @@
 	Lease  time.Duration
 	Retry  RetryBounds
 	Limits LimitBounds
+	// Rollouts bound what a version that turns out bad may get; no roll-outs are ordered
+	// where they are not set.
+	Rollouts rollout.Bounds
 	// UsageWindow is the length of a window of usage.
 	UsageWindow                   time.Duration
 	ReportsUsage, OrdersEndpoints bool
@@ -74,6 +78,9 @@
 	if s.ReportsUsage && s.UsageWindow <= 0 {
 		faults = append(faults, errors.New("the window of usage must be above 0"))
 	}
+	if s.Rollouts.Share < 0 || s.Rollouts.Share >= 1 || s.Rollouts.Slack < 0 {
+		faults = append(faults, fmt.Errorf("the share of a bad version must be in [0, 1) and its slack 0 or more, got %v and %v", s.Rollouts.Share, s.Rollouts.Slack))
+	}
 	if s.Retry.Window <= 0 {
 		faults = append(faults, errors.New("the window of the retry budget must be above 0"))
 	}
--- a/pkg/app/node/wire.go
+++ b/pkg/app/node/wire.go
@@ -12,10 +12,10 @@
 
 func build(platform Platform, settings Settings, incarnation Incarnation) *node {
 	wire.Build(
-		newLog, newLife, newPool, newStoreClient, newPeerClient, newStore, newCopy, newHome, newView, newRouter, newLoads, newLimits,
+		newLog, newLife, newPool, newStoreClient, newPeerClient, newStore, newCopy, newHome, newView, newRouter, newRollouts, newDesk, newLoads, newLimits,
 		newCounter, newWriter, newLeases, newDutyCloud, newReporter, newOrderer, newBudget, newForwarder,
 		storeclock.New, autoscale.NewTraffic, process.NewRegistry,
-		wire.Struct(new(ownRow)), wire.Struct(new(fleetRole)), wire.Struct(new(node), "*"),
+		wire.Struct(new(ownRow)), wire.Struct(new(datagrams)), wire.Struct(new(fleetRole)), wire.Struct(new(node), "*"),
 	)
 	return nil
 }
--- a/pkg/app/node/wire_gen.go
+++ b/pkg/app/node/wire_gen.go
@@ -24,7 +24,8 @@
 	relayCopy := newCopy(platform, clock)
 	nodePeerClient := newPeerClient()
 	home := newHome(settings)
-	view := newView(platform, settings, clock, home, incarnation, logger)
+	rolloutSwitch := newRollouts(settings)
+	view := newView(platform, settings, clock, home, incarnation, rolloutSwitch, logger)
 	router := newRouter(view, home, clock)
 	sync := newLoads(router, view, incarnation)
 	shared := newLimits(settings, clock)
@@ -37,9 +38,11 @@
 	orderer := newOrderer(nodeDutyCloud, logger)
 	traffic := autoscale.NewTraffic()
 	window := newBudget(settings)
-	forwarder := newForwarder(platform, view, home, router, shared, window, pool, counter, nodeLife, clock, registry, logger)
+	forwarder := newForwarder(platform, view, home, router, shared, window, pool, counter, rolloutSwitch, nodeLife, clock, registry, logger)
 	nodeOwnRow := &ownRow{}
 	nodeFleetRole := &fleetRole{}
+	desk := newDesk(platform, rolloutSwitch, view, writer, clock, manager, logger)
+	nodeDatagrams := &datagrams{}
 	nodeNode := &node{
 		settings:    settings,
 		platform:    platform,
@@ -64,6 +67,9 @@
 		registry:    registry,
 		row:         nodeOwnRow,
 		role:        nodeFleetRole,
+		rollouts:    rolloutSwitch,
+		desk:        desk,
+		datagrams:   nodeDatagrams,
 	}
 	return nodeNode
 }
--- a/pkg/endpoint/endpoint.go
+++ b/pkg/endpoint/endpoint.go
@@ -67,6 +67,10 @@
 	Slots int
 	// Engine says that a plain service's endpoint runs batches of a model.
 	Engine bool
+	// Release is the version of the endpoint's software, empty if it did not tell.
+	Release string
+	// Cold says that it has started a moment ago and is slow for it.
+	Cold bool
 	// LeaveBy is when a leaving endpoint goes, zero if not known.
 	LeaveBy time.Time
 }
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/rollout"
 	"ironhollow/pkg/route"
 	"ironhollow/pkg/upstream"
 )
@@ -39,7 +40,10 @@
 }
 
 // streaming is the head of a stream whose events are yet to be read.
-type streaming struct{ exchange *upstream.Exchange }
+type streaming struct {
+	exchange *upstream.Exchange
+	tracked  *rollout.Send
+}
 
 func (notRun) result()    {}
 func (unclear) result()   {}
@@ -131,7 +135,7 @@
 		return unclear{errUnsigned}
 	}
 	if e.Status()/100 == 2 && strings.HasPrefix(e.Header().Get("Content-Type"), "text/event-stream") {
-		return streaming{e}
+		return streaming{exchange: e}
 	}
 	return readAnswer(e)
 }
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -15,6 +15,7 @@
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/limit"
 	"ironhollow/pkg/retry"
+	"ironhollow/pkg/rollout"
 	"ironhollow/pkg/route"
 	"ironhollow/pkg/routetable"
 	"ironhollow/pkg/upstream"
@@ -53,6 +54,7 @@
 	pool     *upstream.Pool
 	runs     Runs
 	fleet    Fleet
+	rollouts *rollout.Switch
 	clock    Clock
 	metrics  *Metrics
 	log      *log.Logger
@@ -75,11 +77,11 @@
 
 // New returns a forwarder.
 func New(protocol Protocol, tables Tables, router *route.Router, limits *limit.Shared, budget *retry.Window, pool *upstream.Pool,
-	runs Runs, fleet Fleet, phase func() Phase, clock Clock, metrics *Metrics, logger *log.Logger,
+	runs Runs, fleet Fleet, rollouts *rollout.Switch, phase func() Phase, clock Clock, metrics *Metrics, logger *log.Logger,
 ) *Forwarder {
 	return &Forwarder{
 		protocol: protocol, tables: tables, router: router, limits: limits, budget: budget, pool: pool,
-		runs: runs, fleet: fleet, phase: phase, clock: clock, metrics: metrics, log: logger, lines: newLineBudget(clock()),
+		runs: runs, fleet: fleet, rollouts: rollouts, phase: phase, clock: clock, metrics: metrics, log: logger, lines: newLineBudget(clock()),
 	}
 }
 
@@ -114,7 +116,11 @@
 	// offered says that an endpoint was sent the request and could run it.
 	offered bool
 	// avoid lists endpoints it failed at.
-	avoid    []endpoint.Ref
+	avoid []endpoint.Ref
+	// side is the versions of endpoints that it goes to, kind what its answers show of
+	// them.
+	side     rollout.Side
+	kind     rollout.Kind
 	attempts int
 	// comeBack is when the caller is told to return, above 0 once it is refused for
 	// what is queued.
@@ -183,6 +189,7 @@
 		PromptTokens: c.meta.PromptTokens,
 		AnswerTokens: max(c.meta.ExpectedTokens, 1),
 		Avoid:        c.avoid,
+		Rule:         c.f.rollouts.Rule(c.service.Name, c.side),
 	}
 	if c.f.fleet.Advertised() >= staleFleet {
 		q.Sample = staleSample
@@ -200,6 +207,7 @@
 // run sends the request until it is answered or given up.
 func (c *call) run(ctx context.Context) error {
 	c.f.budget.Sent(c.service.Name, c.f.clock())
+	c.pickSide()
 	var last result = notRun{err: errors.New("no endpoint takes work")}
 	for {
 		choice, ok := c.choose(ctx)
@@ -212,7 +220,7 @@
 		sent := c.f.clock()
 		last = c.attempt(ctx, choice)
 		if s, isStream := last.(streaming); isStream {
-			return c.relayStream(ctx, choice, s.exchange, c.f.clock().Sub(sent))
+			return c.relayStream(ctx, choice, s, c.f.clock().Sub(sent))
 		}
 		if a, isAnswer := last.(answered); isAnswer && (a.status < http.StatusInternalServerError || !c.mayResend(ctx, last)) {
 			return c.relay(a)
@@ -237,11 +245,27 @@
 	}
 }
 
-// choose picks the next endpoint.
+// choose picks the next endpoint, of another version where none takes it of the one
+// that was meant.
 func (c *call) choose(ctx context.Context) (route.Choice, bool) {
 	if ctx.Err() != nil {
 		return route.Choice{}, false
 	}
+	choice, ok := c.chooseOf()
+	if ok {
+		return choice, true
+	}
+	instead, may := c.f.rollouts.Instead(c.service.Name, c.side, c.f.clock())
+	if !may || c.comeBack > 0 && c.side != rollout.Target {
+		return choice, false
+	}
+	c.side = instead
+	c.comeBack = 0
+	return c.chooseOf()
+}
+
+// chooseOf picks an endpoint of the versions that are meant.
+func (c *call) chooseOf() (route.Choice, bool) {
 	q := c.query()
 	q.Accepts = c.accepts
 	return c.f.router.Choose(q, route.Expected, c.f.clock())
@@ -263,12 +287,15 @@
 // is ended by the relay.
 func (c *call) attempt(ctx context.Context, choice route.Choice) result {
 	sent := c.f.clock()
+	tracked := c.track(choice)
 	r := c.send(ctx, choice, "")
 	c.noteAttempt(choice, r, c.f.clock().Sub(sent))
+	c.showAnswer(ctx, tracked, r)
 	switch r := r.(type) {
 	case streaming:
 		c.began()
 		c.f.router.Started(choice)
+		r.tracked = tracked
 		return r
 	case answered:
 		c.began()
@@ -277,7 +304,7 @@
 	case notRun:
 		c.offered = c.offered || r.reached
 	}
-	c.f.router.Done(choice, ending(r), c.f.clock())
+	c.done(choice, tracked, ending(r))
 	c.avoid = append(c.avoid, refOf(choice))
 	return r
 }
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -22,6 +22,7 @@
 	"ironhollow/pkg/hazard"
 	"ironhollow/pkg/limit"
 	"ironhollow/pkg/retry"
+	"ironhollow/pkg/rollout"
 	"ironhollow/pkg/route"
 	"ironhollow/pkg/routetable"
 	"ironhollow/pkg/upstream"
@@ -130,7 +131,7 @@
 	router := route.NewWithFigures(s.directory, hazard.New(), route.Home{}, 1, figures)
 	s.router = router
 	forwarder := forward.New(protocol{}, tables{routetable.New(spec), fresh}, router, limit.NewShared(limit.Tolerance{}, now.Add(-time.Hour)),
-		retry.NewWindow(0.2, 58, 10*time.Second), upstream.New(time.Second), s.runs, oneHost{},
+		retry.NewWindow(0.2, 58, 10*time.Second), upstream.New(time.Second), s.runs, oneHost{}, rollout.New(rollout.Bounds{}),
 		func() forward.Phase { return forward.Phase(s.phase.Load()) }, time.Now, forward.NewMetrics(prometheus.NewRegistry()),
 		&log.Logger{Writer: &log.IOWriter{Writer: &s.lines}})
 	s.server = httptest.NewServer(forwarder)
--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -86,7 +86,8 @@
 // relayStream passes a stream on event by event; first is how long its head took.
 // Where it breaks off it goes on at another endpoint if the route allows that, after
 // the last whole event.
-func (c *call) relayStream(ctx context.Context, choice route.Choice, e *upstream.Exchange, first time.Duration) error {
+func (c *call) relayStream(ctx context.Context, choice route.Choice, begun streaming, first time.Duration) error {
+	e := begun.exchange
 	c.writeHead(e.Status(), e.Header())
 	s := &stream{call: c, lastEvent: c.meta.LastEvent}
 	shown := route.Result{Started: true, FirstToken: first}
@@ -98,7 +99,8 @@
 		shown.Failed = err != nil && ctx.Err() == nil
 		shown.Decode = c.f.clock().Sub(began)
 		shown.Tokens = (s.events - 1) * c.service.Stride
-		c.f.router.Done(choice, shown, c.f.clock())
+		c.showStream(begun.tracked, choice, shown)
+		c.done(choice, begun.tracked, shown)
 		// What went on elsewhere read the answer so far too: it shows no speed.
 		shown.FirstToken = 0
 		if err == nil {
@@ -110,28 +112,32 @@
 		}
 		c.avoid = append(c.avoid, refOf(choice))
 		var ok bool
-		if choice, e, ok = c.resume(ctx, s.lastEvent); !ok {
+		if choice, begun, ok = c.resume(ctx, s.lastEvent); !ok {
 			return errors.Join(errCut, err)
 		}
+		e = begun.exchange
 	}
 }
 
 // resume finds another endpoint to go on at.
-func (c *call) resume(ctx context.Context, lastEvent string) (route.Choice, *upstream.Exchange, bool) {
+func (c *call) resume(ctx context.Context, lastEvent string) (route.Choice, streaming, bool) {
 	last := result(unclear{errCut})
 	for c.mayResend(ctx, last) && c.f.budget.Take(c.service.Name, c.f.fleet.Sharing(), c.f.clock()) {
 		choice, ok := c.choose(ctx)
 		if !ok {
-			return choice, nil, false
+			return choice, streaming{}, false
 		}
 		sent := c.f.clock()
+		tracked := c.track(choice)
 		last = c.send(ctx, choice, lastEvent)
 		c.noteAttempt(choice, last, c.f.clock().Sub(sent))
+		c.showAnswer(ctx, tracked, last)
 		if s, isStream := last.(streaming); isStream {
 			c.f.router.Started(choice)
-			return choice, s.exchange, true
+			s.tracked = tracked
+			return choice, s, true
 		}
-		c.f.router.Done(choice, ending(last), c.f.clock())
+		c.done(choice, tracked, ending(last))
 		c.avoid = append(c.avoid, refOf(choice))
 		if a, isAnswer := last.(answered); isAnswer {
 			if a.rest != nil {
@@ -140,7 +146,7 @@
 			last = unclear{fmt.Errorf("answered %d when asked to go on", a.status)}
 		}
 	}
-	return route.Choice{}, nil, false
+	return route.Choice{}, streaming{}, false
 }
 
 // stream is the state of one caller's stream over its endpoints.
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -40,8 +40,11 @@
 	Spent []limit.Spent
 	// Placed is where prompts were sent since the datagram before.
 	Placed []route.Placement
-	// Brief says that Loads are of single endpoints and that nothing else is told.
+	// Brief says that Loads are of single endpoints and that nothing else is told but
+	// Rollouts.
 	Brief bool
+	// Rollouts is words and reports of roll-outs, as they were encoded.
+	Rollouts []byte
 }
 
 // Take receives what another process tells.
--- a/pkg/gossip/urgent.go
+++ b/pkg/gossip/urgent.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"ironhollow/pkg/pause"
+	"ironhollow/pkg/roster"
 )
 
 // urgentPause is the least time between two brief rounds for each host that is
@@ -48,6 +49,18 @@
 	}
 }
 
+// TellRollouts tells words or reports of roll-outs at once: one host, or all that are
+// known where to is empty.
+func (e *Exchange) TellRollouts(data []byte, to string) {
+	peers := []string{to}
+	if to == "" {
+		near, far := e.roster.Peers(e.self)
+		peers = append(near, far...)
+	}
+	host := roster.Host{Incarnation: e.self.Incarnation, Peers: e.self.Peers}
+	e.sendBrief(Told{Told: roster.Told{Host: host}, Rollouts: data}, peers)
+}
+
 func (e *Exchange) sendBrief(told Told, peers []string) {
 	told.Brief = true
 	data, err := encode(told, e.sequence.Add(1))
--- a/pkg/gossip/wire.go
+++ b/pkg/gossip/wire.go
@@ -32,8 +32,10 @@
 	// LeaseVersion is the row's by which the host holds the lease of the duties.
 	LeaseVersion int64
 	Placed       []placement
-	// Brief marks a datagram that tells of single endpoints only.
+	// Brief marks a datagram that tells of single endpoints or roll-outs only.
 	Brief bool
+	// Rollouts is what package rolloutsync tells.
+	Rollouts []byte
 }
 
 type placement struct {
@@ -77,7 +79,7 @@
 		Incarnation: told.Incarnation, Node: told.Node, DataCenter: told.DataCenter,
 		Callers: told.Callers, Peers: told.Peers, SinceMS: told.Since.Milliseconds(),
 		InTouchMS: told.InTouch.Milliseconds(), Leaving: told.Leaving, Sequence: sequence, Millicores: told.Millicores, LeaseVersion: told.LeaseVersion,
-		Brief: told.Brief,
+		Brief: told.Brief, Rollouts: told.Rollouts,
 	}
 	for _, l := range told.Spent {
 		m.Spent = append(m.Spent, spent{Team: l.Team, Admitted: int64(l.Admitted), Asked: float32(l.Asked), Held: int64(l.Held), Settled: l.Settled})
@@ -112,7 +114,7 @@
 		Incarnation: m.Incarnation, Node: m.Node, DataCenter: m.DataCenter, Callers: m.Callers, Peers: m.Peers, Leaving: m.Leaving,
 		Since: time.Duration(m.SinceMS) * time.Millisecond, Millicores: m.Millicores,
 	}
-	t := Told{Brief: m.Brief, Told: roster.Told{Host: host, Sequence: m.Sequence, InTouch: time.Duration(m.InTouchMS) * time.Millisecond, LeaseVersion: m.LeaseVersion}}
+	t := Told{Brief: m.Brief, Rollouts: m.Rollouts, Told: roster.Told{Host: host, Sequence: m.Sequence, InTouch: time.Duration(m.InTouchMS) * time.Millisecond, LeaseVersion: m.LeaseVersion}}
 	for _, l := range m.Loads {
 		t.Loads = append(t.Loads, roster.Load{Endpoint: l.Endpoint, Running: l.Running, PrefillTokens: l.PrefillTokens})
 	}
--- /dev/null
+++ b/pkg/rollout/count.go
@@ -0,0 +1,359 @@
+package rollout
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ironhollow/pkg/endpoint"
+)
+
+// Send is one request under way at an endpoint. Its fields are guarded by its service.
+type Send struct {
+	service string
+	info    endpoint.Info
+	kind    Kind
+	// expected is how long the answer should take, a second where that is not reckoned.
+	expected time.Duration
+	began    time.Time
+	answered bool
+}
+
+// Begin notes that a request goes to an endpoint. expected is how long its answer, or a
+// stream's first event, should take; 0 where that is not reckoned. Every Send must be
+// ended with End. It is nil where no roll-outs are ordered.
+func (s *Switch) Begin(name string, info *endpoint.Info, kind Kind, expected time.Duration, now time.Time) *Send {
+	if !s.bounds.Enabled() {
+		return nil
+	}
+	if expected <= 0 {
+		expected = time.Second
+	}
+	send := &Send{service: name, info: *info, kind: kind, expected: expected, began: now}
+	v := s.of(name)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.running[info.Release]++
+	if d := v.order; d != nil && info.Release == d.order.Target {
+		d.tried++
+		d.pending[send] = struct{}{}
+	}
+	return send
+}
+
+// End notes that a send runs no longer.
+func (s *Switch) End(send *Send, now time.Time) {
+	if send == nil {
+		return
+	}
+	v := s.of(send.service)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	release := send.info.Release
+	if v.running[release] > 1 {
+		v.running[release]--
+	} else {
+		delete(v.running, release)
+	}
+	if d := v.order; d != nil {
+		delete(d.pending, send)
+		if release == d.order.Target {
+			return
+		}
+	}
+	if took := now.Sub(send.began); took >= v.longest || now.Sub(v.longAt) > longestKept {
+		v.longest, v.longAt = took, now
+	}
+}
+
+// Answered takes in that an endpoint has answered, or that a stream's first event has
+// come.
+func (s *Switch) Answered(send *Send, failed bool, now time.Time) {
+	if send == nil {
+		return
+	}
+	v := s.of(send.service)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	send.answered = true
+	if d := v.watching(); d != nil {
+		d.tally(send.kind, d.isTarget(send), send.info.ID, failed)
+	}
+	if !failed {
+		v.took(send, send.kind.time(), now.Sub(send.began).Seconds()/send.expected.Seconds(), now)
+	}
+}
+
+// Streamed takes in how a stream went on after its first event: how many times as long
+// between its events as was expected, 0 where that was not measured.
+func (s *Switch) Streamed(send *Send, times float64, failed bool, now time.Time) {
+	if send == nil {
+		return
+	}
+	v := s.of(send.service)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	kind := send.kind.stream()
+	if d := v.watching(); d != nil {
+		d.tally(kind, d.isTarget(send), send.info.ID, failed)
+	}
+	if !failed && times > 0 {
+		v.took(send, kind.time(), times, now)
+	}
+}
+
+// watching returns the order whose evidence is collected, nil for none. The lock is
+// held.
+func (v *service) watching() *split {
+	if v.order == nil || v.order.phase.Ended() {
+		return nil
+	}
+	return v.order
+}
+
+func (d *split) isTarget(send *Send) bool { return send.info.Release == d.order.Target }
+
+// took takes in how long an answer took. Endpoints that have just started and are slow
+// for it show nothing of their version's speed. The lock is held.
+func (v *service) took(send *Send, kind Kind, value float64, now time.Time) {
+	if send.info.Cold {
+		return
+	}
+	d := v.watching()
+	r := v.referenceOf(kind)
+	r.turn(now)
+	bound, known := v.slow(kind, r)
+	if d == nil || !d.isTarget(send) {
+		r.add(value, now)
+	}
+	if d != nil && known {
+		d.tally(kind, d.isTarget(send), send.info.ID, value > bound)
+	}
+}
+
+// time is the kind of how long the answers of a kind take, stream that of how its
+// streams go on after their first event.
+func (k Kind) time() Kind { return k ^ 1 }
+
+func (k Kind) stream() Kind { return k ^ 2 }
+
+// slow returns the bound of a kind: this host's own, or that of all hosts while it has
+// too few answers. The lock is held.
+func (v *service) slow(kind Kind, r *reference) (bound float64, ok bool) {
+	if r.answers() >= referenceAnswers {
+		return r.slow()
+	}
+	if v.order == nil {
+		return 0, false
+	}
+	for _, b := range v.order.word.Bounds {
+		if b.Kind == kind {
+			return b.Value, true
+		}
+	}
+	return 0, false
+}
+
+func (v *service) referenceOf(kind Kind) *reference {
+	r, ok := v.references[kind]
+	if !ok {
+		r = &reference{}
+		v.references[kind] = r
+	}
+	return r
+}
+
+func (d *split) tally(kind Kind, isTarget bool, endpoint string, bad bool) {
+	key := tallyKey{kind: kind}
+	if isTarget {
+		key.endpoint = endpoint
+	}
+	c, ok := d.tallies[key]
+	if !ok {
+		c = &Count{}
+		d.tallies[key] = c
+	}
+	c.Answers++
+	if bad {
+		c.Bad++
+	}
+}
+
+// Report returns what this host has counted for an order; ok is false where it does
+// not know the order.
+func (s *Switch) Report(name string, order int64, now time.Time) (Report, bool) {
+	v := s.find(name)
+	if v == nil {
+		return Report{}, false
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	d := v.order
+	if d == nil || d.order.ID != order {
+		return Report{}, false
+	}
+	r := Report{
+		Service: name, Order: order, Phase: d.phase, Epoch: d.word.Epoch, Number: d.word.Number,
+		Asked: d.asked, Tried: d.tried, Longest: v.longest,
+	}
+	for release, n := range v.running {
+		if release != d.order.Target {
+			r.OthersRunning += n
+		}
+	}
+	overdue := v.overdue(now)
+	for key, count := range d.tallies {
+		sum := *count
+		sum.add(overdue[key])
+		delete(overdue, key)
+		r.Tallies = append(r.Tallies, Tally{Kind: key.kind, Endpoint: key.endpoint, Count: sum})
+	}
+	for key, count := range overdue {
+		r.Tallies = append(r.Tallies, Tally{Kind: key.kind, Endpoint: key.endpoint, Count: count})
+	}
+	for kind, ref := range v.references {
+		if bound, ok := ref.slow(); ok {
+			r.Bounds = append(r.Bounds, SlowBound{Kind: kind, Value: bound, Answers: ref.answers()})
+		}
+	}
+	slices.SortFunc(r.Bounds, func(a, b SlowBound) int { return cmp.Compare(a.Kind, b.Kind) })
+	slices.SortFunc(r.Tallies, func(a, b Tally) int {
+		return cmp.Or(cmp.Compare(a.Endpoint, b.Endpoint), cmp.Compare(a.Kind, b.Kind))
+	})
+	return r, true
+}
+
+// overdue counts the target's sends that take longer already than is slow: slow answers
+// come last, and those that came alone would speak for the target. The lock is held.
+func (v *service) overdue(now time.Time) map[tallyKey]Count {
+	counts := map[tallyKey]Count{}
+	for send := range v.order.pending {
+		if send.answered || send.info.Cold {
+			continue
+		}
+		kind := send.kind.time()
+		bound, known := v.slow(kind, v.referenceOf(kind))
+		if known && now.Sub(send.began).Seconds()/send.expected.Seconds() > bound {
+			key := tallyKey{kind, send.info.ID}
+			c := counts[key]
+			c.add(Count{Answers: 1, Bad: 1})
+			counts[key] = c
+		}
+	}
+	return counts
+}
+
+// Saw notes the version of an endpoint before its first request can be sent. One that
+// was not there before gets nothing until an order for it is heard or its time to be
+// heard is over.
+func (s *Switch) Saw(name, release string, now time.Time) {
+	if !s.bounds.Enabled() {
+		return
+	}
+	s.mu.RLock()
+	settled := s.settled
+	s.mu.RUnlock()
+	v := s.of(name)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if _, known := v.releases[release]; known {
+		return
+	}
+	if !settled || len(v.releases) == 0 {
+		v.releases[release] = time.Time{}
+		return
+	}
+	v.releases[release] = now
+	v.unvetted = append(slices.Clone(v.unvetted), release)
+	v.rules()
+}
+
+// Survey brings the split up to date with the endpoints that are known. fresh says that
+// the operator's rows are heard at the moment.
+func (s *Switch) Survey(infos []endpoint.Info, fresh bool, now time.Time) {
+	if !s.bounds.Enabled() {
+		return
+	}
+	s.mu.Lock()
+	s.settled = true
+	s.mu.Unlock()
+	s.each(func(v *service) { v.vet(fresh, now) })
+	for _, order := range s.Open() {
+		s.of(order.Service).survey(order, infos)
+	}
+}
+
+// vet lets versions pass whose order would have been heard by now. The lock is held.
+func (v *service) vet(fresh bool, now time.Time) {
+	if len(v.unvetted) == 0 {
+		return
+	}
+	v.unvetted = slices.DeleteFunc(slices.Clone(v.unvetted), func(release string) bool {
+		return fresh && now.Sub(v.releases[release]) > vetTime
+	})
+	v.rules()
+}
+
+// survey looks which endpoints of the target are tried.
+func (v *service) survey(order Order, infos []endpoint.Info) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	d := v.order
+	if d == nil || d.order.ID != order.ID {
+		return
+	}
+	others := 0
+	var targets []*endpoint.Info
+	for i := range infos {
+		info := &infos[i]
+		switch {
+		case info.Service != order.Service || !info.Takes():
+		case info.Release == order.Target:
+			targets = append(targets, info)
+		case !slices.Contains(v.excluded, info.Release):
+			others++
+		}
+	}
+	if !d.surveyed {
+		d.surveyed, d.alone = true, others == 0
+	}
+	d.targets, d.otherCount = targets, others
+	d.tryAt()
+	v.rules()
+}
+
+// tryAt picks the endpoints of the target that take its share: as many as carry with
+// it what each carries once it has all, since some faults show under load only. All
+// hosts pick the same.
+func (d *split) tryAt() {
+	d.among = nil
+	if d.phase >= Draining {
+		return
+	}
+	targets := slices.DeleteFunc(slices.Clone(d.targets), func(info *endpoint.Info) bool {
+		return slices.Contains(d.word.Suspects, info.ID)
+	})
+	slices.SortFunc(targets, func(a, b *endpoint.Info) int {
+		return cmp.Or(compareBool(a.Cold, b.Cold), cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)))
+	})
+	count := int(math.Ceil(d.word.Share * float64(d.otherCount)))
+	d.among = map[string]bool{}
+	for _, info := range targets[:min(max(count, leastTried), len(targets))] {
+		d.among[info.ID] = true
+	}
+}
+
+// compareBool puts false first.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
--- /dev/null
+++ b/pkg/rollout/owner.go
@@ -0,0 +1,439 @@
+package rollout
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+)
+
+// Times of the owner of an order.
+const (
+	// tellTime is how long it takes until all hosts act on a word: two rounds.
+	tellTime = 500 * time.Millisecond
+	// writeTime is kept for the store to take in the end, tries included.
+	writeTime = 700 * time.Millisecond
+	// heardLate is how long after the operator's write the order may have been heard.
+	heardLate = 200 * time.Millisecond
+	// settleTime is how long an owner that has taken over hears the hosts before it
+	// decides anything but a revert.
+	settleTime = time.Second
+	// mostRamp bounds the time from the first higher share to all requests; a sixth of
+	// the period where that is less.
+	mostRamp  = 2 * time.Second
+	rampParts = 6
+	// rampSteps is the steps of the share in that time.
+	rampSteps = 2
+	// leastDrain and drainParts bound the time that is kept for the others' last answers.
+	leastDrain = 300 * time.Millisecond
+	drainParts = 3
+	// silentTime and silentParts bound the time that is kept for hosts that have just
+	// ended, frozen or been cut off: the end waits until they are known to be gone.
+	silentTime  = 2200 * time.Millisecond
+	silentParts = 12
+	// mostDrain is how long past its limit a completion waits for the others' last
+	// answers: what is cut off is lost to its caller, and a late completion costs the
+	// operator seconds.
+	mostDrain = 15 * time.Second
+)
+
+// Parts of the bounds that are used.
+const (
+	// triedPart is the part of the allowed share that is used while the target is
+	// tried; the rest is for what shows late, while the share is raised.
+	triedPart = 0.6
+	// slackPart is the part of the allowed slack that is used at once for early
+	// evidence. Hosts that start anew have none.
+	slackPart = 0.4
+	// keptPart is the part of what is left of the bounds that a step of the share uses.
+	keptPart = 0.6
+	// enoughEndpoints is the part of the others' number that the target must have to
+	// take all requests.
+	enoughEndpoints = 0.5
+	// clearOdds are the odds against the target's other endpoints below which one that
+	// speaks against it is at fault itself.
+	clearOdds = 0.2
+	// suspectsPart is the part of the target's endpoints that may be held to be at fault
+	// themselves: what more of them show is the version's fault.
+	suspectsPart = 0.05
+	// moments is how many times in a period the evidence is remembered.
+	moments = 8
+	// mostBad is the bad answers after which nothing is left out any more: users allow 50
+	// before they count the time until a bad version gets nothing.
+	mostBad = 30
+)
+
+// Owner decides on one order for all hosts. It is used by one goroutine.
+type Owner struct {
+	bounds Bounds
+	way    Way
+	state  State
+	epoch  int64
+	number int64
+	began  time.Duration
+	share  float64
+	// reverting says that the hosts are told to revert, and why is the reason.
+	reverting bool
+	why       string
+	suspects  []string
+	reports   map[string]told
+	// rate is the requests a second over all hosts.
+	rate      float64
+	askedAt   time.Duration
+	askedThen int
+	// drainNumber is the first word of the drain.
+	drainNumber int64
+	sawOthers   bool
+	nextRamp    time.Duration
+	// before is the evidence of earlier moments.
+	before     []*Evidence
+	nextMoment time.Duration
+}
+
+type told struct {
+	Report
+	at time.Duration
+}
+
+// NewOwner returns the owner of an order from the phase its row has; now is the store's
+// clock, epoch the lease's.
+func NewOwner(state State, bounds Bounds, way Way, epoch int64, now time.Duration) *Owner {
+	return &Owner{bounds: bounds, way: way, state: state, epoch: epoch, number: 1, began: now, reports: map[string]told{}}
+}
+
+// State returns what the order's row has.
+func (o *Owner) State() State { return o.state }
+
+// Hear takes in a host's report. Those of hosts that have ended since count on.
+func (o *Owner) Hear(incarnation string, r Report, now time.Duration) {
+	if r.Order != o.state.Order.ID {
+		return
+	}
+	if held, ok := o.reports[incarnation]; ok && held.Asked > r.Asked {
+		return
+	}
+	o.reports[incarnation] = told{r, now}
+	if r.Phase == Reverted && !o.state.Phase.Ended() && !o.reverting {
+		o.revert("reverted by the owner before")
+	}
+}
+
+// Fleet is what an owner knows beside the reports.
+type Fleet struct {
+	// Live are the incarnations of the hosts that serve.
+	Live []string
+	// Callers is how many of them callers are told.
+	Callers int
+	// Others and Targets are the endpoints that take work, Warm those of the target
+	// that are not slow from their start.
+	Others, Targets, Warm int
+}
+
+// Step is what an owner wants done.
+type Step struct {
+	// Word is what the hosts are told.
+	Word Word
+	// Write is the phase that the row is to have, 0 for none. The hosts hear of it once
+	// it is written; of a revert at once.
+	Write Phase
+	Why   string
+}
+
+// Next decides; now is the store's clock.
+func (o *Owner) Next(f Fleet, now time.Duration) Step {
+	o.sawOthers = o.sawOthers || f.Others > 0
+	o.measure(now)
+	before := o.word()
+	step := Step{}
+	if !o.reverting && !o.state.Phase.Ended() {
+		step.Write, step.Why = o.decide(f, now)
+	}
+	if o.reverting && !o.state.Phase.Ended() {
+		step.Write, step.Why = Reverted, o.why
+	}
+	after := o.word()
+	after.Slack = o.slack(f)
+	after.Bounds = o.slowBounds()
+	if after.Phase != before.Phase || after.Share != before.Share || len(after.Suspects) != len(before.Suspects) {
+		o.number++
+		after.Number = o.number
+	}
+	step.Word = after
+	return step
+}
+
+// Entered notes that the row has a phase.
+func (o *Owner) Entered(phase Phase, why string) {
+	if phase <= o.state.Phase {
+		return
+	}
+	o.state.Phase, o.state.Why = phase, why
+	o.number++
+	if phase == Draining {
+		o.share = 1
+		o.drainNumber = o.number
+	}
+}
+
+func (o *Owner) word() Word {
+	w := Word{
+		Service: o.state.Order.Service, Order: o.state.Order.ID, Phase: o.state.Phase, Share: o.share,
+		Epoch: o.epoch, Number: o.number, Suspects: o.suspects,
+	}
+	if o.reverting {
+		w.Phase, w.Share = Reverted, 0
+	}
+	return w
+}
+
+func (o *Owner) slack(f Fleet) int {
+	return int(slackPart * o.bounds.Slack / float64(max(f.Callers, 1)))
+}
+
+func (o *Owner) revert(why string) {
+	o.reverting, o.why = true, why
+}
+
+// plan is when what must happen for a completion in time.
+type plan struct {
+	limit, shift, drain time.Duration
+}
+
+// plan works backwards from the limit: as late as possible, since some faults show
+// after a time only.
+func (o *Owner) plan() plan {
+	period := o.state.Order.Period
+	longest := leastDrain
+	for _, r := range o.reports {
+		longest = max(longest, r.Longest)
+	}
+	longest = min(longest, period/drainParts)
+	limit := o.state.Started + period - heardLate
+	drain := limit - writeTime - tellTime - longest - min(silentTime, period/silentParts)
+	return plan{limit: limit, drain: drain, shift: drain - min(mostRamp, period/rampParts)}
+}
+
+// decide returns the phase to be written and why.
+func (o *Owner) decide(f Fleet, now time.Duration) (Phase, string) {
+	e := o.evidence()
+	if found := o.look(&e, f, Early); found.Bad() {
+		o.revert(found.String())
+		return 0, ""
+	}
+	o.remember(e, now)
+	if now-o.began < settleTime {
+		o.share = o.tryShare(f)
+		return 0, ""
+	}
+	p := o.plan()
+	switch o.state.Phase {
+	case Trying:
+		return o.try(f, &e, p, now)
+	case Shifting:
+		return o.shift(f, &e, p, now)
+	case Draining:
+		return o.drain(f, p, now)
+	}
+	return 0, ""
+}
+
+// look judges the target. One endpoint that alone speaks against it is left out once
+// the others have cleared the target, unless many answers were bad already.
+func (o *Owner) look(e *Evidence, f Fleet, m Moment) Finding {
+	found := Judge(o.way, e, o.suspects, m)
+	if !found.Bad() || m != Early || e.Target().Bad >= mostBad {
+		return found
+	}
+	worst := e.worst(o.suspects)
+	if worst == "" || float64(len(o.suspects)+1) > max(1, suspectsPart*float64(f.Targets)) {
+		return found
+	}
+	without := append(slices.Clone(o.suspects), worst)
+	rest := Judge(o.way, e, without, m)
+	if rest.Odds < clearOdds {
+		o.suspects = without
+	}
+	return rest
+}
+
+// tryShare is the share while the target is tried.
+func (o *Owner) tryShare(f Fleet) float64 {
+	if f.Targets == 0 {
+		return 0
+	}
+	return triedPart * o.bounds.Share
+}
+
+func (o *Owner) try(f Fleet, e *Evidence, p plan, now time.Duration) (Phase, string) {
+	o.share = o.tryShare(f)
+	if !o.sawOthers && f.Targets > 0 {
+		return Completed, "no endpoints of another version"
+	}
+	if now < p.shift {
+		return 0, ""
+	}
+	if f.Targets == 0 || float64(f.Targets) < enoughEndpoints*float64(f.Others) {
+		return o.tooFew(f, p, now)
+	}
+	if now >= p.drain {
+		return o.settle(f, e, p, now)
+	}
+	o.state.Phase = Shifting
+	o.nextRamp = now
+	o.raise(p, now)
+	return 0, ""
+}
+
+// settle decides at the last moment whether the target takes all requests.
+func (o *Owner) settle(f Fleet, e *Evidence, p plan, now time.Duration) (Phase, string) {
+	m := Last
+	left := (p.limit - now).Seconds()
+	if float64(o.tried())+o.rate*left <= o.allowed(p, now) {
+		m = LastOfFew
+	}
+	found := o.look(e, f, m)
+	if found.Bad() {
+		o.revert(found.String())
+		return 0, ""
+	}
+	return Draining, found.String()
+}
+
+// allowed is how many requests a bad version may get until the limit.
+func (o *Owner) allowed(p plan, now time.Duration) float64 {
+	ahead := o.rate * (p.limit - now).Seconds()
+	return o.bounds.Share*(float64(o.asked())+ahead) + o.bounds.Slack
+}
+
+// tooFew waits for endpoints of the target until it is too late.
+func (o *Owner) tooFew(f Fleet, p plan, now time.Duration) (Phase, string) {
+	if now >= p.limit-writeTime {
+		o.revert(fmt.Sprintf("%d endpoints of the target by the end, %d of the others", f.Targets, f.Others))
+	}
+	return 0, ""
+}
+
+func (o *Owner) shift(f Fleet, e *Evidence, p plan, now time.Duration) (Phase, string) {
+	if float64(f.Targets) < enoughEndpoints*float64(f.Others) {
+		return o.tooFew(f, p, now)
+	}
+	if now < p.drain {
+		o.raise(p, now)
+		return 0, ""
+	}
+	return o.settle(f, e, p, now)
+}
+
+// raise raises the share so far that what shows only then is still within the bounds.
+func (o *Owner) raise(p plan, now time.Duration) {
+	if now < o.nextRamp {
+		return
+	}
+	step := (p.drain - p.shift) / rampSteps
+	o.nextRamp = now + step
+	left := o.allowed(p, now) - float64(o.tried())
+	during := max(o.rate*(step+tellTime).Seconds(), 1)
+	o.share = min(max(o.share, keptPart*left/during), 1)
+}
+
+// drain completes once no host runs anything at the others any more.
+func (o *Owner) drain(f Fleet, p plan, now time.Duration) (Phase, string) {
+	for _, incarnation := range f.Live {
+		r, ok := o.reports[incarnation]
+		done := ok && r.Phase >= Draining && r.OthersRunning == 0 && r.Epoch == o.epoch && r.Number >= o.drainNumber
+		if !done && now < p.limit+mostDrain {
+			return 0, ""
+		}
+	}
+	if f.Targets == 0 {
+		o.revert("no endpoint of the target is left")
+		return 0, ""
+	}
+	return Completed, "nothing runs at the others"
+}
+
+func (o *Owner) evidence() Evidence {
+	e := NewEvidence()
+	for _, r := range o.reports {
+		for _, t := range r.Tallies {
+			e.add(t)
+		}
+	}
+	e.before = o.before
+	return e
+}
+
+// remember keeps the evidence of a moment now and then: what came since is judged too.
+func (o *Owner) remember(e Evidence, now time.Duration) {
+	if e.Target().Answers == 0 || now < o.nextMoment {
+		return
+	}
+	o.nextMoment = now + o.state.Order.Period/moments
+	e.before = nil
+	o.before = append(o.before, &e)
+}
+
+// slowBounds are the hosts' bounds together: their geometric mean, by answers.
+func (o *Owner) slowBounds() []SlowBound {
+	type sum struct{ logs, answers float64 }
+	sums := map[Kind]sum{}
+	for _, r := range o.reports {
+		for _, b := range r.Bounds {
+			s := sums[b.Kind]
+			sums[b.Kind] = sum{s.logs + float64(b.Answers)*math.Log(b.Value), s.answers + float64(b.Answers)}
+		}
+	}
+	var bounds []SlowBound
+	for kind, s := range sums {
+		if s.answers >= referenceAnswers {
+			bounds = append(bounds, SlowBound{Kind: kind, Value: math.Exp(s.logs / s.answers), Answers: int(s.answers)})
+		}
+	}
+	slices.SortFunc(bounds, func(a, b SlowBound) int { return cmp.Compare(a.Kind, b.Kind) })
+	return bounds
+}
+
+func (o *Owner) asked() int {
+	sum := 0
+	for _, r := range o.reports {
+		sum += r.Asked
+	}
+	return sum
+}
+
+func (o *Owner) tried() int {
+	sum := 0
+	for _, r := range o.reports {
+		sum += r.Tried
+	}
+	return sum
+}
+
+// rateTime is the time over which the rate of requests is averaged.
+const rateTime = 2 * time.Second
+
+func (o *Owner) measure(now time.Duration) {
+	elapsed := now - o.askedAt
+	asked := o.asked()
+	if o.askedAt == 0 {
+		o.askedAt, o.askedThen = now, asked
+		return
+	}
+	if elapsed <= 0 {
+		return
+	}
+	latest := float64(asked-o.askedThen) / elapsed.Seconds()
+	weight := 1 - math.Exp(-float64(elapsed)/float64(rateTime))
+	o.rate += weight * (latest - o.rate)
+	o.askedAt, o.askedThen = now, asked
+}
+
+// Summary is an order's state for a line and for operators.
+func (o *Owner) Summary(now time.Duration) string {
+	e := o.evidence()
+	target, others := e.Target(), e.Others()
+	p := o.plan()
+	return fmt.Sprintf("%v, share %.2f, %d of %d requests tried, target %d bad of %d, others %d of %d, %.1f s left",
+		o.word().Phase, o.word().Share, o.tried(), o.asked(), target.Bad, target.Answers, others.Bad, others.Answers, (p.limit - now).Seconds())
+}
--- /dev/null
+++ b/pkg/rolloutlab/lab_test.go
@@ -0,0 +1,176 @@
+package rolloutlab_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"ironhollow/pkg/rollout"
+	"ironhollow/pkg/rolloutlab"
+)
+
+// seeds is for more runs by hand, firstSeed for one of them.
+var (
+	seeds     = flag.Int("seeds", 160, "roll-outs that are played")
+	firstSeed = flag.Int("first", 0, "the first seed")
+	way       = flag.String("way", "", "thresholds, sequential or bayes, empty for the one in use")
+)
+
+// ways are those that a version can be judged by.
+var ways = map[string]rollout.Way{
+	"thresholds": rollout.Thresholds{Answers: 20, Difference: 0.1},
+	"sequential": rollout.Sequential{Error: 0.002},
+	"bayes":      rollout.DefaultWay,
+	"":           rollout.DefaultWay,
+}
+
+// drawSite draws a roll-out: half of the versions good, services of 4 and of 60
+// endpoints, 5 to 400 requests a second, periods of 6 to 60 s, no fault, one or two.
+func drawSite(seed uint64) rolloutlab.Site {
+	random := rand.New(rand.NewPCG(seed, 99))
+	s := rolloutlab.Site{
+		Hosts: 4 + random.IntN(9), Endpoints: 60, Rate: 5 * float64(uint(1)<<random.IntN(7)) * (1 + 0.25*random.Float64()),
+		Period: time.Duration(6+random.IntN(55)) * time.Second,
+		Bounds: rollout.Bounds{Share: 0.1, Slack: 50}, Way: ways[*way],
+	}
+	s.Boot = time.Duration(random.Float64() * min(4, 0.3*s.Period.Seconds()) * float64(time.Second))
+	s.Routes = []rolloutlab.Route{
+		{Part: 0.55, Fails: 0.01, Mean: 700 * time.Millisecond, Spread: 0.4},
+		{Part: 0.3, Fails: 0.004, Mean: 300 * time.Millisecond, Spread: 0.5},
+		{Part: 0.15, Fails: 0.01, Mean: 900 * time.Millisecond, Spread: 0.4},
+	}
+	if random.IntN(2) == 0 {
+		s.Endpoints = 4
+		s.Routes = []rolloutlab.Route{
+			{Part: 0.81, Fails: 0.004, Mean: 60 * time.Millisecond, Spread: 0.5},
+			{Part: 0.19, Fails: 0.14, Mean: 60 * time.Millisecond, Spread: 0.5},
+		}
+	}
+	if seed%2 == 1 {
+		s.Target = rolloutlab.Badness{Harmed: 0.3 + 0.6*random.Float64()}
+		if random.IntN(2) == 0 {
+			s.Target.Slow = 3 + 3*random.Float64()
+		}
+		if random.IntN(3) == 0 {
+			s.Target.After = 0.1 + 0.5*random.Float64()
+		}
+		s.Target.UnderLoad = random.IntN(4) == 0
+		s.Target.OneRoute = random.IntN(4) == 0
+	}
+	for range random.IntN(3) {
+		s.Faults = append(s.Faults, rolloutlab.Faults[random.IntN(len(rolloutlab.Faults))])
+	}
+	return s
+}
+
+// played is a roll-out and how it ended.
+type played struct {
+	seed    uint64
+	site    rolloutlab.Site
+	outcome rolloutlab.Outcome
+}
+
+func (p played) String() string {
+	s := p.site
+	return fmt.Sprintf("seed %d: %v (%.2f, slow %.1f, after %.2f), %d hosts, %d endpoints, %.0f/s, period %v, boot %v, faults %v: %v",
+		p.seed, s.Target, s.Target.Harmed, s.Target.Slow, s.Target.After, s.Hosts, s.Endpoints, s.Rate, s.Period,
+		s.Boot.Round(time.Millisecond), s.Faults, p.outcome)
+}
+
+func playAll(count, first int) []played {
+	list := make([]played, count)
+	var group sync.WaitGroup
+	limit := make(chan struct{}, runtime.GOMAXPROCS(0))
+	for i := range list {
+		limit <- struct{}{}
+		group.Go(func() {
+			defer func() { <-limit }()
+			seed := uint64(first + i)
+			site := drawSite(seed)
+			list[i] = played{seed, site, rolloutlab.Run(site, seed)}
+		})
+	}
+	group.Wait()
+	return list
+}
+
+// tally is what a set of roll-outs came to.
+type tally struct {
+	good, bad                              int
+	reverted, revertedClean, clean         int
+	completedBad, exposed, undecided, late int
+	cut                                    int
+	badAnswers                             []int
+}
+
+func TestRollouts(t *testing.T) {
+	var sum tally
+	byKind := map[string]*tally{}
+	for _, p := range playAll(*seeds, *firstSeed) {
+		k, ok := byKind[p.site.Target.String()]
+		if !ok {
+			k = &tally{}
+			byKind[p.site.Target.String()] = k
+		}
+		for _, c := range []*tally{&sum, k} {
+			c.add(p)
+		}
+		o := p.outcome
+		wrong := p.site.Target.Bad() && (o.Phase != rollout.Reverted || o.Exposed()) || !p.site.Target.Bad() && o.Phase != rollout.Completed || o.Cut > 0
+		if wrong || *seeds < 4 {
+			t.Log(p)
+		}
+	}
+	for name, k := range byKind {
+		t.Logf("%-28s %v", name, k)
+	}
+	t.Logf("all %v", &sum)
+}
+
+func (c *tally) add(p played) {
+	o := p.outcome
+	if o.Ended == 0 {
+		c.undecided++
+	}
+	if o.Ended > p.site.Period {
+		c.late++
+	}
+	if o.Cut > 0 {
+		c.cut++
+	}
+	if !p.site.Target.Bad() {
+		c.good++
+		c.reverted += btoi(o.Phase == rollout.Reverted)
+		if len(p.site.Faults) == 0 {
+			c.clean++
+			c.revertedClean += btoi(o.Phase == rollout.Reverted)
+		}
+		return
+	}
+	c.bad++
+	c.completedBad += btoi(o.Phase == rollout.Completed)
+	c.exposed += btoi(o.Exposed())
+	c.badAnswers = append(c.badAnswers, o.BadAnswers)
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (c *tally) String() string {
+	median := 0
+	if len(c.badAnswers) > 0 {
+		slices.Sort(c.badAnswers)
+		median = c.badAnswers[len(c.badAnswers)/2]
+	}
+	return fmt.Sprintf("good %d (reverted %d; without faults %d of %d), bad %d (completed %d, exposed %d, median of bad answers %d); undecided %d, late %d, cut %d",
+		c.good, c.reverted, c.revertedClean, c.clean, c.bad, c.completedBad, c.exposed, median, c.undecided, c.late, c.cut)
+}
--- /dev/null
+++ b/pkg/rolloutsync/desk.go
@@ -0,0 +1,278 @@
+package rolloutsync
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"ironhollow/pkg/lease"
+	"ironhollow/pkg/rollout"
+	"ironhollow/pkg/storeclock"
+	"ironhollow/pkg/table"
+)
+
+// Status is the row that tells operators how a roll-out is.
+type Status interface {
+	StatusKey(service string) string
+	EncodeStatus(state rollout.State) ([]byte, error)
+}
+
+// Fleet tells what an owner needs to know of hosts and endpoints.
+type Fleet func(order rollout.Order) rollout.Fleet
+
+// Held tells the lease under which this process owns all orders, and how long it is
+// held yet.
+type Held func() (grant lease.Grant, left time.Duration, ok bool)
+
+// Desk owns the open orders while this process holds the lease. Step is used by one
+// goroutine, Hear and Words by any.
+type Desk struct {
+	rollouts *rollout.Switch
+	way      rollout.Way
+	writer   *table.Writer
+	status   Status
+	fleet    Fleet
+	clock    *storeclock.Clock
+	held     Held
+	log      *log.Logger
+
+	mu sync.Mutex
+	// owned are the orders that this process decides on, by service.
+	owned map[string]*owned
+}
+
+// owned is one order and its row.
+type owned struct {
+	owner *rollout.Owner
+	epoch int64
+	// version is the row's, so that writes of an owner before are refused from then on.
+	version int64
+	word    rollout.Word
+	// shown is the word of the last line.
+	shown rollout.Word
+	// endedAt is when the order ended, by the store's clock.
+	endedAt time.Duration
+}
+
+// NewDesk returns a desk that owns nothing yet.
+func NewDesk(rollouts *rollout.Switch, way rollout.Way, writer *table.Writer, status Status, fleet Fleet, clock *storeclock.Clock, held Held, logger *log.Logger) *Desk {
+	return &Desk{
+		rollouts: rollouts, way: way, writer: writer, status: status, fleet: fleet, clock: clock, held: held, log: logger,
+		owned: map[string]*owned{},
+	}
+}
+
+// endTold is how long hosts are told of an end: who was cut off meanwhile hears of it
+// by the row.
+const endTold = 5 * time.Second
+
+// leastLeft is how much of the lease must be left for a write.
+const leastLeft = 150 * time.Millisecond
+
+// Step takes the open orders on, decides, and writes what was decided.
+func (d *Desk) Step(ctx context.Context) {
+	grant, left, ok := d.held()
+	now, known := d.clock.Store()
+	if !ok || !known || left < leastLeft {
+		d.forget()
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, left-leastLeft/2)
+	defer cancel()
+	open := d.rollouts.Open()
+	d.keep(open, now)
+	for _, order := range open {
+		d.step(ctx, order, grant, now)
+	}
+}
+
+// forget drops all orders: another process may own them.
+func (d *Desk) forget() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	clear(d.owned)
+}
+
+// keep drops the orders that are not open any more, those that have ended after a while.
+func (d *Desk) keep(open []rollout.Order, now time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for service, o := range d.owned {
+		if o.endedAt > 0 && now-o.endedAt < endTold || slices.Contains(open, o.owner.State().Order) {
+			continue
+		}
+		delete(d.owned, service)
+	}
+}
+
+func (d *Desk) get(service string) *owned {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.owned[service]
+}
+
+func (d *Desk) step(ctx context.Context, order rollout.Order, grant lease.Grant, now time.Duration) {
+	o := d.get(order.Service)
+	if o == nil || o.owner.State().Order.ID != order.ID || o.epoch != grant.Epoch {
+		if o = d.take(ctx, order, grant, now); o == nil {
+			return
+		}
+	}
+	step := d.next(o, order, now)
+	if step.Write != 0 {
+		d.write(ctx, o, step)
+	}
+}
+
+// next decides and keeps what the hosts are told.
+func (d *Desk) next(o *owned, order rollout.Order, now time.Duration) rollout.Step {
+	fleet := d.fleet(order)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	step := o.owner.Next(fleet, now)
+	o.word = step.Word
+	if o.word.Number != o.shown.Number || o.shown.Order == 0 {
+		d.log.Info().Str("service", order.Service).Int64("order", order.ID).Int64("epoch", o.epoch).Int64("word", o.word.Number).
+			Str("state", o.owner.Summary(now)).Strs("left-out", o.word.Suspects).Str("why", step.Why).Msg("roll-out goes on")
+		o.shown = o.word
+	}
+	return step
+}
+
+// take reads an order's row, or makes it, and writes it anew: from then on no write of
+// an owner before takes effect.
+func (d *Desk) take(ctx context.Context, order rollout.Order, grant lease.Grant, now time.Duration) *owned {
+	held, exists, err := d.writer.Store().Get(ctx, Key(order.Service))
+	if err != nil {
+		return nil
+	}
+	state := rollout.State{Order: order, Phase: rollout.Trying, Started: now}
+	condition := table.Condition(table.Absent{})
+	if exists {
+		condition = table.AtVersion{Version: held.Version}
+		before, err := DecodeState(held.Value)
+		if err != nil {
+			d.log.Error().Err(err).Str("service", order.Service).Msg("state of a roll-out not read")
+			return nil
+		}
+		switch {
+		case before.Order.ID > order.ID:
+			// A later order that this process has not heard of yet.
+			return nil
+		case before.Order.ID == order.ID:
+			state = before
+		}
+	}
+	if state.Phase.Ended() {
+		d.rollouts.Ended(state, d.clock.Now())
+		return nil
+	}
+	version, err := d.commit(ctx, state, grant.Epoch, condition)
+	if err != nil {
+		d.log.Warn().Err(err).Str("service", order.Service).Msg("roll-out not taken on")
+		return nil
+	}
+	o := &owned{owner: rollout.NewOwner(state, d.rollouts.Bounds(), d.way, grant.Epoch, now), epoch: grant.Epoch, version: version}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.owned[order.Service] = o
+	d.log.Info().Str("service", order.Service).Int64("order", order.ID).Str("target", order.Target).Int64("epoch", grant.Epoch).
+		Str("phase", state.Phase.String()).Msg("roll-out taken on")
+	return o
+}
+
+// commit writes an order's row and the operator's together.
+func (d *Desk) commit(ctx context.Context, state rollout.State, epoch int64, condition table.Condition) (version int64, err error) {
+	value, err := encodeState(state, epoch)
+	if err != nil {
+		return 0, err
+	}
+	status, err := d.status.EncodeStatus(state)
+	if err != nil {
+		return 0, err
+	}
+	// Own row first: by its token an outcome that is not known is found out.
+	outcome := d.writer.Commit(ctx,
+		table.Write{Key: Key(state.Order.Service), Value: value, If: condition},
+		table.Write{Key: d.status.StatusKey(state.Order.Service), Value: status, If: table.Always{}})
+	switch o := outcome.(type) {
+	case table.Done:
+		return o.Version, nil
+	case table.Refused:
+		return 0, fmt.Errorf("rolloutsync: refused, %d conflicts: %w", len(o.Conflicts), errOf(o.Err))
+	case table.Unknown:
+		return 0, fmt.Errorf("rolloutsync: not known whether it was written: %w", errOf(o.Err))
+	}
+	return 0, fmt.Errorf("rolloutsync: outcome %T", outcome)
+}
+
+var errOtherWrote = errors.New("another wrote first")
+
+func errOf(err error) error {
+	if err == nil {
+		return errOtherWrote
+	}
+	return err
+}
+
+// write writes a phase. Where that fails the row is read anew before anything else is
+// written: the write may have taken effect, or another process may own the order.
+func (d *Desk) write(ctx context.Context, o *owned, step rollout.Step) {
+	d.mu.Lock()
+	state := o.owner.State()
+	d.mu.Unlock()
+	state.Phase, state.Why = step.Write, step.Why
+	version, err := d.commit(ctx, state, o.epoch, table.AtVersion{Version: o.version})
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err != nil {
+		d.log.Warn().Err(err).Str("service", state.Order.Service).Str("phase", step.Write.String()).Msg("phase of a roll-out not written")
+		if d.owned[state.Order.Service] == o {
+			delete(d.owned, state.Order.Service)
+		}
+		return
+	}
+	o.version = version
+	o.owner.Entered(step.Write, step.Why)
+	if step.Write.Ended() {
+		o.endedAt, _ = d.clock.Store()
+		o.word = o.owner.Next(rollout.Fleet{}, o.endedAt).Word
+	}
+	d.rollouts.Ended(state, d.clock.Now())
+	d.log.Info().Str("service", state.Order.Service).Int64("order", state.Order.ID).Str("target", state.Order.Target).
+		Str("phase", step.Write.String()).Str("why", step.Why).Int64("epoch", o.epoch).Msg("roll-out decided")
+}
+
+// Hear takes in a host's report.
+func (d *Desk) Hear(incarnation string, r rollout.Report) {
+	now, known := d.clock.Store()
+	if !known {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if o, ok := d.owned[r.Service]; ok {
+		o.owner.Hear(incarnation, r, now)
+	}
+}
+
+// Words returns what the hosts are to be told, nothing while this process owns nothing.
+func (d *Desk) Words() []rollout.Word {
+	if _, _, ok := d.held(); !ok {
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var words []rollout.Word
+	for _, o := range d.owned {
+		if o.word.Order != 0 {
+			words = append(words, o.word)
+		}
+	}
+	return words
+}
--- /dev/null
+++ b/pkg/rolloutsync/wire.go
@@ -0,0 +1,203 @@
+// Package rolloutsync carries roll-outs between hosts: the owner's words and the hosts'
+// reports by datagram, and the state of each order by a row in the store.
+package rolloutsync
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"ironhollow/pkg/rollout"
+)
+
+// mostTallies bounds a report: with its ends it fits a datagram. Routes beyond are not
+// judged by themselves.
+const mostTallies = 48
+
+// message is what one datagram tells.
+type message struct {
+	_       struct{} `cbor:",toarray"`
+	Words   []word
+	Reports []report
+}
+
+type word struct {
+	_        struct{} `cbor:",toarray"`
+	Service  string
+	Order    int64
+	Phase    int
+	Share    float32
+	Slack    int
+	Epoch    int64
+	Number   int64
+	Suspects []string
+	Bounds   []bound
+}
+
+type bound struct {
+	_       struct{} `cbor:",toarray"`
+	Kind    uint32
+	Value   float32
+	Answers int
+}
+
+type report struct {
+	_             struct{} `cbor:",toarray"`
+	Service       string
+	Order         int64
+	Phase         int
+	Epoch         int64
+	Number        int64
+	Asked         int
+	Tried         int
+	OthersRunning int
+	LongestMS     int64
+	// Endpoints are named once; a tally has the number of its own, 0 for none.
+	Endpoints []string
+	Tallies   []tally
+	Bounds    []bound
+}
+
+type tally struct {
+	_        struct{} `cbor:",toarray"`
+	Kind     uint32
+	Endpoint int
+	Answers  int
+	Bad      int
+}
+
+// EncodeWords encodes what an owner tells.
+func EncodeWords(words []rollout.Word) ([]byte, error) {
+	var m message
+	for _, w := range words {
+		m.Words = append(m.Words, word{
+			Service: w.Service, Order: w.Order, Phase: int(w.Phase), Share: float32(w.Share), Slack: w.Slack,
+			Epoch: w.Epoch, Number: w.Number, Suspects: w.Suspects, Bounds: encodeBounds(w.Bounds),
+		})
+	}
+	return cbor.Marshal(m)
+}
+
+// EncodeReports encodes what a host tells an owner.
+func EncodeReports(reports []rollout.Report) ([]byte, error) {
+	var m message
+	for _, r := range reports {
+		m.Reports = append(m.Reports, encodeReport(r))
+	}
+	return cbor.Marshal(m)
+}
+
+func encodeReport(r rollout.Report) report {
+	w := report{
+		Service: r.Service, Order: r.Order, Phase: int(r.Phase), Epoch: r.Epoch, Number: r.Number, Asked: r.Asked, Tried: r.Tried,
+		OthersRunning: r.OthersRunning, LongestMS: r.Longest.Milliseconds(), Bounds: encodeBounds(r.Bounds),
+	}
+	places := map[string]int{"": 0}
+	for _, t := range r.Tallies[:min(len(r.Tallies), mostTallies)] {
+		place, ok := places[t.Endpoint]
+		if !ok {
+			w.Endpoints = append(w.Endpoints, t.Endpoint)
+			place = len(w.Endpoints)
+			places[t.Endpoint] = place
+		}
+		w.Tallies = append(w.Tallies, tally{Kind: uint32(t.Kind), Endpoint: place, Answers: t.Answers, Bad: t.Bad})
+	}
+	return w
+}
+
+func encodeBounds(bounds []rollout.SlowBound) []bound {
+	var list []bound
+	for _, b := range bounds[:min(len(bounds), mostTallies/2)] {
+		list = append(list, bound{Kind: uint32(b.Kind), Value: float32(b.Value), Answers: b.Answers})
+	}
+	return list
+}
+
+func decodeBounds(bounds []bound) []rollout.SlowBound {
+	var list []rollout.SlowBound
+	for _, b := range bounds {
+		list = append(list, rollout.SlowBound{Kind: rollout.Kind(b.Kind), Value: float64(b.Value), Answers: b.Answers})
+	}
+	return list
+}
+
+// Decode decodes a datagram of either kind.
+func Decode(data []byte) (words []rollout.Word, reports []rollout.Report, err error) {
+	var m message
+	if err := cbor.Unmarshal(data, &m); err != nil {
+		return nil, nil, fmt.Errorf("rolloutsync: %w", err)
+	}
+	for _, w := range m.Words {
+		words = append(words, rollout.Word{
+			Service: w.Service, Order: w.Order, Phase: rollout.Phase(w.Phase), Share: float64(w.Share), Slack: w.Slack,
+			Epoch: w.Epoch, Number: w.Number, Suspects: w.Suspects, Bounds: decodeBounds(w.Bounds),
+		})
+	}
+	for _, r := range m.Reports {
+		decoded, err := r.decode()
+		if err != nil {
+			return nil, nil, err
+		}
+		reports = append(reports, decoded)
+	}
+	return words, reports, nil
+}
+
+func (r report) decode() (rollout.Report, error) {
+	d := rollout.Report{
+		Service: r.Service, Order: r.Order, Phase: rollout.Phase(r.Phase), Epoch: r.Epoch, Number: r.Number, Asked: r.Asked, Tried: r.Tried,
+		OthersRunning: r.OthersRunning, Longest: time.Duration(r.LongestMS) * time.Millisecond, Bounds: decodeBounds(r.Bounds),
+	}
+	for _, t := range r.Tallies {
+		if t.Endpoint < 0 || t.Endpoint > len(r.Endpoints) {
+			return d, fmt.Errorf("rolloutsync: a tally of endpoint %d, %d are named", t.Endpoint, len(r.Endpoints))
+		}
+		endpoint := ""
+		if t.Endpoint > 0 {
+			endpoint = r.Endpoints[t.Endpoint-1]
+		}
+		d.Tallies = append(d.Tallies, rollout.Tally{Kind: rollout.Kind(t.Kind), Endpoint: endpoint, Count: rollout.Count{Answers: t.Answers, Bad: t.Bad}})
+	}
+	return d, nil
+}
+
+// row is an order's state in the store.
+type row struct {
+	Service   string `cbor:"1,keyasint"`
+	Target    string `cbor:"2,keyasint"`
+	PeriodMS  int64  `cbor:"3,keyasint"`
+	Order     int64  `cbor:"4,keyasint"`
+	Phase     int    `cbor:"5,keyasint"`
+	StartedMS int64  `cbor:"6,keyasint"`
+	Why       string `cbor:"7,keyasint,omitempty"`
+	// Epoch is the lease's under which it was written.
+	Epoch int64 `cbor:"8,keyasint"`
+}
+
+// Table is the store's table of orders' states, a row a service.
+const Table = "rollouts"
+
+// Key is the key of a service's row, with its table.
+func Key(service string) string { return Table + "/" + service }
+
+func encodeState(s rollout.State, epoch int64) ([]byte, error) {
+	return cbor.Marshal(row{
+		Service: s.Order.Service, Target: s.Order.Target, PeriodMS: s.Order.Period.Milliseconds(), Order: s.Order.ID,
+		Phase: int(s.Phase), StartedMS: s.Started.Milliseconds(), Why: s.Why, Epoch: epoch,
+	})
+}
+
+// DecodeState decodes a service's row.
+func DecodeState(value []byte) (rollout.State, error) {
+	var r row
+	if err := cbor.Unmarshal(value, &r); err != nil {
+		return rollout.State{}, fmt.Errorf("rolloutsync: state of a roll-out: %w", err)
+	}
+	return rollout.State{
+		Order: rollout.Order{
+			Service: r.Service, Target: r.Target, Period: time.Duration(r.PeriodMS) * time.Millisecond, ID: r.Order,
+		},
+		Phase: rollout.Phase(r.Phase), Started: time.Duration(r.StartedMS) * time.Millisecond, Why: r.Why,
+	}, nil
+}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -239,6 +239,18 @@
 	return false
 }
 
+// Live returns the incarnations of the hosts that are not silent, those that are about
+// to stop too.
+func (r *Roster) Live() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []string
+	for _, m := range r.live() {
+		list = append(list, m.row.Incarnation)
+	}
+	return list
+}
+
 // Fleet returns how many hosts are heard by their datagrams, this one included,
 // and how many others may serve unheard: dead for moments, or cut off.
 func (r *Roster) Fleet(self string, now time.Time) (heard, silent int) {
--- a/pkg/route/feedback.go
+++ b/pkg/route/feedback.go
@@ -24,6 +24,9 @@
 	// none. Measured says whether it did.
 	PromptTokens, CachedTokens int
 	Measured                   bool
+	// Untried says that the endpoint is of a version that is tried: what it shows is no
+	// measure of the service's speed.
+	Untried bool
 }
 
 // Done ends a choice and learns from it.
@@ -54,7 +57,9 @@
 	}
 	s.group.succeed(s)
 	l.meanDuration = smooth(l.meanDuration, now.Sub(c.sent))
-	s.group.learn(c, result)
+	if !result.Untried {
+		s.group.learn(c, result)
+	}
 	if result.Measured && c.CachedTokens > 0 {
 		l.learnTrust(c.CachedTokens, result.CachedTokens)
 	}
--- a/pkg/route/prefix.go
+++ b/pkg/route/prefix.go
@@ -2,6 +2,8 @@
 
 import (
 	"github.com/cespare/xxhash/v2"
+
+	"ironhollow/pkg/rollout"
 )
 
 // Parameters of the prefix index.
@@ -141,7 +143,7 @@
 	}
 	mark(q.Prefix[0])
 	if q.Shared > 0 && !known {
-		m.prefer(g.rendezvous(q.Prefix[q.Shared-1]), q.tokensOf(q.Shared))
+		m.prefer(g.rendezvous(q.Prefix[q.Shared-1], &q.Rule), q.tokensOf(q.Shared))
 	}
 	return m
 }
@@ -182,11 +184,14 @@
 }
 
 // rendezvous returns the endpoint that every entry holds to be the first for a
-// prefix (Thaler and Ravishankar 1998).
-func (g *group) rendezvous(prefix uint64) *slot {
+// prefix (Thaler and Ravishankar 1998), of those that a rule allows.
+func (g *group) rendezvous(prefix uint64, rule *rollout.Rule) *slot {
 	var best *slot
 	var most uint64
 	for _, s := range g.slots {
+		if !rule.Allows(&s.info) {
+			continue
+		}
 		if weight := mix(s.hash ^ prefix); best == nil || weight > most {
 			best, most = s, weight
 		}
--- a/pkg/route/query.go
+++ b/pkg/route/query.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/rollout"
 )
 
 // Target names what a request needs to be loaded: a model with version and
@@ -44,6 +45,8 @@
 	// prefix, 0 for all up to a bound. Where many entries choose by old reports, a
 	// few at random spread better than the best of all (Mitzenmacher 2001).
 	Sample int
+	// Rule says which endpoints may take the request.
+	Rule rollout.Rule
 	// Accepts is asked whether the best endpoint is used; nil uses it. What is not
 	// accepted leaves no trace but the work asked for: a part that was refused is not
 	// taken for read.
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -307,6 +307,9 @@
 // usable reports whether a slot may take the request at all. Endpoints that
 // are out stay usable once more than ejectShare of the group is out.
 func (g *group) usable(s *slot, q Query, now time.Time) bool {
+	if !q.Rule.Allows(&s.info) {
+		return false
+	}
 	for _, ref := range q.Avoid {
 		if ref == s.info.Ref() {
 			return false
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -168,8 +168,16 @@
 	if i >= plainEndpoints {
 		service = standin.StreamService
 	}
+	return r.startVersion(i, service, standin.Version{Name: firstVersion})
+}
+
+// firstVersion is the software of all endpoints at the start.
+const firstVersion = "v1"
+
+// startVersion starts an endpoint at a place. The lock is held.
+func (r *run) startVersion(i int, service string, version standin.Version) error {
 	var proxy *Proxy
-	e, err := standin.StartEndpoint(fmt.Sprintf("i-%d-%d", i, r.made), service, r.store, r.ledger, func(address string) (string, error) {
+	e, err := standin.StartEndpoint(fmt.Sprintf("i-%d-%d", i, r.made), service, version, r.store, r.ledger, func(address string) (string, error) {
 		var err error
 		if proxy, err = NewProxy(address); err != nil {
 			return "", err
--- a/pkg/soak/soak_test.go
+++ b/pkg/soak/soak_test.go
@@ -20,12 +20,19 @@
 	115,
 }
 
-func TestShortSoak(t *testing.T) {
+// buildNode builds the program of a host.
+func buildNode(t *testing.T) string {
+	t.Helper()
 	program := filepath.Join(t.TempDir(), "ironhollow-node")
 	build := exec.Command("go", "build", "-o", program, "ironhollow/cmd/ironhollow-node")
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
+	return program
+}
+
+func TestShortSoak(t *testing.T) {
+	program := buildNode(t)
 	for _, seed := range seeds {
 		faults, err := os.Create(filepath.Join(t.TempDir(), "faults.log"))
 		if err != nil {
--- a/pkg/storeview/relays_test.go
+++ b/pkg/storeview/relays_test.go
@@ -10,6 +10,7 @@
 	"github.com/phuslu/log"
 
 	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/rollout"
 	"ironhollow/pkg/roster"
 	"ironhollow/pkg/route"
 	"ironhollow/pkg/routetable"
@@ -26,6 +27,8 @@
 
 func (decoder) DecodeEndpoint(string, []byte) (endpoint.Info, error) { return endpoint.Info{}, nil }
 
+func (decoder) DecodeOrder([]byte, int64) (rollout.Order, error) { return rollout.Order{}, nil }
+
 func host(i int) roster.Host {
 	name := fmt.Sprintf("h%02d", i)
 	h := roster.Host{Incarnation: name, Node: name, DataCenter: fmt.Sprint("dc", i%4), Peers: name + ":1", Millicores: 200}
@@ -46,7 +49,7 @@
 	h := host(self)
 	home := route.Home{Node: h.Node, DataCenter: h.DataCenter}
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
-	return storeview.New(decoder{}, time.Second, storeclock.New(), members, home, h.Incarnation, logger)
+	return storeview.New(decoder{}, time.Second, storeclock.New(), members, home, h.Incarnation, rollout.New(rollout.Bounds{}), logger)
 }
 
 // In a large fleet the largest host of a data centre follows the store, and the
--- a/pkg/storeview/view.go
+++ b/pkg/storeview/view.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +16,7 @@
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/feed"
 	"ironhollow/pkg/pause"
+	"ironhollow/pkg/rollout"
 	"ironhollow/pkg/roster"
 	"ironhollow/pkg/route"
 	"ironhollow/pkg/routetable"
@@ -50,6 +52,8 @@
 type Tables struct {
 	Configuration, ConfigurationKey string
 	Endpoints                       string
+	// OrderPrefix begins the keys of the configuration's table that order roll-outs.
+	OrderPrefix string
 }
 
 // Decoder reads what others write to the store.
@@ -58,6 +62,8 @@
 	Tables() Tables
 	DecodeConfiguration(value []byte) (routetable.Spec, error)
 	DecodeEndpoint(id string, value []byte) (endpoint.Info, error)
+	// DecodeOrder decodes an order of a roll-out; version is its row's.
+	DecodeOrder(value []byte, version int64) (rollout.Order, error)
 }
 
 // View is what a node knows. It is safe for concurrent use.
@@ -76,11 +82,16 @@
 	// last answered, both counted from the clock's start in nanoseconds; 0 while it
 	// fails.
 	inTouchSince, heardAt atomic.Int64
+	rollouts              *rollout.Switch
+	// configured says that the configuration's table has been read once.
+	configured bool
 }
 
 // New returns the view of a host whose process has the incarnation self. heartbeat
 // is the time between two writes of an endpoint's row.
-func New(decoder Decoder, heartbeat time.Duration, c *storeclock.Clock, members *roster.Roster, home route.Home, self string, logger *log.Logger) *View {
+func New(decoder Decoder, heartbeat time.Duration, c *storeclock.Clock, members *roster.Roster, home route.Home, self string,
+	rollouts *rollout.Switch, logger *log.Logger,
+) *View {
 	directory := endpoint.NewDirectory()
 	othersHeard := func(whole time.Duration) bool { return members.InTouch(self, whole, c.Now()) }
 	return &View{
@@ -88,11 +99,24 @@
 		clock:     c,
 		directory: directory,
 		tables:    routetable.NewHolder(staleAfter, c.Now),
-		endpoints: discovery.New(directory, decoder.DecodeEndpoint, heartbeat, othersHeard, c.Now, logger),
+		endpoints: discovery.New(directory, decodeSeen(decoder, rollouts, c), heartbeat, othersHeard, c.Now, logger),
 		roster:    members,
 		log:       logger,
 		home:      home,
 		self:      self,
+		rollouts:  rollouts,
+	}
+}
+
+// decodeSeen decodes endpoints' rows and notes their versions before requests can go
+// there.
+func decodeSeen(decoder Decoder, rollouts *rollout.Switch, c *storeclock.Clock) discovery.Decode {
+	return func(id string, value []byte) (endpoint.Info, error) {
+		info, err := decoder.DecodeEndpoint(id, value)
+		if err == nil {
+			rollouts.Saw(info.Service, info.Release, c.Now())
+		}
+		return info, err
 	}
 }
 
@@ -158,6 +182,20 @@
 	start(tables.Endpoints, either(relayPause, endpointPause), v.endpoints.Take)
 }
 
+// FollowRows follows another table until ctx ends, at the pace of the endpoints'.
+func (v *View) FollowRows(ctx context.Context, source feed.Source, name string, take feed.Take) {
+	either := func(relay, other time.Duration) func() time.Duration {
+		return func() time.Duration {
+			if v.IsRelay() {
+				return relay
+			}
+			return other
+		}
+	}
+	timing := feed.Timing{Wait: either(relayWait, feedWait), Pause: either(relayPause, endpointPause), Retry: feedRetry}
+	feed.New(source, name, timing, take, v.health).Run(ctx)
+}
+
 // rosterPause grows with the fleet, as the rows' number does.
 func (v *View) rosterPause() time.Duration {
 	return roster.Pace(rosterPause, v.roster.Sharing())
@@ -206,7 +244,13 @@
 
 func (v *View) takeConfiguration(batch feed.Batch) {
 	v.tables.Heard()
+	first := !v.configured
+	v.configured = true
 	for _, row := range batch.Rows {
+		if strings.HasPrefix(row.Key, v.decoder.Tables().OrderPrefix) {
+			v.takeOrder(row, first)
+			continue
+		}
 		if row.Key != v.decoder.Tables().ConfigurationKey || row.Deleted {
 			continue
 		}
@@ -221,6 +265,24 @@
 	}
 }
 
+// takeOrder takes in an operator's order of a roll-out. first says that this process has
+// just started: it may be an old one.
+func (v *View) takeOrder(row feed.Row, first bool) {
+	if row.Deleted {
+		v.log.Info().Str("row", row.Key).Msg("order of a roll-out removed: it goes on as it was given")
+		return
+	}
+	order, err := v.decoder.DecodeOrder(row.Value, row.Version)
+	if err != nil {
+		v.log.Error().Err(err).Int64("row", row.Version).Msg("order of a roll-out not taken")
+		return
+	}
+	if v.rollouts.Take(order, first) {
+		v.log.Info().Str("service", order.Service).Str("target", order.Target).Dur("period", order.Period).Int64("order", order.ID).
+			Bool("at-start", first).Msg("roll-out ordered")
+	}
+}
+
 func (v *View) takeRoster(batch feed.Batch) {
 	now := v.clock.Now()
 	v.roster.Heard(now)
