Owners of a roll-out that die, stand still or lose writes come to one end

Change: moments count once there are 8 answers since; a write that was turned away is tried again by the same owner, one in doubt reads the row first.

--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -219,30 +219,29 @@
 // part expects to be 1 for a good version, and so does their mean.
 func (e *Evidence) odds(without []string) Finding {
 	f := e.oddsSince(nil, without)
-	later := 0.0
-	var worst Finding
+	whole, later, moments := f.Odds, 0.0, 0.0
 	for _, before := range e.before {
 		since := e.oddsSince(before, without)
-		later += since.Odds / float64(len(e.before))
-		if since.Odds > worst.Odds {
-			worst = since
+		if since.Target.Answers < momentAnswers {
+			continue
+		}
+		later += since.Odds
+		moments++
+		if since.Odds > f.Odds {
+			f = since
 		}
 	}
-	if len(e.before) == 0 {
-		return f
-	}
-	whole := f.Odds
-	if worst.Odds > whole {
-		f = worst
+	f.Odds = whole
+	if moments > 0 {
+		f.Odds = (1-laterPart)*whole + laterPart*later/moments
 	}
-	f.Odds = (1-laterPart)*whole + laterPart*later
 	return f
 }
 
 // oddsSince is odds from a moment on.
 func (e *Evidence) oddsSince(before *Evidence, without []string) Finding {
 	kinds := e.kinds()
-	f := Finding{Odds: 1}
+	f, worst := Finding{Odds: 1}, Finding{}
 	if len(kinds) == 0 {
 		return f
 	}
@@ -260,15 +259,15 @@
 		all += odds
 		sum += math.Exp(min(odds, mostLogOdds)) / float64(len(kinds))
 		if odds > most {
-			most, f.Kind = odds, kind
+			most = odds
+			worst = Finding{Kind: kind, Target: target, Others: others}
 		}
 	}
 	f.Odds = (math.Exp(min(all, mostLogOdds)) + sum) / 2
-	if all > most || f.Odds < 1 {
-		f.Kind = 0
-		return f
+	if f.Odds > 1 && most > all {
+		worst.Odds = f.Odds
+		return worst
 	}
-	f.Target, f.Others = e.at(f.Kind, without), e.others[f.Kind]
 	return f
 }
 
@@ -284,6 +283,9 @@
 	quantiles = 9
 	// leastPart keeps the part of bad answers away from never and always.
 	leastPart = 1e-4
+	// momentAnswers is how many answers of the target there must be since a moment: fewer
+	// speak neither way, and an owner that has just taken over remembers late moments only.
+	momentAnswers = 8
 	// laterPart is the part of the bad versions that turn bad later.
 	laterPart = 0.3
 	// mostLogOdds keeps odds finite; far above all bounds.
--- a/pkg/rolloutsync/desk.go
+++ b/pkg/rolloutsync/desk.go
@@ -53,6 +53,8 @@
 	// version is the row's, so that writes of an owner before are refused from then on.
 	version int64
 	word    rollout.Word
+	// inDoubt says that a write may or may not have taken effect.
+	inDoubt bool
 	// shown is the word of the last line.
 	shown rollout.Word
 	// endedAt is when the order ended, by the store's clock.
@@ -118,8 +120,11 @@
 
 func (d *Desk) step(ctx context.Context, order rollout.Order, grant lease.Grant, now time.Duration) {
 	o := d.get(order.Service)
-	if o == nil || o.owner.State().Order.ID != order.ID || o.epoch != grant.Epoch {
-		if o = d.take(ctx, order, grant, now); o == nil {
+	if o != nil && (o.owner.State().Order.ID != order.ID || o.epoch != grant.Epoch) {
+		o = nil
+	}
+	if o == nil || o.inDoubt {
+		if o = d.take(ctx, o, order, grant, now); o == nil {
 			return
 		}
 	}
@@ -145,8 +150,9 @@
 }
 
 // take reads an order's row, or makes it, and writes it anew: from then on no write of
-// an owner before takes effect.
-func (d *Desk) take(ctx context.Context, order rollout.Order, grant lease.Grant, now time.Duration) *owned {
+// an owner before, or of this one that is still on its way, takes effect. before is what
+// this process owned and is in doubt of, nil for nothing.
+func (d *Desk) take(ctx context.Context, before *owned, order rollout.Order, grant lease.Grant, now time.Duration) *owned {
 	held, exists, err := d.writer.Store().Get(ctx, Key(order.Service))
 	if err != nil {
 		return nil
@@ -155,17 +161,17 @@
 	condition := table.Condition(table.Absent{})
 	if exists {
 		condition = table.AtVersion{Version: held.Version}
-		before, err := DecodeState(held.Value)
+		written, err := DecodeState(held.Value)
 		if err != nil {
 			d.log.Error().Err(err).Str("service", order.Service).Msg("state of a roll-out not read")
 			return nil
 		}
 		switch {
-		case before.Order.ID > order.ID:
+		case written.Order.ID > order.ID:
 			// A later order that this process has not heard of yet.
 			return nil
-		case before.Order.ID == order.ID:
-			state = before
+		case written.Order.ID == order.ID:
+			state = written
 		}
 	}
 	if state.Phase.Ended() {
@@ -177,6 +183,13 @@
 		d.log.Warn().Err(err).Str("service", order.Service).Msg("roll-out not taken on")
 		return nil
 	}
+	if before != nil {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		before.version, before.inDoubt = version, false
+		before.owner.Entered(state.Phase, state.Why)
+		return before
+	}
 	o := &owned{owner: rollout.NewOwner(state, d.rollouts.Bounds(), d.way, grant.Epoch, now), epoch: grant.Epoch, version: version}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -204,24 +217,24 @@
 	case table.Done:
 		return o.Version, nil
 	case table.Refused:
-		return 0, fmt.Errorf("rolloutsync: refused, %d conflicts: %w", len(o.Conflicts), errOf(o.Err))
+		if len(o.Conflicts) == 0 {
+			return 0, fmt.Errorf("%w: %w", errTurnedAway, o.Err)
+		}
+		return 0, errOtherWrote
 	case table.Unknown:
-		return 0, fmt.Errorf("rolloutsync: not known whether it was written: %w", errOf(o.Err))
+		return 0, fmt.Errorf("rolloutsync: not known whether it was written: %w", o.Err)
 	}
 	return 0, fmt.Errorf("rolloutsync: outcome %T", outcome)
 }
 
-var errOtherWrote = errors.New("another wrote first")
-
-func errOf(err error) error {
-	if err == nil {
-		return errOtherWrote
-	}
-	return err
-}
+// Ends of a write that did not take effect.
+var (
+	errTurnedAway = errors.New("rolloutsync: the store turned the write away")
+	errOtherWrote = errors.New("rolloutsync: another wrote first")
+)
 
-// write writes a phase. Where that fails the row is read anew before anything else is
-// written: the write may have taken effect, or another process may own the order.
+// write writes a phase. Where it is not known whether that took effect, or another
+// process has written, the row is read anew before anything else is written.
 func (d *Desk) write(ctx context.Context, o *owned, step rollout.Step) {
 	d.mu.Lock()
 	state := o.owner.State()
@@ -232,9 +245,7 @@
 	defer d.mu.Unlock()
 	if err != nil {
 		d.log.Warn().Err(err).Str("service", state.Order.Service).Str("phase", step.Write.String()).Msg("phase of a roll-out not written")
-		if d.owned[state.Order.Service] == o {
-			delete(d.owned, state.Order.Service)
-		}
+		o.inDoubt = !errors.Is(err, errTurnedAway)
 		return
 	}
 	o.version = version
