--- a/pkg/rollout/owner.go
+++ b/pkg/rollout/owner.go
@@ -11,9 +11,15 @@
 // Times of the owner of an order.
 const (
 	// tellTime is how long it takes until all hosts act on a word: two rounds.
-	tellTime = 500 * time.Millisecond
+	tellTime = 400 * time.Millisecond
 	// writeTime is kept for the store to take in the end, tries included.
-	writeTime = 700 * time.Millisecond
+	writeTime = 500 * time.Millisecond
+	// lookParts, leastLook and mostLook bound how long before the last moment to write a
+	// completion is written: the owner may die just then, and the next has the lease 3 s
+	// later.
+	lookParts = 10
+	leastLook = 300 * time.Millisecond
+	mostLook  = 2500 * time.Millisecond
 	// heardLate is how long after the operator's write the order may have been heard.
 	heardLate = 200 * time.Millisecond
 	// settleTime is how long an owner that has taken over hears the hosts before it
@@ -27,7 +33,7 @@
 	rampSteps = 2
 	// leastDrain and drainParts bound the time that is kept for the others' last answers.
 	leastDrain = 300 * time.Millisecond
-	drainParts = 3
+	drainParts = 4
 	// silentTime and silentParts bound the time that is kept for hosts that have just
 	// ended, frozen or been cut off: the end waits until they are known to be gone.
 	silentTime  = 2200 * time.Millisecond
@@ -217,7 +223,11 @@
 // decide returns the phase to be written and why.
 func (o *Owner) decide(f Fleet, now time.Duration) (Phase, string) {
 	e := o.evidence()
-	if found := o.look(&e, f, Early); found.Bad() {
+	m := Early
+	if o.state.Phase > Trying {
+		m = Raised
+	}
+	if found := o.look(&e, f, m); found.Bad() {
 		o.revert(found.String())
 		return 0, ""
 	}
@@ -242,7 +252,7 @@
 // the others have cleared the target, unless many answers were bad already.
 func (o *Owner) look(e *Evidence, f Fleet, m Moment) Finding {
 	found := Judge(o.way, e, o.suspects, m)
-	if !found.Bad() || m != Early || e.Target().Bad >= mostBad {
+	if !found.Bad() || m > Raised || e.Target().Bad >= mostBad {
 		return found
 	}
 	worst := e.worst(o.suspects)
@@ -337,7 +347,8 @@
 	o.share = min(max(o.share, keptPart*left/during), 1)
 }
 
-// drain completes once no host runs anything at the others any more.
+// drain completes once no host runs anything at the others any more, and not long before
+// the limit: until then the target can be taken back.
 func (o *Owner) drain(f Fleet, p plan, now time.Duration) (Phase, string) {
 	for _, incarnation := range f.Live {
 		r, ok := o.reports[incarnation]
@@ -350,6 +361,9 @@
 		o.revert("no endpoint of the target is left")
 		return 0, ""
 	}
+	if now < p.limit-writeTime-min(max(o.state.Order.Period/lookParts, leastLook), mostLook) {
+		return 0, ""
+	}
 	return Completed, "nothing runs at the others"
 }
 
