--- a/pkg/app/node/providers.go
+++ b/pkg/app/node/providers.go
@@ -98,7 +98,7 @@
 		return grant, leases.Left(dutyShard), ok
 	}
 	fleet := func(order rollout.Order) rollout.Fleet { return rolloutFleet(view, order) }
-	return rolloutsync.NewDesk(rollouts, rollout.DefaultWay, writer, platform, fleet, clock, held, logger)
+	return rolloutsync.NewDesk(rollouts, rollout.Prices(), writer, platform, fleet, clock, held, logger)
 }
 
 func newView(platform Platform, s Settings, clock *storeclock.Clock, home route.Home, self Incarnation, rollouts *rollout.Switch, logger *log.Logger) *storeview.View {
--- a/pkg/rollout/owner.go
+++ b/pkg/rollout/owner.go
@@ -73,7 +73,7 @@
 // Owner decides on one order for all hosts. It is used by one goroutine.
 type Owner struct {
 	bounds Bounds
-	way    Way
+	judge  Bayes
 	state  State
 	epoch  int64
 	number int64
@@ -104,8 +104,8 @@
 
 // NewOwner returns the owner of an order from the phase its row has; now is the store's
 // clock, epoch the lease's.
-func NewOwner(state State, bounds Bounds, way Way, epoch int64, now time.Duration) *Owner {
-	return &Owner{bounds: bounds, way: way, state: state, epoch: epoch, number: 1, began: now, reports: map[string]told{}}
+func NewOwner(state State, bounds Bounds, judge Bayes, epoch int64, now time.Duration) *Owner {
+	return &Owner{bounds: bounds, judge: judge, state: state, epoch: epoch, number: 1, began: now, reports: map[string]told{}}
 }
 
 // State returns what the order's row has.
@@ -251,7 +251,7 @@
 // look judges the target. One endpoint that alone speaks against it is left out once
 // the others have cleared the target, unless many answers were bad already.
 func (o *Owner) look(e *Evidence, f Fleet, m Moment) Finding {
-	found := Judge(o.way, e, o.suspects, m)
+	found := o.judge.Judge(e, o.suspects, m)
 	if !found.Bad() || m > Raised || e.Target().Bad >= mostBad {
 		return found
 	}
@@ -260,7 +260,7 @@
 		return found
 	}
 	without := append(slices.Clone(o.suspects), worst)
-	rest := Judge(o.way, e, without, m)
+	rest := o.judge.Judge(e, without, m)
 	if rest.Odds < clearOdds {
 		o.suspects = without
 	}
--- a/pkg/rolloutlab/host.go
+++ b/pkg/rolloutlab/host.go
@@ -236,7 +236,7 @@
 			p.row, p.hasRow = rollout.State{Order: order, Phase: rollout.Trying, Started: p.now}, true
 		}
 		d := &desk{host: h.number, heard: map[string]time.Duration{}}
-		d.owner = rollout.NewOwner(p.row, p.site.Bounds, p.site.Way, p.epoch, p.now)
+		d.owner = rollout.NewOwner(p.row, p.site.Bounds, p.site.Judge, p.epoch, p.now)
 		p.owner = d
 		p.after(0, func() { p.step(d) })
 		p.after(0, func() { p.round(d) })
--- a/pkg/rolloutlab/site.go
+++ b/pkg/rolloutlab/site.go
@@ -89,7 +89,7 @@
 	Target Badness
 	Faults []Fault
 	Bounds rollout.Bounds
-	Way    rollout.Way
+	Judge  rollout.Bayes
 }
 
 // Route is one kind of request.
--- a/pkg/rolloutsync/desk.go
+++ b/pkg/rolloutsync/desk.go
@@ -33,7 +33,7 @@
 // goroutine, Hear and Words by any.
 type Desk struct {
 	rollouts *rollout.Switch
-	way      rollout.Way
+	judge    rollout.Bayes
 	writer   *table.Writer
 	status   Status
 	fleet    Fleet
@@ -62,9 +62,9 @@
 }
 
 // NewDesk returns a desk that owns nothing yet.
-func NewDesk(rollouts *rollout.Switch, way rollout.Way, writer *table.Writer, status Status, fleet Fleet, clock *storeclock.Clock, held Held, logger *log.Logger) *Desk {
+func NewDesk(rollouts *rollout.Switch, judge rollout.Bayes, writer *table.Writer, status Status, fleet Fleet, clock *storeclock.Clock, held Held, logger *log.Logger) *Desk {
 	return &Desk{
-		rollouts: rollouts, way: way, writer: writer, status: status, fleet: fleet, clock: clock, held: held, log: logger,
+		rollouts: rollouts, judge: judge, writer: writer, status: status, fleet: fleet, clock: clock, held: held, log: logger,
 		owned: map[string]*owned{},
 	}
 }
@@ -190,7 +190,7 @@
 		before.owner.Entered(state.Phase, state.Why)
 		return before
 	}
-	o := &owned{owner: rollout.NewOwner(state, d.rollouts.Bounds(), d.way, grant.Epoch, now), epoch: grant.Epoch, version: version}
+	o := &owned{owner: rollout.NewOwner(state, d.rollouts.Bounds(), d.judge, grant.Epoch, now), epoch: grant.Epoch, version: version}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.owned[order.Service] = o
