Reports fit their datagram; what was ordered is forgotten once a roll-out has replaced it

Cause, by reading: three stream routes have 12 kinds, so that four tried endpoints made 60 tallies where 48 are told, and 60 endpoints of a raised share 720; the count that was cut was the target's. After a completion the orderer held on to what it had ordered of endpoints that had ended, and would never have given up those that the operator started in their place. Change: kinds are named once a report, 110 tallies fit; with a raised share the target's endpoints are counted together; a completed order makes the orderer take what serves for what was ordered.

--- a/pkg/app/node/duties.go
+++ b/pkg/app/node/duties.go
@@ -166,6 +166,7 @@
 			return serving[place], n.orderer.Soon(place, serving[place], service.Scaling.Boot, now)
 		}
 		orders, _ := autoscale.Plan(service, n.traffic.Demand(service.Name, works[service.Name], now), supply)
+		n.noteReplaced(service.Name)
 		if n.rollouts.IsOpen(service.Name) {
 			keepAll(orders, service.Scaling.Most)
 		}
@@ -174,6 +175,15 @@
 	}
 }
 
+// noteReplaced forgets what was ordered for a service whose endpoints a roll-out has
+// replaced: those of the new version are as many as the operator started.
+func (n *node) noteReplaced(service string) {
+	if order := n.rollouts.Completed(service); order != n.replaced[service] {
+		n.replaced[service] = order
+		n.orderer.ForgetService(service)
+	}
+}
+
 // keepAll keeps orders from giving up endpoints while a version is rolled out: those of
 // the version before must carry all requests until it is decided.
 func keepAll(orders []autoscale.Order, most int) {
--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -81,6 +81,7 @@
 	rollouts  *rollout.Switch
 	desk      *rolloutsync.Desk
 	datagrams *datagrams
+	replaced  replacedBy
 }
 
 // Main runs a node's command line and returns the exit code.
--- a/pkg/app/node/rollouts.go
+++ b/pkg/app/node/rollouts.go
@@ -42,6 +42,12 @@
 	}
 }
 
+// replacedBy is the last completed order of each service of which the orderer of
+// endpoints knows. One goroutine uses it.
+type replacedBy map[string]int64
+
+func newReplacedBy() replacedBy { return replacedBy{} }
+
 // ownRollouts decides on open orders while this host holds the lease of the duties.
 func (n *node) ownRollouts(ctx context.Context) {
 	if !n.rollouts.Bounds().Enabled() {
--- a/pkg/app/node/wire.go
+++ b/pkg/app/node/wire.go
@@ -13,7 +13,7 @@
 func build(platform Platform, settings Settings, incarnation Incarnation) *node {
 	wire.Build(
 		newLog, newLife, newPool, newStoreClient, newPeerClient, newStore, newCopy, newHome, newView, newRouter, newRollouts, newDesk, newLoads, newLimits,
-		newCounter, newWriter, newLeases, newDutyCloud, newReporter, newOrderer, newBudget, newForwarder,
+		newCounter, newWriter, newLeases, newDutyCloud, newReplacedBy, newReporter, newOrderer, newBudget, newForwarder,
 		storeclock.New, autoscale.NewTraffic, process.NewRegistry,
 		wire.Struct(new(ownRow)), wire.Struct(new(datagrams)), wire.Struct(new(fleetRole)), wire.Struct(new(node), "*"),
 	)
--- a/pkg/app/node/wire_gen.go
+++ b/pkg/app/node/wire_gen.go
@@ -43,6 +43,7 @@
 	nodeFleetRole := &fleetRole{}
 	desk := newDesk(platform, rolloutSwitch, view, writer, clock, manager, logger)
 	nodeDatagrams := &datagrams{}
+	nodeReplacedBy := newReplacedBy()
 	nodeNode := &node{
 		settings:    settings,
 		platform:    platform,
@@ -70,6 +71,7 @@
 		rollouts:    rolloutSwitch,
 		desk:        desk,
 		datagrams:   nodeDatagrams,
+		replaced:    nodeReplacedBy,
 	}
 	return nodeNode
 }
--- a/pkg/autoscale/autoscale.go
+++ b/pkg/autoscale/autoscale.go
@@ -95,6 +95,15 @@
 // Forget drops what was ordered: another holder may have ordered since.
 func (o *Orderer) Forget() { clear(o.places) }
 
+// ForgetService drops what was ordered for a service: others may have replaced it.
+func (o *Orderer) ForgetService(name string) {
+	for place := range o.places {
+		if place.Service == name {
+			delete(o.places, place)
+		}
+	}
+}
+
 func (o *Orderer) place(p Place) *placed {
 	state, ok := o.places[p]
 	if !ok {
--- a/pkg/rollout/count.go
+++ b/pkg/rollout/count.go
@@ -169,7 +169,7 @@
 func (d *split) tally(kind Kind, isTarget bool, endpoint string, bad bool) {
 	key := tallyKey{kind: kind}
 	if isTarget {
-		key.endpoint = endpoint
+		key.endpoint = d.placeOf(endpoint)
 	}
 	c, ok := d.tallies[key]
 	if !ok {
@@ -182,6 +182,18 @@
 	}
 }
 
+// manyEndpoints stands for the target's endpoints once it has a higher share: then all
+// of them answer, and a report that told them apart would not fit a datagram.
+const manyEndpoints = "*"
+
+// placeOf returns what an endpoint of the target is counted as.
+func (d *split) placeOf(endpoint string) string {
+	if d.phase > Trying {
+		return manyEndpoints
+	}
+	return endpoint
+}
+
 // Report returns what this host has counted for an order; ok is false where it does
 // not know the order.
 func (s *Switch) Report(name string, order int64, now time.Time) (Report, bool) {
@@ -237,7 +249,7 @@
 		kind := send.kind.time()
 		bound, known := v.slow(kind, v.referenceOf(kind))
 		if known && now.Sub(send.began).Seconds()/send.expected.Seconds() > bound {
-			key := tallyKey{kind, send.info.ID}
+			key := tallyKey{kind, v.order.placeOf(send.info.ID)}
 			c := counts[key]
 			c.add(Count{Answers: 1, Bad: 1})
 			counts[key] = c
--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -89,7 +89,7 @@
 	bad := map[string]int{}
 	for _, at := range e.target {
 		for endpoint, c := range at {
-			if !slices.Contains(without, endpoint) {
+			if endpoint != manyEndpoints && !slices.Contains(without, endpoint) {
 				bad[endpoint] += c.Bad
 			}
 		}
--- a/pkg/rollout/switch.go
+++ b/pkg/rollout/switch.go
@@ -326,6 +326,20 @@
 	}
 }
 
+// Completed returns the order that last replaced a service's endpoints, 0 for none.
+func (s *Switch) Completed(name string) int64 {
+	v := s.find(name)
+	if v == nil {
+		return 0
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.order == nil || v.order.phase != Completed || v.order.joined {
+		return 0
+	}
+	return v.order.order.ID
+}
+
 // IsOpen reports whether an order for a service is under way.
 func (s *Switch) IsOpen(name string) bool {
 	v := s.find(name)
--- a/pkg/rolloutsync/wire.go
+++ b/pkg/rolloutsync/wire.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -11,9 +12,13 @@
 	"ironhollow/pkg/rollout"
 )
 
-// mostTallies bounds a report: with its ends it fits a datagram. Routes beyond are not
-// judged by themselves.
-const mostTallies = 48
+// Bounds of a report, with which it fits a datagram of 1,400 bytes: three routes whose
+// answers are streams have 12 kinds, and are told apart at seven endpoints and over all
+// others. What is beyond is not told.
+const (
+	mostTallies = 110
+	mostBounds  = 24
+)
 
 // message is what one datagram tells.
 type message struct {
@@ -53,15 +58,17 @@
 	Tried         int
 	OthersRunning int
 	LongestMS     int64
-	// Endpoints are named once; a tally has the number of its own, 0 for none.
+	// Endpoints and Kinds are named once; a tally has the number of its own, 0 for no
+	// endpoint.
 	Endpoints []string
+	Kinds     []uint32
 	Tallies   []tally
 	Bounds    []bound
 }
 
 type tally struct {
 	_        struct{} `cbor:",toarray"`
-	Kind     uint32
+	Kind     int
 	Endpoint int
 	Answers  int
 	Bad      int
@@ -101,14 +108,19 @@
 			place = len(w.Endpoints)
 			places[t.Endpoint] = place
 		}
-		w.Tallies = append(w.Tallies, tally{Kind: uint32(t.Kind), Endpoint: place, Answers: t.Answers, Bad: t.Bad})
+		kind := slices.Index(w.Kinds, uint32(t.Kind))
+		if kind < 0 {
+			kind = len(w.Kinds)
+			w.Kinds = append(w.Kinds, uint32(t.Kind))
+		}
+		w.Tallies = append(w.Tallies, tally{Kind: kind, Endpoint: place, Answers: t.Answers, Bad: t.Bad})
 	}
 	return w
 }
 
 func encodeBounds(bounds []rollout.SlowBound) []bound {
 	var list []bound
-	for _, b := range bounds[:min(len(bounds), mostTallies/2)] {
+	for _, b := range bounds[:min(len(bounds), mostBounds)] {
 		list = append(list, bound{Kind: uint32(b.Kind), Value: float32(b.Value), Answers: b.Answers})
 	}
 	return list
@@ -150,14 +162,14 @@
 		OthersRunning: r.OthersRunning, Longest: time.Duration(r.LongestMS) * time.Millisecond, Bounds: decodeBounds(r.Bounds),
 	}
 	for _, t := range r.Tallies {
-		if t.Endpoint < 0 || t.Endpoint > len(r.Endpoints) {
-			return d, fmt.Errorf("rolloutsync: a tally of endpoint %d, %d are named", t.Endpoint, len(r.Endpoints))
+		if t.Endpoint < 0 || t.Endpoint > len(r.Endpoints) || t.Kind < 0 || t.Kind >= len(r.Kinds) {
+			return d, fmt.Errorf("rolloutsync: a tally of endpoint %d and kind %d, %d and %d are named", t.Endpoint, t.Kind, len(r.Endpoints), len(r.Kinds))
 		}
 		endpoint := ""
 		if t.Endpoint > 0 {
 			endpoint = r.Endpoints[t.Endpoint-1]
 		}
-		d.Tallies = append(d.Tallies, rollout.Tally{Kind: rollout.Kind(t.Kind), Endpoint: endpoint, Count: rollout.Count{Answers: t.Answers, Bad: t.Bad}})
+		d.Tallies = append(d.Tallies, rollout.Tally{Kind: rollout.Kind(r.Kinds[t.Kind]), Endpoint: endpoint, Count: rollout.Count{Answers: t.Answers, Bad: t.Bad}})
 	}
 	return d, nil
 }
