Followers ask a store that is away rarely: their relays hear first that it is back

Change: after a failed call a follower asks the store for that table again 0.6 to 1.8 s later, and its relays as before; relays themselves go on every 0.3 s. Where only some hosts are turned away each still finds out within 1.8 s whether it is one. Test fails before (25 calls in 2.5 s, now 2 to 5).

--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -22,6 +22,7 @@
 type store struct {
 	mu    sync.Mutex
 	batch feed.Batch
+	err   error
 	calls int
 }
 
@@ -35,7 +36,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
-	return s.batch, nil
+	return s.batch, s.err
 }
 
 // says tells values apart by what stands before a dot; behind it a row counts.
@@ -294,3 +295,41 @@
 		}
 	}
 }
+
+// While the store is away from all, a follower whose relays are out of date does not ask
+// it every 0.3 s; once it answers, it is asked as before.
+func TestStoreThatIsAwayIsAskedRarely(t *testing.T) {
+	c := &clock{now: time.Now()}
+	stale, direct, source := follower(t, c)
+	stale.Restart("t", feed.Batch{Version: 10})
+	c.pass(2 * time.Second)
+	direct.err = errors.New("away")
+	began := time.Now()
+	for time.Since(began) < 2500*time.Millisecond {
+		if _, err := source.Changes(context.Background(), "t", 10, 0); err == nil {
+			t.Fatal("changes of a store that is away: got no error")
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	if direct.calls < 2 || direct.calls > 5 {
+		t.Errorf("calls in 2.5 s to a store that is away: got %d, want 2 to 5", direct.calls)
+	}
+	direct.err = nil
+	for deadline := time.Now().Add(3 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+		if _, err := source.Changes(context.Background(), "t", 10, 0); err == nil {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the store is back and is not asked")
+		}
+	}
+	before := direct.calls
+	for range 3 {
+		if _, err := source.Changes(context.Background(), "t", 10, 0); err != nil {
+			t.Errorf("the store is back: got %v", err)
+		}
+	}
+	if got := direct.calls - before; got != 3 {
+		t.Errorf("calls of three once it is back: got %d, want 3", got)
+	}
+}
--- a/pkg/relay/source.go
+++ b/pkg/relay/source.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -35,6 +36,11 @@
 	// quickAnswer is the time within which a relay says that it can't tell; one that
 	// takes longer may be cut off.
 	quickAnswer = 200 * time.Millisecond
+	// directPause is the time between two calls to a store that has failed this host,
+	// where no relay is up to date either: the store is away from all then, and the relays
+	// hear first that it is back. Four seconds of that made 2,000 of a day's 4,750 calls
+	// where 77 hosts tried again every 0.3 s.
+	directPause = 1200 * time.Millisecond
 	// mostBytes bounds an answer.
 	mostBytes = 32 << 20
 )
@@ -67,6 +73,8 @@
 	mu sync.Mutex
 	// shunned are relays that failed, until when.
 	shunned map[string]time.Time
+	// failedUntil is until when the store is not asked for a table again, as it failed.
+	failedUntil map[string]time.Time
 	// directUntil is until when the store is followed itself, as a relay was slow.
 	directUntil time.Time
 }
@@ -74,7 +82,7 @@
 // NewSource returns a source. What it reads from the store itself goes into the
 // copy, for those that follow this host.
 func NewSource(store feed.Source, into *Copy, client *http.Client, choose Choose, lag Lag, serves func() bool, logger *log.Logger) *Source {
-	return &Source{store: store, copy: into, client: client, choose: choose, lag: lag, serves: serves, log: logger, started: time.Now(), shunned: map[string]time.Time{}}
+	return &Source{store: store, copy: into, client: client, choose: choose, lag: lag, serves: serves, log: logger, started: time.Now(), shunned: map[string]time.Time{}, failedUntil: map[string]time.Time{}}
 }
 
 // Snapshot reads a whole table.
@@ -98,7 +106,11 @@
 			relay, isRelay = s.relay()
 		}
 	}
+	if !isRelay && s.hasFailed(name) {
+		return feed.Batch{}, errStoreAway
+	}
 	batch, err := s.store.Snapshot(ctx, name)
+	s.noteDirect(name, err)
 	if err == nil && isRelay {
 		batch.Full = true
 		s.copy.Restart(name, batch)
@@ -122,13 +134,38 @@
 		// What this host followed through others is not in its copy.
 		return feed.Batch{}, feed.ErrHistoryGone
 	}
+	if !isRelay && s.hasFailed(name) {
+		return feed.Batch{}, errStoreAway
+	}
 	batch, err := s.store.Changes(ctx, name, after, wait)
+	s.noteDirect(name, err)
 	if err == nil && isRelay {
 		s.copy.Add(name, batch)
 	}
 	return batch, err
 }
 
+// errStoreAway says that the store failed a moment ago and no relay is up to date.
+var errStoreAway = errors.New("relay: the store failed a moment ago, and no relay has heard of it")
+
+// hasFailed reports whether the store has just failed for a table.
+func (s *Source) hasFailed(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Now().Before(s.failedUntil[name])
+}
+
+// noteDirect notes how a call to the store itself ended.
+func (s *Source) noteDirect(name string, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err == nil || errors.Is(err, feed.ErrHistoryGone) {
+		delete(s.failedUntil, name)
+		return
+	}
+	s.failedUntil[name] = time.Now().Add(directPause/2 + rand.N(directPause))
+}
+
 // changes asks a relay for changes.
 func (s *Source) changes(ctx context.Context, relay, name string, after int64, wait time.Duration) (feed.Batch, error) {
 	query := url.Values{
