--- a/pkg/rollout/switch.go
+++ b/pkg/rollout/switch.go
@@ -134,6 +134,8 @@
 	// joined says that this process heard of the order when it started: it may have
 	// used a slack before.
 	joined bool
+	// recorded says that the order's end is known to stand in the store.
+	recorded bool
 	// surveyed says that it is known whether there were other endpoints than the
 	// target's; without there is nothing to split.
 	surveyed, alone bool
@@ -263,6 +265,7 @@
 	if v.order == nil || v.order.order.ID != state.Order.ID || state.Phase < Draining {
 		return false
 	}
+	v.order.recorded = v.order.recorded || state.Phase.Ended()
 	return v.enter(state.Phase, now)
 }
 
@@ -351,11 +354,12 @@
 	return v.watching() != nil
 }
 
-// Open returns the orders that have not ended.
+// Open returns the orders whose end is not known to stand in the store, those that all
+// hosts were told to revert too: somebody has to write it.
 func (s *Switch) Open() []Order {
 	var open []Order
 	s.each(func(v *service) {
-		if v.order != nil && !v.order.phase.Ended() {
+		if v.order != nil && !v.order.recorded {
 			open = append(open, v.order.order)
 		}
 	})
--- a/pkg/rolloutsync/desk_test.go
+++ b/pkg/rolloutsync/desk_test.go
@@ -318,3 +318,51 @@
 		}
 	}
 }
+
+// The store turns all writes away when a version is found bad, and the owner may die
+// before they pass: the hosts were told, and the row says so as soon as it can.
+func TestRevertIsWrittenOnceTheStoreIsBack(t *testing.T) {
+	for _, ownerDies := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fleet{store: tables.New(), random: rand.New(rand.NewPCG(1, 1)), began: time.Now(), hosts: make([]*host, 3), bad: true}
+			for i := range f.hosts {
+				f.start(i)
+			}
+			f.awaitPhase(t, rollout.Trying)
+			f.store.SetFaults(func(c tables.Call) tables.Fault {
+				if c.Operation == tables.OperationCommit && c.Key == rolloutsync.Key(service) {
+					return tables.Refuse{}
+				}
+				return tables.None{}
+			})
+			time.Sleep(5 * time.Second)
+			if got := f.phase(); got != rollout.Trying {
+				t.Errorf("row while the store turns writes away: got %v, want trying", got)
+			}
+			for i, h := range f.all() {
+				if _, holds := h.leases.Held(shard); holds && ownerDies {
+					h.stop()
+					f.start(i)
+				}
+			}
+			f.store.SetFaults(nil)
+			f.awaitPhase(t, rollout.Reverted)
+			for _, h := range f.hosts {
+				h.stop()
+			}
+			time.Sleep(10 * time.Second)
+		})
+	}
+}
+
+// awaitPhase waits until the row has a phase.
+func (f *fleet) awaitPhase(t *testing.T, want rollout.Phase) {
+	t.Helper()
+	for range 400 {
+		if f.phase() == want {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Fatalf("row after 20 s: got %v, want %v", f.phase(), want)
+}
