Hosts learn of an order by the owner's word; a new version is not alone for a loss

Cause, by reading: a host that is cut off from the store when an order is given never hears of it, so that it never says that it has drained, and a completion waited for it up to 15 s past the limit; where all endpoints of the version in use were lost when another was ordered, that one got everything unseen (exposure). Change: words bear the order's version and period; a target is alone only if its endpoints served before, and an owner waits 3 s before it completes for want of others. Tests first: both fail before. Warm endpoints were counted and used by nothing: gone.

--- a/pkg/app/node/rollouts.go
+++ b/pkg/app/node/rollouts.go
@@ -197,11 +197,8 @@
 		case info.Service != order.Service || info.State != endpoint.Live:
 		case info.Release != order.Target:
 			f.Others++
-		case info.Cold:
-			f.Targets++
 		default:
 			f.Targets++
-			f.Warm++
 		}
 	}
 	return f
--- a/pkg/rollout/count.go
+++ b/pkg/rollout/count.go
@@ -299,7 +299,7 @@
 		}
 	}
 	if !d.surveyed {
-		d.surveyed, d.alone = true, others == 0
+		d.surveyed, d.alone = true, others == 0 && d.inUse
 	}
 	d.targets, d.otherCount = targets, others
 	d.tryAt()
--- a/pkg/rollout/owner.go
+++ b/pkg/rollout/owner.go
@@ -23,6 +23,9 @@
 	// settleTime is how long an owner that has taken over hears the hosts before it
 	// decides anything but a revert.
 	settleTime = time.Second
+	// aloneTime is how long there must be no endpoints but the target's for an order to be
+	// completed at once: others that crashed are back within seconds.
+	aloneTime = 3 * time.Second
 	// mostRamp bounds the time from the first higher share to all requests; a sixth of
 	// the period where that is less.
 	mostRamp  = 2 * time.Second
@@ -88,8 +91,10 @@
 	askedThen int
 	// drainNumber is the first word of the drain.
 	drainNumber int64
-	sawOthers   bool
-	nextRamp    time.Duration
+	// aloneSince is since when the target's endpoints have been the only ones, 0 if they
+	// are not.
+	aloneSince time.Duration
+	nextRamp   time.Duration
 	// before is the evidence of earlier moments.
 	before     []*Evidence
 	nextMoment time.Duration
@@ -129,9 +134,8 @@
 	Live []string
 	// Callers is how many of them callers are told.
 	Callers int
-	// Others and Targets are the endpoints that take work, Warm those of the target
-	// that are not slow from their start.
-	Others, Targets, Warm int
+	// Others and Targets are the endpoints that take work.
+	Others, Targets int
 }
 
 // Step is what an owner wants done.
@@ -146,7 +150,7 @@
 
 // Next decides; now is the store's clock.
 func (o *Owner) Next(f Fleet, now time.Duration) Step {
-	o.sawOthers = o.sawOthers || f.Others > 0
+	o.noteAlone(f, now)
 	o.measure(now)
 	before := o.word()
 	step := Step{}
@@ -167,6 +171,16 @@
 	return step
 }
 
+// noteAlone notes since when there is nothing to take requests from.
+func (o *Owner) noteAlone(f Fleet, now time.Duration) {
+	switch {
+	case f.Others > 0 || f.Targets == 0:
+		o.aloneSince = 0
+	case o.aloneSince == 0:
+		o.aloneSince = now
+	}
+}
+
 // Entered notes that the row has a phase.
 func (o *Owner) Entered(phase Phase, why string) {
 	if phase <= o.state.Phase {
@@ -182,7 +196,7 @@
 
 func (o *Owner) word() Word {
 	w := Word{
-		Service: o.state.Order.Service, Order: o.state.Order.ID, Phase: o.state.Phase, Share: o.share,
+		Service: o.state.Order.Service, Order: o.state.Order.ID, Target: o.state.Order.Target, Period: o.state.Order.Period, Phase: o.state.Phase, Share: o.share,
 		Epoch: o.epoch, Number: o.number, Suspects: o.suspects,
 	}
 	if o.reverting {
@@ -275,7 +289,7 @@
 
 func (o *Owner) try(f Fleet, e *Evidence, p plan, now time.Duration) (Phase, string) {
 	o.share = o.tryShare(f)
-	if !o.sawOthers && f.Targets > 0 {
+	if o.aloneSince > 0 && now-o.aloneSince >= aloneTime {
 		return Completed, "no endpoints of another version"
 	}
 	if now < p.shift {
--- a/pkg/rollout/owner_test.go
+++ b/pkg/rollout/owner_test.go
@@ -26,7 +26,7 @@
 // under way.
 func BenchmarkDecision(b *testing.B) {
 	o := rollout.NewOwner(rollout.State{Order: order, Phase: rollout.Trying, Started: time.Minute}, bounds, rollout.Prices(), 1, time.Minute)
-	fleet := rollout.Fleet{Callers: 8, Others: 60, Targets: 60, Warm: 60}
+	fleet := rollout.Fleet{Callers: 8, Others: 60, Targets: 60}
 	now := time.Minute
 	for step := range 100 {
 		now += 100 * time.Millisecond
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -93,9 +93,12 @@
 // Word is what the owner of an order tells all hosts several times a second.
 type Word struct {
 	Service string
-	// Order is the ID of the order it is about.
-	Order int64
-	Phase Phase
+	// Order is the ID of the order it is about, Target and Period are the order's: hosts
+	// that are cut off from the store learn of it by the word.
+	Order  int64
+	Target string
+	Period time.Duration
+	Phase  Phase
 	// Share is the part of the requests that go to the target.
 	Share float64
 	// Slack is the requests of a host that may go there before Share is filled.
--- a/pkg/rollout/split.go
+++ b/pkg/rollout/split.go
@@ -64,6 +64,8 @@
 	joined bool
 	// recorded says that the order's end is known to stand in the store.
 	recorded bool
+	// inUse says that the target's endpoints served before the order.
+	inUse bool
 	// surveyed says that it is known whether there were other endpoints than the
 	// target's; without there is nothing to split.
 	surveyed, alone bool
--- a/pkg/rollout/switch.go
+++ b/pkg/rollout/switch.go
@@ -125,8 +125,9 @@
 		v.exclude(before.order.Target)
 	}
 	v.excluded = slices.DeleteFunc(v.excluded, func(release string) bool { return release == o.Target })
+	_, known := v.releases[o.Target]
 	v.order = &split{
-		order: o, phase: Trying, joined: joined,
+		order: o, phase: Trying, joined: joined, inUse: known && !slices.Contains(v.unvetted, o.Target),
 		kinds: map[Kind]*kindCount{}, tallies: map[tallyKey]*Count{}, pending: map[*Send]struct{}{},
 	}
 	v.rules()
@@ -156,6 +157,8 @@
 
 // Hear takes in the owner's word. It reports whether the share or the phase changed.
 func (s *Switch) Hear(w Word, now time.Time) bool {
+	// Whoever hears of an order by the owner's word may have heard late: it has no slack.
+	s.Take(Order{Service: w.Service, Target: w.Target, Period: w.Period, ID: w.Order}, true)
 	v := s.find(w.Service)
 	if v == nil {
 		return false
--- a/pkg/rollout/switch_test.go
+++ b/pkg/rollout/switch_test.go
@@ -39,7 +39,7 @@
 
 // word is the owner's in a phase.
 func word(phase rollout.Phase, share float64) rollout.Word {
-	return rollout.Word{Service: service, Order: order.ID, Phase: phase, Share: share, Slack: 3, Epoch: 1, Number: int64(phase)}
+	return rollout.Word{Service: service, Order: order.ID, Target: order.Target, Period: order.Period, Phase: phase, Share: share, Slack: 3, Epoch: 1, Number: int64(phase)}
 }
 
 // goes returns which versions may take a request, "-" for none.
@@ -126,6 +126,52 @@
 	}
 }
 
+// A host that is cut off from the store learns of an order by the owner's word, and has
+// no slack of its own: it may have started since.
+func TestOrderIsLearnedByTheWord(t *testing.T) {
+	s, infos := split("v1")
+	s.Saw(service, "v2", began)
+	infos = append(infos, endpoints("v2", 8)...)
+	s.Survey(infos, false, began)
+	s.Hear(word(rollout.Trying, 0.06), began)
+	if got := goes(s, infos, sideOf(s, "r", began)); got != "v1" {
+		t.Errorf("first request: got %s, want v1: there is no slack", got)
+	}
+	s.Hear(word(rollout.Draining, 1), began)
+	if got := goes(s, infos, sideOf(s, "r", began)); got != "v2" {
+		t.Errorf("drained: got %s, want v2", got)
+	}
+	if r, ok := s.Report(service, order.ID, began); !ok || r.Phase != rollout.Draining {
+		t.Errorf("report: got %+v, %v, want draining", r, ok)
+	}
+}
+
+// Where all endpoints of the version in use are lost when another is ordered, that one
+// does not get everything unseen.
+func TestTargetIsNotAloneForALoss(t *testing.T) {
+	s, _ := split("v1")
+	s.Take(order, false)
+	s.Survey(endpoints("v2", 8), true, began)
+	s.Hear(word(rollout.Trying, 0.06), began)
+	target := endpoints("v2", 1)[0]
+	got := 0
+	for i := range 1000 {
+		side := sideOf(s, fmt.Sprint(i), began)
+		if goes(s, endpoints("v2", 8), side) == "-" {
+			instead, ok := s.Instead(service, side, began)
+			if !ok {
+				continue
+			}
+			side = instead
+		}
+		got++
+		s.Begin(service, &target, 0, 0, began)
+	}
+	if got > 103 {
+		t.Errorf("with no other endpoint left: got %d of 1000 requests at the target, want 103 at most", got)
+	}
+}
+
 // Endpoints of a version that was not there before get nothing until an order for it
 // would have been heard; where the operator is not heard that takes longer.
 func TestNewVersionsWaitForAnOrder(t *testing.T) {
--- a/pkg/rolloutlab/host.go
+++ b/pkg/rolloutlab/host.go
@@ -286,7 +286,6 @@
 		case e.gone:
 		case e.info.Release == target:
 			f.Targets++
-			f.Warm++
 		default:
 			f.Others++
 		}
--- a/pkg/rolloutsync/desk_test.go
+++ b/pkg/rolloutsync/desk_test.go
@@ -121,7 +121,7 @@
 }
 
 func (f *fleet) known(rollout.Order) rollout.Fleet {
-	known := rollout.Fleet{Callers: len(f.hosts), Others: 4, Targets: 4, Warm: 4}
+	known := rollout.Fleet{Callers: len(f.hosts), Others: 4, Targets: 4}
 	for _, h := range f.all() {
 		if !h.paused.Load() {
 			known.Live = append(known.Live, h.name)
@@ -286,7 +286,7 @@
 // What hosts tell each other is what they meant.
 func TestWordsAndReportsAreCarried(t *testing.T) {
 	w := rollout.Word{
-		Service: service, Order: 5, Phase: rollout.Shifting, Share: 0.25, Slack: 3, Epoch: 2, Number: 9, Suspects: []string{"e1"},
+		Service: service, Order: 5, Target: "v2", Period: time.Second, Phase: rollout.Shifting, Share: 0.25, Slack: 3, Epoch: 2, Number: 9, Suspects: []string{"e1"},
 		Bounds: []rollout.SlowBound{{Kind: 4, Value: 0.5, Answers: 20}},
 	}
 	data, err := rolloutsync.EncodeWords([]rollout.Word{w})
--- a/pkg/rolloutsync/wire.go
+++ b/pkg/rolloutsync/wire.go
@@ -31,6 +31,8 @@
 	_        struct{} `cbor:",toarray"`
 	Service  string
 	Order    int64
+	Target   string
+	PeriodMS int64
 	Phase    int
 	Share    float32
 	Slack    int
@@ -79,7 +81,7 @@
 	var m message
 	for _, w := range words {
 		m.Words = append(m.Words, word{
-			Service: w.Service, Order: w.Order, Phase: int(w.Phase), Share: float32(w.Share), Slack: w.Slack,
+			Service: w.Service, Order: w.Order, Target: w.Target, PeriodMS: w.Period.Milliseconds(), Phase: int(w.Phase), Share: float32(w.Share), Slack: w.Slack,
 			Epoch: w.Epoch, Number: w.Number, Suspects: w.Suspects, Bounds: encodeBounds(w.Bounds),
 		})
 	}
@@ -142,7 +144,7 @@
 	}
 	for _, w := range m.Words {
 		words = append(words, rollout.Word{
-			Service: w.Service, Order: w.Order, Phase: rollout.Phase(w.Phase), Share: float64(w.Share), Slack: w.Slack,
+			Service: w.Service, Order: w.Order, Target: w.Target, Period: time.Duration(w.PeriodMS) * time.Millisecond, Phase: rollout.Phase(w.Phase), Share: float64(w.Share), Slack: w.Slack,
 			Epoch: w.Epoch, Number: w.Number, Suspects: w.Suspects, Bounds: decodeBounds(w.Bounds),
 		})
 	}
