An order for the version in use is completed without a comparison, when the share would rise

Cause, by reading the change before: waiting 3 s for others to come back is shorter than a crash of all of them, and without others the judge compared a version with nothing: an order back to the version in use, 20 in 100 of whose answers fail by themselves, would have been reverted, and the platform drains what is reverted. Change: without any endpoint of another version since the order nothing is judged, and the order is completed when the share would rise. The test fails before.

--- a/pkg/rollout/owner.go
+++ b/pkg/rollout/owner.go
@@ -23,9 +23,6 @@
 	// settleTime is how long an owner that has taken over hears the hosts before it
 	// decides anything but a revert.
 	settleTime = time.Second
-	// aloneTime is how long there must be no endpoints but the target's for an order to be
-	// completed at once: others that crashed are back within seconds.
-	aloneTime = 3 * time.Second
 	// mostRamp bounds the time from the first higher share to all requests; a sixth of
 	// the period where that is less.
 	mostRamp  = 2 * time.Second
@@ -91,10 +88,10 @@
 	askedThen int
 	// drainNumber is the first word of the drain.
 	drainNumber int64
-	// aloneSince is since when the target's endpoints have been the only ones, 0 if they
-	// are not.
-	aloneSince time.Duration
-	nextRamp   time.Duration
+	// sawOthers says that there were endpoints of another version since the order; without
+	// there is nothing to compare with, and nothing to take requests from.
+	sawOthers bool
+	nextRamp  time.Duration
 	// before is the evidence of earlier moments.
 	before     []*Evidence
 	nextMoment time.Duration
@@ -150,7 +147,7 @@
 
 // Next decides; now is the store's clock.
 func (o *Owner) Next(f Fleet, now time.Duration) Step {
-	o.noteAlone(f, now)
+	o.sawOthers = o.sawOthers || f.Others > 0
 	o.measure(now)
 	before := o.word()
 	step := Step{}
@@ -171,16 +168,6 @@
 	return step
 }
 
-// noteAlone notes since when there is nothing to take requests from.
-func (o *Owner) noteAlone(f Fleet, now time.Duration) {
-	switch {
-	case f.Others > 0 || f.Targets == 0:
-		o.aloneSince = 0
-	case o.aloneSince == 0:
-		o.aloneSince = now
-	}
-}
-
 // Entered notes that the row has a phase.
 func (o *Owner) Entered(phase Phase, why string) {
 	if phase <= o.state.Phase {
@@ -239,7 +226,7 @@
 	if o.state.Phase > Trying {
 		m = Raised
 	}
-	if found := o.look(&e, f, m); found.Bad() {
+	if found := o.look(&e, f, m); found.Bad() && o.sawOthers {
 		o.revert(found.String())
 		return 0, ""
 	}
@@ -289,12 +276,12 @@
 
 func (o *Owner) try(f Fleet, e *Evidence, p plan, now time.Duration) (Phase, string) {
 	o.share = o.tryShare(f)
-	if o.aloneSince > 0 && now-o.aloneSince >= aloneTime {
-		return Completed, "no endpoints of another version"
-	}
 	if now < p.shift {
 		return 0, ""
 	}
+	if !o.sawOthers && f.Targets > 0 {
+		return Completed, "no endpoints of another version"
+	}
 	if f.Targets == 0 || float64(f.Targets) < enoughEndpoints*float64(f.Others) {
 		return o.tooFew(f, p, now)
 	}
--- a/pkg/rollout/owner_test.go
+++ b/pkg/rollout/owner_test.go
@@ -22,6 +22,25 @@
 	return r
 }
 
+// With no endpoint of another version there is nothing to compare with: an order for the
+// version in use is completed, whatever part of its answers fail.
+func TestOrderForTheVersionInUse(t *testing.T) {
+	o := rollout.NewOwner(rollout.State{Order: order, Phase: rollout.Trying, Started: time.Minute}, bounds, rollout.Prices(), 1, time.Minute)
+	fleet := rollout.Fleet{Callers: 1, Targets: 4, Live: []string{"h"}}
+	tallies := []rollout.Tally{{Kind: 4, Endpoint: "e", Count: rollout.Count{Answers: 300, Bad: 60}}}
+	for now := time.Minute; now < time.Minute+order.Period; now += 100 * time.Millisecond {
+		o.Hear("h", rollout.Report{Service: service, Order: order.ID, Phase: rollout.Trying, Asked: 300, Tallies: tallies}, now)
+		step := o.Next(fleet, now)
+		if step.Write == rollout.Completed {
+			return
+		}
+		if step.Write != 0 || step.Word.Phase == rollout.Reverted {
+			t.Fatalf("%v after the order: got %v (%s), want it completed", now-time.Minute, step.Write, step.Why)
+		}
+	}
+	t.Error("not completed within the period")
+}
+
 // A decision on the reports of eight hosts: 0.52 ms, ten times a second while an order is
 // under way.
 func BenchmarkDecision(b *testing.B) {
