Endpoints of a version nobody ordered serve at once where no other is left

Cause, by reading: a release that replaces all endpoints of a service within the 3 s in which a new version waits for its order left its callers without any. Change: where none of the others takes a request, the new version's do. The test fails before. Only deployments whose settings bound roll-outs meet this code. Measured: tests of the split and of requests pass.

--- a/pkg/rollout/split.go
+++ b/pkg/rollout/split.go
@@ -14,8 +14,8 @@
 // Times of a host's split.
 const (
 	// wordKept is how long the owner's word holds: a host that does not hear it any more
-	// falls back to the version before. It is half of what users allow between a bad
-	// version's 50th bad answer and its last request (5 s); the owner tells each host
+	// falls back to the version before. It is less than half of what users allow between a
+	// bad version's 50th bad answer and its last request (5 s); the owner tells each host
 	// twice a second or more often.
 	wordKept = 2 * time.Second
 	// shiftKept is the same while the share is raised, when two seconds may be more than
@@ -83,6 +83,7 @@
 	pending map[*Send]struct{}
 }
 
+// kindCount is the requests of one route since the order.
 type kindCount struct{ asked int }
 
 type tallyKey struct {
@@ -90,6 +91,7 @@
 	endpoint string
 }
 
+// side says where a request goes.
 func (d *split) side(kind Kind, request string, now time.Time) Side {
 	switch {
 	case d.phase == Completed && now.Sub(d.endedAt) > targetOnly:
@@ -175,6 +177,7 @@
 	}
 }
 
+// tally counts an answer.
 func (d *split) tally(kind Kind, isTarget bool, endpoint string, bad bool) {
 	key := tallyKey{kind: kind}
 	if isTarget {
--- a/pkg/rollout/switch.go
+++ b/pkg/rollout/switch.go
@@ -16,8 +16,11 @@
 
 // The sides.
 const (
-	// Any is all endpoints: no order concerns the service.
+	// Any is all endpoints but those whose version may be ordered unheard: no order
+	// concerns the service.
 	Any Side = iota
+	// Every is those too.
+	Every
 	// Others are the endpoints that are not of an ordered version.
 	Others
 	// Target is the endpoints of the ordered version.
@@ -331,6 +334,8 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	switch {
+	case side == Every:
+		return Rule{}
 	case v.order == nil || side == Any:
 		return Rule{Not: v.unvetted}
 	case side == Target:
@@ -345,13 +350,16 @@
 // its share allows. ok is false where there is nowhere.
 func (s *Switch) Instead(name string, side Side, now time.Time) (instead Side, ok bool) {
 	v := s.find(name)
-	if v == nil || side == Any {
-		return Any, false
+	if v == nil || side == Every {
+		return Every, false
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	d := v.order
 	switch {
+	case d == nil || side == Any:
+		// A release may have replaced all endpoints faster than its version is vetted.
+		return Every, len(v.unvetted) > 0
 	case side == Target:
 		return Others, d.phase != Completed
 	case d.phase == Reverted:
--- a/pkg/rollout/switch_test.go
+++ b/pkg/rollout/switch_test.go
@@ -184,6 +184,9 @@
 		want  string
 	}{{0, true, "v1"}, {2 * time.Second, true, "v1"}, {5 * time.Second, false, "v1"}, {6 * time.Second, true, "v1v2"}} {
 		s.Survey(infos, c.fresh, began.Add(c.after))
+		if instead, ok := s.Instead(service, rollout.Any, began); ok != (c.want == "v1") || ok && goes(s, infos[8:], instead) != "v2" {
+			t.Errorf("%v after the first endpoint of v2, none of v1 left: got side %v, %v", c.after, instead, ok)
+		}
 		if got := goes(s, infos, sideOf(s, "r", began)); got != c.want {
 			t.Errorf("%v after the first endpoint of v2, operator heard %v: got %s, want %s", c.after, c.fresh, got, c.want)
 		}
