A store that fails is left alone only while the relays have not heard of it either

There relays are slow (tables of 1 MB, 9.6 MB/s at the busiest host) and followers go to the store; a call that failed, as its answer is too long for their link, now kept them from asking again for 0.6 to 1.8 s. Ruled out: a row's new fields (versions and cold starts do not change there). Change: while a relay has been slow a moment ago the store is asked as before. Test fails before.

--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -333,3 +333,22 @@
 		t.Errorf("calls of three once it is back: got %d, want 3", got)
 	}
 }
+
+// Where the relay is slow the store is asked again as soon as the follower likes, also
+// after a call that failed.
+func TestSlowRelayLeavesTheStoreToBeAsked(t *testing.T) {
+	slow, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = slow.Close() }()
+	direct := &store{batch: feed.Batch{Version: 99}, err: errors.New("too long for the link")}
+	source := newSource(direct, relay.NewCopy(time.Now, says), slow.Addr().String())
+	if _, err := source.Changes(context.Background(), "t", 10, 0); err == nil {
+		t.Fatal("changes of a store that fails: got no error")
+	}
+	direct.err = nil
+	if _, err := source.Changes(context.Background(), "t", 10, 0); err != nil {
+		t.Errorf("right after a failure: got %v, want the store asked again", err)
+	}
+}
--- a/pkg/relay/source.go
+++ b/pkg/relay/source.go
@@ -148,11 +148,14 @@
 // errStoreAway says that the store failed a moment ago and no relay is up to date.
 var errStoreAway = errors.New("relay: the store failed a moment ago, and no relay has heard of it")
 
-// hasFailed reports whether the store has just failed for a table.
+// hasFailed reports whether the store has just failed for a table while the relays say
+// that they have not heard of it. Where a relay is slow, a call to the store that fails
+// tells nothing of the store: the table may be too long for this host's link.
 func (s *Source) hasFailed(name string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return time.Now().Before(s.failedUntil[name])
+	now := time.Now()
+	return now.Before(s.failedUntil[name]) && !now.Before(s.directUntil)
 }
 
 // noteDirect notes how a call to the store itself ended.
