--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -15,6 +15,7 @@
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/limit"
 	"ironhollow/pkg/pause"
+	"ironhollow/pkg/poison"
 	"ironhollow/pkg/retry"
 	"ironhollow/pkg/rollout"
 	"ironhollow/pkg/route"
@@ -116,6 +117,8 @@
 	header   http.Header
 	body     []byte
 	hasBody  bool
+	// fingerprint is set once the body has been read.
+	fingerprint poison.Fingerprint
 	// offered says that an endpoint was sent the request and could run it.
 	offered bool
 	// avoid lists endpoints it failed at.
@@ -189,6 +192,7 @@
 	if err = c.readBody(); err != nil {
 		return c.refuse(err, 0)
 	}
+	c.fingerprint = poison.FingerprintOf(c.in.Method, c.in.RequestURI, c.teamName(), c.body)
 	if wait, ok := c.admit(); !ok {
 		return c.refuse(code.New(code.OverRate, "the team is over its rate"), wait)
 	}
--- a/pkg/forward/trail.go
+++ b/pkg/forward/trail.go
@@ -115,7 +115,8 @@
 	}
 	line := c.f.log.Info().Str("request", c.meta.ID).Str("outcome", outcome).Dur("took", took)
 	if c.route != nil {
-		line = line.Str("route", c.route.Name).Str("service", c.service.Name).Int64("config", c.table.Version()).Str("team", c.teamName())
+		line = line.Str("route", c.route.Name).Str("service", c.service.Name).Int64("config", c.table.Version()).Str("team", c.teamName()).
+			Stringer("fingerprint", c.fingerprint)
 	}
 	for i, h := range c.trail.hops {
 		prefix := "hop" + strconv.Itoa(i+1)
