--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -381,3 +382,32 @@
 		t.Errorf("never started: waited %v, want 0.4 s", waited)
 	}
 }
+
+// A request that ends each endpoint that runs it comes again and again, under new ids:
+// after three ends it goes to no other endpoint and is refused as not run, while all
+// others are served. The story stands at TestCrashingRequestIsHeldBack of package soak.
+func TestCrashingRequestGoesToThreeEndpoints(t *testing.T) {
+	const endpoints = 8
+	for _, path := range []string{"/safe/x", "/once/x", "/stream/x", "/resume/x"} {
+		s := newSite(t, spec(), true)
+		for i := range endpoints {
+			s.addCrashing("e" + strconv.Itoa(i))
+		}
+		var last answer
+		for i := range 2 * endpoints {
+			last = s.ask("POST", path, crashingBody, "Id", "try-"+strconv.Itoa(i))
+			time.Sleep(endSeen)
+		}
+		if got, want := s.crashes(), 3; got != want {
+			t.Errorf("%s: endpoints ended by one request: got %d of %d, want %d", path, got, endpoints, want)
+		}
+		if last.status != http.StatusServiceUnavailable || last.header.Get("Retry-After") == "" {
+			t.Errorf("%s: last try: got %+v, want 503 that tells when to come back", path, last)
+		}
+		for i := range 5 {
+			if got := s.ask("POST", "/once/x", "body "+strconv.Itoa(i)); got.status != http.StatusOK {
+				t.Errorf("%s: other requests: got %+v, want 200", path, got)
+			}
+		}
+	}
+}
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -140,12 +141,59 @@
 	return s
 }
 
-func (s *site) addEndpoint(id string, answer script) {
+func (s *site) addEndpoint(id string, answer script) { s.add(id, s.listen(), answer) }
+
+func (s *site) listen() net.Listener {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	s.t.Cleanup(func() { _ = listener.Close() })
+	return listener
+}
+
+// crashingBody is the body of a request that ends its endpoint, endSeen the time in
+// which a host finds out that an endpoint has ended.
+const (
+	crashingBody = "crash"
+	endSeen      = 100 * time.Millisecond
+)
+
+// addCrashing adds an endpoint that ends, with all its connections, when it runs a
+// request with crashingBody, and answers all others.
+func (s *site) addCrashing(id string) {
+	listener := s.listen()
+	var (
+		mu    sync.Mutex
+		conns []net.Conn
+	)
+	s.add(id, listener, func(c net.Conn, r *http.Request) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		conns = append(conns, c)
+		if body, _ := io.ReadAll(r.Body); string(body) != crashingBody {
+			return whole("answer")(c, r)
+		}
+		_ = listener.Close()
+		for _, open := range conns {
+			_ = open.Close()
+		}
+		return false
+	})
+}
+
+// crashes returns how many requests with crashingBody endpoints have run.
+func (s *site) crashes() int {
+	n := 0
+	for _, r := range s.requests() {
+		if r.body == crashingBody {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *site) add(id string, listener net.Listener, answer script) {
 	s.directory.Merge(endpoint.Info{
 		ID: id, Incarnation: 1, State: endpoint.Live, Kind: endpoint.Plain, Service: "svc",
 		Address: listener.Addr().String(), Slots: 4,
@@ -173,6 +221,7 @@
 		s.mu.Lock()
 		s.seen = append(s.seen, seen{id, r.RequestURI, r.Header, string(body)})
 		s.mu.Unlock()
+		r.Body = io.NopCloser(bytes.NewReader(body))
 		if !answer(c, r) {
 			return
 		}
--- /dev/null
+++ b/pkg/soak/crashing.go
@@ -0,0 +1,131 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"ironhollow/platform/standin"
+)
+
+// Crashing is a request that ends each endpoint that runs it and comes again, with new
+// ids, at any host.
+type Crashing struct {
+	Kind standin.Kind
+	// Every is the time between two tries, Lasting how long they come.
+	Every, Lasting time.Duration
+	// KillAll kills all hosts at once when half of that is over.
+	KillAll bool
+}
+
+// CrashingOutcome is what came of it.
+type CrashingOutcome struct {
+	// Tries is how many were sent, Ended how many endpoints they ended.
+	Tries, Ended int
+	// Late is how many came to an endpoint later than contactTime after the third that
+	// they ended.
+	Late int
+	// Refused is how many were answered at once that they did not run.
+	Refused int
+}
+
+const (
+	// contactTime is how long hosts have to learn of an end from each other.
+	contactTime = 3 * time.Second
+	// heldAfter is after how many ends a request should come to no endpoint any more.
+	heldAfter = 3
+)
+
+// RunCrashing sends crashing requests beside what callers send, each to a host drawn
+// anew.
+func RunCrashing(ctx context.Context, o Options, requests []Crashing) (Outcome, []CrashingOutcome, error) {
+	r := newRun(o)
+	defer r.end()
+	if err := r.start(); err != nil {
+		return Outcome{}, nil, err
+	}
+	stopCallers := r.startCallers(ctx)
+	var outcomes []CrashingOutcome
+	for i, c := range requests {
+		outcomes = append(outcomes, r.sendCrashing(ctx, i, c))
+	}
+	r.timers.Wait()
+	r.wait(ctx, recovery)
+	r.checkCalm(ctx)
+	stopCallers()
+	r.checkRuns()
+	served, failed := r.report.totals()
+	return Outcome{served, failed, r.cloud.Reports(), append(r.report.broken, r.cloud.Broken()...)}, outcomes, ctx.Err()
+}
+
+// sendCrashing sends one crashing request's tries.
+func (r *run) sendCrashing(ctx context.Context, number int, c Crashing) CrashingOutcome {
+	body := fmt.Sprintf("%s%d", standin.CrashingBody, number)
+	client := &http.Client{Timeout: callerTime, Transport: &http.Transport{DisableKeepAlives: true}}
+	var (
+		outcome CrashingOutcome
+		mu      sync.Mutex
+		tries   sync.WaitGroup
+	)
+	killed := !c.KillAll
+	for began := time.Now(); time.Since(began) < c.Lasting && ctx.Err() == nil; {
+		if !killed && time.Since(began) > c.Lasting/2 {
+			killed = true
+			r.killAll()
+		}
+		outcome.Tries++
+		id := fmt.Sprintf("crashing-%d-%d", number, outcome.Tries)
+		address := r.nodes[r.random.IntN(len(r.nodes))].file.Callers
+		tries.Go(func() {
+			if !r.tryCrashing(client, c.Kind, address, id, body) {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			outcome.Refused++
+		})
+		r.wait(ctx, c.Every/2+rand.N(c.Every))
+	}
+	tries.Wait()
+	ended := r.ledger.Crashing(body)
+	outcome.Ended = len(ended)
+	for _, at := range ended {
+		if len(ended) > heldAfter && at.Sub(ended[heldAfter-1]) > contactTime+standin.CrashTime {
+			outcome.Late++
+		}
+	}
+	r.log("crashing request %d: %+v", number, outcome)
+	return outcome
+}
+
+// tryCrashing sends one try and reports whether it was refused as not run.
+func (r *run) tryCrashing(client *http.Client, kind standin.Kind, address, id, body string) bool {
+	request, err := standin.NewRequest(address, standin.Once, id, body)
+	if err != nil {
+		r.report.wrong("%s: %v", id, err)
+		return false
+	}
+	request.URL.Path = "/" + string(kind) + "/x"
+	response, err := client.Do(request)
+	if err != nil {
+		// Its endpoint ended midway, or the host was killed.
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	if standin.IsPromise(response.StatusCode) && r.ledger.Runs(id) > 0 {
+		r.report.wrong("%s was said not to have run, and ran", id)
+	}
+	return standin.IsPromise(response.StatusCode)
+}
+
+// killAll kills all hosts' processes at once; they are started again.
+func (r *run) killAll() {
+	r.log("kill all hosts")
+	for _, n := range r.nodes {
+		n.signal(syscall.SIGKILL)
+	}
+}
--- a/pkg/soak/proxy.go
+++ b/pkg/soak/proxy.go
@@ -48,8 +48,11 @@
 }
 
 // NewProxy starts a proxy to a target.
-func NewProxy(target string) (*Proxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func NewProxy(target string) (*Proxy, error) { return NewProxyAt(freeAddress, target) }
+
+// NewProxyAt starts a proxy to a target at an address.
+func NewProxyAt(address, target string) (*Proxy, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/soak/rollout.go
+++ b/pkg/soak/rollout.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
@@ -60,20 +58,12 @@
 
 // RunRollouts gives orders one after the other, for the plain service.
 func RunRollouts(ctx context.Context, o Options, orders []Rollout) (Outcome, []RolloutOutcome, error) {
-	r := &run{
-		options: o, random: rand.New(rand.NewPCG(o.Seed, 0)), store: standin.NewStore(), cloud: standin.NewCloud(),
-		ledger: standin.NewLedger(), report: newReport(), version: 1, started: time.Now(),
-	}
+	r := newRun(o)
 	defer r.end()
 	if err := r.start(); err != nil {
 		return Outcome{}, nil, err
 	}
-	callersCtx, stopCallers := context.WithCancel(ctx)
-	var callers sync.WaitGroup
-	for i := range o.Callers {
-		c := newCaller(i, o.Seed, r.nodes, r.report)
-		callers.Go(func() { c.run(callersCtx) })
-	}
+	stopCallers := r.startCallers(ctx)
 	running := firstVersion
 	var outcomes []RolloutOutcome
 	for _, order := range orders {
@@ -87,7 +77,6 @@
 	}
 	r.wait(ctx, calm)
 	stopCallers()
-	callers.Wait()
 	r.checkRuns()
 	served, failed := r.report.totals()
 	return Outcome{served, failed, r.cloud.Reports(), append(r.report.broken, r.cloud.Broken()...)}, outcomes, ctx.Err()
@@ -144,7 +133,7 @@
 	defer r.mu.Unlock()
 	r.made++
 	r.endpoints, r.proxies = append(r.endpoints, nil), append(r.proxies, nil)
-	return r.startVersion(i, standin.PlainService, version)
+	return r.startVersion(i, standin.PlainService, version, freeAddress)
 }
 
 // endVersion ends all plain endpoints of a version at once.
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -53,6 +53,10 @@
 	plainEndpoints  = 3
 	streamEndpoints = 3
 	startTime       = 10 * time.Second
+	// freeAddress is where a proxy listens that may be anywhere.
+	freeAddress = "127.0.0.1:0"
+	// backAfter is how long an endpoint is away that a request has ended.
+	backAfter = 1500 * time.Millisecond
 	// dumpTime is how long a process that is not ready has to print why.
 	dumpTime = 500 * time.Millisecond
 	// readyTime is how long all hosts together may take to say that they are
@@ -81,31 +85,44 @@
 
 // Run makes one run. The error says that it could not be made.
 func Run(ctx context.Context, o Options) (Outcome, error) {
-	r := &run{
-		options: o, random: rand.New(rand.NewPCG(o.Seed, 0)), store: standin.NewStore(), cloud: standin.NewCloud(),
-		ledger: standin.NewLedger(), report: newReport(), version: 1, started: time.Now(),
-	}
+	r := newRun(o)
 	defer r.end()
 	if err := r.start(); err != nil {
 		return Outcome{}, err
 	}
-	callersCtx, stopCallers := context.WithCancel(ctx)
-	var callers sync.WaitGroup
-	for i := range o.Callers {
-		c := newCaller(i, o.Seed, r.nodes, r.report)
-		callers.Go(func() { c.run(callersCtx) })
-	}
+	stopCallers := r.startCallers(ctx)
 	r.faults(ctx)
 	r.timers.Wait()
 	r.wait(ctx, recovery)
 	r.checkCalm(ctx)
 	stopCallers()
-	callers.Wait()
 	r.checkRuns()
 	served, failed := r.report.totals()
 	return Outcome{served, failed, r.cloud.Reports(), append(r.report.broken, r.cloud.Broken()...)}, ctx.Err()
 }
 
+func newRun(o Options) *run {
+	return &run{
+		options: o, random: rand.New(rand.NewPCG(o.Seed, 0)), store: standin.NewStore(), cloud: standin.NewCloud(),
+		ledger: standin.NewLedger(), report: newReport(), version: 1, started: time.Now(),
+	}
+}
+
+// startCallers has callers send until the function returned is called; it returns
+// once all have ended.
+func (r *run) startCallers(ctx context.Context) (stop func()) {
+	callersCtx, cancel := context.WithCancel(ctx)
+	var callers sync.WaitGroup
+	for i := range r.options.Callers {
+		c := newCaller(i, r.options.Seed, r.nodes, r.report)
+		callers.Go(func() { c.run(callersCtx) })
+	}
+	return func() {
+		cancel()
+		callers.Wait()
+	}
+}
+
 func (r *run) log(format string, args ...any) {
 	_, _ = fmt.Fprintf(r.options.Log, "%8.3f  %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
 }
@@ -168,18 +185,18 @@
 	if i >= plainEndpoints {
 		service = standin.StreamService
 	}
-	return r.startVersion(i, service, standin.Version{Name: firstVersion})
+	return r.startVersion(i, service, standin.Version{Name: firstVersion}, freeAddress)
 }
 
 // firstVersion is the software of all endpoints at the start.
 const firstVersion = "v1"
 
-// startVersion starts an endpoint at a place. The lock is held.
-func (r *run) startVersion(i int, service string, version standin.Version) error {
+// startVersion starts an endpoint at a place, told at an address. The lock is held.
+func (r *run) startVersion(i int, service string, version standin.Version, at string) error {
 	var proxy *Proxy
 	e, err := standin.StartEndpoint(fmt.Sprintf("i-%d-%d", i, r.made), service, version, r.store, r.ledger, func(address string) (string, error) {
 		var err error
-		if proxy, err = NewProxy(address); err != nil {
+		if proxy, err = NewProxyAt(at, address); err != nil {
 			return "", err
 		}
 		return proxy.Address(), nil
@@ -187,10 +204,29 @@
 	if err != nil {
 		return err
 	}
+	e.OnCrash(func() { r.crashed(i, service, version, proxy) })
 	r.endpoints[i], r.proxies[i] = e, proxy
 	return nil
 }
 
+// crashed ends what stands before an endpoint that a request has ended, and starts
+// another at its address after a while.
+func (r *run) crashed(i int, service string, version standin.Version, proxy *Proxy) {
+	proxy.Close()
+	r.log("endpoint %d is ended by a request", i)
+	r.later(backAfter, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.proxies[i] != proxy {
+			return
+		}
+		r.made++
+		if err := r.startVersion(i, service, version, proxy.Address()); err != nil {
+			r.report.wrong("endpoint %d: %v", i, err)
+		}
+	})
+}
+
 func (r *run) proxyOf(i int) *Proxy {
 	r.mu.Lock()
 	defer r.mu.Unlock()
