Time that a machine is suspended for counts as passed: leases, what was heard, kept connections

Cause: the monotonic clock stands still while a machine is suspended, and all decisions were by it: a holder that wakes would count on its lease for up to 2.4 s and renew it up to 750 ms later, the users allow 300 ms; a configuration that is 10 s old would count as heard a moment ago. A line tells a suspension.

--- a/pkg/app/control/app.go
+++ b/pkg/app/control/app.go
@@ -25,6 +25,7 @@
 	"ironhollow/pkg/membership"
 	"ironhollow/pkg/operatorapi"
 	"ironhollow/pkg/peer"
+	"ironhollow/pkg/steady"
 	"ironhollow/pkg/table"
 )
 
@@ -87,7 +88,7 @@
 }
 
 func newLeases(writer *table.Writer, s Settings) *lease.Manager {
-	return lease.New(writer, writer.Incarnation(), s.leaseTiming)
+	return lease.New(writer, writer.Incarnation(), s.leaseTiming, steady.Now)
 }
 
 func newMesh(s Settings, incarnation Incarnation, nodes *membership.Table, endpoints *endpoint.Directory, holder *config.Holder) *peer.Mesh {
--- a/pkg/app/node/life.go
+++ b/pkg/app/node/life.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ironhollow/pkg/forward"
+	"ironhollow/pkg/steady"
 	"ironhollow/pkg/storeclock"
 )
 
@@ -38,3 +39,17 @@
 		return forward.Ending
 	}
 }
+
+// suspensions is how long the machine was suspended, as last logged. One goroutine uses
+// it.
+type suspensions struct{ logged time.Duration }
+
+// noteSuspension writes a line when the machine was suspended.
+func (n *node) noteSuspension() {
+	total := steady.Suspended()
+	if total == n.suspensions.logged {
+		return
+	}
+	n.log.Warn().Dur("suspended", total-n.suspensions.logged).Msg("the machine was suspended")
+	n.suspensions.logged = total
+}
--- a/pkg/app/node/loads.go
+++ b/pkg/app/node/loads.go
@@ -75,6 +75,7 @@
 	n.loads.Take(now)
 	n.view.Endpoints().Expire()
 	n.surveySuspects(now)
+	n.noteSuspension()
 	n.noteRole()
 	n.surveyRollouts(now)
 	n.limits.SetFleet(n.view.Roster().Fleet(string(n.incarnation), now))
--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -86,6 +86,8 @@
 	replaced  replacedBy
 	poison    *poison.Watch
 	keeper    *poisonsync.Keeper
+
+	suspensions *suspensions
 }
 
 // Main runs a node's command line and returns the exit code.
--- a/pkg/app/node/providers.go
+++ b/pkg/app/node/providers.go
@@ -28,6 +28,7 @@
 	"ironhollow/pkg/rolloutsync"
 	"ironhollow/pkg/roster"
 	"ironhollow/pkg/route"
+	"ironhollow/pkg/steady"
 	"ironhollow/pkg/storecalls"
 	"ironhollow/pkg/storeclock"
 	"ironhollow/pkg/storeview"
@@ -140,7 +141,7 @@
 }
 
 func newLeases(writer *table.Writer, self Incarnation, s Settings) *lease.Manager {
-	return lease.New(writer, string(self), lease.Timing{Duration: s.Lease, Renew: s.Lease / renewals})
+	return lease.New(writer, string(self), lease.Timing{Duration: s.Lease, Renew: s.Lease / renewals}, steady.Now)
 }
 
 func newDutyCloud(platform Platform, client storeClient, s Settings, leases *lease.Manager) *dutyCloud {
--- a/pkg/app/node/wire.go
+++ b/pkg/app/node/wire.go
@@ -16,7 +16,7 @@
 		newLog, newLife, newPool, newStoreClient, newPeerClient, newStore, newCopy, newHome, newView, newRouter, newRollouts, newDesk, newLoads, newLimits,
 		newCounter, newWriter, newLeases, newDutyCloud, newReplacedBy, newReporter, newOrderer, newBudget, newForwarder, newWatch, poisonsync.NewKeeper,
 		storeclock.New, autoscale.NewTraffic, process.NewRegistry,
-		wire.Struct(new(ownRow)), wire.Struct(new(datagrams)), wire.Struct(new(fleetRole)), wire.Struct(new(node), "*"),
+		wire.Struct(new(ownRow)), wire.Struct(new(datagrams)), wire.Struct(new(fleetRole)), wire.Struct(new(suspensions)), wire.Struct(new(node), "*"),
 	)
 	return nil
 }
--- a/pkg/app/node/wire_gen.go
+++ b/pkg/app/node/wire_gen.go
@@ -47,6 +47,7 @@
 	nodeDatagrams := &datagrams{}
 	nodeReplacedBy := newReplacedBy()
 	keeper := poisonsync.NewKeeper(watch, writer, clock, logger)
+	nodeSuspensions := &suspensions{}
 	nodeNode := &node{
 		settings:    settings,
 		platform:    platform,
@@ -77,6 +78,7 @@
 		replaced:    nodeReplacedBy,
 		poison:      watch,
 		keeper:      keeper,
+		suspensions: nodeSuspensions,
 	}
 	return nodeNode
 }
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -63,6 +63,7 @@
 	writer *table.Writer
 	holder string
 	timing Timing
+	now    func() time.Time
 
 	mu   sync.Mutex
 	held map[Shard]*holding
@@ -74,7 +75,7 @@
 type holding struct {
 	epoch   int64
 	version int64
-	// until is by this process's own monotonic clock.
+	// until is by this process's own clock.
 	until time.Time
 	since time.Time
 }
@@ -87,9 +88,10 @@
 	since   time.Time
 }
 
-// New returns a manager; holder names this process's incarnation.
-func New(writer *table.Writer, holder string, timing Timing) *Manager {
-	return &Manager{writer: writer, holder: holder, timing: timing, held: map[Shard]*holding{}, seen: map[Shard]sighting{}}
+// New returns a manager; holder names this process's incarnation. now must count the time
+// that the machine is suspended for: another may hold the lease when it is awake again.
+func New(writer *table.Writer, holder string, timing Timing, now func() time.Time) *Manager {
+	return &Manager{writer: writer, holder: holder, timing: timing, now: now, held: map[Shard]*holding{}, seen: map[Shard]sighting{}}
 }
 
 func rowKey(s Shard) string { return fmt.Sprintf("lease/%04d", s) }
@@ -100,7 +102,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	h, ok := m.held[s]
-	if !ok || !time.Now().Before(h.until) {
+	if !ok || !m.now().Before(h.until) {
 		return Grant{}, false
 	}
 	return Grant{s, h.epoch}, true
@@ -115,7 +117,7 @@
 	if !ok {
 		return 0
 	}
-	return max(time.Until(h.until), 0)
+	return max(h.until.Sub(m.now()), 0)
 }
 
 // Version returns the row's version of a shard that is held, 0 if it is not: others
@@ -124,7 +126,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	h, ok := m.held[s]
-	if !ok || !time.Now().Before(h.until) {
+	if !ok || !m.now().Before(h.until) {
 		return 0
 	}
 	return h.version
@@ -137,7 +139,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if seen, ok := m.seen[s]; !ok || seen.version != version {
-		m.seen[s] = sighting{version: version, holder: heardHolder, since: time.Now()}
+		m.seen[s] = sighting{version: version, holder: heardHolder, since: m.now()}
 	}
 }
 
@@ -150,7 +152,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	seen, ok := m.seen[s]
-	return !ok || time.Since(seen.since) >= m.timing.Duration
+	return !ok || m.now().Sub(seen.since) >= m.timing.Duration
 }
 
 // HeldFor returns how long a shard has been held, 0 if it is not.
@@ -161,14 +163,14 @@
 	if !ok {
 		return 0
 	}
-	return time.Since(h.since)
+	return m.now().Sub(h.since)
 }
 
 // Grants returns all shards held at the moment, in order.
 func (m *Manager) Grants() []Grant {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := time.Now()
+	now := m.now()
 	var list []Grant
 	for s, h := range m.held {
 		if now.Before(h.until) {
@@ -210,7 +212,7 @@
 // on standby that is held is kept until the node that wants it is there to
 // take it; the caller wishes NotWanted then.
 func (m *Manager) renew(ctx context.Context, wishes map[Shard]Wish) {
-	started := time.Now()
+	started := m.now()
 	shards, writes := m.renewals(wishes)
 	for len(shards) > 0 {
 		outcome := m.writer.Commit(ctx, writes...)
@@ -268,7 +270,7 @@
 // forgetLapsed drops leases whose renewal is not known to stand and whose time
 // is over by our own clock: they are read anew before they are taken again.
 func (m *Manager) forgetLapsed(shards []Shard) {
-	now := time.Now()
+	now := m.now()
 	for _, s := range shards {
 		if now.After(m.held[s].until) {
 			delete(m.held, s)
@@ -322,7 +324,7 @@
 	defer m.mu.Unlock()
 	seen, ok := m.seen[s]
 	if !ok || seen.version != version {
-		seen = sighting{version, held.Epoch, held.Holder, time.Now()}
+		seen = sighting{version, held.Epoch, held.Holder, m.now()}
 		m.seen[s] = seen
 	}
 	return seen
@@ -332,7 +334,7 @@
 // wants it, by a standby after a renewal's time; any other once it has been
 // seen unchanged for its whole duration.
 func (m *Manager) isFree(seen sighting, wish Wish) bool {
-	waited := time.Since(seen.since)
+	waited := m.now().Sub(seen.since)
 	if seen.holder == "" {
 		return wish == Wanted || waited >= m.timing.Renew
 	}
@@ -340,7 +342,7 @@
 }
 
 func (m *Manager) take(ctx context.Context, s Shard, epoch int64, condition table.Condition) {
-	started := time.Now()
+	started := m.now()
 	ctx, cancel := context.WithTimeout(ctx, m.timing.Renew)
 	defer cancel()
 	outcome := m.writer.Commit(ctx, table.Write{Key: rowKey(s), Value: encode(record{m.holder, epoch}), If: condition})
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -28,7 +28,7 @@
 }
 
 func newHolder(store *tables.Store, name string, wish lease.Wish) *holder {
-	h := &holder{Manager: lease.New(table.NewWriter(store, name), name, timing), wish: wish, stop: make(chan struct{})}
+	h := &holder{Manager: lease.New(table.NewWriter(store, name), name, timing, time.Now), wish: wish, stop: make(chan struct{})}
 	go func() {
 		for {
 			if !h.paused.Load() {
@@ -95,7 +95,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := tables.New()
 		first := newHolder(store, "a", lease.Wanted)
-		second := lease.New(table.NewWriter(store, "b"), "b", timing)
+		second := lease.New(table.NewWriter(store, "b"), "b", timing, time.Now)
 		look := func() { second.Step(context.Background(), map[lease.Shard]lease.Wish{shard: lease.Wanted}) }
 		holders := []*holder{first, {Manager: second}}
 		for range 100 {
@@ -263,7 +263,7 @@
 func TestRenewalsAreOneCommit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := tables.New()
-		m := lease.New(table.NewWriter(store, "a"), "a", timing)
+		m := lease.New(table.NewWriter(store, "a"), "a", timing, time.Now)
 		wishes := map[lease.Shard]lease.Wish{}
 		for s := range 50 {
 			wishes[lease.Shard(s)] = lease.Wanted
@@ -279,3 +279,35 @@
 		}
 	})
 }
+
+// A holder's machine is suspended for longer than the lease, which its monotonic clock
+// does not count: awake, it must not act for a moment under a lease that another holds.
+// The users take calls of the one before for broken 300 ms after it woke; it renewed
+// 750 ms later at the latest, and counted on its lease for 2.4 s.
+func TestSuspendedHolderDoesNotAct(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := tables.New()
+		suspended := time.Duration(0)
+		awake := func() time.Time { return time.Now().Add(suspended) }
+		first := lease.New(table.NewWriter(store, "a"), "a", timing, awake)
+		second := lease.New(table.NewWriter(store, "b"), "b", timing, time.Now)
+		wish := map[lease.Shard]lease.Wish{0: lease.Wanted}
+		first.Step(t.Context(), wish)
+		if _, held := first.Held(0); !held {
+			t.Fatal("first: got no lease, want it")
+		}
+		second.Step(t.Context(), wish)
+		time.Sleep(timing.Duration)
+		second.Step(t.Context(), wish)
+		if _, held := second.Held(0); !held {
+			t.Fatal("second, a lease's time later: got no lease, want it")
+		}
+		// All that while has passed for the first too, though its clock stood still.
+		third := lease.New(table.NewWriter(store, "c"), "c", timing, awake)
+		third.Step(t.Context(), map[lease.Shard]lease.Wish{1: lease.Wanted})
+		suspended += timing.Duration
+		if grant, held := third.Held(1); held || third.Left(1) != 0 || third.Version(1) != 0 || len(third.Grants()) != 0 {
+			t.Errorf("awake after a lease's time: got %+v for another %v, want none", grant, third.Left(1))
+		}
+	})
+}
--- a/pkg/rolloutsync/desk.go
+++ b/pkg/rolloutsync/desk.go
@@ -12,6 +12,7 @@
 
 	"ironhollow/pkg/lease"
 	"ironhollow/pkg/rollout"
+	"ironhollow/pkg/steady"
 	"ironhollow/pkg/storeclock"
 	"ironhollow/pkg/table"
 )
@@ -84,7 +85,7 @@
 		d.forget()
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, left-leastLeft/2)
+	ctx, cancel := steady.WithTimeout(ctx, left-leastLeft/2)
 	defer cancel()
 	open := d.rollouts.Open()
 	d.keep(open, now)
--- a/pkg/rolloutsync/desk_test.go
+++ b/pkg/rolloutsync/desk_test.go
@@ -82,7 +82,7 @@
 	clock := storeclock.New()
 	clock.Heard(time.Since(f.began) + time.Minute)
 	writer := table.NewWriter(f.store, name)
-	h.leases = lease.New(writer, name, lease.Timing{Duration: 3 * time.Second, Renew: 750 * time.Millisecond})
+	h.leases = lease.New(writer, name, lease.Timing{Duration: 3 * time.Second, Renew: 750 * time.Millisecond}, time.Now)
 	held := func() (lease.Grant, time.Duration, bool) {
 		grant, ok := h.leases.Held(shard)
 		return grant, h.leases.Left(shard), ok
--- a/pkg/storeclock/clock.go
+++ b/pkg/storeclock/clock.go
@@ -1,10 +1,14 @@
-// Package storeclock tells the time by the process's monotonic clock and relates it
-// to the steady clock of the platform's store.
+// Package storeclock tells the time as it has passed since the process started and
+// relates it to the steady clock of the platform's store. What was heard before the
+// machine was suspended is old when it wakes: without that a host took configurations
+// and other hosts for fresh that it had not heard of for as long.
 package storeclock
 
 import (
 	"sync"
 	"time"
+
+	"ironhollow/pkg/steady"
 )
 
 // Clock is the process's clock with what is known of the store's. It is safe for
@@ -20,20 +24,20 @@
 }
 
 // New returns a clock that starts now.
-func New() *Clock { return &Clock{start: time.Now()} }
+func New() *Clock { return &Clock{start: steady.Now()} }
 
 // Running returns the time since the clock's start.
-func (c *Clock) Running() time.Duration { return time.Since(c.start) }
+func (c *Clock) Running() time.Duration { return steady.Since(c.start) }
 
 // Now returns the time of day at the start plus what has passed since: steps
 // of the time of day don't show.
-func (c *Clock) Now() time.Time { return c.start.Add(time.Since(c.start)) }
+func (c *Clock) Now() time.Time { return c.start.Add(steady.Since(c.start)) }
 
 // Heard takes in the store's clock of an answer that has just come.
 func (c *Clock) Heard(store time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	start := store - time.Since(c.start)
+	start := store - steady.Since(c.start)
 	if !c.known || start > c.storeStart {
 		c.storeStart = start
 		c.known = true
@@ -44,7 +48,7 @@
 func (c *Clock) Store() (time.Duration, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.storeStart + time.Since(c.start), c.known
+	return c.storeStart + steady.Since(c.start), c.known
 }
 
 // Offset returns this host's time of day less the store's clock.
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -16,6 +16,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"ironhollow/pkg/steady"
 )
 
 // Outcome is how a send ended: NotSent, Unclear or Answered.
@@ -141,7 +143,7 @@
 		return false
 	}
 	c := h.idle[len(h.idle)-1]
-	rested := time.Since(c.idleSince)
+	rested := steady.Since(c.idleSince)
 	return rested < c.idleTime && (maxIdle <= 0 || rested < maxIdle)
 }
 
@@ -269,7 +271,7 @@
 		return nil
 	}
 	c := h.idle[len(h.idle)-1]
-	rested := time.Since(c.idleSince)
+	rested := steady.Since(c.idleSince)
 	if maxIdle > 0 && rested > maxIdle && rested <= c.idleTime {
 		return nil
 	}
@@ -278,7 +280,7 @@
 }
 
 func (p *Pool) put(c *conn) {
-	c.idleSince = time.Now()
+	c.idleSince = steady.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if h := p.hosts[c.address]; h != nil {
@@ -294,7 +296,7 @@
 	for address, h := range p.hosts {
 		kept := h.idle[:0]
 		for _, c := range h.idle {
-			if time.Since(c.idleSince) <= c.idleTime && keep(address) {
+			if steady.Since(c.idleSince) <= c.idleTime && keep(address) {
 				kept = append(kept, c)
 				continue
 			}
@@ -358,7 +360,7 @@
 // quiet reports whether a kept connection is still open, in time, and has
 // nothing to be read: bytes that come unasked belong to no request.
 func (c *conn) quiet() bool {
-	if c.reader.Buffered() > 0 || time.Since(c.idleSince) > c.idleTime {
+	if c.reader.Buffered() > 0 || steady.Since(c.idleSince) > c.idleTime {
 		return false
 	}
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
