--- a/pkg/app/entry/wire_gen.go
+++ b/pkg/app/entry/wire_gen.go
@@ -21,6 +21,7 @@
 	"ironhollow/pkg/limit"
 	"ironhollow/pkg/membership"
 	"ironhollow/pkg/peer"
+	"ironhollow/pkg/poison"
 	"ironhollow/pkg/stream"
 )
 
@@ -41,8 +42,9 @@
 	budget := newBudget()
 	registerer := newRegisterer(registry)
 	counters := stream.NewCounters(registerer)
+	watch := poison.NewWatch(registerer, logger)
 	traceTracer := newTracer(tracer)
-	runner := stream.New(router, api, budget, estimator, counters, traceTracer)
+	runner := stream.New(router, api, budget, estimator, counters, watch, traceTracer)
 	rates := limit.NewRates()
 	gates := limit.NewGates()
 	objectStore := newObjects(settings, client)
--- a/pkg/callerapi/fleet_test.go
+++ b/pkg/callerapi/fleet_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/sdk/resource"
@@ -30,6 +32,7 @@
 	"ironhollow/pkg/limit"
 	"ironhollow/pkg/membership"
 	"ironhollow/pkg/plainservice"
+	"ironhollow/pkg/poison"
 	"ironhollow/pkg/retry"
 	"ironhollow/pkg/route"
 	"ironhollow/pkg/standin/engines"
@@ -144,7 +147,8 @@
 	estimator := hazard.New()
 	router := route.New(directory, estimator, route.Home{Node: name}, 1)
 	budget := retry.New(0.1, time.Now())
-	runner := stream.New(router, s.engines(), budget, estimator, stream.NewCounters(registry), s.tracer(name))
+	watch := poison.NewWatch(registry, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
+	runner := stream.New(router, s.engines(), budget, estimator, stream.NewCounters(registry), watch, s.tracer(name))
 	writer := table.NewWriter(s.rows, name)
 	jobs := job.NewStore(writer, s.bodies, job.NewBatcher(writer, time.Millisecond))
 	ctx, cancel := context.WithCancel(context.Background())
--- a/pkg/job/worker.go
+++ b/pkg/job/worker.go
@@ -142,7 +142,7 @@
 	state := Done
 	if err != nil {
 		if !isFinal(err) && time.Now().Before(j.Deadline) {
-			w.again(j)
+			w.again(j, pauseAfter(err))
 			return
 		}
 		state = Failed
@@ -157,13 +157,25 @@
 	return number == code.BadBody.Number() || number == code.UnknownService.Number()
 }
 
-// pauseBeforeRerun keeps a job that failed from taking its place at once.
-const pauseBeforeRerun = 2 * time.Second
+const (
+	// pauseBeforeRerun keeps a job that failed from taking its place at once.
+	pauseBeforeRerun = 2 * time.Second
+	// pauseHeldBack is between two looks whether a job is still held back, under which
+	// endpoints ended: it is for an hour, and each look may read a checkpoint.
+	pauseHeldBack = time.Minute
+)
+
+func pauseAfter(err error) time.Duration {
+	if code.Of(err).Number() == code.Quarantined.Number() {
+		return pauseHeldBack
+	}
+	return pauseBeforeRerun
+}
 
 // again puts a job back that has time left: accepted work is not given up.
-func (w *Worker) again(j Job) {
+func (w *Worker) again(j Job, pause time.Duration) {
 	w.counters.Rerun.Inc()
-	time.AfterFunc(pauseBeforeRerun, func() { w.Add(j) })
+	time.AfterFunc(pause, func() { w.Add(j) })
 }
 
 // finish writes the result, through outages of the store, until it stands or
--- a/pkg/policybench/run.go
+++ b/pkg/policybench/run.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math"
 	"sort"
 	"sync"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"go.opentelemetry.io/otel/trace/noop"
@@ -20,6 +22,7 @@
 	"ironhollow/pkg/hazard"
 	"ironhollow/pkg/limit"
 	"ironhollow/pkg/measure"
+	"ironhollow/pkg/poison"
 	"ironhollow/pkg/retry"
 	"ironhollow/pkg/route"
 	"ironhollow/pkg/standin/engines"
@@ -128,13 +131,15 @@
 }
 
 func (r *run) newEntry(number int) *entry {
+	registry := prometheus.NewRegistry()
 	e := &entry{
 		directory: endpoint.NewDirectory(), hazard: hazard.New(), gates: limit.NewGates(), budget: retry.New(0.1, time.Now()),
-		counters: stream.NewCounters(prometheus.NewRegistry()),
+		counters: stream.NewCounters(registry),
 	}
+	watch := poison.NewWatch(registry, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
 	home := route.Home{Node: fmt.Sprintf("n%d", number), DataCenter: r.fleet.Centres[number%len(r.fleet.Centres)]}
 	e.router = route.New(e.directory, e.hazard, home, r.seed+uint64(number))
-	e.runner = stream.New(e.router, r.direct, e.budget, e.hazard, e.counters, noop.NewTracerProvider().Tracer(""))
+	e.runner = stream.New(e.router, r.direct, e.budget, e.hazard, e.counters, watch, noop.NewTracerProvider().Tracer(""))
 	for _, centre := range r.fleet.Centres {
 		e.hazard.SetPrior(hazard.Place{DataCenter: centre, Class: "standard"}, priorHazard, time.Now())
 	}
--- a/pkg/standin/engines/direct.go
+++ b/pkg/standin/engines/direct.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"sync"
+	"syscall"
 	"time"
 
 	"ironhollow/pkg/engine"
@@ -81,7 +81,7 @@
 	do(d.engines[address])
 }
 
-var errDead = errors.New("standin: connection refused")
+var errDead = fmt.Errorf("standin: %w", syscall.ECONNREFUSED)
 
 // reach returns a live machine, or hangs on a frozen one until ctx ends.
 func (d *Direct) reach(ctx context.Context, address string) (*host, error) {
--- a/pkg/stream/attempt.go
+++ b/pkg/stream/attempt.go
@@ -105,6 +105,7 @@
 		p.avoid = append(p.avoid, choice.Endpoint.Ref())
 	}
 	r.router.Done(choice, result, time.Now())
+	r.noteEnd(p, choice.Endpoint, end)
 	p.hops = append(p.hops, Hop{choice.Endpoint.ID, choice.Expected, choice.Wait, choice.CachedTokens, len(p.tokens), nameOf(end)})
 	return end
 }
--- a/pkg/stream/runner.go
+++ b/pkg/stream/runner.go
@@ -19,6 +19,7 @@
 	"ironhollow/pkg/entropy"
 	"ironhollow/pkg/hazard"
 	"ironhollow/pkg/pause"
+	"ironhollow/pkg/poison"
 	"ironhollow/pkg/retry"
 	"ironhollow/pkg/route"
 )
@@ -97,6 +98,7 @@
 	budget   *retry.Budget
 	hazard   *hazard.Estimator
 	counters *Counters
+	watch    *poison.Watch
 	tracer   trace.Tracer
 	active   *active
 	lengths  sync.Map // of service name to *length
@@ -104,8 +106,8 @@
 }
 
 // New returns a runner.
-func New(router *route.Router, engines engine.API, budget *retry.Budget, estimator *hazard.Estimator, counters *Counters, tracer trace.Tracer) *Runner {
-	return &Runner{router: router, engines: engines, budget: budget, hazard: estimator, counters: counters, tracer: tracer, active: newActive()}
+func New(router *route.Router, engines engine.API, budget *retry.Budget, estimator *hazard.Estimator, counters *Counters, watch *poison.Watch, tracer trace.Tracer) *Runner {
+	return &Runner{router: router, engines: engines, budget: budget, hazard: estimator, counters: counters, watch: watch, tracer: tracer, active: newActive()}
 }
 
 // OnReport sets what takes the load reports that come with answers.
@@ -127,7 +129,7 @@
 	// parkTime is how long work that can wait does so where its KV cache was
 	// moved, before it goes elsewhere and has it computed again.
 	parkTime = time.Minute
-	// mostAttempts ends a request that breaks every endpoint it meets.
+	// mostAttempts ends a request whose answers all break off, at engines that live.
 	mostAttempts = 12
 	// stallTime is how long a stream may be silent before it counts as broken.
 	stallTime = 5 * time.Second
@@ -178,8 +180,9 @@
 
 // progress is a request's state over its attempts.
 type progress struct {
-	request Request
-	sink    Sink
+	request     Request
+	fingerprint poison.Fingerprint
+	sink        Sink
 	// tokens are the answer so far, sent to the sink.
 	tokens   []string
 	target   route.Target
@@ -201,7 +204,7 @@
 // Run runs a request to its end. Errors carry a result code.
 func (r *Runner) Run(ctx context.Context, request Request, sink Sink) (Result, error) {
 	p := &progress{
-		request: request, sink: sink, tokens: append([]string(nil), request.Received...),
+		request: request, fingerprint: fingerprintOf(request.Prompt), sink: sink, tokens: append([]string(nil), request.Received...),
 		target: route.Target{Model: request.Prompt.Model, Version: request.Prompt.Version, Adapter: request.Prompt.Adapter},
 	}
 	result, err := r.run(ctx, p)
@@ -220,6 +223,9 @@
 		}
 	}
 	for {
+		if err := r.held(p); err != nil {
+			return Result{}, err
+		}
 		end := r.attempt(ctx, p)
 		switch end := end.(type) {
 		case finished:
@@ -338,6 +344,7 @@
 
 func (r *Runner) finish(p *progress, last engine.Frame) Result {
 	r.learnLength(p.request.Service, len(p.tokens))
+	r.watch.Sound(p.fingerprint, time.Now())
 	usage := last.Usage
 	usage.CompletionTokens = len(p.tokens)
 	return Result{Finish: last.Finish, Usage: usage, Attempts: p.attempts, Version: p.version}
--- a/pkg/stream/runner_test.go
+++ b/pkg/stream/runner_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.opentelemetry.io/otel/trace/noop"
 
@@ -17,6 +19,7 @@
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/engine"
 	"ironhollow/pkg/hazard"
+	"ironhollow/pkg/poison"
 	"ironhollow/pkg/retry"
 	"ironhollow/pkg/route"
 	"ironhollow/pkg/standin/engines"
@@ -61,7 +64,9 @@
 	time.Sleep(time.Second)
 	estimator := hazard.New()
 	f.router = route.New(f.directory, estimator, route.Home{Node: "n", DataCenter: "dc"}, 1)
-	f.runner = stream.New(f.router, f.direct, retry.New(0.1, time.Now()), estimator, stream.NewCounters(prometheus.NewRegistry()), noop.NewTracerProvider().Tracer(""))
+	registry := prometheus.NewRegistry()
+	watch := poison.NewWatch(registry, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
+	f.runner = stream.New(f.router, f.direct, retry.New(0.1, time.Now()), estimator, stream.NewCounters(registry), watch, noop.NewTracerProvider().Tracer(""))
 	for _, info := range f.infos {
 		report, err := f.direct.Load(context.Background(), info.Address)
 		if err != nil {
