--- a/pkg/soak/crashing.go
+++ b/pkg/soak/crashing.go
@@ -62,9 +62,68 @@
 	return Outcome{served, failed, r.cloud.Reports(), append(r.report.broken, r.cloud.Broken()...)}, outcomes, ctx.Err()
 }
 
+// mostCrashing is how many requests that end endpoints come in a run at most.
+const mostCrashing = 2
+
+// drawCrashing draws the requests of a run that end endpoints and when they begin, by
+// numbers of their own: the other faults of a seed stay.
+func drawCrashing(o Options) (requests []Crashing, after []time.Duration) {
+	random := rand.New(rand.NewPCG(o.Seed, crashingStream))
+	kinds := []standin.Kind{standin.Safe, standin.Once, standin.Stream, standin.Resume}
+	for range random.IntN(mostCrashing + 1) {
+		every := 200*time.Millisecond + time.Duration(random.Int64N(int64(time.Second)))
+		requests = append(requests, Crashing{Kind: kinds[random.IntN(len(kinds))], Every: every, Lasting: o.Length + recovery + calm})
+		after = append(after, time.Duration(random.Int64N(int64(o.Length))))
+	}
+	return requests, after
+}
+
+// crashingStream is the stream of random numbers of such requests.
+const crashingStream = 1 << 32
+
+// startCrashing has the requests drawn come until the function returned is called.
+func (r *run) startCrashing(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	var sent sync.WaitGroup
+	requests, after := drawCrashing(r.options)
+	for i, c := range requests {
+		sent.Go(func() {
+			r.wait(ctx, after[i])
+			r.log("request %d ends endpoints, %s, every %v", i, c.Kind, c.Every)
+			r.sendCrashing(ctx, i, c)
+		})
+	}
+	return func() {
+		cancel()
+		sent.Wait()
+	}
+}
+
+// checkHeldBack checks that requests which have ended three endpoints long ago come to no
+// others while all is well, but for what is allowed.
+func (r *run) checkHeldBack(since time.Time) {
+	const mostLate = 3
+	requests, _ := drawCrashing(r.options)
+	for i := range requests {
+		ended := r.ledger.Crashing(crashingBody(i))
+		late := 0
+		for _, at := range ended {
+			if at.After(since) {
+				late++
+			}
+		}
+		if before := len(ended) - late; before >= heldAfter && late > mostLate {
+			r.report.wrong("request %d had ended %d endpoints and came to %d more when all was well", i, before, late)
+		}
+	}
+}
+
+func crashingBody(number int) string { return fmt.Sprintf("%s%d", standin.CrashingBody, number) }
+
 // sendCrashing sends one crashing request's tries.
 func (r *run) sendCrashing(ctx context.Context, number int, c Crashing) CrashingOutcome {
-	body := fmt.Sprintf("%s%d", standin.CrashingBody, number)
+	body := crashingBody(number)
+	random := rand.New(rand.NewPCG(r.options.Seed, crashingStream+1+uint64(number)))
 	client := &http.Client{Timeout: callerTime, Transport: &http.Transport{DisableKeepAlives: true}}
 	var (
 		outcome CrashingOutcome
@@ -79,7 +138,7 @@
 		}
 		outcome.Tries++
 		id := fmt.Sprintf("crashing-%d-%d", number, outcome.Tries)
-		address := r.nodes[r.random.IntN(len(r.nodes))].file.Callers
+		address := r.nodes[random.IntN(len(r.nodes))].file.Callers
 		tries.Go(func() {
 			if !r.tryCrashing(client, c.Kind, address, id, body) {
 				return
@@ -88,7 +147,7 @@
 			defer mu.Unlock()
 			outcome.Refused++
 		})
-		r.wait(ctx, c.Every/2+rand.N(c.Every))
+		r.wait(ctx, c.Every/2+time.Duration(random.Int64N(int64(c.Every))))
 	}
 	tries.Wait()
 	ended := r.ledger.Crashing(body)
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -81,6 +81,8 @@
 	endpoints []*standin.Endpoint
 	proxies   []*Proxy
 	made      int
+	// over says that no endpoint is started any more.
+	over bool
 }
 
 // Run makes one run. The error says that it could not be made.
@@ -91,11 +93,15 @@
 		return Outcome{}, err
 	}
 	stopCallers := r.startCallers(ctx)
+	stopCrashing := r.startCrashing(ctx)
 	r.faults(ctx)
 	r.timers.Wait()
 	r.wait(ctx, recovery)
+	calmSince := time.Now()
 	r.checkCalm(ctx)
+	stopCrashing()
 	stopCallers()
+	r.checkHeldBack(calmSince)
 	r.checkRuns()
 	served, failed := r.report.totals()
 	return Outcome{served, failed, r.cloud.Reports(), append(r.report.broken, r.cloud.Broken()...)}, ctx.Err()
@@ -214,10 +220,10 @@
 func (r *run) crashed(i int, service string, version standin.Version, proxy *Proxy) {
 	proxy.Close()
 	r.log("endpoint %d is ended by a request", i)
-	r.later(backAfter, func() {
+	time.AfterFunc(backAfter, func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		if r.proxies[i] != proxy {
+		if r.over || r.proxies[i] != proxy {
 			return
 		}
 		r.made++
@@ -316,6 +322,9 @@
 	for _, n := range r.nodes {
 		n.end()
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.over = true
 	for i, e := range r.endpoints {
 		if e != nil {
 			e.Crash()
