Ends are found out also just after another break, and where an endpoint leaves but has not served on

A run that broke off within a second is no planned end, whatever the row says: an endpoint that leaves serves on for two.

--- a/pkg/app/node/poison.go
+++ b/pkg/app/node/poison.go
@@ -18,18 +18,27 @@
 	}
 }
 
-// callersLook is the pause between two looks whether callers are told of this host.
-const callersLook = 200 * time.Millisecond
+// Times of a start, for what is held back.
+const (
+	// callersLook is the pause between two looks whether callers are told of this host.
+	callersLook = 200 * time.Millisecond
+	// othersTell is how long after its start a host has heard from others what is held
+	// back, of some hundred requests two a datagram.
+	othersTell = 15 * time.Second
+)
 
-// keepQuarantine keeps requests that are held back in the store, and reads those there
-// before once callers are told of this host. Until then others tell it.
+// keepQuarantine keeps requests that are held back in the store, and reads those there if
+// callers are told of this host soon after its start: others may have begun anew too.
 func (n *node) keepQuarantine(ctx context.Context) {
 	go n.keeper.Run(ctx)
 	n.awaitStore(ctx)
-	for !n.view.Roster().Known() || !n.view.Roster().Advertises(n.settings.Node) {
+	for n.clock.Running() < othersTell {
+		if n.view.Roster().Known() && n.view.Roster().Advertises(n.settings.Node) {
+			n.keeper.Load(ctx)
+			return
+		}
 		if !pause.For(ctx, callersLook) {
 			return
 		}
 	}
-	n.keeper.Load(ctx)
 }
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -73,6 +73,7 @@
 // send sends the request to the chosen endpoint once and reads its answer.
 func (c *call) send(ctx context.Context, choice route.Choice, lastEvent string) result {
 	request := c.request(choice, lastEvent)
+	c.sentAt = c.f.clock()
 	outcome := c.f.pool.Send(ctx, choice.Endpoint.Address, c.connectionLimit(), request)
 	switch o := outcome.(type) {
 	case upstream.NotSent:
--- a/pkg/forward/crash.go
+++ b/pkg/forward/crash.go
@@ -55,14 +55,19 @@
 	}
 }
 
-// noteBreak notes that an endpoint broke a run off. One that has said that it leaves, or
-// that its row has left, ends as planned.
+// leastPlanned is how long a run has lasted at least that a planned end breaks off: an
+// endpoint that leaves serves on for two seconds.
+const leastPlanned = time.Second
+
+// noteBreak notes that an endpoint broke a run off, unless its end was planned: it has
+// said that it leaves, or its row has gone, while it ran what it had.
 func (c *call) noteBreak(choice route.Choice, err error) {
 	if c.in.Context().Err() != nil || !isBreak(err) {
 		return
 	}
 	id := choice.Endpoint.ID
-	if info, ok := c.f.router.Lookup(id); !ok || info.State != endpoint.Live {
+	info, ok := c.f.router.Lookup(id)
+	if leaves := !ok || info.State != endpoint.Live; leaves && c.f.clock().Sub(c.sentAt) >= leastPlanned {
 		return
 	}
 	if c.f.poison.Broke(id, c.fingerprint, c.f.clock()) {
@@ -91,6 +96,7 @@
 // when the request may have come again three times.
 func (f *Forwarder) lookAt(id, address string, limit int) {
 	time.Sleep(lookAfter)
+	f.poison.LookBegins(id)
 	ctx, cancel := context.WithTimeout(context.Background(), lookTime)
 	defer cancel()
 	if f.pool.Look(ctx, address, limit) == upstream.Refusing {
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -122,6 +122,8 @@
 	fingerprint poison.Fingerprint
 	// offered says that an endpoint was sent the request and could run it.
 	offered bool
+	// sentAt is when it was sent last.
+	sentAt time.Time
 	// avoid lists endpoints it failed at.
 	avoid []endpoint.Ref
 	// side is the versions of endpoints that it goes to, kind what its answers show of
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -165,20 +165,26 @@
 // request with crashingBody, and answers all others.
 func (s *site) addCrashing(id string) { s.addEnding(id, func() {}) }
 
-// addLeaving adds one that says that it leaves just before.
+// addLeaving adds one that says that it leaves, serves on for a while, and ends.
 func (s *site) addLeaving(id string) {
 	s.addEnding(id, func() {
 		info := s.endpoint(id)
 		info.State = endpoint.Leaving
 		s.directory.Merge(info)
+		time.Sleep(servesOn)
 	})
 }
 
+// servesOn is how long an endpoint serves that has said that it leaves.
+const servesOn = 1200 * time.Millisecond
+
 func (s *site) endpoint(id string) endpoint.Info {
 	info, _ := s.directory.Get(id)
 	return info
 }
 
+// addEnding adds an endpoint that ends at a request with crashingBody, once before is
+// done.
 func (s *site) addEnding(id string, before func()) {
 	listener := s.listen()
 	var (
--- a/pkg/poison/suspects.go
+++ b/pkg/poison/suspects.go
@@ -23,19 +23,33 @@
 	mu sync.Mutex
 	// at is by endpoint, in the order of times.
 	at map[string][]Suspect
+	// looking are endpoints that are about to be looked at: a look shows what has
+	// broken off until it begins.
+	looking map[string]bool
 }
 
 // NewSuspects returns no suspects.
-func NewSuspects() *Suspects { return &Suspects{at: map[string][]Suspect{}} }
+func NewSuspects() *Suspects {
+	return &Suspects{at: map[string][]Suspect{}, looking: map[string]bool{}}
+}
 
-// Broke notes that a run broke off at an endpoint. It reports whether it is the first
-// there of late, so that the endpoint is to be looked at.
-func (s *Suspects) Broke(endpoint string, f Fingerprint, now time.Time) (isFirst bool) {
+// Broke notes that a run broke off at an endpoint. It reports whether the endpoint is to
+// be looked at, which the caller does after LookBegins.
+func (s *Suspects) Broke(endpoint string, f Fingerprint, now time.Time) (look bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := recent(s.at[endpoint], now)
-	s.at[endpoint] = append(list, Suspect{Fingerprint: f, At: now})
-	return len(list) == 0 || now.Sub(list[len(list)-1].At) > sameEnd
+	s.at[endpoint] = append(recent(s.at[endpoint], now), Suspect{Fingerprint: f, At: now})
+	look = !s.looking[endpoint]
+	s.looking[endpoint] = true
+	return look
+}
+
+// LookBegins notes that a look at an endpoint begins: what breaks off from now on asks
+// for another.
+func (s *Suspects) LookBegins(endpoint string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.looking, endpoint)
 }
 
 // Ended returns the requests whose runs an endpoint's end broke off: those that broke
--- a/pkg/poison/watch.go
+++ b/pkg/poison/watch.go
@@ -29,12 +29,15 @@
 	return w
 }
 
-// Broke notes that a run broke off at an endpoint that had not said that it leaves. It
-// reports whether the endpoint is to be looked at.
+// Broke notes that a run broke off at an endpoint, and not as planned. It reports whether
+// the endpoint is to be looked at, after LookBegins.
 func (w *Watch) Broke(endpoint string, f Fingerprint, now time.Time) (look bool) {
 	return w.suspects.Broke(endpoint, f, now)
 }
 
+// LookBegins notes that a look at an endpoint begins.
+func (w *Watch) LookBegins(endpoint string) { w.suspects.LookBegins(endpoint) }
+
 // Suspected returns the endpoints at which runs broke off of late.
 func (w *Watch) Suspected(now time.Time) []string { return w.suspects.Endpoints(now) }
 
--- a/pkg/stream/crash.go
+++ b/pkg/stream/crash.go
@@ -75,6 +75,7 @@
 // lookAt finds out whether an engine has ended: the next attempt waits for that.
 func (r *Runner) lookAt(info endpoint.Info) {
 	time.Sleep(lookAfter)
+	r.watch.LookBegins(info.ID)
 	ctx, cancel := context.WithTimeout(context.Background(), lookTime)
 	defer cancel()
 	if _, err := r.engines.Load(ctx, info.Address); errors.Is(err, syscall.ECONNREFUSED) {
