--- a/Makefile
+++ b/Makefile
@@ -49,7 +49,7 @@
 	$(TOOLS)/wire ./pkg/app/entry ./pkg/app/control ./pkg/app/node
 
 check: tools ## Formatter, linter, vet, generated code, go.mod
-	@test -z "$$($(TOOLS)/gofumpt -l cmd pkg platform schema)" || { echo "not formatted:"; $(TOOLS)/gofumpt -l cmd pkg platform schema; exit 1; }
+	@test -z "$$($(TOOLS)/gofumpt -l cmd pkg platform schema scripts)" || { echo "not formatted:"; $(TOOLS)/gofumpt -l cmd pkg platform schema scripts; exit 1; }
 	$(TOOLS)/revive -config revive.toml -set_exit_status ./...
 	go vet ./...
 	scripts/check-generated.sh $(TOOLS)
--- a/pkg/soak/crashing.go
+++ b/pkg/soak/crashing.go
@@ -58,8 +58,7 @@
 	r.checkCalm(ctx)
 	stopCallers()
 	r.checkRuns()
-	served, failed := r.report.totals()
-	return Outcome{served, failed, r.cloud.Reports(), append(r.report.broken, r.cloud.Broken()...)}, outcomes, ctx.Err()
+	return r.outcome(), outcomes, ctx.Err()
 }
 
 // mostCrashing is how many requests that end endpoints come in a run at most.
--- a/pkg/soak/rollout.go
+++ b/pkg/soak/rollout.go
@@ -78,8 +78,7 @@
 	r.wait(ctx, calm)
 	stopCallers()
 	r.checkRuns()
-	served, failed := r.report.totals()
-	return Outcome{served, failed, r.cloud.Reports(), append(r.report.broken, r.cloud.Broken()...)}, outcomes, ctx.Err()
+	return r.outcome(), outcomes, ctx.Err()
 }
 
 // rollout gives an order and does what the platform does with its end. running is the
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -103,8 +103,13 @@
 	stopCallers()
 	r.checkHeldBack(calmSince)
 	r.checkRuns()
+	return r.outcome(), ctx.Err()
+}
+
+// outcome is how the run ended, once callers have stopped and all is checked.
+func (r *run) outcome() Outcome {
 	served, failed := r.report.totals()
-	return Outcome{served, failed, r.cloud.Reports(), append(r.report.broken, r.cloud.Broken()...)}, ctx.Err()
+	return Outcome{served, failed, r.cloud.Reports(), append(r.report.broken, r.cloud.Broken()...)}
 }
 
 func newRun(o Options) *run {
