Requests under which endpoints ended go in datagrams of their own

A field more in the hosts' datagrams is a message that hosts of the version before do not understand (tried: the decoder refuses arrays of another length): while hosts are replaced one by one the two halves would not hear each other's loads. Their own datagrams are maps, which those hosts drop alone. What is held back is told in each fifth round.

--- a/pkg/app/node/loads.go
+++ b/pkg/app/node/loads.go
@@ -47,6 +47,10 @@
 		n.hearRollouts(told, now)
 		return
 	}
+	if len(told.Cases) > 0 {
+		n.poison.HearCases(told.Cases, told.Incarnation, now)
+		return
+	}
 	if told.Brief {
 		n.loads.HearBrief(told.Incarnation, told.Sequence, told.Loads, told.Placed, now)
 		return
@@ -54,7 +58,6 @@
 	n.view.Roster().Hear(told.Told, now)
 	n.limits.Heard(told.Incarnation, told.Spent, now)
 	n.loads.HearPlaced(told.Placed)
-	n.poison.HearCases(told.Cases, told.Node, now)
 	if told.LeaseVersion > 0 {
 		n.leases.Heard(dutyShard, told.LeaseVersion)
 	}
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -46,7 +46,8 @@
 	Brief bool
 	// Rollouts is words and reports of roll-outs, as they were encoded.
 	Rollouts []byte
-	// Cases is of requests under which endpoints have ended.
+	// Cases is of requests under which endpoints have ended. They go in a datagram of
+	// their own, with nothing else but the host's incarnation.
 	Cases []poison.Case
 }
 
@@ -141,12 +142,21 @@
 }
 
 func (e *Exchange) send(peers []string) {
-	data, err := encode(e.own(), e.sequence.Add(1), e.now())
+	told := e.own()
+	data, err := encode(told, e.sequence.Add(1))
 	if err != nil {
 		e.log.Error().Err(err).Msg("own load not encoded")
 		return
 	}
 	e.write(data, peers)
+	if len(told.Cases) == 0 {
+		return
+	}
+	if data, err = encodeCases(e.self.Incarnation, told.Cases, e.now()); err != nil {
+		e.log.Error().Err(err).Msg("requests under which endpoints ended not encoded")
+		return
+	}
+	e.write(data, peers)
 }
 
 func (e *Exchange) write(data []byte, peers []string) {
@@ -172,11 +182,23 @@
 			e.log.Debug().Err(err).Msg("exchange of loads ends")
 			return
 		}
-		var m message
-		if err := cbor.Unmarshal(buffer[:n], &m); err != nil {
+		told, err := decode(buffer[:n], e.now())
+		if err != nil {
 			e.log.Debug().Err(err).Msg("datagram not understood")
 			continue
 		}
-		e.take(m.told(e.now()))
+		e.take(told)
+	}
+}
+
+// decode reads a datagram of either kind.
+func decode(data []byte, now time.Time) (Told, error) {
+	if isCases(data) {
+		return decodeCases(data, now)
+	}
+	var m message
+	if err := cbor.Unmarshal(data, &m); err != nil {
+		return Told{}, err
 	}
+	return m.told(), nil
 }
--- a/pkg/gossip/urgent.go
+++ b/pkg/gossip/urgent.go
@@ -63,7 +63,7 @@
 
 func (e *Exchange) sendBrief(told Told, peers []string) {
 	told.Brief = true
-	data, err := encode(told, e.sequence.Add(1), e.now())
+	data, err := encode(told, e.sequence.Add(1))
 	if err != nil {
 		e.log.Error().Err(err).Msg("load of single endpoints not encoded")
 		return
--- a/pkg/gossip/wire.go
+++ b/pkg/gossip/wire.go
@@ -36,9 +36,6 @@
 	Brief bool
 	// Rollouts is what package rolloutsync tells.
 	Rollouts []byte
-	Cases    []crashCase
-	// Singles are cases of one end, by endpoint.
-	Singles []crashSingles
 }
 
 type placement struct {
@@ -77,7 +74,7 @@
 }
 
 // encode leaves out what does not fit: the rows in the store tell it.
-func encode(told Told, sequence int64, now time.Time) ([]byte, error) {
+func encode(told Told, sequence int64) ([]byte, error) {
 	m := message{
 		Incarnation: told.Incarnation, Node: told.Node, DataCenter: told.DataCenter,
 		Callers: told.Callers, Peers: told.Peers, SinceMS: told.Since.Milliseconds(),
@@ -99,7 +96,6 @@
 	for _, l := range told.Loads {
 		m.Loads = append(m.Loads, load{Endpoint: l.Endpoint, Running: l.Running, PrefillTokens: l.PrefillTokens})
 	}
-	m.addCases(told.Cases, now)
 	for {
 		data, err := cbor.Marshal(m)
 		if err != nil || len(data) <= mostBytes || len(m.Loads)+len(m.Placed) == 0 {
@@ -113,7 +109,7 @@
 	}
 }
 
-func (m message) told(now time.Time) Told {
+func (m message) told() Told {
 	host := roster.Host{
 		Incarnation: m.Incarnation, Node: m.Node, DataCenter: m.DataCenter, Callers: m.Callers, Peers: m.Peers, Leaving: m.Leaving,
 		Since: time.Duration(m.SinceMS) * time.Millisecond, Millicores: m.Millicores,
@@ -134,6 +130,5 @@
 	for _, l := range m.Spent {
 		t.Spent = append(t.Spent, limit.Spent{Team: l.Team, Admitted: float64(l.Admitted), Asked: float64(l.Asked), Held: float64(l.Held), Settled: l.Settled})
 	}
-	t.Cases = m.cases(now)
 	return t
 }
--- a/pkg/poison/quarantine.go
+++ b/pkg/poison/quarantine.go
@@ -75,6 +75,8 @@
 	soundSince time.Time
 	// nextHeld is where the turn of those held stands that are told again.
 	nextHeld int
+	// round counts what was asked to be told.
+	round int
 }
 
 // NewQuarantine returns a quarantine that holds nothing back.
--- a/pkg/poison/tell.go
+++ b/pkg/poison/tell.go
@@ -20,6 +20,9 @@
 	// mostHeldTold bounds the requests held back that are told beside, in turn, for hosts
 	// that have started since.
 	mostHeldTold = 2
+	// heldRounds is the rounds from one datagram of them to the next where nothing else
+	// is told: a host that starts asks callers in after a second or so.
+	heldRounds = 5
 )
 
 // Tell returns what one datagram tells: what has changed, what was told least often
@@ -43,6 +46,10 @@
 		}
 	}
 	told := append(leastTold(others, mostTold), leastTold(singles, mostSingleTold)...)
+	q.round++
+	if len(told) == 0 && q.round%heldRounds != 0 {
+		return nil
+	}
 	slices.SortFunc(held, compareFingerprints)
 	for range min(len(held), mostHeldTold) {
 		q.nextHeld = (q.nextHeld + 1) % len(held)
