A caller that leaves in the middle of an answer is no break of the endpoint

The error of writing to the caller passed for one of the endpoint's connection, so that the endpoint was looked at and its request suspected. TestCallersWhoLeaveAreNoBreaks fails before.

--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -453,3 +453,30 @@
 		time.Sleep(endSeen)
 	}
 }
+
+// A caller that leaves in the middle of an answer, long or streamed, is no break of the
+// endpoint: it is not looked at.
+func TestCallersWhoLeaveAreNoBreaks(t *testing.T) {
+	const size = 8 << 20
+	long := text("HTTP/1.1 200 OK\r\nId: %id\r\nSigned: yes\r\nContent-Length: "+strconv.Itoa(size)+"\r\n\r\n"+strings.Repeat("x", size), true)
+	events := func(c net.Conn, r *http.Request) bool {
+		_, _ = io.WriteString(c, strings.ReplaceAll(streamHead, "%id", r.Header.Get("Id")))
+		for range 1000 {
+			if _, err := io.WriteString(c, chunk("id: 1\ndata: a\n\n")); err != nil {
+				return false
+			}
+			time.Sleep(time.Millisecond)
+		}
+		return false
+	}
+	for path, answer := range map[string]script{"/once/x": long, "/stream/x": events} {
+		s := newSite(t, spec(), true, answer)
+		for range 5 {
+			s.askAndLeave(path)
+		}
+		time.Sleep(3 * endSeen)
+		if got := s.watch.Suspected(time.Now()); len(got) != 0 {
+			t.Errorf("%s: endpoints suspected: got %v, want none", path, got)
+		}
+	}
+}
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -95,6 +95,7 @@
 	directory *endpoint.Directory
 	runs      *runs
 	rollouts  *rollout.Switch
+	watch     *poison.Watch
 	phase     atomic.Int64
 	lines     lineCounter
 	mu        sync.Mutex
@@ -135,8 +136,9 @@
 	s.router = router
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: &s.lines}}
 	registry := prometheus.NewRegistry()
+	s.watch = poison.NewWatch(registry, logger)
 	forwarder := forward.New(protocol{}, tables{routetable.New(spec), fresh}, router, limit.NewShared(limit.Tolerance{}, now.Add(-time.Hour)),
-		retry.NewWindow(0.2, 58, 10*time.Second), upstream.New(time.Second), s.runs, oneHost{}, s.rollouts, poison.NewWatch(registry, logger),
+		retry.NewWindow(0.2, 58, 10*time.Second), upstream.New(time.Second), s.runs, oneHost{}, s.rollouts, s.watch,
 		func() forward.Phase { return forward.Phase(s.phase.Load()) }, time.Now, forward.NewMetrics(registry), logger)
 	s.server = httptest.NewServer(forwarder)
 	t.Cleanup(s.server.Close)
@@ -330,3 +332,22 @@
 
 // breaks reads a request and closes without an answer.
 func breaks(net.Conn, *http.Request) bool { return false }
+
+// askAndLeave sends a request, reads the first bytes of its answer and resets the
+// connection.
+func (s *site) askAndLeave(path string) {
+	s.t.Helper()
+	c, err := net.Dial("tcp", s.server.Listener.Addr().String())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	_, err = io.WriteString(c, "POST "+path+" HTTP/1.1\r\nHost: h.example\r\nId: request-1\r\nKey: key\r\nContent-Length: 4\r\n\r\nbody")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if _, err := io.ReadFull(c, make([]byte, 100)); err != nil {
+		s.t.Fatal(err)
+	}
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -58,7 +58,9 @@
 	n, err := io.Copy(c.w, a.rest)
 	c.trail.bytes += int(n)
 	if err != nil {
-		c.noteBreak(a.choice, err)
+		if a.rest.IsBroken() {
+			c.noteBreak(a.choice, err)
+		}
 		return c.cutOff(a.rest, err)
 	}
 	c.noteWhole(a.status, a.rest.HasEnd())
@@ -109,7 +111,9 @@
 			c.noteWhole(e.Status(), e.HasEnd())
 			return nil
 		}
-		c.noteBreak(choice, err)
+		if e.IsBroken() {
+			c.noteBreak(choice, err)
+		}
 		c.trail.note("stream broke off: " + err.Error())
 		if errors.Is(err, errCallerLeft) || ctx.Err() != nil {
 			return errors.Join(errCut, err)
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -49,6 +49,9 @@
 	return n, err
 }
 
+// IsBroken reports whether the answer broke off while it was read.
+func (e *Exchange) IsBroken() bool { return e.broken }
+
 // Spoil keeps the connection from being used again.
 func (e *Exchange) Spoil() { e.broken = true }
 
