--- /dev/null
+++ b/pkg/poison/kept.go
@@ -0,0 +1,55 @@
+package poison
+
+import (
+	"slices"
+	"time"
+)
+
+// Unkept returns the requests held back of which this process has seen an end and that
+// are not in the store as they are.
+func (q *Quarantine) Unkept(now time.Time) []Case {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var list []Case
+	for _, e := range q.cases {
+		if _, held := e.held(now); held && e.own && !e.kept {
+			list = append(list, e.Case)
+		}
+	}
+	return list
+}
+
+// Kept notes that a case is in the store as it was handed out, or read there.
+func (q *Quarantine) Kept(c Case) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	e, ok := q.cases[c.Fingerprint]
+	if !ok {
+		return
+	}
+	e.inStore = true
+	e.kept = slices.Equal(e.Ends, c.Ends)
+}
+
+// Outdated returns the requests that are in the store, as this process knows, and have
+// been answered whole since.
+func (q *Quarantine) Outdated() []Fingerprint {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var list []Fingerprint
+	for f, e := range q.cases {
+		if e.inStore && len(e.Ends) < heldAfter {
+			list = append(list, f)
+		}
+	}
+	return list
+}
+
+// Removed notes that a request is no more in the store.
+func (q *Quarantine) Removed(f Fingerprint) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if e, ok := q.cases[f]; ok {
+		e.inStore = false
+	}
+}
--- a/pkg/poison/quarantine.go
+++ b/pkg/poison/quarantine.go
@@ -54,8 +54,9 @@
 // entry is a case as it is kept.
 type entry struct {
 	Case
-	// own says that this process saw one of the ends, kept that the case is in the store.
-	own, kept bool
+	// own says that this process saw one of the ends, kept that the case is in the store
+	// as it is, inStore that some row of it is.
+	own, kept, inStore bool
 	// changed is when it last changed, told how often it was told since.
 	changed time.Time
 	told    int
@@ -190,6 +191,8 @@
 	}
 	ends := append(slices.Clone(e.Ends), end)
 	slices.SortFunc(ends, func(a, b End) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Endpoint, b.Endpoint)) })
+	latest := ends[len(ends)-1].At
+	ends = slices.DeleteFunc(ends, func(end End) bool { return latest.Sub(end.At) > forgetAfter })
 	if len(ends) > heldAfter {
 		ends = ends[len(ends)-heldAfter:]
 	}
--- a/pkg/poison/quarantine_test.go
+++ b/pkg/poison/quarantine_test.go
@@ -55,6 +55,19 @@
 	}
 }
 
+// Ends more than a day apart do not add up.
+func TestOldEndsAreForgotten(t *testing.T) {
+	q := poison.NewQuarantine()
+	f := request("a")
+	const day = 24 * 3600
+	for i, seconds := range []float64{0, day / 2, day + 1} {
+		ended(q, f, fmt.Sprint("e", i), seconds)
+	}
+	if isHeld(q, f, at(day+2)) {
+		t.Error("three ends, the first more than a day before the last: got held back, want not")
+	}
+}
+
 // Two tries at one endpoint see the same end; an endpoint that is back under its id and
 // ends again is another end.
 func TestEndsOfOneEndpoint(t *testing.T) {
--- a/pkg/poison/tell.go
+++ b/pkg/poison/tell.go
@@ -73,26 +73,3 @@
 func compareFingerprints(a, b *entry) int {
 	return slices.Compare(a.Fingerprint[:], b.Fingerprint[:])
 }
-
-// Unkept returns the requests held back of which this process has seen an end and that
-// are not in the store as they are.
-func (q *Quarantine) Unkept(now time.Time) []Case {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	var list []Case
-	for _, e := range q.cases {
-		if _, held := e.held(now); held && e.own && !e.kept {
-			list = append(list, e.Case)
-		}
-	}
-	return list
-}
-
-// Kept notes that a case is in the store as it was handed out.
-func (q *Quarantine) Kept(c Case) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if e, ok := q.cases[c.Fingerprint]; ok && slices.Equal(e.Ends, c.Ends) {
-		e.kept = true
-	}
-}
--- a/pkg/poisonsync/keeper.go
+++ b/pkg/poisonsync/keeper.go
@@ -92,6 +92,7 @@
 			continue
 		}
 		k.watch.HearCases([]poison.Case{c}, "store", now)
+		k.watch.Kept(c)
 	}
 }
 
@@ -103,18 +104,45 @@
 	}
 }
 
-// Run writes what is held back and seen by this process until ctx ends.
+// Run writes what is held back and seen by this process, and removes rows of what was
+// answered whole since, until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
 	for pause.For(ctx, keepPause) {
-		for _, c := range k.watch.Unkept(k.clock.Now()) {
-			if !k.write(ctx, c) {
-				pause.For(ctx, retryPause)
-				break
-			}
+		if !k.step(ctx) {
+			pause.For(ctx, retryPause)
 		}
 	}
 }
 
+// step ends early where the store does not take a write.
+func (k *Keeper) step(ctx context.Context) (done bool) {
+	for _, c := range k.watch.Unkept(k.clock.Now()) {
+		if !k.write(ctx, c) {
+			return false
+		}
+	}
+	for _, f := range k.watch.Outdated() {
+		if !k.clear(ctx, f) {
+			return false
+		}
+	}
+	return true
+}
+
+// clear removes the row of a request that does not end endpoints. What another host has
+// written of it meanwhile goes too: it hears of the answer as well.
+func (k *Keeper) clear(ctx context.Context, f poison.Fingerprint) (done bool) {
+	ctx, cancel := context.WithTimeout(ctx, writeTime)
+	defer cancel()
+	outcome := k.writer.Commit(ctx, table.Write{Key: key(f), Delete: true, If: table.Always{}})
+	if _, isDone := outcome.(table.Done); !isDone {
+		k.log.Warn().Stringer("fingerprint", f).Msg("row of a request that was held back not removed")
+		return false
+	}
+	k.watch.Removed(f)
+	return true
+}
+
 // write writes a case over what another host has written of it: all know three ends of
 // it, and any three hold it back.
 func (k *Keeper) write(ctx context.Context, c poison.Case) (done bool) {
--- a/pkg/poisonsync/keeper_test.go
+++ b/pkg/poisonsync/keeper_test.go
@@ -128,3 +128,41 @@
 		t.Errorf("cases known: got %d, want 1", got)
 	}
 }
+
+// What was held back by mistake and cleared by a whole answer is not held back again by
+// its row when all hosts have ended, whether the one that clears it wrote the row or read
+// it.
+func TestClearedRequestsHaveNoRow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := tables.New()
+		f := poison.FingerprintOf("POST", "/x", "red", []byte("popular"))
+		storeNow := time.Hour
+		writer := newHost(store, "writer", storeNow)
+		go writer.keeper.Run(t.Context())
+		for _, clears := range []func() *host{
+			func() *host { return writer },
+			func() *host {
+				reader := newHost(store, "reader", storeNow).loaded(t)
+				go reader.keeper.Run(t.Context())
+				return reader
+			},
+		} {
+			time.Sleep(time.Minute)
+			storeNow += time.Minute
+			writer.crash(f, 3)
+			time.Sleep(time.Second)
+			storeNow += time.Second
+			host := clears()
+			if !host.holds(f) {
+				t.Fatal("before the answer: got not held back, want held back")
+			}
+			host.watch.Sound(f, host.clock.Now())
+			time.Sleep(time.Second)
+			storeNow += time.Second
+			if newHost(store, "later", storeNow).loaded(t).holds(f) {
+				t.Error("a host that starts after the answer: got held back, want not")
+			}
+			writer.watch.Sound(f, writer.clock.Now())
+		}
+	})
+}
