A look at an endpoint first lets go of kept connections that it has closed

Those counted as in use: where a host kept as many as it is allowed, an end could not be seen by a look. TestLook fails before; its check of connections in use took such closed ones for them, and uses one with a request now.

--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -10,7 +10,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -327,7 +326,7 @@
 // Look finds out whether anything takes connections at an address: by a kept connection
 // that is still open, or by a new one, which is kept. limit is as in Send.
 func (p *Pool) Look(ctx context.Context, address string, limit int) Presence {
-	if p.hasQuiet(address) {
+	if p.sweepDead(address) {
 		return Accepting
 	}
 	if !p.reserve(address, limit) {
@@ -345,12 +344,28 @@
 	return Accepting
 }
 
-// hasQuiet reports whether a kept connection to an address is still open.
-func (p *Pool) hasQuiet(address string) bool {
+// sweepDead closes kept connections to an address that the endpoint has closed, which
+// would count as in use, and reports whether any is still open.
+func (p *Pool) sweepDead(address string) (anyOpen bool) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	h := p.hosts[address]
-	return h != nil && slices.ContainsFunc(h.idle, (*conn).quiet)
+	var dead []*conn
+	if h := p.hosts[address]; h != nil {
+		open := make([]*conn, 0, len(h.idle))
+		for _, c := range h.idle {
+			if c.quiet() {
+				open = append(open, c)
+			} else {
+				dead = append(dead, c)
+			}
+		}
+		h.idle = open
+		anyOpen = len(open) > 0
+	}
+	p.mu.Unlock()
+	for _, c := range dead {
+		p.drop(c)
+	}
+	return anyOpen
 }
 
 func newConn(raw net.Conn, address string) *conn {
--- a/pkg/upstream/pool_test.go
+++ b/pkg/upstream/pool_test.go
@@ -340,10 +340,13 @@
 	_ = listener.Close()
 	_ = (<-accepted).Close()
 	time.Sleep(10 * time.Millisecond)
-	if got := look(1); got != upstream.Unsure {
-		t.Errorf("all connections that are allowed in use: got %v, want unsure", got)
+	if got := look(1); got != upstream.Refusing {
+		t.Errorf("endpoint that has ended, with as many kept connections as are allowed: got %v, want refusing", got)
 	}
-	if got := look(0); got != upstream.Refusing {
-		t.Errorf("endpoint that has ended: got %v, want refusing", got)
+	busy := serve(t, func(net.Conn, *http.Request) bool { select {} })
+	go pool.Send(t.Context(), busy.address, 1, upstream.Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
+	<-busy.requests
+	if got := pool.Look(t.Context(), busy.address, 1); got != upstream.Unsure {
+		t.Errorf("all connections that are allowed in use: got %v, want unsure", got)
 	}
 }
