--- /dev/null
+++ b/pkg/endpoint/notice.go
@@ -0,0 +1,48 @@
+package endpoint
+
+import (
+	"strings"
+	"time"
+)
+
+// Notice is what an endpoint's answer says of the endpoint itself, beside what it
+// says of the request. The zero value says nothing.
+type Notice struct {
+	// Leaving says that the endpoint ends soon and takes no new work.
+	Leaving bool
+	// Rest is how long the endpoint wants no request from who got the answer, 0 for
+	// no such wish; never negative, MostRest at most.
+	Rest time.Duration
+}
+
+// MostRest bounds a rest: an endpoint that names an absurd time is asked again.
+const MostRest = time.Hour
+
+// IsZero reports whether the answer says nothing of its endpoint.
+func (n Notice) IsZero() bool { return n == Notice{} }
+
+// String names what is said, for log lines; it is empty for the zero value.
+func (n Notice) String() string {
+	var said []string
+	if n.Leaving {
+		said = append(said, "leaves")
+	}
+	if n.Rest > 0 {
+		said = append(said, "rest "+n.Rest.String())
+	}
+	return strings.Join(said, ", ")
+}
+
+// RestOf returns the rest of a number of seconds as an answer gives it; what is no
+// length of time is none.
+func RestOf(seconds float64) time.Duration {
+	switch {
+	case seconds >= MostRest.Seconds():
+		return MostRest
+	case seconds > 0:
+		return time.Duration(seconds * float64(time.Second))
+	default:
+		// Also not a number.
+		return 0
+	}
+}
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -74,6 +74,7 @@
 func (c *call) send(ctx context.Context, choice route.Choice, lastEvent string) result {
 	request := c.request(choice, lastEvent)
 	c.sentAt = c.f.clock()
+	c.said = endpoint.Notice{}
 	outcome := c.f.pool.Send(ctx, choice.Endpoint.Address, c.connectionLimit(), request)
 	switch o := outcome.(type) {
 	case upstream.NotSent:
@@ -127,6 +128,7 @@
 		e.Close()
 		return unclear{errForeign}
 	}
+	c.said = noticeOf(verdict, e.Status())
 	if verdict.NotRun {
 		drain(e)
 		e.Close()
@@ -143,6 +145,16 @@
 	return readAnswer(choice, e)
 }
 
+// noticeOf returns what an answer says of the endpoint that was meant: nothing where
+// another instance has its address, nor where bytes that claim success bear no
+// signature and may be anybody's.
+func noticeOf(v Verdict, status int) endpoint.Notice {
+	if v.Moved || status/100 == 2 && !v.Signed {
+		return endpoint.Notice{}
+	}
+	return v.Notice
+}
+
 // drain reads the rest of a short body, so that its connection can be kept.
 func drain(e *upstream.Exchange) {
 	_, _ = io.CopyN(io.Discard, e, holdBytes)
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -121,6 +121,8 @@
 	offered bool
 	// sentAt is when it was sent last.
 	sentAt time.Time
+	// said is what the answer to the latest send says of its endpoint.
+	said endpoint.Notice
 	// avoid lists endpoints it failed at.
 	avoid []endpoint.Ref
 	// side is the versions of endpoints that it goes to, kind what its answers show of
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -51,9 +51,11 @@
 }
 
 func (protocol) DecodeAnswer(status int, h http.Header) forward.Verdict {
+	rest, _ := time.ParseDuration(h.Get("Rest"))
 	return forward.Verdict{
 		ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest,
 		Moved: status == http.StatusMisdirectedRequest, Signed: h.Get("Signed") != "",
+		Notice: endpoint.Notice{Leaving: h.Get("Leaving") != "", Rest: rest},
 	}
 }
 
@@ -102,14 +104,32 @@
 	seen      []seen
 }
 
-// lineCounter counts log lines.
-type lineCounter struct{ atomic.Int64 }
+// lineCounter counts log lines and keeps the last.
+type lineCounter struct {
+	atomic.Int64
+	last atomic.Value
+}
 
 func (l *lineCounter) Write(p []byte) (int, error) {
 	l.Add(1)
+	l.last.Store(string(p))
 	return len(p), nil
 }
 
+// firstLine returns the latest line once there is any: a request's is written after its
+// answer has gone out.
+func (s *site) firstLine() string {
+	s.t.Helper()
+	for range 200 {
+		if line, ok := s.lines.last.Load().(string); ok {
+			return line
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	s.t.Fatal("no line was written")
+	return ""
+}
+
 // script answers one request at an endpoint and reports whether the connection
 // stays open.
 type script func(c net.Conn, r *http.Request) bool
--- a/pkg/forward/trail.go
+++ b/pkg/forward/trail.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"ironhollow/pkg/code"
+	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/route"
 )
 
@@ -31,14 +32,16 @@
 	cached           int
 	took             time.Duration
 	outcome          string
-	unclear          bool
-	sent             bool
+	// said is what the answer said of its endpoint.
+	said    endpoint.Notice
+	unclear bool
+	sent    bool
 }
 
 func (t *trail) note(text string) { t.notes = append(t.notes, text) }
 
 func (c *call) noteAttempt(choice route.Choice, r result, took time.Duration) {
-	h := hop{endpoint: choice.Endpoint.ID, row: choice.Endpoint.Counter, expected: choice.Expected, queued: choice.Queued, cached: choice.CachedTokens, took: took, sent: true}
+	h := hop{endpoint: choice.Endpoint.ID, row: choice.Endpoint.Counter, expected: choice.Expected, queued: choice.Queued, cached: choice.CachedTokens, took: took, sent: true, said: c.said}
 	switch r := r.(type) {
 	case notRun:
 		h.outcome = "not run: " + r.err.Error()
@@ -55,6 +58,17 @@
 	}
 	c.trail.hops = append(c.trail.hops, h)
 	c.f.metrics.attempts.WithLabelValues(c.service.Name, outcomeLabel(r)).Inc()
+	c.countNotice()
+}
+
+// countNotice counts what the latest answer said of its endpoint.
+func (c *call) countNotice() {
+	if c.said.Leaving {
+		c.f.metrics.notices.WithLabelValues(c.service.Name, "leaving").Inc()
+	}
+	if c.said.Rest > 0 {
+		c.f.metrics.notices.WithLabelValues(c.service.Name, "rest").Inc()
+	}
 }
 
 func outcomeLabel(r result) string {
@@ -122,6 +136,9 @@
 		prefix := "hop" + strconv.Itoa(i+1)
 		line = line.Str(prefix, h.endpoint).Str(prefix+"-end", h.outcome).Dur(prefix+"-took", h.took).
 			Dur(prefix+"-expected", h.expected).Dur(prefix+"-queued", h.queued).Int(prefix+"-cached", h.cached).Int64(prefix+"-row", h.row)
+		if !h.said.IsZero() {
+			line = line.Stringer(prefix+"-said", h.said)
+		}
 	}
 	if err != nil {
 		line = line.Str("why", err.Error())
@@ -143,6 +160,7 @@
 	seconds  *prometheus.HistogramVec
 	dropped  prometheus.Counter
 	reserved prometheus.Counter
+	notices  *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics.
@@ -165,6 +183,9 @@
 	m.reserved = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "ironhollow_reserved_headers_total", Help: "Headers that callers sent though they are the system's to set; they were removed.",
 	})
-	registry.MustRegister(m.requests, m.attempts, m.seconds, m.dropped, m.reserved)
+	m.notices = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "ironhollow_endpoint_notices_total", Help: "Answers that say that their endpoint leaves, or wants rest, by service.",
+	}, []string{"service", "notice"})
+	registry.MustRegister(m.requests, m.attempts, m.seconds, m.dropped, m.reserved, m.notices)
 	return m
 }
--- a/pkg/forward/types.go
+++ b/pkg/forward/types.go
@@ -6,6 +6,8 @@
 import (
 	"net/http"
 	"time"
+
+	"ironhollow/pkg/endpoint"
 )
 
 // PromptPart is one part of a prompt; parts with the same hash are the same.
@@ -62,6 +64,8 @@
 	Moved bool
 	// Signed says that the answer bears the endpoint's signature.
 	Signed bool
+	// Notice is what the answer says of the endpoint itself.
+	Notice endpoint.Notice
 }
 
 // Protocol is how requests and answers are marked on the wire.
