What endpoints say of themselves in answers is heard by every choice, at this host and the others

Cause: rows alone told a host of its endpoints. An answer's word that its endpoint leaves, and a refusal's wish for rest, ended with the request that met them. Class: what a counterpart says of itself was read for one request and kept for nobody who chooses. Change: one typed notice an answer (endpoint.Notice), decoded in the adapter, taken in where answers are judged, whatever the kind of request or its end (pkg/notice). Leaving goes into the directory, as from a row, and stays for that life of the endpoint; a rest binds each way to choose until it is over, survives a new draw of the host's part, and is no failure and no success. Others hear by datagram at once and in three rounds: leaving as their own, rest as time that a request would wait there. A row's born tells lives under one id apart, or a word would hold for ever. In TestLeavingInAnAnswerIsHeard the last check asked that 40 draws meet the new life beside an endpoint with an open connection, which is preferred; it now leaves the new life alone and wants the request served there.

--- a/pkg/app/node/loads.go
+++ b/pkg/app/node/loads.go
@@ -31,9 +31,10 @@
 			Host: n.host(), Loads: n.loads.Own(), Works: n.ownWorks(now), Counts: n.counter.Latest(), InTouch: n.view.InTouch(),
 			LeaseVersion: n.leases.Version(dutyShard),
 		},
-		Spent:  n.limits.Own(now),
-		Placed: n.router.TakePlacements(),
-		Cases:  n.poison.Tell(now),
+		Spent:   n.limits.Own(now),
+		Placed:  n.router.TakePlacements(),
+		Cases:   n.poison.Tell(now),
+		Notices: n.notices.Tell(now),
 	}
 }
 
@@ -47,8 +48,9 @@
 		n.hearRollouts(told, now)
 		return
 	}
-	if len(told.Cases) > 0 {
+	if len(told.Cases)+len(told.Notices) > 0 {
 		n.poison.HearCases(told.Cases, told.Incarnation, now)
+		n.notices.HearTold(told.Notices, now)
 		return
 	}
 	if told.Brief {
@@ -66,8 +68,9 @@
 // toldOf is what this host tells at once of single endpoints.
 func (n *node) toldOf(endpoints []string) gossip.Told {
 	return gossip.Told{
-		Told:   roster.Told{Host: roster.Host{Incarnation: string(n.incarnation)}, Loads: n.loads.OwnAt(endpoints)},
-		Placed: n.router.TakePlacements(),
+		Told:    roster.Told{Host: roster.Host{Incarnation: string(n.incarnation)}, Loads: n.loads.OwnAt(endpoints)},
+		Placed:  n.router.TakePlacements(),
+		Notices: n.notices.TellOf(endpoints, n.clock.Now()),
 	}
 }
 
--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -25,6 +25,7 @@
 	"ironhollow/pkg/lease"
 	"ironhollow/pkg/limit"
 	"ironhollow/pkg/loadsync"
+	"ironhollow/pkg/notice"
 	"ironhollow/pkg/pause"
 	"ironhollow/pkg/poison"
 	"ironhollow/pkg/poisonsync"
@@ -86,6 +87,7 @@
 	replaced  replacedBy
 	poison    *poison.Watch
 	keeper    *poisonsync.Keeper
+	notices   *notice.Board
 
 	suspensions *suspensions
 }
--- a/pkg/app/node/providers.go
+++ b/pkg/app/node/providers.go
@@ -21,6 +21,7 @@
 	"ironhollow/pkg/lease"
 	"ironhollow/pkg/limit"
 	"ironhollow/pkg/loadsync"
+	"ironhollow/pkg/notice"
 	"ironhollow/pkg/poison"
 	"ironhollow/pkg/relay"
 	"ironhollow/pkg/retry"
@@ -164,8 +165,12 @@
 	return poison.NewWatch(registry, logger)
 }
 
+func newNotices(view *storeview.View, router *route.Router, logger *log.Logger) *notice.Board {
+	return notice.New(view.Directory(), router, logger)
+}
+
 func newForwarder(platform Platform, view *storeview.View, home route.Home, router *route.Router, limits *limit.Shared, budget *retry.Window,
-	pool *upstream.Pool, counter *usage.Counter, rollouts *rollout.Switch, watch *poison.Watch, life *life, clock *storeclock.Clock, registry *prometheus.Registry, logger *log.Logger,
+	pool *upstream.Pool, counter *usage.Counter, rollouts *rollout.Switch, watch *poison.Watch, notices *notice.Board, life *life, clock *storeclock.Clock, registry *prometheus.Registry, logger *log.Logger,
 ) *forward.Forwarder {
 	// What is known once stays known.
 	var ready atomic.Bool
@@ -180,7 +185,7 @@
 		return life.phase()
 	}
 	return forward.New(platform.Protocol(), view.Tables(), router, limits, budget, pool, counter,
-		fleet{view.Roster(), home.Node}, rollouts, watch, phase, clock.Now, forward.NewMetrics(registry), logger)
+		fleet{view.Roster(), home.Node}, rollouts, watch, notices, phase, clock.Now, forward.NewMetrics(registry), logger)
 }
 
 // fleet is the roster as one host sees it.
--- a/pkg/app/node/wire_gen.go
+++ b/pkg/app/node/wire_gen.go
@@ -40,7 +40,8 @@
 	traffic := autoscale.NewTraffic()
 	window := newBudget(settings)
 	watch := newWatch(registry, logger)
-	forwarder := newForwarder(platform, view, home, router, shared, window, pool, counter, rolloutSwitch, watch, nodeLife, clock, registry, logger)
+	board := newNotices(view, router, logger)
+	forwarder := newForwarder(platform, view, home, router, shared, window, pool, counter, rolloutSwitch, watch, board, nodeLife, clock, registry, logger)
 	nodeOwnRow := &ownRow{}
 	nodeFleetRole := &fleetRole{}
 	desk := newDesk(platform, rolloutSwitch, view, writer, clock, manager, logger)
@@ -78,6 +79,7 @@
 		replaced:    nodeReplacedBy,
 		poison:      watch,
 		keeper:      keeper,
+		notices:     board,
 		suspensions: nodeSuspensions,
 	}
 	return nodeNode
--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -143,11 +143,12 @@
 	}
 	heard.Counter = row.Version
 	held, known := r.directory.Get(row.Key)
-	if known && held.State != endpoint.Gone {
+	if known && held.State != endpoint.Gone && !startedAnew(held, heard) {
 		heard.Incarnation = held.Incarnation
 	} else {
 		// A row that is back after it went is of one that was cut off and serves
-		// again: it counts as a new life.
+		// again: it counts as a new life. So does one that started again under its id,
+		// or what its earlier life said, as that it leaves, would hold for ever.
 		heard.Incarnation = row.Version
 	}
 	next, _ := r.directory.Merge(heard)
@@ -156,3 +157,6 @@
 			Str("state", next.State.String()).Bool("reclaimable", heard.Reclaimable).Int64("row", row.Version).Msg("endpoint")
 	}
 }
+
+// startedAnew reports whether an endpoint has started again since what is held of it.
+func startedAnew(held, heard endpoint.Info) bool { return held.Born > 0 && heard.Born > held.Born }
--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"io"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -25,7 +27,9 @@
 
 func decode(id string, value []byte) (endpoint.Info, error) {
 	info := endpoint.Info{ID: id, State: endpoint.Live, Service: "svc", Kind: endpoint.Plain}
-	switch string(value) {
+	text, born, _ := strings.Cut(string(value), " ")
+	info.Born, _ = strconv.ParseInt(born, 10, 64)
+	switch text {
 	case "live":
 	case "leaving":
 		info.State = endpoint.Leaving
@@ -155,3 +159,22 @@
 	s.rows(false, "a", "")
 	s.want(t, "back in touch", "a", false)
 }
+
+// An endpoint that starts again under its id takes work, whatever its earlier life has
+// said in its rows or its answers; heartbeats of a life take no word back.
+func TestStartUnderTheSameID(t *testing.T) {
+	s := newSite()
+	s.rows(true, "e1", "live 5", "e2", "live 5")
+	s.rows(false, "e1", "leaving 5")
+	info, _ := s.directory.Get("e2")
+	s.directory.Leave(info.Ref(), func(i *endpoint.Info) { i.State = endpoint.Leaving })
+	s.rows(false, "e1", "live 5", "e2", "live 5")
+	s.want(t, "heartbeats after the word", "e1", false)
+	s.want(t, "heartbeats after the word", "e2", false)
+	s.rows(false, "e1", "live 6", "e2", "live 6")
+	s.want(t, "started again", "e1", true)
+	s.want(t, "started again", "e2", true)
+	if later, _ := s.directory.Get("e2"); later.Incarnation <= info.Incarnation {
+		t.Errorf("incarnation: got %d after %d, want a later one", later.Incarnation, info.Incarnation)
+	}
+}
--- a/pkg/endpoint/endpoint.go
+++ b/pkg/endpoint/endpoint.go
@@ -48,7 +48,10 @@
 	ID string
 	// Incarnation grows with each start; a later one supersedes all before.
 	Incarnation int64
-	State       State
+	// Born is the Unix millisecond of the incarnation's start by the endpoint's own word, 0
+	// if it did not tell.
+	Born  int64
+	State State
 	// Counter grows with each change of the fields below in one incarnation.
 	Counter    int64
 	DataCenter string
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -129,6 +129,7 @@
 		return unclear{errForeign}
 	}
 	c.said = noticeOf(verdict, e.Status())
+	c.f.notices.Heard(choice.Endpoint, c.said, c.f.clock())
 	if verdict.NotRun {
 		drain(e)
 		e.Close()
@@ -180,7 +181,7 @@
 func ending(r result) route.Result {
 	switch r := r.(type) {
 	case notRun:
-		return route.Result{Failed: !r.reached}
+		return route.Result{Failed: !r.reached, Refused: r.reached}
 	case unclear:
 		return route.Result{Failed: !errors.Is(r.err, context.Canceled)}
 	case answered:
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -11,6 +11,7 @@
 	"ironhollow/pkg/code"
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/limit"
+	"ironhollow/pkg/notice"
 	"ironhollow/pkg/pause"
 	"ironhollow/pkg/poison"
 	"ironhollow/pkg/retry"
@@ -55,6 +56,7 @@
 	fleet    Fleet
 	rollouts *rollout.Switch
 	poison   *poison.Watch
+	notices  *notice.Board
 	clock    Clock
 	metrics  *Metrics
 	log      *log.Logger
@@ -79,11 +81,11 @@
 
 // New returns a forwarder.
 func New(protocol Protocol, tables Tables, router *route.Router, limits *limit.Shared, budget *retry.Window, pool *upstream.Pool,
-	runs Runs, fleet Fleet, rollouts *rollout.Switch, watch *poison.Watch, phase func() Phase, clock Clock, metrics *Metrics, logger *log.Logger,
+	runs Runs, fleet Fleet, rollouts *rollout.Switch, watch *poison.Watch, notices *notice.Board, phase func() Phase, clock Clock, metrics *Metrics, logger *log.Logger,
 ) *Forwarder {
 	return &Forwarder{
 		protocol: protocol, tables: tables, router: router, limits: limits, budget: budget, pool: pool,
-		runs: runs, fleet: fleet, rollouts: rollouts, poison: watch, phase: phase, clock: clock, metrics: metrics, log: logger, lines: newLineBudget(clock()),
+		runs: runs, fleet: fleet, rollouts: rollouts, poison: watch, notices: notices, phase: phase, clock: clock, metrics: metrics, log: logger, lines: newLineBudget(clock()),
 	}
 }
 
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -22,6 +22,7 @@
 	"ironhollow/pkg/forward"
 	"ironhollow/pkg/hazard"
 	"ironhollow/pkg/limit"
+	"ironhollow/pkg/notice"
 	"ironhollow/pkg/poison"
 	"ironhollow/pkg/retry"
 	"ironhollow/pkg/rollout"
@@ -157,8 +158,9 @@
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: &s.lines}}
 	registry := prometheus.NewRegistry()
 	s.watch = poison.NewWatch(registry, logger)
+	board := notice.New(s.directory, router, logger)
 	forwarder := forward.New(protocol{}, tables{routetable.New(spec), fresh}, router, limit.NewShared(limit.Tolerance{}, now.Add(-time.Hour)),
-		retry.NewWindow(0.2, 58, 10*time.Second), upstream.New(time.Second), s.runs, oneHost{}, s.rollouts, s.watch,
+		retry.NewWindow(0.2, 58, 10*time.Second), upstream.New(time.Second), s.runs, oneHost{}, s.rollouts, s.watch, board,
 		func() forward.Phase { return forward.Phase(s.phase.Load()) }, time.Now, forward.NewMetrics(registry), logger)
 	s.server = httptest.NewServer(forwarder)
 	t.Cleanup(s.server.Close)
--- a/pkg/forward/notice_test.go
+++ b/pkg/forward/notice_test.go
@@ -113,11 +113,12 @@
 			// Another life of the endpoint has said nothing.
 			late.Incarnation++
 			s.directory.Merge(late)
-			for range drawn {
-				s.ask("POST", c.path, "body")
-			}
-			if got := s.sentTo("e0"); got < 2 {
-				t.Errorf("requests at its next life: got %d, want some", got-1)
+			other := s.endpoint("e1")
+			other.State = endpoint.Gone
+			s.directory.Merge(other)
+			s.ask("POST", c.path, "body")
+			if got, want := s.sentTo("e0"), 2; got != want {
+				t.Errorf("requests at the endpoint with its next life, the only one left: got %d, want %d", got, want)
 			}
 		})
 	}
--- a/pkg/gossip/cases.go
+++ b/pkg/gossip/events.go
@@ -9,33 +9,36 @@
 	"ironhollow/pkg/roster"
 )
 
-// casesMessage is a datagram of cases. It is a map, which tells it from the others: hosts
-// of another version that do not know it go on hearing those.
-type casesMessage struct {
+// eventMessage is a datagram of cases and notices, which most rounds have none of. It is a
+// map, which tells it from the others: hosts of another version that do not know it, or
+// one of its members, go on hearing the rest.
+type eventMessage struct {
 	Incarnation string      `cbor:"1,keyasint"`
 	Cases       []crashCase `cbor:"2,keyasint,omitempty"`
 	// Singles are cases of one end, by endpoint.
 	Singles []crashSingles `cbor:"3,keyasint,omitempty"`
+	Notices []toldNotice   `cbor:"4,keyasint,omitempty"`
 }
 
-// isCases reports whether a datagram is a CBOR map, by its first three bits.
-func isCases(data []byte) bool {
+// isEvents reports whether a datagram is a CBOR map, by its first three bits.
+func isEvents(data []byte) bool {
 	const majorBits, majorMap = 5, 5
 	return len(data) > 0 && data[0]>>majorBits == majorMap
 }
 
-func encodeCases(incarnation string, cases []poison.Case, now time.Time) ([]byte, error) {
-	m := casesMessage{Incarnation: incarnation}
-	m.addCases(cases, now)
+func encodeEvents(told Told, now time.Time) ([]byte, error) {
+	m := eventMessage{Incarnation: told.Incarnation}
+	m.addCases(told.Cases, now)
+	m.addNotices(told.Notices)
 	return cbor.Marshal(m)
 }
 
-func decodeCases(data []byte, now time.Time) (Told, error) {
-	var m casesMessage
+func decodeEvents(data []byte, now time.Time) (Told, error) {
+	var m eventMessage
 	if err := cbor.Unmarshal(data, &m); err != nil {
 		return Told{}, err
 	}
-	told := Told{Brief: true, Cases: m.cases(now)}
+	told := Told{Brief: true, Cases: m.cases(now), Notices: m.notices()}
 	told.Told = roster.Told{Host: roster.Host{Incarnation: m.Incarnation}}
 	return told, nil
 }
@@ -65,7 +68,7 @@
 
 // addCases encodes cases, those of one end by its endpoint: where one ends there are
 // many, and each takes 13 bytes so in place of 40.
-func (m *casesMessage) addCases(cases []poison.Case, now time.Time) {
+func (m *eventMessage) addCases(cases []poison.Case, now time.Time) {
 	places := map[string]int{}
 	for _, c := range cases {
 		if len(c.Ends) != 1 || !c.Sound.IsZero() {
@@ -96,7 +99,7 @@
 
 // cases decodes the cases, by the clock of who hears them. Those that are not of the form
 // are left out; the rest of the datagram holds.
-func (m casesMessage) cases(now time.Time) []poison.Case {
+func (m eventMessage) cases(now time.Time) []poison.Case {
 	var cases []poison.Case
 	for _, w := range m.Cases {
 		if len(w.Fingerprint) == len(poison.Fingerprint{}) {
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -15,6 +15,7 @@
 	"github.com/phuslu/log"
 
 	"ironhollow/pkg/limit"
+	"ironhollow/pkg/notice"
 	"ironhollow/pkg/poison"
 	"ironhollow/pkg/roster"
 	"ironhollow/pkg/route"
@@ -46,9 +47,11 @@
 	Brief bool
 	// Rollouts is words and reports of roll-outs, as they were encoded.
 	Rollouts []byte
-	// Cases is of requests under which endpoints have ended. They go in a datagram of
-	// their own, with nothing else but the host's incarnation.
-	Cases []poison.Case
+	// Cases is of requests under which endpoints have ended, Notices what endpoints have
+	// said of themselves. They go in a datagram of their own, with nothing else but the
+	// host's incarnation.
+	Cases   []poison.Case
+	Notices []notice.Told
 }
 
 // Take receives what another process tells.
@@ -149,11 +152,17 @@
 		return
 	}
 	e.write(data, peers)
-	if len(told.Cases) == 0 {
+	e.sendEvents(told, peers)
+}
+
+// sendEvents sends what goes in a datagram of its own, if there is any.
+func (e *Exchange) sendEvents(told Told, peers []string) {
+	if len(told.Cases)+len(told.Notices) == 0 {
 		return
 	}
-	if data, err = encodeCases(e.self.Incarnation, told.Cases, e.now()); err != nil {
-		e.log.Error().Err(err).Msg("requests under which endpoints ended not encoded")
+	data, err := encodeEvents(told, e.now())
+	if err != nil {
+		e.log.Error().Err(err).Msg("ends and notices of endpoints not encoded")
 		return
 	}
 	e.write(data, peers)
@@ -193,8 +202,8 @@
 
 // decode reads a datagram of either kind.
 func decode(data []byte, now time.Time) (Told, error) {
-	if isCases(data) {
-		return decodeCases(data, now)
+	if isEvents(data) {
+		return decodeEvents(data, now)
 	}
 	var m message
 	if err := cbor.Unmarshal(data, &m); err != nil {
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -4,15 +4,19 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/phuslu/log"
 
+	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/gossip"
+	"ironhollow/pkg/notice"
 	"ironhollow/pkg/poison"
 	"ironhollow/pkg/roster"
 	"ironhollow/pkg/route"
@@ -234,6 +238,31 @@
 	}
 }
 
+// Notices arrive beside what a host always tells; absurd figures do no harm.
+func TestNoticesArrive(t *testing.T) {
+	other := listen(t, host(1, 400))
+	members := roster.New(silence, gossip.Interval)
+	members.Heard(time.Now())
+	members.Hear(roster.Told{Host: other.host, Sequence: 1}, time.Now())
+	notices := []notice.Told{
+		{Endpoint: "e1", Born: 1_800_000_000_000, Notice: endpoint.Notice{Leaving: true}},
+		{Endpoint: "e2", Notice: endpoint.Notice{Rest: 1500 * time.Millisecond}},
+	}
+	absurd := []notice.Told{{Endpoint: "e3", Notice: endpoint.Notice{Rest: -time.Hour}}, {Endpoint: "e4", Notice: endpoint.Notice{Rest: math.MaxInt64}}}
+	self := host(0, 800)
+	tell(t, self, members, gossip.Told{Told: roster.Told{Host: self}, Notices: append(notices, absurd...)}, other)
+	for other.count() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	other.mu.Lock()
+	defer other.mu.Unlock()
+	got := other.got[1].Notices
+	want := append(notices, notice.Told{Endpoint: "e3"}, notice.Told{Endpoint: "e4", Notice: endpoint.Notice{Rest: endpoint.MostRest}})
+	if !slices.Equal(got, want) {
+		t.Errorf("notices: got %+v, want %+v", got, want)
+	}
+}
+
 // In fleets of every size, with one datagram in ten lost, a request is held back at each
 // host within the 3 s that the users allow from the third end on, though three hosts have
 // seen an end each and hundreds of others broke off with it.
--- a/pkg/gossip/urgent.go
+++ b/pkg/gossip/urgent.go
@@ -69,4 +69,5 @@
 		return
 	}
 	e.write(data, peers)
+	e.sendEvents(told, peers)
 }
--- /dev/null
+++ b/pkg/notice/board.go
@@ -0,0 +1,160 @@
+// Package notice makes what endpoints say of themselves in their answers known to all
+// who choose among them: to this host's choice at once, and to the other hosts. Rows say
+// the same later, or not at all while the store is away: hosts that went by rows alone
+// sent requests for ten seconds to an endpoint whose every answer said that it leaves.
+// It does no I/O but log lines; times are passed in.
+package notice
+
+import (
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/route"
+)
+
+// Told is what an endpoint has said to one host, for another. Incarnations are counted by
+// each host for itself, so that the life is told by what the endpoint says of its start.
+type Told struct {
+	Endpoint string
+	Born     int64
+	// Notice has the rest that is left when it is told.
+	Notice endpoint.Notice
+}
+
+// Parameters of what other hosts are told.
+const (
+	// tellRounds is in how many rounds a notice is told beside the first time, at once:
+	// of datagrams some are lost.
+	tellRounds = 3
+	// mostTold bounds the notices of one round, so that they fit a datagram; the others
+	// wait for the next.
+	mostTold = 30
+)
+
+// Board takes in notices and tells them. It is safe for concurrent use.
+type Board struct {
+	directory *endpoint.Directory
+	router    *route.Router
+	log       *log.Logger
+
+	mu sync.Mutex
+	// untold is what the others are still to hear, by endpoint.
+	untold map[string]*entry
+}
+
+// entry is what an endpoint has said to this host.
+type entry struct {
+	born    int64
+	leaving bool
+	// restUntil is when its rest is over, zero for none.
+	restUntil time.Time
+	// rounds is in how many it has been told.
+	rounds int
+}
+
+// New returns a board for a host's endpoints and its choice among them.
+func New(directory *endpoint.Directory, router *route.Router, logger *log.Logger) *Board {
+	return &Board{directory: directory, router: router, log: logger, untold: map[string]*entry{}}
+}
+
+// Heard takes in what an answer to this host says of the endpoint that it comes from.
+// From then on no choice of this host goes against it.
+func (b *Board) Heard(from endpoint.Info, n endpoint.Notice, now time.Time) {
+	if n.IsZero() {
+		return
+	}
+	leaves := n.Leaving && b.leave(from.Ref(), "answer")
+	var restUntil time.Time
+	if n.Rest > 0 && b.router.Rest(from.Ref(), now.Add(n.Rest), now) {
+		restUntil = now.Add(n.Rest)
+		b.log.Info().Str("endpoint", from.ID).Str("service", from.Service).Dur("rest", n.Rest).Msg("endpoint wants rest")
+	}
+	if !leaves && restUntil.IsZero() {
+		return
+	}
+	b.note(from, leaves, restUntil)
+	b.router.TellAtOnce(from.ID)
+}
+
+// leave notes that an endpoint leaves and reports whether that is news.
+func (b *Board) leave(ref endpoint.Ref, by string) bool {
+	info, isNews := b.directory.Leave(ref, func(i *endpoint.Info) { i.State = max(i.State, endpoint.Leaving) })
+	if isNews {
+		b.log.Info().Str("endpoint", ref.ID).Str("service", info.Service).Str("address", info.Address).Str("by", by).Msg("endpoint leaves")
+	}
+	return isNews
+}
+
+// note notes what the others are to hear.
+func (b *Board) note(from endpoint.Info, leaves bool, restUntil time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e, ok := b.untold[from.ID]
+	if !ok || e.born != from.Born {
+		e = &entry{born: from.Born}
+		b.untold[from.ID] = e
+	}
+	e.leaving = e.leaving || leaves
+	if restUntil.After(e.restUntil) {
+		e.restUntil = restUntil
+	}
+	e.rounds = 0
+}
+
+// told returns an entry as it is told now.
+func (e *entry) told(id string, now time.Time) Told {
+	return Told{Endpoint: id, Born: e.born, Notice: endpoint.Notice{Leaving: e.leaving, Rest: max(e.restUntil.Sub(now), 0)}}
+}
+
+// Tell returns what the others are told in this round.
+func (b *Board) Tell(now time.Time) []Told {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []Told
+	for id, e := range b.untold {
+		told := e.told(id, now)
+		if e.rounds >= tellRounds || told.Notice.IsZero() {
+			delete(b.untold, id)
+			continue
+		}
+		if len(list) == mostTold {
+			continue
+		}
+		e.rounds++
+		list = append(list, told)
+	}
+	return list
+}
+
+// TellOf returns what the others are told at once of some endpoints.
+func (b *Board) TellOf(endpoints []string, now time.Time) []Told {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []Told
+	for _, id := range endpoints {
+		if e, ok := b.untold[id]; ok && len(list) < mostTold {
+			list = append(list, e.told(id, now))
+		}
+	}
+	return list
+}
+
+// HearTold takes in what endpoints have said to another host. What is of another life of
+// an endpoint, or of one that is not known, is left out.
+func (b *Board) HearTold(list []Told, now time.Time) {
+	for _, told := range list {
+		info, ok := b.directory.Get(told.Endpoint)
+		if !ok || info.Born != told.Born {
+			continue
+		}
+		if told.Notice.Leaving {
+			b.leave(info.Ref(), "another host")
+		}
+		if told.Notice.Rest > 0 {
+			b.router.HearRest(info.Ref(), now.Add(told.Notice.Rest), now)
+		}
+	}
+}
--- a/pkg/route/feedback.go
+++ b/pkg/route/feedback.go
@@ -13,6 +13,9 @@
 	// Failed says that the endpoint is at fault; false also for a caller who
 	// went away.
 	Failed bool
+	// Refused says that the endpoint turned the request away: it has shown neither a
+	// failure nor that it serves.
+	Refused bool
 	// Started says that Router.Started was called for the choice.
 	Started bool
 	// FirstToken is the time to the first token, 0 if there was none.
@@ -55,6 +58,9 @@
 		s.group.fail(s, now)
 		return
 	}
+	if result.Refused {
+		return
+	}
 	s.group.succeed(s)
 	l.meanDuration = smooth(l.meanDuration, now.Sub(c.sent))
 	if !result.Untried {
@@ -248,6 +254,9 @@
 	if !known || s.group != g || s.info.Ref() != ref {
 		return Choice{}, false, false
 	}
+	if now.Before(s.load.rest.own) {
+		return Choice{}, false, false
+	}
 	if q.MayWait && !s.load.hasRoomForWaiting(q.stale) {
 		return Choice{}, false, true
 	}
--- a/pkg/route/naive.go
+++ b/pkg/route/naive.go
@@ -3,10 +3,14 @@
 import "time"
 
 // pickNaive is what the expected choice is measured against: it knows nothing
-// of queues, caches, reclaims or failures beyond the request's own. The
+// of queues, caches, reclaims or failures beyond the request's own; a rest that an endpoint
+// asked for binds it too. The
 // group's lock is held.
-func (g *group) pickNaive(q Query, strategy Strategy, _ time.Time) *slot {
+func (g *group) pickNaive(q Query, strategy Strategy, now time.Time) *slot {
 	usable := func(s *slot) bool {
+		if now.Before(s.load.rest.own) {
+			return false
+		}
 		for _, ref := range q.Avoid {
 			if ref == s.info.Ref() {
 				return false
--- a/pkg/route/placement.go
+++ b/pkg/route/placement.go
@@ -56,11 +56,12 @@
 	mostUrgent = 64
 )
 
-// Urgent returns endpoints whose queue this entry has just made longer than what
-// the other entries know.
+// Urgent returns endpoints of which the other entries must hear at once: this one has
+// just made their queue longer than what the others know, or they said something.
 func (r *Router) Urgent() <-chan string { return r.urgent }
 
-func (r *Router) tellAtOnce(id string) {
+// TellAtOnce has the other entries hear of an endpoint at once.
+func (r *Router) TellAtOnce(id string) {
 	select {
 	case r.urgent <- id:
 	default:
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -53,6 +53,8 @@
 	synced uint64
 	// byID finds the group and place of each endpoint.
 	byID map[string]*slot
+	// rests are those that endpoints asked for, by endpoint.
+	rests map[string]rest
 	// urgent holds endpoints of which the other entries must hear at once.
 	urgent chan string
 }
@@ -93,6 +95,7 @@
 		seed:      seed,
 		groups:    map[Target]*group{},
 		byID:      map[string]*slot{},
+		rests:     map[string]rest{},
 		urgent:    make(chan string, mostUrgent),
 	}
 	r.synced = ^uint64(0)
@@ -160,6 +163,7 @@
 		g.mu.Lock()
 		g.slots = nil
 		g.ejected = 0
+		g.restsUntil = time.Time{}
 		g.mu.Unlock()
 	}
 	r.byID = make(map[string]*slot, len(view.Infos()))
@@ -208,6 +212,7 @@
 		s = &slot{group: g, load: start, hash: xxhash.Sum64String(info.ID)}
 	}
 	s.info = info
+	g.restsUntil = later(g.restsUntil, s.load.rest.own)
 	if s.load.failures >= ejectAfter {
 		g.ejected++
 	}
@@ -254,7 +259,7 @@
 	g.index.note(q.Prefix, s.info.ID)
 	g.place(q, s.info.ID)
 	if time.Duration(c.uncached)*g.model.Figures().Prefill >= heavyPrefill {
-		r.tellAtOnce(s.info.ID)
+		r.TellAtOnce(s.info.ID)
 	}
 }
 
@@ -305,7 +310,8 @@
 }
 
 // usable reports whether a slot may take the request at all. Endpoints that
-// are out stay usable once more than ejectShare of the group is out.
+// are out for failures stay usable once more than ejectShare of the group is out; one
+// that has asked for rest is not, whatever else there is.
 func (g *group) usable(s *slot, q Query, now time.Time) bool {
 	if !q.Rule.Allows(&s.info) {
 		return false
@@ -318,8 +324,11 @@
 	if q.MayWait && !s.load.hasRoomForWaiting(q.stale) {
 		return false
 	}
+	if now.Before(s.load.rest.own) {
+		return false
+	}
 	if now.Before(s.load.ejectedUntil) {
-		return float64(g.ejected) > ejectShare*float64(len(g.slots))
+		return float64(g.out(now)) > ejectShare*float64(len(g.slots))
 	}
 	return true
 }
--- a/pkg/route/slot.go
+++ b/pkg/route/slot.go
@@ -17,9 +17,11 @@
 	index  *prefixIndex
 	random *rand.Rand
 	turn   int
-	// ejected counts slots that are out.
-	ejected int
-	work    work
+	// ejected counts slots that are out for failures, restsUntil is when the last rest of
+	// any is over.
+	ejected    int
+	restsUntil time.Time
+	work       work
 	// model is how fast the endpoints are together.
 	model *enginemodel.Service
 	// placed is what was sent since the other entries were last told.
@@ -63,6 +65,7 @@
 	failures     int
 	ejections    int
 	ejectedUntil time.Time
+	rest         rest
 	rate         float64
 	rateAt       time.Time
 }
@@ -77,12 +80,14 @@
 	crossPlaceWeight = time.Millisecond
 )
 
+// newLoad returns the state of an endpoint of which nothing has been heard but the rest
+// that it asked for. The router's lock is held.
 func (r *Router) newLoad(info endpoint.Info) load {
 	slots := info.Slots
 	if slots == 0 {
 		slots = defaultSlots
 	}
-	return load{slots: slots, meanDuration: r.figures.MeanAnswer, trust: 1}
+	return load{slots: slots, meanDuration: r.figures.MeanAnswer, trust: 1, rest: r.restOf(info.Ref())}
 }
 
 // ahead returns the prompt tokens that are thought to be read before a request
