--- a/pkg/app/entry/loops.go
+++ b/pkg/app/entry/loops.go
@@ -105,10 +105,15 @@
 	}
 	a.router.Report(info.Ref(), report)
 	if heard := fromReport(info, report); heard != info {
-		a.peers.Send(a.mesh.Tell(peer.News{Endpoints: []endpoint.Info{heard}}, now()))
+		a.spread(heard)
 	}
 }
 
+// spread makes news of an endpoint known here and at the other entries.
+func (a *App) spread(heard endpoint.Info) {
+	a.peers.Send(a.mesh.Tell(peer.News{Endpoints: []endpoint.Info{heard}}, now()))
+}
+
 // fromReport is what an engine's own word makes of what is known of it.
 func fromReport(info endpoint.Info, report engine.Report) endpoint.Info {
 	if report.Counter > info.Counter || (info.Counter == 0 && report.Model != info.Model) {
--- a/pkg/app/entry/parts.go
+++ b/pkg/app/entry/parts.go
@@ -18,6 +18,7 @@
 	"ironhollow/pkg/job"
 	"ironhollow/pkg/limit"
 	"ironhollow/pkg/membership"
+	"ironhollow/pkg/notice"
 	"ironhollow/pkg/peer"
 	"ironhollow/pkg/plainservice"
 	"ironhollow/pkg/retry"
@@ -29,13 +30,13 @@
 func newAPI(
 	settings Settings, self membership.Node, holder *config.Holder, nodes *membership.Table, router *route.Router,
 	runner *stream.Runner, rates *limit.Rates, gates *limit.Gates, jobs *job.Store, worker *job.Worker,
-	jobCounters *job.Counters, claims *claim.Claims, plain plainservice.API, budget *retry.Budget,
+	jobCounters *job.Counters, claims *claim.Claims, plain plainservice.API, budget *retry.Budget, notices *notice.Board,
 	history *explain.History, tracer trace.Tracer, counters *callerapi.Counters,
 ) *callerapi.API {
 	return callerapi.New(callerapi.Deps{
 		Node: self.ID, Owner: self.Owner(), Limits: settings.limits, Config: holder, Nodes: nodes, Router: router,
 		Runner: runner, Rates: rates, Gates: gates, Jobs: jobs, Worker: worker, JobStat: jobCounters, Claims: claims,
-		Plain: plain, Budget: budget, History: history, Tracer: tracer, Metrics: counters,
+		Plain: plain, Notices: notices, Budget: budget, History: history, Tracer: tracer, Metrics: counters,
 	})
 }
 
--- a/pkg/app/entry/run.go
+++ b/pkg/app/entry/run.go
@@ -103,6 +103,7 @@
 func (a *App) start(ctx context.Context) {
 	a.endpoints.OnLeave(func(info endpoint.Info) { a.onLeave(ctx, info) })
 	a.runner.OnReport(a.takeReport)
+	a.api.Notices.OnLeave(a.spread)
 	go a.peers.Run()
 	go a.watchConfig(ctx)
 	go a.begin(ctx)
--- a/pkg/app/entry/wire_gen.go
+++ b/pkg/app/entry/wire_gen.go
@@ -20,6 +20,7 @@
 	"ironhollow/pkg/job"
 	"ironhollow/pkg/limit"
 	"ironhollow/pkg/membership"
+	"ironhollow/pkg/notice"
 	"ironhollow/pkg/peer"
 	"ironhollow/pkg/poison"
 	"ironhollow/pkg/stream"
@@ -43,8 +44,9 @@
 	registerer := newRegisterer(registry)
 	counters := stream.NewCounters(registerer)
 	watch := poison.NewWatch(registerer, logger)
+	board := notice.New(directory, router, logger)
 	traceTracer := newTracer(tracer)
-	runner := stream.New(router, api, budget, estimator, counters, watch, traceTracer)
+	runner := stream.New(router, api, budget, estimator, counters, watch, board, traceTracer)
 	rates := limit.NewRates()
 	gates := limit.NewGates()
 	objectStore := newObjects(settings, client)
@@ -65,7 +67,7 @@
 	history := explain.NewHistory()
 	plainserviceAPI := newPlain(client)
 	callerapiCounters := callerapi.NewCounters(registerer)
-	callerapiAPI := newAPI(settings, node, holder, table, router, runner, rates, gates, jobStore, worker, jobCounters, claims, plainserviceAPI, budget, history, traceTracer, callerapiCounters)
+	callerapiAPI := newAPI(settings, node, holder, table, router, runner, rates, gates, jobStore, worker, jobCounters, claims, plainserviceAPI, budget, board, history, traceTracer, callerapiCounters)
 	app := newApp(settings, node, logger, registry, tracer, guard, writer, holder, store, table, directory, estimator, router, api, runner, rates, gates, budget, jobStore, worker, batcher, claims, gatherer, history, mesh, server, callerapiAPI, tls)
 	return app, nil
 }
--- a/pkg/callerapi/api.go
+++ b/pkg/callerapi/api.go
@@ -26,6 +26,7 @@
 	"ironhollow/pkg/job"
 	"ironhollow/pkg/limit"
 	"ironhollow/pkg/membership"
+	"ironhollow/pkg/notice"
 	"ironhollow/pkg/plainservice"
 	"ironhollow/pkg/retry"
 	"ironhollow/pkg/route"
@@ -57,6 +58,7 @@
 	JobStat *job.Counters
 	Claims  *claim.Claims
 	Plain   plainservice.API
+	Notices *notice.Board
 	Budget  *retry.Budget
 	History *explain.History
 	Tracer  trace.Tracer
--- a/pkg/callerapi/callerapi_test.go
+++ b/pkg/callerapi/callerapi_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -231,6 +232,32 @@
 	}
 }
 
+// An endpoint that asks for rest when it turns a call away, or says in an answer that it
+// leaves, gets no other, whatever kind of call; the other endpoint serves.
+func TestPlainEndpointsWordIsHeard(t *testing.T) {
+	const calls = 40
+	for name, says := range map[string]services.Options{
+		"rest":                {TurnsAway: true, Rest: time.Minute},
+		"leaves":              {Leaves: true},
+		"leaves, turned away": {Leaves: true, TurnsAway: true},
+	} {
+		for _, path := range []string{"notes", "confirmations"} {
+			var came atomic.Int64
+			says.Came = &came
+			e := newSite(t, says, services.Options{}).newEntry(t, "n1")
+			for range calls {
+				request, _ := http.NewRequest("POST", e.server.URL+"/v1/services/ledger/"+path, strings.NewReader("body"))
+				if got := e.do(t, request); got.StatusCode != http.StatusOK {
+					t.Errorf("%s, %s: got status %d, want 200", name, path, got.StatusCode)
+				}
+			}
+			if got, want := came.Load(), int64(1); got > want {
+				t.Errorf("%s, %s: got %d of %d calls at the endpoint, want %d at most", name, path, got, calls, want)
+			}
+		}
+	}
+}
+
 // TestLeavingHostTellsItsCallersWhereToGo marks an entry as leaving.
 func TestLeavingHostTellsItsCallersWhereToGo(t *testing.T) {
 	site := newSite(t)
--- a/pkg/callerapi/fleet_test.go
+++ b/pkg/callerapi/fleet_test.go
@@ -31,6 +31,7 @@
 	"ironhollow/pkg/job"
 	"ironhollow/pkg/limit"
 	"ironhollow/pkg/membership"
+	"ironhollow/pkg/notice"
 	"ironhollow/pkg/plainservice"
 	"ironhollow/pkg/poison"
 	"ironhollow/pkg/retry"
@@ -148,7 +149,8 @@
 	router := route.New(directory, estimator, route.Home{Node: name}, 1)
 	budget := retry.New(0.1, time.Now())
 	watch := poison.NewWatch(registry, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
-	runner := stream.New(router, s.engines(), budget, estimator, stream.NewCounters(registry), watch, s.tracer(name))
+	board := notice.New(directory, router, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
+	runner := stream.New(router, s.engines(), budget, estimator, stream.NewCounters(registry), watch, board, s.tracer(name))
 	writer := table.NewWriter(s.rows, name)
 	jobs := job.NewStore(writer, s.bodies, job.NewBatcher(writer, time.Millisecond))
 	ctx, cancel := context.WithCancel(context.Background())
@@ -158,7 +160,7 @@
 	e.api = callerapi.New(callerapi.Deps{
 		Node: name, Owner: name, Limits: callerapi.Limits{BodyBytes: 4096, AnswerBytes: 4096, Requests: 100, WriteTimeout: 5 * time.Second},
 		Config: holder, Nodes: nodes, Router: router, Runner: runner, Rates: limit.NewRates(), Gates: limit.NewGates(),
-		Jobs: jobs, Worker: worker, JobStat: jobCounters, Claims: claim.New(writer), Plain: plainservice.New(httpx.NewClient(4)),
+		Jobs: jobs, Worker: worker, JobStat: jobCounters, Claims: claim.New(writer), Plain: plainservice.New(httpx.NewClient(4)), Notices: board,
 		Budget: budget, History: explain.NewHistory(), Tracer: s.tracer(name), Metrics: callerapi.NewCounters(registry),
 	})
 	e.server = httptest.NewServer(e.api)
--- a/pkg/callerapi/plain.go
+++ b/pkg/callerapi/plain.go
@@ -86,7 +86,7 @@
 		if !ok {
 			break
 		}
-		answer, err := p.api.Plain.Send(ctx, choice.Endpoint.Address, p.call(bytes.NewReader(body), int64(len(body)), false))
+		answer, err := p.send(ctx, choice, p.call(bytes.NewReader(body), int64(len(body)), false))
 		p.api.Router.Done(choice, route.Result{Failed: err != nil && ctx.Err() == nil}, time.Now())
 		if err == nil {
 			return answer, nil
@@ -103,6 +103,19 @@
 	return plainservice.Answer{}, last
 }
 
+// send sends a call once and takes in what the answer, or a refusal, says of its
+// endpoint.
+func (p plainCall) send(ctx context.Context, choice route.Choice, call plainservice.Call) (plainservice.Answer, error) {
+	answer, err := p.api.Plain.Send(ctx, choice.Endpoint.Address, call)
+	said := answer.Notice
+	var away *plainservice.TurnedAway
+	if errors.As(err, &away) {
+		said = away.Notice
+	}
+	p.api.Notices.Heard(choice.Endpoint, said, time.Now())
+	return answer, err
+}
+
 func (p plainCall) choose(avoid []endpoint.Ref) (route.Choice, bool) {
 	q := route.Query{Target: targetOf(p.service), Stake: 1, Avoid: avoid}
 	return p.api.Router.Choose(q, strategyOf(p.config), time.Now())
@@ -187,7 +200,7 @@
 		if !ok {
 			break
 		}
-		answer, err := p.api.Plain.Send(ctx, choice.Endpoint.Address, p.call(bytes.NewReader(body), int64(len(body)), true))
+		answer, err := p.send(ctx, choice, p.call(bytes.NewReader(body), int64(len(body)), true))
 		if err == nil {
 			kept, err := p.keep(answer)
 			p.api.Router.Done(choice, route.Result{Failed: err != nil}, time.Now())
--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -14,6 +14,7 @@
 
 	"go.opentelemetry.io/otel/propagation"
 
+	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/httpx"
 )
 
@@ -93,22 +94,32 @@
 	}
 	text, _ := io.ReadAll(io.LimitReader(response.Body, 512))
 	_ = response.Body.Close()
-	return nil, errorOf(response.StatusCode, string(text))
+	return nil, errorOf(response, string(text))
 }
 
-func errorOf(status int, text string) error {
+func errorOf(response *http.Response, text string) error {
 	text = strings.TrimSpace(text)
+	status := response.StatusCode
 	switch status {
 	case http.StatusNotFound:
 		return ErrNoStream
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusConflict:
-		return fmt.Errorf("%w: status %d: %s", ErrRefused, status, text)
+		return &Refusal{Reason: fmt.Sprintf("status %d: %s", status, text), Notice: noticeOf(response)}
 	case http.StatusBadRequest, http.StatusUnprocessableEntity, http.StatusRequestEntityTooLarge:
 		return fmt.Errorf("%w: %s", ErrBadRequest, text)
 	}
 	return fmt.Errorf("engine: status %d: %s", status, text)
 }
 
+// noticeOf reads what an answer's head says of its engine.
+func noticeOf(response *http.Response) endpoint.Notice {
+	notice := httpx.RestAsked(response.StatusCode, response.Header)
+	if report, ok := parseReport(response.Header.Get(HeaderLoad)); ok {
+		notice.Leaving = report.Leaving
+	}
+	return notice
+}
+
 // Cancel ends a stream; an unknown one is ended already.
 func (c *Client) Cancel(ctx context.Context, address, request string) error {
 	err := c.call(ctx, http.MethodDelete, address, PathStreams+request, nil, nil)
--- /dev/null
+++ b/pkg/engine/client_test.go
@@ -0,0 +1,44 @@
+package engine_test
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/engine"
+)
+
+// A refusal carries what the engine says of itself: rest by the usual header, leaving by
+// its load report.
+func TestRefusalsSayMoreThanNo(t *testing.T) {
+	for _, c := range []struct {
+		status     int
+		rest, load string
+		want       endpoint.Notice
+	}{
+		{503, "", "", endpoint.Notice{}},
+		{503, "1.5", "", endpoint.Notice{Rest: 1500 * time.Millisecond}},
+		{429, "2", `{"leaving":true}`, endpoint.Notice{Rest: 2 * time.Second, Leaving: true}},
+		{503, "soon", `{`, endpoint.Notice{}},
+		{409, "2", `{"leaving":true}`, endpoint.Notice{Leaving: true}},
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Retry-After", c.rest)
+			w.Header().Set(engine.HeaderLoad, c.load)
+			w.WriteHeader(c.status)
+		}))
+		_, err := engine.New(server.Client(), time.Second).Generate(t.Context(), server.Listener.Addr().String(), engine.Attempt{})
+		server.Close()
+		var refusal *engine.Refusal
+		if !errors.As(err, &refusal) || !errors.Is(err, engine.ErrRefused) {
+			t.Errorf("%d: got %v, want a refusal", c.status, err)
+			continue
+		}
+		if refusal.Notice != c.want {
+			t.Errorf("%d, %q, %q: got %+v, want %+v", c.status, c.rest, c.load, refusal.Notice, c.want)
+		}
+	}
+}
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -8,6 +8,8 @@
 	"encoding/json"
 	"errors"
 	"time"
+
+	"ironhollow/pkg/endpoint"
 )
 
 // Prompt is what an engine is asked to answer. It does not change over the
@@ -117,6 +119,18 @@
 	ErrBadRequest = errors.New("engine: bad request")
 )
 
+// Refusal is an ErrRefused with what the engine says of itself.
+type Refusal struct {
+	Reason string
+	Notice endpoint.Notice
+}
+
+// Error gives the engine's reason.
+func (r *Refusal) Error() string { return ErrRefused.Error() + ": " + r.Reason }
+
+// Unwrap makes every refusal an ErrRefused.
+func (r *Refusal) Unwrap() error { return ErrRefused }
+
 // API is all that is asked of engines; address is an IP number and port.
 type API interface {
 	Generate(ctx context.Context, address string, attempt Attempt) (Stream, error)
--- a/pkg/engine/events.go
+++ b/pkg/engine/events.go
@@ -34,9 +34,12 @@
 }
 
 // Report reads the report that came with the answer's headers.
-func (r *eventReader) Report() (Report, bool) {
+func (r *eventReader) Report() (Report, bool) { return parseReport(r.load) }
+
+// parseReport reads a report from an answer's header.
+func parseReport(header string) (Report, bool) {
 	var w WireReport
-	if r.load == "" || json.Unmarshal([]byte(r.load), &w) != nil {
+	if header == "" || json.Unmarshal([]byte(header), &w) != nil {
 		return Report{}, false
 	}
 	return w.Domain(), true
--- a/pkg/notice/board.go
+++ b/pkg/notice/board.go
@@ -7,6 +7,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -39,6 +40,7 @@
 	directory *endpoint.Directory
 	router    *route.Router
 	log       *log.Logger
+	onLeave   atomic.Pointer[func(endpoint.Info)]
 
 	mu sync.Mutex
 	// untold is what the others are still to hear, by endpoint.
@@ -60,32 +62,50 @@
 	return &Board{directory: directory, router: router, log: logger, untold: map[string]*entry{}}
 }
 
+// OnLeave sets what makes it known that an endpoint leaves, to the directory and to the
+// other hosts, where those do not hear by Tell; then nothing is kept for them.
+func (b *Board) OnLeave(spread func(endpoint.Info)) { b.onLeave.Store(&spread) }
+
 // Heard takes in what an answer to this host says of the endpoint that it comes from.
 // From then on no choice of this host goes against it.
 func (b *Board) Heard(from endpoint.Info, n endpoint.Notice, now time.Time) {
 	if n.IsZero() {
 		return
 	}
-	leaves := n.Leaving && b.leave(from.Ref(), "answer")
+	// A row may have lapsed and come back since the choice: that is the same life.
+	held, ok := b.directory.Get(from.ID)
+	if !ok || held.Born != from.Born {
+		return
+	}
+	leaves := n.Leaving && b.leave(held, "answer")
 	var restUntil time.Time
-	if n.Rest > 0 && b.router.Rest(from.Ref(), now.Add(n.Rest), now) {
+	if n.Rest > 0 && b.router.Rest(held.Ref(), now.Add(n.Rest), now) {
 		restUntil = now.Add(n.Rest)
 		b.log.Info().Str("endpoint", from.ID).Str("service", from.Service).Dur("rest", n.Rest).Msg("endpoint wants rest")
 	}
 	if !leaves && restUntil.IsZero() {
 		return
 	}
+	if b.onLeave.Load() != nil {
+		return
+	}
 	b.note(from, leaves, restUntil)
 	b.router.TellAtOnce(from.ID)
 }
 
 // leave notes that an endpoint leaves and reports whether that is news.
-func (b *Board) leave(ref endpoint.Ref, by string) bool {
-	info, isNews := b.directory.Leave(ref, func(i *endpoint.Info) { i.State = max(i.State, endpoint.Leaving) })
-	if isNews {
-		b.log.Info().Str("endpoint", ref.ID).Str("service", info.Service).Str("address", info.Address).Str("by", by).Msg("endpoint leaves")
+func (b *Board) leave(held endpoint.Info, by string) bool {
+	if held.State >= endpoint.Leaving {
+		return false
+	}
+	held.State = endpoint.Leaving
+	if spread := b.onLeave.Load(); spread != nil {
+		(*spread)(held)
+	} else {
+		b.directory.Merge(held)
 	}
-	return isNews
+	b.log.Info().Str("endpoint", held.ID).Str("service", held.Service).Str("address", held.Address).Str("by", by).Msg("endpoint leaves")
+	return true
 }
 
 // note notes what the others are to hear.
@@ -151,7 +171,7 @@
 			continue
 		}
 		if told.Notice.Leaving {
-			b.leave(info.Ref(), "another host")
+			b.leave(info, "another host")
 		}
 		if told.Notice.Rest > 0 {
 			b.router.HearRest(info.Ref(), now.Add(told.Notice.Rest), now)
--- a/pkg/notice/board_test.go
+++ b/pkg/notice/board_test.go
@@ -100,8 +100,15 @@
 	if !b.takes(0, now) {
 		t.Error("another host: the later life is not chosen")
 	}
+	again := before
+	again.Incarnation = 2
+	a.directory.Merge(again)
+	a.Heard(before, endpoint.Notice{Leaving: true}, now)
+	if a.takes(0, now) {
+		t.Error("the host that was told chooses the same life, whose row had lapsed meanwhile")
+	}
 	later := before
-	later.Incarnation, later.Born = 2, 6
+	later.Incarnation, later.Born = 3, 6
 	a.directory.Merge(later)
 	a.Heard(before, endpoint.Notice{Leaving: true, Rest: restTime}, now)
 	if !a.takes(0, now) {
--- a/pkg/plainservice/plainservice.go
+++ b/pkg/plainservice/plainservice.go
@@ -13,6 +13,9 @@
 	"time"
 
 	"go.opentelemetry.io/otel/propagation"
+
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/httpx"
 )
 
 // Headers between ironhollow and plain services.
@@ -24,6 +27,8 @@
 	HeaderDeadline = "X-Deadline-Ms"
 	// HeaderNotRun is set by endpoints that turned a call away unrun.
 	HeaderNotRun = "X-Not-Run"
+	// HeaderLeaving is 1 in the answers of endpoints that leave.
+	HeaderLeaving = "X-Leaving"
 )
 
 // DeadlinePassed reports whether a call's deadline lies before now.
@@ -51,12 +56,30 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
+	// Notice is what the answer says of the endpoint itself.
+	Notice endpoint.Notice
 }
 
 // ErrNotSent says that no byte of the call can have reached the endpoint, or
 // that the endpoint itself said that it did not run the call.
 var ErrNotSent = errors.New("plainservice: not sent")
 
+// TurnedAway is an ErrNotSent of an endpoint that did not run the call by its own word.
+type TurnedAway struct{ Notice endpoint.Notice }
+
+// Error says that the endpoint turned the call away.
+func (*TurnedAway) Error() string { return "plainservice: endpoint turned the call away" }
+
+// Unwrap makes it an ErrNotSent.
+func (*TurnedAway) Unwrap() error { return ErrNotSent }
+
+// noticeOf reads what an answer's head says of its endpoint.
+func noticeOf(response *http.Response) endpoint.Notice {
+	notice := httpx.RestAsked(response.StatusCode, response.Header)
+	notice.Leaving, _ = strconv.ParseBool(response.Header.Get(HeaderLeaving))
+	return notice
+}
+
 // API sends calls.
 type API interface {
 	// Send sends a call once. An error that is not ErrNotSent leaves open
@@ -103,9 +126,9 @@
 	}
 	if response.Header.Get(HeaderNotRun) != "" {
 		_ = response.Body.Close()
-		return Answer{}, errors.Join(ErrNotSent, errors.New("endpoint turned the call away"))
+		return Answer{}, &TurnedAway{noticeOf(response)}
 	}
-	return Answer{response.StatusCode, EndToEnd(response.Header), response.Body}, nil
+	return Answer{response.StatusCode, EndToEnd(response.Header), response.Body, noticeOf(response)}, nil
 }
 
 // onceReader hides a body's type, so that net/http can't rewind and resend it.
--- a/pkg/policybench/run.go
+++ b/pkg/policybench/run.go
@@ -22,6 +22,7 @@
 	"ironhollow/pkg/hazard"
 	"ironhollow/pkg/limit"
 	"ironhollow/pkg/measure"
+	"ironhollow/pkg/notice"
 	"ironhollow/pkg/poison"
 	"ironhollow/pkg/retry"
 	"ironhollow/pkg/route"
@@ -136,10 +137,12 @@
 		directory: endpoint.NewDirectory(), hazard: hazard.New(), gates: limit.NewGates(), budget: retry.New(0.1, time.Now()),
 		counters: stream.NewCounters(registry),
 	}
-	watch := poison.NewWatch(registry, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
+	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+	watch := poison.NewWatch(registry, logger)
 	home := route.Home{Node: fmt.Sprintf("n%d", number), DataCenter: r.fleet.Centres[number%len(r.fleet.Centres)]}
 	e.router = route.New(e.directory, e.hazard, home, r.seed+uint64(number))
-	e.runner = stream.New(e.router, r.direct, e.budget, e.hazard, e.counters, watch, noop.NewTracerProvider().Tracer(""))
+	board := notice.New(e.directory, e.router, logger)
+	e.runner = stream.New(e.router, r.direct, e.budget, e.hazard, e.counters, watch, board, noop.NewTracerProvider().Tracer(""))
 	for _, centre := range r.fleet.Centres {
 		e.hazard.SetPrior(hazard.Place{DataCenter: centre, Class: "standard"}, priorHazard, time.Now())
 	}
--- a/pkg/standin/engines/direct.go
+++ b/pkg/standin/engines/direct.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/engine"
 )
 
@@ -26,9 +27,10 @@
 	dead chan struct{}
 	// frozen makes every call hang.
 	frozen bool
-	// refuse turns new attempts away unrun.
-	refuse bool
-	sent   int
+	// refuse turns new attempts away unrun, refusal is what the engine says then.
+	refuse  bool
+	refusal endpoint.Notice
+	sent    int
 }
 
 // NewDirect returns a way to no engine yet.
@@ -60,7 +62,12 @@
 
 // Refuse makes an engine turn new attempts away, or take them again.
 func (d *Direct) Refuse(address string, refuse bool) {
-	d.change(address, func(h *host) { h.refuse = refuse })
+	d.change(address, func(h *host) { h.refuse, h.refusal = refuse, endpoint.Notice{} })
+}
+
+// RefuseWith makes an engine turn new attempts away and say something of itself.
+func (d *Direct) RefuseWith(address string, says endpoint.Notice) {
+	d.change(address, func(h *host) { h.refuse, h.refusal = true, says })
 }
 
 // SetFaults sets an engine's faults of frames.
@@ -112,10 +119,10 @@
 	}
 	d.mu.Lock()
 	h.sent++
-	refuse := h.refuse
+	refuse, says := h.refuse, h.refusal
 	d.mu.Unlock()
 	if refuse {
-		return nil, engine.ErrRefused
+		return nil, &engine.Refusal{Reason: "told to", Notice: says}
 	}
 	s, err := h.engine.start(promptSpec{
 		request: a.Prompt.Request, attempt: a.Number, loaded: Loaded{a.Prompt.Model, a.Prompt.Version, a.Prompt.Adapter},
--- a/pkg/standin/services/service.go
+++ b/pkg/standin/services/service.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"ironhollow/pkg/httpx"
@@ -56,6 +58,14 @@
 	ChecksDeadline bool
 	// CutAfterRun cuts the connection after the call has run.
 	CutAfterRun bool
+	// TurnsAway makes the service turn every call away unrun, with a wish for so much
+	// rest where it is above 0.
+	TurnsAway bool
+	Rest      time.Duration
+	// Leaves makes the service say in each answer that it leaves.
+	Leaves bool
+	// Came counts the calls that came, if it is set.
+	Came *atomic.Int64
 }
 
 // Answer is what a call gets.
@@ -83,6 +93,18 @@
 	if err != nil {
 		return
 	}
+	if options.Came != nil {
+		options.Came.Add(1)
+	}
+	if options.Leaves {
+		w.Header().Set(plainservice.HeaderLeaving, "1")
+	}
+	if options.TurnsAway {
+		w.Header().Set(plainservice.HeaderNotRun, "busy")
+		w.Header().Set(httpx.HeaderRetryAfter, strconv.FormatFloat(options.Rest.Seconds(), 'f', -1, 64))
+		http.Error(w, "busy", http.StatusServiceUnavailable)
+		return
+	}
 	time.Sleep(options.Work)
 	if options.ChecksDeadline && plainservice.DeadlinePassed(r.Header, time.Now()) {
 		w.Header().Set(plainservice.HeaderNotRun, "deadline")
--- a/pkg/stream/attempt.go
+++ b/pkg/stream/attempt.go
@@ -8,6 +8,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/engine"
 	"ironhollow/pkg/entropy"
 	"ironhollow/pkg/pause"
@@ -175,6 +176,7 @@
 	prompt.Version = p.version
 	stream, err := r.engines.Generate(ctx, c.Endpoint.Address, engine.Attempt{Prompt: prompt, Number: p.attempts, Continue: p.tokens})
 	if err != nil {
+		r.hear(c.Endpoint, err)
 		return route.Result{}, r.endingOf(ctx, err)
 	}
 	defer stream.Close()
@@ -184,6 +186,16 @@
 	return reader.result(end), end
 }
 
+// hear takes in what an engine that turned an attempt away says of itself: else it is
+// asked until it is out for failures, three attempts of 40 requests, and again later, also
+// where it leaves.
+func (r *Runner) hear(from endpoint.Info, err error) {
+	var refusal *engine.Refusal
+	if errors.As(err, &refusal) {
+		r.notices.Heard(from, refusal.Notice, time.Now())
+	}
+}
+
 // endingOf classifies an error of an attempt.
 func (r *Runner) endingOf(ctx context.Context, err error) ending {
 	switch {
--- a/pkg/stream/runner.go
+++ b/pkg/stream/runner.go
@@ -18,6 +18,7 @@
 	"ironhollow/pkg/engine"
 	"ironhollow/pkg/entropy"
 	"ironhollow/pkg/hazard"
+	"ironhollow/pkg/notice"
 	"ironhollow/pkg/pause"
 	"ironhollow/pkg/poison"
 	"ironhollow/pkg/retry"
@@ -99,6 +100,7 @@
 	hazard   *hazard.Estimator
 	counters *Counters
 	watch    *poison.Watch
+	notices  *notice.Board
 	tracer   trace.Tracer
 	active   *active
 	lengths  sync.Map // of service name to *length
@@ -106,8 +108,8 @@
 }
 
 // New returns a runner.
-func New(router *route.Router, engines engine.API, budget *retry.Budget, estimator *hazard.Estimator, counters *Counters, watch *poison.Watch, tracer trace.Tracer) *Runner {
-	return &Runner{router: router, engines: engines, budget: budget, hazard: estimator, counters: counters, watch: watch, tracer: tracer, active: newActive()}
+func New(router *route.Router, engines engine.API, budget *retry.Budget, estimator *hazard.Estimator, counters *Counters, watch *poison.Watch, notices *notice.Board, tracer trace.Tracer) *Runner {
+	return &Runner{router: router, engines: engines, budget: budget, hazard: estimator, counters: counters, watch: watch, notices: notices, tracer: tracer, active: newActive()}
 }
 
 // OnReport sets what takes the load reports that come with answers.
--- a/pkg/stream/runner_test.go
+++ b/pkg/stream/runner_test.go
@@ -19,6 +19,7 @@
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/engine"
 	"ironhollow/pkg/hazard"
+	"ironhollow/pkg/notice"
 	"ironhollow/pkg/poison"
 	"ironhollow/pkg/retry"
 	"ironhollow/pkg/route"
@@ -66,7 +67,8 @@
 	f.router = route.New(f.directory, estimator, route.Home{Node: "n", DataCenter: "dc"}, 1)
 	registry := prometheus.NewRegistry()
 	watch := poison.NewWatch(registry, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
-	f.runner = stream.New(f.router, f.direct, retry.New(0.1, time.Now()), estimator, stream.NewCounters(registry), watch, noop.NewTracerProvider().Tracer(""))
+	board := notice.New(f.directory, f.router, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
+	f.runner = stream.New(f.router, f.direct, retry.New(0.1, time.Now()), estimator, stream.NewCounters(registry), watch, board, noop.NewTracerProvider().Tracer(""))
 	for _, info := range f.infos {
 		report, err := f.direct.Load(context.Background(), info.Address)
 		if err != nil {
