Soak: endpoints that turn requests away are drawn; what answers said is checked in every run. Another instance at an address says that the one before has ended

Moved: TestMovedEndpointIsAskedOnce, 3 requests at an endpoint that had ended before, 1 now; the same cause, a refusal's word that was kept for nobody.

--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -146,14 +146,19 @@
 	return readAnswer(choice, e)
 }
 
-// noticeOf returns what an answer says of the endpoint that was meant: nothing where
-// another instance has its address, nor where bytes that claim success bear no
-// signature and may be anybody's.
+// noticeOf returns what an answer says of the endpoint that was meant: that it has ended,
+// where another instance has its address, and nothing where bytes that claim success bear
+// no signature and may be anybody's. Without the former such an endpoint was asked three
+// times, until it was out for failures, and every two seconds again until its row went.
 func noticeOf(v Verdict, status int) endpoint.Notice {
-	if v.Moved || status/100 == 2 && !v.Signed {
+	switch {
+	case v.Moved:
+		return endpoint.Notice{Leaving: true}
+	case status/100 == 2 && !v.Signed:
 		return endpoint.Notice{}
+	default:
+		return v.Notice
 	}
-	return v.Notice
 }
 
 // drain reads the rest of a short body, so that its connection can be kept.
--- a/pkg/forward/notice_test.go
+++ b/pkg/forward/notice_test.go
@@ -124,6 +124,22 @@
 	}
 }
 
+// An endpoint whose address another instance has by its word is asked once: it has ended,
+// though its row is still there.
+func TestMovedEndpointIsAskedOnce(t *testing.T) {
+	moved := strings.Replace(turnedAway, "503 Service Unavailable", "421 Misdirected Request", 1)
+	s := newSite(t, spec(), true, text(moved, true), whole("answer"))
+	s.askUntil("e0", "/once/x")
+	for range drawn {
+		if got := s.ask("POST", "/once/x", "body"); got.status != http.StatusOK {
+			t.Errorf("got %d, want 200 from the other endpoint", got.status)
+		}
+	}
+	if got, want := s.sentTo("e0"), 1; got != want {
+		t.Errorf("requests at the address of the endpoint that has ended: got %d, want %d", got, want)
+	}
+}
+
 // What users saw: seven of 23 model endpoints turned requests away for eight seconds and
 // asked for three seconds of rest each time. Each host sent each of them up to seven
 // requests in such a time; over half of the callers were refused while 16 endpoints had
--- a/pkg/soak/crashing.go
+++ b/pkg/soak/crashing.go
@@ -183,6 +183,7 @@
 // killAll kills all hosts' processes at once; they are started again.
 func (r *run) killAll() {
 	r.log("kill all hosts")
+	r.noteStop()
 	for _, n := range r.nodes {
 		n.signal(syscall.SIGKILL)
 	}
--- a/pkg/soak/fault.go
+++ b/pkg/soak/fault.go
@@ -133,6 +133,7 @@
 	n := r.nodes[f.node]
 	n.harm(time.Now().Add(f.lasting + grace + traces))
 	n.signal(f.signal)
+	r.noteStop()
 	if f.signal == syscall.SIGSTOP {
 		r.later(f.lasting, func() { n.signal(syscall.SIGCONT) })
 	}
--- a/pkg/soak/notices.go
+++ b/pkg/soak/notices.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"ironhollow/platform/standin"
@@ -73,3 +74,79 @@
 	served, failed = r.report.totals()
 	return served - servedBefore, failed - failedBefore
 }
+
+// turnsAway has an endpoint turn requests away, asking for rest.
+type turnsAway struct {
+	after         time.Duration
+	endpoint      int
+	lasting, rest time.Duration
+}
+
+const (
+	// noticeStream is the stream of random numbers of such times, mostTurnsAway how many
+	// there are in a run at most.
+	noticeStream  = 1 << 33
+	mostTurnsAway = 3
+)
+
+// drawTurnsAway draws them by numbers of their own: the other faults of a seed stay.
+func drawTurnsAway(o Options, endpoints int) []turnsAway {
+	random := rand.New(rand.NewPCG(o.Seed, noticeStream))
+	drawn := make([]turnsAway, random.IntN(mostTurnsAway+1))
+	upTo := func(d time.Duration) time.Duration { return time.Duration(random.Int64N(int64(d))) }
+	for i := range drawn {
+		drawn[i] = turnsAway{
+			after: upTo(o.Length), endpoint: random.IntN(endpoints),
+			lasting: time.Second + upTo(4*time.Second), rest: time.Second + upTo(3*time.Second),
+		}
+	}
+	return drawn
+}
+
+// startTurnsAway begins the times drawn.
+func (r *run) startTurnsAway() {
+	for _, f := range drawTurnsAway(r.options, len(r.endpoints)) {
+		r.later(f.after, func() {
+			r.log("endpoint %d turns requests away for %v, asking for %v of rest", f.endpoint, f.lasting, f.rest)
+			r.mu.Lock()
+			e := r.endpoints[f.endpoint]
+			r.mu.Unlock()
+			e.TurnAway(f.lasting, f.rest)
+		})
+	}
+}
+
+// checkNotices checks that what endpoints said in answers was kept by all hosts, but for
+// what a host forgot that was stopped since.
+func (r *run) checkNotices() {
+	for _, late := range r.ledger.Unheard() {
+		if !r.anyStopped(late.At.Add(-late.After), late.At) {
+			r.report.wrong("%s came to an endpoint %v after an answer had said that it leaves", late.Request, late.After)
+		}
+	}
+	for _, rest := range r.ledger.Rests() {
+		if most := 2 * len(r.nodes); rest.Came > most && !r.anyStopped(rest.Asked, rest.Ends) {
+			r.report.wrong("%s had asked for %v of rest and got %d requests from %d hosts", rest.Endpoint, rest.Ends.Sub(rest.Asked), rest.Came, len(r.nodes))
+		}
+	}
+}
+
+// noteStop notes that a host is stopped now.
+func (r *run) noteStop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stops = append(r.stops, time.Now())
+}
+
+// anyStopped reports whether a host was stopped, killed or frozen between two moments,
+// or shortly before: its way to the endpoint may have held requests up.
+func (r *run) anyStopped(from, to time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, at := range r.stops {
+		if at.After(from.Add(-grace)) && at.Before(to) {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -81,6 +81,8 @@
 	endpoints []*standin.Endpoint
 	proxies   []*Proxy
 	made      int
+	// stops is when hosts were stopped, killed or frozen.
+	stops []time.Time
 	// over says that no endpoint is started any more.
 	over bool
 }
@@ -94,6 +96,7 @@
 	}
 	stopCallers := r.startCallers(ctx)
 	stopCrashing := r.startCrashing(ctx)
+	r.startTurnsAway()
 	r.faults(ctx)
 	r.timers.Wait()
 	r.wait(ctx, recovery)
@@ -311,6 +314,7 @@
 			r.report.wrong("%s was said not to have run, and ran", id)
 		}
 	}
+	r.checkNotices()
 	for _, late := range r.ledger.Late() {
 		calmThen := true
 		for _, n := range r.nodes {
