--- a/pkg/endpoint/notice.go
+++ b/pkg/endpoint/notice.go
@@ -8,6 +8,8 @@
 // Notice is what an endpoint's answer says of the endpoint itself, beside what it
 // says of the request. The zero value says nothing.
 type Notice struct {
+	// Refused says that the answer turns its request away unrun.
+	Refused bool
 	// Leaving says that the endpoint ends soon and takes no new work.
 	Leaving bool
 	// Rest is how long the endpoint wants no request from who got the answer, 0 for
@@ -21,7 +23,7 @@
 // IsZero reports whether the answer says nothing of its endpoint.
 func (n Notice) IsZero() bool { return n == Notice{} }
 
-// String names what is said, for log lines; it is empty for the zero value.
+// String names what is said of leaving and rest, for log lines; it may be empty.
 func (n Notice) String() string {
 	var said []string
 	if n.Leaving {
--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -114,6 +114,7 @@
 // noticeOf reads what an answer's head says of its engine.
 func noticeOf(response *http.Response) endpoint.Notice {
 	notice := httpx.RestAsked(response.StatusCode, response.Header)
+	notice.Refused = true
 	if report, ok := parseReport(response.Header.Get(HeaderLoad)); ok {
 		notice.Leaving = report.Leaving
 	}
--- a/pkg/engine/client_test.go
+++ b/pkg/engine/client_test.go
@@ -19,11 +19,11 @@
 		rest, load string
 		want       endpoint.Notice
 	}{
-		{503, "", "", endpoint.Notice{}},
-		{503, "1.5", "", endpoint.Notice{Rest: 1500 * time.Millisecond}},
-		{429, "2", `{"leaving":true}`, endpoint.Notice{Rest: 2 * time.Second, Leaving: true}},
-		{503, "soon", `{`, endpoint.Notice{}},
-		{409, "2", `{"leaving":true}`, endpoint.Notice{Leaving: true}},
+		{503, "", "", endpoint.Notice{Refused: true}},
+		{503, "1.5", "", endpoint.Notice{Refused: true, Rest: 1500 * time.Millisecond}},
+		{429, "2", `{"leaving":true}`, endpoint.Notice{Refused: true, Rest: 2 * time.Second, Leaving: true}},
+		{503, "soon", `{`, endpoint.Notice{Refused: true}},
+		{409, "2", `{"leaving":true}`, endpoint.Notice{Refused: true, Leaving: true}},
 	} {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Retry-After", c.rest)
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -157,7 +157,9 @@
 	case status/100 == 2 && !v.Signed:
 		return endpoint.Notice{}
 	default:
-		return v.Notice
+		notice := v.Notice
+		notice.Refused = v.NotRun
+		return notice
 	}
 }
 
--- a/pkg/forward/trail.go
+++ b/pkg/forward/trail.go
@@ -136,8 +136,8 @@
 		prefix := "hop" + strconv.Itoa(i+1)
 		line = line.Str(prefix, h.endpoint).Str(prefix+"-end", h.outcome).Dur(prefix+"-took", h.took).
 			Dur(prefix+"-expected", h.expected).Dur(prefix+"-queued", h.queued).Int(prefix+"-cached", h.cached).Int64(prefix+"-row", h.row)
-		if !h.said.IsZero() {
-			line = line.Stringer(prefix+"-said", h.said)
+		if said := h.said.String(); said != "" {
+			line = line.Str(prefix+"-said", said)
 		}
 	}
 	if err != nil {
--- /dev/null
+++ b/pkg/route/refusal.go
@@ -0,0 +1,60 @@
+package route
+
+import (
+	"time"
+
+	"ironhollow/pkg/endpoint"
+)
+
+// Parameters of what a refusal counts for, where the endpoint names no rest. A refusal is
+// cheap, leaves its connection open and frees the endpoint at once, so that each of these
+// speaks for the endpoint that turns all away, and with it all callers.
+const (
+	// firstSetBack is for how long the first refusal in a while counts, doubled with each
+	// further one up to mostSetBack: a prompt that is kept there speaks for some 0.5 s.
+	firstSetBack = 250 * time.Millisecond
+	// mostSetBack bounds the time after which an endpoint that serves again is found out.
+	mostSetBack = 2 * time.Second
+	// setBackFades is the time without refusal after which one is forgotten.
+	setBackFades = 2 * mostSetBack
+	// mostRefusals is from how many on no further one counts.
+	mostRefusals = 3
+)
+
+// SetBack notes that an endpoint has turned a request of this entry away. Until a time
+// after it a request is reckoned to wait there for what is left of that: the endpoint is
+// asked again where all others would take longer, so that a service which is full as a
+// whole loses none. It returns when that is over, and whether it had been before.
+func (r *Router) SetBack(ref endpoint.Ref, now time.Time) (until time.Time, begins bool) {
+	s, ok := r.slots()[ref.ID]
+	if !ok {
+		return now, false
+	}
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	if s.info.Ref() != ref {
+		return now, false
+	}
+	l := &s.load
+	faded := int(now.Sub(l.refusedAt) / setBackFades)
+	l.refusals = max(l.refusals-faded, 0)
+	until = now.Add(min(firstSetBack<<l.refusals, mostSetBack))
+	l.refusals = min(l.refusals+1, mostRefusals)
+	l.refusedAt = now
+	begins = !now.Before(l.rest.told)
+	l.rest.told = later(l.rest.told, until)
+	return l.rest.told, begins
+}
+
+// hearSetBack takes in that another entry leaves an endpoint alone for a time, so that the
+// next refusal counts as if those of the others had been of this one: all together ask it
+// little more often than one alone.
+func (l *load) hearSetBack(left time.Duration, now time.Time) {
+	level := 0
+	for firstSetBack<<level < left && level < mostRefusals {
+		level++
+	}
+	if level >= l.refusals {
+		l.refusals, l.refusedAt = level, now
+	}
+}
--- a/pkg/route/rest.go
+++ b/pkg/route/rest.go
@@ -11,9 +11,9 @@
 	incarnation int64
 	// own is by the endpoint's word to this entry: nothing may go there before.
 	own time.Time
-	// told is by its word to another entry, which does not bind this one. It counts as
-	// time for which a request would wait there, so that the endpoint is chosen where all
-	// others would take longer.
+	// told is by its word to another entry, which does not bind this one, or for requests
+	// that it turned away. It counts as time for which a request would wait there, so that
+	// the endpoint is chosen where all others would take longer.
 	told time.Time
 }
 
@@ -37,6 +37,15 @@
 // that entry before until.
 func (r *Router) HearRest(ref endpoint.Ref, until, now time.Time) {
 	r.changeRest(ref, now, func(held *rest) { held.told = later(held.told, until) })
+	s, ok := r.slots()[ref.ID]
+	if !ok {
+		return
+	}
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	if s.info.Ref() == ref {
+		s.load.hearSetBack(until.Sub(now), now)
+	}
 }
 
 func later(a, b time.Time) time.Time {
--- a/pkg/route/slot.go
+++ b/pkg/route/slot.go
@@ -66,8 +66,11 @@
 	ejections    int
 	ejectedUntil time.Time
 	rest         rest
-	rate         float64
-	rateAt       time.Time
+	// refusals is how many there were of late, refusedAt the latest.
+	refusals  int
+	refusedAt time.Time
+	rate      float64
+	rateAt    time.Time
 }
 
 // Figures used until answers have shown how fast the engines are.
--- a/pkg/standin/engines/direct.go
+++ b/pkg/standin/engines/direct.go
@@ -122,6 +122,7 @@
 	refuse, says := h.refuse, h.refusal
 	d.mu.Unlock()
 	if refuse {
+		says.Refused = true
 		return nil, &engine.Refusal{Reason: "told to", Notice: says}
 	}
 	s, err := h.engine.start(promptSpec{
