A late row of an endpoint that left does not bring it back

Cause: found by reading for the same class: what an endpoint says in its row (it leaves) ended with the row; a heartbeat that the store carries out late makes the row anew and counted as a next life. TestLateRowOfALifeThatLeft: taken for live before, leaving now; one that went without such a word is still taken for cut off and back.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -43,6 +43,9 @@
 	// lapsed are endpoints whose rows went while the store was away, and until
 	// when they have time to come back.
 	lapsed map[string]time.Time
+	// left are endpoints that went after they had said that they leave, with the start of
+	// the life that said so.
+	left map[string]int64
 }
 
 // heartbeatsMissed is how many heartbeats in a row an endpoint surely misses
@@ -56,6 +59,7 @@
 	return &Rows{
 		directory: directory, decode: decode, lapseTime: heartbeatsMissed * heartbeat, othersHeard: othersHeard, now: now, log: logger,
 		lapsed: map[string]time.Time{},
+		left:   map[string]int64{},
 	}
 }
 
@@ -129,6 +133,9 @@
 	if !ok || info.State == endpoint.Gone {
 		return
 	}
+	if info.State == endpoint.Leaving {
+		r.left[id] = info.Born
+	}
 	info.State = endpoint.Gone
 	r.directory.Merge(info)
 	r.log.Info().Str("endpoint", id).Str("address", info.Address).Str("why", why).Msg("endpoint gone")
@@ -151,6 +158,10 @@
 		// or what its earlier life said, as that it leaves, would hold for ever.
 		heard.Incarnation = row.Version
 	}
+	if born, left := r.left[row.Key]; left && born == heard.Born {
+		// A heartbeat that the store carried out late must not bring it back.
+		heard.State = endpoint.Leaving
+	}
 	next, _ := r.directory.Merge(heard)
 	if !known || held.State != next.State {
 		r.log.Info().Str("endpoint", row.Key).Str("service", heard.Service).Str("dc", heard.DataCenter).Str("address", heard.Address).
--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -178,3 +178,26 @@
 		t.Errorf("incarnation: got %d after %d, want a later one", later.Incarnation, info.Incarnation)
 	}
 }
+
+// A row that comes back after its endpoint had said that it leaves and went is a late
+// write of the same life: it takes no work, whatever it says. One that went without such
+// a word was cut off and serves again.
+func TestLateRowOfALifeThatLeft(t *testing.T) {
+	for _, born := range []string{"", " 5"} {
+		s := newSite()
+		s.rows(true, "e1", "live"+born, "e2", "live"+born)
+		s.rows(false, "e1", "leaving"+born)
+		s.rows(false, "e1", "", "e2", "")
+		s.rows(false, "e1", "live"+born, "e2", "live"+born)
+		s.want(t, "late row of one that left", "e1", false)
+		s.want(t, "row of one that was cut off", "e2", true)
+		s.rows(false, "e1", "", "e2", "")
+		s.rows(false, "e1", "live"+born)
+		s.want(t, "second late row of one that left", "e1", false)
+		// Without a word of its start a next life has another id.
+		if born != "" {
+			s.rows(false, "e1", "live 6")
+			s.want(t, "next life of one that left", "e1", true)
+		}
+	}
+}
