--- a/pkg/route/query.go
+++ b/pkg/route/query.go
@@ -55,6 +55,8 @@
 	// taken for read.
 	Accepts func(Choice) bool
 	stale   bool
+	// allSetBack says that too many endpoints are set back for that to tell them apart.
+	allSetBack bool
 }
 
 // Choice is an endpoint chosen. Every Choice must be ended with Done.
--- a/pkg/route/refusal.go
+++ b/pkg/route/refusal.go
@@ -19,6 +19,10 @@
 	setBackFades = 2 * mostSetBack
 	// mostRefusals is from how many on no further one counts.
 	mostRefusals = 3
+	// setBackShare is from which part of the endpoints on set-backs are left out of the
+	// choice: then the service is full. With them all requests went to the first endpoints
+	// whose set-backs were over, and waited there, when all had turned requests away.
+	setBackShare = 0.5
 )
 
 // SetBack notes that an endpoint has turned a request of this entry away. Until a time
@@ -43,9 +47,25 @@
 	l.refusedAt = now
 	begins = !now.Before(l.rest.told)
 	l.rest.told = later(l.rest.told, until)
+	s.group.setBacksUntil = later(s.group.setBacksUntil, until)
 	return l.rest.told, begins
 }
 
+// allSetBack reports whether more than setBackShare of the endpoints are set back. The
+// group's lock is held.
+func (g *group) allSetBack(now time.Time) bool {
+	if !now.Before(g.setBacksUntil) {
+		return false
+	}
+	count := 0
+	for _, s := range g.slots {
+		if now.Before(s.load.rest.told) {
+			count++
+		}
+	}
+	return float64(count) > setBackShare*float64(len(g.slots))
+}
+
 // hearSetBack takes in that another entry leaves an endpoint alone for a time, so that the
 // next refusal counts as if those of the others had been of this one: all together ask it
 // little more often than one alone.
--- a/pkg/route/rest.go
+++ b/pkg/route/rest.go
@@ -76,10 +76,17 @@
 	defer s.group.mu.Unlock()
 	if s.info.Ref() == ref {
 		s.load.rest = s.load.rest.merge(held)
-		s.group.restsUntil = later(s.group.restsUntil, s.load.rest.own)
+		s.group.noteRest(s.load.rest)
 	}
 }
 
+// noteRest notes when the last rest and set-back of any endpoint are over. The group's
+// lock is held.
+func (g *group) noteRest(r rest) {
+	g.restsUntil = later(g.restsUntil, r.own)
+	g.setBacksUntil = later(g.setBacksUntil, r.told)
+}
+
 // merge returns the longer of two rests of an incarnation.
 func (r rest) merge(other rest) rest {
 	return rest{r.incarnation, later(r.own, other.own), later(r.told, other.told)}
--- a/pkg/route/rest_test.go
+++ b/pkg/route/rest_test.go
@@ -129,3 +129,28 @@
 		t.Errorf("after three failures with a refusal between: got %d choices, want 0", got)
 	}
 }
+
+// Where more than half of the endpoints turn requests away the service is full: requests
+// are spread over all of them by their loads, and none waits for those that are set back.
+func TestFullServiceIsNotSetBack(t *testing.T) {
+	const count = 5
+	r, _, _ := newRouter(count)
+	for i := range count - 1 {
+		if _, begins := r.SetBack(info(i).Ref(), now); !begins {
+			t.Fatalf("%s: got a set-back that was there before, want one that begins", info(i).ID)
+		}
+	}
+	counts := map[string]int{}
+	for range 100 {
+		c, ok := r.Choose(query(), route.Expected, now)
+		if !ok {
+			t.Fatal("got no choice, want one")
+		}
+		counts[c.Endpoint.ID]++
+	}
+	for i := range count {
+		if got := counts[info(i).ID]; got < 10 || got > 30 {
+			t.Errorf("%s: got %d of 100 requests, want about %d", info(i).ID, got, 100/count)
+		}
+	}
+}
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -163,7 +163,7 @@
 		g.mu.Lock()
 		g.slots = nil
 		g.ejected = 0
-		g.restsUntil = time.Time{}
+		g.restsUntil, g.setBacksUntil = time.Time{}, time.Time{}
 		g.mu.Unlock()
 	}
 	r.byID = make(map[string]*slot, len(view.Infos()))
@@ -212,7 +212,7 @@
 		s = &slot{group: g, load: start, hash: xxhash.Sum64String(info.ID)}
 	}
 	s.info = info
-	g.restsUntil = later(g.restsUntil, s.load.rest.own)
+	g.noteRest(s.load.rest)
 	if s.load.failures >= ejectAfter {
 		g.ejected++
 	}
@@ -268,6 +268,7 @@
 func (r *Router) pickExpected(g *group, byID map[string]*slot, q Query, now time.Time) (*slot, score) {
 	cachedSlots := g.markCached(q, byID)
 	defer cachedSlots.clear()
+	q.allSetBack = g.allSetBack(now)
 	var best *slot
 	var bestScore score
 	least := time.Duration(math.MaxInt64)
--- a/pkg/route/score.go
+++ b/pkg/route/score.go
@@ -101,7 +101,7 @@
 	}
 	total := wait + decode + readWeight*time.Duration(uncached)*f.Prefill
 	total -= homeWeight * time.Duration(min(s.homeTokens, uncached)) * f.Prefill
-	if left := l.rest.told.Sub(now); left > 0 {
+	if left := l.rest.told.Sub(now); left > 0 && !q.allSetBack {
 		total += left + turnedAwayWeight
 	}
 	risk := r.riskOf(s, q, total, now)
--- a/pkg/route/slot.go
+++ b/pkg/route/slot.go
@@ -17,10 +17,10 @@
 	index  *prefixIndex
 	random *rand.Rand
 	turn   int
-	// ejected counts slots that are out for failures, restsUntil is when the last rest of
-	// any is over.
-	ejected    int
-	restsUntil time.Time
+	// ejected counts slots that are out for failures. restsUntil is when the last rest of
+	// any is over, setBacksUntil the last set-back.
+	ejected                   int
+	restsUntil, setBacksUntil time.Time
 	work       work
 	// model is how fast the endpoints are together.
 	model *enginemodel.Service
