--- a/pkg/route/refusal.go
+++ b/pkg/route/refusal.go
@@ -18,10 +18,9 @@
 	// setBackFades is the time without refusal after which one is forgotten.
 	setBackFades = 2 * mostSetBack
 	// mostRefusals is from how many on no further one counts.
-	mostRefusals = 3
+	mostRefusals = 2
 	// setBackShare is from which part of the endpoints on set-backs are left out of the
-	// choice: then the service is full. With them all requests went to the first endpoints
-	// whose set-backs were over, and waited there, when all had turned requests away.
+	// choice: then the service is full, and requests are spread by loads alone.
 	setBackShare = 0.5
 )
 
@@ -29,8 +28,8 @@
 // after it a request is reckoned to wait there for what is left of that: the endpoint is
 // asked again where all others would take longer, so that a service which is full as a
 // whole loses none. Other hosts are not told: prompts kept at the endpoint would be read
-// anew elsewhere by all of them, which on a day of refusals took 1.3 million tokens and a
-// hundredth of the worth.
+// anew elsewhere by all of them, which on a day of refusals took 1.3 million tokens and
+// two hundredths of the worth.
 func (r *Router) SetBack(ref endpoint.Ref, now time.Time) {
 	s, ok := r.slots()[ref.ID]
 	if !ok {
