Cases and notices go in datagrams apart, and never more than one holds; a slot is found and locked in one place

Cause, found on reading: 30 notices of long ids beside cases were longer than a datagram's 1,400 bytes, and whoever received it understood none of it. TestManyNoticesFit: neither arrived (timed out) before, all cases and as many notices as fit now. pkg/route: finding an incarnation's slot under its lock stood five times.

--- a/pkg/gossip/events.go
+++ b/pkg/gossip/events.go
@@ -26,11 +26,15 @@
 	return len(data) > 0 && data[0]>>majorBits == majorMap
 }
 
-func encodeEvents(told Told, now time.Time) ([]byte, error) {
-	m := eventMessage{Incarnation: told.Incarnation}
-	m.addCases(told.Cases, now)
-	m.addNotices(told.Notices)
-	return cbor.Marshal(m)
+// encode leaves out notices that do not fit: rows and other hosts tell them too.
+func (m eventMessage) encode() ([]byte, error) {
+	for {
+		data, err := cbor.Marshal(m)
+		if err != nil || len(data) <= mostBytes || len(m.Notices) == 0 {
+			return data, err
+		}
+		m.Notices = m.Notices[:len(m.Notices)*3/4]
+	}
 }
 
 func decodeEvents(data []byte, now time.Time) (Told, error) {
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -48,7 +48,7 @@
 	// Rollouts is words and reports of roll-outs, as they were encoded.
 	Rollouts []byte
 	// Cases is of requests under which endpoints have ended, Notices what endpoints have
-	// said of themselves. They go in a datagram of their own, with nothing else but the
+	// said of themselves. Each go in a datagram of their own, with nothing else but the
 	// host's incarnation.
 	Cases   []poison.Case
 	Notices []notice.Told
@@ -155,14 +155,25 @@
 	e.sendEvents(told, peers)
 }
 
-// sendEvents sends what goes in a datagram of its own, if there is any.
+// sendEvents sends what goes in datagrams of their own, if there is any: cases and notices
+// apart, as both together may not fit one.
 func (e *Exchange) sendEvents(told Told, peers []string) {
-	if len(told.Cases)+len(told.Notices) == 0 {
-		return
+	if len(told.Cases) > 0 {
+		m := eventMessage{Incarnation: e.self.Incarnation}
+		m.addCases(told.Cases, e.now())
+		e.sendEvent(m, peers)
+	}
+	if len(told.Notices) > 0 {
+		m := eventMessage{Incarnation: e.self.Incarnation}
+		m.addNotices(told.Notices)
+		e.sendEvent(m, peers)
 	}
-	data, err := encodeEvents(told, e.now())
+}
+
+func (e *Exchange) sendEvent(m eventMessage, peers []string) {
+	data, err := m.encode()
 	if err != nil {
-		e.log.Error().Err(err).Msg("ends and notices of endpoints not encoded")
+		e.log.Error().Err(err).Msg("ends or notices of endpoints not encoded")
 		return
 	}
 	e.write(data, peers)
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -263,6 +264,34 @@
 	}
 }
 
+// Many notices of endpoints with long ids, beside cases, arrive as far as a datagram holds
+// them: what is beyond does not take the others with it.
+func TestManyNoticesFit(t *testing.T) {
+	other := listen(t, host(1, 400))
+	members := roster.New(silence, gossip.Interval)
+	members.Heard(time.Now())
+	members.Hear(roster.Told{Host: other.host, Sequence: 1}, time.Now())
+	told := gossip.Told{Told: roster.Told{Host: host(0, 800)}}
+	for i := range 30 {
+		f := poison.FingerprintOf("POST", fmt.Sprintf("/%d", i), "red", nil)
+		told.Cases = append(told.Cases, poison.Case{Fingerprint: f, Ends: []poison.End{{Endpoint: "e1", At: time.Now()}}})
+		id := fmt.Sprintf("%s%d", strings.Repeat("x", 100), i)
+		told.Notices = append(told.Notices, notice.Told{Endpoint: id, Notice: endpoint.Notice{Leaving: true}})
+	}
+	tell(t, told.Host, members, told, other)
+	for other.count() < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	other.mu.Lock()
+	defer other.mu.Unlock()
+	if got, want := len(other.got[1].Cases), 30; got != want {
+		t.Errorf("cases: got %d, want %d", got, want)
+	}
+	if got, least := len(other.got[2].Notices), 5; got < least {
+		t.Errorf("notices: got %d, want %d or more of 30", got, least)
+	}
+}
+
 // In fleets of every size, with one datagram in ten lost, a request is held back at each
 // host within the 3 s that the users allow from the third end on, though three hosts have
 // seen an end each and hundreds of others broke off with it.
--- a/pkg/route/feedback.go
+++ b/pkg/route/feedback.go
@@ -34,15 +34,25 @@
 
 // Done ends a choice and learns from it.
 func (r *Router) Done(c Choice, result Result, now time.Time) {
-	s, ok := r.slots()[c.Endpoint.ID]
+	r.withSlot(c.Endpoint.Ref(), func(s *slot) { s.done(c, result, now) })
+}
+
+// withSlot does something to the slot of an endpoint's incarnation, under its group's lock;
+// nothing where that is not in use.
+func (r *Router) withSlot(ref endpoint.Ref, do func(*slot)) {
+	s, ok := r.slots()[ref.ID]
 	if !ok {
 		return
 	}
 	s.group.mu.Lock()
 	defer s.group.mu.Unlock()
-	if s.info.Ref() != c.Endpoint.Ref() {
-		return
+	if s.info.Ref() == ref {
+		do(s)
 	}
+}
+
+// done ends a choice of the slot. The group's lock is held.
+func (s *slot) done(c Choice, result Result, now time.Time) {
 	l := &s.load
 	l.ownRunning = max(l.ownRunning-1, 0)
 	if !result.Started {
@@ -74,15 +84,7 @@
 // Started notes that a request's prompt has been prefilled: its first token is
 // there. Callers that do not tell leave it to Done.
 func (r *Router) Started(c Choice) {
-	s, ok := r.slots()[c.Endpoint.ID]
-	if !ok {
-		return
-	}
-	s.group.mu.Lock()
-	defer s.group.mu.Unlock()
-	if s.info.Ref() == c.Endpoint.Ref() {
-		s.load.ownPrefill = max(s.load.ownPrefill-c.uncached, 0)
-	}
+	r.withSlot(c.Endpoint.Ref(), func(s *slot) { s.load.ownPrefill = max(s.load.ownPrefill-c.uncached, 0) })
 }
 
 // OwnLoad is what this entry has under way at an endpoint.
@@ -156,16 +158,11 @@
 
 // Report takes in an endpoint's load report. An older one than held is dropped.
 func (r *Router) Report(ref endpoint.Ref, report engine.Report) {
-	s, ok := r.slots()[ref.ID]
-	if !ok {
-		return
-	}
-	s.group.mu.Lock()
-	defer s.group.mu.Unlock()
-	if s.info.Ref() != ref {
-		return
-	}
-	l := &s.load
+	r.withSlot(ref, func(s *slot) { s.load.take(report) })
+}
+
+// take takes in a report.
+func (l *load) take(report engine.Report) {
 	if report.Sequence <= l.sequence {
 		return
 	}
--- a/pkg/route/refusal.go
+++ b/pkg/route/refusal.go
@@ -31,15 +31,11 @@
 // anew elsewhere by all of them, which on a day of refusals took 1.3 million tokens and
 // two hundredths of the worth.
 func (r *Router) SetBack(ref endpoint.Ref, now time.Time) {
-	s, ok := r.slots()[ref.ID]
-	if !ok {
-		return
-	}
-	s.group.mu.Lock()
-	defer s.group.mu.Unlock()
-	if s.info.Ref() != ref {
-		return
-	}
+	r.withSlot(ref, func(s *slot) { s.setBack(now) })
+}
+
+// setBack notes a refusal. The group's lock is held.
+func (s *slot) setBack(now time.Time) {
 	l := &s.load
 	faded := int(now.Sub(l.refusedAt) / setBackFades)
 	l.refusals = max(l.refusals-faded, 0)
--- a/pkg/route/rest.go
+++ b/pkg/route/rest.go
@@ -59,16 +59,10 @@
 	r.dropRests(now)
 	r.rests[ref.ID] = held
 	r.mu.Unlock()
-	s, ok := r.slots()[ref.ID]
-	if !ok {
-		return
-	}
-	s.group.mu.Lock()
-	defer s.group.mu.Unlock()
-	if s.info.Ref() == ref {
+	r.withSlot(ref, func(s *slot) {
 		s.load.rest = s.load.rest.merge(held)
 		s.group.noteRest(s.load.rest)
-	}
+	})
 }
 
 // noteRest notes when the last rest and set-back of any endpoint are over. The group's
