--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -17,6 +17,7 @@
 
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/gossip"
+	"ironhollow/pkg/hazard"
 	"ironhollow/pkg/notice"
 	"ironhollow/pkg/poison"
 	"ironhollow/pkg/roster"
@@ -351,3 +352,51 @@
 		}
 	}
 }
+
+// In fleets of every size, with one datagram in ten lost, each host that has callers knows
+// that an endpoint leaves within the 2 s that the users allow from the answer that said so
+// to one of them. By the row alone, which an endpoint can't write while the store is away,
+// none of them does.
+func TestLeavingIsKnownWhereCallersAre(t *testing.T) {
+	const (
+		within = 2 * time.Second
+		id     = "e1"
+	)
+	for _, size := range []struct{ hosts, callers int }{{9, 9}, {30, 9}, {91, 22}, {195, 48}, {420, 64}} {
+		start := time.Unix(1_000_000, 0)
+		random := rand.New(rand.NewPCG(1, uint64(size.hosts)))
+		boards := make([]*notice.Board, size.callers)
+		directories := make([]*endpoint.Directory, size.callers)
+		for i := range boards {
+			directories[i] = endpoint.NewDirectory()
+			directories[i].Merge(endpoint.Info{ID: id, Incarnation: int64(i + 1), State: endpoint.Live, Kind: endpoint.Plain, Service: "s"})
+			router := route.New(directories[i], hazard.New(), route.Home{}, 1)
+			boards[i] = notice.New(directories[i], router, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
+		}
+		tell := func(told []notice.Told, now time.Time) {
+			for _, other := range boards[1:] {
+				if random.IntN(10) > 0 {
+					other.HearTold(told, now)
+				}
+			}
+		}
+		heard, _ := directories[0].Get(id)
+		boards[0].Heard(heard, endpoint.Notice{Leaving: true}, start)
+		tell(boards[0].TellOf([]string{id}, start), start)
+		pace := gossip.Pace{}
+		for now := start; now.Before(start.Add(within)); {
+			pause, _ := pace.Next(size.callers-1, size.hosts-size.callers)
+			now = now.Add(pause)
+			tell(boards[0].Tell(now), now)
+		}
+		without := 0
+		for _, d := range directories {
+			if info, _ := d.Get(id); info.Takes() {
+				without++
+			}
+		}
+		if without > 0 {
+			t.Errorf("%d hosts, %d with callers: got %d that choose the endpoint after %v, want none", size.hosts, size.callers, without, within)
+		}
+	}
+}
