An endpoint that is not at its address is left alone, not given up

Cause, found on reading: another instance's 421 marked the endpoint meant as leaving for its whole life; a row that had named a wrong address for a moment would have taken a sound endpoint out for good, and ends of it for planned ones. Now it rests for 4 s, in which the row of one that has ended goes; a notice, a counter and a line of its own. TestMovedEndpointIsAskedOnce wants it live; 1 request as before.

--- a/pkg/endpoint/notice.go
+++ b/pkg/endpoint/notice.go
@@ -10,6 +10,8 @@
 type Notice struct {
 	// Refused says that the answer turns its request away unrun.
 	Refused bool
+	// Moved says that another instance has the endpoint's address.
+	Moved bool
 	// Leaving says that the endpoint ends soon and takes no new work.
 	Leaving bool
 	// Rest is how long the endpoint wants no request from who got the answer, 0 for
@@ -23,9 +25,12 @@
 // IsZero reports whether the answer says nothing of its endpoint.
 func (n Notice) IsZero() bool { return n == Notice{} }
 
-// String names what is said of leaving and rest, for log lines; it may be empty.
+// String names what is said beside a refusal, for log lines; it may be empty.
 func (n Notice) String() string {
 	var said []string
+	if n.Moved {
+		said = append(said, "not there")
+	}
 	if n.Leaving {
 		said = append(said, "leaves")
 	}
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -146,14 +146,15 @@
 	return readAnswer(choice, e)
 }
 
-// noticeOf returns what an answer says of the endpoint that was meant: that it has ended,
-// where another instance has its address, and nothing where bytes that claim success bear
-// no signature and may be anybody's. Without the former such an endpoint was asked three
-// times, until it was out for failures, and every two seconds again until its row went.
+// noticeOf returns what an answer says of the endpoint that was meant: that it is not
+// there, where another instance has its address, and nothing where bytes that claim success
+// bear no signature and may be anybody's. Without the former such an endpoint was asked
+// three times, until it was out for failures, and every two seconds again until its row
+// went.
 func noticeOf(v Verdict, status int) endpoint.Notice {
 	switch {
 	case v.Moved:
-		return endpoint.Notice{Leaving: true}
+		return endpoint.Notice{Moved: true}
 	case status/100 == 2 && !v.Signed:
 		return endpoint.Notice{}
 	default:
--- a/pkg/forward/notice_test.go
+++ b/pkg/forward/notice_test.go
@@ -125,7 +125,8 @@
 }
 
 // An endpoint whose address another instance has by its word is asked once: it has ended,
-// though its row is still there.
+// though its row is still there. It is not given up for ever: a row may put its address
+// right.
 func TestMovedEndpointIsAskedOnce(t *testing.T) {
 	moved := strings.Replace(turnedAway, "503 Service Unavailable", "421 Misdirected Request", 1)
 	s := newSite(t, spec(), true, text(moved, true), whole("answer"))
@@ -138,6 +139,9 @@
 	if got, want := s.sentTo("e0"), 1; got != want {
 		t.Errorf("requests at the address of the endpoint that has ended: got %d, want %d", got, want)
 	}
+	if got, want := s.endpoint("e0").State, endpoint.Live; got != want {
+		t.Errorf("state: got %v, want %v: its row tells", got, want)
+	}
 }
 
 // What users saw: seven of 23 model endpoints turned requests away for eight seconds and
--- a/pkg/forward/trail.go
+++ b/pkg/forward/trail.go
@@ -63,6 +63,9 @@
 
 // countNotice counts what the latest answer said of its endpoint.
 func (c *call) countNotice() {
+	if c.said.Moved {
+		c.f.metrics.notices.WithLabelValues(c.service.Name, "moved").Inc()
+	}
 	if c.said.Leaving {
 		c.f.metrics.notices.WithLabelValues(c.service.Name, "leaving").Inc()
 	}
@@ -184,7 +187,7 @@
 		Name: "ironhollow_reserved_headers_total", Help: "Headers that callers sent though they are the system's to set; they were removed.",
 	})
 	m.notices = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "ironhollow_endpoint_notices_total", Help: "Answers that say that their endpoint leaves, or wants rest, by service.",
+		Name: "ironhollow_endpoint_notices_total", Help: "Answers that say that an endpoint leaves, wants rest or is not at its address, by service.",
 	}, []string{"service", "notice"})
 	registry.MustRegister(m.requests, m.attempts, m.seconds, m.dropped, m.reserved, m.notices)
 	return m
--- a/pkg/notice/board.go
+++ b/pkg/notice/board.go
@@ -35,6 +35,11 @@
 	mostTold = 30
 )
 
+// movedRest is for how long an endpoint is left alone whose address another instance has:
+// its row goes after three heartbeats of 1.2 s. It is no more than a rest, as a row may have
+// named a wrong address, and the next one put it right.
+const movedRest = 4 * time.Second
+
 // Board takes in notices and tells them. It is safe for concurrent use.
 type Board struct {
 	directory *endpoint.Directory
@@ -78,11 +83,7 @@
 		return
 	}
 	leaves := n.Leaving && b.leave(held, "answer")
-	var restUntil time.Time
-	if n.Rest > 0 && b.router.Rest(held.Ref(), now.Add(n.Rest), now) {
-		restUntil = now.Add(n.Rest)
-		b.log.Info().Str("endpoint", from.ID).Str("service", from.Service).Dur("rest", n.Rest).Msg("endpoint wants rest")
-	}
+	restUntil := b.rest(held, n, now)
 	if n.Refused && n.Rest == 0 {
 		b.router.SetBack(held.Ref(), now)
 	}
@@ -96,6 +97,20 @@
 	b.router.TellAtOnce(from.ID)
 }
 
+// rest has an endpoint left alone that wants that, or is not at its address. It returns
+// until when, zero where that is no news.
+func (b *Board) rest(held endpoint.Info, n endpoint.Notice, now time.Time) time.Time {
+	rest, why := n.Rest, "endpoint wants rest"
+	if n.Moved {
+		rest, why = movedRest, "endpoint is not at its address"
+	}
+	if rest <= 0 || !b.router.Rest(held.Ref(), now.Add(rest), now) {
+		return time.Time{}
+	}
+	b.log.Info().Str("endpoint", held.ID).Str("service", held.Service).Dur("rest", rest).Msg(why)
+	return now.Add(rest)
+}
+
 // leave notes that an endpoint leaves and reports whether that is news.
 func (b *Board) leave(held endpoint.Info, by string) bool {
 	if held.State >= endpoint.Leaving {
--- a/pkg/notice/board_test.go
+++ b/pkg/notice/board_test.go
@@ -60,7 +60,7 @@
 // What one host is told in an answer the others hear, at once and also where two rounds
 // of datagrams are lost; each then goes by it.
 func TestNoticesReachTheOtherHost(t *testing.T) {
-	for name, n := range map[string]endpoint.Notice{"leaves": {Leaving: true}, "rests": {Rest: restTime}} {
+	for name, n := range map[string]endpoint.Notice{"leaves": {Leaving: true}, "rests": {Rest: restTime}, "not there": {Moved: true}} {
 		for _, how := range []string{"at once", "third round"} {
 			a, b := newHost(1, 5, 2), newHost(7, 5, 2)
 			a.Heard(a.info(0), n, now)
