Log the requested version and the store's era in feeds

When the store is restored from a copy, it issues versions again. No log line named the version after which a host requested changes, nor which history of the store answered, so a missed row could not be told from a dropped one. Errors of a feed now include the version it requested changes after, and the "configuration in force" line includes the version of its row. Answers from a relay do not carry the era yet.

--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -31,12 +32,16 @@
 	Version int64
 	// StoreTime is the store's steady clock at the answer, from its own zero.
 	StoreTime time.Duration
+	// StoreEra counts the restores of the store from a copy, 0 if unknown.
+	// Answers from a relay do not carry it.
+	StoreEra int64
 }
 
 // Add appends a page of the same snapshot.
 func (b *Batch) Add(page Batch) {
 	b.Rows = append(b.Rows, page.Rows...)
 	b.StoreTime = page.StoreTime
+	b.StoreEra = page.StoreEra
 }
 
 // Source is a store that can be followed.
@@ -88,6 +93,9 @@
 	failed := false
 	for ctx.Err() == nil {
 		batch, err := f.next(ctx, version, failed)
+		if err != nil {
+			err = fmt.Errorf("after version %d: %w", version, err)
+		}
 		failed = err != nil
 		if ctx.Err() != nil {
 			return
--- a/pkg/storeview/view.go
+++ b/pkg/storeview/view.go
@@ -89,6 +89,8 @@
 	idle     atomic.Int64
 	// configured says that the configuration's table has been read once.
 	configured bool
+	// storeEra is the last era received from the store, 0 before the first.
+	storeEra atomic.Int64
 }
 
 // New returns the view of a host whose process has the incarnation self. heartbeat
@@ -173,6 +175,7 @@
 		timing := feed.Timing{Wait: either(relayWait, feedWait), Pause: pause, Retry: feedRetry}
 		heard := func(batch feed.Batch) {
 			v.clock.Heard(batch.StoreTime)
+			v.noteEra(name, batch)
 			take(batch)
 		}
 		go feed.New(source, name, timing, heard, v.health).Run(ctx)
@@ -230,7 +233,7 @@
 // an answer: the rows are read anew, and nothing had to lapse for it.
 func (v *View) health(table string, err error) {
 	if errors.Is(err, feed.ErrHistoryGone) {
-		v.log.Info().Str("feed", table).Msg("history gone, the table is read anew")
+		v.log.Info().Str("feed", table).Err(err).Msg("history no longer available, reading a new snapshot")
 		return
 	}
 	if table == v.decoder.Tables().Endpoints {
@@ -269,11 +272,22 @@
 			continue
 		}
 		if v.tables.Adopt(spec) {
-			v.log.Info().Int64("version", spec.Version).Int("routes", len(spec.Routes)).Int("teams", len(spec.Teams)).Msg("configuration in force")
+			v.log.Info().Int64("version", spec.Version).Int64("row", row.Version).Int("routes", len(spec.Routes)).Int("teams", len(spec.Teams)).Msg("configuration in force")
 		}
 	}
 }
 
+// noteEra logs the store's era when it is first received and whenever it differs from the
+// previous one. Versions are reused after a restore, so they identify a row only within an era.
+func (v *View) noteEra(table string, batch feed.Batch) {
+	if batch.StoreEra == 0 {
+		return
+	}
+	if previous := v.storeEra.Swap(batch.StoreEra); previous != batch.StoreEra {
+		v.log.Info().Str("feed", table).Int64("previous", previous).Int64("era", batch.StoreEra).Int64("version", batch.Version).Msg("store era")
+	}
+}
+
 // takeOrder applies an operator's order of a roll-out. first says that this process has just
 // started: it may be an old one.
 func (v *View) takeOrder(row feed.Row, first bool) {
