Make store versions increase across restores

Impact: on hosts that had followed the store before it was restored from a backup, a revoked key was served 3.1 s after its revocation, and requests reached endpoints 3.2 and 3.5 s after those had written that they leave.

Cause: a restored store issues version numbers again, and every comparison of versions took a number of the earlier era for one of the later era: - A relay answered a follower that asked for changes after the higher number with no rows until the store had passed that number. - The store itself answers without a 410 once it has passed the number, and the rows before it are never sent. - A row that is written again counts as older than the one held.

Change: the adapter builds each version from the era of the answer and the number that the store issued (pkg/storeversion). Versions therefore increase with each restore wherever they are used: in rows, feeds, relays and the lease's version in datagrams. A condition on a version is still sent as its number. A host also logs the era when its answers come through a relay.

Why it works: all comparisons are unchanged. Their operands now keep the promise that table.Row already made: a version is never reused.

--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -32,16 +32,12 @@
 	Version int64
 	// StoreTime is the store's steady clock at the answer, from its own zero.
 	StoreTime time.Duration
-	// StoreEra counts the restores of the store from a copy, 0 if unknown.
-	// Answers from a relay do not carry it.
-	StoreEra int64
 }
 
 // Add appends a page of the same snapshot.
 func (b *Batch) Add(page Batch) {
 	b.Rows = append(b.Rows, page.Rows...)
 	b.StoreTime = page.StoreTime
-	b.StoreEra = page.StoreEra
 }
 
 // Source is a store that can be followed.
--- a/pkg/soak/fault.go
+++ b/pkg/soak/fault.go
@@ -122,10 +122,7 @@
 	case crash:
 		r.replace(f.endpoint, (*standin.Endpoint).Crash)
 	case reconfigure:
-		r.version++
-		if err := standin.PutConfiguration(r.store, r.version, r.version); err != nil {
-			r.report.wrong("configuration: %v", err)
-		}
+		r.reconfigure()
 	}
 }
 
--- a/pkg/storeview/view.go
+++ b/pkg/storeview/view.go
@@ -22,6 +22,7 @@
 	"ironhollow/pkg/route"
 	"ironhollow/pkg/routetable"
 	"ironhollow/pkg/storeclock"
+	"ironhollow/pkg/storeversion"
 )
 
 // Timing of the feeds.
@@ -89,7 +90,7 @@
 	idle     atomic.Int64
 	// configured says that the configuration's table has been read once.
 	configured bool
-	// storeEra is the last era received from the store, 0 before the first.
+	// storeEra is the highest store era received, 0 if none.
 	storeEra atomic.Int64
 }
 
@@ -277,14 +278,14 @@
 	}
 }
 
-// noteEra logs the store's era when it is first received and whenever it differs from the
-// previous one. Versions are reused after a restore, so they identify a row only within an era.
+// noteEra logs the store's era when it is first received and after each restore.
 func (v *View) noteEra(table string, batch feed.Batch) {
-	if batch.StoreEra == 0 {
-		return
-	}
-	if previous := v.storeEra.Swap(batch.StoreEra); previous != batch.StoreEra {
-		v.log.Info().Str("feed", table).Int64("previous", previous).Int64("era", batch.StoreEra).Int64("version", batch.Version).Msg("store era")
+	era := storeversion.Era(batch.Version)
+	for previous := v.storeEra.Load(); era > previous; previous = v.storeEra.Load() {
+		if v.storeEra.CompareAndSwap(previous, era) {
+			v.log.Info().Str("feed", table).Int64("previous", previous).Int64("era", era).Int64("version", batch.Version).Msg("new store era")
+			return
+		}
 	}
 }
 
