discovery: keep endpoints whose rows are missing after a store restore

Endpoints whose rows are missing from a restored store now stay in use until their rows are written again.

When a host reread the endpoints table after the store was restored from a backup, it removed each endpoint whose row was first written after the backup. It sent that endpoint no work until its next heartbeat. The endpoint was then added under a new incarnation, and its known state (limits, backoff) was lost.

It was treated as lapsed only if this host had lost the store for two heartbeats.

Change: if the era of a batch is later than that of the batch before, missing and deleted rows are treated as lapsed, as after an outage.

TestEndpointsThatARestoredStoreLacksAreKept failed before this change: both endpoints took no work right after the restore.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -11,6 +11,7 @@
 
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/feed"
+	"ironhollow/pkg/storeversion"
 )
 
 // Decode reads an endpoint's row; id is its key.
@@ -37,6 +38,8 @@
 
 	// mu guards what follows.
 	mu sync.Mutex
+	// era is the latest era of the store seen in a batch.
+	era int64
 	// heardAt is when rows were last taken.
 	appliedAt time.Time
 	// lapsed are endpoints whose rows went while the store was away, and until
@@ -79,7 +82,10 @@
 	now := r.now()
 	gap := now.Sub(r.appliedAt)
 	away := r.lost.Swap(false) && gap > r.lapseTime && !r.othersInTouch(gap)
-	r.appliedAt = now
+	// After a restore, rows first written since the backup are missing until they are written again.
+	era := storeversion.Era(batch.Version)
+	away = away || r.known.Load() && era > r.era
+	r.appliedAt, r.era = now, max(r.era, era)
 	named := map[string]bool{}
 	for _, row := range batch.Rows {
 		if row.Deleted {
--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -13,6 +13,7 @@
 	"ironhollow/pkg/discovery"
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/feed"
+	"ironhollow/pkg/storeversion"
 )
 
 // site is a directory fed by rows whose value is the endpoint's state.
@@ -51,6 +52,7 @@
 	batch := feed.Batch{Full: full}
 	for i := 0; i+1 < len(pairs); i += 2 {
 		s.version++
+		batch.Version = s.version
 		batch.Rows = append(batch.Rows, feed.Row{Key: pairs[i], Value: []byte(pairs[i+1]), Version: s.version, Deleted: pairs[i+1] == ""})
 	}
 	s.Apply(batch)
@@ -148,6 +150,22 @@
 	s.want(t, "not in a snapshot after a call that failed", "b", false)
 }
 
+// Endpoints whose rows are missing after a restore must not be removed before ReturnTime has passed.
+func TestEndpointsThatARestoredStoreLacksAreKept(t *testing.T) {
+	s := newSite()
+	s.rows(true, "a", "live", "b", "live")
+	s.version = storeversion.New(1, 0)
+	batch := feed.Batch{Full: true, Version: s.version}
+	s.Apply(batch)
+	s.want(t, "restored", "a", true)
+	s.want(t, "restored", "b", true)
+	s.rows(false, "a", "live")
+	s.now = s.now.Add(discovery.ReturnTime + time.Millisecond)
+	s.Expire()
+	s.want(t, "written again", "a", true)
+	s.want(t, "not written again", "b", false)
+}
+
 // This host alone was cut off from the store, and an endpoint left meanwhile: its
 // row did not lapse, since another host was in touch all the time.
 func TestLeavingWhileThisHostIsCutOff(t *testing.T) {
