lease: do not reissue epochs or held leases after a store restore

After the store was restored from a backup, a second process could take the lease of the duties while its holder was still active, and send its calls with an epoch that an earlier holder had used. The platform counts either as two holders.

Cause: four comparisons relied on state that a restore rolls back: - The epoch was incremented in the row, so the epoch of a lost grant was granted again. - A standby mistook a version that it had seen long before for one that had not been renewed since. - A missing row was taken at once, even if a restore had lost it. - A renewal counted as successful if the restored store had issued its version number again, to another holder's row.

Change: - An epoch is the version of the row at the grant, which is unique and increases across restores. - A holder that finds its own row at a later version renews it instead of giving up the lease, as long as the lease has not lapsed: no other process can have taken it meanwhile. This happens after a restore, and after a renewal whose answer was lost. - A grant or renewal that takes effect in a different era from the one in which its condition was read is not valid. - A missing row is taken only after the duration of a lease if a row was seen before or the store was ever restored. - Whether a grant is the first, after which endpoint orders start from nothing, is now a field of the grant (lease.Grant.First) and no longer derived from its epoch.

The stand-in's eras start at 0, as those of the platform do.

Why it works: a standby waits for the duration of a lease from when it first saw the row in the present era, and that era begins after the holder's last renewal before the restore.

Compatibility: hosts of the previous version and of this one must not share the duties, because the older ones increment the epoch in the row.

--- a/pkg/autoscale/autoscale.go
+++ b/pkg/autoscale/autoscale.go
@@ -155,7 +155,7 @@
 // inherit takes what serves for the order of the holder before, so that nothing
 // it ordered is given up at once. The first holder of all has none before it.
 func (s *placed) inherit(serving int, grant lease.Grant) {
-	if !s.known && grant.Epoch > 1 {
+	if !s.known && !grant.First {
 		s.given, s.known = serving, true
 	}
 }
--- a/pkg/autoscale/autoscale_test.go
+++ b/pkg/autoscale/autoscale_test.go
@@ -242,7 +242,7 @@
 	o.now = o.now.Add(after)
 	before := len(o.sink.orders)
 	o.Step(context.Background(), []autoscale.Order{order}, func(autoscale.Place) int { return o.serving }, 4*time.Second, o.now,
-		func() (lease.Grant, bool) { return lease.Grant{Epoch: o.epoch}, o.held })
+		func() (lease.Grant, bool) { return lease.Grant{Epoch: o.epoch, First: o.epoch == 1}, o.held })
 	return len(o.sink.orders) - before
 }
 
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"ironhollow/pkg/storeversion"
 	"ironhollow/pkg/table"
 )
 
@@ -22,8 +23,11 @@
 // Grant is a shard held.
 type Grant struct {
 	Shard Shard
-	// Epoch grows with each grant of the shard; every order carries it.
+	// Epoch is the version of the row at the grant; every order carries it. It increases with each
+	// grant of the shard, even if a restore of the store has lost earlier grants.
 	Epoch int64
+	// First is set if no earlier grant of the shard is known.
+	First bool
 }
 
 // Wish is how much a node wants a shard.
@@ -43,7 +47,9 @@
 type record struct {
 	// Holder is empty for a shard that was released.
 	Holder string `json:"holder"`
-	Epoch  int64  `json:"epoch"`
+	// Epoch is the epoch of the grant once the holder has renewed it. Before that, it is the previous
+	// row's value plus one, because the version is known only after the commit.
+	Epoch int64 `json:"epoch"`
 }
 
 // Timing of a manager.
@@ -74,6 +80,7 @@
 // holding is a lease of ours.
 type holding struct {
 	epoch   int64
+	first   bool
 	version int64
 	// until is by this process's own clock.
 	until time.Time
@@ -105,7 +112,7 @@
 	if !ok || !m.now().Before(h.until) {
 		return Grant{}, false
 	}
-	return Grant{s, h.epoch}, true
+	return Grant{s, h.epoch, h.first}, true
 }
 
 // Left returns how long a shard is held yet without a renewal, by this process's
@@ -173,7 +180,7 @@
 	var list []Grant
 	for s, h := range m.held {
 		if now.Before(h.until) {
-			list = append(list, Grant{s, h.epoch})
+			list = append(list, Grant{s, h.epoch, h.first})
 		}
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Shard < list[j].Shard })
@@ -220,8 +227,8 @@
 			m.noteRenewed(shards, wishes, outcome, started)
 			return
 		}
-		// Another holder has some of them: drop those and renew the rest.
-		m.dropConflicts(refused.Conflicts)
+		// Drop the leases that can no longer be renewed, and renew the rest.
+		m.resolveConflicts(refused.Conflicts)
 		shards, writes = m.renewals(wishes)
 	}
 }
@@ -257,7 +264,9 @@
 		return
 	}
 	for _, s := range shards {
-		if wishes[s] == NotWanted {
+		if wishes[s] == NotWanted || storeversion.Era(done.Version) != storeversion.Era(m.held[s].version) {
+			// Released, or renewed in a restored store, where the condition may have matched another
+			// holder's row.
 			delete(m.held, s)
 			continue
 		}
@@ -277,18 +286,34 @@
 	}
 }
 
-func (m *Manager) dropConflicts(rows []table.Row) {
+func (m *Manager) resolveConflicts(rows []table.Row) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for s := range m.held {
+	for s, h := range m.held {
 		for _, row := range rows {
-			if row.Key == rowKey(s) {
+			if row.Key != rowKey(s) {
+				continue
+			}
+			if m.canRenewAt(h, row) {
+				h.version = row.Version
+			} else {
 				delete(m.held, s)
 			}
 		}
 	}
 }
 
+// canRenewAt reports whether a lease can be renewed at the version of a conflicting row: the row is
+// this holder's own, at a later version, and the lease has not lapsed. A restored store returns an
+// earlier row of the holder at such a version. No other process can have taken the lease meanwhile.
+func (m *Manager) canRenewAt(h *holding, row table.Row) bool {
+	var held record
+	if json.Unmarshal(row.Value, &held) != nil {
+		return false
+	}
+	return held.Holder == m.holder && row.Version > h.version && m.now().Before(h.until)
+}
+
 // deadline counts from before the commit was sent: the row can't be older.
 func (m *Manager) deadline(started time.Time) time.Time {
 	return started.Add(time.Duration(safety * float64(m.timing.Duration)))
@@ -301,9 +326,7 @@
 		return
 	}
 	if !exists {
-		if wish == Wanted {
-			m.take(ctx, s, 1, table.Absent{})
-		}
+		m.takeAbsent(ctx, s, wish, row.Version)
 		return
 	}
 	var held record
@@ -314,9 +337,28 @@
 	if !m.isFree(seen, wish) {
 		return
 	}
-	m.take(ctx, s, held.Epoch+1, table.AtVersion{Version: row.Version})
+	m.take(ctx, s, held.Epoch+1, table.AtVersion{Version: row.Version}, row.Version)
 }
 
+// takeAbsent takes a shard whose row was missing when read at readVersion. If a row was seen before
+// or the store was ever restored, the row may have been lost in a restore while its holder is still
+// active. The shard is then taken only after the duration of a lease.
+func (m *Manager) takeAbsent(ctx context.Context, s Shard, wish Wish, readVersion int64) {
+	m.mu.Lock()
+	_, wasSeen := m.seen[s]
+	m.mu.Unlock()
+	mayBeLost := wasSeen || storeversion.IsRestored(storeversion.Era(readVersion))
+	if mayBeLost && m.now().Sub(m.see(s, absentVersion, record{}).since) < m.timing.Duration {
+		return
+	}
+	if wish == Wanted {
+		m.take(ctx, s, 1, table.Absent{}, readVersion)
+	}
+}
+
+// absentVersion is the version recorded in a sighting of a missing row.
+const absentVersion = 0
+
 // see notes since when a row has been at its version.
 func (m *Manager) see(s Shard, version int64, held record) sighting {
 	m.mu.Lock()
@@ -340,18 +382,23 @@
 	return waited >= m.timing.Duration
 }
 
-func (m *Manager) take(ctx context.Context, s Shard, epoch int64, condition table.Condition) {
+// take commits a grant of a shard if its row, read at readVersion, still meets the condition.
+func (m *Manager) take(ctx context.Context, s Shard, epoch int64, condition table.Condition, readVersion int64) {
 	started := m.now()
 	ctx, cancel := context.WithTimeout(ctx, m.timing.Renew)
 	defer cancel()
 	outcome := m.writer.Commit(ctx, table.Write{Key: rowKey(s), Value: encode(record{m.holder, epoch}), If: condition})
 	done, ok := outcome.(table.Done)
-	if !ok {
+	if !ok || storeversion.Era(done.Version) != storeversion.Era(readVersion) {
+		// If the store was restored since the read, the condition may have matched although another
+		// process holds the lease.
 		return
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.held[s] = &holding{epoch: epoch, version: done.Version, until: m.deadline(started), since: started}
+	_, wasAbsent := condition.(table.Absent)
+	_, wasSeen := m.seen[s]
+	m.held[s] = &holding{epoch: done.Version, first: wasAbsent && !wasSeen, version: done.Version, until: m.deadline(started), since: started}
 	delete(m.seen, s)
 }
 
--- a/pkg/storeversion/storeversion.go
+++ b/pkg/storeversion/storeversion.go
@@ -13,5 +13,8 @@
 // Era returns the era in which a version was issued.
 func Era(version int64) int64 { return version / eraStride }
 
+// IsRestored reports whether the store has been restored before or in an era. Eras count from 0.
+func IsRestored(era int64) bool { return era > 0 }
+
 // Number returns the number that the store issued for a version.
 func Number(version int64) int64 { return version % eraStride }
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -76,7 +76,8 @@
 func (Refused) outcome() {}
 func (Unknown) outcome() {}
 
-// Store is the table service. Get returns ok false for a missing row. List
+// Store is the table service. For a missing row, Get returns ok false and a Version
+// less than that of any row written later. List
 // returns rows with the prefix and a key greater than after, in key order, at
 // most limit of them. Errors are those of the transport or an outage.
 type Store interface {
