usage: do not report a window twice after a store restore

If the row of a reported window was lost in a restore of the store and another process then acquired the lease, the window could be reported again with different counts. The platform treats that as two reports of one window.

Cause: only the window's row records that it was reported. A holder writes the row first and sends its contents, so that the next holder repeats them. A restored store does not have the row, so the next holder writes its own counts.

Change: a holder keeps the counts that it read or wrote, repeats them unchanged, and rewrites the rows when the store's era increases. The first holder in an era records in the row usage/restored up to which window others may have reported. A holder that has neither counts nor a row for such a window skips it and logs that. A row written just as the store was restored is deleted and not sent. Repeating a report takes two calls fewer, as its counts are known.

Why it works: a window is sent only with counts that its holder knows to be agreed, or if no earlier holder can have sent any for it: the windows that were not due when the restore was first recorded. A window whose holder ended together with the restore is not reported, which loses a report but breaks no guarantee. Nothing changes in a store that was never restored, and no call is added.

Move the reporter to a file of its own.

--- a/pkg/app/node/providers.go
+++ b/pkg/app/node/providers.go
@@ -155,7 +155,7 @@
 }
 
 func newReporter(counter *usage.Counter, view *storeview.View, writer *table.Writer, cloud *dutyCloud, logger *log.Logger) *usage.Reporter {
-	return usage.NewReporter(counter, view.Roster(), writer, cloud, logger)
+	return usage.NewReporter(counter, view.Roster(), writer, cloud, view.StoreEra, logger)
 }
 
 func newOrderer(cloud *dutyCloud, logger *log.Logger) *autoscale.Orderer {
--- a/pkg/storeview/view.go
+++ b/pkg/storeview/view.go
@@ -223,6 +223,9 @@
 // Endpoints returns the rows of endpoints.
 func (v *View) Endpoints() *discovery.Rows { return v.endpoints }
 
+// StoreEra returns the highest store era received, 0 if none.
+func (v *View) StoreEra() int64 { return v.storeEra.Load() }
+
 // Roster returns the hosts.
 func (v *View) Roster() *roster.Roster { return v.roster }
 
@@ -278,7 +281,8 @@
 	}
 }
 
-// noteEra logs the store's era when it is first received and after each restore.
+// noteEra records the highest store era received, and logs it when it is first received and after each
+// restore.
 func (v *View) noteEra(table string, batch feed.Batch) {
 	era := storeversion.Era(batch.Version)
 	for previous := v.storeEra.Load(); era > previous; previous = v.storeEra.Load() {
--- a/pkg/usage/usage.go
+++ b/pkg/usage/usage.go
@@ -3,20 +3,11 @@
 package usage
 
 import (
-	"context"
-	"encoding/json"
-	"errors"
-	"fmt"
 	"sort"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/phuslu/log"
-
-	"ironhollow/pkg/lease"
 	"ironhollow/pkg/roster"
-	"ironhollow/pkg/table"
 )
 
 // Report is one window's counts.
@@ -97,114 +88,3 @@
 	}
 	return list
 }
-
-// Sink takes reports; it sends each once.
-type Sink interface {
-	Report(ctx context.Context, grant lease.Grant, report Report) error
-}
-
-// settle is how long after a window's end its counts are complete: a heartbeat,
-// its way through the store, and a margin for late ones.
-const settle = 3300 * time.Millisecond
-
-// reportedKept is how many windows a report stays in the store.
-const reportedKept = 24
-
-// Reporter reports windows while this process holds the lease.
-type Reporter struct {
-	counter *Counter
-	roster  *roster.Roster
-	writer  *table.Writer
-	sink    Sink
-	log     *log.Logger
-	// done is windows whose report the sink has acknowledged to this process.
-	done map[int64]bool
-}
-
-// NewReporter returns a reporter.
-func NewReporter(counter *Counter, members *roster.Roster, writer *table.Writer, sink Sink, logger *log.Logger) *Reporter {
-	return &Reporter{counter: counter, roster: members, writer: writer, sink: sink, log: logger, done: map[int64]bool{}}
-}
-
-// Step reports the windows that are due. held is asked right before each call.
-func (r *Reporter) Step(ctx context.Context, held func() (lease.Grant, bool)) {
-	last := r.counter.Window(r.counter.now().Add(-settle)) - 1
-	for window := last - keptWindows + 2; window <= last; window++ {
-		if r.done[window] {
-			continue
-		}
-		if err := r.report(ctx, window, held); err != nil {
-			r.log.Warn().Int64("window", window).Err(err).Msg("usage not reported yet")
-			return
-		}
-		r.done[window] = true
-		delete(r.done, window-reportedKept)
-	}
-}
-
-var errNotHeld = errors.New("the lease is not held any more")
-
-// report writes the counts to the store first and sends what stands there, so
-// that another holder repeats it to the letter.
-func (r *Reporter) report(ctx context.Context, window int64, held func() (lease.Grant, bool)) error {
-	counts, err := r.agreed(ctx, window)
-	if err != nil {
-		return err
-	}
-	grant, ok := held()
-	if !ok {
-		return errNotHeld
-	}
-	if err := r.sink.Report(ctx, grant, Report{window, counts}); err != nil {
-		return err
-	}
-	r.log.Info().Int64("window", window).Int64("epoch", grant.Epoch).Int("teams", len(counts)).Int("requests", sum(counts)).Msg("usage reported")
-	return nil
-}
-
-func sum(counts map[string]int) int {
-	total := 0
-	for _, n := range counts {
-		total += n
-	}
-	return total
-}
-
-func rowKey(window int64) string { return "usage/" + strconv.FormatInt(window, 10) }
-
-// agreed returns the counts that stand in the store, writing ours if none do.
-func (r *Reporter) agreed(ctx context.Context, window int64) (map[string]int, error) {
-	counts := r.roster.Begun(window)
-	value, err := json.Marshal(counts)
-	if err != nil {
-		return nil, err
-	}
-	outcome := r.writer.Commit(ctx, table.Write{Key: rowKey(window), Value: value, If: table.Absent{}})
-	switch o := outcome.(type) {
-	case table.Done:
-		r.forget(ctx, window-reportedKept)
-		return counts, nil
-	case table.Refused:
-		row, ok, err := r.writer.Store().Get(ctx, rowKey(window))
-		if err != nil {
-			return nil, err
-		}
-		if !ok {
-			return nil, fmt.Errorf("usage of window %d was not written: %w", window, errors.Join(o.Err, errNotWritten))
-		}
-		counts = map[string]int{}
-		return counts, json.Unmarshal(row.Value, &counts)
-	default:
-		return nil, errNotWritten
-	}
-}
-
-var errNotWritten = errors.New("the store did not take it")
-
-// forget removes an old report's row; one that stays is harmless.
-func (r *Reporter) forget(ctx context.Context, window int64) {
-	outcome := r.writer.Store().Commit(ctx, table.Commit{Writes: []table.Write{{Key: rowKey(window), Delete: true, If: table.Always{}}}})
-	if _, ok := outcome.(table.Done); !ok {
-		r.log.Debug().Int64("window", window).Msg("old usage row not removed")
-	}
-}
--- a/pkg/usage/usage_test.go
+++ b/pkg/usage/usage_test.go
@@ -84,7 +84,7 @@
 	h := &holder{roster: roster.New(3*time.Second, func(int) time.Duration { return time.Second }), now: time.Unix(1000, 0)}
 	h.counter = usage.NewCounter(window, func() time.Time { return h.now })
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
-	h.reporter = usage.NewReporter(h.counter, h.roster, table.NewWriter(store, name), s, logger)
+	h.reporter = usage.NewReporter(h.counter, h.roster, table.NewWriter(store, name), s, func() int64 { return 0 }, logger)
 	return h
 }
 
