usage: skip windows whose rows were not read before a store restore

If the store was restored after a holder had acquired the lease but before it had read the rows of the previous holder, it reported a window again with different counts.

Cause: rowsIntactFrom was raised only when the epoch of the lease changed.

Evidence: TestHolderThatReadNoRowsBeforeRestoreSkipsWindow got reports with 7 and with 8 requests for one window before this change.

Change: rowsIntactFrom is also raised if the holder has not yet reported or skipped all due windows in its epoch.

--- a/pkg/usage/reporter.go
+++ b/pkg/usage/reporter.go
@@ -46,6 +46,9 @@
 	// rowsIntactFrom is the first window for which a missing row means that no earlier holder has
 	// reported it. Rows of windows before it may have been lost in a restore.
 	rowsIntactFrom int64
+	// caughtUp is set once all due windows have been reported or skipped in the current epoch. Until
+	// then, an earlier holder may have reported a window that is in neither done nor agreed.
+	caughtUp bool
 }
 
 // NewReporter returns a reporter; storeEra returns the highest store era that this host has received.
@@ -82,6 +85,7 @@
 		delete(r.done, window-reportedKept)
 		delete(r.agreed, window-reportedKept)
 	}
+	r.caughtUp = true
 }
 
 // lastDue returns the last window whose counts are complete.
--- a/pkg/usage/restore.go
+++ b/pkg/usage/restore.go
@@ -37,7 +37,7 @@
 		return nil
 	}
 	if !storeversion.IsRestored(era) {
-		r.epoch, r.era = grant.Epoch, era
+		r.setEpochAndEra(grant.Epoch, era)
 		return nil
 	}
 	if err := r.rewriteRows(ctx); err != nil {
@@ -47,13 +47,19 @@
 	if err != nil {
 		return err
 	}
-	if grant.Epoch != r.epoch {
+	if grant.Epoch != r.epoch || !r.caughtUp {
 		r.rowsIntactFrom = first
 	}
-	r.epoch, r.era = grant.Epoch, era
+	r.setEpochAndEra(grant.Epoch, era)
 	return nil
 }
 
+// setEpochAndEra stores both values and clears caughtUp if the epoch has changed.
+func (r *Reporter) setEpochAndEra(epoch, era int64) {
+	r.caughtUp = r.caughtUp && epoch == r.epoch
+	r.epoch, r.era = epoch, era
+}
+
 // rewriteRows writes the rows of recent windows that may have been lost in a restore.
 func (r *Reporter) rewriteRows(ctx context.Context) error {
 	for window, counts := range r.agreed {
