usage: replace a malformed restore row

Impact: none observed so far. If the row usage/restored could not be decoded, no window was reported any more.

Evidence: TestMalformedRestoreRowDoesNotBlockReports got no report before this change, for both a row that is not a record and one whose window is no number.

Change: the malformed row is logged and replaced, like a row of an earlier era. Nothing of it is used, as its era may be the present one.

--- a/pkg/usage/restore.go
+++ b/pkg/usage/restore.go
@@ -80,7 +80,7 @@
 }
 
 // recordRestore returns the first window that was not due when the restore that began an era was
-// recorded. It records the restore if no holder has done so.
+// recorded. It records the restore if no holder has done so or the row is malformed.
 func (r *Reporter) recordRestore(ctx context.Context, era int64) (first int64, err error) {
 	row, ok, err := r.writer.Store().Get(ctx, restoredKey)
 	if err != nil {
@@ -90,7 +90,8 @@
 	if ok {
 		var record restoreRecord
 		if err := json.Unmarshal(row.Value, &record); err != nil {
-			return 0, fmt.Errorf("usage: row %q: %w", restoredKey, err)
+			r.log.Error().Err(err).Str("row", restoredKey).Msg("replacing malformed usage row")
+			record = restoreRecord{}
 		}
 		if record.Era == era {
 			return record.First, nil
