poisonsync: write rows of held back requests again after a store restore

After a restore of the store, hosts that started later let through a request that is held back because endpoints ended under it, if its row had been written since the backup and all hosts ended. They held back a request already cleared by a whole answer again, for up to an hour, if its row had been removed since the backup.

Cause: a case marked as kept is not written again, and a case whose row was removed does not have it removed again.

Evidence: without the call of StoreRestored, TestHeldBackRequestsAreWrittenAgainAfterRestore saw the held back request let through and the cleared one held back.

Change: when the store's era rises, a host writes the cases that it has seen itself again and removes again the rows of those of them that were answered whole.

--- a/pkg/app/node/providers.go
+++ b/pkg/app/node/providers.go
@@ -23,6 +23,7 @@
 	"ironhollow/pkg/loadsync"
 	"ironhollow/pkg/notice"
 	"ironhollow/pkg/poison"
+	"ironhollow/pkg/poisonsync"
 	"ironhollow/pkg/relay"
 	"ironhollow/pkg/retry"
 	"ironhollow/pkg/rollout"
@@ -170,6 +171,10 @@
 	return poison.NewWatch(registry, logger)
 }
 
+func newKeeper(watch *poison.Watch, writer *table.Writer, clock *storeclock.Clock, view *storeview.View, logger *log.Logger) *poisonsync.Keeper {
+	return poisonsync.NewKeeper(watch, writer, clock, view.StoreEra, logger)
+}
+
 func newWatchdog(registry *prometheus.Registry, logger *log.Logger) *watchdog.Watchdog {
 	return watchdog.New(registry, logger)
 }
--- a/pkg/app/node/wire_gen.go
+++ b/pkg/app/node/wire_gen.go
@@ -9,7 +9,6 @@
 import (
 	"ironhollow/pkg/app/process"
 	"ironhollow/pkg/autoscale"
-	"ironhollow/pkg/poisonsync"
 	"ironhollow/pkg/storeclock"
 )
 
@@ -47,7 +46,7 @@
 	desk := newDesk(platform, rolloutSwitch, view, writer, clock, manager, logger)
 	nodeDatagrams := &datagrams{}
 	nodeReplacedBy := newReplacedBy()
-	keeper := poisonsync.NewKeeper(watch, writer, clock, logger)
+	keeper := newKeeper(watch, writer, clock, view, logger)
 	watchdog := newWatchdog(registry, logger)
 	nodeSuspensions := &suspensions{}
 	nodeNode := &node{
--- a/pkg/poison/kept.go
+++ b/pkg/poison/kept.go
@@ -53,3 +53,15 @@
 		e.inStore = false
 	}
 }
+
+// StoreRestored marks this process's own cases to be written again, and the rows of those
+// answered whole to be removed again: a restore of the store undoes changes made since the
+// backup.
+func (q *Quarantine) StoreRestored() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, e := range q.cases {
+		e.kept = false
+		e.inStore = e.inStore || e.own && !e.Sound.IsZero()
+	}
+}
--- a/pkg/poisonsync/keeper.go
+++ b/pkg/poisonsync/keeper.go
@@ -38,11 +38,15 @@
 	writer *table.Writer
 	clock  *storeclock.Clock
 	log    *log.Logger
+
+	storeEra func() int64
+	// era is the highest store era that step has seen.
+	era int64
 }
 
-// NewKeeper returns a keeper.
-func NewKeeper(watch *poison.Watch, writer *table.Writer, clock *storeclock.Clock, logger *log.Logger) *Keeper {
-	return &Keeper{watch: watch, writer: writer, clock: clock, log: logger}
+// NewKeeper returns a keeper. storeEra returns the store's era as last read by this host.
+func NewKeeper(watch *poison.Watch, writer *table.Writer, clock *storeclock.Clock, storeEra func() int64, logger *log.Logger) *Keeper {
+	return &Keeper{watch: watch, writer: writer, clock: clock, storeEra: storeEra, log: logger}
 }
 
 // Load reads all rows, again and again until the store has answered or ctx ends. Other
@@ -116,6 +120,10 @@
 
 // step ends early where the store does not take a write.
 func (k *Keeper) step(ctx context.Context) (done bool) {
+	if era := k.storeEra(); era > k.era {
+		k.era = era
+		k.watch.StoreRestored()
+	}
 	for _, c := range k.watch.Unkept(k.clock.Now()) {
 		if !k.write(ctx, c) {
 			return false
--- a/pkg/poisonsync/keeper_test.go
+++ b/pkg/poisonsync/keeper_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,6 +24,7 @@
 	watch  *poison.Watch
 	clock  *storeclock.Clock
 	keeper *poisonsync.Keeper
+	era    atomic.Int64
 }
 
 // newHost starts a process when the store's clock has been running for a time.
@@ -30,7 +32,7 @@
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	h := &host{watch: poison.NewWatch(prometheus.NewRegistry(), logger), clock: storeclock.New()}
 	h.clock.Heard(storeNow)
-	h.keeper = poisonsync.NewKeeper(h.watch, table.NewWriter(store, name), h.clock, logger)
+	h.keeper = poisonsync.NewKeeper(h.watch, table.NewWriter(store, name), h.clock, h.era.Load, logger)
 	return h
 }
 
@@ -93,6 +95,38 @@
 	})
 }
 
+// Guards against a restore of the store that lets held back requests through or holds cleared
+// ones back again.
+func TestHeldBackRequestsAreWrittenAgainAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := tables.New()
+		held, cleared := poison.FingerprintOf("POST", "/x", "red", []byte("a")), poison.FingerprintOf("POST", "/x", "red", []byte("b"))
+		writer := newHost(store, "writer", time.Hour)
+		go writer.keeper.Run(t.Context())
+		writer.crash(held, 3)
+		writer.crash(cleared, 3)
+		time.Sleep(time.Second)
+		rows, err := store.List(t.Context(), poisonsync.Table+"/", "", 10)
+		if err != nil || len(rows) != 2 {
+			t.Fatalf("rows before the restore: got %v, error %v, want two rows", rows, err)
+		}
+		writer.watch.Sound(cleared, writer.clock.Now())
+		time.Sleep(time.Second)
+		// The restored store lacks the row of held and contains that of cleared again.
+		restorer := table.NewWriter(store, "restore")
+		for _, row := range rows {
+			write := table.Write{Key: row.Key, Value: row.Value, If: table.Always{}, Delete: row.Key == poisonsync.Table+"/"+held.String()}
+			restorer.Commit(t.Context(), write)
+		}
+		writer.era.Store(1)
+		time.Sleep(time.Second)
+		reader := newHost(store, "reader", time.Hour).loaded(t)
+		if !reader.holds(held) || reader.holds(cleared) {
+			t.Errorf("host started after the restore: got held back %v for held and %v for cleared, want true and false", reader.holds(held), reader.holds(cleared))
+		}
+	})
+}
+
 func (h *host) loaded(t *testing.T) *host {
 	h.keeper.Load(t.Context())
 	return h
