rollout: keep roll-outs and their ends across a store restore

After a restore of the store, the row of every roll-out order has a different version, even if the row itself was not lost. Hosts treated it as a new order: a version that had been completed or reverted was tried again, and a roll-out in progress started over. If only the row with the end was lost, hosts that started later did not know the end.

Cause: the ID of an order is the version of the operator's row.

Evidence: without the change to Switch.Take, TestEndIsWrittenAgainAfterRestore saw the order taken as new on all three hosts and the row of the ended roll-out at "trying". TestRevertedTargetIsTriedAgainAfterRestore fails if an ended row keeps its earlier ID: a second order for the same target is then reverted without being tried. TestRolloutIsFinishedAfterRestore passes with and without the owner's Renumber: it checks that a roll-out in progress finishes in time, both when its row is kept and when it is lost.

Change: an order with the same service, target and period as the one held, but from a later era, is the same order under a new ID. Its phase is kept, and its end counts as not recorded until a row confirms it: the owner of the lease reads the row and writes it under the new ID, with the phase written before the restore if that was lost. An owner with a roll-out in progress continues with its counts and directive numbers. Directives and rows with the new ID or the ID from before the restore are accepted, others are not. If a write took effect in another era, its condition may have matched a different row, so the row is read back.

A process that started after the restore treats a row from an earlier era as the row of the order if service, target and period are equal, until an owner has written it under the new ID.

--- a/pkg/rollout/owner.go
+++ b/pkg/rollout/owner.go
@@ -111,6 +111,9 @@
 // State returns what the order's row has.
 func (o *Owner) State() State { return o.state }
 
+// Renumber replaces the order with the same order under its new ID after a restore of the store.
+func (o *Owner) Renumber(order Order) { o.state.Order = order }
+
 // ApplyReport applies a host's report. Those of hosts that have ended since still count.
 func (o *Owner) ApplyReport(incarnation string, r Report, now time.Duration) {
 	if r.Order != o.state.Order.ID {
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -7,6 +7,8 @@
 import (
 	"fmt"
 	"time"
+
+	"ironhollow/pkg/storeversion"
 )
 
 // Order is an operator's wish that a service's requests go to endpoints of a version.
@@ -33,6 +35,13 @@
 	return nil
 }
 
+// RenumberedFrom reports whether o can be an earlier order whose ID changed in a restore of the store:
+// service, target and period are equal and the ID is from a later era.
+func (o Order) RenumberedFrom(earlier Order) bool {
+	return o.Service == earlier.Service && o.Target == earlier.Target && o.Period == earlier.Period &&
+		storeversion.Era(o.ID) > storeversion.Era(earlier.ID)
+}
+
 // Phase is how far an order is. It never goes back.
 type Phase int
 
@@ -121,6 +130,11 @@
 	Answers int
 }
 
+// order returns the order that a directive applies to.
+func (w Directive) order() Order {
+	return Order{Service: w.Service, Target: w.Target, Period: w.Period, ID: w.Order}
+}
+
 // newer reports whether a directive replaces another of the same order.
 func (w Directive) newer(held Directive) bool {
 	if w.Epoch != held.Epoch {
--- a/pkg/rollout/split.go
+++ b/pkg/rollout/split.go
@@ -52,7 +52,10 @@
 // split is the state of one order at a host.
 type split struct {
 	order Order
-	phase Phase
+	// formerID is the order's ID before the latest restore of the store, 0 if this process has not
+	// seen the ID change.
+	formerID int64
+	phase    Phase
 	// directive is the latest.
 	directive Directive
 	// appliedAt is when the directive was last received, endedAt when the order ended.
@@ -91,6 +94,12 @@
 	endpoint string
 }
 
+// matches reports whether o is the split's order, under its current ID or the one from before the
+// latest restore of the store.
+func (d *split) matches(o Order) bool {
+	return o.ID == d.order.ID || o.ID == d.formerID && d.order.RenumberedFrom(o)
+}
+
 // side says where a request goes.
 func (d *split) side(kind Kind, request string, now time.Time) Side {
 	switch {
--- a/pkg/rollout/switch.go
+++ b/pkg/rollout/switch.go
@@ -124,6 +124,13 @@
 	if v.order != nil && v.order.order.ID >= o.ID {
 		return false
 	}
+	if v.order != nil && o.RenumberedFrom(v.order.order) {
+		// The restore may have lost the row with the order's end: keep the order open until a row
+		// confirms the end.
+		v.order.formerID = v.order.order.ID
+		v.order.order.ID, v.order.recorded = o.ID, false
+		return false
+	}
 	if before := v.order; before != nil && before.phase != Completed {
 		v.exclude(before.order.Target)
 	}
@@ -161,7 +168,7 @@
 // Apply applies the owner's directive. It reports whether the share or the phase changed.
 func (s *Switch) Apply(w Directive, now time.Time) bool {
 	// A host that learns of an order by a directive may be late: it has no slack.
-	s.Take(Order{Service: w.Service, Target: w.Target, Period: w.Period, ID: w.Order}, true)
+	s.Take(w.order(), true)
 	v := s.find(w.Service)
 	if v == nil {
 		return false
@@ -169,7 +176,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	d := v.order
-	if d == nil || d.order.ID != w.Order || d.phase.Ended() || !w.newer(d.directive) {
+	if d == nil || !d.matches(w.order()) || d.phase.Ended() || !w.newer(d.directive) {
 		return false
 	}
 	before, lapsed := d.directive, d.lapsed(now)
@@ -191,7 +198,7 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.order == nil || v.order.order.ID != state.Order.ID || state.Phase < Draining {
+	if v.order == nil || !v.order.matches(state.Order) || state.Phase < Draining {
 		return false
 	}
 	v.order.recorded = v.order.recorded || state.Phase.Ended()
@@ -272,6 +279,34 @@
 	return v.order.order.ID
 }
 
+// WasRenumberedFrom reports whether order is the earlier one under a new ID after a restore of the
+// store. A process that has not seen the ID change, because it started with the new one, compares only
+// service, target, period and era.
+func (s *Switch) WasRenumberedFrom(order, earlier Order) bool {
+	v := s.find(order.Service)
+	if v == nil || !order.RenumberedFrom(earlier) {
+		return false
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	d := v.order
+	return d != nil && d.order.ID == order.ID && (d.formerID == earlier.ID || d.formerID == 0 && d.joined)
+}
+
+// Phase returns the phase of an order, 0 if the service's order has another ID or there is none.
+func (s *Switch) Phase(order Order) Phase {
+	v := s.find(order.Service)
+	if v == nil {
+		return 0
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.order == nil || v.order.order.ID != order.ID {
+		return 0
+	}
+	return v.order.phase
+}
+
 // IsOpen reports whether an order for a service is under way.
 func (s *Switch) IsOpen(name string) bool {
 	v := s.find(name)
--- a/pkg/rolloutsync/desk.go
+++ b/pkg/rolloutsync/desk.go
@@ -14,6 +14,7 @@
 	"ironhollow/pkg/rollout"
 	"ironhollow/pkg/steady"
 	"ironhollow/pkg/storeclock"
+	"ironhollow/pkg/storeversion"
 	"ironhollow/pkg/table"
 )
 
@@ -106,6 +107,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for service, o := range d.owned {
+		held := o.owner.State().Order
+		if i := slices.IndexFunc(open, func(order rollout.Order) bool { return d.rollouts.WasRenumberedFrom(order, held) }); i >= 0 {
+			// Keep the owner, since hosts ignore directives with lower numbers than the last one
+			// applied, and read its row again, since the restore may have lost it.
+			o.owner.Renumber(open[i])
+			o.inDoubt = true
+		}
 		if o.endedAt > 0 && now-o.endedAt < endTold || slices.Contains(open, o.owner.State().Order) {
 			continue
 		}
@@ -160,6 +168,7 @@
 	}
 	state := rollout.State{Order: order, Phase: rollout.Trying, Started: now}
 	condition := table.Condition(table.Absent{})
+	renumbered := false
 	if exists {
 		condition = table.AtVersion{Version: held.Version}
 		written, err := DecodeState(held.Value)
@@ -167,7 +176,11 @@
 			d.log.Error().Err(err).Str("service", order.Service).Msg("state of a roll-out not read")
 			return nil
 		}
+		renumbered = d.rollouts.WasRenumberedFrom(order, written.Order)
 		switch {
+		case renumbered:
+			state = written
+			state.Order = order
 		case written.Order.ID > order.ID:
 			// A later order that this process has not heard of yet.
 			return nil
@@ -175,7 +188,8 @@
 			state = written
 		}
 	}
-	if state.Phase.Ended() {
+	recovered := d.recoverPhase(&state)
+	if state.Phase.Ended() && !recovered && !renumbered {
 		d.rollouts.Ended(state, d.clock.Now())
 		return nil
 	}
@@ -184,6 +198,10 @@
 		d.log.Warn().Err(err).Str("service", order.Service).Msg("roll-out not taken on")
 		return nil
 	}
+	if state.Phase.Ended() {
+		d.rollouts.Ended(state, d.clock.Now())
+		return nil
+	}
 	if before != nil {
 		d.mu.Lock()
 		defer d.mu.Unlock()
@@ -200,6 +218,20 @@
 	return o
 }
 
+// recoverPhase raises a state read from a restored store to the phase that this host knows was
+// written before the restore. It reports whether the restore had lost that phase.
+func (d *Desk) recoverPhase(state *rollout.State) bool {
+	if !storeversion.IsRestored(storeversion.Era(state.Order.ID)) {
+		return false
+	}
+	phase := d.rollouts.Phase(state.Order)
+	if phase < rollout.Draining || phase <= state.Phase {
+		return false
+	}
+	state.Phase, state.Why = phase, "written before the store was restored"
+	return true
+}
+
 // commit writes an order's row and the operator's together.
 func (d *Desk) commit(ctx context.Context, state rollout.State, epoch int64, condition table.Condition) (version int64, err error) {
 	value, err := encodeState(state, epoch)
@@ -249,6 +281,9 @@
 		o.inDoubt = !errors.Is(err, errTurnedAway)
 		return
 	}
+	// If the store was restored in between, the condition may have matched another owner's row:
+	// read the row back before the next write.
+	o.inDoubt = storeversion.Era(version) != storeversion.Era(o.version)
 	o.version = version
 	o.owner.Entered(step.Write, step.Why)
 	if step.Write.Ended() {
--- a/pkg/rolloutsync/desk_test.go
+++ b/pkg/rolloutsync/desk_test.go
@@ -20,6 +20,7 @@
 	"ironhollow/pkg/rolloutsync"
 	"ironhollow/pkg/standin/tables"
 	"ironhollow/pkg/storeclock"
+	"ironhollow/pkg/storeversion"
 	"ironhollow/pkg/table"
 )
 
@@ -69,6 +70,19 @@
 	return slices.DeleteFunc(slices.Clone(f.hosts), func(h *host) bool { return h == nil })
 }
 
+// isBad reports whether requests to the target version can fail.
+func (f *fleet) isBad() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.bad
+}
+
+func (f *fleet) setBad(bad bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.bad = bad
+}
+
 func (f *fleet) draw(n int) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -88,14 +102,10 @@
 		return grant, h.leases.Left(shard), ok
 	}
 	h.desk = rolloutsync.NewDesk(h.rollouts, rollout.Prices(), writer, status{}, f.known, clock, held, quiet)
-	var infos []endpoint.Info
-	for j := range 8 {
-		infos = append(infos, endpointOf(j))
-	}
 	h.rollouts.Saw(service, "v1", time.Now())
-	h.rollouts.Survey(infos, true, time.Now())
+	h.rollouts.Survey(infos(), true, time.Now())
 	h.rollouts.Take(order, f.starts > 3)
-	h.rollouts.Survey(infos, true, time.Now())
+	h.rollouts.Survey(infos(), true, time.Now())
 	ctx, stop := context.WithCancel(context.Background())
 	h.stop = stop
 	f.mu.Lock()
@@ -130,6 +140,15 @@
 	return known
 }
 
+// infos returns the service's endpoints, of both versions.
+func infos() []endpoint.Info {
+	var list []endpoint.Info
+	for i := range 8 {
+		list = append(list, endpointOf(i))
+	}
+	return list
+}
+
 func endpointOf(i int) endpoint.Info {
 	release := "v1"
 	if i >= 4 {
@@ -146,7 +165,7 @@
 				continue
 			}
 			other.rollouts.Apply(w, time.Now())
-			if r, ok := other.rollouts.Report(service, order.ID, time.Now()); ok {
+			if r, ok := other.rollouts.Report(service, w.Order, time.Now()); ok {
 				h.desk.ApplyReport(other.name, r)
 			}
 		}
@@ -176,7 +195,7 @@
 		sent := h.rollouts.Begin(service, &info, kind, 0, now)
 		go func() {
 			time.Sleep(time.Duration(20+h.fleet.draw(40)) * time.Millisecond)
-			failed := h.fleet.bad && info.Release == "v2" && h.fleet.draw(2) == 0
+			failed := h.fleet.isBad() && info.Release == "v2" && h.fleet.draw(2) == 0
 			h.rollouts.Answered(sent, failed, time.Now())
 			h.rollouts.End(sent, time.Now())
 		}()
@@ -283,6 +302,109 @@
 	time.AfterFunc(time.Duration(500+f.draw(4000))*time.Millisecond, func() { h.paused.Store(false) })
 }
 
+// Guards against an ended roll-out that starts over because a restore lost the row with its end or
+// changed the ID of its order.
+func TestEndIsWrittenAgainAfterRestore(t *testing.T) {
+	for _, bad := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fleet{store: tables.New(), random: rand.New(rand.NewPCG(1, 1)), began: time.Now(), hosts: make([]*host, 3), bad: bad}
+			for i := range f.hosts {
+				f.start(i)
+			}
+			time.Sleep(40 * time.Second)
+			ended := f.phase()
+			if !ended.Ended() {
+				t.Fatalf("phase before the restore: got %v, want completed or reverted", ended)
+			}
+			deletion := table.Write{Key: rolloutsync.Key(service), Delete: true, If: table.Always{}}
+			f.store.Commit(t.Context(), table.Commit{Writes: []table.Write{deletion}})
+			renumbered := order
+			renumbered.ID = storeversion.New(1, 3)
+			for _, h := range f.hosts {
+				if h.rollouts.Take(renumbered, false) {
+					t.Errorf("%s: order from before the restore: got it taken as new, want it recognized", h.name)
+				}
+			}
+			time.Sleep(5 * time.Second)
+			if got := f.phase(); got != ended {
+				t.Errorf("phase after the restore: got %v, want %v as before", got, ended)
+			}
+			for _, h := range f.hosts {
+				if open := h.rollouts.Open(); len(open) > 0 {
+					t.Errorf("%s still has the order open, want it %v", h.name, ended)
+				}
+				h.stop()
+			}
+			time.Sleep(10 * time.Second)
+		})
+	}
+}
+
+// Guards against a roll-out in progress that stalls because a restore changed the ID of its order.
+func TestRolloutIsFinishedAfterRestore(t *testing.T) {
+	for _, rowLost := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fleet{store: tables.New(), random: rand.New(rand.NewPCG(1, 1)), began: time.Now(), hosts: make([]*host, 3)}
+			for i := range f.hosts {
+				f.start(i)
+			}
+			time.Sleep(10 * time.Second)
+			if rowLost {
+				deletion := table.Write{Key: rolloutsync.Key(service), Delete: true, If: table.Always{}}
+				f.store.Commit(t.Context(), table.Commit{Writes: []table.Write{deletion}})
+			}
+			renumbered := order
+			renumbered.ID = storeversion.New(1, 3)
+			for _, h := range f.hosts {
+				h.rollouts.Take(renumbered, false)
+			}
+			time.Sleep(20 * time.Second)
+			if got := f.phase(); got != rollout.Completed {
+				t.Errorf("row lost %v: got phase %v 30 s after the order, want completed", rowLost, got)
+			}
+			for _, h := range f.hosts {
+				h.stop()
+			}
+			time.Sleep(10 * time.Second)
+		})
+	}
+}
+
+// Guards against a new order that is reverted without being tried because an equal order was reverted
+// before a restore.
+func TestRevertedTargetIsTriedAgainAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{store: tables.New(), random: rand.New(rand.NewPCG(1, 1)), began: time.Now(), hosts: make([]*host, 3), bad: true}
+		for i := range f.hosts {
+			f.start(i)
+		}
+		time.Sleep(40 * time.Second)
+		takeOnAll := func(id int64) {
+			next := order
+			next.ID = id
+			for _, h := range f.hosts {
+				h.rollouts.Take(next, false)
+				h.rollouts.Survey(infos(), true, time.Now())
+			}
+		}
+		takeOnAll(storeversion.New(1, 3))
+		time.Sleep(20 * time.Second)
+		if got := f.phase(); got != rollout.Reverted {
+			t.Fatalf("phase after the restore: got %v, want reverted", got)
+		}
+		f.setBad(false)
+		takeOnAll(storeversion.New(1, 50))
+		time.Sleep(30 * time.Second)
+		if got := f.phase(); got != rollout.Completed {
+			t.Errorf("phase 30 s after the second order: got %v, want completed", got)
+		}
+		for _, h := range f.hosts {
+			h.stop()
+		}
+		time.Sleep(10 * time.Second)
+	})
+}
+
 // What hosts tell each other is what they meant.
 func TestWordsAndReportsAreCarried(t *testing.T) {
 	w := rollout.Directive{
