soak: restore the store from backups in randomized runs

Runs of the soak restore the store up to twice, one restore at a time, from a backup that is 0.5 to 3 s old when the store is taken down, alongside the other faults. The other faults of a seed are unchanged: restores use a separate random number generator. Usage reports, epochs, configurations and responses are checked as in all runs.

--- a/pkg/soak/restores.go
+++ b/pkg/soak/restores.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"ironhollow/platform/standin"
@@ -19,6 +21,10 @@
 	reissueTime = 3 * time.Second
 	// applyTime is how long hosts may take to apply a configuration once the store is up again.
 	applyTime = 3 * time.Second
+	// leastBackupAge and mostBackupAge bound the age of a randomly chosen backup when the store is
+	// taken down.
+	leastBackupAge = 500 * time.Millisecond
+	mostBackupAge  = 3 * time.Second
 )
 
 // RestoresOutcome is the state of hosts after restores of the store.
@@ -110,3 +116,29 @@
 	}
 	return response.StatusCode, response.Body.Close()
 }
+
+const (
+	// restoreStream is the stream of random numbers that determines the restores of a run.
+	restoreStream = 1 << 35
+	// mostRestores is the maximum number of restores in a run.
+	mostRestores = 2
+)
+
+// startRestores schedules a random number of restores of the store from backups. It uses a separate
+// random number generator, so that restores do not change the other faults of a seed.
+func (r *run) startRestores(ctx context.Context) {
+	random := rand.New(rand.NewPCG(r.options.Seed, restoreStream))
+	upTo := func(d time.Duration) time.Duration { return time.Duration(random.Int64N(int64(d))) }
+	restores := random.IntN(mostRestores + 1)
+	var restoring sync.Mutex
+	for range restores {
+		after, age := upTo(r.options.Length), leastBackupAge+upTo(mostBackupAge-leastBackupAge)
+		r.later(after, func() {
+			restoring.Lock()
+			defer restoring.Unlock()
+			backup := r.store.Copy()
+			r.wait(ctx, age)
+			r.restore(ctx, backup, 0, func() {})
+		})
+	}
+}
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -100,6 +100,7 @@
 	stopCrashing := r.startCrashing(ctx)
 	r.startTurnsAway()
 	r.startLimits()
+	r.startRestores(ctx)
 	r.faults(ctx)
 	r.timers.Wait()
 	r.wait(ctx, recovery)
