route: let one choice in a hundred explore an idle endpoint

Impact: an endpoint without an open connection got no requests while the endpoints with one were not busy. An endpoint that had been rate-limited got none for 8 s, and its next limit was never learned. An endpoint whose limit had been withdrawn, or that was new or back after an outage, was not used.

Cause: every choice adds 5 ms to the expected time of an endpoint to which a connection must be opened. An endpoint that is not used gets no connection, and without a connection it is not used.

Change: the hundredth choice for a target since the last exploration may explore. Endpoints without a connection to which this host has sent nothing for a second then count for 5 ms less than those with one, so one of them is chosen unless a cached prompt, the load or a penalty outweighs this. At most one choice in a hundred opens a connection for this purpose.

Alternatives considered: decaying the 5 ms with idle time makes the number of connections opened depend on the number of hosts and endpoints instead of requests. Having one host explore for all leaves the others without a connection.

--- a/pkg/route/query.go
+++ b/pkg/route/query.go
@@ -60,6 +60,8 @@
 	allPenalized bool
 	// hosts share the limits that endpoints name.
 	hosts *ratelimit.Hosts
+	// mayExplore is set if idle endpoints without a connection are preferred.
+	mayExplore bool
 }
 
 // Choice is an endpoint chosen. Every Choice must be ended with Done.
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -270,6 +270,7 @@
 // send notes a choice as sent. The group's lock is held.
 func (r *Router) send(q Query, c Choice, s *slot) {
 	g := s.group
+	g.noteSent(s, c.sent)
 	s.load.take()
 	s.load.sentSince++
 	s.load.ownRunning++
@@ -287,6 +288,7 @@
 	cachedSlots := g.markCached(q, byID)
 	defer cachedSlots.clear()
 	q.allPenalized = g.allPenalized(now)
+	q.mayExplore = g.countChoice()
 	var best *slot
 	var bestScore score
 	least := time.Duration(math.MaxInt64)
--- a/pkg/route/score.go
+++ b/pkg/route/score.go
@@ -81,11 +81,15 @@
 	if s.info.DataCenter != r.home.DataCenter {
 		wait += crossPlaceWeight
 	}
-	if q.Connected != nil && !q.Connected(s.info.Address) {
+	needsConnection := q.Connected != nil && !q.Connected(s.info.Address)
+	if needsConnection {
 		wait += connectWeight
 	}
 	total := wait + decode + readWeight*time.Duration(uncached)*f.Prefill
 	total -= homeWeight * time.Duration(min(s.homeTokens, uncached)) * f.Prefill
+	if needsConnection && q.mayExplore && l.isIdle(now) {
+		total -= exploreWeight
+	}
 	if !q.allPenalized {
 		total += max(l.backoff.penalty.Sub(now), 0)
 	}
--- a/pkg/route/slot.go
+++ b/pkg/route/slot.go
@@ -29,6 +29,8 @@
 	model *enginemodel.Service
 	// placed is what was sent since the other entries were last sent placements.
 	placed []Placement
+	// choicesSinceExplored is the number of choices since an idle endpoint was last explored.
+	choicesSinceExplored int
 }
 
 // slot is what is known of one endpoint. Its fields are guarded by its group.
@@ -60,6 +62,8 @@
 	// requests, among those the report saw, that have ended since.
 	sentSince, endedSince int
 	ownRunning            int
+	// sentAt is when this entry last sent the endpoint a request.
+	sentAt time.Time
 	// ownPrefill is tokens of own requests that have no first token yet.
 	ownPrefill   int
 	meanDuration time.Duration
