roster: keep hosts outside the core from ranking themselves as standbys

Impact: after a restart of all hosts of a large fleet, hundreds of hosts ranked themselves as standbys for the duties for up to 12 s, and each read the lease every 0.75 s.

Cause: the standbys are the hosts with the earliest start time by the store's clock. A process sends its first datagrams before it has read that clock, with a start time of 0, and its member is created with this value. In a fleet with levels the value is never corrected, because hosts outside the core write no rows. 0 sorts before all other start times, so a host ranks itself first once the rows from before the restart have expired.

Change: a start time of 0 ranks last and is replaced by the first known one from a datagram, a digest or the process's own status. In addition, a host that takes the advertised hosts from digests and receives the status of fewer than half of them does not rank itself. The core sends its status to the standbys that it ranks, so these still rank themselves. The test also kills the standbys and requires that others replace them within the silence and 4 s.

--- a/pkg/gossip/levels_test.go
+++ b/pkg/gossip/levels_test.go
@@ -304,6 +304,83 @@
 	}
 }
 
+// restartAll restarts all hosts with new incarnations and unknown start times. Each has read the rows
+// that the core wrote before the restart.
+func (f *playedFleet) restartAll() {
+	var rows []roster.Row
+	for _, h := range f.hosts {
+		if h.members.InCore(h.self.Node) {
+			rows = append(rows, roster.Row{Host: h.self, Sequence: 1, Age: time.Second})
+		}
+	}
+	for _, h := range f.hosts {
+		h.self.Incarnation += "+"
+		h.self.Since = 0
+		h.members = roster.New(playedSilence, gossip.Interval)
+		h.members.StoreAnswered(f.now)
+		for _, row := range rows {
+			h.members.Merge(row, f.now)
+		}
+		h.sequence, h.round, h.pace = 0, 0, gossip.Pace{}
+		h.next = f.now.Add(f.after(time.Second))
+	}
+}
+
+// isStandby reports whether the host ranks itself among the standbys.
+func (h *played) isStandby() bool {
+	return slices.ContainsFunc(h.members.Standbys(), func(s roster.Host) bool { return s.Node == h.self.Node })
+}
+
+// standbys returns how many live hosts rank themselves among the standbys.
+func (f *playedFleet) standbys() int {
+	count := 0
+	for _, h := range f.hosts {
+		if !h.dead && h.isStandby() {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against most hosts ranking themselves as standbys after a restart of the whole fleet, as each
+// standby polls the lease in the store, and against lost standbys not being replaced.
+func TestFewHostsStandByAfterRestartOfAll(t *testing.T) {
+	const (
+		settled = 4 * time.Second
+		watched = 20 * time.Second
+		// replaced is how long lost standbys take to be replaced: the silence, a digest and two rounds.
+		replaced = playedSilence + 4*time.Second
+	)
+	// Up to 2% of the hosts may have an outdated ranking.
+	maxStandbys := max(6, *fleetHosts/50)
+	f := newPlayedFleet(*fleetHosts)
+	f.play(10 * time.Second)
+	if got := f.standbys(); got == 0 || got > maxStandbys {
+		t.Errorf("quiet fleet: got %d standbys, want 1 to %d", got, maxStandbys)
+	}
+	f.restartAll()
+	f.play(time.Second)
+	for _, h := range f.hosts {
+		h.self.Since = time.Minute + f.after(2*time.Second).Truncate(time.Second)
+	}
+	f.play(settled - time.Second)
+	highest, lowest := 0, len(f.hosts)
+	for end := f.now.Add(watched); f.now.Before(end); {
+		f.play(500 * time.Millisecond)
+		got := f.standbys()
+		highest, lowest = max(highest, got), min(lowest, got)
+	}
+	t.Logf("%d hosts: %d to %d standbys after the restart", len(f.hosts), lowest, highest)
+	if highest > maxStandbys || lowest == 0 {
+		t.Errorf("%v after the restart and later: got %d to %d standbys, want 1 to %d", settled, lowest, highest, maxStandbys)
+	}
+	f.kill(func(h *played) bool { return h.isStandby() })
+	f.play(replaced)
+	if got := f.standbys(); got == 0 || got > maxStandbys {
+		t.Errorf("%v after the standbys were killed: got %d standbys, want 1 to %d", replaced, got, maxStandbys)
+	}
+}
+
 // Guards against hosts that again and again leave live aggregators for lost ones, so that the
 // advertised hosts change every few seconds.
 func TestHostsAgreeAfterLosses(t *testing.T) {
--- a/pkg/roster/advertised.go
+++ b/pkg/roster/advertised.go
@@ -176,12 +176,14 @@
 	for _, m := range r.advertised() {
 		advertised[m] = true
 	}
+	// Hosts whose start time is unknown rank last.
 	compare := func(a, b *member) int {
-		return cmp.Or(cmp.Compare(a.row.Since, b.row.Since), compareBool(advertised[a], advertised[b]), cmp.Compare(a.row.Node, b.row.Node))
+		return cmp.Or(compareBool(a.row.Since == 0, b.row.Since == 0), cmp.Compare(a.row.Since, b.row.Since), compareBool(advertised[a], advertised[b]), cmp.Compare(a.row.Node, b.row.Node))
 	}
 	var first []*member
+	outsideCore := r.isOutsideCore()
 	for _, m := range r.live() {
-		if m.row.Leaving {
+		if m.row.Leaving || outsideCore && m.row.Incarnation == r.selfIncarnation {
 			continue
 		}
 		at, _ := slices.BinarySearchFunc(first, m, compare)
--- a/pkg/roster/apply.go
+++ b/pkg/roster/apply.go
@@ -49,6 +49,7 @@
 	if status.Sequence <= m.status.Sequence {
 		return
 	}
+	r.setUnknownSince(m, status.Since)
 	if status.Leaving {
 		r.leave(m)
 	}
@@ -78,13 +79,24 @@
 func (r *Roster) MergeSelf(host Host, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.selfIncarnation = host.Incarnation
 	m, ok := r.members[host.Incarnation]
 	if !ok {
 		m = &member{row: Row{Host: host}, changedAt: now}
 		r.add(m)
 	}
+	r.setUnknownSince(m, host.Since)
 	if host.Leaving {
 		r.leave(m)
 	}
 	m.statusAt = now
 }
+
+// setUnknownSince sets the start time of a member if it is not known yet: a process sends its first
+// datagrams before it has read the store's clock. The lock is held.
+func (r *Roster) setUnknownSince(m *member, since time.Duration) {
+	if m.row.Since == 0 && since > 0 {
+		m.row.Since = since
+		r.changed()
+	}
+}
--- a/pkg/roster/digest.go
+++ b/pkg/roster/digest.go
@@ -166,7 +166,10 @@
 		m.digestAt = now
 	}
 	for _, host := range p.Hosts {
-		if _, ok := r.members[host.Incarnation]; !ok && host.Incarnation != "" && host.Node != "" {
+		m, ok := r.members[host.Incarnation]
+		if ok {
+			r.setUnknownSince(m, host.Since)
+		} else if host.Incarnation != "" && host.Node != "" {
 			r.add(&member{row: Row{Host: host}})
 		}
 	}
--- a/pkg/roster/levels.go
+++ b/pkg/roster/levels.go
@@ -196,6 +196,20 @@
 	return list
 }
 
+// isOutsideCore reports whether this host takes the advertised hosts from digests and receives the
+// status of fewer than half of them, itself included. Such a host knows too few others to rank itself
+// as a standby. The lock is held.
+func (r *Roster) isOutsideCore() bool {
+	advertised := r.advertisedByDigest()
+	senders := 0
+	for _, m := range advertised {
+		if m.row.Incarnation == r.selfIncarnation || !m.statusAt.IsZero() && r.seenAt.Sub(m.statusAt) <= r.silence {
+			senders++
+		}
+	}
+	return 2*senders < len(advertised)
+}
+
 // subscribers returns the hosts outside the core that have recently subscribed to this one. The
 // lock is held.
 func (r *Roster) subscribers(self Host, core map[string]*member, now time.Time) []*member {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -17,6 +17,8 @@
 
 	mu      sync.Mutex
 	members map[string]*member
+	// selfIncarnation is this process's incarnation, empty until the first MergeSelf.
+	selfIncarnation string
 	// seenAt is when the store or any other process was last seen. Silence is judged against it:
 	// a host that receives nothing cannot judge which others are gone.
 	seenAt time.Time
