TestLook: accept the connection before its listener is closed

Its goroutine dump shows the test waiting for the accepted connection. A connection that was not accepted yet when the listener was closed is lost, and Accept returns an error. The test now waits for the connection first; what it checks is as before. No code outside the test is concerned.

--- a/pkg/upstream/pool_test.go
+++ b/pkg/upstream/pool_test.go
@@ -337,8 +337,9 @@
 	if got := pool.Look(t.Context(), "127.0.0.1:1", 0); got != upstream.Refusing {
 		t.Errorf("port that nobody listens at: got %v, want refusing", got)
 	}
+	conn := <-accepted
 	_ = listener.Close()
-	_ = (<-accepted).Close()
+	_ = conn.Close()
 	time.Sleep(10 * time.Millisecond)
 	if got := look(1); got != upstream.Refusing {
 		t.Errorf("endpoint that has ended, with as many kept connections as are allowed: got %v, want refusing", got)
