rollout: do not revert a target without answers before the last moment

Impact: a sound version was reverted. The owner of a roll-out was lost for most of the period, the next owner took over 2.5 to 3 s before its end and reverted 1 s later, with 0 answers of the target counted.

Cause: settle judges the target at the time by which draining has to begin, even if the owner has just taken over. Without answers the odds are 1, and the bound of the last judgement is 0.467.

Change: while the target is still on trial, a finding of the last judgement does not revert it until the latest time at which a revert can be written. Until then the target keeps its trial share.

--- a/pkg/rollout/owner.go
+++ b/pkg/rollout/owner.go
@@ -305,11 +305,16 @@
 		m = LastOfFew
 	}
 	found := o.look(e, f, m)
-	if found.Bad() {
-		o.revert(found.String())
+	if !found.Bad() {
+		return Draining, found.String()
+	}
+	if o.state.Phase == Trying && now < p.limit-writeTime {
+		// With few answers, e.g. after a late takeover, the last judgement can reject a sound target.
+		// Keep the trial share and collect answers until the latest time a revert can be written.
 		return 0, ""
 	}
-	return Draining, found.String()
+	o.revert(found.String())
+	return 0, ""
 }
 
 // allowed is how many requests a bad version may get until the limit.
--- a/pkg/rollout/owner_test.go
+++ b/pkg/rollout/owner_test.go
@@ -41,6 +41,37 @@
 	t.Error("not completed within the period")
 }
 
+// Guards against reverting a sound target before it has any answers when an owner takes over shortly
+// before the end of the period.
+func TestLateOwnerWaitsForAnswersOfTheTarget(t *testing.T) {
+	const takeoverAfter, answersAfter = 17500 * time.Millisecond, 18700 * time.Millisecond
+	start := time.Minute
+	for _, bad := range []bool{false, true} {
+		o := rollout.NewOwner(rollout.State{Order: order, Phase: rollout.Trying, Started: start}, bounds, rollout.Prices(), 14, start+takeoverAfter)
+		fleet := rollout.Fleet{Callers: 3, Others: 4, Targets: 4, Live: []string{"h"}}
+		want, got := rollout.Draining, rollout.Phase(0)
+		if bad {
+			want = rollout.Reverted
+		}
+		for now := start + takeoverAfter; now < start+order.Period && got == 0; now += 100 * time.Millisecond {
+			r := rollout.Report{Service: service, Order: order.ID, Phase: rollout.Trying, Epoch: 14, Asked: int(150 * (now - start - takeoverAfter).Seconds())}
+			if now >= start+answersAfter {
+				count := rollout.Count{Answers: 12}
+				if bad {
+					count.Bad = 6
+				}
+				r.Tried = 12
+				r.Tallies = []rollout.Tally{{Kind: 4, Count: rollout.Count{Answers: 340}}, {Kind: 4, Endpoint: "e", Count: count}}
+			}
+			o.ApplyReport("h", r, now)
+			got = o.Next(fleet, now).Write
+		}
+		if got != want {
+			t.Errorf("target bad %t: got phase %v, want %v", bad, got, want)
+		}
+	}
+}
+
 // A decision on the reports of eight hosts: 0.52 ms, ten times a second while an order is
 // under way.
 func BenchmarkDecision(b *testing.B) {
