storeview: compute the idle time before the roster counts as loaded

TestIdleBeforeAStart failed twice in some 3,400 runs: a start that waits for the roster could read the idle time before it was stored, and take a fleet that had been idle for one that had not. Buckets then started empty, and requests of teams below their limits were rejected.

applyRoster marked the roster as loaded first and stored the idle time after it; with 30 ms of delay between the two the test failed on each run. The order is reversed, so that a start that sees the roster as loaded sees the idle time too.

go test ./pkg/storeview -run IdleBeforeAStart -count 500: no failure.

--- a/pkg/storeview/view.go
+++ b/pkg/storeview/view.go
@@ -322,11 +322,12 @@
 
 func (v *View) applyRoster(batch feed.Batch) {
 	now := v.clock.Now()
-	v.roster.NoteStoreResponse(now)
 	if !v.rosterRead {
 		v.rosterRead = true
 		v.idleBeforeStart.Store(int64(idleTime(batch)))
 	}
+	// The roster counts as loaded from here on, and a start reads the idle time then.
+	v.roster.NoteStoreResponse(now)
 	present := map[string]bool{v.self: true}
 	for _, stored := range batch.Rows {
 		if stored.Deleted {
