route: send requests to leaving endpoints that finish them in time

The leaving endpoints serve until the notice ends.

A request that no other endpoint takes goes to a leaving endpoint, if that states when it stops, is expected to finish the request before that with a margin, and is within the users' bound for requests after a notice less 1.2 s. A directory takes the end from the first row that states a time left.

--- a/pkg/app/node/providers.go
+++ b/pkg/app/node/providers.go
@@ -91,6 +91,10 @@
 			// A row without a valid endpoint is not a change if the previous one had none either.
 			return (previousErr == nil) != (currentErr == nil)
 		}
+		// Only the first row with a time left is of use: each later one states the same end.
+		if previousInfo.LeaveIn > 0 && currentInfo.LeaveIn > 0 {
+			previousInfo.LeaveIn = currentInfo.LeaveIn
+		}
 		return previousInfo != currentInfo
 	}
 	return relay.NewReplica(clock.Now, changed)
@@ -118,9 +122,15 @@
 	return storeview.New(platform, s.EndpointHeartbeat, clock, members, location, string(self), rollouts, logger)
 }
 
-func newRouter(view *storeview.View, location route.Location, clock *storeclock.Clock) *route.Router {
+// leavingReserve is the part of the time for which a leaving endpoint may get requests that is not
+// used. A host reads an endpoint's row up to a second after the store has accepted it.
+const leavingReserve = 1200 * time.Millisecond
+
+func newRouter(view *storeview.View, location route.Location, clock *storeclock.Clock, s Settings) *route.Router {
 	seed := uint64(clock.Now().UnixNano())
-	return route.NewWithEngineSpeed(view.Directory(), hazard.New(), location, seed, initialEngineSpeed)
+	router := route.NewWithEngineSpeed(view.Directory(), hazard.New(), location, seed, initialEngineSpeed)
+	router.SetLeavingWindow(s.LeavingBound - leavingReserve)
+	return router
 }
 
 func newLoadSync(router *route.Router, view *storeview.View, self Incarnation) *loadsync.Sync {
--- a/pkg/app/node/settings.go
+++ b/pkg/app/node/settings.go
@@ -45,6 +45,9 @@
 	Cores float64
 	// GracePeriod is the time from SIGTERM to SIGKILL.
 	GracePeriod time.Duration
+	// LeavingBound is the time from an endpoint's notice that it leaves after which it must get no
+	// request; 0 if it must get none from the notice on.
+	LeavingBound time.Duration
 	// LeaseDuration is how long the lease of the duties is valid without renewal.
 	LeaseDuration time.Duration
 	Retry         RetryBudget
--- a/pkg/app/node/wire_gen.go
+++ b/pkg/app/node/wire_gen.go
@@ -26,7 +26,7 @@
 	location := newLocation(settings)
 	splitter := newSplitter(settings)
 	view := newView(platform, settings, clock, location, incarnation, splitter, logger)
-	router := newRouter(view, location, clock)
+	router := newRouter(view, location, clock, settings)
 	sync := newLoadSync(router, view, incarnation)
 	costLimiter := newLimiter(settings, clock)
 	pool := newPool()
--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -157,6 +157,11 @@
 		return
 	}
 	received.Counter = row.Version
+	if received.LeaveIn > 0 {
+		now := s.now()
+		received.LeaveBy, received.LeavingSince = now.Add(received.LeaveIn), now
+		received.LeaveIn = 0
+	}
 	current, known := s.directory.Get(row.Key)
 	if known && current.State != endpoint.Gone && !hasRestarted(current, received) {
 		received.Incarnation = current.Incarnation
--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -34,6 +34,8 @@
 	case "live":
 	case "leaving":
 		info.State = endpoint.Leaving
+	case "reclaimed":
+		info.State, info.LeaveIn = endpoint.Leaving, 2*time.Second
 	default:
 		return info, errors.New("unknown state")
 	}
@@ -220,3 +222,21 @@
 		}
 	}
 }
+
+// A reclaimed endpoint writes its row again until it stops. Guards against moving its end with each
+// of its rows, and against losing it if the endpoint's answers were the first to show that it leaves.
+func TestEndOfReclaimedEndpointIsKept(t *testing.T) {
+	for _, first := range []string{"live", "leaving"} {
+		s := newFixture()
+		s.applyRows(true, "a", first)
+		noticed := s.now
+		for range 2 {
+			s.applyRows(false, "a", "reclaimed")
+			s.now = s.now.Add(time.Second)
+		}
+		info, _ := s.directory.Get("a")
+		if got, want := info.LeaveBy, noticed.Add(2*time.Second); !got.Equal(want) || !info.LeavingSince.Equal(noticed) {
+			t.Errorf("after %q: got end %v, leaving since %v, want %v and %v", first, got, info.LeavingSince, want, noticed)
+		}
+	}
+}
--- a/pkg/endpoint/endpoint.go
+++ b/pkg/endpoint/endpoint.go
@@ -75,6 +75,11 @@
 	Cold bool
 	// LeaveBy is the time at which a leaving endpoint stops; zero if unknown.
 	LeaveBy time.Time
+	// LeavingSince is when this process read in the endpoint's row that it leaves; zero before.
+	LeavingSince time.Time
+	// LeaveIn is the time left to a leaving endpoint as its row states it; 0 if it states none. A
+	// directory holds LeaveBy instead.
+	LeaveIn time.Duration
 }
 
 // Ref identifies one incarnation of an endpoint.
@@ -99,7 +104,7 @@
 	if received.Counter > held.Counter {
 		next = received
 		next.State = held.State
-		next.LeaveBy = held.LeaveBy
+		next.LeaveBy, next.LeavingSince = held.LeaveBy, held.LeavingSince
 	}
 	if received.State > held.State {
 		next.State = received.State
@@ -107,6 +112,9 @@
 	if held.LeaveBy.IsZero() || (received.State > held.State && !received.LeaveBy.IsZero()) {
 		next.LeaveBy = received.LeaveBy
 	}
+	if held.LeavingSince.IsZero() {
+		next.LeavingSince = received.LeavingSince
+	}
 	return next, next != held
 }
 
--- a/pkg/forward/request_log.go
+++ b/pkg/forward/request_log.go
@@ -58,6 +58,9 @@
 	}
 	c.logEntry.attempts = append(c.logEntry.attempts, a)
 	c.f.metrics.attempts.WithLabelValues(c.service.Name, outcomeLabel(r)).Inc()
+	if choice.Endpoint.State == endpoint.Leaving {
+		c.f.metrics.leaving.WithLabelValues(c.service.Name).Inc()
+	}
 	c.countNotice()
 }
 
@@ -170,6 +173,7 @@
 	dropped  prometheus.Counter
 	reserved prometheus.Counter
 	notices  *prometheus.CounterVec
+	leaving  *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics.
@@ -192,9 +196,12 @@
 	m.reserved = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "ironhollow_reserved_headers_total", Help: "Headers that callers sent though they are the system's to set; they were removed.",
 	})
+	m.leaving = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "ironhollow_leaving_endpoint_sends_total", Help: "Sends to endpoints that leave, while no other endpoint had room, by service.",
+	}, []string{"service"})
 	m.notices = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "ironhollow_endpoint_notices_total", Help: "Answers that say that an endpoint leaves, asks for backoff, limits requests or is not at its address, by service.",
 	}, []string{"service", "notice"})
-	registry.MustRegister(m.requests, m.attempts, m.seconds, m.dropped, m.reserved, m.notices)
+	registry.MustRegister(m.requests, m.attempts, m.seconds, m.dropped, m.reserved, m.notices, m.leaving)
 	return m
 }
--- a/pkg/route/feedback.go
+++ b/pkg/route/feedback.go
@@ -150,7 +150,7 @@
 	if l.failures < ejectAfter {
 		return
 	}
-	if l.failures == ejectAfter {
+	if l.failures == ejectAfter && !s.leaving {
 		g.ejectedCount++
 	}
 	l.ejectedUntil = now.Add(min(minEjectTime<<min(l.ejections, 8), maxEjectTime))
@@ -158,7 +158,7 @@
 }
 
 func (g *group) recordSuccess(s *slot) {
-	if s.load.failures >= ejectAfter {
+	if s.load.failures >= ejectAfter && !s.leaving {
 		g.ejectedCount--
 	}
 	s.load.failures = 0
@@ -237,7 +237,7 @@
 	g, byID := r.groupFor(q.Target)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	cachedSlots := g.markCached(q, byID)
+	cachedSlots := g.markCached(q, byID, false)
 	defer cachedSlots.clear()
 	q.hosts = r.limitHosts()
 	list := make([]Candidate, 0, len(g.slots))
--- a/pkg/route/prefix.go
+++ b/pkg/route/prefix.go
@@ -120,7 +120,7 @@
 // markCached sets on each slot the number of tokens of the prefix that it has cached, and returns
 // the marked slots. Only prefixes that an endpoint was sent count: the home of a prefix that no
 // endpoint has prefilled does not have it cached either. The group's lock must be held.
-func (g *group) markCached(q Query, byID map[string]*slot) markedSlots {
+func (g *group) markCached(q Query, byID map[string]*slot, leaving bool) markedSlots {
 	var m markedSlots
 	if len(q.PrefixHashes) == 0 {
 		return m
@@ -129,7 +129,7 @@
 	mark := func(prefix uint64) {
 		set, _ := g.prefixes.get(prefix)
 		for _, id := range set {
-			if s := byID[id]; s != nil && s.group == g {
+			if s := byID[id]; s != nil && s.group == g && s.leaving == leaving {
 				depth := g.prefixes.depth(q.PrefixHashes, id)
 				known = known || depth >= q.SharedPrefixes
 				m.add(s, q.tokensOf(depth))
@@ -140,7 +140,7 @@
 		mark(q.PrefixHashes[q.SharedPrefixes-1])
 	}
 	mark(q.PrefixHashes[0])
-	if q.SharedPrefixes > 0 && !known {
+	if q.SharedPrefixes > 0 && !known && !leaving {
 		m.markHome(g.rendezvous(q.PrefixHashes[q.SharedPrefixes-1], &q.Rule), q.tokensOf(q.SharedPrefixes))
 	}
 	return m
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -64,6 +64,9 @@
 	// alone.
 	hosts    atomic.Pointer[ratelimit.Hosts]
 	onlySelf *ratelimit.Hosts
+	// leavingWindow is how long after its notice a leaving endpoint may get requests, in
+	// nanoseconds; 0 or less if it gets none.
+	leavingWindow atomic.Int64
 	// urgent holds the endpoints whose state is sent to the other entries at once.
 	urgent chan string
 }
@@ -174,7 +177,7 @@
 	old := r.byID
 	for _, g := range r.groups {
 		g.mu.Lock()
-		g.slots = nil
+		g.slots, g.leaving = nil, nil
 		g.ejectedCount = 0
 		g.limitedCount = 0
 		g.backoffsUntil, g.penaltiesUntil = time.Time{}, time.Time{}
@@ -190,6 +193,7 @@
 		}
 		r.byID[info.ID] = g.add(info, old[info.ID], r.newLoad(info))
 	}
+	r.keepLeaving(view, old)
 	r.syncedGeneration = view.Generation()
 }
 
@@ -250,21 +254,33 @@
 	} else {
 		best = g.pickNaive(q, strategy, now)
 	}
-	if best == nil {
-		return Choice{}, false
+	if best != nil {
+		choice := newChoice(q, best, score, now)
+		g.demand.add(g.engineTime(choice.uncachedTokens, q.AnswerTokens), now)
+		if q.Accepts == nil || q.Accepts(choice) {
+			return r.take(q, choice, best), true
+		}
 	}
-	uncached := max(q.PromptTokens-score.cachedTokens, 0)
-	g.demand.add(g.engineTime(uncached, q.AnswerTokens), now)
-	choice := Choice{
-		Endpoint: best.info, Expected: score.total, Wait: score.wait, Queued: score.queueTime, LeastQueued: score.leastQueueTime,
-		CachedTokens: score.cachedTokens, sentAt: now, uncachedTokens: uncached, aheadTokens: score.aheadTokens,
+	if best, score = r.pickLeaving(g, byID, q, now); best != nil {
+		if choice := newChoice(q, best, score, now); q.Accepts == nil || q.Accepts(choice) {
+			return r.take(q, choice, best), true
+		}
 	}
-	if q.Accepts != nil && !q.Accepts(choice) {
-		return Choice{}, false
+	return Choice{}, false
+}
+
+func newChoice(q Query, s *slot, sc score, now time.Time) Choice {
+	return Choice{
+		Endpoint: s.info, Expected: sc.total, Wait: sc.wait, Queued: sc.queueTime, LeastQueued: sc.leastQueueTime,
+		CachedTokens: sc.cachedTokens, sentAt: now, uncachedTokens: max(q.PromptTokens-sc.cachedTokens, 0), aheadTokens: sc.aheadTokens,
 	}
-	r.recordChoice(q, choice, best)
+}
+
+// take records the request as sent to the chosen slot. The group's lock must be held.
+func (r *Router) take(q Query, choice Choice, s *slot) Choice {
+	r.recordChoice(q, choice, s)
 	r.inFlight.Add(1)
-	return choice, true
+	return choice
 }
 
 // recordChoice records the request as sent to the chosen endpoint. The group's lock must be held.
@@ -284,7 +300,7 @@
 
 // pickExpected returns the candidate with the least expected time. The group's lock must be held.
 func (r *Router) pickExpected(g *group, byID map[string]*slot, q Query, now time.Time) (*slot, score) {
-	cachedSlots := g.markCached(q, byID)
+	cachedSlots := g.markCached(q, byID, false)
 	defer cachedSlots.clear()
 	q.ignorePenalties = g.tooManyPenalized(now)
 	q.mayExplore = g.countChoice()
@@ -333,9 +349,14 @@
 // maxEjectShare of the group is unavailable. An endpoint that requested a backoff, or whose limit
 // is used up, is never usable.
 func (g *group) usable(s *slot, q Query, now time.Time) bool {
-	if !q.Rule.Allows(&s.info) {
+	if s.leaving || !q.Rule.Allows(&s.info) {
 		return false
 	}
+	return g.usableNow(s, q, now)
+}
+
+// usableNow reports whether a slot whose endpoint the request may go to takes it now.
+func (g *group) usableNow(s *slot, q Query, now time.Time) bool {
 	for _, ref := range q.Avoid {
 		if ref == s.info.Ref() {
 			return false
--- a/pkg/route/slot.go
+++ b/pkg/route/slot.go
@@ -14,6 +14,9 @@
 type group struct {
 	mu    sync.Mutex
 	slots []*slot
+	// leaving are the slots of leaving endpoints that may still get requests while no other
+	// endpoint has room. They are not in slots.
+	leaving []*slot
 	// prefixes estimates which prefixes are cached at which endpoints.
 	prefixes        *prefixIndex
 	random          *rand.Rand
@@ -39,6 +42,8 @@
 	group *group
 	info  endpoint.Info
 	load  load
+	// leaving is set if the slot is in the group's list of leaving endpoints.
+	leaving bool
 	// hash is the hash of the endpoint's ID.
 	hash uint64
 	// cachedTokens and homeTokens are scratch space of one choice: the number of the prompt's
