autoscale: order on-demand cover at the first loss, beside serving endpoints

When one of three data centres lost its reclaimable endpoints, nothing was ordered, and callers were refused after the second and third loss a few seconds later, as an on-demand endpoint takes longer to boot. When two were lost, on-demand endpoints went to the two cheapest data centres, and the reclaimable count of the remaining one was lowered to make room.

Losses records the losses of data centres and estimates from them the probability of further ones: a prior, counts of losses that were followed by another, and a decay with the time since the last loss. Plan orders as many on-demand endpoints as are worth their price over the possible further losses, and places them beside the reclaimable endpoints that serve or boot. Existing on-demand endpoints stay where they are. Lower reclaimable counts of a lost data centre are ordered at once, as they give up nothing that serves.

--- a/pkg/app/node/duties.go
+++ b/pkg/app/node/duties.go
@@ -44,6 +44,7 @@
 			held = nowHeld
 			n.log.Info().Bool("held", held).Msg("lease of the duties")
 			n.endpointReconciler.Reset()
+			n.losses.Reset()
 		}
 		if held {
 			n.performDuties(ctx)
@@ -169,15 +170,18 @@
 			place := autoscale.Pool{Service: service.Name, DataCenter: dataCenter, Reclaimable: reclaimable}
 			return serving[place], n.endpointReconciler.Booting(place, serving[place], service.Scaling.BootTime, now)
 		}
+		outlook := n.observeLosses(service, serving, now)
 		demand := n.serviceDemandTracker.Observe(service.Name, demands[service.Name], now)
 		demand.MaxLoad = maxDemand
-		orders, _ := autoscale.Plan(service, demand, supply)
+		orders, _ := autoscale.Plan(service, demand, supply, outlook)
 		n.resetAfterRollout(service.Name)
 		if n.rollouts.InProgress(service.Name) {
 			preventScaleDown(orders, service.Scaling.MaxEndpoints)
 		}
 		count := func(p autoscale.Pool) int { return serving[p] }
-		n.endpointReconciler.Reconcile(ctx, orders, count, service.Scaling.BootTime, now, held)
+		for _, pool := range n.endpointReconciler.Reconcile(ctx, orders, count, service.Scaling.BootTime, now, held) {
+			n.losses.Of(service.Name).RecordRefusal(pool, now)
+		}
 	}
 }
 
--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -81,6 +81,7 @@
 	endpointReconciler   *autoscale.Reconciler
 	leases               *lease.Manager
 	serviceDemandTracker *autoscale.DemandTracker
+	losses               *autoscale.LossTracker
 	forwarder            *forward.Forwarder
 	registry             *prometheus.Registry
 	row                  *rowState
--- a/pkg/app/node/wire_gen.go
+++ b/pkg/app/node/wire_gen.go
@@ -37,6 +37,7 @@
 	reporter := newReporter(counter, view, writer, nodeDutyCloud, logger)
 	reconciler := newReconciler(nodeDutyCloud, logger)
 	demandTracker := autoscale.NewDemandTracker()
+	lossTracker := autoscale.NewLossTracker()
 	windowBudget := newRetryBudget(settings)
 	watch := newQuarantineWatch(registry, logger)
 	tracker := newNoticeTracker(view, router, logger)
@@ -69,6 +70,7 @@
 		endpointReconciler:   reconciler,
 		leases:               manager,
 		serviceDemandTracker: demandTracker,
+		losses:               lossTracker,
 		forwarder:            forwarder,
 		registry:             registry,
 		row:                  nodeRowState,
--- a/pkg/autoscale/autoscale.go
+++ b/pkg/autoscale/autoscale.go
@@ -129,14 +129,24 @@
 	return min(max(state.orderedCount-serving, 0), state.bootingCount)
 }
 
+// Ordered returns the number of endpoints ordered for a pool; ok is false if it is unknown.
+func (r *Reconciler) Ordered(p Pool) (count int, ok bool) {
+	state, ok := r.pools[p]
+	if !ok || !state.initialized {
+		return 0, false
+	}
+	return state.orderedCount, true
+}
+
 // Reconcile sends each order whose count differs from the last one sent, and repeats
 // orders of which too few endpoints serve after their boot time. held is called right
-// before each order.
-func (r *Reconciler) Reconcile(ctx context.Context, orders []Order, serving func(Pool) int, boot time.Duration, now time.Time, held func() (lease.Grant, bool)) {
+// before each order. It returns the pools of which the cloud has no capacity.
+func (r *Reconciler) Reconcile(ctx context.Context, orders []Order, serving func(Pool) int, boot time.Duration, now time.Time, held func() (lease.Grant, bool)) []Pool {
+	var refused []Pool
 	for _, order := range orders {
 		grant, ok := held()
 		if !ok {
-			return
+			return refused
 		}
 		servingCount := serving(order.Pool())
 		state := r.stateOf(order.Pool())
@@ -155,9 +165,13 @@
 			state.notBefore = now.Add(retryDelay)
 			state.orderedAt = time.Time{}
 		}
+		if errors.Is(err, ErrNoCapacity) {
+			refused = append(refused, order.Pool())
+		}
 		entry.Str("service", order.Service).Str("dc", order.DataCenter).Bool("reclaimable", order.Reclaimable).
 			Int("count", count).Int("serving", servingCount).Int64("epoch", grant.Epoch).Msg("endpoints ordered")
 	}
+	return refused
 }
 
 // adoptServing takes the endpoints that serve as ordered, so that a new holder does not
@@ -186,10 +200,15 @@
 		return order.Count, true
 	}
 	retained := max(order.Retain, order.Count)
+	// The cloud does not replace reclaimed endpoints on its own, so the order is repeated.
+	missing := serving < order.Count && now.Sub(s.orderedAt) > boot+bootMargin
 	if retained >= s.orderedCount {
 		s.surplusSince = time.Time{}
-		// The cloud does not replace reclaimed endpoints on its own, so the order is repeated.
-		return s.orderedCount, serving < order.Count && now.Sub(s.orderedAt) > boot+bootMargin
+		return s.orderedCount, missing
+	}
+	if missing && serving <= retained {
+		// A lower count gives up none of the endpoints that serve.
+		return retained, true
 	}
 	if s.surplusSince.IsZero() {
 		s.surplusSince = now
--- a/pkg/autoscale/autoscale_test.go
+++ b/pkg/autoscale/autoscale_test.go
@@ -46,7 +46,7 @@
 func TestPlanSurvivesLossOfTwoDataCenters(t *testing.T) {
 	for _, load := range []float64{0, 1, 4, 7, 12} {
 		demand := autoscale.Demand{Load: load, Measured: true}
-		orders, need := autoscale.Plan(newService(30), demand, reclaimableSupply(map[string]int{"a": 99, "b": 99, "c": 99, "d": 99}))
+		orders, need := autoscale.Plan(newService(30), demand, reclaimableSupply(map[string]int{"a": 99, "b": 99, "c": 99, "d": 99}), autoscale.Outlook{})
 		all := total(orders, true)
 		for i, o := range orders {
 			for _, other := range orders[:i] {
@@ -73,7 +73,7 @@
 		if price >= 1 {
 			serving = nil
 		}
-		orders, need := autoscale.Plan(priced, demand, reclaimableSupply(serving))
+		orders, need := autoscale.Plan(priced, demand, reclaimableSupply(serving), autoscale.Outlook{})
 		got := total(orders, true)
 		if got > previous || price < 1 && got < need || price >= 1 && got != 0 {
 			t.Errorf("price %.2f: got %d reclaimable endpoints for a need of %d, after %d at the previous price", price, got, need, previous)
@@ -87,7 +87,7 @@
 
 // Every data centre gets at least the operator's minimum of reclaimable endpoints.
 func TestPlanRespectsMinimum(t *testing.T) {
-	orders, _ := autoscale.Plan(newService(30), autoscale.Demand{Measured: true}, reclaimableSupply(nil))
+	orders, _ := autoscale.Plan(newService(30), autoscale.Demand{Measured: true}, reclaimableSupply(nil), autoscale.Outlook{})
 	for _, o := range orders {
 		if o.Reclaimable && o.Count < 1 {
 			t.Errorf("%s: got %d reclaimable endpoints, want at least 1", o.DataCenter, o.Count)
@@ -99,7 +99,7 @@
 // cheapest data centres first and within the maximum of each.
 func TestPlanFillsGapOnDemand(t *testing.T) {
 	demand := autoscale.Demand{Load: 14, Measured: true}
-	orders, need := autoscale.Plan(newService(10), demand, reclaimableSupply(map[string]int{"a": 2}))
+	orders, need := autoscale.Plan(newService(10), demand, reclaimableSupply(map[string]int{"a": 2}), autoscale.Outlook{})
 	if got, want := total(orders, false), need-2; got != want {
 		t.Errorf("on-demand endpoints: got %d, want %d", got, want)
 	}
@@ -121,11 +121,11 @@
 // a further loss most of the need must still be covered.
 func TestPlanPreparesForNextLoss(t *testing.T) {
 	demand := autoscale.Demand{Load: 20, Measured: true}
-	orders, need := autoscale.Plan(newService(99), demand, reclaimableSupply(map[string]int{"a": 14, "b": 14}))
+	orders, need := autoscale.Plan(newService(99), demand, reclaimableSupply(map[string]int{"a": 14, "b": 14}), autoscale.Outlook{})
 	if left := total(orders, false) + 14; float64(left) < 0.85*float64(need) {
 		t.Errorf("endpoints left after another loss: got %d of %d needed, want at least 85%%", left, need)
 	}
-	orders, _ = autoscale.Plan(newService(99), demand, reclaimableSupply(map[string]int{"a": 14, "b": 14, "c": 14, "d": 14}))
+	orders, _ = autoscale.Plan(newService(99), demand, reclaimableSupply(map[string]int{"a": 14, "b": 14, "c": 14, "d": 14}), autoscale.Outlook{})
 	if got := total(orders, false); got != 0 {
 		t.Errorf("on-demand endpoints while all reclaimable ones serve: got %d, want none", got)
 	}
@@ -135,8 +135,8 @@
 // after a reclaim, and no more on-demand endpoints than without load.
 func TestReclaimableCountBeforeLoadIsMeasured(t *testing.T) {
 	all := reclaimableSupply(map[string]int{"a": 99, "b": 99, "c": 99, "d": 99})
-	unmeasured, _ := autoscale.Plan(newService(30), autoscale.Demand{}, all)
-	measured, _ := autoscale.Plan(newService(30), autoscale.Demand{Measured: true}, all)
+	unmeasured, _ := autoscale.Plan(newService(30), autoscale.Demand{}, all, autoscale.Outlook{})
+	measured, _ := autoscale.Plan(newService(30), autoscale.Demand{Measured: true}, all, autoscale.Outlook{})
 	if got, minimum := total(unmeasured, true), 4*30/2; got < minimum {
 		t.Errorf("reclaimable endpoints before the load is measured: got %d of %d allowed, want at least %d", got, 4*30, minimum)
 	}
@@ -164,7 +164,7 @@
 		{"no limits", allowed, 0, 4 * allowed / 2, 4 * allowed},
 		{"limits above the endpoints allowed", 30, 1000, 4 * 30 / 2, 4 * 30},
 	} {
-		orders, _ := autoscale.Plan(newService(c.limit), autoscale.Demand{MaxLoad: c.limits}, all)
+		orders, _ := autoscale.Plan(newService(c.limit), autoscale.Demand{MaxLoad: c.limits}, all, autoscale.Outlook{})
 		if got := total(orders, true); got < c.atLeast || got > c.atMost {
 			t.Errorf("%s: got %d reclaimable endpoints, want %d to %d", c.name, got, c.atLeast, c.atMost)
 		}
@@ -175,7 +175,7 @@
 // serve.
 func TestPlanRetainsOnDemandUntilReplacementsServe(t *testing.T) {
 	booting := func(string, bool) (int, int) { return 0, 14 }
-	orders, need := autoscale.Plan(newService(30), autoscale.Demand{Load: 14, Measured: true}, booting)
+	orders, need := autoscale.Plan(newService(30), autoscale.Demand{Load: 14, Measured: true}, booting, autoscale.Outlook{})
 	retained, ordered := 0, 0
 	for _, o := range orders {
 		if !o.Reclaimable {
--- a/pkg/autoscale/plan.go
+++ b/pkg/autoscale/plan.go
@@ -44,8 +44,9 @@
 // Reclaimable endpoints are spread so that those left after the loss of some data
 // centres cover the need at the reclaimable price. While fewer are available than the
 // need at the full price, on-demand endpoints fill the gap, cheapest data centres first,
-// and are retained until the reclaimable ones that replace them serve.
-func Plan(service routetable.Service, demand Demand, supply Supply) ([]Order, int) {
+// and are retained until the reclaimable ones that replace them serve. During a wave of
+// losses as many on-demand endpoints are ordered as are worth their price.
+func Plan(service routetable.Service, demand Demand, supply Supply, outlook Outlook) ([]Order, int) {
 	s := service.Scaling
 	if s == nil || len(s.Prices) == 0 {
 		return nil, 0
@@ -59,12 +60,14 @@
 		withBooting.add(min(servingCount+booting, perDataCenter))
 		serving.add(min(servingCount, perDataCenter))
 	}
-	ordered := distributeOnDemand(dataCenters, withBooting.onDemandShortfall(need), s.MaxEndpoints)
-	retained := distributeOnDemand(dataCenters, serving.onDemandShortfall(need), s.MaxEndpoints)
+	onDemand := newPlacement(s, dataCenters, supply, outlook)
+	ordered := onDemand.place(withBooting.onDemand(need, outlook))
+	retained := onDemand.place(serving.onDemand(need, outlook))
 	var orders []Order
 	for _, dataCenter := range dataCenters {
 		retain := max(ordered[dataCenter], retained[dataCenter])
-		reclaimable := min(perDataCenter, s.MaxEndpoints-retain)
+		// Reclaimable endpoints return to where on-demand ones are only once those are gone.
+		reclaimable := min(perDataCenter, s.MaxEndpoints-max(retain, onDemand.existing[dataCenter]))
 		orders = append(orders,
 			Order{service.Name, dataCenter, true, reclaimable, reclaimable},
 			Order{service.Name, dataCenter, false, ordered[dataCenter], retain})
@@ -108,47 +111,23 @@
 const minPrice = 0.05
 
 // reclaimableTotals sums reclaimable endpoints over the data centres.
-type reclaimableTotals struct{ total, largest int }
+type reclaimableTotals struct {
+	total, largest int
+	counts         []int
+}
 
 func (r *reclaimableTotals) add(count int) {
 	r.total += count
 	r.largest = max(r.largest, count)
+	r.counts = append(r.counts, count)
 }
 
-// onDemandShortfall returns how many on-demand endpoints are missing to cover the need
-// now, or shareAfterLoss of it after the next reclaim, whichever is more.
-func (r *reclaimableTotals) onDemandShortfall(need int) int {
+// onDemand returns how many on-demand endpoints are wanted: those missing to cover the need
+// now, or shareAfterLoss of it after the next reclaim, or those worth their price during a
+// wave of losses, whichever is most.
+func (r *reclaimableTotals) onDemand(need int, outlook Outlook) int {
 	afterLoss := int(math.Ceil(shareAfterLoss*float64(need))) - (r.total - r.largest)
-	return max(need-r.total, afterLoss)
-}
-
-// distributeOnDemand returns the number of on-demand endpoints of each data centre. The
-// cheaper half of the data centres is filled first, so that the loss of one takes at most
-// half of the endpoints. An even distribution over all of them loses 0.05 more of the
-// answers' worth on a day on which on-demand endpoints serve all requests for 25 s.
-func distributeOnDemand(dataCenters []string, count, limit int) map[string]int {
-	counts := make(map[string]int, len(dataCenters))
-	remaining := distributeEvenly(dataCenters[:(len(dataCenters)+1)/2], counts, count, limit)
-	distributeEvenly(dataCenters, counts, remaining, limit)
-	return counts
-}
-
-// distributeEvenly adds endpoints to counts one data centre at a time, cheapest first,
-// up to limit each. It returns how many did not fit.
-func distributeEvenly(dataCenters []string, counts map[string]int, remaining, limit int) int {
-	for remaining > 0 {
-		previous := remaining
-		for _, dataCenter := range dataCenters {
-			if remaining > 0 && counts[dataCenter] < limit {
-				counts[dataCenter]++
-				remaining--
-			}
-		}
-		if remaining == previous {
-			return remaining
-		}
-	}
-	return 0
+	return max(need-r.total, afterLoss, cover(need, r.counts, outlook))
 }
 
 // dataCentersByPrice returns the data centres, cheapest first.
