autoscale: derive the need from slots, memory and refused work too

While callers were refused for 15 s, the on-demand count fell from 21 to 17 and then rose by one every 0.8 s: requests that found no endpoint were not counted, and the peak of the load decayed.

Hosts measure slot time, token time, the offered work and the part of it that was refused for lack of room, and send them in a datagram of their own and under a new key of their rows, as earlier versions reject longer arrays. The need is the largest of those by engine time, slots and memory (engine.kv_capacity). While a share r of the work is refused at n endpoints, it is at least n/(1-r) and does not fall; n is averaged like r, so that endpoints that have just begun to serve do not cause as many orders again. Refused work counts half, as callers return once. Refusals of less than 0.1 count only after 8 s, and during roll-outs none do.

--- a/pkg/app/node/duties.go
+++ b/pkg/app/node/duties.go
@@ -158,6 +158,8 @@
 		}
 	}
 	demands := n.view.Roster().Demands(now)
+	n.view.Roster().ApplyWork(string(n.incarnation), n.localWork(now), now)
+	work := n.view.Roster().Work(now)
 	maxDemand := 0.0
 	if rate, ok := current.TokenRate(); ok {
 		maxDemand = rate * initialEngineSpeed.Prefill.Seconds()
@@ -171,7 +173,7 @@
 			return serving[place], n.endpointReconciler.Booting(place, serving[place], service.Scaling.BootTime, now)
 		}
 		outlook := n.observeLosses(service, serving, now)
-		demand := n.serviceDemandTracker.Observe(service.Name, demands[service.Name], now)
+		demand := n.serviceDemandTracker.Observe(service.Name, n.observation(service.Name, demands[service.Name], work[service.Name], serving), now)
 		demand.MaxLoad = maxDemand
 		orders, _ := autoscale.Plan(service, demand, supply, outlook)
 		n.resetAfterRollout(service.Name)
@@ -185,6 +187,21 @@
 	}
 }
 
+// observation returns what all hosts measured of a service. Refusals during a roll-out do not count:
+// a request that finds no room at one version goes to the other.
+func (n *node) observation(service string, load float64, work roster.Work, serving map[autoscale.Pool]int) autoscale.Observation {
+	o := autoscale.Observation{Load: load, SlotTime: work.SlotTime, TokenTime: work.TokenTime, Offered: work.Offered, Refused: work.Refused}
+	if n.rollouts.InProgress(service) {
+		o.Refused = 0
+	}
+	for pool, count := range serving {
+		if pool.Service == service {
+			o.Serving += count
+		}
+	}
+	return o
+}
+
 // resetAfterRollout discards the orders of the reconciler for a service whose endpoints a roll-out has
 // replaced: the number of endpoints of the new version is the number that the operator started.
 func (n *node) resetAfterRollout(service string) {
--- a/pkg/app/node/heartbeat.go
+++ b/pkg/app/node/heartbeat.go
@@ -133,6 +133,7 @@
 	}
 	row.Loads = n.loadSync.LocalLoads()
 	row.Demands = n.localDemands(now)
+	row.Work = n.localWork(now)
 	value, err := row.Encode()
 	if err != nil {
 		n.log.Error().Err(err).Msg("own row not encoded")
--- a/pkg/app/node/loads.go
+++ b/pkg/app/node/loads.go
@@ -24,6 +24,26 @@
 	return demands
 }
 
+// minOfferedWork is the engine time per second below which no work is sent: averages decay but never
+// reach 0.
+const minOfferedWork = 0.001
+
+// localWork returns the work that this host's callers offer, for each service whose number of
+// endpoints is scaled.
+func (n *node) localWork(now time.Time) []roster.Work {
+	current, _ := n.view.RouteTables().Current()
+	if current == nil {
+		return nil
+	}
+	var list []roster.Work
+	for _, service := range current.Services() {
+		if w := n.router.Work(route.Target{Service: service.Name}, now); service.Scaling != nil && w.Offered > minOfferedWork {
+			list = append(list, roster.Work{Service: service.Name, SlotTime: w.SlotTime, TokenTime: w.TokenTime, Offered: w.Offered, Refused: w.Refused})
+		}
+	}
+	return list
+}
+
 // statusUpdate returns the update that this host sends to the others periodically.
 func (n *node) statusUpdate() gossip.Update {
 	now := n.clock.Now()
@@ -36,6 +56,7 @@
 		Placements: n.router.DrainPlacements(),
 		Cases:      n.quarantineWatch.Reports(now),
 		Notices:    n.noticeTracker.Reports(now),
+		Work:       n.localWork(now),
 	}
 }
 
@@ -54,6 +75,10 @@
 		n.noticeTracker.ApplyReports(update.Notices, now)
 		return
 	}
+	if len(update.Work) > 0 {
+		n.view.Roster().ApplyWork(update.Incarnation, update.Work, now)
+		return
+	}
 	if update.Subscribes {
 		n.view.Roster().Subscribe(update.Host, now)
 		return
--- a/pkg/autoscale/autoscale_test.go
+++ b/pkg/autoscale/autoscale_test.go
@@ -196,14 +196,14 @@
 func TestDemandDecaysSlowly(t *testing.T) {
 	tracker := autoscale.NewDemandTracker()
 	at := time.Unix(1000, 0)
-	tracker.Observe("svc", 10, at)
-	if got := tracker.Observe("svc", 0.5, at.Add(5*time.Second)); got.Load < 7 || got.Measured {
+	tracker.Observe("svc", autoscale.Observation{Load: 10}, at)
+	if got := tracker.Observe("svc", autoscale.Observation{Load: 0.5}, at.Add(5*time.Second)); got.Load < 7 || got.Measured {
 		t.Errorf("after 5 s: got %+v, want most of the load, not measured yet", got)
 	}
-	if got := tracker.Observe("svc", 0.5, at.Add(time.Minute)); got.Load > 1 || !got.Measured {
+	if got := tracker.Observe("svc", autoscale.Observation{Load: 0.5}, at.Add(time.Minute)); got.Load > 1 || !got.Measured {
 		t.Errorf("after a minute: got %+v, want the present load, measured", got)
 	}
-	if got := tracker.Observe("other", 0, at.Add(time.Minute)); got.Load != 0 || got.Measured {
+	if got := tracker.Observe("other", autoscale.Observation{}, at.Add(time.Minute)); got.Load != 0 || got.Measured {
 		t.Errorf("a service without load: got %+v, want it unmeasured", got)
 	}
 }
--- a/pkg/autoscale/losses.go
+++ b/pkg/autoscale/losses.go
@@ -140,13 +140,14 @@
 // Outlook returns the probability of further losses as of now.
 func (l *Losses) Outlook(now time.Time) Outlook {
 	l.settle(now)
-	outlook := Outlook{Known: !l.lastAt.IsZero()}
+	outlook := Outlook{Known: !l.lastAt.IsZero(), NoOnDemand: map[string]bool{}, NoReclaimable: map[string]bool{}}
 	for pool, at := range l.refusedAt {
-		if !pool.Reclaimable && now.Sub(at) < refusalMemory {
-			if outlook.Full == nil {
-				outlook.Full = map[string]bool{}
-			}
-			outlook.Full[pool.DataCenter] = true
+		switch {
+		case now.Sub(at) >= refusalMemory:
+		case pool.Reclaimable:
+			outlook.NoReclaimable[pool.DataCenter] = true
+		default:
+			outlook.NoOnDemand[pool.DataCenter] = true
 		}
 	}
 	if !l.pending {
@@ -158,8 +159,9 @@
 	return outlook
 }
 
-// refusalMemory is how long a data centre that refused an on-demand order gets no further
-// ones, so that they are ordered in others.
+// refusalMemory is how long after a refused order the data centre counts as having no
+// endpoints of the class, so that others are ordered instead. The order itself is repeated
+// more often.
 const refusalMemory = 6 * time.Second
 
 // survival returns the probability that a loss that will be followed by another one has not
@@ -178,8 +180,9 @@
 	// Next is the probability that another data centre loses its reclaimable endpoints in
 	// the present wave, Chain the probability that each such loss is followed by another.
 	Next, Chain float64
-	// Full has the data centres that recently refused on-demand orders.
-	Full map[string]bool
+	// NoOnDemand and NoReclaimable have the data centres that recently refused orders of the
+	// class.
+	NoOnDemand, NoReclaimable map[string]bool
 }
 
 // InWave reports whether further losses are likely enough to count as a wave.
--- a/pkg/autoscale/placement.go
+++ b/pkg/autoscale/placement.go
@@ -7,18 +7,19 @@
 	// dataCenters is sorted by price, cheapest first.
 	dataCenters []string
 	// existing and room are the on-demand endpoints that serve or boot, and how many fit
-	// beside the reclaimable ones, by data centre. Both are nil before the first loss.
+	// beside the reclaimable ones, by data centre. Both are nil if neither
+	// losses nor refused work are known.
 	existing, room map[string]int
 	// limit is the number of endpoints of both classes in one data centre.
 	limit int
 }
 
-// newPlacement returns the placement of a service. After a loss, on-demand endpoints are
-// placed beside the reclaimable ones that serve or boot, which are never given up to make
+// newPlacement returns the placement of a service. After a loss, or while work is refused,
+// on-demand endpoints are placed beside the reclaimable ones that serve or boot, which are never given up to make
 // room: the endpoints that the data centre has lost leave enough.
-func newPlacement(s *routetable.Scaling, dataCenters []string, supply Supply, outlook Outlook) placement {
+func newPlacement(s *routetable.Scaling, dataCenters []string, supply Supply, outlook Outlook, refusing bool) placement {
 	p := placement{dataCenters: dataCenters, limit: s.MaxEndpoints}
-	if !outlook.Known {
+	if !outlook.Known && !refusing {
 		return p
 	}
 	p.existing, p.room = map[string]int{}, map[string]int{}
@@ -27,7 +28,7 @@
 		onDemand, onDemandBooting := supply(dataCenter, false)
 		p.existing[dataCenter] = onDemand + onDemandBooting
 		p.room[dataCenter] = max(s.MaxEndpoints-reclaimable-reclaimableBooting, 0)
-		if outlook.Full[dataCenter] {
+		if outlook.NoOnDemand[dataCenter] {
 			p.room[dataCenter] = min(p.room[dataCenter], p.existing[dataCenter])
 		}
 	}
--- a/pkg/autoscale/plan.go
+++ b/pkg/autoscale/plan.go
@@ -34,13 +34,48 @@
 	toleratedLosses = 2
 )
 
+// Need is the number of endpoints that a service needs at the full price, by resource.
+type Need struct {
+	// EngineTime, Slots and Memory cover the load. Slots and Memory are 0 where they are no
+	// constraint.
+	EngineTime, Slots, Memory int
+	// Refused is the number with which no work would be refused for lack of room, 0 if none
+	// is.
+	Refused int
+}
+
+// Resources returns the number of endpoints whose resources cover the load.
+func (n Need) Resources() int { return max(n.EngineTime, n.Slots, n.Memory) }
+
+// Total returns the number of endpoints needed.
+func (n Need) Total() int { return max(n.Resources(), n.Refused) }
+
+// NeedOf returns the need of a service.
+func NeedOf(service routetable.Service, demand Demand) Need {
+	return Need{
+		EngineTime: endpointsNeeded(demand.Load, 1),
+		Slots:      endpointsFor(demand.SlotTime, service.Slots),
+		Memory:     endpointsFor(demand.TokenTime, service.MemoryTokens),
+		Refused:    int(math.Ceil(demand.Refused)),
+	}
+}
+
+// endpointsFor returns how many endpoints hold an amount of a resource at the utilization
+// limit, given the capacity of each; 0 if the capacity is not known.
+func endpointsFor(amount float64, capacity int) int {
+	if capacity <= 0 {
+		return 0
+	}
+	return int(math.Ceil(amount / (fullPriceUtilization * float64(capacity))))
+}
+
 // endpointsNeeded returns how many endpoints it pays to run for a load, at a price
 // relative to the full price.
 func endpointsNeeded(load, price float64) int {
 	return max(int(math.Ceil(load/(fullPriceUtilization*math.Pow(price, utilizationPriceExponent)))), 1)
 }
 
-// Plan returns the orders for a service and the least number of endpoints it needs.
+// Plan returns the orders for a service and the number of endpoints it needs.
 // Reclaimable endpoints are spread so that those left after the loss of some data
 // centres cover the need at the reclaimable price. While fewer are available than the
 // need at the full price, on-demand endpoints fill the gap, cheapest data centres first,
@@ -52,17 +87,25 @@
 		return nil, 0
 	}
 	dataCenters := dataCentersByPrice(s.Prices)
-	need := endpointsNeeded(demand.Load, 1)
-	perDataCenter := reclaimablePerDataCenter(s, demand, len(dataCenters))
+	need := NeedOf(service, demand)
+	perDataCenter := reclaimablePerDataCenter(s, demand, need, len(dataCenters))
 	var withBooting, serving reclaimableTotals
+	orderable := 0
 	for _, dataCenter := range dataCenters {
 		servingCount, booting := supply(dataCenter, true)
 		withBooting.add(min(servingCount+booting, perDataCenter))
 		serving.add(min(servingCount, perDataCenter))
+		if outlook.NoReclaimable[dataCenter] {
+			orderable += min(servingCount+booting, perDataCenter)
+		} else {
+			orderable += perDataCenter
+		}
 	}
-	onDemand := newPlacement(s, dataCenters, supply, outlook)
-	ordered := onDemand.place(withBooting.onDemand(need, outlook))
-	retained := onDemand.place(serving.onDemand(need, outlook))
+	// Reclaimable endpoints that are ordered now serve as soon as on-demand ones would.
+	refused := need.Refused - orderable
+	onDemand := newPlacement(s, dataCenters, supply, outlook, need.Refused > 0)
+	ordered := onDemand.place(max(withBooting.onDemand(need.Resources(), outlook), refused))
+	retained := onDemand.place(max(serving.onDemand(need.Resources(), outlook), refused))
 	var orders []Order
 	for _, dataCenter := range dataCenters {
 		retain := max(ordered[dataCenter], retained[dataCenter])
@@ -72,14 +115,16 @@
 			Order{service.Name, dataCenter, true, reclaimable, reclaimable},
 			Order{service.Name, dataCenter, false, ordered[dataCenter], retain})
 	}
-	return orders, need
+	return orders, need.Total()
 }
 
 // reclaimablePerDataCenter returns the number of reclaimable endpoints of each data
 // centre. Fewer losses are tolerated where the spare endpoints for them would make the
 // reclaimable ones cost more than the need on demand; at the full price there are none.
-func reclaimablePerDataCenter(s *routetable.Scaling, demand Demand, dataCenters int) int {
-	need := endpointsNeeded(demand.Load, max(s.ReclaimablePrice, minPrice))
+func reclaimablePerDataCenter(s *routetable.Scaling, demand Demand, full Need, dataCenters int) int {
+	// Spare slots and memory do not shorten the time to the first token as spare engine time
+	// does, so the need of them does not grow as the price falls.
+	need := max(endpointsNeeded(demand.Load, max(s.ReclaimablePrice, minPrice)), full.Slots, full.Memory)
 	losses := min(toleratedLosses, dataCenters-1)
 	for losses > 0 && s.ReclaimablePrice*float64(dataCenters) > float64(dataCenters-losses) {
 		losses--
@@ -91,6 +136,8 @@
 	if !demand.Measured {
 		count = max(count, reclaimableBeforeMeasurement(s, demand, dataCenters-losses))
 	}
+	// Endpoints that are needed because work is refused are added without further spare ones.
+	count = max(count, (full.Refused+dataCenters-1)/dataCenters)
 	return min(max(count, s.MinEndpoints), s.MaxEndpoints)
 }
 
--- a/pkg/gossip/events.go
+++ b/pkg/gossip/events.go
@@ -32,6 +32,8 @@
 	HostCount int `cbor:"11,keyasint,omitempty"`
 	// Limits holds the rate limits reported by endpoints.
 	Limits []wireLimit `cbor:"12,keyasint,omitempty"`
+	// Work holds the work offered to the sender.
+	Work []wireWork `cbor:"20,keyasint,omitempty"`
 }
 
 // isMapMessage reports whether a datagram is a CBOR map, by the major type in its first three
@@ -62,7 +64,7 @@
 	if m.Subscribes && len(m.Hosts) == 1 && m.Hosts[0].Incarnation == m.Incarnation {
 		return Update{Status: roster.Status{Host: m.digest().Hosts[0]}, Brief: true, Subscribes: true}, nil
 	}
-	update := Update{Brief: true, Cases: m.cases(now), Notices: m.notices(), TeamUsage: decodeTeamUsage(m.TeamUsage), Digest: m.digest()}
+	update := Update{Brief: true, Cases: m.cases(now), Notices: m.notices(), TeamUsage: decodeTeamUsage(m.TeamUsage), Work: m.work(), Digest: m.digest()}
 	update.Status = roster.Status{Host: roster.Host{Incarnation: m.Incarnation}, Counts: decodeCounts(m.Counts)}
 	return update, nil
 }
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -54,6 +54,8 @@
 	// TeamUsage and Counts when there are many teams; the received Update is then Brief.
 	Cases   []quarantine.Case
 	Notices []notice.Report
+	// Work holds the work offered to the sender, sent in datagrams of its own.
+	Work []roster.Work
 	// Digest is sent by an aggregator, also in its own datagram.
 	Digest roster.Digest
 	// Subscribes reports whether the sender subscribes to digests; nothing else is sent then.
@@ -80,6 +82,8 @@
 	// in the last update. Only Run uses them.
 	digestRounds int
 	activity     roster.Activity
+	// workSentAt is when the offered work was last sent. Only Run uses it.
+	workSentAt time.Time
 }
 
 // Listen opens the UDP socket of the exchange. localUpdate returns the state to send, now returns
@@ -118,7 +122,7 @@
 		if sendInfrequent {
 			peers = slices.Concat(recipients.Frequent, recipients.Infrequent)
 		}
-		e.send(peers)
+		e.send(peers, sendInfrequent)
 		if sendInfrequent && len(recipients.Aggregators) > 0 {
 			e.subscribe(recipients.Aggregators)
 		}
@@ -183,7 +187,7 @@
 	return delay, s.infrequentDue(delay, infrequentInterval)
 }
 
-func (e *Exchange) send(peers []string) {
+func (e *Exchange) send(peers []string, sendInfrequent bool) {
 	if len(peers) == 0 {
 		// Data that is sent only once, such as placements, must not be consumed without a
 		// recipient.
@@ -192,6 +196,9 @@
 	update := e.localUpdate()
 	e.recordActivity(update)
 	e.sendUpdate(update, peers)
+	if e.workDue(sendInfrequent, e.now()) {
+		e.sendWork(update.Work, peers)
+	}
 }
 
 func (e *Exchange) sendUpdate(update Update, peers []string) {
--- a/pkg/roster/row.go
+++ b/pkg/roster/row.go
@@ -27,6 +27,15 @@
 	Rate    float64
 }
 
+// Work is the work that callers offer one entry host for a service, per second.
+type Work struct {
+	Service string
+	// SlotTime is in slot seconds, TokenTime in tokens multiplied by seconds.
+	SlotTime, TokenTime float64
+	// Offered is in engine seconds; Refused is the part of it that was refused for lack of room.
+	Offered, Refused float64
+}
+
 // RequestCount is the number of requests of a team that started to run in a window.
 type RequestCount struct {
 	Window  int64
@@ -84,6 +93,7 @@
 	Loads       []Load
 	Counts      []RequestCount
 	Demands     []Demand
+	Work        []Work
 }
 
 // wireRow is a row as it is stored. Its lists are encoded as arrays of their fields, in order.
@@ -101,6 +111,7 @@
 	StartedAtMS   int64        `cbor:"12,keyasint,omitempty"`
 	Millicores    int          `cbor:"13,keyasint,omitempty"`
 	WrittenAtMS   int64        `cbor:"14,keyasint,omitempty"`
+	Work          []wireWork   `cbor:"20,keyasint,omitempty"`
 }
 
 type wireLoad struct {
@@ -116,6 +127,15 @@
 	Rate    float32
 }
 
+type wireWork struct {
+	_         struct{} `cbor:",toarray"`
+	Service   string
+	SlotTime  float32
+	TokenTime float32
+	Offered   float32
+	Refused   float32
+}
+
 type wireCount struct {
 	_       struct{} `cbor:",toarray"`
 	Window  int64
@@ -138,6 +158,9 @@
 	for _, d := range r.Demands {
 		w.Demands = append(w.Demands, wireDemand{Service: d.Service, Rate: float32(d.Rate)})
 	}
+	for _, o := range r.Work {
+		w.Work = append(w.Work, wireWork{Service: o.Service, SlotTime: float32(o.SlotTime), TokenTime: float32(o.TokenTime), Offered: float32(o.Offered), Refused: float32(o.Refused)})
+	}
 	return cbor.Marshal(w)
 }
 
@@ -165,5 +188,8 @@
 	for _, d := range w.Demands {
 		r.Demands = append(r.Demands, Demand{d.Service, float64(d.Rate)})
 	}
+	for _, o := range w.Work {
+		r.Work = append(r.Work, Work{o.Service, float64(o.SlotTime), float64(o.TokenTime), float64(o.Offered), float64(o.Refused)})
+	}
 	return r, nil
 }
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -251,15 +251,17 @@
 		best = g.pickNaive(q, strategy, now)
 	}
 	if best == nil {
+		g.countUnplaced(q, now)
 		return Choice{}, false
 	}
 	uncached := max(q.PromptTokens-score.cachedTokens, 0)
-	g.demand.add(g.engineTime(uncached, q.AnswerTokens), now)
 	choice := Choice{
 		Endpoint: best.info, Expected: score.total, Wait: score.wait, Queued: score.queueTime, LeastQueued: score.leastQueueTime,
 		CachedTokens: score.cachedTokens, sentAt: now, uncachedTokens: uncached, aheadTokens: score.aheadTokens,
 	}
-	if q.Accepts != nil && !q.Accepts(choice) {
+	refused := q.Accepts != nil && !q.Accepts(choice)
+	g.countOffered(q, uncached, refused, now)
+	if refused {
 		return Choice{}, false
 	}
 	r.recordChoice(q, choice, best)
--- a/pkg/routetable/routetable.go
+++ b/pkg/routetable/routetable.go
@@ -73,6 +73,8 @@
 	MaxConnections int
 	// Slots is the number of requests that an engine runs concurrently; 0 for a plain service.
 	Slots int
+	// MemoryTokens is the number of tokens that an engine holds in memory; 0 if not known.
+	MemoryTokens int
 	// TokensPerEvent is the number of tokens in one event of a stream; 1 if not known.
 	TokensPerEvent int
 	// Scaling is nil for services of fixed size.
