--- a/pkg/app/node/duties.go
+++ b/pkg/app/node/duties.go
@@ -44,6 +44,7 @@
 			held = nowHeld
 			n.log.Info().Bool("held", held).Msg("lease of the duties")
 			n.endpointReconciler.Reset()
+			n.losses.Reset()
 		}
 		if held {
 			n.performDuties(ctx)
@@ -157,6 +158,8 @@
 		}
 	}
 	demands := n.view.Roster().Demands(now)
+	n.view.Roster().ApplyWork(string(n.incarnation), n.localWork(now), now)
+	work := n.view.Roster().Work(now)
 	maxDemand := 0.0
 	if rate, ok := current.TokenRate(); ok {
 		maxDemand = rate * initialEngineSpeed.Prefill.Seconds()
@@ -169,16 +172,34 @@
 			place := autoscale.Pool{Service: service.Name, DataCenter: dataCenter, Reclaimable: reclaimable}
 			return serving[place], n.endpointReconciler.Booting(place, serving[place], service.Scaling.BootTime, now)
 		}
-		demand := n.serviceDemandTracker.Observe(service.Name, demands[service.Name], now)
+		outlook := n.observeLosses(service, serving, now)
+		demand := n.serviceDemandTracker.Observe(service.Name, n.observation(service.Name, demands[service.Name], work[service.Name], serving), now)
 		demand.MaxLoad = maxDemand
-		orders, _ := autoscale.Plan(service, demand, supply)
+		orders, _ := autoscale.Plan(service, demand, supply, outlook)
 		n.resetAfterRollout(service.Name)
 		if n.rollouts.InProgress(service.Name) {
 			preventScaleDown(orders, service.Scaling.MaxEndpoints)
 		}
 		count := func(p autoscale.Pool) int { return serving[p] }
-		n.endpointReconciler.Reconcile(ctx, orders, count, service.Scaling.BootTime, now, held)
+		for _, pool := range n.endpointReconciler.Reconcile(ctx, orders, count, service.Scaling.BootTime, now, held) {
+			n.losses.Of(service.Name).RecordRefusal(pool, now)
+		}
+	}
+}
+
+// observation returns what all hosts measured of a service. Refusals during a roll-out do not count:
+// a request that finds no room at one version goes to the other.
+func (n *node) observation(service string, load float64, work roster.Work, serving map[autoscale.Pool]int) autoscale.Observation {
+	o := autoscale.Observation{Load: load, SlotTime: work.SlotTime, TokenTime: work.TokenTime, Offered: work.Offered, Refused: work.Refused}
+	if n.rollouts.InProgress(service) {
+		o.Refused = 0
+	}
+	for pool, count := range serving {
+		if pool.Service == service {
+			o.Serving += count
+		}
 	}
+	return o
 }
 
 // resetAfterRollout discards the orders of the reconciler for a service whose endpoints a roll-out has
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -254,13 +254,17 @@
 	} else {
 		best = g.pickNaive(q, strategy, now)
 	}
-	if best != nil {
+	if best == nil {
+		g.countUnplaced(q, now)
+	} else {
 		choice := newChoice(q, best, score, now)
-		g.demand.add(g.engineTime(choice.uncachedTokens, q.AnswerTokens), now)
-		if q.Accepts == nil || q.Accepts(choice) {
+		refused := q.Accepts != nil && !q.Accepts(choice)
+		g.countOffered(q, choice.uncachedTokens, refused, now)
+		if !refused {
 			return r.take(q, choice, best), true
 		}
 	}
+	// The work counts as refused also if a leaving endpoint takes it: others must replace that.
 	if best, score = r.pickLeaving(g, byID, q, now); best != nil {
 		if choice := newChoice(q, best, score, now); q.Accepts == nil || q.Accepts(choice) {
 			return r.take(q, choice, best), true
