--- a/pkg/route/leaving_test.go
+++ b/pkg/route/leaving_test.go
@@ -25,9 +25,13 @@
 }
 
 // shortQuery is a request that takes some 0.5 s on an idle endpoint, longQuery one of some 5 s.
-func shortQuery() route.Query { return route.Query{Target: target, PromptTokens: 500, AnswerTokens: 10} }
+func shortQuery() route.Query {
+	return route.Query{Target: target, PromptTokens: 500, AnswerTokens: 10}
+}
 
-func longQuery() route.Query { return route.Query{Target: target, PromptTokens: 500, AnswerTokens: 200} }
+func longQuery() route.Query {
+	return route.Query{Target: target, PromptTokens: 500, AnswerTokens: 200}
+}
 
 // All endpoints are reclaimed at once and their replacements boot for longer than the notice.
 // Guards against refusing requests that the leaving endpoints finish in time, and against sending
