scalesync: pass orders, losses and the need to the next holder of the lease

A holder that could not reach the store did not see a reclaim. The next holder knew neither the loss nor what was ordered, counted the load as not measured, and ordered the first on-demand endpoints 1.8 s after it had the lease.

The holder writes a row for each service when its orders, refusals or losses change, at most once a second and outside of the duties' loop. A new holder reads it before its first order, for 0.4 s at most: it counts what was ordered, keeps the losses and the peak of the need, and notices data centres that were lost since. A row of a later epoch is left unchanged. Without a usable row the holder behaves as before.

--- a/pkg/app/node/duties.go
+++ b/pkg/app/node/duties.go
@@ -36,6 +36,7 @@
 	// The lease is never released: the next holder waits until it has expired, so that two holders
 	// never act alternately within the duration of one lease.
 	go n.renewLease(ctx)
+	go n.scaleStates.Run(ctx)
 	notices := pause.NewSignal()
 	n.view.Directory().SubscribeLeaving(func(endpoint.Info) { notices.Set() })
 	held := false
@@ -47,6 +48,7 @@
 			n.log.Info().Bool("held", held).Msg("lease of the duties")
 			n.endpointReconciler.Reset()
 			n.losses.Reset()
+			n.scaleStates.Reset()
 		}
 		if held {
 			n.performDuties(ctx, onNotice)
@@ -178,6 +180,11 @@
 		if service.Scaling == nil {
 			continue
 		}
+		grant, ok := held()
+		if !ok {
+			return
+		}
+		n.takeOver(ctx, service, grant, serving, now)
 		supply := func(dataCenter string, reclaimable bool) (int, int) {
 			place := autoscale.Pool{Service: service.Name, DataCenter: dataCenter, Reclaimable: reclaimable}
 			return serving[place], n.endpointReconciler.Booting(place, serving[place], service.Scaling.BootTime, now)
@@ -194,6 +201,7 @@
 		for _, pool := range n.endpointReconciler.Reconcile(ctx, orders, count, service.Scaling.BootTime, now, held) {
 			n.losses.Of(service.Name).RecordRefusal(pool, now)
 		}
+		n.scaleStates.Save(service.Name, grant, n.scaleState(service.Name))
 	}
 }
 
--- a/pkg/app/node/losses.go
+++ b/pkg/app/node/losses.go
@@ -1,9 +1,11 @@
 package node
 
 import (
+	"context"
 	"time"
 
 	"ironhollow/pkg/autoscale"
+	"ironhollow/pkg/lease"
 	"ironhollow/pkg/routetable"
 )
 
@@ -30,3 +32,24 @@
 	}
 	return losses.Outlook(now)
 }
+
+// takeOver reads what an earlier holder of the lease ordered and recorded for a service, before the
+// first order under a lease.
+func (n *node) takeOver(ctx context.Context, service routetable.Service, grant lease.Grant, serving map[autoscale.Pool]int, now time.Time) {
+	state, ok := n.scaleStates.Load(ctx, service.Name, grant)
+	if !ok {
+		return
+	}
+	n.endpointReconciler.Restore(state.Pools, func(p autoscale.Pool) int { return serving[p] })
+	n.losses.Of(service.Name).Restore(state.Losses, state.Pools, service.Scaling.BootTime, now)
+	n.serviceDemandTracker.Restore(service.Name, state.Demand, now)
+}
+
+// scaleState returns what the next holder of the lease must know of a service.
+func (n *node) scaleState(service string) autoscale.State {
+	return autoscale.State{
+		Pools:  n.endpointReconciler.State(service),
+		Losses: n.losses.Of(service).State(),
+		Demand: n.serviceDemandTracker.State(service),
+	}
+}
--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -33,6 +33,7 @@
 	"ironhollow/pkg/rollout"
 	"ironhollow/pkg/rolloutsync"
 	"ironhollow/pkg/route"
+	"ironhollow/pkg/scalesync"
 	"ironhollow/pkg/storecalls"
 	"ironhollow/pkg/storeclock"
 	"ironhollow/pkg/storeview"
@@ -82,6 +83,7 @@
 	leases               *lease.Manager
 	serviceDemandTracker *autoscale.DemandTracker
 	losses               *autoscale.LossTracker
+	scaleStates          *scalesync.Syncer
 	forwarder            *forward.Forwarder
 	registry             *prometheus.Registry
 	row                  *rowState
--- a/pkg/app/node/providers.go
+++ b/pkg/app/node/providers.go
@@ -31,6 +31,7 @@
 	"ironhollow/pkg/rolloutsync"
 	"ironhollow/pkg/roster"
 	"ironhollow/pkg/route"
+	"ironhollow/pkg/scalesync"
 	"ironhollow/pkg/storecalls"
 	"ironhollow/pkg/storeclock"
 	"ironhollow/pkg/storeview"
@@ -169,6 +170,10 @@
 	return autoscale.NewReconciler(cloud, logger)
 }
 
+func newScaleStates(writer *table.Writer, clock *storeclock.Clock, logger *log.Logger) *scalesync.Syncer {
+	return scalesync.New(writer, clock, logger)
+}
+
 func newRetryBudget(s Settings) *retry.WindowBudget {
 	return retry.NewWindowBudget(s.Retry.Share, s.Retry.Slack, s.Retry.Window)
 }
--- a/pkg/app/node/wire_gen.go
+++ b/pkg/app/node/wire_gen.go
@@ -38,6 +38,7 @@
 	reconciler := newReconciler(nodeDutyCloud, logger)
 	demandTracker := autoscale.NewDemandTracker()
 	lossTracker := autoscale.NewLossTracker()
+	syncer := newScaleStates(writer, clock, logger)
 	windowBudget := newRetryBudget(settings)
 	watch := newQuarantineWatch(registry, logger)
 	tracker := newNoticeTracker(view, router, logger)
@@ -47,7 +48,7 @@
 	coordinator := newCoordinator(platform, splitter, view, writer, clock, manager, logger)
 	nodeRolloutSender := &rolloutSender{}
 	nodeCompletedOrders := newCompletedOrders()
-	syncer := newQuarantineSyncer(watch, writer, clock, view, logger)
+	quarantinesyncSyncer := newQuarantineSyncer(watch, writer, clock, view, logger)
 	watchdog := newWatchdog(registry, logger)
 	nodeSuspendLog := &suspendLog{}
 	nodeNode := &node{
@@ -71,6 +72,7 @@
 		leases:               manager,
 		serviceDemandTracker: demandTracker,
 		losses:               lossTracker,
+		scaleStates:          syncer,
 		forwarder:            forwarder,
 		registry:             registry,
 		row:                  nodeRowState,
@@ -80,7 +82,7 @@
 		rolloutSender:        nodeRolloutSender,
 		appliedOrders:        nodeCompletedOrders,
 		quarantineWatch:      watch,
-		quarantineSyncer:     syncer,
+		quarantineSyncer:     quarantinesyncSyncer,
 		noticeTracker:        tracker,
 		watchdog:             watchdog,
 		suspendLog:           nodeSuspendLog,
--- a/pkg/autoscale/autoscale.go
+++ b/pkg/autoscale/autoscale.go
@@ -85,6 +85,8 @@
 	bootingCount int
 	initialized  bool
 	orderedAt    time.Time
+	// refusedAt is when an order was last refused for lack of capacity.
+	refusedAt time.Time
 	// notBefore delays the next order for the pool.
 	notBefore time.Time
 	// surplusSince is when a count below orderedCount was first wanted; zero if none is.
@@ -167,6 +169,7 @@
 		}
 		if errors.Is(err, ErrNoCapacity) {
 			refused = append(refused, order.Pool())
+			state.refusedAt = now
 		}
 		entry.Str("service", order.Service).Str("dc", order.DataCenter).Bool("reclaimable", order.Reclaimable).
 			Int("count", count).Int("serving", servingCount).Int64("epoch", grant.Epoch).Msg("endpoints ordered")
