--- a/pkg/app/node/providers.go
+++ b/pkg/app/node/providers.go
@@ -31,6 +31,7 @@
 	"ironhollow/pkg/rolloutsync"
 	"ironhollow/pkg/roster"
 	"ironhollow/pkg/route"
+	"ironhollow/pkg/scalesync"
 	"ironhollow/pkg/storecalls"
 	"ironhollow/pkg/storeclock"
 	"ironhollow/pkg/storeview"
@@ -92,8 +93,8 @@
 			return (previousErr == nil) != (currentErr == nil)
 		}
 		// Only the first row with a time left is of use: each later one states the same end.
-		if previousInfo.LeaveIn > 0 && currentInfo.LeaveIn > 0 {
-			previousInfo.LeaveIn = currentInfo.LeaveIn
+		if previousInfo.LeavesIn > 0 && currentInfo.LeavesIn > 0 {
+			previousInfo.LeavesIn = currentInfo.LeavesIn
 		}
 		return previousInfo != currentInfo
 	}
@@ -175,6 +176,10 @@
 	return autoscale.NewReconciler(cloud, logger)
 }
 
+func newScaleStates(writer *table.Writer, clock *storeclock.Clock, logger *log.Logger) *scalesync.Syncer {
+	return scalesync.New(writer, clock, logger)
+}
+
 func newRetryBudget(s Settings) *retry.WindowBudget {
 	return retry.NewWindowBudget(s.Retry.Share, s.Retry.Slack, s.Retry.Window)
 }
--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -35,7 +35,7 @@
 	case "leaving":
 		info.State = endpoint.Leaving
 	case "reclaimed":
-		info.State, info.LeaveIn = endpoint.Leaving, 2*time.Second
+		info.State, info.LeavesIn = endpoint.Leaving, 2*time.Second
 	default:
 		return info, errors.New("unknown state")
 	}
--- a/pkg/endpoint/endpoint.go
+++ b/pkg/endpoint/endpoint.go
@@ -77,9 +77,9 @@
 	LeaveBy time.Time
 	// LeavingSince is when this process read in the endpoint's row that it leaves; zero before.
 	LeavingSince time.Time
-	// LeaveIn is the time left to a leaving endpoint as its row states it; 0 if it states none. A
+	// LeavesIn is the time left to a leaving endpoint as its row states it; 0 if it states none. A
 	// directory holds LeaveBy instead.
-	LeaveIn time.Duration
+	LeavesIn time.Duration
 }
 
 // Ref identifies one incarnation of an endpoint.
