--- a/pkg/app/node/duties.go
+++ b/pkg/app/node/duties.go
@@ -12,6 +12,7 @@
 	"ironhollow/pkg/lease"
 	"ironhollow/pkg/pause"
 	"ironhollow/pkg/roster"
+	"ironhollow/pkg/routetable"
 	"ironhollow/pkg/storeview"
 	"ironhollow/pkg/table"
 	"ironhollow/pkg/usage"
@@ -49,6 +50,7 @@
 			n.endpointReconciler.Reset()
 			n.losses.Reset()
 			n.scaleStates.Reset()
+			n.scaleMetrics.Reset()
 		}
 		if held {
 			n.performDuties(ctx, onNotice)
@@ -185,26 +187,33 @@
 			return
 		}
 		n.takeOver(ctx, service, grant, serving, now)
-		supply := func(dataCenter string, reclaimable bool) (int, int) {
-			place := autoscale.Pool{Service: service.Name, DataCenter: dataCenter, Reclaimable: reclaimable}
-			return serving[place], n.endpointReconciler.Booting(place, serving[place], service.Scaling.BootTime, now)
-		}
-		outlook := n.observeLosses(service, serving, now)
-		demand := n.serviceDemandTracker.Observe(service.Name, n.observation(service.Name, demands[service.Name], work[service.Name], serving), now)
+		o := n.observation(service.Name, demands[service.Name], work[service.Name], serving)
+		demand := n.serviceDemandTracker.Observe(service.Name, o, now)
 		demand.MaxLoad = maxDemand
-		orders, _ := autoscale.Plan(service, demand, supply, outlook)
-		n.resetAfterRollout(service.Name)
-		if n.rollouts.InProgress(service.Name) {
-			preventScaleDown(orders, service.Scaling.MaxEndpoints)
-		}
-		count := func(p autoscale.Pool) int { return serving[p] }
-		for _, pool := range n.endpointReconciler.Reconcile(ctx, orders, count, service.Scaling.BootTime, now, held) {
-			n.losses.Of(service.Name).RecordRefusal(pool, now)
-		}
+		n.orderService(ctx, service, demand, serving, now, held)
 		n.scaleStates.Save(service.Name, grant, n.scaleState(service.Name))
 	}
 }
 
+// orderService plans and orders the endpoints of one service.
+func (n *node) orderService(ctx context.Context, service routetable.Service, demand autoscale.Demand, serving map[autoscale.Pool]int, now time.Time, held func() (lease.Grant, bool)) {
+	supply := func(dataCenter string, reclaimable bool) (int, int) {
+		place := autoscale.Pool{Service: service.Name, DataCenter: dataCenter, Reclaimable: reclaimable}
+		return serving[place], n.endpointReconciler.Booting(place, serving[place], service.Scaling.BootTime, now)
+	}
+	outlook := n.observeLosses(service, autoscale.NeedOf(service, demand), serving, now)
+	orders, _ := autoscale.Plan(service, demand, supply, outlook)
+	n.resetAfterRollout(service.Name)
+	if n.rollouts.InProgress(service.Name) {
+		preventScaleDown(orders, service.Scaling.MaxEndpoints)
+	}
+	count := func(p autoscale.Pool) int { return serving[p] }
+	for _, pool := range n.endpointReconciler.Reconcile(ctx, orders, count, service.Scaling.BootTime, now, held) {
+		n.losses.Of(service.Name).RecordRefusal(pool, now)
+		n.scaleMetrics.CountRefusal(pool)
+	}
+}
+
 // observation returns what all hosts measured of a service. Refusals during a roll-out do not count:
 // a request that finds no room at one version goes to the other.
 func (n *node) observation(service string, load float64, work roster.Work, serving map[autoscale.Pool]int) autoscale.Observation {
--- a/pkg/app/node/losses.go
+++ b/pkg/app/node/losses.go
@@ -11,26 +11,42 @@
 
 // observeLosses records which data centres have lost their reclaimable endpoints of a service and
 // returns what this says about further losses.
-func (n *node) observeLosses(service routetable.Service, serving map[autoscale.Pool]int, now time.Time) autoscale.Outlook {
+func (n *node) observeLosses(service routetable.Service, need autoscale.Need, serving map[autoscale.Pool]int, now time.Time) autoscale.Outlook {
 	losses := n.losses.Of(service.Name)
 	if n.rollouts.InProgress(service.Name) {
 		// A roll-out replaces endpoints.
 		losses.ForgetServing()
-		return losses.Outlook(now)
-	}
-	for dataCenter := range service.Scaling.Prices {
-		pool := autoscale.Pool{Service: service.Name, DataCenter: dataCenter, Reclaimable: true}
-		ordered, known := n.endpointReconciler.Ordered(pool)
-		if !known {
-			ordered = serving[pool]
+	} else {
+		for dataCenter := range service.Scaling.Prices {
+			n.observeLoss(losses, autoscale.Pool{Service: service.Name, DataCenter: dataCenter, Reclaimable: true}, serving, now)
 		}
-		lost, isLoss := losses.Observe(dataCenter, serving[pool], ordered, now)
-		if isLoss {
-			n.log.Warn().Str("service", service.Name).Str("dc", dataCenter).Int("lost", lost).Int("serving", serving[pool]).
-				Float64("probability", losses.Outlook(now).Next).Msg("reclaimable endpoints lost")
+	}
+	outlook := losses.Outlook(now)
+	n.scaleMetrics.Set(service.Name, need, n.endpointReconciler.State(service.Name), outlook)
+	if inWave, changed := losses.UpdateWave(now); changed {
+		message := "wave of losses ended"
+		if inWave {
+			message = "wave of losses began"
 		}
+		n.log.Info().Str("service", service.Name).Float64("probability", outlook.Next).Int("need-engine-time", need.EngineTime).Int("need-slots", need.Slots).
+			Int("need-memory", need.Memory).Int("need-refused", need.Refused).Msg(message)
+	}
+	return outlook
+}
+
+// observeLoss records whether the reclaimable endpoints of a data centre have been lost.
+func (n *node) observeLoss(losses *autoscale.Losses, pool autoscale.Pool, serving map[autoscale.Pool]int, now time.Time) {
+	ordered, known := n.endpointReconciler.Ordered(pool)
+	if !known {
+		ordered = serving[pool]
+	}
+	lost, isLoss := losses.Observe(pool.DataCenter, serving[pool], ordered, now)
+	if !isLoss {
+		return
 	}
-	return losses.Outlook(now)
+	n.scaleMetrics.CountLoss(pool.Service, pool.DataCenter)
+	n.log.Warn().Str("service", pool.Service).Str("dc", pool.DataCenter).Int("lost", lost).Int("serving", serving[pool]).
+		Float64("probability", losses.Outlook(now).Next).Msg("reclaimable endpoints lost")
 }
 
 // takeOver reads what an earlier holder of the lease ordered and recorded for a service, before the
--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -84,6 +84,7 @@
 	serviceDemandTracker *autoscale.DemandTracker
 	losses               *autoscale.LossTracker
 	scaleStates          *scalesync.Syncer
+	scaleMetrics         *autoscale.Metrics
 	forwarder            *forward.Forwarder
 	registry             *prometheus.Registry
 	row                  *rowState
--- a/pkg/app/node/providers.go
+++ b/pkg/app/node/providers.go
@@ -174,6 +174,10 @@
 	return scalesync.New(writer, clock, logger)
 }
 
+func newScaleMetrics(registry *prometheus.Registry) *autoscale.Metrics {
+	return autoscale.NewMetrics(registry)
+}
+
 func newRetryBudget(s Settings) *retry.WindowBudget {
 	return retry.NewWindowBudget(s.Retry.Share, s.Retry.Slack, s.Retry.Window)
 }
--- a/pkg/app/node/wire_gen.go
+++ b/pkg/app/node/wire_gen.go
@@ -39,6 +39,7 @@
 	demandTracker := autoscale.NewDemandTracker()
 	lossTracker := autoscale.NewLossTracker()
 	syncer := newScaleStates(writer, clock, logger)
+	metrics := newScaleMetrics(registry)
 	windowBudget := newRetryBudget(settings)
 	watch := newQuarantineWatch(registry, logger)
 	tracker := newNoticeTracker(view, router, logger)
@@ -73,6 +74,7 @@
 		serviceDemandTracker: demandTracker,
 		losses:               lossTracker,
 		scaleStates:          syncer,
+		scaleMetrics:         metrics,
 		forwarder:            forwarder,
 		registry:             registry,
 		row:                  nodeRowState,
--- a/pkg/autoscale/autoscale.go
+++ b/pkg/autoscale/autoscale.go
@@ -83,8 +83,10 @@
 	// at orderedAt.
 	orderedCount int
 	bootingCount int
-	initialized  bool
-	orderedAt    time.Time
+	// lowestSent is the lowest count that may be in force: a failed order may have arrived.
+	lowestSent  int
+	initialized bool
+	orderedAt   time.Time
 	// refusedAt is when an order was last refused for lack of capacity.
 	refusedAt time.Time
 	// notBefore delays the next order for the pool.
@@ -131,13 +133,14 @@
 	return min(max(state.orderedCount-serving, 0), state.bootingCount)
 }
 
-// Ordered returns the number of endpoints ordered for a pool; ok is false if it is unknown.
+// Ordered returns the number of endpoints that a pool has at least by its orders, including failed
+// ones, which may have arrived; ok is false if it is unknown.
 func (r *Reconciler) Ordered(p Pool) (count int, ok bool) {
 	state, ok := r.pools[p]
 	if !ok || !state.initialized {
 		return 0, false
 	}
-	return state.orderedCount, true
+	return state.lowestSent, true
 }
 
 // Reconcile sends each order whose count differs from the last one sent, and repeats
@@ -164,6 +167,7 @@
 			state.recordOrder(count, servingCount, now)
 		} else {
 			entry = r.log.Warn().Err(err)
+			state.lowestSent = min(state.lowestSent, count)
 			state.notBefore = now.Add(retryDelay)
 			state.orderedAt = time.Time{}
 		}
@@ -182,13 +186,13 @@
 // no predecessor and adopts nothing.
 func (s *poolState) adoptServing(serving int, grant lease.Grant) {
 	if !s.initialized && !grant.First {
-		s.orderedCount, s.initialized = serving, true
+		s.orderedCount, s.lowestSent, s.initialized = serving, serving, true
 	}
 }
 
 // recordOrder records an acknowledged order.
 func (s *poolState) recordOrder(count, serving int, now time.Time) {
-	s.orderedCount, s.initialized, s.orderedAt = count, true, now
+	s.orderedCount, s.lowestSent, s.initialized, s.orderedAt = count, count, true, now
 	s.bootingCount = max(count-serving, 0)
 	s.notBefore = now.Add(scaleUpInterval)
 	s.surplusSince = time.Time{}
--- a/pkg/autoscale/losses.go
+++ b/pkg/autoscale/losses.go
@@ -51,6 +51,8 @@
 	delays          time.Duration
 	// refusedAt has the time of the last refused order by pool.
 	refusedAt map[Pool]time.Time
+	// inWave is the result of the last UpdateWave.
+	inWave bool
 }
 
 // poolWatch is the number of a data centre's reclaimable endpoints that served recently.
@@ -159,6 +161,15 @@
 	return outlook
 }
 
+// UpdateWave reports whether a wave of losses is under way and whether this has changed since
+// the last call.
+func (l *Losses) UpdateWave(now time.Time) (inWave, changed bool) {
+	inWave = l.Outlook(now).InWave()
+	changed = inWave != l.inWave
+	l.inWave = inWave
+	return inWave, changed
+}
+
 // refusalMemory is how long after a refused order the data centre counts as having no
 // endpoints of the class, so that others are ordered instead. The order itself is repeated
 // more often.
--- a/pkg/autoscale/losses_test.go
+++ b/pkg/autoscale/losses_test.go
@@ -128,6 +128,13 @@
 			t.Errorf("on-demand endpoints in the data centre that refused: got %d, want none", o.Count)
 		}
 	}
+	for _, dataCenter := range []string{"b", "c"} {
+		losses.RecordRefusal(autoscale.Pool{Service: "svc", DataCenter: dataCenter}, now)
+	}
+	orders, _ = autoscale.Plan(newThreeDataCenters(40), autoscale.Demand{Load: 22, Measured: true}, reclaimableSupply(nil), losses.Outlook(now.Add(time.Second)))
+	if got := total(orders, false); got != need {
+		t.Errorf("on-demand endpoints while all data centres refuse: got %d, want the need of %d", got, need)
+	}
 }
 
 // Endpoints that were ordered down, and single ones that crash, are not losses of a data
--- a/pkg/autoscale/placement.go
+++ b/pkg/autoscale/placement.go
@@ -6,29 +6,34 @@
 type placement struct {
 	// dataCenters is sorted by price, cheapest first.
 	dataCenters []string
-	// existing and room are the on-demand endpoints that serve or boot, and how many fit
-	// beside the reclaimable ones, by data centre. Both are nil if neither
-	// losses nor refused work are known.
+	// existing and room are the on-demand endpoints that serve or boot, and how many fit in
+	// addition to the reclaimable ones, by data centre. Both are nil if neither losses nor
+	// refused work are known.
 	existing, room map[string]int
+	// refusing has the room of data centres that recently refused on-demand orders, which
+	// are used only if no other has room.
+	refusing map[string]int
 	// limit is the number of endpoints of both classes in one data centre.
 	limit int
 }
 
 // newPlacement returns the placement of a service. After a loss, or while work is refused,
-// on-demand endpoints are placed beside the reclaimable ones that serve or boot, which are never given up to make
-// room: the endpoints that the data centre has lost leave enough.
+// on-demand endpoints are placed in addition to the reclaimable ones that serve or boot,
+// which are never given up to make room: the endpoints that a data centre has lost leave
+// enough.
 func newPlacement(s *routetable.Scaling, dataCenters []string, supply Supply, outlook Outlook, refusing bool) placement {
 	p := placement{dataCenters: dataCenters, limit: s.MaxEndpoints}
 	if !outlook.Known && !refusing {
 		return p
 	}
-	p.existing, p.room = map[string]int{}, map[string]int{}
+	p.existing, p.room, p.refusing = map[string]int{}, map[string]int{}, map[string]int{}
 	for _, dataCenter := range dataCenters {
 		reclaimable, reclaimableBooting := supply(dataCenter, true)
 		onDemand, onDemandBooting := supply(dataCenter, false)
 		p.existing[dataCenter] = onDemand + onDemandBooting
 		p.room[dataCenter] = max(s.MaxEndpoints-reclaimable-reclaimableBooting, 0)
 		if outlook.NoOnDemand[dataCenter] {
+			p.refusing[dataCenter] = p.room[dataCenter]
 			p.room[dataCenter] = min(p.room[dataCenter], p.existing[dataCenter])
 		}
 	}
@@ -56,30 +61,28 @@
 	for ; total > count; total-- {
 		counts[p.fullest(counts)]--
 	}
-	preferred := open[:min(max((len(p.dataCenters)+1)/2, 2), len(open))]
-	for _, group := range [][]string{preferred, open} {
-		for total < count {
-			dataCenter, ok := p.emptiest(group, counts)
-			if !ok {
-				break
-			}
-			counts[dataCenter]++
-			total++
-		}
-	}
+	total += distribute(open[:min(max((len(p.dataCenters)+1)/2, 2), len(open))], counts, count-total, p.room)
+	total += distribute(open, counts, count-total, p.room)
+	distribute(p.dataCenters, counts, count-total, p.refusing)
 	return counts
 }
 
-// emptiest returns the data centre with the fewest on-demand endpoints that has room, the
-// cheapest of equal ones.
-func (p placement) emptiest(group []string, counts map[string]int) (string, bool) {
-	best, found := "", false
-	for _, dataCenter := range group {
-		if counts[dataCenter] < p.room[dataCenter] && (!found || counts[dataCenter] < counts[best]) {
-			best, found = dataCenter, true
+// distribute adds up to count endpoints, each to the data centre of the group that has the
+// fewest of those with room, the first of equal ones. It returns how many it added.
+func distribute(group []string, counts map[string]int, count int, room map[string]int) int {
+	for added := range max(count, 0) {
+		best := ""
+		for _, dataCenter := range group {
+			if counts[dataCenter] < room[dataCenter] && (best == "" || counts[dataCenter] < counts[best]) {
+				best = dataCenter
+			}
+		}
+		if best == "" {
+			return added
 		}
+		counts[best]++
 	}
-	return best, found
+	return max(count, 0)
 }
 
 // fullest returns the data centre with the most on-demand endpoints, the most expensive of
--- a/pkg/autoscale/plan.go
+++ b/pkg/autoscale/plan.go
@@ -52,14 +52,24 @@
 
 // NeedOf returns the need of a service.
 func NeedOf(service routetable.Service, demand Demand) Need {
-	return Need{
+	need := Need{
 		EngineTime: endpointsNeeded(demand.Load, 1),
 		Slots:      endpointsFor(demand.SlotTime, service.Slots),
 		Memory:     endpointsFor(demand.TokenTime, service.MemoryTokens),
 		Refused:    int(math.Ceil(demand.Refused)),
 	}
+	if service.Slots > 0 {
+		// The work of plain services is not known.
+		need.Refused = min(need.Refused, maxRefusedRatio*need.Resources())
+	}
+	return need
 }
 
+// maxRefusedRatio bounds the need that follows from refusals, relative to that by resources.
+// Engines that are slow at times have up to twice the estimated work; refusals while more than
+// twice the need serve have other causes, such as bursts that are shorter than a boot time.
+const maxRefusedRatio = 2
+
 // endpointsFor returns how many endpoints hold an amount of a resource at the utilization
 // limit, given the capacity of each; 0 if the capacity is not known.
 func endpointsFor(amount float64, capacity int) int {
--- a/pkg/autoscale/state.go
+++ b/pkg/autoscale/state.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// State is what a holder of the lease knows of a service beyond what can be observed. It is
-// passed on to the next holder.
+// State is what a holder of the lease knows of a service beyond what can be observed, for the
+// next holder.
 type State struct {
 	Pools  []PoolState
 	Losses LossState
@@ -85,7 +85,7 @@
 	for _, p := range pools {
 		state := r.stateOf(p.Pool)
 		state.orderedCount, state.bootingCount, state.orderedAt = max(p.Ordered, serving(p.Pool)), p.Booting, p.OrderedAt
-		state.refusedAt, state.initialized = p.RefusedAt, true
+		state.lowestSent, state.refusedAt, state.initialized = state.orderedCount, p.RefusedAt, true
 	}
 }
 
--- a/pkg/autoscale/traffic.go
+++ b/pkg/autoscale/traffic.go
@@ -83,7 +83,8 @@
 	// peak has the decaying peaks at updatedAt.
 	peak      peaks
 	updatedAt time.Time
-	// serving is the number of endpoints that served, averaged over refusalWindow.
+	// serving is the number of endpoints that served, averaged over refusalWindow. It starts
+	// at 0, as the first refused share may be from before the present endpoints served.
 	serving float64
 	// refusedSince is when callers began to be refused, zero while they are not.
 	refusedSince time.Time
@@ -104,7 +105,7 @@
 func (t *DemandTracker) Observe(service string, o Observation, now time.Time) Demand {
 	state, ok := t.services[service]
 	if !ok {
-		state = &serviceLoad{updatedAt: now, serving: float64(o.Serving)}
+		state = &serviceLoad{updatedAt: now}
 		t.services[service] = state
 	}
 	if o.Load > 0 && state.firstLoadAt.IsZero() {
--- a/pkg/autoscale/traffic_test.go
+++ b/pkg/autoscale/traffic_test.go
@@ -88,6 +88,11 @@
 	if got, onDemand := total(orders, true), total(orders, false); got < 36 || onDemand != 0 {
 		t.Errorf("got %d reclaimable and %d on-demand endpoints, want 36 or more and none", got, onDemand)
 	}
+	engines := newThreeDataCenters(40)
+	engines.Slots = 64
+	if got := autoscale.NeedOf(engines, demand).Total(); got != 20 {
+		t.Errorf("need of engines that have work for 10 endpoints: got %d, want 20", got)
+	}
 	none := autoscale.Outlook{NoReclaimable: map[string]bool{"a": true, "b": true, "c": true}}
 	orders, _ = autoscale.Plan(newThreeDataCenters(40), demand, supply, none)
 	if got := total(orders, false); got != 12 {
