--- a/pkg/app/node/loads.go
+++ b/pkg/app/node/loads.go
@@ -57,6 +57,7 @@
 		Cases:      n.quarantineWatch.Reports(now),
 		Notices:    n.noticeTracker.Reports(now),
 		Work:       n.localWork(now),
+		Speeds:     n.router.DrainSpeeds(),
 	}
 }
 
@@ -79,6 +80,10 @@
 		n.view.Roster().ApplyWork(update.Incarnation, update.Work, now)
 		return
 	}
+	if len(update.Speeds) > 0 {
+		n.loadSync.ApplySpeeds(update.Speeds, now)
+		return
+	}
 	if update.Subscribes {
 		n.view.Roster().Subscribe(update.Host, now)
 		return
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -46,6 +46,8 @@
 	location     Location
 	seed         uint64
 	initialSpeed EngineSpeed
+	// hasUnsentSpeeds is set if any slot has evidence on its speed that was not reported.
+	hasUnsentSpeeds atomic.Bool
 	// inFlight is the number of choices that are not completed.
 	inFlight atomic.Int64
 	// entries is the number of entry hosts that share the endpoints; 0 if unknown.
@@ -246,6 +248,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	q.hosts = r.limitHosts()
+	g.refreshFactors(now)
 	var best *slot
 	var score score
 	if strategy == Expected || strategy == ExpectedStale {
@@ -277,6 +280,7 @@
 	return Choice{
 		Endpoint: s.info, Expected: sc.total, Wait: sc.wait, Queued: sc.queueTime, LeastQueued: sc.leastQueueTime,
 		CachedTokens: sc.cachedTokens, sentAt: now, uncachedTokens: max(q.PromptTokens-sc.cachedTokens, 0), aheadTokens: sc.aheadTokens,
+		batchShare: s.batchShare(),
 	}
 }
 
@@ -297,7 +301,7 @@
 	s.load.localPrefillTokens += c.uncachedTokens
 	g.prefixes.record(q.PrefixHashes, s.info.ID)
 	g.recordPlacement(q, s.info.ID)
-	if time.Duration(c.uncachedTokens)*g.speed.Timings().PrefillPerToken >= urgentPrefill {
+	if time.Duration(c.uncachedTokens)*s.timings().PrefillPerToken >= urgentPrefill {
 		r.MarkUrgent(s.info.ID)
 	}
 }
