route: do not count requests that go to another version as refused

During a roll-out a request that found no endpoint of the intended version is sent to the other one, but counted as unplaced as well. It now counts only if no endpoint of any version has room. RecordRefusal counts refusals without a choice in any case. Tested by TestWorkIncludesRefusedRequests.

--- a/pkg/route/work.go
+++ b/pkg/route/work.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"ironhollow/pkg/rollout"
 )
 
 // demandWindow is the time constant over which the demand is averaged.
@@ -113,11 +115,25 @@
 }
 
 // countUnplaced counts the work of a request for which no endpoint was found. A request that was
-// sent before is counted already. The group's lock must be held.
+// sent before is counted already, and one that the rule of a roll-out keeps from endpoints with
+// room is sent to another version. The group's lock must be held.
 func (g *group) countUnplaced(q Query, now time.Time) {
 	if len(q.Avoid) > 0 || q.MayWait {
 		return
 	}
+	anyVersion := q
+	anyVersion.Rule = rollout.Rule{}
+	for _, s := range g.slots {
+		if g.usable(s, anyVersion, now) {
+			return
+		}
+	}
+	g.countUnsent(q, now)
+}
+
+// countUnsent counts the work of a request that was refused without a choice. The group's lock must
+// be held.
+func (g *group) countUnsent(q Query, now time.Time) {
 	uncached := int((1 - g.demand.hitShare) * float64(q.PromptTokens))
 	g.demand.addUnplaced(g.costOf(q, uncached), now)
 }
@@ -128,7 +144,7 @@
 	g, _ := r.groupFor(q.Target)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.countUnplaced(q, now)
+	g.countUnsent(q, now)
 }
 
 // engineTime returns the engine time that a request needs. The group's lock must be held.
--- a/pkg/route/work_test.go
+++ b/pkg/route/work_test.go
@@ -7,6 +7,7 @@
 
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/hazard"
+	"ironhollow/pkg/rollout"
 	"ironhollow/pkg/route"
 )
 
@@ -29,7 +30,12 @@
 		t.Errorf("work after a further attempt of a request: got %+v, want %+v as before", got, unplaced)
 	}
 	directory.Merge(endpoint.Info{ID: "x", State: endpoint.Live, Kind: endpoint.Plain, Service: "svc", Address: "127.0.0.1:1", DataCenter: "a", Engine: true})
-	query.Avoid, query.Accepts = nil, func(route.Choice) bool { return false }
+	query.Avoid, query.Rule = nil, rollout.Rule{OnlyRelease: "next"}
+	router.Choose(query, route.Expected, now)
+	if got := router.Work(target, now); got != unplaced {
+		t.Errorf("work after a request that goes to another version: got %+v, want %+v as before", got, unplaced)
+	}
+	query.Rule, query.Accepts = rollout.Rule{}, func(route.Choice) bool { return false }
 	router.Choose(query, route.Expected, now)
 	refused := router.Work(target, now)
 	query.Accepts = nil
@@ -45,4 +51,8 @@
 	if got := (sent.TokenTime - refused.TokenTime) * 4; math.Abs(got-2.8*1050) > 10 {
 		t.Errorf("tokens held by one request: got %.0f token seconds, want %.0f", got, 2.8*1050)
 	}
+	router.RecordRefusal(query, now)
+	if got := router.Work(target, now); got.Refused <= sent.Refused || math.Abs(got.Refused-sent.Refused-got.Offered+sent.Offered) > 1e-9 {
+		t.Errorf("work after a refusal without a choice: got %+v after %+v, want it refused", got, sent)
+	}
 }
