Report leaving endpoints to a holder of the duties without the store

The store rejected the host that held the duties lease half a second before a reclaim. The holder saw no endpoint leave, and no on-demand endpoints were ordered until another host had acquired the lease, although the holder could still call the cloud.

Standbys for the lease now report to such a holder the endpoints whose rows have just begun to say that they leave, as notices of the existing kind: three rounds, only of runs that state when they started, never of rows that are missing. The holder marks them as leaving in its directory, which runs its orders at once. Without scaling blocks no row is recorded or reported.

--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -247,6 +247,7 @@
 		loop.Kick()
 		n.applyPeerState()
 	})
+	go n.reportLeaving(ctx, e)
 	go e.SendUrgent(ctx, n.router.Urgent(), n.urgentUpdate)
 	return nil
 }
--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -33,6 +33,9 @@
 	// the given time. If one has, only this host was disconnected.
 	peerReachedStore func(time.Duration) bool
 
+	// onLeavingRow is called with each row that says that its endpoint leaves.
+	onLeavingRow atomic.Pointer[func(endpoint.Info)]
+
 	loaded           atomic.Bool
 	storeUnavailable atomic.Bool
 
@@ -68,6 +71,10 @@
 // Loaded reports whether the rows have been read once.
 func (s *Syncer) Loaded() bool { return s.loaded.Load() }
 
+// OnLeavingRow sets the function that is called with each row that says that its endpoint leaves,
+// not with endpoints whose rows are missing. It must not call the syncer.
+func (s *Syncer) OnLeavingRow(call func(endpoint.Info)) { s.onLeavingRow.Store(&call) }
+
 // MarkStoreUnavailable records that the store did not respond. If the outage is long enough, rows
 // that are missing afterwards may have expired because they could not be renewed. One or two failed
 // calls expire no row.
@@ -157,6 +164,9 @@
 		return
 	}
 	received.Counter = row.Version
+	if call := s.onLeavingRow.Load(); call != nil && received.State == endpoint.Leaving {
+		(*call)(received)
+	}
 	if received.LeavesIn > 0 {
 		now := s.now()
 		received.LeaveBy, received.LeavingSince = now.Add(received.LeavesIn), now
--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -240,3 +240,16 @@
 		}
 	}
 }
+
+// A row that is missing may only not have been renewed: it must not be reported as leaving.
+func TestOnlyRowsThatSaySoCountAsLeaving(t *testing.T) {
+	s := newFixture()
+	var leaving []string
+	s.OnLeavingRow(func(info endpoint.Info) { leaving = append(leaving, info.ID) })
+	s.applyRows(true, "a", "live 1", "b", "live 1", "c", "live 1", "d", "leaving 1")
+	s.applyRows(false, "a", "", "b", "reclaimed 1")
+	s.applyRows(true, "b", "", "d", "live 1")
+	if got := strings.Join(leaving, " "); got != "d b" {
+		t.Errorf("leaving rows: got %q, want d and b", got)
+	}
+}
--- a/pkg/gossip/notices.go
+++ b/pkg/gossip/notices.go
@@ -1,6 +1,8 @@
 package gossip
 
 import (
+	"github.com/fxamacker/cbor/v2"
+
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/notice"
 )
@@ -37,6 +39,34 @@
 	}
 }
 
+// SendNotices sends notices to one host at once, in as many datagrams as they need.
+func (e *Exchange) SendNotices(list []notice.Report, to string) {
+	messages, err := noticeMessages(e.self.Incarnation, list)
+	if err != nil {
+		e.log.Error().Err(err).Msg("failed to encode notices")
+		return
+	}
+	for _, data := range messages {
+		e.write(data, []string{to})
+	}
+}
+
+// noticeMessages encodes notices as datagrams, of which each holds half of those that do not fit.
+func noticeMessages(incarnation string, list []notice.Report) ([][]byte, error) {
+	m := mapMessage{Incarnation: incarnation}
+	m.addNotices(list)
+	data, err := cbor.Marshal(m)
+	if err != nil || len(data) <= maxBytes || len(list) == 1 {
+		return [][]byte{data}, err
+	}
+	first, err := noticeMessages(incarnation, list[:len(list)/2])
+	if err != nil {
+		return nil, err
+	}
+	second, err := noticeMessages(incarnation, list[len(list)/2:])
+	return append(first, second...), err
+}
+
 // notices decodes the notices. An invalid backoff counts as none; a limit outside the range
 // allowed to endpoints is skipped.
 func (m mapMessage) notices() []notice.Report {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -203,6 +203,23 @@
 	return false
 }
 
+// HolderWithoutStore returns the process that holds the lease of the duties, by statuses received
+// within the given time, if it is another one that cannot reach the store.
+func (r *Roster) HolderWithoutStore(self string, within time.Duration, now time.Time) (Host, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var holder *member
+	for _, m := range r.members {
+		if m.status.LeaseVersion > 0 && now.Sub(m.statusAt) < within && (holder == nil || m.status.LeaseVersion > holder.status.LeaseVersion) {
+			holder = m
+		}
+	}
+	if holder == nil || holder.row.Incarnation == self || holder.status.StoreReachableFor > 0 || holder.row.PeerAddress == "" {
+		return Host{}, false
+	}
+	return holder.row.Host, true
+}
+
 // LiveIncarnations returns the incarnations of the hosts that are not silent, including those that
 // are about to stop.
 func (r *Roster) LiveIncarnations() []string {
