--- a/pkg/gossip/urgent_test.go
+++ b/pkg/gossip/urgent_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
+	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/gossip"
+	"ironhollow/pkg/notice"
 	"ironhollow/pkg/roster"
 )
 
@@ -44,3 +47,29 @@
 		t.Errorf("datagrams: got %+v, want a single brief one with e1 and e2", other.got)
 	}
 }
+
+// Three data centres are reclaimed at once: notices beyond the first datagram must not be left out.
+func TestManyNoticesArriveInSeveralDatagrams(t *testing.T) {
+	other := listen(t, roster.Host{Incarnation: "other", Node: "other"})
+	e, err := gossip.Listen(freeAddress(t), roster.Host{Incarnation: "self"}, roster.New(silence, gossip.Interval), nil, nil, time.Now, discardLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := make([]notice.Report, 150)
+	for i := range list {
+		list[i] = notice.Report{Endpoint: fmt.Sprintf("endpoint-of-a-data-centre-%03d", i), StartedMS: 1_800_000_000_000, Notice: endpoint.Notice{Leaving: true}}
+	}
+	e.SendNotices(list, other.host.PeerAddress)
+	got := 0
+	for deadline := time.Now().Add(arrivalTime); got < len(list) && time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		got = 0
+		other.mu.Lock()
+		for _, update := range other.got {
+			got += len(update.Notices)
+		}
+		other.mu.Unlock()
+	}
+	if got != len(list) {
+		t.Errorf("got %d notices, want %d", got, len(list))
+	}
+}
--- a/pkg/notice/tracker_test.go
+++ b/pkg/notice/tracker_test.go
@@ -155,3 +155,32 @@
 		}
 	}
 }
+
+// A holder of the duties that cannot read the rows ordered no endpoints until its lease expired.
+// Reports of another run of an endpoint must have no effect, and none may be repeated without end.
+func TestHostWithoutRowsLearnsOfLeavingEndpoints(t *testing.T) {
+	holder, rows := newHost(1, 5, 3), notice.NewLeavingRows()
+	left := make(chan string, 8)
+	holder.directory.SubscribeLeaving(func(info endpoint.Info) { left <- info.ID })
+	for i, startedMS := range []int64{5, 6, 0} {
+		rows.Observe(endpoint.Info{ID: id(i), StartedMS: startedMS, State: endpoint.Leaving}, now)
+	}
+	for round, want := range []int{2, 2, 2, 0} {
+		reports := rows.Reports("holder", now)
+		if len(reports) != want {
+			t.Errorf("round %d: got %+v, want %d reports", round, reports, want)
+		}
+		holder.ApplyReports(reports, now)
+	}
+	for i, want := range []endpoint.State{endpoint.Leaving, endpoint.Live, endpoint.Live} {
+		if got := holder.info(i).State; got != want {
+			t.Errorf("endpoint %d at the holder: got %v, want %v", i, got, want)
+		}
+	}
+	if got := <-left; got != id(0) {
+		t.Errorf("subscriber was told of %s, want %s", got, id(0))
+	}
+	if got, later := len(rows.Reports("next", now)), len(rows.Reports("third", now.Add(5*time.Second))); got != 2 || later != 0 {
+		t.Errorf("to the next holder and to another one 5 s later: got %d and %d reports, want 2 and 0", got, later)
+	}
+}
