--- a/pkg/enginemodel/relative_test.go
+++ b/pkg/enginemodel/relative_test.go
@@ -74,8 +74,12 @@
 
 func TestInvalidReportsAreBounded(t *testing.T) {
 	for _, e := range []enginemodel.Evidence{
-		{Weight: math.NaN(), WeightedLog: 1}, {Weight: 1, WeightedLog: math.NaN()}, {Weight: math.Inf(1), WeightedLog: 1},
-		{Weight: -1, WeightedLog: 1}, {Weight: 0, WeightedLog: 1}, {Weight: 1, WeightedLog: math.Inf(-1)},
+		{Weight: math.NaN(), WeightedLog: 1},
+		{Weight: 1, WeightedLog: math.NaN()},
+		{Weight: math.Inf(1), WeightedLog: 1},
+		{Weight: -1, WeightedLog: 1},
+		{Weight: 0, WeightedLog: 1},
+		{Weight: 1, WeightedLog: math.Inf(-1)},
 	} {
 		if got, ok := e.Bounded(); ok {
 			t.Errorf("%+v: got %+v accepted, want it rejected", e, got)
@@ -136,3 +140,16 @@
 		t.Errorf("after a short queue: got %+v, want evidence of slowness", got)
 	}
 }
+
+// The factors of 3,000 endpoints are computed at most four times a second.
+func BenchmarkFactors3000(b *testing.B) {
+	endpoints := make([]*enginemodel.Relative, 3000)
+	for i := range endpoints {
+		endpoints[i] = &enginemodel.Relative{}
+		endpoints[i].Add(answers(1+i%200, 0.7+float64(i%3)/2), start)
+	}
+	var buffer []float64
+	for i := 0; b.Loop(); i++ {
+		buffer = enginemodel.Factors(buffer[:0], endpoints, start.Add(time.Duration(i)*time.Millisecond))
+	}
+}
--- a/pkg/lab/speeds_test.go
+++ b/pkg/lab/speeds_test.go
@@ -71,3 +71,14 @@
 		}
 	}
 }
+
+// Guards against speeds that are lost for good when hosts restart or reports are lost: all hosts
+// restart midway, and a fifth of all datagrams are lost.
+func TestSpeedsAreLearnedAgainAfterRestart(t *testing.T) {
+	fleet, workload := mixedFleet(), mixedRequests(0.75)
+	fleet.DatagramLoss = 0.2
+	workload.HostRestarts = []time.Duration{13 * time.Second}
+	o := lab.Run(fleet, workload, 1)
+	checkAtLeast(t, "earned value share", o.EarnedValueShare(), 0.98)
+	checkAtLeast(t, "greatest factor", o.GreatestFactor, 1.2)
+}
--- a/pkg/route/speeds_test.go
+++ b/pkg/route/speeds_test.go
@@ -109,7 +109,7 @@
 }
 
 // Guards against another choice where engines are equal: the sequence has to be the one of a router
-// that hears of no speeds.
+// that receives no speeds.
 func TestEqualEnginesAreChosenAsWithoutSpeeds(t *testing.T) {
 	alone, _, _ := newRouter(12)
 	without := serveEqually(alone, 400)
