enginemodel: measure the work of decoding by the step time

After two reclaims 80 on-demand endpoints were ordered where some 30 were needed. The work of a request counted its answer by the present token gap, which contains the prefill of other prompts and so grew as the engines became fewer: the need followed from the shortage itself.

The estimator keeps the gap of little load, which it follows down at once and up within minutes, and the work of decoding is counted by it.

--- a/pkg/enginemodel/enginemodel.go
+++ b/pkg/enginemodel/enginemodel.go
@@ -20,6 +20,9 @@
 	PrefillPerToken time.Duration
 	// TokenGap is the time between two tokens of an answer.
 	TokenGap time.Duration
+	// StepTime is the part of TokenGap that decoding takes by itself: the gap while the engines
+	// have little else to do. Under load the gap also contains the prefill of other prompts.
+	StepTime time.Duration
 }
 
 // TimeToFirstToken returns the time to the first token if tokens prompt tokens, including
@@ -74,6 +77,9 @@
 	// minTokenSpread is the least difference in tokens of two samples that are used for the
 	// slope: smaller differences are hidden by the step of the engine's batches.
 	minTokenSpread = 500
+	// stepTimeRise is the part of the distance to the token gap by which the step time rises
+	// with each fit: at ten answers per second it takes some minutes, longer than a burst.
+	stepTimeRise = 0.002
 	// minDecodedTokens is the least number of tokens from which the token gap is computed.
 	minDecodedTokens = 16
 )
@@ -93,7 +99,8 @@
 // point is one sample: the time to the first token over the tokens before it.
 type point struct{ tokens, seconds float64 }
 
-// NewEstimator returns an Estimator that returns prior until it has enough samples.
+// NewEstimator returns an Estimator that returns prior until it has enough samples. The step
+// time is unknown, 0, until then.
 func NewEstimator(prior Timings) *Estimator { return &Estimator{timings: prior} }
 
 // Timings returns the present estimate.
@@ -121,6 +128,7 @@
 func (e *Estimator) fit() {
 	if gaps := e.tokenGaps.values(); len(gaps) >= minSamples {
 		e.timings.TokenGap = seconds(quantile(gaps, 0.5))
+		e.updateStepTime()
 	}
 	points := e.points.values()
 	slope, ok := theilSen(points)
@@ -136,6 +144,16 @@
 	e.timings.FixedTime = seconds(max(quantile(residuals, fixedTimeQuantile), 0))
 }
 
+// updateStepTime follows the token gap down at once and up slowly.
+func (e *Estimator) updateStepTime() {
+	t := &e.timings
+	if t.StepTime == 0 || t.TokenGap < t.StepTime {
+		t.StepTime = t.TokenGap
+		return
+	}
+	t.StepTime += time.Duration(stepTimeRise * float64(t.TokenGap-t.StepTime))
+}
+
 // theilSen returns the median slope over pairs of points (Theil 1950, Sen 1968). ok is false
 // if there are too few pairs at least minTokenSpread apart, or if the slope is not positive.
 func theilSen(points []point) (slope float64, ok bool) {
--- a/pkg/enginemodel/enginemodel_test.go
+++ b/pkg/enginemodel/enginemodel_test.go
@@ -115,3 +115,25 @@
 		estimator.Observe(e.answer())
 	}
 }
+
+// Under load a token gap contains the prefill of other prompts. Guards against a step time that
+// follows it, by which the work of decoding would be overestimated as engines become fewer.
+func TestStepTimeIsThatOfLittleLoad(t *testing.T) {
+	estimator := enginemodel.NewEstimator(prior)
+	e := newEngine(0)
+	for range 100 {
+		estimator.Observe(e.answer())
+	}
+	idle := estimator.Timings().StepTime
+	if relativeError(idle, actual.TokenGap) > 0.2 {
+		t.Fatalf("step time with little load: got %v, want about %v", idle, actual.TokenGap)
+	}
+	for range 200 {
+		sample := e.answer()
+		sample.DecodeTime *= 4
+		estimator.Observe(sample)
+	}
+	if got := estimator.Timings(); got.TokenGap < 3*idle || got.StepTime > idle*3/2 {
+		t.Errorf("with gaps four times as long: got gap %v, step time %v, want some %v and at most %v", got.TokenGap, got.StepTime, 4*idle, idle*3/2)
+	}
+}
--- a/pkg/route/work.go
+++ b/pkg/route/work.go
@@ -150,7 +150,13 @@
 // engineTime returns the engine time that a request needs. The group's lock must be held.
 func (g *group) engineTime(uncached, answer int) time.Duration {
 	f := g.speed.Timings()
-	return time.Duration(uncached)*f.PrefillPerToken + time.Duration(answer)*f.TokenGap/batchSize
+	step := f.StepTime
+	if step == 0 {
+		step = f.TokenGap
+	}
+	// With the token gap instead of the step time, the prefill of other prompts would be counted
+	// with each answer, and the need would grow as the engines became fewer.
+	return time.Duration(uncached)*f.PrefillPerToken + time.Duration(answer)*step/batchSize
 }
 
 // EngineDemand returns the engine time per second that this entry's requests for a target need,
