route: count the memory of an engine in the choice and in admission

With long answers, an engine's memory is full before its slots are. Hosts took such an engine for free and sent prompts that waited there for memory, and admission did not count the wait.

Each host counts the tokens that its requests hold at an endpoint (prompt and answer) and reports them to the other hosts in a datagram of its own (map key 21). Where a request does not fit into Query.MemoryTokens, the time until enough requests have ended counts as queue. A memory of 0 changes nothing; the query's field is not set from the configuration yet.

--- a/pkg/app/node/loads.go
+++ b/pkg/app/node/loads.go
@@ -37,6 +37,7 @@
 		Cases:      n.quarantineWatch.Reports(now),
 		Notices:    n.noticeTracker.Reports(now),
 		Speeds:     n.router.DrainSpeeds(),
+		Held:       n.router.HeldReports(now),
 	}
 }
 
@@ -59,6 +60,10 @@
 		n.loadSync.ApplySpeeds(update.Speeds, now)
 		return
 	}
+	if len(update.Held) > 0 {
+		n.loadSync.ApplyHeld(update.Incarnation, update.Held, now)
+		return
+	}
 	if update.Subscribes {
 		n.view.Roster().Subscribe(update.Host, now)
 		return
--- a/pkg/loadsync/loadsync.go
+++ b/pkg/loadsync/loadsync.go
@@ -19,6 +19,7 @@
 	members *roster.Roster
 	// self is this process's incarnation.
 	self string
+	held held
 	// speedReports and ignoredSpeedReports count the received reports on the speed of endpoints.
 	speedReports, ignoredSpeedReports atomic.Int64
 }
@@ -75,6 +76,7 @@
 
 // UpdateRouter passes the loads of all other processes to the router.
 func (s *Sync) UpdateRouter(now time.Time) {
+	s.expireHeld(now)
 	loads := s.members.Loads(s.self, now)
 	for _, info := range s.router.Endpoints() {
 		s.reportLoad(info, loads[info.ID], now)
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -48,6 +48,8 @@
 	initialSpeed EngineSpeed
 	// hasUnsentSpeeds is set if any slot has evidence on its speed that was not reported.
 	hasUnsentSpeeds atomic.Bool
+	// holdsMemory is set if this entry's requests hold memory that is to be reported.
+	holdsMemory atomic.Bool
 	// inFlight is the number of choices that are not completed.
 	inFlight atomic.Int64
 	// entries is the number of entry hosts that share the endpoints; 0 if unknown.
@@ -261,7 +263,7 @@
 	choice := Choice{
 		Endpoint: best.info, Expected: score.total, Wait: score.wait, Queued: score.queueTime, LeastQueued: score.leastQueueTime,
 		CachedTokens: score.cachedTokens, sentAt: now, uncachedTokens: uncached, aheadTokens: score.aheadTokens,
-		batchShare: best.batchShare(),
+		batchShare: best.batchShare(), heldTokens: g.tokensHeldBy(q),
 	}
 	if q.Accepts != nil && !q.Accepts(choice) {
 		return Choice{}, false
@@ -279,6 +281,10 @@
 	s.load.sentSinceReport++
 	s.load.localRunning++
 	s.load.localPrefillTokens += c.uncachedTokens
+	if c.heldTokens > 0 {
+		s.load.memory.local += c.heldTokens
+		r.holdsMemory.Store(true)
+	}
 	g.prefixes.record(q.PrefixHashes, s.info.ID)
 	g.recordPlacement(q, s.info.ID)
 	if time.Duration(c.uncachedTokens)*s.timings().PrefillPerToken >= urgentPrefill {
