--- a/pkg/gossip/events.go
+++ b/pkg/gossip/events.go
@@ -33,9 +33,9 @@
 	// Limits holds the rate limits reported by endpoints.
 	Limits []wireLimit `cbor:"12,keyasint,omitempty"`
 	// Speeds holds what answers say about the speed of endpoints.
-	Speeds []wireSpeed `cbor:"20,keyasint,omitempty"`
+	Speeds []wireSpeed `cbor:"21,keyasint,omitempty"`
 	// Held holds the tokens that the host's requests hold in the memory of endpoints.
-	Held []wireHeld `cbor:"21,keyasint,omitempty"`
+	Held []wireHeld `cbor:"22,keyasint,omitempty"`
 }
 
 // isMapMessage reports whether a datagram is a CBOR map, by the major type in its first three
--- a/pkg/gossip/speeds_test.go
+++ b/pkg/gossip/speeds_test.go
@@ -54,7 +54,7 @@
 // Guards against a datagram that a host of the version without speeds cannot decode: it has to be a
 // map whose other members are unset.
 func TestSpeedsAreUnknownMemberToEarlierVersion(t *testing.T) {
-	data, err := cbor.Marshal(map[int]any{1: "a", 20: []any{[]any{"e1", 1, 1.5, 0.25}}})
+	data, err := cbor.Marshal(map[int]any{1: "a", 21: []any{[]any{"e1", 1, 1.5, 0.25}}})
 	if err != nil {
 		t.Fatal(err)
 	}
