--- a/pkg/route/speeds.go
+++ b/pkg/route/speeds.go
@@ -33,7 +33,8 @@
 		return t
 	}
 	scale := func(d time.Duration) time.Duration { return time.Duration(s.load.factor * float64(d)) }
-	return enginemodel.Timings{FixedTime: scale(t.FixedTime), PrefillPerToken: scale(t.PrefillPerToken), TokenGap: scale(t.TokenGap)}
+	t.FixedTime, t.PrefillPerToken, t.TokenGap = scale(t.FixedTime), scale(t.PrefillPerToken), scale(t.TokenGap)
+	return t
 }
 
 // updateSpeed updates the estimates of the service and of the endpoint from a result. The
