--- a/pkg/app/node/loads.go
+++ b/pkg/app/node/loads.go
@@ -134,9 +134,18 @@
 	n.view.Roster().Prune(deadRowRetention)
 	n.view.EndpointSyncer().Expire()
 	n.recordCrashedSuspects(now)
+	n.logSpeeds()
 	n.logSuspension()
 	n.logRole()
 	n.refreshRollouts(now)
 	n.router.SetHosts(n.advertisedNames(), now)
 	n.limiter.SetFleet(n.view.Roster().CountHosts(string(n.incarnation), now))
 }
+
+// logSpeeds logs when the endpoints of a service begin to differ in speed, or no longer do.
+func (n *node) logSpeeds() {
+	for _, change := range n.loadSync.SpeedChanges() {
+		n.log.Info().Str("service", change.Target.Service).Bool("differ", change.Differs).
+			Float64("least", change.Least).Float64("greatest", change.Greatest).Msg("speed of endpoints changed")
+	}
+}
--- a/pkg/loadsync/loadsync.go
+++ b/pkg/loadsync/loadsync.go
@@ -20,13 +20,15 @@
 	// self is this process's incarnation.
 	self string
 	held held
+	// differing is the services whose endpoints differ in speed; only SpeedChanges uses it.
+	differing map[string]bool
 	// speedReports and ignoredSpeedReports count the received reports on the speed of endpoints.
 	speedReports, ignoredSpeedReports atomic.Int64
 }
 
 // New returns a Sync for a process's router and roster.
 func New(router *route.Router, members *roster.Roster, self string) *Sync {
-	return &Sync{router: router, members: members, self: self}
+	return &Sync{router: router, members: members, self: self, differing: map[string]bool{}}
 }
 
 // LocalLoads returns the load of this host's requests at each endpoint.
