autoscale: expect losses within two boot times only

With four data centres the first loss ordered 30 on-demand endpoints where three data centres with 90 reclaimable ones for a need of 28 were left: the probability counted losses at any later time of the wave, although those can be answered at the notice of the loss before.

The probability is that of losses within two boot times.

--- a/pkg/app/node/losses.go
+++ b/pkg/app/node/losses.go
@@ -21,14 +21,14 @@
 			n.observeLoss(losses, autoscale.Pool{Service: service.Name, DataCenter: dataCenter, Reclaimable: true}, serving, now)
 		}
 	}
-	outlook := losses.Outlook(now)
+	outlook := losses.Outlook(service.Scaling.BootTime, now)
 	n.scaleMetrics.Set(service.Name, need, n.endpointReconciler.State(service.Name), outlook)
 	if inWave, changed := losses.UpdateWave(now); changed {
 		message := "wave of losses ended"
 		if inWave {
 			message = "wave of losses began"
 		}
-		n.log.Info().Str("service", service.Name).Float64("probability", outlook.Next).Int("need-engine-time", need.EngineTime).Int("need-slots", need.Slots).
+		n.log.Info().Str("service", service.Name).Float64("probability", outlook.Any).Int("need-engine-time", need.EngineTime).Int("need-slots", need.Slots).
 			Int("need-memory", need.Memory).Int("need-refused", need.Refused).Msg(message)
 	}
 	return outlook
@@ -46,7 +46,7 @@
 	}
 	n.scaleMetrics.CountLoss(pool.Service, pool.DataCenter)
 	n.log.Warn().Str("service", pool.Service).Str("dc", pool.DataCenter).Int("lost", lost).Int("serving", serving[pool]).
-		Float64("probability", losses.Outlook(now).Next).Msg("reclaimable endpoints lost")
+		Float64("probability", losses.Outlook(0, now).Any).Msg("reclaimable endpoints lost")
 }
 
 // takeOver reads what an earlier holder of the lease ordered and recorded for a service, before the
--- a/pkg/autoscale/losses.go
+++ b/pkg/autoscale/losses.go
@@ -31,6 +31,10 @@
 	// observations.
 	priorDelay  = 5 * time.Second
 	priorDelays = 2.0
+	// horizonBoots is the number of boot times ahead for which endpoints are ordered against
+	// further losses: one until they serve, and one until those serve that are ordered at the
+	// next loss. Later losses are answered in time at the notice of the loss before them.
+	horizonBoots = 2
 	// waveEndProbability is the probability of a further loss below which a wave is over.
 	waveEndProbability = 0.05
 )
@@ -139,8 +143,8 @@
 // RecordRefusal records an order that the cloud refused for lack of capacity.
 func (l *Losses) RecordRefusal(p Pool, now time.Time) { l.refusedAt[p] = now }
 
-// Outlook returns the probability of further losses as of now.
-func (l *Losses) Outlook(now time.Time) Outlook {
+// Outlook returns the probability of further losses as of now, given the boot time of endpoints.
+func (l *Losses) Outlook(boot time.Duration, now time.Time) Outlook {
 	l.settle(now)
 	outlook := Outlook{Known: !l.lastAt.IsZero(), NoOnDemand: map[string]bool{}, NoReclaimable: map[string]bool{}}
 	for pool, at := range l.refusedAt {
@@ -156,15 +160,22 @@
 		return outlook
 	}
 	follow := (priorFollowed + float64(l.followed)) / (priorFollowed + priorEnded + float64(l.followed+l.ended))
-	notYet := follow * l.survival(now.Sub(l.lastAt))
-	outlook.Next, outlook.Chain = notYet/(1-follow+notYet), follow
+	since, horizon := now.Sub(l.lastAt), horizonBoots*boot
+	notYet := follow * l.survival(since)
+	outlook.Any = notYet / (1 - follow + notYet)
+	if notYet > 0 {
+		outlook.Next = outlook.Any * (1 - l.survival(since+horizon)/l.survival(since))
+	}
+	// The next loss comes in the middle of that time on average, which leaves the other half for
+	// a further one.
+	outlook.Chain = follow * (1 - l.survival(horizon/2))
 	return outlook
 }
 
 // UpdateWave reports whether a wave of losses is under way and whether this has changed since
 // the last call.
 func (l *Losses) UpdateWave(now time.Time) (inWave, changed bool) {
-	inWave = l.Outlook(now).InWave()
+	inWave = l.Outlook(0, now).InWave()
 	changed = inWave != l.inWave
 	l.inWave = inWave
 	return inWave, changed
@@ -188,16 +199,17 @@
 type Outlook struct {
 	// Known is set once a loss has been recorded.
 	Known bool
-	// Next is the probability that another data centre loses its reclaimable endpoints in
-	// the present wave, Chain the probability that each such loss is followed by another.
-	Next, Chain float64
+	// Any is the probability that another data centre loses its reclaimable endpoints in the
+	// present wave, Next that it does so within horizonBoots. Chain is the probability that such
+	// a loss is followed by another one within horizonBoots.
+	Any, Next, Chain float64
 	// NoOnDemand and NoReclaimable have the data centres that recently refused orders of the
 	// class.
 	NoOnDemand, NoReclaimable map[string]bool
 }
 
 // InWave reports whether further losses are likely enough to count as a wave.
-func (o Outlook) InWave() bool { return o.Next >= waveEndProbability }
+func (o Outlook) InWave() bool { return o.Any >= waveEndProbability }
 
 // scenarios returns the probabilities of 0, 1, ... and all of the given number of data
 // centres being lost next.
--- a/pkg/autoscale/metrics.go
+++ b/pkg/autoscale/metrics.go
@@ -47,7 +47,7 @@
 	for reclaimable, count := range ordered {
 		m.ordered.WithLabelValues(service, className(reclaimable)).Set(float64(count))
 	}
-	m.probability.WithLabelValues(service).Set(outlook.Next)
+	m.probability.WithLabelValues(service).Set(outlook.Any)
 }
 
 // CountLoss counts the loss of a data centre.
