route: bound the search for leaving endpoints, keep their addresses

A row that says that an endpoint leaves is not validated and may contain neither address nor service. The slot took all fields of that row, so that a request could be sent to an empty address. Only the state and the times are taken now (TestLeavingEndpointKeepsAddress failed before with address "").

In a shortage each refused request scored all leaving endpoints under the group's lock, also after the window in which they may get requests, until their rows were removed. The search now ends with the window, checks the cheap conditions first, and considers at most scanLimit endpoints.

keepLeaving read the load of a slot without its group's lock, while results of requests write it. It now holds the lock; found by reading, a test under the race detector did not hit the interval.

go test -race ./pkg/route passes.

--- a/pkg/route/leaving.go
+++ b/pkg/route/leaving.go
@@ -30,29 +30,43 @@
 	}
 	for _, info := range view.Infos() {
 		previous, used := old[info.ID]
-		if !used || info.State != endpoint.Leaving || info.LeaveBy.IsZero() || previous.info.Ref() != info.Ref() {
-			continue
+		if used && info.State == endpoint.Leaving && !info.LeaveBy.IsZero() && previous.group.keepLeaving(previous, info, r.leavingEnd(info)) {
+			r.byID[info.ID] = previous
 		}
-		if previous.load.failures >= ejectAfter || previous.load.bucket != nil {
-			continue
-		}
-		previous.group.keepLeaving(previous, info)
-		r.byID[info.ID] = previous
 	}
 }
 
-func (g *group) keepLeaving(s *slot, info endpoint.Info) {
+// leavingEnd returns the time from which on a leaving endpoint gets no request.
+func (r *Router) leavingEnd(info endpoint.Info) time.Time {
+	end := info.LeavingSince.Add(time.Duration(r.leavingWindow.Load()))
+	if info.LeaveBy.Before(end) {
+		return info.LeaveBy
+	}
+	return end
+}
+
+// keepLeaving adds a slot whose endpoint leaves, and reports whether it did. A slot that is ejected,
+// or whose endpoint has a rate limit, is not added.
+func (g *group) keepLeaving(s *slot, info endpoint.Info, end time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	s.info = info
+	if s.info.Ref() != info.Ref() || s.load.failures >= ejectAfter || s.load.bucket != nil {
+		return false
+	}
+	// The row of a leaving endpoint need not contain its address.
+	s.info.State, s.info.LeaveBy, s.info.LeavingSince = info.State, info.LeaveBy, info.LeavingSince
 	s.leaving = true
 	g.leaving = append(g.leaving, s)
+	if end.After(g.leavingUntil) {
+		g.leavingUntil = end
+	}
+	return true
 }
 
 // pickLeaving returns the leaving endpoint with the least expected time among those that finish the
 // request before they stop; nil if there is none. The group's lock must be held.
 func (r *Router) pickLeaving(g *group, byID map[string]*slot, q Query, now time.Time) (*slot, score) {
-	if len(g.leaving) == 0 {
+	if len(g.leaving) == 0 || !now.Before(g.leavingUntil) {
 		return nil, score{}
 	}
 	cachedSlots := g.markCached(q, byID, true)
@@ -61,8 +75,11 @@
 	var bestScore score
 	least := time.Duration(math.MaxInt64)
 	consider := func(s *slot) {
+		if !now.Before(r.leavingEnd(s.info)) || !q.Rule.Allows(&s.info) || !g.usableNow(s, q, now) {
+			return
+		}
 		sc := r.score(s, q, now)
-		if !r.finishesBeforeLeaving(s, sc, now) || !q.Rule.Allows(&s.info) || !g.usableNow(s, q, now) {
+		if !finishesBeforeLeaving(s, sc, now) {
 			return
 		}
 		least = min(least, sc.queueTime)
@@ -74,20 +91,19 @@
 		consider(g.leaving[g.random.IntN(len(g.leaving))])
 	}
 	if best == nil {
-		for _, s := range g.leaving {
-			consider(s)
+		// In a shortage every refused request gets here, so that not all endpoints are considered.
+		first := g.random.IntN(len(g.leaving))
+		for i := range min(len(g.leaving), scanLimit) {
+			consider(g.leaving[(first+i)%len(g.leaving)])
 		}
 	}
 	bestScore.leastQueueTime = least
 	return best, bestScore
 }
 
-// finishesBeforeLeaving reports whether a leaving endpoint may still get the request and is expected
-// to finish it in time.
-func (r *Router) finishesBeforeLeaving(s *slot, sc score, now time.Time) bool {
-	if now.Sub(s.info.LeavingSince) >= time.Duration(r.leavingWindow.Load()) {
-		return false
-	}
+// finishesBeforeLeaving reports whether a leaving endpoint is expected to finish the request before it
+// stops.
+func finishesBeforeLeaving(s *slot, sc score, now time.Time) bool {
 	duration := leavingDurationFactor*(sc.wait+sc.decode) + leavingMargin
 	return now.Add(duration).Before(s.info.LeaveBy)
 }
--- a/pkg/route/leaving_test.go
+++ b/pkg/route/leaving_test.go
@@ -127,3 +127,17 @@
 		t.Errorf("choice after a new endpoint serves: got %q, want %q", choice.Endpoint.ID, "new")
 	}
 }
+
+// The row of a leaving endpoint may lack all else. Guards against sending requests to no address.
+func TestLeavingEndpointKeepsAddress(t *testing.T) {
+	r, directory, _ := newRouter(1)
+	live := info(0)
+	live.Address, live.Counter = "10.0.0.1:80", 2
+	directory.Merge(live)
+	r.SetLeavingWindow(leavingWindow)
+	r.Choose(shortQuery(), route.Expected, now)
+	directory.Merge(endpoint.Info{ID: live.ID, Incarnation: 1, Counter: 3, State: endpoint.Leaving, LeavingSince: now, LeaveBy: now.Add(leavingNotice)})
+	if choice, ok := r.Choose(shortQuery(), route.Expected, now); !ok || choice.Endpoint.Address != live.Address {
+		t.Errorf("address: got %q, %v, want %q", choice.Endpoint.Address, ok, live.Address)
+	}
+}
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -179,7 +179,7 @@
 	old := r.byID
 	for _, g := range r.groups {
 		g.mu.Lock()
-		g.slots, g.leaving = nil, nil
+		g.slots, g.leaving, g.leavingUntil = nil, nil, time.Time{}
 		g.ejectedCount = 0
 		g.limitedCount = 0
 		g.backoffsUntil, g.penaltiesUntil = time.Time{}, time.Time{}
--- a/pkg/route/slot.go
+++ b/pkg/route/slot.go
@@ -17,6 +17,8 @@
 	// leaving are the slots of leaving endpoints that may still get requests while no other
 	// endpoint has room. They are not in slots.
 	leaving []*slot
+	// leavingUntil is the time from which on none of them gets a request.
+	leavingUntil time.Time
 	// prefixes estimates which prefixes are cached at which endpoints.
 	prefixes        *prefixIndex
 	random          *rand.Rand
