discovery: count an endpoint's leaving time from its first notice

The time from which the bound on requests to a leaving endpoint counts was that of the first row with a time left, also if an earlier row said that the endpoint drains. The router has dropped the endpoint by then unless both rows arrive together, so few requests can have been affected. It now counts from the first row that says so (TestLeavingCountsFromFirstNotice failed before).

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -157,9 +157,11 @@
 		return
 	}
 	received.Counter = row.Version
+	if received.State == endpoint.Leaving {
+		received.LeavingSince = s.now()
+	}
 	if received.LeavesIn > 0 {
-		now := s.now()
-		received.LeaveBy, received.LeavingSince = now.Add(received.LeavesIn), now
+		received.LeaveBy = received.LeavingSince.Add(received.LeavesIn)
 		received.LeavesIn = 0
 	}
 	current, known := s.directory.Get(row.Key)
--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -240,3 +240,17 @@
 		}
 	}
 }
+
+// An endpoint that drains is then reclaimed too. Guards against sending it requests for the whole
+// bound after its second notice, as the bound counts from the first one.
+func TestLeavingCountsFromFirstNotice(t *testing.T) {
+	s := newFixture()
+	s.applyRows(true, "a", "live")
+	s.applyRows(false, "a", "leaving")
+	first := s.now
+	s.now = s.now.Add(time.Second)
+	s.applyRows(false, "a", "reclaimed")
+	if info, _ := s.directory.Get("a"); !info.LeavingSince.Equal(first) || info.LeaveBy.IsZero() {
+		t.Errorf("got leaving since %v, end %v, want since %v and an end", info.LeavingSince, info.LeaveBy, first)
+	}
+}
