autoscale: keep what boots after a refused order, order lost endpoints at once

A refused or failed order dropped the time of the one before it, so that the endpoints that were booting no longer counted: replacements for all of them were ordered on demand, and the next holder of the lease took them for lost. The time is kept now, and a flag says that the order is to be repeated if too few endpoints serve.

A limit below the number of on-demand endpoints that serve gave reclaimable orders of negative counts after a loss. They are bounded by 0.

TestRefusedOrderKeepsBootingEndpoints, TestLostEndpointsAreOrderedAtOnce and TestOrdersAreNotNegative failed before.

--- a/pkg/app/node/losses.go
+++ b/pkg/app/node/losses.go
@@ -44,6 +44,7 @@
 	if !isLoss {
 		return
 	}
+	n.endpointReconciler.RecordLoss(pool)
 	n.scaleMetrics.CountLoss(pool.Service, pool.DataCenter)
 	n.log.Warn().Str("service", pool.Service).Str("dc", pool.DataCenter).Int("lost", lost).Int("serving", serving[pool]).
 		Float64("probability", losses.Outlook(now).Next).Msg("reclaimable endpoints lost")
--- a/pkg/autoscale/autoscale.go
+++ b/pkg/autoscale/autoscale.go
@@ -87,6 +87,9 @@
 	lowestSent  int
 	initialized bool
 	orderedAt   time.Time
+	// repeat is set if the order must be repeated when too few endpoints serve, also within
+	// their boot time: endpoints were lost, or a later order failed but may have arrived.
+	repeat bool
 	// refusedAt is when an order was last refused for lack of capacity.
 	refusedAt time.Time
 	// notBefore delays the next order for the pool.
@@ -133,6 +136,14 @@
 	return min(max(state.orderedCount-serving, 0), state.bootingCount)
 }
 
+// RecordLoss records that a pool's endpoints were lost. Those that boot are lost with those that
+// serve, so the order is repeated in the next run.
+func (r *Reconciler) RecordLoss(p Pool) {
+	state := r.stateOf(p)
+	state.bootingCount = 0
+	state.repeat = true
+}
+
 // Ordered returns the number of endpoints that a pool has at least by its orders, including failed
 // ones, which may have arrived; ok is false if it is unknown.
 func (r *Reconciler) Ordered(p Pool) (count int, ok bool) {
@@ -169,7 +180,7 @@
 			entry = r.log.Warn().Err(err)
 			state.lowestSent = min(state.lowestSent, count)
 			state.notBefore = now.Add(retryDelay)
-			state.orderedAt = time.Time{}
+			state.repeat = true
 		}
 		if errors.Is(err, ErrNoCapacity) {
 			refused = append(refused, order.Pool())
@@ -194,6 +205,7 @@
 func (s *poolState) recordOrder(count, serving int, now time.Time) {
 	s.orderedCount, s.lowestSent, s.initialized, s.orderedAt = count, count, true, now
 	s.bootingCount = max(count-serving, 0)
+	s.repeat = false
 	s.notBefore = now.Add(scaleUpInterval)
 	s.surplusSince = time.Time{}
 }
@@ -208,7 +220,7 @@
 	}
 	retained := max(order.Retain, order.Count)
 	// The cloud does not replace reclaimed endpoints on its own, so the order is repeated.
-	missing := serving < order.Count && now.Sub(s.orderedAt) > boot+bootMargin
+	missing := serving < order.Count && (s.repeat || now.Sub(s.orderedAt) > boot+bootMargin)
 	if retained >= s.orderedCount {
 		s.surplusSince = time.Time{}
 		return s.orderedCount, missing
--- a/pkg/autoscale/autoscale_test.go
+++ b/pkg/autoscale/autoscale_test.go
@@ -351,3 +351,50 @@
 		t.Errorf("orders without the lease: got %d, want 0", got)
 	}
 }
+
+// Guards against ordering replacements for endpoints that boot because the cloud refused more of them.
+func TestRefusedOrderKeepsBootingEndpoints(t *testing.T) {
+	r := newTestReconciler()
+	pool := autoscale.Pool{Service: "svc", DataCenter: "a", Reclaimable: true}
+	r.step(0, 20)
+	r.sink.err = autoscale.ErrNoCapacity
+	if got := r.step(time.Second, 22); got != 1 {
+		t.Fatalf("higher count: got %d orders, want 1", got)
+	}
+	if got := r.Booting(pool, 0, 4*time.Second, r.now); got != 20 {
+		t.Errorf("got %d booting, want 20", got)
+	}
+}
+
+// Guards against counting endpoints that were lost as booting, and ordering them again only after
+// the boot time.
+func TestLostEndpointsAreOrderedAtOnce(t *testing.T) {
+	r := newTestReconciler()
+	pool := autoscale.Pool{Service: "svc", DataCenter: "a", Reclaimable: true}
+	r.step(0, 10)
+	r.serving = 10
+	r.step(10*time.Second, 20)
+	r.now = r.now.Add(time.Second)
+	r.serving = 0
+	r.RecordLoss(pool)
+	if got := r.Booting(pool, 0, 4*time.Second, r.now); got != 0 {
+		t.Errorf("got %d booting, want none", got)
+	}
+	if got := r.step(0, 20); got != 1 {
+		t.Errorf("got %d orders after the loss, want 1", got)
+	}
+	if got := r.step(time.Second, 20); got != 0 {
+		t.Errorf("got %d orders while the endpoints boot, want none", got)
+	}
+}
+
+// A lower limit than the number of endpoints that serve led to orders of negative counts.
+func TestOrdersAreNotNegative(t *testing.T) {
+	supply := func(string, bool) (int, int) { return 20, 0 }
+	orders, _ := autoscale.Plan(newService(5), autoscale.Demand{Load: 10, Measured: true}, supply, autoscale.Outlook{Known: true})
+	for _, o := range orders {
+		if o.Count < 0 {
+			t.Errorf("got an order of %d in %s, want none below 0", o.Count, o.DataCenter)
+		}
+	}
+}
--- a/pkg/autoscale/plan.go
+++ b/pkg/autoscale/plan.go
@@ -120,7 +120,7 @@
 	for _, dataCenter := range dataCenters {
 		retain := max(ordered[dataCenter], retained[dataCenter])
 		// Reclaimable endpoints return to where on-demand ones are only once those are gone.
-		reclaimable := min(perDataCenter, s.MaxEndpoints-max(retain, onDemand.existing[dataCenter]))
+		reclaimable := max(min(perDataCenter, s.MaxEndpoints-max(retain, onDemand.existing[dataCenter])), 0)
 		orders = append(orders,
 			Order{service.Name, dataCenter, true, reclaimable, reclaimable},
 			Order{service.Name, dataCenter, false, ordered[dataCenter], retain})
--- a/pkg/autoscale/scenario_test.go
+++ b/pkg/autoscale/scenario_test.go
@@ -91,7 +91,9 @@
 		if !known {
 			ordered = s.serving(pool)
 		}
-		losses.Observe(dataCenter, s.serving(pool), ordered, s.now)
+		if _, isLoss := losses.Observe(dataCenter, s.serving(pool), ordered, s.now); isLoss {
+			reconciler.RecordLoss(pool)
+		}
 	}
 	supply := func(dataCenter string, reclaimable bool) (int, int) {
 		pool := autoscale.Pool{Service: name, DataCenter: dataCenter, Reclaimable: reclaimable}
