node: keep notices of leaving endpoints from delaying the periodic duties

A run of the duties on a notice does not report usage or remove rows of dead processes, and the wait for the next periodic run began again after it. While endpoints left one after another, each within 0.75 s of the one before, no usage was reported. The next periodic run is now due at a time that notices do not move.

--- a/pkg/app/node/duties.go
+++ b/pkg/app/node/duties.go
@@ -41,8 +41,7 @@
 	notices := pause.NewSignal()
 	n.view.Directory().SubscribeLeaving(func(endpoint.Info) { notices.Set() })
 	held := false
-	for ctx.Err() == nil {
-		onNotice := pause.ForOrSignal(ctx, n.settings.LeaseDuration/renewalsPerLease, notices, noticeSettleTime)
+	pause.EveryOrSignal(ctx, n.settings.LeaseDuration/renewalsPerLease, notices, noticeSettleTime, func(ctx context.Context, onNotice bool) {
 		_, nowHeld := n.leases.Held(dutyShard)
 		if nowHeld != held {
 			held = nowHeld
@@ -55,7 +54,7 @@
 		if held {
 			n.performDuties(ctx, onNotice)
 		}
-	}
+	})
 }
 
 // noticeSettleTime is the time from the first notice of a leaving endpoint to the run of the duties:
@@ -104,7 +103,8 @@
 	return slices.ContainsFunc(n.view.Roster().Standbys(), func(h roster.Host) bool { return h.Node == n.settings.Node })
 }
 
-// performDuties performs the duties. On a notice of a leaving endpoint it only orders endpoints.
+// performDuties performs the duties. On a notice of a leaving endpoint, before the next periodic run is
+// due, it only orders endpoints.
 func (n *node) performDuties(ctx context.Context, onNotice bool) {
 	held := func() (lease.Grant, bool) { return n.leases.Held(dutyShard) }
 	if n.settings.ReportsUsage && !onNotice {
--- a/pkg/pause/signal.go
+++ b/pkg/pause/signal.go
@@ -40,3 +40,21 @@
 	}
 	return true
 }
+
+// EveryOrSignal calls do period after each call that was not caused by a signal alone, and settle after
+// the signal is set, until ctx is done. early is set for calls that come before the period has passed:
+// signals in quick succession do not delay the others.
+func EveryOrSignal(ctx context.Context, period time.Duration, signal Signal, settle time.Duration, do func(ctx context.Context, early bool)) {
+	due := time.Now().Add(period)
+	for ctx.Err() == nil {
+		signalled := ForOrSignal(ctx, time.Until(due), signal, settle)
+		if ctx.Err() != nil {
+			return
+		}
+		early := signalled && time.Now().Before(due)
+		do(ctx, early)
+		if !early {
+			due = time.Now().Add(period)
+		}
+	}
+}
--- a/pkg/pause/signal_test.go
+++ b/pkg/pause/signal_test.go
@@ -27,3 +27,26 @@
 		}
 	})
 }
+
+// Endpoints that leave one after another, each before the next periodic run, must not keep the duties
+// that only periodic runs perform from being performed.
+func TestSignalsDoNotDelayPeriodicCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const period, settle = 750 * time.Millisecond, 50 * time.Millisecond
+		ctx, stop := context.WithTimeout(t.Context(), 7600*time.Millisecond)
+		defer stop()
+		signal := pause.NewSignal()
+		go pause.Every(ctx, 300*time.Millisecond, func(context.Context) { signal.Set() })
+		periodic, early := 0, 0
+		pause.EveryOrSignal(ctx, period, signal, settle, func(_ context.Context, isEarly bool) {
+			if isEarly {
+				early++
+			} else {
+				periodic++
+			}
+		})
+		if periodic < 9 || early < 10 {
+			t.Errorf("within ten periods: got %d periodic calls and %d early ones, want at least 9 and 10", periodic, early)
+		}
+	})
+}
