autoscale: keep orders of earlier holders that are younger than a roll-out

The first run of a new holder of the lease that had seen a roll-out end reset the orders of the service, also those that it had just read from the store: endpoints that booted were ordered again or down, which the row is to prevent. The row now names the roll-out after which the orders were reset. If it is the last one, they are kept; else they are not taken over, as the roll-out has replaced the endpoints and their smaller number is no loss.

TestOrdersSinceRolloutAreKept and TestStatePassesToNextHolder cover the row and the choice; the reset itself was found by reading. go test -race ./pkg/autoscale ./pkg/scalesync and TestNextHolderContinuesAfterLoss pass.

--- a/pkg/app/node/losses.go
+++ b/pkg/app/node/losses.go
@@ -57,6 +57,12 @@
 	if !ok {
 		return
 	}
+	completed := n.rollouts.CompletedOrder(service.Name)
+	state = state.SinceRollout(completed)
+	if state.Rollout == completed {
+		// The pools were reset after this roll-out by an earlier holder.
+		n.appliedOrders[service.Name] = completed
+	}
 	n.endpointReconciler.Restore(state.Pools, func(p autoscale.Pool) int { return serving[p] })
 	n.losses.Of(service.Name).Restore(state.Losses, state.Pools, service.Scaling.BootTime, now)
 	n.serviceDemandTracker.Restore(service.Name, state.Demand, now)
@@ -65,8 +71,9 @@
 // scaleState returns what the next holder of the lease must know of a service.
 func (n *node) scaleState(service string) autoscale.State {
 	return autoscale.State{
-		Pools:  n.endpointReconciler.State(service),
-		Losses: n.losses.Of(service).State(),
-		Demand: n.serviceDemandTracker.State(service),
+		Rollout: n.appliedOrders[service],
+		Pools:   n.endpointReconciler.State(service),
+		Losses:  n.losses.Of(service).State(),
+		Demand:  n.serviceDemandTracker.State(service),
 	}
 }
--- a/pkg/autoscale/state.go
+++ b/pkg/autoscale/state.go
@@ -10,9 +10,21 @@
 // State is what a holder of the lease knows of a service beyond what can be observed, for the
 // next holder.
 type State struct {
-	Pools  []PoolState
-	Losses LossState
-	Demand DemandState
+	// Rollout is the ID of the roll-out after whose end the pools were last reset, 0 if there was
+	// none.
+	Rollout int64
+	Pools   []PoolState
+	Losses  LossState
+	Demand  DemandState
+}
+
+// SinceRollout returns the state without the pools if they are from before the end of a roll-out, which
+// replaces endpoints. completed is the ID of the service's last completed roll-out, 0 if it is not known.
+func (s State) SinceRollout(completed int64) State {
+	if completed != 0 && s.Rollout != completed {
+		s.Pools = nil
+	}
+	return s
 }
 
 // PoolState is what was ordered for one pool.
@@ -45,7 +57,7 @@
 // EqualOrders reports whether two states have the same orders, refusals and losses.
 func (s State) EqualOrders(other State) bool {
 	a, b := s.Losses, other.Losses
-	return slices.Equal(s.Pools, other.Pools) && a.Pending == b.Pending && a.Followed == b.Followed && a.Ended == b.Ended &&
+	return s.Rollout == other.Rollout && slices.Equal(s.Pools, other.Pools) && a.Pending == b.Pending && a.Followed == b.Followed && a.Ended == b.Ended &&
 		a.Delays == b.Delays && latest(a.LostAt).Equal(latest(b.LostAt))
 }
 
--- a/pkg/autoscale/takeover_test.go
+++ b/pkg/autoscale/takeover_test.go
@@ -83,3 +83,14 @@
 		t.Errorf("demand: got %+v, want most of the load of 17, measured", got)
 	}
 }
+
+// A new holder that had seen a roll-out end dropped the orders of earlier holders, also those that were
+// sent after it, and counted endpoints that booted as missing.
+func TestOrdersSinceRolloutAreKept(t *testing.T) {
+	state := autoscale.State{Rollout: 7, Pools: []autoscale.PoolState{{Ordered: 20}}, Losses: autoscale.LossState{Followed: 2}}
+	for completed, want := range map[int64]int{7: 1, 0: 1, 9: 0} {
+		if got := state.SinceRollout(completed); len(got.Pools) != want || got.Losses.Followed != 2 {
+			t.Errorf("roll-out %d: got %+v, want %d pools and the losses", completed, got, want)
+		}
+	}
+}
--- a/pkg/scalesync/row.go
+++ b/pkg/scalesync/row.go
@@ -18,6 +18,8 @@
 	Lost  []loss     `cbor:"3,keyasint,omitempty"`
 	Waves waveCounts `cbor:"4,keyasint"`
 	Peak  peak       `cbor:"5,keyasint"`
+	// Rollout is the ID of a roll-out; see autoscale.State.
+	Rollout int64 `cbor:"6,keyasint,omitempty"`
 }
 
 type pool struct {
@@ -88,7 +90,7 @@
 func encode(s autoscale.State, epoch int64, c converter) ([]byte, error) {
 	d := s.Demand
 	r := row{
-		Epoch: epoch,
+		Epoch: epoch, Rollout: s.Rollout,
 		Waves: waveCounts{Pending: s.Losses.Pending, Followed: s.Losses.Followed, Ended: s.Losses.Ended, DelaysMS: s.Losses.Delays.Milliseconds()},
 		Peak: peak{
 			AtMS: c.toStore(d.At), FirstLoadAtMS: c.toStore(d.FirstLoadAt),
@@ -127,6 +129,7 @@
 		return autoscale.State{}, err
 	}
 	s := autoscale.State{
+		Rollout: r.Rollout,
 		Losses: autoscale.LossState{
 			LostAt: map[string]time.Time{}, Pending: r.Waves.Pending, Followed: r.Waves.Followed, Ended: r.Waves.Ended,
 			Delays: time.Duration(r.Waves.DelaysMS) * time.Millisecond,
--- a/pkg/scalesync/syncer_test.go
+++ b/pkg/scalesync/syncer_test.go
@@ -27,9 +27,10 @@
 func stateAt(now time.Time, ordered int) autoscale.State {
 	pool := autoscale.Pool{Service: "svc", DataCenter: "a", Reclaimable: true}
 	return autoscale.State{
-		Pools:  []autoscale.PoolState{{Pool: pool, Ordered: ordered, Booting: 4, OrderedAt: now.Add(-time.Second)}},
-		Losses: autoscale.LossState{LostAt: map[string]time.Time{"b": now.Add(-3 * time.Second)}, Pending: true, Followed: 2, Ended: 1, Delays: 9 * time.Second},
-		Demand: autoscale.DemandState{At: now, FirstLoadAt: now.Add(-time.Minute), Load: 17, Refused: 30},
+		Rollout: 7,
+		Pools:   []autoscale.PoolState{{Pool: pool, Ordered: ordered, Booting: 4, OrderedAt: now.Add(-time.Second)}},
+		Losses:  autoscale.LossState{LostAt: map[string]time.Time{"b": now.Add(-3 * time.Second)}, Pending: true, Followed: 2, Ended: 1, Delays: 9 * time.Second},
+		Demand:  autoscale.DemandState{At: now, FirstLoadAt: now.Add(-time.Minute), Load: 17, Refused: 30},
 	}
 }
 
@@ -51,7 +52,7 @@
 		go second.Run(t.Context())
 		grant := lease.Grant{Epoch: 9}
 		got, ok := second.Load(t.Context(), "svc", grant)
-		if !ok || len(got.Pools) != 1 || got.Pools[0].Ordered != 40 || got.Pools[0].Booting != 4 || got.Demand.Load != 17 || got.Losses.Followed != 2 || !got.Losses.Pending {
+		if !ok || len(got.Pools) != 1 || got.Pools[0].Ordered != 40 || got.Pools[0].Booting != 4 || got.Demand.Load != 17 || got.Rollout != 7 || got.Losses.Followed != 2 || !got.Losses.Pending {
 			t.Fatalf("state: got %+v, %v, want %+v", got, ok, saved)
 		}
 		if age := secondClock.Now().Sub(got.Losses.LostAt["b"]); age != 5*time.Second {
