forward: take Retry-After from the endpoints that remain

A stream that is refused because of the queue at the best endpoint is offered to a leaving one next. If that refused it too, Retry-After was set by the leaving endpoint's queue. Only leaving endpoints that finish in time are considered, so it was too short, and callers who returned by it were refused again. The Retry-After of the first refusal is now kept.

--- a/pkg/forward/run.go
+++ b/pkg/forward/run.go
@@ -125,14 +125,18 @@
 }
 
 // acceptChoice reports whether a choice is used. It is not if a stream's first event would
-// be too late because of the queue at the best endpoint; retryAfter is then set.
+// be too late because of the queue at the best endpoint; retryAfter is then set. The router asks
+// again about a leaving endpoint: if that is not used either, retryAfter is still that of the best
+// endpoint that remains.
 func (c *call) acceptChoice(choice route.Choice) bool {
 	if c.route.Kind != routetable.Stream || c.deliveredAttempts() > 0 {
 		return true
 	}
 	stream := admission.Stream{Objective: c.route.LatencyObjective, Priority: c.priority}
 	retryAfter, late := stream.ShouldReject(admission.EstimateOf(choice))
-	c.retryAfter = retryAfter
+	if !late || c.retryAfter == 0 {
+		c.retryAfter = retryAfter
+	}
 	return !late
 }
 
--- a/pkg/route/query.go
+++ b/pkg/route/query.go
@@ -51,8 +51,9 @@
 	// Connected reports whether this entry has a connection to an address that the request can
 	// use; nil if it has one to every address.
 	Connected func(address string) bool
-	// Accepts reports whether the best endpoint is used; nil always uses it. A rejected choice is
-	// counted in the engine demand and changes nothing else: its prefixes do not count as
+	// Accepts reports whether the best endpoint is used; nil always uses it. If not, it is called
+	// again for the best leaving endpoint that finishes the request in time, if any. A rejected
+	// choice is counted in the engine demand and changes nothing else: its prefixes do not count as
 	// prefilled.
 	Accepts    func(Choice) bool
 	reportOnly bool
