roster: keep the work of all datagrams; autoscale: count only other data centres

The work of more services than fit into a datagram is sent in several, but each replaced the one before, so that only the services of the last one counted towards slots, memory and refusals. The work is now kept by service. TestWorkOfSeveralDatagramsIsSummed failed before.

A second loss of the same data centre counted as a loss that was followed by one in another, and raised the probability of those. TestSecondLossOfDataCenterIsNotFollowed failed before.

--- a/pkg/autoscale/losses.go
+++ b/pkg/autoscale/losses.go
@@ -119,7 +119,7 @@
 	if known && now.Sub(previous) < sameLossWithin {
 		return false
 	}
-	if l.pending {
+	if l.pending && !previous.Equal(l.lastAt) {
 		l.followed++
 		l.delays += now.Sub(l.lastAt)
 	}
--- a/pkg/autoscale/losses_test.go
+++ b/pkg/autoscale/losses_test.go
@@ -191,6 +191,19 @@
 	}
 }
 
+// Guards against taking a second loss of one data centre for one of another: it shows nothing about
+// those that follow in others.
+func TestSecondLossOfDataCenterIsNotFollowed(t *testing.T) {
+	losses, now := lossAt("a")
+	for _, serving := range []int{40, 0} {
+		now = now.Add(5 * time.Second)
+		losses.Observe("a", serving, 40, now)
+	}
+	if got := losses.State(); got.Followed != 0 || !got.LostAt["a"].Equal(now) {
+		t.Errorf("got %d followed, last loss at %v, want 0, %v", got.Followed, got.LostAt["a"], now)
+	}
+}
+
 // BenchmarkPlan measures a plan during a wave of losses.
 func BenchmarkPlan(b *testing.B) {
 	for _, dataCenters := range []int{3, 19} {
--- a/pkg/roster/member.go
+++ b/pkg/roster/member.go
@@ -11,9 +11,9 @@
 	// status is the latest datagram of the process itself, newer than the row.
 	status   Status
 	statusAt time.Time
-	// work is the latest work that the process has sent, received at workAt.
-	work   []Work
-	workAt time.Time
+	// work is the latest work that the process has sent, by service. Entries older than workMaxAge
+	// do not count and are removed when more arrive.
+	work map[string]receivedWork
 	// lastInterval is the time between its latest two datagrams. interval is the shorter of the
 	// latest two such times, so that the loss of one datagram does not lengthen it.
 	lastInterval, interval time.Duration
--- a/pkg/roster/work.go
+++ b/pkg/roster/work.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -9,13 +10,27 @@
 // intervals at which hosts send it.
 const workMaxAge = 4 * time.Second
 
-// ApplyWork applies the work that a process sends separately from its status. Work of an unknown
-// process is ignored, as the process sends it again.
+// receivedWork is the work for one service and when it was received.
+type receivedWork struct {
+	Work
+	at time.Time
+}
+
+// ApplyWork applies the work that a process sends separately from its status, for some of its services
+// at a time. Work of an unknown process is ignored, as the process sends it again.
 func (r *Roster) ApplyWork(incarnation string, work []Work, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if m, ok := r.members[incarnation]; ok {
-		m.work, m.workAt = work, now
+	m, ok := r.members[incarnation]
+	if !ok {
+		return
+	}
+	if m.work == nil {
+		m.work = make(map[string]receivedWork, len(work))
+	}
+	maps.DeleteFunc(m.work, func(_ string, w receivedWork) bool { return now.Sub(w.at) >= workMaxAge })
+	for _, w := range work {
+		m.work[w.Service] = receivedWork{w, now}
 	}
 }
 
@@ -24,21 +39,34 @@
 func (r *Roster) Work(now time.Time) map[string]Work {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	sums := map[string]Work{}
+	sums := workSums{}
 	for _, m := range r.live() {
-		sent := m.row.Work
-		if now.Sub(m.workAt) < workMaxAge {
-			sent = m.work
-		}
-		for _, w := range sent {
-			if w.isValid() {
-				sums[w.Service] = sums[w.Service].add(w)
+		isCurrent := false
+		for _, w := range m.work {
+			if now.Sub(w.at) < workMaxAge {
+				isCurrent = true
+				sums.add(w.Work)
 			}
 		}
+		if isCurrent {
+			continue
+		}
+		for _, w := range m.row.Work {
+			sums.add(w)
+		}
 	}
 	return sums
 }
 
+// workSums are sums of work by service.
+type workSums map[string]Work
+
+func (s workSums) add(w Work) {
+	if w.isValid() {
+		s[w.Service] = s[w.Service].add(w)
+	}
+}
+
 func (w Work) add(other Work) Work {
 	return Work{other.Service, w.SlotTime + other.SlotTime, w.TokenTime + other.TokenTime, w.Offered + other.Offered, w.Refused + other.Refused}
 }
--- a/pkg/roster/work_test.go
+++ b/pkg/roster/work_test.go
@@ -33,6 +33,21 @@
 	}
 }
 
+// The work for many services is sent in several datagrams. Guards against counting only the last one.
+func TestWorkOfSeveralDatagramsIsSummed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	members := withWork(1, now)
+	members.ApplyWork("h0000", []roster.Work{{Service: "other", Offered: 3}}, now)
+	work := members.Work(now.Add(time.Second))
+	if work["svc"].Offered != 1 || work["other"].Offered != 3 {
+		t.Errorf("got %+v, want 1 offered for svc and 3 for other", work)
+	}
+	members.ApplyWork("h0000", []roster.Work{{Service: "other", Offered: 3}}, now.Add(5*time.Second))
+	if got := members.Work(now.Add(5 * time.Second))["svc"].Offered; got != 0 {
+		t.Errorf("work that is no longer sent: got %v offered, want 0", got)
+	}
+}
+
 // Rows of the earlier version have no work, and those of this one keep it.
 func TestRowKeepsWork(t *testing.T) {
 	want := roster.Row{Host: roster.Host{Incarnation: "a", Node: "a"}, Work: []roster.Work{{Service: "svc", SlotTime: 2, TokenTime: 100, Offered: 1, Refused: 0.25}}}
