node: drop what was ordered when the lease was granted again between two runs

A holder whose lease expired and was granted to it again between two runs of the duties kept its orders and losses if the row of the store could not be read, although another host may have held the lease. The state is now dropped with each grant, whose epoch changes only when the lease is acquired.

Found by reading; TestNextHolderContinuesAfterLoss passes, no test covers the two grants.

--- a/pkg/app/node/duties.go
+++ b/pkg/app/node/duties.go
@@ -40,11 +40,12 @@
 	go n.scaleStates.Run(ctx)
 	notices := pause.NewSignal()
 	n.view.Directory().SubscribeLeaving(func(endpoint.Info) { notices.Set() })
-	held := false
+	var last lease.Grant
 	pause.EveryOrSignal(ctx, n.settings.LeaseDuration/renewalsPerLease, notices, noticeSettleTime, func(ctx context.Context, onNotice bool) {
-		_, nowHeld := n.leases.Held(dutyShard)
-		if nowHeld != held {
-			held = nowHeld
+		grant, held := n.leases.Held(dutyShard)
+		if grant != last {
+			// Another host may have held the lease between two grants, also between two runs.
+			last = grant
 			n.log.Info().Bool("held", held).Msg("lease of the duties")
 			n.endpointReconciler.Reset()
 			n.losses.Reset()
