--- a/pkg/app/node/duties.go
+++ b/pkg/app/node/duties.go
@@ -40,12 +40,12 @@
 	go n.scaleStates.Run(ctx)
 	notices := pause.NewSignal()
 	n.view.Directory().SubscribeLeaving(func(endpoint.Info) { notices.Set() })
-	held := false
-	for ctx.Err() == nil {
-		onNotice := pause.ForOrSignal(ctx, n.settings.LeaseDuration/renewalsPerLease, notices, noticeSettleTime)
-		_, nowHeld := n.leases.Held(dutyShard)
-		if nowHeld != held {
-			held = nowHeld
+	var last lease.Grant
+	pause.EveryOrSignal(ctx, n.settings.LeaseDuration/renewalsPerLease, notices, noticeSettleTime, func(ctx context.Context, onNotice bool) {
+		grant, held := n.leases.Held(dutyShard)
+		if grant != last {
+			// Another host may have held the lease between two grants, also between two runs.
+			last = grant
 			n.log.Info().Bool("held", held).Msg("lease of the duties")
 			n.endpointReconciler.Reset()
 			n.losses.Reset()
@@ -55,7 +55,7 @@
 		if held {
 			n.performDuties(ctx, onNotice)
 		}
-	}
+	})
 }
 
 // noticeSettleTime is the time from the first notice of a leaving endpoint to the run of the duties:
@@ -104,7 +104,8 @@
 	return slices.ContainsFunc(n.view.Roster().Standbys(), func(h roster.Host) bool { return h.Node == n.settings.Node })
 }
 
-// performDuties performs the duties. On a notice of a leaving endpoint it only orders endpoints.
+// performDuties performs the duties. On a notice of a leaving endpoint, before the next periodic run is
+// due, it only orders endpoints.
 func (n *node) performDuties(ctx context.Context, onNotice bool) {
 	held := func() (lease.Grant, bool) { return n.leases.Held(dutyShard) }
 	if n.settings.ReportsUsage && !onNotice {
