--- a/pkg/autoscale/losses_test.go
+++ b/pkg/autoscale/losses_test.go
@@ -67,7 +67,7 @@
 
 // The losses that follow the first one arrive sooner than an endpoint boots. With three data
 // centres left, all of them would have to be lost within two boot times: what remains covers any
-// other case, and on-demand endpoints would be paid for in vain.
+// other case without on-demand endpoints.
 func TestFirstLossOrdersOnDemandCover(t *testing.T) {
 	losses, now := lossAt("a")
 	supply := reclaimableSupply(map[string]int{"b": 40, "c": 40})
