--- a/pkg/app/node/losses.go
+++ b/pkg/app/node/losses.go
@@ -28,7 +28,7 @@
 		if inWave {
 			message = "wave of losses began"
 		}
-		n.log.Info().Str("service", service.Name).Float64("probability", outlook.Any).Int("need-engine-time", need.EngineTime).Int("need-slots", need.Slots).
+		n.log.Info().Str("service", service.Name).Float64("probability", outlook.Next).Int("need-engine-time", need.EngineTime).Int("need-slots", need.Slots).
 			Int("need-memory", need.Memory).Int("need-refused", need.Refused).Msg(message)
 	}
 	return outlook
@@ -47,7 +47,7 @@
 	n.endpointReconciler.RecordLoss(pool)
 	n.scaleMetrics.CountLoss(pool.Service, pool.DataCenter)
 	n.log.Warn().Str("service", pool.Service).Str("dc", pool.DataCenter).Int("lost", lost).Int("serving", serving[pool]).
-		Float64("probability", losses.Outlook(0, now).Any).Msg("reclaimable endpoints lost")
+		Float64("probability", losses.Outlook(0, now).Next).Msg("reclaimable endpoints lost")
 }
 
 // takeOver reads what an earlier holder of the lease ordered and recorded for a service, before the
--- a/pkg/autoscale/losses.go
+++ b/pkg/autoscale/losses.go
@@ -31,10 +31,9 @@
 	// observations.
 	priorDelay  = 5 * time.Second
 	priorDelays = 2.0
-	// horizonBoots is the number of boot times ahead for which endpoints are ordered against
-	// further losses: one until they serve, and one until those serve that are ordered at the
-	// next loss. Later losses are answered in time at the notice of the loss before them.
-	horizonBoots = 2
+	// chainBoots is the number of boot times within which a loss must follow the next one to be
+	// prepared for now: later ones are answered in time at the notice of the next one.
+	chainBoots = 1
 	// waveEndProbability is the probability of a further loss below which a wave is over.
 	waveEndProbability = 0.05
 )
@@ -160,15 +159,9 @@
 		return outlook
 	}
 	follow := (priorFollowed + float64(l.followed)) / (priorFollowed + priorEnded + float64(l.followed+l.ended))
-	since, horizon := now.Sub(l.lastAt), horizonBoots*boot
-	notYet := follow * l.survival(since)
-	outlook.Any = notYet / (1 - follow + notYet)
-	if notYet > 0 {
-		outlook.Next = outlook.Any * (1 - l.survival(since+horizon)/l.survival(since))
-	}
-	// The next loss comes in the middle of that time on average, which leaves the other half for
-	// a further one.
-	outlook.Chain = follow * (1 - l.survival(horizon/2))
+	notYet := follow * l.survival(now.Sub(l.lastAt))
+	outlook.Next = notYet / (1 - follow + notYet)
+	outlook.Chain = follow * (1 - l.survival(chainBoots*boot))
 	return outlook
 }
 
@@ -199,17 +192,17 @@
 type Outlook struct {
 	// Known is set once a loss has been recorded.
 	Known bool
-	// Any is the probability that another data centre loses its reclaimable endpoints in the
-	// present wave, Next that it does so within horizonBoots. Chain is the probability that such
-	// a loss is followed by another one within horizonBoots.
-	Any, Next, Chain float64
+	// Next is the probability that another data centre loses its reclaimable endpoints in
+	// the present wave, Chain the probability that such a loss is followed by another one within
+	// chainBoots.
+	Next, Chain float64
 	// NoOnDemand and NoReclaimable have the data centres that recently refused orders of the
 	// class.
 	NoOnDemand, NoReclaimable map[string]bool
 }
 
 // InWave reports whether further losses are likely enough to count as a wave.
-func (o Outlook) InWave() bool { return o.Any >= waveEndProbability }
+func (o Outlook) InWave() bool { return o.Next >= waveEndProbability }
 
 // scenarios returns the probabilities of 0, 1, ... and all of the given number of data
 // centres being lost next.
--- a/pkg/autoscale/losses_test.go
+++ b/pkg/autoscale/losses_test.go
@@ -67,7 +67,7 @@
 
 // The losses that follow the first one arrive sooner than an endpoint boots. With three data
 // centres left, all of them would have to be lost within two boot times: what remains covers any
-// other case, and on-demand endpoints would be paid for in vain.
+// other case without on-demand endpoints.
 func TestFirstLossOrdersOnDemandCover(t *testing.T) {
 	losses, now := lossAt("a")
 	supply := reclaimableSupply(map[string]int{"b": 40, "c": 40})
@@ -191,7 +191,7 @@
 		losses.Observe("a", 0, 40, now)
 		return losses.Outlook(bootTime, now)
 	}
-	prior, never, always := outlookAfter(0, false).Any, outlookAfter(8, false).Any, outlookAfter(8, true).Any
+	prior, never, always := outlookAfter(0, false).Next, outlookAfter(8, false).Next, outlookAfter(8, true).Next
 	if prior != 0.5 || never > 0.2 || always < prior {
 		t.Errorf("probability of a further loss: got %.2f by the prior, %.2f after none, %.2f after as many as losses, want 0.5, at most 0.2, at least 0.5", prior, never, always)
 	}
--- a/pkg/autoscale/scenario_test.go
+++ b/pkg/autoscale/scenario_test.go
@@ -160,8 +160,8 @@
 			previous = s.missing
 			// The plan that ordered on-demand endpoints once the rest could not cover the need left 40
 			// endpoint seconds missing after losses 3 s apart.
-			if i == 3 && boot == bootTime && s.missing > 40*2/3 {
-				t.Errorf("endpoint seconds missing after losses 3 s apart: got %.1f, want at most two thirds of 40", s.missing)
+			if i == 3 && boot == bootTime && s.missing > 24 {
+				t.Errorf("endpoint seconds missing after losses 3 s apart: got %.1f, want at most 24", s.missing)
 			}
 			if s.calls > 60 {
 				t.Errorf("losses at %v, boot time %v: got %d calls to the cloud in 100 s, want at most 60", losses, boot, s.calls)
