--- a/pkg/app/node/loads.go
+++ b/pkg/app/node/loads.go
@@ -58,6 +58,7 @@
 		Notices:    n.noticeTracker.Reports(now),
 		Work:       n.localWork(now),
 		Speeds:     n.router.DrainSpeeds(),
+		Held:       n.router.HeldReports(now),
 	}
 }
 
@@ -84,6 +85,10 @@
 		n.loadSync.ApplySpeeds(update.Speeds, now)
 		return
 	}
+	if len(update.Held) > 0 {
+		n.loadSync.ApplyHeld(update.Incarnation, update.Held, now)
+		return
+	}
 	if update.Subscribes {
 		n.view.Roster().Subscribe(update.Host, now)
 		return
@@ -154,9 +159,18 @@
 	n.view.Roster().Prune(deadRowRetention)
 	n.view.EndpointSyncer().Expire()
 	n.recordCrashedSuspects(now)
+	n.logSpeeds()
 	n.logSuspension()
 	n.logRole()
 	n.refreshRollouts(now)
 	n.router.SetHosts(n.advertisedNames(), now)
 	n.limiter.SetFleet(n.view.Roster().CountHosts(string(n.incarnation), now))
 }
+
+// logSpeeds logs when the endpoints of a service begin to differ in speed, or no longer do.
+func (n *node) logSpeeds() {
+	for _, change := range n.loadSync.SpeedChanges() {
+		n.log.Info().Str("service", change.Target.Service).Bool("differ", change.Differs).
+			Float64("least", change.Least).Float64("greatest", change.Greatest).Msg("speed of endpoints changed")
+	}
+}
--- a/pkg/app/node/losses.go
+++ b/pkg/app/node/losses.go
@@ -21,7 +21,7 @@
 			n.observeLoss(losses, autoscale.Pool{Service: service.Name, DataCenter: dataCenter, Reclaimable: true}, serving, now)
 		}
 	}
-	outlook := losses.Outlook(now)
+	outlook := losses.Outlook(service.Scaling.BootTime, now)
 	n.scaleMetrics.Set(service.Name, need, n.endpointReconciler.State(service.Name), outlook)
 	if inWave, changed := losses.UpdateWave(now); changed {
 		message := "wave of losses ended"
@@ -44,9 +44,10 @@
 	if !isLoss {
 		return
 	}
+	n.endpointReconciler.RecordLoss(pool)
 	n.scaleMetrics.CountLoss(pool.Service, pool.DataCenter)
 	n.log.Warn().Str("service", pool.Service).Str("dc", pool.DataCenter).Int("lost", lost).Int("serving", serving[pool]).
-		Float64("probability", losses.Outlook(now).Next).Msg("reclaimable endpoints lost")
+		Float64("probability", losses.Outlook(0, now).Next).Msg("reclaimable endpoints lost")
 }
 
 // takeOver reads what an earlier holder of the lease ordered and recorded for a service, before the
@@ -56,6 +57,12 @@
 	if !ok {
 		return
 	}
+	completed := n.rollouts.CompletedOrder(service.Name)
+	state = state.SinceRollout(completed)
+	if state.Rollout == completed {
+		// The pools were reset after this roll-out by an earlier holder.
+		n.appliedOrders[service.Name] = completed
+	}
 	n.endpointReconciler.Restore(state.Pools, func(p autoscale.Pool) int { return serving[p] })
 	n.losses.Of(service.Name).Restore(state.Losses, state.Pools, service.Scaling.BootTime, now)
 	n.serviceDemandTracker.Restore(service.Name, state.Demand, now)
@@ -64,8 +71,9 @@
 // scaleState returns what the next holder of the lease must know of a service.
 func (n *node) scaleState(service string) autoscale.State {
 	return autoscale.State{
-		Pools:  n.endpointReconciler.State(service),
-		Losses: n.losses.Of(service).State(),
-		Demand: n.serviceDemandTracker.State(service),
+		Rollout: n.appliedOrders[service],
+		Pools:   n.endpointReconciler.State(service),
+		Losses:  n.losses.Of(service).State(),
+		Demand:  n.serviceDemandTracker.State(service),
 	}
 }
--- a/pkg/autoscale/losses.go
+++ b/pkg/autoscale/losses.go
@@ -31,6 +31,9 @@
 	// observations.
 	priorDelay  = 5 * time.Second
 	priorDelays = 2.0
+	// chainBoots is the number of boot times within which a loss must follow the next one to be
+	// prepared for now: later ones are answered in time at the notice of the next one.
+	chainBoots = 1
 	// waveEndProbability is the probability of a further loss below which a wave is over.
 	waveEndProbability = 0.05
 )
@@ -119,7 +122,7 @@
 	if known && now.Sub(previous) < sameLossWithin {
 		return false
 	}
-	if l.pending {
+	if l.pending && !previous.Equal(l.lastAt) {
 		l.followed++
 		l.delays += now.Sub(l.lastAt)
 	}
@@ -139,8 +142,8 @@
 // RecordRefusal records an order that the cloud refused for lack of capacity.
 func (l *Losses) RecordRefusal(p Pool, now time.Time) { l.refusedAt[p] = now }
 
-// Outlook returns the probability of further losses as of now.
-func (l *Losses) Outlook(now time.Time) Outlook {
+// Outlook returns the probability of further losses as of now, given the boot time of endpoints.
+func (l *Losses) Outlook(boot time.Duration, now time.Time) Outlook {
 	l.settle(now)
 	outlook := Outlook{Known: !l.lastAt.IsZero(), NoOnDemand: map[string]bool{}, NoReclaimable: map[string]bool{}}
 	for pool, at := range l.refusedAt {
@@ -157,14 +160,15 @@
 	}
 	follow := (priorFollowed + float64(l.followed)) / (priorFollowed + priorEnded + float64(l.followed+l.ended))
 	notYet := follow * l.survival(now.Sub(l.lastAt))
-	outlook.Next, outlook.Chain = notYet/(1-follow+notYet), follow
+	outlook.Next = notYet / (1 - follow + notYet)
+	outlook.Chain = follow * (1 - l.survival(chainBoots*boot))
 	return outlook
 }
 
 // UpdateWave reports whether a wave of losses is under way and whether this has changed since
 // the last call.
 func (l *Losses) UpdateWave(now time.Time) (inWave, changed bool) {
-	inWave = l.Outlook(now).InWave()
+	inWave = l.Outlook(0, now).InWave()
 	changed = inWave != l.inWave
 	l.inWave = inWave
 	return inWave, changed
@@ -189,7 +193,8 @@
 	// Known is set once a loss has been recorded.
 	Known bool
 	// Next is the probability that another data centre loses its reclaimable endpoints in
-	// the present wave, Chain the probability that each such loss is followed by another.
+	// the present wave, Chain the probability that such a loss is followed by another one within
+	// chainBoots.
 	Next, Chain float64
 	// NoOnDemand and NoReclaimable have the data centres that recently refused orders of the
 	// class.
--- a/pkg/loadsync/loadsync.go
+++ b/pkg/loadsync/loadsync.go
@@ -19,13 +19,16 @@
 	members *roster.Roster
 	// self is this process's incarnation.
 	self string
+	held held
+	// differing is the services whose endpoints differ in speed; only SpeedChanges uses it.
+	differing map[string]bool
 	// speedReports and ignoredSpeedReports count the received reports on the speed of endpoints.
 	speedReports, ignoredSpeedReports atomic.Int64
 }
 
 // New returns a Sync for a process's router and roster.
 func New(router *route.Router, members *roster.Roster, self string) *Sync {
-	return &Sync{router: router, members: members, self: self}
+	return &Sync{router: router, members: members, self: self, differing: map[string]bool{}}
 }
 
 // LocalLoads returns the load of this host's requests at each endpoint.
@@ -75,6 +78,7 @@
 
 // UpdateRouter passes the loads of all other processes to the router.
 func (s *Sync) UpdateRouter(now time.Time) {
+	s.expireHeld(now)
 	loads := s.members.Loads(s.self, now)
 	for _, info := range s.router.Endpoints() {
 		s.reportLoad(info, loads[info.ID], now)
--- a/pkg/route/query.go
+++ b/pkg/route/query.go
@@ -34,6 +34,9 @@
 	PromptTokens, AnswerTokens int
 	// GeneratedTokens is the number of answer tokens generated already, to be prefilled again.
 	GeneratedTokens int
+	// MemoryTokens is the number of tokens that the memory of one endpoint holds; 0 if it is no
+	// constraint.
+	MemoryTokens int
 	// RiskWeight is the number of seconds that one second of lost work counts for: 1 for work that
 	// can wait, more for a caller at a counter, 0 to ignore the risk.
 	RiskWeight float64
@@ -51,8 +54,9 @@
 	// Connected reports whether this entry has a connection to an address that the request can
 	// use; nil if it has one to every address.
 	Connected func(address string) bool
-	// Accepts reports whether the best endpoint is used; nil always uses it. A rejected choice is
-	// counted in the engine demand and changes nothing else: its prefixes do not count as
+	// Accepts reports whether the best endpoint is used; nil always uses it. If not, it is called
+	// again for the best leaving endpoint that finishes the request in time, if any. A rejected
+	// choice is counted in the engine demand and changes nothing else: its prefixes do not count as
 	// prefilled.
 	Accepts    func(Choice) bool
 	reportOnly bool
@@ -80,6 +84,8 @@
 	// uncachedTokens is the number of prompt tokens estimated to need prefill, aheadTokens the
 	// number of other requests' tokens estimated to be prefilled before them.
 	uncachedTokens, aheadTokens int
+	// heldTokens is the number of tokens that the request holds in the endpoint's memory.
+	heldTokens int
 	// batchShare is the share of the endpoint's slots in use.
 	batchShare float64
 }
