job: track a job that waits for its rerun, count remaining jobs once

After a commit with an unknown outcome, Reconcile looks for jobs of this entry that the worker does not have. A job was untracked while it waited for its rerun (2 s, a minute in quarantine), so that Reconcile took it over from this entry itself and queued it; the rerun then queued it again. The caller's job was generated twice or more, and the result of one run was dropped as lost.

The worker now tracks the job until its rerun has ended.

Recover counted jobs of other shards twice when the store failed in the middle of a page (13 jobs remaining and 1 taken of 12). It now counts those from the failed one on.

--- a/pkg/job/recover.go
+++ b/pkg/job/recover.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return 0, 0, err
 	}
-	for _, id := range ids {
+	for i, id := range ids {
 		if !shard.contains(id) {
 			remaining++
 			continue
@@ -42,7 +42,7 @@
 			taken++
 		case errors.Is(err, ErrTakenOver):
 		default:
-			return taken, remaining + len(ids) - taken, err
+			return taken, remaining + len(ids) - i, err
 		}
 	}
 	return taken, remaining, nil
--- a/pkg/job/worker.go
+++ b/pkg/job/worker.go
@@ -37,7 +37,7 @@
 
 	mu    sync.Mutex
 	queue jobQueue
-	// tracked holds the IDs of queued and running jobs.
+	// tracked holds the IDs of queued and running jobs, and of those that wait for a rerun.
 	tracked map[string]bool
 	// missing holds the IDs of jobs that the last Reconcile found in the store but not here.
 	missing map[string]bool
@@ -58,8 +58,8 @@
 	}
 }
 
-// Add queues a job that this entry owns. It does nothing if the job is queued or running
-// already, or after Drain.
+// Add queues a job that this entry owns. It does nothing if the worker has the job already, or
+// after Drain.
 func (w *Worker) Add(j Job) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -71,7 +71,7 @@
 	w.dispatch()
 }
 
-// Has reports whether a job is queued or running here.
+// Has reports whether a job is queued or running here, or waits for a rerun.
 func (w *Worker) Has(id string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -91,16 +91,23 @@
 		j := heap.Pop(&w.queue).(Job)
 		w.running++
 		go func() {
-			w.run(j)
-			w.release(j)
+			delay, rerun := w.run(j)
+			w.release(j, rerun)
+			if rerun {
+				w.scheduleRerun(j, delay)
+			}
 		}()
 	}
 }
 
-func (w *Worker) release(j Job) {
+// release frees the place of a job that has run. A job that will be rerun stays tracked, so that
+// Reconcile does not add it a second time.
+func (w *Worker) release(j Job, rerun bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	delete(w.tracked, j.ID)
+	if !rerun {
+		delete(w.tracked, j.ID)
+	}
 	w.running--
 	if w.stopped && w.running == 0 {
 		close(w.idle)
@@ -128,8 +135,8 @@
 	}
 }
 
-// run runs a job once, then writes its result or schedules a rerun.
-func (w *Worker) run(j Job) {
+// run runs a job once and writes its result, unless the job is to be rerun after a delay.
+func (w *Worker) run(j Job) (delay time.Duration, rerun bool) {
 	version, received := "", []string(nil)
 	if j.Takeovers > 0 {
 		version, received = w.store.Checkpoint(w.ctx, j.ID)
@@ -139,18 +146,18 @@
 	defer cancel()
 	result, err := w.generator.Generate(ctx, j, version, received, func(p Progress) { go w.saveCheckpoints(ctx, j, p) })
 	if w.ctx.Err() != nil {
-		return
+		return 0, false
 	}
 	state := Done
 	if err != nil {
 		if !isPermanent(err) && time.Now().Before(j.Deadline) {
-			w.scheduleRerun(j, rerunDelayAfter(err))
-			return
+			return rerunDelayAfter(err), true
 		}
 		state = Failed
 		result = Result{Code: code.Of(err).Number(), Message: err.Error()}
 	}
 	w.finish(j, state, result)
+	return 0, false
 }
 
 // isPermanent reports whether a rerun of the job would fail with the same error.
@@ -178,7 +185,19 @@
 // deadline.
 func (w *Worker) scheduleRerun(j Job, delay time.Duration) {
 	w.counters.Rerun.Inc()
-	time.AfterFunc(delay, func() { w.Add(j) })
+	time.AfterFunc(delay, func() { w.requeue(j) })
+}
+
+// requeue queues a tracked job again. After Drain, other entries take it over.
+func (w *Worker) requeue(j Job) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		delete(w.tracked, j.ID)
+		return
+	}
+	heap.Push(&w.queue, j)
+	w.dispatch()
 }
 
 // finish writes the result. During outages of the store it retries until the result is
