entry: take over all jobs of earlier incarnations, and try again after an error

A restarted entry took over at most 200 jobs of its earlier incarnation, and none if the store failed at that moment; the error was dropped. Other entries take over the jobs of dead nodes only, and a restarted node is alive, so the rest was run by nobody until the node was lost again, and callers polled an accepted job past its deadline.

A reclaim is not recorded twice: the directory announces the leave time of an incarnation once, whatever the order of the updates. A test of all orders of six updates shows it, and the comment of onLeaving says it.

--- a/pkg/app/entry/app.go
+++ b/pkg/app/entry/app.go
@@ -72,6 +72,8 @@
 	recoveredMu sync.Mutex
 	// recovered contains the incarnations of dead nodes that no longer own jobs.
 	recovered map[string]bool
+	// ownRecovery is used only by the goroutine that recovers jobs.
+	ownRecovery recoveryState
 
 	drainOnce      sync.Once
 	drainRequested chan struct{}
--- a/pkg/app/entry/loops.go
+++ b/pkg/app/entry/loops.go
@@ -128,7 +128,8 @@
 }
 
 // onLeaving moves streams off an endpoint that is leaving, and records a reclaim for the hazard
-// estimate.
+// estimate. A notice is recorded once per incarnation: this is called a second time only if LeaveBy
+// was unknown at the first, and LeaveBy does not change once it is known.
 func (a *App) onLeaving(ctx context.Context, info endpoint.Info) {
 	a.log.Info().Str("endpoint", info.ID).Str("data_center", info.DataCenter).Time("leave_by", info.LeaveBy).Msg("endpoint is leaving")
 	if info.Reclaimable && !info.LeaveBy.IsZero() {
@@ -231,9 +232,11 @@
 // recoveringEntries is the maximum number of entries that share the jobs of a dead node.
 const recoveringEntries = 4
 
-// recoverJobs takes over the jobs of dead nodes, and adds jobs that this entry owns in the store
-// but does not run because it is not known whether their acceptance took effect.
+// recoverJobs takes over the jobs of dead nodes and of this node's earlier incarnations, and adds
+// jobs that this entry owns in the store but does not run because it is not known whether their
+// acceptance took effect.
 func (a *App) recoverJobs(ctx context.Context) {
+	a.recoverOwnJobs(ctx)
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	if added, err := a.worker.ReconcileIfRequested(ctx); err == nil && added > 0 {
--- a/pkg/app/entry/run.go
+++ b/pkg/app/entry/run.go
@@ -8,7 +8,6 @@
 
 	"ironhollow/pkg/app/process"
 	"ironhollow/pkg/endpoint"
-	"ironhollow/pkg/job"
 	"ironhollow/pkg/membership"
 	"ironhollow/pkg/pause"
 	"ironhollow/pkg/peer"
@@ -152,22 +151,41 @@
 	}
 }
 
-// recoverOwnJobs takes over the jobs of earlier incarnations of this node.
+// recoverOwnJobs takes over the jobs of earlier incarnations of this node, if that has not been done
+// yet. No other entry does so while this node is alive.
 func (a *App) recoverOwnJobs(ctx context.Context) {
+	if a.ownRecovery == recoveryDone {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	switch err := a.recoverEarlierIncarnations(ctx); {
+	case err == nil:
+		a.ownRecovery = recoveryDone
+	case a.ownRecovery == recoveryPending:
+		a.ownRecovery = recoveryFailed
+		a.log.Warn().Err(err).Msg("jobs of an earlier incarnation not taken over yet")
+	}
+}
+
+func (a *App) recoverEarlierIncarnations(ctx context.Context) error {
 	owners, err := a.jobs.Owners(ctx, a.self.ID)
 	if err != nil {
-		return
+		return err
 	}
 	for _, owner := range owners {
 		if membership.IncarnationOfOwner(owner) >= a.self.Incarnation {
 			continue
 		}
-		if taken, _, err := a.worker.Recover(ctx, owner, job.Shard{Count: 1}); err == nil && taken > 0 {
+		taken, err := a.worker.RecoverAll(ctx, owner)
+		if taken > 0 {
 			a.log.Info().Str("owner", owner).Int("jobs", taken).Msg("jobs of an earlier incarnation taken over")
 		}
+		if err != nil {
+			return err
+		}
 	}
+	return nil
 }
 
 // requestDrain requests a drain. It may be called more than once.
--- /dev/null
+++ b/pkg/endpoint/directory_test.go
@@ -0,0 +1,54 @@
+package endpoint_test
+
+import (
+	"slices"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ironhollow/pkg/endpoint"
+)
+
+// Guards against a reclaim counted twice in the hazard estimate, in whichever order the notice, the
+// endpoint's own report and a later notice with another time arrive.
+func TestLeaveTimeOfIncarnationIsAnnouncedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		leaveBy := time.Now().Add(time.Minute)
+		updates := []endpoint.Info{
+			{State: endpoint.Live, Counter: 1},
+			{State: endpoint.Live, Counter: 3},
+			{State: endpoint.Leaving, Counter: 2},
+			{State: endpoint.Leaving, Counter: 1, LeaveBy: leaveBy},
+			{State: endpoint.Leaving, Counter: 4, LeaveBy: leaveBy.Add(time.Second)},
+			{State: endpoint.Gone, Counter: 4},
+		}
+		check := func(order []endpoint.Info) {
+			var known atomic.Int64
+			d := endpoint.NewDirectory()
+			d.OnLeaving(func(info endpoint.Info) {
+				if !info.LeaveBy.IsZero() {
+					known.Add(1)
+				}
+			})
+			for _, info := range order {
+				info.ID, info.Incarnation = "e", 1
+				d.Merge(info)
+			}
+			synctest.Wait()
+			if got := known.Load(); got > 1 {
+				t.Fatalf("order %v: got %d calls with a leave time, want at most 1", order, got)
+			}
+		}
+		permute(updates, nil, check)
+	})
+}
+
+func permute(rest, order []endpoint.Info, check func([]endpoint.Info)) {
+	if len(rest) == 0 {
+		check(order)
+	}
+	for i := range rest {
+		permute(slices.Concat(rest[:i], rest[i+1:]), append(slices.Clone(order), rest[i]), check)
+	}
+}
--- a/pkg/job/job_test.go
+++ b/pkg/job/job_test.go
@@ -361,6 +361,28 @@
 	})
 }
 
+// Guards against a restarted node that leaves the jobs after the first page to nobody.
+func TestRecoverAllTakesOverMoreThanOnePage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const jobs = 450
+		rows, bodies, g := tables.New(), objects.New(), newGenerator(time.Hour)
+		first, restarted := newEntry("n1@1", rows, bodies, g), newEntry("n1@2", rows, bodies, g)
+		defer restarted.kill()
+		var accepting sync.WaitGroup
+		for i := range jobs {
+			accepting.Go(func() { _, _, _ = first.accept(fmt.Sprint("k", i), `"b"`, time.Hour) })
+		}
+		accepting.Wait()
+		first.kill()
+		if taken, err := restarted.worker.RecoverAll(context.Background(), "n1@1"); taken != jobs || err != nil {
+			t.Errorf("got %d jobs taken over, error %v; want %d", taken, err, jobs)
+		}
+		if left, err := restarted.store.OwnedBy(context.Background(), "n1@1", 1); len(left) > 0 || err != nil {
+			t.Errorf("got %d jobs left, error %v; want none", len(left), err)
+		}
+	})
+}
+
 // TestBatchedJobsHaveSeparateOutcomes accepts many jobs at once, some with the same key, and
 // checks that all are accepted and each key gets exactly one job.
 func TestBatchedJobsHaveSeparateOutcomes(t *testing.T) {
--- a/pkg/job/recover.go
+++ b/pkg/job/recover.go
@@ -48,6 +48,18 @@
 	return taken, remaining, nil
 }
 
+// RecoverAll takes over all jobs of a lost owner and returns how many.
+func (w *Worker) RecoverAll(ctx context.Context, lost string) (int, error) {
+	total := 0
+	for {
+		taken, _, err := w.Recover(ctx, lost, Shard{Count: 1})
+		total += taken
+		if err != nil || taken == 0 {
+			return total, err
+		}
+	}
+}
+
 // Reconcile adds jobs that this entry owns in the store but that the worker does not have,
 // as the commit that accepted them had an unknown outcome.
 func (w *Worker) Reconcile(ctx context.Context) (int, error) {
