control: keep reclaim notices of endpoints that are not known yet

The cloud's notices may arrive before the list of hosts contains their endpoint. Such a notice was passed over, and the next poll asked only for later ones, so that the endpoint was sent work until it was reclaimed under it, unless another process took over the task. The notice now waits until the endpoint is known, or a minute after the time at which it leaves; those that run out are logged.

syncConfig logged "configuration in force" with the old revision also when the sections could not be read, and hid the error. It now logs the error, and the revision only if it has changed.

--- a/pkg/app/control/app.go
+++ b/pkg/app/control/app.go
@@ -50,9 +50,10 @@
 	counters     *Counters
 	tls          process.TLS
 
+	// notices is used only by pollNotices.
+	notices cloud.NoticeQueue
+
 	mu sync.Mutex
-	// lastNotice is the sequence number of the last reclaim notice read.
-	lastNotice int64
 	// pendingOrders contains the ids of the endpoints that this process orders to load another
 	// model, until a plan requires no change of them.
 	pendingOrders map[string]bool
--- a/pkg/app/control/run.go
+++ b/pkg/app/control/run.go
@@ -178,15 +178,28 @@
 	if err != nil || head <= before {
 		return
 	}
-	if before == 0 {
-		loaded := config.NewHolder()
-		if a.store.Load(ctx, loaded) == nil {
-			a.publish(peer.Update{Changes: loaded.ChangesAfter(0)})
-		}
-	} else if changes, err := a.store.Changes(ctx, before); err == nil {
-		a.publish(peer.Update{Changes: changes})
+	changes, err := a.changesAfter(ctx, before)
+	if err != nil {
+		a.log.Warn().Err(err).Int64("revision", head).Msg("configuration not loaded")
+		return
+	}
+	a.publish(peer.Update{Changes: changes})
+	if after := a.config.Current().Revision(); after > before {
+		a.log.Info().Int64("revision", after).Msg("configuration in force")
+	}
+}
+
+// changesAfter reads the changes after a revision from the store. After revision 0 these are the
+// changes that result in the current configuration.
+func (a *App) changesAfter(ctx context.Context, revision int64) ([]config.Change, error) {
+	if revision > 0 {
+		return a.store.Changes(ctx, revision)
+	}
+	loaded := config.NewHolder()
+	if err := a.store.Load(ctx, loaded); err != nil {
+		return nil, err
 	}
-	a.log.Info().Int64("revision", a.config.Current().Revision()).Msg("configuration in force")
+	return loaded.ChangesAfter(0), nil
 }
 
 func (a *App) serveStatus(w http.ResponseWriter, _ *http.Request) {
--- a/pkg/app/control/tasks.go
+++ b/pkg/app/control/tasks.go
@@ -20,37 +20,26 @@
 }
 
 // pollNotices reads new reclaim notices from the cloud and publishes them, if this process holds
-// that task.
+// that task. Earlier notices are published once their endpoint has become known.
 func (a *App) pollNotices(ctx context.Context) {
 	if _, ok := a.grantFor(taskNotices); !ok {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	a.mu.Lock()
-	after := a.lastNotice
-	a.mu.Unlock()
-	notices, err := a.cloud.Notices(ctx, after)
-	if err != nil || len(notices) == 0 {
+	notices, err := a.cloud.Notices(ctx, a.notices.LastSequence())
+	if err != nil {
 		return
 	}
-	var update peer.Update
-	for _, n := range notices {
-		after = max(after, n.Sequence)
-		info, known := a.endpoints.Get(n.Endpoint.ID)
-		if !known || info.Incarnation > n.Endpoint.Incarnation {
-			continue
-		}
-		info.Incarnation = n.Endpoint.Incarnation
-		info.State = endpoint.Leaving
-		info.LeaveBy = n.LeaveBy
-		update.Endpoints = append(update.Endpoints, info)
-		a.counters.Notices.Inc()
+	a.notices.Add(notices)
+	leaving, expired := a.notices.Apply(a.endpoints.Get, time.Now())
+	if expired > 0 {
+		a.log.Warn().Int("notices", expired).Msg("reclaim notices of endpoints that no host list contained")
+	}
+	if len(leaving) > 0 {
+		a.counters.Notices.Add(float64(len(leaving)))
+		a.publish(peer.Update{Endpoints: leaving})
 	}
-	a.publish(update)
-	a.mu.Lock()
-	a.lastNotice = after
-	a.mu.Unlock()
 }
 
 // pollHostLists reads and publishes the host lists of the data centres whose shards this process
