operatorclient: retry an apply if an earlier server's response was lost

An apply tries the control processes in turn. If the first one's response was lost and the second one reported StoreDown, the client took that as the outcome and told the operator that the configuration was not applied, though the first process may have written it. Only responses lost in an earlier round counted.

A round now reports whether a response was lost in it; a connection that could not be opened does not count, so that StoreDown of the only process that is up stays final. The regression test got StoreDown while the first server had applied revision 8, and gets revision 8 now.

--- a/pkg/operatorclient/client.go
+++ b/pkg/operatorclient/client.go
@@ -9,8 +9,10 @@
 	"crypto/x509"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"time"
@@ -69,18 +71,31 @@
 
 // call tries the servers in order until one returns a result or an Error.
 func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
+	_, err := c.callNotingLoss(ctx, method, path, in, out)
+	return err
+}
+
+// callNotingLoss is like call and also reports whether a server may have received the request
+// although its response was lost.
+func (c *Client) callNotingLoss(ctx context.Context, method, path string, in, out any) (responseLost bool, err error) {
 	encoded, err := json.Marshal(in)
 	if err != nil {
-		return err
+		return false, err
 	}
-	var lastErr error
 	for _, server := range c.servers {
-		lastErr = c.callServer(ctx, method, c.scheme+"://"+server+path, encoded, out)
-		if _, isServerError := lastErr.(*Error); lastErr == nil || isServerError {
-			return lastErr
+		err = c.callServer(ctx, method, c.scheme+"://"+server+path, encoded, out)
+		if _, isServerError := err.(*Error); err == nil || isServerError {
+			return responseLost, err
 		}
+		responseLost = responseLost || !isDialError(err)
 	}
-	return lastErr
+	return responseLost, err
+}
+
+// isDialError reports whether a call failed before the request was sent.
+func isDialError(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
 }
 
 func (c *Client) callServer(ctx context.Context, method, url string, body []byte, out any) error {
@@ -141,10 +156,12 @@
 	responseLost := false
 	for range maxApplyAttempts {
 		var response operatorwire.ApplyResponse
-		err = c.call(ctx, http.MethodPost, "/v1/config", request, &response)
+		var lost bool
+		lost, err = c.callNotingLoss(ctx, http.MethodPost, "/v1/config", request, &response)
 		if err == nil {
 			return response.Revision, nil
 		}
+		responseLost = responseLost || lost
 		if isFinal(err, responseLost) {
 			return 0, err
 		}
