callerapi: break the connection if a handler panics after the response has begun

After a panic the caller got the error as JSON, also when the status and a part of the body had been sent: the JSON was appended to the body or the event stream, and the response ended as a complete one with status 200. The connection is now closed, as after a failed copy. The regression test read "first part" and the error body without an error, and now gets a broken response.

--- a/pkg/callerapi/api.go
+++ b/pkg/callerapi/api.go
@@ -99,8 +99,8 @@
 // InFlight returns how many requests are being served.
 func (a *API) InFlight() int64 { return a.inFlight.Load() }
 
-// recoverPanic responds to a panic with an error, whose status and headers are sent only if no
-// response was started before.
+// recoverPanic responds to a panic with an error. If a response was started before, it closes the
+// connection instead, so that the caller does not take a broken response for a complete one.
 func (a *API) recoverPanic(w http.ResponseWriter, r *http.Request, next http.HandlerFunc) {
 	defer func() {
 		recovered := recover()
@@ -111,6 +111,9 @@
 			panic(recovered)
 		}
 		a.APICounters.Panics.Inc()
+		if started, ok := w.(negroni.ResponseWriter); ok && started.Written() {
+			panic(http.ErrAbortHandler)
+		}
 		writeError(w, code.New(code.Internal, "fault in ironhollow"))
 	}()
 	next(w, r)
--- a/pkg/callerapi/callerapi_test.go
+++ b/pkg/callerapi/callerapi_test.go
@@ -18,6 +18,7 @@
 
 	"ironhollow/pkg/code"
 	"ironhollow/pkg/load"
+	"ironhollow/pkg/plainservice"
 	"ironhollow/pkg/standin/engines"
 	"ironhollow/pkg/standin/services"
 	"ironhollow/pkg/standin/tables"
@@ -344,3 +345,33 @@
 		t.Errorf("got code %s, want %d", got, code.BodyTooLong.Number())
 	}
 }
+
+// panickingService is a plain service whose response body panics after its first part.
+type panickingService struct{ reads int }
+
+func (s *panickingService) Send(context.Context, string, plainservice.Call) (plainservice.Response, error) {
+	return plainservice.Response{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(s)}, nil
+}
+
+func (s *panickingService) Read(data []byte) (int, error) {
+	if s.reads++; s.reads > 1 {
+		panic("fault after the response has begun")
+	}
+	return copy(data, "first part"), nil
+}
+
+// Guards against an error body at the end of a response that the caller takes for complete.
+func TestPanicAfterResponseHasBegunBreaksConnection(t *testing.T) {
+	e := newSite(t, services.Options{}).newEntry(t, "n1")
+	e.api.PlainServices = &panickingService{}
+	request, _ := http.NewRequest("GET", e.server.URL+"/v1/services/ledger/x", nil)
+	request.Header.Set("Authorization", "Bearer secret")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return // The connection was closed before the status was sent.
+	}
+	defer func() { _ = response.Body.Close() }()
+	if body, err := io.ReadAll(response.Body); err == nil {
+		t.Errorf("got the complete response %d %q, want a broken one", response.StatusCode, body)
+	}
+}
