accept: do not block the peer handler on repeated answers

The handler sent each answer to a request into a channel with room for one, and the committer takes one. If an entry's answers to one request arrived more than twice at once, from several links or repeated, a third handler that had found the request pending waited for good, and with it all messages of its link. Answers after the first are now dropped. In the regression test four answers arrive at once; one handler was still blocked after a minute.

--- a/pkg/accept/accept.go
+++ b/pkg/accept/accept.go
@@ -181,8 +181,14 @@
 		c.mu.Lock()
 		answer, ok := c.pending[m.Request]
 		c.mu.Unlock()
-		if ok {
-			answer <- m
+		if !ok {
+			return
+		}
+		// Only the first answer counts. Waiting for the receiver would block the messages of all
+		// links, as it takes one answer at most.
+		select {
+		case answer <- m:
+		default:
 		}
 	}
 }
--- a/pkg/accept/accept_test.go
+++ b/pkg/accept/accept_test.go
@@ -180,3 +180,53 @@
 		}
 	}
 }
+
+// repeatingLinks answers each request several times at once, before SendTo returns.
+type repeatingLinks struct {
+	committer *accept.Committer
+	handled   chan struct{}
+}
+
+func (l *repeatingLinks) SendTo(_ string, m peer.Message) bool {
+	var handlers sync.WaitGroup
+	for range 4 {
+		handlers.Go(func() {
+			l.committer.Handle(nil, peer.Accepted{Request: m.(peer.Accept).Request, Outcome: peer.AcceptCommitted, Version: 7})
+		})
+	}
+	go func() {
+		handlers.Wait()
+		close(l.handled)
+	}()
+	time.Sleep(time.Millisecond)
+	return true
+}
+
+func (l *repeatingLinks) EnsureLink(membership.Node) {}
+
+// Guards against the handler of peer messages blocking for good after repeated answers to a request.
+func TestRepeatedAnswersDoNotBlockHandler(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := membership.NewTable()
+		for i := range 2 {
+			nodes.Merge(membership.Node{ID: fmt.Sprintf("n%d", i), Incarnation: 1, Status: membership.Alive, Ready: true, DataCenter: "dc"})
+		}
+		for _, self := range nodes.Nodes() {
+			store := tables.New()
+			l := &repeatingLinks{handled: make(chan struct{})}
+			l.committer = accept.New(self, nodes, job.NewBatcher(table.NewWriter(store, self.ID), 0), store, l)
+			outcome := l.committer.Commit(context.Background(), rows(self.ID, "k"))
+			if l.committer.Counts().Forwarded == 0 {
+				continue // This entry commits for the data centre.
+			}
+			if got, ok := outcome.(table.Committed); !ok || got.Version != 7 {
+				t.Errorf("got %#v, want version 7", outcome)
+			}
+			select {
+			case <-l.handled:
+			case <-time.After(time.Minute):
+				t.Fatal("a handler is still blocked a minute later")
+			}
+		}
+	})
+}
