stream: treat the outcome of a reattached stream like that of any attempt

A caller who reconnects after the loss of its entry is given the stream that its endpoint still runs. If that stream did not end there, its outcome was dropped and a new attempt started at once. When the endpoint got a reclaim notice and the stream's KV cache was moved, the new attempt did not go where the cache was, and computed it again. A caller who disconnected got another attempt at an engine. A broken stream took no part of the retry budget, was not avoided and did not count for the quarantine, and the attempt was missing from the explanation.

reattach now returns the outcome to the loop that handles those of all attempts.

--- a/pkg/stream/attempt.go
+++ b/pkg/stream/attempt.go
@@ -91,7 +91,7 @@
 	defer span.End()
 	attemptCtx, cancel := context.WithCancelCause(attemptCtx)
 	defer cancel(nil)
-	current := r.newActiveAttempt(p, choice, cancel)
+	current := r.newActiveAttempt(p, choice.Endpoint, cancel)
 	r.active.add(current)
 	defer r.active.remove(current)
 	if info, ok := r.router.Lookup(choice.Endpoint.ID); !ok || !info.AcceptsWork() {
@@ -162,11 +162,11 @@
 	p.cacheMoved = false
 }
 
-func (r *Runner) newActiveAttempt(p *progress, c route.Choice, cancel context.CancelCauseFunc) *activeAttempt {
+func (r *Runner) newActiveAttempt(p *progress, info endpoint.Info, cancel context.CancelCauseFunc) *activeAttempt {
 	return &activeAttempt{
-		requestID: p.request.Prompt.RequestID, endpoint: c.Endpoint, cancel: cancel,
+		requestID: p.request.Prompt.RequestID, endpoint: info, cancel: cancel,
 		promptTokens: p.request.PromptTokens, tokens: len(p.tokens),
-		expectedTokens: r.maxExpectedLength(p), tokenGap: r.router.TokenGap(c.Endpoint.ID), mayWait: p.request.MayWait,
+		expectedTokens: r.maxExpectedLength(p), tokenGap: r.router.TokenGap(info.ID), mayWait: p.request.MayWait,
 	}
 }
 
--- a/pkg/stream/runner.go
+++ b/pkg/stream/runner.go
@@ -228,16 +228,17 @@
 	r.budget.RecordFirstSend(time.Now())
 	ctx, cancel := context.WithDeadline(ctx, request.Prompt.Deadline)
 	defer cancel()
+	var end outcome
 	if request.LastEndpointID != "" {
-		if result, ok := r.reattach(ctx, p); ok {
-			return result, nil
-		}
+		end = r.reattach(ctx, p)
 	}
-	for {
-		if err := r.checkQuarantine(p); err != nil {
-			return Result{}, err
+	for ; ; end = nil {
+		if end == nil {
+			if err := r.checkQuarantine(p); err != nil {
+				return Result{}, err
+			}
+			end = r.attempt(ctx, p)
 		}
-		end := r.attempt(ctx, p)
 		switch end := end.(type) {
 		case finished:
 			return r.complete(p, end.frame), nil
@@ -323,12 +324,12 @@
 	return moved(to)
 }
 
-// reattach continues a stream that an endpoint may still be running. It returns false if the
-// stream could not be continued to its end; the request then needs a new attempt.
-func (r *Runner) reattach(ctx context.Context, p *progress) (Result, bool) {
+// reattach continues a stream that an endpoint may still be running. It returns nil if there is no
+// such stream; the request then needs a new attempt.
+func (r *Runner) reattach(ctx context.Context, p *progress) outcome {
 	info, ok := r.router.Lookup(p.request.LastEndpointID)
 	if !ok {
-		return Result{}, false
+		return nil
 	}
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -336,22 +337,24 @@
 	defer stallTimer.Stop()
 	stream, err := r.engines.Attach(attemptCtx, info.Address, p.request.Prompt.RequestID, len(p.tokens))
 	if err != nil {
-		return Result{}, false
+		return nil
 	}
 	defer stream.Close()
-	current := &activeAttempt{requestID: p.request.Prompt.RequestID, endpoint: info, cancel: cancel, promptTokens: p.request.PromptTokens, expectedTokens: r.maxExpectedLength(p), tokenGap: r.router.TokenGap(info.ID)}
+	p.target = route.TargetOf(info)
+	p.version = p.target.Version
+	current := r.newActiveAttempt(p, info, cancel)
 	r.active.add(current)
 	defer r.active.remove(current)
 	r.counters.Reattached.Inc()
 	p.attempts++
-	p.target = route.TargetOf(info)
-	p.version = p.target.Version
 	reader := frameReader{runner: r, progress: p, activeAttempt: current, stallTimer: stallTimer, started: time.Now(), attempt: anyAttempt}
-	done, ok := reader.readAll(attemptCtx, stream).(finished)
-	if !ok {
-		return Result{}, false
+	end := reader.readAll(attemptCtx, stream)
+	if isFailure(end) {
+		p.avoid = append(p.avoid, info.Ref())
 	}
-	return r.complete(p, done.frame), true
+	r.recordOutcome(p, info, end)
+	p.records = append(p.records, AttemptRecord{EndpointID: info.ID, Tokens: len(p.tokens), Outcome: outcomeName(end)})
+	return end
 }
 
 // anyAttempt makes a frameReader use the attempt number of the first frame. This process does
