stream: tell the reclaim plan which prompts other endpoints have cached

The plan for a leaving endpoint ranks streams by the tokens that a move of their KV cache saves, less those that another endpoint has cached. The number of the latter was never set, so that the time of a notice went to the largest caches, also where resuming at another endpoint would find the prompt there, and caches that existed only once were computed again.

The number is now the router's estimate of the prompt's cached tokens, the largest of the other usable endpoints, asked for when the plan is made. In the regression test the notice leaves time for one cache: the shared one was moved, and now one that no other endpoint has is.

--- a/pkg/stream/active.go
+++ b/pkg/stream/active.go
@@ -32,6 +32,8 @@
 	requestID string
 	endpoint  endpoint.Info
 	cancel    context.CancelCauseFunc
+	// prefixHashes are those of the prompt.
+	prefixHashes []uint64
 
 	mu sync.Mutex
 	// promptTokens and tokens are the numbers of prompt and answer tokens that the endpoint
@@ -39,7 +41,6 @@
 	promptTokens, tokens int
 	expectedTokens       int
 	tokenGap             time.Duration
-	sharedTokens         int
 	mayWait              bool
 }
 
@@ -106,8 +107,9 @@
 	t.tokens = tokens
 }
 
-// reclaimStream returns the description of the stream for the reclaim plan.
-func (t *activeAttempt) reclaimStream() reclaim.Stream {
+// reclaimStream returns the description of the stream for the reclaim plan. cachedElsewhere is the
+// number of prompt tokens that another endpoint has cached.
+func (t *activeAttempt) reclaimStream(cachedElsewhere int) reclaim.Stream {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return reclaim.Stream{
@@ -115,7 +117,7 @@
 		KVTokens:        t.promptTokens + t.tokens,
 		RemainingTokens: max(t.expectedTokens-t.tokens, 1),
 		TokenGap:        t.tokenGap,
-		CachedElsewhere: min(t.sharedTokens, t.promptTokens),
+		CachedElsewhere: min(cachedElsewhere, t.promptTokens),
 		MayWait:         t.mayWait,
 	}
 }
--- a/pkg/stream/attempt.go
+++ b/pkg/stream/attempt.go
@@ -164,7 +164,7 @@
 
 func (r *Runner) newActiveAttempt(p *progress, info endpoint.Info, cancel context.CancelCauseFunc) *activeAttempt {
 	return &activeAttempt{
-		requestID: p.request.Prompt.RequestID, endpoint: info, cancel: cancel,
+		requestID: p.request.Prompt.RequestID, endpoint: info, cancel: cancel, prefixHashes: p.request.PrefixHashes,
 		promptTokens: p.request.PromptTokens, tokens: len(p.tokens),
 		expectedTokens: r.maxExpectedLength(p), tokenGap: r.router.TokenGap(info.ID), mayWait: p.request.MayWait,
 	}
--- a/pkg/stream/leave.go
+++ b/pkg/stream/leave.go
@@ -62,7 +62,7 @@
 	byID := map[string]*activeAttempt{}
 	streams := make([]reclaim.Stream, 0, len(attempts))
 	for _, current := range attempts {
-		stream := current.reclaimStream()
+		stream := current.reclaimStream(r.cachedElsewhere(current, now))
 		stream.RemainingTokens *= factor
 		byID[current.requestID] = current
 		streams = append(streams, stream)
@@ -75,6 +75,22 @@
 	r.executePlan(ctx, info, steps, byID)
 }
 
+// cachedElsewhere returns the largest number of the prompt's tokens that another usable endpoint is
+// estimated to have cached. A stream that is resumed there computes the rest of its prompt only.
+func (r *Runner) cachedElsewhere(current *activeAttempt, now time.Time) int {
+	if len(current.prefixHashes) == 0 {
+		return 0
+	}
+	most := 0
+	query := route.Query{Target: route.TargetOf(current.endpoint), PrefixHashes: current.prefixHashes, PromptTokens: current.promptTokens}
+	for _, c := range r.router.Explain(query, now) {
+		if c.Usable && c.Endpoint.ID != current.endpoint.ID {
+			most = max(most, c.CachedTokens)
+		}
+	}
+	return most
+}
+
 // destinations returns the other usable endpoints that serve the same model.
 func (r *Runner) destinations(info endpoint.Info, now time.Time) []reclaim.Destination {
 	var usable []reclaim.Destination
