roster: agree on the advertised hosts after a fleet has shrunk

Below 128 hosts up to 8 of 84 to 89 hosts advertised another set than most for some seconds, and up to 64 of 84 later on, so that callers were sent to other hosts and limits were divided by other counts. Two causes, traced in virtual time:

The number of advertised hosts follows a quarter of the cores of the hosts known, 22 of 88 and 23 of 89. A host outside the core is known by digests, which arrive up to 2 s later than its own datagrams would; where one was lost, a few core hosts counted one host fewer and advertised one fewer. The total now counts hosts known by digests for maxDigestDelay longer. Which hosts are advertised still depends on the silence period alone, and hosts known by datagrams count as before.

Each host decided by the hosts it knew when the levels end. Hosts that left them early knew 43 to 65 others, and ranked these. Aggregators now send their count to the core too and stay in the levels while one of them knows 128 hosts; they leave a minute after the others, which take the advertised hosts from digests until then and get to know each other. The messages are unchanged: HostCount is an existing field.

--- a/pkg/roster/advertised.go
+++ b/pkg/roster/advertised.go
@@ -100,7 +100,6 @@
 		return advertised
 	}
 	var ranked []*member
-	totalMillicores := 0
 	for _, m := range r.live() {
 		// A host that was not seen for silenceTimeout is not advertised, however rarely it sends:
 		// callers must not be sent to a host that has stopped.
@@ -110,7 +109,6 @@
 		}
 		if !m.row.Leaving && r.lastReceivedAt.Sub(m.seenAt()) <= timeout {
 			ranked = append(ranked, m)
-			totalMillicores += m.size()
 		}
 	}
 	if len(ranked) < advertiseAllBelow {
@@ -127,7 +125,7 @@
 			advertised = append(advertised, m)
 		}
 	}
-	targetMillicores := min(maxAdvertisedFraction*float64(totalMillicores), r.requiredMillicores())
+	targetMillicores := min(maxAdvertisedFraction*float64(r.fleetMillicores()), r.requiredMillicores())
 	for _, m := range ranked {
 		if float64(selectedMillicores) >= targetMillicores {
 			break
@@ -140,6 +138,24 @@
 	return advertised
 }
 
+// fleetMillicores returns the cores of all hosts that are not leaving, in thousandths of a core. A
+// host known by digests counts for maxDigestDelay longer than it is advertised: its digests arrive
+// late on some hosts only, and these would advertise fewer hosts than the others. The caller must
+// hold r.mu.
+func (r *Roster) fleetMillicores() int {
+	total := 0
+	for _, m := range r.possibleHosts() {
+		timeout := r.silenceTimeout
+		if m.peerSeenAt.After(m.statusAt) {
+			timeout += maxDigestDelay
+		}
+		if !m.row.Leaving && r.lastReceivedAt.Sub(m.seenAt()) <= timeout {
+			total += m.size()
+		}
+	}
+	return total
+}
+
 // requiredMillicores returns the cores that the request rate requires, in thousandths of a core.
 // The caller must hold r.mu.
 func (r *Roster) requiredMillicores() float64 {
--- a/pkg/roster/digest.go
+++ b/pkg/roster/digest.go
@@ -96,7 +96,7 @@
 	}
 	var list []Digest
 	for chunk := range slices.Chunk(senders, maxLiveHosts) {
-		digest := Digest{}
+		digest := Digest{HostCount: r.hostCount()}
 		for _, m := range chunk {
 			digest.LiveHosts = appendLiveHost(digest.LiveHosts, m, now, r.silenceTimeout, false)
 		}
@@ -191,6 +191,10 @@
 	if digest.RequestRate > 0 {
 		r.requestRate = digest.RequestRate
 	}
+	if digest.HostCount >= minHierarchicalFleet {
+		// Aggregators too stay in the hierarchy while another one knows enough hosts.
+		r.hierarchicalAt = now
+	}
 	if digest.HostCount > 0 {
 		r.reportedHostCount, r.reportedHostCountAt = digest.HostCount, now
 	}
--- a/pkg/roster/levels.go
+++ b/pkg/roster/levels.go
@@ -19,6 +19,9 @@
 	// hierarchyTTL is how long a fleet stays hierarchical after it was last known to have that many
 	// hosts. After the loss of the core, hosts know few others for a while.
 	hierarchyTTL = time.Minute
+	// aggregatorHierarchyTTL is the same for an aggregator. It leaves the other hosts, which may use
+	// an outdated count for hostCountTTL, time to read each other's rows.
+	aggregatorHierarchyTTL = 2 * time.Minute
 	// aggregatorsPerDataCenter is the number of aggregators of a data centre: one may be lost.
 	aggregatorsPerDataCenter = 2
 	// fallbackAggregators is the number of hosts to subscribe to when no digests are received, as
@@ -125,13 +128,20 @@
 	}
 }
 
-// isHierarchical implements IsHierarchical. The caller must hold r.mu.
+// isHierarchical implements IsHierarchical. Aggregators leave the hierarchy last and at about the
+// same time, as they send each other how many hosts they know. Until then the other hosts take the
+// advertised hosts from digests and get to know those with which they exchanged nothing before. The
+// caller must hold r.mu.
 func (r *Roster) isHierarchical() bool {
 	if r.hostCount() >= minHierarchicalFleet {
 		r.hierarchicalAt = r.lastReceivedAt
 		return true
 	}
-	return !r.hierarchicalAt.IsZero() && r.lastReceivedAt.Sub(r.hierarchicalAt) < hierarchyTTL
+	ttl := hierarchyTTL
+	if r.aggregatorName != "" {
+		ttl = aggregatorHierarchyTTL
+	}
+	return !r.hierarchicalAt.IsZero() && r.lastReceivedAt.Sub(r.hierarchicalAt) < ttl
 }
 
 // IsHierarchical reports whether the fleet is large enough for a hierarchy, or recently was.
@@ -192,7 +202,7 @@
 // Aggregators rank the hosts themselves; otherwise two of them would confirm each other's digests
 // forever. The caller must hold r.mu.
 func (r *Roster) advertisedByDigest() []*member {
-	if r.advertisedAt.IsZero() || r.aggregatorName != "" || r.lastReceivedAt.Sub(r.advertisedAt) > advertisedTTL || !r.isHierarchical() {
+	if r.advertisedAt.IsZero() || r.aggregatorName != "" || r.lastReceivedAt.Sub(r.advertisedAt) > advertisedTTL {
 		return nil
 	}
 	var list []*member
