object: report an object over the limit instead of cutting it

Get returned the first 256 MiB of a longer object without an error. A job's body cut so is no JSON and fails the job for good, and a result cut so can't be read. It is an error now.

--- a/pkg/object/object.go
+++ b/pkg/object/object.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -67,10 +68,24 @@
 	defer func() { _ = response.Body.Close() }()
 	switch response.StatusCode {
 	case http.StatusOK:
-		data, err := io.ReadAll(io.LimitReader(response.Body, maxObjectBytes))
-		return data, err == nil, err
+		data, err := readAll(response.Body, maxObjectBytes)
+		if err != nil {
+			return nil, false, fmt.Errorf("object: get %s: %w", key, err)
+		}
+		return data, true, nil
 	case http.StatusNotFound:
 		return nil, false, nil
 	}
 	return nil, false, fmt.Errorf("object: get %s: %s", key, response.Status)
 }
+
+var errTooLong = errors.New("object too long")
+
+// readAll reads up to limit bytes. A longer object is an error, as a part of it is of no use.
+func readAll(r io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err == nil && int64(len(data)) > limit {
+		return nil, fmt.Errorf("%w: more than %d bytes", errTooLong, limit)
+	}
+	return data, err
+}
