peer: count a dial without a hello as failed

DialAddress returned true for a peer that accepts connections but answers with no hello, as a process that hangs does. Such dials did not count towards the suspicion of the node, and a control process gave up the entry on its own host after one attempt instead of ten.

--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -115,15 +115,16 @@
 	s.runLink(s.ctx, socket)
 }
 
-// runLink exchanges hellos and serves the link until it is closed.
-func (s *Server) runLink(ctx context.Context, socket *websocket.Conn) {
+// runLink exchanges hellos and serves the link until it is closed. It returns false if the other
+// side did not answer with a hello.
+func (s *Server) runLink(ctx context.Context, socket *websocket.Conn) bool {
 	defer func() { _ = socket.CloseNow() }()
 	socket.SetReadLimit(MaxMessageBytes)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	hello, ok := s.exchangeHello(ctx, socket)
 	if !ok {
-		return
+		return false
 	}
 	c := &conn{link: LinkID(s.nextID.Add(1)), socket: socket, queue: make(chan Message, sendQueueLength), cancel: cancel}
 	s.mu.Lock()
@@ -137,6 +138,7 @@
 	delete(s.conns, c.link)
 	s.mu.Unlock()
 	s.Send(s.mesh.LinkDown(c.link))
+	return true
 }
 
 // exchangeHello sends a hello and returns that of the other side, or false if the first message
@@ -308,7 +310,7 @@
 }
 
 // DialAddress connects to a peer address and returns when the link is closed or ctx ends. It
-// returns false if the dial fails, and true at once if this process is already dialling the address
+// returns false if the dial or the exchange of hellos fails, and true at once if this process is already dialling the address
 // or has a link that it opened to it.
 func (s *Server) DialAddress(ctx context.Context, address string) bool {
 	s.mu.Lock()
@@ -332,6 +334,5 @@
 	if err != nil {
 		return false
 	}
-	s.runLink(ctx, socket)
-	return true
+	return s.runLink(ctx, socket)
 }
