table: only a failed probe keeps the circuit open longer

The guard doubled the time until the next probe with each failure past the threshold. One outage with several calls in flight so opened the circuit several times before the first probe, whose bound grew from 1 s towards 30 s; callers got StoreDown meanwhile. Calls that were sent before also cleared the flag of a probe that was out, so that a second one could follow, and a probe that its caller cancelled closed the circuit. A 400 counted as a failure of the store: five malformed calls stopped all others.

The time doubles with failed probes only, only the probe clears its flag, a cancelled call shows nothing, and a 400 is table.ErrBadRequest, which shows that the store works.

--- a/pkg/table/guard.go
+++ b/pkg/table/guard.go
@@ -24,13 +24,17 @@
 // and concurrency limits did not admit them before their context ended.
 var ErrBudgetExceeded = errors.New("table: over the node's budget")
 
+// ErrBadRequest is the error of calls that the store refused as malformed. It shows that the store
+// works.
+var ErrBadRequest = errors.New("table: bad request")
+
 // Parameters of GuardedStore.
 const (
 	// failureThreshold is the number of consecutive failures that opens the
 	// circuit.
 	failureThreshold = 5
 	// The time until the next probe is random, below a bound that starts at
-	// initialOpenTime and doubles up to maxOpenTime with each further failure. The
+	// initialOpenTime and doubles up to maxOpenTime with each failed probe. The
 	// randomness keeps nodes from retrying at the same moment.
 	initialOpenTime = time.Second
 	maxOpenTime     = 30 * time.Second
@@ -67,7 +71,8 @@
 	// opened the circuit or kept it open.
 	consecutiveOpens int
 	nextProbeAt      time.Time
-	probing          bool
+	// probing is set from when a call is allowed as a probe until that call ends.
+	probing bool
 	// failingSince is the time of the first of the consecutive failures.
 	failingSince     time.Time
 	rampStartedAt    time.Time
@@ -115,49 +120,74 @@
 
 // Commit forwards a commit within the limits.
 func (g *GuardedStore) Commit(ctx context.Context, c Commit) Outcome {
-	if err := g.beginCall(ctx, g.writeLimiter); err != nil {
+	isProbe, err := g.beginCall(ctx, g.writeLimiter)
+	if err != nil {
 		return Refused{Err: err}
 	}
 	g.count(func(n *CallCounts) { n.Writes++ })
 	started := time.Now()
 	outcome := g.store.Commit(ctx, c)
-	g.endCall(isStoreFailure(ctx, outcome), time.Since(started))
+	g.endCall(isProbe, resultOf(ctx, commitError(outcome)), time.Since(started))
 	return outcome
 }
 
-// isStoreFailure reports whether the outcome counts as a failure of the store. A
-// commit cancelled by its caller does not, but one that reached its deadline does.
-func isStoreFailure(ctx context.Context, o Outcome) bool {
+// callResult is what a call shows about the store.
+type callResult int
+
+const (
+	succeeded callResult = iota
+	failed
+	// cancelled calls show nothing, as their caller did not wait for them.
+	cancelled
+)
+
+// resultOf returns the result of a call. One that reached its deadline has failed.
+func resultOf(ctx context.Context, err error) callResult {
+	switch {
+	case err == nil || errors.Is(err, ErrBadRequest):
+		return succeeded
+	case errors.Is(ctx.Err(), context.Canceled):
+		return cancelled
+	}
+	return failed
+}
+
+// commitError returns the error of a commit that the store has not decided.
+func commitError(o Outcome) error {
 	switch o := o.(type) {
 	case Unknown:
-		return !errors.Is(ctx.Err(), context.Canceled)
+		return o.Err
 	case Refused:
-		return len(o.Conflicts) == 0
+		if len(o.Conflicts) == 0 {
+			return o.Err
+		}
 	}
-	return false
+	return nil
 }
 
 // Get forwards a read of one row within the limits.
 func (g *GuardedStore) Get(ctx context.Context, key string) (Row, bool, error) {
-	if err := g.beginCall(ctx, g.readLimiter); err != nil {
+	isProbe, err := g.beginCall(ctx, g.readLimiter)
+	if err != nil {
 		return Row{}, false, err
 	}
 	g.count(func(n *CallCounts) { n.Reads++ })
 	started := time.Now()
 	row, ok, err := g.store.Get(ctx, key)
-	g.endCall(err != nil && !errors.Is(ctx.Err(), context.Canceled), time.Since(started))
+	g.endCall(isProbe, resultOf(ctx, err), time.Since(started))
 	return row, ok, err
 }
 
 // List forwards a read of several rows within the limits.
 func (g *GuardedStore) List(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
-	if err := g.beginCall(ctx, g.readLimiter); err != nil {
+	isProbe, err := g.beginCall(ctx, g.readLimiter)
+	if err != nil {
 		return nil, err
 	}
 	g.count(func(n *CallCounts) { n.Reads++ })
 	started := time.Now()
 	rows, err := g.store.List(ctx, prefix, after, limit)
-	g.endCall(err != nil && !errors.Is(ctx.Err(), context.Canceled), time.Since(started))
+	g.endCall(isProbe, resultOf(ctx, err), time.Since(started))
 	return rows, err
 }
 
@@ -167,33 +197,39 @@
 	change(&g.counts)
 }
 
-// beginCall waits for the rate limit and for a slot among the concurrent calls.
-func (g *GuardedStore) beginCall(ctx context.Context, limiter *rate.Limiter) error {
-	if !g.allow(time.Now()) {
+// beginCall waits for the rate limit and for a slot among the concurrent calls, and reports whether
+// the call is a probe.
+func (g *GuardedStore) beginCall(ctx context.Context, limiter *rate.Limiter) (isProbe bool, err error) {
+	isAllowed, isProbe := g.allow(time.Now())
+	if !isAllowed {
 		g.count(func(n *CallCounts) { n.Refused++ })
-		return ErrCircuitOpen
+		return false, ErrCircuitOpen
 	}
-	if err := limiter.Wait(ctx); err != nil {
+	if limiter.Wait(ctx) != nil {
+		err = ErrBudgetExceeded
+	} else {
+		err = g.acquireSlot(ctx)
+	}
+	if err != nil && isProbe {
 		g.abandonProbe()
-		return ErrBudgetExceeded
 	}
-	return g.acquireSlot(ctx)
+	return isProbe, err
 }
 
 // allow reports whether a call may be sent. While the circuit is open it allows
 // one call at a time, as a probe, from nextProbeAt on.
-func (g *GuardedStore) allow(now time.Time) bool {
+func (g *GuardedStore) allow(now time.Time) (isAllowed, isProbe bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.updateRamp(now)
 	if g.consecutiveFailures < failureThreshold {
-		return true
+		return true, false
 	}
 	if g.probing || now.Before(g.nextProbeAt) {
-		return false
+		return false, false
 	}
 	g.probing = true
-	return true
+	return true, true
 }
 
 // updateRamp raises the rate limits after an outage. The caller holds g.mu.
@@ -242,7 +278,6 @@
 func (g *GuardedStore) cancelWait(slot chan struct{}) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.probing = false
 	for i, waiter := range g.waiters {
 		if waiter == slot {
 			g.waiters = append(g.waiters[:i], g.waiters[i+1:]...)
@@ -264,14 +299,15 @@
 
 // endCall releases the call's slot, and updates the concurrency limit and the
 // circuit breaker from its result.
-func (g *GuardedStore) endCall(failed bool, duration time.Duration) {
+func (g *GuardedStore) endCall(isProbe bool, result callResult, duration time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.inFlight--
 	now := time.Now()
 	switch {
-	case failed:
-		g.recordFailure(now)
+	case result == cancelled:
+	case result == failed:
+		g.recordFailure(isProbe, now)
 	case duration > slowCallThreshold:
 		g.recordSuccess(now)
 		g.concurrencyLimit = max(minConcurrencyLimit, g.concurrencyLimit*decreaseFactor)
@@ -279,18 +315,22 @@
 		g.recordSuccess(now)
 		g.concurrencyLimit = min(maxConcurrencyLimit, g.concurrencyLimit+1/g.concurrencyLimit)
 	}
-	g.probing = false
+	if isProbe {
+		g.probing = false
+	}
 	g.wakeWaiters()
 }
 
-func (g *GuardedStore) recordFailure(now time.Time) {
+// recordFailure counts a failure. Calls that were sent before the circuit opened do not keep it open
+// longer: one outage would otherwise double the time with each of them. The caller holds g.mu.
+func (g *GuardedStore) recordFailure(isProbe bool, now time.Time) {
 	g.counts.Failed++
 	if g.consecutiveFailures == 0 {
 		g.failingSince = now
 	}
 	g.consecutiveFailures++
 	g.concurrencyLimit = max(minConcurrencyLimit, g.concurrencyLimit*decreaseFactor)
-	if g.consecutiveFailures < failureThreshold {
+	if g.consecutiveFailures != failureThreshold && !isProbe {
 		return
 	}
 	bound := min(initialOpenTime<<min(g.consecutiveOpens, 8), maxOpenTime)
--- a/pkg/table/tablehttp/client.go
+++ b/pkg/table/tablehttp/client.go
@@ -67,8 +67,10 @@
 func outcomeFromResponse(response *http.Response) table.Outcome {
 	switch response.StatusCode {
 	case http.StatusOK, http.StatusConflict:
-	case http.StatusTooManyRequests, http.StatusBadRequest:
+	case http.StatusTooManyRequests:
 		return table.Refused{Err: fmt.Errorf("table: %s", response.Status)}
+	case http.StatusBadRequest:
+		return table.Refused{Err: fmt.Errorf("%w: commit", table.ErrBadRequest)}
 	default:
 		return table.Unknown{Err: fmt.Errorf("table: %s", response.Status)}
 	}
@@ -114,6 +116,8 @@
 		return true, json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(target)
 	case http.StatusNotFound:
 		return false, nil
+	case http.StatusBadRequest:
+		return false, fmt.Errorf("%w: %s", table.ErrBadRequest, path)
 	}
 	return false, fmt.Errorf("table: %s", response.Status)
 }
