ratelimit: compare the names of hosts in sorted order

WithNames compared the names that it was given, in any order, with the sorted ones that it holds. Names in another order would count as a change each second, so that the baseline for a mass loss would be replaced after a minute instead of 30 s. Both callers pass sorted names today, so nobody saw it.

--- a/pkg/ratelimit/hosts.go
+++ b/pkg/ratelimit/hosts.go
@@ -40,9 +40,12 @@
 	return &Hosts{self: self, names: names, baseline: names, baselineKnown: len(names), changedAt: now, baselineAt: now, startedAt: now}
 }
 
-// WithNames returns the hosts with the names that are known at now, or h itself if nothing
-// changes.
+// WithNames returns the hosts with the names that are known at now, in any order, or h itself if
+// nothing changes.
 func (h *Hosts) WithNames(names []string, now time.Time) *Hosts {
+	if !slices.IsSorted(names) {
+		names = slices.Sorted(slices.Values(names))
+	}
 	isUnchanged := slices.Equal(h.names, names)
 	isDue := h.isBaselineDue(isUnchanged, now)
 	if isUnchanged && !isDue {
@@ -50,7 +53,7 @@
 	}
 	next := &Hosts{self: h.self, names: h.names, baseline: h.baseline, changedAt: h.changedAt, baselineAt: h.baselineAt, startedAt: h.startedAt}
 	if !isUnchanged {
-		next.names, next.changedAt = slices.Sorted(slices.Values(names)), now
+		next.names, next.changedAt = slices.Clone(names), now
 	}
 	if isDue {
 		next.baseline, next.baselineAt = next.names, now
--- a/pkg/ratelimit/ratelimit_test.go
+++ b/pkg/ratelimit/ratelimit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -77,6 +78,17 @@
 	}
 }
 
+// Guards against the same hosts in another order counting as a change, which delays the baseline.
+func TestOrderOfNamesIsNoChange(t *testing.T) {
+	all := names(9)
+	h := ratelimit.NewHosts(all[0], all, start)
+	reversed := slices.Clone(all)
+	slices.Reverse(reversed)
+	if got := h.WithNames(reversed, start.Add(time.Second)); got != h {
+		t.Error("got other hosts for the same names in another order, want the same")
+	}
+}
+
 func TestHostsWithoutCallersHaveNoShare(t *testing.T) {
 	h := ratelimit.NewHosts("other", names(9), start.Add(-time.Hour))
 	if delay, has := ratelimit.New("e", 1000, h, start).Delay(h, start); has {
