retry: name the bound of the first delay

The constant said that delays start at 20 ms, while the bound of the first one is 40 ms, as attempts count from 1. A test now holds the bounds of the first two and the last.

--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -78,10 +78,11 @@
 	b.refilledAt = now
 }
 
-// Bounds of the delay between attempts.
+// Bounds of the delay before an attempt.
 const (
-	baseDelay = 20 * time.Millisecond
-	maxDelay  = 2 * time.Second
+	// firstBound is the bound of the first delay, 20 ms in the mean.
+	firstBound = 40 * time.Millisecond
+	maxDelay   = 2 * time.Second
 )
 
 // Delay returns how long to wait before an attempt, counted from 1. It uses full jitter below a
@@ -89,7 +90,7 @@
 func Delay(attempt int, random *rand.Rand) time.Duration {
 	bound := maxDelay
 	if attempt < 8 {
-		bound = min(maxDelay, baseDelay<<attempt)
+		bound = min(maxDelay, firstBound<<(attempt-1))
 	}
 	return time.Duration(random.Int64N(int64(bound)) + 1)
 }
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -39,6 +39,20 @@
 	}
 }
 
+// Guards against other bounds than those of the comment: 40 ms at first, then doubled.
+func TestBoundsOfFirstDelays(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	for attempt, bound := range map[int]time.Duration{1: 40 * time.Millisecond, 2: 80 * time.Millisecond, 7: 2 * time.Second, 8: 2 * time.Second} {
+		most := time.Duration(0)
+		for range 2000 {
+			most = max(most, retry.Delay(attempt, random))
+		}
+		if most > bound || most < bound*9/10 {
+			t.Errorf("attempt %d: got delays up to %v, want up to %v", attempt, most, bound)
+		}
+	}
+}
+
 func TestDelaysSpreadAndAreBounded(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 1))
 	for attempt := 1; attempt <= 40; attempt++ {
