--- a/pkg/settings/document.go
+++ b/pkg/settings/document.go
@@ -91,8 +91,9 @@
 			header = strings.TrimSpace(line[1 : len(line)-1])
 			if firstLine, ok := seen["["+header]; ok {
 				problems = append(problems, Problem{file, lineNumber, "[" + header + "]", fmt.Sprintf("section stands twice, first at line %d", firstLine)})
+			} else {
+				seen["["+header] = lineNumber
 			}
-			seen["["+header] = lineNumber
 			current = nthSection(loaded, header, occurrences[header])
 			occurrences[header]++
 			kind, name, _ := strings.Cut(header, " ")
