config: name the latest revision after a conflict

If others had published several revisions between an operator's read and commit, the conflict named the one after the operator's base as the one in force, and an apply on that one conflicted again. It now names the latest revision.

--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -111,6 +112,31 @@
 	})
 }
 
+// Guards against a conflict that names a revision that is no longer the latest, on which the next
+// apply conflicts again.
+func TestConflictNamesLatestRevision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tableStore := tables.New()
+		slow, fast := config.NewStore(table.NewWriter(tableStore, "slow")), config.NewStore(table.NewWriter(tableStore, "fast"))
+		// Three revisions are published between the reads and the commit of the slow operator.
+		tableStore.SetFaults(func(c tables.Call) tables.Fault {
+			if c.Operation == tables.OperationCommit {
+				tableStore.SetFaults(nil)
+				for base := range int64(3) {
+					if _, err := fast.Publish(context.Background(), base, fmt.Sprint(base), sectionsOf(t, int(base)+1)); err != nil {
+						t.Error(err)
+					}
+				}
+			}
+			return tables.NoFault{}
+		})
+		_, err := slow.Publish(context.Background(), 0, "slow", sectionsOf(t, 9))
+		if code.Of(err).Number() != code.RevisionConflict.Number() || !strings.Contains(err.Error(), "but 3 is in force") {
+			t.Errorf("got %v, want a conflict with revision 3", err)
+		}
+	})
+}
+
 // TestPublishIsIdempotentAfterLostResponse loses the response to each store call in
 // turn and repeats the request with the same ID, as the command line does.
 func TestPublishIsIdempotentAfterLostResponse(t *testing.T) {
--- a/pkg/config/publisher.go
+++ b/pkg/config/publisher.go
@@ -200,7 +200,8 @@
 
 // resolveConflict handles a base revision that is no longer the latest. It returns
 // the next revision if an earlier attempt of the same request wrote it, and a
-// RevisionConflict error otherwise.
+// RevisionConflict error otherwise. The error names the latest revision, or
+// currentRevision, which is known to be in the store, if that can't be read.
 func (s *Store) resolveConflict(ctx context.Context, baseRevision, currentRevision int64, requestID string) (int64, error) {
 	row, ok, err := s.writer.Store().Get(ctx, changeKey(baseRevision+1))
 	if err != nil {
@@ -215,6 +216,9 @@
 			return stored.Revision, nil
 		}
 	}
+	if head, err := s.Head(ctx); err == nil {
+		currentRevision = max(currentRevision, head)
+	}
 	return 0, code.New(code.RevisionConflict, fmt.Sprintf("revision %d was seen, but %d is in force", baseRevision, currentRevision))
 }
 
