--- /dev/null
+++ b/pkg/job/recover_test.go
@@ -0,0 +1,90 @@
+package job_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ironhollow/pkg/code"
+	"ironhollow/pkg/job"
+	"ironhollow/pkg/standin/objects"
+	"ironhollow/pkg/standin/tables"
+)
+
+// Guards against a second run of a job that Reconcile finds while it waits for its rerun.
+func TestReconcileLeavesJobThatWaitsForRerun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGenerator(time.Second)
+		g.err = code.New(code.Quarantined, "in quarantine")
+		e := newEntry("n1@1", tables.New(), objects.New(), g)
+		defer e.kill()
+		j, _, err := e.accept("k", `"b"`, time.Hour)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(5 * time.Second)
+		for range 3 {
+			if added, err := e.worker.Reconcile(context.Background()); err != nil || added != 0 {
+				t.Errorf("got %d jobs added, error %v; want none, as the job waits", added, err)
+			}
+		}
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		if g.runs[j.ID] != 2 {
+			t.Errorf("got %d runs after one rerun delay, want 2", g.runs[j.ID])
+		}
+	})
+}
+
+// Guards against jobs of other shards counted twice when the store fails in the middle of a page.
+func TestRecoverCountsEachJobOnceAfterError(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const jobs = 12
+		rows, bodies, g := tables.New(), objects.New(), newGenerator(time.Hour)
+		lost, survivor := newEntry("n1@1", rows, bodies, g), newEntry("n2@1", rows, bodies, g)
+		defer survivor.kill()
+		for i := range jobs {
+			if _, _, err := lost.accept(fmt.Sprint("k", i), `"b"`, time.Hour+time.Duration(i)*time.Second); err != nil {
+				t.Fatal(err)
+			}
+		}
+		lost.kill()
+		// The listing and the first take-over, a read and a write, succeed.
+		calls := 0
+		rows.SetFaults(func(tables.Call) tables.Fault {
+			if calls++; calls > 3 {
+				return tables.Down{}
+			}
+			return tables.NoFault{}
+		})
+		taken, remaining, err := survivor.worker.Recover(context.Background(), "n1@1", job.Shard{Index: 1, Count: 2})
+		if err == nil || taken+remaining != jobs {
+			t.Errorf("got %d taken, %d remaining, error %v; want %d together and an error", taken, remaining, err, jobs)
+		}
+	})
+}
+
+// Guards against a restarted node that leaves the jobs after the first page to nobody.
+func TestRecoverAllTakesOverMoreThanOnePage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const jobs = 450
+		rows, bodies, g := tables.New(), objects.New(), newGenerator(time.Hour)
+		first, restarted := newEntry("n1@1", rows, bodies, g), newEntry("n1@2", rows, bodies, g)
+		defer restarted.kill()
+		var accepting sync.WaitGroup
+		for i := range jobs {
+			accepting.Go(func() { _, _, _ = first.accept(fmt.Sprint("k", i), `"b"`, time.Hour) })
+		}
+		accepting.Wait()
+		first.kill()
+		if taken, err := restarted.worker.RecoverAll(context.Background(), "n1@1"); taken != jobs || err != nil {
+			t.Errorf("got %d jobs taken over, error %v; want %d", taken, err, jobs)
+		}
+		if left, err := restarted.store.OwnedBy(context.Background(), "n1@1", 1); len(left) > 0 || err != nil {
+			t.Errorf("got %d jobs left, error %v; want none", len(left), err)
+		}
+	})
+}
