--- a/pkg/job/recover.go
+++ b/pkg/job/recover.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return 0, 0, err
 	}
-	for _, id := range ids {
+	for i, id := range ids {
 		if !shard.contains(id) {
 			remaining++
 			continue
@@ -42,12 +42,24 @@
 			taken++
 		case errors.Is(err, ErrTakenOver):
 		default:
-			return taken, remaining + len(ids) - taken, err
+			return taken, remaining + len(ids) - i, err
 		}
 	}
 	return taken, remaining, nil
 }
 
+// RecoverAll takes over all jobs of a lost owner and returns how many.
+func (w *Worker) RecoverAll(ctx context.Context, lost string) (int, error) {
+	total := 0
+	for {
+		taken, _, err := w.Recover(ctx, lost, Shard{Count: 1})
+		total += taken
+		if err != nil || taken == 0 {
+			return total, err
+		}
+	}
+}
+
 // Reconcile adds jobs that this entry owns in the store but that the worker does not have,
 // as the commit that accepted them had an unknown outcome.
 func (w *Worker) Reconcile(ctx context.Context) (int, error) {
