migrate: plan and hand over streams of leaving endpoints

Streams of a reclaimed endpoint broke off and were prefilled again, or were lost where the route allows no second run. Endpoints of services with moves can copy a run's memory to another endpoint.

pkg/migrate decides which streams are moved and in which order, and holds the state of a move that the relay and the mover share. pkg/forward moves the streams that a host relays and continues them at the target after the last event forwarded.

--- a/pkg/app/node/platform.go
+++ b/pkg/app/node/platform.go
@@ -7,10 +7,12 @@
 	"ironhollow/pkg/autoscale"
 	"ironhollow/pkg/feed"
 	"ironhollow/pkg/forward"
+	"ironhollow/pkg/migrate"
 	"ironhollow/pkg/rolloutsync"
 	"ironhollow/pkg/roster"
 	"ironhollow/pkg/storeview"
 	"ironhollow/pkg/table"
+	"ironhollow/pkg/upstream"
 	"ironhollow/pkg/usage"
 )
 
@@ -34,6 +36,7 @@
 	Store(client *http.Client, s Settings) Store
 	Cloud(client *http.Client, s Settings) Cloud
 	Protocol() forward.Protocol
+	MoveCalls(pool *upstream.Pool) migrate.Calls
 	// DirectoryPath is the path that callers request, ReadyPath the one that the platform requests.
 	DirectoryPath() string
 	ReadyPath() string
--- a/pkg/app/node/providers.go
+++ b/pkg/app/node/providers.go
@@ -200,8 +200,10 @@
 		}
 		return lifecycle.phase()
 	}
-	return forward.New(platform.Protocol(), view.RouteTables(), router, limiter, budget, pool, counter,
+	forwarder := forward.New(platform.Protocol(), view.RouteTables(), router, limiter, budget, pool, counter,
 		fleet{view.Roster(), location.Node}, rollouts, watch, noticeTracker, phase, clock.Now, forward.NewMetrics(registry), logger)
+	forwarder.MoveStreams(forward.NewMover(platform.MoveCalls(pool), view.Directory(), router, view.RouteTables(), clock.Now, registry, logger))
+	return forwarder
 }
 
 // fleet is the roster as one host sees it.
--- a/pkg/endpoint/directory.go
+++ b/pkg/endpoint/directory.go
@@ -26,6 +26,8 @@
 	sumMu      sync.Mutex
 	sums       [BucketCount]uint64
 	onLeave    atomic.Pointer[func(Info)]
+	// leaveSubscribers are called in addition to onLeave. The slice is replaced, never changed.
+	leaveSubscribers atomic.Pointer[[]func(Info)]
 }
 
 type shard struct {
@@ -90,6 +92,11 @@
 		if call := d.onLeave.Load(); call != nil {
 			go (*call)(next)
 		}
+		if subscribers := d.leaveSubscribers.Load(); subscribers != nil {
+			for _, call := range *subscribers {
+				go call(next)
+			}
+		}
 	}
 }
 
@@ -97,6 +104,21 @@
 // be leaving, and again when the time at which it leaves becomes known.
 func (d *Directory) OnLeaving(call func(Info)) { d.onLeave.Store(&call) }
 
+// SubscribeLeaving adds a function that is called like that of OnLeaving, which it does not replace.
+func (d *Directory) SubscribeLeaving(call func(Info)) {
+	for {
+		current := d.leaveSubscribers.Load()
+		var next []func(Info)
+		if current != nil {
+			next = append(next, *current...)
+		}
+		next = append(next, call)
+		if d.leaveSubscribers.CompareAndSwap(current, &next) {
+			return
+		}
+	}
+}
+
 // Update applies a change to an incarnation, such as marking it as leaving, and returns the result
 // and whether the directory changed. An endpoint that is unknown or of another incarnation is not changed.
 func (d *Directory) Update(ref Ref, change func(*Info)) (Info, bool) {
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -74,7 +74,15 @@
 
 // send sends the request to the chosen endpoint once and reads its response.
 func (c *call) send(ctx context.Context, choice route.Choice, lastEventID string) result {
-	request := c.newRequest(choice, lastEventID)
+	return c.sendFrom(ctx, choice, copyOf{}, lastEventID)
+}
+
+// copyOf names the copy of a run's memory that an attempt continues from; empty if there is none.
+type copyOf struct{ sourceAddress, handle string }
+
+// sendFrom is send for a run that continues from a copy of its memory.
+func (c *call) sendFrom(ctx context.Context, choice route.Choice, from copyOf, lastEventID string) result {
+	request := c.newRequest(choice, from, lastEventID)
 	c.sentAt = c.f.clock()
 	c.notice = endpoint.Notice{}
 	outcome := c.f.pool.Send(ctx, choice.Endpoint.Address, c.connectionLimit(), request)
@@ -90,7 +98,7 @@
 	}
 }
 
-func (c *call) newRequest(choice route.Choice, lastEventID string) upstream.Request {
+func (c *call) newRequest(choice route.Choice, from copyOf, lastEventID string) upstream.Request {
 	h := make(http.Header, len(c.header)+3)
 	for name, values := range c.header {
 		h[name] = values
@@ -102,6 +110,8 @@
 		Priority:    c.priority,
 		HasPriority: choice.Endpoint.Engine,
 		LastEventID: lastEventID,
+		CopyAddress: from.sourceAddress,
+		CopyHandle:  from.handle,
 	})
 	return upstream.Request{
 		Method:  c.incoming.Method,
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -62,8 +62,14 @@
 	log        *log.Logger
 	logLimit   *logLimiter
 	phase      func() Phase
+	// mover is nil if streams are never moved.
+	mover *Mover
 }
 
+// MoveStreams makes a mover move the streams that the forwarder relays. It must be called before the
+// first request.
+func (f *Forwarder) MoveStreams(mover *Mover) { f.mover = mover }
+
 // Phase is the lifecycle phase of the process.
 type Phase int
 
--- /dev/null
+++ b/pkg/forward/moved.go
@@ -0,0 +1,283 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/migrate"
+	"ironhollow/pkg/route"
+	"ironhollow/pkg/upstream"
+)
+
+// relayedStream is a stream at one endpoint, as the mover sees it.
+type relayedStream struct {
+	id        string
+	ref       endpoint.Ref
+	address   string
+	limit     int
+	resumable bool
+	// promptTokens, expectedTokens and longestTokens are from the request, tokensPerEvent from the
+	// service.
+	promptTokens, expectedTokens, longestTokens, tokensPerEvent int
+	// skippedEvents is the number of events that the caller had before.
+	skippedEvents int
+	startedAt     time.Time
+	handover      *migrate.Handover
+	// events is the number of events relayed from this endpoint.
+	events atomic.Int64
+	// unnumbered is set once an event had no id, after which the stream cannot continue elsewhere.
+	unnumbered atomic.Bool
+	// attempts is used by the mover only.
+	attempts int
+
+	mu sync.Mutex
+	// exchange is nil once the relay reads it no more.
+	exchange *upstream.Exchange
+	target   route.Choice
+	// targetTaken is set once the relay completes the choice of the target.
+	targetTaken bool
+	// query describes the stream's request for the choice of a target.
+	query route.Query
+}
+
+// trackStream registers the stream from an endpoint with the mover, if its service offers moves. The
+// end of a stream that has no length and is not chunked cannot be told from a stop.
+func (c *call) trackStream(choice route.Choice, e *upstream.Exchange, relayedBefore int) *relayedStream {
+	if c.f.mover == nil || c.service.Moves == nil || !e.IsDelimited() {
+		return nil
+	}
+	query := c.query()
+	query.PromptTokens, query.PrefixHashes, query.PrefixTokens, query.SharedPrefixes = 0, nil, nil, 0
+	query.Avoid = append([]endpoint.Ref(nil), query.Avoid...)
+	s := &relayedStream{
+		id: c.meta.ID, ref: choice.Endpoint.Ref(), address: choice.Endpoint.Address, limit: c.connectionLimit(), resumable: c.route.MayRepeat(),
+		promptTokens: c.meta.PromptTokens, expectedTokens: c.meta.ExpectedTokens, longestTokens: c.meta.MaxTokens, tokensPerEvent: max(c.service.TokensPerEvent, 1),
+		skippedEvents: relayedBefore, startedAt: c.f.clock(), handover: migrate.NewHandover(), exchange: e, query: query,
+	}
+	c.f.mover.track(s)
+	return s
+}
+
+// relayedEvents records events that are forwarded.
+func (s *relayedStream) relayedEvents(events []byte, count int) {
+	if s == nil {
+		return
+	}
+	s.events.Add(int64(count))
+	if countIDs(events) < count {
+		s.unnumbered.Store(true)
+	}
+}
+
+// countIDs returns the number of lines with an event id.
+func countIDs(events []byte) int {
+	n := bytes.Count(events, []byte("\nid:"))
+	if bytes.HasPrefix(events, []byte("id:")) {
+		n++
+	}
+	return n
+}
+
+// isMovable reports whether the stream has begun and may continue elsewhere after its last event.
+func (s *relayedStream) isMovable() bool {
+	return s.events.Load() > 0 && !s.unnumbered.Load() && s.attempts < maxMoveAttempts
+}
+
+func (s *relayedStream) source() migrate.Source {
+	return migrate.Source{Address: s.address, ConnectionLimit: s.limit}
+}
+
+// describe returns what the plan needs to know of the stream. tokenGap is the mean of the service.
+func (s *relayedStream) describe(now time.Time, tokenGap time.Duration) migrate.Stream {
+	events := int(s.events.Load())
+	made := (s.skippedEvents + events) * s.tokensPerEvent
+	if events >= minPaceEvents {
+		// The stream's own pace shows how slow its endpoint is.
+		tokenGap = now.Sub(s.startedAt) / time.Duration((events-1)*s.tokensPerEvent)
+	}
+	return migrate.Stream{
+		ID: s.id, Tokens: s.promptTokens + made, Resumable: s.resumable,
+		Remaining: time.Duration(migrate.RemainingTokens(made, s.expectedTokens, s.longestTokens)) * tokenGap,
+	}
+}
+
+// minPaceEvents is the number of events from which a stream's own pace is used.
+const minPaceEvents = 4
+
+func (s *relayedStream) targetQuery() route.Query {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.query
+}
+
+func (s *relayedStream) avoid(ref endpoint.Ref) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.query.Avoid = append(s.query.Avoid, ref)
+}
+
+func (s *relayedStream) setTarget(target route.Choice) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.target = target
+}
+
+// abort ends the reading of the stream.
+func (s *relayedStream) abort() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.exchange != nil {
+		s.exchange.Abort()
+	}
+}
+
+// detach is called once the relay reads the stream no more.
+func (s *relayedStream) detach() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.exchange = nil
+}
+
+// takeTarget returns the choice of the target, which the caller has to complete from then on.
+func (s *relayedStream) takeTarget() route.Choice {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.targetTaken = true
+	return s.target
+}
+
+func (s *relayedStream) isTargetTaken() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.targetTaken
+}
+
+// endTracking is called when a stream has ended or broken off, and before its exchange is closed. It
+// returns where the run continues; during a stop it waits for the result.
+func (c *call) endTracking(ctx context.Context, s *relayedStream) migrate.Continuation {
+	if s == nil {
+		return migrate.Continuation{}
+	}
+	s.detach()
+	c.f.mover.untrack(s)
+	return s.handover.End(ctx)
+}
+
+// continuedStream is a stream that goes on at a chosen endpoint.
+type continuedStream struct {
+	streaming
+	choice route.Choice
+}
+
+// errNotContinued means that a run was stopped to be moved and no endpoint continues it.
+var errNotContinued = errors.New("the run was stopped to be moved and could not continue")
+
+// continueStream continues a stream whose run was stopped; err is the error that its reading ended
+// with. A run that was stopped is not complete even if its stream ended without an error.
+func (c *call) continueStream(ctx context.Context, s *stream, source route.Choice, at migrate.Continuation, err error) (next continuedStream, ok bool) {
+	if s.relayed == nil {
+		return next, false
+	}
+	defer func() { s.relayed.handover.Finish(ok) }()
+	if at.Place == migrate.Nowhere || at.Place == migrate.Uncertain && (err == nil || c.route.MayRepeat()) {
+		return next, false
+	}
+	if at.Handle == "" || errors.Is(err, errCallerDisconnected) || ctx.Err() != nil {
+		return next, false
+	}
+	if next, ok = c.continueRun(ctx, s.relayed, source, at, s.lastEventID); ok {
+		c.logEntry.addNote("moved to " + next.choice.Endpoint.ID)
+	}
+	place := "nowhere"
+	switch {
+	case ok && next.choice.Endpoint.Ref() == source.Endpoint.Ref():
+		place = "source"
+	case ok:
+		place = "target"
+	}
+	c.f.mover.metrics.continued.WithLabelValues(c.service.Name, place).Inc()
+	return next, ok
+}
+
+// Limits of the requests that continue a run.
+const (
+	// continueTimeout is how long an endpoint may take to continue a run, which it admits before other
+	// requests; a step of a full batch takes up to 100 ms.
+	continueTimeout = 2 * time.Second
+	// maxReturnAge is how long after its leaving became known an endpoint is asked to continue a run
+	// that it has stopped. Later it accepts no request.
+	maxReturnAge = 1500 * time.Millisecond
+)
+
+// continueRun continues a stopped run at its target or, if the target did not run it, at its source.
+// ok is false if neither does; the run then goes on nowhere.
+func (c *call) continueRun(ctx context.Context, s *relayedStream, source route.Choice, at migrate.Continuation, lastEventID string) (next continuedStream, ok bool) {
+	if at.Place == migrate.AtTarget {
+		target := s.takeTarget()
+		r := c.continueAt(ctx, target, source, at.Handle, lastEventID)
+		if next, isStream := r.(streaming); isStream {
+			c.f.router.PrefillDone(target)
+			return continuedStream{next, target}, true
+		}
+		c.f.router.Done(target, routerResult(r), c.f.clock())
+		c.avoid = append(c.avoid, refOf(target))
+		if _, isNotRun := r.(notRun); !isNotRun {
+			return next, false
+		}
+	}
+	if at.Place == migrate.AtSource {
+		s.mu.Lock()
+		c.avoid = append(c.avoid, refOf(s.target))
+		s.mu.Unlock()
+	}
+	if !c.f.mover.mayReturn(source.Endpoint.Ref()) {
+		return next, false
+	}
+	r := c.continueAt(ctx, source, source, at.Handle, lastEventID)
+	again, isStream := r.(streaming)
+	return continuedStream{again, source}, isStream
+}
+
+// continueAt asks an endpoint to continue a run from a copy of its memory.
+func (c *call) continueAt(ctx context.Context, choice, source route.Choice, handle, lastEventID string) result {
+	ctx, cancel := context.WithCancel(ctx)
+	timer := time.AfterFunc(continueTimeout, cancel)
+	sentAt := c.f.clock()
+	rolloutSend := c.beginRolloutSend(choice)
+	r := c.sendFrom(ctx, choice, copyOf{source.Endpoint.Address, handle}, lastEventID)
+	c.recordAttempt(choice, r, c.f.clock().Sub(sentAt))
+	c.logEntry.attempts[len(c.logEntry.attempts)-1].continues = true
+	c.recordOutcome(ctx, choice, r)
+	inTime := timer.Stop()
+	switch a := r.(type) {
+	case streaming:
+		if inTime {
+			c.recordRolloutOutcome(ctx, rolloutSend, r)
+			a.rolloutSend = rolloutSend
+			return a
+		}
+		a.exchange.Close()
+		r = unclear{context.DeadlineExceeded}
+	case answered:
+		if a.unread != nil {
+			a.unread.Close()
+		}
+	}
+	cancel()
+	c.f.rollouts.FinishAttempt(rolloutSend, c.f.clock())
+	return r
+}
+
+// mayReturn reports whether a leaving endpoint still accepts the request that continues a run which it
+// has stopped.
+func (m *Mover) mayReturn(ref endpoint.Ref) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	since, isLeaving := m.leaving[ref]
+	return isLeaving && m.clock().Sub(since) < maxReturnAge
+}
--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"ironhollow/pkg/migrate"
 	"ironhollow/pkg/route"
 	"ironhollow/pkg/upstream"
 )
@@ -89,7 +90,7 @@
 
 // relayStream forwards a stream event by event; firstToken is how long its head took.
 // If the stream breaks off and the route allows it, it is resumed at another endpoint after
-// the last complete event.
+// the last complete event. If its run was stopped to be moved, it continues where the run does.
 func (c *call) relayStream(ctx context.Context, choice route.Choice, current streaming, firstToken time.Duration) error {
 	e := current.exchange
 	c.writeHead(e.Status(), e.Header())
@@ -98,13 +99,31 @@
 	for {
 		startedAt := c.f.clock()
 		s.eventCount = 0
+		s.relayed = c.trackStream(choice, e, s.totalEvents)
 		err := s.copyEvents(e)
-		e.Close()
-		observed.Failed = err != nil && ctx.Err() == nil
 		observed.Decode = c.f.clock().Sub(startedAt)
 		observed.Tokens = (s.eventCount - 1) * c.service.TokensPerEvent
-		c.recordRolloutStream(current.rolloutSend, choice, observed)
-		c.finishAttempt(choice, current.rolloutSend, observed)
+		at := c.endTracking(ctx, s.relayed)
+		e.Close()
+		isStopped := at.Place == migrate.AtTarget || at.Place == migrate.AtSource
+		if next, ok := c.continueStream(ctx, s, choice, at, err); ok {
+			if next.choice.Endpoint.Ref() != choice.Endpoint.Ref() {
+				observed.Failed = false
+				c.finishStreamAttempt(choice, current, observed)
+				c.avoid = append(c.avoid, refOf(choice))
+			} else {
+				// The choice is completed once, at the end of the stream.
+				c.f.rollouts.FinishAttempt(current.rolloutSend, c.f.clock())
+			}
+			choice, current, e = next.choice, next.streaming, next.exchange
+			observed.FirstToken = 0
+			continue
+		}
+		if isStopped {
+			err = errors.Join(err, errNotContinued)
+		}
+		observed.Failed = err != nil && ctx.Err() == nil && !isStopped
+		c.finishStreamAttempt(choice, current, observed)
 		// An endpoint that resumes a stream also reads the answer so far, so its first token
 		// gives no measure of its speed.
 		observed.FirstToken = 0
@@ -112,7 +131,7 @@
 			c.recordCompletion(e.Status(), e.IsDelimited())
 			return nil
 		}
-		if e.IsBroken() {
+		if e.IsBroken() && !isStopped {
 			c.recordBreak(choice, err)
 		}
 		c.logEntry.addNote("stream broke off: " + err.Error())
@@ -128,6 +147,12 @@
 	}
 }
 
+// finishStreamAttempt reports the end of a stream at one endpoint.
+func (c *call) finishStreamAttempt(choice route.Choice, current streaming, observed route.Result) {
+	c.recordRolloutStream(current.rolloutSend, choice, observed)
+	c.finishAttempt(choice, current.rolloutSend, observed)
+}
+
 // resume finds another endpoint that continues the stream.
 func (c *call) resume(ctx context.Context, lastEventID string) (route.Choice, streaming, bool) {
 	last := result(unclear{errTruncated})
@@ -164,8 +189,11 @@
 	call *call
 	// lastEventID is the id of the last complete event forwarded.
 	lastEventID string
-	// eventCount is how many complete events came from the current endpoint.
-	eventCount int
+	// eventCount is how many complete events came from the current endpoint, totalEvents how many
+	// came from all.
+	eventCount, totalEvents int
+	// relayed is the stream from the current endpoint as the mover sees it, nil if it cannot be moved.
+	relayed *relayedStream
 }
 
 // copyEvents forwards complete events until the stream ends. It returns nil if the endpoint
@@ -206,7 +234,10 @@
 		s.lastEventID = id
 	}
 	s.call.logEntry.bytes += len(events)
-	s.eventCount += countEvents(events)
+	count := countEvents(events)
+	s.eventCount += count
+	s.totalEvents += count
+	s.relayed.relayedEvents(events, count)
 	if _, err := s.call.w.Write(events); err != nil {
 		return err
 	}
--- a/pkg/forward/request_log.go
+++ b/pkg/forward/request_log.go
@@ -36,6 +36,9 @@
 	notice     endpoint.Notice
 	mayHaveRun bool
 	delivered  bool
+	// continues is set if the attempt continued a run that was stopped to be moved, which is not a
+	// further run.
+	continues bool
 }
 
 func (t *requestLog) addNote(text string) { t.notes = append(t.notes, text) }
@@ -97,7 +100,7 @@
 func (c *call) deliveredAttempts() int {
 	n := 0
 	for _, a := range c.logEntry.attempts {
-		if a.delivered {
+		if a.delivered && !a.continues {
 			n++
 		}
 	}
--- a/pkg/forward/types.go
+++ b/pkg/forward/types.go
@@ -52,6 +52,9 @@
 	HasPriority bool
 	// LastEventID is the id of the last event received, where a stream is resumed.
 	LastEventID string
+	// CopyAddress and CopyHandle name the stopped run whose memory the attempt continues from, and
+	// the address of the endpoint that ran it; empty if it continues from none.
+	CopyAddress, CopyHandle string
 }
 
 // ResponseMeta is what the status and headers of an endpoint's response say.
--- a/pkg/routetable/routetable.go
+++ b/pkg/routetable/routetable.go
@@ -77,6 +77,19 @@
 	TokensPerEvent int
 	// Scaling is nil for services of fixed size.
 	Scaling *Scaling
+	// Moves is nil if the endpoints offer no moves of running requests.
+	Moves *Moves
+}
+
+// Moves describes how the endpoints of a service move the memory of a running request to each other.
+// All values are above 0.
+type Moves struct {
+	// BytesPerToken is the memory of one token of a request.
+	BytesPerToken float64
+	// BytesPerSecond is the bandwidth of an endpoint's link for moves.
+	BytesPerSecond float64
+	// HandleLifetime is how long an endpoint keeps a copy that is not used.
+	HandleLifetime time.Duration
 }
 
 // Scaling bounds the number of endpoints of a service that may be ordered and gives their prices.
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -74,6 +74,10 @@
 	e.pool.put(e.conn)
 }
 
+// Abort closes the connection, which ends a Read in progress. Unlike the other methods it may be called
+// while another goroutine reads, but not after Close.
+func (e *Exchange) Abort() { _ = e.conn.Close() }
+
 // reusable reports whether the connection can be used for another request.
 func (e *Exchange) reusable() bool {
 	if e.broken || e.response == nil || e.response.Close || e.conn.reader.Buffered() > 0 {
