forward: test the moves of streams and each failure on the way

A stream was moved again while its stop was being relayed, which made copies that were freed unused. A stream that returns to its leaving source could be moved and interrupted without end. The mover now moves a stopped stream no more, and a stream returns at most once.

go test -race -count=3 -run 'Move|CopyIs' ./pkg/forward passes: streams arrive whole with each event once, and at most one run is active in each case.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -138,6 +138,8 @@
 	side     rollout.Subset
 	kind     rollout.Kind
 	attempts int
+	// returns is how often a stopped run was to continue at its leaving source.
+	returns int
 	// retryAfter is the caller's Retry-After, above 0 once the request is rejected for the
 	// length of the queue.
 	retryAfter time.Duration
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -39,6 +39,8 @@
 	if ms, err := strconv.Atoi(h.Get("Wait-Ms")); err == nil {
 		m.Timeout, m.HasTimeout = time.Duration(ms)*time.Millisecond, true
 	}
+	m.PromptTokens, _ = strconv.Atoi(h.Get("Prompt-Tokens"))
+	m.ExpectedTokens, _ = strconv.Atoi(h.Get("Expected-Tokens"))
 	return m, nil
 }
 
@@ -49,6 +51,9 @@
 	if attempt.LastEventID != "" {
 		h.Set("Last-Event", attempt.LastEventID)
 	}
+	if attempt.CopyHandle != "" {
+		h.Set("Copy", attempt.CopyAddress+"/"+attempt.CopyHandle)
+	}
 }
 
 func (testProtocol) DecodeResponse(status int, h http.Header) forward.ResponseMeta {
@@ -95,6 +100,9 @@
 type harness struct {
 	t         *testing.T
 	server    *httptest.Server
+	forwarder *forward.Forwarder
+	// tables are the forwarder's.
+	tables    staticTables
 	router    *route.Router
 	directory *endpoint.Directory
 	runs      *startedRuns
@@ -159,9 +167,11 @@
 	registry := prometheus.NewRegistry()
 	s.watch = quarantine.NewWatch(registry, logger)
 	board := notice.New(s.directory, router, logger)
-	forwarder := forward.New(testProtocol{}, staticTables{routetable.New(spec), fresh}, router, limit.NewCostLimiter(limit.Tolerance{}, now.Add(-time.Hour)),
+	s.tables = staticTables{routetable.New(spec), fresh}
+	forwarder := forward.New(testProtocol{}, s.tables, router, limit.NewCostLimiter(limit.Tolerance{}, now.Add(-time.Hour)),
 		retry.NewWindowBudget(0.2, 58, 10*time.Second), upstream.New(time.Second), s.runs, singleHost{}, s.rollouts, s.watch, board,
 		func() forward.Phase { return forward.Phase(s.phase.Load()) }, time.Now, forward.NewMetrics(registry), logger)
+	s.forwarder = forwarder
 	s.server = httptest.NewServer(forwarder)
 	t.Cleanup(s.server.Close)
 	return s
--- a/pkg/forward/moved.go
+++ b/pkg/forward/moved.go
@@ -48,7 +48,7 @@
 // trackStream registers the stream from an endpoint with the mover, if its service offers moves. The
 // end of a stream that has no length and is not chunked cannot be told from a stop.
 func (c *call) trackStream(choice route.Choice, e *upstream.Exchange, relayedBefore int) *relayedStream {
-	if c.f.mover == nil || c.service.Moves == nil || !e.IsDelimited() {
+	if c.f.mover == nil || c.service.Moves == nil || !e.IsDelimited() || c.returns > maxReturns {
 		return nil
 	}
 	query := c.query()
@@ -206,6 +206,9 @@
 
 // Limits of the requests that continue a run.
 const (
+	// maxReturns is how often a run may return to its leaving source and be moved again: each return
+	// interrupts the stream.
+	maxReturns = 1
 	// continueTimeout is how long an endpoint may take to continue a run, which it admits before other
 	// requests; a step of a full batch takes up to 100 ms.
 	continueTimeout = 2 * time.Second
@@ -239,6 +242,7 @@
 		return next, false
 	}
 	r := c.continueAt(ctx, source, source, at.Handle, lastEventID)
+	c.returns++
 	again, isStream := r.(streaming)
 	return continuedStream{again, source}, isStream
 }
--- a/pkg/forward/mover.go
+++ b/pkg/forward/mover.go
@@ -304,8 +304,10 @@
 func (e *evacuation) afterMove(s *relayedStream, target route.Choice, result migrate.Result) {
 	switch result {
 	case migrate.Stopped, migrate.Returned:
+		s.attempts = maxMoveAttempts
 		time.AfterFunc(abortDelay, s.abort)
-	case migrate.Lost:
+	case migrate.Ended, migrate.Lost:
+		s.attempts = maxMoveAttempts
 	case migrate.Refused:
 		s.avoid(target.Endpoint.Ref())
 	}
--- /dev/null
+++ b/pkg/forward/mover_test.go
@@ -0,0 +1,351 @@
+package forward_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/forward"
+	"ironhollow/pkg/migrate"
+	"ironhollow/pkg/routetable"
+)
+
+const (
+	// moveEvents is the number of events of a stream, moveEventGap the time between them.
+	moveEvents   = 120
+	moveEventGap = 5 * time.Millisecond
+	// moveNotice is how long before an endpoint's end its leaving is known: less than the streams last.
+	moveNotice = 450 * time.Millisecond
+)
+
+// movePlatform is endpoints whose runs can be moved, with the calls to move them.
+type movePlatform struct {
+	// onCopy returns the answer to a copy. It may stop the run.
+	onCopy func(p *movePlatform, request migrate.CopyRequest) migrate.CopyAnswer
+	// properEnd is set if the stream of a stopped run looks complete.
+	properEnd bool
+
+	mu sync.Mutex
+	// stopped is closed when the present run of the source is stopped.
+	stopped chan struct{}
+	copies  []migrate.CopyRequest
+	freed   []string
+	// running and mostRunning count the runs at all endpoints.
+	running, mostRunning int
+}
+
+func (p *movePlatform) Copy(_ context.Context, request migrate.CopyRequest) migrate.CopyAnswer {
+	p.mu.Lock()
+	p.copies = append(p.copies, request)
+	p.mu.Unlock()
+	return p.onCopy(p, request)
+}
+
+func (p *movePlatform) Free(_ context.Context, _ migrate.Source, handle string) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.freed = append(p.freed, handle)
+	return nil
+}
+
+func (p *movePlatform) Report(context.Context, migrate.Source) (migrate.Report, error) {
+	return migrate.Report{}, errors.New("no report")
+}
+
+func (p *movePlatform) stop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(p.stopped)
+	p.stopped = make(chan struct{})
+}
+
+func (p *movePlatform) count(change int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running += change
+	p.mostRunning = max(p.mostRunning, p.running)
+}
+
+func (p *movePlatform) freedHandles() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]string(nil), p.freed...)
+}
+
+func (p *movePlatform) copyCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.copies)
+}
+
+func moveEvent(n int) string { return fmt.Sprintf("id: %d\ndata: event %d\n\n", n, n) }
+
+func allMoveEvents() string {
+	var b strings.Builder
+	for n := 1; n <= moveEvents; n++ {
+		b.WriteString(moveEvent(n))
+	}
+	return b.String()
+}
+
+// run writes a stream from the event after the caller's last one, until stopped is closed or, if it
+// is above 0, only to event last.
+func (p *movePlatform) run(c net.Conn, r *http.Request, stopped <-chan struct{}, last int) bool {
+	p.count(1)
+	defer p.count(-1)
+	_, _ = io.WriteString(c, strings.ReplaceAll(streamHead, "%id", r.Header.Get("Id")))
+	from, _ := strconv.Atoi(r.Header.Get("Last-Event"))
+	for n := from + 1; n <= moveEvents; n++ {
+		event := moveEvent(n)
+		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil || n == last {
+			return false
+		}
+		select {
+		case <-stopped:
+			if p.properEnd {
+				_, _ = io.WriteString(c, "0\r\n\r\n")
+			}
+			return false
+		case <-time.After(moveEventGap):
+		}
+	}
+	_, err := io.WriteString(c, "0\r\n\r\n")
+	return err == nil
+}
+
+// source runs a stream until it is stopped.
+func (p *movePlatform) source(c net.Conn, r *http.Request) bool {
+	p.mu.Lock()
+	stopped := p.stopped
+	p.mu.Unlock()
+	return p.run(c, r, stopped, 0)
+}
+
+func (p *movePlatform) target(c net.Conn, r *http.Request) bool { return p.run(c, r, nil, 0) }
+
+// copyAndStop answers like an endpoint whose moves succeed.
+func copyAndStop(p *movePlatform, request migrate.CopyRequest) migrate.CopyAnswer {
+	if request.Stop {
+		p.stop()
+	}
+	return migrate.CopyAnswer{Result: migrate.Copied, Handle: "handle"}
+}
+
+// atStop returns an onCopy whose first copy succeeds; the run is stopped before the given answer.
+func atStop(answer migrate.CopyAnswer) func(*movePlatform, migrate.CopyRequest) migrate.CopyAnswer {
+	return func(p *movePlatform, request migrate.CopyRequest) migrate.CopyAnswer {
+		if ok := copyAndStop(p, request); !request.Stop {
+			return ok
+		}
+		return answer
+	}
+}
+
+func moveSpec() routetable.Spec {
+	s := spec()
+	s.Services[0].TokensPerEvent = 1
+	s.Services[0].Moves = &routetable.Moves{BytesPerToken: 100, BytesPerSecond: 1e9, HandleLifetime: time.Second}
+	return s
+}
+
+// startMove sends a stream to e0, lets e0 leave once the stream has begun and adds the other endpoints.
+func startMove(t *testing.T, spec routetable.Spec, p *movePlatform, path string, notice time.Duration, others ...script) (s *harness, answer chan callerResponse) {
+	t.Helper()
+	p.stopped = make(chan struct{})
+	s = newHarness(t, spec, true, p.source)
+	s.forwarder.MoveStreams(forward.NewMover(p, s.directory, s.router, s.tables, time.Now, prometheus.NewRegistry(), &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}))
+	answer = make(chan callerResponse, 1)
+	go func() {
+		answer <- s.send("POST", path, "body", "Prompt-Tokens", "1000", "Expected-Tokens", strconv.Itoa(moveEvents))
+	}()
+	for len(s.requests()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(20 * moveEventGap)
+	for i, other := range others {
+		s.addEndpoint("e"+strconv.Itoa(i+1), other)
+	}
+	leaving := s.endpoint("e0")
+	leaving.State, leaving.LeaveBy = endpoint.Leaving, time.Now().Add(notice)
+	s.directory.Merge(leaving)
+	return s, answer
+}
+
+// visits returns the endpoints that received the request; those that continued from a copy are marked.
+func (s *harness) visits() string {
+	var visits []string
+	for _, r := range s.requests() {
+		visit := r.endpoint
+		if r.header.Get("Copy") != "" {
+			visit += " copy"
+		}
+		visits = append(visits, visit)
+	}
+	return strings.Join(visits, ", ")
+}
+
+const (
+	whole  = "whole"
+	broken = "broken"
+)
+
+func TestMoves(t *testing.T) {
+	noRoom := migrate.CopyAnswer{Result: migrate.NoRoom, Handle: "handle"}
+	lost := migrate.CopyAnswer{Result: migrate.Unknown, Err: errors.New("lost")}
+	refuse := respond(notRunResponse, true)
+	for _, c := range []struct {
+		name, path string
+		onCopy     func(*movePlatform, migrate.CopyRequest) migrate.CopyAnswer
+		// second is the script of e1; nil for an endpoint that continues the run.
+		second    func(p *movePlatform) script
+		properEnd bool
+		// want and wantVisits are the caller's stream and the endpoints; wantFreed is the number of
+		// copies freed.
+		want, wantVisits string
+		wantFreed        int
+	}{
+		{name: "moved", path: "/stream/x", onCopy: copyAndStop, want: whole, wantVisits: "e0, e1 copy"},
+		{name: "moved, resumable", path: "/resume/x", onCopy: copyAndStop, want: whole, wantVisits: "e0, e1 copy"},
+		{name: "stopped run's stream looks complete", path: "/stream/x", onCopy: copyAndStop, properEnd: true, want: whole, wantVisits: "e0, e1 copy"},
+		{name: "target has no room", path: "/stream/x", onCopy: func(*movePlatform, migrate.CopyRequest) migrate.CopyAnswer { return noRoom }, want: whole, wantVisits: "e0"},
+		{name: "target lost its room", path: "/stream/x", onCopy: atStop(noRoom), want: whole, wantVisits: "e0, e0 copy, e0 copy"},
+		{name: "target refuses the request", path: "/stream/x", onCopy: copyAndStop, second: func(*movePlatform) script { return refuse }, want: whole, wantVisits: "e0, e1 copy, e0 copy, e2 copy"},
+		{name: "answer to the stop lost", path: "/stream/x", onCopy: atStop(lost), want: whole, wantVisits: "e0, e0 copy, e0 copy"},
+		{name: "answer to the stop lost, resumable", path: "/resume/x", onCopy: atStop(lost), want: whole, wantVisits: "e0, e1", wantFreed: 1},
+		{name: "stop lost, run goes on", path: "/stream/x", onCopy: func(_ *movePlatform, r migrate.CopyRequest) migrate.CopyAnswer {
+			if r.Stop {
+				return lost
+			}
+			return migrate.CopyAnswer{Result: migrate.Copied, Handle: "handle"}
+		}, want: whole, wantVisits: "e0", wantFreed: 1},
+		{name: "source lost in mid-copy", path: "/stream/x", onCopy: func(p *movePlatform, _ migrate.CopyRequest) migrate.CopyAnswer { p.stop(); return lost }, want: broken, wantVisits: "e0"},
+		{name: "source lost in mid-copy, resumable", path: "/resume/x", onCopy: func(p *movePlatform, _ migrate.CopyRequest) migrate.CopyAnswer { p.stop(); return lost }, want: whole, wantVisits: "e0, e1"},
+		{name: "target dies after the handover", path: "/stream/x", onCopy: copyAndStop, second: dyingTarget, want: broken, wantVisits: "e0, e1 copy"},
+		{name: "target dies after the handover, resumable", path: "/resume/x", onCopy: copyAndStop, second: dyingTarget, want: whole, wantVisits: "e0, e1 copy, e2"},
+		{name: "target dies before its answer", path: "/stream/x", onCopy: copyAndStop, second: func(*movePlatform) script { return closeWithoutResponse }, want: broken, wantVisits: "e0, e1 copy", wantFreed: 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			p := &movePlatform{onCopy: c.onCopy, properEnd: c.properEnd}
+			second := script(p.target)
+			if c.second != nil {
+				second = c.second(p)
+			}
+			s, answer := startMove(t, moveSpec(), p, c.path, moveNotice, second)
+			time.AfterFunc(150*time.Millisecond, func() { s.addEndpoint("e2", p.target) })
+			got := <-answer
+			isWhole := got.err == nil && got.body == allMoveEvents()
+			if isWhole != (c.want == whole) {
+				t.Errorf("stream: got %d bytes, %v, want it %s", len(got.body), got.err, c.want)
+			}
+			if !strings.HasPrefix(allMoveEvents(), got.body) {
+				t.Errorf("stream: got %q, want each event once and in order", got.body)
+			}
+			if visits := s.visits(); visits != c.wantVisits {
+				t.Errorf("endpoints: got %s, want %s", visits, c.wantVisits)
+			}
+			time.Sleep(50 * time.Millisecond)
+			if freed := p.freedHandles(); len(freed) != c.wantFreed {
+				t.Errorf("copies freed: got %v, want %d", freed, c.wantFreed)
+			}
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			if p.mostRunning != 1 {
+				t.Errorf("runs at a time: got %d, want 1", p.mostRunning)
+			}
+		})
+	}
+}
+
+// dyingTarget breaks off forty events after it has continued the run.
+func dyingTarget(p *movePlatform) script {
+	return func(c net.Conn, r *http.Request) bool {
+		from, _ := strconv.Atoi(r.Header.Get("Last-Event"))
+		return p.run(c, r, nil, from+40)
+	}
+}
+
+// Without its triggers a stream is relayed as without a mover.
+func TestNoMoveWithoutReason(t *testing.T) {
+	resumeSlow := moveSpec()
+	resumeSlow.Services[0].Moves.BytesPerToken = 1e4
+	for _, c := range []struct {
+		name, path string
+		spec       routetable.Spec
+		notice     time.Duration
+	}{
+		{"service offers no moves", "/stream/x", spec(), moveNotice},
+		{"stream ends in time", "/stream/x", moveSpec(), 2 * time.Second},
+		{"too little time", "/stream/x", moveSpec(), 50 * time.Millisecond},
+		{"prefill costs less", "/resume/x", resumeSlow, moveNotice},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			p := &movePlatform{onCopy: copyAndStop}
+			s, answer := startMove(t, c.spec, p, c.path, c.notice, p.target)
+			if got := <-answer; got.err != nil || got.body != allMoveEvents() {
+				t.Errorf("stream: got %d bytes, %v, want it whole", len(got.body), got.err)
+			}
+			if got := p.copyCount(); got != 0 || s.visits() != "e0" {
+				t.Errorf("got %d copies, endpoints %s, want none and e0", got, s.visits())
+			}
+		})
+	}
+}
+
+// A copy is freed at once if its caller leaves while it is made, and after the run was stopped.
+func TestCopyIsFreedWhenCallerLeaves(t *testing.T) {
+	for _, atStop := range []bool{false, true} {
+		t.Run(strconv.FormatBool(atStop), func(t *testing.T) {
+			t.Parallel()
+			var cancelled atomic.Bool
+			p := &movePlatform{stopped: make(chan struct{})}
+			s := newHarness(t, moveSpec(), true, p.source)
+			ctx, cancel := context.WithCancel(context.Background())
+			p.onCopy = func(p *movePlatform, r migrate.CopyRequest) migrate.CopyAnswer {
+				if r.Stop == atStop {
+					cancel()
+					cancelled.Store(true)
+					time.Sleep(60 * time.Millisecond)
+				}
+				return copyAndStop(p, r)
+			}
+			s.forwarder.MoveStreams(forward.NewMover(p, s.directory, s.router, s.tables, time.Now, prometheus.NewRegistry(), &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}))
+			r, _ := http.NewRequestWithContext(ctx, "POST", s.server.URL+"/stream/x", strings.NewReader("body"))
+			r.Host = "h.example"
+			r.Header.Set("Id", "request-1")
+			r.Header.Set("Key", "key")
+			r.Header.Set("Expected-Tokens", strconv.Itoa(moveEvents))
+			response, err := http.DefaultClient.Do(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.addEndpoint("e1", p.target)
+			leaving := s.endpoint("e0")
+			leaving.State, leaving.LeaveBy = endpoint.Leaving, time.Now().Add(moveNotice)
+			s.directory.Merge(leaving)
+			_, _ = io.ReadAll(response.Body)
+			_ = response.Body.Close()
+			time.Sleep(200 * time.Millisecond)
+			if freed := p.freedHandles(); !cancelled.Load() || len(freed) != 1 {
+				t.Errorf("copies freed: got %v, want 1", freed)
+			}
+			if visits := s.visits(); visits != "e0" {
+				t.Errorf("endpoints: got %s, want e0", visits)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pkg/migrate/plan_test.go
@@ -0,0 +1,65 @@
+package migrate_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"ironhollow/pkg/migrate"
+)
+
+// conditions of a link that copies 1,000 tokens in 10 ms, 20 ms between data centres.
+func conditions(left time.Duration) migrate.Conditions {
+	return migrate.Conditions{Left: left, Link: migrate.Link{BytesPerToken: 1000, BytesPerSecond: 1e8}, PrefillPerToken: 50 * time.Microsecond}
+}
+
+func ids(streams []migrate.Stream) []string {
+	var list []string
+	for _, s := range streams {
+		list = append(list, s.ID)
+	}
+	return list
+}
+
+func TestPlan(t *testing.T) {
+	long := 10 * time.Second
+	for _, c := range []struct {
+		name   string
+		own    []migrate.Stream
+		others []migrate.Run
+		left   time.Duration
+		want   []string
+	}{
+		{"most tokens first", []migrate.Stream{{"a", 1000, long, true}, {"b", 3000, long, true}, {"c", 2000, long, false}}, nil, 2 * time.Second, []string{"b", "c", "a"}},
+		{"streams that end in time stay", []migrate.Stream{{"a", 1000, time.Second, false}, {"b", 1000, 3 * time.Second, false}}, nil, 2 * time.Second, []string{"b"}},
+		{"only what fits", []migrate.Stream{{"a", 3000, long, true}, {"b", 2000, long, true}, {"c", 1000, long, true}}, nil, 290 * time.Millisecond, []string{"a", "c"}},
+		{"runs of other hosts share the link", []migrate.Stream{{"a", 3000, long, true}, {"b", 1000, long, true}}, []migrate.Run{{ID: "x", Tokens: 5000}}, 270 * time.Millisecond, nil},
+		{"smaller runs of other hosts do not", []migrate.Stream{{"a", 3000, long, true}}, []migrate.Run{{ID: "x", Tokens: 2000}}, 270 * time.Millisecond, []string{"a"}},
+		{"too late", []migrate.Stream{{"a", 1, long, false}}, nil, 100 * time.Millisecond, nil},
+	} {
+		if got := ids(migrate.Plan(c.own, c.others, conditions(c.left))); !slices.Equal(got, c.want) {
+			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// A stream that may be resumed is not moved over a link that is slower than a prefill. One that may
+// not be is: it would be lost.
+func TestSlowLinkMovesOnlyWhatCannotBeResumed(t *testing.T) {
+	slow := conditions(5 * time.Second)
+	slow.PrefillPerToken = 5 * time.Microsecond
+	got := ids(migrate.Plan([]migrate.Stream{{"resumable", 1000, time.Minute, true}, {"not", 1000, time.Minute, false}}, nil, slow))
+	if want := []string{"not"}; !slices.Equal(got, want) {
+		t.Errorf("plan: got %v, want %v", got, want)
+	}
+}
+
+func TestRemainingTokens(t *testing.T) {
+	for _, c := range []struct{ made, expected, longest, want int }{
+		{100, 300, 0, 200}, {100, 0, 150, 50}, {100, 0, 0, 100}, {300, 200, 0, 30}, {300, 200, 310, 10}, {400, 200, 300, 1}, {0, 0, 0, 1},
+	} {
+		if got := migrate.RemainingTokens(c.made, c.expected, c.longest); got != c.want {
+			t.Errorf("made %d, expected %d, longest %d: got %d, want %d", c.made, c.expected, c.longest, got, c.want)
+		}
+	}
+}
