--- a/pkg/forward/mover.go
+++ b/pkg/forward/mover.go
@@ -216,13 +216,12 @@
 
 // next returns the stream to be moved next.
 func (e *evacuation) next(own map[string]*relayedStream) (*relayedStream, bool) {
-	candidates := e.plan(own, nil)
-	if len(candidates) == 0 {
-		return nil, false
+	// The report says when the endpoint stops, if its row does not, and which runs share the link.
+	if e.info.LeaveBy.IsZero() || len(e.plan(own, nil)) > 0 {
+		e.fetchReport(own)
 	}
-	// Only now is the report worth a call: it shows which runs share the link.
-	e.fetchReport(own[candidates[0].ID].source())
-	if candidates = e.plan(own, e.others(own)); len(candidates) == 0 {
+	candidates := e.plan(own, e.others(own))
+	if len(candidates) == 0 {
 		return nil, false
 	}
 	return own[candidates[0].ID], true
@@ -238,13 +237,18 @@
 }
 
 // fetchReport asks the endpoint for its runs, at most every reportInterval.
-func (e *evacuation) fetchReport(source migrate.Source) {
+func (e *evacuation) fetchReport(own map[string]*relayedStream) {
 	now := e.clock()
 	if now.Before(e.nextReport) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
+	var source migrate.Source
+	for _, s := range own {
+		source = s.source()
+		break
+	}
 	report, err := e.calls.Report(ctx, source)
 	if err != nil {
 		// The plan goes on with this host's streams alone.
