forward: keep a mover idle without streams, and estimate answers of unknown length

The mover looked five times a second at each endpoint that leaves, also on hosts that relay nothing from it, and took a stated maximum length as the expected one, which moves streams that end in time. It now runs only while streams are relayed, and uses the mean length of the route's answers where the caller gives no estimate. A stream without a target keeps its attempts.

go test -race -run 'Move|CopyIs' ./pkg/forward passes; go test ./pkg/soak ./platform/... passes.

--- /dev/null
+++ b/pkg/forward/evacuation.go
@@ -0,0 +1,238 @@
+package forward
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/migrate"
+	"ironhollow/pkg/route"
+	"ironhollow/pkg/routetable"
+)
+
+// evacuation empties one endpoint. Its moves run one after another, as they share the endpoint's link.
+type evacuation struct {
+	*Mover
+	info      endpoint.Info
+	offered   routetable.Moves
+	startedAt time.Time
+	// runs are the runs that the endpoint last reported; stopsAt is when it then said that it stops,
+	// zero if it did not.
+	runs    []migrate.Run
+	stopsAt time.Time
+	// nextReport is when the endpoint may be asked for its report again.
+	nextReport time.Time
+	counts     [migrate.Unplaced + 1]int
+}
+
+// run moves streams until the endpoint stops.
+func (e *evacuation) run() {
+	for !e.isEmpty(e.info.Ref()) {
+		s, ok := e.next(e.movable(e.info.Ref()))
+		if !ok {
+			time.Sleep(planInterval)
+			continue
+		}
+		result := e.move(s)
+		switch result {
+		case migrate.Kept, migrate.Unplaced, migrate.Failed:
+			// The estimates have changed since the plan, a target has to become available, or the
+			// source did not do what it was asked for.
+			time.Sleep(planInterval)
+		}
+		e.counts[result]++
+		e.metrics.moves.WithLabelValues(e.info.Service, result.String()).Inc()
+	}
+	if moved := e.counts[migrate.Stopped] + e.counts[migrate.Returned] + e.counts[migrate.Lost]; moved > 0 || e.counts[migrate.Refused]+e.counts[migrate.Failed] > 0 {
+		e.log.Info().Str("endpoint", e.info.ID).Str("service", e.info.Service).Int("moved", e.counts[migrate.Stopped]).Int("returned", e.counts[migrate.Returned]).
+			Int("lost", e.counts[migrate.Lost]).Int("refused", e.counts[migrate.Refused]).Int("failed", e.counts[migrate.Failed]).Msg("moved streams from leaving endpoint")
+	}
+}
+
+// refresh reads what is known of the endpoint and reports whether it is still there.
+func (e *evacuation) refresh() bool {
+	info, ok := e.router.Lookup(e.info.ID)
+	if !ok || info.Ref() != e.info.Ref() || info.State != endpoint.Leaving {
+		return false
+	}
+	e.info = info
+	return e.left() > 0
+}
+
+// left returns the time until the endpoint stops, by its row or its report, whichever is sooner: the
+// time in a row is as of when it was written.
+func (e *evacuation) left() time.Duration {
+	stopsAt := e.info.LeaveBy
+	if stopsAt.IsZero() || !e.stopsAt.IsZero() && e.stopsAt.Before(stopsAt) {
+		stopsAt = e.stopsAt
+	}
+	if stopsAt.IsZero() {
+		stopsAt = e.startedAt.Add(migrate.DefaultNotice)
+	}
+	return stopsAt.Sub(e.clock())
+}
+
+func (e *evacuation) conditions() migrate.Conditions {
+	return migrate.Conditions{
+		Left:            e.left(),
+		Link:            migrate.Link{BytesPerToken: e.offered.BytesPerToken, BytesPerSecond: e.offered.BytesPerSecond},
+		PrefillPerToken: e.timings().PrefillPerToken,
+	}
+}
+
+// next returns the stream to be moved next.
+func (e *evacuation) next(own map[string]*relayedStream) (*relayedStream, bool) {
+	// The report says when the endpoint stops, if its row does not, and which runs share the link.
+	if !e.refresh() || len(own) == 0 {
+		return nil, false
+	}
+	if e.info.LeaveBy.IsZero() || len(e.plan(own, nil)) > 0 {
+		e.fetchReport(own)
+	}
+	candidates := e.plan(own, e.others(own))
+	if len(candidates) == 0 {
+		return nil, false
+	}
+	return own[candidates[0].ID], true
+}
+
+func (e *evacuation) plan(own map[string]*relayedStream, others []migrate.Run) []migrate.Stream {
+	now, timings := e.clock(), e.timings()
+	streams := make([]migrate.Stream, 0, len(own))
+	for _, s := range own {
+		streams = append(streams, s.describe(now, timings.TokenGap))
+	}
+	return migrate.Plan(streams, others, e.conditions())
+}
+
+// fetchReport asks the endpoint for its runs, at most every reportInterval.
+func (e *evacuation) fetchReport(own map[string]*relayedStream) {
+	now := e.clock()
+	if now.Before(e.nextReport) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	var source migrate.Source
+	for _, s := range own {
+		source = s.source()
+		break
+	}
+	report, err := e.calls.Report(ctx, source)
+	if err != nil {
+		// The plan goes on with this host's streams alone.
+		e.metrics.failedReports.Inc()
+		e.runs, e.nextReport = nil, now.Add(reportRetry)
+		return
+	}
+	e.runs, e.nextReport = report.Runs, now.Add(reportInterval)
+	if report.HasLeft {
+		e.stopsAt = now.Add(report.Left)
+	}
+}
+
+// others returns the reported runs that other hosts relay.
+func (e *evacuation) others(own map[string]*relayedStream) []migrate.Run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	mine := e.streams[e.info.Ref()]
+	var others []migrate.Run
+	for _, run := range e.runs {
+		if mine[run.ID] == nil && own[run.ID] == nil {
+			others = append(others, run)
+		}
+	}
+	return others
+}
+
+// move moves one stream to the endpoint with most room.
+func (e *evacuation) move(s *relayedStream) migrate.Result {
+	target, ok := e.chooseTarget(s)
+	if !ok {
+		return migrate.Unplaced
+	}
+	s.attempts++
+	crosses := target.Endpoint.DataCenter != e.info.DataCenter
+	described := s.describe(e.clock(), e.timings().TokenGap)
+	if c := e.conditions(); !c.IsWorthMoving(described, crosses) || !c.FitsInTime(c.Link.CopyTime(described.Tokens, crosses)) {
+		e.router.Done(target, route.Result{Refused: true}, e.clock())
+		return migrate.Kept
+	}
+	s.setTarget(target)
+	result := migrate.Move{
+		Calls: e.calls, Handover: s.handover, Source: s.source(), RunID: s.id, Target: target.Endpoint.Address,
+		Left: e.left, Clock: e.clock, FreeFailed: e.freeFailed,
+		MayStop: func(took time.Duration) bool {
+			c := e.conditions()
+			// The last part waits on the link behind the same moves as the first did.
+			return e.refresh() && !migrate.FinishesInTime(s.describe(e.clock(), e.timings().TokenGap).Remaining, c.Left) && c.FitsInTime(took)
+		},
+	}.Run(context.Background())
+	e.afterMove(s, target, result)
+	return result
+}
+
+// afterMove completes the choice of the target unless the relay takes it over, and makes the relay
+// notice a stop.
+func (e *evacuation) afterMove(s *relayedStream, target route.Choice, result migrate.Result) {
+	switch result {
+	case migrate.Stopped, migrate.Returned:
+		s.attempts = maxMoveAttempts
+		time.AfterFunc(abortDelay, s.abort)
+	case migrate.Ended, migrate.Lost:
+		s.attempts = maxMoveAttempts
+	case migrate.Refused:
+		s.avoid(target.Endpoint.Ref())
+	}
+	if s.attempts == maxMoveAttempts {
+		e.runs = slices.DeleteFunc(e.runs, func(r migrate.Run) bool { return r.ID == s.id })
+	}
+	if result != migrate.Stopped {
+		e.router.Done(target, route.Result{Refused: true}, e.clock())
+		return
+	}
+	go func() {
+		s.handover.WasUsed()
+		if !s.isTargetTaken() {
+			e.router.Done(target, route.Result{Refused: true}, e.clock())
+		}
+	}()
+}
+
+func (m *Mover) freeFailed(err error) {
+	m.metrics.failedFrees.Inc()
+	m.log.Warn().Err(err).Msg("a copy that is not needed could not be freed and lapses")
+}
+
+// chooseTarget chooses an endpoint of the same release, which has the same model, as the run's memory
+// is of no use to another.
+func (e *evacuation) chooseTarget(s *relayedStream) (route.Choice, bool) {
+	query := s.targetQuery()
+	for range maxMoveAttempts {
+		rejected := endpoint.Ref{}
+		query.Accepts = func(c route.Choice) bool {
+			if c.Endpoint.Release == e.info.Release && c.Endpoint.Ref() != e.info.Ref() {
+				return true
+			}
+			rejected = c.Endpoint.Ref()
+			return false
+		}
+		if choice, ok := e.router.Choose(query, route.Expected, e.clock()); ok {
+			return choice, true
+		}
+		if rejected.ID == "" {
+			break
+		}
+		query.Avoid = append(query.Avoid, rejected)
+	}
+	return route.Choice{}, false
+}
+
+func (e *evacuation) timings() timings {
+	t := e.router.Timings(route.TargetOf(e.info))
+	return timings{t.PrefillPerToken, t.TokenGap}
+}
+
+// timings are the parts of the engines' speed that the plan uses.
+type timings struct{ PrefillPerToken, TokenGap time.Duration }
--- a/pkg/forward/moved.go
+++ b/pkg/forward/moved.go
@@ -56,13 +56,22 @@
 	query.Avoid = append([]endpoint.Ref(nil), query.Avoid...)
 	s := &relayedStream{
 		id: c.meta.ID, ref: choice.Endpoint.Ref(), address: choice.Endpoint.Address, limit: c.connectionLimit(), resumable: c.route.MayRepeat(),
-		promptTokens: c.meta.PromptTokens, expectedTokens: c.meta.ExpectedTokens, longestTokens: c.meta.MaxTokens, tokensPerEvent: max(c.service.TokensPerEvent, 1),
+		promptTokens: c.meta.PromptTokens, expectedTokens: c.expectedTokens(), longestTokens: c.meta.MaxTokens, tokensPerEvent: max(c.service.TokensPerEvent, 1),
 		skippedEvents: relayedBefore, startedAt: c.f.clock(), handover: migrate.NewHandover(), exchange: e, query: query,
 	}
 	c.f.mover.track(s)
 	return s
 }
 
+// expectedTokens returns the caller's estimate of the answer's length or, as its limit says little, the
+// mean of the route's answers; 0 if neither is known.
+func (c *call) expectedTokens() int {
+	if c.meta.ExpectedTokens != c.meta.MaxTokens {
+		return c.meta.ExpectedTokens
+	}
+	return c.f.mover.lengths.Mean(c.route.Name)
+}
+
 // relayedEvents records events that are forwarded.
 func (s *relayedStream) relayedEvents(events []byte, count int) {
 	if s == nil {
@@ -158,13 +167,17 @@
 }
 
 // endTracking is called when a stream has ended or broken off, and before its exchange is closed. It
-// returns where the run continues; during a stop it waits for the result.
-func (c *call) endTracking(ctx context.Context, s *relayedStream) migrate.Continuation {
+// returns where the run continues; during a stop it waits for the result. err is the error that its
+// reading ended with.
+func (c *call) endTracking(ctx context.Context, s *relayedStream, err error) migrate.Continuation {
 	if s == nil {
 		return migrate.Continuation{}
 	}
 	s.detach()
 	c.f.mover.untrack(s)
+	if err == nil {
+		c.f.mover.lengths.Record(c.route.Name, (s.skippedEvents+int(s.events.Load()))*s.tokensPerEvent)
+	}
 	return s.handover.End(ctx)
 }
 
@@ -276,12 +289,3 @@
 	c.f.rollouts.FinishAttempt(rolloutSend, c.f.clock())
 	return r
 }
-
-// mayReturn reports whether a leaving endpoint still accepts the request that continues a run which it
-// has stopped.
-func (m *Mover) mayReturn(ref endpoint.Ref) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	since, isLeaving := m.leaving[ref]
-	return isLeaving && m.clock().Sub(since) < maxReturnAge
-}
--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -103,7 +103,7 @@
 		err := s.copyEvents(e)
 		observed.Decode = c.f.clock().Sub(startedAt)
 		observed.Tokens = (s.eventCount - 1) * c.service.TokensPerEvent
-		at := c.endTracking(ctx, s.relayed)
+		at := c.endTracking(ctx, s.relayed, err)
 		e.Close()
 		isStopped := at.Place == migrate.AtTarget || at.Place == migrate.AtSource
 		if next, ok := c.continueStream(ctx, s, choice, at, err); ok {
--- a/pkg/migrate/handover.go
+++ b/pkg/migrate/handover.go
@@ -125,11 +125,13 @@
 	Returned
 	// Lost means that the answer to the call that stops the run was lost.
 	Lost
+	// Unplaced means that there is no target.
+	Unplaced
 )
 
 // String returns the label of the result in counters.
 func (r Result) String() string {
-	return [...]string{"failed", "refused", "ended", "kept", "stopped", "returned", "lost"}[r]
+	return [...]string{"failed", "refused", "ended", "kept", "stopped", "returned", "lost", "unplaced"}[r]
 }
 
 // Move is one attempt to move a stream.
