--- a/pkg/forward/evacuation.go
+++ b/pkg/forward/evacuation.go
@@ -121,7 +121,7 @@
 	}
 	report, err := e.calls.Report(ctx, source)
 	if err != nil {
-		// The plan goes on with this host's streams alone.
+		// The plan uses this host's streams alone.
 		e.metrics.failedReports.Inc()
 		e.runs, e.nextReport = nil, now.Add(reportRetry)
 		return
@@ -202,7 +202,7 @@
 
 func (m *Mover) freeFailed(err error) {
 	m.metrics.failedFrees.Inc()
-	m.log.Warn().Err(err).Msg("a copy that is not needed could not be freed and lapses")
+	m.log.Warn().Err(err).Msg("a copy that is not needed could not be freed and expires")
 }
 
 // chooseTarget chooses an endpoint of the same release, which has the same model, as the run's memory
--- a/pkg/forward/moved.go
+++ b/pkg/forward/moved.go
@@ -46,7 +46,7 @@
 }
 
 // trackStream registers the stream from an endpoint with the mover, if its service offers moves. The
-// end of a stream that has no length and is not chunked cannot be told from a stop.
+// end of a stream that has no length and is not chunked cannot be distinguished from a stop.
 func (c *call) trackStream(choice route.Choice, e *upstream.Exchange, relayedBefore int) *relayedStream {
 	if c.f.mover == nil || c.service.Moves == nil || !e.IsDelimited() || c.returns > maxReturns {
 		return nil
@@ -181,7 +181,7 @@
 	return s.handover.End(ctx)
 }
 
-// continuedStream is a stream that goes on at a chosen endpoint.
+// continuedStream is a stream that continues at a chosen endpoint.
 type continuedStream struct {
 	streaming
 	choice route.Choice
@@ -231,7 +231,7 @@
 )
 
 // continueRun continues a stopped run at its target or, if the target did not run it, at its source.
-// ok is false if neither does; the run then goes on nowhere.
+// ok is false if neither does; the run has then ended.
 func (c *call) continueRun(ctx context.Context, s *relayedStream, source route.Choice, at migrate.Continuation, lastEventID string) (next continuedStream, ok bool) {
 	if at.Place == migrate.AtTarget {
 		target := s.takeTarget()
--- a/pkg/forward/mover.go
+++ b/pkg/forward/mover.go
@@ -191,7 +191,7 @@
 			Name: "ironhollow_move_reports_failed_total", Help: "Reports of leaving endpoints that could not be read.",
 		}),
 		failedFrees: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "ironhollow_move_frees_failed_total", Help: "Copies that could not be freed and lapse.",
+			Name: "ironhollow_move_frees_failed_total", Help: "Copies that could not be freed and expire.",
 		}),
 	}
 	registry.MustRegister(m.moves, m.continued, m.failedReports, m.failedFrees)
--- a/pkg/forward/mover_test.go
+++ b/pkg/forward/mover_test.go
@@ -35,8 +35,8 @@
 type movePlatform struct {
 	// onCopy returns the answer to a copy. It may stop the run.
 	onCopy func(p *movePlatform, request migrate.CopyRequest) migrate.CopyAnswer
-	// properEnd is set if the stream of a stopped run looks complete.
-	properEnd bool
+	// properEnd is set if the stream of a stopped run looks complete, staysOpen if it is not closed.
+	properEnd, staysOpen bool
 
 	mu sync.Mutex
 	// stopped is closed when the present run of the source is stopped.
@@ -105,7 +105,8 @@
 // is above 0, only to event last.
 func (p *movePlatform) run(c net.Conn, r *http.Request, stopped <-chan struct{}, last int) bool {
 	p.count(1)
-	defer p.count(-1)
+	ended := sync.OnceFunc(func() { p.count(-1) })
+	defer ended()
 	_, _ = io.WriteString(c, strings.ReplaceAll(streamHead, "%id", r.Header.Get("Id")))
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event"))
 	for n := from + 1; n <= moveEvents; n++ {
@@ -115,6 +116,10 @@
 		}
 		select {
 		case <-stopped:
+			if p.staysOpen {
+				ended()
+				_, _ = io.Copy(io.Discard, c)
+			}
 			if p.properEnd {
 				_, _ = io.WriteString(c, "0\r\n\r\n")
 			}
@@ -210,8 +215,8 @@
 		name, path string
 		onCopy     func(*movePlatform, migrate.CopyRequest) migrate.CopyAnswer
 		// second is the script of e1; nil for an endpoint that continues the run.
-		second    func(p *movePlatform) script
-		properEnd bool
+		second               func(p *movePlatform) script
+		properEnd, staysOpen bool
 		// want and wantVisits are the caller's stream and the endpoints; wantFreed is the number of
 		// copies freed.
 		want, wantVisits string
@@ -220,12 +225,13 @@
 		{name: "moved", path: "/stream/x", onCopy: copyAndStop, want: whole, wantVisits: "e0, e1 copy"},
 		{name: "moved, resumable", path: "/resume/x", onCopy: copyAndStop, want: whole, wantVisits: "e0, e1 copy"},
 		{name: "stopped run's stream looks complete", path: "/stream/x", onCopy: copyAndStop, properEnd: true, want: whole, wantVisits: "e0, e1 copy"},
+		{name: "stopped run's stream is not closed", path: "/stream/x", onCopy: copyAndStop, staysOpen: true, want: whole, wantVisits: "e0, e1 copy"},
 		{name: "target has no room", path: "/stream/x", onCopy: func(*movePlatform, migrate.CopyRequest) migrate.CopyAnswer { return noRoom }, want: whole, wantVisits: "e0"},
 		{name: "target lost its room", path: "/stream/x", onCopy: atStop(noRoom), want: whole, wantVisits: "e0, e0 copy, e0 copy"},
 		{name: "target refuses the request", path: "/stream/x", onCopy: copyAndStop, second: func(*movePlatform) script { return refuse }, want: whole, wantVisits: "e0, e1 copy, e0 copy, e2 copy"},
 		{name: "answer to the stop lost", path: "/stream/x", onCopy: atStop(lost), want: whole, wantVisits: "e0, e0 copy, e0 copy"},
 		{name: "answer to the stop lost, resumable", path: "/resume/x", onCopy: atStop(lost), want: whole, wantVisits: "e0, e1", wantFreed: 1},
-		{name: "stop lost, run goes on", path: "/stream/x", onCopy: func(_ *movePlatform, r migrate.CopyRequest) migrate.CopyAnswer {
+		{name: "stop lost, run continues", path: "/stream/x", onCopy: func(_ *movePlatform, r migrate.CopyRequest) migrate.CopyAnswer {
 			if r.Stop {
 				return lost
 			}
@@ -239,7 +245,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			p := &movePlatform{onCopy: c.onCopy, properEnd: c.properEnd}
+			p := &movePlatform{onCopy: c.onCopy, properEnd: c.properEnd, staysOpen: c.staysOpen}
 			second := script(p.target)
 			if c.second != nil {
 				second = c.second(p)
--- a/pkg/migrate/handover.go
+++ b/pkg/migrate/handover.go
@@ -111,13 +111,13 @@
 
 // Results of an attempt.
 const (
-	// Failed means that nothing was copied, and the run goes on.
+	// Failed means that nothing was copied, and the run continues.
 	Failed Result = iota
 	// Refused means that the target has no room.
 	Refused
 	// Ended means that the stream ended before it was stopped.
 	Ended
-	// Kept means that the run goes on because it may end in time, or too little time is left.
+	// Kept means that the run continues because it may end in time, or too little time is left.
 	Kept
 	// Stopped means that the run was stopped and continues at the target.
 	Stopped
@@ -149,7 +149,7 @@
 	MayStop func(took time.Duration) bool
 	// Clock returns the time.
 	Clock func() time.Time
-	// FreeFailed is called if a copy that is not needed could not be freed; it lapses then.
+	// FreeFailed is called if a copy that is not needed could not be freed; it expires then.
 	FreeFailed func(error)
 }
 
@@ -160,7 +160,7 @@
 	freeTimeout = time.Second
 )
 
-// Run copies the run's memory while the run goes on, and then stops the run. A copy that is not needed
+// Run copies the run's memory while the run continues, and then stops the run. A copy that is not needed
 // is freed.
 func (m Move) Run(ctx context.Context) Result {
 	startedAt := m.Clock()
@@ -210,7 +210,7 @@
 	case NoRun:
 		result = Ended
 	default:
-		// Busy and NotSent: the run goes on.
+		// Busy and NotSent: the run continues.
 		result = Failed
 	}
 	m.Handover.Settle(Continuation{place, handle})
--- a/pkg/migrate/plan_test.go
+++ b/pkg/migrate/plan_test.go
@@ -63,3 +63,36 @@
 		}
 	}
 }
+
+// BenchmarkPlan plans for one of 16 hosts that relay 64 streams of an endpoint.
+func BenchmarkPlan(b *testing.B) {
+	var own []migrate.Stream
+	var others []migrate.Run
+	for i := range 64 {
+		id := string(rune('a'+i%26)) + string(rune('a'+i/26))
+		if i%16 == 0 {
+			own = append(own, migrate.Stream{ID: id, Tokens: 2000 + i*150, Remaining: 10 * time.Second})
+		} else {
+			others = append(others, migrate.Run{ID: id, Tokens: 2000 + i*150})
+		}
+	}
+	for b.Loop() {
+		migrate.Plan(own, others, conditions(2*time.Second))
+	}
+}
+
+func TestLengths(t *testing.T) {
+	lengths := migrate.NewLengths()
+	for n := range 10 {
+		if got := lengths.Mean("r"); got != 0 {
+			t.Errorf("after %d answers: got %d, want 0", n, got)
+		}
+		lengths.Record("r", 100+n%2*100)
+	}
+	if got := lengths.Mean("r"); got != 150 {
+		t.Errorf("mean: got %d, want 150", got)
+	}
+	if got := lengths.Mean("other"); got != 0 {
+		t.Errorf("other route: got %d, want 0", got)
+	}
+}
