migrate: smooth a stream's pace, and use the remaining answer for the choice of a target

On a busy machine the first gaps of a stream were several times the later ones, and a stream that ended in time was moved. The pace is now smoothed with the mean of the service. A stream that has used its attempts counts as not resumable; a target is looked for every 100 ms if there is none; a copy that took as long as a handle lives is not used.

--- a/pkg/forward/evacuation.go
+++ b/pkg/forward/evacuation.go
@@ -36,10 +36,11 @@
 		}
 		result := e.move(s)
 		switch result {
-		case migrate.Kept, migrate.Unplaced, migrate.Failed:
-			// The estimates have changed since the plan, a target has to become available, or the
-			// source did not do what it was asked for.
+		case migrate.Kept, migrate.Failed:
+			// The estimates have changed since the plan, or the source did not do as asked.
 			time.Sleep(planInterval)
+		case migrate.Unplaced:
+			time.Sleep(targetInterval)
 		}
 		e.counts[result]++
 		e.metrics.moves.WithLabelValues(e.info.Service, result.String()).Inc()
@@ -166,7 +167,8 @@
 		MayStop: func(took time.Duration) bool {
 			c := e.conditions()
 			// The last part waits on the link behind the same moves as the first did.
-			return e.refresh() && !migrate.FinishesInTime(s.describe(e.clock(), e.timings().TokenGap).Remaining, c.Left) && c.FitsInTime(took)
+			return e.refresh() && !migrate.FinishesInTime(s.describe(e.clock(), e.timings().TokenGap).Remaining, c.Left) &&
+				c.FitsInTime(took) && took < e.offered.HandleLifetime
 		},
 	}.Run(context.Background())
 	e.afterMove(s, target, result)
--- a/pkg/forward/moved.go
+++ b/pkg/forward/moved.go
@@ -55,7 +55,7 @@
 	query.PromptTokens, query.PrefixHashes, query.PrefixTokens, query.SharedPrefixes = 0, nil, nil, 0
 	query.Avoid = append([]endpoint.Ref(nil), query.Avoid...)
 	s := &relayedStream{
-		id: c.meta.ID, ref: choice.Endpoint.Ref(), address: choice.Endpoint.Address, limit: c.connectionLimit(), resumable: c.route.MayRepeat(),
+		id: c.meta.ID, ref: choice.Endpoint.Ref(), address: choice.Endpoint.Address, limit: c.connectionLimit(), resumable: c.mayResume(),
 		promptTokens: c.meta.PromptTokens, expectedTokens: c.expectedTokens(), longestTokens: c.meta.MaxTokens, tokensPerEvent: max(c.service.TokensPerEvent, 1),
 		skippedEvents: relayedBefore, startedAt: c.f.clock(), handover: migrate.NewHandover(), exchange: e, query: query,
 	}
@@ -63,6 +63,11 @@
 	return s
 }
 
+// mayResume reports whether the stream may be resumed at another endpoint if it breaks off.
+func (c *call) mayResume() bool {
+	return c.route.MayRepeat() && c.deliveredAttempts() < c.route.MaxAttempts
+}
+
 // expectedTokens returns the caller's estimate of the answer's length or, as its limit says little, the
 // mean of the route's answers; 0 if neither is known.
 func (c *call) expectedTokens() int {
@@ -103,25 +108,23 @@
 
 // describe returns what the plan needs to know of the stream. tokenGap is the mean of the service.
 func (s *relayedStream) describe(now time.Time, tokenGap time.Duration) migrate.Stream {
-	events := int(s.events.Load())
-	made := (s.skippedEvents + events) * s.tokensPerEvent
-	if events >= minPaceEvents {
-		// The stream's own pace shows how slow its endpoint is.
-		tokenGap = now.Sub(s.startedAt) / time.Duration((events-1)*s.tokensPerEvent)
-	}
-	return migrate.Stream{
-		ID: s.id, Tokens: s.promptTokens + made, Resumable: s.resumable,
-		Remaining: time.Duration(migrate.RemainingTokens(made, s.expectedTokens, s.longestTokens)) * tokenGap,
-	}
+	tokenGap = migrate.TokenGap(now.Sub(s.startedAt), int(s.events.Load())-1, s.tokensPerEvent, tokenGap)
+	made, remaining := s.answerTokens()
+	return migrate.Stream{ID: s.id, Tokens: s.promptTokens + made, Resumable: s.resumable, Remaining: time.Duration(remaining) * tokenGap}
 }
 
-// minPaceEvents is the number of events from which a stream's own pace is used.
-const minPaceEvents = 4
+// answerTokens returns how many tokens of the answer were made, and an estimate of those that remain.
+func (s *relayedStream) answerTokens() (made, remaining int) {
+	made = (s.skippedEvents + int(s.events.Load())) * s.tokensPerEvent
+	return made, migrate.RemainingTokens(made, s.expectedTokens, s.longestTokens)
+}
 
 func (s *relayedStream) targetQuery() route.Query {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.query
+	query := s.query
+	_, query.AnswerTokens = s.answerTokens()
+	return query
 }
 
 func (s *relayedStream) avoid(ref endpoint.Ref) {
@@ -176,7 +179,8 @@
 	s.detach()
 	c.f.mover.untrack(s)
 	if err == nil {
-		c.f.mover.lengths.Record(c.route.Name, (s.skippedEvents+int(s.events.Load()))*s.tokensPerEvent)
+		made, _ := s.answerTokens()
+		c.f.mover.lengths.Record(c.route.Name, made)
 	}
 	return s.handover.End(ctx)
 }
@@ -197,7 +201,7 @@
 		return next, false
 	}
 	defer func() { s.relayed.handover.Finish(ok) }()
-	if at.Place == migrate.Nowhere || at.Place == migrate.Uncertain && (err == nil || c.route.MayRepeat()) {
+	if at.Place == migrate.Nowhere || at.Place == migrate.Uncertain && (err == nil || c.mayResume()) {
 		return next, false
 	}
 	if at.Handle == "" || errors.Is(err, errCallerDisconnected) || ctx.Err() != nil {
--- a/pkg/forward/mover.go
+++ b/pkg/forward/mover.go
@@ -37,6 +37,8 @@
 	// planInterval is the time between two plans while no stream is to be moved: the estimate that a
 	// stream ends in time changes with its pace.
 	planInterval = 50 * time.Millisecond
+	// targetInterval is the time until a target is looked for again after there was none.
+	targetInterval = 100 * time.Millisecond
 	// reportInterval is how long an endpoint's report of its runs is used, and reportTimeout how long
 	// to wait for it.
 	reportInterval = 300 * time.Millisecond
--- a/pkg/migrate/plan.go
+++ b/pkg/migrate/plan.go
@@ -21,6 +21,9 @@
 	stopReserve = 200 * time.Millisecond
 	// crossingFactor is how much longer a copy takes between data centres.
 	crossingFactor = 2
+	// paceEvents is the number of events of a stream that weigh as much as the mean pace of its
+	// service: the first gaps also contain the prefills of other requests in the same steps.
+	paceEvents = 4
 	// overrunShare is the part of what a stream has made that is assumed to be left once it is longer
 	// than expected.
 	overrunShare = 0.1
@@ -117,6 +120,15 @@
 	return id < otherID
 }
 
+// TokenGap returns the estimated time between tokens of a stream that has made some events since its
+// first one in a time. It is the stream's own, which shows how slow its endpoint is, smoothed with the
+// mean of the service.
+func TokenGap(elapsed time.Duration, events, tokensPerEvent int, mean time.Duration) time.Duration {
+	tokens := max(events, 0) * tokensPerEvent
+	meanTokens := paceEvents * tokensPerEvent
+	return (elapsed + time.Duration(meanTokens)*mean) / time.Duration(tokens+meanTokens)
+}
+
 // RemainingTokens returns the estimated number of tokens that a stream has still to make. expected
 // and longest, the caller's estimate and limit, are 0 if not stated.
 func RemainingTokens(made, expected, longest int) int {
--- a/pkg/migrate/plan_test.go
+++ b/pkg/migrate/plan_test.go
@@ -54,6 +54,19 @@
 	}
 }
 
+// Guards against moving a stream that ends in time because its first gap was long.
+func TestTokenGapAfterOneLongGap(t *testing.T) {
+	for _, c := range []struct {
+		elapsed time.Duration
+		events  int
+		want    time.Duration
+	}{{0, 0, 5 * time.Millisecond}, {55 * time.Millisecond, 1, 15 * time.Millisecond}, {480 * time.Millisecond, 12, 31250 * time.Microsecond}} {
+		if got := migrate.TokenGap(c.elapsed, c.events, 1, 5*time.Millisecond); got != c.want {
+			t.Errorf("%d events in %v: got %v, want %v", c.events, c.elapsed, got, c.want)
+		}
+	}
+}
+
 func TestRemainingTokens(t *testing.T) {
 	for _, c := range []struct{ made, expected, longest, want int }{
 		{100, 300, 0, 200}, {100, 0, 150, 50}, {100, 0, 0, 100}, {300, 200, 0, 30}, {300, 200, 310, 10}, {400, 200, 300, 1}, {0, 0, 0, 1},
