migrate: trust a refused stop only with a handle, free before the next copy

A call to stop a run that was answered 503 for another reason than a lack of room at the target (no handle in the answer) counted as a stop. The host closed the stream of a run that went on and asked the source to continue it, and the caller's stream was interrupted or broken. Such an answer now counts as lost: the stream is read until it ends.

A copy that was not needed was freed while the next copy of the same run began. Where an endpoint names all copies of a run by one handle, the call freed the new copy, also after the run had stopped. A move now waits for the answer.

Both tests failed before ("endpoints: got e0, e0 copy, e0 copy"; "copies begun while one of the run was freed: got 2") and pass, with -race.

--- a/pkg/forward/mover_test.go
+++ b/pkg/forward/mover_test.go
@@ -40,12 +40,16 @@
 	onCopy func(p *movePlatform, request migrate.CopyRequest) migrate.CopyAnswer
 	// properEnd is set if the stream of a stopped run looks complete, staysOpen if it is not closed.
 	properEnd, staysOpen bool
+	// unnumbered is set once events have no ids.
+	unnumbered atomic.Bool
 
 	mu sync.Mutex
 	// stopped is closed when the present run of the source is stopped.
 	stopped chan struct{}
 	copies  []migrate.CopyRequest
 	freed   []string
+	// freeing counts the calls of Free in progress, copiedWhileFreeing the copies made meanwhile.
+	freeing, copiedWhileFreeing int
 	// running and mostRunning count the runs at all endpoints.
 	running, mostRunning int
 }
@@ -53,6 +57,9 @@
 func (p *movePlatform) Copy(_ context.Context, request migrate.CopyRequest) migrate.CopyAnswer {
 	p.mu.Lock()
 	p.copies = append(p.copies, request)
+	if p.freeing > 0 {
+		p.copiedWhileFreeing++
+	}
 	p.mu.Unlock()
 	return p.onCopy(p, request)
 }
@@ -60,6 +67,11 @@
 func (p *movePlatform) Free(_ context.Context, _ migrate.Source, handle string) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.freeing++
+	p.mu.Unlock()
+	time.Sleep(150 * time.Millisecond)
+	p.mu.Lock()
+	p.freeing--
 	p.freed = append(p.freed, handle)
 	return nil
 }
@@ -127,6 +139,9 @@
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event"))
 	for n := from + 1; n <= moveEvents; n++ {
 		event := moveEvent(n)
+		if p.unnumbered.Load() {
+			event = "data: event\n\n"
+		}
 		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil || n == last {
 			return false
 		}
@@ -268,6 +283,12 @@
 			}
 			return migrate.CopyAnswer{Result: migrate.Copied, Handle: "handle"}
 		}, want: whole, wantVisits: "e0", wantFreed: 1},
+		{name: "stop refused without a handle, run continues", path: "/stream/x", onCopy: func(_ *movePlatform, r migrate.CopyRequest) migrate.CopyAnswer {
+			if r.Stop {
+				return migrate.CopyAnswer{Result: migrate.NoRoom}
+			}
+			return migrate.CopyAnswer{Result: migrate.Copied, Handle: "handle"}
+		}, want: whole, wantVisits: "e0", wantFreed: 1},
 		{name: "source lost in mid-copy", path: "/stream/x", onCopy: func(p *movePlatform, _ migrate.CopyRequest) migrate.CopyAnswer { p.stop(); return lost }, want: broken, wantVisits: "e0"},
 		{name: "source lost in mid-copy, resumable", path: "/resume/x", onCopy: func(p *movePlatform, _ migrate.CopyRequest) migrate.CopyAnswer { p.stop(); return lost }, want: whole, wantVisits: "e0, e1"},
 		{name: "target dies after the handover", path: "/stream/x", onCopy: copyAndStop, second: dyingTarget, want: broken, wantVisits: "e0, e1 copy"},
@@ -300,6 +321,10 @@
 			if p.mostRunning != 1 {
 				t.Errorf("runs at a time: got %d, want 1", p.mostRunning)
 			}
+			// The handle may be the same for each copy of a run, so that a late call to free one frees the next.
+			if p.copiedWhileFreeing > 0 {
+				t.Errorf("copies begun while one of the run was freed: got %d, want 0", p.copiedWhileFreeing)
+			}
 		})
 	}
 }
--- a/pkg/migrate/calls.go
+++ b/pkg/migrate/calls.go
@@ -39,7 +39,7 @@
 	// Busy means that another call for the same run is in progress.
 	Busy
 	// NoRoom means that the target has no room or cannot be reached. A run that was to stop has
-	// stopped and the source keeps its memory.
+	// stopped and the source keeps its memory, if the answer names the handle.
 	NoRoom
 	// NotSent means that the source did not receive the request.
 	NotSent
--- a/pkg/migrate/handover.go
+++ b/pkg/migrate/handover.go
@@ -123,7 +123,8 @@
 	Stopped
 	// Returned means that the run was stopped and continues at the source.
 	Returned
-	// Lost means that the answer to the call that stops the run was lost.
+	// Lost means that the answer to the call that stops the run was lost, or does not say whether the
+	// run has stopped.
 	Lost
 	// Unplaced means that there is no target.
 	Unplaced
@@ -211,6 +212,10 @@
 		place, result = AtTarget, Stopped
 	case NoRoom:
 		place, result = AtSource, Returned
+		if last.Handle == "" {
+			// The answer of an endpoint that stopped the run names the handle. Others refuse the call.
+			place, result = Uncertain, Lost
+		}
 	case Unknown:
 		place, result = Uncertain, Lost
 	case NoRun:
@@ -232,16 +237,15 @@
 	return result
 }
 
-// free frees a copy, if there is one.
+// free frees a copy, if there is one. It waits for the answer: the next copy of the run may have the
+// same handle, and would be freed by a call that takes effect late.
 func (m Move) free(ctx context.Context, handle string) {
 	if handle == "" {
 		return
 	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), freeTimeout)
-		defer cancel()
-		if err := m.Calls.Free(ctx, m.Source, handle); err != nil {
-			m.FreeFailed(err)
-		}
-	}()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), freeTimeout)
+	defer cancel()
+	if err := m.Calls.Free(ctx, m.Source, handle); err != nil {
+		m.FreeFailed(err)
+	}
 }
