forward: move other streams while one has no target, stop no unnumbered stream

A stream that got an event without an id during the first copy was stopped, and could only continue with that event repeated. The check before the stop now includes it.

Both tests failed before and pass, with -race.

--- a/pkg/forward/evacuation.go
+++ b/pkg/forward/evacuation.go
@@ -41,7 +41,12 @@
 			// The estimates have changed since the plan, or the source did not do as asked.
 			time.Sleep(planInterval)
 		case migrate.Unplaced:
-			time.Sleep(targetInterval)
+			if s.refusals > 0 {
+				// Other streams may be smaller, or not have been refused.
+				s.pausedUntil = e.clock().Add(targetInterval)
+			} else {
+				time.Sleep(targetInterval)
+			}
 		}
 		e.counts[result]++
 		e.metrics.moves.WithLabelValues(e.info.Service, result.String()).Inc()
@@ -173,7 +178,7 @@
 		MayStop: func(took time.Duration) bool {
 			c := e.conditions()
 			// The last part waits on the link behind the same moves as the first did.
-			return e.refresh() && !migrate.FinishesInTime(s.describe(e.clock(), e.timings().TokenGap).Remaining, c.Left) &&
+			return e.refresh() && !s.unnumbered.Load() && !migrate.FinishesInTime(s.describe(e.clock(), e.timings().TokenGap).Remaining, c.Left) &&
 				c.FitsInTime(took) && took < e.offered.HandleLifetime
 		},
 	}.Run(context.Background())
@@ -191,6 +196,7 @@
 	case migrate.Ended, migrate.Lost:
 		s.attempts = maxMoveAttempts
 	case migrate.Refused:
+		s.refusals++
 		s.avoid(target.Endpoint.Ref())
 	}
 	if s.attempts == maxMoveAttempts {
--- a/pkg/forward/moved.go
+++ b/pkg/forward/moved.go
@@ -32,8 +32,10 @@
 	events atomic.Int64
 	// unnumbered is set once an event had no id, after which the stream cannot continue elsewhere.
 	unnumbered atomic.Bool
-	// attempts is used by the mover only.
-	attempts int
+	// attempts counts the targets tried, refusals those without room; until pausedUntil no further one
+	// is tried. They are used by the mover only.
+	attempts, refusals int
+	pausedUntil        time.Time
 
 	mu sync.Mutex
 	// exchange is nil once the relay reads it no more.
@@ -98,8 +100,8 @@
 }
 
 // isMovable reports whether the stream has begun and may continue elsewhere after its last event.
-func (s *relayedStream) isMovable() bool {
-	return s.events.Load() > 0 && !s.unnumbered.Load() && s.attempts < maxMoveAttempts
+func (s *relayedStream) isMovable(now time.Time) bool {
+	return s.events.Load() > 0 && !s.unnumbered.Load() && s.attempts < maxMoveAttempts && !now.Before(s.pausedUntil)
 }
 
 func (s *relayedStream) source() migrate.Source {
--- a/pkg/forward/mover.go
+++ b/pkg/forward/mover.go
@@ -94,11 +94,12 @@
 
 // movable returns the streams at an endpoint that can be moved now, by request id.
 func (m *Mover) movable(ref endpoint.Ref) map[string]*relayedStream {
+	now := m.clock()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	streams := map[string]*relayedStream{}
 	for id, s := range m.streams[ref] {
-		if s.isMovable() {
+		if s.isMovable(now) {
 			streams[id] = s
 		}
 	}
