route: count a run that moves only once, and choose live endpoints as targets

A choice of a target counted the rest of the answer in the engine demand again, for each target tried, and a rejected one of another release did too. Each looked like new work to the plan of capacity in the seconds after a reclaim. A query now says that it continues a run, which is not counted.

Targets are restricted to the release by the rule of the query instead of by rejecting up to three choices, and to live endpoints, as a run at a leaving endpoint would have to be moved again.

TestContinuedRunAddsNoDemand failed before ("demand: got 0.065625, want 0"); the tests of pkg/route and, with -race, those of moves in pkg/forward pass.

--- a/pkg/forward/evacuation.go
+++ b/pkg/forward/evacuation.go
@@ -219,28 +219,18 @@
 	m.log.Warn().Err(err).Msg("a copy that is not needed could not be freed and expires")
 }
 
-// chooseTarget chooses an endpoint of the same release, which has the same model, as the run's memory
-// is of no use to another.
+// chooseTarget chooses a live endpoint of the same release, which has the same model, as the run's
+// memory is of no use to another. The router may offer a leaving endpoint if no other has room, but the
+// run would have to be moved again.
 func (e *evacuation) chooseTarget(s *relayedStream) (route.Choice, bool) {
 	query := s.targetQuery()
-	for range maxMoveAttempts {
-		rejected := endpoint.Ref{}
-		query.Accepts = func(c route.Choice) bool {
-			if c.Endpoint.Release == e.info.Release && c.Endpoint.Ref() != e.info.Ref() {
-				return true
-			}
-			rejected = c.Endpoint.Ref()
-			return false
-		}
-		if choice, ok := e.router.Choose(query, route.Expected, e.clock()); ok {
-			return choice, true
-		}
-		if rejected.ID == "" {
-			break
-		}
-		query.Avoid = append(query.Avoid, rejected)
+	query.Continues = true
+	query.Rule.OnlyRelease = e.info.Release
+	query.Avoid = append(query.Avoid, e.info.Ref())
+	query.Accepts = func(c route.Choice) bool {
+		return c.Endpoint.AcceptsWork() && c.Endpoint.Release == e.info.Release
 	}
-	return route.Choice{}, false
+	return e.router.Choose(query, route.Expected, e.clock())
 }
 
 func (e *evacuation) timings() timings {
--- a/pkg/route/query.go
+++ b/pkg/route/query.go
@@ -39,6 +39,9 @@
 	RiskWeight float64
 	// Avoid lists the endpoints at which this request has failed.
 	Avoid []endpoint.Ref
+	// Continues is set if the request continues a run that was counted in the demand when it began. It
+	// is not counted again.
+	Continues bool
 	// MayWait marks work that is sent to an endpoint only if that leaves room for callers who wait
 	// for their answer.
 	MayWait bool
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -254,7 +254,9 @@
 		return Choice{}, false
 	}
 	uncached := max(q.PromptTokens-score.cachedTokens, 0)
-	g.demand.add(g.engineTime(uncached, q.AnswerTokens), now)
+	if !q.Continues {
+		g.demand.add(g.engineTime(uncached, q.AnswerTokens), now)
+	}
 	choice := Choice{
 		Endpoint: best.info, Expected: score.total, Wait: score.wait, Queued: score.queueTime, LeastQueued: score.leastQueueTime,
 		CachedTokens: score.cachedTokens, sentAt: now, uncachedTokens: uncached, aheadTokens: score.aheadTokens,
--- a/pkg/route/route_test.go
+++ b/pkg/route/route_test.go
@@ -312,6 +312,19 @@
 	return r.EngineDemand(target, now.Add(4*time.Second))
 }
 
+// A run that moves was counted when it began: moves must not raise the demand.
+func TestContinuedRunAddsNoDemand(t *testing.T) {
+	r, _, _ := newRouter(4)
+	q := query()
+	q.Continues = true
+	if _, ok := r.Choose(q, route.Expected, now); !ok {
+		t.Fatal("no endpoint was chosen")
+	}
+	if got := r.EngineDemand(target, now); got != 0 {
+		t.Errorf("demand: got %v, want 0", got)
+	}
+}
+
 // Of equal endpoints, one to which there is a connection is preferred, but not if it is busy.
 func TestOpenConnectionsArePreferred(t *testing.T) {
 	directory := endpoint.NewDirectory()
