--- a/pkg/forward/evacuation_test.go
+++ b/pkg/forward/evacuation_test.go
@@ -1,8 +1,12 @@
 package forward_test
 
 import (
+	"context"
 	"io"
+	"net/http"
 	"strconv"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -68,3 +72,48 @@
 		}
 	}
 }
+
+// A copy is freed at once if its caller leaves while it is made, and after the run was stopped.
+func TestCopyIsFreedWhenCallerLeaves(t *testing.T) {
+	for _, atStop := range []bool{false, true} {
+		t.Run(strconv.FormatBool(atStop), func(t *testing.T) {
+			t.Parallel()
+			var cancelled atomic.Bool
+			p := &movePlatform{stopped: make(chan struct{})}
+			s := newHarness(t, moveSpec(), true, p.source)
+			ctx, cancel := context.WithCancel(context.Background())
+			p.onCopy = func(p *movePlatform, r migrate.CopyRequest) migrate.CopyAnswer {
+				if r.Stop == atStop {
+					cancel()
+					cancelled.Store(true)
+					time.Sleep(60 * time.Millisecond)
+				}
+				return copyAndStop(p, r)
+			}
+			s.forwarder.MoveStreams(forward.NewMover(p, upstream.New(time.Second), s.directory, s.router, s.tables, time.Now, prometheus.NewRegistry(), &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}))
+			r, _ := http.NewRequestWithContext(ctx, "POST", s.server.URL+"/stream/x", strings.NewReader("body"))
+			r.Host = "h.example"
+			r.Header.Set("Id", "request-1")
+			r.Header.Set("Key", "key")
+			r.Header.Set("Expected-Tokens", strconv.Itoa(moveEvents*moveTokens))
+			response, err := http.DefaultClient.Do(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(20 * moveEventGap)
+			s.addEndpoint("e1", p.target)
+			leaving := s.endpoint("e0")
+			leaving.State, leaving.LeaveBy = endpoint.Leaving, time.Now().Add(moveNotice)
+			s.directory.Merge(leaving)
+			_, _ = io.ReadAll(response.Body)
+			_ = response.Body.Close()
+			if !cancelled.Load() {
+				t.Error("the stream ended before its caller left, so that the test checks nothing")
+			}
+			p.checkFreed(t, 1)
+			if visits := s.visits(); visits != "e0" {
+				t.Errorf("endpoints: got %s, want e0", visits)
+			}
+		})
+	}
+}
