--- a/pkg/route/leaving_test.go
+++ b/pkg/route/leaving_test.go
@@ -141,3 +141,21 @@
 		t.Errorf("address: got %q, %v, want %q", choice.Endpoint.Address, ok, live.Address)
 	}
 }
+
+// A run that moves from a leaving endpoint must not go to another one, and looking for a target adds no
+// refused work.
+func TestContinuedRunGoesToNoLeavingEndpoint(t *testing.T) {
+	r, directory, _ := newRouter(4)
+	r.SetLeavingWindow(leavingWindow)
+	r.Choose(shortQuery(), route.Expected, now)
+	markLeaving(directory, leavingNotice, 0, 1, 2, 3)
+	before := r.Work(target, now)
+	q := shortQuery()
+	q.Continues = true
+	if choice, ok := r.Choose(q, route.Expected, now); ok {
+		t.Errorf("target: got leaving endpoint %s, want none", choice.Endpoint.ID)
+	}
+	if got := r.Work(target, now); got != before {
+		t.Errorf("work: got %+v, want it unchanged at %+v", got, before)
+	}
+}
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -269,6 +269,9 @@
 			return r.take(q, choice, best), true
 		}
 	}
+	if q.Continues {
+		return Choice{}, false
+	}
 	// The work counts as refused also if a leaving endpoint takes it: others must replace that.
 	if best, score = r.pickLeaving(g, byID, q, now); best != nil {
 		if choice := newChoice(q, best, score, now); q.Accepts == nil || q.Accepts(choice) {
--- a/pkg/route/work.go
+++ b/pkg/route/work.go
@@ -107,6 +107,9 @@
 // countOffered counts the work of a request for which an endpoint was found. The group's lock must
 // be held.
 func (g *group) countOffered(q Query, uncached int, refused bool, now time.Time) {
+	if q.Continues {
+		return
+	}
 	g.demand.addOffered(g.costOf(q, uncached), refused, now)
 	if q.PromptTokens > 0 {
 		hit := 1 - float64(uncached)/float64(q.PromptTokens)
@@ -118,7 +121,7 @@
 // sent before is counted already, and one that the rule of a roll-out keeps from endpoints with
 // room is sent to another version. The group's lock must be held.
 func (g *group) countUnplaced(q Query, now time.Time) {
-	if len(q.Avoid) > 0 || q.MayWait {
+	if len(q.Avoid) > 0 || q.MayWait || q.Continues {
 		return
 	}
 	anyVersion := q
