--- a/pkg/app/node/loads.go
+++ b/pkg/app/node/loads.go
@@ -58,7 +58,6 @@
 		Notices:    n.noticeTracker.Reports(now),
 		Work:       n.localWork(now),
 		Speeds:     n.router.DrainSpeeds(),
-		Held:       n.router.HeldReports(now),
 	}
 }
 
@@ -85,10 +84,6 @@
 		n.loadSync.ApplySpeeds(update.Speeds, now)
 		return
 	}
-	if len(update.Held) > 0 {
-		n.loadSync.ApplyHeld(update.Incarnation, update.Held, now)
-		return
-	}
 	if update.Subscribes {
 		n.view.Roster().Subscribe(update.Host, now)
 		return
--- a/pkg/forward/run.go
+++ b/pkg/forward/run.go
@@ -30,7 +30,6 @@
 		Avoid:        c.avoid,
 		Rule:         c.f.rollouts.Rule(c.service.Name, c.side),
 		Connected:    c.hasIdleConnection,
-		MemoryTokens: c.service.MemoryTokens,
 	}
 	if c.f.fleet.Advertised() >= largeFleetHosts {
 		q.SampleSize = largeFleetSample
--- a/pkg/gossip/events.go
+++ b/pkg/gossip/events.go
@@ -36,8 +36,6 @@
 	Work []wireWork `cbor:"20,keyasint,omitempty"`
 	// Speeds holds what answers say about the speed of endpoints.
 	Speeds []wireSpeed `cbor:"21,keyasint,omitempty"`
-	// Held holds the tokens that the host's requests hold in the memory of endpoints.
-	Held []wireHeld `cbor:"22,keyasint,omitempty"`
 }
 
 // isMapMessage reports whether a datagram is a CBOR map, by the major type in its first three
@@ -47,16 +45,15 @@
 	return len(data) > 0 && data[0]>>majorTypeShift == mapMajorType
 }
 
-// encode encodes the message without the notices, limits, speeds and held tokens that do not
-// fit: rows, other hosts or later datagrams contain them too.
+// encode encodes the message without the notices, limits and speeds that do not fit: rows and other
+// hosts report them too.
 func (m mapMessage) encode() ([]byte, error) {
 	for {
 		data, err := cbor.Marshal(m)
-		if err != nil || len(data) <= maxBytes || len(m.Notices)+len(m.Limits)+len(m.Speeds)+len(m.Held) == 0 {
+		if err != nil || len(data) <= maxBytes || len(m.Notices)+len(m.Limits)+len(m.Speeds) == 0 {
 			return data, err
 		}
 		m.Speeds = m.Speeds[:len(m.Speeds)*3/4]
-		m.Held = m.Held[:len(m.Held)*3/4]
 		m.Notices = m.Notices[:len(m.Notices)*3/4]
 		m.Limits = m.Limits[:len(m.Limits)*3/4]
 	}
@@ -70,7 +67,7 @@
 	if m.Subscribes && len(m.Hosts) == 1 && m.Hosts[0].Incarnation == m.Incarnation {
 		return Update{Status: roster.Status{Host: m.digest().Hosts[0]}, Brief: true, Subscribes: true}, nil
 	}
-	update := Update{Brief: true, Cases: m.cases(now), Notices: m.notices(), TeamUsage: decodeTeamUsage(m.TeamUsage), Work: m.work(), Digest: m.digest(), Speeds: m.speeds(), Held: m.held()}
+	update := Update{Brief: true, Cases: m.cases(now), Notices: m.notices(), TeamUsage: decodeTeamUsage(m.TeamUsage), Work: m.work(), Digest: m.digest(), Speeds: m.speeds()}
 	update.Status = roster.Status{Host: roster.Host{Incarnation: m.Incarnation}, Counts: decodeCounts(m.Counts)}
 	return update, nil
 }
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -58,8 +58,6 @@
 	Work []roster.Work
 	// Speeds holds what the host's answers say about the speed of endpoints, in its own datagram.
 	Speeds []route.SpeedReport
-	// Held holds what the host's requests hold in the memory of endpoints, in its own datagram.
-	Held []route.HeldReport
 	// Digest is sent by an aggregator, also in its own datagram.
 	Digest roster.Digest
 	// Subscribes reports whether the sender subscribes to digests; nothing else is sent then.
@@ -221,11 +219,6 @@
 		m.addSpeeds(update.Speeds)
 		e.sendMapMessage(m, peers)
 	}
-	if len(update.Held) > 0 {
-		m := mapMessage{Incarnation: e.self.Incarnation}
-		m.addHeld(update.Held)
-		e.sendMapMessage(m, peers)
-	}
 }
 
 // sendTeamStats sends the team statistics that did not fit in the status datagram.
@@ -259,7 +252,7 @@
 func (e *Exchange) sendMapMessage(m mapMessage, peers []string) {
 	data, err := m.encode()
 	if err != nil {
-		e.log.Error().Err(err).Msg("failed to encode cases, notices, speeds or held tokens")
+		e.log.Error().Err(err).Msg("failed to encode cases, notices or speeds")
 		return
 	}
 	e.write(data, peers)
--- a/pkg/gossip/speeds.go
+++ b/pkg/gossip/speeds.go
@@ -35,26 +35,3 @@
 	}
 	return list
 }
-
-// wireHeld encodes a route.HeldReport.
-type wireHeld struct {
-	_        struct{} `cbor:",toarray"`
-	Endpoint string
-	Born     int64
-	Tokens   int
-}
-
-func (m *mapMessage) addHeld(list []route.HeldReport) {
-	for _, r := range list {
-		m.Held = append(m.Held, wireHeld{Endpoint: r.Endpoint.ID, Born: r.Endpoint.Incarnation, Tokens: r.Tokens})
-	}
-}
-
-// held decodes the held tokens. Package loadsync bounds them.
-func (m mapMessage) held() []route.HeldReport {
-	var list []route.HeldReport
-	for _, w := range m.Held {
-		list = append(list, route.HeldReport{Endpoint: endpoint.Ref{ID: w.Endpoint, Incarnation: w.Born}, Tokens: w.Tokens})
-	}
-	return list
-}
--- a/pkg/gossip/speeds_test.go
+++ b/pkg/gossip/speeds_test.go
@@ -27,28 +27,20 @@
 			Evidence: enginemodel.Evidence{Weight: 2.5, WeightedLog: -0.75},
 		})
 	}
-	held := []route.HeldReport{{Endpoint: endpoint.Ref{ID: "e1", Incarnation: 7}, Tokens: 12_000}}
 	var got []route.SpeedReport
-	var gotHeld []route.HeldReport
-	runUntil(t, host(0, 800), members, gossip.Update{Status: roster.Status{Host: host(0, 800)}, Speeds: sent, Held: held}, func() bool {
+	runUntil(t, host(0, 800), members, gossip.Update{Status: roster.Status{Host: host(0, 800)}, Speeds: sent}, func() bool {
 		other.mu.Lock()
 		defer other.mu.Unlock()
 		for _, update := range other.got {
 			if len(update.Speeds) > 0 {
 				got = update.Speeds
 			}
-			if len(update.Held) > 0 {
-				gotHeld = update.Held
-			}
 		}
-		return len(got) > 0 && len(gotHeld) > 0
+		return len(got) > 0
 	})
 	if len(got) != len(sent) || got[0] != sent[0] || got[23] != sent[23] {
 		t.Errorf("speeds: got %d, %+v, want the %d sent", len(got), got, len(sent))
 	}
-	if len(gotHeld) != 1 || gotHeld[0] != held[0] {
-		t.Errorf("held tokens: got %+v, want %+v", gotHeld, held)
-	}
 }
 
 // Guards against a datagram that a host of the version without speeds cannot decode: it has to be a
--- a/pkg/lab/engine.go
+++ b/pkg/lab/engine.go
@@ -23,9 +23,6 @@
 	OutputDelay time.Duration
 	// CacheTokens is the capacity of the prefix cache in tokens.
 	CacheTokens int
-	// MemoryTokens is the number of tokens that the running requests may hold; 0 for no limit. A
-	// request that does not fit waits until others end.
-	MemoryTokens int
 }
 
 // engineRequest is a request that is queued or running at an engine.
@@ -86,7 +83,7 @@
 
 // startStep admits queued requests to the batch and starts a step if the batch is not empty.
 func (e *engine) startStep() {
-	for len(e.waiting) > 0 && len(e.running) < e.params.BatchSize && e.fits(e.waiting[0]) {
+	for len(e.waiting) > 0 && len(e.running) < e.params.BatchSize {
 		e.admit(e.waiting[0])
 		e.waiting = e.waiting[1:]
 	}
@@ -106,15 +103,6 @@
 	e.sim.after(time.Duration(e.relativeTime*float64(duration)), func() { e.finishStep(prefilled) })
 }
 
-// fits reports whether the memory has room for a request in addition to the running ones.
-func (e *engine) fits(r *engineRequest) bool {
-	held := r.promptTokens() + r.answerTokens
-	for _, other := range e.running {
-		held += other.promptTokens() + other.answerTokens
-	}
-	return e.params.MemoryTokens == 0 || len(e.running) == 0 || held <= e.params.MemoryTokens
-}
-
 // admit moves a request into the batch. The part of its prompt that is cached needs no prefill.
 func (e *engine) admit(r *engineRequest) {
 	cached := e.cache.cachedTokens(r.prefixHashes, r.prefixTokens)
--- a/pkg/lab/host.go
+++ b/pkg/lab/host.go
@@ -67,7 +67,7 @@
 func (h *host) sendStatus() {
 	interval, _ := h.scheduler.NextForCounts(len(h.sim.hosts)-1, 0)
 	h.broadcast(roster.Status{Host: h.self, Loads: h.loads.LocalLoads()}, false)
-	h.broadcastReports()
+	h.broadcastSpeeds()
 	h.loads.UpdateRouter(h.sim.time())
 	h.sim.after(interval, h.sendStatus)
 }
@@ -105,18 +105,14 @@
 	}
 }
 
-// broadcastReports sends what this host's answers say about the speed of endpoints, and what its
-// requests hold in their memory.
-func (h *host) broadcastReports() {
-	speeds, held := h.router.DrainSpeeds(), h.router.HeldReports(h.sim.time())
+// broadcastSpeeds sends what this host's answers say about the speed of endpoints.
+func (h *host) broadcastSpeeds() {
+	reports := h.router.DrainSpeeds()
 	for _, other := range h.sim.hosts {
-		if other == h || len(speeds)+len(held) == 0 || h.sim.random.Float64() < h.sim.fleet.DatagramLoss {
+		if other == h || len(reports) == 0 || h.sim.random.Float64() < h.sim.fleet.DatagramLoss {
 			continue
 		}
-		h.sim.after(h.sim.fleet.NetworkDelay, func() {
-			other.loads.ApplySpeeds(speeds, h.sim.time())
-			other.loads.ApplyHeld(h.self.Incarnation, held, h.sim.time())
-		})
+		h.sim.after(h.sim.fleet.NetworkDelay, func() { other.router.ApplySpeeds(reports, h.sim.time()) })
 	}
 }
 
@@ -134,7 +130,6 @@
 func (h *host) serve(r *request) {
 	retryAfter := retryAfterNoEndpoint
 	q := query(r)
-	q.MemoryTokens = h.sim.fleet.MemoryTokens
 	q.Accepts = func(c route.Choice) bool {
 		stream := admission.Stream{Objective: r.kind.Objective, Priority: r.kind.Priority}
 		wait, late := stream.ShouldReject(admission.EstimateOf(c))
--- a/pkg/lab/play.go
+++ b/pkg/lab/play.go
@@ -16,8 +16,6 @@
 	// are spread evenly over DataCenters data centres.
 	Hosts, Endpoints, DataCenters int
 	Engine                        EngineParams
-	// MemoryTokens is the memory of an engine as hosts know it; 0 if they do not know it.
-	MemoryTokens int
 	// EngineTimes are the times that the engines take relative to Engine, in turn; empty for equal
 	// engines.
 	EngineTimes []float64
--- a/pkg/lab/speeds_test.go
+++ b/pkg/lab/speeds_test.go
@@ -42,7 +42,7 @@
 func TestEnginesOfDifferentSpeeds(t *testing.T) {
 	for _, c := range []struct{ share, minValueShare, minLong, minShort float64 }{{0.75, 0.995, 0.995, 0.995}, {0.95, 0.955, 0.975, 0.93}} {
 		value, long, short := 0.0, 0.0, 0.0
-		const seeds = 2
+		const seeds = 4
 		for seed := range uint64(seeds) {
 			o := lab.Run(mixedFleet(), mixedRequests(c.share), seed+1)
 			value += o.EarnedValueShare() / seeds
--- a/pkg/loadsync/loadsync.go
+++ b/pkg/loadsync/loadsync.go
@@ -19,7 +19,6 @@
 	members *roster.Roster
 	// self is this process's incarnation.
 	self string
-	held held
 	// differing is the services whose endpoints differ in speed; only SpeedChanges uses it.
 	differing map[string]bool
 	// speedReports and ignoredSpeedReports count the received reports on the speed of endpoints.
@@ -78,7 +77,6 @@
 
 // UpdateRouter passes the loads of all other processes to the router.
 func (s *Sync) UpdateRouter(now time.Time) {
-	s.expireHeld(now)
 	loads := s.members.Loads(s.self, now)
 	for _, info := range s.router.Endpoints() {
 		s.reportLoad(info, loads[info.ID], now)
--- a/pkg/loadsync/loadsync_test.go
+++ b/pkg/loadsync/loadsync_test.go
@@ -67,38 +67,6 @@
 	}
 }
 
-// Guards against memory that stays taken when a host that held it ends: what two hosts hold is summed,
-// and forgotten some seconds after the last report.
-func TestHeldTokensOfLostHostExpire(t *testing.T) {
-	b := newHost("b")
-	queued := func(at time.Time) time.Duration {
-		q := prompt()
-		q.MemoryTokens = 30_000
-		q.Accepts = func(route.Choice) bool { return true }
-		c, ok := b.router.Choose(q, route.Expected, at)
-		if !ok {
-			t.Fatal("no endpoint was chosen")
-		}
-		b.router.Done(c, route.Result{PrefillDone: true}, at.Add(2*time.Second))
-		b.router.PrefillDone(c)
-		return c.Queued
-	}
-	free := queued(now)
-	ref := endpoint.Ref{ID: id, Incarnation: 1}
-	b.loads.ApplyHeld("a", []route.HeldReport{{Endpoint: ref, Tokens: 15_000}, {Endpoint: endpoint.Ref{ID: id, Incarnation: 2}, Tokens: 1 << 60}}, now)
-	if got := queued(now); got != free {
-		t.Errorf("queue with 15,000 of 30,000 tokens held: got %v, want %v", got, free)
-	}
-	b.loads.ApplyHeld("c", []route.HeldReport{{Endpoint: ref, Tokens: 14_000}}, now.Add(time.Second))
-	if got := queued(now.Add(time.Second)); got <= free {
-		t.Errorf("queue with 29,000 of 30,000 tokens held: got %v, want more than %v", got, free)
-	}
-	b.loads.UpdateRouter(now.Add(4500 * time.Millisecond))
-	if got := queued(now.Add(4500 * time.Millisecond)); got != free {
-		t.Errorf("queue after the first host's reports have expired: got %v, want %v", got, free)
-	}
-}
-
 // Guards against a log line in each round for an endpoint that stays slow.
 func TestSpeedChangeIsReportedOnce(t *testing.T) {
 	h := newHost("a")
--- a/pkg/route/feedback.go
+++ b/pkg/route/feedback.go
@@ -60,7 +60,6 @@
 func (s *slot) done(c Choice, result Result, now time.Time) {
 	l := &s.load
 	l.localRunning = max(l.localRunning-1, 0)
-	l.memory.local = max(l.memory.local-c.heldTokens, 0)
 	if !result.PrefillDone {
 		l.localPrefillTokens = max(l.localPrefillTokens-c.uncachedTokens, 0)
 	}
@@ -78,10 +77,6 @@
 		return
 	}
 	s.group.recordSuccess(s)
-	s.group.recordAnswerLength(result.Tokens)
-	if c.heldTokens > 0 {
-		s.group.recordHold(c.heldTokens, now.Sub(c.sentAt))
-	}
 	l.meanDuration = smooth(l.meanDuration, now.Sub(c.sentAt))
 	if !result.Canary {
 		s.updateSpeed(c, result, now)
--- a/pkg/route/query.go
+++ b/pkg/route/query.go
@@ -34,9 +34,6 @@
 	PromptTokens, AnswerTokens int
 	// GeneratedTokens is the number of answer tokens generated already, to be prefilled again.
 	GeneratedTokens int
-	// MemoryTokens is the number of tokens that the memory of one endpoint holds; 0 if it is no
-	// constraint.
-	MemoryTokens int
 	// RiskWeight is the number of seconds that one second of lost work counts for: 1 for work that
 	// can wait, more for a caller at a counter, 0 to ignore the risk.
 	RiskWeight float64
@@ -84,8 +81,6 @@
 	// uncachedTokens is the number of prompt tokens estimated to need prefill, aheadTokens the
 	// number of other requests' tokens estimated to be prefilled before them.
 	uncachedTokens, aheadTokens int
-	// heldTokens is the number of tokens that the request holds in the endpoint's memory.
-	heldTokens int
 	// batchShare is the share of the endpoint's slots in use.
 	batchShare float64
 }
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -48,8 +48,6 @@
 	initialSpeed EngineSpeed
 	// hasUnsentSpeeds is set if any slot has evidence on its speed that was not reported.
 	hasUnsentSpeeds atomic.Bool
-	// holdsMemory is set if this entry's requests hold memory that is to be reported.
-	holdsMemory atomic.Bool
 	// inFlight is the number of choices that are not completed.
 	inFlight atomic.Int64
 	// entries is the number of entry hosts that share the endpoints; 0 if unknown.
@@ -282,7 +280,7 @@
 	return Choice{
 		Endpoint: s.info, Expected: sc.total, Wait: sc.wait, Queued: sc.queueTime, LeastQueued: sc.leastQueueTime,
 		CachedTokens: sc.cachedTokens, sentAt: now, uncachedTokens: max(q.PromptTokens-sc.cachedTokens, 0), aheadTokens: sc.aheadTokens,
-		batchShare: s.batchShare(), heldTokens: s.group.tokensHeldBy(q),
+		batchShare: s.batchShare(),
 	}
 }
 
@@ -301,10 +299,6 @@
 	s.load.sentSinceReport++
 	s.load.localRunning++
 	s.load.localPrefillTokens += c.uncachedTokens
-	if c.heldTokens > 0 {
-		s.load.memory.local += c.heldTokens
-		r.holdsMemory.Store(true)
-	}
 	g.prefixes.record(q.PrefixHashes, s.info.ID)
 	g.recordPlacement(q, s.info.ID)
 	if time.Duration(c.uncachedTokens)*s.timings().PrefillPerToken >= urgentPrefill {
--- a/pkg/route/score.go
+++ b/pkg/route/score.go
@@ -76,12 +76,9 @@
 	uncached := q.PromptTokens - cached + q.GeneratedTokens
 	prefillTime := f.TimeToFirstToken(uncached)
 	wait := prefillTime
-	var slotWait time.Duration
 	if running >= l.slots {
-		slotWait = l.meanDuration * time.Duration(waiting+1) / time.Duration(max(l.slots, 1))
+		wait += l.meanDuration * time.Duration(waiting+1) / time.Duration(max(l.slots, 1))
 	}
-	// Each request that ends frees both its slot and its memory.
-	wait += max(slotWait, s.memoryWait(q))
 	ahead := l.prefillAhead(f.PrefillPerToken, now)
 	wait += time.Duration(ahead) * f.PrefillPerToken
 	queued := wait - prefillTime
--- a/pkg/route/slot.go
+++ b/pkg/route/slot.go
@@ -32,11 +32,6 @@
 	demand                        demand
 	// speed is the common speed estimate of the endpoints.
 	speed *enginemodel.Estimator
-	// meanAnswer is the mean length of the answers in tokens; 0 if none was measured.
-	meanAnswer float64
-	// heldTokens is the mean number of tokens that a request held, heldTokenSeconds the mean of that
-	// number times the request's duration.
-	heldTokens, heldTokenSeconds float64
 	// hasSpeeds is set once there is evidence on the speed of any endpoint. factorsAt is when the
 	// endpoints' factors were last computed.
 	hasSpeeds bool
@@ -97,7 +92,6 @@
 	refusedAt     time.Time
 	hazardPerHour float64
 	hazardAt      time.Time
-	memory        memory
 	// relative is what all entries' answers say about the endpoint's speed, unsentSpeed the part of
 	// this entry that has not been reported to the others. factor is the resulting time that the
 	// endpoint takes relative to its service; 1 if it counts as equal to the others.
