--- a/pkg/gossip/speeds.go
+++ b/pkg/gossip/speeds.go
@@ -15,6 +15,18 @@
 	WeightedLog float32
 }
 
+// sendSpeeds sends what this host's answers say about the speed of endpoints, only to the hosts that
+// share its callers: sent to all 88 other hosts at once, it held up answers on a link of 10 Mbit/s
+// for 80 ms, and the other hosts choose no endpoints.
+func (e *Exchange) sendSpeeds(list []route.SpeedReport, sharing []string) {
+	if len(list) == 0 {
+		return
+	}
+	m := mapMessage{Incarnation: e.self.Incarnation}
+	m.addSpeeds(list)
+	e.sendMapMessage(m, sharing)
+}
+
 func (m *mapMessage) addSpeeds(list []route.SpeedReport) {
 	for _, r := range list {
 		m.Speeds = append(m.Speeds, wireSpeed{
@@ -35,26 +47,3 @@
 	}
 	return list
 }
-
-// wireHeld encodes a route.HeldReport.
-type wireHeld struct {
-	_        struct{} `cbor:",toarray"`
-	Endpoint string
-	Born     int64
-	Tokens   int
-}
-
-func (m *mapMessage) addHeld(list []route.HeldReport) {
-	for _, r := range list {
-		m.Held = append(m.Held, wireHeld{Endpoint: r.Endpoint.ID, Born: r.Endpoint.Incarnation, Tokens: r.Tokens})
-	}
-}
-
-// held decodes the held tokens. Package loadsync bounds them.
-func (m mapMessage) held() []route.HeldReport {
-	var list []route.HeldReport
-	for _, w := range m.Held {
-		list = append(list, route.HeldReport{Endpoint: endpoint.Ref{ID: w.Endpoint, Incarnation: w.Born}, Tokens: w.Tokens})
-	}
-	return list
-}
