--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -58,8 +58,6 @@
 	Work []roster.Work
 	// Speeds holds what the host's answers say about the speed of endpoints, in its own datagram.
 	Speeds []route.SpeedReport
-	// Held holds what the host's requests hold in the memory of endpoints, in its own datagram.
-	Held []route.HeldReport
 	// Digest is sent by an aggregator, also in its own datagram.
 	Digest roster.Digest
 	// Subscribes reports whether the sender subscribes to digests; nothing else is sent then.
@@ -126,7 +124,7 @@
 		if sendInfrequent {
 			peers = slices.Concat(recipients.Frequent, recipients.Infrequent)
 		}
-		e.send(peers, sendInfrequent)
+		e.send(peers, recipients.Frequent, sendInfrequent)
 		if sendInfrequent && len(recipients.Aggregators) > 0 {
 			e.subscribe(recipients.Aggregators)
 		}
@@ -191,7 +189,8 @@
 	return delay, s.infrequentDue(delay, infrequentInterval)
 }
 
-func (e *Exchange) send(peers []string, sendInfrequent bool) {
+// send sends this host's state to peers; sharing are those of them that share its callers.
+func (e *Exchange) send(peers, sharing []string, sendInfrequent bool) {
 	if len(peers) == 0 {
 		// Data that is sent only once, such as placements, must not be consumed without a
 		// recipient.
@@ -200,6 +199,7 @@
 	update := e.localUpdate()
 	e.recordActivity(update)
 	e.sendUpdate(update, peers)
+	e.sendSpeeds(update.Speeds, sharing)
 	if e.workDue(sendInfrequent, e.now()) {
 		e.sendWork(update.Work, peers)
 	}
@@ -216,16 +216,6 @@
 		e.sendTeamStats(update, peers)
 	}
 	e.sendCasesAndNotices(update, peers)
-	if len(update.Speeds) > 0 {
-		m := mapMessage{Incarnation: e.self.Incarnation}
-		m.addSpeeds(update.Speeds)
-		e.sendMapMessage(m, peers)
-	}
-	if len(update.Held) > 0 {
-		m := mapMessage{Incarnation: e.self.Incarnation}
-		m.addHeld(update.Held)
-		e.sendMapMessage(m, peers)
-	}
 }
 
 // sendTeamStats sends the team statistics that did not fit in the status datagram.
@@ -259,7 +249,7 @@
 func (e *Exchange) sendMapMessage(m mapMessage, peers []string) {
 	data, err := m.encode()
 	if err != nil {
-		e.log.Error().Err(err).Msg("failed to encode cases, notices, speeds or held tokens")
+		e.log.Error().Err(err).Msg("failed to encode cases, notices or speeds")
 		return
 	}
 	e.write(data, peers)
