--- a/pkg/app/node/leaving.go
+++ b/pkg/app/node/leaving.go
@@ -19,7 +19,7 @@
 	leavingSettleTime = 10 * time.Millisecond
 )
 
-// reportLeaving reports endpoints whose rows say that they leave to the holder of the duties while
+// reportLeaving reports endpoints whose rows state that they leave to the holder of the duties while
 // it cannot reach the store. It would otherwise not order others before its lease has expired,
 // although it can still call the cloud.
 func (n *node) reportLeaving(ctx context.Context, exchange *gossip.Exchange) {
--- a/pkg/app/node/losses.go
+++ b/pkg/app/node/losses.go
@@ -10,7 +10,7 @@
 )
 
 // observeLosses records which data centres have lost their reclaimable endpoints of a service and
-// returns what this says about further losses.
+// returns what this shows about further losses.
 func (n *node) observeLosses(service routetable.Service, need autoscale.Need, serving map[autoscale.Pool]int, now time.Time) autoscale.Outlook {
 	losses := n.losses.Of(service.Name)
 	if n.rollouts.InProgress(service.Name) {
--- a/pkg/autoscale/losses.go
+++ b/pkg/autoscale/losses.go
@@ -188,7 +188,7 @@
 	return (1 + x) * math.Exp(-x)
 }
 
-// Outlook is what the recorded losses say about further ones.
+// Outlook is what the recorded losses show about further ones.
 type Outlook struct {
 	// Known is set once a loss has been recorded.
 	Known bool
--- a/pkg/autoscale/state.go
+++ b/pkg/autoscale/state.go
@@ -92,7 +92,7 @@
 }
 
 // Restore takes over what an earlier holder ordered. If more endpoints serve than the state
-// says, orders are missing in it, and those that serve count as ordered.
+// states, orders are missing in it, and those that serve count as ordered.
 func (r *Reconciler) Restore(pools []PoolState, serving func(Pool) int) {
 	for _, p := range pools {
 		state := r.stateOf(p.Pool)
--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -33,7 +33,7 @@
 	// the given time. If one has, only this host was disconnected.
 	peerReachedStore func(time.Duration) bool
 
-	// onLeavingRow is called with each row that says that its endpoint leaves.
+	// onLeavingRow is called with each row that states that its endpoint leaves.
 	onLeavingRow atomic.Pointer[func(endpoint.Info)]
 
 	loaded           atomic.Bool
@@ -71,7 +71,7 @@
 // Loaded reports whether the rows have been read once.
 func (s *Syncer) Loaded() bool { return s.loaded.Load() }
 
-// OnLeavingRow sets the function that is called with each row that says that its endpoint leaves,
+// OnLeavingRow sets the function that is called with each row that states that its endpoint leaves,
 // not with endpoints whose rows are missing. It must not call the syncer.
 func (s *Syncer) OnLeavingRow(call func(endpoint.Info)) { s.onLeavingRow.Store(&call) }
 
--- a/pkg/enginemodel/relative.go
+++ b/pkg/enginemodel/relative.go
@@ -45,7 +45,7 @@
 	batchBuckets = 4
 )
 
-// Evidence is what answers say about the speed of one endpoint relative to its service. It is
+// Evidence is what answers show about the speed of one endpoint relative to its service. It is
 // a sum, to which further evidence can be added.
 type Evidence struct {
 	// Weight is the number of answers, less for short ones.
@@ -77,7 +77,7 @@
 	return Evidence{weight, weight * clampLog(math.Log(measured/expected))}
 }
 
-// Compare returns what a sample says about the speed of its endpoint. It returns nothing until
+// Compare returns what a sample shows about the speed of its endpoint. It returns nothing until
 // the estimate is based on samples. The time to the first token counts only after a short
 // queue, as the queue behind which it waited may have been longer than known.
 func (e *Estimator) Compare(s Sample) Evidence {
--- a/pkg/forward/evacuation.go
+++ b/pkg/forward/evacuation.go
@@ -90,7 +90,7 @@
 
 // next returns the stream to be moved next.
 func (e *evacuation) next(own map[string]*relayedStream) (*relayedStream, bool) {
-	// The report says when the endpoint stops, if its row does not, and which runs share the link.
+	// The report states when the endpoint stops, if its row does not, and which runs share the link.
 	if !e.refresh() || len(own) == 0 {
 		return nil, false
 	}
--- a/pkg/forward/moved.go
+++ b/pkg/forward/moved.go
@@ -70,7 +70,7 @@
 	return c.route.MayRepeat() && c.deliveredAttempts() < c.route.MaxAttempts
 }
 
-// expectedTokens returns the caller's estimate of the answer's length or, as its limit says little, the
+// expectedTokens returns the caller's estimate of the answer's length or, as its limit indicates little, the
 // mean of the route's answers; 0 if neither is known.
 func (c *call) expectedTokens() int {
 	if c.meta.ExpectedTokens != c.meta.MaxTokens {
--- a/pkg/gossip/events.go
+++ b/pkg/gossip/events.go
@@ -34,7 +34,7 @@
 	Limits []wireLimit `cbor:"12,keyasint,omitempty"`
 	// Work holds the work offered to the sender.
 	Work []wireWork `cbor:"20,keyasint,omitempty"`
-	// Speeds holds what answers say about the speed of endpoints.
+	// Speeds holds what answers show about the speed of endpoints.
 	Speeds []wireSpeed `cbor:"21,keyasint,omitempty"`
 }
 
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -56,7 +56,7 @@
 	Notices []notice.Report
 	// Work holds the work offered to the sender, sent in datagrams of its own.
 	Work []roster.Work
-	// Speeds holds what the host's answers say about the speed of endpoints, in its own datagram.
+	// Speeds holds what the host's answers show about the speed of endpoints, in its own datagram.
 	Speeds []route.SpeedReport
 	// Digest is sent by an aggregator, also in its own datagram.
 	Digest roster.Digest
--- a/pkg/gossip/speeds.go
+++ b/pkg/gossip/speeds.go
@@ -15,7 +15,7 @@
 	WeightedLog float32
 }
 
-// sendSpeeds sends what this host's answers say about the speed of endpoints, only to the hosts that
+// sendSpeeds sends what this host's answers show about the speed of endpoints, only to the hosts that
 // share its callers: sent to all 88 other hosts at once, it held up answers on a link of 10 Mbit/s
 // for 80 ms, and the other hosts choose no endpoints.
 func (e *Exchange) sendSpeeds(list []route.SpeedReport, sharing []string) {
--- a/pkg/lab/host.go
+++ b/pkg/lab/host.go
@@ -105,7 +105,7 @@
 	}
 }
 
-// broadcastSpeeds sends what this host's answers say about the speed of endpoints.
+// broadcastSpeeds sends what this host's answers show about the speed of endpoints.
 func (h *host) broadcastSpeeds() {
 	reports := h.router.DrainSpeeds()
 	for _, other := range h.sim.hosts {
--- a/pkg/loadsync/loadsync.go
+++ b/pkg/loadsync/loadsync.go
@@ -68,7 +68,7 @@
 	}
 }
 
-// ApplySpeeds applies what the answers of another process say about the speed of endpoints.
+// ApplySpeeds applies what the answers of another process show about the speed of endpoints.
 func (s *Sync) ApplySpeeds(reports []route.SpeedReport, now time.Time) {
 	used := s.router.ApplySpeeds(reports, now)
 	s.speedReports.Add(int64(len(reports)))
--- a/pkg/migrate/handover.go
+++ b/pkg/migrate/handover.go
@@ -22,7 +22,7 @@
 	Uncertain
 )
 
-// Continuation says where a stopped run continues.
+// Continuation states where a stopped run continues.
 type Continuation struct {
 	Place  Place
 	Handle string
@@ -123,7 +123,7 @@
 	Stopped
 	// Returned means that the run was stopped and continues at the source.
 	Returned
-	// Lost means that the answer to the call that stops the run was lost, or does not say whether the
+	// Lost means that the answer to the call that stops the run was lost, or does not state whether the
 	// run has stopped.
 	Lost
 	// Unplaced means that there is no target.
--- a/pkg/notice/leaving.go
+++ b/pkg/notice/leaving.go
@@ -9,7 +9,7 @@
 
 // Parameters of the reports of rows.
 const (
-	// leavingReportTime is how long after its first row that says so an endpoint is reported as
+	// leavingReportTime is how long after its first row that states so an endpoint is reported as
 	// leaving. A host whose calls to the store hang notices that after 2.5 s, and it may have read
 	// the rows for the last time 1.3 s before.
 	leavingReportTime = 4 * time.Second
@@ -21,7 +21,7 @@
 	maxLeavingReports = 150
 )
 
-// LeavingRows holds the endpoints whose rows have just begun to say that they leave, to be reported
+// LeavingRows holds the endpoints whose rows have just begun to state that they leave, to be reported
 // to a host that cannot read the rows. Endpoints without a row are not held: a row may also be
 // missing because it could not be renewed. It is safe for concurrent use.
 type LeavingRows struct {
@@ -31,7 +31,7 @@
 	receiver string
 }
 
-// leavingRow is an endpoint whose row says that it leaves.
+// leavingRow is an endpoint whose row states that it leaves.
 type leavingRow struct {
 	startedMS int64
 	// beganAt and seenAt are when the first and the last such row were read.
@@ -43,7 +43,7 @@
 // NewLeavingRows returns an empty LeavingRows.
 func NewLeavingRows() *LeavingRows { return &LeavingRows{rows: map[string]*leavingRow{}} }
 
-// Observe records a row that says that its endpoint leaves, and returns whether it is the first one
+// Observe records a row that states that its endpoint leaves, and returns whether it is the first one
 // of the endpoint's run. Endpoints that do not state when they started are ignored, as a late report
 // would also apply to their next run.
 func (l *LeavingRows) Observe(info endpoint.Info, now time.Time) bool {
--- a/pkg/route/slot.go
+++ b/pkg/route/slot.go
@@ -92,7 +92,7 @@
 	refusedAt     time.Time
 	hazardPerHour float64
 	hazardAt      time.Time
-	// relative is what all entries' answers say about the endpoint's speed, unsentSpeed the part of
+	// relative is what all entries' answers show about the endpoint's speed, unsentSpeed the part of
 	// this entry that has not been reported to the others. factor is the resulting time that the
 	// endpoint takes relative to its service; 1 if it counts as equal to the others.
 	relative    enginemodel.Relative
--- a/pkg/route/speeds.go
+++ b/pkg/route/speeds.go
@@ -9,7 +9,7 @@
 	"ironhollow/pkg/enginemodel"
 )
 
-// SpeedReport is what the answers that an entry received since its previous report say about the
+// SpeedReport is what the answers that an entry received since its previous report show about the
 // speed of an endpoint.
 type SpeedReport struct {
 	Endpoint endpoint.Ref
@@ -72,7 +72,7 @@
 	}
 }
 
-// DrainSpeeds returns what this entry's answers say about the speed of endpoints and has not been
+// DrainSpeeds returns what this entry's answers show about the speed of endpoints and has not been
 // reported yet, for the endpoints about which there is most to report.
 func (r *Router) DrainSpeeds() []SpeedReport {
 	if !r.hasUnsentSpeeds.Swap(false) {
