--- a/pkg/app/node/duties.go
+++ b/pkg/app/node/duties.go
@@ -44,7 +44,8 @@
 	pause.EveryOrSignal(ctx, n.settings.LeaseDuration/renewalsPerLease, notices, noticeSettleTime, func(ctx context.Context, onNotice bool) {
 		grant, held := n.leases.Held(dutyShard)
 		if grant != last {
-			// Another host may have held the lease between two grants, also between two runs.
+			// Another host may have held the lease between the two grants, even if this host held it at
+			// the previous run too.
 			last = grant
 			n.log.Info().Bool("held", held).Msg("lease of the duties")
 			n.endpointReconciler.Reset()
--- a/pkg/app/node/leaving.go
+++ b/pkg/app/node/leaving.go
@@ -20,8 +20,8 @@
 )
 
 // reportLeaving reports endpoints whose rows state that they leave to the holder of the duties while
-// it cannot reach the store. It would otherwise not order others before its lease has expired,
-// although it can still call the cloud.
+// the holder cannot reach the store. Otherwise none would be ordered in their place until the lease
+// expires, although the holder can still call the cloud.
 func (n *node) reportLeaving(ctx context.Context, exchange *gossip.Exchange) {
 	rows, began := notice.NewLeavingRows(), pause.NewSignal()
 	n.view.EndpointSyncer().OnLeavingRow(func(info endpoint.Info) {
--- a/pkg/autoscale/losses.go
+++ b/pkg/autoscale/losses.go
@@ -22,17 +22,17 @@
 	// reclaimable endpoints for up to 15 s after a reclaim.
 	waveWindow = 15 * time.Second
 	// priorFollowed and priorEnded are the weight of the prior: losses that were followed by
-	// one in another data centre, and those that were not. With both equal, the
-	// probabilities after the first loss in three data centres are 0.5 for no further loss
-	// and 0.25 each for one and two.
+	// one in another data centre, and those that were not. With both equal and a boot time of
+	// 4 s, the probabilities after the first loss in three data centres are 0.5 for no further
+	// loss, 0.38 for one and 0.12 for two (see chainBoots).
 	priorFollowed = 2.0
 	priorEnded    = 2.0
 	// priorDelay is the mean time to the next loss of a wave, with the weight of priorDelays
 	// observations.
 	priorDelay  = 5 * time.Second
 	priorDelays = 2.0
-	// chainBoots is the number of boot times within which a loss must follow the next one to be
-	// prepared for now: later ones are answered in time at the notice of the next one.
+	// chainBoots is the number of boot times after the next loss within which a further loss is
+	// prepared for now. For a later one, the endpoints ordered at the next loss boot in time.
 	chainBoots = 1
 	// waveEndProbability is the probability of a further loss below which a wave is over.
 	waveEndProbability = 0.05
@@ -175,8 +175,8 @@
 }
 
 // refusalMemory is how long after a refused order the data centre counts as having no
-// endpoints of the class, so that others are ordered instead. The order itself is repeated
-// more often.
+// endpoints of the class, so that others are ordered instead. The refused order is repeated
+// sooner, after retryDelay.
 const refusalMemory = 6 * time.Second
 
 // survival returns the probability that a loss that will be followed by another one has not
@@ -194,7 +194,7 @@
 	Known bool
 	// Next is the probability that another data centre loses its reclaimable endpoints in
 	// the present wave, Chain the probability that such a loss is followed by another one within
-	// chainBoots.
+	// chainBoots boot times.
 	Next, Chain float64
 	// NoOnDemand and NoReclaimable have the data centres that recently refused orders of the
 	// class.
--- a/pkg/autoscale/losses_test.go
+++ b/pkg/autoscale/losses_test.go
@@ -18,8 +18,8 @@
 	}}
 }
 
-// Guards against orders that differ from those of the plan without losses: the file was
-// written by the plan before it knew of losses.
+// Guards against orders that change without a loss: the file has the orders of the plan that did not
+// consider losses.
 func TestOrdersWithoutLossesAreUnchanged(t *testing.T) {
 	var got strings.Builder
 	for _, measured := range []bool{false, true} {
@@ -66,8 +66,8 @@
 }
 
 // The losses that follow the first one arrive sooner than an endpoint boots. With three data
-// centres left, all of them would have to be lost within two boot times: what remains covers any
-// other case without on-demand endpoints.
+// centres left, on-demand endpoints would be needed only if all three were lost, each within a boot
+// time of the one before.
 func TestFirstLossOrdersOnDemandCover(t *testing.T) {
 	losses, now := lossAt("a")
 	supply := reclaimableSupply(map[string]int{"b": 40, "c": 40})
@@ -171,8 +171,8 @@
 	}
 }
 
-// Waves that never come must not be paid for indefinitely, and waves that do come must be
-// expected longer than by the prior.
+// Where losses come alone, on-demand endpoints must not be ordered for further ones indefinitely.
+// Where each loss is followed by another one, the probability must not fall below the prior.
 func TestProbabilityFollowsObservedLosses(t *testing.T) {
 	outlookAfter := func(count int, followed bool) autoscale.Outlook {
 		losses, now := autoscale.NewLosses(), time.Unix(1000, 0)
@@ -197,8 +197,8 @@
 	}
 }
 
-// Guards against taking a second loss of one data centre for one of another: it shows nothing about
-// those that follow in others.
+// Guards against counting a second loss of one data centre as followed: it shows nothing about losses
+// of other data centres.
 func TestSecondLossOfDataCenterIsNotFollowed(t *testing.T) {
 	losses, now := lossAt("a")
 	for _, serving := range []int{40, 0} {
--- a/pkg/autoscale/placement.go
+++ b/pkg/autoscale/placement.go
@@ -19,8 +19,7 @@
 
 // newPlacement returns the placement of a service. After a loss, or while work is refused,
 // on-demand endpoints are placed in addition to the reclaimable ones that serve or boot,
-// which are never given up to make room: the endpoints that a data centre has lost leave
-// enough.
+// which are never given up to make room: lost endpoints leave enough room.
 func newPlacement(s *routetable.Scaling, dataCenters []string, supply Supply, outlook Outlook, refusing bool) placement {
 	p := placement{dataCenters: dataCenters, limit: s.MaxEndpoints}
 	if !outlook.Known && !refusing {
--- a/pkg/autoscale/plan.go
+++ b/pkg/autoscale/plan.go
@@ -39,8 +39,8 @@
 	// EngineTime, Slots and Memory cover the load. Slots and Memory are 0 where they are no
 	// constraint.
 	EngineTime, Slots, Memory int
-	// Refused is the number with which no work would be refused for lack of room, 0 if none
-	// is.
+	// Refused is the number of endpoints with which no work would be refused for lack of room,
+	// 0 if no work is refused.
 	Refused int
 }
 
@@ -59,7 +59,7 @@
 		Refused:    int(math.Ceil(demand.Refused)),
 	}
 	if service.Slots > 0 {
-		// The work of plain services is not known.
+		// Services without slots are not bounded, as the work of their requests is not known.
 		need.Refused = min(need.Refused, maxRefusedRatio*need.Resources())
 	}
 	return need
@@ -146,7 +146,7 @@
 	if !demand.Measured {
 		count = max(count, reclaimableBeforeMeasurement(s, demand, dataCenters-losses))
 	}
-	// Endpoints that are needed because work is refused are added without further spare ones.
+	// The need by refusals is spread over all data centres, without spare endpoints for losses.
 	count = max(count, (full.Refused+dataCenters-1)/dataCenters)
 	return min(max(count, s.MinEndpoints), s.MaxEndpoints)
 }
--- a/pkg/autoscale/scenario_test.go
+++ b/pkg/autoscale/scenario_test.go
@@ -23,9 +23,8 @@
 	// readyAt has the times from which the endpoints of a pool serve.
 	readyAt map[autoscale.Pool][]time.Time
 	calls   int
-	// missing is the sum of the endpoints that were missing to the need, in endpoint seconds, late
-	// the part of it more than a boot time after a loss; onDemand and reclaimable are those that
-	// existed.
+	// missing is the number of endpoints below the need, in endpoint seconds, late the part of it
+	// more than a boot time after a loss. onDemand and reclaimable are the endpoints that existed.
 	missing, late, onDemand, reclaimable float64
 }
 
@@ -170,8 +169,8 @@
 	}
 }
 
-// On a day without losses no on-demand endpoints are ordered, and as many reclaimable ones as
-// before losses were known of.
+// On a day without losses no on-demand endpoints are ordered, and as many reclaimable ones as by the
+// plan that did not consider losses.
 func TestDayWithoutLossesIsUnchanged(t *testing.T) {
 	s := &scenario{boot: bootTime, load: 22}
 	s.run(time.Minute)
--- a/pkg/autoscale/state.go
+++ b/pkg/autoscale/state.go
@@ -18,8 +18,9 @@
 	Demand  DemandState
 }
 
-// SinceRollout returns the state without the pools if they are from before the end of a roll-out, which
-// replaces endpoints. completed is the ID of the service's last completed roll-out, 0 if it is not known.
+// SinceRollout returns the state without the pools if they are from before the end of a roll-out,
+// which replaces endpoints. completed is the ID of the service's last completed roll-out, 0 if it
+// is not known.
 func (s State) SinceRollout(completed int64) State {
 	if completed != 0 && s.Rollout != completed {
 		s.Pools = nil
@@ -91,8 +92,8 @@
 	return list
 }
 
-// Restore takes over what an earlier holder ordered. If more endpoints serve than the state
-// states, orders are missing in it, and those that serve count as ordered.
+// Restore takes over what an earlier holder ordered. If more endpoints serve than it ordered by
+// the state, the state lacks later orders, and the number that serve counts as ordered.
 func (r *Reconciler) Restore(pools []PoolState, serving func(Pool) int) {
 	for _, p := range pools {
 		state := r.stateOf(p.Pool)
--- a/pkg/autoscale/traffic.go
+++ b/pkg/autoscale/traffic.go
@@ -57,10 +57,10 @@
 	// The number of endpoints is averaged in the same way: those that have just begun to
 	// serve have not lowered the share yet, and counting them would order as many again.
 	refusalWindow = 4 * time.Second
-	// minRefusedShare is the refused share from which on callers count as refused, while
-	// which the demand does not decay.
+	// minRefusedShare is the refused share from which callers count as refused. While they do,
+	// the demand does not decay.
 	minRefusedShare = 0.02
-	// highRefusedShare is the refused share from which on endpoints are added at once; a
+	// highRefusedShare is the refused share from which endpoints are added at once; a
 	// lower one must last for lowRefusedTime. A queue that is full for 0.3 s gives a share of
 	// 0.08, which takes 5.5 s to decay below minRefusedShare.
 	highRefusedShare = 0.1
--- a/pkg/enginemodel/enginemodel.go
+++ b/pkg/enginemodel/enginemodel.go
@@ -49,7 +49,7 @@
 	ShortQueue bool
 }
 
-// DividedBy returns the sample as an engine would give it that takes 1/factor of the time.
+// DividedBy returns the sample of an engine that takes 1/factor of the time.
 func (s Sample) DividedBy(factor float64) Sample {
 	if factor == 1 {
 		return s
--- a/pkg/enginemodel/relative.go
+++ b/pkg/enginemodel/relative.go
@@ -7,21 +7,21 @@
 
 // Parameters of the comparison of an endpoint with its service.
 const (
-	// speedMemory is the time constant with which evidence is forgotten. Evidence of several
-	// hosts adds up to a few hundred answers of an endpoint within it, of which the waits in
-	// queues that no host knows of average out.
+	// speedMemory is the time constant with which evidence is forgotten. Within it, several hosts
+	// together receive a few hundred answers of an endpoint, enough for the waits in queues that
+	// no host knows of to average out.
 	speedMemory = 30 * time.Second
 	// priorWeight is the number of answers at which the estimate is halfway between the
 	// service's mean and the endpoint's own answers. A single answer, 3 times as slow as
 	// expected, moves the estimate by 9 %, which is within the dead band.
 	priorWeight = 12
 	// deadBand is the logarithm of the ratio up to which an endpoint counts as equal to the
-	// others. Up to twice the ratio, the estimate rises from 0 to its full value, so that hosts
-	// whose estimates differ slightly do not choose differently. Estimates of equal engines at
+	// others. From there to twice this logarithm the estimate rises from 0 to its full value, so
+	// that hosts with slightly different estimates choose alike. Estimates of equal engines at
 	// 95 % of their capacity stay within 0.12 (TestEqualEnginesCountAsEqual).
 	deadBand = 0.12
-	// maxLogRatio bounds the logarithm of the ratio of one answer. An answer that takes longer
-	// waited in a queue that was not known, rather than for a slow engine.
+	// maxLogRatio bounds the logarithm of the ratio of one answer, as a greater ratio is due to a
+	// queue that was not known rather than to a slow engine.
 	maxLogRatio = 1.1
 	// maxReportedWeight bounds the weight of one endpoint in a report of another host. A host
 	// receives fewer answers from an endpoint between two reports.
@@ -35,9 +35,9 @@
 	// slow.
 	staleAfter     = 5 * time.Second
 	forgottenAfter = 15 * time.Second
-	// minComparedTokens is the least number of tokens from which a token gap is compared.
-	// halfWeightTokens is the number of tokens with which the comparison has half of the weight
-	// of a long answer.
+	// minComparedTokens is the least number of tokens of an answer whose token gap is compared.
+	// halfWeightTokens is the number of tokens at which the comparison has half of the weight of
+	// that of a long answer.
 	minComparedTokens = 4
 	halfWeightTokens  = 16
 	// batchBuckets is the number of ranges of the share of slots in use whose token gaps are
@@ -107,7 +107,7 @@
 	return max(0, min(int(share*batchBuckets), batchBuckets-1))
 }
 
-// medianRing is the latest values and their median, 0 until there are enough.
+// medianRing holds the latest values and their median, which is 0 until there are minSamples values.
 type medianRing struct {
 	ring[float64]
 	median float64
@@ -124,8 +124,7 @@
 // of all hosts.
 type Relative struct {
 	sum Evidence
-	// decayedAt is the time up to which evidence was forgotten, latest that of the latest
-	// evidence.
+	// decayedAt is the time as of which sum is decayed, latest the time of the latest evidence.
 	decayedAt, latest time.Time
 }
 
@@ -139,8 +138,8 @@
 	r.latest = now
 }
 
-// believed returns the evidence that is not forgotten. All of it is once no answer has come for a
-// while.
+// believed returns the evidence as of now. It counts less from staleAfter on after the latest
+// evidence, and not at all after forgottenAfter.
 func (r *Relative) believed(now time.Time) Evidence {
 	r.decay(now)
 	keep := (forgottenAfter - now.Sub(r.latest)).Seconds() / (forgottenAfter - staleAfter).Seconds()
@@ -157,8 +156,8 @@
 }
 
 // Factors returns, for each endpoint of a service, the time that it takes relative to the
-// service: 1 is the mean, 2 takes twice as long. The mean is that of the work done per time, so
-// that the work that the endpoints do together is their number times that of factor 1.
+// service: 1 is the mean, 2 takes twice as long. The mean of the inverse factors is 1 before the
+// dead band is applied, so that n endpoints together have the capacity of n endpoints of factor 1.
 // Endpoints that differ little, or about which little is known, have the factor 1. The result
 // is appended to dst.
 func Factors(dst []float64, endpoints []*Relative, now time.Time) []float64 {
@@ -179,7 +178,7 @@
 }
 
 // meanLog returns the mean logarithm of the ratio over the endpoints, each weighted by how much
-// is known about it. Answers that wait in queues that no host knows of make it positive.
+// is known about it. It is positive if answers waited in queues that no host knows of.
 func meanLog(endpoints []*Relative, now time.Time) float64 {
 	weights, sum := 0.0, 0.0
 	for _, r := range endpoints {
@@ -195,7 +194,7 @@
 	return sum / weights
 }
 
-// applyDeadBand returns 0 for a logarithm within the dead band.
+// applyDeadBand returns 0 for a logarithm within the dead band, and v from twice the dead band on.
 func applyDeadBand(v float64) float64 {
 	switch size := math.Abs(v); {
 	case size <= deadBand:
--- a/pkg/forward/evacuation.go
+++ b/pkg/forward/evacuation.go
@@ -27,7 +27,7 @@
 	counts     [migrate.Unplaced + 1]int
 }
 
-// run moves streams until the endpoint stops.
+// run moves streams until none is relayed from the endpoint.
 func (e *evacuation) run() {
 	for !e.isEmpty(e.info.Ref()) {
 		s, ok := e.next(e.movable(e.info.Ref()))
@@ -38,11 +38,11 @@
 		result := e.move(s)
 		switch result {
 		case migrate.Kept, migrate.Failed:
-			// The estimates have changed since the plan, or the source did not do as asked.
+			// The estimates have changed since the plan, or the source did not make the copy.
 			time.Sleep(planInterval)
 		case migrate.Unplaced:
 			if s.refusals > 0 {
-				// Other streams may be smaller, or not have been refused.
+				// Other streams may still find a target: they may be smaller, or avoid fewer endpoints.
 				s.pausedUntil = e.clock().Add(targetInterval)
 			} else {
 				time.Sleep(targetInterval)
@@ -90,10 +90,10 @@
 
 // next returns the stream to be moved next.
 func (e *evacuation) next(own map[string]*relayedStream) (*relayedStream, bool) {
-	// The report states when the endpoint stops, if its row does not, and which runs share the link.
 	if !e.refresh() || len(own) == 0 {
 		return nil, false
 	}
+	// The report states which runs share the link, and when the endpoint stops if its row does not.
 	if e.info.LeaveBy.IsZero() || len(e.plan(own, nil)) > 0 {
 		e.fetchReport(own)
 	}
@@ -153,7 +153,7 @@
 	return others
 }
 
-// move moves one stream to the endpoint with most room.
+// move tries to move one stream to an endpoint that the router chooses.
 func (e *evacuation) move(s *relayedStream) migrate.Result {
 	target, ok := e.chooseTarget(s)
 	if !ok {
@@ -177,7 +177,7 @@
 		},
 		MayStop: func(took time.Duration) bool {
 			c := e.conditions()
-			// The last part waits on the link behind the same moves as the first did.
+			// The rest of the copy may take as long as the first copy, as it waits on the same link.
 			return e.refresh() && !s.unnumbered.Load() && !migrate.FinishesInTime(s.describe(e.clock(), e.timings().TokenGap).Remaining, c.Left) &&
 				c.FitsInTime(took) && took < e.offered.HandleLifetime
 		},
@@ -186,8 +186,8 @@
 	return result
 }
 
-// afterMove completes the choice of the target unless the relay takes it over, and makes the relay
-// notice a stop.
+// afterMove completes the choice of the target unless the relay takes it over. After a stop it ends
+// the reading of a stream that the source does not close.
 func (e *evacuation) afterMove(s *relayedStream, target route.Choice, result migrate.Result) {
 	switch result {
 	case migrate.Stopped, migrate.Returned:
@@ -219,8 +219,8 @@
 	m.log.Warn().Err(err).Msg("a copy that is not needed could not be freed and expires")
 }
 
-// chooseTarget chooses a live endpoint of the same release, which has the same model, as the run's
-// memory is of no use to another. The router may offer a leaving endpoint if no other has room, but the
+// chooseTarget chooses an endpoint of the same release, as a run's memory can be used only with the
+// same model. It does not accept leaving endpoints, which the router offers if no other has room: the
 // run would have to be moved again.
 func (e *evacuation) chooseTarget(s *relayedStream) (route.Choice, bool) {
 	query := s.targetQuery()
--- a/pkg/forward/moved.go
+++ b/pkg/forward/moved.go
@@ -47,8 +47,9 @@
 	query route.Query
 }
 
-// trackStream registers the stream from an endpoint with the mover, if its service offers moves. The
-// end of a stream that has no length and is not chunked cannot be distinguished from a stop.
+// trackStream registers the stream from an endpoint with the mover, if its service offers moves. It
+// returns nil for a stream that has no length and is not chunked, as the end of such a stream cannot be
+// distinguished from a stop.
 func (c *call) trackStream(choice route.Choice, e *upstream.Exchange, relayedBefore int) *relayedStream {
 	if c.f.mover == nil || c.service.Moves == nil || !e.IsDelimited() || c.returns > maxReturns {
 		return nil
@@ -70,8 +71,8 @@
 	return c.route.MayRepeat() && c.deliveredAttempts() < c.route.MaxAttempts
 }
 
-// expectedTokens returns the caller's estimate of the answer's length or, as its limit indicates little, the
-// mean of the route's answers; 0 if neither is known.
+// expectedTokens returns the caller's estimate of the answer's length. If the caller states only a
+// limit, which indicates little, it returns the mean of the route's answers; 0 if that is not known.
 func (c *call) expectedTokens() int {
 	if c.meta.ExpectedTokens != c.meta.MaxTokens {
 		return c.meta.ExpectedTokens
@@ -171,9 +172,9 @@
 	return s.targetTaken
 }
 
-// endTracking is called when a stream has ended or broken off, and before its exchange is closed. It
-// returns where the run continues; during a stop it waits for the result. err is the error that its
-// reading ended with.
+// endTracking is called when a stream has ended or broken off, before its exchange is closed. It
+// returns where the run continues, and waits for that while the run is being stopped. err is the
+// error with which the reading ended.
 func (c *call) endTracking(ctx context.Context, s *relayedStream, err error) migrate.Continuation {
 	if s == nil {
 		return migrate.Continuation{}
@@ -196,8 +197,8 @@
 // errNotContinued means that a run was stopped to be moved and no endpoint continues it.
 var errNotContinued = errors.New("the run was stopped to be moved and could not continue")
 
-// continueStream continues a stream whose run was stopped; err is the error that its reading ended
-// with. A run that was stopped is not complete even if its stream ended without an error.
+// continueStream continues a stream whose run was stopped. err is the error with which the reading
+// ended. A run that was stopped is not complete even if its stream ended without an error.
 func (c *call) continueStream(ctx context.Context, s *stream, source route.Choice, at migrate.Continuation, err error) (next continuedStream, ok bool) {
 	if s.relayed == nil {
 		return next, false
@@ -231,8 +232,8 @@
 	// continueTimeout is how long an endpoint may take to continue a run, which it admits before other
 	// requests; a step of a full batch takes up to 100 ms.
 	continueTimeout = 2 * time.Second
-	// maxReturnAge is how long after its leaving became known an endpoint is asked to continue a run
-	// that it has stopped. Later it accepts no request.
+	// maxReturnAge is how long after its notice a leaving endpoint may be asked to continue a run that
+	// it has stopped. Endpoints accept requests for at least 2 s after the notice.
 	maxReturnAge = 1500 * time.Millisecond
 )
 
--- a/pkg/forward/mover.go
+++ b/pkg/forward/mover.go
@@ -39,7 +39,7 @@
 	// planInterval is the time between two plans while no stream is to be moved: the estimate that a
 	// stream ends in time changes with its pace.
 	planInterval = 50 * time.Millisecond
-	// targetInterval is the time until a target is looked for again after there was none.
+	// targetInterval is the time until the next search for a target after one that found none.
 	targetInterval = 100 * time.Millisecond
 	// reportInterval is how long an endpoint's report of its runs is used, and reportTimeout how long
 	// to wait for it.
@@ -111,7 +111,8 @@
 	info    endpoint.Info
 	offered routetable.Moves
 	since   time.Time
-	// isBeingEmptied is set while an evacuation runs, which needs streams that are relayed.
+	// isBeingEmptied is set while an evacuation runs. It runs only while streams are relayed from the
+	// endpoint.
 	isBeingEmptied bool
 }
 
@@ -146,7 +147,8 @@
 	go e.run()
 }
 
-// isEmpty reports whether no stream is relayed from an endpoint, and ends its evacuation then.
+// isEmpty reports whether no stream is relayed from an endpoint. If so, it marks the evacuation as
+// ended.
 func (m *Mover) isEmpty(ref endpoint.Ref) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -90,7 +90,8 @@
 
 // relayStream forwards a stream event by event; firstToken is how long its head took.
 // If the stream breaks off and the route allows it, it is resumed at another endpoint after
-// the last complete event. If its run was stopped to be moved, it continues where the run does.
+// the last complete event. A stream whose run was stopped for a move continues at the endpoint that
+// continues the run.
 func (c *call) relayStream(ctx context.Context, choice route.Choice, current streaming, firstToken time.Duration) error {
 	e := current.exchange
 	c.writeHead(e.Status(), e.Header())
--- a/pkg/forward/run.go
+++ b/pkg/forward/run.go
@@ -125,9 +125,9 @@
 }
 
 // acceptChoice reports whether a choice is used. It is not if a stream's first event would
-// be too late because of the queue at the best endpoint; retryAfter is then set. The router asks
-// again about a leaving endpoint: if that is not used either, retryAfter is still that of the best
-// endpoint that remains.
+// be too late because of the queue at the best endpoint; retryAfter is then set. The router may call
+// it a second time with a leaving endpoint. If that is too late as well, retryAfter remains that of
+// the best endpoint that does not leave.
 func (c *call) acceptChoice(choice route.Choice) bool {
 	if c.route.Kind != routetable.Stream || c.deliveredAttempts() > 0 {
 		return true
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -189,7 +189,7 @@
 	return delay, s.infrequentDue(delay, infrequentInterval)
 }
 
-// send sends this host's state to peers; sharing are those of them that share its callers.
+// send sends this host's state to peers. sharing are the peers that share its callers.
 func (e *Exchange) send(peers, sharing []string, sendInfrequent bool) {
 	if len(peers) == 0 {
 		// Data that is sent only once, such as placements, must not be consumed without a
--- a/pkg/gossip/speeds.go
+++ b/pkg/gossip/speeds.go
@@ -15,9 +15,9 @@
 	WeightedLog float32
 }
 
-// sendSpeeds sends what this host's answers show about the speed of endpoints, only to the hosts that
-// share its callers: sent to all 88 other hosts at once, it held up answers on a link of 10 Mbit/s
-// for 80 ms, and the other hosts choose no endpoints.
+// sendSpeeds sends what this host's answers show about the speed of endpoints to the hosts that share
+// its callers. Hosts without callers choose no endpoints, and datagrams to all of 88 other hosts at
+// once delayed answers on a link of 10 Mbit/s by 80 ms.
 func (e *Exchange) sendSpeeds(list []route.SpeedReport, sharing []string) {
 	if len(list) == 0 {
 		return
--- a/pkg/migrate/calls.go
+++ b/pkg/migrate/calls.go
@@ -31,15 +31,15 @@
 const (
 	// Unknown means that no usable answer arrived: the request may have taken effect.
 	Unknown CopyResult = iota
-	// Copied means that the target has all that the run had when the copy was made. A run that was
-	// to stop has stopped.
+	// Copied means that the target has the run's memory as of the copy. If Stop was set, the run has
+	// stopped.
 	Copied
 	// NoRun means that the source does not run the request.
 	NoRun
 	// Busy means that another call for the same run is in progress.
 	Busy
-	// NoRoom means that the target has no room or cannot be reached. A run that was to stop has
-	// stopped and the source keeps its memory, if the answer names the handle.
+	// NoRoom means that the target has no room or cannot be reached. If Stop was set and the answer
+	// names a handle, the run has stopped and the source keeps its memory.
 	NoRoom
 	// NotSent means that the source did not receive the request.
 	NotSent
--- a/pkg/migrate/handover.go
+++ b/pkg/migrate/handover.go
@@ -9,16 +9,16 @@
 // Place is where a stopped run continues.
 type Place int
 
-// The places.
+// Places where a stopped run continues.
 const (
 	// Nowhere means that the run was not stopped by a move.
 	Nowhere Place = iota
 	// AtTarget means that the target has the whole memory of the run.
 	AtTarget
-	// AtSource means that only the source, which is still there, has it.
+	// AtSource means that only the source, which still serves, has the whole memory of the run.
 	AtSource
-	// Uncertain means that the run may have stopped: if its stream breaks off, only the source can
-	// know.
+	// Uncertain means that the run may have stopped. If its stream breaks off, only the source knows
+	// whether it has.
 	Uncertain
 )
 
@@ -50,7 +50,7 @@
 func NewHandover() *Handover { return &Handover{finished: make(chan struct{})} }
 
 // BeginStop is called by the mover before it asks the source to stop the run. It returns false if the
-// stream has ended, and the run must not be stopped.
+// run must not be stopped, because the stream has ended or the run was stopped before.
 func (h *Handover) BeginStop() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -147,11 +147,10 @@
 	Left func() time.Duration
 	// CanReach reports, after the first copy, whether this host can send the target a request.
 	CanReach func(ctx context.Context) bool
-	// MayStop reports, after the first copy, which took a time, whether the run is still to be
-	// stopped.
+	// MayStop reports, after the first copy, whether the run is still to be stopped. took is the
+	// time that the copy took.
 	MayStop func(took time.Duration) bool
-	// Clock returns the time.
-	Clock func() time.Time
+	Clock   func() time.Time
 	// FreeFailed is called if a copy that is not needed could not be freed; it expires then.
 	FreeFailed func(error)
 }
--- a/pkg/migrate/plan.go
+++ b/pkg/migrate/plan.go
@@ -84,7 +84,7 @@
 func (c Conditions) FitsInTime(copyTime time.Duration) bool { return copyTime+stopReserve <= c.Left }
 
 // Plan returns the streams to be moved, those with most tokens first. others are the runs at the same
-// endpoint that other hosts relay: they share its link, and each host plans with the same order, so
+// endpoint that other hosts relay. They share its link, and all hosts plan in the same order, so
 // that the hosts together start no more copies than fit in the time left. Copies are assumed to
 // cross data centres, because an endpoint is usually reclaimed together with those near it.
 func Plan(own []Stream, others []Run, c Conditions) []Stream {
@@ -112,7 +112,7 @@
 	return planned
 }
 
-// precedes reports whether a run with tokens and an id comes before another in the order of all hosts.
+// precedes reports whether a run comes before another one in the order that all hosts use.
 func precedes(tokens int, id string, otherTokens int, otherID string) bool {
 	if tokens != otherTokens {
 		return tokens > otherTokens
@@ -120,9 +120,9 @@
 	return id < otherID
 }
 
-// TokenGap returns the estimated time between tokens of a stream that has made some events since its
-// first one in a time. It is the stream's own, which shows how slow its endpoint is, smoothed with the
-// mean of the service.
+// TokenGap returns the estimated time between tokens of a stream. events is the number of events
+// after the first one, and elapsed the time that they took. The estimate is the stream's own gap,
+// which shows how slow its endpoint is, smoothed with mean, that of the service.
 func TokenGap(elapsed time.Duration, events, tokensPerEvent int, mean time.Duration) time.Duration {
 	tokens := max(events, 0) * tokensPerEvent
 	meanTokens := paceEvents * tokensPerEvent
--- a/pkg/notice/leaving.go
+++ b/pkg/notice/leaving.go
@@ -9,8 +9,8 @@
 
 // Parameters of the reports of rows.
 const (
-	// leavingReportTime is how long after its first row that states so an endpoint is reported as
-	// leaving. A host whose calls to the store hang notices that after 2.5 s, and it may have read
+	// leavingReportTime is how long an endpoint is reported after its first row that states that it
+	// leaves. A host whose calls to the store hang notices that after 2.5 s, and it may have read
 	// the rows for the last time 1.3 s before.
 	leavingReportTime = 4 * time.Second
 	// leavingRetention is how long after its last row an endpoint that leaves is remembered. Rows
@@ -27,7 +27,7 @@
 type LeavingRows struct {
 	mu   sync.Mutex
 	rows map[string]*leavingRow
-	// receiver is the incarnation to which the rounds of the rows refer.
+	// receiver is the incarnation of the host to which the rounds were sent.
 	receiver string
 }
 
--- a/pkg/route/leaving.go
+++ b/pkg/route/leaving.go
@@ -7,8 +7,8 @@
 	"ironhollow/pkg/endpoint"
 )
 
-// Parameters of the use of leaving endpoints. After a reclaim of many endpoints, those that replace
-// them boot for longer than the notice, and the leaving ones still serve until its end.
+// Parameters of the use of leaving endpoints. Endpoints ordered after a reclaim boot for longer than
+// the notice lasts, and until its end the leaving endpoints still serve.
 const (
 	// leavingMargin is the least time between the expected end of a request and the time at which
 	// its endpoint stops.
@@ -36,7 +36,7 @@
 	}
 }
 
-// leavingEnd returns the time from which on a leaving endpoint gets no request.
+// leavingEnd returns the time from which a leaving endpoint gets no request.
 func (r *Router) leavingEnd(info endpoint.Info) time.Time {
 	end := info.LeavingSince.Add(time.Duration(r.leavingWindow.Load()))
 	if info.LeaveBy.Before(end) {
@@ -91,7 +91,7 @@
 		consider(g.leaving[g.random.IntN(len(g.leaving))])
 	}
 	if best == nil {
-		// In a shortage every refused request gets here, so that not all endpoints are considered.
+		// The number considered is bounded, as in a shortage every refused request gets here.
 		first := g.random.IntN(len(g.leaving))
 		for i := range min(len(g.leaving), scanLimit) {
 			consider(g.leaving[(first+i)%len(g.leaving)])
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -270,7 +270,7 @@
 	if q.Continues {
 		return Choice{}, false
 	}
-	// The work counts as refused also if a leaving endpoint takes it: others must replace that.
+	// The work counts as refused even if a leaving endpoint takes it, as that must be replaced.
 	if best, score = r.pickLeaving(g, byID, q, now); best != nil {
 		if choice := newChoice(q, best, score, now); q.Accepts == nil || q.Accepts(choice) {
 			return r.take(q, choice, best), true
--- a/pkg/route/score.go
+++ b/pkg/route/score.go
@@ -92,10 +92,10 @@
 	if needsConnection {
 		wait += connectWeight
 	}
-	// How much longer a slow endpoint takes to decode is not counted in the choice. Otherwise long
-	// answers fill all slots of the fast endpoints, and their prompts wait for a slot although slow
-	// endpoints have free ones: 94 % instead of 100 % of long prompts were then on time at three
-	// quarters of the capacity (mixedFleet in package lab).
+	// The choice counts the service's decode time, not the endpoint's. With the endpoint's, long
+	// answers fill all slots of the fast endpoints, and prompts wait there although slow endpoints
+	// have free slots: 94 % instead of 100 % of long prompts were then on time at three quarters of
+	// the capacity (mixedFleet in package lab).
 	serviceDecode := time.Duration(float64(q.AnswerTokens) * crowding * float64(s.group.speed.Timings().TokenGap))
 	total := wait + serviceDecode + prefillWeight*time.Duration(uncached)*f.PrefillPerToken
 	total -= homeWeight * time.Duration(min(s.homeTokens, uncached)) * s.group.speed.Timings().PrefillPerToken
--- a/pkg/route/speeds.go
+++ b/pkg/route/speeds.go
@@ -72,8 +72,8 @@
 	}
 }
 
-// DrainSpeeds returns what this entry's answers show about the speed of endpoints and has not been
-// reported yet, for the endpoints about which there is most to report.
+// DrainSpeeds returns the evidence on the speed of endpoints that this entry has not reported yet,
+// and counts it as reported. It returns at most maxSpeedReports endpoints, those with most evidence.
 func (r *Router) DrainSpeeds() []SpeedReport {
 	if !r.hasUnsentSpeeds.Swap(false) {
 		return nil
@@ -116,7 +116,7 @@
 	}
 }
 
-// ApplySpeeds applies the reports of another entry and returns the number of those used. Invalid
+// ApplySpeeds applies the reports of another entry and returns how many of them were used. Invalid
 // reports and those about incarnations that this entry does not use are ignored.
 func (r *Router) ApplySpeeds(reports []SpeedReport, now time.Time) (used int) {
 	r.mu.RLock()
@@ -146,7 +146,8 @@
 	Least, Greatest float64
 }
 
-// SpeedSpreads returns the spread of each service, a target without a model, that has endpoints.
+// SpeedSpreads returns the spread of each service that has endpoints. Targets that also name a model
+// are left out.
 func (r *Router) SpeedSpreads() []SpeedSpread {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
--- a/pkg/route/work.go
+++ b/pkg/route/work.go
@@ -30,8 +30,8 @@
 	// were refused for lack of room, weighted by refusedWeight; offeredTime is that time and the
 	// time of all requests that were sent.
 	engineTime, offeredTime, refusedTime float64
-	// slotTime is the time for which requests hold a slot, tokenTime the tokens that they hold in
-	// memory multiplied by that time.
+	// slotTime is the time for which requests hold a slot, tokenTime the number of tokens that they
+	// hold in memory multiplied by that time. Both determine the need for endpoints, not the choice.
 	slotTime, tokenTime float64
 	updatedAt           time.Time
 	// hitShare is the share of prompt tokens that were estimated to be cached.
@@ -66,7 +66,7 @@
 	d.updatedAt = now
 }
 
-// add adds a request's work to the averages of the work itself.
+// add adds a request's work, multiplied by weight, to the averages of engine, slot and token time.
 func (d *demand) add(c cost, weight float64) {
 	weight /= demandWindow.Seconds()
 	d.engineTime += weight * c.engineTime
@@ -117,9 +117,10 @@
 	}
 }
 
-// countUnplaced counts the work of a request for which no endpoint was found. A request that was
-// sent before is counted already, and one that the rule of a roll-out keeps from endpoints with
-// room is sent to another version. The group's lock must be held.
+// countUnplaced counts the work of a request for which no endpoint was found. It does not count
+// requests that were sent before, as they are counted already, work that may wait, and requests
+// that only the rule of a roll-out keeps from an endpoint, as they are sent to another version.
+// The group's lock must be held.
 func (g *group) countUnplaced(q Query, now time.Time) {
 	if len(q.Avoid) > 0 || q.MayWait || q.Continues {
 		return
@@ -134,8 +135,8 @@
 	g.countUnsent(q, now)
 }
 
-// countUnsent counts the work of a request that was refused without a choice. The group's lock must
-// be held.
+// countUnsent counts the work of a request that was refused before an endpoint was chosen. The
+// group's lock must be held.
 func (g *group) countUnsent(q Query, now time.Time) {
 	uncached := int((1 - g.demand.hitShare) * float64(q.PromptTokens))
 	g.demand.addUnplaced(g.costOf(q, uncached), now)
@@ -157,8 +158,8 @@
 	if step == 0 {
 		step = f.TokenGap
 	}
-	// With the token gap instead of the step time, the prefill of other prompts would be counted
-	// with each answer, and the need would grow as the engines became fewer.
+	// The token gap also contains the prefill of other prompts, which would be counted again with
+	// each answer: the need would grow as the number of engines falls.
 	return time.Duration(uncached)*f.PrefillPerToken + time.Duration(answer)*step/batchSize
 }
 
--- a/pkg/scalesync/row.go
+++ b/pkg/scalesync/row.go
@@ -79,7 +79,7 @@
 	return max((c.storeNow - c.now.Sub(at)).Milliseconds(), 1)
 }
 
-// fromStore converts a time of the store. One in the future becomes the present time.
+// fromStore converts a time of the store. A time in the future becomes the present time.
 func (c converter) fromStore(ms int64) time.Time {
 	if ms == 0 {
 		return time.Time{}
@@ -151,8 +151,8 @@
 	return s, nil
 }
 
-// validate returns an error if a value is out of range: a row of another version or writer must
-// not lead to orders.
+// validate returns an error if a value is out of range, so that no order follows from a corrupt
+// row or one of another format.
 func (r row) validate() error {
 	if len(r.Pools) > maxItems || len(r.Lost) > maxItems {
 		return fmt.Errorf("scalesync: %d pools and %d losses, want at most %d each", len(r.Pools), len(r.Lost), maxItems)
--- a/pkg/scalesync/syncer.go
+++ b/pkg/scalesync/syncer.go
@@ -85,8 +85,8 @@
 }
 
 // Load returns the state that an earlier holder wrote. The result is false if this holder has
-// loaded it before, if there is none, or if it cannot be read: the caller then takes the
-// endpoints that serve as ordered.
+// loaded it before, if there is none, or if it cannot be used. In the last two cases the
+// caller counts the endpoints that serve as ordered.
 func (s *Syncer) Load(ctx context.Context, service string, grant lease.Grant) (autoscale.State, bool) {
 	e := &entry{condition: table.Absent{}}
 	if !s.addEntry(service, grant, e) || grant.First {
@@ -135,8 +135,8 @@
 	return true
 }
 
-// adopt makes the next write of an entry replace a row. The result is false if the row is of a
-// later holder: it is then left unchanged. A row of another format is replaced.
+// adopt makes the next write of an entry replace a row, also one of another format. The result is
+// false if a later holder wrote the row, which is then left unchanged.
 func (s *Syncer) adopt(service string, e *entry, stored table.Row, epoch int64) bool {
 	rowEpoch, err := decodeEpoch(stored.Value)
 	s.mu.Lock()
