Log whether a failed call used a new connection, and how long a configuration was unconfirmed

A call to the store or a relay that times out on a connection from the pool looked like one to a store that is away. Errors of these calls now name the connection: new, reused after an idle time, or none. "configuration in force" says how long the store had not answered about the configuration before.

--- a/pkg/relay/source.go
+++ b/pkg/relay/source.go
@@ -16,6 +16,7 @@
 	"github.com/phuslu/log"
 
 	"ironhollow/pkg/feed"
+	"ironhollow/pkg/httpx"
 	"ironhollow/pkg/pause"
 )
 
@@ -227,6 +228,7 @@
 	query.Set("lag", strconv.FormatInt(s.maxLag(name).Milliseconds(), 10))
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	ctx, connection := httpx.TraceConnection(ctx)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+relay+Path+"?"+query.Encode(), nil)
 	if err != nil {
 		return feed.Batch{}, err
@@ -234,7 +236,7 @@
 	request.Header.Set("Accept-Encoding", contentEncoding)
 	response, err := s.client.Do(request)
 	if err != nil {
-		return feed.Batch{}, err
+		return feed.Batch{}, connection.Wrap(err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode == http.StatusOK && response.Header.Get("Content-Encoding") == contentEncoding {
@@ -243,7 +245,7 @@
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	switch {
 	case err != nil:
-		return feed.Batch{}, err
+		return feed.Batch{}, connection.Wrap(err)
 	case response.StatusCode == http.StatusGone:
 		return feed.Batch{}, feed.ErrHistoryGone
 	case response.StatusCode != http.StatusOK:
--- a/pkg/routetable/holder.go
+++ b/pkg/routetable/holder.go
@@ -22,6 +22,16 @@
 	return &Holder{staleAfter: staleAfter, now: now}
 }
 
+// Unconfirmed returns the time since the store last answered about the configuration, 0 if it never
+// did.
+func (h *Holder) Unconfirmed() time.Duration {
+	confirmedAt := h.confirmedAt.Load()
+	if confirmedAt == 0 {
+		return 0
+	}
+	return h.now().Sub(time.Unix(0, confirmedAt))
+}
+
 // MarkConfirmed records that the store has just answered about the configuration, with or without a
 // change.
 func (h *Holder) MarkConfirmed() { h.confirmedAt.Store(h.now().UnixNano()) }
--- a/pkg/storeview/view.go
+++ b/pkg/storeview/view.go
@@ -254,6 +254,7 @@
 }
 
 func (v *View) applyConfiguration(batch feed.Batch) {
+	unconfirmed := v.routeTables.Unconfirmed()
 	v.routeTables.MarkConfirmed()
 	first := !v.configurationRead
 	v.configurationRead = true
@@ -271,7 +272,7 @@
 			continue
 		}
 		if v.routeTables.Adopt(spec) {
-			v.log.Info().Int64("version", spec.Version).Int64("row", row.Version).Int("routes", len(spec.Routes)).Int("teams", len(spec.Teams)).Msg("configuration in force")
+			v.log.Info().Int64("version", spec.Version).Int64("row", row.Version).Int("routes", len(spec.Routes)).Int("teams", len(spec.Teams)).Dur("unconfirmed", unconfirmed).Msg("configuration in force")
 		}
 	}
 }
