Ask other hosts for their state at a start and while the store does not confirm it

What callers saw: a host that started after a restore of the store, before the operator had written again, accepted a key that was out of force everywhere. A host that started while the store was away answered 503 until the store was back.

Cause: what a host knows at its start came from the store alone, though its peers know better, and nothing else was asked.

Change: package statetransfer. A host that starts asks others, two answers at least, for a newer configuration and for the runs of endpoints that have reported that they leave; it is ready once it has. If the store has not answered after 0.6 s, it asks for the rows of endpoints and hosts too, and goes by them until the store answers. Hosts that are not listed in the store are asked by the seeds of the settings: a restored store may lack their rows. A running host asks one other each second while the store does not confirm its configuration, and once after a restore. Hosts that have only just started do not answer, and the first start of a fleet asks nobody.

Why it works: a configuration's version and the end of an endpoint's run never go back, so the newest answer of any host is right whatever the store holds. Connections are always new ones, as those of the pool may be silent.

--- a/pkg/app/node/listen.go
+++ b/pkg/app/node/listen.go
@@ -12,6 +12,7 @@
 	"ironhollow/pkg/app/process"
 	"ironhollow/pkg/relay"
 	"ironhollow/pkg/roster"
+	"ironhollow/pkg/statetransfer"
 	"ironhollow/pkg/upstream"
 )
 
@@ -76,6 +77,7 @@
 func (n *node) peersHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+relay.Path, n.storeReplica)
+	mux.Handle("GET "+statetransfer.Path, statetransfer.NewServer(n.view, n.known))
 	return negroni.New(negroni.NewRecovery(), negroni.Wrap(mux))
 }
 
--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -34,6 +34,7 @@
 	"ironhollow/pkg/rolloutsync"
 	"ironhollow/pkg/route"
 	"ironhollow/pkg/scalesync"
+	"ironhollow/pkg/statetransfer"
 	"ironhollow/pkg/storecalls"
 	"ironhollow/pkg/storeclock"
 	"ironhollow/pkg/storeview"
@@ -72,6 +73,8 @@
 	// storeReplica is the replica of the store that other hosts follow through this host.
 	storeReplica         *relay.Replica
 	relayClient          peerClient
+	stateSyncer          *statetransfer.Syncer
+	known                readiness
 	view                 *storeview.View
 	router               *route.Router
 	loadSync             *loadsync.Sync
@@ -159,6 +162,7 @@
 	source := relay.NewSource(n.store, n.storeReplica, n.relayClient.Client, n.view.Relays, n.view.MaxRelayLag, n.view.IsAdvertised, n.log)
 	n.view.SetOrdersEndpoints(n.ordersEndpoints)
 	go n.follow(background, source)
+	go n.stateSyncer.Run(background, n.settings.FirstStart)
 	go n.runHeartbeat(background)
 	go n.sweepConnections(background)
 	go n.logCalls(background)
@@ -259,8 +263,8 @@
 		return errors.New("stopping")
 	case n.watchdog.Stalled() != nil:
 		return n.watchdog.Stalled()
-	case !n.view.Ready():
-		return errors.New("configuration, endpoints or hosts not known yet")
+	case !n.known():
+		return errors.New("configuration, endpoints or hosts not known yet, or other hosts not asked yet")
 	default:
 		return nil
 	}
--- a/pkg/app/node/providers.go
+++ b/pkg/app/node/providers.go
@@ -32,6 +32,7 @@
 	"ironhollow/pkg/roster"
 	"ironhollow/pkg/route"
 	"ironhollow/pkg/scalesync"
+	"ironhollow/pkg/statetransfer"
 	"ironhollow/pkg/storecalls"
 	"ironhollow/pkg/storeclock"
 	"ironhollow/pkg/storeview"
@@ -77,6 +78,21 @@
 	return storecalls.New(platform.Store(client.Client, s), registry)
 }
 
+// readiness reports whether this process knows enough to serve: what the store holds and, after a
+// restart, what the other hosts know beyond it.
+type readiness func() bool
+
+func newReadiness(view *storeview.View, syncer *statetransfer.Syncer) readiness {
+	return func() bool { return syncer.Asked() && view.Loaded() }
+}
+
+func newStateSyncer(view *storeview.View, s Settings, logger *log.Logger) *statetransfer.Syncer {
+	transport := newTransport()
+	transport.DisableKeepAlives, transport.DisableCompression = true, false
+	peers := func() []string { return view.Roster().LivePeerAddresses(s.Node) }
+	return statetransfer.NewSyncer(&http.Client{Transport: transport}, view, peers, s.SeedAddresses, logger)
+}
+
 // newReplica returns a replica that forwards a row of an endpoint only if its decoded content has
 // changed: a heartbeat only shows that the endpoint is alive, and the store removes a row that is
 // not renewed.
@@ -205,13 +221,13 @@
 }
 
 func newForwarder(platform Platform, view *storeview.View, location route.Location, router *route.Router, limiter *limit.CostLimiter, budget *retry.WindowBudget,
-	pool *upstream.Pool, counter *usage.Counter, rollouts *rollout.Splitter, watch *quarantine.Watch, noticeTracker *notice.Tracker, lifecycle *lifecycle, clock *storeclock.Clock, registry *prometheus.Registry, logger *log.Logger,
+	pool *upstream.Pool, counter *usage.Counter, rollouts *rollout.Splitter, watch *quarantine.Watch, noticeTracker *notice.Tracker, lifecycle *lifecycle, known readiness, clock *storeclock.Clock, registry *prometheus.Registry, logger *log.Logger,
 ) *forward.Forwarder {
-	// Once the view is ready, it stays ready.
+	// Once the process is ready, it stays ready.
 	var ready atomic.Bool
 	phase := func() forward.Phase {
 		if !ready.Load() {
-			if !view.Ready() {
+			if !known() {
 				return forward.Starting
 			}
 			limiter.FleetRestarted(view.IdleBeforeStart())
--- a/pkg/app/node/settings.go
+++ b/pkg/app/node/settings.go
@@ -35,7 +35,10 @@
 	CallerAddress, ReadyAddress, DirectoryAddress, AdminAddress string
 	// PeerAddress is the address for datagrams and relay connections from other hosts; it may be
 	// empty.
-	PeerAddress                string
+	PeerAddress string
+	// SeedAddresses are peer addresses of some other hosts, which may be outdated. They are asked if
+	// the store does not list the hosts at a start.
+	SeedAddresses              []string
 	StoreAddress, CloudAddress string
 	// MemoryLimitMB is the memory limit of the process, 0 for none.
 	MemoryLimitMB int
--- a/pkg/app/node/wire_gen.go
+++ b/pkg/app/node/wire_gen.go
@@ -26,6 +26,8 @@
 	location := newLocation(settings)
 	splitter := newSplitter(settings)
 	view := newView(platform, settings, clock, location, incarnation, splitter, logger)
+	syncer := newStateSyncer(view, settings, logger)
+	nodeReadiness := newReadiness(view, syncer)
 	router := newRouter(view, location, clock, settings)
 	sync := newLoadSync(router, view, incarnation)
 	costLimiter := newLimiter(settings, clock)
@@ -38,12 +40,12 @@
 	reconciler := newReconciler(nodeDutyCloud, logger)
 	demandTracker := autoscale.NewDemandTracker()
 	lossTracker := autoscale.NewLossTracker()
-	syncer := newScaleStates(writer, clock, logger)
+	scalesyncSyncer := newScaleStates(writer, clock, logger)
 	metrics := newScaleMetrics(registry)
 	windowBudget := newRetryBudget(settings)
 	watch := newQuarantineWatch(registry, logger)
 	tracker := newNoticeTracker(view, router, logger)
-	forwarder := newForwarder(platform, view, location, router, costLimiter, windowBudget, pool, counter, splitter, watch, tracker, nodeLifecycle, clock, registry, logger)
+	forwarder := newForwarder(platform, view, location, router, costLimiter, windowBudget, pool, counter, splitter, watch, tracker, nodeLifecycle, nodeReadiness, clock, registry, logger)
 	nodeRowState := &rowState{}
 	nodeFleetRole := &fleetRole{}
 	coordinator := newCoordinator(platform, splitter, view, writer, clock, manager, logger)
@@ -62,6 +64,8 @@
 		store:                countingStore,
 		storeReplica:         replica,
 		relayClient:          nodePeerClient,
+		stateSyncer:          syncer,
+		known:                nodeReadiness,
 		view:                 view,
 		router:               router,
 		loadSync:             sync,
@@ -73,7 +77,7 @@
 		leases:               manager,
 		serviceDemandTracker: demandTracker,
 		losses:               lossTracker,
-		scaleStates:          syncer,
+		scaleStates:          scalesyncSyncer,
 		scaleMetrics:         metrics,
 		forwarder:            forwarder,
 		registry:             registry,
--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -3,6 +3,7 @@
 package discovery
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -193,6 +194,36 @@
 	}
 }
 
+// Left returns the start times of the runs of endpoints that have reported that they leave, by ID.
+func (s *Syncer) Left() map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	left := maps.Clone(s.leftStartedAt)
+	for _, info := range s.directory.View().Infos() {
+		if info.State == endpoint.Leaving {
+			left[info.ID] = info.StartedMS
+		}
+	}
+	return left
+}
+
+// MarkLeft records that another host has received that a run of an endpoint leaves. The store may
+// have a row from before that, and it may list the endpoint only later.
+func (s *Syncer) MarkLeft(id string, startedMS int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leftStartedAt[id] = startedMS
+	info, known := s.directory.Get(id)
+	if !known || info.State != endpoint.Live || info.StartedMS != startedMS {
+		return
+	}
+	info.State, info.LeavingSince = endpoint.Leaving, s.now()
+	if merged, changed := s.directory.Merge(info); changed {
+		s.changes.stateChanged(info, merged.State, info.Counter)
+		s.changes.flush()
+	}
+}
+
 // hasRestarted reports whether an endpoint has restarted since its current state was received.
 func hasRestarted(current, received endpoint.Info) bool {
 	return current.StartedMS > 0 && received.StartedMS > current.StartedMS
--- a/pkg/roster/advertised.go
+++ b/pkg/roster/advertised.go
@@ -235,6 +235,19 @@
 	return r.peerAddresses(self)
 }
 
+// LivePeerAddresses returns the peer addresses of all live hosts but the given node.
+func (r *Roster) LivePeerAddresses(node string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var addresses []string
+	for _, m := range r.live() {
+		if m.row.Node != node && m.row.PeerAddress != "" {
+			addresses = append(addresses, m.row.PeerAddress)
+		}
+	}
+	return addresses
+}
+
 // peerAddresses implements PeerAddresses. The caller must hold r.mu.
 func (r *Roster) peerAddresses(self Host) (frequent, infrequent []string) {
 	frequentNodes := map[string]bool{}
--- a/pkg/storeview/relays_test.go
+++ b/pkg/storeview/relays_test.go
@@ -26,7 +26,7 @@
 type decoder struct{}
 
 func (decoder) Tables() storeview.Tables {
-	return storeview.Tables{Configuration: "configuration", Endpoints: "endpoints"}
+	return storeview.Tables{Configuration: "configuration", ConfigurationKey: "config", Endpoints: "endpoints", OrderPrefix: "order/"}
 }
 
 func (decoder) DecodeConfiguration([]byte) (routetable.Spec, error) { return routetable.Spec{}, nil }
--- a/pkg/storeview/view.go
+++ b/pkg/storeview/view.go
@@ -8,6 +8,7 @@
 	"errors"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +22,7 @@
 	"ironhollow/pkg/roster"
 	"ironhollow/pkg/route"
 	"ironhollow/pkg/routetable"
+	"ironhollow/pkg/statetransfer"
 	"ironhollow/pkg/storeclock"
 	"ironhollow/pkg/storeversion"
 )
@@ -94,6 +96,12 @@
 	idleBeforeStart atomic.Int64
 	// configurationRead is set once the configuration's table has been read.
 	configurationRead bool
+	// configuration is the configuration in force as it was received; nil if there is none.
+	configuration atomic.Pointer[statetransfer.Configuration]
+	// applyMu serializes batches of the feeds with the state of other hosts.
+	applyMu sync.Mutex
+	// rows are the rows of hosts and endpoints as they were received.
+	rows rowCache
 	// storeEra is the highest store era received, or 0 if none.
 	storeEra atomic.Int64
 	// ordersEndpoints reports whether this host orders endpoints at present; nil if it never does.
@@ -176,6 +184,11 @@
 		receive := func(batch feed.Batch) {
 			v.clock.Observe(batch.StoreTime)
 			v.recordEra(name, batch)
+			v.applyMu.Lock()
+			defer v.applyMu.Unlock()
+			if name != tables.Configuration {
+				v.rows.apply(name, batch)
+			}
 			apply(batch)
 		}
 		go feed.New(source, name, timing, receive, v.handleFeedResult).Run(ctx)
@@ -266,15 +279,24 @@
 		if row.Key != v.decoder.Tables().ConfigurationKey || row.Deleted {
 			continue
 		}
-		spec, err := v.decoder.DecodeConfiguration(row.Value)
-		if err != nil {
-			v.log.Error().Err(err).Int64("row", row.Version).Msg("failed to decode configuration")
-			continue
-		}
-		if v.routeTables.Adopt(spec) {
-			v.log.Info().Int64("version", spec.Version).Int64("row", row.Version).Int("routes", len(spec.Routes)).Int("teams", len(spec.Teams)).Dur("unconfirmed", unconfirmed).Msg("configuration in force")
-		}
+		v.adoptConfiguration(row, "store", unconfirmed)
+	}
+}
+
+// adoptConfiguration puts a configuration in force if it is newer than the current one. source
+// names where it was received from.
+func (v *View) adoptConfiguration(row feed.Row, source string, unconfirmed time.Duration) {
+	spec, err := v.decoder.DecodeConfiguration(row.Value)
+	if err != nil {
+		v.log.Error().Err(err).Int64("row", row.Version).Str("source", source).Msg("failed to decode configuration")
+		return
+	}
+	if !v.routeTables.Adopt(spec) {
+		return
 	}
+	v.configuration.Store(&statetransfer.Configuration{Version: spec.Version, Row: row})
+	v.log.Info().Int64("version", spec.Version).Int64("row", row.Version).Str("source", source).Int("routes", len(spec.Routes)).Int("teams", len(spec.Teams)).
+		Dur("unconfirmed", unconfirmed).Msg("configuration in force")
 }
 
 // recordEra records the highest store era received. It logs the era when it is first received and after
@@ -379,9 +401,9 @@
 	return idle - idleMargin
 }
 
-// Ready reports whether the configuration, the endpoints and the hosts are known, all of
+// Loaded reports whether the configuration, the endpoints and the hosts are known, all of
 // which are needed to serve.
-func (v *View) Ready() bool {
+func (v *View) Loaded() bool {
 	table, _ := v.routeTables.Current()
 	return table != nil && v.endpoints.Loaded() && v.roster.Loaded()
 }
