Use a new connection after a failed call to the store or a relay

Cause: a follower whose call to its relay had timed out after 1.7 s called the store on a connection of its pool that was just as silent, for 2.5 s of waiting and up to 3 s until the unacknowledged request failed; each further retry could take the next such connection.

Change: after a failed call the idle connections are closed. The first call to the store after a relay has failed waits for no changes.

--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -24,11 +25,16 @@
 	batch feed.Batch
 	err   error
 	calls int
+	// waits are the times for which calls for changes may wait.
+	waits []time.Duration
 }
 
 func (s *fakeStore) Snapshot(context.Context, string) (feed.Batch, error) { return s.call() }
 
-func (s *fakeStore) Changes(context.Context, string, int64, time.Duration) (feed.Batch, error) {
+func (s *fakeStore) Changes(_ context.Context, _ string, _ int64, wait time.Duration) (feed.Batch, error) {
+	s.mu.Lock()
+	s.waits = append(s.waits, wait)
+	s.mu.Unlock()
 	return s.call()
 }
 
@@ -218,6 +224,20 @@
 	}
 }
 
+// Guards against a follower that waits at the store for changes which it has missed at a silent relay.
+func TestStoreAnswersAtOnceAfterRelayFails(t *testing.T) {
+	direct := &fakeStore{batch: feed.Batch{Version: 99}}
+	source := newSource(direct, relay.NewReplica(time.Now, isRelevant), "127.0.0.1:1")
+	for range 2 {
+		if _, err := source.Changes(context.Background(), "t", 10, time.Second); err != nil {
+			t.Errorf("changes: got %v, want no error", err)
+		}
+	}
+	if want := []time.Duration{0, time.Second}; !slices.Equal(direct.waits, want) {
+		t.Errorf("waits at the store: got %v, want %v", direct.waits, want)
+	}
+}
+
 // Checks that irrelevant row updates are not sent as changes but are in snapshots, and that a row
 // that is deleted and written again is sent.
 func TestOnlyNewsIsPassedOn(t *testing.T) {
--- a/pkg/relay/source.go
+++ b/pkg/relay/source.go
@@ -128,6 +128,9 @@
 		}
 		s.markFailed(relay, err, time.Since(sentAt))
 		relay, isRelay = s.pickRelay()
+		// The table is already out of date by the time that the relay took, so an answer is needed
+		// at once. It also shows sooner whether the connection to the store is silent too.
+		wait = 0
 	}
 	if isRelay && s.replica.Version(name) != after {
 		// This host followed relays so far, and those changes are not in its replica.
@@ -223,6 +226,8 @@
 	s.log.Warn().Str("relay", relay).Err(err).Dur("after", elapsed).Msg("relay failed; skipping it")
 }
 
+// fetch makes one request to a relay. If it fails, the next one uses a new connection, as in calls to
+// the store.
 func (s *Source) fetch(ctx context.Context, relay, name string, query url.Values, timeout time.Duration) (feed.Batch, error) {
 	query.Set("table", name)
 	query.Set("lag", strconv.FormatInt(s.maxLag(name).Milliseconds(), 10))
@@ -236,6 +241,7 @@
 	request.Header.Set("Accept-Encoding", contentEncoding)
 	response, err := s.client.Do(request)
 	if err != nil {
+		s.client.CloseIdleConnections()
 		return feed.Batch{}, connection.Wrap(err)
 	}
 	defer func() { _ = response.Body.Close() }()
@@ -245,6 +251,7 @@
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	switch {
 	case err != nil:
+		s.client.CloseIdleConnections()
 		return feed.Batch{}, connection.Wrap(err)
 	case response.StatusCode == http.StatusGone:
 		return feed.Batch{}, feed.ErrHistoryGone
