--- a/pkg/app/node/providers.go
+++ b/pkg/app/node/providers.go
@@ -48,12 +48,10 @@
 	storeCallTimeout = time.Second
 	// unackedTimeout is how long sent bytes may stay unacknowledged before the connection fails.
 	unackedTimeout = 3 * time.Second
-	// controlUnackedTimeout replaces unackedTimeout, and controlProbeIdle and controlProbeInterval are
-	// the timing of keep-alive probes, on connections to the platform and to other hosts. A feed
-	// whose connection falls silent must be back within the time in which a change has to apply.
+	// controlUnackedTimeout replaces unackedTimeout on connections to the platform and to other hosts.
+	// A feed whose connection falls silent must be back within the time in which a change has to
+	// apply.
 	controlUnackedTimeout = 2 * time.Second
-	controlProbeIdle      = time.Second
-	controlProbeInterval  = 500 * time.Millisecond
 )
 
 // initialEngineSpeed is used until an engine's speed has been measured from its answers: a large
@@ -262,7 +260,7 @@
 func newTransport() *http.Transport {
 	dialer := &net.Dialer{
 		Timeout:         storeCallTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: controlProbeIdle, Interval: controlProbeInterval, Count: 3},
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3},
 		Control:         upstream.ControlUserTimeout(controlUnackedTimeout),
 	}
 	return &http.Transport{
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"time"
 
+	"ironhollow/pkg/httpx"
 	"ironhollow/pkg/pause"
 )
 
@@ -66,7 +67,7 @@
 	// PollDelay is the delay between a response and the next call, so that the changes of a busy
 	// table are read in batches. There is none after a long batch.
 	PollDelay func() time.Duration
-	// RetryDelay is the mean delay after a failure. The actual delay is random, between 0.5 and
+	// RetryDelay is the mean delay after a failure, except the first one on a reused connection. The actual delay is random, between 0.5 and
 	// 1.5 times this value, so that nodes do not reconnect at the same time.
 	RetryDelay time.Duration
 }
@@ -94,6 +95,8 @@
 		if err != nil {
 			err = fmt.Errorf("after version %d: %w", version, err)
 		}
+		var reused *httpx.ReusedConnectionError
+		retryNow := !failed && errors.As(err, &reused)
 		failed = err != nil
 		if ctx.Err() != nil {
 			return
@@ -104,6 +107,8 @@
 		case errors.Is(err, ErrHistoryGone):
 			version = -1
 			delay = 0
+		case retryNow:
+			delay = 0
 		case err != nil:
 			delay = f.timing.RetryDelay/2 + rand.N(f.timing.RetryDelay)
 		default:
--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"ironhollow/pkg/feed"
+	"ironhollow/pkg/httpx"
 )
 
 var errUnavailable = errors.New("the store is unavailable")
@@ -138,3 +139,20 @@
 		t.Errorf("%d long responses: got read in %v, want within %v", pages, got, want)
 	}
 }
+
+// Guards against feeds that wait before they repeat a call that failed on a silent connection of the pool.
+func TestFailureOnReusedConnectionIsRetriedAtOnce(t *testing.T) {
+	reused := &httpx.ReusedConnectionError{Err: errUnavailable}
+	s := &store{done: make(chan struct{}), responses: []response{
+		{batch: feed.Batch{Version: 5}}, {err: reused}, {batch: feed.Batch{Version: 6}}, {err: reused}, {batch: feed.Batch{Version: 7}},
+	}}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	none := func() time.Duration { return 0 }
+	go feed.New(s, "t", feed.Timing{PollTimeout: none, PollDelay: none, RetryDelay: time.Hour}, func(feed.Batch) {}, func(string, error) {}).Run(ctx)
+	select {
+	case <-s.done:
+	case <-time.After(10 * time.Second):
+		t.Errorf("calls: got %d within 10 s, want 5", len(s.requestedAfter))
+	}
+}
--- a/pkg/httpx/connection.go
+++ b/pkg/httpx/connection.go
@@ -23,8 +23,24 @@
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { t.conn.Store(&info) }}), t
 }
 
-// Wrap adds to an error of the call whether its connection was new. A call that times out on a
-// connection from the pool does not show that the other host is unavailable.
+// ReusedConnectionError is the error of a call on a connection from the pool. It does not show that the
+// other host is unavailable, as the connection may have fallen silent or been closed.
+type ReusedConnectionError struct {
+	Err error
+	// IdleTime is how long the connection had not been used.
+	IdleTime time.Duration
+}
+
+// Error returns the text of the underlying error with the idle time.
+func (e *ReusedConnectionError) Error() string {
+	return fmt.Sprintf("%v (connection reused after %v)", e.Err, e.IdleTime.Round(connectionIdleUnit))
+}
+
+// Unwrap returns the underlying error.
+func (e *ReusedConnectionError) Unwrap() error { return e.Err }
+
+// Wrap adds to an error of the call which connection it used, as a *ReusedConnectionError if that was
+// not a new one.
 func (t *ConnectionTrace) Wrap(err error) error {
 	conn := t.conn.Load()
 	switch {
@@ -33,7 +49,7 @@
 	case conn == nil:
 		return fmt.Errorf("%w (no connection)", err)
 	case conn.Reused:
-		return fmt.Errorf("%w (connection reused after %v)", err, conn.IdleTime.Round(connectionIdleUnit))
+		return &ReusedConnectionError{Err: err, IdleTime: conn.IdleTime}
 	default:
 		return fmt.Errorf("%w (new connection)", err)
 	}
