httpx: renew connections in the transport, also on those to the cloud

The same fault on another path: calls to the cloud API share the client of the store, but a failed one left the pool's other connections in use. The transport of calls to the platform and to other hosts now closes them after any failure that is not the caller's own, also one while a body is read; the store's client and the relay's source need no code for it. TestConnectionsAreRenewedAfterFailure covers both kinds and calls that are given up.

--- a/pkg/app/node/providers.go
+++ b/pkg/app/node/providers.go
@@ -19,6 +19,7 @@
 	"ironhollow/pkg/forward"
 	"ironhollow/pkg/gossip"
 	"ironhollow/pkg/hazard"
+	"ironhollow/pkg/httpx"
 	"ironhollow/pkg/lease"
 	"ironhollow/pkg/limit"
 	"ironhollow/pkg/loadsync"
@@ -70,9 +71,13 @@
 	peerClient  struct{ *http.Client }
 )
 
-func newStoreClient() storeClient { return storeClient{&http.Client{Transport: newTransport()}} }
+func newStoreClient() storeClient {
+	return storeClient{&http.Client{Transport: httpx.NewRenewingTransport(newTransport())}}
+}
 
-func newPeerClient() peerClient { return peerClient{&http.Client{Transport: newTransport()}} }
+func newPeerClient() peerClient {
+	return peerClient{&http.Client{Transport: httpx.NewRenewingTransport(newTransport())}}
+}
 
 func newLogger(s Settings) *log.Logger { return process.NewAsyncLogger(os.Stdout, s.Node) }
 
--- a/pkg/httpx/connection_test.go
+++ b/pkg/httpx/connection_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -57,3 +60,54 @@
 		}
 	}
 }
+
+// Guards against calls that are repeated on the other connections of a pool after one broke off its response.
+func TestConnectionsAreRenewedAfterFailure(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/broken":
+			// The other call ends first, so that its connection is idle.
+			time.Sleep(50 * time.Millisecond)
+			w.Header().Set("Content-Length", "10")
+			_, _ = w.Write([]byte("half"))
+		case "/slow":
+			<-r.Context().Done()
+		}
+	}))
+	t.Cleanup(server.Close)
+	client := &http.Client{Transport: httpx.NewRenewingTransport(&http.Transport{})}
+	// call makes a call beside which connections are kept idle, and reports whether it reused one.
+	call := func(ctx context.Context, path string) (reused bool) {
+		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused = info.Reused }})
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, server.URL+path, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if response, err := client.Do(request); err == nil {
+			_, _ = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+		}
+		return reused
+	}
+	background := context.Background()
+	for _, c := range []struct {
+		path       string
+		cancels    bool
+		wantReused bool
+	}{{"/", false, true}, {"/broken", false, false}, {"/slow", false, false}, {"/slow", true, true}} {
+		call(background, "/")
+		ctx, cancel := context.WithTimeout(background, 100*time.Millisecond)
+		if c.cancels {
+			time.AfterFunc(20*time.Millisecond, cancel)
+		}
+		var failing sync.WaitGroup
+		failing.Go(func() { call(ctx, c.path) })
+		time.Sleep(10 * time.Millisecond)
+		call(background, "/")
+		failing.Wait()
+		if got := call(background, "/"); got != c.wantReused {
+			t.Errorf("%+v: got next call on a reused connection %v, want %v", c, got, c.wantReused)
+		}
+		cancel()
+	}
+}
--- a/pkg/relay/source.go
+++ b/pkg/relay/source.go
@@ -226,8 +226,6 @@
 	s.log.Warn().Str("relay", relay).Err(err).Dur("after", elapsed).Msg("relay failed; skipping it")
 }
 
-// fetch makes one request to a relay. If it fails, the next one uses a new connection, as in calls to
-// the store.
 func (s *Source) fetch(ctx context.Context, relay, name string, query url.Values, timeout time.Duration) (feed.Batch, error) {
 	query.Set("table", name)
 	query.Set("lag", strconv.FormatInt(s.maxLag(name).Milliseconds(), 10))
@@ -241,7 +239,6 @@
 	request.Header.Set("Accept-Encoding", contentEncoding)
 	response, err := s.client.Do(request)
 	if err != nil {
-		s.client.CloseIdleConnections()
 		return feed.Batch{}, connection.Wrap(err)
 	}
 	defer func() { _ = response.Body.Close() }()
@@ -251,7 +248,6 @@
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	switch {
 	case err != nil:
-		s.client.CloseIdleConnections()
 		return feed.Batch{}, connection.Wrap(err)
 	case response.StatusCode == http.StatusGone:
 		return feed.Batch{}, feed.ErrHistoryGone
