--- a/pkg/httpx/connection_test.go
+++ b/pkg/httpx/connection_test.go
@@ -15,7 +15,7 @@
 	"ironhollow/pkg/httpx"
 )
 
-// Guards against errors of calls that do not tell a silent connection from an unavailable server.
+// Guards against errors of calls that look the same for a silent connection and an unavailable server.
 func TestErrorTellsWhetherConnectionWasReused(t *testing.T) {
 	silent := make(chan struct{})
 	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
@@ -76,7 +76,7 @@
 	}))
 	t.Cleanup(server.Close)
 	client := &http.Client{Transport: httpx.NewRenewingTransport(&http.Transport{})}
-	// call makes a call beside which connections are kept idle, and reports whether it reused one.
+	// call makes a call and reports whether it reused a connection.
 	call := func(ctx context.Context, path string) (reused bool) {
 		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused = info.Reused }})
 		request, err := http.NewRequestWithContext(ctx, http.MethodGet, server.URL+path, nil)
