upstream: do not count an early response as one that broke off

A response that arrives before the request is written whole, or whose connection must not be reused, set the same flag as a response that cannot be read. If the caller then left while the response was passed on, the failed write counted against the endpoint, as one that breaks off its answers.

IsBroken now says only whether reading has failed; the connection is still not reused. TestEarlyResponseIsNotBroken fails before ("broken true").

--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -19,8 +19,10 @@
 	// false if that has happened.
 	stopCancel func() bool
 	response   *http.Response
-	broken     bool
-	closed     bool
+	// readFailed is set once reading the response has failed, keepsNoConnection if the connection must
+	// not be reused for another reason.
+	readFailed, keepsNoConnection bool
+	closed                        bool
 }
 
 // Status returns the status code of the response.
@@ -43,7 +45,7 @@
 func (e *Exchange) Read(p []byte) (int, error) {
 	n, err := e.response.Body.Read(p)
 	if err != nil && !isEOF(err) {
-		e.broken = true
+		e.readFailed = true
 	}
 	if isEOF(err) {
 		e.response.Body = http.NoBody
@@ -51,12 +53,11 @@
 	return n, err
 }
 
-// IsBroken reports whether reading the response has failed, or the connection must not be reused
-// for another reason.
-func (e *Exchange) IsBroken() bool { return e.broken }
+// IsBroken reports whether reading the response has failed.
+func (e *Exchange) IsBroken() bool { return e.readFailed }
 
 // DisableReuse prevents the connection from being used for another request.
-func (e *Exchange) DisableReuse() { e.broken = true }
+func (e *Exchange) DisableReuse() { e.keepsNoConnection = true }
 
 // Close returns the connection to the pool if the response was read completely. Otherwise it
 // closes the connection, by which the endpoint notices that it may stop.
@@ -80,7 +81,7 @@
 
 // reusable reports whether the connection can be used for another request.
 func (e *Exchange) reusable() bool {
-	if e.broken || e.response == nil || e.response.Close || e.conn.reader.Buffered() > 0 {
+	if e.readFailed || e.keepsNoConnection || e.response == nil || e.response.Close || e.conn.reader.Buffered() > 0 {
 		return false
 	}
 	return e.response.Body == http.NoBody
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -166,11 +166,11 @@
 		if written > 0 && ctx.Err() == nil {
 			_ = c.SetReadDeadline(time.Now().Add(earlyResponseTimeout))
 			if e.readHead(request.Method) == nil {
-				e.broken = true
+				e.DisableReuse()
 				return Answered{e}
 			}
 		}
-		e.broken = true
+		e.DisableReuse()
 		e.Close()
 		if written == 0 {
 			return NotSent{err}
@@ -178,7 +178,7 @@
 		return MaybeSent{err}
 	}
 	if err := e.readHead(request.Method); err != nil {
-		e.broken = true
+		e.DisableReuse()
 		e.Close()
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
--- a/pkg/upstream/pool_test.go
+++ b/pkg/upstream/pool_test.go
@@ -275,6 +275,41 @@
 	}
 }
 
+// Guards against endpoints that are blamed for callers that leave: an early response is whole, though its connection is not reused.
+func TestEarlyResponseIsNotBroken(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")
+		}
+	}()
+	pool := upstream.New(time.Second)
+	for want := int64(1); want <= 2; want++ {
+		outcome := pool.Send(context.Background(), listener.Addr().String(), 0, upstream.Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
+		o, ok := outcome.(upstream.Answered)
+		if !ok {
+			t.Fatalf("outcome: got %T, want Answered", outcome)
+		}
+		o.Exchange.DisableReuse()
+		if body, err := io.ReadAll(o.Exchange); string(body) != "body" || err != nil || o.Exchange.IsBroken() {
+			t.Errorf("response: got %q, %v, broken %v, want the whole body", body, err, o.Exchange.IsBroken())
+		}
+		o.Exchange.Close()
+		if got := pool.Dials(); got != want {
+			t.Errorf("connections: got %d, want %d", got, want)
+		}
+	}
+}
+
 // An endpoint may respond and close the connection before it has read a long body.
 func TestEarlyResponseToLongBody(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
