route: choose the destination of a move as any other endpoint

A request whose cache has been moved went on at the destination although the request avoids it, its release is not allowed or it is ejected, and the send was not recorded: the next request with the same prompt did not find the moved cache, and the router did not see a use of the endpoint. ChooseAt now applies the same conditions as Choose and records the send. A caller saw one more failed attempt before its answer. TestDestinationOfMoveMustBeUsable and TestRequestAtDestinationOfMoveIsRecorded fail before. No platform path calls it: streams of the product's own interface do.

--- a/pkg/route/feedback.go
+++ b/pkg/route/feedback.go
@@ -261,17 +261,16 @@
 	if !known || s.group != g || s.info.Ref() != ref {
 		return Choice{}, false, false
 	}
-	if now.Before(s.load.backoff.requestedUntil) || !s.load.allows(r.limitHosts(), now) {
+	q.hosts = r.limitHosts()
+	waiting := q
+	waiting.MayWait = false
+	if !g.usable(s, waiting, now) {
 		return Choice{}, false, false
 	}
-	if q.MayWait && !s.load.hasRoomForMayWait(q.reportOnly) {
+	if !g.usable(s, q, now) {
 		return Choice{}, false, true
 	}
-	s.load.take()
-	s.load.sentSinceReport++
-	s.load.localRunning++
-	r.inFlight.Add(1)
-	return Choice{Endpoint: s.info, sentAt: now}, true, false
+	return r.take(q, Choice{Endpoint: s.info, sentAt: now}, s), true, false
 }
 
 // Lookup returns the directory's information on an endpoint.
