discovery: keep the latest run of an endpoint that has left

The state of a host that knows only an earlier run of an endpoint replaced the record that a later run has left, so that a late row of that run would have brought the endpoint back. Seen in reading; TestLatestEndOfEndpointIsKept fails without the change.

Hosts that ask others because the store does not answer log it only if it brought a newer configuration: it was one line a second for the time of an outage.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -212,7 +212,7 @@
 func (s *Syncer) MarkLeft(id string, startedMS int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.leftStartedAt[id] = startedMS
+	s.leftStartedAt[id] = max(s.leftStartedAt[id], startedMS)
 	info, known := s.directory.Get(id)
 	if !known || info.State != endpoint.Live || info.StartedMS != startedMS {
 		return
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -67,8 +67,9 @@
 	// PollDelay is the delay between a response and the next call, so that the changes of a busy
 	// table are read in batches. There is none after a long batch.
 	PollDelay func() time.Duration
-	// RetryDelay is the mean delay after a failure, except the first one on a reused connection. The actual delay is random, between 0.5 and
-	// 1.5 times this value, so that nodes do not reconnect at the same time.
+	// RetryDelay is the mean delay after a failure. The actual delay is random, between 0.5 and
+	// 1.5 times this value, so that nodes do not reconnect at the same time. There is none after
+	// the first failure on a reused connection, which shows nothing about the store.
 	RetryDelay time.Duration
 }
 
--- a/pkg/statetransfer/syncer.go
+++ b/pkg/statetransfer/syncer.go
@@ -135,8 +135,12 @@
 		answered += s.askGroup(ctx, group, enough-answered, withTables)
 	}
 	after := s.view.ConfigurationVersion()
+	level := log.DebugLevel
+	if !s.Asked() || after != before {
+		level = log.InfoLevel
+	}
 	if asked > 0 {
-		s.log.Info().Int("asked", asked).Int("answered", answered).Bool("tables", withTables).Int64("version", after).Int64("previous", before).
+		s.log.WithLevel(level).Int("asked", asked).Int("answered", answered).Bool("tables", withTables).Int64("version", after).Int64("previous", before).
 			Dur("took", time.Since(started)).Msg("asked other hosts for their state")
 	}
 }
--- a/pkg/storeview/transfer_test.go
+++ b/pkg/storeview/transfer_test.go
@@ -137,3 +137,16 @@
 		checkKnown(t, "after the rows of a second host", view, 5, true)
 	})
 }
+
+// Guards against an endpoint that is used again because a host knows only of the end of its earlier run.
+func TestLatestEndOfEndpointIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		earlier, later := follow(t, "earlier", newStore("5", "leaving 900")), follow(t, "later", newStore("5", "leaving 1000"))
+		view := follow(t, "starting", store{})
+		for _, peer := range []*storeview.View{later, earlier} {
+			view.Apply(peer.State(0, false))
+		}
+		view.EndpointSyncer().Apply(newStore("5", "live 1000")["endpoints"])
+		checkKnown(t, "late row of the later run", view, 5, false)
+	})
+}
