job: let an unusable job not keep the others of its owner from being taken over

A job whose row cannot be decoded, or whose row or body is missing, ended the take-over of a lost owner's jobs: those with later deadlines and those of its further owners stayed with nobody, and the entry did not log why. Reconcile stopped at it in the same way.

Such errors are typed now (job.UnusableError). Recover, RecoverAll and Reconcile go on with the other jobs and name the unusable ones in their error; the entry logs it and goes on with the other owners. The job itself stays owned by the lost owner and the lost host does not count as recovered. A failure of the store still ends the call.

--- a/pkg/app/entry/loops.go
+++ b/pkg/app/entry/loops.go
@@ -269,6 +269,9 @@
 		}
 		taken, remaining, err := a.worker.Recover(ctx, owner, job.Shard{Index: rank, Count: shardCount})
 		if err != nil {
+			a.log.Warn().Err(err).Str("owner", owner).Int("jobs", taken).Msg("not all jobs taken over")
+		}
+		if err != nil && !job.IsUnusable(err) {
 			return
 		}
 		left += taken + remaining
--- a/pkg/app/entry/run.go
+++ b/pkg/app/entry/run.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"crypto/tls"
 	"net/http"
 	"time"
 
 	"ironhollow/pkg/app/process"
 	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/job"
 	"ironhollow/pkg/membership"
 	"ironhollow/pkg/pause"
 	"ironhollow/pkg/peer"
@@ -173,6 +175,7 @@
 	if err != nil {
 		return err
 	}
+	var unusable error
 	for _, owner := range owners {
 		if membership.IncarnationOfOwner(owner) >= a.self.Incarnation {
 			continue
@@ -181,11 +184,13 @@
 		if taken > 0 {
 			a.log.Info().Str("owner", owner).Int("jobs", taken).Msg("jobs of an earlier incarnation taken over")
 		}
-		if err != nil {
+		if job.IsUnusable(err) {
+			unusable = errors.Join(unusable, err)
+		} else if err != nil {
 			return err
 		}
 	}
-	return nil
+	return unusable
 }
 
 // requestDrain requests a drain. It may be called more than once.
--- a/pkg/job/recover.go
+++ b/pkg/job/recover.go
@@ -24,8 +24,10 @@
 
 // Recover examines up to recoverPageSize jobs of a lost owner, earliest deadline first, takes
 // over those in the shard and adds them to the worker. It returns how many it took over and
-// how many of the examined ones remain for other entries or another call.
+// how many of the examined ones remain for other entries or another call. Jobs that cannot be used
+// remain and are named in the error.
 func (w *Worker) Recover(ctx context.Context, lost string, shard Shard) (taken, remaining int, err error) {
+	var unusable error
 	ids, err := w.store.OwnedBy(ctx, lost, recoverPageSize)
 	if err != nil {
 		return 0, 0, err
@@ -41,11 +43,20 @@
 			w.Add(j)
 			taken++
 		case errors.Is(err, ErrTakenOver):
+		case IsUnusable(err):
+			unusable = errors.Join(unusable, err)
+			remaining++
 		default:
-			return taken, remaining + len(ids) - i, err
+			return taken, remaining + len(ids) - i, errors.Join(unusable, err)
 		}
 	}
-	return taken, remaining, nil
+	return taken, remaining, unusable
+}
+
+// IsUnusable reports whether an error concerns only jobs that cannot be used, or names some of them.
+func IsUnusable(err error) bool {
+	var unusable *UnusableError
+	return errors.As(err, &unusable)
 }
 
 // RecoverAll takes over all jobs of a lost owner and returns how many.
@@ -54,7 +65,7 @@
 	for {
 		taken, _, err := w.Recover(ctx, lost, Shard{Count: 1})
 		total += taken
-		if err != nil || taken == 0 {
+		if err != nil && !IsUnusable(err) || taken == 0 {
 			return total, err
 		}
 	}
@@ -67,6 +78,7 @@
 	if err != nil {
 		return 0, err
 	}
+	var unusable error
 	added := 0
 	missing := map[string]bool{}
 	for _, id := range ids {
@@ -80,17 +92,21 @@
 			continue
 		}
 		j, err := w.store.TakeOver(ctx, id, w.owner, w.owner)
+		if IsUnusable(err) {
+			unusable = errors.Join(unusable, err)
+			continue
+		}
 		if errors.Is(err, ErrTakenOver) {
 			continue
 		}
 		if err != nil {
-			return added, err
+			return added, errors.Join(unusable, err)
 		}
 		w.Add(j)
 		added++
 	}
 	w.setMissing(missing)
-	return added, nil
+	return added, unusable
 }
 
 // RequestReconcile makes ReconcileIfRequested call Reconcile for the next rounds. It is called
--- a/pkg/job/recover_test.go
+++ b/pkg/job/recover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -12,6 +13,7 @@
 	"ironhollow/pkg/job"
 	"ironhollow/pkg/standin/objects"
 	"ironhollow/pkg/standin/tables"
+	"ironhollow/pkg/table"
 )
 
 // Guards against a second run of a job that Reconcile finds while it waits for its rerun.
@@ -88,3 +90,33 @@
 		}
 	})
 }
+
+// Guards against a row that cannot be read and so keeps the jobs behind it from being taken over or run.
+func TestUnusableJobDoesNotBlockOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const jobs = 12
+		rows, bodies, g := tables.New(), objects.New(), newGenerator(time.Hour)
+		lost, survivor := newEntry("n1@1", rows, bodies, g), newEntry("n2@1", rows, bodies, g)
+		defer survivor.kill()
+		var first string
+		for i := range jobs {
+			accepted, _, err := lost.accept(fmt.Sprint("k", i), `"b"`, time.Hour+time.Duration(i)*time.Second)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if i == 0 {
+				first = accepted.ID
+			}
+		}
+		lost.kill()
+		corrupt := table.Commit{Token: table.Token{Writer: "t", Sequence: 1}, Writes: []table.Write{{Key: "job/" + first, Value: []byte("not a row"), If: table.Always{}}}}
+		if _, ok := rows.Commit(context.Background(), corrupt).(table.Committed); !ok {
+			t.Fatal("corrupt row: got not committed")
+		}
+		taken, err := survivor.worker.RecoverAll(context.Background(), "n1@1")
+		var unusable *job.UnusableError
+		if taken != jobs-1 || !errors.As(err, &unusable) || unusable.ID != first {
+			t.Errorf("got %d taken over, error %v; want %d and an error that names %s", taken, err, jobs-1, first)
+		}
+	})
+}
--- a/pkg/job/store.go
+++ b/pkg/job/store.go
@@ -138,11 +138,11 @@
 		return Job{}, err
 	}
 	if !ok {
-		return Job{}, unknownJobError(id)
+		return Job{}, &UnusableError{ID: id, Err: unknownJobError(id)}
 	}
 	stored, j, err := decodeRow(row)
 	if err != nil {
-		return Job{}, err
+		return Job{}, &UnusableError{ID: id, Err: err}
 	}
 	if j.State != Accepted || j.Owner != from {
 		return Job{}, takenOverError(id)
@@ -166,11 +166,24 @@
 func (s *Store) body(ctx context.Context, id string) ([]byte, error) {
 	data, ok, err := s.objects.Get(ctx, bodyObjectKey(id))
 	if err == nil && !ok {
-		err = fmt.Errorf("body of job %s is missing", id)
+		err = &UnusableError{ID: id, Err: errors.New("the body is missing")}
 	}
 	return data, err
 }
 
+// UnusableError says that a job's row or body cannot be used, so that nobody can run the job. It does
+// not concern other jobs.
+type UnusableError struct {
+	ID  string
+	Err error
+}
+
+// Error returns the text of the underlying error with the job's ID.
+func (e *UnusableError) Error() string { return fmt.Sprintf("job %s cannot be used: %v", e.ID, e.Err) }
+
+// Unwrap returns the underlying error.
+func (e *UnusableError) Unwrap() error { return e.Err }
+
 // replace writes a job's row together with extra rows, if the row still has the version in j.
 func (s *Store) replace(ctx context.Context, j *Job, stored storedJob, extra ...table.Write) error {
 	writes := append([]table.Write{{Key: rowKey(j.ID), Value: encodeRow(stored), If: table.AtVersion{Version: j.version}}}, extra...)
