--- a/pkg/app/entry/run.go
+++ b/pkg/app/entry/run.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"crypto/tls"
+	"errors"
 	"net/http"
 	"time"
 
