--- a/pkg/storeview/transfer_test.go
+++ b/pkg/storeview/transfer_test.go
@@ -150,3 +150,19 @@
 		checkKnown(t, "late row of the later run", view, 5, false)
 	})
 }
+
+// Guards against hosts that cannot serve after a start because the backup has a configuration that cannot be decoded.
+func TestStateOfPeersReplacesInvalidConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peer := follow(t, "peer", newStore("5", "live 1000"))
+		view := follow(t, "starting", newStore("no version", "live 1000"))
+		if view.Loaded() {
+			t.Fatal("invalid configuration: got loaded, want not loaded")
+		}
+		view.Apply(peer.State(view.ConfigurationVersion(), false))
+		if !view.Loaded() {
+			t.Error("after asking: got not loaded, want loaded")
+		}
+		checkKnown(t, "after asking", view, 5, true)
+	})
+}
