relay: hold the response timeout of the store, review of names

Change: httpx.WithResponseTimeout ends a call whose response has not begun, and relay.Source, which all feeds go through, sets the bound of 0.5 s. Leaving, LeavingEndpoint, MarkLeaving and noReuse replace Left, LeftEndpoint, MarkLeft and keepsNoConnection; nothing on the wire, in settings or in logs has another name. Two job tests share their setup.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -194,8 +194,8 @@
 	}
 }
 
-// Left returns the start times of the runs of endpoints that have reported that they leave, by ID.
-func (s *Syncer) Left() map[string]int64 {
+// Leaving returns the start times of the runs of endpoints that have reported that they leave, by ID.
+func (s *Syncer) Leaving() map[string]int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	left := maps.Clone(s.leftStartedAt)
@@ -207,9 +207,9 @@
 	return left
 }
 
-// MarkLeft records that another host has received that a run of an endpoint leaves. The store may
+// MarkLeaving records that another host has received that a run of an endpoint leaves. The store may
 // have a row from before that, and it may list the endpoint only later.
-func (s *Syncer) MarkLeft(id string, startedMS int64) {
+func (s *Syncer) MarkLeaving(id string, startedMS int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leftStartedAt[id] = max(s.leftStartedAt[id], startedMS)
--- a/pkg/httpx/connection.go
+++ b/pkg/httpx/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -11,6 +12,21 @@
 // connectionIdleUnit is the unit to which idle times are rounded in errors.
 const connectionIdleUnit = 10 * time.Millisecond
 
+// ErrNoResponse is the cause of the end of a call whose response has not begun in time.
+var ErrNoResponse = errors.New("httpx: no response in time")
+
+// WithResponseTimeout returns a context for one call that ends unless the response begins within the
+// timeout. The body may take longer to arrive. stop must be called after the call.
+func WithResponseTimeout(ctx context.Context, timeout time.Duration) (limited context.Context, stop func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(timeout, func() { cancel(ErrNoResponse) })
+	limited = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { timer.Stop() }})
+	return limited, func() {
+		timer.Stop()
+		cancel(nil)
+	}
+}
+
 // ConnectionTrace records which connection a call uses. It is safe for concurrent use.
 type ConnectionTrace struct {
 	// conn is nil until the call has a connection.
--- a/pkg/httpx/connection_test.go
+++ b/pkg/httpx/connection_test.go
@@ -16,7 +16,7 @@
 )
 
 // Guards against errors of calls that look the same for a silent connection and an unavailable server.
-func TestErrorTellsWhetherConnectionWasReused(t *testing.T) {
+func TestErrorStatesWhetherConnectionWasReused(t *testing.T) {
 	silent := make(chan struct{})
 	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/silent" {
--- a/pkg/job/recover_test.go
+++ b/pkg/job/recover_test.go
@@ -48,11 +48,7 @@
 		rows, bodies, g := tables.New(), objects.New(), newGenerator(time.Hour)
 		lost, survivor := newEntry("n1@1", rows, bodies, g), newEntry("n2@1", rows, bodies, g)
 		defer survivor.kill()
-		for i := range jobs {
-			if _, _, err := lost.accept(fmt.Sprint("k", i), `"b"`, time.Hour+time.Duration(i)*time.Second); err != nil {
-				t.Fatal(err)
-			}
-		}
+		acceptJobs(t, lost, jobs)
 		lost.kill()
 		// The listing and the first take-over, a read and a write, succeed.
 		calls := 0
@@ -91,6 +87,21 @@
 	})
 }
 
+// acceptJobs accepts jobs with rising deadlines and returns the ID of the first.
+func acceptJobs(t *testing.T, e *entry, count int) (first string) {
+	t.Helper()
+	for i := range count {
+		accepted, _, err := e.accept(fmt.Sprint("k", i), `"b"`, time.Hour+time.Duration(i)*time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if i == 0 {
+			first = accepted.ID
+		}
+	}
+	return first
+}
+
 // Guards against a row that cannot be read and so keeps the jobs behind it from being taken over or run.
 func TestUnusableJobDoesNotBlockOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -98,16 +109,7 @@
 		rows, bodies, g := tables.New(), objects.New(), newGenerator(time.Hour)
 		lost, survivor := newEntry("n1@1", rows, bodies, g), newEntry("n2@1", rows, bodies, g)
 		defer survivor.kill()
-		var first string
-		for i := range jobs {
-			accepted, _, err := lost.accept(fmt.Sprint("k", i), `"b"`, time.Hour+time.Duration(i)*time.Second)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if i == 0 {
-				first = accepted.ID
-			}
-		}
+		first := acceptJobs(t, lost, jobs)
 		lost.kill()
 		corrupt := table.Commit{Token: table.Token{Writer: "t", Sequence: 1}, Writes: []table.Write{{Key: "job/" + first, Value: []byte("not a row"), If: table.Always{}}}}
 		if _, ok := rows.Commit(context.Background(), corrupt).(table.Committed); !ok {
--- a/pkg/relay/source.go
+++ b/pkg/relay/source.go
@@ -24,6 +24,9 @@
 const (
 	// responseTimeout is how long a relay may take to respond in addition to the requested wait.
 	responseTimeout = 700 * time.Millisecond
+	// storeResponseTimeout is how long the store may take to begin a response to a call for
+	// changes, in addition to the requested wait.
+	storeResponseTimeout = 500 * time.Millisecond
 	// maxWait bounds the wait at a relay, because the connection may be dead.
 	maxWait = time.Second
 	// relayBackoff is how long a failed relay is skipped.
@@ -139,7 +142,10 @@
 	if !isRelay && s.isStoreInBackoff(name) {
 		return feed.Batch{}, errStoreUnavailable
 	}
-	batch, err := s.store.Changes(ctx, name, after, wait)
+	// A silent connection shows only by the missing response. The rows may take longer to arrive.
+	storeCtx, stop := httpx.WithResponseTimeout(ctx, wait+storeResponseTimeout)
+	defer stop()
+	batch, err := s.store.Changes(storeCtx, name, after, wait)
 	s.recordStoreCall(name, err)
 	if err == nil && isRelay {
 		s.replica.Apply(name, batch)
--- a/pkg/route/feedback.go
+++ b/pkg/route/feedback.go
@@ -262,9 +262,9 @@
 		return Choice{}, false, false
 	}
 	q.hosts = r.limitHosts()
-	waiting := q
-	waiting.MayWait = false
-	if !g.usable(s, waiting, now) {
+	ignoringRoom := q
+	ignoringRoom.MayWait = false
+	if !g.usable(s, ignoringRoom, now) {
 		return Choice{}, false, false
 	}
 	if !g.usable(s, q, now) {
--- a/pkg/statetransfer/server.go
+++ b/pkg/statetransfer/server.go
@@ -23,7 +23,7 @@
 
 // Provider has the state that other hosts ask for.
 type Provider interface {
-	// State returns the configuration if it is newer than after, the endpoints that have left and,
+	// State returns the configuration if it is newer than after, the endpoints that leave and,
 	// if requested, the rows of the tables.
 	State(after int64, withTables bool) State
 }
--- a/pkg/statetransfer/state.go
+++ b/pkg/statetransfer/state.go
@@ -16,8 +16,8 @@
 type State struct {
 	// Configuration is zero if it is not newer than the one that the asking host has.
 	Configuration Configuration
-	// Left are the endpoints that have reported that they leave.
-	Left []LeftEndpoint
+	// Leaving are the endpoints that have reported that they leave.
+	Leaving []LeavingEndpoint
 	// Tables holds the rows of the followed tables by name. It is empty unless they were requested.
 	Tables map[string]feed.Batch
 }
@@ -29,8 +29,8 @@
 	Row     feed.Row
 }
 
-// LeftEndpoint is one run of an endpoint.
-type LeftEndpoint struct {
+// LeavingEndpoint is one run of an endpoint.
+type LeavingEndpoint struct {
 	ID string
 	// StartedMS is the start of the run in Unix milliseconds, 0 if unknown.
 	StartedMS int64
@@ -39,11 +39,11 @@
 type wireState struct {
 	Version int64               `cbor:"1,keyasint,omitempty"`
 	Row     *wireRow            `cbor:"2,keyasint,omitempty"`
-	Left    []wireLeft          `cbor:"3,keyasint,omitempty"`
+	Leaving []wireLeaving       `cbor:"3,keyasint,omitempty"`
 	Tables  map[string]wireRows `cbor:"4,keyasint,omitempty"`
 }
 
-type wireLeft struct {
+type wireLeaving struct {
 	_         struct{} `cbor:",toarray"`
 	ID        string
 	StartedMS int64
@@ -70,8 +70,8 @@
 		row := encodeRow(s.Configuration.Row)
 		wire.Row = &row
 	}
-	for _, e := range s.Left {
-		wire.Left = append(wire.Left, wireLeft{ID: e.ID, StartedMS: e.StartedMS})
+	for _, e := range s.Leaving {
+		wire.Leaving = append(wire.Leaving, wireLeaving{ID: e.ID, StartedMS: e.StartedMS})
 	}
 	for name, batch := range s.Tables {
 		table := wireRows{Version: batch.Version, StoreMS: batch.StoreTime.Milliseconds()}
@@ -101,8 +101,8 @@
 	if wire.Row != nil {
 		s.Configuration = Configuration{Version: wire.Version, Row: wire.Row.decode()}
 	}
-	for _, e := range wire.Left {
-		s.Left = append(s.Left, LeftEndpoint{ID: e.ID, StartedMS: e.StartedMS})
+	for _, e := range wire.Leaving {
+		s.Leaving = append(s.Leaving, LeavingEndpoint{ID: e.ID, StartedMS: e.StartedMS})
 	}
 	for name, table := range wire.Tables {
 		batch := feed.Batch{Full: true, Version: table.Version, StoreTime: time.Duration(table.StoreMS) * time.Millisecond}
--- a/pkg/statetransfer/statetransfer_test.go
+++ b/pkg/statetransfer/statetransfer_test.go
@@ -21,7 +21,7 @@
 type host struct {
 	mu              sync.Mutex
 	version         int64
-	left            []statetransfer.LeftEndpoint
+	leaving         []statetransfer.LeavingEndpoint
 	loaded          bool
 	confirmed       atomic.Bool
 	era, requests   atomic.Int64
@@ -33,7 +33,7 @@
 	defer h.mu.Unlock()
 	h.requests.Add(1)
 	h.requestedTables.Store(withTables)
-	state := statetransfer.State{Left: h.left}
+	state := statetransfer.State{Leaving: h.leaving}
 	if h.version > after {
 		state.Configuration = statetransfer.Configuration{Version: h.version, Row: feed.Row{Key: "config", Value: []byte("v"), Version: 9}}
 	}
@@ -48,7 +48,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.version = max(h.version, state.Configuration.Version)
-	h.left = append(h.left, state.Left...)
+	h.leaving = append(h.leaving, state.Leaving...)
 	if batch := state.Tables["t"]; batch.Full && batch.Version == 4 && batch.StoreTime == time.Minute && len(batch.Rows) == 1 && len(batch.Rows[0].Value) == 8000 {
 		h.loaded = true
 	}
@@ -102,7 +102,7 @@
 func TestStartAsksHostsThatKnowMore(t *testing.T) {
 	starting, unreachable := serve(t, &host{version: 1}, false), "127.0.0.1:1"
 	behind := serve(t, &host{version: 1}, true)
-	peer := &host{version: 5, left: []statetransfer.LeftEndpoint{{ID: "e", StartedMS: 77}}}
+	peer := &host{version: 5, leaving: []statetransfer.LeavingEndpoint{{ID: "e", StartedMS: 77}}}
 	newest := serve(t, peer, true)
 	h := &host{version: 2, loaded: true}
 	h.confirmed.Store(true)
@@ -111,8 +111,8 @@
 	if got := h.ConfigurationVersion(); got != 5 {
 		t.Errorf("configuration: got %d, want 5", got)
 	}
-	if len(h.left) != 1 || h.left[0] != peer.left[0] {
-		t.Errorf("endpoints that have left: got %v, want %v", h.left, peer.left)
+	if len(h.leaving) != 1 || h.leaving[0] != peer.leaving[0] {
+		t.Errorf("leaving endpoints: got %v, want %v", h.leaving, peer.leaving)
 	}
 	if peer.requestedTables.Load() {
 		t.Error("tables: got requested although the store has answered")
--- a/pkg/storeview/transfer.go
+++ b/pkg/storeview/transfer.go
@@ -76,8 +76,8 @@
 	if current := v.configuration.Load(); current != nil && current.Version > after {
 		state.Configuration = *current
 	}
-	for id, startedMS := range v.endpoints.Left() {
-		state.Left = append(state.Left, statetransfer.LeftEndpoint{ID: id, StartedMS: startedMS})
+	for id, startedMS := range v.endpoints.Leaving() {
+		state.Leaving = append(state.Leaving, statetransfer.LeavingEndpoint{ID: id, StartedMS: startedMS})
 	}
 	storeTime, known := v.clock.StoreTime()
 	if !withTables || !known {
@@ -99,8 +99,8 @@
 	if state.Configuration.Version > 0 {
 		v.adoptConfiguration(state.Configuration.Row, "host", v.routeTables.Unconfirmed())
 	}
-	for _, e := range state.Left {
-		v.endpoints.MarkLeft(e.ID, e.StartedMS)
+	for _, e := range state.Leaving {
+		v.endpoints.MarkLeaving(e.ID, e.StartedMS)
 	}
 	if batch, ok := state.Tables[RosterTable]; ok && !v.roster.Loaded() {
 		v.clock.Observe(batch.StoreTime)
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -19,10 +19,10 @@
 	// false if that has happened.
 	stopCancel func() bool
 	response   *http.Response
-	// readFailed is set once reading the response has failed, keepsNoConnection if the connection must
-	// not be reused for another reason.
-	readFailed, keepsNoConnection bool
-	closed                        bool
+	// readFailed is set once reading the response has failed, noReuse if the connection
+	// must not be reused for another reason.
+	readFailed, noReuse bool
+	closed              bool
 }
 
 // Status returns the status code of the response.
@@ -57,7 +57,7 @@
 func (e *Exchange) IsBroken() bool { return e.readFailed }
 
 // DisableReuse prevents the connection from being used for another request.
-func (e *Exchange) DisableReuse() { e.keepsNoConnection = true }
+func (e *Exchange) DisableReuse() { e.noReuse = true }
 
 // Close returns the connection to the pool if the response was read completely. Otherwise it
 // closes the connection, by which the endpoint notices that it may stop.
@@ -81,7 +81,7 @@
 
 // reusable reports whether the connection can be used for another request.
 func (e *Exchange) reusable() bool {
-	if e.readFailed || e.keepsNoConnection || e.response == nil || e.response.Close || e.conn.reader.Buffered() > 0 {
+	if e.readFailed || e.noReuse || e.response == nil || e.response.Close || e.conn.reader.Buffered() > 0 {
 		return false
 	}
 	return e.response.Body == http.NoBody
