forward: log how an endpoint marks the end of its answer

Callers saw streams of crashed runs framed as complete. Change: each attempt in the line of a request names its framing (length, chunks, close), and a note says that a stream ended inside an event. What is forwarded does not change. Result: tests of pkg/upstream and pkg/forward pass.

--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -39,10 +39,9 @@
 	body   []byte
 	// unread is nil if body is the whole response body.
 	unread *upstream.Exchange
-	// choice is the endpoint choice that the response comes from; delimited is set if the
-	// response has a length or is chunked, so that a truncated body is noticed.
-	choice    route.Choice
-	delimited bool
+	// choice is the endpoint choice that the response comes from.
+	choice  route.Choice
+	framing upstream.Framing
 }
 
 // streaming is the head of a stream whose events have not been read.
@@ -184,12 +183,12 @@
 	switch {
 	case errors.Is(err, io.EOF):
 		e.Close()
-		return answered{status: e.Status(), header: e.Header(), body: buffered.Bytes(), choice: choice, delimited: e.IsDelimited()}
+		return answered{status: e.Status(), header: e.Header(), body: buffered.Bytes(), choice: choice, framing: e.Framing()}
 	case err != nil:
 		e.Close()
 		return unclear{fmt.Errorf("the answer broke off after %d bytes: %w", buffered.Len(), err)}
 	default:
-		return answered{status: e.Status(), header: e.Header(), body: buffered.Bytes(), unread: e, choice: choice, delimited: e.IsDelimited()}
+		return answered{status: e.Status(), header: e.Header(), body: buffered.Bytes(), unread: e, choice: choice, framing: e.Framing()}
 	}
 }
 
--- a/pkg/forward/crash.go
+++ b/pkg/forward/crash.go
@@ -33,7 +33,7 @@
 	switch r := r.(type) {
 	case answered:
 		if r.unread == nil {
-			c.recordCompletion(r.status, r.delimited)
+			c.recordCompletion(r.status, r.framing != upstream.ByClose)
 		}
 	case unclear:
 		if ctx.Err() == nil {
--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -212,6 +212,9 @@
 		buffer = buffer[:len(buffer)+n]
 		complete := completeEventsLen(buffer)
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			if complete < len(buffer) {
+				s.call.logEntry.addNote("stream ended inside an event, after " + strconv.Itoa(len(buffer)-complete) + " bytes of it")
+			}
 			// A stream that ends properly may omit the final blank line.
 			complete = len(buffer)
 		}
--- a/pkg/forward/request_log.go
+++ b/pkg/forward/request_log.go
@@ -32,6 +32,8 @@
 	cached           int
 	duration         time.Duration
 	outcome          string
+	// framing is how the end of the response is marked, empty if there is none.
+	framing string
 	// notice is what the response reported about its endpoint.
 	notice     endpoint.Notice
 	mayHaveRun bool
@@ -54,9 +56,11 @@
 		a.mayHaveRun = true
 	case answered:
 		a.outcome = strconv.Itoa(r.status)
+		a.framing = r.framing.String()
 		a.mayHaveRun = true
 	case streaming:
 		a.outcome = "stream"
+		a.framing = r.exchange.Framing().String()
 		a.mayHaveRun = true
 	}
 	c.logEntry.attempts = append(c.logEntry.attempts, a)
@@ -151,6 +155,9 @@
 		prefix := "hop" + strconv.Itoa(i+1)
 		line = line.Str(prefix, a.endpoint).Str(prefix+"-end", a.outcome).Dur(prefix+"-took", a.duration).
 			Dur(prefix+"-expected", a.expected).Dur(prefix+"-queued", a.queued).Int(prefix+"-cached", a.cached).Int64(prefix+"-row", a.rowVersion)
+		if a.framing != "" {
+			line = line.Str(prefix+"-framing", a.framing)
+		}
 		if text := a.notice.String(); text != "" {
 			line = line.Str(prefix+"-said", text)
 		}
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -23,6 +23,8 @@
 	// must not be reused for another reason.
 	readFailed, noReuse bool
 	closed              bool
+	// isHead is set for a response to a HEAD request, which has no body.
+	isHead bool
 }
 
 // Status returns the status code of the response.
@@ -34,12 +36,39 @@
 // ContentLength returns the length of the body, or -1 if it is unknown.
 func (e *Exchange) ContentLength() int64 { return e.response.ContentLength }
 
-// IsDelimited reports whether the response has a length or is chunked. Otherwise it ends when
-// the connection is closed, and a truncated body may look complete.
-func (e *Exchange) IsDelimited() bool {
-	return e.response.ContentLength >= 0 || slices.Contains(e.response.TransferEncoding, "chunked")
+// Framing is how the end of a response body is marked (RFC 9112, section 6.3).
+type Framing int
+
+// The framings.
+const (
+	// ByLength means that the length is known in advance.
+	ByLength Framing = iota
+	// ByChunks means that the body ends with its last chunk.
+	ByChunks
+	// ByClose means that the body ends when the endpoint closes the connection, as it also does if
+	// the endpoint crashes: a truncated body may look complete.
+	ByClose
+)
+
+// String returns the name of the framing.
+func (f Framing) String() string { return [...]string{"length", "chunks", "close"}[f] }
+
+// Framing returns how the end of the body is marked.
+func (e *Exchange) Framing() Framing {
+	switch {
+	case e.response.ContentLength >= 0 || e.isHead:
+		return ByLength
+	case slices.Contains(e.response.TransferEncoding, "chunked"):
+		return ByChunks
+	default:
+		return ByClose
+	}
 }
 
+// IsDelimited reports whether the end of the body is marked by the endpoint, so that a truncated
+// body is noticed.
+func (e *Exchange) IsDelimited() bool { return e.Framing() != ByClose }
+
 // Read reads the body. It returns io.EOF only after a complete body. A response that is not
 // delimited is complete when the endpoint closes the connection without a reset.
 func (e *Exchange) Read(p []byte) (int, error) {
@@ -99,7 +128,7 @@
 			return err
 		}
 		if response.StatusCode/100 != 1 {
-			e.response = response
+			e.response, e.isHead = response, method == http.MethodHead
 			e.conn.idleTimeout = keepAliveTimeout(response.Header)
 			return nil
 		}
