forward: a stream that ends inside an event has been broken off

Callers saw streams that ended inside an event as complete, with the piece of the event that had arrived: by length, by chunks, or with the connection. Cause: at the end of a body the forwarder took the rest of its buffer for a last event without its blank line, and the stream as complete. Change: the piece is dropped and the end is a break, which is resumed where the route allows it, ends the caller's response without its end otherwise, and counts as an interrupted run of the request. Why it works: a reader of events ignores an event without its blank line, so nothing is lost that a whole stream would have had.

--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -88,6 +88,10 @@
 
 var errEventTooLong = errors.New("event exceeds the maximum size")
 
+// errInsideEvent means that a stream ended inside an event: it was broken off, however its end is
+// marked.
+var errInsideEvent = fmt.Errorf("the stream ended inside an event: %w", io.ErrUnexpectedEOF)
+
 // relayStream forwards a stream event by event; firstToken is how long its head took.
 // If the stream breaks off and the route allows it, it is resumed at another endpoint after
 // the last complete event. A stream whose run was stopped for a move continues at the endpoint that
@@ -132,7 +136,7 @@
 			c.recordCompletion(e.Status(), e.IsDelimited())
 			return nil
 		}
-		if e.IsBroken() && !isStopped {
+		if (e.IsBroken() || errors.Is(err, errInsideEvent)) && !isStopped {
 			c.recordBreak(choice, err)
 		}
 		c.logEntry.addNote("stream broke off: " + err.Error())
@@ -197,8 +201,8 @@
 	relayed *relayedStream
 }
 
-// copyEvents forwards complete events until the stream ends. It returns nil if the endpoint
-// ended the stream properly. An incomplete event at a break is dropped.
+// copyEvents forwards complete events until the stream ends. It returns nil if the stream ended
+// between events. An incomplete event at its end is dropped.
 func (s *stream) copyEvents(e *upstream.Exchange) error {
 	buffer := make([]byte, 0, streamBufferBytes)
 	for {
@@ -211,13 +215,6 @@
 		n, err := e.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
 		complete := completeEventsLen(buffer)
-		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
-			if complete < len(buffer) {
-				s.call.logEntry.addNote("stream ended inside an event, after " + strconv.Itoa(len(buffer)-complete) + " bytes of it")
-			}
-			// A stream that ends properly may omit the final blank line.
-			complete = len(buffer)
-		}
 		if complete > 0 {
 			if writeErr := s.writeEvents(buffer[:complete]); writeErr != nil {
 				return errors.Join(errCallerDisconnected, writeErr)
@@ -226,6 +223,9 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
+			if len(bytes.Trim(buffer, "\r\n")) > 0 {
+				return errInsideEvent
+			}
 			return nil
 		case err != nil:
 			return err
