forward: forward an end that the endpoint did not mark as one that is not marked

Callers saw answers without length or chunks, cut off by a crash of the endpoint, as complete: short ones with a length that we added, long ones and streams with a last chunk. A caller with HTTP/1.0 also saw broken streams and long answers end cleanly. Cause: such an answer ends when its connection is closed, as a crash closes it too. The forwarder took that for a complete body and let the HTTP server frame it. The answer to an HTTP/1.0 caller has no chunks; a break was shown by closing the connection, which is how a complete one ends. Change: the response to the caller ends with its connection as the endpoint's did, without a length or chunks. While it is incomplete, the caller's connection has a linger time of 0, so that a break, or the end of this process, resets it. A stream that was begun in chunks and resumed at an endpoint that marks no end is resumed once more where the route allows it, and otherwise gets no last chunk. Why it works: the host no longer adds a mark that the endpoint did not set, so the caller knows as much as the host; a whole answer arrives as the endpoint sent it.

--- a/pkg/app/node/listen.go
+++ b/pkg/app/node/listen.go
@@ -10,6 +10,7 @@
 	"github.com/urfave/negroni/v3"
 
 	"ironhollow/pkg/app/process"
+	"ironhollow/pkg/httpx"
 	"ironhollow/pkg/relay"
 	"ironhollow/pkg/roster"
 	"ironhollow/pkg/statetransfer"
@@ -32,6 +33,7 @@
 func (n *node) listen(faults chan<- error) ([]*http.Server, error) {
 	callers := &http.Server{
 		Handler: n.forwarder, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: httpx.WithCallerConn,
 	}
 	ports := []struct {
 		name, address string
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -143,7 +143,9 @@
 	// retryAfter is the caller's Retry-After, above 0 once the request is rejected for the
 	// length of the queue.
 	retryAfter time.Duration
-	logEntry   requestLog
+	// endsByClose is set if the response ends with the caller's connection.
+	endsByClose bool
+	logEntry    requestLog
 }
 
 // ServeHTTP answers one request.
@@ -159,6 +161,9 @@
 		// The response can't be completed: abort the connection so that the caller notices.
 		panic(http.ErrAbortHandler)
 	}
+	if c.endsByClose {
+		c.endByClose()
+	}
 }
 
 // Timing of the wait for startup.
--- a/pkg/forward/framing_test.go
+++ b/pkg/forward/framing_test.go
@@ -174,3 +174,18 @@
 		})
 	}
 }
+
+// Guards against a resumed stream whose last part the endpoint did not mark as complete, and that gets our last chunk.
+func TestResumedStreamWithUnmarkedEndIsNotCompleted(t *testing.T) {
+	answer := func(c net.Conn, r *http.Request) bool {
+		if r.Header.Get("Last-Event") == "" {
+			return respond(streamHead+chunk(firstEvent)+chunk(incompleteEvent), false)(c, r)
+		}
+		return respond(eventsHead+"\r\n"+secondEvent, false)(c, r)
+	}
+	s := newHarness(t, spec(), true, answer, answer)
+	got := s.sendRaw(http.MethodPost, "/resume/x", "HTTP/1.1", "")
+	if got.err == nil || got.body != firstEvent+secondEvent {
+		t.Errorf("stream: got %q by %s, error %v, want both events and no end", got.body, got.framing, got.err)
+	}
+}
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -21,6 +21,7 @@
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/forward"
 	"ironhollow/pkg/hazard"
+	"ironhollow/pkg/httpx"
 	"ironhollow/pkg/limit"
 	"ironhollow/pkg/notice"
 	"ironhollow/pkg/quarantine"
@@ -172,7 +173,9 @@
 		retry.NewWindowBudget(0.2, 58, 10*time.Second), upstream.New(time.Second), s.runs, singleHost{}, s.rollouts, s.watch, board,
 		func() forward.Phase { return forward.Phase(s.phase.Load()) }, time.Now, forward.NewMetrics(registry), logger)
 	s.forwarder = forwarder
-	s.server = httptest.NewServer(forwarder)
+	s.server = httptest.NewUnstartedServer(forwarder)
+	s.server.Config.ConnContext = httpx.WithCallerConn
+	s.server.Start()
 	t.Cleanup(s.server.Close)
 	return s
 }
--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"ironhollow/pkg/httpx"
 	"ironhollow/pkg/migrate"
 	"ironhollow/pkg/route"
 	"ironhollow/pkg/upstream"
@@ -24,12 +25,20 @@
 	return names
 }
 
-// writeHead forwards an endpoint's status and headers.
-func (c *call) writeHead(status int, header http.Header) {
+// writeHead forwards an endpoint's status and headers. A response whose end the endpoint does not
+// mark is forwarded in the same way: it ends with the caller's connection.
+func (c *call) writeHead(status int, header http.Header, framing upstream.Framing) {
 	h := c.w.Header()
 	for name, values := range endToEndHeaders(header) {
 		h[name] = values
 	}
+	if framing == upstream.ByClose {
+		h.Set("Transfer-Encoding", "identity")
+	}
+	if framing == upstream.ByClose || !c.incoming.ProtoAtLeast(1, 1) && h.Get("Content-Length") == "" {
+		c.endsByClose = true
+		c.setResetOnClose(true)
+	}
 	// The HTTP server must not add headers that the endpoint did not send.
 	for _, name := range []string{"Date", "Content-Type"} {
 		if _, ok := h[name]; !ok {
@@ -40,14 +49,34 @@
 	c.logEntry.status = status
 }
 
+// setResetOnClose sets whether the caller's connection is reset when it is closed. While a response
+// that ends with the connection is incomplete, it must be, also if this process ends.
+func (c *call) setResetOnClose(reset bool) {
+	if err := httpx.ResetOnClose(c.incoming.Context(), reset); err != nil {
+		c.f.log.Error().Err(err).Bool("reset", reset).Msg("failed to set how the caller's connection is closed")
+	}
+}
+
+// endByClose lets a complete response end with the caller's connection. Data that is still buffered
+// in this process would be missing if the process ended before it is sent.
+func (c *call) endByClose() {
+	if err := http.NewResponseController(c.w).Flush(); err != nil {
+		c.f.log.Debug().Err(err).Msg("failed to send the end of a response")
+		return
+	}
+	c.setResetOnClose(false)
+}
+
 // relayResponse forwards a response that is not a stream.
 func (c *call) relayResponse(a answered) error {
-	if a.unread == nil {
+	switch {
+	case a.framing == upstream.ByClose:
+	case a.unread == nil:
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
-	} else if n := a.unread.ContentLength(); n >= 0 {
-		c.w.Header().Set("Content-Length", strconv.FormatInt(n, 10))
+	case a.unread.ContentLength() >= 0:
+		c.w.Header().Set("Content-Length", strconv.FormatInt(a.unread.ContentLength(), 10))
 	}
-	c.writeHead(a.status, a.header)
+	c.writeHead(a.status, a.header, a.framing)
 	c.logEntry.bytes += len(a.body)
 	if _, err := c.w.Write(a.body); err != nil {
 		return c.abortResponse(a.unread, err)
@@ -64,7 +93,7 @@
 		}
 		return c.abortResponse(a.unread, err)
 	}
-	c.recordCompletion(a.status, a.unread.IsDelimited())
+	c.recordCompletion(a.status, a.framing != upstream.ByClose)
 	return nil
 }
 
@@ -88,9 +117,14 @@
 
 var errEventTooLong = errors.New("event exceeds the maximum size")
 
-// errInsideEvent means that a stream ended inside an event: it was broken off, however its end is
-// marked.
-var errInsideEvent = fmt.Errorf("the stream ended inside an event: %w", io.ErrUnexpectedEOF)
+var (
+	// errInsideEvent means that a stream ended inside an event: it was broken off, however its end
+	// is marked.
+	errInsideEvent = fmt.Errorf("the stream ended inside an event: %w", io.ErrUnexpectedEOF)
+	// errUnmarkedEnd means that the endpoint did not mark the end of a stream, and that the caller's
+	// response cannot leave it unmarked as it has begun in chunks.
+	errUnmarkedEnd = errors.New("the end of the resumed stream is not marked")
+)
 
 // relayStream forwards a stream event by event; firstToken is how long its head took.
 // If the stream breaks off and the route allows it, it is resumed at another endpoint after
@@ -98,7 +132,7 @@
 // continues the run.
 func (c *call) relayStream(ctx context.Context, choice route.Choice, current streaming, firstToken time.Duration) error {
 	e := current.exchange
-	c.writeHead(e.Status(), e.Header())
+	c.writeHead(e.Status(), e.Header(), e.Framing())
 	s := &stream{call: c, lastEventID: c.meta.LastEventID}
 	observed := route.Result{PrefillDone: true, FirstToken: firstToken}
 	for {
@@ -106,6 +140,9 @@
 		s.eventCount = 0
 		s.relayed = c.trackStream(choice, e, s.totalEvents)
 		err := s.copyEvents(e)
+		if err == nil && !e.IsDelimited() && !c.endsByClose {
+			err = errUnmarkedEnd
+		}
 		observed.Decode = c.f.clock().Sub(startedAt)
 		observed.Tokens = (s.eventCount - 1) * c.service.TokensPerEvent
 		at := c.endTracking(ctx, s.relayed, err)
@@ -127,7 +164,7 @@
 		if isStopped {
 			err = errors.Join(err, errNotContinued)
 		}
-		observed.Failed = err != nil && ctx.Err() == nil && !isStopped
+		observed.Failed = err != nil && !errors.Is(err, errUnmarkedEnd) && ctx.Err() == nil && !isStopped
 		c.finishStreamAttempt(choice, current, observed)
 		// An endpoint that resumes a stream also reads the answer so far, so its first token
 		// gives no measure of its speed.
