forward: an unmarked end is no evidence that an endpoint survived

Callers could repeat a request that crashes endpoints without end if these answer without a length: the host counted each truncated answer neither as success nor as an interrupted run, and a truncated stream as a good one of its version in a roll-out. Cause: only a failed read was recorded as an interruption. Change: a response that ends with its connection is recorded as a possible interruption, which counts only if the endpoint is then found to have crashed; the probe takes the place of the connection that has just ended. In a roll-out such a stream shows nothing beyond its head. The metric ironhollow_unmarked_ends_total counts them by service. Why it works: an interruption without a crash is forgotten, so endpoints that never mark their ends keep their requests.

--- a/pkg/forward/crash.go
+++ b/pkg/forward/crash.go
@@ -33,7 +33,7 @@
 	switch r := r.(type) {
 	case answered:
 		if r.unread == nil {
-			c.recordCompletion(r.status, r.framing != upstream.ByClose)
+			c.recordEnd(choice, r.status, r.framing)
 		}
 	case unclear:
 		if ctx.Err() == nil {
@@ -49,11 +49,15 @@
 	}
 }
 
-// recordCompletion records that a response was complete: its endpoint survived the request.
-// A server error does not show that, nor does a response without a length that may have
-// been truncated.
-func (c *call) recordCompletion(status int, delimited bool) {
-	if delimited && status < http.StatusInternalServerError {
+// recordEnd records that a response has ended without a break. If the endpoint marked its end, it
+// survived the request, unless the response is a server error. Otherwise the endpoint may have
+// crashed.
+func (c *call) recordEnd(choice route.Choice, status int, framing upstream.Framing) {
+	switch {
+	case framing == upstream.ByClose:
+		c.f.metrics.unmarkedEnds.WithLabelValues(c.service.Name).Inc()
+		c.recordBreak(choice, io.EOF)
+	case status < http.StatusInternalServerError:
 		c.f.crashes.RecordSuccess(c.fingerprint, c.f.clock())
 	}
 }
--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -93,7 +93,7 @@
 		}
 		return c.abortResponse(a.unread, err)
 	}
-	c.recordCompletion(a.status, a.framing != upstream.ByClose)
+	c.recordEnd(a.choice, a.status, a.framing)
 	return nil
 }
 
@@ -170,7 +170,7 @@
 		// gives no measure of its speed.
 		observed.FirstToken = 0
 		if err == nil {
-			c.recordCompletion(e.Status(), e.IsDelimited())
+			c.recordEnd(choice, e.Status(), e.Framing())
 			return nil
 		}
 		if (e.IsBroken() || errors.Is(err, errInsideEvent)) && !isStopped {
@@ -191,7 +191,7 @@
 
 // finishStreamAttempt reports the end of a stream at one endpoint.
 func (c *call) finishStreamAttempt(choice route.Choice, current streaming, observed route.Result) {
-	c.recordRolloutStream(current.rolloutSend, choice, observed)
+	c.recordRolloutStream(current, choice, observed)
 	c.finishAttempt(choice, current.rolloutSend, observed)
 }
 
--- a/pkg/forward/request_log.go
+++ b/pkg/forward/request_log.go
@@ -184,6 +184,8 @@
 	reserved prometheus.Counter
 	notices  *prometheus.CounterVec
 	leaving  *prometheus.CounterVec
+	// unmarkedEnds counts responses whose end their endpoint did not mark.
+	unmarkedEnds *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics.
@@ -212,6 +214,9 @@
 	m.notices = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "ironhollow_endpoint_notices_total", Help: "Answers that say that an endpoint leaves, asks for backoff, limits requests or is not at its address, by service.",
 	}, []string{"service", "notice"})
-	registry.MustRegister(m.requests, m.attempts, m.seconds, m.dropped, m.reserved, m.notices, m.leaving)
+	m.unmarkedEnds = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "ironhollow_unmarked_ends_total", Help: "Responses without length or chunks, whose end does not show that they are complete, by service.",
+	}, []string{"service"})
+	registry.MustRegister(m.requests, m.attempts, m.seconds, m.dropped, m.reserved, m.notices, m.leaving, m.unmarkedEnds)
 	return m
 }
--- a/pkg/forward/rollout.go
+++ b/pkg/forward/rollout.go
@@ -61,9 +61,10 @@
 // minPaceTokens is the fewest tokens of an answer for its pace to be measured.
 const minPaceTokens = 8
 
-// recordRolloutStream records how a stream continued after its first event.
-func (c *call) recordRolloutStream(rolloutSend *rollout.Attempt, choice route.Choice, observed route.Result) {
-	if c.incoming.Context().Err() != nil {
+// recordRolloutStream records how a stream continued after its first event. A stream whose end the
+// endpoint did not mark shows nothing unless it broke off.
+func (c *call) recordRolloutStream(current streaming, choice route.Choice, observed route.Result) {
+	if c.incoming.Context().Err() != nil || !current.exchange.IsDelimited() && !observed.Failed {
 		return
 	}
 	paceRatio := 0.0
@@ -71,5 +72,5 @@
 	if observed.Tokens >= minPaceTokens && gap > 0 {
 		paceRatio = observed.Decode.Seconds() / (float64(observed.Tokens) * gap.Seconds())
 	}
-	c.f.rollouts.RecordStream(rolloutSend, paceRatio, observed.Failed, c.f.clock())
+	c.f.rollouts.RecordStream(current.rolloutSend, paceRatio, observed.Failed, c.f.clock())
 }
