callerapi: leave the end of a plain response unmarked if its endpoint did

Callers of plain services saw responses without length or chunks, cut off by a crash of the endpoint, as complete and with the outcome done: with a length that the entry added, or with a last chunk. An entry that ended in the middle of such a response would have closed the connection like a complete one. Cause: such a response ends when its connection is closed, as a crash closes it too. The entry took that for a complete body and let the HTTP server frame it. Change: plainservice reports a response without length or chunks, and the entry forwards it to the caller in the same way, with the outcome unknown. While it is incomplete, the caller's connection has a linger time of 0, so that a break, or the end of the process, resets it. Why it works: the entry no longer adds a mark that the endpoint did not set, and a whole response still arrives.

--- a/pkg/app/entry/parts.go
+++ b/pkg/app/entry/parts.go
@@ -31,12 +31,12 @@
 	settings Settings, self membership.Node, holder *config.Holder, nodes *membership.Table, router *route.Router,
 	runner *stream.Runner, rateLimiter *limit.RateLimiter, concurrencyLimiters *limit.ConcurrencyLimiters, jobs *job.Store, worker *job.Worker,
 	jobCounters *job.Counters, claims *claim.Claims, plainServices plainservice.API, budget *retry.Budget, notices *notice.Tracker,
-	history *explain.History, tracer trace.Tracer, counters *callerapi.Counters,
+	history *explain.History, tracer trace.Tracer, counters *callerapi.Counters, logger *log.Logger,
 ) *callerapi.API {
 	return callerapi.New(callerapi.Deps{
 		Node: self.ID, Owner: self.Owner(), Limits: settings.limits, Config: holder, Nodes: nodes, Router: router,
 		Runner: runner, RateLimiter: rateLimiter, ConcurrencyLimiters: concurrencyLimiters, Jobs: jobs, Worker: worker, JobCounters: jobCounters, Claims: claims,
-		PlainServices: plainServices, Notices: notices, RetryBudget: budget, History: history, Tracer: tracer, APICounters: counters,
+		PlainServices: plainServices, Notices: notices, RetryBudget: budget, History: history, Tracer: tracer, APICounters: counters, Log: logger,
 	})
 }
 
--- a/pkg/app/entry/run.go
+++ b/pkg/app/entry/run.go
@@ -9,6 +9,7 @@
 
 	"ironhollow/pkg/app/process"
 	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/httpx"
 	"ironhollow/pkg/job"
 	"ironhollow/pkg/membership"
 	"ironhollow/pkg/pause"
@@ -82,6 +83,7 @@
 			listener = tls.NewListener(listener, config)
 		}
 		server := process.NewServer(handler, readTimeout)
+		server.ConnContext = httpx.WithCallerConn
 		servers = append(servers, server)
 		process.Serve(server, listener, serveErrors)
 		return nil
--- a/pkg/app/entry/wire_gen.go
+++ b/pkg/app/entry/wire_gen.go
@@ -67,7 +67,7 @@
 	history := explain.NewHistory()
 	plainserviceAPI := newPlainServiceAPI(client)
 	callerapiCounters := callerapi.NewCounters(registerer)
-	callerapiAPI := newAPI(settings, node, holder, table, router, runner, rateLimiter, concurrencyLimiters, jobStore, worker, jobCounters, claims, plainserviceAPI, budget, tracker, history, traceTracer, callerapiCounters)
+	callerapiAPI := newAPI(settings, node, holder, table, router, runner, rateLimiter, concurrencyLimiters, jobStore, worker, jobCounters, claims, plainserviceAPI, budget, tracker, history, traceTracer, callerapiCounters, logger)
 	app := newApp(settings, node, logger, registry, tracer, guardedStore, writer, holder, store, table, directory, estimator, router, api, runner, rateLimiter, concurrencyLimiters, budget, jobStore, worker, batcher, claims, committer, history, mesh, server, callerapiAPI, tls)
 	return app, nil
 }
--- a/pkg/callerapi/api.go
+++ b/pkg/callerapi/api.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/urfave/negroni/v3"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
@@ -63,6 +64,7 @@
 	History             *explain.History
 	Tracer              trace.Tracer
 	APICounters         *Counters
+	Log                 *log.Logger
 }
 
 // API serves callers.
@@ -87,7 +89,7 @@
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		writeError(w, code.New(code.UnknownPath, r.Method+" "+r.URL.Path))
 	})
-	chain := negroni.New(negroni.HandlerFunc(a.recoverPanic), negroni.HandlerFunc(a.limitInFlight))
+	chain := negroni.New(negroni.HandlerFunc(a.resetIncomplete), negroni.HandlerFunc(a.recoverPanic), negroni.HandlerFunc(a.limitInFlight))
 	chain.UseHandler(mux)
 	a.handler = chain
 	return a
--- a/pkg/callerapi/fleet_test.go
+++ b/pkg/callerapi/fleet_test.go
@@ -162,8 +162,11 @@
 		Config: holder, Nodes: nodes, Router: router, Runner: runner, RateLimiter: limit.NewRateLimiter(), ConcurrencyLimiters: limit.NewConcurrencyLimiters(),
 		Jobs: jobs, Worker: worker, JobCounters: jobCounters, Claims: claim.New(writer), PlainServices: plainservice.New(httpx.NewClient(4)), Notices: notices,
 		RetryBudget: budget, History: explain.NewHistory(), Tracer: s.tracer(name), APICounters: callerapi.NewCounters(registry),
+		Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
 	})
-	e.server = httptest.NewServer(e.api)
+	e.server = httptest.NewUnstartedServer(e.api)
+	e.server.Config.ConnContext = httpx.WithCallerConn
+	e.server.Start()
 	e.self.CallerAddress = e.server.Listener.Addr().String()
 	nodes.Merge(e.self)
 	t.Cleanup(func() {
--- /dev/null
+++ b/pkg/callerapi/framing.go
@@ -0,0 +1,55 @@
+package callerapi
+
+import (
+	"net/http"
+
+	"github.com/urfave/negroni/v3"
+
+	"ironhollow/pkg/httpx"
+)
+
+const (
+	headerTransferEncoding = "Transfer-Encoding"
+	// encodingIdentity as the Transfer-Encoding makes the HTTP server add neither a length nor chunks,
+	// so that the response ends with the connection. It is not sent.
+	encodingIdentity = "identity"
+)
+
+// leaveEndUnmarked makes a response end with the caller's connection. It is for responses whose end
+// the endpoint did not mark: a length or a last chunk would state that they are complete.
+func leaveEndUnmarked(h http.Header) {
+	h.Del("Content-Length")
+	h.Set(headerTransferEncoding, encodingIdentity)
+}
+
+// resetIncomplete makes the caller's connection end with a reset if a response that ends with the
+// connection is incomplete, also if this process ends. An ordinary close would look like the end of
+// the response.
+func (a *API) resetIncomplete(w http.ResponseWriter, r *http.Request, next http.HandlerFunc) {
+	endsByClose := false
+	if hooked, ok := w.(negroni.ResponseWriter); ok {
+		hooked.Before(func(started negroni.ResponseWriter) {
+			if started.Header().Get(headerTransferEncoding) == encodingIdentity {
+				endsByClose = true
+				a.setResetOnClose(r, true)
+			}
+		})
+	}
+	next(w, r)
+	if !endsByClose {
+		return
+	}
+	// Data that is still buffered in this process would be missing if the process ended before it
+	// is sent.
+	if err := http.NewResponseController(w).Flush(); err != nil {
+		a.Log.Debug().Err(err).Msg("failed to send the end of a response")
+		return
+	}
+	a.setResetOnClose(r, false)
+}
+
+func (a *API) setResetOnClose(r *http.Request, reset bool) {
+	if err := httpx.ResetOnClose(r.Context(), reset); err != nil {
+		a.Log.Error().Err(err).Bool("reset", reset).Msg("failed to set how the caller's connection is closed")
+	}
+}
--- a/pkg/callerapi/plain.go
+++ b/pkg/callerapi/plain.go
@@ -136,7 +136,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	copyHeader(w.Header(), response.Header)
-	w.Header().Set(headerOutcome, string(code.Done))
+	p.setOutcome(w.Header(), response.EndUnmarked)
 	w.WriteHeader(response.Status)
 	// After the status is sent, only closing the connection shows that the response is
 	// incomplete.
@@ -176,7 +176,7 @@
 			writeError(w, callError(err))
 			return
 		}
-		writeResponse(w, response, false)
+		p.writeResponse(w, response, false)
 		return
 	}
 	// The call continues if the caller disconnects, so that its outcome is recorded.
@@ -231,13 +231,15 @@
 	if int64(len(data)) > p.api.Limits.ResponseBytes {
 		return claim.Response{}, fmt.Errorf("the answer is longer than %d bytes", p.api.Limits.ResponseBytes)
 	}
-	return claim.Response{Status: response.Status, ContentType: response.Header.Get("Content-Type"), Body: data}, nil
+	return claim.Response{
+		Status: response.Status, ContentType: response.Header.Get("Content-Type"), Body: data, EndUnmarked: response.EndUnmarked,
+	}, nil
 }
 
 func (p plainCall) writeOutcome(w http.ResponseWriter, outcome claim.Outcome) {
 	switch outcome := outcome.(type) {
 	case claim.Ran:
-		writeResponse(w, outcome.Response, outcome.Replayed)
+		p.writeResponse(w, outcome.Response, outcome.Replayed)
 	case claim.NotRun:
 		writeError(w, code.New(code.CallNotRun, outcome.Err.Error()))
 	case claim.Unknown:
@@ -252,14 +254,26 @@
 // headerReplayed is set if the response is from an earlier request with the same key.
 const headerReplayed = "Idempotent-Replayed"
 
-func writeResponse(w http.ResponseWriter, response claim.Response, replayed bool) {
+// setOutcome sets the outcome of a call that returned a response. If the endpoint did not mark the end
+// of the response, it may have crashed during the call.
+func (p plainCall) setOutcome(h http.Header, endUnmarked bool) {
+	if !endUnmarked {
+		h.Set(headerOutcome, string(code.Done))
+		return
+	}
+	h.Set(headerOutcome, string(code.Unknown))
+	leaveEndUnmarked(h)
+	p.api.APICounters.UnmarkedEnds.WithLabelValues(p.service.Name()).Inc()
+}
+
+func (p plainCall) writeResponse(w http.ResponseWriter, response claim.Response, replayed bool) {
 	if response.ContentType != "" {
 		w.Header().Set("Content-Type", response.ContentType)
 	}
 	if replayed {
 		w.Header().Set(headerReplayed, "true")
 	}
-	w.Header().Set(headerOutcome, string(code.Done))
+	p.setOutcome(w.Header(), response.EndUnmarked)
 	w.WriteHeader(response.Status)
 	_, _ = w.Write(response.Body)
 }
--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -33,6 +33,8 @@
 	Status      int
 	ContentType string
 	Body        []byte
+	// EndUnmarked is set if the endpoint did not mark the end of the body, which may be truncated.
+	EndUnmarked bool
 }
 
 // Outcome is the outcome of a call.
@@ -184,7 +186,7 @@
 	case stateNotRun:
 		return nil
 	case stateDone:
-		return Ran{Response: Response{held.Status, held.ContentType, held.Body}, Replayed: true}
+		return Ran{Response: Response{Status: held.Status, ContentType: held.ContentType, Body: held.Body}, Replayed: true}
 	case stateClaimed:
 		if time.Now().UnixMilli() < held.OwnerDeadline {
 			return InProgress{}
--- a/pkg/plainservice/plainservice.go
+++ b/pkg/plainservice/plainservice.go
@@ -57,6 +57,9 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
+	// EndUnmarked is set if the body has neither a length nor chunks. It ends when the connection is
+	// closed, which a crash of the endpoint does too, so its end does not show that it is complete.
+	EndUnmarked bool
 	// Notice is what the response says about the endpoint itself.
 	Notice endpoint.Notice
 }
@@ -130,7 +133,15 @@
 		_ = response.Body.Close()
 		return Response{}, &RejectedError{noticeOf(response)}
 	}
-	return Response{response.StatusCode, EndToEndHeaders(response.Header), response.Body, noticeOf(response)}, nil
+	return Response{
+		Status: response.StatusCode, Header: EndToEndHeaders(response.Header), Body: response.Body, EndUnmarked: isEndUnmarked(response),
+		Notice: noticeOf(response),
+	}, nil
+}
+
+// isEndUnmarked reports whether a response ends with its connection (RFC 9112, section 6.3).
+func isEndUnmarked(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
 }
 
 // unseekableBody hides the type of the body, so that net/http cannot rewind and resend it.
