claim: replay a response whose end was not marked without marking it

A caller that repeated a call with its key got the stored response of the first one with a length and the outcome done, also if its endpoint had not marked its end and may have crashed in the middle. Cause: the row of a claim did not say whether the end was marked. Evidence: TestReplayKeepsUnmarkedEnd and TestReplayedResponseKeepsUnmarkedEnd failed on the code before. Change: such a response is stored in the new state done-unmarked, and replayed like the first time, ending with the caller's connection. Why it works: the response and what is known about its end are stored in one row. Rows stored before have the state done and are replayed as before. Entries of earlier versions do not know the new state and report the outcome as unknown; TestStoredRowsAreReplayedByState showed that on the code before. Result: the three tests pass; the call still runs once.

--- a/pkg/callerapi/framing_test.go
+++ b/pkg/callerapi/framing_test.go
@@ -165,6 +165,22 @@
 	}
 }
 
+// Guards against a response with an unmarked end that another entry replays to a repeated call as complete.
+func TestReplayedResponseKeepsUnmarkedEnd(t *testing.T) {
+	for _, caller := range callers {
+		s := newScriptedSite(t, respond(plainHead+"\r\nanswer"))
+		for i, e := range []*entry{s.newEntry(t, "n1"), s.newEntry(t, "n2")} {
+			got := e.sendRaw(t, http.MethodPost, once, caller.version, caller.headers+"Idempotency-Key: k\r\n", "")
+			if got.err != nil || got.framing != "close" || got.body != "answer" || got.header.Get("Ironhollow-Outcome") != "unknown" {
+				t.Errorf("call %d: got %+v, want the answer by close with the outcome unknown", i, got)
+			}
+			if replayed := got.header.Get("Idempotent-Replayed") == "true"; replayed != (i > 0) {
+				t.Errorf("call %d: got replayed %v, want %v", i, replayed, i > 0)
+			}
+		}
+	}
+}
+
 // Guards against a break that reaches callers as an end, and against whole responses that do not.
 func TestMarkedEndsAndBreaksReachCallers(t *testing.T) {
 	long := strings.Repeat("x", 100<<10)
--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -76,8 +76,11 @@
 const (
 	stateClaimed = "claimed"
 	stateDone    = "done"
-	stateNotRun  = "not-run"
-	stateUnknown = "unknown"
+	// stateDoneUnmarked is stateDone for a response whose end was not marked. Processes of versions
+	// without this state report the outcome as unknown and do not replay the response as complete.
+	stateDoneUnmarked = "done-unmarked"
+	stateNotRun       = "not-run"
+	stateUnknown      = "unknown"
 )
 
 // claimRow is the JSON value of a row.
@@ -132,8 +135,12 @@
 	response, err := send(ctx)
 	switch {
 	case err == nil:
+		state := stateDone
+		if response.EndUnmarked {
+			state = stateDoneUnmarked
+		}
 		c.record(key, version, claimRow{
-			State: stateDone, Request: request, Status: response.Status, ContentType: response.ContentType, Body: response.Body,
+			State: state, Request: request, Status: response.Status, ContentType: response.ContentType, Body: response.Body,
 		})
 		return Ran{Response: response}
 	case errors.Is(err, ErrNotSent):
@@ -185,8 +192,9 @@
 	switch held.State {
 	case stateNotRun:
 		return nil
-	case stateDone:
-		return Ran{Response: Response{Status: held.Status, ContentType: held.ContentType, Body: held.Body}, Replayed: true}
+	case stateDone, stateDoneUnmarked:
+		response := Response{Status: held.Status, ContentType: held.ContentType, Body: held.Body, EndUnmarked: held.State == stateDoneUnmarked}
+		return Ran{Response: response, Replayed: true}
 	case stateClaimed:
 		if time.Now().UnixMilli() < held.OwnerDeadline {
 			return InProgress{}
--- a/pkg/claim/claim_test.go
+++ b/pkg/claim/claim_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"reflect"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -39,7 +40,9 @@
 	loseResponse bool
 	// rejectUnsent makes calls fail without a run.
 	rejectUnsent bool
-	latency      time.Duration
+	// endUnmarked makes the service leave the end of its response unmarked.
+	endUnmarked bool
+	latency     time.Duration
 }
 
 // send runs the call for a request without a name.
@@ -57,7 +60,7 @@
 	if s.loseResponse {
 		return claim.Response{}, errors.New("connection cut")
 	}
-	return claim.Response{Status: 200, Body: fmt.Appendf(nil, "run %d", s.runs)}, nil
+	return claim.Response{Status: 200, Body: fmt.Appendf(nil, "run %d", s.runs), EndUnmarked: s.endUnmarked}, nil
 }
 
 func call(c *claim.Claims, s *service) claim.Outcome {
@@ -81,6 +84,51 @@
 	})
 }
 
+// Guards against a replayed response that claims to be complete although its endpoint did not mark its end.
+func TestReplayKeepsUnmarkedEnd(t *testing.T) {
+	for _, endUnmarked := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			store := tables.New()
+			s := &service{mu: &sync.Mutex{}, endUnmarked: endUnmarked}
+			for i := range 2 {
+				got, ok := call(claim.New(table.NewWriter(store, fmt.Sprintf("entry-%d", i))), s).(claim.Ran)
+				if !ok || got.Response.EndUnmarked != endUnmarked || string(got.Response.Body) != "run 1" {
+					t.Errorf("call %d: got %+v, want run 1 with an unmarked end %v", i, got, endUnmarked)
+				}
+			}
+		})
+	}
+}
+
+// Guards against rows of earlier versions that are not replayed, and rows of unknown states that are.
+func TestStoredRowsAreReplayedByState(t *testing.T) {
+	for state, want := range map[string]claim.Outcome{
+		"done":           claim.Ran{Response: claim.Response{Status: 200, ContentType: "text/plain", Body: []byte("answer")}, Replayed: true},
+		"done-unmarked":  claim.Ran{Response: claim.Response{Status: 200, ContentType: "text/plain", Body: []byte("answer"), EndUnmarked: true}, Replayed: true},
+		"of a later one": claim.Unknown{},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			store := tables.New()
+			s := &service{mu: &sync.Mutex{}}
+			writer := table.NewWriter(store, "entry-1")
+			call(claim.New(writer), s)
+			rows, err := store.List(t.Context(), "claim/", "", 1)
+			if err != nil || len(rows) != 1 {
+				t.Fatalf("got %d rows, %v, want 1", len(rows), err)
+			}
+			value := fmt.Appendf(nil, `{"state":%q,"request":"POST /x","until":0,"status":200,"content_type":"text/plain","body":"YW5zd2Vy"}`, state)
+			writer.Commit(t.Context(), table.Write{Key: rows[0].Key, Value: value, If: table.Always{}})
+			got := call(claim.New(writer), s)
+			if _, unknown := got.(claim.Unknown); unknown {
+				got = claim.Unknown{}
+			}
+			if !reflect.DeepEqual(got, want) || s.runs != 1 {
+				t.Errorf("%s: got %+v after %d runs, want %+v after 1", state, got, s.runs, want)
+			}
+		})
+	}
+}
+
 // TestOutcomeOfFirstAndRepeatedCall causes each outcome of a call and then repeats the call.
 func TestOutcomeOfFirstAndRepeatedCall(t *testing.T) {
 	down := func(tables.Call) tables.Fault { return tables.Down{} }
