callerapi: reset the connection of an HTTP/1.0 caller if its response is incomplete

HTTP/1.0 callers saw responses of plain services that broke off as complete, and streams and long responses of the entry itself would have ended in the same way if the entry had ended in the middle. Cause: HTTP/1.0 has no chunks. A break was shown by closing the connection, which is how a complete response without a length ends. Long JSON bodies and stored responses had no length. Change: while a response that ends with an HTTP/1.0 caller's connection is incomplete, the connection has a linger time of 0. JSON bodies and stored responses have a length, for HTTP/1.1 callers too. WriteJSON answers 500 for a value that cannot be encoded, instead of an empty body with the given status. Why it works: an orderly close now follows only a response that was sent whole.

--- a/pkg/callerapi/framing.go
+++ b/pkg/callerapi/framing.go
@@ -22,6 +22,12 @@
 	h.Set(headerTransferEncoding, encodingIdentity)
 }
 
+// endsWithConnection reports whether a response with the given headers ends with the caller's
+// connection. HTTP/1.0 has no chunks.
+func endsWithConnection(h http.Header, r *http.Request) bool {
+	return h.Get(headerTransferEncoding) == encodingIdentity || !r.ProtoAtLeast(1, 1) && h.Get("Content-Length") == ""
+}
+
 // resetIncomplete makes the caller's connection end with a reset if a response that ends with the
 // connection is incomplete, also if this process ends. An ordinary close would look like the end of
 // the response.
@@ -29,7 +35,7 @@
 	endsByClose := false
 	if hooked, ok := w.(negroni.ResponseWriter); ok {
 		hooked.Before(func(started negroni.ResponseWriter) {
-			if started.Header().Get(headerTransferEncoding) == encodingIdentity {
+			if endsWithConnection(started.Header(), r) {
 				endsByClose = true
 				a.setResetOnClose(r, true)
 			}
--- a/pkg/callerapi/framing_test.go
+++ b/pkg/callerapi/framing_test.go
@@ -136,7 +136,9 @@
 }
 
 // callers are the kinds of callers.
-var callers = []struct{ version, headers string }{{"HTTP/1.1", ""}, {"HTTP/1.1", "Connection: close\r\n"}}
+var callers = []struct{ version, headers string }{
+	{"HTTP/1.1", ""}, {"HTTP/1.1", "Connection: close\r\n"}, {"HTTP/1.0", ""}, {"HTTP/1.0", "Connection: keep-alive\r\n"},
+}
 
 // Guards against an end that the endpoint did not mark and that reaches callers as a length or a last chunk.
 func TestUnmarkedEndIsNotFramedAsComplete(t *testing.T) {
@@ -220,6 +222,48 @@
 	}
 }
 
+// Guards against long responses of the entry's own that reach HTTP/1.0 callers without a length, and then end like truncated ones.
+func TestOwnResponsesHaveLengthOrChunks(t *testing.T) {
+	long := strings.Repeat("x", 4000)
+	chat := `{"model":"talk","max_tokens":300,"messages":[{"role":"user","content":"hello"}]`
+	for name, c := range map[string]struct{ method, path, headers, body, wantFraming string }{
+		"completion":    {http.MethodPost, "/v1/chat/completions", "", chat + "}", "length"},
+		"stream":        {http.MethodPost, "/v1/chat/completions", "", chat + `,"stream":true}`, "chunks"},
+		"claimed call":  {http.MethodPost, once, "Idempotency-Key: k\r\n", "", "length"},
+		"unknown path":  {http.MethodGet, "/v2", "", "", "length"},
+		"list of hosts": {http.MethodGet, "/v1/entries", "", "", "length"},
+	} {
+		for _, caller := range callers {
+			e := newScriptedSite(t, respond(chunkHead+chunk(long)+lastChunk)).newEntry(t, "n1")
+			got := e.sendRaw(t, c.method, c.path, caller.version, caller.headers+c.headers, c.body)
+			wantFraming := c.wantFraming
+			if wantFraming == "chunks" && caller.version == "HTTP/1.0" {
+				wantFraming = "close"
+			}
+			if got.err != nil || got.framing != wantFraming || got.body == "" {
+				t.Errorf("%s, %s %s: got status %d, %d bytes by %s, error %v, want %s", name, caller.version, strings.TrimSpace(caller.headers), got.status, len(got.body), got.framing, got.err, wantFraming)
+			}
+		}
+	}
+}
+
+// Guards against a stream that ends like a complete one for an HTTP/1.0 caller when the process ends in the middle.
+func TestStreamToHTTP10CallerIsResetIfTheProcessEnds(t *testing.T) {
+	e := newSite(t).newEntry(t, "n1")
+	body := `{"model":"talk","max_tokens":500,"messages":[{"role":"user","content":"hello"}],"stream":true}`
+	response, err := e.open(t, http.MethodPost, "/v1/chat/completions", "HTTP/1.0", "", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err = io.ReadFull(response.Body, make([]byte, 1000)); err != nil {
+		t.Fatal(err)
+	}
+	e.server.CloseClientConnections()
+	if rest, err := io.ReadAll(response.Body); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("after the process has ended: got %d bytes and error %v, want a reset", len(rest), err)
+	}
+}
+
 // Guards against a process that ends in the middle of a response and whose connection then ends like a complete one.
 func TestUnmarkedResponseIsResetIfTheProcessEnds(t *testing.T) {
 	release := make(chan struct{})
--- a/pkg/callerapi/plain.go
+++ b/pkg/callerapi/plain.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"ironhollow/pkg/claim"
@@ -273,6 +274,9 @@
 	if replayed {
 		w.Header().Set(headerReplayed, "true")
 	}
+	if len(response.Body) > 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(len(response.Body)))
+	}
 	p.setOutcome(w.Header(), response.EndUnmarked)
 	w.WriteHeader(response.Status)
 	_, _ = w.Write(response.Body)
--- a/pkg/httpx/httpx.go
+++ b/pkg/httpx/httpx.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"time"
 )
 
@@ -73,11 +74,19 @@
 	return json.NewDecoder(io.LimitReader(response.Body, maxJSONBytes)).Decode(out)
 }
 
-// WriteJSON writes a response with a JSON body.
+// WriteJSON writes a response with a JSON body. The response has a length, as it would otherwise end
+// with the connection for an HTTP/1.0 client.
 func WriteJSON(w http.ResponseWriter, status int, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	body = append(body, '\n')
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(value)
+	_, _ = w.Write(body)
 }
 
 // CheckAddress returns an error unless address is an IP address and port.
