callerapi: a response that breaks off over TLS does not end with a close_notify alert

A caller over TLS saw a response that ends with its connection and broke off as complete. Cause: the HTTP server closes an aborted connection through the TLS layer, which sends the close_notify alert, the mark that all data was sent. The caller reads it before it sees the reset that follows. Change: an incomplete response that ends with its connection is aborted by resetting the TCP connection below TLS first. Why it works: the alert can no longer be sent. A process that ends sends none either. The raw requests' interface has no TLS and is not affected.

--- a/pkg/callerapi/framing.go
+++ b/pkg/callerapi/framing.go
@@ -41,17 +41,29 @@
 			}
 		})
 	}
+	isSent := false
+	defer func() {
+		switch {
+		case !endsByClose:
+		case isSent:
+			a.setResetOnClose(r, false)
+		default:
+			if err := httpx.Reset(r.Context()); err != nil {
+				a.Log.Debug().Err(err).Msg("failed to reset the caller's connection")
+			}
+		}
+	}()
 	next(w, r)
 	if !endsByClose {
 		return
 	}
 	// Data that is still buffered in this process would be missing if the process ended before it
 	// is sent.
-	if err := http.NewResponseController(w).Flush(); err != nil {
+	err := http.NewResponseController(w).Flush()
+	if err != nil {
 		a.Log.Debug().Err(err).Msg("failed to send the end of a response")
-		return
 	}
-	a.setResetOnClose(r, false)
+	isSent = err == nil
 }
 
 func (a *API) setResetOnClose(r *http.Request, reset bool) {
--- a/pkg/callerapi/framing_test.go
+++ b/pkg/callerapi/framing_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"syscall"
@@ -14,6 +16,7 @@
 	"time"
 
 	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/httpx"
 )
 
 // script answers a request on a connection, which is then closed.
@@ -264,6 +267,54 @@
 	}
 }
 
+// Guards against a break after which TLS tells the caller that the data is complete.
+func TestBreakIsNoCleanEndOfTLS(t *testing.T) {
+	const body = "the first part"
+	for name, answer := range map[string]script{
+		"unmarked, reset": respondAndReset(plainHead + "\r\n" + body),
+		"unmarked, whole": respond(plainHead + "\r\n" + body),
+	} {
+		e := newScriptedSite(t, answer).newEntry(t, "n1")
+		e.api.Limits.ResponseBytes = 1 << 20
+		server := httptest.NewUnstartedServer(flushing{e.api})
+		server.Config.ConnContext = httpx.WithCallerConn
+		server.StartTLS()
+		t.Cleanup(server.Close)
+		c, err := tls.Dial("tcp", server.Listener.Addr().String(), &tls.Config{InsecureSkipVerify: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		_, _ = fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer secret\r\n\r\n", repeated)
+		// The end of the response arrives before the caller reads it.
+		time.Sleep(200 * time.Millisecond)
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		got, err := io.ReadAll(response.Body)
+		if isWhole := name == "unmarked, whole"; string(got) != body || isWhole != (err == nil) {
+			t.Errorf("%s: got %q and error %v, want an error unless whole", name, got, err)
+		}
+	}
+}
+
+// flushing sends each part of a response at once.
+type flushing struct{ http.Handler }
+
+func (f flushing) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.Handler.ServeHTTP(flushingWriter{w}, r)
+}
+
+type flushingWriter struct{ http.ResponseWriter }
+
+func (w flushingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func (w flushingWriter) Write(data []byte) (int, error) {
+	n, err := w.ResponseWriter.Write(data)
+	return n, errors.Join(err, http.NewResponseController(w.ResponseWriter).Flush())
+}
+
 // Guards against a process that ends in the middle of a response and whose connection then ends like a complete one.
 func TestUnmarkedResponseIsResetIfTheProcessEnds(t *testing.T) {
 	release := make(chan struct{})
