load: a truncated answer of a plain service is not a whole one

The load tool counted calls whose answer ended with its connection as whole, and recorded the outcome done for calls whose answers all broke off. Cause: Client.Call took the end of the connection for the end of the answer, and the outcome was done unless the system returned an error of its own. Evidence: of TestTruncatedAnswersAreNotCountedAsWhole, the three cases of calls with truncated answers failed on the code before. The cases of streams passed: a stream counts only with its [DONE] event. Change: a call whose answer has neither a length nor chunks has the outcome unknown, and so has one that never got an answer.

--- a/pkg/load/client.go
+++ b/pkg/load/client.go
@@ -18,6 +18,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"ironhollow/pkg/chat"
+	"ironhollow/pkg/code"
 )
 
 // Client calls the fleet with the API key of one team.
@@ -369,7 +370,16 @@
 		return CallResponse{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.Header.Get("Ironhollow-Outcome") != "done" {
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		// The response ends with its connection, so that its end does not show that it is whole.
+		data, err := io.ReadAll(response.Body)
+		if err != nil {
+			return CallResponse{}, err
+		}
+		message := fmt.Sprintf("the end of the answer of %d bytes is not marked", len(data))
+		return CallResponse{}, &APIError{Status: response.StatusCode, Outcome: string(code.Unknown), Message: message}
+	}
+	if response.Header.Get("Ironhollow-Outcome") != string(code.Done) {
 		return CallResponse{}, responseError(response)
 	}
 	data, err := io.ReadAll(response.Body)
--- a/pkg/load/run.go
+++ b/pkg/load/run.go
@@ -181,15 +181,17 @@
 func (s sourceRun) call(ctx context.Context, n int, due time.Time) {
 	key := fmt.Sprintf("call-%s-%d-%d", s.source.Team, due.UnixNano(), n)
 	interrupted := false
-	var outcome string
 	err := s.withFailover(ctx, &interrupted, func(address string) error {
 		_, err := s.client.Call(ctx, address, http.MethodPost, s.source.Service, s.source.Path, key, []byte(key))
 		return err
 	})
-	outcome = "done"
+	outcome := string(code.Done)
 	var apiErr *APIError
-	if errors.As(err, &apiErr) {
+	switch {
+	case errors.As(err, &apiErr):
 		outcome = apiErr.Outcome
+	case err != nil:
+		outcome = string(code.Unknown)
 	}
 	s.mu.Lock()
 	s.callOutcomes[key] = outcome
