job: a truncated body from the object store is not run

An accepted job with a body over 16 KB could have failed for good as a bad request after it was taken over, if the object store broke off the transfer of the body and its response had neither length nor chunks. Cause: the end of such a response counts as the end of the object, and the body was run unchecked. Evidence: TestTruncatedBodyIsNotRun failed on the code before: the job was taken over with half its body. Change: a body from the object store that is not valid JSON makes the take-over fail as unusable. Why it works: an accepted body is a JSON object, and no part of one is valid JSON. The job keeps its owner, does not block others, and is read again in the next round of recovery.

--- a/pkg/job/job_test.go
+++ b/pkg/job/job_test.go
@@ -17,6 +17,7 @@
 
 	"ironhollow/pkg/code"
 	"ironhollow/pkg/job"
+	"ironhollow/pkg/object"
 	"ironhollow/pkg/standin/objects"
 	"ironhollow/pkg/standin/tables"
 	"ironhollow/pkg/table"
@@ -96,7 +97,7 @@
 	kill   context.CancelFunc
 }
 
-func newEntry(owner string, rows *tables.Store, bodies *objects.Store, g job.Generator) *entry {
+func newEntry(owner string, rows *tables.Store, bodies object.Store, g job.Generator) *entry {
 	ctx, kill := context.WithCancel(context.Background())
 	writer := table.NewWriter(rows, owner)
 	store := job.NewStore(writer, bodies, job.NewBatcher(writer, 10*time.Millisecond))
--- a/pkg/job/recover_test.go
+++ b/pkg/job/recover_test.go
@@ -4,13 +4,18 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"ironhollow/pkg/code"
 	"ironhollow/pkg/job"
+	"ironhollow/pkg/object"
 	"ironhollow/pkg/standin/objects"
 	"ironhollow/pkg/standin/tables"
 	"ironhollow/pkg/table"
@@ -122,3 +127,45 @@
 		}
 	})
 }
+
+// Guards against a job that runs, and fails for good, on a body whose transfer the object store broke off without a mark.
+func TestTruncatedBodyIsNotRun(t *testing.T) {
+	rows, bodies, g := tables.New(), objects.New(), newGenerator(time.Millisecond)
+	body := `"` + strings.Repeat("b", 20<<10) + `"`
+	var truncates atomic.Bool
+	truncates.Store(true)
+	mux := http.NewServeMux()
+	bodies.Register(mux)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodGet || !truncates.Load() {
+			mux.ServeHTTP(w, r)
+			return
+		}
+		w.Header().Set("Transfer-Encoding", "identity")
+		_, _ = w.Write([]byte(body[:len(body)/2]))
+	}))
+	t.Cleanup(server.Close)
+	client := object.New(server.Listener.Addr().String(), time.Second, server.Client())
+	lost, survivor := newEntry("n1@1", rows, client, newGenerator(time.Hour)), newEntry("n2@1", rows, client, g)
+	defer survivor.kill()
+	j, _, err := lost.accept("k", body, time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	lost.kill()
+	taken, err := survivor.worker.RecoverAll(t.Context(), "n1@1")
+	if taken != 0 || !job.IsUnusable(err) {
+		t.Errorf("truncated body: got %d jobs taken over, error %v; want none and an error", taken, err)
+	}
+	truncates.Store(false)
+	if taken, err := survivor.worker.RecoverAll(t.Context(), "n1@1"); taken != 1 || err != nil {
+		t.Errorf("whole body: got %d jobs taken over, error %v; want 1", taken, err)
+	}
+	for range 100 {
+		if survivor.getJob(t, j.ID).State == job.Done {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Errorf("got job %+v, want it done", survivor.getJob(t, j.ID).State)
+}
--- a/pkg/job/store.go
+++ b/pkg/job/store.go
@@ -163,12 +163,19 @@
 	)
 }
 
+// body returns a job's body from the object store. A transfer that the store broke off need not be
+// marked as such, and a part of a body is not valid JSON.
 func (s *Store) body(ctx context.Context, id string) ([]byte, error) {
 	data, ok, err := s.objects.Get(ctx, bodyObjectKey(id))
-	if err == nil && !ok {
-		err = &UnusableError{ID: id, Err: errors.New("the body is missing")}
+	switch {
+	case err != nil:
+		return nil, err
+	case !ok:
+		return nil, &UnusableError{ID: id, Err: errors.New("the body is missing")}
+	case !json.Valid(data):
+		return nil, &UnusableError{ID: id, Err: fmt.Errorf("the body is truncated or damaged: %d bytes", len(data))}
 	}
-	return data, err
+	return data, nil
 }
 
 // UnusableError says that a job's row or body cannot be used, so that nobody can run the job. It does
