--- a/pkg/callerapi/framing_test.go
+++ b/pkg/callerapi/framing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"crypto/tls"
 	"errors"
 	"fmt"
@@ -37,8 +38,8 @@
 	}
 }
 
-// serveScript serves each connection of a new listener with the script and returns its address.
-func serveScript(t *testing.T, answer script) string {
+// serveScript serves each connection of a new listener with the script.
+func serveScript(t *testing.T, answer script) net.Listener {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -57,12 +58,13 @@
 				if err != nil {
 					return
 				}
-				_, _ = io.Copy(io.Discard, r.Body)
+				body, _ := io.ReadAll(r.Body)
+				r.Body = io.NopCloser(bytes.NewReader(body))
 				answer(c, r)
 			}()
 		}
 	}()
-	return listener.Addr().String()
+	return listener
 }
 
 // newScriptedSite returns a site whose plain service has one endpoint that runs the script.
@@ -70,7 +72,7 @@
 	t.Helper()
 	s := newSite(t)
 	s.infos = append(s.infos, endpoint.Info{
-		ID: "scripted", Incarnation: 1, State: endpoint.Live, Kind: endpoint.Plain, Service: "ledger", Address: serveScript(t, answer),
+		ID: "scripted", Incarnation: 1, State: endpoint.Live, Kind: endpoint.Plain, Service: "ledger", Address: serveScript(t, answer).Addr().String(),
 	})
 	return s
 }
