--- a/pkg/callerapi/framing_test.go
+++ b/pkg/callerapi/framing_test.go
@@ -269,7 +269,7 @@
 	}
 }
 
-// Guards against a break after which TLS tells the caller that the data is complete.
+// Guards against a break after which TLS reports to the caller that the data is complete.
 func TestBreakIsNoCleanEndOfTLS(t *testing.T) {
 	const body = "the first part"
 	for name, answer := range map[string]script{
