operatorclient: an empty response body is an error

Operators would see an empty configuration at revision 0, no endpoints or no candidates, and a change as applied as revision 0, after a response that ended before its body. Cause: the client took a response without a body for success, also where a result is expected. Such a response may have ended early; all responses with a result have a body. Evidence: TestTruncatedAnswersAreNotWhole cuts the answers of 27 calls to the store, the cloud, other hosts and the operators' API at each byte, with a length, with chunks and without either. Its cases for the operators' configuration and status failed for the empty body; the other clients' cases passed. Change: a body is decoded if a result is expected, which fails if it is empty. An apply with that outcome is repeated with its request ID, as after any lost response. Result: both cases pass; tests of pkg/operatorclient pass.

--- a/pkg/operatorclient/client.go
+++ b/pkg/operatorclient/client.go
@@ -121,9 +121,10 @@
 		}
 		return serverError
 	}
-	if out == nil || len(data) == 0 {
+	if out == nil {
 		return nil
 	}
+	// An empty body is an error too: the response may have ended early.
 	return json.Unmarshal(data, out)
 }
 
