object: an object without length or chunks must be a complete JSON object

A job that was taken over would fail for good if the object store, or a proxy before it, ended in the middle of the answer with the job's request. Cause: an answer with neither a length nor chunks ends with its connection, and Get returned what had arrived as the whole object. Readers of results and checkpoints notice it as they decode them. A truncated request cannot be decoded either, which counts as a job that can never run. Evidence: the case "object" of TestTruncatedAnswersAreNotWhole failed at each byte of the body. Change: such an answer is an error unless it is a JSON object, which all objects are. The caller retries. Why it works: no beginning of a JSON object is one itself, so a whole answer without a length is still accepted and a truncated one is not. Result: the test passes; the whole object without a length or chunks is read as before.

--- a/pkg/httpx/truncated_test.go
+++ b/pkg/httpx/truncated_test.go
@@ -23,6 +23,7 @@
 	"ironhollow/pkg/hostlist"
 	"ironhollow/pkg/lease"
 	"ironhollow/pkg/migrate"
+	"ironhollow/pkg/object"
 	"ironhollow/pkg/operatorapi/operatorwire"
 	"ironhollow/pkg/operatorclient"
 	"ironhollow/pkg/relay"
@@ -245,6 +246,10 @@
 			rows, err := s.tables().List(ctx, "t/", "", 9)
 			return result(err, len(rows))
 		}},
+		{name: "object", status: "200", body: `{"messages":[{"role":"user","content":"a question"}],"max_tokens":12}`, want: "true69", call: func(s server) string {
+			data, ok, err := object.New(s.address, time.Second, s.client).Get(ctx, "k")
+			return result(err, strconv.FormatBool(ok)+strconv.Itoa(len(data)))
+		}},
 		{name: "cloud: notices", status: "200", body: `[{"sequence":1,"host":"a"},{"sequence":2,"host":"b"}]`, want: "2", call: func(s server) string {
 			notices, err := cloud.New(s.address, time.Second, s.client).Notices(ctx, 0)
 			return result(err, len(notices))
--- a/pkg/object/object.go
+++ b/pkg/object/object.go
@@ -4,16 +4,19 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"time"
 )
 
 // Store keeps objects by key. Writes are atomic: an object is written whole or not at all. A Put
 // may be repeated, since a key is only ever given the same bytes or a later state of the same work.
+// All objects are JSON objects.
 type Store interface {
 	Put(ctx context.Context, key string, data []byte) error
 	Get(ctx context.Context, key string) (data []byte, ok bool, err error)
@@ -69,6 +72,9 @@
 	switch response.StatusCode {
 	case http.StatusOK:
 		data, err := readAll(response.Body, maxObjectBytes)
+		if err == nil && endsByClose(response) && !isCompleteObject(data) {
+			err = errUnmarkedEnd
+		}
 		if err != nil {
 			return nil, false, fmt.Errorf("object: get %s: %w", key, err)
 		}
@@ -79,7 +85,21 @@
 	return nil, false, fmt.Errorf("object: get %s: %s", key, response.Status)
 }
 
-var errTooLong = errors.New("object too long")
+var (
+	errTooLong = errors.New("object too long")
+	// errUnmarkedEnd means that the store did not mark the end of an object, which may be truncated.
+	errUnmarkedEnd = errors.New("object ends with its connection and may be incomplete")
+)
+
+// endsByClose reports whether a response ends with its connection, as a truncated one may.
+func endsByClose(response *http.Response) bool {
+	return response.ContentLength < 0 && !response.Uncompressed && !slices.Contains(response.TransferEncoding, "chunked")
+}
+
+// isCompleteObject reports whether data is a JSON object, which no beginning of another one is.
+func isCompleteObject(data []byte) bool {
+	return bytes.HasPrefix(bytes.TrimLeft(data, " \t\r\n"), []byte("{")) && json.Valid(data)
+}
 
 // readAll reads up to limit bytes. A longer object is an error, as a part of it is of no use.
 func readAll(r io.Reader, limit int64) ([]byte, error) {
