--- a/pkg/job/store.go
+++ b/pkg/job/store.go
@@ -168,6 +168,8 @@
 func (s *Store) body(ctx context.Context, id string) ([]byte, error) {
 	data, ok, err := s.objects.Get(ctx, bodyObjectKey(id))
 	switch {
+	case errors.Is(err, object.ErrIncomplete):
+		return nil, &UnusableError{ID: id, Err: err}
 	case err != nil:
 		return nil, err
 	case !ok:
--- a/pkg/object/object.go
+++ b/pkg/object/object.go
@@ -73,7 +73,7 @@
 	case http.StatusOK:
 		data, err := readAll(response.Body, maxObjectBytes)
 		if err == nil && endsByClose(response) && !isCompleteObject(data) {
-			err = errUnmarkedEnd
+			err = ErrIncomplete
 		}
 		if err != nil {
 			return nil, false, fmt.Errorf("object: get %s: %w", key, err)
@@ -87,8 +87,8 @@
 
 var (
 	errTooLong = errors.New("object too long")
-	// errUnmarkedEnd means that the store did not mark the end of an object, which may be truncated.
-	errUnmarkedEnd = errors.New("object ends with its connection and may be incomplete")
+	// ErrIncomplete means that the store did not mark the end of an object, which may be truncated.
+	ErrIncomplete = errors.New("object ends with its connection and may be incomplete")
 )
 
 // endsByClose reports whether a response ends with its connection, as a truncated one may.
