soak: failing test for hosts that are cut from all endpoints

Cause as far as known: a host serves a request only over a connection of its own to an endpoint. Without one it answers 503 at once, or, if its attempts to connect get no response, after 3 s.

Change: RunCut cuts hosts from all or some endpoints while callers, the store and the other hosts still reach them. Each host reads the store through a view in which endpoints have the addresses of proxies for this host alone; the request log resolves these addresses, so that moves still work. The proxies get three modes: hang (no SYN-ACK: the backlog is 0 and filled), disconnect and refuse (the listener is shut down and keeps its address). Callers send at a constant rate to every host, whatever the responses, over connections that they keep open. Usage reports are compared with the requests that ran.

--- a/pkg/soak/process.go
+++ b/pkg/soak/process.go
@@ -24,6 +24,8 @@
 	folder   string
 	// storeProxy is the proxy between this host and the store.
 	storeProxy *Proxy
+	// links are the links to endpoints, nil if all hosts use the same.
+	links *endpointLinks
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -133,6 +135,9 @@
 	process, done := n.process, n.done
 	n.mu.Unlock()
 	n.storeProxy.Close()
+	if n.links != nil {
+		n.links.close()
+	}
 	if process != nil {
 		_ = process.Process.Kill()
 		<-done
--- a/pkg/soak/proxy.go
+++ b/pkg/soak/proxy.go
@@ -3,9 +3,11 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -24,38 +26,66 @@
 	OneWay
 	// Reset resets all open connections and each new one.
 	Reset
+	// Hang is a partition: open connections forward nothing, and attempts to open one get no
+	// response. After hangTimeout the open connections are lost with what they hold.
+	Hang
+	// Disconnect resets all open connections and refuses new ones.
+	Disconnect
+	// Refuse forwards on open connections and refuses new ones.
+	Refuse
 )
 
 // String returns the name of the mode.
 func (m Mode) String() string {
-	return [...]string{"pass", "delay", "silence", "one-way", "reset"}[m]
+	return [...]string{"pass", "delay", "silence", "one-way", "reset", "hang", "disconnect", "refuse"}[m]
 }
 
+// accepts reports whether connections can be opened in this mode.
+func (m Mode) accepts() bool { return m < Hang }
+
 // delayTime is how long Delay holds each chunk.
 const delayTime = 150 * time.Millisecond
 
+const (
+	// hangTimeout is the TCP_USER_TIMEOUT of hosts' connections. The proxy applies it, because
+	// the loopback interface acknowledges all bytes that are sent.
+	hangTimeout = 3 * time.Second
+	// backlog is the usual length of the queue of connections to accept.
+	backlog = 128
+	// fillTimeout is the time without a connection after which the queue is regarded as full.
+	fillTimeout = 50 * time.Millisecond
+	// acceptRetryPause is the pause after a failure to accept a connection.
+	acceptRetryPause = 10 * time.Millisecond
+)
+
 // Proxy is a loopback proxy to one address. It is safe for concurrent use.
 type Proxy struct {
-	listener net.Listener
+	listener *net.TCPListener
 	target   string
 
-	mu    sync.Mutex
-	mode  Mode
+	mu   sync.Mutex
+	mode Mode
+	// conns holds the open connections; the value is true for those from clients.
 	conns map[net.Conn]bool
 	// changed is closed when the mode changes.
 	changed chan struct{}
+	// lostHangs counts the hangs that lasted for hangTimeout.
+	lostHangs int
+	// fillers are the connections that fill the queue of the listener during a hang.
+	fillers []net.Conn
 }
 
 // NewProxy starts a proxy to a target on any free port.
 func NewProxy(target string) (*Proxy, error) { return NewProxyAt(anyPortAddress, target) }
 
-// NewProxyAt starts a proxy to a target that listens on the given address.
+// NewProxyAt starts a proxy to a target that listens on the given address. Disconnect and Refuse
+// require an explicit port: the kernel releases one that it has chosen itself.
 func NewProxyAt(address, target string) (*Proxy, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: listener, target: target, conns: map[net.Conn]bool{}, changed: make(chan struct{})}
+	p := &Proxy{listener: listener.(*net.TCPListener), target: target, conns: map[net.Conn]bool{}, changed: make(chan struct{})}
 	go p.accept()
 	return p, nil
 }
@@ -73,14 +103,72 @@
 func (p *Proxy) SetMode(mode Mode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.mode.accepts() {
+		p.startListening()
+	}
 	p.mode = mode
 	close(p.changed)
 	p.changed = make(chan struct{})
-	if mode == Reset {
+	if mode == Reset || mode == Disconnect {
 		for c := range p.conns {
 			reset(c)
 		}
 	}
+	switch mode {
+	case Hang:
+		p.stopAnswering()
+		time.AfterFunc(hangTimeout, p.loseConns(p.changed))
+	case Disconnect, Refuse:
+		p.control(func(fd int) { _ = syscall.Shutdown(fd, syscall.SHUT_RD) })
+	}
+}
+
+// startListening ends what Hang, Disconnect or Refuse did to the listener. The caller holds p.mu.
+func (p *Proxy) startListening() {
+	for _, c := range p.fillers {
+		reset(c)
+	}
+	p.fillers = nil
+	p.control(func(fd int) { _ = syscall.Listen(fd, backlog) })
+	_ = p.listener.SetDeadline(time.Time{})
+}
+
+// stopAnswering fills the queue of the listener, so that the kernel drops further attempts to open a
+// connection. The caller holds p.mu.
+func (p *Proxy) stopAnswering() {
+	_ = p.listener.SetDeadline(time.Unix(1, 0))
+	p.control(func(fd int) { _ = syscall.Listen(fd, 0) })
+	for {
+		c, err := net.DialTimeout("tcp", p.Address(), fillTimeout)
+		if err != nil {
+			return
+		}
+		p.fillers = append(p.fillers, c)
+	}
+}
+
+// control calls f with the listener's socket, unless the listener is closed.
+func (p *Proxy) control(f func(fd int)) {
+	if raw, err := p.listener.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { f(int(fd)) })
+	}
+}
+
+// loseConns returns a function that resets the clients' connections if the mode has not changed since.
+func (p *Proxy) loseConns(changed chan struct{}) func() {
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.changed != changed {
+			return
+		}
+		p.lostHangs++
+		for c, isClient := range p.conns {
+			if isClient {
+				reset(c)
+			}
+		}
+	}
 }
 
 func (p *Proxy) currentMode() (Mode, chan struct{}) {
@@ -98,11 +186,21 @@
 
 func (p *Proxy) accept() {
 	for {
+		mode, changed := p.currentMode()
+		if !mode.accepts() {
+			<-changed
+			continue
+		}
 		client, err := p.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if mode, _ := p.currentMode(); mode == Reset {
+		if err != nil {
+			// The mode has usually changed meanwhile.
+			time.Sleep(acceptRetryPause)
+			continue
+		}
+		if mode, _ := p.currentMode(); mode == Reset || mode == Disconnect {
 			reset(client)
 			continue
 		}
@@ -116,17 +214,24 @@
 		reset(client)
 		return
 	}
-	p.track(client, upstream)
-	go p.copyDirection(upstream, client, false)
-	p.copyDirection(client, upstream, true)
+	lostHangs := p.track(client, upstream)
+	go p.copyDirection(upstream, client, false, lostHangs)
+	p.copyDirection(client, upstream, true, lostHangs)
 }
 
-func (p *Proxy) track(conns ...net.Conn) {
+// track adds the connections of a client and returns p.lostHangs.
+func (p *Proxy) track(client, upstream net.Conn) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, c := range conns {
-		p.conns[c] = true
-	}
+	p.conns[client], p.conns[upstream] = true, false
+	return p.lostHangs
+}
+
+// isLost reports whether a hang has lasted for hangTimeout since p.lostHangs had the given value.
+func (p *Proxy) isLost(lostHangs int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lostHangs != lostHangs
 }
 
 func (p *Proxy) closeConns(conns ...net.Conn) {
@@ -138,18 +243,27 @@
 	}
 }
 
-// copyDirection copies one direction of a connection; responses is true for the one from the target.
-func (p *Proxy) copyDirection(to, from net.Conn, responses bool) {
+// copyDirection copies one direction of a connection; responses is true for the one from the target,
+// lostHangs is p.lostHangs when the connection was opened.
+func (p *Proxy) copyDirection(to, from net.Conn, responses bool, lostHangs int) {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
 			p.applyMode(responses)
+			if p.isLost(lostHangs) {
+				reset(to)
+				reset(from)
+				break
+			}
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				reset(from)
 				break
 			}
 		}
+		if err != nil {
+			p.awaitHangEnd()
+		}
 		if err == io.EOF {
 			if tcp, ok := to.(*net.TCPConn); ok {
 				_ = tcp.CloseWrite()
@@ -176,10 +290,17 @@
 		case mode == Delay:
 			time.Sleep(delayTime)
 			return
-		case mode == Silence, mode == OneWay && responses:
+		case mode == Silence, mode == Hang, mode == OneWay && responses:
 			<-changed
 		default:
 			return
 		}
 	}
 }
+
+// awaitHangEnd waits while the mode is Hang.
+func (p *Proxy) awaitHangEnd() {
+	for mode, changed := p.currentMode(); mode == Hang; mode, changed = p.currentMode() {
+		<-changed
+	}
+}
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -87,6 +87,8 @@
 	stopTimes []time.Time
 	// stopped is true once no more endpoints may be started.
 	stopped bool
+	// separateLinks is set if each host reaches endpoints over links of its own, node.links.
+	separateLinks bool
 }
 
 // Run makes one run. It returns an error if the run could not be started or was canceled.
@@ -166,10 +168,18 @@
 		}
 	}
 	for i := range r.options.Nodes {
+		var links *endpointLinks
+		if r.separateLinks {
+			links = newEndpointLinks(r.requestLog.AddAlias, func(err error) { r.report.addViolation("node-%d: link to an endpoint: %v", i, err) })
+			if storeAddress, _, err = standin.Serve(r.store.View(links.address)); err != nil {
+				return err
+			}
+		}
 		n, err := newNode(i, r.options.Program, r.options.Folder, storeAddress, cloudAddress)
 		if err != nil {
 			return err
 		}
+		n.links = links
 		r.nodes = append(r.nodes, n)
 		if err := n.start(); err != nil {
 			return err
