--- a/pkg/forward/unmarked_test.go
+++ b/pkg/forward/unmarked_test.go
@@ -22,7 +22,7 @@
 	})
 }
 
-// Guards against a request that crashes endpoints and is never held back, as its truncated responses count as complete.
+// Guards against a request that crashes endpoints and is never quarantined, as its truncated responses count as complete.
 func TestCrashesUnderUnmarkedEndsAreEvidence(t *testing.T) {
 	const endpoints = 6
 	for _, path := range []string{"/once/x", "/stream/x"} {
