forward: pass requests on through a host that reaches endpoints

Cause: a host sends to endpoints itself or not at all. Change: such a host sends the request, as the caller sent it, to the peers' port of a host that reports no cut. That host handles it like one of its own callers' but for the team's limit, which is charged at the first host; runs, crash evidence, notices and retries are recorded where the endpoints are. One hop: a host that is cut off itself refuses. Up to three hosts are tried while none has taken the request; one that may have run is repeated only if it may be. Streams break off, are resumed and end unmarked as over a direct connection. A request to which two endpoints refused a connection takes the same way. A host takes on 400 at once.

--- a/pkg/app/node/listen.go
+++ b/pkg/app/node/listen.go
@@ -10,6 +10,7 @@
 	"github.com/urfave/negroni/v3"
 
 	"ironhollow/pkg/app/process"
+	"ironhollow/pkg/forward"
 	"ironhollow/pkg/httpx"
 	"ironhollow/pkg/relay"
 	"ironhollow/pkg/roster"
@@ -27,6 +28,8 @@
 	idleTimeout = 30 * time.Second
 	// maxHeaderBytes bounds the size of a caller's headers.
 	maxHeaderBytes = 64 << 10
+	// maxPeerHeaderBytes leaves room for what a host adds to the headers of a caller.
+	maxPeerHeaderBytes = maxHeaderBytes + 4<<10
 )
 
 // listen starts the servers of all ports. It returns those to shut down at the end.
@@ -42,7 +45,9 @@
 		{"callers", n.settings.CallerAddress, callers},
 		{"ready", n.settings.ReadyAddress, &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}},
 		{"directory", n.settings.DirectoryAddress, &http.Server{Handler: n.directoryHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}},
-		{"peers", n.settings.PeerAddress, &http.Server{Handler: n.peersHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}},
+		{"peers", n.settings.PeerAddress, &http.Server{
+			Handler: n.peersHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxPeerHeaderBytes, ConnContext: httpx.WithCallerConn,
+		}},
 		{"metrics", n.settings.AdminAddress, &http.Server{Handler: process.AdminMux(n.registry, n.checkReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}},
 	}
 	config := net.ListenConfig{
@@ -80,7 +85,15 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET "+relay.Path, n.storeReplica)
 	mux.Handle("GET "+statetransfer.Path, statetransfer.NewServer(n.view, n.known))
-	return negroni.New(negroni.NewRecovery(), negroni.Wrap(mux))
+	others := negroni.New(negroni.NewRecovery(), negroni.Wrap(mux))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if forward.IsDetour(r) {
+			// The recovery would turn an aborted response into a complete one.
+			n.forwarder.ServeDetour(w, r)
+			return
+		}
+		others.ServeHTTP(w, r)
+	})
 }
 
 func (n *node) directoryHandler() http.Handler {
--- a/pkg/code/code.go
+++ b/pkg/code/code.go
@@ -79,6 +79,8 @@
 	NotReady         = Code{5002, "not-ready", http.StatusServiceUnavailable, NotRun, "This process has no configuration yet."}
 	Internal         = Code{5003, "internal", http.StatusInternalServerError, Unknown, "A fault in ironhollow itself."}
 	Stopping         = Code{5005, "stopping", http.StatusServiceUnavailable, NotRun, "This host is stopping; another one takes the request."}
+	CutOff           = Code{5006, "cut-off", http.StatusServiceUnavailable, NotRun, "This host does not reach the endpoints; another one takes the request."}
+	HostBusy         = Code{5007, "host-busy", http.StatusServiceUnavailable, NotRun, "This host has taken on as many requests of other hosts as it can."}
 	UnknownPath      = Code{5004, "no-such-path", http.StatusNotFound, NotRun, "No such path."}
 )
 
@@ -89,7 +91,7 @@
 		OverRate, Overloaded, NoEndpoint, StreamLost, CannotResume, DeadlinePassed, Quarantined,
 		CallNotRun, CallUnknown, CallInProgress, KeyReused, StoreDown, AcceptUnknown, JobFailed,
 		RevisionConflict, BadConfig, ApplyUnknown,
-		NotReady, Internal, UnknownPath, Stopping,
+		NotReady, Internal, UnknownPath, Stopping, CutOff, HostBusy,
 	}
 }
 
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -48,6 +48,8 @@
 type streaming struct {
 	exchange    *upstream.Exchange
 	rolloutSend *rollout.Attempt
+	// isDetour is set if the stream comes through another host, which records what it shows.
+	isDetour bool
 }
 
 func (notRun) result()    {}
@@ -87,6 +89,9 @@
 	outcome := c.f.pool.Send(ctx, choice.Endpoint.Address, c.connectionLimit(), request)
 	switch o := outcome.(type) {
 	case upstream.NotSent:
+		if !errors.Is(o.Err, upstream.ErrConnectionLimit) && ctx.Err() == nil {
+			c.unreachable++
+		}
 		return notRun{err: o.Err}
 	case upstream.MaybeSent:
 		return unclear{o.Err}
@@ -206,4 +211,7 @@
 	}
 }
 
+// noChoice is the choice for an attempt through another host, which has chosen the endpoint.
+var noChoice route.Choice
+
 func refOf(c route.Choice) endpoint.Ref { return c.Endpoint.Ref() }
--- a/pkg/forward/crash.go
+++ b/pkg/forward/crash.go
@@ -54,6 +54,7 @@
 // crashed.
 func (c *call) recordEnd(choice route.Choice, status int, framing upstream.Framing) {
 	switch {
+	case choice.Endpoint.ID == noChoice.Endpoint.ID:
 	case framing == upstream.ByClose:
 		c.f.metrics.unmarkedEnds.WithLabelValues(c.service.Name).Inc()
 		c.recordBreak(choice, io.EOF)
@@ -69,10 +70,10 @@
 // recordBreak records that a run broke off at an endpoint, unless the endpoint's shutdown was
 // planned: while it ran the request, it reported that it leaves or its row was removed.
 func (c *call) recordBreak(choice route.Choice, err error) {
-	if c.incoming.Context().Err() != nil || !isPeerDisconnect(err) {
+	id := choice.Endpoint.ID
+	if id == noChoice.Endpoint.ID || c.incoming.Context().Err() != nil || !isPeerDisconnect(err) {
 		return
 	}
-	id := choice.Endpoint.ID
 	info, ok := c.f.router.Lookup(id)
 	if leaving := !ok || info.State != endpoint.Live; leaving && c.f.clock().Sub(c.sentAt) >= minPlannedRun {
 		return
--- /dev/null
+++ b/pkg/forward/detour.go
@@ -0,0 +1,299 @@
+package forward
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"ironhollow/pkg/code"
+	"ironhollow/pkg/httpx"
+	"ironhollow/pkg/upstream"
+)
+
+// Links is what is known of the links between hosts and endpoints.
+type Links interface {
+	// IsCut reports whether this host has lost its links to endpoints while other hosts reach them.
+	IsCut() bool
+	// Hosts returns the peer addresses of the other hosts that reach endpoints.
+	Hosts() []string
+}
+
+// Detours passes requests on to other hosts while this host does not reach endpoints, and counts
+// those that this host takes on for others. It is safe for concurrent use.
+type Detours struct {
+	links Links
+	// pool holds the connections to other hosts.
+	pool *upstream.Pool
+	// taken is the number of requests in progress that this host has taken on.
+	taken    atomic.Int64
+	passedOn *prometheus.CounterVec
+	takenOn  *prometheus.CounterVec
+}
+
+// NewDetours returns detours through the hosts that links names.
+func NewDetours(links Links, pool *upstream.Pool, registry prometheus.Registerer) *Detours {
+	d := &Detours{
+		links: links, pool: pool,
+		passedOn: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "ironhollow_requests_passed_on_total", Help: "Requests passed on to another host, by outcome of the attempt.",
+		}, []string{"outcome"}),
+		takenOn: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "ironhollow_requests_taken_on_total", Help: "Requests that other hosts passed on to this one, by whether they were accepted.",
+		}, []string{"accepted"}),
+	}
+	registry.MustRegister(d.passedOn, d.takenOn)
+	return d
+}
+
+// UseDetours makes the forwarder pass requests on and accept those that other hosts pass on. It must
+// be called before the first request.
+func (f *Forwarder) UseDetours(d *Detours) { f.detours = d }
+
+// Bounds of detours.
+const (
+	// maxDetourHosts is how many hosts a request is passed on to in turn, if they do not run it.
+	maxDetourHosts = 3
+	// unreachableEndpoints is the number of endpoints that a request could not be sent to for want of
+	// a connection after which it is passed on, although this host does not count as cut off.
+	unreachableEndpoints = 2
+	// maxTakenOn is how many requests of other hosts this host runs at once. A request needs some
+	// 100 KB with its buffers, and the host's own callers come first.
+	maxTakenOn = 400
+)
+
+// Headers between hosts.
+const (
+	// headerDetour is in requests that another host passes on.
+	headerDetour = "Ironhollow-Detour"
+	// headerDetourRefusal is in responses that the host itself generated and not an endpoint: the
+	// number of the result code.
+	headerDetourRefusal = "Ironhollow-Detour-Refusal"
+	// headerDetourAttempts is in responses: how many endpoints have received the request.
+	headerDetourAttempts = "Ironhollow-Detour-Attempts"
+)
+
+// detour is what the host that passes a request on says about it.
+type detour struct {
+	// configVersion is the configuration by which the request was admitted. A host with an older one
+	// refuses it.
+	configVersion int64
+	// attempts is how many endpoints have received the request before.
+	attempts int
+	// isCounted is set if the request was counted for the retry budget before.
+	isCounted bool
+	// remaining is the time until the request's deadline.
+	remaining time.Duration
+	// lastEventID is the last event that the caller has received, where a stream is resumed.
+	lastEventID string
+}
+
+type wireDetour struct {
+	ConfigVersion int64  `json:"config"`
+	Attempts      int    `json:"attempts"`
+	IsCounted     bool   `json:"counted"`
+	RemainingMS   int64  `json:"remaining_ms"`
+	LastEventID   string `json:"last_event,omitempty"`
+}
+
+func (d detour) encode() string {
+	// A struct of numbers and strings can always be encoded.
+	text, _ := json.Marshal(wireDetour{d.configVersion, d.attempts, d.isCounted, d.remaining.Milliseconds(), d.lastEventID})
+	return string(text)
+}
+
+func decodeDetour(text string) (detour, error) {
+	var w wireDetour
+	if err := json.Unmarshal([]byte(text), &w); err != nil {
+		return detour{}, err
+	}
+	return detour{w.ConfigVersion, max(w.Attempts, 0), w.IsCounted, time.Duration(max(w.RemainingMS, 0)) * time.Millisecond, w.LastEventID}, nil
+}
+
+// removeDetourHeaders removes the headers between hosts from those of a caller or an endpoint.
+func removeDetourHeaders(h http.Header) {
+	h.Del(headerDetour)
+	h.Del(headerDetourRefusal)
+	h.Del(headerDetourAttempts)
+}
+
+// refusedByHost means that the host to which the request was passed on has not run it and gives the
+// answer of the whole system.
+type refusedByHost struct {
+	code       code.Code
+	retryAfter time.Duration
+}
+
+func (refusedByHost) result() {}
+
+// takesDetour reports whether the next attempt is made through another host. A request takes one
+// detour, so that hosts never pass it around.
+func (c *call) takesDetour() bool {
+	d := c.f.detours
+	if d == nil || c.detour != nil || len(c.detourHosts) >= maxDetourHosts {
+		return false
+	}
+	if !d.links.IsCut() && c.unreachable < unreachableEndpoints {
+		return false
+	}
+	_, ok := c.nextDetourHost()
+	return ok
+}
+
+// nextDetourHost returns a host that the request was not passed on to yet. Of two random ones it is
+// the one to which this host has fewer connections in use.
+func (c *call) nextDetourHost() (string, bool) {
+	hosts := slices.DeleteFunc(slices.Clone(c.f.detours.links.Hosts()), func(h string) bool { return slices.Contains(c.detourHosts, h) })
+	if len(hosts) == 0 {
+		return "", false
+	}
+	first, second := hosts[rand.IntN(len(hosts))], hosts[rand.IntN(len(hosts))]
+	if c.f.detours.pool.InUse(second) < c.f.detours.pool.InUse(first) {
+		return second, true
+	}
+	return first, true
+}
+
+// attemptDetour makes one attempt through another host, or through a further one if the first cannot
+// take the request on.
+func (c *call) attemptDetour(ctx context.Context, lastEventID string) result {
+	last := result(notRun{err: errors.New("no host takes the request on")})
+	for c.takesDetour() {
+		host, _ := c.nextDetourHost()
+		c.detourHosts = append(c.detourHosts, host)
+		sentAt := c.f.clock()
+		r, attempts := c.sendDetour(ctx, host, lastEventID)
+		c.recordDetour(host, r, attempts, c.f.clock().Sub(sentAt))
+		last = r
+		if n, ok := r.(notRun); !ok || n.rejectedByAny || ctx.Err() != nil {
+			break
+		}
+	}
+	return last
+}
+
+// sendDetour sends the request to another host once. attempts is how many endpoints have received it
+// there, 0 if unknown.
+func (c *call) sendDetour(ctx context.Context, host, lastEventID string) (r result, attempts int) {
+	h := make(http.Header, len(c.header)+1)
+	for name, values := range c.header {
+		h[name] = values
+	}
+	d := detour{c.table.Version(), c.deliveredAttempts(), c.isCounted, time.Until(c.deadline), lastEventID}
+	h.Set(headerDetour, d.encode())
+	request := upstream.Request{
+		Method: c.incoming.Method, Target: c.incoming.RequestURI, Host: c.incoming.Host, Header: h, Body: c.body, HasBody: c.hasBody, MaxIdle: c.maxIdle(),
+	}
+	switch o := c.f.detours.pool.Send(ctx, host, 0, request).(type) {
+	case upstream.NotSent:
+		return notRun{err: fmt.Errorf("host %s: %w", host, o.Err)}, 0
+	case upstream.MaybeSent:
+		return unclear{fmt.Errorf("host %s: %w", host, o.Err)}, 0
+	case upstream.Answered:
+		// A missing or malformed number counts as one endpoint.
+		attempts, _ = strconv.Atoi(o.Exchange.Header().Get(headerDetourAttempts))
+		return c.classifyDetour(o.Exchange), attempts
+	default:
+		return unclear{fmt.Errorf("unexpected outcome %T", o)}, 0
+	}
+}
+
+// classifyDetour turns the head of a response from another host into a result and reads its body. A
+// response without headerDetourRefusal is that of an endpoint.
+func (c *call) classifyDetour(e *upstream.Exchange) result {
+	meta := c.f.protocol.DecodeResponse(e.Status(), e.Header())
+	refusal := e.Header().Get(headerDetourRefusal)
+	isUnsigned := e.Status()/100 == 2 && !meta.Signed
+	switch {
+	case meta.RequestID != c.meta.ID || refusal == "" && isUnsigned:
+		e.DisableReuse()
+		e.Close()
+		if isUnsigned {
+			return unclear{errUnsigned}
+		}
+		return unclear{errWrongRequestID}
+	case refusal != "":
+		drainBody(e)
+		e.Close()
+		return refusalOf(refusal, httpx.RetryAfter(e.Header()))
+	case e.Status()/100 == 2 && strings.HasPrefix(e.Header().Get("Content-Type"), "text/event-stream"):
+		return streaming{exchange: e, isDetour: true}
+	default:
+		return readResponse(noChoice, e)
+	}
+}
+
+// refusalOf returns the result for a response that another host generated.
+func refusalOf(number string, retryAfter time.Duration) result {
+	// A malformed number is that of no code.
+	n, _ := strconv.Atoi(number)
+	refused, ok := code.ByNumber(n)
+	switch {
+	case !ok:
+		return unclear{fmt.Errorf("the other host answered with the unknown code %q", number)}
+	case refused == code.CutOff || refused == code.HostBusy || refused == code.Stopping || refused == code.NotReady:
+		return notRun{err: fmt.Errorf("the other host answered %s", refused.Name())}
+	case refused.Outcome() == code.NotRun:
+		return refusedByHost{refused, retryAfter}
+	default:
+		return unclear{fmt.Errorf("the other host answered %s", refused.Name())}
+	}
+}
+
+// recordDetour records an attempt through another host for the log and the metrics. What it shows of
+// endpoints and for usage is recorded there.
+func (c *call) recordDetour(host string, r result, attempts int, duration time.Duration) {
+	a := attemptRecord{endpoint: "host " + host, duration: duration, delivered: true, endpoints: attempts}
+	switch r := r.(type) {
+	case notRun:
+		a.outcome = "not run: " + r.err.Error()
+		a.delivered = false
+	case refusedByHost:
+		a.outcome = "refused: " + r.code.Name()
+		a.delivered = false
+	case unclear:
+		a.outcome = "unclear: " + r.err.Error()
+		a.mayHaveRun = true
+	case answered:
+		a.outcome, a.framing = strconv.Itoa(r.status), r.framing.String()
+		a.mayHaveRun = true
+	case streaming:
+		a.outcome, a.framing = "stream", r.exchange.Framing().String()
+		a.mayHaveRun = true
+	}
+	c.delivered = c.delivered || a.delivered
+	c.logEntry.attempts = append(c.logEntry.attempts, a)
+	c.f.detours.passedOn.WithLabelValues(outcomeLabel(r)).Inc()
+}
+
+// IsDetour reports whether another host passes a request on.
+func IsDetour(r *http.Request) bool { return r.Header.Get(headerDetour) != "" }
+
+// ServeDetour answers a request that another host passes on. That host has charged it to the team's
+// limit; this one counts its runs.
+func (f *Forwarder) ServeDetour(w http.ResponseWriter, r *http.Request) {
+	c := &call{f: f, w: w, incoming: r, started: f.clock()}
+	d, err := decodeDetour(r.Header.Get(headerDetour))
+	c.detour = &d
+	taken := f.detours.taken.Add(1)
+	defer f.detours.taken.Add(-1)
+	switch {
+	case err != nil:
+		c.detourError = code.New(code.BadHeader, "malformed detour: "+err.Error())
+	case f.detours.links.IsCut():
+		c.detourError = code.New(code.CutOff, "this host does not reach endpoints either")
+	case taken > maxTakenOn:
+		c.detourError = code.New(code.HostBusy, "too many requests of other hosts")
+	}
+	f.detours.takenOn.WithLabelValues(strconv.FormatBool(c.detourError == nil)).Inc()
+	f.answer(c)
+}
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -64,6 +64,8 @@
 	phase      func() Phase
 	// mover is nil if streams are never moved.
 	mover *Mover
+	// detours is nil if requests are never passed on to other hosts.
+	detours *Detours
 }
 
 // MoveStreams makes a mover move the streams that the forwarder relays. It must be called before the
@@ -143,6 +145,15 @@
 	// retryAfter is the caller's Retry-After, above 0 once the request is rejected for the
 	// length of the queue.
 	retryAfter time.Duration
+	// detour is set if another host passes the request on, detourError if this host does not take it.
+	detour      *detour
+	detourError error
+	// detourHosts are the hosts that the request was passed on to.
+	detourHosts []string
+	// unreachable counts the endpoints to which no connection could be opened.
+	unreachable int
+	// isCounted is set once the request has been counted for the retry budget.
+	isCounted bool
 	// endsByClose is set if the response ends with the caller's connection.
 	endsByClose bool
 	logEntry    requestLog
@@ -150,8 +161,13 @@
 
 // ServeHTTP answers one request.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{f: f, w: w, incoming: r, started: f.clock()}
-	f.awaitReady(r.Context())
+	f.answer(&call{f: f, w: w, incoming: r, started: f.clock()})
+}
+
+// answer answers a request of a caller or of another host.
+func (f *Forwarder) answer(c *call) {
+	w := c.w
+	f.awaitReady(c.incoming.Context())
 	if phase := f.phase(); phase == Draining || phase == Stopping {
 		w.Header().Set("Connection", "close")
 	}
@@ -193,6 +209,9 @@
 		return c.reject(code.New(code.BadHeader, err.Error()), 0)
 	}
 	c.f.metrics.reserved.Add(float64(c.meta.ReservedHeaders))
+	if c.detourError != nil {
+		return c.reject(c.detourError, retryAfterOtherHost)
+	}
 	if err = c.findRoute(); err != nil {
 		return c.reject(err, retryAfterNoConfig)
 	}
@@ -206,6 +225,9 @@
 	if c.meta.HasTimeout {
 		c.deadline = time.Now().Add(min(c.route.Timeout, c.meta.Timeout))
 	}
+	if c.detour != nil {
+		c.deadline = time.Now().Add(min(c.route.Timeout, c.detour.remaining))
+	}
 	if err = c.readBody(); err != nil {
 		return c.reject(err, 0)
 	}
@@ -213,8 +235,10 @@
 	if remaining, quarantined := c.quarantined(); quarantined {
 		return c.reject(errQuarantined, remaining)
 	}
-	if wait, ok := c.checkRateLimit(); !ok {
-		return c.reject(code.New(code.OverRate, "the team is over its rate"), wait)
+	if c.detour == nil {
+		if wait, ok := c.checkRateLimit(); !ok {
+			return c.reject(code.New(code.OverRate, "the team is over its rate"), wait)
+		}
 	}
 	ctx, cancel := context.WithDeadline(c.incoming.Context(), c.deadline)
 	defer cancel()
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -111,8 +111,11 @@
 	watch     *quarantine.Watch
 	phase     atomic.Int64
 	logLines  logCapture
-	mu        sync.Mutex
-	received  []receivedRequest
+	// links are set by servePeers, and closePeers closes the connections of other hosts.
+	links      *testLinks
+	closePeers func()
+	mu         sync.Mutex
+	received   []receivedRequest
 }
 
 // logCapture counts log lines and keeps the last.
--- a/pkg/forward/intake.go
+++ b/pkg/forward/intake.go
@@ -21,6 +21,9 @@
 		return code.New(code.NotReady, "no configuration yet")
 	}
 	c.table = table
+	if c.detour != nil && table.Version() < c.detour.configVersion {
+		return code.New(code.NotReady, "the configuration is older than that of the host that passes the request on")
+	}
 	path, _, _ := splitTarget(c.incoming.RequestURI)
 	found, ok := table.Match(c.incoming.Host, path)
 	if !ok && !fresh {
@@ -88,6 +91,7 @@
 	c.body = body
 	c.hasBody = c.incoming.ContentLength > 0 || len(body) > 0 || c.incoming.Header.Get("Content-Length") != "" || len(c.incoming.TransferEncoding) > 0
 	c.header = endToEndHeaders(c.incoming.Header)
+	removeDetourHeaders(c.header)
 	return nil
 }
 
--- a/pkg/forward/moved.go
+++ b/pkg/forward/moved.go
@@ -51,7 +51,7 @@
 // returns nil for a stream that has no length and is not chunked, as the end of such a stream cannot be
 // distinguished from a stop.
 func (c *call) trackStream(choice route.Choice, e *upstream.Exchange, relayedBefore int) *relayedStream {
-	if c.f.mover == nil || c.service.Moves == nil || !e.IsDelimited() || c.returns > maxReturns {
+	if c.f.mover == nil || choice.Endpoint.ID == noChoice.Endpoint.ID || c.service.Moves == nil || !e.IsDelimited() || c.returns > maxReturns {
 		return nil
 	}
 	query := c.query()
--- a/pkg/forward/refuse.go
+++ b/pkg/forward/refuse.go
@@ -25,6 +25,8 @@
 			return c.reject(code.New(code.NoEndpoint, "deadline exceeded before an endpoint accepted the request"), retryAfterShort)
 		}
 		return c.reject(code.New(code.NoEndpoint, r.err.Error()), c.retryAfterAvailable())
+	case refusedByHost:
+		return c.reject(code.New(r.code, "refused by the host that the request was passed on to"), r.retryAfter)
 	case unclear:
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			return c.reject(code.New(code.DeadlinePassed, "deadline exceeded while an endpoint was processing the request"), 0)
@@ -57,6 +59,10 @@
 	}
 	h := c.w.Header()
 	c.f.protocol.EncodeRefusal(h, c.meta.ID)
+	if c.detour != nil {
+		h.Set(headerDetourRefusal, strconv.Itoa(errCode.Number()))
+		h.Set(headerDetourAttempts, strconv.Itoa(c.deliveredAttempts()))
+	}
 	h.Set("Content-Type", "application/json")
 	if retryAfter > 0 && errCode.Outcome() == code.NotRun && status != http.StatusNotFound && status != http.StatusUnauthorized {
 		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -32,6 +32,10 @@
 	for name, values := range endToEndHeaders(header) {
 		h[name] = values
 	}
+	removeDetourHeaders(h)
+	if c.detour != nil {
+		h.Set(headerDetourAttempts, strconv.Itoa(c.deliveredAttempts()))
+	}
 	if framing == upstream.ByClose {
 		h.Set("Transfer-Encoding", "identity")
 	}
@@ -191,6 +195,9 @@
 
 // finishStreamAttempt reports the end of a stream at one endpoint.
 func (c *call) finishStreamAttempt(choice route.Choice, current streaming, observed route.Result) {
+	if current.isDetour {
+		return
+	}
 	c.recordRolloutStream(current, choice, observed)
 	c.finishAttempt(choice, current.rolloutSend, observed)
 }
@@ -199,6 +206,14 @@
 func (c *call) resume(ctx context.Context, lastEventID string) (route.Choice, streaming, bool) {
 	last := result(unclear{errTruncated})
 	for c.mayRetry(ctx, last) && c.f.budget.Take(c.service.Name, c.f.fleet.Sharing(), c.f.clock()) {
+		if c.takesDetour() {
+			last = c.attemptDetour(ctx, lastEventID)
+			if s, isStream := last.(streaming); isStream {
+				return noChoice, s, true
+			}
+			last = resumeFailure(last)
+			continue
+		}
 		choice, ok := c.chooseEndpoint(ctx)
 		if !ok {
 			return choice, streaming{}, false
@@ -216,14 +231,21 @@
 		}
 		c.finishAttempt(choice, rolloutSend, routerResult(last))
 		c.avoid = append(c.avoid, refOf(choice))
-		if a, isAnswer := last.(answered); isAnswer {
-			if a.unread != nil {
-				a.unread.Close()
-			}
-			last = unclear{fmt.Errorf("endpoint answered %d to a request to resume the stream", a.status)}
-		}
+		last = resumeFailure(last)
+	}
+	return noChoice, streaming{}, false
+}
+
+// resumeFailure returns the result of an attempt to resume a stream that was answered otherwise.
+func resumeFailure(r result) result {
+	a, isAnswer := r.(answered)
+	if !isAnswer {
+		return r
+	}
+	if a.unread != nil {
+		a.unread.Close()
 	}
-	return route.Choice{}, streaming{}, false
+	return unclear{fmt.Errorf("endpoint answered %d to a request to resume the stream", a.status)}
 }
 
 // stream is the state of one caller's stream across endpoints.
--- a/pkg/forward/request_log.go
+++ b/pkg/forward/request_log.go
@@ -38,6 +38,9 @@
 	notice     endpoint.Notice
 	mayHaveRun bool
 	delivered  bool
+	// endpoints is how many endpoints have received the request in an attempt through another host, 0
+	// if unknown.
+	endpoints int
 	// continues is set if the attempt continued a run that was stopped to be moved, which is not a
 	// further run.
 	continues bool
@@ -98,6 +101,8 @@
 		return "unclear"
 	case streaming:
 		return "stream"
+	case refusedByHost:
+		return "refused"
 	default:
 		return "answered"
 	}
@@ -106,9 +111,12 @@
 // deliveredAttempts returns how many attempts the chosen endpoint received.
 func (c *call) deliveredAttempts() int {
 	n := 0
+	if c.detour != nil {
+		n = c.detour.attempts
+	}
 	for _, a := range c.logEntry.attempts {
 		if a.delivered && !a.continues {
-			n++
+			n += max(a.endpoints-n, 1)
 		}
 	}
 	return n
--- a/pkg/forward/run.go
+++ b/pkg/forward/run.go
@@ -59,19 +59,26 @@
 
 // run sends the request until it is answered or abandoned.
 func (c *call) run(ctx context.Context) error {
-	c.f.budget.RecordFirstSend(c.service.Name, c.f.clock())
 	c.chooseRolloutSide()
 	var last result = notRun{err: errors.New("no endpoint takes work")}
 	for {
-		choice, ok := c.chooseEndpoint(ctx)
-		if c.retryAfter > 0 {
-			return c.reject(code.New(code.Overloaded, "first token would be too late"), c.retryAfter)
-		}
-		if !ok {
-			return c.giveUp(ctx, last)
-		}
+		var choice route.Choice
 		sentAt := c.f.clock()
-		last = c.attempt(ctx, choice)
+		if c.takesDetour() {
+			last = c.attemptDetour(ctx, "")
+		} else {
+			c.countFirstSend()
+			var ok bool
+			choice, ok = c.chooseEndpoint(ctx)
+			if c.retryAfter > 0 {
+				return c.reject(code.New(code.Overloaded, "first token would be too late"), c.retryAfter)
+			}
+			if !ok {
+				return c.giveUp(ctx, last)
+			}
+			sentAt = c.f.clock()
+			last = c.attempt(ctx, choice)
+		}
 		if s, isStream := last.(streaming); isStream {
 			return c.relayStream(ctx, choice, s, c.f.clock().Sub(sentAt))
 		}
@@ -98,6 +105,15 @@
 	}
 }
 
+// countFirstSend counts the request for the retry budget of its service, once on all hosts.
+func (c *call) countFirstSend() {
+	if c.isCounted || c.detour != nil && c.detour.isCounted {
+		return
+	}
+	c.isCounted = true
+	c.f.budget.RecordFirstSend(c.service.Name, c.f.clock())
+}
+
 // chooseEndpoint picks the next endpoint, of another version if no endpoint of the
 // intended version accepts the request.
 func (c *call) chooseEndpoint(ctx context.Context) (route.Choice, bool) {
@@ -145,7 +161,11 @@
 func (c *call) attempt(ctx context.Context, choice route.Choice) result {
 	sentAt := c.f.clock()
 	rolloutSend := c.beginRolloutSend(choice)
-	r := c.send(ctx, choice, "")
+	lastEventID := ""
+	if c.detour != nil {
+		lastEventID = c.detour.lastEventID
+	}
+	r := c.send(ctx, choice, lastEventID)
 	c.recordAttempt(choice, r, c.f.clock().Sub(sentAt))
 	c.recordOutcome(ctx, choice, r)
 	c.recordRolloutOutcome(ctx, rolloutSend, r)
@@ -178,6 +198,9 @@
 	if ctx.Err() != nil {
 		return false
 	}
+	if _, isFinal := last.(refusedByHost); isFinal {
+		return false
+	}
 	if _, quarantined := c.quarantined(); quarantined {
 		return false
 	}
--- a/pkg/httpx/notice.go
+++ b/pkg/httpx/notice.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 
 	"ironhollow/pkg/endpoint"
 )
@@ -27,6 +28,11 @@
 	if status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests {
 		return endpoint.Notice{}
 	}
+	return endpoint.Notice{Backoff: RetryAfter(h)}
+}
+
+// RetryAfter returns the time that HeaderRetryAfter asks for, 0 if it is missing or malformed.
+func RetryAfter(h http.Header) time.Duration {
 	seconds, _ := strconv.ParseFloat(h.Get(HeaderRetryAfter), 64)
-	return endpoint.Notice{Backoff: endpoint.BackoffFromSeconds(seconds)}
+	return endpoint.BackoffFromSeconds(seconds)
 }
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -136,6 +136,17 @@
 	return p.dials
 }
 
+// InUse returns the number of connections to an address that requests use.
+func (p *Pool) InUse(address string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns, ok := p.byAddress[address]
+	if !ok {
+		return 0
+	}
+	return conns.open - len(conns.idle)
+}
+
 // HasIdle reports whether there is an idle connection to an address that a request may use;
 // maxIdle is as in Request.
 func (p *Pool) HasIdle(address string, maxIdle time.Duration) bool {
