forward: repeat attempts through another host when links to endpoints are lost

Callers whose requests waited on connections that a cut had silenced got an answer only at their deadline, also where the request may be repeated. Cause: an attempt waits for its endpoint as long as the request has time. Change: when a host is found to be cut off, attempts that may be repeated, and resumable streams, end and are made through another host; they count for the retry budget and the route's attempts as any repetition does, and neither as a failure of the endpoint nor as an interrupted run. Others keep waiting, as they may have run and their connections may come back. Result: TestWaitingRequestsArePassedOnAtACut passes: answered within a second.

--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -48,6 +48,8 @@
 type streaming struct {
 	exchange    *upstream.Exchange
 	rolloutSend *rollout.Attempt
+	// ctx is the context of the attempt, nil for one through another host.
+	ctx context.Context
 	// isDetour is set if the stream comes through another host, which records what it shows.
 	isDetour bool
 }
@@ -86,6 +88,7 @@
 	request := c.newRequest(choice, from, lastEventID)
 	c.sentAt = c.f.clock()
 	c.notice = endpoint.Notice{}
+	ctx = c.untilCut(ctx)
 	outcome := c.f.pool.Send(ctx, choice.Endpoint.Address, c.connectionLimit(), request)
 	switch o := outcome.(type) {
 	case upstream.NotSent:
@@ -96,7 +99,12 @@
 	case upstream.MaybeSent:
 		return unclear{o.Err}
 	case upstream.Answered:
-		return c.classify(choice, o.Exchange)
+		r := c.classify(choice, o.Exchange)
+		if s, isStream := r.(streaming); isStream {
+			s.ctx = ctx
+			return s
+		}
+		return r
 	default:
 		return unclear{fmt.Errorf("unexpected outcome %T", outcome)}
 	}
@@ -203,7 +211,7 @@
 	case notRun:
 		return route.Result{Failed: !r.rejectedByTarget, Refused: r.rejectedByTarget}
 	case unclear:
-		return route.Result{Failed: !errors.Is(r.err, context.Canceled)}
+		return route.Result{Failed: !errors.Is(r.err, context.Canceled) && !errors.Is(r.err, errCutOff)}
 	case answered:
 		return route.Result{Failed: r.status >= http.StatusInternalServerError}
 	default:
--- a/pkg/forward/detour.go
+++ b/pkg/forward/detour.go
@@ -34,6 +34,8 @@
 	links Links
 	// pool holds the connections to other hosts.
 	pool *upstream.Pool
+	// inTouch is done while this host is cut off.
+	inTouch atomic.Pointer[cancelable]
 	// taken is the number of requests in progress that this host has taken on.
 	taken    atomic.Int64
 	passedOn *prometheus.CounterVec
@@ -51,10 +53,49 @@
 			Name: "ironhollow_requests_taken_on_total", Help: "Requests that other hosts passed on to this one, by whether they were accepted.",
 		}, []string{"accepted"}),
 	}
+	d.inTouch.Store(newCancelable())
 	registry.MustRegister(d.passedOn, d.takenOn)
 	return d
 }
 
+type cancelable struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+func newCancelable() *cancelable {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &cancelable{ctx, cancel}
+}
+
+// SetCut records that this host has lost its links to endpoints, or has them again. Attempts in
+// progress that may be repeated then end, so that they are made through another host.
+func (d *Detours) SetCut(cut bool) {
+	if cut {
+		d.inTouch.Load().cancel()
+		return
+	}
+	d.inTouch.Store(newCancelable())
+}
+
+// errCutOff is the cause of the end of an attempt whose host has lost its links to endpoints.
+var errCutOff = errors.New("this host has lost its links to endpoints")
+
+// untilCut returns a context for an attempt, which also ends when this host loses its links to
+// endpoints if the request may be repeated.
+func (c *call) untilCut(ctx context.Context) context.Context {
+	if c.f.detours == nil || !c.route.MayRepeat() || c.f.detours.links.IsCut() {
+		return ctx
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(c.f.detours.inTouch.Load().ctx, func() { cancel(errCutOff) })
+	c.atEnd = append(c.atEnd, func() {
+		stop()
+		cancel(nil)
+	})
+	return ctx
+}
+
 // UseDetours makes the forwarder pass requests on and accept those that other hosts pass on. It must
 // be called before the first request.
 func (f *Forwarder) UseDetours(d *Detours) { f.detours = d }
--- a/pkg/forward/detour_test.go
+++ b/pkg/forward/detour_test.go
@@ -32,7 +32,8 @@
 func (s *harness) servePeers() (*testLinks, string) {
 	s.t.Helper()
 	links := &testLinks{}
-	s.forwarder.UseDetours(forward.NewDetours(links, upstream.New(time.Second), prometheus.NewRegistry()))
+	s.detours = forward.NewDetours(links, upstream.New(time.Second), prometheus.NewRegistry())
+	s.forwarder.UseDetours(s.detours)
 	server := httptest.NewUnstartedServer(http.HandlerFunc(s.forwarder.ServeDetour))
 	server.Config.ConnContext = httpx.WithCallerConn
 	server.Start()
@@ -221,3 +222,43 @@
 		t.Error("connection to the endpoint still open a second after the caller left")
 	}
 }
+
+// Guards against requests that may be repeated and wait for their deadline on connections that the cut has silenced.
+func TestWaitingRequestsArePassedOnAtACut(t *testing.T) {
+	silent := func(c net.Conn, _ *http.Request) bool {
+		_, _ = io.Copy(io.Discard, c)
+		return false
+	}
+	silentStream := func(c net.Conn, r *http.Request) bool {
+		respond(streamHead+chunk(firstEvent), true)(c, r)
+		return silent(c, r)
+	}
+	resumed := func(c net.Conn, r *http.Request) bool {
+		if r.Header.Get("Last-Event") == "1" {
+			return respond(streamHead+chunk(secondEvent)+"0\r\n\r\n", true)(c, r)
+		}
+		return respond(streamHead+chunk(firstEvent)+chunk(secondEvent)+"0\r\n\r\n", true)(c, r)
+	}
+	for _, c := range []struct {
+		path        string
+		own, others script
+		want        string
+	}{
+		{"/safe/x", silent, respondOK("answer"), "answer"},
+		{"/resume/x", silent, resumed, firstEvent + secondEvent},
+		{"/resume/x", silentStream, resumed, firstEvent + secondEvent},
+	} {
+		cut, links, _ := newCutHost(t, c.others)
+		links.cut.Store(false)
+		cut.addEndpoint("e0", c.own)
+		time.AfterFunc(100*time.Millisecond, func() {
+			links.cut.Store(true)
+			cut.detours.SetCut(true)
+		})
+		startedAt := time.Now()
+		got := cut.send("POST", c.path, "body")
+		if took := time.Since(startedAt); got.body != c.want || got.err != nil || took > time.Second {
+			t.Errorf("%s: got %+v after %v, want %q within a second", c.path, got, took, c.want)
+		}
+	}
+}
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -152,6 +152,8 @@
 	detourHosts []string
 	// unreachable counts the endpoints to which no connection could be opened.
 	unreachable int
+	// atEnd are called after the response has ended.
+	atEnd []func()
 	// isCounted is set once the request has been counted for the retry budget.
 	isCounted bool
 	// endsByClose is set if the response ends with the caller's connection.
@@ -172,6 +174,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	err := c.serve()
+	for _, end := range c.atEnd {
+		end()
+	}
 	c.finish(err)
 	if errors.Is(err, errTruncated) {
 		// The response can't be completed: abort the connection so that the caller notices.
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -111,8 +111,9 @@
 	watch     *quarantine.Watch
 	phase     atomic.Int64
 	logLines  logCapture
-	// links are set by servePeers, and closePeers closes the connections of other hosts.
+	// links and detours are set by servePeers, and closePeers closes the connections of other hosts.
 	links      *testLinks
+	detours    *forward.Detours
 	closePeers func()
 	mu         sync.Mutex
 	received   []receivedRequest
--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -147,6 +147,9 @@
 		if err == nil && !e.IsDelimited() && !c.endsByClose {
 			err = errUnmarkedEnd
 		}
+		if err != nil && current.isCutOff() {
+			err = errCutOff
+		}
 		observed.Decode = c.f.clock().Sub(startedAt)
 		observed.Tokens = (s.eventCount - 1) * c.service.TokensPerEvent
 		at := c.endTracking(ctx, s.relayed, err)
@@ -168,7 +171,7 @@
 		if isStopped {
 			err = errors.Join(err, errNotContinued)
 		}
-		observed.Failed = err != nil && !errors.Is(err, errUnmarkedEnd) && ctx.Err() == nil && !isStopped
+		observed.Failed = err != nil && !errors.Is(err, errUnmarkedEnd) && !errors.Is(err, errCutOff) && ctx.Err() == nil && !isStopped
 		c.finishStreamAttempt(choice, current, observed)
 		// An endpoint that resumes a stream also reads the answer so far, so its first token
 		// gives no measure of its speed.
@@ -177,7 +180,7 @@
 			c.recordEnd(choice, e.Status(), e.Framing())
 			return nil
 		}
-		if (e.IsBroken() || errors.Is(err, errInsideEvent)) && !isStopped {
+		if (e.IsBroken() && !errors.Is(err, errCutOff) || errors.Is(err, errInsideEvent)) && !isStopped {
 			c.recordBreak(choice, err)
 		}
 		c.logEntry.addNote("stream broke off: " + err.Error())
@@ -202,6 +205,11 @@
 	c.finishAttempt(choice, current.rolloutSend, observed)
 }
 
+// isCutOff reports whether the attempt ended because this host has lost its links to endpoints.
+func (s streaming) isCutOff() bool {
+	return s.ctx != nil && errors.Is(context.Cause(s.ctx), errCutOff)
+}
+
 // resume finds another endpoint that continues the stream.
 func (c *call) resume(ctx context.Context, lastEventID string) (route.Choice, streaming, bool) {
 	last := result(unclear{errTruncated})
