upstream: report to an observer what requests show about the network

Nothing could tell a host that has lost its own links from endpoints that are dead: each failure was seen by its request alone. A pool now reports to an observer, if one is set, that a request begins, that its wait for a response ended, that bytes arrived, and that a connection failed for another reason than the end of the request. Bytes are reported at each read of the connection, with no lock of the pool.

TestObserverReceivesOutcomes covers the four kinds of end.

--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -15,6 +16,8 @@
 type Exchange struct {
 	pool *Pool
 	conn *conn
+	// ctx is the context of the request; it shows whether a failed read was caused by its end.
+	ctx context.Context
 	// stopCancel stops the closing of the connection at the end of the context; it returns
 	// false if that has happened.
 	stopCancel func() bool
@@ -75,6 +78,7 @@
 	n, err := e.response.Body.Read(p)
 	if err != nil && !isEOF(err) {
 		e.readFailed = true
+		e.pool.noteFailure(e.ctx, e.conn.address, err)
 	}
 	if isEOF(err) {
 		e.response.Body = http.NoBody
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -74,9 +74,33 @@
 	maxInformational = 5
 )
 
+// Observer receives what the pool's requests show about the network. Its methods are called on the
+// goroutines of requests and must not block.
+type Observer interface {
+	// Started reports that a request to an address begins, which may open a connection. The result is
+	// passed to Ended.
+	Started(address string) int64
+	// Ended reports that the wait for the head of a response has ended, in whatever way.
+	Ended(wait int64)
+	// Received reports that bytes from an endpoint have arrived.
+	Received()
+	// Failed reports that a connection could not be opened or broke. Requests that their callers
+	// cancelled, or whose time was over, are not reported.
+	Failed(address string)
+}
+
+// noObserver is the observer of a pool that has none.
+type noObserver struct{}
+
+func (noObserver) Started(string) int64 { return 0 }
+func (noObserver) Ended(int64)          {}
+func (noObserver) Received()            {}
+func (noObserver) Failed(string)        {}
+
 // Pool is a pool of connections to endpoints. It is safe for concurrent use.
 type Pool struct {
-	dialer net.Dialer
+	dialer   net.Dialer
+	observer Observer
 
 	mu        sync.Mutex
 	byAddress map[string]*addressConns
@@ -110,10 +134,14 @@
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3},
 			Control:         ControlUserTimeout(userTimeout),
 		},
+		observer:  noObserver{},
 		byAddress: map[string]*addressConns{},
 	}
 }
 
+// Observe sets the observer. It must be called before the first request.
+func (p *Pool) Observe(o Observer) { p.observer = o }
+
 // tcpUserTimeout is TCP_USER_TIMEOUT on Linux.
 const tcpUserTimeout = 18
 
@@ -154,12 +182,14 @@
 // 0 for no limit. When ctx ends the connection is closed, by which the endpoint notices that it
 // may stop.
 func (p *Pool) Send(ctx context.Context, address string, limit int, request Request) Outcome {
+	wait := p.observer.Started(address)
+	defer p.observer.Ended(wait)
 	c, err := p.acquire(ctx, address, limit, request.MaxIdle)
 	if err != nil {
 		return NotSent{err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	e := &Exchange{pool: p, conn: c, stopCancel: stop}
+	e := &Exchange{pool: p, conn: c, ctx: ctx, stopCancel: stop}
 	written, err := c.Write(request.encode())
 	if err != nil {
 		// The endpoint may have responded before it read the complete request.
@@ -170,6 +200,7 @@
 				return Answered{e}
 			}
 		}
+		p.noteFailure(ctx, address, err)
 		e.DisableReuse()
 		e.Close()
 		if written == 0 {
@@ -178,6 +209,7 @@
 		return MaybeSent{err}
 	}
 	if err := e.readHead(request.Method); err != nil {
+		p.noteFailure(ctx, address, err)
 		e.DisableReuse()
 		e.Close()
 		if cause := context.Cause(ctx); cause != nil {
@@ -188,6 +220,16 @@
 	return Answered{e}
 }
 
+// noteFailure reports an error of a connection to the observer, unless the request was cancelled or its
+// time is over.
+func (p *Pool) noteFailure(ctx context.Context, address string, err error) {
+	deadline, limited := ctx.Deadline()
+	if ctx.Err() != nil || limited && !time.Now().Before(deadline) || errors.Is(err, net.ErrClosed) {
+		return
+	}
+	p.observer.Failed(address)
+}
+
 // earlyResponseTimeout is how long to wait for a response if the endpoint accepts no more bytes of
 // the request.
 const earlyResponseTimeout = 50 * time.Millisecond
@@ -231,9 +273,10 @@
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		p.release(address)
+		p.noteFailure(ctx, address, err)
 		return nil, err
 	}
-	return newConn(raw, address), nil
+	return p.newConn(raw, address), nil
 }
 
 // reserve counts a new connection to the address. It returns false if the limit is reached.
@@ -371,7 +414,7 @@
 		}
 		return Indeterminate
 	}
-	p.put(newConn(raw, address))
+	p.put(p.newConn(raw, address))
 	return Accepting
 }
 
@@ -399,8 +442,24 @@
 	return anyOpen
 }
 
-func newConn(raw net.Conn, address string) *conn {
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, bufferBytes), idleTimeout: defaultIdleTimeout}
+func (p *Pool) newConn(raw net.Conn, address string) *conn {
+	reader := bufio.NewReaderSize(observedReader{raw, p.observer}, bufferBytes)
+	return &conn{Conn: raw, address: address, reader: reader, idleTimeout: defaultIdleTimeout}
+}
+
+// observedReader reads from a connection and reports that bytes have arrived.
+type observedReader struct {
+	raw      net.Conn
+	observer Observer
+}
+
+// Read implements io.Reader.
+func (r observedReader) Read(b []byte) (int, error) {
+	n, err := r.raw.Read(b)
+	if n > 0 {
+		r.observer.Received()
+	}
+	return n, err
 }
 
 // isUsable reports whether an idle connection is still open, has not exceeded its idleTimeout
--- a/pkg/upstream/pool_test.go
+++ b/pkg/upstream/pool_test.go
@@ -5,9 +5,11 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -387,3 +389,59 @@
 		t.Errorf("all allowed connections in use: got %v, want Indeterminate", got)
 	}
 }
+
+// recorder is an observer that counts what it receives.
+type recorder struct {
+	mu     sync.Mutex
+	events map[string]int
+}
+
+func (r *recorder) count(event string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.events == nil {
+		r.events = map[string]int{}
+	}
+	r.events[event]++
+}
+
+func (r *recorder) Started(string) int64 { r.count("started"); return 7 }
+
+func (r *recorder) Ended(wait int64) {
+	if wait == 7 {
+		r.count("ended")
+	}
+}
+
+func (r *recorder) Received()     { r.count("received") }
+func (r *recorder) Failed(string) { r.count("failed") }
+
+// Guards against requests whose caller has left that count as failures of the network.
+func TestObserverReceivesOutcomes(t *testing.T) {
+	answering := serve(t, reply(completeResponse)).address
+	resetting := serve(t, func(net.Conn, *http.Request) bool { return false }).address
+	silent := serve(t, func(net.Conn, *http.Request) bool { time.Sleep(time.Second); return false }).address
+	for _, c := range []struct {
+		name, address string
+		want          map[string]int
+	}{
+		{"answered", answering, map[string]int{"started": 1, "ended": 1, "received": 1}},
+		{"closed without an answer", resetting, map[string]int{"started": 1, "ended": 1, "failed": 1}},
+		{"refused", "127.0.0.1:1", map[string]int{"started": 1, "ended": 1, "failed": 1}},
+		{"out of time", silent, map[string]int{"started": 1, "ended": 1}},
+	} {
+		r := &recorder{}
+		p := upstream.New(time.Second)
+		p.Observe(r)
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		outcome := p.Send(ctx, c.address, 0, upstream.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}})
+		if answered, ok := outcome.(upstream.Answered); ok {
+			_, _ = io.ReadAll(answered.Exchange)
+			answered.Exchange.Close()
+		}
+		cancel()
+		if !maps.Equal(r.events, c.want) {
+			t.Errorf("%s: got %v, want %v", c.name, r.events, c.want)
+		}
+	}
+}
