reach: detect that a host has lost its own links to endpoints

The cut hosts had nothing that tells a lost link from a dead endpoint.

The host is cut if no endpoint accepted and another host reaches endpoints now. The cut ends when two endpoints accept, a live connection answers, or no other host reaches endpoints in three checks.

Tests in virtual time: hang, requests shorter than the silence, and reset with refused connections are detected within 1.5 s and end within 1 s of the repair; all endpoints dead or silent, one slow, one dead, live connections, and an idle host change nothing. Not wired yet.

--- /dev/null
+++ b/pkg/reach/monitor.go
@@ -0,0 +1,256 @@
+package reach
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"ironhollow/pkg/pause"
+)
+
+// Target is an endpoint or another host to which a check connects.
+type Target struct {
+	Address, DataCenter string
+}
+
+// Network is what a check does on the network. Both calls use new connections.
+type Network interface {
+	// Connect reports whether an endpoint accepts a connection.
+	Connect(ctx context.Context, address string) bool
+	// Ask reports whether another host reaches endpoints.
+	Ask(ctx context.Context, address string) bool
+}
+
+// Fleet lists what a check can use.
+type Fleet interface {
+	// Endpoints returns the endpoints that are known to serve.
+	Endpoints() []Target
+	// Hosts returns the other hosts that do not report a cut.
+	Hosts() []Target
+}
+
+// Timing of checks.
+const (
+	// checkTimeout bounds the connections and questions of a check. Hosts and endpoints are less than
+	// 40 ms away, so that a connection opens within this time unless packets are lost.
+	checkTimeout = 400 * time.Millisecond
+	// askDelay is the time for endpoints to accept before other hosts are asked. Most checks need no
+	// other host.
+	askDelay = 60 * time.Millisecond
+	// endCheckInterval is the mean time between the checks of a host that is cut, endCheckJitter the
+	// range in which it varies: many hosts may be cut at once.
+	endCheckInterval = 300 * time.Millisecond
+	endCheckJitter   = 100 * time.Millisecond
+	// maxTargets is the number of endpoints and of hosts in a check.
+	maxTargets = 3
+)
+
+// Monitor runs the checks of a Detector and answers those of other hosts. It implements
+// upstream.Observer. It is safe for concurrent use.
+type Monitor struct {
+	detector *Detector
+	network  Network
+	fleet    Fleet
+	now      func() time.Time
+	metrics  *Metrics
+	log      *log.Logger
+	// started and failed wake Run: started when it waits for the first request, failed when
+	// connections have failed.
+	started, failed pause.Signal
+	// onChange is called with each beginning and end of a cut.
+	onChange func(cut bool, since time.Time)
+
+	probeMu sync.Mutex
+	// probedAt is when an endpoint was last connected to for another host, with the result probed.
+	probedAt time.Time
+	probed   bool
+}
+
+// NewMonitor returns a Monitor.
+func NewMonitor(network Network, fleet Fleet, now func() time.Time, metrics *Metrics, logger *log.Logger) *Monitor {
+	return &Monitor{
+		detector: NewDetector(now()), network: network, fleet: fleet, now: now, metrics: metrics, log: logger,
+		started: pause.NewSignal(), failed: pause.NewSignal(), onChange: func(bool, time.Time) {},
+	}
+}
+
+// OnChange sets the function that is called when a cut has been detected or has ended. since is when an
+// endpoint last answered before the cut. It must be called before Run.
+func (m *Monitor) OnChange(call func(cut bool, since time.Time)) { m.onChange = call }
+
+// IsCut reports whether this host has lost its links to endpoints.
+func (m *Monitor) IsCut() bool { return m.detector.IsCut() }
+
+// IsDoubtful reports whether this host is cut, or whether a check that is under way or due may show it.
+func (m *Monitor) IsDoubtful() bool { return m.detector.IsDoubtful(m.now()) }
+
+// Started implements upstream.Observer.
+func (m *Monitor) Started(string) int64 {
+	w := m.detector.Started(m.now())
+	m.started.Set()
+	return int64(w)
+}
+
+// Ended implements upstream.Observer.
+func (m *Monitor) Ended(wait int64) { m.detector.Ended(Wait(wait), m.now()) }
+
+// Received implements upstream.Observer.
+func (m *Monitor) Received() { m.detector.Received(m.now()) }
+
+// Failed implements upstream.Observer.
+func (m *Monitor) Failed(address string) {
+	if m.detector.Failed(address, m.now()) {
+		m.failed.Set()
+	}
+	m.started.Set()
+}
+
+// Run checks the links when that is due until ctx ends. It calls kick in each round, which takes a few
+// seconds at most.
+func (m *Monitor) Run(ctx context.Context, kick func()) {
+	for ctx.Err() == nil {
+		kick()
+		switch wait, due := m.detector.UntilCheck(m.now()); {
+		case m.IsCut():
+			pause.For(ctx, endCheckInterval+endCheckJitter*time.Duration(rand.IntN(1000)-500)/1000)
+			m.check(ctx)
+		case due && wait <= 0:
+			m.check(ctx)
+		case due:
+			m.sleep(ctx, wait, m.failed)
+		default:
+			m.sleep(ctx, maxSleep, m.started)
+		}
+	}
+}
+
+// maxSleep bounds the sleep of an idle host, whose loop is watched.
+const maxSleep = time.Second
+
+// sleep waits for d, for the signal or for the end of ctx.
+func (m *Monitor) sleep(ctx context.Context, d time.Duration, wake pause.Signal) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-wake:
+	}
+}
+
+// check makes one check and applies its result.
+func (m *Monitor) check(ctx context.Context) {
+	startedAt := m.now()
+	m.detector.CheckStarted(startedAt)
+	c := m.measure(ctx)
+	if ctx.Err() != nil {
+		return
+	}
+	now := m.now()
+	change := m.detector.CheckDone(c, startedAt, now)
+	m.metrics.count(c, m.IsCut())
+	switch change {
+	case CutDetected:
+		since := m.detector.CutSince()
+		m.logChange(c).Dur("silent", now.Sub(since)).Msg("links to endpoints lost")
+		m.onChange(true, since)
+	case CutEnded:
+		since := m.detector.CutSince()
+		m.logChange(c).Dur("lasted", now.Sub(since)).Msg("links to endpoints restored")
+		m.onChange(false, since)
+	case Unchanged:
+	}
+}
+
+func (m *Monitor) logChange(c Check) *log.Entry {
+	return m.log.Warn().Int("endpoints", c.Known).Int("tried", c.Tried).Int("accepted", c.Accepted).Int("asked", c.Asked).Int("in-touch", c.InTouch)
+}
+
+// measure connects to endpoints and, unless one of them accepts soon, asks other hosts.
+func (m *Monitor) measure(ctx context.Context) Check {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout+askDelay)
+	defer cancel()
+	known := m.fleet.Endpoints()
+	targets := pick(known)
+	c := Check{Known: len(known), Tried: len(targets)}
+	if c.Tried == 0 {
+		return c
+	}
+	needed := 1
+	if m.IsCut() {
+		needed = min(minAccepting, c.Known)
+	}
+	accepts := results(ctx, targets, checkTimeout, m.network.Connect)
+	askTimer := time.NewTimer(askDelay)
+	defer askTimer.Stop()
+	var answers <-chan bool
+	ask := func() {
+		hosts := pick(m.fleet.Hosts())
+		c.Asked = len(hosts)
+		answers = results(ctx, hosts, checkTimeout, m.network.Ask)
+	}
+	for connecting, asking := c.Tried, -1; connecting > 0 || asking != 0; {
+		if connecting == 0 && asking < 0 {
+			ask()
+			asking = c.Asked
+			continue
+		}
+		select {
+		case accepted := <-accepts:
+			connecting--
+			if accepted {
+				c.Accepted++
+			}
+			if c.Accepted >= needed {
+				return c
+			}
+		case inTouch := <-answers:
+			asking--
+			if inTouch {
+				c.InTouch++
+			}
+			if c.InTouch > 0 && connecting == 0 {
+				return c
+			}
+		case <-askTimer.C:
+			if asking < 0 {
+				ask()
+				asking = c.Asked
+			}
+		}
+	}
+	return c
+}
+
+// results calls do for each target, each with a timeout, and returns a channel of the results.
+func results(ctx context.Context, targets []Target, timeout time.Duration, do func(context.Context, string) bool) <-chan bool {
+	list := make(chan bool, len(targets))
+	for _, t := range targets {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, timeout)
+			defer cancel()
+			list <- do(ctx, t.Address)
+		}()
+	}
+	return list
+}
+
+// pick returns up to maxTargets random targets, of different data centres as far as possible.
+func pick(targets []Target) []Target {
+	var picked, others []Target
+	seen := map[string]bool{}
+	for _, i := range rand.Perm(len(targets)) {
+		t := targets[i]
+		if seen[t.DataCenter] {
+			others = append(others, t)
+			continue
+		}
+		seen[t.DataCenter] = true
+		picked = append(picked, t)
+	}
+	picked = append(picked, others...)
+	return picked[:min(len(picked), maxTargets)]
+}
--- /dev/null
+++ b/pkg/reach/monitor_test.go
@@ -0,0 +1,198 @@
+package reach_test
+
+import (
+	"context"
+	"io"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"ironhollow/pkg/reach"
+)
+
+// world is the endpoints and other hosts as the links of one host show them, in virtual time.
+type world struct {
+	mu sync.Mutex
+	// refuses and hangs are set if connections to endpoints are refused, or not answered.
+	refuses, hangs bool
+	// othersReach is set if the other hosts reach endpoints.
+	othersReach bool
+	endpoints   int
+	connects    int
+	monitor     *reach.Monitor
+	changes     []bool
+}
+
+func (w *world) Endpoints() []reach.Target {
+	var list []reach.Target
+	for i := range w.endpoints {
+		list = append(list, reach.Target{Address: strconv.Itoa(i), DataCenter: strconv.Itoa(i % 2)})
+	}
+	return list
+}
+
+func (w *world) Hosts() []reach.Target { return []reach.Target{{Address: "h1"}, {Address: "h2"}} }
+
+func (w *world) Connect(ctx context.Context, _ string) bool {
+	w.mu.Lock()
+	refuses, hangs := w.refuses, w.hangs
+	w.connects++
+	w.mu.Unlock()
+	if hangs {
+		<-ctx.Done()
+	}
+	return !refuses && !hangs
+}
+
+func (w *world) Ask(context.Context, string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.othersReach
+}
+
+func (w *world) set(change func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change()
+}
+
+// run runs a monitor over a world in virtual time and calls play.
+func run(t *testing.T, w *world, play func()) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		w.monitor = reach.NewMonitor(w, w, time.Now, reach.NewMetrics(prometheus.NewRegistry()), &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
+		w.monitor.OnChange(func(cut bool, _ time.Time) { w.set(func() { w.changes = append(w.changes, cut) }) })
+		done := make(chan struct{})
+		go func() {
+			w.monitor.Run(ctx, func() {})
+			close(done)
+		}()
+		play()
+		cancel()
+		<-done
+	})
+}
+
+// untilCut returns the time until the host counts as cut, or limit if it does not within it.
+func (w *world) untilCut(cut bool, limit time.Duration) time.Duration {
+	start := time.Now()
+	for time.Since(start) < limit && w.monitor.IsCut() != cut {
+		time.Sleep(5 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+// maxDetection is the time within which a cut must be detected.
+const maxDetection = 1500 * time.Millisecond
+
+// Guards against hosts that go on as before after they have lost their links to endpoints.
+func TestCutIsDetectedAndEnds(t *testing.T) {
+	for name, fail := range map[string]func(w *world){
+		"no answer": func(w *world) {
+			w.set(func() { w.hangs = true })
+			w.monitor.Started("1")
+		},
+		"requests shorter than the silence": func(w *world) {
+			w.set(func() { w.hangs = true })
+			for range 4 {
+				wait := w.monitor.Started("1")
+				time.Sleep(200 * time.Millisecond)
+				w.monitor.Ended(wait)
+			}
+		},
+		"reset and refused": func(w *world) {
+			w.set(func() { w.refuses = true })
+			w.monitor.Failed("1")
+			w.monitor.Failed("2")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := &world{endpoints: 6, othersReach: true}
+			run(t, w, func() {
+				w.monitor.Received()
+				time.Sleep(time.Second)
+				start := time.Now()
+				fail(w)
+				w.untilCut(true, maxDetection)
+				if took := time.Since(start); took >= maxDetection {
+					t.Fatalf("detection: got none within %v", took)
+				}
+				time.Sleep(3 * time.Second)
+				if !w.monitor.IsCut() {
+					t.Error("got the end of the cut while no endpoint accepts")
+				}
+				w.set(func() { w.refuses, w.hangs = false, false })
+				if took := w.untilCut(false, maxDetection); took > time.Second {
+					t.Errorf("end of the cut: got it after %v, want within 1 s", took)
+				}
+			})
+			if len(w.changes) != 2 {
+				t.Errorf("changes: got %v, want one beginning and one end", w.changes)
+			}
+		})
+	}
+}
+
+// Guards against hosts that count themselves as cut because endpoints are dead, slow or silent.
+func TestNoCut(t *testing.T) {
+	for name, c := range map[string]struct {
+		world *world
+		play  func(w *world)
+	}{
+		"all endpoints dead": {&world{endpoints: 6, refuses: true}, func(w *world) {
+			w.monitor.Failed("1")
+			w.monitor.Failed("2")
+			w.monitor.Started("3")
+		}},
+		"all endpoints silent": {&world{endpoints: 6, hangs: true}, func(w *world) { w.monitor.Started("1") }},
+		"one slow endpoint":    {&world{endpoints: 6, othersReach: true}, func(w *world) { w.monitor.Started("1") }},
+		"one dead endpoint": {&world{endpoints: 6, othersReach: true}, func(w *world) {
+			w.monitor.Failed("1")
+			w.monitor.Failed("1")
+		}},
+		"no endpoints": {&world{othersReach: true}, func(w *world) { w.monitor.Started("1") }},
+		"live connections answer": {&world{endpoints: 6, othersReach: true, refuses: true}, func(w *world) {
+			for range 100 {
+				w.monitor.Failed("1")
+				w.monitor.Failed("2")
+				time.Sleep(100 * time.Millisecond)
+				w.monitor.Received()
+			}
+		}},
+		"idle": {&world{endpoints: 6, othersReach: true, hangs: true}, func(*world) {}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := c.world
+			run(t, w, func() {
+				c.play(w)
+				time.Sleep(20 * time.Second)
+			})
+			if len(w.changes) != 0 {
+				t.Errorf("changes: got %v, want none", w.changes)
+			}
+			if limit := 3 * 30; w.connects > limit {
+				t.Errorf("connections in 20 s: got %d, want at most %d", w.connects, limit)
+			}
+		})
+	}
+}
+
+// Guards against a host that passes requests on forever because all endpoints died while it was cut.
+func TestCutEndsWhenNoHostReachesEndpoints(t *testing.T) {
+	w := &world{endpoints: 6, othersReach: true, refuses: true}
+	run(t, w, func() {
+		w.monitor.Failed("1")
+		w.monitor.Failed("2")
+		w.untilCut(true, maxDetection)
+		w.set(func() { w.othersReach = false })
+		if took := w.untilCut(false, 5*time.Second); took > 3*time.Second {
+			t.Errorf("end: got it after %v, want within 3 s", took)
+		}
+	})
+}
