roster, gossip: hosts report that they have lost their links to endpoints

Callers, other hosts' choices and orders went by what a cut host last sent. A cut host now reports the cut in a datagram of its own, an extension of the map message that earlier versions skip.

--- a/pkg/gossip/events.go
+++ b/pkg/gossip/events.go
@@ -36,6 +36,8 @@
 	Work []wireWork `cbor:"20,keyasint,omitempty"`
 	// Speeds holds what answers show about the speed of endpoints.
 	Speeds []wireSpeed `cbor:"21,keyasint,omitempty"`
+	// Links reports whether the sender has lost its links to endpoints; see LinkState.
+	Links LinkState `cbor:"22,keyasint,omitempty"`
 }
 
 // isMapMessage reports whether a datagram is a CBOR map, by the major type in its first three
@@ -68,6 +70,9 @@
 		return Update{Status: roster.Status{Host: m.digest().Hosts[0]}, Brief: true, Subscribes: true}, nil
 	}
 	update := Update{Brief: true, Cases: m.cases(now), Notices: m.notices(), TeamUsage: decodeTeamUsage(m.TeamUsage), Work: m.work(), Digest: m.digest(), Speeds: m.speeds()}
+	if m.Links <= LinksRestored {
+		update.Links = m.Links
+	}
 	update.Status = roster.Status{Host: roster.Host{Incarnation: m.Incarnation}, Counts: decodeCounts(m.Counts)}
 	return update, nil
 }
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -60,6 +60,8 @@
 	Speeds []route.SpeedReport
 	// Digest is sent by an aggregator, also in its own datagram.
 	Digest roster.Digest
+	// Links is what the sender reports about its links to endpoints, in its own datagram.
+	Links LinkState
 	// Subscribes reports whether the sender subscribes to digests; nothing else is sent then.
 	Subscribes bool
 }
--- a/pkg/reach/monitor_test.go
+++ b/pkg/reach/monitor_test.go
@@ -91,7 +91,7 @@
 // maxDetection is the time within which a cut must be detected.
 const maxDetection = 1500 * time.Millisecond
 
-// Guards against hosts that go on as before after they have lost their links to endpoints.
+// Guards against hosts that do not notice that they have lost their links to endpoints.
 func TestCutIsDetectedAndEnds(t *testing.T) {
 	for name, fail := range map[string]func(w *world){
 		"no answer": func(w *world) {
--- a/pkg/roster/loads.go
+++ b/pkg/roster/loads.go
@@ -30,7 +30,7 @@
 func (r *Roster) eachLoad(self string, now time.Time, visit func(Load)) {
 	recent := r.recentAge()
 	for _, m := range r.live() {
-		if m.row.Incarnation == self {
+		if m.row.Incarnation == self || m.isCut(now) {
 			continue
 		}
 		for _, l := range m.loads(now, recent) {
@@ -94,6 +94,9 @@
 	demands := map[string]float64{}
 	recent := r.recentAge()
 	for _, m := range r.live() {
+		if m.isCut(now) {
+			continue
+		}
 		sent := m.row.Demands
 		if now.Sub(m.statusAt) < recent {
 			sent = m.status.Demands
--- a/pkg/roster/member.go
+++ b/pkg/roster/member.go
@@ -17,6 +17,8 @@
 	// lastInterval is the time between its latest two datagrams. interval is the shorter of the
 	// latest two such times, so that the loss of one datagram does not lengthen it.
 	lastInterval, interval time.Duration
+	// cutUntil is when its latest report of a cut expires, zero if it is not cut.
+	cutUntil time.Time
 	// counts are the highest values received, by window and team: counts only grow.
 	counts map[int64]map[string]int
 	// peerSeenAt is when an aggregator last saw it, according to digests. peerSeenInterval is the
--- a/pkg/roster/work.go
+++ b/pkg/roster/work.go
@@ -41,6 +41,9 @@
 	defer r.mu.Unlock()
 	sums := workSums{}
 	for _, m := range r.live() {
+		if m.isCut(now) {
+			continue
+		}
 		isCurrent := false
 		for _, w := range m.work {
 			if now.Sub(w.at) < workMaxAge {
