route: a cut of this host shows nothing about endpoints

Requests of a cut host hung or failed at every endpoint: endpoints were ejected for up to a minute, and each attempt counted as offered work. Results of requests sent before the end are ignored: their times contain the cut.

--- a/pkg/route/feedback.go
+++ b/pkg/route/feedback.go
@@ -34,6 +34,10 @@
 // Done completes a choice and updates the estimates from its result.
 func (r *Router) Done(c Choice, result Result, now time.Time) {
 	r.inFlight.Add(-1)
+	if r.ignores(c) {
+		// A result that counts neither as a failure nor as a success, and has no measurements.
+		result = Result{Refused: true, PrefillDone: result.PrefillDone}
+	}
 	r.withSlot(c.Endpoint.Ref(), func(s *slot) {
 		s.done(c, result, now)
 		if s.load.unsentSpeed.Weight > 0 {
@@ -142,6 +146,7 @@
 func (g *group) recordFailure(s *slot, now time.Time) {
 	l := &s.load
 	l.failures++
+	l.failedAt = now
 	if l.failures < ejectAfter {
 		return
 	}
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -48,6 +48,10 @@
 	initialSpeed EngineSpeed
 	// hasUnsentSpeeds is set if any slot has evidence on its speed that was not reported.
 	hasUnsentSpeeds atomic.Bool
+	// cut is set while this entry has lost its links to endpoints. linkedAt is when it last had them
+	// again, in Unix nanoseconds; 0 if it never lost them.
+	cut      atomic.Bool
+	linkedAt atomic.Int64
 	// inFlight is the number of choices that are not completed.
 	inFlight atomic.Int64
 	// entries is the number of entry hosts that share the endpoints; 0 if unknown.
@@ -258,11 +262,15 @@
 		best = g.pickNaive(q, strategy, now)
 	}
 	if best == nil {
-		g.countUnplaced(q, now)
+		if !r.cut.Load() {
+			g.countUnplaced(q, now)
+		}
 	} else {
 		choice := newChoice(q, best, score, now)
 		refused := q.Accepts != nil && !q.Accepts(choice)
-		g.countOffered(q, choice.uncachedTokens, refused, now)
+		if !r.cut.Load() {
+			g.countOffered(q, choice.uncachedTokens, refused, now)
+		}
 		if !refused {
 			return r.take(q, choice, best), true
 		}
--- a/pkg/route/slot.go
+++ b/pkg/route/slot.go
@@ -80,8 +80,10 @@
 	localPrefillTokens int
 	meanDuration       time.Duration
 	// cacheTrust is the part of the tokens estimated to be cached that actually were, 0 to 1.
-	cacheTrust   float64
+	cacheTrust float64
+	// failures counts the failures in a row, failedAt is the time of the latest.
 	failures     int
+	failedAt     time.Time
 	ejections    int
 	ejectedUntil time.Time
 	backoff      backoff
--- a/pkg/route/work.go
+++ b/pkg/route/work.go
@@ -145,6 +145,9 @@
 // RecordRefusal counts the work of a request that was refused for lack of room without a call of
 // Choose.
 func (r *Router) RecordRefusal(q Query, now time.Time) {
+	if r.cut.Load() {
+		return
+	}
 	g, _ := r.groupFor(q.Target)
 	g.mu.Lock()
 	defer g.mu.Unlock()
