quarantine: discard crashes that the loss of this host's own links explains

A cut by reset refuses connections at once, which is recorded as the crash of an endpoint under the request that broke off. DiscardSince removes interruptions and crashes since a given time from the requests of which this process saw a crash.

--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -172,6 +172,27 @@
 	return quarantined
 }
 
+// Discard removes the crashes since a given time from the requests of which this process has seen a
+// crash. Crashes that other hosts have seen in that time are removed too; these hosts repeat them.
+func (q *Quarantine) Discard(since, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for f, e := range q.cases {
+		if !e.local {
+			continue
+		}
+		crashes := slices.DeleteFunc(slices.Clone(e.Crashes), func(c Crash) bool { return !c.At.Before(since) })
+		if len(crashes) == len(e.Crashes) {
+			continue
+		}
+		e.Crashes = crashes
+		e.markChanged(now)
+		if len(crashes) == 0 && !e.stored {
+			delete(q.cases, f)
+		}
+	}
+}
+
 // getOrCreate returns the case of a request and whether it is quarantined. The caller
 // holds the lock.
 func (q *Quarantine) getOrCreate(f Fingerprint, now time.Time) (e *entry, quarantined bool) {
--- a/pkg/quarantine/suspects.go
+++ b/pkg/quarantine/suspects.go
@@ -67,6 +67,20 @@
 	return slices.DeleteFunc(list, func(s Suspect) bool { return last.Sub(s.At) > sameCrashWindow })
 }
 
+// Discard removes the interruptions since a given time.
+func (s *Suspects) Discard(since time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for endpoint, list := range s.byEndpoint {
+		list = slices.DeleteFunc(list, func(s Suspect) bool { return !s.At.Before(since) })
+		if len(list) == 0 {
+			delete(s.byEndpoint, endpoint)
+			continue
+		}
+		s.byEndpoint[endpoint] = list
+	}
+}
+
 // Endpoints returns the endpoints with recently interrupted runs.
 func (s *Suspects) Endpoints(now time.Time) []string {
 	s.mu.Lock()
--- a/pkg/quarantine/watch.go
+++ b/pkg/quarantine/watch.go
@@ -56,6 +56,13 @@
 	}
 }
 
+// DiscardSince removes the interrupted runs and crashes that this process has recorded since a given
+// time, as the loss of its links to endpoints explains them.
+func (w *Watch) DiscardSince(since, now time.Time) {
+	w.suspects.Discard(since)
+	w.Discard(since, now)
+}
+
 // ApplyReports applies cases from another host or from the store; source names it in the
 // log.
 func (w *Watch) ApplyReports(cases []Case, source string, now time.Time) {
