forward: failures of a cut host are no evidence about endpoints

While the links are lost no interruption and no crash is recorded. Failures of a version under test are recorded once a byte or a check has shown that this host is not cut (Settle): recorded at once they would count against the version, dropped they would hide a version that crashes.

--- a/pkg/forward/crash.go
+++ b/pkg/forward/crash.go
@@ -41,6 +41,7 @@
 		}
 	case notRun:
 		switch {
+		case c.f.links.IsCut():
 		case r.moved:
 			c.f.crashes.EndpointCrashed(choice.Endpoint.ID, "another instance at its address", c.f.clock())
 		case errors.Is(r.err, syscall.ECONNREFUSED):
@@ -69,7 +70,7 @@
 // recordBreak records that a run broke off at an endpoint, unless the endpoint's shutdown was
 // planned: while it ran the request, it reported that it leaves or its row was removed.
 func (c *call) recordBreak(choice route.Choice, err error) {
-	if c.incoming.Context().Err() != nil || !isPeerDisconnect(err) {
+	if c.incoming.Context().Err() != nil || !isPeerDisconnect(err) || c.f.links.IsCut() {
 		return
 	}
 	id := choice.Endpoint.ID
@@ -106,7 +107,7 @@
 	f.crashes.ProbeStarted(id)
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	if f.pool.Probe(ctx, address, limit) == upstream.Refusing {
+	if f.pool.Probe(ctx, address, limit) == upstream.Refusing && !f.links.IsCut() {
 		f.crashes.EndpointCrashed(id, "refused look", f.clock())
 	}
 }
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -64,6 +64,7 @@
 	phase      func() Phase
 	// mover is nil if streams are never moved.
 	mover *Mover
+	links Links
 }
 
 // MoveStreams makes a mover move the streams that the forwarder relays. It must be called before the
@@ -91,7 +92,7 @@
 ) *Forwarder {
 	return &Forwarder{
 		protocol: protocol, tables: tables, router: router, limits: limits, budget: budget, pool: pool,
-		runCounter: runs, fleet: fleet, rollouts: rollouts, crashes: watch, notices: notices, phase: phase, clock: clock, metrics: metrics, log: logger, logLimit: newLogLimiter(clock()),
+		runCounter: runs, fleet: fleet, rollouts: rollouts, crashes: watch, notices: notices, phase: phase, clock: clock, metrics: metrics, log: logger, logLimit: newLogLimiter(clock()), links: soundLinks{},
 	}
 }
 
--- a/pkg/forward/rollout.go
+++ b/pkg/forward/rollout.go
@@ -49,7 +49,12 @@
 	case answered:
 		failed = r.status >= minFailureStatus
 	}
-	c.f.rollouts.RecordAnswer(rolloutSend, failed, c.f.clock())
+	now := c.f.clock()
+	if _, isUnclear := r.(unclear); isUnclear {
+		c.f.links.Settle(func() { c.f.rollouts.RecordAnswer(rolloutSend, true, now) })
+	} else {
+		c.f.rollouts.RecordAnswer(rolloutSend, failed, now)
+	}
 	if failed && c.side == rollout.Target {
 		c.side, _ = c.f.rollouts.Fallback(c.service.Name, c.side, c.f.clock())
 	}
@@ -72,5 +77,10 @@
 	if observed.Tokens >= minPaceTokens && gap > 0 {
 		paceRatio = observed.Decode.Seconds() / (float64(observed.Tokens) * gap.Seconds())
 	}
-	c.f.rollouts.RecordStream(current.rolloutSend, paceRatio, observed.Failed, c.f.clock())
+	now := c.f.clock()
+	if observed.Failed {
+		c.f.links.Settle(func() { c.f.rollouts.RecordStream(current.rolloutSend, 0, true, now) })
+		return
+	}
+	c.f.rollouts.RecordStream(current.rolloutSend, paceRatio, false, now)
 }
--- a/pkg/reach/monitor.go
+++ b/pkg/reach/monitor.go
@@ -63,6 +63,10 @@
 	// onChange is called with each beginning and end of a cut.
 	onChange func(cut bool, since time.Time)
 
+	settleMu sync.Mutex
+	// unsettled are failures of which it is not known yet whether a cut caused them.
+	unsettled []func()
+
 	probeMu sync.Mutex
 	// probedAt is when an endpoint was last connected to for another host, with the result probed.
 	probedAt time.Time
@@ -87,6 +91,42 @@
 // IsDoubtful reports whether this host is cut, or whether a check that is under way or due may show it.
 func (m *Monitor) IsDoubtful() bool { return m.detector.IsDoubtful(m.now()) }
 
+// maxUnsettled bounds the failures that wait. Further ones are recorded at once.
+const maxUnsettled = 1024
+
+// Settle calls record once it is known that a failure that has just occurred was not caused by a cut,
+// which takes as long as a check, and never if it was.
+func (m *Monitor) Settle(record func()) {
+	if m.IsCut() {
+		return
+	}
+	m.settleMu.Lock()
+	waits := m.IsDoubtful() && len(m.unsettled) < maxUnsettled
+	if waits {
+		m.unsettled = append(m.unsettled, record)
+	}
+	m.settleMu.Unlock()
+	if !waits {
+		record()
+	}
+}
+
+// settle records the failures that wait, unless a cut is possible, and drops them if there is one.
+func (m *Monitor) settle() {
+	m.settleMu.Lock()
+	var settled []func()
+	switch {
+	case m.IsCut():
+		m.unsettled = nil
+	case !m.IsDoubtful():
+		settled, m.unsettled = m.unsettled, nil
+	}
+	m.settleMu.Unlock()
+	for _, record := range settled {
+		record()
+	}
+}
+
 // Started implements upstream.Observer.
 func (m *Monitor) Started(string) int64 {
 	w := m.detector.Started(m.now())
@@ -113,6 +153,7 @@
 func (m *Monitor) Run(ctx context.Context, kick func()) {
 	for ctx.Err() == nil {
 		kick()
+		m.settle()
 		switch wait, due := m.detector.UntilCheck(m.now()); {
 		case m.IsCut():
 			pause.For(ctx, endCheckInterval+endCheckJitter*time.Duration(rand.IntN(1000)-500)/1000)
@@ -120,13 +161,17 @@
 		case due && wait <= 0:
 			m.check(ctx)
 		case due:
-			m.sleep(ctx, wait, m.failed)
+			m.sleep(ctx, min(wait, settleInterval), m.failed)
 		default:
 			m.sleep(ctx, maxSleep, m.started)
 		}
 	}
 }
 
+// settleInterval bounds the sleep while a check may become due, and with it how long failures wait after
+// a byte has shown that they have another cause.
+const settleInterval = 200 * time.Millisecond
+
 // maxSleep bounds the sleep of an idle host, whose loop is watched.
 const maxSleep = time.Second
 
