node: detect and report cuts, and keep their effects from other hosts

A cut host sends no loads, demands, work, placements, speeds or crashes, discards what it recorded since an endpoint last answered, and reports the cut at once and every 400 ms; three reports follow its end. Crashes are sent to other hosts only while no cut can explain them. The list of entries leaves cut hosts out while the others have half of the advertised cores. GET /reach on the peers' port answers whether this host reaches endpoints.

--- a/pkg/app/node/duties.go
+++ b/pkg/app/node/duties.go
@@ -174,7 +174,9 @@
 		}
 	}
 	demands := n.view.Roster().Demands(now)
-	n.view.Roster().ApplyWork(string(n.incarnation), n.localWork(now), now)
+	if !n.links.IsCut() {
+		n.view.Roster().ApplyWork(string(n.incarnation), n.localWork(now), now)
+	}
 	work := n.view.Roster().Work(now)
 	maxDemand := 0.0
 	if rate, ok := current.TokenRate(); ok {
--- a/pkg/app/node/heartbeat.go
+++ b/pkg/app/node/heartbeat.go
@@ -131,9 +131,11 @@
 		ClockOffset: offset,
 		Counts:      n.counter.Recent(),
 	}
-	row.Loads = n.loadSync.LocalLoads()
-	row.Demands = n.localDemands(now)
-	row.Work = n.localWork(now)
+	if !n.links.IsCut() {
+		row.Loads = n.loadSync.LocalLoads()
+		row.Demands = n.localDemands(now)
+		row.Work = n.localWork(now)
+	}
 	value, err := row.Encode()
 	if err != nil {
 		n.log.Error().Err(err).Msg("own row not encoded")
--- a/pkg/app/node/listen.go
+++ b/pkg/app/node/listen.go
@@ -11,6 +11,7 @@
 
 	"ironhollow/pkg/app/process"
 	"ironhollow/pkg/httpx"
+	"ironhollow/pkg/reach"
 	"ironhollow/pkg/relay"
 	"ironhollow/pkg/roster"
 	"ironhollow/pkg/statetransfer"
@@ -79,6 +80,7 @@
 func (n *node) peersHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+relay.Path, n.storeReplica)
+	mux.Handle("GET "+reach.Path, n.links)
 	mux.Handle("GET "+statetransfer.Path, statetransfer.NewServer(n.view, n.known))
 	return negroni.New(negroni.NewRecovery(), negroni.Wrap(mux))
 }
@@ -86,7 +88,7 @@
 func (n *node) directoryHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+n.platform.DirectoryPath(), func(w http.ResponseWriter, _ *http.Request) {
-		entries := n.view.Roster().AdvertisedHosts()
+		entries := n.view.Roster().EntryHosts(n.clock.Now())
 		if len(entries) == 0 && !n.lifecycle.leaving() {
 			entries = []roster.AdvertisedHost{{Node: n.settings.Node, DataCenter: n.settings.DataCenter, CallerAddress: n.settings.CallerAddress}}
 		}
--- a/pkg/app/node/loads.go
+++ b/pkg/app/node/loads.go
@@ -47,6 +47,9 @@
 // statusUpdate returns the update that this host sends to the others periodically.
 func (n *node) statusUpdate() gossip.Update {
 	now := n.clock.Now()
+	if n.links.IsCut() {
+		return n.cutUpdate(now)
+	}
 	return gossip.Update{
 		Status: roster.Status{
 			Host: n.host(), Loads: n.loadSync.LocalLoads(), Demands: n.localDemands(now), Counts: n.counter.Latest(), StoreReachableFor: n.view.StoreReachableFor(),
@@ -54,7 +57,7 @@
 		},
 		TeamUsage:  n.limiter.LocalUsage(now),
 		Placements: n.router.DrainPlacements(),
-		Cases:      n.quarantineWatch.Reports(now),
+		Cases:      n.crashReports(now),
 		Notices:    n.noticeTracker.Reports(now),
 		Work:       n.localWork(now),
 		Speeds:     n.router.DrainSpeeds(),
@@ -67,6 +70,10 @@
 		return
 	}
 	now := n.clock.Now()
+	if update.Links != gossip.LinksUnreported {
+		n.view.Roster().ApplyCut(update.Incarnation, update.Links == gossip.LinksCut, now)
+		return
+	}
 	if len(update.Rollouts) > 0 {
 		n.receiveRollouts(update, now)
 		return
@@ -111,6 +118,9 @@
 
 // urgentUpdate returns the update about single endpoints that this host sends immediately.
 func (n *node) urgentUpdate(endpoints []string) gossip.Update {
+	if n.links.IsCut() {
+		return gossip.Update{Status: roster.Status{Host: roster.Host{Incarnation: string(n.incarnation)}}, Notices: n.noticeTracker.ReportsFor(endpoints, n.clock.Now())}
+	}
 	return gossip.Update{
 		Status:     roster.Status{Host: roster.Host{Incarnation: string(n.incarnation)}, Loads: n.loadSync.LocalLoadsAt(endpoints)},
 		Placements: n.router.DrainPlacements(),
--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -29,6 +29,7 @@
 	"ironhollow/pkg/pause"
 	"ironhollow/pkg/quarantine"
 	"ironhollow/pkg/quarantinesync"
+	"ironhollow/pkg/reach"
 	"ironhollow/pkg/relay"
 	"ironhollow/pkg/rollout"
 	"ironhollow/pkg/rolloutsync"
@@ -88,6 +89,7 @@
 	losses               *autoscale.LossTracker
 	scaleStates          *scalesync.Syncer
 	scaleMetrics         *autoscale.Metrics
+	links                *reach.Monitor
 	forwarder            *forward.Forwarder
 	registry             *prometheus.Registry
 	row                  *rowState
@@ -252,6 +254,7 @@
 		n.applyPeerState()
 	})
 	go n.reportLeaving(ctx, e)
+	n.watchLinks(ctx, e)
 	go e.SendUrgent(ctx, n.router.Urgent(), n.urgentUpdate)
 	return nil
 }
--- a/pkg/app/node/providers.go
+++ b/pkg/app/node/providers.go
@@ -26,6 +26,7 @@
 	"ironhollow/pkg/notice"
 	"ironhollow/pkg/quarantine"
 	"ironhollow/pkg/quarantinesync"
+	"ironhollow/pkg/reach"
 	"ironhollow/pkg/relay"
 	"ironhollow/pkg/retry"
 	"ironhollow/pkg/rollout"
@@ -81,7 +82,11 @@
 
 func newLogger(s Settings) *log.Logger { return process.NewAsyncLogger(os.Stdout, s.Node) }
 
-func newPool() *upstream.Pool { return upstream.New(unackedTimeout) }
+func newPool(links *reach.Monitor) *upstream.Pool {
+	pool := upstream.New(unackedTimeout)
+	pool.Observe(links)
+	return pool
+}
 
 func newStore(platform Platform, client storeClient, s Settings, registry *prometheus.Registry) *storecalls.CountingStore {
 	return storecalls.New(platform.Store(client.Client, s), registry)
@@ -230,7 +235,7 @@
 }
 
 func newForwarder(platform Platform, view *storeview.View, location route.Location, router *route.Router, limiter *limit.CostLimiter, budget *retry.WindowBudget,
-	pool *upstream.Pool, counter *usage.Counter, rollouts *rollout.Splitter, watch *quarantine.Watch, noticeTracker *notice.Tracker, lifecycle *lifecycle, known readiness, clock *storeclock.Clock, registry *prometheus.Registry, logger *log.Logger,
+	pool *upstream.Pool, links *reach.Monitor, counter *usage.Counter, rollouts *rollout.Splitter, watch *quarantine.Watch, noticeTracker *notice.Tracker, lifecycle *lifecycle, known readiness, clock *storeclock.Clock, registry *prometheus.Registry, logger *log.Logger,
 ) *forward.Forwarder {
 	// Once the process is ready, it stays ready.
 	var ready atomic.Bool
@@ -246,6 +251,7 @@
 	}
 	forwarder := forward.New(platform.Protocol(), view.RouteTables(), router, limiter, budget, pool, counter,
 		fleet{view.Roster(), location.Node}, rollouts, watch, noticeTracker, phase, clock.Now, forward.NewMetrics(registry), logger)
+	forwarder.UseLinks(links)
 	forwarder.MoveStreams(forward.NewMover(platform.MoveCalls(pool), pool, view.Directory(), router, view.RouteTables(), clock.Now, registry, logger))
 	return forwarder
 }
--- a/pkg/app/node/quarantine.go
+++ b/pkg/app/node/quarantine.go
@@ -12,6 +12,9 @@
 // its runs were interrupted. Probes do not show such a crash: an endpoint that is cut off or silent
 // does not refuse connections.
 func (n *node) recordCrashedSuspects(now time.Time) {
+	if n.links.IsDoubtful() {
+		return
+	}
 	for _, id := range n.quarantineWatch.SuspectedEndpoints(now) {
 		if info, ok := n.view.Directory().Get(id); !ok || info.State == endpoint.Gone {
 			n.quarantineWatch.EndpointCrashed(id, "row removed", now)
--- a/pkg/app/node/rollouts.go
+++ b/pkg/app/node/rollouts.go
@@ -99,8 +99,12 @@
 	}
 }
 
-// reports returns this host's reports on the orders of directives.
+// reports returns this host's reports on the orders of directives, none while this host is cut: requests
+// that wait for an answer then would count against a version.
 func (n *node) reports(directives []rollout.Directive) []rollout.Report {
+	if n.links.IsCut() {
+		return nil
+	}
 	var reports []rollout.Report
 	for _, directive := range directives {
 		if r, ok := n.rollouts.Report(directive.Service, directive.Order, n.clock.Now()); ok {
--- a/pkg/app/node/wire_gen.go
+++ b/pkg/app/node/wire_gen.go
@@ -31,7 +31,8 @@
 	router := newRouter(view, location, clock, settings)
 	sync := newLoadSync(router, view, incarnation)
 	costLimiter := newLimiter(settings, clock)
-	pool := newPool()
+	monitor := newLinks(view, settings, clock, registry, logger)
+	pool := newPool(monitor)
 	counter := newCounter(settings, clock, view)
 	writer := newWriter(countingStore, incarnation)
 	manager := newLeaseManager(writer, incarnation, settings)
@@ -45,7 +46,7 @@
 	windowBudget := newRetryBudget(settings)
 	watch := newQuarantineWatch(registry, logger)
 	tracker := newNoticeTracker(view, router, logger)
-	forwarder := newForwarder(platform, view, location, router, costLimiter, windowBudget, pool, counter, splitter, watch, tracker, nodeLifecycle, nodeReadiness, clock, registry, logger)
+	forwarder := newForwarder(platform, view, location, router, costLimiter, windowBudget, pool, monitor, counter, splitter, watch, tracker, nodeLifecycle, nodeReadiness, clock, registry, logger)
 	nodeRowState := &rowState{}
 	nodeFleetRole := &fleetRole{}
 	coordinator := newCoordinator(platform, splitter, view, writer, clock, manager, logger)
@@ -79,6 +80,7 @@
 		losses:               lossTracker,
 		scaleStates:          scalesyncSyncer,
 		scaleMetrics:         metrics,
+		links:                monitor,
 		forwarder:            forwarder,
 		registry:             registry,
 		row:                  nodeRowState,
