route: further attempts of a request are not offered work again

Callers saw endpoints ordered and paid for because of a cut: 16 orders from 6.9 to 10.9 s, from 12 to 20 endpoints needed, with six serving in each data centre all the time. Cause: countOffered counted each attempt of a request as a request, unlike countUnplaced. Evidence, from the hosts' request lines: 19.6 first attempts a second at the cut hosts before the cut and none further; from 6 to 11 s 13.4 first and 20.8 further ones a second; two requests refused for lack of room and no loss recorded. Now a request counts with its first attempt.

--- a/pkg/route/work.go
+++ b/pkg/route/work.go
@@ -104,10 +104,11 @@
 	return cost{engineTime: g.engineTime(uncached, q.AnswerTokens).Seconds(), slotTime: held, tokenTime: held * tokens}
 }
 
-// countOffered counts the work of a request for which an endpoint was found. The group's lock must
-// be held.
+// countOffered counts the work of a request for which an endpoint was found. It does not count requests
+// that were sent before, as they are counted already: while connections to endpoints fail, each attempt
+// would count as a further request. The group's lock must be held.
 func (g *group) countOffered(q Query, uncached int, refused bool, now time.Time) {
-	if q.Continues {
+	if q.Continues || len(q.Avoid) > 0 {
 		return
 	}
 	g.demand.addOffered(g.costOf(q, uncached), refused, now)
--- a/pkg/route/work_test.go
+++ b/pkg/route/work_test.go
@@ -56,3 +56,19 @@
 		t.Errorf("work after a refusal without a choice: got %+v after %+v, want it refused", got, sent)
 	}
 }
+
+// Guards against orders for requests that are sent to one endpoint after the other while connections fail.
+func TestFurtherAttemptsAreNotOfferedAgain(t *testing.T) {
+	r, _, _ := newRouter(10)
+	q := query()
+	first, _ := r.Choose(q, route.Expected, now)
+	offered := r.Work(q.Target, now).Offered
+	for avoid := first; len(q.Avoid) < 4; {
+		q.Avoid = append(q.Avoid, avoid.Endpoint.Ref())
+		r.Done(avoid, route.Result{Failed: true}, now)
+		avoid, _ = r.Choose(q, route.Expected, now)
+	}
+	if got := r.Work(q.Target, now).Offered; offered <= 0 || got != offered {
+		t.Errorf("offered work after five attempts: got %v, want %v as after the first", got, offered)
+	}
+}
