--- a/pkg/app/node/listen.go
+++ b/pkg/app/node/listen.go
@@ -12,6 +12,7 @@
 	"ironhollow/pkg/app/process"
 	"ironhollow/pkg/forward"
 	"ironhollow/pkg/httpx"
+	"ironhollow/pkg/reach"
 	"ironhollow/pkg/relay"
 	"ironhollow/pkg/roster"
 	"ironhollow/pkg/statetransfer"
@@ -84,6 +85,7 @@
 func (n *node) peersHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+relay.Path, n.storeReplica)
+	mux.Handle("GET "+reach.Path, n.links)
 	mux.Handle("GET "+statetransfer.Path, statetransfer.NewServer(n.view, n.known))
 	others := negroni.New(negroni.NewRecovery(), negroni.Wrap(mux))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -99,7 +101,7 @@
 func (n *node) directoryHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+n.platform.DirectoryPath(), func(w http.ResponseWriter, _ *http.Request) {
-		entries := n.view.Roster().AdvertisedHosts()
+		entries := n.view.Roster().EntryHosts(n.clock.Now())
 		if len(entries) == 0 && !n.lifecycle.leaving() {
 			entries = []roster.AdvertisedHost{{Node: n.settings.Node, DataCenter: n.settings.DataCenter, CallerAddress: n.settings.CallerAddress}}
 		}
--- a/pkg/app/node/providers.go
+++ b/pkg/app/node/providers.go
@@ -26,6 +26,7 @@
 	"ironhollow/pkg/notice"
 	"ironhollow/pkg/quarantine"
 	"ironhollow/pkg/quarantinesync"
+	"ironhollow/pkg/reach"
 	"ironhollow/pkg/relay"
 	"ironhollow/pkg/retry"
 	"ironhollow/pkg/rollout"
@@ -81,7 +82,20 @@
 
 func newLogger(s Settings) *log.Logger { return process.NewAsyncLogger(os.Stdout, s.Node) }
 
-func newPool() *upstream.Pool { return upstream.New(unackedTimeout) }
+func newPool(links *reach.Monitor) *upstream.Pool {
+	pool := upstream.New(unackedTimeout)
+	pool.Observe(links)
+	return pool
+}
+
+// peerPool holds the connections on which requests are passed on to other hosts.
+type peerPool struct{ *upstream.Pool }
+
+func newPeerPool() peerPool { return peerPool{upstream.New(controlUnackedTimeout)} }
+
+func newDetours(view *storeview.View, s Settings, clock *storeclock.Clock, pool peerPool, registry *prometheus.Registry) *forward.Detours {
+	return forward.NewDetours((&detourHosts{view: view, settings: s, clock: clock}).addresses, pool.Pool, registry)
+}
 
 func newStore(platform Platform, client storeClient, s Settings, registry *prometheus.Registry) *storecalls.CountingStore {
 	return storecalls.New(platform.Store(client.Client, s), registry)
@@ -230,7 +244,7 @@
 }
 
 func newForwarder(platform Platform, view *storeview.View, location route.Location, router *route.Router, limiter *limit.CostLimiter, budget *retry.WindowBudget,
-	pool *upstream.Pool, counter *usage.Counter, rollouts *rollout.Splitter, watch *quarantine.Watch, noticeTracker *notice.Tracker, lifecycle *lifecycle, known readiness, clock *storeclock.Clock, registry *prometheus.Registry, logger *log.Logger,
+	pool *upstream.Pool, links *reach.Monitor, detours *forward.Detours, counter *usage.Counter, rollouts *rollout.Splitter, watch *quarantine.Watch, noticeTracker *notice.Tracker, lifecycle *lifecycle, known readiness, clock *storeclock.Clock, registry *prometheus.Registry, logger *log.Logger,
 ) *forward.Forwarder {
 	// Once the process is ready, it stays ready.
 	var ready atomic.Bool
@@ -246,6 +260,8 @@
 	}
 	forwarder := forward.New(platform.Protocol(), view.RouteTables(), router, limiter, budget, pool, counter,
 		fleet{view.Roster(), location.Node}, rollouts, watch, noticeTracker, phase, clock.Now, forward.NewMetrics(registry), logger)
+	forwarder.UseLinks(links)
+	forwarder.UseDetours(detours)
 	forwarder.MoveStreams(forward.NewMover(platform.MoveCalls(pool), pool, view.Directory(), router, view.RouteTables(), clock.Now, registry, logger))
 	return forwarder
 }
--- a/pkg/forward/detour.go
+++ b/pkg/forward/detour.go
@@ -20,18 +20,11 @@
 	"ironhollow/pkg/upstream"
 )
 
-// Links is what is known of the links between hosts and endpoints.
-type Links interface {
-	// IsCut reports whether this host has lost its links to endpoints while other hosts reach them.
-	IsCut() bool
-	// Hosts returns the peer addresses of the other hosts that reach endpoints.
-	Hosts() []string
-}
-
 // Detours passes requests on to other hosts while this host does not reach endpoints, and counts
 // those that this host takes on for others. It is safe for concurrent use.
 type Detours struct {
-	links Links
+	// hosts returns the peer addresses of the other hosts that reach endpoints.
+	hosts func() []string
 	// pool holds the connections to other hosts.
 	pool *upstream.Pool
 	// inTouch is done while this host is cut off.
@@ -42,10 +35,10 @@
 	takenOn  *prometheus.CounterVec
 }
 
-// NewDetours returns detours through the hosts that links names.
-func NewDetours(links Links, pool *upstream.Pool, registry prometheus.Registerer) *Detours {
+// NewDetours returns detours. hosts returns the peer addresses of the other hosts that report no cut.
+func NewDetours(hosts func() []string, pool *upstream.Pool, registry prometheus.Registerer) *Detours {
 	d := &Detours{
-		links: links, pool: pool,
+		hosts: hosts, pool: pool,
 		passedOn: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "ironhollow_requests_passed_on_total", Help: "Requests passed on to another host, by outcome of the attempt.",
 		}, []string{"outcome"}),
@@ -84,7 +77,7 @@
 // untilCut returns a context for an attempt, which also ends when this host loses its links to
 // endpoints if the request may be repeated.
 func (c *call) untilCut(ctx context.Context) context.Context {
-	if c.f.detours == nil || !c.route.MayRepeat() || c.f.detours.links.IsCut() {
+	if c.f.detours == nil || !c.route.MayRepeat() || c.f.links.IsCut() {
 		return ctx
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -183,7 +176,7 @@
 	if d == nil || c.detour != nil || len(c.detourHosts) >= maxDetourHosts {
 		return false
 	}
-	if !d.links.IsCut() && c.unreachable < unreachableEndpoints {
+	if !c.f.links.IsCut() && c.unreachable < unreachableEndpoints {
 		return false
 	}
 	_, ok := c.nextDetourHost()
@@ -193,7 +186,7 @@
 // nextDetourHost returns a host that the request was not passed on to yet. Of two random ones it is
 // the one to which this host has fewer connections in use.
 func (c *call) nextDetourHost() (string, bool) {
-	hosts := slices.DeleteFunc(slices.Clone(c.f.detours.links.Hosts()), func(h string) bool { return slices.Contains(c.detourHosts, h) })
+	hosts := slices.DeleteFunc(slices.Clone(c.f.detours.hosts()), func(h string) bool { return slices.Contains(c.detourHosts, h) })
 	if len(hosts) == 0 {
 		return "", false
 	}
@@ -330,7 +323,7 @@
 	switch {
 	case err != nil:
 		c.detourError = code.New(code.BadHeader, "malformed detour: "+err.Error())
-	case f.detours.links.IsCut():
+	case f.links.IsCut():
 		c.detourError = code.New(code.CutOff, "this host does not reach endpoints either")
 	case taken > maxTakenOn:
 		c.detourError = code.New(code.HostBusy, "too many requests of other hosts")
--- a/pkg/forward/detour_test.go
+++ b/pkg/forward/detour_test.go
@@ -26,14 +26,15 @@
 
 func (l *testLinks) IsCut() bool { return l.cut.Load() }
 
-func (l *testLinks) Hosts() []string { return l.hosts }
+func (l *testLinks) Settle(record func()) { record() }
 
 // servePeers starts the peers' port of a host and returns its links and its address.
 func (s *harness) servePeers() (*testLinks, string) {
 	s.t.Helper()
 	links := &testLinks{}
-	s.detours = forward.NewDetours(links, upstream.New(time.Second), prometheus.NewRegistry())
+	s.detours = forward.NewDetours(func() []string { return links.hosts }, upstream.New(time.Second), prometheus.NewRegistry())
 	s.forwarder.UseDetours(s.detours)
+	s.forwarder.UseLinks(links)
 	server := httptest.NewUnstartedServer(http.HandlerFunc(s.forwarder.ServeDetour))
 	server.Config.ConnContext = httpx.WithCallerConn
 	server.Start()
