--- a/pkg/app/node/wire_gen.go
+++ b/pkg/app/node/wire_gen.go
@@ -31,7 +31,8 @@
 	router := newRouter(view, location, clock, settings)
 	sync := newLoadSync(router, view, incarnation)
 	costLimiter := newLimiter(settings, clock)
-	pool := newPool()
+	monitor := newLinks(view, settings, clock, registry, logger)
+	pool := newPool(monitor)
 	counter := newCounter(settings, clock, view)
 	writer := newWriter(countingStore, incarnation)
 	manager := newLeaseManager(writer, incarnation, settings)
@@ -42,10 +43,12 @@
 	lossTracker := autoscale.NewLossTracker()
 	scalesyncSyncer := newScaleStates(writer, clock, logger)
 	metrics := newScaleMetrics(registry)
+	nodePeerPool := newPeerPool()
+	detours := newDetours(view, settings, clock, nodePeerPool, registry)
 	windowBudget := newRetryBudget(settings)
 	watch := newQuarantineWatch(registry, logger)
 	tracker := newNoticeTracker(view, router, logger)
-	forwarder := newForwarder(platform, view, location, router, costLimiter, windowBudget, pool, counter, splitter, watch, tracker, nodeLifecycle, nodeReadiness, clock, registry, logger)
+	forwarder := newForwarder(platform, view, location, router, costLimiter, windowBudget, pool, monitor, detours, counter, splitter, watch, tracker, nodeLifecycle, nodeReadiness, clock, registry, logger)
 	nodeRowState := &rowState{}
 	nodeFleetRole := &fleetRole{}
 	coordinator := newCoordinator(platform, splitter, view, writer, clock, manager, logger)
@@ -79,6 +82,9 @@
 		losses:               lossTracker,
 		scaleStates:          scalesyncSyncer,
 		scaleMetrics:         metrics,
+		links:                monitor,
+		detours:              detours,
+		peerPool:             nodePeerPool,
 		forwarder:            forwarder,
 		registry:             registry,
 		row:                  nodeRowState,
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -48,6 +48,10 @@
 type streaming struct {
 	exchange    *upstream.Exchange
 	rolloutSend *rollout.Attempt
+	// ctx is the context of the attempt, nil for one through another host.
+	ctx context.Context
+	// isDetour is set if the stream comes through another host, which records what it shows.
+	isDetour bool
 }
 
 func (notRun) result()    {}
@@ -84,14 +88,23 @@
 	request := c.newRequest(choice, from, lastEventID)
 	c.sentAt = c.f.clock()
 	c.notice = endpoint.Notice{}
+	ctx = c.untilCut(ctx)
 	outcome := c.f.pool.Send(ctx, choice.Endpoint.Address, c.connectionLimit(), request)
 	switch o := outcome.(type) {
 	case upstream.NotSent:
+		if !errors.Is(o.Err, upstream.ErrConnectionLimit) && ctx.Err() == nil {
+			c.unreachable++
+		}
 		return notRun{err: o.Err}
 	case upstream.MaybeSent:
 		return unclear{o.Err}
 	case upstream.Answered:
-		return c.classify(choice, o.Exchange)
+		r := c.classify(choice, o.Exchange)
+		if s, isStream := r.(streaming); isStream {
+			s.ctx = ctx
+			return s
+		}
+		return r
 	default:
 		return unclear{fmt.Errorf("unexpected outcome %T", outcome)}
 	}
@@ -198,7 +211,7 @@
 	case notRun:
 		return route.Result{Failed: !r.rejectedByTarget, Refused: r.rejectedByTarget}
 	case unclear:
-		return route.Result{Failed: !errors.Is(r.err, context.Canceled)}
+		return route.Result{Failed: !errors.Is(r.err, context.Canceled) && !errors.Is(r.err, errCutOff)}
 	case answered:
 		return route.Result{Failed: r.status >= http.StatusInternalServerError}
 	default:
@@ -206,4 +219,7 @@
 	}
 }
 
+// noChoice is the choice for an attempt through another host, which has chosen the endpoint.
+var noChoice route.Choice
+
 func refOf(c route.Choice) endpoint.Ref { return c.Endpoint.Ref() }
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -111,8 +111,12 @@
 	watch     *quarantine.Watch
 	phase     atomic.Int64
 	logLines  logCapture
-	mu        sync.Mutex
-	received  []receivedRequest
+	// links and detours are set by servePeers, and closePeers closes the connections of other hosts.
+	links      *testLinks
+	detours    *forward.Detours
+	closePeers func()
+	mu         sync.Mutex
+	received   []receivedRequest
 }
 
 // logCapture counts log lines and keeps the last.
--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -32,6 +32,10 @@
 	for name, values := range endToEndHeaders(header) {
 		h[name] = values
 	}
+	removeDetourHeaders(h)
+	if c.detour != nil {
+		h.Set(headerDetourAttempts, strconv.Itoa(c.deliveredAttempts()))
+	}
 	if framing == upstream.ByClose {
 		h.Set("Transfer-Encoding", "identity")
 	}
@@ -143,6 +147,9 @@
 		if err == nil && !e.IsDelimited() && !c.endsByClose {
 			err = errUnmarkedEnd
 		}
+		if err != nil && current.isCutOff() {
+			err = errCutOff
+		}
 		observed.Decode = c.f.clock().Sub(startedAt)
 		observed.Tokens = (s.eventCount - 1) * c.service.TokensPerEvent
 		at := c.endTracking(ctx, s.relayed, err)
@@ -164,7 +171,7 @@
 		if isStopped {
 			err = errors.Join(err, errNotContinued)
 		}
-		observed.Failed = err != nil && !errors.Is(err, errUnmarkedEnd) && ctx.Err() == nil && !isStopped
+		observed.Failed = err != nil && !errors.Is(err, errUnmarkedEnd) && !errors.Is(err, errCutOff) && ctx.Err() == nil && !isStopped
 		c.finishStreamAttempt(choice, current, observed)
 		// An endpoint that resumes a stream also reads the answer so far, so its first token
 		// gives no measure of its speed.
@@ -173,7 +180,7 @@
 			c.recordEnd(choice, e.Status(), e.Framing())
 			return nil
 		}
-		if (e.IsBroken() || errors.Is(err, errInsideEvent)) && !isStopped {
+		if (e.IsBroken() && !errors.Is(err, errCutOff) || errors.Is(err, errInsideEvent)) && !isStopped {
 			c.recordBreak(choice, err)
 		}
 		c.logEntry.addNote("stream broke off: " + err.Error())
@@ -191,14 +198,30 @@
 
 // finishStreamAttempt reports the end of a stream at one endpoint.
 func (c *call) finishStreamAttempt(choice route.Choice, current streaming, observed route.Result) {
+	if current.isDetour {
+		return
+	}
 	c.recordRolloutStream(current, choice, observed)
 	c.finishAttempt(choice, current.rolloutSend, observed)
 }
 
+// isCutOff reports whether the attempt ended because this host has lost its links to endpoints.
+func (s streaming) isCutOff() bool {
+	return s.ctx != nil && errors.Is(context.Cause(s.ctx), errCutOff)
+}
+
 // resume finds another endpoint that continues the stream.
 func (c *call) resume(ctx context.Context, lastEventID string) (route.Choice, streaming, bool) {
 	last := result(unclear{errTruncated})
 	for c.mayRetry(ctx, last) && c.f.budget.Take(c.service.Name, c.f.fleet.Sharing(), c.f.clock()) {
+		if c.takesDetour() {
+			last = c.attemptDetour(ctx, lastEventID)
+			if s, isStream := last.(streaming); isStream {
+				return noChoice, s, true
+			}
+			last = resumeFailure(last)
+			continue
+		}
 		choice, ok := c.chooseEndpoint(ctx)
 		if !ok {
 			return choice, streaming{}, false
@@ -216,14 +239,21 @@
 		}
 		c.finishAttempt(choice, rolloutSend, routerResult(last))
 		c.avoid = append(c.avoid, refOf(choice))
-		if a, isAnswer := last.(answered); isAnswer {
-			if a.unread != nil {
-				a.unread.Close()
-			}
-			last = unclear{fmt.Errorf("endpoint answered %d to a request to resume the stream", a.status)}
-		}
+		last = resumeFailure(last)
+	}
+	return noChoice, streaming{}, false
+}
+
+// resumeFailure returns the result of an attempt to resume a stream that was answered otherwise.
+func resumeFailure(r result) result {
+	a, isAnswer := r.(answered)
+	if !isAnswer {
+		return r
+	}
+	if a.unread != nil {
+		a.unread.Close()
 	}
-	return route.Choice{}, streaming{}, false
+	return unclear{fmt.Errorf("endpoint answered %d to a request to resume the stream", a.status)}
 }
 
 // stream is the state of one caller's stream across endpoints.
