--- a/pkg/reach/monitor.go
+++ b/pkg/reach/monitor.go
@@ -68,9 +68,8 @@
 	unsettled []func()
 
 	probeMu sync.Mutex
-	// probedAt is when an endpoint was last connected to for another host, with the result probed.
-	probedAt time.Time
-	probed   bool
+	// probe is the latest connection to endpoints for other hosts, nil before the first.
+	probe *probe
 }
 
 // NewMonitor returns a Monitor.
--- a/pkg/reach/server.go
+++ b/pkg/reach/server.go
@@ -18,8 +18,8 @@
 	// probeTimeout bounds the connection to an endpoint that is opened for another host. That host
 	// waits for checkTimeout.
 	probeTimeout = 250 * time.Millisecond
-	// probeRetention is how long the result of such a connection is used for further questions: many
-	// hosts may be cut at once.
+	// probeRetention is the time from the start of such a connection in which its result is used for
+	// further questions: many hosts may be cut at once.
 	probeRetention = 150 * time.Millisecond
 )
 
@@ -40,25 +40,45 @@
 	if since, ok := m.detector.SinceAnswer(m.now()); ok && since < recentAnswer {
 		return true
 	}
+	p := m.currentProbe(context.WithoutCancel(ctx))
+	select {
+	case <-p.done:
+		return p.accepted
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// probe is a connection to endpoints on behalf of the other hosts that ask at about the same time.
+type probe struct {
+	startedAt time.Time
+	// accepted is set before done is closed if an endpoint accepted.
+	accepted bool
+	done     chan struct{}
+}
+
+// currentProbe returns the latest probe, or starts one if that is too old.
+func (m *Monitor) currentProbe(ctx context.Context) *probe {
+	now := m.now()
 	m.probeMu.Lock()
 	defer m.probeMu.Unlock()
-	if !m.probedAt.IsZero() && m.now().Sub(m.probedAt) < probeRetention {
-		return m.probed
+	if m.probe == nil || now.Sub(m.probe.startedAt) >= probeRetention {
+		m.probe = &probe{startedAt: now, done: make(chan struct{})}
+		go m.runProbe(ctx, m.probe)
 	}
-	// The result serves other questions too, so it does not depend on this one's connection.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
-	defer cancel()
+	return m.probe
+}
+
+func (m *Monitor) runProbe(ctx context.Context, p *probe) {
+	defer close(p.done)
 	targets := pick(m.fleet.Endpoints())
 	accepts := results(ctx, targets, probeTimeout, m.network.Connect)
-	m.probed = false
 	for range targets {
 		if <-accepts {
-			m.probed = true
-			break
+			p.accepted = true
+			return
 		}
 	}
-	m.probedAt = m.now()
-	return m.probed
 }
 
 // Sockets is the Network of a host.
