--- a/pkg/app/node/links.go
+++ b/pkg/app/node/links.go
@@ -56,7 +56,7 @@
 	return targets
 }
 
-// hostsInTouch returns the other hosts that requests can be passed on to while this host is cut: those that
+// hostsInTouch returns the other hosts that requests can be forwarded to while this host is cut: those that
 // report no cut, the ones of its own data centre first.
 func hostsInTouch(view *storeview.View, s Settings, clock *storeclock.Clock) []roster.Host {
 	return view.Roster().InTouch(roster.Host{Node: s.Node, DataCenter: s.DataCenter}, clock.Now())
@@ -109,7 +109,7 @@
 }
 
 // cutUpdate returns the update that this host sends while it is cut: without its requests at endpoints and
-// what it would observe of endpoints. Other hosts pass its callers' requests on and count them.
+// what it would observe of endpoints. Other hosts forward its callers' requests and count them.
 func (n *node) cutUpdate(now time.Time) gossip.Update {
 	n.router.DrainPlacements()
 	n.router.DrainSpeeds()
--- a/pkg/roster/cut.go
+++ b/pkg/roster/cut.go
@@ -15,7 +15,7 @@
 
 // ApplyCut applies a report of a process, this one included, that it has lost its links to endpoints or
 // has them again. What it sent before about its work and its requests in progress no longer holds: its
-// callers' requests are passed on by other hosts, which count them. Reports of an unknown process are
+// callers' requests are forwarded by other hosts, which count them. Reports of an unknown process are
 // ignored, as it repeats them.
 func (r *Roster) ApplyCut(incarnation string, cut bool, now time.Time) {
 	r.mu.Lock()
--- a/pkg/route/cut.go
+++ b/pkg/route/cut.go
@@ -8,7 +8,7 @@
 
 // SetCut records that this entry has lost its links to endpoints, or has them again. since is when an
 // endpoint last answered before the loss. Failures since then show nothing about endpoints, and the work
-// of requests that are passed on is counted by the entries that send them: what was counted is
+// of requests that are forwarded is counted by the entries that send them: what was counted is
 // discarded, and while the links are lost nothing is counted.
 func (r *Router) SetCut(cut bool, since, now time.Time) {
 	if cut {
