soak: cuts of one host from some endpoints, and of all hosts

What callers saw: no fault of this kind has been reported; these are the two cases next to a host that is cut from all endpoints. A host that is cut from four of six endpoints must serve with the others. If no host reaches any endpoint, requests must be refused at once as not run.

--- a/pkg/soak/cut.go
+++ b/pkg/soak/cut.go
@@ -149,7 +149,7 @@
 	random := rand.New(rand.NewPCG(c.run.options.Seed, uint64(host)))
 	transports := make([]*http.Transport, max(c.run.options.Callers, 1))
 	for i := range transports {
-		transports[i] = &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}
+		transports[i] = newTransport()
 		defer transports[i].CloseIdleConnections()
 	}
 	var requests sync.WaitGroup
@@ -162,6 +162,10 @@
 	}
 }
 
+func newTransport() *http.Transport {
+	return &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}
+}
+
 // send sends one request and records the result.
 func (c *cutCallers) send(host, number int, kind standin.RequestKind, transport *http.Transport) {
 	try := &singleTry{transport: transport}
--- a/pkg/soak/cut_test.go
+++ b/pkg/soak/cut_test.go
@@ -15,7 +15,11 @@
 	mode soak.Mode
 }{{"hang", soak.Hang}, {"reset", soak.Disconnect}, {"refuse", soak.Refuse}}
 
-const cutDuration = 10 * time.Second
+const (
+	cutDuration, shortCutDuration = 10 * time.Second, 6 * time.Second
+	// refusalTime is how long a refusal may take.
+	refusalTime = 500 * time.Millisecond
+)
 
 // runCut runs a cut of four hosts' links, and reports violations and failures after its end.
 func runCut(t *testing.T, program string, cut soak.Cut) soak.CutOutcome {
@@ -73,3 +77,43 @@
 		})
 	}
 }
+
+// Guards against hosts that stop using all endpoints because some are out of reach for them alone.
+func TestHostCutFromSomeEndpointsServes(t *testing.T) {
+	program := buildNode(t)
+	for _, m := range cutModes {
+		t.Run(m.name, func(t *testing.T) {
+			t.Parallel()
+			cut := soak.Cut{Hosts: []int{1}, Endpoints: []int{0, 1, 3, 4}, Mode: m.mode, Duration: shortCutDuration}
+			checkServedWhileCut(t, runCut(t, program, cut))
+		})
+	}
+}
+
+// Guards against requests that are held, or sent twice, while connections to all endpoints are refused at all hosts.
+func TestRequestsAreRefusedWhileAllHostsAreCut(t *testing.T) {
+	program := buildNode(t)
+	for _, m := range cutModes[1:] {
+		t.Run(m.name, func(t *testing.T) {
+			t.Parallel()
+			checkRefusals(t, program, m.mode)
+		})
+	}
+}
+
+// Guards against requests that are held, or sent twice, while no host gets a response from any endpoint.
+func TestRequestsAreRefusedWhileAllHostsHang(t *testing.T) {
+	checkRefusals(t, buildNode(t), cutModes[0].mode)
+}
+
+// checkRefusals cuts all hosts and checks that they refuse what they cannot serve at once.
+func checkRefusals(t *testing.T, program string, mode soak.Mode) {
+	t.Helper()
+	got := runCut(t, program, soak.Cut{Hosts: []int{0, 1, 2, 3}, Mode: mode, Duration: shortCutDuration}).During
+	if got.Refused == 0 {
+		t.Errorf("got none of %d tries refused as not run, want some", got.Sent)
+	}
+	if got.SlowestRefusal > refusalTime {
+		t.Errorf("got a refusal after %v, want %v at most; %d of %d tries refused", got.SlowestRefusal, refusalTime, got.Refused, got.Sent)
+	}
+}
