ratelimit: share an endpoint's slots among a few hosts

An endpoint that fails when it has to reject requests must not be sent more than it has room for by all hosts together. Each host can bound only its own requests.

Slots assigns the whole slots of an endpoint to a few hosts by rendezvous hashing, as Bucket does for rates: at most as many hosts as the endpoint stands rejections a second, so that each of them may have one request rejected in a second without agreeing with the others. Slots that are gained by a change of the hosts are used after 2 s.

TestSlotsAreSharedWhole: with 1 to 985 hosts, 1 to 64 slots and 1 to 100 rejections exactly all slots are held, and never more requests are rejected in a second than the endpoint stands.

--- /dev/null
+++ b/pkg/ratelimit/slots_test.go
@@ -0,0 +1,80 @@
+package ratelimit_test
+
+import (
+	"testing"
+	"time"
+
+	"ironhollow/pkg/ratelimit"
+)
+
+// slotFleet returns the hosts that each know all of a number of hosts, and their shares of an
+// endpoint's slots.
+func slotFleet(size, slots, maxRejections int) (shares []*ratelimit.Slots, hosts []*ratelimit.Hosts) {
+	for _, name := range names(size) {
+		h := ratelimit.NewHosts(name, names(size), start.Add(-time.Hour))
+		hosts = append(hosts, h)
+		shares = append(shares, ratelimit.NewSlots("e", slots, maxRejections, h, start))
+	}
+	return shares, hosts
+}
+
+// Guards against hosts that together hold more slots than the endpoint has, fewer, or more
+// rejections than it stands.
+func TestSlotsAreSharedWhole(t *testing.T) {
+	for _, size := range []int{1, 4, 9, 64, 985} {
+		for _, slots := range []int{1, 8, 13, 64} {
+			for _, maxRejections := range []int{1, 3, 12, 100} {
+				shares, hosts := slotFleet(size, slots, maxRejections)
+				held, rejected := 0, 0
+				for i, s := range shares {
+					limit, _ := s.Limit(hosts[i], start)
+					held += limit
+					for inFlight := 0; s.Allows(inFlight, hosts[i], start); {
+						s.RecordRejection(inFlight, start)
+						rejected++
+					}
+				}
+				if held != slots || rejected > maxRejections {
+					t.Errorf("%d hosts, %d slots, %d rejections: got %d slots held and %d rejections in a second", size, slots, maxRejections, held, rejected)
+				}
+			}
+		}
+	}
+}
+
+// Guards against two hosts that use the same slots after the hosts have changed: one that gains some
+// waits until the others know that they have lost them.
+func TestGainedSlotsAreUsedLater(t *testing.T) {
+	const size, slots = 4, 8
+	shares, hosts := slotFleet(size, slots, 12)
+	changed := start.Add(time.Minute)
+	for i := range size - 1 {
+		hosts[i] = hosts[i].WithNames(names(size-1), changed)
+		before, _ := shares[i].Limit(hosts[i], changed)
+		if got, _ := shares[i].Limit(hosts[i], changed.Add(1900*time.Millisecond)); got != before {
+			t.Errorf("host %d, 1.9 s after another is lost: got %d slots, want %d", i, got, before)
+		}
+	}
+	total := 0
+	for i := range size - 1 {
+		for at := time.Duration(0); at < 4*time.Second; at += 100 * time.Millisecond {
+			shares[i].Limit(hosts[i], changed.Add(at))
+		}
+		limit, _ := shares[i].Limit(hosts[i], changed.Add(4*time.Second))
+		total += limit
+	}
+	if total != slots {
+		t.Errorf("4 s after a host is lost: got %d slots held by the others, want %d", total, slots)
+	}
+}
+
+// Guards against a host that meets an endpoint that is back after a failure with all that it has.
+func TestStartedEndpointGetsFewRequestsAtFirst(t *testing.T) {
+	h := ratelimit.NewHosts("host-0", names(1), start.Add(-time.Hour))
+	s := ratelimit.NewSlowStartSlots("e", 8, 3, h, start)
+	for i, want := range []int{1, 2, 3} {
+		if got, _ := s.Limit(h, start.Add(time.Duration(i)*310*time.Millisecond)); got != want {
+			t.Errorf("step %d: got %d requests in flight, want %d", i, got, want)
+		}
+	}
+}
