route: bound the requests to fragile endpoints by this host's slots

Every way to choose an endpoint (expected time, naive, moved work, leaving endpoints) asks the share of slots of an endpoint that has reported how many rejections it stands. Targets without fragile endpoints are chosen as before: the choice compares one time in addition.

--- a/pkg/route/feedback.go
+++ b/pkg/route/feedback.go
@@ -34,12 +34,17 @@
 // Done completes a choice and updates the estimates from its result.
 func (r *Router) Done(c Choice, result Result, now time.Time) {
 	r.inFlight.Add(-1)
+	isFragile := false
 	r.withSlot(c.Endpoint.Ref(), func(s *slot) {
 		s.done(c, result, now)
+		isFragile = s.load.fragile != nil
 		if s.load.unsentSpeed.Weight > 0 {
 			r.hasUnsentSpeeds.Store(true)
 		}
 	})
+	if isFragile && r.releaseHandler != nil {
+		r.releaseHandler(TargetOf(c.Endpoint))
+	}
 }
 
 // withSlot calls update with the slot of an endpoint's incarnation, under its group's lock. It
@@ -60,6 +65,9 @@
 func (s *slot) done(c Choice, result Result, now time.Time) {
 	l := &s.load
 	l.localRunning = max(l.localRunning-1, 0)
+	if l.fragile != nil {
+		l.fragile.Release(c.sentAt)
+	}
 	if !result.PrefillDone {
 		l.localPrefillTokens = max(l.localPrefillTokens-c.uncachedTokens, 0)
 	}
--- a/pkg/route/leaving.go
+++ b/pkg/route/leaving.go
@@ -46,11 +46,11 @@
 }
 
 // keepLeaving adds a slot whose endpoint leaves, and reports whether it did. A slot that is ejected,
-// or whose endpoint has a rate limit, is not added.
+// or whose endpoint has a rate limit or is fragile, is not added.
 func (g *group) keepLeaving(s *slot, info endpoint.Info, end time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if s.info.Ref() != info.Ref() || s.load.failures >= ejectAfter || s.load.bucket != nil {
+	if s.info.Ref() != info.Ref() || s.load.failures >= ejectAfter || s.load.bucket != nil || s.load.fragile != nil {
 		return false
 	}
 	// The row of a leaving endpoint need not contain its address.
--- a/pkg/route/limit.go
+++ b/pkg/route/limit.go
@@ -89,20 +89,35 @@
 	return l.bucket == nil || l.bucket.Allows(hosts, now)
 }
 
-// take counts a request against the endpoint's limit, if any.
-func (l *load) take() {
+// take counts a request that is sent at now against the endpoint's limits, if any.
+func (l *load) take(now time.Time) {
 	if l.bucket != nil {
 		l.bucket.Take()
 	}
+	if l.fragile != nil {
+		l.fragile.Take(now)
+	}
 }
 
-// timeUntilAvailable returns the time until the endpoint may get a request; 0 for now. ok is false
-// if this host has no share of its limit.
-func (l *load) timeUntilAvailable(hosts *ratelimit.Hosts, now time.Time) (remaining time.Duration, ok bool) {
-	remaining = max(l.backoff.requestedUntil.Sub(now), 0)
-	if l.bucket == nil {
-		return remaining, true
+// timeUntilAvailable returns the time until the endpoint may get a request; 0 for now. The group's
+// lock must be held.
+func (s *slot) timeUntilAvailable(hosts *ratelimit.Hosts, now time.Time) time.Duration {
+	l := &s.load
+	remaining := max(l.backoff.requestedUntil.Sub(now), 0)
+	if l.bucket != nil {
+		delay, ok := l.bucket.Delay(hosts, now)
+		if !ok {
+			return noShareRetryAfter
+		}
+		remaining = max(remaining, delay)
+	}
+	slots := s.fragileShare(hosts, now)
+	if slots == nil || slots.Allows(l.localRunning, hosts, now) {
+		return remaining
+	}
+	limit, ok := slots.Limit(hosts, now)
+	if !ok {
+		return max(remaining, noSlotsRetryAfter)
 	}
-	limitWait, ok := l.bucket.Delay(hosts, now)
-	return max(remaining, limitWait), ok
+	return max(remaining, l.meanDuration/time.Duration(max(limit, 1)))
 }
--- a/pkg/route/naive.go
+++ b/pkg/route/naive.go
@@ -7,15 +7,10 @@
 // Backoffs and limits still apply. The group's lock must be held.
 func (g *group) pickNaive(q Query, strategy Strategy, now time.Time) *slot {
 	usable := func(s *slot) bool {
-		if now.Before(s.load.backoff.requestedUntil) || !s.load.allows(q.hosts, now) {
+		if now.Before(s.load.backoff.requestedUntil) || !s.allows(q.hosts, now) {
 			return false
 		}
-		for _, ref := range q.Avoid {
-			if ref == s.info.Ref() {
-				return false
-			}
-		}
-		return true
+		return !q.avoids(s.info.Ref())
 	}
 	count := len(g.slots)
 	if count == 0 {
--- a/pkg/route/query.go
+++ b/pkg/route/query.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"time"
 
 	"ironhollow/pkg/endpoint"
@@ -68,6 +69,9 @@
 	mayExplore bool
 }
 
+// avoids reports whether the request has failed at an endpoint.
+func (q Query) avoids(ref endpoint.Ref) bool { return slices.Contains(q.Avoid, ref) }
+
 // Choice is a chosen endpoint. Every Choice must be completed with Done.
 type Choice struct {
 	Endpoint endpoint.Info
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -62,6 +62,12 @@
 	backoffs map[string]backoff
 	// limits are the limits that endpoints set, by endpoint ID.
 	limits map[string]endpointLimit
+	// fragileSlots are the shares of fragile endpoints' slots, by endpoint ID. fragileUntil is the
+	// latest time until which any group has fragile endpoints, in Unix nanoseconds.
+	fragileSlots map[string]endpointSlots
+	fragileUntil atomic.Int64
+	// releaseHandler may be nil.
+	releaseHandler func(Target)
 	// hosts are the hosts that share the limits, nil until they are set; onlySelf is this host
 	// alone.
 	hosts    atomic.Pointer[ratelimit.Hosts]
@@ -113,6 +119,7 @@
 		byID:         map[string]*slot{},
 		backoffs:     map[string]backoff{},
 		limits:       map[string]endpointLimit{},
+		fragileSlots: map[string]endpointSlots{},
 		onlySelf:     ratelimit.NewHosts(location.Node, []string{location.Node}, time.Time{}),
 		urgent:       make(chan string, maxUrgent),
 	}
@@ -196,6 +203,7 @@
 		r.byID[info.ID] = g.add(info, old[info.ID], r.newLoad(info))
 	}
 	r.keepLeaving(view, old)
+	r.dropFragileSlots(view)
 	r.syncedGeneration = view.Generation()
 }
 
@@ -298,7 +306,7 @@
 func (r *Router) recordChoice(q Query, c Choice, s *slot) {
 	g := s.group
 	g.recordSend(s, c.sentAt)
-	s.load.take()
+	s.load.take(c.sentAt)
 	s.load.sentSinceReport++
 	s.load.localRunning++
 	s.load.localPrefillTokens += c.uncachedTokens
@@ -368,15 +376,13 @@
 
 // usableNow reports whether a slot whose endpoint the request may go to takes it now.
 func (g *group) usableNow(s *slot, q Query, now time.Time) bool {
-	for _, ref := range q.Avoid {
-		if ref == s.info.Ref() {
-			return false
-		}
+	if q.avoids(s.info.Ref()) {
+		return false
 	}
 	if q.MayWait && !s.load.hasRoomForMayWait(q.reportOnly) {
 		return false
 	}
-	if now.Before(s.load.backoff.requestedUntil) || !s.load.allows(q.hosts, now) {
+	if now.Before(s.load.backoff.requestedUntil) || !s.allows(q.hosts, now) {
 		return false
 	}
 	if now.Before(s.load.ejectedUntil) {
--- a/pkg/route/slot.go
+++ b/pkg/route/slot.go
@@ -29,6 +29,7 @@
 	// limitedCount is the number of slots whose endpoint has set a limit.
 	limitedCount                  int
 	backoffsUntil, penaltiesUntil time.Time
+	fragile                       fragility
 	demand                        demand
 	// speed is the common speed estimate of the endpoints.
 	speed *enginemodel.Estimator
@@ -87,6 +88,11 @@
 	backoff      backoff
 	// bucket is this host's share of the endpoint's limit, nil for no limit.
 	bucket *ratelimit.Bucket
+	// fragile is this host's share of the endpoint's slots, nil if the endpoint is not fragile. It is
+	// provisional until the endpoint has answered; isSturdy is set once an answer showed that it is
+	// not fragile.
+	fragile                 *ratelimit.Slots
+	isProvisional, isSturdy bool
 	// refusals is the number of recent refusals, refusedAt the time of the latest.
 	refusals      int
 	refusedAt     time.Time
@@ -119,7 +125,7 @@
 	}
 	return load{
 		slots: slots, meanDuration: r.initialSpeed.MeanRequestTime, cacheTrust: 1, factor: 1, backoff: r.backoffOf(info.Ref()),
-		bucket: r.bucketOf(info.Ref()),
+		bucket: r.bucketOf(info.Ref()), fragile: r.fragileSlotsOf(info.Ref()),
 	}
 }
 
