notice: keep endpoints that fail when they have to reject requests within their room

Callers of a service whose endpoints say that they are fragile got hardly any answer: the endpoints failed again and again, as hosts did not read the number of rejections that an endpoint stands, and each sent what its own callers asked for.

The number is decoded once into endpoint.Notice.MaxRejections (platform and product interface) and is handled like a limit: versions, reports to the other hosts at once, in three rounds and every 5 s while responses confirm it, lapse, unreadable values ignored and logged. The state of limits is now kept by endpoint and kind. Each rejection is recorded at the host's share of the slots. Datagrams carry the number in a new member that earlier versions skip.

Why it works: the hosts that hold an endpoint's slots together have no more requests in flight than it has slots, so that its queue is not needed, and those that may be rejected after all stay within the number that it stands.

--- a/pkg/endpoint/notice.go
+++ b/pkg/endpoint/notice.go
@@ -25,6 +25,13 @@
 	// BadLimit is set if the limit in the response cannot be parsed. The previous limit stays in
 	// force.
 	BadLimit bool
+	// MaxRejections is the number of requests that the endpoint can reject within a second for
+	// lack of room; it fails if it has to reject more. It applies until a response sets another
+	// number or none; 0 if the response sets none.
+	MaxRejections int
+	// BadMaxRejections is set if the number in the response cannot be parsed. The previous number
+	// stays in force.
+	BadMaxRejections bool
 }
 
 // Limit is a number of requests per second: 0 for no limit, otherwise between MinLimit and
@@ -53,6 +60,31 @@
 	return n
 }
 
+// Bounds of the number of rejections that an endpoint sets. An endpoint that stands none is treated
+// as one that stands one, as requests have to be sent to it.
+const (
+	minMaxRejections = 1
+	maxMaxRejections = 1_000_000
+)
+
+// WithMaxRejections returns the notice with the number of rejections of a response: a decimal
+// number, empty for none.
+func (n Notice) WithMaxRejections(text string) Notice {
+	if text == "" {
+		return n
+	}
+	count, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || math.IsNaN(count) || count < 0 {
+		n.BadMaxRejections = true
+		return n
+	}
+	n.MaxRejections = int(min(max(count, minMaxRejections), maxMaxRejections))
+	return n
+}
+
+// IsMaxRejections reports whether a number of rejections is one that WithMaxRejections returns.
+func IsMaxRejections(count int) bool { return count >= minMaxRejections && count <= maxMaxRejections }
+
 // MaxBackoff bounds a backoff, so that an endpoint that asks for an absurdly long one is tried
 // again.
 const MaxBackoff = time.Hour
@@ -78,6 +110,12 @@
 	if n.BadLimit {
 		parts = append(parts, "unreadable limit")
 	}
+	if n.MaxRejections > 0 {
+		parts = append(parts, strconv.Itoa(n.MaxRejections)+" rejections/s")
+	}
+	if n.BadMaxRejections {
+		parts = append(parts, "unreadable number of rejections")
+	}
 	return strings.Join(parts, ", ")
 }
 
--- a/pkg/gossip/events.go
+++ b/pkg/gossip/events.go
@@ -32,6 +32,8 @@
 	HostCount int `cbor:"11,keyasint,omitempty"`
 	// Limits holds the rate limits reported by endpoints.
 	Limits []wireLimit `cbor:"12,keyasint,omitempty"`
+	// MaxRejections holds the numbers of rejections that endpoints stand.
+	MaxRejections []wireMaxRejections `cbor:"22,keyasint,omitempty"`
 	// Work holds the work offered to the sender.
 	Work []wireWork `cbor:"20,keyasint,omitempty"`
 	// Speeds holds what answers show about the speed of endpoints.
@@ -50,12 +52,13 @@
 func (m mapMessage) encode() ([]byte, error) {
 	for {
 		data, err := cbor.Marshal(m)
-		if err != nil || len(data) <= maxBytes || len(m.Notices)+len(m.Limits)+len(m.Speeds) == 0 {
+		if err != nil || len(data) <= maxBytes || len(m.Notices)+len(m.Limits)+len(m.MaxRejections)+len(m.Speeds) == 0 {
 			return data, err
 		}
 		m.Speeds = m.Speeds[:len(m.Speeds)*3/4]
 		m.Notices = m.Notices[:len(m.Notices)*3/4]
 		m.Limits = m.Limits[:len(m.Limits)*3/4]
+		m.MaxRejections = m.MaxRejections[:len(m.MaxRejections)*3/4]
 	}
 }
 
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -262,6 +262,10 @@
 		{Endpoint: "e2", Notice: endpoint.Notice{Backoff: 1500 * time.Millisecond}},
 	}
 	invalid := []notice.Report{{Endpoint: "e3", Notice: endpoint.Notice{Backoff: -time.Hour}}, {Endpoint: "e4", Notice: endpoint.Notice{Backoff: math.MaxInt64}}}
+	rejections := func(id string, count int) notice.Report {
+		return notice.Report{Endpoint: id, StartedMS: 7, Notice: endpoint.Notice{MaxRejections: count}, LimitKind: notice.RejectionLimit, LimitVersion: 2}
+	}
+	invalid = append(invalid, rejections("e5", 3), rejections("e6", 0), rejections("e7", -5), rejections("e8", math.MaxInt64))
 	self := host(0, 800)
 	run(t, self, members, gossip.Update{Status: roster.Status{Host: self}, Notices: append(notices, invalid...)}, other)
 	for other.count() < 2 {
@@ -270,7 +274,7 @@
 	other.mu.Lock()
 	defer other.mu.Unlock()
 	got := other.got[1].Notices
-	want := append(notices, notice.Report{Endpoint: "e3"}, notice.Report{Endpoint: "e4", Notice: endpoint.Notice{Backoff: endpoint.MaxBackoff}})
+	want := append(notices, notice.Report{Endpoint: "e3"}, notice.Report{Endpoint: "e4", Notice: endpoint.Notice{Backoff: endpoint.MaxBackoff}}, rejections("e5", 3), rejections("e6", 0))
 	if !slices.Equal(got, want) {
 		t.Errorf("notices: got %+v, want %+v", got, want)
 	}
--- a/pkg/gossip/notices.go
+++ b/pkg/gossip/notices.go
@@ -29,8 +29,22 @@
 	PerSecond float64
 }
 
+// wireMaxRejections encodes a notice.Report of the number of rejections that an endpoint stands.
+type wireMaxRejections struct {
+	_        struct{} `cbor:",toarray"`
+	Endpoint string
+	Born     int64
+	Version  uint64
+	// Count is the number of rejections within a second, 0 for no bound.
+	Count int
+}
+
 func (m *mapMessage) addNotices(list []notice.Report) {
 	for _, r := range list {
+		if r.LimitVersion > 0 && r.LimitKind == notice.RejectionLimit {
+			m.MaxRejections = append(m.MaxRejections, wireMaxRejections{Endpoint: r.Endpoint, Born: r.StartedMS, Version: r.LimitVersion, Count: r.Notice.MaxRejections})
+			continue
+		}
 		if r.LimitVersion > 0 {
 			m.Limits = append(m.Limits, wireLimit{Endpoint: r.Endpoint, Born: r.StartedMS, Version: r.LimitVersion, PerSecond: float64(r.Notice.Limit)})
 			continue
@@ -67,8 +81,8 @@
 	return append(first, second...), err
 }
 
-// notices decodes the notices. An invalid backoff counts as none; a limit outside the range
-// allowed to endpoints is skipped.
+// notices decodes the notices. An invalid backoff counts as none; a limit or a number of
+// rejections outside the range allowed to endpoints is skipped.
 func (m mapMessage) notices() []notice.Report {
 	var list []notice.Report
 	for _, w := range m.Notices {
@@ -82,5 +96,11 @@
 		}
 		list = append(list, notice.Report{Endpoint: w.Endpoint, StartedMS: w.Born, Notice: endpoint.Notice{Limit: limit}, LimitVersion: w.Version})
 	}
+	for _, w := range m.MaxRejections {
+		if w.Version == 0 || w.Count != 0 && !endpoint.IsMaxRejections(w.Count) {
+			continue
+		}
+		list = append(list, notice.Report{Endpoint: w.Endpoint, StartedMS: w.Born, Notice: endpoint.Notice{MaxRejections: w.Count}, LimitKind: notice.RejectionLimit, LimitVersion: w.Version})
+	}
 	return list
 }
--- a/pkg/httpx/notice.go
+++ b/pkg/httpx/notice.go
@@ -15,10 +15,15 @@
 // from all entries together, as a decimal number. It is in each response while the limit applies.
 const HeaderRequestLimit = "X-Request-Limit"
 
+// HeaderMaxRejections is the header with the number of requests that an endpoint can reject within a
+// second for lack of room before it fails, as a decimal number. It is in each response while that
+// applies.
+const HeaderMaxRejections = "X-Max-Rejections"
+
 // ParseNotice returns what a response says about the endpoint itself: the backoff and the limit
-// that it asks for.
+// that it asks for, and the number of rejections that it stands.
 func ParseNotice(status int, h http.Header) endpoint.Notice {
-	return ParseBackoff(status, h).WithLimit(h.Get(HeaderRequestLimit))
+	return ParseBackoff(status, h).WithLimit(h.Get(HeaderRequestLimit)).WithMaxRejections(h.Get(HeaderMaxRejections))
 }
 
 // ParseBackoff returns how long the sender of a response asks for no further requests. Only
--- a/pkg/notice/fragile_test.go
+++ b/pkg/notice/fragile_test.go
@@ -17,6 +17,7 @@
 	"ironhollow/pkg/notice"
 	"ironhollow/pkg/roster"
 	"ironhollow/pkg/route"
+	"ironhollow/pkg/slotqueue"
 	"ironhollow/pkg/timeline"
 )
 
@@ -52,12 +53,14 @@
 }
 
 // fragileFleet simulates hosts before endpoints that fail if they have to reject more than
-// maxRefusals requests within a second for lack of room.
+// maxRejections requests within a second for lack of room.
 type fragileFleet struct {
 	timeline.Timeline
-	random      *rand.Rand
-	maxRefusals int
-	kinds       []fragileKind
+	random        *rand.Rand
+	maxRejections int
+	// isNaive makes the hosts ignore how many rejections endpoints stand.
+	isNaive bool
+	kinds   []fragileKind
 	// weights are the shares of the callers' requests that the hosts get.
 	weights   []float64
 	hosts     []*fragileHost
@@ -83,6 +86,7 @@
 	sequence  int64
 	startedAt time.Duration
 	isDown    bool
+	waiting   *slotqueue.Queue
 }
 
 type fragileEndpoint struct {
@@ -113,9 +117,9 @@
 	sentAt time.Duration
 }
 
-func newFragileFleet(seed uint64, maxRefusals int, weights []float64, kinds ...fragileKind) *fragileFleet {
+func newFragileFleet(seed uint64, maxRejections int, weights []float64, kinds ...fragileKind) *fragileFleet {
 	f := &fragileFleet{
-		random: rand.New(rand.NewPCG(seed, 7)), maxRefusals: maxRefusals, kinds: kinds, weights: weights,
+		random: rand.New(rand.NewPCG(seed, 7)), maxRejections: maxRejections, kinds: kinds, weights: weights,
 		served: map[int]int{}, failed: map[int]int{}, tries: map[int]int{},
 	}
 	for range fragileEndpoints {
@@ -128,6 +132,7 @@
 		f.hosts = append(f.hosts, h)
 		h.start()
 		h.sendRound()
+		h.wakeWaiting()
 	}
 	for i := range kinds {
 		f.scheduleArrival(i)
@@ -192,6 +197,8 @@
 	router := route.New(directory, hazard.New(), route.Location{Node: h.name}, uint64(h.number))
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	h.host = host{notice.New(directory, router, logger), directory, router}
+	h.waiting = &slotqueue.Queue{}
+	router.OnRelease(func(route.Target) { h.waiting.WakeNext() })
 	h.members = roster.New(failureDetection, gossip.Interval)
 	h.loads = loadsync.New(router, h.members, h.incarnation())
 	router.SetHosts([]string{h.name}, h.fleet.at())
@@ -271,16 +278,67 @@
 	return route.Query{Target: route.Target{Service: "s"}, AnswerTokens: 1, Avoid: r.avoid}
 }
 
-// serve sends a request to an endpoint, or refuses it.
+// serve sends a request to an endpoint, lets it wait for a slot, or refuses it.
 func (h *fragileHost) serve(r *fragileRequest) {
-	c, ok := h.router.Choose(r.query(), route.Expected, h.fleet.at())
+	if h.waiting.Len() > 0 || !h.trySend(r) {
+		h.wait(r)
+	}
+}
+
+// wait lets a request wait for a slot, or refuses it.
+func (h *fragileHost) wait(r *fragileRequest) {
+	f, queue := h.fleet, h.waiting
+	kind := f.kinds[r.kind]
+	room, ok := h.router.Room(r.query(), f.at())
+	if !ok {
+		f.retry(r, max(h.router.TimeUntilAvailable(r.query(), f.at()), 300*time.Millisecond))
+		return
+	}
+	var entry *slotqueue.Entry
+	waits := true
+	entry = queue.NewEntry(kind.priority, f.at(), func() {
+		f.After(0, func() {
+			switch {
+			case !waits || h.waiting != queue:
+			case h.trySend(r):
+				waits = false
+			default:
+				queue.Add(entry)
+			}
+		})
+	})
+	request := slotqueue.Request{Objective: kind.objective, Priority: kind.priority}
+	maxWait, retryAfter, ok := request.MaxWait(queue.CountAhead(entry), slotqueue.Capacity(room))
 	if !ok {
-		h.fleet.retry(r, max(h.router.TimeUntilAvailable(r.query(), h.fleet.at()), 300*time.Millisecond))
+		f.retry(r, retryAfter)
 		return
 	}
+	queue.Add(entry)
+	f.After(maxWait, func() {
+		if waits && h.waiting == queue {
+			waits = false
+			queue.Remove(entry)
+			f.retry(r, retryAfter)
+		}
+	})
+}
+
+// trySend sends a request to an endpoint and reports whether one has room.
+func (h *fragileHost) trySend(r *fragileRequest) bool {
+	c, ok := h.router.Choose(r.query(), route.Expected, h.fleet.at())
+	if !ok {
+		return false
+	}
 	r.host, r.router, r.choice, r.sentAt = h, h.router, c, h.fleet.Now()
 	e := h.fleet.endpointOf(c.Endpoint.ID)
 	h.fleet.After(networkTime, func() { h.fleet.arrive(e, r) })
+	return true
+}
+
+// wakeWaiting lets the first waiting request try again: room also comes with time.
+func (h *fragileHost) wakeWaiting() {
+	h.waiting.WakeNext()
+	h.fleet.After(20*time.Millisecond, h.wakeWaiting)
 }
 
 // endpointOf returns the endpoint with an ID, nil if it has failed.
@@ -344,7 +402,7 @@
 	f.rejections++
 	e.rejected = append(e.rejected, fragileRejection{f.Now(), r.host})
 	e.rejected = slices.DeleteFunc(e.rejected, func(r fragileRejection) bool { return f.Now()-r.at > time.Second })
-	if len(e.rejected) > f.maxRefusals {
+	if len(e.rejected) > f.maxRejections {
 		f.fail(e)
 	}
 }
@@ -363,7 +421,9 @@
 		f.excusedFalls++
 	}
 	e.isDown = true
-	for _, r := range slices.Concat(slices.Collect(keys(e.running)), e.queue) {
+	lost := slices.Concat(slices.Collect(keys(e.running)), e.queue)
+	e.running, e.queue = map[*fragileRequest]bool{}, nil
+	for _, r := range lost {
 		f.finish(r, nil, route.Result{Failed: true})
 	}
 	gone := e.info
@@ -426,10 +486,16 @@
 // noticeOf returns what the endpoint's response says about it.
 func (f *fragileFleet) noticeOf(e *fragileEndpoint, refused bool) endpoint.Notice {
 	n := endpoint.Notice{Refused: refused}
-	if f.isFragile() && e.firstSent == 0 {
+	if !f.isFragile() {
+		return n
+	}
+	if e.firstSent == 0 {
 		e.firstSent = f.Now()
 	}
-	return n
+	if f.isNaive {
+		return n
+	}
+	return n.WithMaxRejections(fmt.Sprint(f.maxRejections))
 }
 
 // retryElsewhere sends a request to a second endpoint.
@@ -446,14 +512,21 @@
 	h.fleet.retry(r, 300*time.Millisecond)
 }
 
+// usedShare returns the share of the endpoints' slot time that served requests.
+func (f *fragileFleet) usedShare() float64 {
+	return f.servedSlotTime.Seconds() / (fragileEndpoints * fragileSlots * (fragileUntil - fragileFrom - fragileSettleTime).Seconds())
+}
+
+// maxFalls is the number of falls that the rules allow.
+const maxFalls = 2 + fragileEndpoints/10
+
 // check fails the test if endpoints failed too often or too little of their slot time was used.
 func (f *fragileFleet) check(t *testing.T) {
 	t.Helper()
-	available := fragileEndpoints * fragileSlots * (fragileUntil - fragileFrom - fragileSettleTime).Seconds()
-	used := f.servedSlotTime.Seconds() / available
+	used := f.usedShare()
 	t.Logf("%d falls (%d more by hosts not in touch), %d rejections, %.3f of the slot time used; served %v, failed %v", f.falls, f.excusedFalls, f.rejections, used, f.served, f.failed)
-	if most := 2 + fragileEndpoints/10; f.falls > most {
-		t.Errorf("got %d falls, want %d at most", f.falls, most)
+	if f.falls > maxFalls {
+		t.Errorf("got %d falls, want %d at most", f.falls, maxFalls)
 	}
 	if used < minFragileServed {
 		t.Errorf("got %.3f of the slot time used, want %v at least", used, minFragileServed)
@@ -466,9 +539,9 @@
 	equal := []float64{0.25, 0.25, 0.25, 0.25}
 	medium := fragileKind{share: 1, time: 200 * time.Millisecond, objective: time.Second}
 	for _, seed := range []uint64{1, 2, 3} {
-		for _, maxRefusals := range []int{3, 12} {
-			t.Run(fmt.Sprintf("%d rejections, seed %d", maxRefusals, seed), func(t *testing.T) {
-				f := newFragileFleet(seed, maxRefusals, equal, medium)
+		for _, maxRejections := range []int{3, 12} {
+			t.Run(fmt.Sprintf("%d rejections, seed %d", maxRejections, seed), func(t *testing.T) {
+				f := newFragileFleet(seed, maxRejections, equal, medium)
 				f.Run(fragileUntil, nil)
 				f.check(t)
 			})
@@ -483,3 +556,63 @@
 		})
 	}
 }
+
+// Checks that the bounds of TestFragileEndpointsStayUp fail for hosts that ignore what endpoints report.
+func TestNaiveHostsBreakFragileEndpoints(t *testing.T) {
+	f := newFragileFleet(1, 12, []float64{0.25, 0.25, 0.25, 0.25}, fragileKind{share: 1, time: 200 * time.Millisecond, objective: time.Second})
+	f.isNaive = true
+	f.Run(fragileUntil, nil)
+	if used := f.usedShare(); f.falls <= maxFalls || used >= minFragileServed {
+		t.Errorf("got %d falls and %.2f of the slot time used, want more than %d and less than %v", f.falls, used, maxFalls, minFragileServed)
+	}
+}
+
+// Guards against a number of rejections that applies longer or shorter than the endpoint's responses
+// name it: one that is unreadable changes nothing, one that is missing withdraws it if its request was
+// sent after the number was received.
+func TestResponsesChangeMaxRejections(t *testing.T) {
+	h := newHost(1, 5, 1)
+	fill := func(at time.Time) int {
+		var choices []route.Choice
+		for range 20 {
+			if c, ok := h.router.Choose(route.Query{Target: route.Target{Service: "s"}, AnswerTokens: 1}, route.Expected, at); ok {
+				choices = append(choices, c)
+			}
+		}
+		for _, c := range choices {
+			h.router.Done(c, route.Result{}, at)
+		}
+		return len(choices)
+	}
+	for i, c := range []struct {
+		what   string
+		notice endpoint.Notice
+		sent   time.Duration
+		want   int
+	}{
+		{"none", endpoint.Notice{}, 0, 20},
+		{"named", endpoint.Notice{MaxRejections: 3}, 0, 8},
+		{"unreadable", endpoint.Notice{BadMaxRejections: true}, 14 * time.Second, 8},
+		{"none, earlier request", endpoint.Notice{}, -time.Second, 8},
+		{"none, later request", endpoint.Notice{}, 27 * time.Second, 20},
+	} {
+		at := now.Add(time.Duration(i) * 7 * time.Second)
+		h.ApplyResponse(h.info(0), c.notice, now.Add(c.sent), at)
+		if got := fill(at.Add(6 * time.Second)); got != c.want {
+			t.Errorf("%s: got %d requests in flight, want %d", c.what, got, c.want)
+		}
+	}
+}
+
+// Checks that other hosts apply a number of rejections that one host receives, and its withdrawal.
+func TestMaxRejectionsReachOtherHost(t *testing.T) {
+	a, b := newHost(1, 5, 1), newHost(7, 5, 1)
+	for i, n := range []endpoint.Notice{{MaxRejections: 3}, {}} {
+		at := now.Add(time.Duration(i) * time.Second)
+		a.ApplyResponse(a.info(0), n, at, at)
+		b.ApplyReports(a.Reports(at), at)
+		if _, got := b.router.Room(route.Query{Target: route.Target{Service: "s"}}, at); got != (n.MaxRejections > 0) {
+			t.Errorf("%v: got fragile %v at the other host", n, got)
+		}
+	}
+}
--- a/pkg/notice/limits.go
+++ b/pkg/notice/limits.go
@@ -22,11 +22,53 @@
 	withdrawnTTL = 10 * time.Minute
 )
 
+// LimitKind is a kind of limit that endpoints set.
+type LimitKind int
+
+// The kinds of limit.
+const (
+	// RateLimit is Notice.Limit.
+	RateLimit LimitKind = iota
+	// RejectionLimit is Notice.MaxRejections.
+	RejectionLimit
+)
+
+var limitKinds = []LimitKind{RateLimit, RejectionLimit}
+
+func (k LimitKind) String() string {
+	if k == RejectionLimit {
+		return "rejections"
+	}
+	return "requests"
+}
+
+// limitIn returns the limit of a kind in a notice, 0 for none, and whether it cannot be parsed.
+func (k LimitKind) limitIn(n endpoint.Notice) (limit float64, isBad bool) {
+	if k == RejectionLimit {
+		return float64(n.MaxRejections), n.BadMaxRejections
+	}
+	return float64(n.Limit), n.BadLimit
+}
+
+// notice returns a notice with a limit of the kind.
+func (k LimitKind) notice(limit float64) endpoint.Notice {
+	if k == RejectionLimit {
+		return endpoint.Notice{MaxRejections: int(limit)}
+	}
+	return endpoint.Notice{Limit: endpoint.Limit(limit)}
+}
+
+// limitKey identifies a limit of an endpoint.
+type limitKey struct {
+	endpoint string
+	kind     LimitKind
+}
+
 // limitState is what this host knows about the limit of one run of an endpoint.
 type limitState struct {
 	startedMS int64
 	// limit is 0 after it was withdrawn or has expired.
-	limit endpoint.Limit
+	limit float64
 	// version grows with each change that a response shows, so that late reports of other hosts
 	// have no effect.
 	version uint64
@@ -39,33 +81,47 @@
 	reportedAt time.Time
 }
 
-// applyResponseLimit applies the limit in a verified response to a request that was sent at sent.
-// It returns whether that changed the limit.
-func (t *Tracker) applyResponseLimit(info endpoint.Info, n endpoint.Notice, sent, now time.Time) bool {
-	if n.BadLimit {
-		if _, isLogged := t.loggedBadLimits.LoadOrStore(info.Ref(), true); !isLogged {
-			t.log.Warn().Str("endpoint", info.ID).Str("service", info.Service).Msg("ignored unreadable endpoint limit")
+// applyResponseLimits applies the limits in a verified response to a request that was sent at sent.
+// It returns whether that changed any.
+func (t *Tracker) applyResponseLimits(info endpoint.Info, n endpoint.Notice, sent, now time.Time) bool {
+	isChanged := false
+	for _, kind := range limitKinds {
+		limit, isBad := kind.limitIn(n)
+		if isBad {
+			if _, isLogged := t.loggedBadLimits.LoadOrStore(info.Ref(), true); !isLogged {
+				t.log.Warn().Str("endpoint", info.ID).Str("service", info.Service).Str("kind", kind.String()).Msg("ignored unreadable endpoint limit")
+			}
+			continue
+		}
+		isChanged = t.applyResponseLimit(info, kind, limit, sent, now) || isChanged
+		if kind == RejectionLimit && limit == 0 {
+			t.router.MarkSturdy(info.Ref(), sent)
 		}
-		return false
 	}
-	if n.Limit == 0 && t.limitCount.Load() == 0 {
+	return isChanged
+}
+
+// applyResponseLimit applies a limit in a response and returns whether that changed it.
+func (t *Tracker) applyResponseLimit(info endpoint.Info, kind LimitKind, limit float64, sent, now time.Time) bool {
+	if limit == 0 && t.limitCount.Load() == 0 {
 		return false
 	}
 	t.limitsMu.Lock()
 	defer t.limitsMu.Unlock()
-	state, ok := t.limits[info.ID]
+	key := limitKey{info.ID, kind}
+	state, ok := t.limits[key]
 	if !ok || state.startedMS != info.StartedMS {
-		if n.Limit == 0 {
+		if limit == 0 {
 			return false
 		}
 		state = &limitState{startedMS: info.StartedMS}
-		t.limits[info.ID] = state
+		t.limits[key] = state
 	}
-	isChanged := state.isChange(n.Limit, sent)
+	isChanged := state.isChange(limit, sent)
 	if isChanged {
-		*state = limitState{startedMS: state.startedMS, limit: n.Limit, version: state.version + 1, changedAt: now, confirmedAt: now, respondedAt: now}
-		t.applyLimit(info, n.Limit, "answer", now)
-	} else if n.Limit > 0 && n.Limit == state.limit {
+		*state = limitState{startedMS: state.startedMS, limit: limit, version: state.version + 1, changedAt: now, confirmedAt: now, respondedAt: now}
+		t.applyLimit(info, kind, limit, "answer", now)
+	} else if limit > 0 && limit == state.limit {
 		state.confirmedAt, state.respondedAt = now, now
 	}
 	t.limitCount.Store(int64(len(t.limits)))
@@ -75,7 +131,7 @@
 // isChange reports whether a response to a request that was sent at sent changes the limit.
 // Responses may arrive out of order: one to a request from before the last change is ignored,
 // unless it lowers the limit.
-func (s *limitState) isChange(limit endpoint.Limit, sent time.Time) bool {
+func (s *limitState) isChange(limit float64, sent time.Time) bool {
 	switch {
 	case limit == s.limit:
 		return false
@@ -88,22 +144,27 @@
 
 // applyLimit sets a limit in the router. limitsMu is held, so that the router gets the changes in
 // order.
-func (t *Tracker) applyLimit(info endpoint.Info, limit endpoint.Limit, source string, now time.Time) {
-	t.router.SetLimit(info.Ref(), limit, now)
-	t.log.Info().Str("endpoint", info.ID).Str("service", info.Service).Float64("limit", float64(limit)).Str("by", source).Msg("applied endpoint limit")
+func (t *Tracker) applyLimit(info endpoint.Info, kind LimitKind, limit float64, source string, now time.Time) {
+	if kind == RejectionLimit {
+		t.router.SetMaxRejections(info.Ref(), int(limit), now)
+	} else {
+		t.router.SetLimit(info.Ref(), endpoint.Limit(limit), now)
+	}
+	t.log.Info().Str("endpoint", info.ID).Str("service", info.Service).Str("kind", kind.String()).Float64("limit", limit).Str("by", source).Msg("applied endpoint limit")
 }
 
 // applyReportedLimit applies another host's report of a limit.
 func (t *Tracker) applyReportedLimit(info endpoint.Info, report Report, now time.Time) {
 	t.limitsMu.Lock()
 	defer t.limitsMu.Unlock()
-	state, ok := t.limits[info.ID]
+	key := limitKey{info.ID, report.LimitKind}
+	state, ok := t.limits[key]
 	if !ok || state.startedMS != info.StartedMS {
 		state = &limitState{startedMS: info.StartedMS}
-		t.limits[info.ID] = state
+		t.limits[key] = state
 		t.limitCount.Store(int64(len(t.limits)))
 	}
-	limit := report.Notice.Limit
+	limit, _ := report.LimitKind.limitIn(report.Notice)
 	isNewer := state.supersededBy(limit, report.LimitVersion)
 	previous := state.limit
 	switch {
@@ -116,13 +177,13 @@
 		state.rounds = 0
 	}
 	if isNewer && limit != previous {
-		t.applyLimit(info, limit, "another host", now)
+		t.applyLimit(info, report.LimitKind, limit, "another host", now)
 	}
 }
 
 // supersededBy reports whether another host's report replaces the known limit. Of two limits with
 // the same version the lower one applies until the endpoint's next response.
-func (s *limitState) supersededBy(limit endpoint.Limit, version uint64) bool {
+func (s *limitState) supersededBy(limit float64, version uint64) bool {
 	if version != s.version {
 		return version > s.version
 	}
@@ -134,14 +195,14 @@
 func (t *Tracker) ExpireLimits(now time.Time) {
 	t.limitsMu.Lock()
 	defer t.limitsMu.Unlock()
-	for id, state := range t.limits {
-		info, ok := t.directory.Get(id)
+	for key, state := range t.limits {
+		info, ok := t.directory.Get(key.endpoint)
 		switch {
 		case !ok || info.State == endpoint.Gone || info.StartedMS != state.startedMS, state.limit == 0 && now.Sub(state.changedAt) > withdrawnTTL:
-			delete(t.limits, id)
-		case state.limit > 0 && now.Sub(state.confirmedAt) > t.limitTTLOf(id):
+			delete(t.limits, key)
+		case state.limit > 0 && now.Sub(state.confirmedAt) > t.limitTTLOf(key.endpoint):
 			state.limit, state.changedAt = 0, now
-			t.applyLimit(info, 0, "lapse", now)
+			t.applyLimit(info, key.kind, 0, "lapse", now)
 		}
 	}
 	t.limitCount.Store(int64(len(t.limits)))
@@ -153,14 +214,14 @@
 	t.limitsMu.Lock()
 	defer t.limitsMu.Unlock()
 	var list []Report
-	for id, state := range t.limits {
+	for key, state := range t.limits {
 		if len(list) == maxCount {
 			break
 		}
 		if state.isDue(now) {
 			state.rounds++
 			state.reportedAt = now
-			list = append(list, state.report(id))
+			list = append(list, state.report(key))
 		}
 	}
 	return list
@@ -178,8 +239,8 @@
 	return s.limit > 0 && now.Sub(s.respondedAt) < refreshInterval && now.Sub(s.reportedAt) >= refreshInterval
 }
 
-func (s *limitState) report(id string) Report {
-	return Report{Endpoint: id, StartedMS: s.startedMS, Notice: endpoint.Notice{Limit: s.limit}, LimitVersion: s.version}
+func (s *limitState) report(key limitKey) Report {
+	return Report{Endpoint: key.endpoint, StartedMS: s.startedMS, Notice: key.kind.notice(s.limit), LimitVersion: s.version, LimitKind: key.kind}
 }
 
 // limitTTLOf returns how long this host keeps the limit of an endpoint without confirmation.
@@ -188,14 +249,17 @@
 	return limitTTL + time.Duration(jitter*float64(limitTTL))
 }
 
-// pendingLimit returns the report of an endpoint's limit that is to be sent at once, or false if
-// there is none.
-func (t *Tracker) pendingLimit(id string) (Report, bool) {
+// pendingLimits returns the reports of an endpoint's limits that are to be sent at once, at most
+// maxCount.
+func (t *Tracker) pendingLimits(id string, maxCount int) []Report {
 	t.limitsMu.Lock()
 	defer t.limitsMu.Unlock()
-	state, ok := t.limits[id]
-	if !ok || state.rounds >= resendRounds {
-		return Report{}, false
+	var list []Report
+	for _, kind := range limitKinds {
+		key := limitKey{id, kind}
+		if state, ok := t.limits[key]; ok && state.rounds < resendRounds && len(list) < maxCount {
+			list = append(list, state.report(key))
+		}
 	}
-	return state.report(id), true
+	return list
 }
--- a/pkg/notice/tracker.go
+++ b/pkg/notice/tracker.go
@@ -23,9 +23,10 @@
 	StartedMS int64
 	// Notice holds the backoff that remains when the report is sent.
 	Notice endpoint.Notice
-	// LimitVersion orders the reports of the endpoint's limit; 0 if the report is not about a
-	// limit.
+	// LimitVersion orders the reports of the endpoint's limit of LimitKind; 0 if the report is not
+	// about a limit.
 	LimitVersion uint64
+	LimitKind    LimitKind
 }
 
 // Parameters of reports.
@@ -53,9 +54,9 @@
 	pending map[string]*pendingNotice
 
 	limitsMu sync.Mutex
-	// limits holds the limits that endpoints set and those recently withdrawn, by endpoint ID;
-	// limitCount is their number.
-	limits     map[string]*limitState
+	// limits holds the limits that endpoints set and those recently withdrawn; limitCount is their
+	// number.
+	limits     map[limitKey]*limitState
 	limitCount atomic.Int64
 	// loggedBadLimits holds the endpoints for which an unreadable limit has been logged.
 	loggedBadLimits sync.Map
@@ -73,7 +74,7 @@
 
 // New returns a tracker for a host's endpoints and the router that chooses among them.
 func New(directory *endpoint.Directory, router *route.Router, logger *log.Logger) *Tracker {
-	return &Tracker{directory: directory, router: router, log: logger, pending: map[string]*pendingNotice{}, limits: map[string]*limitState{}}
+	return &Tracker{directory: directory, router: router, log: logger, pending: map[string]*pendingNotice{}, limits: map[limitKey]*limitState{}}
 }
 
 // OnLeave sets the function that marks an endpoint as leaving, in the directory and at the other
@@ -83,7 +84,7 @@
 // ApplyResponse applies the notice in a verified response to this host; sent is when the request
 // was sent. A response without a limit withdraws the endpoint's limit.
 func (t *Tracker) ApplyResponse(info endpoint.Info, n endpoint.Notice, sent, now time.Time) {
-	if n.IsZero() && t.limitCount.Load() == 0 {
+	if n.IsZero() && t.limitCount.Load() == 0 && !t.router.HasFragile(now) {
 		return
 	}
 	// The row may have expired and been written again since the endpoint was chosen. The
@@ -92,11 +93,14 @@
 	if !ok || current.StartedMS != info.StartedMS {
 		return
 	}
-	if !n.Moved && t.applyResponseLimit(current, n, sent, now) && t.leaveHandler.Load() == nil {
+	if !n.Moved && t.applyResponseLimits(current, n, sent, now) && t.leaveHandler.Load() == nil {
 		t.router.MarkUrgent(current.ID)
 	}
 	isLeaving := n.Leaving && t.applyLeaving(current, "answer")
 	backoffUntil := t.applyBackoff(current, n, now)
+	if n.Refused {
+		t.router.RecordRejection(current.Ref(), now)
+	}
 	if n.Refused && n.Backoff == 0 {
 		t.router.Penalize(current.Ref(), now)
 	}
@@ -190,9 +194,7 @@
 func (t *Tracker) ReportsFor(endpoints []string, now time.Time) []Report {
 	var list []Report
 	for _, id := range endpoints {
-		if report, ok := t.pendingLimit(id); ok && len(list) < maxReportsPerRound {
-			list = append(list, report)
-		}
+		list = append(list, t.pendingLimits(id, maxReportsPerRound-len(list))...)
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
