forward: let requests wait for a slot of a fragile endpoint

A request that finds no room at a service's fragile endpoints was refused at once, although slots become free every few milliseconds. It now waits at the host for a slot that this host holds, by arrival and priority, for a fifth of its objective at most. One for which no slot is expected by then is refused at once with a Retry-After that says when one is. Retries and resumed streams wait in the same queue; a request that arrives while others wait goes behind them. Each completed choice lets the next one try.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -64,6 +64,8 @@
 	phase      func() Phase
 	// mover is nil if streams are never moved.
 	mover *Mover
+	// slotQueues holds the requests that wait for slots of fragile endpoints.
+	slotQueues *slotQueues
 }
 
 // MoveStreams makes a mover move the streams that the forwarder relays. It must be called before the
@@ -89,8 +91,11 @@
 func New(protocol Protocol, tables RouteTableSource, router *route.Router, limits *limit.CostLimiter, budget *retry.WindowBudget, pool *upstream.Pool,
 	runs RunCounter, fleet Fleet, rollouts *rollout.Splitter, watch *quarantine.Watch, notices *notice.Tracker, phase func() Phase, clock Clock, metrics *Metrics, logger *log.Logger,
 ) *Forwarder {
+	queues := newSlotQueues()
+	router.OnRelease(queues.wakeNext)
 	return &Forwarder{
-		protocol: protocol, tables: tables, router: router, limits: limits, budget: budget, pool: pool,
+		slotQueues: queues,
+		protocol:   protocol, tables: tables, router: router, limits: limits, budget: budget, pool: pool,
 		runCounter: runs, fleet: fleet, rollouts: rollouts, crashes: watch, notices: notices, phase: phase, clock: clock, metrics: metrics, log: logger, logLimit: newLogLimiter(clock()),
 	}
 }
@@ -143,6 +148,9 @@
 	// retryAfter is the caller's Retry-After, above 0 once the request is rejected for the
 	// length of the queue.
 	retryAfter time.Duration
+	// slotRetryAfter is the time until a slot of a fragile endpoint is expected, above 0 once the
+	// request has found none in time.
+	slotRetryAfter time.Duration
 	// endsByClose is set if the response ends with the caller's connection.
 	endsByClose bool
 	logEntry    requestLog
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -60,10 +60,11 @@
 func (testProtocol) DecodeResponse(status int, h http.Header) forward.ResponseMeta {
 	rest, _ := time.ParseDuration(h.Get("Rest"))
 	limit, _ := strconv.ParseFloat(h.Get("Limit"), 64)
+	maxRejections, _ := strconv.Atoi(h.Get("Max-Rejections"))
 	return forward.ResponseMeta{
 		RequestID: h.Get("Id"), NotRun: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest,
 		Moved: status == http.StatusMisdirectedRequest, Signed: h.Get("Signed") != "",
-		Notice: endpoint.Notice{Leaving: h.Get("Leaving") != "", Backoff: rest, Limit: endpoint.Limit(limit)},
+		Notice: endpoint.Notice{Leaving: h.Get("Leaving") != "", Backoff: rest, Limit: endpoint.Limit(limit), MaxRejections: maxRejections},
 	}
 }
 
--- a/pkg/forward/refuse.go
+++ b/pkg/forward/refuse.go
@@ -41,6 +41,9 @@
 // backoff ends or the first rate limit allows another request, but at least retryAfterShort.
 // A caller that came back earlier would be rejected again.
 func (c *call) retryAfterAvailable() time.Duration {
+	if c.slotRetryAfter > 0 {
+		return c.slotRetryAfter
+	}
 	return max(c.f.router.TimeUntilAvailable(c.query(), c.f.clock()), retryAfterShort)
 }
 
--- a/pkg/forward/run.go
+++ b/pkg/forward/run.go
@@ -98,12 +98,9 @@
 	}
 }
 
-// chooseEndpoint picks the next endpoint, of another version if no endpoint of the
-// intended version accepts the request.
-func (c *call) chooseEndpoint(ctx context.Context) (route.Choice, bool) {
-	if ctx.Err() != nil {
-		return route.Choice{}, false
-	}
+// chooseNow picks the next endpoint, of another version if no endpoint of the intended version
+// accepts the request.
+func (c *call) chooseNow() (route.Choice, bool) {
 	choice, ok := c.chooseFromVersions()
 	if ok {
 		return choice, true
--- /dev/null
+++ b/pkg/forward/slotwait.go
@@ -0,0 +1,121 @@
+package forward
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"ironhollow/pkg/route"
+	"ironhollow/pkg/slotqueue"
+)
+
+// slotPollInterval is how often the first waiting request tries again without a slot being released:
+// shares of slots also grow with time.
+const slotPollInterval = 20 * time.Millisecond
+
+// slotQueues holds the requests that wait for a slot of a fragile endpoint, by service. It is safe for
+// concurrent use.
+type slotQueues struct {
+	mu        sync.RWMutex
+	byService map[string]*slotqueue.Queue
+}
+
+func newSlotQueues() *slotQueues { return &slotQueues{byService: map[string]*slotqueue.Queue{}} }
+
+// get returns the queue of a service, nil if no request of it has waited.
+func (q *slotQueues) get(service string) *slotqueue.Queue {
+	q.mu.RLock()
+	defer q.mu.RUnlock()
+	return q.byService[service]
+}
+
+func (q *slotQueues) getOrCreate(service string) *slotqueue.Queue {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	queue, ok := q.byService[service]
+	if !ok {
+		queue = &slotqueue.Queue{}
+		q.byService[service] = queue
+	}
+	return queue
+}
+
+// wakeNext lets the next waiting request of a target try again.
+func (q *slotQueues) wakeNext(target route.Target) {
+	if queue := q.get(target.Service); queue != nil {
+		queue.WakeNext()
+	}
+}
+
+// chooseEndpoint picks the next endpoint. If this host may send no more to the service's fragile
+// endpoints, the request waits for a slot, behind those that wait already.
+func (c *call) chooseEndpoint(ctx context.Context) (route.Choice, bool) {
+	if ctx.Err() != nil {
+		return route.Choice{}, false
+	}
+	if queue := c.f.slotQueues.get(c.service.Name); queue == nil || queue.Len() == 0 {
+		if choice, ok := c.chooseNow(); ok || c.retryAfter > 0 {
+			return choice, ok
+		}
+	}
+	now := c.f.clock()
+	room, isBounded := c.f.router.Room(c.query(), now)
+	if !isBounded {
+		return c.chooseNow()
+	}
+	return c.waitForSlot(ctx, slotqueue.Capacity(room), now)
+}
+
+// waitForSlot waits until this host may send the request to an endpoint. ok is false, and
+// slotRetryAfter is set, if that is not expected in time or does not happen.
+func (c *call) waitForSlot(ctx context.Context, capacity slotqueue.Capacity, now time.Time) (choice route.Choice, ok bool) {
+	queue := c.f.slotQueues.getOrCreate(c.service.Name)
+	woken := make(chan struct{}, 1)
+	entry := queue.NewEntry(c.priority, now, func() { woken <- struct{}{} })
+	request := slotqueue.Request{Objective: c.route.LatencyObjective, Elapsed: now.Sub(c.started), Priority: c.priority}
+	if c.logEntry.status > 0 {
+		// The response has begun. The rest of a stream that broke off is not measured against the objective.
+		request.Objective, request.Elapsed = 0, 0
+	}
+	maxWait, retryAfter, ok := request.MaxWait(queue.CountAhead(entry), capacity)
+	if !ok {
+		c.slotRetryAfter = retryAfter
+		return choice, false
+	}
+	queue.Add(entry)
+	expired := time.NewTimer(maxWait)
+	defer expired.Stop()
+	poll := time.NewTicker(slotPollInterval)
+	defer poll.Stop()
+	for {
+		select {
+		case <-woken:
+		case <-poll.C:
+			if !queue.RemoveFirst(entry) {
+				continue
+			}
+		case <-ctx.Done():
+			leave(queue, entry)
+			return choice, false
+		case <-expired.C:
+			leave(queue, entry)
+			c.slotRetryAfter = retryAfter
+			return choice, false
+		}
+		if choice, ok = c.chooseNow(); ok || c.retryAfter > 0 {
+			return choice, ok
+		}
+		if len(c.avoid) > 0 {
+			// The slot that is free may be at an endpoint that this request avoids.
+			queue.WakeAfter(entry)
+		}
+		queue.Add(entry)
+	}
+}
+
+// leave removes an entry, or passes on its turn if it has just been woken.
+func leave(queue *slotqueue.Queue, entry *slotqueue.Entry) {
+	if !queue.Remove(entry) {
+		queue.WakeNext()
+	}
+}
