soak: run processes before fragile endpoints

The stand-in platform has no endpoints that fail when they have to reject requests, so that only virtual time covers them.

--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -77,7 +77,9 @@
 	report        *report
 	configVersion int
 	started       time.Time
-	timers        sync.WaitGroup
+	// fragility is shared by the plain endpoints; nil if they have no capacity.
+	fragility *standin.Fragility
+	timers    sync.WaitGroup
 
 	mu               sync.Mutex
 	endpoints        []*standin.Endpoint
@@ -213,7 +215,11 @@
 // holds r.mu.
 func (r *run) startEndpointAt(i int, service string, version standin.Version, listenAddress string) error {
 	var proxy *Proxy
-	e, err := standin.StartEndpoint(fmt.Sprintf("i-%d-%d", i, r.endpointsStarted), service, version, r.store, r.requestLog, func(address string) (string, error) {
+	shared := r.fragility
+	if service != standin.PlainService {
+		shared = nil
+	}
+	e, err := standin.StartFragileEndpoint(fmt.Sprintf("i-%d-%d", i, r.endpointsStarted), service, version, r.store, r.requestLog, shared, func(address string) (string, error) {
 		var err error
 		if proxy, err = NewProxyAt(listenAddress, address); err != nil {
 			return "", err
