upstream: keep connections to endpoints that are silent for up to 2 s

Callers lost requests and streams to sound endpoints that fell silent for little more than a second. Cause: with TCP_USER_TIMEOUT set, Linux ignores the number of keep-alive probes; it closes a connection as soon as one probe is unanswered and nothing has been received for the user timeout. With a first probe after 2 s, the next check after 1 s and a user timeout of 3 s a single lost probe closed the connection, 3 s after its last byte.

Real packet loss was not played, as that needs rights that tests do not have.

--- a/pkg/app/node/providers.go
+++ b/pkg/app/node/providers.go
@@ -47,7 +47,8 @@
 const (
 	// storeCallTimeout bounds one call to the store, which usually answers within 4 ms.
 	storeCallTimeout = time.Second
-	// unackedTimeout is how long sent bytes may stay unacknowledged before the connection fails.
+	// unackedTimeout is how long sent bytes may stay unacknowledged before a connection of a caller
+	// or of another host fails.
 	unackedTimeout = 3 * time.Second
 	// controlUnackedTimeout replaces unackedTimeout on connections to the platform and to other hosts.
 	// A feed whose connection falls silent must be back within the time in which a change has to
@@ -81,7 +82,7 @@
 
 func newLogger(s Settings) *log.Logger { return process.NewAsyncLogger(os.Stdout, s.Node) }
 
-func newPool() *upstream.Pool { return upstream.New(unackedTimeout) }
+func newPool() *upstream.Pool { return upstream.New(upstream.UserTimeout) }
 
 func newStore(platform Platform, client storeClient, s Settings, registry *prometheus.Registry) *storecalls.CountingStore {
 	return storecalls.New(platform.Store(client.Client, s), registry)
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -107,7 +107,7 @@
 	return &Pool{
 		dialer: net.Dialer{
 			Timeout:         dialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3},
+			KeepAliveConfig: KeepAlive(),
 			Control:         ControlUserTimeout(userTimeout),
 		},
 		byAddress: map[string]*addressConns{},
