--- a/pkg/forward/request_log.go
+++ b/pkg/forward/request_log.go
@@ -85,6 +85,12 @@
 	if c.notice.BadLimit {
 		c.f.metrics.notices.WithLabelValues(c.service.Name, "unreadable-limit").Inc()
 	}
+	if c.notice.MaxRejections > 0 {
+		c.f.metrics.notices.WithLabelValues(c.service.Name, "fragile").Inc()
+	}
+	if c.notice.BadMaxRejections {
+		c.f.metrics.notices.WithLabelValues(c.service.Name, "unreadable-fragile").Inc()
+	}
 	if c.notice.Backoff > 0 {
 		c.f.metrics.notices.WithLabelValues(c.service.Name, "backoff").Inc()
 	}
--- a/pkg/ratelimit/slots.go
+++ b/pkg/ratelimit/slots.go
@@ -13,8 +13,7 @@
 	rejectionWindow = 1100 * time.Millisecond
 	// newSlotsDelay is how long the hosts must not have changed before a host uses slots that it has
 	// gained. It is shorter than newShareDelay, as rejections also bound the use of a share: with 4 s,
-	// a host that restarted left its slots unused for so long that 0.84 of the slot time was used
-	// instead of 0.87 (TestFragileEndpointsStayUp).
+	// the slots of a host that is restarted stayed unused for longer.
 	newSlotsDelay = 2 * time.Second
 	// raiseInterval is the time between two increases of the number of requests in flight after it
 	// was lowered, after a share has grown or after an endpoint has started.
