--- a/pkg/app/node/providers.go
+++ b/pkg/app/node/providers.go
@@ -48,7 +48,8 @@
 const (
 	// storeCallTimeout bounds one call to the store, which usually answers within 4 ms.
 	storeCallTimeout = time.Second
-	// unackedTimeout is how long sent bytes may stay unacknowledged before the connection fails.
+	// unackedTimeout is how long sent bytes may stay unacknowledged before a connection of a caller
+	// or of another host fails.
 	unackedTimeout = 3 * time.Second
 	// controlUnackedTimeout replaces unackedTimeout on connections to the platform and to other hosts.
 	// A feed whose connection falls silent must be back within the time in which a change has to
@@ -83,7 +84,7 @@
 func newLogger(s Settings) *log.Logger { return process.NewAsyncLogger(os.Stdout, s.Node) }
 
 func newPool(links *reach.Monitor) *upstream.Pool {
-	pool := upstream.New(unackedTimeout)
+	pool := upstream.New(upstream.UserTimeout)
 	pool.Observe(links)
 	return pool
 }
--- a/pkg/forward/run.go
+++ b/pkg/forward/run.go
@@ -114,12 +114,9 @@
 	c.f.budget.RecordFirstSend(c.service.Name, c.f.clock())
 }
 
-// chooseEndpoint picks the next endpoint, of another version if no endpoint of the
-// intended version accepts the request.
-func (c *call) chooseEndpoint(ctx context.Context) (route.Choice, bool) {
-	if ctx.Err() != nil {
-		return route.Choice{}, false
-	}
+// chooseNow picks the next endpoint, of another version if no endpoint of the intended version
+// accepts the request.
+func (c *call) chooseNow() (route.Choice, bool) {
 	choice, ok := c.chooseFromVersions()
 	if ok {
 		return choice, true
