soak: answers without length or chunks, and answers that end early

Change: for some seconds an endpoint answers without length or chunks, or ends two in five answers early: unframed ones with and without a reset, streams between and inside events, and streams in chunks inside an event, with a last chunk. One caller in four asks for Connection: close and one in four speaks HTTP/1.0. An answer whose end is marked must be complete. One that ends with its connection, without an error, may be a part of the complete one only if its endpoint ended it so: any end that a host can notice must reset the caller's connection. A stream that is marked as complete and ends inside an event is now a violation; before, it counted as failed.

--- a/pkg/soak/caller.go
+++ b/pkg/soak/caller.go
@@ -26,6 +26,8 @@
 	atMostOnce, reportedNotRun []string
 	violations                 []string
 	overdue                    []overdueRequest
+	// unmarkedEnds are requests whose incomplete response ended with its connection, without an error.
+	unmarkedEnds []string
 }
 
 func newReport() *report {
@@ -80,6 +82,8 @@
 	entriesAt time.Time
 	requests  int
 	pause     time.Duration
+	// closes is set if the caller asks for a new connection for each request.
+	closes bool
 }
 
 func newCaller(number int, o Options, nodes []*node, r *report) *caller {
@@ -87,10 +91,14 @@
 	if o.RequestPause > 0 {
 		pause = o.RequestPause
 	}
-	return &caller{
+	c := &caller{
 		name: fmt.Sprintf("c%d", number), random: rand.New(rand.NewPCG(o.Seed, uint64(number))), nodes: nodes, report: r, pause: pause,
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}}, closes: number%4 == 1,
 	}
+	if number%4 == 3 {
+		c.client.Transport = http10Transport{}
+	}
+	return c
 }
 
 // Timing of callers.
@@ -160,6 +168,7 @@
 		c.report.atMostOnce = append(c.report.atMostOnce, id)
 		c.report.mu.Unlock()
 	}
+	r.Close = c.closes
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 	defer cancel()
 	sent := time.Now()
@@ -177,9 +186,9 @@
 	}
 	switch {
 	case response.StatusCode == http.StatusOK && (kind == standin.Stream || kind == standin.Resume):
-		c.report.count(kind, c.checkStream(id, response.Body))
+		c.report.count(kind, c.checkStream(id, response))
 	case response.StatusCode == http.StatusOK:
-		c.report.count(kind, c.checkResponse(kind, id, body, response.Body))
+		c.report.count(kind, c.checkResponse(kind, id, body, response))
 	default:
 		c.recordFailure(kind, id, response.StatusCode)
 	}
@@ -197,36 +206,37 @@
 	}
 }
 
-func (c *caller) checkResponse(kind standin.RequestKind, id, requestBody string, body io.Reader) bool {
-	text, err := io.ReadAll(body)
+// checkResponse checks the body of a response that is not a stream and reports whether it is complete.
+func (c *caller) checkResponse(kind standin.RequestKind, id, requestBody string, response *http.Response) bool {
+	text, err := io.ReadAll(response.Body)
 	if err != nil {
 		return false
 	}
 	if kind == standin.Safe {
 		requestBody = ""
 	}
-	if want := standin.ResponseBody(id, requestBody); string(text) != want {
-		c.report.addViolation("%s got %q, want %q", id, text, want)
-		return false
+	want := standin.ResponseBody(id, requestBody)
+	if string(text) != want {
+		c.report.addIncomplete(id, response, strings.HasPrefix(want, string(text)), fmt.Sprintf("got %q, want %q", text, want))
 	}
-	return true
+	return string(text) == want
 }
 
-// checkStream checks events as they arrive: each comes once and in order, and none is missing if
-// the stream ends without an error.
-func (c *caller) checkStream(id string, body io.Reader) bool {
-	reader := bufio.NewReader(body)
+// checkStream checks events as they arrive: each comes once and in order. It reports whether none is
+// missing.
+func (c *caller) checkStream(id string, response *http.Response) bool {
+	reader := bufio.NewReader(response.Body)
 	var event bytes.Buffer
 	number := 1
 	for {
 		line, err := reader.ReadString('\n')
 		event.WriteString(line)
-		if err == io.EOF && event.Len() == 0 {
-			if number <= standin.EventCount(id) {
-				c.report.addViolation("the stream of %s ended without an error after %d of %d events", id, number-1, standin.EventCount(id))
-				return false
+		if err == io.EOF {
+			isComplete := event.Len() == 0 && number > standin.EventCount(id)
+			if !isComplete {
+				c.report.addIncomplete(id, response, event.Len() == 0, fmt.Sprintf("got %d of %d events and %q", number-1, standin.EventCount(id), event.String()))
 			}
-			return true
+			return isComplete
 		}
 		if err != nil {
 			return false
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -100,6 +100,7 @@
 	stopCrashing := r.startCrashing(ctx)
 	r.startRejections()
 	r.startLimits()
+	r.startEndings()
 	r.startRestores(ctx)
 	r.injectFaults(ctx)
 	r.timers.Wait()
@@ -320,6 +321,7 @@
 			r.report.addViolation("%s ran although its response said that it did not", id)
 		}
 	}
+	r.checkEndings()
 	r.checkNotices()
 	r.checkLimits()
 	r.checkDeadlines()
