--- a/pkg/app/node/links.go
+++ b/pkg/app/node/links.go
@@ -26,7 +26,7 @@
 	transport := newTransport()
 	transport.DisableKeepAlives = true
 	network := reach.NewSockets(&http.Client{Transport: transport})
-	return reach.NewMonitor(network, checkFleet{view, s, clock}, clock.Now, reach.NewMetrics(registry), logger)
+	return reach.NewMonitor(network, checkFleet{view, s, clock}, time.Now, reach.NewMetrics(registry), logger)
 }
 
 // checkFleet lists the endpoints and hosts that checks of the links connect to.
@@ -65,8 +65,9 @@
 // watchLinks checks this host's links to endpoints until ctx ends, and reports when they are lost.
 func (n *node) watchLinks(ctx context.Context, exchange *gossip.Exchange) {
 	changed := pause.NewSignal()
-	n.links.OnChange(func(cut bool, since time.Time) {
-		n.applyCut(cut, since, n.clock.Now())
+	n.links.OnChange(func(cut bool, sinceAnswer time.Duration) {
+		now := n.clock.Now()
+		n.applyCut(cut, now.Add(-sinceAnswer), now)
 		changed.Set()
 	})
 	loop := n.watchdog.Watch("links")
--- a/pkg/reach/monitor.go
+++ b/pkg/reach/monitor.go
@@ -61,7 +61,7 @@
 	// connections have failed.
 	started, failed pause.Signal
 	// onChange is called with each beginning and end of a cut.
-	onChange func(cut bool, since time.Time)
+	onChange func(cut bool, sinceAnswer time.Duration)
 
 	settleMu sync.Mutex
 	// unsettled are failures of which it is not known yet whether a cut caused them.
@@ -72,17 +72,18 @@
 	probe *probe
 }
 
-// NewMonitor returns a Monitor.
+// NewMonitor returns a Monitor. now returns the time of a monotonic clock; it is called at each read of a
+// connection.
 func NewMonitor(network Network, fleet Fleet, now func() time.Time, metrics *Metrics, logger *log.Logger) *Monitor {
 	return &Monitor{
 		detector: NewDetector(now()), network: network, fleet: fleet, now: now, metrics: metrics, log: logger,
-		started: pause.NewSignal(), failed: pause.NewSignal(), onChange: func(bool, time.Time) {},
+		started: pause.NewSignal(), failed: pause.NewSignal(), onChange: func(bool, time.Duration) {},
 	}
 }
 
-// OnChange sets the function that is called when a cut has been detected or has ended. since is when an
-// endpoint last answered before the cut. It must be called before Run.
-func (m *Monitor) OnChange(call func(cut bool, since time.Time)) { m.onChange = call }
+// OnChange sets the function that is called when a cut has been detected or has ended, with the time since
+// an endpoint last answered before the cut. It must be called before Run.
+func (m *Monitor) OnChange(call func(cut bool, sinceAnswer time.Duration)) { m.onChange = call }
 
 // IsCut reports whether this host has lost its links to endpoints.
 func (m *Monitor) IsCut() bool { return m.detector.IsCut() }
@@ -198,13 +199,13 @@
 	m.metrics.count(c, m.IsCut())
 	switch change {
 	case CutDetected:
-		since := m.detector.CutSince()
-		m.logChange(c).Dur("silent", now.Sub(since)).Msg("links to endpoints lost")
-		m.onChange(true, since)
+		sinceAnswer := now.Sub(m.detector.CutSince())
+		m.logChange(c).Dur("silent", sinceAnswer).Msg("links to endpoints lost")
+		m.onChange(true, sinceAnswer)
 	case CutEnded:
-		since := m.detector.CutSince()
-		m.logChange(c).Dur("lasted", now.Sub(since)).Msg("links to endpoints restored")
-		m.onChange(false, since)
+		sinceAnswer := now.Sub(m.detector.CutSince())
+		m.logChange(c).Dur("lasted", sinceAnswer).Msg("links to endpoints restored")
+		m.onChange(false, sinceAnswer)
 	case Unchanged:
 	}
 }
--- a/pkg/reach/monitor_test.go
+++ b/pkg/reach/monitor_test.go
@@ -74,7 +74,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		w.monitor = reach.NewMonitor(w, w, time.Now, reach.NewMetrics(prometheus.NewRegistry()), &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
-		w.monitor.OnChange(func(cut bool, _ time.Time) { w.set(func() { w.changes = append(w.changes, cut) }) })
+		w.monitor.OnChange(func(cut bool, _ time.Duration) { w.set(func() { w.changes = append(w.changes, cut) }) })
 		done := make(chan struct{})
 		go func() {
 			w.monitor.Run(ctx, func() {})
