forward: choose once for services without fragile endpoints, count waiting work once

Faults of the queue for slots, found by reading:

- A request for which no endpoint took work was chosen for twice, also for services without fragile endpoints, and its work counted twice as refused.
A waiting request was counted with each try, and one refused at once behind others not at all.
Each is now counted once.
- Endpoints without a free slot counted as out, so that ejected ones (just failed) were tried while the others were full.
Only backoffs and rate limits count as out, as before.
- A request whose caller left, or that failed, freed its slot here before the endpoint had noticed.
It counts for 60 ms more.
- A request that was woken and then rejected for its queue did not wake the next.

--- a/pkg/forward/rollout.go
+++ b/pkg/forward/rollout.go
@@ -28,6 +28,7 @@
 // finishAttempt reports the end of an attempt to the router and to the roll-out.
 func (c *call) finishAttempt(choice route.Choice, rolloutSend *rollout.Attempt, r route.Result) {
 	now := c.f.clock()
+	r.Abandoned = r.Failed || c.incoming.Context().Err() != nil
 	r.Canary = c.side == rollout.Target
 	c.f.router.Done(choice, r, now)
 	c.f.rollouts.FinishAttempt(rolloutSend, now)
--- a/pkg/forward/slotwait.go
+++ b/pkg/forward/slotwait.go
@@ -53,17 +53,25 @@
 	if ctx.Err() != nil {
 		return route.Choice{}, false
 	}
-	if queue := c.f.slotQueues.get(c.service.Name); queue == nil || queue.Len() == 0 {
+	queue := c.f.slotQueues.get(c.service.Name)
+	mustQueue := queue != nil && queue.Len() > 0
+	if !mustQueue {
 		if choice, ok := c.chooseNow(); ok || c.retryAfter > 0 {
 			return choice, ok
 		}
 	}
 	now := c.f.clock()
 	room, isBounded := c.f.router.Room(c.query(), now)
-	if !isBounded {
+	switch {
+	case isBounded:
+		c.isCounted = !mustQueue
+		defer func() { c.isCounted = false }()
+		return c.waitForSlot(ctx, slotqueue.Capacity(room), now)
+	case mustQueue:
 		return c.chooseNow()
+	default:
+		return route.Choice{}, false
 	}
-	return c.waitForSlot(ctx, slotqueue.Capacity(room), now)
 }
 
 // waitForSlot waits until this host may send the request to an endpoint. ok is false, and
@@ -74,12 +82,13 @@
 	entry := queue.NewEntry(c.priority, now, func() { woken <- struct{}{} })
 	request := slotqueue.Request{Objective: c.route.LatencyObjective, Elapsed: now.Sub(c.started), Priority: c.priority}
 	if c.logEntry.status > 0 {
-		// The response has begun. The rest of a stream that broke off is not measured against the objective.
+		// The response has begun. The rest of a stream that broke off is not measured against the
+		// objective.
 		request.Objective, request.Elapsed = 0, 0
 	}
 	maxWait, retryAfter, ok := request.MaxWait(queue.CountAhead(entry), capacity)
 	if !ok {
-		c.slotRetryAfter = retryAfter
+		c.giveUpSlot(retryAfter)
 		return choice, false
 	}
 	queue.Add(entry)
@@ -99,11 +108,16 @@
 			return choice, false
 		case <-expired.C:
 			leave(queue, entry)
-			c.slotRetryAfter = retryAfter
+			c.giveUpSlot(retryAfter)
 			return choice, false
 		}
-		if choice, ok = c.chooseNow(); ok || c.retryAfter > 0 {
-			return choice, ok
+		if choice, ok = c.chooseNow(); ok {
+			return choice, true
+		}
+		c.isCounted = true
+		if c.retryAfter > 0 {
+			queue.WakeNext()
+			return choice, false
 		}
 		if len(c.avoid) > 0 {
 			// The slot that is free may be at an endpoint that this request avoids.
@@ -113,6 +127,15 @@
 	}
 }
 
+// giveUpSlot records that the request finds no slot in time, and its work unless it was counted by a
+// choice.
+func (c *call) giveUpSlot(retryAfter time.Duration) {
+	c.slotRetryAfter = retryAfter
+	if !c.isCounted && len(c.avoid) == 0 {
+		c.f.router.RecordRefusal(c.query(), c.f.clock())
+	}
+}
+
 // leave removes an entry, or passes on its turn if it has just been woken.
 func leave(queue *slotqueue.Queue, entry *slotqueue.Entry) {
 	if !queue.Remove(entry) {
--- a/pkg/ratelimit/slots.go
+++ b/pkg/ratelimit/slots.go
@@ -21,15 +21,20 @@
 	// cautiousTime is how long after a rejection, a report of the endpoint or the growth of a share
 	// only as many requests may be unconfirmed as may be rejected.
 	cautiousTime = 5 * time.Second
-	// maxHoldDoublings is how often the time is doubled after which the number of requests in flight is
-	// raised after a rejection. One doubling is forgotten in holdDecayTime without a rejection. Without
-	// doublings, an endpoint with less room than its row reports was left idle after a rejection in
-	// each 1.4 s: 0.55 of the slot time was used instead of 0.85 (TestKnownFragileEndpointsStayUp).
-	maxHoldDoublings = 4
+	// firstHold is the time after a rejection after which the number of requests in flight is raised. It
+	// doubles with each further rejection, at most maxHoldDoublings times; one doubling is forgotten in
+	// holdDecayTime without a rejection. With 1.1 s and no doublings, an endpoint with less room than
+	// its row reports was left idle after a rejection in each 1.4 s: 0.55 of the slot time was used
+	// instead of 0.9 (TestKnownFragileEndpointsStayUp).
+	firstHold        = 4 * time.Second
+	maxHoldDoublings = 3
 	holdDecayTime    = 20 * time.Second
 	// confirmTime is the time after which a request that was not rejected counts as accepted:
 	// endpoints reject at once, and are less than 10 ms away.
 	confirmTime = 60 * time.Millisecond
+	// abandonTime is how long a request counts as in flight after its connection was closed: the
+	// endpoint has to notice that.
+	abandonTime = 60 * time.Millisecond
 )
 
 // Slots is this host's share of the slots of an endpoint that fails if it has to reject too many
@@ -61,6 +66,8 @@
 	// rejectedAt are the times of the rejections within rejectionWindow, sentAt those of the requests
 	// sent within confirmTime that are not completed.
 	rejectedAt, sentAt []time.Time
+	// abandonedAt are when requests were abandoned within abandonTime.
+	abandonedAt []time.Time
 }
 
 // NewSlots returns the share of the slots of an endpoint that has just reported how many rejections
@@ -135,6 +142,7 @@
 		s.raiseAt = now.Add(raiseInterval)
 	}
 	s.rejectedAt = slices.DeleteFunc(s.rejectedAt, func(at time.Time) bool { return now.Sub(at) >= rejectionWindow })
+	s.abandonedAt = slices.DeleteFunc(s.abandonedAt, func(at time.Time) bool { return now.Sub(at) >= abandonTime })
 	s.sentAt = slices.DeleteFunc(s.sentAt, func(at time.Time) bool { return now.Sub(at) >= confirmTime })
 }
 
@@ -144,7 +152,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.update(hosts, now)
-	if inFlight >= s.limit {
+	if inFlight+len(s.abandonedAt) >= s.limit {
 		return false
 	}
 	atRisk := len(s.rejectedAt)
@@ -170,10 +178,13 @@
 	s.sentAt = append(s.sentAt, now)
 }
 
-// Release records that a request that was sent at sentAt is completed.
-func (s *Slots) Release(sentAt time.Time) {
+// Release records that a request that was sent at sentAt is completed, or abandoned at now.
+func (s *Slots) Release(sentAt time.Time, isAbandoned bool, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if isAbandoned {
+		s.abandonedAt = append(s.abandonedAt, now)
+	}
 	if i := slices.Index(s.sentAt, sentAt); i >= 0 {
 		s.sentAt = slices.Delete(s.sentAt, i, i+1)
 	}
@@ -188,7 +199,7 @@
 	s.limit = min(s.limit, max(accepted, 1))
 	decayed := int(now.Sub(s.lastRejectedAt) / holdDecayTime)
 	s.holdDoublings = max(s.holdDoublings-decayed, 0)
-	s.raiseAt = later(s.raiseAt, now.Add(rejectionWindow<<s.holdDoublings))
+	s.raiseAt = later(s.raiseAt, now.Add(firstHold<<s.holdDoublings))
 	s.holdDoublings = min(s.holdDoublings+1, maxHoldDoublings)
 	s.lastRejectedAt = now
 	s.cautiousUntil = later(s.cautiousUntil, now.Add(cautiousTime))
--- a/pkg/route/backoff.go
+++ b/pkg/route/backoff.go
@@ -130,11 +130,11 @@
 // group's lock must be held.
 func (g *group) unavailable(hosts *ratelimit.Hosts, now time.Time) int {
 	count := g.ejectedCount
-	if !now.Before(g.backoffsUntil) && g.limitedCount == 0 && !g.mayBeFragile(now) {
+	if !now.Before(g.backoffsUntil) && g.limitedCount == 0 {
 		return count
 	}
 	for _, s := range g.slots {
-		if s.load.failures < ejectAfter && (now.Before(s.load.backoff.requestedUntil) || !s.allows(hosts, now)) {
+		if s.load.failures < ejectAfter && (now.Before(s.load.backoff.requestedUntil) || !s.load.allows(hosts, now)) {
 			count++
 		}
 	}
--- a/pkg/route/feedback.go
+++ b/pkg/route/feedback.go
@@ -14,6 +14,8 @@
 	// Refused is set if the endpoint rejected the request. This counts neither as a failure nor as
 	// a success.
 	Refused bool
+	// Abandoned is set if the endpoint may still be working on the request for a moment.
+	Abandoned bool
 	// PrefillDone is set if Router.PrefillDone was called for the choice.
 	PrefillDone bool
 	// FirstToken is the time to the first token; 0 if there was none.
@@ -66,7 +68,7 @@
 	l := &s.load
 	l.localRunning = max(l.localRunning-1, 0)
 	if l.fragile != nil {
-		l.fragile.Release(c.sentAt)
+		l.fragile.Release(c.sentAt, result.Abandoned, now)
 	}
 	if !result.PrefillDone {
 		l.localPrefillTokens = max(l.localPrefillTokens-c.uncachedTokens, 0)
