--- a/pkg/forward/slotwait_test.go
+++ b/pkg/forward/slotwait_test.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"ironhollow/pkg/route"
 )
 
 // Guards against sending a fragile endpoint more requests than it has slots, and against holding
@@ -65,3 +67,19 @@
 		})
 	}
 }
+
+// Guards against choosing twice for a request that no endpoint takes, which counts its work twice.
+func TestUnplacedRequestIsChosenForOnce(t *testing.T) {
+	s := newHarness(t, spec(), true, respondOK("answer"))
+	now := time.Now()
+	s.router.SetBackoff(s.endpoint("e0").Ref(), now.Add(time.Minute), now)
+	target := route.Target{Service: "svc"}
+	s.router.Choose(route.Query{Target: target, AnswerTokens: 1}, route.Expected, now)
+	one := s.router.Work(target, now).Refused
+	if response := s.send("POST", "/safe/x", "body"); response.status != http.StatusServiceUnavailable {
+		t.Fatalf("got status %d, want 503", response.status)
+	}
+	if got, most := s.router.Work(target, time.Now()).Refused, 2.1*one; got > most || got < 1.5*one {
+		t.Errorf("got refused work of %v after a choice and a request, want %v", got, 2*one)
+	}
+}
--- a/pkg/ratelimit/slots_test.go
+++ b/pkg/ratelimit/slots_test.go
@@ -78,3 +78,17 @@
 		}
 	}
 }
+
+// Guards against the use of a slot before the endpoint has noticed that its request was abandoned.
+func TestAbandonedRequestHoldsItsSlot(t *testing.T) {
+	h := ratelimit.NewHosts("host-0", names(1), start.Add(-time.Hour))
+	s := ratelimit.NewSlots("e", 8, 12, h, start)
+	at := start.Add(10 * time.Second)
+	s.Take(start)
+	s.Release(start, true, at)
+	for after, want := range map[time.Duration]bool{10 * time.Millisecond: false, 100 * time.Millisecond: true} {
+		if got := s.Allows(7, h, at.Add(after)); got != want {
+			t.Errorf("%v after the request was abandoned: got allowed %v, want %v", after, got, want)
+		}
+	}
+}
