--- a/pkg/forward/detour.go
+++ b/pkg/forward/detour.go
@@ -123,8 +123,8 @@
 	configVersion int64
 	// attempts is how many endpoints have received the request before.
 	attempts int
-	// isCounted is set if the request was counted for the retry budget before.
-	isCounted bool
+	// isBudgeted is set if the request was counted for the retry budget before.
+	isBudgeted bool
 	// remaining is the time until the request's deadline.
 	remaining time.Duration
 	// lastEventID is the last event that the caller has received, where a stream is resumed.
@@ -134,14 +134,14 @@
 type wireDetour struct {
 	ConfigVersion int64  `json:"config"`
 	Attempts      int    `json:"attempts"`
-	IsCounted     bool   `json:"counted"`
+	IsBudgeted    bool   `json:"counted"`
 	RemainingMS   int64  `json:"remaining_ms"`
 	LastEventID   string `json:"last_event,omitempty"`
 }
 
 func (d detour) encode() string {
 	// A struct of numbers and strings can always be encoded.
-	text, _ := json.Marshal(wireDetour{d.configVersion, d.attempts, d.isCounted, d.remaining.Milliseconds(), d.lastEventID})
+	text, _ := json.Marshal(wireDetour{d.configVersion, d.attempts, d.isBudgeted, d.remaining.Milliseconds(), d.lastEventID})
 	return string(text)
 }
 
@@ -150,7 +150,7 @@
 	if err := json.Unmarshal([]byte(text), &w); err != nil {
 		return detour{}, err
 	}
-	return detour{w.ConfigVersion, max(w.Attempts, 0), w.IsCounted, time.Duration(max(w.RemainingMS, 0)) * time.Millisecond, w.LastEventID}, nil
+	return detour{w.ConfigVersion, max(w.Attempts, 0), w.IsBudgeted, time.Duration(max(w.RemainingMS, 0)) * time.Millisecond, w.LastEventID}, nil
 }
 
 // removeDetourHeaders removes the headers between hosts from those of a caller or an endpoint.
@@ -222,7 +222,7 @@
 	for name, values := range c.header {
 		h[name] = values
 	}
-	d := detour{c.table.Version(), c.deliveredAttempts(), c.isCounted, time.Until(c.deadline), lastEventID}
+	d := detour{c.table.Version(), c.deliveredAttempts(), c.isBudgeted, time.Until(c.deadline), lastEventID}
 	h.Set(headerDetour, d.encode())
 	request := upstream.Request{
 		Method: c.incoming.Method, Target: c.incoming.RequestURI, Host: c.incoming.Host, Header: h, Body: c.body, HasBody: c.hasBody, MaxIdle: c.maxIdle(),
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -160,11 +160,13 @@
 	unreachable int
 	// atEnd are called after the response has ended.
 	atEnd []func()
-	// isCounted is set once the request has been counted for the retry budget.
-	isCounted bool
+	// isBudgeted is set once the request has been counted for the retry budget.
+	isBudgeted bool
 	// slotRetryAfter is the time until a slot of a fragile endpoint is expected, above 0 once the
 	// request has found none in time.
 	slotRetryAfter time.Duration
+	// isCounted is set while the request waits for a slot, once a choice has counted its work.
+	isCounted bool
 	// endsByClose is set if the response ends with the caller's connection.
 	endsByClose bool
 	logEntry    requestLog
--- a/pkg/forward/run.go
+++ b/pkg/forward/run.go
@@ -107,10 +107,10 @@
 
 // countFirstSend counts the request for the retry budget of its service, once on all hosts.
 func (c *call) countFirstSend() {
-	if c.isCounted || c.detour != nil && c.detour.isCounted {
+	if c.isBudgeted || c.detour != nil && c.detour.isBudgeted {
 		return
 	}
-	c.isCounted = true
+	c.isBudgeted = true
 	c.f.budget.RecordFirstSend(c.service.Name, c.f.clock())
 }
 
@@ -134,6 +134,7 @@
 func (c *call) chooseFromVersions() (route.Choice, bool) {
 	q := c.query()
 	q.Accepts = c.acceptChoice
+	q.Continues = c.isCounted
 	return c.f.router.Choose(q, route.Expected, c.f.clock())
 }
 
