--- a/pkg/gossip/events.go
+++ b/pkg/gossip/events.go
@@ -39,7 +39,7 @@
 	// Speeds holds what answers show about the speed of endpoints.
 	Speeds []wireSpeed `cbor:"21,keyasint,omitempty"`
 	// Links reports whether the sender has lost its links to endpoints; see LinkState.
-	Links LinkState `cbor:"22,keyasint,omitempty"`
+	Links LinkState `cbor:"23,keyasint,omitempty"`
 }
 
 // isMapMessage reports whether a datagram is a CBOR map, by the major type in its first three
--- a/pkg/gossip/fuzz_test.go
+++ b/pkg/gossip/fuzz_test.go
@@ -24,6 +24,7 @@
 		map[int]any{1: "a", 8: []any{[]any{"b", "n", "dc", "c", "p", 0, 1, false}}, 10: true},
 		map[int]any{1: "a", 21: []any{[]any{"e1", -1, math.NaN(), math.Inf(1)}}},
 		map[int]any{1: "a", 22: 255},
+		map[int]any{1: "a", 23: 255},
 		map[int]any{1: "a", 5: []any{[]any{"team", -1, 0.5, -1, true}}, 6: []any{[]any{math.MinInt64, "team", -3}}},
 		map[int]any{1: []int{1}, 7: "no list"},
 		[]any{"a", "n"},
