--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -151,8 +151,8 @@
 	// slotRetryAfter is the time until a slot of a fragile endpoint is expected, above 0 once the
 	// request has found none in time.
 	slotRetryAfter time.Duration
-	// isCounted is set while the request waits for a slot, once a choice has counted its work.
-	isCounted bool
+	// isDemandCounted is set while the request waits for a slot, once a choice has counted its work.
+	isDemandCounted bool
 	// endsByClose is set if the response ends with the caller's connection.
 	endsByClose bool
 	logEntry    requestLog
--- a/pkg/forward/run.go
+++ b/pkg/forward/run.go
@@ -118,7 +118,7 @@
 func (c *call) chooseFromVersions() (route.Choice, bool) {
 	q := c.query()
 	q.Accepts = c.acceptChoice
-	q.Continues = c.isCounted
+	q.Continues = c.isDemandCounted
 	return c.f.router.Choose(q, route.Expected, c.f.clock())
 }
 
--- a/pkg/forward/slotwait.go
+++ b/pkg/forward/slotwait.go
@@ -64,8 +64,8 @@
 	room, isBounded := c.f.router.Room(c.query(), now)
 	switch {
 	case isBounded:
-		c.isCounted = !mustQueue
-		defer func() { c.isCounted = false }()
+		c.isDemandCounted = !mustQueue
+		defer func() { c.isDemandCounted = false }()
 		return c.waitForSlot(ctx, slotqueue.Capacity(room), now)
 	case mustQueue:
 		return c.chooseNow()
@@ -114,7 +114,7 @@
 		if choice, ok = c.chooseNow(); ok {
 			return choice, true
 		}
-		c.isCounted = true
+		c.isDemandCounted = true
 		if c.retryAfter > 0 {
 			queue.WakeNext()
 			return choice, false
@@ -131,7 +131,7 @@
 // choice.
 func (c *call) giveUpSlot(retryAfter time.Duration) {
 	c.slotRetryAfter = retryAfter
-	if !c.isCounted && len(c.avoid) == 0 {
+	if !c.isDemandCounted && len(c.avoid) == 0 {
 		c.f.router.RecordRefusal(c.query(), c.f.clock())
 	}
 }
