reach: a cut ends if one endpoint accepts for 6 s

A host could count as cut for as long as the store is away if all endpoints but one had died: the end needs two that accept, and a cut host sends to none, so no answer ends it either. Change: 20 checks in a row in which one endpoint accepts end the cut. TestEndOfCut still holds that a single endpoint does not end it within 5 s.

--- a/pkg/reach/detector.go
+++ b/pkg/reach/detector.go
@@ -32,6 +32,10 @@
 	// minAccepting is the number of endpoints that have to accept connections for a cut to end, or
 	// all that are known if they are fewer.
 	minAccepting = 2
+	// acceptingChecks is the number of checks in a row, some 6 s, after which a cut ends although only one
+	// endpoint accepts connections: the others are dead, and their rows would have expired if the store
+	// could be read.
+	acceptingChecks = 20
 	// maxAlone is the number of checks in a row without another host that reaches endpoints after which
 	// a host no longer counts as cut: the endpoints are dead, or all hosts are cut.
 	maxAlone = 3
@@ -64,6 +68,8 @@
 	interval  time.Duration
 	// cutSince is a lower bound of the beginning of the latest cut: the last byte before it.
 	cutSince, detectedAt time.Time
+	// accepting is the number of the latest checks in a row during a cut in which an endpoint accepted.
+	accepting int
 	// alone is the number of the latest checks in a row during a cut in which no other host reached
 	// endpoints.
 	alone int
@@ -245,7 +251,7 @@
 		}
 		return Unchanged
 	}
-	d.cutSince, d.detectedAt, d.interval, d.alone = d.lastAnswer(), now, minCheckInterval, 0
+	d.cutSince, d.detectedAt, d.interval, d.alone, d.accepting = d.lastAnswer(), now, minCheckInterval, 0, 0
 	d.cut.Store(true)
 	return CutDetected
 }
@@ -256,7 +262,11 @@
 	if c.InTouch > 0 {
 		d.alone = 0
 	}
-	linked := c.Accepted >= min(minAccepting, c.Known) || d.lastAnswer().After(d.detectedAt)
+	d.accepting++
+	if c.Accepted == 0 {
+		d.accepting = 0
+	}
+	linked := c.Accepted >= min(minAccepting, c.Known) || d.accepting >= acceptingChecks || d.lastAnswer().After(d.detectedAt)
 	if !linked && d.alone < maxAlone {
 		return Unchanged
 	}
--- a/pkg/reach/monitor_test.go
+++ b/pkg/reach/monitor_test.go
@@ -191,7 +191,7 @@
 	}
 }
 
-// Guards against a host that passes requests on forever because all endpoints died while it was cut.
+// Guards against a host that forwards requests forever because all endpoints died while it was cut.
 func TestCutEndsWhenNoHostReachesEndpoints(t *testing.T) {
 	w := &world{endpoints: 6, othersReach: true, refuses: true}
 	run(t, w, func() {
@@ -213,7 +213,7 @@
 	w.untilCut(true, maxDetection)
 }
 
-// Guards against a cut that ends because a single endpoint is reached, or goes on while endpoints answer.
+// Guards against a cut that ends because a single endpoint is reached, or continues while endpoints answer.
 func TestEndOfCut(t *testing.T) {
 	w := &world{endpoints: 3, othersReach: true}
 	run(t, w, func() {
