forward: carry the state of a forwarded request, and its ends at a cut

The host that forwards now resumes the stream itself. Without a test: the endpoints that a request failed at are named to the other host, which avoids them and does not count its work again; a stopping host takes nothing on and waits at its end for what it has taken; the bodies taken on are bounded by 32 MB.

--- a/pkg/app/node/links.go
+++ b/pkg/app/node/links.go
@@ -63,7 +63,7 @@
 	return view.Roster().InTouch(roster.Host{Node: s.Node, DataCenter: s.DataCenter}, clock.Now())
 }
 
-// detourHosts lists the hosts that requests are passed on to. It is safe for concurrent use.
+// detourHosts lists the hosts that requests are forwarded to. It is safe for concurrent use.
 type detourHosts struct {
 	view     *storeview.View
 	settings Settings
@@ -75,7 +75,7 @@
 	listedAt time.Time
 }
 
-// detourHostsTTL is how long the list is used: each request that is passed on needs it.
+// detourHostsTTL is how long the list is used: each request that is forwarded needs it.
 const detourHostsTTL = 100 * time.Millisecond
 
 // addresses returns the peer addresses of the advertised hosts that report no cut, as they know the loads
--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -208,6 +208,7 @@
 	pause.For(background, n.settings.GracePeriod-stopMargin-closeTimeout-time.Since(started))
 	closeCtx, cancelClose := context.WithTimeout(background, closeTimeout)
 	defer cancelClose()
+	n.detours.AwaitIdle(closeCtx)
 	for _, s := range servers {
 		if err := s.Shutdown(closeCtx); err != nil {
 			n.log.Warn().Err(err).Msg("requests were still running at the end of the grace period")
--- a/pkg/app/node/providers.go
+++ b/pkg/app/node/providers.go
@@ -89,7 +89,7 @@
 	return pool
 }
 
-// peerPool holds the connections on which requests are passed on to other hosts.
+// peerPool holds the connections on which requests are forwarded to other hosts.
 type peerPool struct{ *upstream.Pool }
 
 func newPeerPool() peerPool { return peerPool{upstream.New(controlUnackedTimeout)} }
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -39,6 +39,8 @@
 	body   []byte
 	// unread is nil if body is the whole response body.
 	unread *upstream.Exchange
+	// length is the length that the endpoint names, or -1. That of a HEAD response is not the body's.
+	length int64
 	// choice is the endpoint choice that the response comes from.
 	choice  route.Choice
 	framing upstream.Framing
@@ -88,7 +90,7 @@
 	request := c.newRequest(choice, from, lastEventID)
 	c.sentAt = c.f.clock()
 	c.notice = endpoint.Notice{}
-	ctx = c.untilCut(ctx)
+	ctx, request.DialContext = c.untilCut(ctx)
 	outcome := c.f.pool.Send(ctx, choice.Endpoint.Address, c.connectionLimit(), request)
 	switch o := outcome.(type) {
 	case upstream.NotSent:
@@ -196,12 +198,12 @@
 	switch {
 	case errors.Is(err, io.EOF):
 		e.Close()
-		return answered{status: e.Status(), header: e.Header(), body: buffered.Bytes(), choice: choice, framing: e.Framing()}
+		return answered{length: e.ContentLength(), status: e.Status(), header: e.Header(), body: buffered.Bytes(), choice: choice, framing: e.Framing()}
 	case err != nil:
 		e.Close()
 		return unclear{fmt.Errorf("the answer broke off after %d bytes: %w", buffered.Len(), err)}
 	default:
-		return answered{status: e.Status(), header: e.Header(), body: buffered.Bytes(), unread: e, choice: choice, framing: e.Framing()}
+		return answered{length: e.ContentLength(), status: e.Status(), header: e.Header(), body: buffered.Bytes(), unread: e, choice: choice, framing: e.Framing()}
 	}
 }
 
--- a/pkg/forward/detour.go
+++ b/pkg/forward/detour.go
@@ -16,11 +16,13 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"ironhollow/pkg/code"
+	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/httpx"
+	"ironhollow/pkg/pause"
 	"ironhollow/pkg/upstream"
 )
 
-// Detours passes requests on to other hosts while this host does not reach endpoints, and counts
+// Detours forwards requests to other hosts while this host does not reach endpoints, and counts
 // those that this host takes on for others. It is safe for concurrent use.
 type Detours struct {
 	// hosts returns the peer addresses of the other hosts that reach endpoints.
@@ -29,10 +31,11 @@
 	pool *upstream.Pool
 	// inTouch is done while this host is cut off.
 	inTouch atomic.Pointer[cancelable]
-	// taken is the number of requests in progress that this host has taken on.
-	taken    atomic.Int64
-	passedOn *prometheus.CounterVec
-	takenOn  *prometheus.CounterVec
+	// taken is the number of requests in progress that this host has taken on, takenBytes the size of
+	// their bodies.
+	taken, takenBytes atomic.Int64
+	passedOn          *prometheus.CounterVec
+	takenOn           *prometheus.CounterVec
 }
 
 // NewDetours returns detours. hosts returns the peer addresses of the other hosts that report no cut.
@@ -40,10 +43,10 @@
 	d := &Detours{
 		hosts: hosts, pool: pool,
 		passedOn: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "ironhollow_requests_passed_on_total", Help: "Requests passed on to another host, by outcome of the attempt.",
+			Name: "ironhollow_requests_passed_on_total", Help: "Requests forwarded to another host, by outcome of the attempt.",
 		}, []string{"outcome"}),
 		takenOn: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "ironhollow_requests_taken_on_total", Help: "Requests that other hosts passed on to this one, by whether they were accepted.",
+			Name: "ironhollow_requests_taken_on_total", Help: "Requests that other hosts forwarded to this one, by whether they were accepted.",
 		}, []string{"accepted"}),
 	}
 	d.inTouch.Store(newCancelable())
@@ -74,49 +77,61 @@
 // errCutOff is the cause of the end of an attempt whose host has lost its links to endpoints.
 var errCutOff = errors.New("this host has lost its links to endpoints")
 
-// untilCut returns a context for an attempt, which also ends when this host loses its links to
-// endpoints if the request may be repeated.
-func (c *call) untilCut(ctx context.Context) context.Context {
-	if c.f.detours == nil || !c.route.MayRepeat() || c.f.links.IsCut() {
-		return ctx
+// untilCut returns the contexts of an attempt and of the opening of its connection. The second ends when
+// this host loses its links to endpoints, the first too if the request may then be sent again.
+func (c *call) untilCut(ctx context.Context) (attempt, dial context.Context) {
+	if c.f.detours == nil || c.f.links.IsCut() {
+		return ctx, ctx
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	stop := context.AfterFunc(c.f.detours.inTouch.Load().ctx, func() { cancel(errCutOff) })
+	inTouch := c.f.detours.inTouch.Load().ctx
+	if inTouch.Err() != nil {
+		// The cut has just ended, and SetCut was not called yet.
+		return ctx, ctx
+	}
+	dial, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(inTouch, func() { cancel(errCutOff) })
 	c.atEnd = append(c.atEnd, func() {
 		stop()
 		cancel(nil)
 	})
-	return ctx
+	if c.route.MayRepeat() && c.deliveredAttempts()+1 < c.route.MaxAttempts && (c.detour != nil || c.hasDetourHost()) {
+		return dial, dial
+	}
+	return ctx, dial
 }
 
-// UseDetours makes the forwarder pass requests on and accept those that other hosts pass on. It must
+// UseDetours makes the forwarder forward requests and accept those that other hosts forward. It must
 // be called before the first request.
 func (f *Forwarder) UseDetours(d *Detours) { f.detours = d }
 
 // Bounds of detours.
 const (
-	// maxDetourHosts is how many hosts a request is passed on to in turn, if they do not run it.
+	// maxDetourHosts is how many hosts a request is forwarded to in turn, if they do not run it.
 	maxDetourHosts = 3
 	// unreachableEndpoints is the number of endpoints that a request could not be sent to for want of
-	// a connection after which it is passed on, although this host does not count as cut off.
+	// a connection after which it is forwarded, although this host does not count as cut off.
 	unreachableEndpoints = 2
 	// maxTakenOn is how many requests of other hosts this host runs at once. A request needs some
 	// 100 KB with its buffers, and the host's own callers come first.
 	maxTakenOn = 400
+	// maxTakenOnBytes bounds the bodies of these requests, which are held in memory.
+	maxTakenOnBytes = 32 << 20
 )
 
 // Headers between hosts.
 const (
-	// headerDetour is in requests that another host passes on.
+	// headerDetour is in requests that another host forwards.
 	headerDetour = "Ironhollow-Detour"
 	// headerDetourRefusal is in responses that the host itself generated and not an endpoint: the
 	// number of the result code.
 	headerDetourRefusal = "Ironhollow-Detour-Refusal"
 	// headerDetourAttempts is in responses: how many endpoints have received the request.
 	headerDetourAttempts = "Ironhollow-Detour-Attempts"
+	// headerDetourEndpoint is in responses: the endpoint that answered.
+	headerDetourEndpoint = "Ironhollow-Detour-Endpoint"
 )
 
-// detour is what the host that passes a request on says about it.
+// detour is what the host that forwards a request says about it.
 type detour struct {
 	// configVersion is the configuration by which the request was admitted. A host with an older one
 	// refuses it.
@@ -127,21 +142,27 @@
 	isBudgeted bool
 	// remaining is the time until the request's deadline.
 	remaining time.Duration
-	// lastEventID is the last event that the caller has received, where a stream is resumed.
+	// isResume is set if the caller has received the head of a stream, whose run is counted already.
+	// lastEventID is the last event that it has received.
+	isResume    bool
 	lastEventID string
+	// avoid are the IDs of the endpoints that the request failed at.
+	avoid []string
 }
 
 type wireDetour struct {
-	ConfigVersion int64  `json:"config"`
-	Attempts      int    `json:"attempts"`
-	IsBudgeted    bool   `json:"counted"`
-	RemainingMS   int64  `json:"remaining_ms"`
-	LastEventID   string `json:"last_event,omitempty"`
+	ConfigVersion int64    `json:"config"`
+	Attempts      int      `json:"attempts"`
+	IsBudgeted    bool     `json:"counted"`
+	RemainingMS   int64    `json:"remaining_ms"`
+	IsResume      bool     `json:"resume,omitempty"`
+	LastEventID   string   `json:"last_event,omitempty"`
+	Avoid         []string `json:"avoid,omitempty"`
 }
 
 func (d detour) encode() string {
 	// A struct of numbers and strings can always be encoded.
-	text, _ := json.Marshal(wireDetour{d.configVersion, d.attempts, d.isBudgeted, d.remaining.Milliseconds(), d.lastEventID})
+	text, _ := json.Marshal(wireDetour{d.configVersion, d.attempts, d.isBudgeted, d.remaining.Milliseconds(), d.isResume, d.lastEventID, d.avoid})
 	return string(text)
 }
 
@@ -150,7 +171,7 @@
 	if err := json.Unmarshal([]byte(text), &w); err != nil {
 		return detour{}, err
 	}
-	return detour{w.ConfigVersion, max(w.Attempts, 0), w.IsBudgeted, time.Duration(max(w.RemainingMS, 0)) * time.Millisecond, w.LastEventID}, nil
+	return detour{w.ConfigVersion, max(w.Attempts, 0), w.IsBudgeted, time.Duration(max(w.RemainingMS, 0)) * time.Millisecond, w.IsResume, w.LastEventID, w.Avoid}, nil
 }
 
 // removeDetourHeaders removes the headers between hosts from those of a caller or an endpoint.
@@ -158,9 +179,10 @@
 	h.Del(headerDetour)
 	h.Del(headerDetourRefusal)
 	h.Del(headerDetourAttempts)
+	h.Del(headerDetourEndpoint)
 }
 
-// refusedByHost means that the host to which the request was passed on has not run it and gives the
+// refusedByHost means that the host to which the request was forwarded has not run it and gives the
 // answer of the whole system.
 type refusedByHost struct {
 	code       code.Code
@@ -170,23 +192,27 @@
 func (refusedByHost) result() {}
 
 // takesDetour reports whether the next attempt is made through another host. A request takes one
-// detour, so that hosts never pass it around.
+// detour, so that hosts never forward it in a circle.
 func (c *call) takesDetour() bool {
-	d := c.f.detours
-	if d == nil || c.detour != nil || len(c.detourHosts) >= maxDetourHosts {
-		return false
-	}
-	if !c.f.links.IsCut() && c.unreachable < unreachableEndpoints {
+	if c.f.detours == nil || c.detour != nil || len(c.detourHosts) >= maxDetourHosts {
 		return false
 	}
+	isUnreachable := c.unreachable >= unreachableEndpoints || c.unreachable > 0 && c.hasNoEndpoint
+	return (c.f.links.IsCut() || isUnreachable) && c.hasDetourHost()
+}
+
+func (c *call) hasDetourHost() bool {
 	_, ok := c.nextDetourHost()
 	return ok
 }
 
-// nextDetourHost returns a host that the request was not passed on to yet. Of two random ones it is
-// the one to which this host has fewer connections in use.
+// nextDetourHost returns a host to forward the request to, one that it was not sent to yet if there is
+// any. Of two random ones it is the one to which this host has fewer connections in use.
 func (c *call) nextDetourHost() (string, bool) {
 	hosts := slices.DeleteFunc(slices.Clone(c.f.detours.hosts()), func(h string) bool { return slices.Contains(c.detourHosts, h) })
+	if unused := slices.DeleteFunc(slices.Clone(hosts), func(h string) bool { return slices.Contains(c.usedHosts, h) }); len(unused) > 0 {
+		hosts = unused
+	}
 	if len(hosts) == 0 {
 		return "", false
 	}
@@ -199,30 +225,37 @@
 
 // attemptDetour makes one attempt through another host, or through a further one if the first cannot
 // take the request on.
-func (c *call) attemptDetour(ctx context.Context, lastEventID string) result {
+func (c *call) attemptDetour(ctx context.Context, isResume bool, lastEventID string) result {
 	last := result(notRun{err: errors.New("no host takes the request on")})
 	for c.takesDetour() {
 		host, _ := c.nextDetourHost()
-		c.detourHosts = append(c.detourHosts, host)
 		sentAt := c.f.clock()
-		r, attempts := c.sendDetour(ctx, host, lastEventID)
+		r, attempts := c.sendDetour(ctx, host, isResume, lastEventID)
 		c.recordDetour(host, r, attempts, c.f.clock().Sub(sentAt))
 		last = r
-		if n, ok := r.(notRun); !ok || n.rejectedByAny || ctx.Err() != nil {
+		c.usedHosts = append(c.usedHosts, host)
+		if _, isNotRun := r.(notRun); !isNotRun || ctx.Err() != nil {
 			break
 		}
+		c.detourHosts = append(c.detourHosts, host)
 	}
 	return last
 }
 
 // sendDetour sends the request to another host once. attempts is how many endpoints have received it
 // there, 0 if unknown.
-func (c *call) sendDetour(ctx context.Context, host, lastEventID string) (r result, attempts int) {
+func (c *call) sendDetour(ctx context.Context, host string, isResume bool, lastEventID string) (r result, attempts int) {
 	h := make(http.Header, len(c.header)+1)
 	for name, values := range c.header {
 		h[name] = values
 	}
-	d := detour{c.table.Version(), c.deliveredAttempts(), c.isBudgeted, time.Until(c.deadline), lastEventID}
+	d := detour{
+		configVersion: c.table.Version(), attempts: c.deliveredAttempts(), isBudgeted: c.isBudgeted, remaining: time.Until(c.deadline),
+		isResume: isResume, lastEventID: lastEventID,
+	}
+	for _, ref := range c.avoid {
+		d.avoid = append(d.avoid, ref.ID)
+	}
 	h.Set(headerDetour, d.encode())
 	request := upstream.Request{
 		Method: c.incoming.Method, Target: c.incoming.RequestURI, Host: c.incoming.Host, Header: h, Body: c.body, HasBody: c.hasBody, MaxIdle: c.maxIdle(),
@@ -260,12 +293,21 @@
 		e.Close()
 		return refusalOf(refusal, httpx.RetryAfter(e.Header()))
 	case e.Status()/100 == 2 && strings.HasPrefix(e.Header().Get("Content-Type"), "text/event-stream"):
+		c.avoidLater(e)
 		return streaming{exchange: e, isDetour: true}
 	default:
+		c.avoidLater(e)
 		return readResponse(noChoice, e)
 	}
 }
 
+// avoidLater lets further attempts avoid the endpoint that answered through another host.
+func (c *call) avoidLater(e *upstream.Exchange) {
+	if id := e.Header().Get(headerDetourEndpoint); id != "" {
+		c.avoid = append(c.avoid, endpoint.Ref{ID: id})
+	}
+}
+
 // refusalOf returns the result for a response that another host generated.
 func refusalOf(number string, retryAfter time.Duration) result {
 	// A malformed number is that of no code.
@@ -305,29 +347,59 @@
 		a.mayHaveRun = true
 	}
 	c.delivered = c.delivered || a.delivered
+	c.isBudgeted = c.isBudgeted || a.delivered
 	c.logEntry.attempts = append(c.logEntry.attempts, a)
 	c.f.detours.passedOn.WithLabelValues(outcomeLabel(r)).Inc()
 }
 
-// IsDetour reports whether another host passes a request on.
+// adoptDetour continues the request where the host that passes it on has stopped.
+func (c *call) adoptDetour() {
+	if c.detour.isResume {
+		c.meta.LastEventID = c.detour.lastEventID
+	}
+	for _, id := range c.detour.avoid {
+		if info, ok := c.f.router.Lookup(id); ok {
+			c.avoid = append(c.avoid, info.Ref())
+		}
+	}
+}
+
+// IsDetour reports whether another host forwards a request.
 func IsDetour(r *http.Request) bool { return r.Header.Get(headerDetour) != "" }
 
-// ServeDetour answers a request that another host passes on. That host has charged it to the team's
+// ServeDetour answers a request that another host forwards. That host has charged it to the team's
 // limit; this one counts its runs.
 func (f *Forwarder) ServeDetour(w http.ResponseWriter, r *http.Request) {
 	c := &call{f: f, w: w, incoming: r, started: f.clock()}
 	d, err := decodeDetour(r.Header.Get(headerDetour))
 	c.detour = &d
-	taken := f.detours.taken.Add(1)
+	length := max(r.ContentLength, 0)
+	taken, takenBytes := f.detours.taken.Add(1), f.detours.takenBytes.Add(length)
 	defer f.detours.taken.Add(-1)
+	defer f.detours.takenBytes.Add(-length)
+	phase := f.phase()
 	switch {
 	case err != nil:
 		c.detourError = code.New(code.BadHeader, "malformed detour: "+err.Error())
 	case f.links.IsCut():
 		c.detourError = code.New(code.CutOff, "this host does not reach endpoints either")
-	case taken > maxTakenOn:
+	case phase == Draining || phase == Stopping:
+		c.detourError = code.New(code.Stopping, "this host is stopping")
+	case taken > maxTakenOn || takenBytes > maxTakenOnBytes && taken > 1:
 		c.detourError = code.New(code.HostBusy, "too many requests of other hosts")
 	}
 	f.detours.takenOn.WithLabelValues(strconv.FormatBool(c.detourError == nil)).Inc()
 	f.answer(c)
 }
+
+// idlePollInterval is the time between two checks of AwaitIdle.
+const idlePollInterval = 10 * time.Millisecond
+
+// AwaitIdle waits until no request that this host has taken on is in progress, or until ctx ends.
+func (d *Detours) AwaitIdle(ctx context.Context) {
+	for d.taken.Load() > 0 {
+		if !pause.For(ctx, idlePollInterval) {
+			return
+		}
+	}
+}
--- a/pkg/forward/detour_test.go
+++ b/pkg/forward/detour_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -43,15 +44,16 @@
 	return links, server.Listener.Addr().String()
 }
 
-// newCutHost returns a host without endpoints that passes requests on to others with the given scripts
+// newCutHost returns a host without endpoints that forwards requests to others with the given scripts
 // as their only endpoints.
 func newCutHost(t *testing.T, scripts ...script) (cut *harness, links *testLinks, others []*harness) {
 	t.Helper()
 	cut = newHarness(t, spec(), true)
 	links, _ = cut.servePeers()
 	links.cut.Store(true)
-	for _, answer := range scripts {
-		other := newHarness(t, spec(), true, answer)
+	for i, answer := range scripts {
+		other := newHarness(t, spec(), true)
+		other.addEndpoint("endpoint-"+strconv.Itoa(i), answer)
 		_, address := other.servePeers()
 		links.hosts = append(links.hosts, address)
 		others = append(others, other)
@@ -99,7 +101,7 @@
 				}
 			}
 			if got := cut.runs.started["team"]; got != 0 {
-				t.Errorf("runs counted at the host that passes on: got %d, want 0", got)
+				t.Errorf("runs counted at the host that forwards: got %d, want 0", got)
 			}
 			if got, want := others[0].runs.started["team"], 1; got != want && c.status != 503 && c.status != 502 {
 				t.Errorf("runs counted at the other host: got %d, want %d", got, want)
@@ -108,7 +110,7 @@
 	}
 }
 
-// Guards against a passed-on request that two hosts charge to the team's limit.
+// Guards against a forwarded request that two hosts charge to the team's limit.
 func TestPassedOnRequestIsChargedOnce(t *testing.T) {
 	limited := spec()
 	limited.Teams = []routetable.Team{{Name: "team", Keys: []string{"key"}, Rate: 0.001, Burst: 3}}
@@ -139,7 +141,7 @@
 	}
 }
 
-// Guards against a request that must not be repeated and is passed on a second time.
+// Guards against a request that must not be repeated and is forwarded a second time.
 func TestOnceIsNotPassedOnAgainAfterItMayHaveRun(t *testing.T) {
 	lost := newHarness(t, spec(), true)
 	lost.addEndpoint("peer", closeWithoutResponse)
@@ -151,7 +153,7 @@
 		}
 	}
 	if got := len(lost.requests()) + len(others[0].requests()) + len(others[1].requests()); got != 3 {
-		t.Errorf("requests passed on: got %d, want 3", got)
+		t.Errorf("requests forwarded: got %d, want 3", got)
 	}
 }
 
@@ -169,7 +171,7 @@
 	}
 }
 
-// Guards against a host that answers a passed-on request by an older configuration.
+// Guards against a host that answers a forwarded request by an older configuration.
 func TestHostWithOlderConfigurationTakesNothingOn(t *testing.T) {
 	newer := spec()
 	newer.Version = 2
@@ -187,7 +189,7 @@
 	}
 }
 
-// Guards against a stream that ends with the host it was passed on to, although the route lets it be resumed.
+// Guards against a stream that ends with the host it was forwarded to, although the route lets it be resumed.
 func TestStreamIsResumedThroughAnotherHost(t *testing.T) {
 	answer := func(c net.Conn, r *http.Request) bool {
 		if r.Header.Get("Last-Event") == "1" {
@@ -207,7 +209,7 @@
 	}
 }
 
-// Guards against endpoints that go on with a passed-on request whose caller has left.
+// Guards against endpoints that continue with a forwarded request whose caller has left.
 func TestCallerLeavesPassedOnRequest(t *testing.T) {
 	closed := make(chan bool, 1)
 	cut, _, _ := newCutHost(t, func(c net.Conn, r *http.Request) bool {
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -64,7 +64,7 @@
 	phase      func() Phase
 	// mover is nil if streams are never moved.
 	mover *Mover
-	// detours is nil if requests are never passed on to other hosts.
+	// detours is nil if requests are never forwarded to other hosts.
 	detours *Detours
 	links   Links
 	// slotQueues holds the requests that wait for slots of fragile endpoints.
@@ -151,13 +151,15 @@
 	// retryAfter is the caller's Retry-After, above 0 once the request is rejected for the
 	// length of the queue.
 	retryAfter time.Duration
-	// detour is set if another host passes the request on, detourError if this host does not take it.
+	// detour is set if another host forwards the request, detourError if this host does not take it.
 	detour      *detour
 	detourError error
-	// detourHosts are the hosts that the request was passed on to.
-	detourHosts []string
-	// unreachable counts the endpoints to which no connection could be opened.
-	unreachable int
+	// usedHosts are the hosts that the request was forwarded to, detourHosts those that did not take it.
+	usedHosts, detourHosts []string
+	// unreachable counts the endpoints to which no connection could be opened. hasNoEndpoint is set
+	// once there is no other endpoint.
+	unreachable   int
+	hasNoEndpoint bool
 	// atEnd are called after the response has ended.
 	atEnd []func()
 	// isBudgeted is set once the request has been counted for the retry budget.
@@ -243,6 +245,7 @@
 	}
 	if c.detour != nil {
 		c.deadline = time.Now().Add(min(c.route.Timeout, c.detour.remaining))
+		c.adoptDetour()
 	}
 	if err = c.readBody(); err != nil {
 		return c.reject(err, 0)
--- a/pkg/forward/intake.go
+++ b/pkg/forward/intake.go
@@ -22,7 +22,7 @@
 	}
 	c.table = table
 	if c.detour != nil && table.Version() < c.detour.configVersion {
-		return code.New(code.NotReady, "the configuration is older than that of the host that passes the request on")
+		return code.New(code.NotReady, "the configuration is older than that of the host that forwards the request")
 	}
 	path, _, _ := splitTarget(c.incoming.RequestURI)
 	found, ok := table.Match(c.incoming.Host, path)
--- a/pkg/forward/refuse.go
+++ b/pkg/forward/refuse.go
@@ -26,7 +26,7 @@
 		}
 		return c.reject(code.New(code.NoEndpoint, r.err.Error()), c.retryAfterAvailable())
 	case refusedByHost:
-		return c.reject(code.New(r.code, "refused by the host that the request was passed on to"), r.retryAfter)
+		return c.reject(code.New(r.code, "refused by the host that the request was forwarded to"), r.retryAfter)
 	case unclear:
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			return c.reject(code.New(code.DeadlinePassed, "deadline exceeded while an endpoint was processing the request"), 0)
--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -35,6 +35,7 @@
 	removeDetourHeaders(h)
 	if c.detour != nil {
 		h.Set(headerDetourAttempts, strconv.Itoa(c.deliveredAttempts()))
+		h.Set(headerDetourEndpoint, c.lastEndpoint())
 	}
 	if framing == upstream.ByClose {
 		h.Set("Transfer-Encoding", "identity")
@@ -75,6 +76,10 @@
 func (c *call) relayResponse(a answered) error {
 	switch {
 	case a.framing == upstream.ByClose:
+	case c.incoming.Method == http.MethodHead:
+		if a.length >= 0 {
+			c.w.Header().Set("Content-Length", strconv.FormatInt(a.length, 10))
+		}
 	case a.unread == nil:
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	case a.unread.ContentLength() >= 0:
@@ -212,10 +217,14 @@
 
 // resume finds another endpoint that continues the stream.
 func (c *call) resume(ctx context.Context, lastEventID string) (route.Choice, streaming, bool) {
+	if c.detour != nil {
+		// The host that forwards the request counts its attempts and resumes the stream.
+		return noChoice, streaming{}, false
+	}
 	last := result(unclear{errTruncated})
 	for c.mayRetry(ctx, last) && c.f.budget.Take(c.service.Name, c.f.fleet.Sharing(), c.f.clock()) {
 		if c.takesDetour() {
-			last = c.attemptDetour(ctx, lastEventID)
+			last = c.attemptDetour(ctx, true, lastEventID)
 			if s, isStream := last.(streaming); isStream {
 				return noChoice, s, true
 			}
--- a/pkg/forward/request_log.go
+++ b/pkg/forward/request_log.go
@@ -128,6 +128,14 @@
 	return n
 }
 
+// lastEndpoint returns the ID of the endpoint of the latest attempt.
+func (c *call) lastEndpoint() string {
+	if n := len(c.logEntry.attempts); n > 0 {
+		return c.logEntry.attempts[n-1].endpoint
+	}
+	return ""
+}
+
 // mayHaveRun reports whether an attempt may have run.
 func (c *call) mayHaveRun() bool {
 	for _, a := range c.logEntry.attempts {
--- a/pkg/forward/run.go
+++ b/pkg/forward/run.go
@@ -65,8 +65,11 @@
 		var choice route.Choice
 		sentAt := c.f.clock()
 		if c.takesDetour() {
-			last = c.attemptDetour(ctx, "")
+			last = c.attemptDetour(ctx, false, "")
 		} else {
+			if c.detour != nil && c.f.links.IsCut() && !c.delivered {
+				return c.reject(code.New(code.CutOff, "this host has lost its links to endpoints"), retryAfterOtherHost)
+			}
 			c.countFirstSend()
 			var ok bool
 			choice, ok = c.chooseEndpoint(ctx)
@@ -74,6 +77,10 @@
 				return c.reject(code.New(code.Overloaded, "first token would be too late"), c.retryAfter)
 			}
 			if !ok {
+				c.hasNoEndpoint = true
+				if c.takesDetour() {
+					continue
+				}
 				return c.giveUp(ctx, last)
 			}
 			sentAt = c.f.clock()
@@ -187,6 +194,9 @@
 
 func (c *call) markRunStarted() {
 	c.delivered = true
+	if c.detour != nil && c.detour.isResume {
+		return
+	}
 	c.f.runCounter.RunStarted(c.teamName())
 }
 
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -55,6 +55,9 @@
 	// no limit. A request that must not be repeated needs one, as the endpoint may be closing
 	// a connection that was idle for long.
 	MaxIdle time.Duration
+	// DialContext, if it is not nil, also ends the opening of a connection, after which the outcome is
+	// NotSent.
+	DialContext context.Context
 }
 
 // Parameters of connections.
@@ -195,7 +198,11 @@
 func (p *Pool) Send(ctx context.Context, address string, limit int, request Request) Outcome {
 	wait := p.observer.Started(address)
 	defer p.observer.Ended(wait)
-	c, err := p.acquire(ctx, address, limit, request.MaxIdle)
+	dialContext := ctx
+	if request.DialContext != nil {
+		dialContext = request.DialContext
+	}
+	c, err := p.acquire(dialContext, address, limit, request.MaxIdle)
 	if err != nil {
 		return NotSent{err}
 	}
