--- a/pkg/reach/monitor_test.go
+++ b/pkg/reach/monitor_test.go
@@ -213,7 +213,7 @@
 	w.untilCut(true, maxDetection)
 }
 
-// Guards against a cut that ends because a single endpoint is reached, or goes on while endpoints answer.
+// Guards against a cut that ends because a single endpoint is reached, or lasts while endpoints answer.
 func TestEndOfCut(t *testing.T) {
 	w := &world{endpoints: 3, othersReach: true}
 	run(t, w, func() {
