soak: random cuts of hosts from endpoints; a refusing link keeps its address

What callers saw: nothing yet; the ordinary soak had no fault that separates single hosts from endpoints.

Change: a run has up to two cuts of random hosts from all or some endpoints, of 0.5 to 6 s, in each mode, from a random stream of their own. Each host therefore has its own links in these runs. If a request crashes an endpoint, the links to it refuse connections until its restart, as its own address does; otherwise they would accept and reset them.

A listener that was shut down did not keep its address against another socket with SO_REUSEADDR, so that another fleet's host took it: requests to endpoints reached that host, which answered 401. The listener could then not continue, and the loop that fills its queue went on until no descriptors were left. Now the socket drops SO_REUSEADDR while it refuses, links use ports apart from those of hosts, the loop is bounded, and a listener that cannot follow a mode is a violation.

TestProxyCutModes, which now tries to take the address, passes 3 times.

--- a/pkg/soak/cut.go
+++ b/pkg/soak/cut.go
@@ -103,6 +103,52 @@
 	return r.outcome(), callers.outcome(cut, begin, end), ctx.Err()
 }
 
+const (
+	// cutStream is the stream of random numbers that determines the cuts of a run, maxCuts their
+	// maximum number.
+	cutStream = 1 << 36
+	maxCuts   = 2
+	// minCutDuration and maxCutDuration bound the duration of a cut.
+	minCutDuration, maxCutDuration = 500 * time.Millisecond, 6 * time.Second
+)
+
+// randomCuts returns the cuts of a run and when they begin; they do not overlap. It uses a separate
+// random number generator, so that cuts do not change the other faults of a seed.
+func randomCuts(o Options, nodes, endpoints int) (cuts []Cut, after []time.Duration) {
+	random := rand.New(rand.NewPCG(o.Seed, cutStream))
+	upTo := func(d time.Duration) time.Duration { return time.Duration(random.Int64N(int64(d))) }
+	modes := []Mode{Hang, Disconnect, Refuse}
+	var free time.Duration
+	for range random.IntN(maxCuts + 1) {
+		cut := Cut{
+			Hosts: random.Perm(nodes)[:1+random.IntN(nodes)], Mode: modes[random.IntN(len(modes))],
+			Duration: minCutDuration + upTo(maxCutDuration-minCutDuration),
+		}
+		if random.IntN(2) == 0 {
+			cut.Endpoints = random.Perm(endpoints)[:1+random.IntN(endpoints)]
+		}
+		begin := free + upTo(o.Length/maxCuts)
+		free = begin + cut.Duration
+		cuts, after = append(cuts, cut), append(after, begin)
+	}
+	return cuts, after
+}
+
+// startCuts schedules the cuts of a run.
+func (r *run) startCuts() {
+	cuts, after := randomCuts(r.options, len(r.nodes), len(r.endpoints))
+	for i, cut := range cuts {
+		r.schedule(after[i], func() {
+			for _, host := range cut.Hosts {
+				r.nodes[host].markFaulty(time.Now().Add(cut.Duration + residualEffectTime))
+			}
+			r.cutOff(cut)
+			time.Sleep(cut.Duration)
+			r.heal(cut.Hosts)
+		})
+	}
+}
+
 // cutOff begins a cut.
 func (r *run) cutOff(cut Cut) {
 	r.log("hosts %v cut from endpoints %v: %v for %v", cut.Hosts, cut.Endpoints, cut.Mode, cut.Duration)
--- a/pkg/soak/fault.go
+++ b/pkg/soak/fault.go
@@ -104,13 +104,13 @@
 	case disruptStoreLink:
 		n := r.nodes[f.node]
 		n.markFaulty(time.Now().Add(f.duration + residualEffectTime))
-		n.storeProxy.SetMode(f.mode)
-		r.schedule(f.duration, func() { n.storeProxy.SetMode(Pass) })
+		r.setMode(n.storeProxy, f.mode)
+		r.schedule(f.duration, func() { r.setMode(n.storeProxy, Pass) })
 	case disruptEndpointLink:
 		proxy := r.endpointProxy(f.endpoint)
 		r.markAllFaulty(f.duration + residualEffectTime)
-		proxy.SetMode(f.mode)
-		r.schedule(f.duration, func() { proxy.SetMode(Pass) })
+		r.setMode(proxy, f.mode)
+		r.schedule(f.duration, func() { r.setMode(proxy, Pass) })
 	case degradeStore:
 		r.markAllFaulty(f.duration + residualEffectTime)
 		r.store.SetFaults(f.faults)
@@ -126,6 +126,12 @@
 	}
 }
 
+func (r *run) setMode(proxy *Proxy, mode Mode) {
+	if err := proxy.SetMode(mode); err != nil {
+		r.report.addViolation("proxy %s: %v", proxy.Address(), err)
+	}
+}
+
 func (r *run) sendSignal(f signalNode) {
 	n := r.nodes[f.node]
 	n.markFaulty(time.Now().Add(f.duration + gracePeriod + residualEffectTime))
--- a/pkg/soak/links.go
+++ b/pkg/soak/links.go
@@ -1,6 +1,10 @@
 package soak
 
-import "sync"
+import (
+	"errors"
+	"net"
+	"sync"
+)
 
 // endpointLinks are the links from one host to the endpoints: a proxy for each address in the rows of
 // endpoints. It is safe for concurrent use.
@@ -14,12 +18,14 @@
 	proxies map[string]*Proxy
 	mode    Mode
 	// only holds the targets to which mode applies, nil for all.
-	only   map[string]bool
+	only map[string]bool
+	// down holds the targets that refuse connections.
+	down   map[string]bool
 	closed bool
 }
 
 func newEndpointLinks(onOpen func(address, target string), onError func(error)) *endpointLinks {
-	return &endpointLinks{onOpen: onOpen, onError: onError, proxies: map[string]*Proxy{}}
+	return &endpointLinks{onOpen: onOpen, onError: onError, proxies: map[string]*Proxy{}, down: map[string]bool{}}
 }
 
 // address returns the address at which the host reaches a target.
@@ -32,22 +38,48 @@
 	if l.closed {
 		return target
 	}
-	address, _, err := freePort()
-	if err != nil {
-		l.onError(err)
-		return target
-	}
-	p, err := NewProxyAt(address, target)
+	p, err := newLink(target)
 	if err != nil {
 		l.onError(err)
 		return target
 	}
 	l.proxies[target] = p
-	l.onOpen(address, target)
-	if l.mode != Pass && l.appliesTo(target) {
-		p.SetMode(l.mode)
+	l.onOpen(p.Address(), target)
+	l.applyMode(target, p)
+	return p.Address()
+}
+
+// maxLinkAttempts is how often newLink tries another port.
+const maxLinkAttempts = 10
+
+// newLink starts a proxy at an explicit port. The port is from the kernel's range for outgoing
+// connections, so that a host that restarts finds its own ports, which are below, free.
+func newLink(target string) (*Proxy, error) {
+	var failures error
+	for range maxLinkAttempts {
+		listener, err := net.Listen("tcp", anyPortAddress)
+		if err != nil {
+			return nil, err
+		}
+		address := listener.Addr().String()
+		if err := listener.Close(); err != nil {
+			return nil, err
+		}
+		p, err := NewProxyAt(address, target)
+		if err == nil {
+			return p, nil
+		}
+		// The port may have been taken meanwhile.
+		failures = errors.Join(failures, err)
+	}
+	return nil, failures
+}
+
+// applyMode sets the mode of the link to a target. The caller holds l.mu.
+func (l *endpointLinks) applyMode(target string, p *Proxy) {
+	if err := p.SetMode(l.modeOf(target)); err != nil && !l.closed {
+		l.onError(err)
 	}
-	return address
 }
 
 // setMode changes the mode of the links to the given targets, or to all targets, later ones too, if
@@ -58,19 +90,33 @@
 	l.mode, l.only = mode, only
 	var changing sync.WaitGroup
 	for target, p := range l.proxies {
-		changing.Go(func() {
-			if l.appliesTo(target) {
-				p.SetMode(mode)
-			} else {
-				p.SetMode(Pass)
-			}
-		})
+		changing.Go(func() { l.applyMode(target, p) })
 	}
 	changing.Wait()
 }
 
-// appliesTo reports whether the mode applies to the link to a target. The caller holds l.mu.
-func (l *endpointLinks) appliesTo(target string) bool { return l.only == nil || l.only[target] }
+// setDown sets whether a target refuses connections, as one without a process does. The link then
+// refuses them too; otherwise it would accept and reset them.
+func (l *endpointLinks) setDown(target string, down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down[target] = down
+	if p := l.proxies[target]; p != nil {
+		l.applyMode(target, p)
+	}
+}
+
+// modeOf returns the mode of the link to a target. The caller holds l.mu.
+func (l *endpointLinks) modeOf(target string) Mode {
+	switch {
+	case l.mode != Pass && (l.only == nil || l.only[target]):
+		return l.mode
+	case l.down[target]:
+		return Disconnect
+	default:
+		return Pass
+	}
+}
 
 // close closes all links.
 func (l *endpointLinks) close() {
--- a/pkg/soak/proxy.go
+++ b/pkg/soak/proxy.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -54,6 +55,8 @@
 	backlog = 128
 	// fillTimeout is the time without a connection after which the queue is regarded as full.
 	fillTimeout = 50 * time.Millisecond
+	// maxFillers bounds the connections that fill the queue; two do usually.
+	maxFillers = 16
 	// acceptRetryPause is the pause after a failure to accept a connection.
 	acceptRetryPause = 10 * time.Millisecond
 )
@@ -96,15 +99,18 @@
 // Close stops the proxy and resets its connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
-	p.SetMode(Reset)
+	// The error is ignored: a closed listener accepts nothing.
+	_ = p.SetMode(Reset)
 }
 
-// SetMode changes the mode of the proxy.
-func (p *Proxy) SetMode(mode Mode) {
+// SetMode changes the mode of the proxy. It returns an error if the listener cannot follow, which
+// happens in modes after Reset only.
+func (p *Proxy) SetMode(mode Mode) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	var err error
 	if !p.mode.accepts() {
-		p.startListening()
+		err = p.startListening()
 	}
 	p.mode = mode
 	close(p.changed)
@@ -116,42 +122,65 @@
 	}
 	switch mode {
 	case Hang:
-		p.stopAnswering()
 		time.AfterFunc(hangTimeout, p.loseConns(p.changed))
+		return errors.Join(err, p.stopAnswering())
 	case Disconnect, Refuse:
-		p.control(func(fd int) { _ = syscall.Shutdown(fd, syscall.SHUT_RD) })
+		return errors.Join(err, p.stopListening())
+	default:
+		return err
 	}
 }
 
 // startListening ends what Hang, Disconnect or Refuse did to the listener. The caller holds p.mu.
-func (p *Proxy) startListening() {
+func (p *Proxy) startListening() error {
 	for _, c := range p.fillers {
 		reset(c)
 	}
 	p.fillers = nil
-	p.control(func(fd int) { _ = syscall.Listen(fd, backlog) })
-	_ = p.listener.SetDeadline(time.Time{})
+	return errors.Join(p.listen(backlog), p.listener.SetDeadline(time.Time{}))
 }
 
 // stopAnswering fills the queue of the listener, so that the kernel drops further attempts to open a
 // connection. The caller holds p.mu.
-func (p *Proxy) stopAnswering() {
-	_ = p.listener.SetDeadline(time.Unix(1, 0))
-	p.control(func(fd int) { _ = syscall.Listen(fd, 0) })
-	for {
+func (p *Proxy) stopAnswering() error {
+	if err := errors.Join(p.listener.SetDeadline(time.Unix(1, 0)), p.listen(0)); err != nil {
+		return err
+	}
+	for range maxFillers {
 		c, err := net.DialTimeout("tcp", p.Address(), fillTimeout)
 		if err != nil {
-			return
+			return nil
 		}
 		p.fillers = append(p.fillers, c)
 	}
+	return fmt.Errorf("soak: %s accepts connections with a full queue", p.Address())
+}
+
+// stopListening makes the kernel refuse connections. The socket keeps its address: without
+// SO_REUSEADDR nobody else can bind it. The caller holds p.mu.
+func (p *Proxy) stopListening() error {
+	return p.control(func(fd int) error {
+		return errors.Join(syscall.Shutdown(fd, syscall.SHUT_RD), syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 0))
+	})
+}
+
+// listen makes the listener accept connections with a queue of the given length. It needs SO_REUSEADDR
+// while the kernel still keeps closed connections of the address.
+func (p *Proxy) listen(queue int) error {
+	return p.control(func(fd int) error {
+		return errors.Join(syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1), syscall.Listen(fd, queue))
+	})
 }
 
-// control calls f with the listener's socket, unless the listener is closed.
-func (p *Proxy) control(f func(fd int)) {
-	if raw, err := p.listener.SyscallConn(); err == nil {
-		_ = raw.Control(func(fd uintptr) { f(int(fd)) })
+// control calls f with the listener's socket.
+func (p *Proxy) control(f func(fd int) error) error {
+	raw, err := p.listener.SyscallConn()
+	if err != nil {
+		return err
 	}
+	var callErr error
+	err = raw.Control(func(fd uintptr) { callErr = f(int(fd)) })
+	return errors.Join(err, callErr)
 }
 
 // loseConns returns a function that resets the clients' connections if the mode has not changed since.
--- a/pkg/soak/proxy_test.go
+++ b/pkg/soak/proxy_test.go
@@ -63,7 +63,13 @@
 	if err := exchange(open); err != nil {
 		t.Fatalf("before the cut: %v", err)
 	}
-	proxy.SetMode(mode)
+	if err := proxy.SetMode(mode); err != nil {
+		t.Fatal(err)
+	}
+	if other, err := net.Listen("tcp", proxy.Address()); err == nil {
+		t.Errorf("got another listener at %v during the cut, want the address kept", other.Addr())
+		_ = other.Close()
+	}
 	if err := exchange(open); !isOnOld(err) {
 		t.Errorf("open connection: got %v", err)
 	}
@@ -72,7 +78,9 @@
 			t.Errorf("new connection: got %v, %v", c, err)
 		}
 	}
-	proxy.SetMode(soak.Pass)
+	if err := proxy.SetMode(soak.Pass); err != nil {
+		t.Fatal(err)
+	}
 	for range 5 {
 		healed, err := net.DialTimeout("tcp", proxy.Address(), time.Second)
 		if err != nil {
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -96,6 +96,7 @@
 // Run makes one run. It returns an error if the run could not be started or was canceled.
 func Run(ctx context.Context, o Options) (Outcome, error) {
 	r := newRun(o)
+	r.separateLinks = true
 	defer r.stop()
 	if err := r.start(); err != nil {
 		return Outcome{}, err
@@ -106,6 +107,7 @@
 	r.startLimits()
 	r.startEndings()
 	r.startRestores(ctx)
+	r.startCuts()
 	r.injectFaults(ctx)
 	r.timers.Wait()
 	r.wait(ctx, recoveryTime)
@@ -249,6 +251,7 @@
 // at the same address after endpointRestartDelay.
 func (r *run) handleCrash(i int, service string, version standin.Version, proxy *Proxy) {
 	proxy.Close()
+	r.setEndpointDown(proxy.Address(), true)
 	r.log("endpoint %d crashed by a request", i)
 	time.AfterFunc(endpointRestartDelay, func() {
 		r.mu.Lock()
@@ -260,9 +263,19 @@
 		if err := r.startEndpointAt(i, service, version, proxy.Address()); err != nil {
 			r.report.addViolation("endpoint %d: %v", i, err)
 		}
+		r.setEndpointDown(proxy.Address(), false)
 	})
 }
 
+// setEndpointDown sets whether all hosts' links to an address refuse connections.
+func (r *run) setEndpointDown(address string, down bool) {
+	for _, n := range r.nodes {
+		if n.links != nil {
+			n.links.setDown(address, down)
+		}
+	}
+}
+
 func (r *run) endpointProxy(i int) *Proxy {
 	r.mu.Lock()
 	defer r.mu.Unlock()
