job: find a job whose take-over had an unknown outcome

Callers would have polled an accepted job that nobody ran: if the store applied the take-over of a lost owner's job, lost the response and then failed until the call's time-out, the job belonged to the surviving entry in the store, but its worker did not have it. It was no longer listed for the lost owner, so that no other entry found it, and the survivor looks for own jobs only after an acceptance with an unknown outcome. The job stayed so until the survivor was restarted or lost.

The regression test loses the response of the take-over and keeps the store down for 5 s; afterwards the job was accepted, owned by n2@1 and not run.

Recover now requests a reconcile after an error that may hide an applied take-over.

--- a/pkg/job/recover.go
+++ b/pkg/job/recover.go
@@ -47,6 +47,8 @@
 			unusable = errors.Join(unusable, err)
 			remaining++
 		default:
+			// The take-over may have been applied, so that the job is no longer listed for the lost owner.
+			w.RequestReconcile()
 			return taken, remaining + len(ids) - i, errors.Join(unusable, err)
 		}
 	}
@@ -72,7 +74,7 @@
 }
 
 // Reconcile adds jobs that this entry owns in the store but that the worker does not have,
-// as the commit that accepted them had an unknown outcome.
+// as the commit that accepted them or took them over had an unknown outcome.
 func (w *Worker) Reconcile(ctx context.Context) (int, error) {
 	ids, err := w.store.OwnedBy(ctx, w.owner, recoverPageSize)
 	if err != nil {
@@ -110,7 +112,7 @@
 }
 
 // RequestReconcile makes ReconcileIfRequested call Reconcile for the next rounds. It is called
-// when a commit with an unknown outcome may have accepted a job.
+// when a commit with an unknown outcome may have accepted a job or taken one over.
 func (w *Worker) RequestReconcile() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/pkg/job/recover_test.go
+++ b/pkg/job/recover_test.go
@@ -169,3 +169,39 @@
 	}
 	t.Errorf("got job %+v, want it done", survivor.getJob(t, j.ID).State)
 }
+
+// Guards against a job that nobody runs because the store applied its take-over and then stopped answering.
+func TestTakeOverWithUnknownOutcomeIsRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows, bodies, g := tables.New(), objects.New(), newGenerator(time.Second)
+		lost, survivor := newEntry("n1@1", rows, bodies, g), newEntry("n2@1", rows, bodies, g)
+		defer survivor.kill()
+		id := acceptJobs(t, lost, 1)
+		lost.kill()
+		applied := false
+		rows.SetFaults(func(call tables.Call) tables.Fault {
+			if applied {
+				return tables.Down{}
+			}
+			if applied = call.Operation == tables.OperationCommit; applied {
+				return tables.LoseResponse{}
+			}
+			return tables.NoFault{}
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		if _, _, err := survivor.worker.Recover(ctx, "n1@1", job.Shard{Count: 1}); err == nil {
+			t.Fatal("got no error, want one, as the store is down")
+		}
+		rows.SetFaults(nil)
+		for range 3 {
+			if _, err := survivor.worker.ReconcileIfRequested(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(3 * time.Second)
+		}
+		if got := survivor.getJob(t, id); got.State != job.Done {
+			t.Errorf("got job %+v, want it done", got)
+		}
+	})
+}
