job: let Reconcile read all jobs of its entry

Callers would have polled an accepted job that nobody ran: after a commit with an unknown outcome, Reconcile looked for the job among the first 200 that its entry owns, earliest deadline first. An entry with a longer backlog did not see a job with a later deadline. After 20 rounds, a minute, Reconcile stopped, and the job stayed until the entry was restarted or lost. A repeated request did not help, as it is answered with the stored job.

In the regression test an entry owns 251 jobs, and the worker lacks the one with the latest deadline: two calls of Reconcile added none.

Reconcile now reads page after page until a short one. A job still has to be missing in two calls, so that jobs that finish between two pages are not added. The cost is a list call for each 200 jobs that the entry owns, in the 20 rounds after an unknown outcome only. Recover still reads one page a call, since jobs that are taken over leave the list.

Result: the test fails before and passes now; 10 runs of the package's tests with -race pass.

--- a/pkg/job/recover.go
+++ b/pkg/job/recover.go
@@ -7,7 +7,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// recoverPageSize is the maximum number of an owner's jobs that one call examines.
+// recoverPageSize is the maximum number of an owner's jobs that one call of Recover examines, and that
+// one list call to the store returns.
 const recoverPageSize = 200
 
 // Shard is the part of a lost owner's jobs that one surviving entry takes over: those whose
@@ -76,7 +77,7 @@
 // Reconcile adds jobs that this entry owns in the store but that the worker does not have,
 // as the commit that accepted them or took them over had an unknown outcome.
 func (w *Worker) Reconcile(ctx context.Context) (int, error) {
-	ids, err := w.store.OwnedBy(ctx, w.owner, recoverPageSize)
+	ids, err := w.store.AllOwnedBy(ctx, w.owner, recoverPageSize)
 	if err != nil {
 		return 0, err
 	}
--- a/pkg/job/recover_test.go
+++ b/pkg/job/recover_test.go
@@ -205,3 +205,33 @@
 		}
 	})
 }
+
+// Guards against a job behind the first page of an entry's own jobs that Reconcile never finds.
+func TestReconcileFindsJobBehindFirstPage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const running = 250
+		e := newEntry("n1@1", tables.New(), objects.New(), newGenerator(time.Hour))
+		defer e.kill()
+		var accepting sync.WaitGroup
+		for i := range running {
+			accepting.Go(func() { _, _, _ = e.accept(fmt.Sprint("k", i), `"b"`, time.Hour) })
+		}
+		accepting.Wait()
+		// The worker does not have the job, as after a commit with an unknown outcome.
+		late := job.Job{ID: "late", Team: "team", Body: []byte(`"b"`), Deadline: time.Now().Add(2 * time.Hour), State: job.Accepted, Owner: e.owner}
+		if _, _, err := e.store.Accept(context.Background(), late); err != nil {
+			t.Fatal(err)
+		}
+		added := 0
+		for range 2 {
+			n, err := e.worker.Reconcile(context.Background())
+			if err != nil {
+				t.Fatal(err)
+			}
+			added += n
+		}
+		if added != 1 || !e.worker.Has("late") {
+			t.Errorf("got %d jobs added, want the one behind the first page", added)
+		}
+	})
+}
--- a/pkg/job/store.go
+++ b/pkg/job/store.go
@@ -234,15 +234,40 @@
 
 // OwnedBy returns the IDs of up to limit unfinished jobs of an owner, earliest deadline first.
 func (s *Store) OwnedBy(ctx context.Context, owner string, limit int) ([]string, error) {
-	rows, err := s.reader().List(ctx, ownedPrefix+owner+"/", "", limit)
+	ids, _, err := s.ownedAfter(ctx, owner, "", limit)
+	return ids, err
+}
+
+// AllOwnedBy returns the IDs of all unfinished jobs of an owner, earliest deadline first. It reads
+// pageSize of them per call to the store.
+func (s *Store) AllOwnedBy(ctx context.Context, owner string, pageSize int) ([]string, error) {
+	var all []string
+	last := ""
+	for {
+		ids, next, err := s.ownedAfter(ctx, owner, last, pageSize)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, ids...)
+		if len(ids) < pageSize {
+			return all, nil
+		}
+		last = next
+	}
+}
+
+// ownedAfter returns the IDs of up to limit jobs of an owner whose index keys follow after, and the
+// last of these keys.
+func (s *Store) ownedAfter(ctx context.Context, owner, after string, limit int) (ids []string, last string, err error) {
+	rows, err := s.reader().List(ctx, ownedPrefix+owner+"/", after, limit)
 	if err != nil {
-		return nil, err
+		return nil, "", err
 	}
-	ids := make([]string, len(rows))
-	for i, row := range rows {
-		ids[i] = idFromOwnedKey(row.Key)
+	for _, row := range rows {
+		ids = append(ids, idFromOwnedKey(row.Key))
+		last = row.Key
 	}
-	return ids, nil
+	return ids, last, nil
 }
 
 // Owners returns the incarnations of a node that own unfinished jobs.
