control: publish waiting reclaim notices while the cloud cannot be read

An endpoint would have been sent work until it was reclaimed, and its streams would not have been moved: a notice whose endpoint is not known yet waits until the list of hosts contains it, but the waiting notices were looked at only after a successful read of newer ones. If the cloud's API failed meanwhile, as it may in a storm of reclaims, a notice that had been read stayed unpublished. The failure itself was not logged.

pollNotices now applies the waiting notices after a failed read too. It logs the first of a row of failures. Publishing needs only the directory and the mesh, so that the cloud's state does not matter.

--- a/pkg/app/control/app.go
+++ b/pkg/app/control/app.go
@@ -50,8 +50,10 @@
 	counters     *Counters
 	tls          process.TLS
 
-	// notices is used only by pollNotices.
-	notices cloud.NoticeQueue
+	// notices and noticesFailed are used only by pollNotices. noticesFailed is set if the last read of
+	// the cloud's notices failed, which is logged once.
+	notices       cloud.NoticeQueue
+	noticesFailed bool
 
 	mu sync.Mutex
 	// pendingOrders contains the ids of the endpoints that this process orders to load another
--- a/pkg/app/control/tasks.go
+++ b/pkg/app/control/tasks.go
@@ -20,7 +20,8 @@
 }
 
 // pollNotices reads new reclaim notices from the cloud and publishes them, if this process holds
-// that task. Earlier notices are published once their endpoint has become known.
+// that task. Earlier notices are published once their endpoint has become known, also while the
+// cloud cannot be read.
 func (a *App) pollNotices(ctx context.Context) {
 	if _, ok := a.grantFor(taskNotices); !ok {
 		return
@@ -28,9 +29,10 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	notices, err := a.cloud.Notices(ctx, a.notices.LastSequence())
-	if err != nil {
-		return
+	if err != nil && !a.noticesFailed {
+		a.log.Warn().Err(err).Msg("reclaim notices not read")
 	}
+	a.noticesFailed = err != nil
 	a.notices.Add(notices)
 	leaving, expired := a.notices.Apply(a.endpoints.Get, time.Now())
 	if expired > 0 {
