operatorclient: let only a revision conflict end an apply after a lost response

An operator would have been told that a configuration was not applied while it was in force: after the first control process had applied it and its response was lost, any error of the next one but StoreDown and ApplyUnknown was taken as the outcome, for example unknown-key of a process that does not have the operator's key yet, or bad-body of one of an earlier version. Internal was final even at the first attempt, though its outcome is Unknown by its code.

After a lost response only RevisionConflict is final, since it is read from the store, where a request's own change would have been found. Before one, the error's code decides by its outcome. Other errors are retried with the same request ID, which is applied at most once; if they persist, the operator is told that the outcome is not known, with the last error.

--- a/pkg/operatorclient/client.go
+++ b/pkg/operatorclient/client.go
@@ -174,14 +174,19 @@
 	return 0, fmt.Errorf("it is not known whether the configuration was applied: %w", err)
 }
 
-// isFinal reports whether an error determines the outcome of an apply. After a response has been
-// lost, StoreDown does not: an earlier attempt may have been applied.
+// isFinal reports whether an error determines the outcome of an apply. A server's error with the
+// outcome Unknown does not. After a response has been lost only RevisionConflict does, as it is read
+// from the store: the other errors say nothing about an earlier attempt, which may have been applied.
 func isFinal(err error, responseLost bool) bool {
 	serverError, isServerError := err.(*Error)
-	if !isServerError || serverError.Number() == code.ApplyUnknown.Number() {
+	if !isServerError {
 		return false
 	}
-	return !responseLost || serverError.Number() != code.StoreDown.Number()
+	if responseLost {
+		return serverError.Number() == code.RevisionConflict.Number()
+	}
+	c, known := code.ByNumber(serverError.Number())
+	return known && c.Outcome() != code.Unknown
 }
 
 // Status returns the status of the first control process that answers.
--- a/pkg/operatorclient/client_test.go
+++ b/pkg/operatorclient/client_test.go
@@ -23,8 +23,9 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
-func storeDown(w http.ResponseWriter) {
-	c := code.StoreDown
+func storeDown(w http.ResponseWriter) { writeCode(w, code.StoreDown) }
+
+func writeCode(w http.ResponseWriter, c code.Code) {
 	httpx.WriteJSON(w, c.Status(), operatorwire.Error{Number: c.Number(), Code: c.Name(), Outcome: string(c.Outcome())})
 }
 
@@ -70,3 +71,41 @@
 		t.Errorf("got error %v after %d calls, want StoreDown after 1", err, calls)
 	}
 }
+
+// Guards against a report that a configuration was not applied, because a server without the operator's key answered after a response was lost.
+func TestApplyRetriesAfterLostResponseAndUnknownKey(t *testing.T) {
+	firstCalls := 0
+	first := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		if firstCalls++; firstCalls == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		httpx.WriteJSON(w, http.StatusOK, operatorwire.ApplyResponse{Revision: 8})
+	})
+	second := startServer(t, func(w http.ResponseWriter, _ *http.Request) { writeCode(w, code.UnknownKey) })
+	client, err := operatorclient.New([]string{first, second}, "key", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if revision, err := client.Apply(context.Background(), 7, nil); revision != 8 || err != nil {
+		t.Errorf("got revision %d, error %v; want revision 8", revision, err)
+	}
+}
+
+// Guards against an error of a server whose outcome is unknown that is reported as final.
+func TestApplyRetriesAfterInternalError(t *testing.T) {
+	calls := 0
+	server := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		if calls++; calls == 1 {
+			writeCode(w, code.Internal)
+			return
+		}
+		httpx.WriteJSON(w, http.StatusOK, operatorwire.ApplyResponse{Revision: 8})
+	})
+	client, err := operatorclient.New([]string{server}, "key", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if revision, err := client.Apply(context.Background(), 7, nil); revision != 8 || err != nil {
+		t.Errorf("got revision %d, error %v; want revision 8", revision, err)
+	}
+}
