operatorclient: report an interrupted apply as one with an unknown outcome

An operator who interrupted an apply after a response had been lost saw "context canceled" only, as if nothing had been applied, though the control process may have written the configuration. All other ways out of the loop say that the outcome is not known.

The interruption now gives the same message, and still wraps the context's error. The regression test, which cancels while the response is lost, got "context canceled".

--- a/pkg/operatorclient/client.go
+++ b/pkg/operatorclient/client.go
@@ -168,7 +168,8 @@
 		}
 		responseLost = true
 		if !pause.For(ctx, applyRetryDelay) {
-			return 0, ctx.Err()
+			err = ctx.Err()
+			break
 		}
 	}
 	return 0, fmt.Errorf("it is not known whether the configuration was applied: %w", err)
--- a/pkg/operatorclient/client_test.go
+++ b/pkg/operatorclient/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -109,3 +110,19 @@
 		t.Errorf("got revision %d, error %v; want revision 8", revision, err)
 	}
 }
+
+// Guards against an operator who interrupts an apply and is not told that it may have been applied.
+func TestInterruptedApplyIsUnknown(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	server := startServer(t, func(http.ResponseWriter, *http.Request) {
+		cancel()
+		panic(http.ErrAbortHandler)
+	})
+	client, err := operatorclient.New([]string{server}, "key", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := client.Apply(ctx, 7, nil); !errors.Is(err, context.Canceled) || !strings.Contains(err.Error(), "not known") {
+		t.Errorf("got error %v, want a cancellation with an outcome that is not known", err)
+	}
+}
