callerapi: log a panic with its stack

An operator saw a panic in a handler only as a count: the caller got the error "fault in ironhollow", or a connection that was closed, and the panic's value and place were dropped, as neither net/http nor the handler logged them. The fault could not be found from what a host left behind.

recoverPanic now logs the value, the stack, the method and the path, which hold no key and no body. A stack is read while the panic unwinds, so that it shows where the panic began. http.ErrAbortHandler, which is no fault, is passed on without a line as before.

--- a/pkg/callerapi/api.go
+++ b/pkg/callerapi/api.go
@@ -8,6 +8,7 @@
 	"encoding/hex"
 	"errors"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -113,6 +114,7 @@
 			panic(recovered)
 		}
 		a.APICounters.Panics.Inc()
+		a.Log.Error().Str("method", r.Method).Str("path", r.URL.Path).Any("panic", recovered).Bytes("stack", debug.Stack()).Msg("panic while serving a request")
 		if started, ok := w.(negroni.ResponseWriter); ok && started.Written() {
 			panic(http.ErrAbortHandler)
 		}
--- a/pkg/callerapi/callerapi_test.go
+++ b/pkg/callerapi/callerapi_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
+	"github.com/phuslu/log"
 
 	"ironhollow/pkg/code"
 	"ironhollow/pkg/load"
@@ -375,3 +377,20 @@
 		t.Errorf("got the complete response %d %q, want a broken one", response.StatusCode, body)
 	}
 }
+
+// Guards against a panic that an operator sees as a count only, without its place in the code.
+func TestPanicIsLoggedWithItsPlace(t *testing.T) {
+	e := newSite(t, services.Options{}).newEntry(t, "n1")
+	e.api.PlainServices = &panickingService{}
+	var logged bytes.Buffer
+	e.api.Log = &log.Logger{Writer: &log.IOWriter{Writer: &logged}}
+	request := httptest.NewRequest(http.MethodGet, "/v1/services/ledger/x", nil)
+	request.Header.Set("Authorization", "Bearer secret")
+	func() {
+		defer func() { _ = recover() }()
+		e.api.ServeHTTP(httptest.NewRecorder(), request)
+	}()
+	if got := logged.String(); !strings.Contains(got, "panickingService") {
+		t.Errorf("got log %q, want the stack of the panic", got)
+	}
+}
