--- a/pkg/operatorclient/client_test.go
+++ b/pkg/operatorclient/client_test.go
@@ -111,7 +111,7 @@
 	}
 }
 
-// Guards against an operator who interrupts an apply and is not told that it may have been applied.
+// Guards against an interrupted apply that is reported as if nothing had been applied.
 func TestInterruptedApplyIsUnknown(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	server := startServer(t, func(http.ResponseWriter, *http.Request) {
