rollout: report no slow threshold that is computed from no answers

A host with attempts at a new version but without answers of others to compare them with reported the lowest possible threshold, 0.0024, with 0 answers. The owner weights thresholds by answers, so that no decision was affected. But a report carries at most 24 thresholds, the first by kind, so that entries without answers took bytes of each report and could displace thresholds that the owner needs.

Cause: below the first bin, 0 of 0 answers fulfilled the quantile, and counting overdue attempts creates a baseline without answers. slowThreshold now reports that there is none. The regression test got one threshold with 0 answers and gets none.

--- a/pkg/rollout/reference.go
+++ b/pkg/rollout/reference.go
@@ -61,10 +61,13 @@
 // answers returns how many answers the threshold is computed from.
 func (r *baseline) answers() int { return r.latest.count + r.previous.count }
 
-// slowThreshold returns the value above which an answer is slow. The value is meaningless while
-// there are no answers.
+// slowThreshold returns the value above which an answer is slow. The result is false if there are
+// no answers.
 func (r *baseline) slowThreshold() (threshold float64, ok bool) {
 	total := r.answers()
+	if total == 0 {
+		return 0, false
+	}
 	below := 0
 	for i := range binCount {
 		below += int(r.latest.bins[i] + r.previous.bins[i])
--- a/pkg/rollout/switch_test.go
+++ b/pkg/rollout/switch_test.go
@@ -288,6 +288,19 @@
 	}
 }
 
+// Guards against a slow threshold in a report that is computed from no answers.
+func TestReportHasNoThresholdWithoutAnswers(t *testing.T) {
+	s, _ := newSplitter("v1")
+	s.AddOrder(order, false)
+	target := endpoints("v2", 1)[0]
+	s.StartAttempt(service, &target, rollout.KindOf("route"), 0, began)
+	for range 2 {
+		if report, ok := s.Report(service, order.ID, began.Add(time.Second)); !ok || len(report.SlowThresholds) != 0 {
+			t.Errorf("got a report %v with the thresholds %+v, want none", ok, report.SlowThresholds)
+		}
+	}
+}
+
 // The split costs a request less than 100 ns and allocates nothing: 98 ns with an order in
 // progress, 41 ns without. Before there was a split, it cost nothing.
 func BenchmarkSubsetFor(b *testing.B) {
