rollout: remove the time of receipt that no decision reads

The owner of a roll-out stored when it received each report and never read it, as reports of hosts that have stopped still count; a reader of the code had to look for an expiry that does not exist. Because of that time the coordinator discarded reports while the store's clock was unknown.

The time is removed, and a report is applied without the clock. No order is owned before the clock is known, and Step drops all orders once it is not, so that no decision changes.

Result: the tests of pkg/rollout, pkg/rolloutsync and pkg/rolloutlab with -race pass in one run; there is no new test, since no behaviour changes.

--- a/pkg/rollout/owner.go
+++ b/pkg/rollout/owner.go
@@ -81,7 +81,7 @@
 	reverting    bool
 	revertReason string
 	suspects     []string
-	reports      map[string]receivedReport
+	reports      map[string]Report
 	// requestRate is the number of requests per second over all hosts.
 	requestRate      float64
 	rateUpdatedAt    time.Duration
@@ -97,15 +97,10 @@
 	nextSnapshot time.Duration
 }
 
-type receivedReport struct {
-	Report
-	receivedAt time.Duration
-}
-
 // NewOwner returns the owner of an order in the phase of its row. epoch is that of the lease, now
 // is by the store's clock.
 func NewOwner(state State, bounds Bounds, test BayesTest, epoch int64, now time.Duration) *Owner {
-	return &Owner{bounds: bounds, test: test, state: state, epoch: epoch, number: 1, ownedSince: now, reports: map[string]receivedReport{}}
+	return &Owner{bounds: bounds, test: test, state: state, epoch: epoch, number: 1, ownedSince: now, reports: map[string]Report{}}
 }
 
 // State returns the order's state as in its row.
@@ -115,14 +110,14 @@
 func (o *Owner) Renumber(order Order) { o.state.Order = order }
 
 // ApplyReport applies a host's report. Reports of hosts that have stopped since still count.
-func (o *Owner) ApplyReport(incarnation string, r Report, now time.Duration) {
+func (o *Owner) ApplyReport(incarnation string, r Report) {
 	if r.Order != o.state.Order.ID {
 		return
 	}
 	if previous, ok := o.reports[incarnation]; ok && previous.Requests > r.Requests {
 		return
 	}
-	o.reports[incarnation] = receivedReport{r, now}
+	o.reports[incarnation] = r
 	if r.Phase == Reverted && !o.state.Phase.Ended() && !o.reverting {
 		o.revert("reverted by the owner before")
 	}
--- a/pkg/rollout/owner_test.go
+++ b/pkg/rollout/owner_test.go
@@ -29,7 +29,7 @@
 	fleet := rollout.Fleet{Advertised: 1, TargetEndpoints: 4, Live: []string{"h"}}
 	tallies := []rollout.Tally{{Kind: 4, Endpoint: "e", Count: rollout.Count{Answers: 300, Bad: 60}}}
 	for now := time.Minute; now < time.Minute+order.Period; now += 100 * time.Millisecond {
-		o.ApplyReport("h", rollout.Report{Service: service, Order: order.ID, Phase: rollout.Trying, Requests: 300, Tallies: tallies}, now)
+		o.ApplyReport("h", rollout.Report{Service: service, Order: order.ID, Phase: rollout.Trying, Requests: 300, Tallies: tallies})
 		step := o.Next(fleet, now)
 		if step.Write == rollout.Completed {
 			return
@@ -63,7 +63,7 @@
 				r.TargetRequests = 12
 				r.Tallies = []rollout.Tally{{Kind: 4, Count: rollout.Count{Answers: 340}}, {Kind: 4, Endpoint: "e", Count: count}}
 			}
-			o.ApplyReport("h", r, now)
+			o.ApplyReport("h", r)
 			got = o.Next(fleet, now).Write
 		}
 		if got != want {
@@ -81,7 +81,7 @@
 	for step := range 100 {
 		now += 100 * time.Millisecond
 		for host := range 8 {
-			o.ApplyReport(fmt.Sprint("h", host), reportOf(host, step), now)
+			o.ApplyReport(fmt.Sprint("h", host), reportOf(host, step))
 		}
 		o.Next(fleet, now)
 	}
--- a/pkg/rolloutlab/host.go
+++ b/pkg/rolloutlab/host.go
@@ -339,7 +339,7 @@
 			}
 			s.after(networkDelay, func() {
 				d.lastReportAt[incarnation] = s.clock.Now()
-				d.owner.ApplyReport(incarnation, report, s.clock.Now())
+				d.owner.ApplyReport(incarnation, report)
 			})
 		})
 	}
--- a/pkg/rolloutsync/coordinator.go
+++ b/pkg/rolloutsync/coordinator.go
@@ -299,14 +299,10 @@
 
 // ApplyReport applies a host's report.
 func (c *Coordinator) ApplyReport(incarnation string, r rollout.Report) {
-	now, known := c.clock.StoreTime()
-	if !known {
-		return
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if o, ok := c.owned[r.Service]; ok {
-		o.owner.ApplyReport(incarnation, r, now)
+		o.owner.ApplyReport(incarnation, r)
 	}
 }
 
