stream: avoid an endpoint that does not answer a reattach

A caller who reconnected after the loss of its entry waited for the same frozen endpoint twice: 5 s for the call to reattach, then, as the outcome of that call was dropped, 10 s for a new attempt, which the router sent to the same endpoint. The call took no part of the retry budget, and a caller who disconnected during it was given a new attempt.

In the regression test, in virtual time, the endpoint that runs the stream of a disconnected caller freezes: four of four requests were sent to it again, and the complete answers took 17.06 to 17.09 s after the reconnect.

A call to Attach that ends with its context now gives the outcome that a stream would: broken if it stalled, with the endpoint avoided, and the end of the caller or the deadline otherwise. It counts as an attempt, so that a deadline in it is reported as one that passed while the request may have run. It is no evidence for the quarantine, as it does not show that the endpoint was running the request. An endpoint that answers that it has no such stream, or refuses the connection, is treated as before.

Result: the test fails before and passes now, with 6.02 to 6.04 s; 3 runs of the package's tests and one of pkg/callerapi with -race pass.

--- a/pkg/stream/reattach_test.go
+++ b/pkg/stream/reattach_test.go
@@ -83,3 +83,25 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// Guards against a caller who waits for the same frozen endpoint twice, to reattach and for a new attempt.
+func TestFrozenEndpointIsAvoidedAfterReattachHangs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2)
+		for _, id := range []string{"r1", "r2", "r3", "r4"} {
+			again, index := f.interrupt(t, request(id, 100))
+			f.direct.Freeze(f.infos[index].Address, true)
+			got := <-f.start(again)
+			f.direct.Freeze(f.infos[index].Address, false)
+			if got.err != nil {
+				t.Error(got.err)
+			}
+			for _, record := range got.result.AttemptRecords {
+				if record.EndpointID == f.infos[index].ID && record.Tokens == len(again.Received) {
+					t.Errorf("%s: got another attempt %+v at the endpoint that hangs, want it at the other one", id, record)
+				}
+			}
+			time.Sleep(time.Minute)
+		}
+	})
+}
--- a/pkg/stream/runner.go
+++ b/pkg/stream/runner.go
@@ -337,7 +337,7 @@
 	defer stallTimer.Stop()
 	stream, err := r.engines.Attach(attemptCtx, info.Address, p.request.Prompt.RequestID, len(p.tokens))
 	if err != nil {
-		return nil
+		return r.failedAttach(attemptCtx, p, info, err)
 	}
 	defer stream.Close()
 	p.target = route.TargetOf(info)
@@ -357,6 +357,21 @@
 	return end
 }
 
+// failedAttach returns the outcome of a call to Attach that failed: nil if the endpoint answered or
+// refused the connection, so that it does not run the stream. An endpoint that has not answered in time
+// may run it, and is avoided, since a new attempt there would probably wait as long.
+func (r *Runner) failedAttach(ctx context.Context, p *progress, info endpoint.Info, err error) outcome {
+	if ctx.Err() == nil {
+		return nil
+	}
+	p.attempts++
+	end := r.classifyError(ctx, err)
+	if isFailure(end) {
+		p.avoid = append(p.avoid, info.Ref())
+	}
+	return end
+}
+
 // anyAttempt makes a frameReader use the attempt number of the first frame. This process does
 // not know the attempt number of a stream that another entry started.
 const anyAttempt = 0
