--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -310,8 +310,8 @@
 }
 
 // DialAddress connects to a peer address and returns when the link is closed or ctx ends. It
-// returns false if the dial or the exchange of hellos fails, and true at once if this process is already dialling the address
-// or has a link that it opened to it.
+// returns false if the dial or the exchange of hellos fails, and true at once if this process is
+// already dialling the address or has a link that it opened to it.
 func (s *Server) DialAddress(ctx context.Context, address string) bool {
 	s.mu.Lock()
 	if s.dialing[address] {
