entry: log that a configuration could not be read

An operator who looked for the reason why an entry stays on an old configuration found nothing: if the head could be read but the sections or changes could not, syncConfig returned without a log line. If the list of changes led to no newer revision, it logged "configuration in force" with the old one.

A head that cannot be read, as in any outage of the store, is still not logged here.

--- a/pkg/app/entry/loops.go
+++ b/pkg/app/entry/loops.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/time/rate"
 
+	"ironhollow/pkg/config"
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/engine"
 	"ironhollow/pkg/hazard"
@@ -44,19 +45,27 @@
 	if err != nil || head <= before {
 		return
 	}
-	if before == 0 {
-		if a.store.Load(ctx, a.config) != nil {
-			return
-		}
-		a.peers.Send(a.mesh.Publish(peer.Update{Changes: a.config.ChangesAfter(0)}, now()))
-	} else {
-		changes, err := a.store.Changes(ctx, before)
-		if err != nil {
-			return
-		}
-		a.peers.Send(a.mesh.Publish(peer.Update{Changes: changes}, now()))
+	changes, err := a.changesAfter(ctx, before)
+	if err != nil {
+		a.log.Warn().Err(err).Int64("revision", head).Msg("configuration not loaded")
+		return
+	}
+	a.peers.Send(a.mesh.Publish(peer.Update{Changes: changes}, now()))
+	if after := a.config.Current().Revision(); after > before {
+		a.log.Info().Int64("revision", after).Msg("configuration in force")
+	}
+}
+
+// changesAfter reads the changes after a revision from the store. After revision 0 it loads the
+// current configuration and returns the changes that result in it.
+func (a *App) changesAfter(ctx context.Context, revision int64) ([]config.Change, error) {
+	if revision > 0 {
+		return a.store.Changes(ctx, revision)
+	}
+	if err := a.store.Load(ctx, a.config); err != nil {
+		return nil, err
 	}
-	a.log.Info().Int64("revision", a.config.Current().Revision()).Msg("configuration in force")
+	return a.config.ChangesAfter(0), nil
 }
 
 // applyConfigChanges applies each new revision to the components that do not read the
