--- a/pkg/job/recover.go
+++ b/pkg/job/recover.go
@@ -7,7 +7,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// recoverPageSize is the maximum number of an owner's jobs that one call examines.
+// recoverPageSize is the maximum number of an owner's jobs that one call of Recover examines, and that
+// one list call to the store returns.
 const recoverPageSize = 200
 
 // Shard is the part of a lost owner's jobs that one surviving entry takes over: those whose
@@ -47,6 +48,8 @@
 			unusable = errors.Join(unusable, err)
 			remaining++
 		default:
+			// The take-over may have been applied, so that the job is no longer listed for the lost owner.
+			w.RequestReconcile()
 			return taken, remaining + len(ids) - i, errors.Join(unusable, err)
 		}
 	}
@@ -72,9 +75,9 @@
 }
 
 // Reconcile adds jobs that this entry owns in the store but that the worker does not have,
-// as the commit that accepted them had an unknown outcome.
+// as the commit that accepted them or took them over had an unknown outcome.
 func (w *Worker) Reconcile(ctx context.Context) (int, error) {
-	ids, err := w.store.OwnedBy(ctx, w.owner, recoverPageSize)
+	ids, err := w.store.AllOwnedBy(ctx, w.owner, recoverPageSize)
 	if err != nil {
 		return 0, err
 	}
@@ -110,7 +113,7 @@
 }
 
 // RequestReconcile makes ReconcileIfRequested call Reconcile for the next rounds. It is called
-// when a commit with an unknown outcome may have accepted a job.
+// when a commit with an unknown outcome may have accepted a job or taken one over.
 func (w *Worker) RequestReconcile() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/pkg/job/recover_test.go
+++ b/pkg/job/recover_test.go
@@ -169,3 +169,69 @@
 	}
 	t.Errorf("got job %+v, want it done", survivor.getJob(t, j.ID).State)
 }
+
+// Guards against a job that nobody runs because the store applied its take-over and then stopped answering.
+func TestTakeOverWithUnknownOutcomeIsRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows, bodies, g := tables.New(), objects.New(), newGenerator(time.Second)
+		lost, survivor := newEntry("n1@1", rows, bodies, g), newEntry("n2@1", rows, bodies, g)
+		defer survivor.kill()
+		id := acceptJobs(t, lost, 1)
+		lost.kill()
+		applied := false
+		rows.SetFaults(func(call tables.Call) tables.Fault {
+			if applied {
+				return tables.Down{}
+			}
+			if applied = call.Operation == tables.OperationCommit; applied {
+				return tables.LoseResponse{}
+			}
+			return tables.NoFault{}
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		if _, _, err := survivor.worker.Recover(ctx, "n1@1", job.Shard{Count: 1}); err == nil {
+			t.Fatal("got no error, want one, as the store is down")
+		}
+		rows.SetFaults(nil)
+		for range 3 {
+			if _, err := survivor.worker.ReconcileIfRequested(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(3 * time.Second)
+		}
+		if got := survivor.getJob(t, id); got.State != job.Done {
+			t.Errorf("got job %+v, want it done", got)
+		}
+	})
+}
+
+// Guards against a job behind the first page of an entry's own jobs that Reconcile never finds.
+func TestReconcileFindsJobBehindFirstPage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const running = 250
+		e := newEntry("n1@1", tables.New(), objects.New(), newGenerator(time.Hour))
+		defer e.kill()
+		var accepting sync.WaitGroup
+		for i := range running {
+			accepting.Go(func() { _, _, _ = e.accept(fmt.Sprint("k", i), `"b"`, time.Hour) })
+		}
+		accepting.Wait()
+		// The worker does not have the job, as after a commit with an unknown outcome.
+		late := job.Job{ID: "late", Team: "team", Body: []byte(`"b"`), Deadline: time.Now().Add(2 * time.Hour), State: job.Accepted, Owner: e.owner}
+		if _, _, err := e.store.Accept(context.Background(), late); err != nil {
+			t.Fatal(err)
+		}
+		added := 0
+		for range 2 {
+			n, err := e.worker.Reconcile(context.Background())
+			if err != nil {
+				t.Fatal(err)
+			}
+			added += n
+		}
+		if added != 1 || !e.worker.Has("late") {
+			t.Errorf("got %d jobs added, want the one behind the first page", added)
+		}
+	})
+}
