--- a/pkg/forward/detour.go
+++ b/pkg/forward/detour.go
@@ -94,7 +94,9 @@
 		stop()
 		cancel(nil)
 	})
-	if c.route.MayRepeat() && c.deliveredAttempts()+1 < c.route.MaxAttempts && (c.detour != nil || c.hasDetourHost()) {
+	// The list of hosts is not read here, since it is costly in a large fleet.
+	hasOtherHost := c.detour != nil || c.f.fleet.Advertised() > 1
+	if c.route.MayRepeat() && c.deliveredAttempts()+1 < c.route.MaxAttempts && hasOtherHost {
 		return dial, dial
 	}
 	return ctx, dial
@@ -197,11 +199,9 @@
 	if c.f.detours == nil || c.detour != nil || len(c.detourHosts) >= maxDetourHosts {
 		return false
 	}
-	isUnreachable := c.unreachable >= unreachableEndpoints || c.unreachable > 0 && c.hasNoEndpoint
-	return (c.f.links.IsCut() || isUnreachable) && c.hasDetourHost()
-}
-
-func (c *call) hasDetourHost() bool {
+	if isUnreachable := c.unreachable >= unreachableEndpoints || c.unreachable > 0 && c.hasNoEndpoint; !isUnreachable && !c.f.links.IsCut() {
+		return false
+	}
 	_, ok := c.nextDetourHost()
 	return ok
 }
