--- a/pkg/ratelimit/slots_test.go
+++ b/pkg/ratelimit/slots_test.go
@@ -94,9 +94,12 @@
 	at := start.Add(10 * time.Second)
 	s.Take(start)
 	s.Release(start, true, at)
-	for after, want := range map[time.Duration]bool{10 * time.Millisecond: false, 100 * time.Millisecond: true} {
-		if got := s.Allows(7, h, at.Add(after)); got != want {
-			t.Errorf("%v after the request was abandoned: got allowed %v, want %v", after, got, want)
+	for _, c := range []struct {
+		after time.Duration
+		want  bool
+	}{{10 * time.Millisecond, false}, {100 * time.Millisecond, true}} {
+		if got := s.Allows(7, h, at.Add(c.after)); got != c.want {
+			t.Errorf("%v after the request was abandoned: got allowed %v, want %v", c.after, got, c.want)
 		}
 	}
 }
