forward: record that the caller leaves before it does, in a test of moves

The test cancelled the caller's request and recorded that afterwards; the reader of the response can check the record in between. Change: the record comes first. The check is the same.

--- a/pkg/forward/evacuation_test.go
+++ b/pkg/forward/evacuation_test.go
@@ -84,8 +84,8 @@
 			ctx, cancel := context.WithCancel(context.Background())
 			p.onCopy = func(p *movePlatform, r migrate.CopyRequest) migrate.CopyAnswer {
 				if r.Stop == atStop {
-					cancel()
 					cancelled.Store(true)
+					cancel()
 					time.Sleep(60 * time.Millisecond)
 				}
 				return copyAndStop(p, r)
