forward: correct two comments

Cause: a replacement of terms over whole files had changed the sense of a comment on the queue for slots and missed one on forwarded requests. Change: comments only. Result: go vet of the package and the prose check pass; no test was run for it.

--- a/pkg/forward/detour.go
+++ b/pkg/forward/detour.go
@@ -352,7 +352,7 @@
 	c.f.detours.passedOn.WithLabelValues(outcomeLabel(r)).Inc()
 }
 
-// adoptDetour continues the request where the host that passes it on has stopped.
+// adoptDetour continues the request where the host that forwards it has stopped.
 func (c *call) adoptDetour() {
 	if c.detour.isResume {
 		c.meta.LastEventID = c.detour.lastEventID
--- a/pkg/forward/slotwait.go
+++ b/pkg/forward/slotwait.go
@@ -136,7 +136,7 @@
 	}
 }
 
-// leave removes an entry, or forwards its turn if it has just been woken.
+// leave removes an entry, or wakes the next one if the entry has just been woken.
 func leave(queue *slotqueue.Queue, entry *slotqueue.Entry) {
 	if !queue.Remove(entry) {
 		queue.WakeNext()
