forward: log the release of each attempt and the stream that a request takes up

What operators saw: after streams had mixed the output of two releases of a back end, the line of a request named endpoints but not their release, and nothing showed which requests continue a stream of an earlier one.

Change: hopN-release names the release by the directory at the time of the choice; resumes and after-event are the attempt and the event that the caller names. No decision uses them.

--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -36,7 +36,7 @@
 type testProtocol struct{}
 
 func (testProtocol) DecodeRequest(h http.Header) (forward.RequestMeta, error) {
-	m := forward.RequestMeta{ID: h.Get("Id"), Key: h.Get("Key"), LastEventID: h.Get("Last-Event")}
+	m := forward.RequestMeta{ID: h.Get("Id"), Key: h.Get("Key"), LastEventID: h.Get("Last-Event"), Resumes: h.Get("Resumes")}
 	if ms, err := strconv.Atoi(h.Get("Wait-Ms")); err == nil {
 		m.Timeout, m.HasTimeout = time.Duration(ms)*time.Millisecond, true
 	}
--- a/pkg/forward/request_log.go
+++ b/pkg/forward/request_log.go
@@ -25,6 +25,8 @@
 // attemptRecord is one attempt.
 type attemptRecord struct {
 	endpoint string
+	// release is the version of the endpoint's software.
+	release string
 	// rowVersion is the version of the endpoint's row at the time of the choice.
 	rowVersion int64
 	// expected is the estimated total time, queued the part behind other requests.
@@ -49,7 +51,7 @@
 func (t *requestLog) addNote(text string) { t.notes = append(t.notes, text) }
 
 func (c *call) recordAttempt(choice route.Choice, r result, duration time.Duration) {
-	a := attemptRecord{endpoint: choice.Endpoint.ID, rowVersion: choice.Endpoint.Counter, expected: choice.Expected, queued: choice.Queued, cached: choice.CachedTokens, duration: duration, delivered: true, notice: c.notice}
+	a := attemptRecord{endpoint: choice.Endpoint.ID, release: choice.Endpoint.Release, rowVersion: choice.Endpoint.Counter, expected: choice.Expected, queued: choice.Queued, cached: choice.CachedTokens, duration: duration, delivered: true, notice: c.notice}
 	switch r := r.(type) {
 	case notRun:
 		a.outcome = "not run: " + r.err.Error()
@@ -173,10 +175,16 @@
 		line = line.Str("route", c.route.Name).Str("service", c.service.Name).Int64("config", c.table.Version()).Str("team", c.teamName()).
 			Stringer("fingerprint", c.fingerprint)
 	}
+	if c.meta.LastEventID != "" || c.meta.Resumes != "" {
+		line = line.Str("resumes", c.meta.Resumes).Str("after-event", c.meta.LastEventID)
+	}
 	for i, a := range c.logEntry.attempts {
 		prefix := "hop" + strconv.Itoa(i+1)
 		line = line.Str(prefix, a.endpoint).Str(prefix+"-end", a.outcome).Dur(prefix+"-took", a.duration).
 			Dur(prefix+"-expected", a.expected).Dur(prefix+"-queued", a.queued).Int(prefix+"-cached", a.cached).Int64(prefix+"-row", a.rowVersion)
+		if a.release != "" {
+			line = line.Str(prefix+"-release", a.release)
+		}
 		if a.framing != "" {
 			line = line.Str(prefix+"-framing", a.framing)
 		}
--- a/pkg/forward/types.go
+++ b/pkg/forward/types.go
@@ -35,6 +35,9 @@
 	Prefix []PromptPart
 	// LastEventID is the id of the last event of a stream that the caller has received.
 	LastEventID string
+	// Resumes is the ID of the attempt that brought the first event of that stream, empty if the
+	// caller names none.
+	Resumes string
 	// ReservedHeaders is how many headers the caller sent that only the system may set;
 	// they are not forwarded.
 	ReservedHeaders int
