soak: show streams that go on at another release after a caller takes them up

What callers saw: a stream that they took up at another host went on at another release than the one that began it.

The run has four hosts before endpoints of three releases, two each.

--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -89,6 +90,8 @@
 	stopTimes []time.Time
 	// stopped is true once no more endpoints may be started.
 	stopped bool
+	// streamVersions are the versions of the endpoints of the stream service.
+	streamVersions []string
 	// separateLinks is set if each host reaches endpoints over links of its own, node.links.
 	separateLinks bool
 }
@@ -130,6 +133,7 @@
 	return &run{
 		options: o, random: rand.New(rand.NewPCG(o.Seed, 0)), store: standin.NewStore(), cloud: standin.NewCloud(),
 		requestLog: standin.NewRequestLog(), report: newReport(), configVersion: 1, started: time.Now(),
+		streamVersions: slices.Repeat([]string{initialVersion}, streamEndpoints),
 	}
 }
 
@@ -165,7 +169,7 @@
 	if err := standin.PutConfiguration(r.store, r.configVersion, r.configVersion); err != nil {
 		return err
 	}
-	for i := range plainEndpoints + streamEndpoints {
+	for i := range plainEndpoints + len(r.streamVersions) {
 		r.endpoints = append(r.endpoints, nil)
 		r.proxies = append(r.proxies, nil)
 		if err := r.startEndpoint(i); err != nil {
@@ -214,11 +218,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.endpointsStarted++
-	service := standin.PlainService
+	service, version := standin.PlainService, initialVersion
 	if i >= plainEndpoints {
-		service = standin.StreamService
+		service, version = standin.StreamService, r.streamVersions[i-plainEndpoints]
 	}
-	return r.startEndpointAt(i, service, standin.Version{Name: initialVersion}, anyPortAddress)
+	return r.startEndpointAt(i, service, standin.Version{Name: version}, anyPortAddress)
 }
 
 // initialVersion is the version of all endpoints at the start of a run.
--- /dev/null
+++ b/pkg/soak/takeups_test.go
@@ -0,0 +1,38 @@
+package soak_test
+
+import (
+	"context"
+	"testing"
+
+	"ironhollow/pkg/soak"
+)
+
+// Guards against streams that callers take up at another host and that go on at another release.
+func TestStreamTakenUpElsewhereGoesOnAtItsRelease(t *testing.T) {
+	program := buildNode(t)
+	for _, way := range []struct {
+		name string
+		how  soak.Break
+	}{{"caller closes", soak.BreakByCaller}, {"host killed", soak.BreakByKill}, {"host suspended", soak.BreakBySuspension}} {
+		t.Run(way.name, func(t *testing.T) {
+			t.Parallel()
+			versions := []string{"v1", "v1.1", "v1.2", "v1", "v1.1", "v1.2"}
+			outcome, got, err := soak.RunTakeUps(context.Background(), soak.Options{
+				Program: program, Folder: t.TempDir(), Seed: 1, Nodes: 4, Log: t.Output(),
+			}, versions, soak.TakeUps{Rounds: 4, StreamsPerRound: 40, Break: way.how})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, violation := range outcome.Violations {
+				t.Error(violation)
+			}
+			t.Logf("%d streams began, %d mixed releases; %d of %d take-ups went on", got.Begun, got.Mixed, got.WentOn, got.TakenUp)
+			if got.Mixed > 0 {
+				t.Errorf("got %d of %d streams with events of several releases, want none", got.Mixed, got.Begun)
+			}
+			if wanted := 4 * 40; 2*got.Begun < wanted || 2*got.WentOn*wanted < got.TakenUp*got.Begun || got.TakenUp == 0 {
+				t.Errorf("got %d of %d taken up go on, and %d of %d begin, want half of that share at least", got.WentOn, got.TakenUp, got.Begun, wanted)
+			}
+		})
+	}
+}
