forward: resume a broken stream at the release that began it

What callers saw: one answer with events of two releases of a back end.

Cause: after a break inside an answer the next endpoint was chosen as for a new request, and a roll-out that tried another release or reverted it changed the choice in the middle. A move already stayed at its release.

Change: from its head on, a stream has an origin: its service and release. Each further attempt, and each move, goes to endpoints of that release (rollout.Rule, pinned), whatever the phase of a roll-out; a reverted release continues nothing. With no such endpoint the answer breaks off.

--- a/pkg/forward/evacuation.go
+++ b/pkg/forward/evacuation.go
@@ -225,7 +225,7 @@
 func (e *evacuation) chooseTarget(s *relayedStream) (route.Choice, bool) {
 	query := s.targetQuery()
 	query.Continues = true
-	query.Rule.OnlyRelease = e.info.Release
+	query.Rule.OnlyRelease, query.Rule.IsPinned = e.info.Release, true
 	query.Avoid = append(query.Avoid, e.info.Ref())
 	query.Accepts = func(c route.Choice) bool {
 		return c.Endpoint.AcceptsWork() && c.Endpoint.Release == e.info.Release
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -12,6 +12,7 @@
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/limit"
 	"ironhollow/pkg/notice"
+	"ironhollow/pkg/origin"
 	"ironhollow/pkg/pause"
 	"ironhollow/pkg/quarantine"
 	"ironhollow/pkg/retry"
@@ -146,6 +147,8 @@
 	side     rollout.Subset
 	kind     rollout.Kind
 	attempts int
+	// origin is where the stream that the request continues began, nil if it continues none.
+	origin *origin.Source
 	// returns is how often a stopped run was to continue at its leaving source.
 	returns int
 	// retryAfter is the caller's Retry-After, above 0 once the request is rejected for the
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -185,6 +185,13 @@
 	return s
 }
 
+// addNumberedEndpoint adds endpoint e<number> and returns its ID.
+func (s *harness) addNumberedEndpoint(number int, answer script) string {
+	id := "e" + strconv.Itoa(number)
+	s.addEndpoint(id, answer)
+	return id
+}
+
 func (s *harness) addEndpoint(id string, answer script) { s.serve(id, s.listen(), answer) }
 
 func (s *harness) listen() net.Listener {
--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -13,6 +13,7 @@
 
 	"ironhollow/pkg/httpx"
 	"ironhollow/pkg/migrate"
+	"ironhollow/pkg/origin"
 	"ironhollow/pkg/route"
 	"ironhollow/pkg/upstream"
 )
@@ -136,11 +137,14 @@
 )
 
 // relayStream forwards a stream event by event; firstToken is how long its head took.
-// If the stream breaks off and the route allows it, it is resumed at another endpoint after
-// the last complete event. A stream whose run was stopped for a move continues at the endpoint that
+// If the stream breaks off and the route allows it, it is resumed at another endpoint of its release
+// after the last complete event. A stream whose run was stopped for a move continues at the endpoint that
 // continues the run.
 func (c *call) relayStream(ctx context.Context, choice route.Choice, current streaming, firstToken time.Duration) error {
 	e := current.exchange
+	if !current.isDetour {
+		c.setOrigin(origin.Source{Service: c.service.Name, Release: choice.Endpoint.Release})
+	}
 	c.writeHead(e.Status(), e.Header(), e.Framing())
 	s := &stream{call: c, lastEventID: c.meta.LastEventID}
 	observed := route.Result{PrefillDone: true, FirstToken: firstToken}
--- a/pkg/forward/rollout.go
+++ b/pkg/forward/rollout.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 
+	"ironhollow/pkg/origin"
 	"ironhollow/pkg/rollout"
 	"ironhollow/pkg/route"
 	"ironhollow/pkg/routetable"
@@ -15,6 +16,30 @@
 	c.side = c.f.rollouts.SubsetFor(c.service.Name, c.kind, c.meta.ID, c.f.clock())
 }
 
+// rule returns the rule that selects the endpoints that may take the request.
+func (c *call) rule() rollout.Rule {
+	if c.origin == nil {
+		return c.f.rollouts.Rule(c.service.Name, c.side)
+	}
+	rule, _ := c.f.rollouts.StreamRule(c.origin.Service, c.origin.Release, c.f.clock())
+	return rule
+}
+
+// mayContinueAtOrigin reports whether a roll-out lets the release at which the stream began continue it.
+func (c *call) mayContinueAtOrigin() bool {
+	_, ok := c.f.rollouts.StreamRule(c.origin.Service, c.origin.Release, c.f.clock())
+	return ok
+}
+
+// setOrigin records where the stream that is relayed began. Its further attempts, and its moves, stay
+// there.
+func (c *call) setOrigin(source origin.Source) {
+	if c.origin == nil {
+		c.origin = &source
+		c.side = c.f.rollouts.SubsetOf(source.Service, source.Release)
+	}
+}
+
 // beginRolloutSend records an attempt for the comparison of versions in a roll-out.
 func (c *call) beginRolloutSend(choice route.Choice) *rollout.Attempt {
 	expected := choice.Wait
@@ -56,7 +81,7 @@
 	} else {
 		c.f.rollouts.RecordAnswer(rolloutSend, failed, now)
 	}
-	if failed && c.side == rollout.Target {
+	if failed && c.side == rollout.Target && c.origin == nil {
 		c.side, _ = c.f.rollouts.Fallback(c.service.Name, c.side, c.f.clock())
 	}
 }
--- a/pkg/forward/run.go
+++ b/pkg/forward/run.go
@@ -28,7 +28,7 @@
 		PromptTokens: c.meta.PromptTokens,
 		AnswerTokens: max(c.meta.ExpectedTokens, 1),
 		Avoid:        c.avoid,
-		Rule:         c.f.rollouts.Rule(c.service.Name, c.side),
+		Rule:         c.rule(),
 		Connected:    c.hasIdleConnection,
 	}
 	if c.f.fleet.Advertised() >= largeFleetHosts {
@@ -122,11 +122,14 @@
 }
 
 // chooseNow picks the next endpoint, of another version if no endpoint of the intended version
-// accepts the request.
+// accepts the request. A request that continues a stream goes to no other version.
 func (c *call) chooseNow() (route.Choice, bool) {
+	if c.origin != nil && !c.mayContinueAtOrigin() {
+		return route.Choice{}, false
+	}
 	choice, ok := c.chooseFromVersions()
-	if ok {
-		return choice, true
+	if ok || c.origin != nil {
+		return choice, ok
 	}
 	fallback, allowed := c.f.rollouts.Fallback(c.service.Name, c.side, c.f.clock())
 	if !allowed || c.retryAfter > 0 && c.side != rollout.Target {
--- a/pkg/rollout/switch.go
+++ b/pkg/rollout/switch.go
@@ -30,17 +30,20 @@
 // Rule selects the endpoints of a subset. The zero value selects all. Its slice and map must not be
 // modified.
 type Rule struct {
-	// OnlyRelease is the version that may take the request; if it is empty, all versions but
-	// ExcludedReleases may.
+	// OnlyRelease is the version that may take the request; if it is empty and IsPinned is not set,
+	// all versions but ExcludedReleases may.
 	OnlyRelease      string
 	ExcludedReleases []string
+	// IsPinned is set if only OnlyRelease may take the request also if it is empty, as it is for
+	// endpoints that report no version.
+	IsPinned bool
 	// OnlyEndpoints are the endpoints that may take it, nil for all.
 	OnlyEndpoints map[string]bool
 }
 
 // Allows reports whether an endpoint may take the request.
 func (r *Rule) Allows(info *endpoint.Info) bool {
-	if r.OnlyRelease != "" && info.Release != r.OnlyRelease {
+	if (r.IsPinned || r.OnlyRelease != "") && info.Release != r.OnlyRelease {
 		return false
 	}
 	if len(r.ExcludedReleases) > 0 && slices.Contains(r.ExcludedReleases, info.Release) {
@@ -356,6 +359,47 @@
 	}
 }
 
+// StreamRule returns the rule for a request that continues a stream which began at a release: the
+// output of two releases does not fit together, so only endpoints of that one may take it, whatever
+// the phase of an order. ok is false if the release may get no requests, as an order for it was
+// reverted or this host has no valid directive.
+func (s *Splitter) StreamRule(name, release string, now time.Time) (rule Rule, ok bool) {
+	rule = Rule{OnlyRelease: release, IsPinned: true}
+	svc := s.find(name)
+	if svc == nil {
+		return rule, true
+	}
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	state := svc.current
+	if state == nil || state.nothingToSplit {
+		return rule, true
+	}
+	if release == state.order.Target && state.phase < Draining {
+		rule.OnlyEndpoints = state.trialEndpoints
+		return rule, !state.expired(now)
+	}
+	return rule, !slices.Contains(svc.excluded, release)
+}
+
+// SubsetOf returns the subset that a release belongs to.
+func (s *Splitter) SubsetOf(name, release string) Subset {
+	svc := s.find(name)
+	if svc == nil {
+		return Default
+	}
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	switch state := svc.current; {
+	case state == nil:
+		return Default
+	case release == state.order.Target:
+		return Target
+	default:
+		return Others
+	}
+}
+
 // Fallback returns where to send a request if no endpoint of its subset takes work: to the others
 // instead of a target that is tried, and to the target if nothing else is left and its share
 // allows. ok is false if there is no alternative.
--- a/pkg/rollout/switch_test.go
+++ b/pkg/rollout/switch_test.go
@@ -319,3 +319,28 @@
 		})
 	}
 }
+
+// Guards against a roll-out that sends a stream of one release on to another, or back to a reverted one.
+func TestStreamStaysAtItsReleaseDuringRollout(t *testing.T) {
+	for _, c := range []struct {
+		phase          rollout.Phase
+		previous, next bool
+	}{{rollout.Trying, true, true}, {rollout.Draining, true, true}, {rollout.Completed, true, true}, {rollout.Reverted, true, false}} {
+		s, infos := newSplitter("v1")
+		infos = append(infos, endpoints("v2", 8)...)
+		s.AddOrder(order, false)
+		s.UpdateEndpoints(infos, true, began)
+		s.ApplyDirective(directive(c.phase, 0.06), began)
+		for release, want := range map[string]bool{"v1": c.previous, "v2": c.next, "": true} {
+			rule, ok := s.StreamRule(service, release, began)
+			for _, info := range infos {
+				if rule.Allows(&info) && info.Release != release {
+					t.Errorf("%v: got endpoint %s for a stream of %q", c.phase, info.ID, release)
+				}
+			}
+			if ok != want {
+				t.Errorf("%v: got %v for a stream of %q, want %v", c.phase, ok, release, want)
+			}
+		}
+	}
+}
