forward, origin: continue a stream that a caller takes up at the release that began it

What callers saw: a stream that they took up at another host, after theirs was killed or their connection broke, continued at another release. In the record of the users a stream began at v1.2 and went on at v1.

Cause: nothing decoded Resumes. A request that takes a stream up was a new request, and no host but the one that had begun the stream knew its release.

Change: before the first event leaves, the host sends a record of the stream's service and release to three hosts by the hash of team and attempt; a host at which the stream is taken up asks them (pkg/origin). If the origin is not found, or no endpoint of the release takes the stream, the request is refused as not run. Requests forwarded between hosts carry the origin. A lost record is a refusal, never another release.

--- a/pkg/app/node/loads.go
+++ b/pkg/app/node/loads.go
@@ -74,6 +74,11 @@
 		n.view.Roster().ApplyCut(update.Incarnation, update.Links == gossip.LinksCut, now)
 		return
 	}
+	if len(update.From) > 0 {
+		n.origins.Apply(update.Origins.Records, update.Origins.Unknown, update.From)
+		n.origins.Answer(update.Origins.Queries, update.From)
+		return
+	}
 	if len(update.Rollouts) > 0 {
 		n.receiveRollouts(update, now)
 		return
--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -26,6 +26,7 @@
 	"ironhollow/pkg/limit"
 	"ironhollow/pkg/loadsync"
 	"ironhollow/pkg/notice"
+	"ironhollow/pkg/origin"
 	"ironhollow/pkg/pause"
 	"ironhollow/pkg/quarantine"
 	"ironhollow/pkg/quarantinesync"
@@ -92,6 +93,8 @@
 	links                *reach.Monitor
 	detours              *forward.Detours
 	peerPool             peerPool
+	origins              *origin.Directory
+	originSender         *originSender
 	forwarder            *forward.Forwarder
 	registry             *prometheus.Registry
 	row                  *rowState
@@ -251,6 +254,7 @@
 		return err
 	}
 	n.rolloutSender.set(e)
+	n.originSender.set(e)
 	loop := n.watchdog.Watch("exchange")
 	go e.Run(ctx, func() {
 		loop.Kick()
--- a/pkg/app/node/wire_gen.go
+++ b/pkg/app/node/wire_gen.go
@@ -45,10 +45,12 @@
 	metrics := newScaleMetrics(registry)
 	nodePeerPool := newPeerPool()
 	detours := newDetours(view, settings, clock, nodePeerPool, registry)
+	nodeOriginSender := newOriginSender()
+	directory := newOrigins(view, settings, nodeOriginSender, clock)
 	windowBudget := newRetryBudget(settings)
 	watch := newQuarantineWatch(registry, logger)
 	tracker := newNoticeTracker(view, router, logger)
-	forwarder := newForwarder(platform, view, location, router, costLimiter, windowBudget, pool, monitor, detours, counter, splitter, watch, tracker, nodeLifecycle, nodeReadiness, clock, registry, logger)
+	forwarder := newForwarder(platform, view, location, router, costLimiter, windowBudget, pool, monitor, detours, directory, counter, splitter, watch, tracker, nodeLifecycle, nodeReadiness, clock, registry, logger)
 	nodeRowState := &rowState{}
 	nodeFleetRole := &fleetRole{}
 	coordinator := newCoordinator(platform, splitter, view, writer, clock, manager, logger)
@@ -85,6 +87,8 @@
 		links:                monitor,
 		detours:              detours,
 		peerPool:             nodePeerPool,
+		origins:              directory,
+		originSender:         nodeOriginSender,
 		forwarder:            forwarder,
 		registry:             registry,
 		row:                  nodeRowState,
--- a/pkg/forward/detour.go
+++ b/pkg/forward/detour.go
@@ -18,6 +18,7 @@
 	"ironhollow/pkg/code"
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/httpx"
+	"ironhollow/pkg/origin"
 	"ironhollow/pkg/pause"
 	"ironhollow/pkg/upstream"
 )
@@ -131,6 +132,8 @@
 	headerDetourAttempts = "Ironhollow-Detour-Attempts"
 	// headerDetourEndpoint is in responses: the endpoint that answered.
 	headerDetourEndpoint = "Ironhollow-Detour-Endpoint"
+	// headerDetourOrigin is in responses that are streams: where the stream began.
+	headerDetourOrigin = "Ironhollow-Detour-Origin"
 )
 
 // detour is what the host that forwards a request says about it.
@@ -150,21 +153,43 @@
 	lastEventID string
 	// avoid are the IDs of the endpoints that the request failed at.
 	avoid []string
+	// origin is where the stream that the request continues began, nil if it continues none.
+	origin *origin.Source
 }
 
 type wireDetour struct {
-	ConfigVersion int64    `json:"config"`
-	Attempts      int      `json:"attempts"`
-	IsBudgeted    bool     `json:"counted"`
-	RemainingMS   int64    `json:"remaining_ms"`
-	IsResume      bool     `json:"resume,omitempty"`
-	LastEventID   string   `json:"last_event,omitempty"`
-	Avoid         []string `json:"avoid,omitempty"`
+	ConfigVersion int64       `json:"config"`
+	Attempts      int         `json:"attempts"`
+	IsBudgeted    bool        `json:"counted"`
+	RemainingMS   int64       `json:"remaining_ms"`
+	IsResume      bool        `json:"resume,omitempty"`
+	LastEventID   string      `json:"last_event,omitempty"`
+	Avoid         []string    `json:"avoid,omitempty"`
+	Origin        *wireOrigin `json:"origin,omitempty"`
+}
+
+type wireOrigin struct {
+	Service string `json:"service"`
+	Release string `json:"release"`
+}
+
+func encodeOrigin(source origin.Source) string {
+	// A struct of strings can always be encoded.
+	text, _ := json.Marshal(wireOrigin(source))
+	return string(text)
+}
+
+func decodeOrigin(text string) (origin.Source, error) {
+	var w wireOrigin
+	if err := json.Unmarshal([]byte(text), &w); err != nil || w.Service == "" {
+		return origin.Source{}, errors.Join(errUnknownOrigin, err)
+	}
+	return origin.Source(w), nil
 }
 
 func (d detour) encode() string {
 	// A struct of numbers and strings can always be encoded.
-	text, _ := json.Marshal(wireDetour{d.configVersion, d.attempts, d.isBudgeted, d.remaining.Milliseconds(), d.isResume, d.lastEventID, d.avoid})
+	text, _ := json.Marshal(wireDetour{d.configVersion, d.attempts, d.isBudgeted, d.remaining.Milliseconds(), d.isResume, d.lastEventID, d.avoid, (*wireOrigin)(d.origin)})
 	return string(text)
 }
 
@@ -173,7 +198,7 @@
 	if err := json.Unmarshal([]byte(text), &w); err != nil {
 		return detour{}, err
 	}
-	return detour{w.ConfigVersion, max(w.Attempts, 0), w.IsBudgeted, time.Duration(max(w.RemainingMS, 0)) * time.Millisecond, w.IsResume, w.LastEventID, w.Avoid}, nil
+	return detour{w.ConfigVersion, max(w.Attempts, 0), w.IsBudgeted, time.Duration(max(w.RemainingMS, 0)) * time.Millisecond, w.IsResume, w.LastEventID, w.Avoid, (*origin.Source)(w.Origin)}, nil
 }
 
 // removeDetourHeaders removes the headers between hosts from those of a caller or an endpoint.
@@ -182,6 +207,7 @@
 	h.Del(headerDetourRefusal)
 	h.Del(headerDetourAttempts)
 	h.Del(headerDetourEndpoint)
+	h.Del(headerDetourOrigin)
 }
 
 // refusedByHost means that the host to which the request was forwarded has not run it and gives the
@@ -251,7 +277,7 @@
 	}
 	d := detour{
 		configVersion: c.table.Version(), attempts: c.deliveredAttempts(), isBudgeted: c.isBudgeted, remaining: time.Until(c.deadline),
-		isResume: isResume, lastEventID: lastEventID,
+		isResume: isResume, lastEventID: lastEventID, origin: c.origin,
 	}
 	for _, ref := range c.avoid {
 		d.avoid = append(d.avoid, ref.ID)
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -68,6 +68,7 @@
 	// detours is nil if requests are never forwarded to other hosts.
 	detours *Detours
 	links   Links
+	origins *origin.Directory
 	// slotQueues holds the requests that wait for slots of fragile endpoints.
 	slotQueues *slotQueues
 }
@@ -101,6 +102,7 @@
 		slotQueues: queues,
 		protocol:   protocol, tables: tables, router: router, limits: limits, budget: budget, pool: pool,
 		runCounter: runs, fleet: fleet, rollouts: rollouts, crashes: watch, notices: notices, phase: phase, clock: clock, metrics: metrics, log: logger, logLimit: newLogLimiter(clock()), links: soundLinks{},
+		origins: origin.New(func() []origin.Peer { return nil }, nil, clock),
 	}
 }
 
@@ -257,6 +259,9 @@
 	if remaining, quarantined := c.quarantined(); quarantined {
 		return c.reject(errQuarantined, remaining)
 	}
+	if err = c.findOrigin(c.incoming.Context()); err != nil {
+		return c.reject(err, retryAfterShort)
+	}
 	if c.detour == nil {
 		if wait, ok := c.checkRateLimit(); !ok {
 			return c.reject(code.New(code.OverRate, "the team is over its rate"), wait)
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -24,6 +24,7 @@
 	"ironhollow/pkg/httpx"
 	"ironhollow/pkg/limit"
 	"ironhollow/pkg/notice"
+	"ironhollow/pkg/origin"
 	"ironhollow/pkg/quarantine"
 	"ironhollow/pkg/retry"
 	"ironhollow/pkg/rollout"
@@ -114,6 +115,7 @@
 	logLines  logCapture
 	// links and detours are set by servePeers, and closePeers closes the connections of other hosts.
 	links      *testLinks
+	origins    *origin.Directory
 	detours    *forward.Detours
 	closePeers func()
 	mu         sync.Mutex
@@ -149,6 +151,9 @@
 // script answers one request at an endpoint and reports whether the connection stays open.
 type script func(c net.Conn, r *http.Request) bool
 
+// minuteLife is the life of an origin in tests.
+const minuteLife = time.Minute
+
 // singleHost is a fleet in which this host uses all of each limit.
 type singleHost struct{}
 
@@ -177,6 +182,8 @@
 	forwarder := forward.New(testProtocol{}, s.tables, router, limit.NewCostLimiter(limit.Tolerance{}, now.Add(-time.Hour)),
 		retry.NewWindowBudget(0.2, 58, 10*time.Second), upstream.New(time.Second), s.runs, singleHost{}, s.rollouts, s.watch, board,
 		func() forward.Phase { return forward.Phase(s.phase.Load()) }, time.Now, forward.NewMetrics(registry), logger)
+	s.origins = origin.New(func() []origin.Peer { return nil }, nil, time.Now)
+	forwarder.UseOrigins(s.origins)
 	s.forwarder = forwarder
 	s.server = httptest.NewUnstartedServer(forwarder)
 	s.server.Config.ConnContext = httpx.WithCallerConn
--- a/pkg/forward/intake.go
+++ b/pkg/forward/intake.go
@@ -33,13 +33,18 @@
 		return code.New(code.UnknownPath, "no route")
 	}
 	c.route = found
-	name := found.Pick(rand.Float64())
-	if c.service, ok = table.Service(name); !ok {
-		c.service = &routetable.Service{Name: name}
-	}
+	c.service = c.serviceOf(found.Pick(rand.Float64()))
 	return nil
 }
 
+// serviceOf returns a service of the configuration by which the request is served.
+func (c *call) serviceOf(name string) *routetable.Service {
+	if s, ok := c.table.Service(name); ok {
+		return s
+	}
+	return &routetable.Service{Name: name}
+}
+
 func splitTarget(target string) (path, query string, ok bool) {
 	for i := range len(target) {
 		if target[i] == '?' {
--- a/pkg/forward/refuse.go
+++ b/pkg/forward/refuse.go
@@ -24,6 +24,9 @@
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			return c.reject(code.New(code.NoEndpoint, "deadline exceeded before an endpoint accepted the request"), retryAfterShort)
 		}
+		if c.origin != nil {
+			return c.reject(code.New(code.ReleaseUnavailable, "release "+c.origin.Release+": "+r.err.Error()), c.retryAfterAvailable())
+		}
 		return c.reject(code.New(code.NoEndpoint, r.err.Error()), c.retryAfterAvailable())
 	case refusedByHost:
 		return c.reject(code.New(r.code, "refused by the host that the request was forwarded to"), r.retryAfter)
--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -37,6 +37,9 @@
 	if c.detour != nil {
 		h.Set(headerDetourAttempts, strconv.Itoa(c.deliveredAttempts()))
 		h.Set(headerDetourEndpoint, c.lastEndpoint())
+		if c.origin != nil {
+			h.Set(headerDetourOrigin, encodeOrigin(*c.origin))
+		}
 	}
 	if framing == upstream.ByClose {
 		h.Set("Transfer-Encoding", "identity")
@@ -142,9 +145,7 @@
 // continues the run.
 func (c *call) relayStream(ctx context.Context, choice route.Choice, current streaming, firstToken time.Duration) error {
 	e := current.exchange
-	if !current.isDetour {
-		c.setOrigin(origin.Source{Service: c.service.Name, Release: choice.Endpoint.Release})
-	}
+	originErr := c.beginStream(origin.Source{Service: c.service.Name, Release: choice.Endpoint.Release}, e.Header(), current.isDetour)
 	c.writeHead(e.Status(), e.Header(), e.Framing())
 	s := &stream{call: c, lastEventID: c.meta.LastEventID}
 	observed := route.Result{PrefillDone: true, FirstToken: firstToken}
@@ -197,6 +198,9 @@
 			return errors.Join(errTruncated, err)
 		}
 		c.avoid = append(c.avoid, refOf(choice))
+		if originErr != nil {
+			return errors.Join(errTruncated, err, originErr)
+		}
 		var ok bool
 		if choice, current, ok = c.resume(ctx, s.lastEventID); !ok {
 			return errors.Join(errTruncated, err)
--- a/pkg/forward/request_log.go
+++ b/pkg/forward/request_log.go
@@ -18,6 +18,8 @@
 	status   int
 	bytes    int
 	notes    []string
+	// takeUp is set if the caller takes a stream up.
+	takeUp *takeUp
 	// limitCost is the request's cost against its team's limit.
 	limitCost float64
 }
@@ -162,6 +164,7 @@
 	duration := c.f.clock().Sub(c.started)
 	c.f.metrics.requests.WithLabelValues(c.routeKind(), outcome).Inc()
 	c.f.metrics.seconds.WithLabelValues(c.routeKind()).Observe(duration.Seconds())
+	c.countTakeUp(err)
 	write, dropped := c.f.logLimit.allow(err != nil, c.f.clock())
 	if !write {
 		c.f.metrics.dropped.Inc()
@@ -178,6 +181,9 @@
 	if c.meta.LastEventID != "" || c.meta.Resumes != "" {
 		line = line.Str("resumes", c.meta.Resumes).Str("after-event", c.meta.LastEventID)
 	}
+	if c.logEntry.takeUp != nil {
+		line = c.logEntry.takeUp.log(line)
+	}
 	for i, a := range c.logEntry.attempts {
 		prefix := "hop" + strconv.Itoa(i+1)
 		line = line.Str(prefix, a.endpoint).Str(prefix+"-end", a.outcome).Dur(prefix+"-took", a.duration).
@@ -216,6 +222,8 @@
 	leaving  *prometheus.CounterVec
 	// unmarkedEnds counts responses whose end their endpoint did not mark.
 	unmarkedEnds *prometheus.CounterVec
+	// takeUps counts the streams that callers take up.
+	takeUps *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics.
@@ -247,6 +255,9 @@
 	m.unmarkedEnds = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "ironhollow_unmarked_ends_total", Help: "Responses without length or chunks, whose end does not show that they are complete, by service.",
 	}, []string{"service"})
-	registry.MustRegister(m.requests, m.attempts, m.seconds, m.dropped, m.reserved, m.notices, m.leaving, m.unmarkedEnds)
+	m.takeUps = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "ironhollow_take_ups_total", Help: "Streams that callers take up after they broke off, by how that ended.",
+	}, []string{"outcome"})
+	registry.MustRegister(m.takeUps, m.requests, m.attempts, m.seconds, m.dropped, m.reserved, m.notices, m.leaving, m.unmarkedEnds)
 	return m
 }
--- a/pkg/forward/rollout.go
+++ b/pkg/forward/rollout.go
@@ -14,6 +14,9 @@
 func (c *call) chooseRolloutSide() {
 	c.kind = rollout.KindOf(c.route.Name)
 	c.side = c.f.rollouts.SubsetFor(c.service.Name, c.kind, c.meta.ID, c.f.clock())
+	if c.origin != nil {
+		c.side = c.f.rollouts.SubsetOf(c.origin.Service, c.origin.Release)
+	}
 }
 
 // rule returns the rule that selects the endpoints that may take the request.
@@ -34,10 +37,8 @@
 // setOrigin records where the stream that is relayed began. Its further attempts, and its moves, stay
 // there.
 func (c *call) setOrigin(source origin.Source) {
-	if c.origin == nil {
-		c.origin = &source
-		c.side = c.f.rollouts.SubsetOf(source.Service, source.Release)
-	}
+	c.origin = &source
+	c.side = c.f.rollouts.SubsetOf(source.Service, source.Release)
 }
 
 // beginRolloutSend records an attempt for the comparison of versions in a roll-out.
--- a/pkg/forward/run.go
+++ b/pkg/forward/run.go
@@ -149,11 +149,12 @@
 }
 
 // acceptChoice reports whether a choice is used. It is not if a stream's first event would
-// be too late because of the queue at the best endpoint; retryAfter is then set. The router may call
+// be too late because of the queue at the best endpoint; retryAfter is then set. A stream that the
+// caller takes up has begun, so that its objective is no measure. The router may call
 // it a second time with a leaving endpoint. If that is too late as well, retryAfter remains that of
 // the best endpoint that does not leave.
 func (c *call) acceptChoice(choice route.Choice) bool {
-	if c.route.Kind != routetable.Stream || c.deliveredAttempts() > 0 {
+	if c.route.Kind != routetable.Stream || c.deliveredAttempts() > 0 || c.origin != nil {
 		return true
 	}
 	stream := admission.Stream{Objective: c.route.LatencyObjective, Priority: c.priority}
--- /dev/null
+++ b/pkg/forward/takeup.go
@@ -0,0 +1,132 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"ironhollow/pkg/code"
+	"ironhollow/pkg/origin"
+	"ironhollow/pkg/routetable"
+)
+
+// UseOrigins sets where the origins of streams are recorded and looked up, so that callers can take
+// streams up that began at other hosts. It must be called before the first request.
+func (f *Forwarder) UseOrigins(directory *origin.Directory) { f.origins = directory }
+
+// returnTime is how long after its deadline the origin of a stream is kept for callers that take it
+// up.
+const returnTime = 30 * time.Second
+
+// takeUp is a caller's request to continue a stream, as it was decided on.
+type takeUp struct {
+	finding origin.Finding
+	// isNamed is set if the caller names the attempt that brought the first event.
+	isNamed bool
+	took    time.Duration
+}
+
+// isTakeUp reports whether the caller takes up a stream that it has received events of.
+func (c *call) isTakeUp() bool {
+	return c.route.Kind == routetable.Stream && (c.meta.LastEventID != "" || c.meta.Resumes != "")
+}
+
+// findOrigin finds where the stream that the request continues began. It returns an error if that is not
+// known, as another release would garble the stream.
+func (c *call) findOrigin(ctx context.Context) error {
+	switch {
+	case c.detour != nil && c.detour.origin != nil:
+		return c.adoptOrigin(*c.detour.origin)
+	case c.detour != nil || !c.isTakeUp():
+		return nil
+	}
+	started := c.f.clock()
+	t := &takeUp{isNamed: c.meta.Resumes != ""}
+	if t.isNamed {
+		t.finding = c.f.origins.Find(ctx, origin.KeyOf(c.teamName(), c.meta.Resumes))
+	} else {
+		t.finding = c.guessOrigin()
+	}
+	t.took = c.f.clock().Sub(started)
+	c.logEntry.takeUp = t
+	if t.finding.Result != origin.Known {
+		return code.New(code.OriginUnknown, "origin of the stream: "+t.finding.Result.String())
+	}
+	return c.adoptOrigin(t.finding.Source)
+}
+
+// guessOrigin returns the origin of a stream whose caller names no attempt, if the service runs only one
+// release.
+func (c *call) guessOrigin() origin.Finding {
+	release, ok := c.f.router.SoleRelease(c.service.Name)
+	if !ok {
+		return origin.Finding{Result: origin.Unknown}
+	}
+	return origin.Finding{Source: origin.Source{Service: c.service.Name, Release: release}}
+}
+
+// adoptOrigin restricts the request to the service and the release at which its stream began.
+func (c *call) adoptOrigin(source origin.Source) error {
+	if !c.route.LeadsTo(source.Service) {
+		return code.New(code.ReleaseUnavailable, "the route does not lead to service "+source.Service+", at which the stream began")
+	}
+	if c.service.Name != source.Service {
+		c.service = c.serviceOf(source.Service)
+	}
+	c.setOrigin(source)
+	return nil
+}
+
+// errUnknownOrigin means that the host to which a request was forwarded does not say where its stream
+// began.
+var errUnknownOrigin = errors.New("the other host does not name the release")
+
+// beginStream records where the stream that is relayed began, before its first event is sent. Records of a
+// forwarded request are made by the host that the caller is connected to.
+func (c *call) beginStream(source origin.Source, header http.Header, isDetour bool) error {
+	if isDetour {
+		var err error
+		if source, err = decodeOrigin(header.Get(headerDetourOrigin)); err != nil {
+			return err
+		}
+	}
+	c.setOrigin(source)
+	if c.detour != nil {
+		return nil
+	}
+	life := time.Until(c.deadline) + returnTime
+	c.f.origins.Record(origin.KeyOf(c.teamName(), c.meta.ID), source, life)
+	if c.meta.Resumes != "" {
+		// The caller names the first attempt again if it takes the stream up once more.
+		c.f.origins.Record(origin.KeyOf(c.teamName(), c.meta.Resumes), source, life)
+	}
+	return nil
+}
+
+// log adds the take-up to a request's line.
+func (t *takeUp) log(line *log.Entry) *log.Entry {
+	f := t.finding
+	return line.Str("origin", f.Result.String()).Bool("origin-named", t.isNamed).Str("origin-service", f.Source.Service).Str("origin-release", f.Source.Release).
+		Str("origin-from", f.From).Dur("origin-age", f.Age).Int("origin-asked", f.Asked).Dur("origin-took", t.took)
+}
+
+// countTakeUp counts a take-up by how it ended.
+func (c *call) countTakeUp(err error) {
+	if c.logEntry.takeUp == nil {
+		return
+	}
+	outcome := "continued"
+	switch {
+	case c.logEntry.takeUp.finding.Result != origin.Known:
+		outcome = "origin-" + c.logEntry.takeUp.finding.Result.String()
+	case c.logEntry.status != http.StatusOK:
+		outcome = "refused"
+		if err != nil {
+			outcome = code.Of(err).Name()
+		}
+	}
+	c.f.metrics.takeUps.WithLabelValues(outcome).Inc()
+}
--- /dev/null
+++ b/pkg/forward/takeup_test.go
@@ -0,0 +1,71 @@
+package forward_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"ironhollow/pkg/origin"
+)
+
+// Guards against streams that are continued although it is not known, or not possible, to continue them
+// at the release that began them.
+func TestTakeUpWithoutItsReleaseIsRefused(t *testing.T) {
+	begun := func(s *harness, source origin.Source) {
+		s.origins.Record(origin.KeyOf("team", "first"), source, minuteLife)
+	}
+	v0 := origin.Source{Service: "svc", Release: "v0"}
+	for _, c := range []struct {
+		name    string
+		prepare func(*harness)
+		header  []string
+		want    string
+	}{
+		{"known", func(s *harness) { begun(s, v0) }, []string{"Resumes", "first"}, ""},
+		{"not known", func(*harness) {}, []string{"Resumes", "first"}, "origin-unknown"},
+		{"malformed", func(s *harness) { begun(s, v0) }, []string{"Resumes", "first, \"" + strings.Repeat("x", 4<<10)}, "origin-unknown"},
+		{"another team's", func(s *harness) { s.origins.Record(origin.KeyOf("other", "first"), v0, minuteLife) }, []string{"Resumes", "first"}, "origin-unknown"},
+		{"not named, several releases", func(s *harness) { begun(s, v0) }, nil, "origin-unknown"},
+		{"release gone", func(s *harness) { begun(s, origin.Source{Service: "svc", Release: "v9"}) }, []string{"Resumes", "first"}, "release-unavailable"},
+		{"no release", func(s *harness) { begun(s, origin.Source{Service: "svc"}) }, []string{"Resumes", "first"}, "release-unavailable"},
+		{"another service", func(s *harness) { begun(s, origin.Source{Service: "old", Release: "v0"}) }, []string{"Resumes", "first"}, "release-unavailable"},
+		{"repeated ID", func(s *harness) { begun(s, v0); begun(s, origin.Source{Service: "svc", Release: "v1"}) }, []string{"Resumes", "first"}, "origin-unknown"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newHarness(t, spec(), true)
+			for i, release := range []string{"v0", "v1", "v1", "v1"} {
+				s.setRelease(s.addNumberedEndpoint(i, breakAfterTwoEvents(release)), release)
+			}
+			c.prepare(s)
+			got := s.send("POST", "/resume/x", "body", append([]string{"Id", "second", "Last-Event", "2"}, c.header...)...)
+			if c.want == "" {
+				if found := releasesIn(got.body); got.err != nil || len(found) != 1 || found["v0;"] == 0 {
+					t.Errorf("got status %d, error %v, events by release %v, want v0 alone", got.status, got.err, found)
+				}
+				return
+			}
+			if got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, c.want) || got.header.Get("Retry-After") == "" {
+				t.Errorf("got status %d, body %s, Retry-After %q, want 503 %s with Retry-After", got.status, got.body, got.header.Get("Retry-After"), c.want)
+			}
+			if n := len(s.requests()); n != 0 {
+				t.Errorf("requests received by endpoints: got %d, want none", n)
+			}
+		})
+	}
+}
+
+// Guards against callers that cannot take up a stream twice, as they name its first attempt again.
+func TestStreamIsTakenUpTwice(t *testing.T) {
+	s := newHarness(t, spec(), true)
+	for i := range 6 {
+		release := "v" + string(rune('0'+i%3))
+		s.setRelease(s.addNumberedEndpoint(i, breakAfterTwoEvents(release)), release)
+	}
+	body := s.send("POST", "/stream/x", "body", "Id", "first").body
+	for _, again := range [][]string{{"second", "2"}, {"third", "5"}} {
+		body += s.send("POST", "/resume/x", "body", "Id", again[0], "Resumes", "first", "Last-Event", again[1]).body
+	}
+	if found := releasesIn(body); len(found) != 1 || len(strings.Split(body, "id: ")) != 9 {
+		t.Errorf("got %q, want eight events of one release", body)
+	}
+}
--- a/pkg/gossip/events.go
+++ b/pkg/gossip/events.go
@@ -40,6 +40,11 @@
 	Speeds []wireSpeed `cbor:"21,keyasint,omitempty"`
 	// Links reports whether the sender has lost its links to endpoints; see LinkState.
 	Links LinkState `cbor:"23,keyasint,omitempty"`
+	// Origins, OriginQueries and UnknownOrigins hold the records, the queries and the unknown keys of
+	// streams' origins.
+	Origins        []wireOrigin `cbor:"24,keyasint,omitempty"`
+	OriginQueries  [][]byte     `cbor:"25,keyasint,omitempty"`
+	UnknownOrigins [][]byte     `cbor:"26,keyasint,omitempty"`
 }
 
 // isMapMessage reports whether a datagram is a CBOR map, by the major type in its first three
@@ -72,7 +77,7 @@
 	if m.Subscribes && len(m.Hosts) == 1 && m.Hosts[0].Incarnation == m.Incarnation {
 		return Update{Status: roster.Status{Host: m.digest().Hosts[0]}, Brief: true, Subscribes: true}, nil
 	}
-	update := Update{Brief: true, Cases: m.cases(now), Notices: m.notices(), TeamUsage: decodeTeamUsage(m.TeamUsage), Work: m.work(), Digest: m.digest(), Speeds: m.speeds()}
+	update := Update{Brief: true, Cases: m.cases(now), Notices: m.notices(), TeamUsage: decodeTeamUsage(m.TeamUsage), Work: m.work(), Digest: m.digest(), Speeds: m.speeds(), Origins: m.origins()}
 	if m.Links <= LinksRestored {
 		update.Links = m.Links
 	}
@@ -170,5 +175,5 @@
 
 // ago returns the time ms milliseconds before now. A negative age counts as 0.
 func ago(now time.Time, ms int64) time.Time {
-	return now.Add(-time.Duration(min(max(ms, 0), maxAge.Milliseconds())) * time.Millisecond)
+	return now.Add(-millis(ms))
 }
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/netip"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -62,6 +63,10 @@
 	Digest roster.Digest
 	// Links is what the sender reports about its links to endpoints, in its own datagram.
 	Links LinkState
+	// Origins concerns the origins of streams, in its own datagram. From is then the address that it
+	// came from.
+	Origins Origins
+	From    string
 	// Subscribes reports whether the sender subscribes to digests; nothing else is sent then.
 	Subscribes bool
 }
@@ -274,7 +279,7 @@
 func (e *Exchange) receive() {
 	buffer := make([]byte, maxBytes+1)
 	for {
-		n, _, err := e.conn.ReadFromUDP(buffer)
+		n, from, err := e.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			// The socket is closed only when the process exits.
 			e.log.Debug().Err(err).Msg("stopped receiving datagrams")
@@ -285,6 +290,9 @@
 			e.log.Debug().Err(err).Msg("failed to decode datagram")
 			continue
 		}
+		if !update.Origins.isEmpty() {
+			update.From = netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String()
+		}
 		e.handle(update)
 	}
 }
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -1,11 +1,43 @@
 // Package origin records at which back end each stream began. What two releases of a back end write
-// does not fit together, so a stream that was broken off may go on only at the release that began it,
-// also if its caller takes it up at another host. Hosts share the records: see Directory.
+// does not fit together, so a stream that was broken off may continue only at the release that began
+// it, also if its caller takes it up at another host. The host that relays a stream sends a record to
+// a few others before the first event leaves; a host at which the stream is taken up asks them. A
+// record that is lost means that the origin is not known, never that it is another one.
 package origin
 
+import (
+	"crypto/sha256"
+	"time"
+)
+
 // Source is the back end at which a stream began.
 type Source struct {
 	Service string
 	// Release is the version of the software of the service's endpoint, empty if it reports none.
 	Release string
 }
+
+// Key identifies an attempt of a team's caller.
+type Key [12]byte
+
+// KeyOf returns the key of an attempt. A team's callers cannot find or change the records of another
+// team, whatever IDs they name.
+func KeyOf(team, attempt string) Key {
+	h := sha256.New()
+	// Writing to a hash never fails.
+	_, _ = h.Write([]byte(team))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(attempt))
+	return Key(h.Sum(nil)[:len(Key{})])
+}
+
+// Record is what hosts send each other of a stream.
+type Record struct {
+	Key    Key
+	Source Source
+	// Conflicts is set if streams with the same key began at several sources. The key then identifies
+	// none of them.
+	Conflicts bool
+	// Age is the time since the first of them began, Life how much longer the record is kept.
+	Age, Life time.Duration
+}
--- a/pkg/roster/advertised.go
+++ b/pkg/roster/advertised.go
@@ -10,6 +10,8 @@
 // AdvertisedHost is an entry host whose address is given to callers.
 type AdvertisedHost struct {
 	Node, DataCenter, CallerAddress string
+	// PeerAddress is the address for datagrams of other hosts, empty if it is not known.
+	PeerAddress string
 }
 
 // Parameters of the set of hosts that are advertised to callers. In a large fleet a few hosts serve
@@ -44,7 +46,7 @@
 	defer r.mu.Unlock()
 	var list []AdvertisedHost
 	for _, m := range r.advertised() {
-		list = append(list, AdvertisedHost{m.row.Node, m.row.DataCenter, m.row.CallerAddress})
+		list = append(list, AdvertisedHost{m.row.Node, m.row.DataCenter, m.row.CallerAddress, m.row.PeerAddress})
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Node < list[j].Node })
 	return list
--- a/pkg/roster/cut.go
+++ b/pkg/roster/cut.go
@@ -84,7 +84,7 @@
 	var all, inTouch []AdvertisedHost
 	total, inTouchCores := 0, 0
 	for _, m := range r.advertised() {
-		host := AdvertisedHost{m.row.Node, m.row.DataCenter, m.row.CallerAddress}
+		host := AdvertisedHost{m.row.Node, m.row.DataCenter, m.row.CallerAddress, m.row.PeerAddress}
 		all = append(all, host)
 		total += m.size()
 		if !m.isCut(now) {
--- a/pkg/routetable/routetable.go
+++ b/pkg/routetable/routetable.go
@@ -5,6 +5,7 @@
 
 import (
 	"net"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -60,6 +61,11 @@
 	Resumable bool
 }
 
+// LeadsTo reports whether the route sends requests to a service.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Splits, func(s Split) bool { return s.Service == service })
+}
+
 // MayRepeat reports whether a request may run more than once.
 func (r *Route) MayRepeat() bool {
 	return r.Kind == Safe || r.Kind == Stream && r.Resumable
--- a/pkg/soak/takeups.go
+++ b/pkg/soak/takeups.go
@@ -17,7 +17,7 @@
 )
 
 // TakeUps are streams that callers take up at other hosts, in rounds. Each round breaks the streams at
-// one host, and those that go on once more at the next.
+// one host, and those that continue once more at the next.
 type TakeUps struct {
 	Rounds, StreamsPerRound int
 	// Break breaks the streams at a host.
@@ -38,7 +38,7 @@
 type TakeUpOutcome struct {
 	// Begun counts streams that began, Mixed those of them with events of several releases.
 	Begun, Mixed int
-	// TakenUp counts the times that a stream was taken up, WentOn those after which it went on.
+	// TakenUp counts the times that a stream was taken up, WentOn those after which it continued.
 	TakenUp, WentOn int
 }
 
@@ -51,6 +51,9 @@
 	takeUpPause = 100 * time.Millisecond
 	// silenceTimeout is the time without an event after which a caller gives a stream up.
 	silenceTimeout = 250 * time.Millisecond
+	// meetTime is the time in which hosts that start together find each other, settleTime that for a
+	// restarted host.
+	meetTime, settleTime = 3 * time.Second, 500 * time.Millisecond
 	// minEvents is the least number of events of the streams used.
 	minEvents = 18
 )
@@ -63,7 +66,7 @@
 	if err := r.start(); err != nil {
 		return Outcome{}, TakeUpOutcome{}, err
 	}
-	r.wait(ctx, warmUpTime)
+	r.wait(ctx, meetTime)
 	var got TakeUpOutcome
 	for round := range takeUps.Rounds {
 		var streams []*brokenStream
@@ -81,6 +84,7 @@
 		if err := r.waitReady(startTimeout); err != nil {
 			return Outcome{}, got, err
 		}
+		r.wait(ctx, settleTime)
 	}
 	return r.outcome(), got, ctx.Err()
 }
@@ -136,7 +140,7 @@
 	}
 }
 
-// takeUp begins the stream at a host, or goes on there after its last event, and at the next hosts if that
+// takeUp begins the stream at a host, or continues there after its last event, and at the next hosts if that
 // host does not serve it. reached is called once the stream has some events at the host, or ends.
 func (s *brokenStream) takeUp(ctx context.Context, host int, reached func(), breaks bool) {
 	defer reached()
--- a/pkg/soak/takeups_test.go
+++ b/pkg/soak/takeups_test.go
@@ -7,7 +7,7 @@
 	"ironhollow/pkg/soak"
 )
 
-// Guards against streams that callers take up at another host and that go on at another release.
+// Guards against streams that callers take up at another host and that continue at another release.
 func TestStreamTakenUpElsewhereGoesOnAtItsRelease(t *testing.T) {
 	program := buildNode(t)
 	for _, way := range []struct {
