forward: count a stopped run as ended before its stream is, in a test of moves

TestMoves failed once beside other tests: two runs at a time where one is allowed. The scripted source wrote the end of its stream before it recorded that its run had ended, so that the target could begin in between; with a pause of 5 ms there the case fails each time. The source now records the end first, as it does where its stream stays open. The check is unchanged.

--- a/pkg/forward/mover_test.go
+++ b/pkg/forward/mover_test.go
@@ -152,6 +152,7 @@
 				_, _ = io.Copy(io.Discard, c)
 			}
 			if p.properEnd {
+				ended()
 				_, _ = io.WriteString(c, "0\r\n\r\n")
 			}
 			return false
