forward: serve take-ups that name no attempt as before

What callers saw: on deployments whose callers send Last-Event-Id alone, a take-up was refused while the service ran several releases.

Change: the origin is looked up only for a named attempt.

--- a/pkg/forward/takeup.go
+++ b/pkg/forward/takeup.go
@@ -24,32 +24,21 @@
 // takeUp is a caller's request to continue a stream, as it was decided on.
 type takeUp struct {
 	finding origin.Finding
-	// isNamed is set if the caller names the attempt that brought the first event.
-	isNamed bool
 	took    time.Duration
 }
 
-// isTakeUp reports whether the caller takes up a stream that it has received events of.
-func (c *call) isTakeUp() bool {
-	return c.route.Kind == routetable.Stream && (c.meta.LastEventID != "" || c.meta.Resumes != "")
-}
-
 // findOrigin finds where the stream that the request continues began. It returns an error if that is not
-// known, as another release would garble the stream.
+// known, as another release would garble the stream. On deployments whose callers name no attempt,
+// releases fit together, and a stream may continue at any.
 func (c *call) findOrigin(ctx context.Context) error {
 	switch {
 	case c.detour != nil && c.detour.origin != nil:
 		return c.adoptOrigin(*c.detour.origin)
-	case c.detour != nil || !c.isTakeUp():
+	case c.detour != nil || c.route.Kind != routetable.Stream || c.meta.Resumes == "":
 		return nil
 	}
 	started := c.f.clock()
-	t := &takeUp{isNamed: c.meta.Resumes != ""}
-	if t.isNamed {
-		t.finding = c.f.origins.Find(ctx, origin.KeyOf(c.teamName(), c.meta.Resumes))
-	} else {
-		t.finding = c.guessOrigin()
-	}
+	t := &takeUp{finding: c.f.origins.Find(ctx, origin.KeyOf(c.teamName(), c.meta.Resumes))}
 	t.took = c.f.clock().Sub(started)
 	c.logEntry.takeUp = t
 	if t.finding.Result != origin.Known {
@@ -58,16 +47,6 @@
 	return c.adoptOrigin(t.finding.Source)
 }
 
-// guessOrigin returns the origin of a stream whose caller names no attempt, if the service runs only one
-// release.
-func (c *call) guessOrigin() origin.Finding {
-	release, ok := c.f.router.SoleRelease(c.service.Name)
-	if !ok {
-		return origin.Finding{Result: origin.Unknown}
-	}
-	return origin.Finding{Source: origin.Source{Service: c.service.Name, Release: release}}
-}
-
 // adoptOrigin restricts the request to the service and the release at which its stream began.
 func (c *call) adoptOrigin(source origin.Source) error {
 	if !c.route.LeadsTo(source.Service) {
@@ -109,7 +88,7 @@
 // log adds the take-up to a request's line.
 func (t *takeUp) log(line *log.Entry) *log.Entry {
 	f := t.finding
-	return line.Str("origin", f.Result.String()).Bool("origin-named", t.isNamed).Str("origin-service", f.Source.Service).Str("origin-release", f.Source.Release).
+	return line.Str("origin", f.Result.String()).Str("origin-service", f.Source.Service).Str("origin-release", f.Source.Release).
 		Str("origin-from", f.From).Dur("origin-age", f.Age).Int("origin-asked", f.Asked).Dur("origin-took", t.took)
 }
 
