route: use ejected endpoints of a release if most of it is unavailable

What callers saw: a stream whose release has two endpoints, both ejected, was refused for two seconds or more while the rest of the service was fine.

Cause: ejected endpoints are used again once over half of the service is unavailable, though only one release may continue the stream.

Change: for such a request the share is that of its release.

--- a/pkg/route/backoff.go
+++ b/pkg/route/backoff.go
@@ -126,6 +126,21 @@
 	return shortest
 }
 
+// unavailableOf returns the number of slots that may take a request and, of these, how many are ejected,
+// in backoff or at their limit. The group's lock must be held.
+func (g *group) unavailableOf(q *Query, now time.Time) (unavailable, total int) {
+	for _, s := range g.slots {
+		if !q.Rule.Allows(&s.info) {
+			continue
+		}
+		total++
+		if now.Before(s.load.ejectedUntil) || now.Before(s.load.backoff.requestedUntil) || !s.load.allows(q.hosts, now) {
+			unavailable++
+		}
+	}
+	return unavailable, total
+}
+
 // unavailable returns the number of slots that are ejected, in backoff or at their limit. The
 // group's lock must be held.
 func (g *group) unavailable(hosts *ratelimit.Hosts, now time.Time) int {
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -373,7 +373,7 @@
 }
 
 // usable reports whether a slot may take the request. Ejected endpoints stay usable once more than
-// maxEjectShare of the group is unavailable. An endpoint that requested a backoff, or whose limit
+// maxEjectShare of the group is unavailable, or of the release that alone may take the request. An endpoint that requested a backoff, or whose limit
 // is used up, is never usable.
 func (g *group) usable(s *slot, q Query, now time.Time) bool {
 	if s.leaving || !q.Rule.Allows(&s.info) {
@@ -394,7 +394,11 @@
 		return false
 	}
 	if now.Before(s.load.ejectedUntil) {
-		return float64(g.unavailable(q.hosts, now)) > maxEjectShare*float64(len(g.slots))
+		unavailable, total := g.unavailable(q.hosts, now), len(g.slots)
+		if q.Rule.IsPinned {
+			unavailable, total = g.unavailableOf(&q, now)
+		}
+		return float64(unavailable) > maxEjectShare*float64(total)
 	}
 	return true
 }
