forward: queue streams for the slots of their own release

What callers saw: beside fragile endpoints, a stream to be continued waited behind requests for slots of other releases, or was refused for them, while endpoints of its own release had free slots.

Cause: one queue a service; it measured the wait by all who were ahead and let one request try for each slot released.

Change: requests that continue streams wait in a queue for each release, and a released slot wakes the first of each queue.

--- a/pkg/forward/slotwait.go
+++ b/pkg/forward/slotwait.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
+	"ironhollow/pkg/origin"
 	"ironhollow/pkg/route"
 	"ironhollow/pkg/slotqueue"
 )
@@ -13,47 +15,68 @@
 // shares of slots also grow with time.
 const slotPollInterval = 20 * time.Millisecond
 
-// slotQueues holds the requests that wait for a slot of a fragile endpoint, by service. It is safe for
+// slotQueues holds the requests that wait for a slot of a fragile endpoint, by service and, for those
+// that continue streams, by the release that may take them: its slots bound their wait. It is safe for
 // concurrent use.
 type slotQueues struct {
 	mu        sync.RWMutex
-	byService map[string]*slotqueue.Queue
+	byService map[string]map[origin.Source]*slotqueue.Queue
 }
 
-func newSlotQueues() *slotQueues { return &slotQueues{byService: map[string]*slotqueue.Queue{}} }
+func newSlotQueues() *slotQueues {
+	return &slotQueues{byService: map[string]map[origin.Source]*slotqueue.Queue{}}
+}
 
-// get returns the queue of a service, nil if no request of it has waited.
-func (q *slotQueues) get(service string) *slotqueue.Queue {
+// get returns the queue of requests that may go to a source, or to any if it is zero; nil if none has
+// waited.
+func (q *slotQueues) get(service string, only origin.Source) *slotqueue.Queue {
 	q.mu.RLock()
 	defer q.mu.RUnlock()
-	return q.byService[service]
+	return q.byService[service][only]
 }
 
-func (q *slotQueues) getOrCreate(service string) *slotqueue.Queue {
+func (q *slotQueues) getOrCreate(service string, only origin.Source) *slotqueue.Queue {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	queue, ok := q.byService[service]
+	queue, ok := q.byService[service][only]
 	if !ok {
 		queue = &slotqueue.Queue{}
-		q.byService[service] = queue
+		// The maps in use are never changed.
+		queues := maps.Clone(q.byService[service])
+		if queues == nil {
+			queues = map[origin.Source]*slotqueue.Queue{}
+		}
+		queues[only] = queue
+		q.byService[service] = queues
 	}
 	return queue
 }
 
-// wakeNext lets the next waiting request of a target try again.
+// wakeNext lets the next waiting request of each queue of a target try again.
 func (q *slotQueues) wakeNext(target route.Target) {
-	if queue := q.get(target.Service); queue != nil {
+	q.mu.RLock()
+	queues := q.byService[target.Service]
+	q.mu.RUnlock()
+	for _, queue := range queues {
 		queue.WakeNext()
 	}
 }
 
+// onlySource returns the source whose endpoints alone may take the request, zero if there is none.
+func (c *call) onlySource() origin.Source {
+	if c.origin == nil {
+		return origin.Source{}
+	}
+	return *c.origin
+}
+
 // chooseEndpoint picks the next endpoint. If this host may send no more to the service's fragile
 // endpoints, the request waits for a slot, behind those that wait already.
 func (c *call) chooseEndpoint(ctx context.Context) (route.Choice, bool) {
 	if ctx.Err() != nil {
 		return route.Choice{}, false
 	}
-	queue := c.f.slotQueues.get(c.service.Name)
+	queue := c.f.slotQueues.get(c.service.Name, c.onlySource())
 	mustQueue := queue != nil && queue.Len() > 0
 	if !mustQueue {
 		if choice, ok := c.chooseNow(); ok || c.retryAfter > 0 {
@@ -77,7 +100,7 @@
 // waitForSlot waits until this host may send the request to an endpoint. ok is false, and
 // slotRetryAfter is set, if that is not expected in time or does not happen.
 func (c *call) waitForSlot(ctx context.Context, capacity slotqueue.Capacity, now time.Time) (choice route.Choice, ok bool) {
-	queue := c.f.slotQueues.getOrCreate(c.service.Name)
+	queue := c.f.slotQueues.getOrCreate(c.service.Name, c.onlySource())
 	woken := make(chan struct{}, 1)
 	entry := queue.NewEntry(c.priority, now, func() { woken <- struct{}{} })
 	request := slotqueue.Request{Objective: c.route.LatencyObjective, Elapsed: now.Sub(c.started), Priority: c.priority}
--- a/pkg/forward/takeup_test.go
+++ b/pkg/forward/takeup_test.go
@@ -1,9 +1,13 @@
 package forward_test
 
 import (
+	"net"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"ironhollow/pkg/origin"
 )
@@ -68,3 +72,40 @@
 		t.Errorf("got %q, want eight events of one release", body)
 	}
 }
+
+// Guards against streams that wait behind requests for slots that they may not use, or are refused because of
+// them.
+func TestTakeUpDoesNotWaitForSlotsOfOtherReleases(t *testing.T) {
+	const callers = 12
+	slow := respond("HTTP/1.1 200 OK\r\nId: %id\r\nSigned: yes\r\nMax-Rejections: 20\r\nContent-Type: text/event-stream\r\nContent-Length: 15\r\n\r\nid: 9\ndata: x\n\n", true)
+	patient := patientSpec()
+	for i := range patient.Routes {
+		patient.Routes[i].LatencyObjective = patient.Routes[i].Timeout
+	}
+	s := newHarness(t, patient, true)
+	for i, release := range []string{"v0", "v1"} {
+		s.setRelease(s.addNumberedEndpoint(i, func(c net.Conn, r *http.Request) bool {
+			if release == "v1" {
+				time.Sleep(800 * time.Millisecond)
+			}
+			return slow(c, r)
+		}), release)
+	}
+	for _, release := range []string{"v0", "v1"} {
+		s.origins.Record(origin.KeyOf("team", release), origin.Source{Service: "svc", Release: release}, minuteLife)
+		s.send("POST", "/resume/x", "body", "Id", "first", "Resumes", release, "Last-Event", "2")
+	}
+	var group sync.WaitGroup
+	for i := range callers {
+		group.Go(func() {
+			s.send("POST", "/resume/x", "body", "Id", "busy-"+strconv.Itoa(i), "Resumes", "v1", "Last-Event", "2")
+		})
+	}
+	time.Sleep(50 * time.Millisecond)
+	startedAt := time.Now()
+	got := s.send("POST", "/resume/x", "body", "Id", "second", "Resumes", "v0", "Last-Event", "2")
+	if took := time.Since(startedAt); got.status != http.StatusOK || took > 400*time.Millisecond {
+		t.Errorf("got status %d after %v, want 200 at once: its release has free slots", got.status, took)
+	}
+	group.Wait()
+}
