rollout: continue streams of a release that served before its order

What callers saw: once an order names a release that serves already, streams of that release could not be continued until the first directive arrived, and then at two of its endpoints only.

Cause: the rule for streams treated every target as a release under test.

Change: a target that was in use before the order continues its streams at all its endpoints, until the order is reverted. TestStreamOfReleaseInUseContinuesAfterOrder got 2 endpoints and a refusal before, all 8 now.

--- a/pkg/rollout/switch.go
+++ b/pkg/rollout/switch.go
@@ -375,7 +375,7 @@
 	if state == nil || state.nothingToSplit {
 		return rule, true
 	}
-	if release == state.order.Target && state.phase < Draining {
+	if release == state.order.Target && state.phase < Draining && !state.targetInUse {
 		rule.OnlyEndpoints = state.trialEndpoints
 		return rule, !state.expired(now)
 	}
--- a/pkg/rollout/switch_test.go
+++ b/pkg/rollout/switch_test.go
@@ -344,3 +344,20 @@
 		}
 	}
 }
+
+// Guards against refusing streams of a release that served before an order for it.
+func TestStreamOfReleaseInUseContinuesAfterOrder(t *testing.T) {
+	s, infos := newSplitter("v1", "v2")
+	s.AddOrder(order, false)
+	s.UpdateEndpoints(infos, true, began)
+	rule, ok := s.StreamRule(service, "v2", began)
+	allowed := 0
+	for _, info := range infos {
+		if rule.Allows(&info) {
+			allowed++
+		}
+	}
+	if !ok || allowed != 8 {
+		t.Errorf("got %v and %d endpoints, want the 8 of the release", ok, allowed)
+	}
+}
