forward: do not continue streams of an endpoint that became another release

What callers saw: a stream that an endpoint had begun after it started again under its ID as another release, while its row was old, continued at the release of the old row.

Cause: a stream's release is that of the row by which its endpoint was chosen.

Change: if the row shows another incarnation and release when the stream breaks off, it is not resumed, and its record gets the second release too, so that it identifies none. TestStreamOfRestartedEndpointIsNotContinued: 200 before, 503 origin-unknown now. A stream that is continued at such an endpoint before its row is read is still mixed.

--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -162,6 +162,9 @@
 		}
 		observed.Decode = c.f.clock().Sub(startedAt)
 		observed.Tokens = (s.eventCount - 1) * c.service.TokensPerEvent
+		if err != nil && originErr == nil && c.hasChangedRelease(choice) {
+			originErr = errChangedRelease
+		}
 		at := c.endTracking(ctx, s.relayed, err)
 		e.Close()
 		isStopped := at.Place == migrate.AtTarget || at.Place == migrate.AtSource
--- a/pkg/forward/takeup.go
+++ b/pkg/forward/takeup.go
@@ -10,6 +10,7 @@
 
 	"ironhollow/pkg/code"
 	"ironhollow/pkg/origin"
+	"ironhollow/pkg/route"
 	"ironhollow/pkg/routetable"
 )
 
@@ -63,8 +64,10 @@
 // began.
 var errUnknownOrigin = errors.New("the other host does not name the release")
 
-// beginStream records where the stream that is relayed began, before its first event is sent. Records of a
-// forwarded request are made by the host that the caller is connected to.
+// errChangedRelease means that the endpoint of a stream has started again as another release.
+var errChangedRelease = errors.New("the endpoint has started again as another release")
+
+// beginStream records where the stream that is relayed began, before its first event is sent.
 func (c *call) beginStream(source origin.Source, header http.Header, isDetour bool) error {
 	if isDetour {
 		var err error
@@ -73,8 +76,15 @@
 		}
 	}
 	c.setOrigin(source)
+	c.recordOrigin(source)
+	return nil
+}
+
+// recordOrigin records where the caller's stream began. Records of a forwarded request are made by the host
+// that the caller is connected to.
+func (c *call) recordOrigin(source origin.Source) {
 	if c.detour != nil {
-		return nil
+		return
 	}
 	life := time.Until(c.deadline) + returnTime
 	c.f.origins.Record(origin.KeyOf(c.teamName(), c.meta.ID), source, life)
@@ -82,7 +92,18 @@
 		// The caller names the first attempt again if it takes the stream up once more.
 		c.f.origins.Record(origin.KeyOf(c.teamName(), c.meta.Resumes), source, life)
 	}
-	return nil
+}
+
+// hasChangedRelease reports whether the endpoint has started again as another release since it was
+// chosen. It may have done so before the request arrived, so that it is not known which release the stream
+// is of: its record then has no origin.
+func (c *call) hasChangedRelease(choice route.Choice) bool {
+	info, ok := c.f.router.Lookup(choice.Endpoint.ID)
+	if !ok || info.Incarnation == choice.Endpoint.Incarnation || info.Release == choice.Endpoint.Release {
+		return false
+	}
+	c.recordOrigin(origin.Source{Service: c.service.Name, Release: info.Release})
+	return true
 }
 
 // log adds the take-up to a request's line.
--- a/pkg/forward/takeup_test.go
+++ b/pkg/forward/takeup_test.go
@@ -109,3 +109,23 @@
 	}
 	group.Wait()
 }
+
+// Guards against streams that are continued at the release of an endpoint's row while the endpoint has started
+// again as another one.
+func TestStreamOfRestartedEndpointIsNotContinued(t *testing.T) {
+	s := newHarness(t, spec(), true)
+	restarted := breakAfterTwoEvents("v1")
+	s.setRelease(s.addNumberedEndpoint(0, func(c net.Conn, r *http.Request) bool {
+		// The row of the endpoint arrives while it runs the request.
+		info := s.endpoint("e0")
+		info.Release, info.Incarnation = "v1", 2
+		s.directory.Merge(info)
+		return restarted(c, r)
+	}), "v0")
+	got := s.send("POST", "/resume/x", "body", "Id", "first")
+	s.setRelease(s.addNumberedEndpoint(1, breakAfterTwoEvents("v0")), "v0")
+	again := s.send("POST", "/resume/x", "body", "Id", "second", "Resumes", "first", "Last-Event", "2")
+	if got.err == nil || again.status != http.StatusServiceUnavailable || !strings.Contains(again.body, "origin-unknown") {
+		t.Errorf("got error %v, then status %d, %s, want a broken stream and 503 origin-unknown", got.err, again.status, again.body)
+	}
+}
