--- a/pkg/forward/release_test.go
+++ b/pkg/forward/release_test.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"strings"
 	"testing"
+
+	"ironhollow/pkg/endpoint"
 )
 
 // setRelease sets the release of an endpoint.
@@ -79,3 +81,25 @@
 		t.Errorf("requests received by endpoints: got %d, want 1", n)
 	}
 }
+
+// Guards against streams that another host forwards and resumes at another release, and whose caller cannot
+// take them up.
+func TestForwardedStreamIsResumedAtItsRelease(t *testing.T) {
+	cut, _, others := newCutHost(t, nil)
+	for i := range 6 {
+		release := "v" + strconv.Itoa(i%3)
+		others[0].setRelease(others[0].addNumberedEndpoint(i, breakAfterTwoEvents(release)), release)
+	}
+	others[0].directory.Merge(endpoint.Info{ID: "endpoint-0", Incarnation: 1, State: endpoint.Gone})
+	for i := range 12 {
+		id := "request-" + strconv.Itoa(i)
+		got := cut.send("POST", "/resume/x", "body", "Id", id)
+		if found := releasesIn(got.body); got.err != nil || len(found) != 1 {
+			t.Errorf("%s: got status %d, error %v, events by release %v, want one release and no error", id, got.status, got.err, found)
+		}
+		again := cut.send("POST", "/resume/x", "body", "Id", id+"-again", "Resumes", id, "Last-Event", "5")
+		if found := releasesIn(got.body + again.body); again.status != http.StatusOK || len(found) != 1 {
+			t.Errorf("%s: taken up: got status %d, events by release %v, want one release", id, again.status, found)
+		}
+	}
+}
