reach, forward: refuse requests at once while no host reaches an endpoint

What callers saw: while all hosts were cut from the endpoints and connections hung, a request waited until its deadline; the slowest refusal took 4.0 s, 5 of 251 tries were refused.

Cause: a host that finds no endpoint, and no other host that does, does not count as cut, since a detour would not help. It then sent as usual, into connections that nothing answers.

Change: after two such checks in a row the host refuses new requests as not run. It goes on checking, every 0.7 s; a byte or an accepted connection ends it. One check alone is not enough, as a sound endpoint may be silent for a second.

--- a/pkg/forward/detour.go
+++ b/pkg/forward/detour.go
@@ -407,7 +407,7 @@
 	switch {
 	case err != nil:
 		c.detourError = code.New(code.BadHeader, "malformed detour: "+err.Error())
-	case f.links.IsCut():
+	case f.links.IsCut() || f.links.NoneReachable():
 		c.detourError = code.New(code.CutOff, "this host does not reach endpoints either")
 	case phase == Draining || phase == Stopping:
 		c.detourError = code.New(code.Stopping, "this host is stopping")
--- a/pkg/forward/detour_test.go
+++ b/pkg/forward/detour_test.go
@@ -27,6 +27,8 @@
 
 func (l *testLinks) IsCut() bool { return l.cut.Load() }
 
+func (l *testLinks) NoneReachable() bool { return false }
+
 func (l *testLinks) Settle(record func()) { record() }
 
 // servePeers starts the peers' port of a host and returns its links and its address.
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -259,6 +259,9 @@
 	if remaining, quarantined := c.quarantined(); quarantined {
 		return c.reject(errQuarantined, remaining)
 	}
+	if c.f.links.NoneReachable() {
+		return c.reject(code.New(code.NoEndpoint, "no endpoint can be reached from any host"), retryAfterShort)
+	}
 	if err = c.findOrigin(c.incoming.Context()); err != nil {
 		return c.reject(err, retryAfterShort)
 	}
--- a/pkg/forward/links.go
+++ b/pkg/forward/links.go
@@ -4,6 +4,8 @@
 type Links interface {
 	// IsCut reports whether this host has lost them, so that failures show nothing about endpoints.
 	IsCut() bool
+	// NoneReachable reports whether no endpoint can be reached from any host.
+	NoneReachable() bool
 	// Settle calls record once it is known that a failure that has just occurred was not caused by the
 	// loss of the links, and never if it was.
 	Settle(record func())
@@ -16,4 +18,5 @@
 type soundLinks struct{}
 
 func (soundLinks) IsCut() bool          { return false }
+func (soundLinks) NoneReachable() bool  { return false }
 func (soundLinks) Settle(record func()) { record() }
--- a/pkg/forward/links_test.go
+++ b/pkg/forward/links_test.go
@@ -9,8 +9,9 @@
 // lostLinks are the links of a host that is cut.
 type lostLinks struct{}
 
-func (lostLinks) IsCut() bool   { return true }
-func (lostLinks) Settle(func()) {}
+func (lostLinks) IsCut() bool         { return true }
+func (lostLinks) NoneReachable() bool { return false }
+func (lostLinks) Settle(func())       {}
 
 // Guards against requests that count as crashing endpoints because this host has lost its links to them.
 func TestFailuresOfCutHostAreNoCrashes(t *testing.T) {
--- a/pkg/reach/detector.go
+++ b/pkg/reach/detector.go
@@ -39,6 +39,10 @@
 	// maxAlone is the number of checks in a row without another host that reaches endpoints after which
 	// a host no longer counts as cut: the endpoints are dead, or all hosts are cut.
 	maxAlone = 3
+	// deadChecks is the number of checks in a row without an endpoint or a host in touch from which no
+	// endpoint counts as reachable from any host. One check may fall into the second for which a sound
+	// endpoint is silent.
+	deadChecks = 2
 )
 
 // Detector holds what this host's connections to endpoints show. It is safe for concurrent use.
@@ -48,6 +52,9 @@
 	// the first.
 	receivedAt atomic.Int64
 	cut        atomic.Bool
+	// deadAt is the value of receivedAt when no endpoint was found reachable from any host, -1 while one
+	// is. A byte that has arrived since shows that one is.
+	deadAt atomic.Int64
 
 	mu sync.Mutex
 	// epoch grows when a byte makes the fields below up to failedAt obsolete; seenAt is the value of
@@ -70,6 +77,9 @@
 	cutSince, detectedAt time.Time
 	// accepting is the number of the latest checks in a row during a cut in which an endpoint accepted.
 	accepting int
+	// dead is the number of the latest checks in a row that found neither an endpoint nor a host in
+	// touch.
+	dead int
 	// alone is the number of the latest checks in a row during a cut in which no other host reached
 	// endpoints.
 	alone int
@@ -77,7 +87,9 @@
 
 // NewDetector returns a Detector that has seen nothing.
 func NewDetector(now time.Time) *Detector {
-	return &Detector{base: now, interval: minCheckInterval}
+	d := &Detector{base: now, interval: minCheckInterval}
+	d.deadAt.Store(-1)
+	return d
 }
 
 // Wait identifies a request that waits for a response.
@@ -149,6 +161,13 @@
 // IsCut reports whether this host has lost its links to endpoints.
 func (d *Detector) IsCut() bool { return d.cut.Load() }
 
+// NoneReachable reports whether no endpoint can be reached from any host: all are dead, or all hosts are
+// cut. A request that is sent then waits until its deadline.
+func (d *Detector) NoneReachable() bool {
+	at := d.deadAt.Load()
+	return at >= 0 && at == d.receivedAt.Load()
+}
+
 // IsDoubtful reports whether failures may come from a cut: the host is cut, or connections have failed
 // without a byte from any endpoint since, for less than the time in which a check decides.
 func (d *Detector) IsDoubtful(now time.Time) bool {
@@ -240,11 +259,16 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	answered := d.lastAnswer().After(startedAt)
+	d.countDead(c, answered)
 	if d.cut.Load() {
 		return d.checkEnd(c)
 	}
 	if c.Tried == 0 || c.Accepted > 0 || answered || c.InTouch == 0 {
 		d.interval = min(2*d.interval, maxCheckInterval)
+		if d.dead > 0 {
+			// The next check decides whether requests are refused.
+			d.interval = minCheckInterval
+		}
 		if c.Accepted > 0 {
 			// What required the check has another cause.
 			d.failed, d.waited, d.waitingSince = nil, 0, now
@@ -256,6 +280,19 @@
 	return CutDetected
 }
 
+// countDead records whether any host reaches an endpoint. The caller must hold d.mu.
+func (d *Detector) countDead(c Check, answered bool) {
+	d.dead++
+	if c.Tried == 0 || c.Accepted > 0 || c.InTouch > 0 || answered {
+		d.dead = 0
+	}
+	if d.dead < deadChecks {
+		d.deadAt.Store(-1)
+		return
+	}
+	d.deadAt.Store(d.receivedAt.Load())
+}
+
 // checkEnd applies the result of a check to a host that is cut. The caller must hold d.mu.
 func (d *Detector) checkEnd(c Check) Change {
 	d.alone++
--- a/pkg/reach/monitor.go
+++ b/pkg/reach/monitor.go
@@ -44,6 +44,8 @@
 	// range in which it varies: many hosts may be cut at once.
 	endCheckInterval = 300 * time.Millisecond
 	endCheckJitter   = 100 * time.Millisecond
+	// deadCheckInterval is the time between checks while no host reaches an endpoint.
+	deadCheckInterval = 700 * time.Millisecond
 	// maxTargets is the number of endpoints and of hosts in a check.
 	maxTargets = 3
 )
@@ -88,6 +90,9 @@
 // IsCut reports whether this host has lost its links to endpoints.
 func (m *Monitor) IsCut() bool { return m.detector.IsCut() }
 
+// NoneReachable reports whether no endpoint can be reached from any host.
+func (m *Monitor) NoneReachable() bool { return m.detector.NoneReachable() }
+
 // IsDoubtful reports whether this host is cut, or whether a check that is under way or due may show it.
 func (m *Monitor) IsDoubtful() bool { return m.detector.IsDoubtful(m.now()) }
 
@@ -155,6 +160,9 @@
 		kick()
 		m.settle()
 		switch wait, due := m.detector.UntilCheck(m.now()); {
+		case m.NoneReachable():
+			pause.For(ctx, deadCheckInterval)
+			m.check(ctx)
 		case m.IsCut():
 			pause.For(ctx, endCheckInterval+endCheckJitter*time.Duration(rand.IntN(1000)-500)/1000)
 			m.check(ctx)
@@ -188,7 +196,7 @@
 
 // check makes one check and applies its result.
 func (m *Monitor) check(ctx context.Context) {
-	startedAt := m.now()
+	startedAt, noneReachable := m.now(), m.NoneReachable()
 	m.detector.CheckStarted(startedAt)
 	c := m.measure(ctx)
 	if ctx.Err() != nil {
@@ -197,6 +205,9 @@
 	now := m.now()
 	change := m.detector.CheckDone(c, startedAt, now)
 	m.metrics.count(c, m.IsCut())
+	if now := m.NoneReachable(); now != noneReachable {
+		m.logChange(c).Bool("refused", now).Msg("no endpoint reachable from any host")
+	}
 	switch change {
 	case CutDetected:
 		sinceAnswer := now.Sub(m.detector.CutSince())
--- a/pkg/reach/monitor_test.go
+++ b/pkg/reach/monitor_test.go
@@ -277,3 +277,36 @@
 		}
 	})
 }
+
+// Guards against requests that are sent, and wait until their deadline, while no host reaches an endpoint.
+func TestNoEndpointReachableIsDetectedAndEnds(t *testing.T) {
+	w := &world{endpoints: 6}
+	run(t, w, func() {
+		until := func(none bool, limit time.Duration) time.Duration {
+			start := time.Now()
+			for time.Since(start) < limit && w.monitor.NoneReachable() != none {
+				time.Sleep(5 * time.Millisecond)
+			}
+			return time.Since(start)
+		}
+		w.set(func() { w.hangs = true })
+		w.monitor.Started("1")
+		if took := until(true, 4*time.Second); took > 2500*time.Millisecond {
+			t.Errorf("detected after %v, want 2.5 s at most", took)
+		}
+		w.set(func() { w.hangs = false })
+		if took := until(false, 4*time.Second); took > maxDetection {
+			t.Errorf("ended after %v, want %v at most", took, maxDetection)
+		}
+		w.set(func() { w.hangs = true })
+		w.monitor.Started("1")
+		until(true, 4*time.Second)
+		if w.monitor.Received(); w.monitor.NoneReachable() {
+			t.Error("a byte has arrived: got no endpoint reachable, want one")
+		}
+		w.set(func() { w.othersReach = true })
+		if w.untilCut(true, 4*time.Second) >= 4*time.Second || w.monitor.NoneReachable() {
+			t.Error("another host reaches endpoints: want this host cut, and endpoints reachable")
+		}
+	})
+}
