node: ask other hosts for the limits of endpoints at a start

A host that was killed and started again sent requests to fragile endpoints as to any others.

Each rejection lowers the number of requests in flight at that endpoint for 4 s. The host learned what endpoints stand from its own rejections, since reports of others come once and every few seconds.

Change: the state that a host asks others for before it serves has the limits in force, of rates and of rejections.

--- a/pkg/app/node/listen.go
+++ b/pkg/app/node/listen.go
@@ -86,7 +86,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET "+relay.Path, n.storeReplica)
 	mux.Handle("GET "+reach.Path, n.links)
-	mux.Handle("GET "+statetransfer.Path, statetransfer.NewServer(n.view, n.known))
+	mux.Handle("GET "+statetransfer.Path, statetransfer.NewServer(n.hostState, n.known))
 	others := negroni.New(negroni.NewRecovery(), negroni.Wrap(mux))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if forward.IsDetour(r) {
--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -76,6 +76,7 @@
 	storeReplica         *relay.Replica
 	relayClient          peerClient
 	stateSyncer          *statetransfer.Syncer
+	hostState            *hostState
 	known                readiness
 	view                 *storeview.View
 	router               *route.Router
--- a/pkg/app/node/providers.go
+++ b/pkg/app/node/providers.go
@@ -111,11 +111,11 @@
 	return func() bool { return syncer.Asked() && view.Loaded() }
 }
 
-func newStateSyncer(view *storeview.View, s Settings, logger *log.Logger) *statetransfer.Syncer {
+func newStateSyncer(state *hostState, s Settings, logger *log.Logger) *statetransfer.Syncer {
 	transport := newTransport()
 	transport.DisableKeepAlives, transport.DisableCompression = true, false
-	peers := func() []string { return view.Roster().LivePeerAddresses(s.Node) }
-	return statetransfer.NewSyncer(&http.Client{Transport: transport}, view, peers, s.SeedAddresses, logger)
+	peers := func() []string { return state.Roster().LivePeerAddresses(s.Node) }
+	return statetransfer.NewSyncer(&http.Client{Transport: transport}, state, peers, s.SeedAddresses, logger)
 }
 
 // newReplica returns a replica that forwards a row of an endpoint only if its decoded content has
--- a/pkg/app/node/wire_gen.go
+++ b/pkg/app/node/wire_gen.go
@@ -26,9 +26,11 @@
 	location := newLocation(settings)
 	splitter := newSplitter(settings)
 	view := newView(platform, settings, clock, location, incarnation, splitter, logger)
-	syncer := newStateSyncer(view, settings, logger)
-	nodeReadiness := newReadiness(view, syncer)
 	router := newRouter(view, location, clock, settings)
+	tracker := newNoticeTracker(view, router, logger)
+	nodeHostState := newHostState(view, tracker, clock, logger)
+	syncer := newStateSyncer(nodeHostState, settings, logger)
+	nodeReadiness := newReadiness(view, syncer)
 	sync := newLoadSync(router, view, incarnation)
 	costLimiter := newLimiter(settings, clock)
 	monitor := newLinks(view, settings, clock, registry, logger)
@@ -49,7 +51,6 @@
 	directory := newOrigins(view, settings, nodeOriginSender, clock)
 	windowBudget := newRetryBudget(settings)
 	watch := newQuarantineWatch(registry, logger)
-	tracker := newNoticeTracker(view, router, logger)
 	forwarder := newForwarder(platform, view, location, router, costLimiter, windowBudget, pool, monitor, detours, directory, counter, splitter, watch, tracker, nodeLifecycle, nodeReadiness, clock, registry, logger)
 	nodeRowState := &rowState{}
 	nodeFleetRole := &fleetRole{}
@@ -70,6 +71,7 @@
 		storeReplica:         replica,
 		relayClient:          nodePeerClient,
 		stateSyncer:          syncer,
+		hostState:            nodeHostState,
 		known:                nodeReadiness,
 		view:                 view,
 		router:               router,
--- a/pkg/gossip/notices.go
+++ b/pkg/gossip/notices.go
@@ -65,6 +65,23 @@
 	}
 }
 
+// EncodeNotices encodes notices, DecodeNotices decodes what it returns.
+func EncodeNotices(list []notice.Report) ([][]byte, error) {
+	if len(list) == 0 {
+		return nil, nil
+	}
+	return noticeMessages("", list)
+}
+
+// DecodeNotices decodes one of the messages of EncodeNotices.
+func DecodeNotices(data []byte) ([]notice.Report, error) {
+	var m mapMessage
+	if err := cbor.Unmarshal(data, &m); err != nil {
+		return nil, err
+	}
+	return m.notices(), nil
+}
+
 // noticeMessages encodes notices as datagrams, of which each holds half of those that do not fit.
 func noticeMessages(incarnation string, list []notice.Report) ([][]byte, error) {
 	m := mapMessage{Incarnation: incarnation}
--- a/pkg/notice/limits.go
+++ b/pkg/notice/limits.go
@@ -208,6 +208,20 @@
 	t.limitCount.Store(int64(len(t.limits)))
 }
 
+// Limits returns all limits in force, for a host that starts.
+func (t *Tracker) Limits(now time.Time) []Report {
+	t.ExpireLimits(now)
+	t.limitsMu.Lock()
+	defer t.limitsMu.Unlock()
+	var list []Report
+	for key, state := range t.limits {
+		if state.limit > 0 && state.version > 0 {
+			list = append(list, state.report(key))
+		}
+	}
+	return list
+}
+
 // limitReports returns the limits to be reported in this round, at most maxCount.
 func (t *Tracker) limitReports(maxCount int, now time.Time) []Report {
 	t.ExpireLimits(now)
--- a/pkg/statetransfer/state.go
+++ b/pkg/statetransfer/state.go
@@ -18,6 +18,8 @@
 	Configuration Configuration
 	// Leaving are the endpoints that have reported that they leave.
 	Leaving []LeavingEndpoint
+	// Limits holds what endpoints accept at most, as package gossip encodes it.
+	Limits [][]byte
 	// Tables holds the rows of the followed tables by name. It is empty unless they were requested.
 	Tables map[string]feed.Batch
 }
@@ -41,6 +43,7 @@
 	Row     *wireRow            `cbor:"2,keyasint,omitempty"`
 	Leaving []wireLeaving       `cbor:"3,keyasint,omitempty"`
 	Tables  map[string]wireRows `cbor:"4,keyasint,omitempty"`
+	Limits  [][]byte            `cbor:"5,keyasint,omitempty"`
 }
 
 type wireLeaving struct {
@@ -65,7 +68,7 @@
 }
 
 func encode(s State) ([]byte, error) {
-	wire := wireState{Version: s.Configuration.Version}
+	wire := wireState{Version: s.Configuration.Version, Limits: s.Limits}
 	if s.Configuration.Version > 0 {
 		row := encodeRow(s.Configuration.Row)
 		wire.Row = &row
@@ -97,7 +100,7 @@
 	if err := cbor.Unmarshal(data, &wire); err != nil {
 		return State{}, err
 	}
-	var s State
+	s := State{Limits: wire.Limits}
 	if wire.Row != nil {
 		s.Configuration = Configuration{Version: wire.Version, Row: wire.Row.decode()}
 	}
