standin: start one host for an order that is repeated at once

What a test saw: two orders with one ID that arrived together started two hosts, which hides a client that repeats an order without an ID.

Cause: the stand-in checked for the ID and recorded it in two steps.

Change: each order has a lock that is held while its host is started; a refused order may be repeated.

--- a/pkg/standin/clouds/cloud.go
+++ b/pkg/standin/clouds/cloud.go
@@ -29,10 +29,18 @@
 	stop    Stopper
 	start   Starter
 
-	mu              sync.Mutex
-	hosts           map[string]host
-	notices         []cloud.WireNotice
-	hostIDByRequest map[string]string
+	mu      sync.Mutex
+	hosts   map[string]host
+	notices []cloud.WireNotice
+	// orders holds the orders by request ID.
+	orders map[string]*order
+}
+
+// order is an order of a host. Its lock is held while the host is started, so that a repeated order waits.
+type order struct {
+	mu sync.Mutex
+	// host is empty until a host has been started.
+	host string
 }
 
 // host is a host together with its delayed entry in the list.
@@ -48,7 +56,7 @@
 
 // New returns a cloud whose list of hosts shows changes after listLag.
 func New(listLag time.Duration, stop Stopper, start Starter) *Cloud {
-	return &Cloud{listLag: listLag, stop: stop, start: start, hosts: map[string]host{}, hostIDByRequest: map[string]string{}}
+	return &Cloud{listLag: listLag, stop: stop, start: start, hosts: map[string]host{}, orders: map[string]*order{}}
 }
 
 // RegisterHost adds a host, or a later incarnation of one.
@@ -147,26 +155,34 @@
 }
 
 func (c *Cloud) serveOrder(w http.ResponseWriter, r *http.Request) {
-	var order cloud.WireOrder
-	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+	var wire cloud.WireOrder
+	if err := json.NewDecoder(r.Body).Decode(&wire); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	c.mu.Lock()
-	id, repeated := c.hostIDByRequest[order.RequestID]
-	c.mu.Unlock()
-	if !repeated {
-		var ok bool
-		id, ok = c.start(cloud.Order{RequestID: order.RequestID, DataCenter: order.DataCenter, Class: order.Class, Reclaimable: order.Reclaimable})
+	o := c.orderOf(wire.RequestID)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.host == "" {
+		id, ok := c.start(cloud.Order{RequestID: wire.RequestID, DataCenter: wire.DataCenter, Class: wire.Class, Reclaimable: wire.Reclaimable})
 		if !ok {
 			http.Error(w, "no capacity", http.StatusConflict)
 			return
 		}
-		c.mu.Lock()
-		c.hostIDByRequest[order.RequestID] = id
-		c.mu.Unlock()
+		o.host = id
+	}
+	httpx.WriteJSON(w, http.StatusOK, cloud.WireOrderResponse{Host: o.host})
+}
+
+func (c *Cloud) orderOf(requestID string) *order {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o, ok := c.orders[requestID]
+	if !ok {
+		o = &order{}
+		c.orders[requestID] = o
 	}
-	httpx.WriteJSON(w, http.StatusOK, cloud.WireOrderResponse{Host: id})
+	return o
 }
 
 func (c *Cloud) serveStop(w http.ResponseWriter, r *http.Request) {
