--- a/pkg/rolloutlab/host.go
+++ b/pkg/rolloutlab/host.go
@@ -12,9 +12,11 @@
 
 // simEndpoint is a simulated endpoint.
 type simEndpoint struct {
-	info                endpoint.Info
-	running             int
-	stopped, grey, slow bool
+	info    endpoint.Info
+	running int
+	stopped bool
+	// grey and slow count the faults in progress, which may overlap.
+	grey, slow int
 }
 
 // slotsPerEndpoint is the number of requests that an endpoint runs without slowing down.
@@ -33,8 +35,9 @@
 	order       rollout.Order
 	// impairedUntil is the time until which the host counts as out of contact with the owner, so
 	// that its requests do not count against the bounds.
-	impairedUntil       time.Duration
-	frozen, partitioned bool
+	impairedUntil time.Duration
+	// frozen and partitioned count the faults in progress, which may overlap.
+	frozen, partitioned int
 	down, hasOrder      bool
 	starts, requests    int
 }
@@ -96,7 +99,7 @@
 }
 
 func (h *host) readRow() {
-	if h.sim.hasRow && !h.partitioned && !h.down && !h.sim.storeFaults[StoreDown] {
+	if h.sim.hasRow && h.partitioned == 0 && !h.down && h.sim.storeDown == 0 {
 		h.splitter.ApplyState(h.sim.row, h.sim.time())
 	}
 }
@@ -104,7 +107,7 @@
 // serve routes a request and sends it to an endpoint.
 func (h *host) serve(number int) {
 	s := h.sim
-	if h.down || h.frozen {
+	if h.down || h.frozen > 0 {
 		return
 	}
 	inPeriod := s.clock.Now() >= warmUp && s.clock.Now() < warmUp+s.scenario.Period
@@ -172,8 +175,8 @@
 	e.running++
 	took := time.Duration(float64(r.MeanTime) * math.Exp(r.Spread*s.random.NormFloat64()-r.Spread*r.Spread/2))
 	took = time.Duration(float64(took) * max(1, float64(e.running)/slotsPerEndpoint))
-	failed := s.random.Float64() < r.FailureRate || e.grey && s.random.Float64() < 0.4
-	if e.slow {
+	failed := s.random.Float64() < r.FailureRate || e.grey > 0 && s.random.Float64() < 0.4
+	if e.slow > 0 {
 		took *= 4
 	}
 	bad := e.info.Release == targetVersion && s.isBad(e, route)
@@ -226,12 +229,12 @@
 	if s.owner != nil {
 		return
 	}
-	if s.storeFaults[StoreDown] {
+	if s.storeDown > 0 {
 		s.after(stepInterval, func() { s.takeOver(order) })
 		return
 	}
 	for _, h := range s.hosts {
-		if h.down || h.frozen || h.partitioned || !h.hasOrder {
+		if h.down || h.frozen > 0 || h.partitioned > 0 || !h.hasOrder {
 			continue
 		}
 		s.epoch++
@@ -254,7 +257,7 @@
 		return
 	}
 	h := s.hosts[d.host]
-	if h.frozen || h.partitioned {
+	if h.frozen > 0 || h.partitioned > 0 {
 		// The owner cannot renew its lease, so another host takes over when the lease expires.
 		s.owner = nil
 		order := h.order
@@ -300,7 +303,7 @@
 // order has ended.
 func (s *simulation) finishWrite(d *ownerProcess, epoch int64, step rollout.Step) {
 	d.writing = false
-	if s.storeFaults[StoreDown] || epoch != s.epoch || s.row.Phase.Ended() {
+	if s.storeDown > 0 || epoch != s.epoch || s.row.Phase.Ended() {
 		return
 	}
 	s.row.Phase, s.row.Reason = step.Write, step.Reason
@@ -314,7 +317,7 @@
 		s.after(2*time.Second, func() { s.stopEndpoints(targetVersion) })
 	}
 	delay := time.Duration(0)
-	if s.storeFaults[StoreLate] {
+	if s.storeLate > 0 {
 		delay = time.Second
 	}
 	s.after(delay, func() { d.owner.SetPhase(step.Write, step.Reason) })
@@ -327,7 +330,7 @@
 	}
 	directive := d.owner.Next(s.fleet(d), s.clock.Now()).Directive
 	for _, h := range s.hosts {
-		if h.down || h.frozen || h.partitioned || s.random.Float64() < datagramLoss {
+		if h.down || h.frozen > 0 || h.partitioned > 0 || s.random.Float64() < datagramLoss {
 			continue
 		}
 		splitter, incarnation := h.splitter, h.incarnation
--- a/pkg/rolloutlab/play.go
+++ b/pkg/rolloutlab/play.go
@@ -59,18 +59,18 @@
 	clock    timeline.Timeline
 	outcome  Outcome
 
-	hosts       []*host
-	endpoints   []*simEndpoint
-	owner       *ownerProcess
-	epoch       int64
-	row         rollout.State
-	hasRow      bool
-	storeFaults map[Fault]bool
+	hosts     []*host
+	endpoints []*simEndpoint
+	owner     *ownerProcess
+	epoch     int64
+	row       rollout.State
+	hasRow    bool
+	// storeDown, storeLate and burst count the faults in progress, which may overlap.
+	storeDown, storeLate, burst int
 	// badAnswerTimes are the times of the target's bad answers.
 	badAnswerTimes  []time.Duration
 	targetSendTimes []time.Duration
 	meanInFlight    float64
-	burst           bool
 }
 
 // startTime is the wall-clock time at which runs start.
@@ -80,7 +80,7 @@
 
 // Run simulates a roll-out and returns its outcome. The same seed gives the same outcome.
 func Run(scenario Scenario, seed uint64) Outcome {
-	s := &simulation{scenario: scenario, random: rand.New(rand.NewPCG(seed, 0)), storeFaults: map[Fault]bool{}}
+	s := &simulation{scenario: scenario, random: rand.New(rand.NewPCG(seed, 0))}
 	for i := range scenario.Hosts {
 		s.hosts = append(s.hosts, s.newHost(i))
 	}
@@ -155,7 +155,7 @@
 // scheduleRequest schedules the next request.
 func (s *simulation) scheduleRequest() {
 	rate := s.scenario.Rate
-	if s.burst {
+	if s.burst > 0 {
 		rate *= 1.7
 	}
 	s.after(time.Duration(s.random.ExpFloat64()/rate*float64(time.Second)), func() {
@@ -200,8 +200,7 @@
 	case Grey, Slow, Reclaim:
 		s.impairEndpoints(f)
 	case Burst:
-		s.burst = true
-		s.after(faultDuration, func() { s.burst = false })
+		s.during(&s.burst)
 	case OwnerKilled:
 		if s.owner != nil {
 			s.hosts[s.owner.host].kill()
@@ -210,15 +209,23 @@
 		h.kill()
 	case HostFrozen, HostPartitioned:
 		h.markImpaired(faultDuration)
-		h.frozen = h.frozen || f == HostFrozen
-		h.partitioned = true
-		s.after(faultDuration, func() { h.frozen, h.partitioned = false, false })
-	case StoreDown, StoreLate:
-		s.storeFaults[f] = true
-		s.after(faultDuration, func() { s.storeFaults[f] = false })
+		if f == HostFrozen {
+			s.during(&h.frozen)
+		}
+		s.during(&h.partitioned)
+	case StoreDown:
+		s.during(&s.storeDown)
+	case StoreLate:
+		s.during(&s.storeLate)
 	}
 }
 
+// during counts a fault while it lasts.
+func (s *simulation) during(faults *int) {
+	*faults++
+	s.after(faultDuration, func() { *faults-- })
+}
+
 // impairEndpoints applies a fault to a random part of the endpoints of both versions.
 func (s *simulation) impairEndpoints(f Fault) {
 	share := 0.15
@@ -231,13 +238,12 @@
 		}
 		switch f {
 		case Grey:
-			e.grey = true
+			s.during(&e.grey)
 		case Slow:
-			e.slow = true
+			s.during(&e.slow)
 		case Reclaim:
 			e.stopped = true
 		}
-		s.after(faultDuration, func() { e.grey, e.slow = false, false })
 	}
 	s.updateEndpoints()
 }
