soak: wait for the withdrawal of limits

What a run saw: the timer that withdraws an endpoint's limit was not waited for, so a limit could still be in force, or be withdrawn after the run's checks, while the calm time was measured.

Change: it is scheduled like the other faults of a run.

--- a/pkg/soak/limits.go
+++ b/pkg/soak/limits.go
@@ -93,7 +93,7 @@
 			e := r.endpoints[f.endpoint]
 			r.mu.Unlock()
 			e.AdvertiseLimit(f.perSecond)
-			time.AfterFunc(f.duration, func() { e.AdvertiseLimit(0) })
+			r.schedule(f.duration, func() { e.AdvertiseLimit(0) })
 		})
 	}
 }
