--- a/pkg/policybench/cloud.go
+++ b/pkg/policybench/cloud.go
@@ -51,8 +51,8 @@
 	nextID       int
 }
 
-// engineOptions returns the options of an engine that generates about 184 tokens per second
-// within the latency target, the average in the users' capacity plan.
+// engineOptions returns the options of an engine that generates up to TokenRatePerHost within the
+// latency target, of which the users' capacity plan uses 184 tokens per second on average.
 func engineOptions() engines.Options {
 	o := engines.DefaultOptions()
 	o.Slots = 6
