--- a/pkg/standin/clouds/cloud_test.go
+++ b/pkg/standin/clouds/cloud_test.go
@@ -28,7 +28,7 @@
 	for range 4 {
 		group.Go(func() {
 			w := httptest.NewRecorder()
-			mux.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/orders", strings.NewReader(`{"request_id":"order-1","data_center":"dc"}`)))
+			mux.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/orders", strings.NewReader(`{"request":"order-1","data_center":"dc"}`)))
 			if w.Code != http.StatusOK || !strings.Contains(w.Body.String(), `"host"`) {
 				t.Errorf("got status %d, %s, want 200 with the host", w.Code, w.Body)
 			}
