origin: ask other hosts for 300 ms before a take-up is refused

A host whose processor share is an allowance stands still for up to 0.1 s at a time, and so may the host that it asks; by reading, 180 ms leave one repetition then. Hosts that answer end the search at once, so only a refusal takes longer.

--- a/pkg/origin/directory.go
+++ b/pkg/origin/directory.go
@@ -21,7 +21,7 @@
 	// askInterval is the time after which hosts that have not answered are asked again, and others too.
 	// askTimeout bounds the search: a caller that is refused can try another host.
 	askInterval = 60 * time.Millisecond
-	askTimeout  = 180 * time.Millisecond
+	askTimeout  = 300 * time.Millisecond
 	// maxSearches bounds the searches at a time: callers may name any attempt.
 	maxSearches = 256
 )
