explain: show the stream that a request takes up

What operators saw: `ironhollow explain` left out which stream a request continues, where its release was learned and how old that was, so that a refused take-up could not be told from a refused request.

Change: a step for the take-up, and the release of each endpoint that was tried. Checked with the lines of a refused take-up.

--- a/pkg/explain/logs.go
+++ b/pkg/explain/logs.go
@@ -102,13 +102,20 @@
 		steps = append(steps, Step{at, l.Node, fmt.Sprintf(format, args...)})
 	}
 	add(startedAt, "taken: team %s, route %s, service %s, configuration %s", l.Text("team"), l.Text("route"), l.Text("service"), l.Text("config"))
+	if resumes := l.Text("resumes"); resumes != "" {
+		add(startedAt, "%s", describeTakeUp(resumes, l))
+	}
 	for _, state := range stateLines(earlier, l) {
 		add(state.Time, "believed since then: %s", describe(state))
 	}
 	sentAt := startedAt
 	for i := 1; l.Text(hopField(i, "")) != ""; i++ {
 		took := l.millis(hopField(i, "-took"))
-		add(sentAt, "sent to %s (row %s): expected %s ms, %s ms behind others, %s tokens cached", l.Text(hopField(i, "")), l.Text(hopField(i, "-row")),
+		release := ""
+		if name := l.Text(hopField(i, "-release")); name != "" {
+			release = ", release " + name
+		}
+		add(sentAt, "sent to %s (row %s%s): expected %s ms, %s ms behind others, %s tokens cached", l.Text(hopField(i, "")), l.Text(hopField(i, "-row")), release,
 			l.Text(hopField(i, "-expected")), l.Text(hopField(i, "-queued")), l.Text(hopField(i, "-cached")))
 		sentAt = sentAt.Add(took)
 		add(sentAt, "%s after %v: %s", l.Text(hopField(i, "")), took, l.Text(hopField(i, "-end")))
@@ -127,6 +134,18 @@
 	return steps
 }
 
+// describeTakeUp describes a stream that the request takes up.
+func describeTakeUp(resumes string, l Line) string {
+	text := fmt.Sprintf("takes up the stream of %s after event %s: origin %s", resumes, l.Text("after-event"), l.Text("origin"))
+	if release := l.Text("origin-release"); release != "" {
+		text += ", service " + l.Text("origin-service") + ", release " + release
+	}
+	if from := l.Text("origin-from"); from != "" {
+		text += ", from " + from
+	}
+	return text + fmt.Sprintf(", recorded %v before, %s hosts asked", l.millis("origin-age"), l.Text("origin-asked"))
+}
+
 func hopField(i int, suffix string) string { return "hop" + strconv.Itoa(i) + suffix }
 
 // stateLines returns the latest lines about the state that decided how the request was handled:
