--- a/pkg/lab/engine.go
+++ b/pkg/lab/engine.go
@@ -33,6 +33,8 @@
 	uncachedTokens, contextTokens int
 	generatedTokens               int
 	onFirstToken, onDone          func()
+	// onLost is called instead of onDone if the engine is stopped.
+	onLost func()
 }
 
 // engine simulates the engine of one endpoint.
@@ -43,7 +45,7 @@
 	waiting  []*engineRequest
 	cache    *prefixCache
 	stepping bool
-	// stopped means that the engine has ended; its running requests are never completed.
+	// stopped means that the engine has ended.
 	stopped bool
 	// relativeTime is the duration of a step relative to that of the parameters.
 	relativeTime float64
@@ -81,6 +83,15 @@
 	return true
 }
 
+// stop ends the engine. Its requests get no answer.
+func (e *engine) stop() {
+	e.stopped = true
+	for _, r := range append(e.running, e.waiting...) {
+		r.onLost()
+	}
+	e.running, e.waiting = nil, nil
+}
+
 // startStep admits queued requests to the batch and starts a step if the batch is not empty.
 func (e *engine) startStep() {
 	for len(e.waiting) > 0 && len(e.running) < e.params.BatchSize {
--- a/pkg/lab/host.go
+++ b/pkg/lab/host.go
@@ -173,8 +173,11 @@
 		result := route.Result{PrefillDone: true, FirstToken: firstTokenAt - sentAt + h.sim.fleet.NetworkDelay, Tokens: r.answerTokens - 1, Decode: h.sim.clock.Now() - firstTokenAt}
 		router.Done(choice, result, h.sim.time())
 	}
-	if !h.sim.engines[choice.Endpoint.ID].tryEnqueue(attempt) {
+	attempt.onLost = func() {
 		router.Done(choice, route.Result{Failed: true}, h.sim.time())
 		h.sim.recordFailure(r)
 	}
+	if !h.sim.engines[choice.Endpoint.ID].tryEnqueue(attempt) {
+		attempt.onLost()
+	}
 }
--- a/pkg/lab/lab_test.go
+++ b/pkg/lab/lab_test.go
@@ -124,6 +124,13 @@
 	}
 	runSeeds(t, fleet, workload, func(o *lab.Outcome) {
 		checkAtLeast(t, "earned value share", o.EarnedValueShare(), 0.94)
+		failed := 0
+		for _, kind := range loanRequests() {
+			failed += o.ForKind(kind.Name).Failed
+		}
+		if failed == 0 {
+			t.Error("got no failed requests, want those that ran in the data centres that failed")
+		}
 	})
 }
 
--- a/pkg/lab/play.go
+++ b/pkg/lab/play.go
@@ -133,7 +133,7 @@
 		if info.DataCenter != dataCenter {
 			continue
 		}
-		s.engines[info.ID].stopped = true
+		s.engines[info.ID].stop()
 		info.State = endpoint.Gone
 		for _, h := range s.hosts {
 			h.directory.Merge(info)
