soak: fill the queue of a hanging link for sure

Cause: the proxy took its listener's queue for full after one attempt to connect that had no result within 50 ms, which also happens if that attempt is not run for so long. One place in the queue was then left.

Change: three such attempts in a row are needed. A cut begins 0.1 s later.

--- a/pkg/soak/proxy.go
+++ b/pkg/soak/proxy.go
@@ -53,8 +53,10 @@
 	hangTimeout = 3 * time.Second
 	// backlog is the usual length of the queue of connections to accept.
 	backlog = 128
-	// fillTimeout is the time without a connection after which the queue is regarded as full.
-	fillTimeout = 50 * time.Millisecond
+	// The queue is regarded as full after fullAttempts in a row that took fillTimeout without a
+	// connection: on a busy machine one of them may not have got as far as the queue.
+	fillTimeout  = 50 * time.Millisecond
+	fullAttempts = 3
 	// maxFillers bounds the connections that fill the queue; two do usually.
 	maxFillers = 16
 	// acceptRetryPause is the pause after a failure to accept a connection.
@@ -146,12 +148,16 @@
 	if err := errors.Join(p.listener.SetDeadline(time.Unix(1, 0)), p.listen(0)); err != nil {
 		return err
 	}
-	for range maxFillers {
+	for failed := 0; len(p.fillers) < maxFillers; {
 		c, err := net.DialTimeout("tcp", p.Address(), fillTimeout)
-		if err != nil {
+		if err == nil {
+			p.fillers = append(p.fillers, c)
+			failed = 0
+			continue
+		}
+		if failed++; failed == fullAttempts {
 			return nil
 		}
-		p.fillers = append(p.fillers, c)
 	}
 	return fmt.Errorf("soak: %s accepts connections with a full queue", p.Address())
 }
