reach, forward, soak: say what a refusal's log line means, shorter comments

What operators saw: one line for the beginning and the end of the time in which no host reaches an endpoint, told apart by a field. Now there are two messages. The other changes are to comments. The tests of reach, route and those of take-ups in forward pass.

--- a/pkg/forward/takeup.go
+++ b/pkg/forward/takeup.go
@@ -22,15 +22,15 @@
 // up.
 const returnTime = 30 * time.Second
 
-// takeUp is a caller's request to continue a stream, as it was decided on.
+// takeUp is what was found for a caller's request to continue a stream.
 type takeUp struct {
 	finding origin.Finding
 	took    time.Duration
 }
 
 // findOrigin finds where the stream that the request continues began. It returns an error if that is not
-// known, as another release would garble the stream. On deployments whose callers name no attempt,
-// releases fit together, and a stream may continue at any.
+// known, as events of another release would not fit. A stream whose caller names no attempt may continue
+// at any release.
 func (c *call) findOrigin(ctx context.Context) error {
 	switch {
 	case c.detour != nil && c.detour.origin != nil:
--- a/pkg/reach/monitor.go
+++ b/pkg/reach/monitor.go
@@ -205,8 +205,11 @@
 	now := m.now()
 	change := m.detector.CheckDone(c, startedAt, now)
 	m.metrics.count(c, m.IsCut())
-	if now := m.NoneReachable(); now != noneReachable {
-		m.logChange(c).Bool("refused", now).Msg("no endpoint reachable from any host")
+	switch {
+	case m.NoneReachable() && !noneReachable:
+		m.logChange(c).Msg("requests are refused: no host reaches an endpoint")
+	case noneReachable && !m.NoneReachable():
+		m.logChange(c).Msg("requests are accepted again: a host reaches an endpoint")
 	}
 	switch change {
 	case CutDetected:
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -373,8 +373,8 @@
 }
 
 // usable reports whether a slot may take the request. Ejected endpoints stay usable once more than
-// maxEjectShare of the group is unavailable, or of the release that alone may take the request. An endpoint that requested a backoff, or whose limit
-// is used up, is never usable.
+// maxEjectShare of the group is unavailable, or of the release that alone may take the request. An
+// endpoint that requested a backoff, or whose limit is used up, is never usable.
 func (g *group) usable(s *slot, q Query, now time.Time) bool {
 	if s.leaving || !q.Rule.Allows(&s.info) {
 		return false
--- a/pkg/soak/proxy.go
+++ b/pkg/soak/proxy.go
@@ -53,8 +53,8 @@
 	hangTimeout = 3 * time.Second
 	// backlog is the usual length of the queue of connections to accept.
 	backlog = 128
-	// The queue is regarded as full after fullAttempts in a row that took fillTimeout without a
-	// connection: on a busy machine one of them may not have got as far as the queue.
+	// The queue is regarded as full once fullAttempts in a row to connect have timed out after
+	// fillTimeout: on a busy machine a single one may time out before its packet reaches the queue.
 	fillTimeout  = 50 * time.Millisecond
 	fullAttempts = 3
 	// maxFillers bounds the connections that fill the queue; two do usually.
