--- a/review/_lab/engine.go
+++ b/review/_lab/engine.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -18,13 +19,14 @@
 	// version is that of the server's software.
 	version      string
 	slots, queue int
-	spot              bool
-	events            int
-	eventGap          time.Duration
+	spot         bool
+	events       int
+	eventGap     time.Duration
 
 	address string
 	server  *http.Server
 	places  chan struct{}
+	born    time.Time
 
 	mu       sync.Mutex
 	waiting  int
@@ -39,12 +41,13 @@
 const heartbeat = 1200 * time.Millisecond
 
 func (e *engine) start() error {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", cmp.Or(e.address, "127.0.0.1:0"))
 	if err != nil {
 		return err
 	}
 	e.address = listener.Addr().String()
 	e.places = make(chan struct{}, e.slots)
+	e.born = time.Now()
 	e.server = &http.Server{Handler: e}
 	go func() { _ = e.server.Serve(listener) }()
 	e.writeRow()
@@ -69,7 +72,7 @@
 	e.sequence++
 	row := map[string]any{
 		"service": e.service, "address": e.address, "zone": e.zone, "version": e.version, "slots": e.slots, "state": "ready",
-		"cold_remaining_ms": 0, "sequence": e.sequence, "phase": "combined", "spot": e.spot,
+		"cold_remaining_ms": 0, "sequence": e.sequence, "phase": "combined", "spot": e.spot, "born": e.born.UnixMilli(),
 	}
 	if !e.endsAt.IsZero() {
 		row["state"] = "draining"
@@ -103,6 +106,24 @@
 	e.fleet.record.note("server %s: ended", e.id)
 }
 
+// crash ends the server at once. Its entry stays, as that of a server that says nothing.
+func (e *engine) crash() {
+	e.mu.Lock()
+	e.ended = true
+	e.mu.Unlock()
+	_ = e.server.Close()
+	e.fleet.record.note("server %s (version %s): crashed", e.id, e.version)
+}
+
+// successor returns the server that starts under the same id and at the same address, with another software
+// version.
+func (e *engine) successor(version string) *engine {
+	return &engine{
+		fleet: e.fleet, id: e.id, service: e.service, zone: e.zone, version: version, slots: e.slots, queue: e.queue, spot: e.spot,
+		events: e.events, eventGap: e.eventGap, address: e.address,
+	}
+}
+
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	id := r.Header.Get("X-Attempt-Id")
--- a/review/_lab/main.go
+++ b/review/_lab/main.go
@@ -18,7 +18,7 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
-	cases := map[string]func(*recorder, bool) (bool, error){"drain": runDrain, "takeup": runTakeUp}
+	cases := map[string]func(*recorder, bool) (bool, error){"drain": runDrain, "takeup": runTakeUp, "upgrade": runUpgrade}
 	if len(args) != 2 || cases[args[0]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: lab CASE FOLDER")
 		return exitNotRun
--- a/review/_lab/takeup.go
+++ b/review/_lab/takeup.go
@@ -72,6 +72,7 @@
 	begun, takenUp   share
 	takeUpStatuses   map[string]int
 	mixed, completed int
+	rate             float64
 	pending          sync.WaitGroup
 }
 
@@ -118,7 +119,7 @@
 }
 
 func (c *streamCallers) run(until time.Time) {
-	gap := time.Duration(float64(time.Second) / streamRate)
+	gap := time.Duration(float64(time.Second) / c.rate)
 	for next := time.Now(); next.Before(until); next = next.Add(gap) {
 		time.Sleep(time.Until(next))
 		c.pending.Go(c.stream)
@@ -131,15 +132,25 @@
 	status    string
 	retry     time.Duration
 	lastEvent int
-	version   string
-	complete  bool
+	// versions are the software versions of the servers of its events.
+	versions []string
+	complete bool
 }
 
 // stream reads one stream to its end.
 func (c *streamCallers) stream() {
 	deadline := time.Now().Add(timeLimit)
 	var failed []string
-	first, version, lastEvent := "", "", 0
+	first, lastEvent := "", 0
+	var versions []string
+	defer func() {
+		if len(versions) > 1 {
+			c.fleet.record.note("caller: the stream of %s holds events of the versions %v", first, versions)
+			c.mu.Lock()
+			c.mixed++
+			c.mu.Unlock()
+		}
+	}()
 	for n := 0; n < 1+maxTries && time.Now().Before(deadline); n++ {
 		h := c.pick(failed)
 		if h == nil {
@@ -156,11 +167,12 @@
 		c.countTry(first != "", inTouch, began, h, id, result)
 		if began {
 			if first == "" {
-				first, version = id, result.version
-			} else if result.version != version {
-				c.mu.Lock()
-				c.mixed++
-				c.mu.Unlock()
+				first = id
+			}
+			for _, version := range result.versions {
+				if !slices.Contains(versions, version) {
+					versions = append(versions, version)
+				}
 			}
 			lastEvent = result.lastEvent
 			failed = nil
@@ -238,7 +250,10 @@
 			result.lastEvent, _ = strconv.Atoi(text)
 		}
 		if text, ok := strings.CutPrefix(lines.Text(), "data: "); ok {
-			_, result.version, _ = strings.Cut(text, "@")
+			_, version, _ := strings.Cut(text, "@")
+			if !slices.Contains(result.versions, version) {
+				result.versions = append(result.versions, version)
+			}
 		}
 	}
 	result.complete = lines.Err() == nil
@@ -266,7 +281,7 @@
 		}
 	}
 	c := &streamCallers{
-		fleet: f, calm: &calm{disturbed: map[string]time.Time{}}, takeUpStatuses: map[string]int{},
+		fleet: f, calm: &calm{disturbed: map[string]time.Time{}}, rate: streamRate, takeUpStatuses: map[string]int{},
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}},
 	}
 	for _, h := range f.hosts {
