--- a/review/_lab/drain.go
+++ b/review/_lab/drain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"sync"
 	"time"
 )
@@ -22,16 +21,16 @@
 
 // runDrain takes away all spot servers of a zone, again and again, while the other servers are full.
 func runDrain(record *recorder, trouble bool) (broken bool, err error) {
-	f, err := newFleet(record, []string{"windhoek-a", "windhoek-b", "katutura"})
+	f, err := newFleet(record, []string{"hall-a", "hall-b", "hall-c"})
 	if err != nil {
 		return false, err
 	}
 	defer f.stop()
-	if err := putManifest(f.store, 8000, 8, map[string]float64{"windhoek-a": 1.0, "windhoek-b": 0.8}); err != nil {
+	if err := putManifest(f.store, 8000, 32, false, map[string]float64{"hall-a": 1.0, "hall-b": 0.8}); err != nil {
 		return false, err
 	}
 	startEngine := func(id, zone string, slots int, spot bool) *engine {
-		e := &engine{fleet: f, id: id, service: "assess-model", zone: zone, version: "1.4.0", slots: slots, queue: 2, spot: spot, events: 8, eventGap: 15 * time.Millisecond}
+		e := &engine{fleet: f, id: id, service: "ironhollow-narrator", zone: zone, version: "1.4.0", slots: slots, queue: 4, spot: spot, events: 6, longEvents: 16, eventGap: 50 * time.Millisecond}
 		if startErr := e.start(); startErr != nil {
 			err = startErr
 		}
@@ -41,11 +40,11 @@
 	startSpots := func(round int) {
 		spots = nil
 		for i := range 4 {
-			spots = append(spots, startEngine(fmt.Sprintf("i-spot-%d-%d", round, i), "windhoek-b", 4, true))
+			spots = append(spots, startEngine(fmt.Sprintf("i-spot-%d-%d", round, i), "hall-b", 16, true))
 		}
 		all = append(all, spots...)
 	}
-	all = append(all, startEngine("i-kept", "windhoek-a", 8, false))
+	all = append(all, startEngine("i-kept", "hall-a", 32, false))
 	startSpots(0)
 	if err != nil {
 		return false, err
@@ -56,7 +55,7 @@
 		return false, err
 	}
 	time.Sleep(2 * time.Second)
-	c := &caller{fleet: f, path: "/summary/a"}
+	c := &caller{fleet: f, path: "/recap/a"}
 	length := (reclaims + 1) * reclaimGap
 	calls := make(chan struct{})
 	go func() {
@@ -77,15 +76,22 @@
 		}
 	}
 	<-calls
-	var late []time.Duration
+	var late []lateArrival
 	for _, e := range all {
 		late = append(late, e.lateArrivals()...)
 	}
 	fmt.Println("answers:", c.outcomes)
+	latest, lost := time.Duration(0), 0
+	for _, l := range late {
+		latest = max(latest, l.after)
+		if c.broken[l.id] {
+			lost++
+		}
+	}
 	if len(late) > 0 {
-		fmt.Printf("DRAIN: %d requests reached servers more than %v after the acknowledgement of draining, the latest after %v\n", len(late), drainBound, slices.Max(late))
+		fmt.Printf("DRAIN: %d requests reached servers more than %v after the acknowledgement of draining, the latest after %v; the answers of %d of them broke off\n", len(late), drainBound, latest, lost)
 	}
-	record.note("late requests: %d %v", len(late), late)
+	record.note("late requests: %v, broken off: %d", late, lost)
 	return len(late) > 0, err
 }
 
--- a/review/_lab/engine.go
+++ b/review/_lab/engine.go
@@ -20,8 +20,9 @@
 	version      string
 	slots, queue int
 	spot         bool
-	events       int
-	eventGap     time.Duration
+	// events is the number of events of a stream, of every other one longEvents if that is above 0.
+	events, longEvents int
+	eventGap           time.Duration
 
 	address string
 	server  *http.Server
@@ -35,7 +36,13 @@
 	// notice is when the store had acknowledged the row that says draining; zero before.
 	notice time.Time
 	endsAt time.Time
-	late   []time.Duration
+	late   []lateArrival
+}
+
+// lateArrival is a request that reached a server too late.
+type lateArrival struct {
+	id    string
+	after time.Duration
 }
 
 const heartbeat = 1200 * time.Millisecond
@@ -162,7 +169,7 @@
 	w.Header().Set("X-Server-Seal", e.id+"."+id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	for n := last + 1; n <= e.events; n++ {
+	for n := last + 1; n <= e.eventsOf(id); n++ {
 		select {
 		case <-time.After(e.eventGap):
 		case <-r.Context().Done():
@@ -177,6 +184,14 @@
 	}
 }
 
+// eventsOf returns the number of events of a request's stream.
+func (e *engine) eventsOf(id string) int {
+	if e.longEvents > 0 && id[len(id)-1]%2 == 1 {
+		return e.longEvents
+	}
+	return e.events
+}
+
 // noteArrival records a request that reaches the server.
 func (e *engine) noteArrival(id string, at time.Time) {
 	e.mu.Lock()
@@ -187,7 +202,7 @@
 	after := at.Sub(e.notice)
 	e.fleet.record.note("server %s: %s reaches it %.1f ms after the acknowledgement", e.id, id, float64(after)/float64(time.Millisecond))
 	if after > drainBound {
-		e.late = append(e.late, after)
+		e.late = append(e.late, lateArrival{id, after})
 	}
 }
 
@@ -210,10 +225,10 @@
 	e.waiting--
 }
 
-func (e *engine) lateArrivals() []time.Duration {
+func (e *engine) lateArrivals() []lateArrival {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return append([]time.Duration(nil), e.late...)
+	return append([]lateArrival(nil), e.late...)
 }
 
 func (e *engine) report(w http.ResponseWriter) {
@@ -235,7 +250,9 @@
 	mu    sync.Mutex
 	// outcomes counts the answers by status.
 	outcomes map[string]int
-	pending  sync.WaitGroup
+	// broken holds the requests whose answers broke off.
+	broken  map[string]bool
+	pending sync.WaitGroup
 }
 
 func (c *caller) run(perSecond float64, until time.Time) {
@@ -262,6 +279,7 @@
 	request.Header.Set("Authorization", "Bearer "+apiKey)
 	request.Header.Set("X-Model", "m")
 	request.Header.Set("X-Token-Counts", "1110,60")
+	request.Header.Set("X-Length-Hint", "30")
 	request.Header.Set("X-Prefix-Hash", "5c1e07a2:350,"+id+":760")
 	c.fleet.record.note("caller: %s sent to %s", id, h.name)
 	outcome := "broken"
@@ -277,8 +295,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.outcomes == nil {
-		c.outcomes = map[string]int{}
+		c.outcomes, c.broken = map[string]int{}, map[string]bool{}
 	}
+	c.broken[id] = outcome == "broken"
 	c.outcomes[outcome]++
 }
 
@@ -289,15 +308,15 @@
 
 // putManifest writes the manifest of a deployment with one service of model servers, whose spot servers
 // may be ordered and taken away.
-func putManifest(store *storeServer, timeoutMS, slots int, prices map[string]float64) error {
+func putManifest(store *storeServer, timeoutMS, slots int, resumable bool, prices map[string]float64) error {
 	return store.Put("op", "config", map[string]any{
 		"version": 2,
 		"routes": []map[string]any{{
-			"name": "r-summary", "host": hostName, "path_prefix": "/summary/", "route_type": "streaming", "timeout_ms": timeoutMS, "slo_ms": 1000,
-			"itl_target_ms": 500, "service": "assess-model", "max_attempts": 2, "resumable": true, "priority": 0, "sticky": true,
+			"name": "r-recap", "host": hostName, "path_prefix": "/recap/", "route_type": "streaming", "timeout_ms": timeoutMS, "slo_ms": 1000,
+			"itl_target_ms": 500, "service": "ironhollow-narrator", "max_attempts": 2, "resumable": resumable, "priority": 0, "sticky": true,
 		}},
 		"services": []map[string]any{{
-			"name": "assess-model", "max_conns": 370, "health_path": "/healthz",
+			"name": "ironhollow-narrator", "max_conns": 370, "health_path": "/healthz",
 			"engine":  map[string]any{"slots": slots, "kv_capacity": 583597, "stride": 3},
 			"scaling": map[string]any{"min": 1, "max": 10, "boot_s": 4.0, "spot_price": 0.15, "zone_prices": prices},
 		}},
--- a/review/_lab/fleet.go
+++ b/review/_lab/fleet.go
@@ -86,7 +86,7 @@
 	return true
 }
 
-// settings returns a settings file as DEPLOY.md describes it, with the bounds of omfa-lending.
+// settings returns a settings file as DEPLOY.md describes it, with the bounds of redline-hq.
 func (h *host) settings(seeds []string, cloud string, bootstrap bool) string {
 	quoted := make([]string, len(seeds))
 	for i, seed := range seeds {
@@ -98,7 +98,7 @@
 serves = ["edge", "registry", "control_plane"]
 ip = %q
 zone = %q
-region = "khomas"
+region = "iberia-south"
 internal_ports = [%d, %d]
 seeds = [%s]
 bootstrap = %t
--- a/review/_lab/takeup.go
+++ b/review/_lab/takeup.go
@@ -86,7 +86,7 @@
 	}
 	order := rand.Perm(len(c.fleet.hosts))
 	for _, i := range order {
-		response, err := c.fleet.client.Get("http://" + c.fleet.hosts[i].directory() + "/api/resolve?name=" + hostName + "&region=khomas&zone=windhoek-a")
+		response, err := c.fleet.client.Get("http://" + c.fleet.hosts[i].directory() + "/api/resolve?name=" + hostName + "&region=iberia-south&zone=hall-a")
 		if err != nil {
 			continue
 		}
@@ -217,7 +217,7 @@
 	result := try{status: "no connection", lastEvent: lastEvent}
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.front()+"/summary/a", nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.front()+"/recap/a", nil)
 	if err != nil {
 		return result
 	}
@@ -262,18 +262,18 @@
 
 // runTakeUp stops and starts all hosts in turn while callers read streams of two software versions.
 func runTakeUp(record *recorder, trouble bool) (broken bool, err error) {
-	zones := []string{"windhoek-a", "windhoek-a", "windhoek-a", "windhoek-b", "windhoek-b", "katutura", "katutura", "okahandja", "okahandja"}
+	zones := []string{"hall-a", "hall-a", "hall-a", "hall-b", "hall-b", "hall-b", "hall-c", "hall-c", "hall-d"}
 	f, err := newFleet(record, zones)
 	if err != nil {
 		return false, err
 	}
 	defer f.stop()
-	if err := putManifest(f.store, int(timeLimit.Milliseconds()), 64, nil); err != nil {
+	if err := putManifest(f.store, int(timeLimit.Milliseconds()), 64, true, nil); err != nil {
 		return false, err
 	}
 	for i := range 6 {
 		e := &engine{
-			fleet: f, id: fmt.Sprintf("i-%d", i), service: "assess-model", zone: zones[i], version: []string{"1.4.0", "1.5.0"}[i%2],
+			fleet: f, id: fmt.Sprintf("i-%d", i), service: "ironhollow-narrator", zone: zones[i], version: []string{"1.4.0", "1.5.0"}[i%2],
 			slots: 64, queue: 134, events: streamEvents, eventGap: streamGap,
 		}
 		if err := e.start(); err != nil {
--- a/review/_lab/upgrade.go
+++ b/review/_lab/upgrade.go
@@ -21,19 +21,19 @@
 // runUpgrade starts the servers of a service again, one after the other, under their ids and with another
 // software version, while callers read streams.
 func runUpgrade(record *recorder, trouble bool) (broken bool, err error) {
-	zones := []string{"windhoek-a", "windhoek-a", "windhoek-a", "windhoek-b", "windhoek-b", "katutura", "katutura", "okahandja", "okahandja"}
+	zones := []string{"hall-a", "hall-a", "hall-a", "hall-b", "hall-b", "hall-b", "hall-c", "hall-c", "hall-d"}
 	f, err := newFleet(record, zones)
 	if err != nil {
 		return false, err
 	}
 	defer f.stop()
-	if err := putManifest(f.store, int(timeLimit.Milliseconds()), 64, nil); err != nil {
+	if err := putManifest(f.store, int(timeLimit.Milliseconds()), 64, true, nil); err != nil {
 		return false, err
 	}
 	var engines []*engine
 	for i := range 4 {
 		e := &engine{
-			fleet: f, id: fmt.Sprintf("i-%d", i), service: "assess-model", zone: zones[i], version: "1.4.0",
+			fleet: f, id: fmt.Sprintf("i-%d", i), service: "ironhollow-narrator", zone: zones[i], version: "1.4.0",
 			slots: 64, queue: 134, events: 50, eventGap: 60 * time.Millisecond,
 		}
 		if err := e.start(); err != nil {
