--- a/review/_lab/fleet.go
+++ b/review/_lab/fleet.go
@@ -26,11 +26,14 @@
 	start time.Time
 }
 
+// newRecorder returns a recorder that appends to a file.
 func newRecorder(path string) (*recorder, error) {
-	file, err := os.Create(path)
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	return &recorder{file: file, start: time.Now()}, err
 }
 
+func (r *recorder) close() { _ = r.file.Close() }
+
 func (r *recorder) note(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
