--- a/pkg/soak/links.go
+++ b/pkg/soak/links.go
@@ -95,6 +95,15 @@
 	changing.Wait()
 }
 
+// detach separates the ends of the open connections of all links; see Proxy.Detach.
+func (l *endpointLinks) detach(resets bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range l.proxies {
+		p.Detach(resets)
+	}
+}
+
 // setDown sets whether a target refuses connections, as one without a process does. The link then
 // refuses them too; otherwise it would accept and reset them.
 func (l *endpointLinks) setDown(target string, down bool) {
--- a/pkg/soak/proxy.go
+++ b/pkg/soak/proxy.go
@@ -81,6 +81,8 @@
 	lostHangs int
 	// fillers are the connections that fill the queue of the listener during a hang.
 	fillers []net.Conn
+	// detached holds the connections to the target that discard all bytes; see Detach.
+	detached map[net.Conn]bool
 }
 
 // NewProxy starts a proxy to a target on any free port.
@@ -93,7 +95,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: listener.(*net.TCPListener), target: target, conns: map[net.Conn]bool{}, changed: make(chan struct{})}
+	p := &Proxy{listener: listener.(*net.TCPListener), target: target, conns: map[net.Conn]bool{}, detached: map[net.Conn]bool{}, changed: make(chan struct{})}
 	go p.accept()
 	return p, nil
 }
@@ -209,6 +211,25 @@
 	}
 }
 
+// Detach separates the ends of all open connections, so that the target notices nothing: its side stays open
+// and what it sends is discarded. The client's side is reset, or silent if resets is false. New connections pass.
+func (p *Proxy) Detach(resets bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c, isClient := range p.conns {
+		p.detached[c] = true
+		if isClient && resets {
+			reset(c)
+		}
+	}
+}
+
+func (p *Proxy) isDetached(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.detached[c]
+}
+
 func (p *Proxy) currentMode() (Mode, chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -277,6 +298,7 @@
 	defer p.mu.Unlock()
 	for _, c := range conns {
 		delete(p.conns, c)
+		delete(p.detached, c)
 		_ = c.Close()
 	}
 }
@@ -287,6 +309,13 @@
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
+		if p.isDetached(from) {
+			if err == nil {
+				continue
+			}
+			p.closeConns(from)
+			return
+		}
 		if n > 0 {
 			if isLost := p.applyMode(responses); isLost || p.isLost(lostHangs) {
 				reset(to)
--- a/pkg/soak/takeups.go
+++ b/pkg/soak/takeups.go
@@ -71,7 +71,7 @@
 	for round := range takeUps.Rounds {
 		var streams []*brokenStream
 		for i := range takeUps.StreamsPerRound {
-			streams = append(streams, &brokenStream{run: r, name: fmt.Sprintf("s%d-%d-%d", o.Seed, round, i)})
+			streams = append(streams, r.newStream(fmt.Sprintf("s%d-%d-%d", o.Seed, round, i)))
 		}
 		for hop := range 2 {
 			host := (round + hop) % len(r.nodes)
@@ -126,6 +126,18 @@
 	attempts        int
 	takenUp, wentOn int
 	versions        []string
+	// addressOf returns the address at which the caller reaches a host, silence is how long it waits for
+	// an event.
+	addressOf func(*node) string
+	silence   time.Duration
+	// host is the number of the host that the next attempt goes to.
+	host int
+	// longestGap is the longest time between two events within an attempt.
+	longestGap time.Duration
+}
+
+func (r *run) newStream(name string) *brokenStream {
+	return &brokenStream{run: r, name: name, addressOf: func(n *node) string { return n.settings.Callers }, silence: silenceTimeout}
 }
 
 func (o *TakeUpOutcome) add(s *brokenStream) {
@@ -180,7 +192,7 @@
 	ctx, cancel := context.WithTimeout(ctx, standin.RequestTimeout)
 	defer cancel()
 	id := s.nextID()
-	request, err := standin.NewRequest(n.settings.Callers, standin.Resume, id, "body")
+	request, err := standin.NewRequest(s.addressOf(n), standin.Resume, id, "body")
 	if err != nil {
 		s.run.report.addViolation("%s: %v", id, err)
 		return
@@ -199,7 +211,7 @@
 	if response.StatusCode != http.StatusOK {
 		return
 	}
-	events := 0
+	events, lastAt := 0, time.Now()
 	defer func() {
 		if events > 0 {
 			s.versions = append(s.versions, s.run.requestLog.StreamVersions(id)...)
@@ -207,14 +219,17 @@
 	}()
 	lines := bufio.NewReader(response.Body)
 	for {
-		silent.Reset(silenceTimeout)
+		silent.Reset(s.silence)
 		line, err := lines.ReadString('\n')
 		if number, ok := strings.CutPrefix(line, "id: "); ok && err == nil {
 			s.last, _ = strconv.Atoi(strings.TrimSpace(number))
 			if s.first == "" {
 				s.first = id
 			}
-			events++
+			if events++; events > 1 {
+				s.longestGap = max(s.longestGap, time.Since(lastAt))
+			}
+			lastAt = time.Now()
 		}
 		if events >= eventsBeforeBreak {
 			reached()
