forward: end the run of an earlier attempt before a request is sent again

What callers saw: nothing; two endpoints worked on one request, for up to 1.6 s.

Cause: the end of a connection was taken for the end of the run. A reset may reach the host alone, and some endpoints continue a run after its connection was closed, so that a resumed stream ran beside itself.

Change: an attempt whose end its connection did not show leaves an open run. Before the request is sent to another endpoint, the run's endpoint is asked to stop it and to copy its memory there; the request continues from the copy, else as before. The next attempt waits 0.3 s at most, the calls last up to 1 s. A stream that breaks off for its caller ends its run first, since the caller may take it up at once. The host to which a request is forwarded takes the open run over. A copy that a lost move has left is freed after the run has ended, not while it may be copied again.

hopN-run and hopN-run-took in a request's line, and ironhollow_ended_runs_total, show what became of such runs; hopN-at is the start of an attempt.

TestMoves: its fake answered copies of runs that had ended; it now answers that there is no run, as endpoints do. What it checks is unchanged.

--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -81,18 +81,14 @@
 	errUnsigned       = errors.New("response has no signature")
 )
 
-// send sends the request to the chosen endpoint once and reads its response.
-func (c *call) send(ctx context.Context, choice route.Choice, lastEventID string) result {
-	return c.sendFrom(ctx, choice, copyOf{}, lastEventID)
-}
-
 // copyOf names the copy of a run's memory that an attempt continues from; empty if there is none.
 type copyOf struct{ sourceAddress, handle string }
 
-// sendFrom is send for a run that continues from a copy of its memory.
+// sendFrom sends the request to the chosen endpoint once and reads its response. The run continues from a
+// copy of its memory, if there is one.
 func (c *call) sendFrom(ctx context.Context, choice route.Choice, from copyOf, lastEventID string) result {
 	request := c.newRequest(choice, from, lastEventID)
-	c.sentAt = c.f.clock()
+	c.sentAt, c.continues = c.f.clock(), from.handle != ""
 	c.hasBegun = false
 	c.notice = endpoint.Notice{}
 	ctx, request.DialContext = c.untilCut(ctx)
--- a/pkg/forward/detour.go
+++ b/pkg/forward/detour.go
@@ -188,6 +188,9 @@
 		configVersion: c.table.Version(), attempts: c.deliveredAttempts(), isBudgeted: c.isBudgeted, remaining: time.Until(c.deadline),
 		isResume: isResume, lastEventID: lastEventID, origin: c.origin,
 	}
+	if c.open != nil {
+		d.openRun = c.open.endpointID
+	}
 	for _, ref := range c.avoid {
 		d.avoid = append(d.avoid, ref.ID)
 	}
@@ -283,6 +286,10 @@
 		a.outcome, a.framing = "stream", r.exchange.Framing().String()
 		a.mayHaveRun = true
 	}
+	if a.mayHaveRun {
+		// The other host has ended the run that was open.
+		c.open = nil
+	}
 	c.delivered = c.delivered || a.delivered
 	c.isBudgeted = c.isBudgeted || a.delivered
 	c.logEntry.attempts = append(c.logEntry.attempts, a)
@@ -294,6 +301,7 @@
 	if c.detour.isResume {
 		c.meta.LastEventID = c.detour.lastEventID
 	}
+	c.adoptOpenRun(c.detour.openRun)
 	for _, id := range c.detour.avoid {
 		if info, ok := c.f.router.Lookup(id); ok {
 			c.avoid = append(c.avoid, info.Ref())
--- a/pkg/forward/detourwire.go
+++ b/pkg/forward/detourwire.go
@@ -43,6 +43,8 @@
 	avoid []string
 	// origin is where the stream that the request continues began, nil if it continues none.
 	origin *origin.Source
+	// openRun is the ID of the endpoint that may run the request, empty if none does.
+	openRun string
 }
 
 type wireDetour struct {
@@ -54,6 +56,7 @@
 	LastEventID   string      `json:"last_event,omitempty"`
 	Avoid         []string    `json:"avoid,omitempty"`
 	Origin        *wireOrigin `json:"origin,omitempty"`
+	OpenRun       string      `json:"open_run,omitempty"`
 }
 
 type wireOrigin struct {
@@ -77,7 +80,7 @@
 
 func (d detour) encode() string {
 	// A struct of numbers and strings can always be encoded.
-	text, _ := json.Marshal(wireDetour{d.configVersion, d.attempts, d.isBudgeted, d.remaining.Milliseconds(), d.isResume, d.lastEventID, d.avoid, (*wireOrigin)(d.origin)})
+	text, _ := json.Marshal(wireDetour{d.configVersion, d.attempts, d.isBudgeted, d.remaining.Milliseconds(), d.isResume, d.lastEventID, d.avoid, (*wireOrigin)(d.origin), d.openRun})
 	return string(text)
 }
 
@@ -86,7 +89,7 @@
 	if err := json.Unmarshal([]byte(text), &w); err != nil {
 		return detour{}, err
 	}
-	return detour{w.ConfigVersion, max(w.Attempts, 0), w.IsBudgeted, time.Duration(max(w.RemainingMS, 0)) * time.Millisecond, w.IsResume, w.LastEventID, w.Avoid, (*origin.Source)(w.Origin)}, nil
+	return detour{w.ConfigVersion, max(w.Attempts, 0), w.IsBudgeted, time.Duration(max(w.RemainingMS, 0)) * time.Millisecond, w.IsResume, w.LastEventID, w.Avoid, (*origin.Source)(w.Origin), w.OpenRun}, nil
 }
 
 // removeDetourHeaders removes the headers between hosts from those of a caller or an endpoint.
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -142,8 +142,9 @@
 	hasBegun bool
 	// delivered is set once an endpoint has received the request and could run it.
 	delivered bool
-	// sentAt is the time of the latest attempt.
-	sentAt time.Time
+	// sentAt is the time of the latest attempt, continues is set if it continues from a copy of a run's memory.
+	sentAt    time.Time
+	continues bool
 	// notice is what the response to the latest attempt reports about its endpoint.
 	notice endpoint.Notice
 	// avoid lists the endpoints that the request failed at.
@@ -178,6 +179,8 @@
 	slotRetryAfter time.Duration
 	// isDemandCounted is set while the request waits for a slot, once a choice has counted its work.
 	isDemandCounted bool
+	// open is the run of the latest attempt, nil if it is known to have ended.
+	open *openRun
 	// endsByClose is set if the response ends with the caller's connection.
 	endsByClose bool
 	logEntry    requestLog
@@ -196,6 +199,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	err := c.serve()
+	c.freeOpenCopy()
 	for _, end := range c.atEnd {
 		end()
 	}
--- a/pkg/forward/moved.go
+++ b/pkg/forward/moved.go
@@ -205,7 +205,12 @@
 	if s.relayed == nil {
 		return next, false
 	}
-	defer func() { s.relayed.handover.Finish(ok) }()
+	isLeft := false
+	defer func() { s.relayed.handover.Finish(ok || isLeft) }()
+	if at.Place == migrate.Uncertain && err != nil && c.mayResume() && c.open != nil {
+		// The copy is freed after the run has ended: a call to end it may make a copy with the same handle.
+		c.open.handle, isLeft = at.Handle, true
+	}
 	if at.Place == migrate.Nowhere || at.Place == migrate.Uncertain && (err == nil || c.mayResume()) {
 		return next, false
 	}
@@ -277,7 +282,6 @@
 	rolloutSend := c.beginRolloutSend(choice)
 	r := c.sendFrom(ctx, choice, copyOf{source.Endpoint.Address, handle}, lastEventID)
 	c.recordAttempt(choice, r, c.f.clock().Sub(sentAt))
-	c.logEntry.attempts[len(c.logEntry.attempts)-1].continues = true
 	c.recordOutcome(ctx, choice, r)
 	inTime := timer.Stop()
 	switch a := r.(type) {
--- a/pkg/forward/mover_test.go
+++ b/pkg/forward/mover_test.go
@@ -60,7 +60,11 @@
 	if p.freeing > 0 {
 		p.copiedWhileFreeing++
 	}
+	isRunning := p.running > 0
 	p.mu.Unlock()
+	if !isRunning {
+		return migrate.CopyAnswer{Result: migrate.NoRun}
+	}
 	return p.onCopy(p, request)
 }
 
--- /dev/null
+++ b/pkg/forward/openrun.go
@@ -0,0 +1,149 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"ironhollow/pkg/migrate"
+	"ironhollow/pkg/route"
+)
+
+// openRun is a run that its endpoint may continue although the connection to it has ended: a reset may
+// have reached one side only, and some endpoints ignore it. Only the endpoint knows.
+type openRun struct {
+	endpointID string
+	source     migrate.Source
+	id         string
+	// handle names a copy of the run's memory that a move has left, empty if there is none.
+	handle string
+}
+
+// Timing of the calls that end a run.
+const (
+	// endRunWait is how long the next attempt waits until the run before has ended. A copy of a long prompt
+	// takes a third of it.
+	endRunWait = 300 * time.Millisecond
+	// endRunTimeout bounds the calls. They continue after endRunWait, so that a run at an endpoint that is
+	// slow to answer ends nevertheless.
+	endRunTimeout = time.Second
+)
+
+// openRunAt records that the endpoint of an attempt may run the request until that is known to have ended.
+func (c *call) openRunAt(choice route.Choice) {
+	if c.f.mover == nil || c.service.Moves == nil || choice.Endpoint.ID == noChoice.Endpoint.ID {
+		return
+	}
+	c.open = &openRun{choice.Endpoint.ID, migrate.Source{Address: choice.Endpoint.Address, ConnectionLimit: c.connectionLimit()}, c.meta.ID, ""}
+}
+
+// adoptOpenRun takes over the run that the host which forwards the request has not ended.
+func (c *call) adoptOpenRun(endpointID string) {
+	if info, ok := c.f.router.Lookup(endpointID); ok {
+		c.openRunAt(route.Choice{Endpoint: info})
+	}
+}
+
+// endedRun is the outcome of ending a run.
+type endedRun struct {
+	state  migrate.RunState
+	handle string
+}
+
+// endOpenRun ends the run of an earlier attempt before the request is sent to target, and returns the copy
+// that the run continues from there, if there is one.
+func (c *call) endOpenRun(ctx context.Context, target string) copyOf {
+	run := c.open
+	if c.open = nil; run == nil || c.f.links.IsCut() {
+		return copyOf{}
+	}
+	startedAt := c.f.clock()
+	ended := c.f.endRun(ctx, run, target)
+	c.logEntry.recordEnd(ended.state, c.f.clock().Sub(startedAt))
+	c.f.metrics.endedRuns.WithLabelValues(c.service.Name, ended.state.String()).Inc()
+	if ended.state == migrate.WasCopied {
+		return copyOf{run.source.Address, ended.handle}
+	}
+	return copyOf{}
+}
+
+// endRun ends a run and waits for that, for endRunWait at most. A copy that nobody uses is freed.
+func (f *Forwarder) endRun(ctx context.Context, run *openRun, target string) endedRun {
+	result := make(chan endedRun, 1)
+	stopCtx, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), endRunTimeout)
+	go func() {
+		defer cancelStop()
+		state, handle := migrate.Stop(stopCtx, f.mover.calls, migrate.CopyRequest{Source: run.source, RunID: run.id, Target: target})
+		result <- endedRun{state, handle}
+		if run.handle != handle {
+			f.freeCopy(run.source, run.handle)
+		}
+	}()
+	ctx, cancel := context.WithTimeout(ctx, endRunWait)
+	defer cancel()
+	select {
+	case ended := <-result:
+		if ended.state == migrate.WasStopped {
+			go f.freeCopy(run.source, ended.handle)
+		}
+		return ended
+	case <-ctx.Done():
+		go func() { f.freeCopy(run.source, (<-result).handle) }()
+		return endedRun{}
+	}
+}
+
+// freeOpenCopy frees the copy that is left of a run which was not ended.
+func (c *call) freeOpenCopy() {
+	if c.open != nil && c.open.handle != "" {
+		go c.f.freeCopy(c.open.source, c.open.handle)
+	}
+}
+
+// freeCopy frees a copy that is not used.
+func (f *Forwarder) freeCopy(source migrate.Source, handle string) {
+	if handle == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), endRunTimeout)
+	defer cancel()
+	if err := f.mover.calls.Free(ctx, source, handle); err != nil {
+		f.mover.freeFailed(err)
+	}
+}
+
+// sendAgain ends the run of an earlier attempt, if there is one, and sends the request to the chosen endpoint.
+func (c *call) sendAgain(ctx context.Context, choice route.Choice, lastEventID string) result {
+	from := c.endOpenRun(ctx, choice.Endpoint.Address)
+	r := c.sendFrom(ctx, choice, from, lastEventID)
+	if _, isStream := r.(streaming); !isStream {
+		go c.f.freeCopy(migrate.Source{Address: from.sourceAddress}, from.handle)
+	}
+	return r
+}
+
+// endAbandonedRun ends the run of a stream that breaks off for its caller, who may take it up at once.
+func (c *call) endAbandonedRun(ctx context.Context, err error) {
+	if c.open == nil || !c.route.MayRepeat() || errors.Is(err, errCallerDisconnected) || ctx.Err() != nil {
+		return
+	}
+	target, ok := c.anyTarget()
+	if !ok {
+		return
+	}
+	from := c.endOpenRun(ctx, target)
+	go c.f.freeCopy(migrate.Source{Address: from.sourceAddress}, from.handle)
+}
+
+// anyTarget returns the address of an endpoint that could continue the run. A call that stops a run must name
+// one.
+func (c *call) anyTarget() (address string, ok bool) {
+	query := c.query()
+	query.Continues = true
+	target, ok := c.f.router.Choose(query, route.Expected, c.f.clock())
+	if !ok {
+		return "", false
+	}
+	c.f.router.Done(target, route.Result{Refused: true}, c.f.clock())
+	return target.Endpoint.Address, true
+}
--- /dev/null
+++ b/pkg/forward/openrun_test.go
@@ -0,0 +1,117 @@
+package forward_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"ironhollow/pkg/forward"
+	"ironhollow/pkg/migrate"
+	"ironhollow/pkg/upstream"
+)
+
+// endingCalls answers calls that stop runs.
+type endingCalls struct {
+	migrate.Calls
+	stop  func(ctx context.Context) migrate.CopyAnswer
+	freed chan string
+}
+
+func (c *endingCalls) Copy(ctx context.Context, _ migrate.CopyRequest) migrate.CopyAnswer {
+	return c.stop(ctx)
+}
+
+func (c *endingCalls) Free(_ context.Context, _ migrate.Source, handle string) error {
+	c.freed <- handle
+	return nil
+}
+
+// Guards against streams that wait for an endpoint without an answer, and against copies that nobody frees.
+func TestStreamIsResumedOnceItsRunHasEnded(t *testing.T) {
+	lost := errors.New("lost")
+	noAnswer := func(ctx context.Context) migrate.CopyAnswer {
+		<-ctx.Done()
+		return migrate.CopyAnswer{Err: lost}
+	}
+	answers := func(a migrate.CopyAnswer) func(context.Context) migrate.CopyAnswer {
+		return func(context.Context) migrate.CopyAnswer { return a }
+	}
+	copied := answers(migrate.CopyAnswer{Result: migrate.Copied, Handle: "h"})
+	for _, c := range []struct {
+		name string
+		stop func(context.Context) migrate.CopyAnswer
+		// refusesCopy is set if the next endpoints do not continue from a copy.
+		refusesCopy     bool
+		want, wantFreed string
+		// least is the least time from the break to the next request.
+		least time.Duration
+	}{
+		{name: "no run", stop: answers(migrate.CopyAnswer{Result: migrate.NoRun}), want: "whole, whole"},
+		{name: "no answer", stop: noAnswer, want: "whole, whole", least: 250 * time.Millisecond},
+		{name: "copied", stop: copied, want: "whole, copy"},
+		{name: "copied, then refused", stop: copied, refusesCopy: true, want: "whole, copy, whole", wantFreed: "h"},
+		{name: "stopped only", stop: answers(migrate.CopyAnswer{Result: migrate.NoRoom, Handle: "h"}), want: "whole, whole", wantFreed: "h"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			p, calls := &movePlatform{stopped: make(chan struct{})}, &endingCalls{stop: c.stop, freed: make(chan string, 9)}
+			broken, resumed := make(chan time.Time, 1), make(chan time.Time, 9)
+			s := newHarness(t, moveSpec(), true, func(conn net.Conn, r *http.Request) bool {
+				defer func() { broken <- time.Now() }()
+				return p.run(conn, r, nil, moveEvents/2)
+			})
+			s.forwarder.MoveStreams(forward.NewMover(calls, upstream.New(time.Second), s.directory, s.router, s.tables, time.Now, prometheus.NewRegistry(), &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}))
+			next := func(conn net.Conn, r *http.Request) bool {
+				resumed <- time.Now()
+				if c.refusesCopy && r.Header.Get("Copy") != "" {
+					return respond(notRunResponse, true)(conn, r)
+				}
+				return p.run(conn, r, nil, 0)
+			}
+			time.AfterFunc(moveEvents/4*moveEventGap, func() {
+				s.addEndpoint("e1", next)
+				s.addEndpoint("e2", next)
+			})
+			if got := s.send("POST", "/resume/x", "body"); got.err != nil || got.body != allMoveEvents() {
+				t.Errorf("stream: got %d bytes, %v, want it whole", len(got.body), got.err)
+			}
+			if got := s.starts(); got != c.want {
+				t.Errorf("attempts: got %s, want %s", got, c.want)
+			}
+			if waited := (<-resumed).Sub(<-broken); waited < c.least || waited > time.Second {
+				t.Errorf("wait for the end of the run: got %v, want %v to 1s", waited, c.least)
+			}
+			select {
+			case freed := <-calls.freed:
+				if freed != c.wantFreed {
+					t.Errorf("freed: got %q, want %q", freed, c.wantFreed)
+				}
+			case <-time.After(500 * time.Millisecond):
+				if c.wantFreed != "" {
+					t.Errorf("freed: got nothing, want %q", c.wantFreed)
+				}
+			}
+		})
+	}
+}
+
+// starts returns whether each attempt began from a copy.
+func (s *harness) starts() string {
+	var starts []string
+	for _, r := range s.requests() {
+		start := whole
+		if r.header.Get("Copy") != "" {
+			start = "copy"
+		}
+		starts = append(starts, start)
+	}
+	return strings.Join(starts, ", ")
+}
--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -209,6 +209,7 @@
 		}
 		var ok bool
 		if choice, current, ok = c.resume(ctx, s.lastEventID); !ok {
+			c.endAbandonedRun(ctx, err)
 			return errors.Join(errTruncated, err)
 		}
 		e = current.exchange
@@ -251,7 +252,7 @@
 		}
 		sentAt := c.f.clock()
 		rolloutSend := c.beginRolloutSend(choice)
-		last = c.send(ctx, choice, lastEventID)
+		last = c.sendAgain(ctx, choice, lastEventID)
 		c.recordAttempt(choice, last, c.f.clock().Sub(sentAt))
 		c.recordOutcome(ctx, choice, last)
 		c.recordRolloutOutcome(ctx, rolloutSend, last)
--- a/pkg/forward/request_log.go
+++ b/pkg/forward/request_log.go
@@ -9,6 +9,7 @@
 
 	"ironhollow/pkg/code"
 	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/migrate"
 	"ironhollow/pkg/quarantine"
 	"ironhollow/pkg/route"
 )
@@ -48,15 +49,27 @@
 	// endpoints is how many endpoints have received the request in an attempt through another host, 0
 	// if unknown.
 	endpoints int
-	// continues is set if the attempt continued a run that was stopped to be moved, which is not a
-	// further run.
+	// startedAfter is the time from the beginning of the request.
+	startedAfter time.Duration
+	// runEnd is how the run ended if its connection did not show that, runEndTook how long the answer to
+	// that took.
+	runEnd     string
+	runEndTook time.Duration
+	// continues is set if the attempt continued a run that was stopped, which is not a further run.
 	continues bool
 }
 
+// recordEnd records how the run of the latest attempt has ended.
+func (t *requestLog) recordEnd(state migrate.RunState, took time.Duration) {
+	if n := len(t.attempts); n > 0 {
+		t.attempts[n-1].runEnd, t.attempts[n-1].runEndTook = state.String(), took
+	}
+}
+
 func (t *requestLog) addNote(text string) { t.notes = append(t.notes, text) }
 
 func (c *call) recordAttempt(choice route.Choice, r result, duration time.Duration) {
-	a := attemptRecord{endpoint: choice.Endpoint.ID, release: choice.Endpoint.Release, rowVersion: choice.Endpoint.Counter, expected: choice.Expected, queued: choice.Queued, cached: choice.CachedTokens, duration: duration, delivered: true, notice: c.notice}
+	a := attemptRecord{endpoint: choice.Endpoint.ID, release: choice.Endpoint.Release, rowVersion: choice.Endpoint.Counter, expected: choice.Expected, queued: choice.Queued, cached: choice.CachedTokens, duration: duration, delivered: true, notice: c.notice, startedAfter: c.sentAt.Sub(c.started), continues: c.continues}
 	switch r := r.(type) {
 	case notRun:
 		a.outcome = "not run: " + r.err.Error()
@@ -64,11 +77,13 @@
 	case unclear:
 		a.outcome = "unclear: " + r.err.Error()
 		a.mayHaveRun = true
+		c.openRunAt(choice)
 	case answered:
 		a.outcome = strconv.Itoa(r.status)
 		a.framing = r.framing.String()
 		a.mayHaveRun = true
 	case streaming:
+		c.openRunAt(choice)
 		a.outcome = "stream"
 		a.framing = r.exchange.Framing().String()
 		a.mayHaveRun = true
@@ -197,13 +212,16 @@
 	for i, a := range c.logEntry.attempts {
 		prefix := "hop" + strconv.Itoa(i+1)
 		line = line.Str(prefix, a.endpoint).Str(prefix+"-end", a.outcome).Dur(prefix+"-took", a.duration).
-			Dur(prefix+"-expected", a.expected).Dur(prefix+"-queued", a.queued).Int(prefix+"-cached", a.cached).Int64(prefix+"-row", a.rowVersion)
+			Dur(prefix+"-at", a.startedAfter).Dur(prefix+"-expected", a.expected).Dur(prefix+"-queued", a.queued).Int(prefix+"-cached", a.cached).Int64(prefix+"-row", a.rowVersion)
 		if a.release != "" {
 			line = line.Str(prefix+"-release", a.release)
 		}
 		if a.framing != "" {
 			line = line.Str(prefix+"-framing", a.framing)
 		}
+		if a.runEnd != "" {
+			line = line.Str(prefix+"-run", a.runEnd).Dur(prefix+"-run-took", a.runEndTook)
+		}
 		if text := a.notice.String(); text != "" {
 			line = line.Str(prefix+"-said", text)
 		}
@@ -234,6 +252,8 @@
 	unmarkedEnds *prometheus.CounterVec
 	// takeUps counts the streams that callers take up.
 	takeUps *prometheus.CounterVec
+	// endedRuns counts the runs that were ended since their connections had not shown their ends.
+	endedRuns *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics.
@@ -268,6 +288,9 @@
 	m.takeUps = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "ironhollow_take_ups_total", Help: "Streams that callers take up after they broke off, by how that ended.",
 	}, []string{"outcome"})
-	registry.MustRegister(m.takeUps, m.requests, m.attempts, m.seconds, m.dropped, m.reserved, m.notices, m.leaving, m.unmarkedEnds)
+	m.endedRuns = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "ironhollow_ended_runs_total", Help: "Runs that an endpoint was asked to end after their connections broke off, by service and what became of them.",
+	}, []string{"service", "state"})
+	registry.MustRegister(m.endedRuns, m.takeUps, m.requests, m.attempts, m.seconds, m.dropped, m.reserved, m.notices, m.leaving, m.unmarkedEnds)
 	return m
 }
--- a/pkg/forward/run.go
+++ b/pkg/forward/run.go
@@ -172,7 +172,7 @@
 	if c.detour != nil {
 		lastEventID = c.detour.lastEventID
 	}
-	r := c.send(ctx, choice, lastEventID)
+	r := c.sendAgain(ctx, choice, lastEventID)
 	c.recordAttempt(choice, r, c.f.clock().Sub(sentAt))
 	c.recordOutcome(ctx, choice, r)
 	c.recordRolloutOutcome(ctx, rolloutSend, r)
