forward: end the earlier attempt when a caller takes its stream up

What callers saw: nothing; the stream that they had taken up ran at two endpoints for up to 1.6 s, and this system relayed one of them to nobody.

Cause: a take-up was a new request to the host that served it. The host that relayed the earlier attempt does not notice a caller whose connection was reset at its side alone or fell silent, and a run whose caller left may continue at its endpoint.

Change: hosts keep the streams that callers may take up, and the runs that may continue after their end, until the request's deadline. The record of a stream's origin names the host that relays it; a host at which the stream is taken up asks that host to end it, waits for 0.4 s at most, and ends what it relays itself. A host that relayed the stream earlier forwards the call once. A request that was forwarded is ended through the host that it was forwarded to. Records of earlier versions name no host; hosts of earlier versions ignore the name, which has its own key (29) in the datagram.

The line of a take-up has earlier and earlier-took.

--- a/pkg/app/node/listen.go
+++ b/pkg/app/node/listen.go
@@ -86,6 +86,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET "+relay.Path, n.storeReplica)
 	mux.Handle("GET "+reach.Path, n.links)
+	mux.HandleFunc("DELETE "+forward.StreamsPath, n.forwarder.ServeStreamEnd)
 	mux.Handle("GET "+statetransfer.Path, statetransfer.NewServer(n.hostState, n.known))
 	others := negroni.New(negroni.NewRecovery(), negroni.Wrap(mux))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/pkg/app/node/origins.go
+++ b/pkg/app/node/origins.go
@@ -45,5 +45,5 @@
 		}
 		return list
 	}
-	return origin.New(peers, sender, clock.Now)
+	return origin.New(s.PeerAddress, peers, sender, clock.Now)
 }
--- a/pkg/forward/detour.go
+++ b/pkg/forward/detour.go
@@ -189,7 +189,7 @@
 		isResume: isResume, lastEventID: lastEventID, origin: c.origin,
 	}
 	if c.open != nil {
-		d.openRun = c.open.endpointID
+		d.openRun = c.open.endpoint.ID
 	}
 	for _, ref := range c.avoid {
 		d.avoid = append(d.avoid, ref.ID)
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -69,6 +69,8 @@
 	detours *Detours
 	links   Links
 	origins *origin.Directory
+	// takeables are the streams that this host relays.
+	takeables *takeables
 	// slotQueues holds the requests that wait for slots of fragile endpoints.
 	slotQueues *slotQueues
 }
@@ -99,10 +101,10 @@
 	queues := newSlotQueues()
 	router.OnRelease(queues.wakeNext)
 	return &Forwarder{
-		slotQueues: queues,
-		protocol:   protocol, tables: tables, router: router, limits: limits, budget: budget, pool: pool,
+		slotQueues: queues, takeables: newTakeables(),
+		protocol: protocol, tables: tables, router: router, limits: limits, budget: budget, pool: pool,
 		runCounter: runs, fleet: fleet, rollouts: rollouts, crashes: watch, notices: notices, phase: phase, clock: clock, metrics: metrics, log: logger, logLimit: newLogLimiter(clock()), links: soundLinks{},
-		origins: origin.New(func() []origin.Peer { return nil }, nil, clock),
+		origins: origin.New("", func() []origin.Peer { return nil }, nil, clock),
 	}
 }
 
@@ -181,6 +183,9 @@
 	isDemandCounted bool
 	// open is the run of the latest attempt, nil if it is known to have ended.
 	open *openRun
+	// takeable is set if the caller may take the stream up, cancel ends the request's context.
+	takeable *takeable
+	cancel   context.CancelFunc
 	// endsByClose is set if the response ends with the caller's connection.
 	endsByClose bool
 	logEntry    requestLog
@@ -199,6 +204,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	err := c.serve()
+	c.endTakeable(err)
 	c.freeOpenCopy()
 	for _, end := range c.atEnd {
 		end()
@@ -285,5 +291,9 @@
 	}
 	ctx, cancel := context.WithDeadline(c.incoming.Context(), c.deadline)
 	defer cancel()
+	c.cancel = cancel
+	if c.meta.Resumes != "" && c.origin != nil {
+		c.trackTakeable()
+	}
 	return c.run(ctx)
 }
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -189,7 +189,7 @@
 	forwarder := forward.New(testProtocol{}, s.tables, router, limit.NewCostLimiter(limit.Tolerance{}, now.Add(-time.Hour)),
 		retry.NewWindowBudget(0.2, 58, 10*time.Second), upstream.New(time.Second), s.runs, singleHost{}, s.rollouts, s.watch, board,
 		func() forward.Phase { return forward.Phase(s.phase.Load()) }, time.Now, forward.NewMetrics(registry), logger)
-	s.origins = origin.New(func() []origin.Peer { return nil }, nil, time.Now)
+	s.origins = origin.New("", func() []origin.Peer { return nil }, nil, time.Now)
 	forwarder.UseOrigins(s.origins)
 	s.forwarder = forwarder
 	s.server = httptest.NewUnstartedServer(forwarder)
--- a/pkg/forward/openrun.go
+++ b/pkg/forward/openrun.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/migrate"
 	"ironhollow/pkg/route"
 )
@@ -12,9 +13,9 @@
 // openRun is a run that its endpoint may continue although the connection to it has ended: a reset may
 // have reached one side only, and some endpoints ignore it. Only the endpoint knows.
 type openRun struct {
-	endpointID string
-	source     migrate.Source
-	id         string
+	endpoint endpoint.Info
+	source   migrate.Source
+	id       string
 	// handle names a copy of the run's memory that a move has left, empty if there is none.
 	handle string
 }
@@ -34,7 +35,7 @@
 	if c.f.mover == nil || c.service.Moves == nil || choice.Endpoint.ID == noChoice.Endpoint.ID {
 		return
 	}
-	c.open = &openRun{choice.Endpoint.ID, migrate.Source{Address: choice.Endpoint.Address, ConnectionLimit: c.connectionLimit()}, c.meta.ID, ""}
+	c.open = &openRun{endpoint: choice.Endpoint, source: migrate.Source{Address: choice.Endpoint.Address, ConnectionLimit: c.connectionLimit()}, id: c.meta.ID}
 }
 
 // adoptOpenRun takes over the run that the host which forwards the request has not ended.
@@ -60,7 +61,6 @@
 	startedAt := c.f.clock()
 	ended := c.f.endRun(ctx, run, target)
 	c.logEntry.recordEnd(ended.state, c.f.clock().Sub(startedAt))
-	c.f.metrics.endedRuns.WithLabelValues(c.service.Name, ended.state.String()).Inc()
 	if ended.state == migrate.WasCopied {
 		return copyOf{run.source.Address, ended.handle}
 	}
@@ -83,11 +83,13 @@
 	defer cancel()
 	select {
 	case ended := <-result:
+		f.metrics.endedRuns.WithLabelValues(run.endpoint.Service, ended.state.String()).Inc()
 		if ended.state == migrate.WasStopped {
 			go f.freeCopy(run.source, ended.handle)
 		}
 		return ended
 	case <-ctx.Done():
+		f.metrics.endedRuns.WithLabelValues(run.endpoint.Service, migrate.MayContinue.String()).Inc()
 		go func() { f.freeCopy(run.source, (<-result).handle) }()
 		return endedRun{}
 	}
@@ -127,23 +129,25 @@
 	if c.open == nil || !c.route.MayRepeat() || errors.Is(err, errCallerDisconnected) || ctx.Err() != nil {
 		return
 	}
-	target, ok := c.anyTarget()
-	if !ok {
-		return
-	}
-	from := c.endOpenRun(ctx, target)
-	go c.f.freeCopy(migrate.Source{Address: from.sourceAddress}, from.handle)
+	startedAt := c.f.clock()
+	ended := c.f.endUnusedRun(ctx, c.open)
+	c.logEntry.recordEnd(ended.state, c.f.clock().Sub(startedAt))
+	c.open = nil
 }
 
-// anyTarget returns the address of an endpoint that could continue the run. A call that stops a run must name
-// one.
-func (c *call) anyTarget() (address string, ok bool) {
-	query := c.query()
-	query.Continues = true
-	target, ok := c.f.router.Choose(query, route.Expected, c.f.clock())
+// endUnusedRun ends a run that is not continued here. The call must name an endpoint that takes the run's memory.
+func (f *Forwarder) endUnusedRun(ctx context.Context, run *openRun) endedRun {
+	info := run.endpoint
+	query := route.Query{Target: route.TargetOf(info), AnswerTokens: 1, Continues: true, Avoid: []endpoint.Ref{info.Ref()}}
+	query.Rule.OnlyRelease, query.Rule.IsPinned = info.Release, true
+	target, ok := f.router.Choose(query, route.Expected, f.clock())
 	if !ok {
-		return "", false
+		return endedRun{}
+	}
+	f.router.Done(target, route.Result{Refused: true}, f.clock())
+	ended := f.endRun(ctx, run, target.Endpoint.Address)
+	if ended.state == migrate.WasCopied {
+		go f.freeCopy(run.source, ended.handle)
 	}
-	c.f.router.Done(target, route.Result{Refused: true}, c.f.clock())
-	return target.Endpoint.Address, true
+	return ended
 }
--- /dev/null
+++ b/pkg/forward/takenup.go
@@ -0,0 +1,234 @@
+package forward
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"ironhollow/pkg/origin"
+	"ironhollow/pkg/upstream"
+)
+
+// A caller that takes a stream up has given up its earlier attempt, which this system may still relay: the
+// caller's connection may have been reset at its side alone, or have fallen silent. The host that
+// relays the earlier attempt ends it, and its run, before the stream continues.
+
+const (
+	// StreamsPath is the path at which hosts ask each other to end a stream; its key follows, in hex.
+	StreamsPath = "/streams/"
+	// headerTakenUpBy holds the address of the host at which the stream was taken up. headerForwarded is set if
+	// the host that was asked first knew that another one relays the stream.
+	headerTakenUpBy = "Ironhollow-Taken-Up-By"
+	headerForwarded = "Ironhollow-Forwarded"
+	// takeUpWait is how long a take-up waits for the host that relays the earlier attempt: it ends the run
+	// first.
+	takeUpWait = endRunWait + 100*time.Millisecond
+	// maxTakeables bounds the streams in the table; the least recently used are dropped first.
+	maxTakeables = 8 << 10
+)
+
+// takeable is a stream that its caller may take up.
+type takeable struct {
+	mu sync.Mutex
+	// interrupt ends the caller's request, nil once it has ended. isTakenUp is set once it was called.
+	interrupt func()
+	isTakenUp bool
+	// ended is closed once the request has ended; open and hop are valid after that.
+	ended chan struct{}
+	// open is the run that may continue, until its deadline.
+	open  *openRun
+	until time.Time
+	// hop is the host through which the stream was last relayed, empty if there is none.
+	hop string
+}
+
+// takeables holds the streams that callers may take up, by the attempt that brought their first events. It
+// is safe for concurrent use.
+type takeables struct {
+	mu      sync.Mutex
+	streams *simplelru.LRU[origin.Key, *takeable]
+}
+
+func newTakeables() *takeables {
+	// The size is positive, which is all that the constructor checks.
+	streams, _ := simplelru.NewLRU[origin.Key, *takeable](maxTakeables, nil)
+	return &takeables{streams: streams}
+}
+
+// take removes a stream from the table.
+func (t *takeables) take(key origin.Key) *takeable {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.streams.Peek(key)
+	if !ok {
+		return nil
+	}
+	t.streams.Remove(key)
+	return s
+}
+
+func (t *takeables) add(key origin.Key, s *takeable) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.streams.Add(key, s)
+}
+
+// drop removes a stream that nothing needs to be ended of.
+func (t *takeables) drop(key origin.Key, s *takeable) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if held, ok := t.streams.Peek(key); ok && held == s {
+		t.streams.Remove(key)
+	}
+}
+
+// streamKey returns the key under which the caller takes the stream up.
+func (c *call) streamKey() origin.Key {
+	attempt := c.meta.ID
+	if c.meta.Resumes != "" {
+		attempt = c.meta.Resumes
+	}
+	return origin.KeyOf(c.teamName(), attempt)
+}
+
+// trackTakeable registers the request's stream, unless its caller may not take it up.
+func (c *call) trackTakeable() {
+	if c.takeable != nil || !c.route.MayRepeat() {
+		return
+	}
+	c.takeable = &takeable{ended: make(chan struct{}), until: c.deadline, interrupt: func() {
+		c.cancel()
+		// A caller that reads nothing must not keep the request from its end. Not all connections have
+		// deadlines; the request then ends with its own.
+		_ = http.NewResponseController(c.w).SetWriteDeadline(time.Now())
+	}}
+	c.f.takeables.add(c.streamKey(), c.takeable)
+}
+
+// endTakeable records that the request has ended with err.
+func (c *call) endTakeable(err error) {
+	s := c.takeable
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	s.interrupt = nil
+	if s.isTakenUp {
+		c.logEntry.addNote("ended: its caller has taken the stream up")
+	}
+	s.mu.Unlock()
+	if n := len(c.usedHosts); n > 0 && c.open == nil {
+		s.hop = c.usedHosts[n-1]
+	}
+	s.open = c.open
+	close(s.ended)
+	if err == nil || s.open == nil && s.hop == "" {
+		c.f.takeables.drop(c.streamKey(), s)
+	}
+}
+
+// endEarlier ends the earlier attempt at a stream that is taken up here: at the host that relays it, or did so
+// last, and at this one, which may have relayed it for another.
+func (c *call) endEarlier(ctx context.Context, host string) (outcome string) {
+	key := c.streamKey()
+	ctx, cancel := context.WithTimeout(ctx, takeUpWait)
+	defer cancel()
+	outcome = "none"
+	if host != "" {
+		outcome = "ended"
+		if err := c.f.endAtHost(ctx, host, key, http.Header{headerTakenUpBy: {c.f.origins.Self()}}); err != nil {
+			c.f.log.Warn().Err(err).Str("host", host).Str("request", c.meta.ID).Msg("failed to end the earlier attempt at a stream")
+			outcome = "unanswered"
+		}
+	}
+	if c.f.endStream(ctx, key) {
+		outcome = "ended here"
+	}
+	return outcome
+}
+
+// endStream ends a stream that this host relays, and its run if the endpoint may continue it. It returns
+// false if this host relays none with that key.
+func (f *Forwarder) endStream(ctx context.Context, key origin.Key) bool {
+	s := f.takeables.take(key)
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	if s.interrupt != nil {
+		s.isTakenUp = true
+		s.interrupt()
+	}
+	s.mu.Unlock()
+	select {
+	case <-s.ended:
+	case <-ctx.Done():
+		return true
+	}
+	if s.hop != "" {
+		if err := f.endAtHost(ctx, s.hop, key, http.Header{}); err != nil {
+			f.log.Warn().Err(err).Str("host", s.hop).Msg("failed to end a stream at the host that it was forwarded to")
+		}
+	}
+	if s.open != nil && time.Now().Before(s.until) {
+		f.endUnusedRun(ctx, s.open)
+	}
+	return true
+}
+
+// errStreamNotEnded means that another host did not say that it has ended a stream.
+var errStreamNotEnded = errors.New("the other host did not end the stream")
+
+// endAtHost asks another host to end a stream.
+func (f *Forwarder) endAtHost(ctx context.Context, host string, key origin.Key, header http.Header) error {
+	if f.detours == nil {
+		return nil
+	}
+	request := upstream.Request{
+		Method: http.MethodDelete, Target: StreamsPath + hex.EncodeToString(key[:]), Host: host,
+		Header: header, MaxIdle: nonRepeatableMaxIdle,
+	}
+	switch o := f.detours.pool.Send(ctx, host, 0, request).(type) {
+	case upstream.NotSent:
+		return o.Err
+	case upstream.MaybeSent:
+		return o.Err
+	case upstream.Answered:
+		defer o.Exchange.Close()
+		if o.Exchange.Status() != http.StatusNoContent {
+			return errStreamNotEnded
+		}
+	}
+	return nil
+}
+
+// ServeStreamEnd answers another host that asks this one to end a stream.
+func (f *Forwarder) ServeStreamEnd(w http.ResponseWriter, r *http.Request) {
+	raw, err := hex.DecodeString(strings.TrimPrefix(r.URL.Path, StreamsPath))
+	if err != nil || len(raw) != len(origin.Key{}) {
+		http.Error(w, "malformed key of a stream", http.StatusBadRequest)
+		return
+	}
+	key, takenUpBy := origin.Key(raw), r.Header.Get(headerTakenUpBy)
+	host := f.origins.HostOf(key)
+	if takenUpBy != "" {
+		f.origins.SetHost(key, takenUpBy)
+	}
+	if f.endStream(r.Context(), key) || host == "" || host == takenUpBy || r.Header.Get(headerForwarded) != "" {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	// The host that asks had an older record.
+	if err := f.endAtHost(r.Context(), host, key, http.Header{headerTakenUpBy: {takenUpBy}, headerForwarded: {"1"}}); err != nil {
+		f.log.Warn().Err(err).Str("host", host).Msg("failed to end a stream at the host that relays it now")
+		w.WriteHeader(http.StatusBadGateway)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/pkg/forward/takeup.go
+++ b/pkg/forward/takeup.go
@@ -26,6 +26,9 @@
 type takeUp struct {
 	finding origin.Finding
 	took    time.Duration
+	// earlier is what became of the earlier attempt, earlierTook how long that took.
+	earlier     string
+	earlierTook time.Duration
 }
 
 // findOrigin finds where the stream that the request continues began. It returns an error if that is not
@@ -45,7 +48,13 @@
 	if t.finding.Result != origin.Known {
 		return code.New(code.OriginUnknown, "origin of the stream: "+t.finding.Result.String())
 	}
-	return c.adoptOrigin(t.finding.Source)
+	if err := c.adoptOrigin(t.finding.Source); err != nil {
+		return err
+	}
+	started = c.f.clock()
+	t.earlier = c.endEarlier(ctx, t.finding.Host)
+	t.earlierTook = c.f.clock().Sub(started)
+	return nil
 }
 
 // adoptOrigin restricts the request to the service and the release at which its stream began.
@@ -77,6 +86,7 @@
 	}
 	c.setOrigin(source)
 	c.recordOrigin(source)
+	c.trackTakeable()
 	return nil
 }
 
@@ -110,7 +120,8 @@
 func (t *takeUp) log(line *log.Entry) *log.Entry {
 	f := t.finding
 	return line.Str("origin", f.Result.String()).Str("origin-service", f.Source.Service).Str("origin-release", f.Source.Release).
-		Str("origin-from", f.From).Dur("origin-age", f.Age).Int("origin-asked", f.Asked).Dur("origin-took", t.took)
+		Str("origin-from", f.From).Dur("origin-age", f.Age).Int("origin-asked", f.Asked).Dur("origin-took", t.took).
+		Str("earlier", t.earlier).Dur("earlier-took", t.earlierTook)
 }
 
 // countTakeUp counts a take-up by how it ended.
--- a/pkg/gossip/events.go
+++ b/pkg/gossip/events.go
@@ -45,6 +45,8 @@
 	Origins        []wireOrigin `cbor:"24,keyasint,omitempty"`
 	OriginQueries  [][]byte     `cbor:"25,keyasint,omitempty"`
 	UnknownOrigins [][]byte     `cbor:"26,keyasint,omitempty"`
+	// OriginHosts holds the hosts of the records in Origins, in their order.
+	OriginHosts []wireOriginHost `cbor:"29,keyasint,omitempty"`
 }
 
 // isMapMessage reports whether a datagram is a CBOR map, by the major type in its first three
--- a/pkg/gossip/origins.go
+++ b/pkg/gossip/origins.go
@@ -17,6 +17,14 @@
 	Conflicts bool
 }
 
+// wireOriginHost encodes the host of an origin.Record. It is no part of wireOrigin, whose number of elements
+// hosts of earlier versions check.
+type wireOriginHost struct {
+	_       struct{} `cbor:",toarray"`
+	Address string
+	AgeMS   int64
+}
+
 // Origins is what a datagram holds of the origins of streams. The keys of Queries are asked for, and
 // those of Unknown have no record at the sender.
 type Origins struct {
@@ -38,6 +46,7 @@
 			Key: r.Key[:], Service: r.Source.Service, Release: r.Source.Release,
 			AgeMS: r.Age.Milliseconds(), LifeMS: r.Life.Milliseconds(), Conflicts: r.Conflicts,
 		})
+		m.OriginHosts = append(m.OriginHosts, wireOriginHost{Address: r.Host, AgeMS: r.HostAge.Milliseconds()})
 	}
 	e.sendMapMessage(m, []string{to})
 }
@@ -69,14 +78,18 @@
 // origins skips malformed records. An origin without a service is none.
 func (m mapMessage) origins() Origins {
 	o := Origins{Queries: decodeKeys(m.OriginQueries), Unknown: decodeKeys(m.UnknownOrigins)}
-	for _, w := range m.Origins[:min(len(m.Origins), maxOrigins)] {
+	for i, w := range m.Origins[:min(len(m.Origins), maxOrigins)] {
 		if len(w.Key) != len(origin.Key{}) || w.Service == "" || w.LifeMS <= 0 {
 			continue
 		}
-		o.Records = append(o.Records, origin.Record{
+		r := origin.Record{
 			Key: origin.Key(w.Key), Source: origin.Source{Service: w.Service, Release: w.Release}, Conflicts: w.Conflicts,
 			Age: millis(w.AgeMS), Life: millis(w.LifeMS),
-		})
+		}
+		if i < len(m.OriginHosts) {
+			r.Host, r.HostAge = m.OriginHosts[i].Address, millis(m.OriginHosts[i].AgeMS)
+		}
+		o.Records = append(o.Records, r)
 	}
 	return o
 }
--- a/pkg/migrate/stop.go
+++ b/pkg/migrate/stop.go
@@ -38,7 +38,9 @@
 // Stop stops a run whose connection has ended, so that it may continue elsewhere. The endpoint drops most
 // such runs by itself. handle names the run's memory if the run was stopped.
 func Stop(ctx context.Context, calls Calls, request CopyRequest) (state RunState, handle string) {
-	request.Stop = true
+	request.Stop, request.NewConnection = true, true
+	// The connection of the run counts no more, idle ones may still.
+	request.Source.ConnectionLimit = 0
 	for try := 0; ; try++ {
 		answer := calls.Copy(ctx, request)
 		switch {
--- a/pkg/origin/directory.go
+++ b/pkg/origin/directory.go
@@ -42,6 +42,8 @@
 
 // Directory finds where streams began, at this host or by asking others. It is safe for concurrent use.
 type Directory struct {
+	// self is the address of this host.
+	self   string
 	peers  func() []Peer
 	sender Sender
 	clock  func() time.Time
@@ -60,21 +62,43 @@
 	known  bool
 }
 
-// New returns a directory. peers returns the other hosts to which callers are sent.
-func New(peers func() []Peer, sender Sender, clock func() time.Time) *Directory {
-	return &Directory{peers: peers, sender: sender, clock: clock, table: newTable(), searches: map[Key][]chan answer{}}
+// New returns a directory. self is the address of this host, peers returns the other hosts to which callers
+// are sent.
+func New(self string, peers func() []Peer, sender Sender, clock func() time.Time) *Directory {
+	return &Directory{self: self, peers: peers, sender: sender, clock: clock, table: newTable(), searches: map[Key][]chan answer{}}
 }
 
-// Record records where a stream began, here and at other hosts. life is how long the record is needed.
+// Record records where a stream that this host relays began, here and at other hosts. life is how long the record is needed.
 func (d *Directory) Record(key Key, source Source, life time.Duration) {
 	now := d.clock()
-	d.table.merge(Record{Key: key, Source: source, Life: life}, now)
+	d.table.merge(Record{Key: key, Source: source, Life: life, Host: d.self}, now)
 	record, _ := d.table.find(key, now)
 	for _, p := range d.ranked(key, copies) {
 		d.sender.SendOrigins([]Record{record}, nil, p.Address)
 	}
 }
 
+// SetHost records that another host relays a stream from now on.
+func (d *Directory) SetHost(key Key, host string) {
+	now := d.clock()
+	if r, ok := d.table.find(key, now); ok {
+		r.Host, r.HostAge = host, 0
+		d.table.merge(r, now)
+	}
+}
+
+// HostOf returns the address of the other host that relays a stream by the record here, empty if there is none.
+func (d *Directory) HostOf(key Key) string {
+	r, ok := d.table.find(key, d.clock())
+	if !ok {
+		return ""
+	}
+	return d.findingOf(r, "", 0).Host
+}
+
+// Self returns the address of this host.
+func (d *Directory) Self() string { return d.self }
+
 // ranked returns the hosts that hold the records of a key, by rendezvous hashing, so that hosts that
 // come and go change few of them.
 func (d *Directory) ranked(key Key, count int) []Peer {
@@ -179,14 +203,19 @@
 	// Source and Age are those of the record, if there is one.
 	Source Source
 	Age    time.Duration
+	// Host is the address of another host that relays the stream, or did so last, empty if none is known.
+	Host string
 	// From is the address of the host that had it, empty if this one did. Asked is the number of hosts
 	// asked.
 	From  string
 	Asked int
 }
 
-func findingOf(r Record, from string, asked int) Finding {
+func (d *Directory) findingOf(r Record, from string, asked int) Finding {
 	f := Finding{Result: Known, Source: r.Source, Age: r.Age, From: from, Asked: asked}
+	if r.Host != d.self {
+		f.Host = r.Host
+	}
 	if r.Conflicts {
 		f.Result, f.Source = Conflicting, Source{}
 	}
@@ -196,7 +225,7 @@
 // Find finds where a stream began.
 func (d *Directory) Find(ctx context.Context, key Key) Finding {
 	if r, ok := d.table.find(key, d.clock()); ok {
-		return findingOf(r, "", 0)
+		return d.findingOf(r, "", 0)
 	}
 	answers := make(chan answer, maxAsked)
 	if !d.addSearch(key, answers) {
@@ -222,7 +251,7 @@
 		select {
 		case a := <-answers:
 			if a.known {
-				return findingOf(a.record, a.from, asked)
+				return d.findingOf(a.record, a.from, asked)
 			}
 			silent = slices.DeleteFunc(silent, func(p Peer) bool { return p.Address == a.from })
 		case <-again.C:
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -40,4 +40,8 @@
 	Conflicts bool
 	// Age is the time since the first of them began, Life how much longer the record is kept.
 	Age, Life time.Duration
+	// Host is the address of the host that relays the stream, or did so last, empty if it is not known. HostAge
+	// is the time since it began to.
+	Host    string
+	HostAge time.Duration
 }
--- a/pkg/origin/origin_test.go
+++ b/pkg/origin/origin_test.go
@@ -62,7 +62,7 @@
 		}
 		return list
 	}
-	f.hosts[name] = origin.New(peers, link{f, name}, func() time.Time { return f.now })
+	f.hosts[name] = origin.New(name, peers, link{f, name}, func() time.Time { return f.now })
 }
 
 func (f *fleet) find(host string, key origin.Key) origin.Finding {
@@ -150,3 +150,24 @@
 		t.Errorf("got %v after %v, want unanswered within 400ms", got.Result, took)
 	}
 }
+
+// Guards against a take-up that ends the wrong attempt since a record names a host that relayed the stream earlier.
+func TestRecordsLeadToTheHostThatRelays(t *testing.T) {
+	f := newFleet(9, 0)
+	f.hosts["host-0"].Record(key, source, life)
+	f.now = f.now.Add(time.Second)
+	f.hosts["host-1"].Record(key, source, life)
+	f.hosts["host-0"].SetHost(key, "host-1")
+	for host := range f.hosts {
+		got := f.find(host, key).Host
+		if got == "host-0" {
+			got = f.hosts[got].HostOf(key)
+		}
+		if want := "host-1"; got != want && host != want {
+			t.Errorf("at %s: got host %q, want %q", host, got, want)
+		}
+	}
+	if got := f.hosts["host-1"].HostOf(key); got != "" {
+		t.Errorf("at the host that relays it: got %q, want none other", got)
+	}
+}
--- a/pkg/origin/table.go
+++ b/pkg/origin/table.go
@@ -27,6 +27,8 @@
 	// since is when the stream began, until when the record expires.
 	since, until time.Time
 	conflicts    bool
+	host         string
+	hostSince    time.Time
 }
 
 func newTable() *table {
@@ -37,7 +39,7 @@
 
 // merge adds a record. The result does not depend on the order in which records arrive.
 func (t *table) merge(r Record, now time.Time) {
-	next := entry{unique.Make(r.Source), now.Add(-max(r.Age, 0)), now.Add(min(max(r.Life, 0), maxLife)), r.Conflicts}
+	next := entry{unique.Make(r.Source), now.Add(-max(r.Age, 0)), now.Add(min(max(r.Life, 0), maxLife)), r.Conflicts, r.Host, now.Add(-max(r.HostAge, 0))}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if held, ok := t.records.Get(r.Key); ok && now.Before(held.until) {
@@ -48,6 +50,9 @@
 		if held.until.After(next.until) {
 			next.until = held.until
 		}
+		if next.host == "" || held.host != "" && held.hostSince.After(next.hostSince) {
+			next.host, next.hostSince = held.host, held.hostSince
+		}
 	}
 	t.records.Add(r.Key, next)
 }
@@ -64,5 +69,5 @@
 		t.records.Remove(key)
 		return Record{}, false
 	}
-	return Record{Key: key, Source: held.source.Value(), Conflicts: held.conflicts, Age: now.Sub(held.since), Life: held.until.Sub(now)}, true
+	return Record{Key: key, Source: held.source.Value(), Conflicts: held.conflicts, Age: now.Sub(held.since), Life: held.until.Sub(now), Host: held.host, HostAge: now.Sub(held.hostSince)}, true
 }
