forward: do not relay a 503 that does not say that the request has not run

What callers saw: an endpoint's 503, 429 or 408 without X-Not-Executed reached them unchanged. To a caller that status is a promise that the request has not run, and it sends the request again, which may have run.

Cause: the status was relayed as the endpoint gave it; only the header makes it true.

Change: a request that may run once is answered with our own 502 without the endpoint's signature. Requests that may be repeated get the answer unchanged.

--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"ironhollow/pkg/code"
 	"ironhollow/pkg/httpx"
 	"ironhollow/pkg/migrate"
 	"ironhollow/pkg/origin"
@@ -76,8 +77,26 @@
 	c.setResetOnClose(false)
 }
 
+// promisesNotRun reports whether a status says to callers that their request has not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // relayResponse forwards a response that is not a stream.
 func (c *call) relayResponse(a answered) error {
+	if promisesNotRun(a.status) && !c.route.MayRepeat() {
+		// The endpoint does not say that it has not run the request, and its status would.
+		if a.unread != nil {
+			a.unread.Close()
+		}
+		c.endAnswer(a, false)
+		return c.reject(code.New(code.CallUnknown, fmt.Sprintf("endpoint answered %d and may have run the request", a.status)), 0)
+	}
 	switch {
 	case a.framing == upstream.ByClose:
 	case c.incoming.Method == http.MethodHead:
