forward: continue a run from its source's memory only after the run has stopped

What callers saw: by reading and in a test; a stream that may run once ran twice at the endpoint that it was moved from.

Cause: the answer to the call that stops a run for a move was lost, and the stream broke off. The host took the break for the stop and asked the source to continue from its copy. If the call was lost too and the connection was reset at the host alone, the source still ran the request; only its own check kept it from running twice.

Change: the source is asked once more to stop the run. The stream continues if it answers that there is no such run, or that the run has stopped; without an answer the stream is broken off.

Evidence: TestRunThatWasNotStoppedDoesNotContinue failed with two runs at a time; one now, and the stream is whole if the source answers.

--- a/pkg/forward/moved.go
+++ b/pkg/forward/moved.go
@@ -144,6 +144,12 @@
 	s.target = target
 }
 
+func (s *relayedStream) targetAddress() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.target.Endpoint.Address
+}
+
 // abort ends the reading of the stream.
 func (s *relayedStream) abort() {
 	s.mu.Lock()
@@ -214,6 +220,9 @@
 	if at.Place == migrate.Nowhere || at.Place == migrate.Uncertain && (err == nil || c.mayResume()) {
 		return next, false
 	}
+	if at.Place == migrate.Uncertain && !c.hasStopped(ctx, s, &at) {
+		return next, false
+	}
 	if at.Handle == "" || errors.Is(err, errCallerDisconnected) || ctx.Err() != nil {
 		return next, false
 	}
@@ -231,6 +240,21 @@
 	return next, ok
 }
 
+// hasStopped finds out whether a run has stopped if the answer to the call that stops it was lost, and stops it if it
+// has not. Its memory at the source must not be used while it runs.
+func (c *call) hasStopped(ctx context.Context, s *stream, at *migrate.Continuation) bool {
+	if c.open == nil || ctx.Err() != nil {
+		return false
+	}
+	startedAt := c.f.clock()
+	ended := c.f.endRun(ctx, c.open, s.relayed.targetAddress())
+	c.logEntry.recordEnd(ended.state, c.f.clock().Sub(startedAt))
+	if ended.handle != "" {
+		at.Handle = ended.handle
+	}
+	return ended.state == migrate.HasEnded || ended.handle != ""
+}
+
 // Limits of the requests that continue a run.
 const (
 	// maxReturns is how often a run may return to its leaving source and be moved again: each return
--- a/pkg/forward/mover_test.go
+++ b/pkg/forward/mover_test.go
@@ -40,6 +40,8 @@
 	onCopy func(p *movePlatform, request migrate.CopyRequest) migrate.CopyAnswer
 	// properEnd is set if the stream of a stopped run looks complete, staysOpen if it is not closed.
 	properEnd, staysOpen bool
+	// severed, if it is not nil, is closed to end the source's connection while the run continues.
+	severed chan struct{}
 	// unnumbered is set once events have no ids.
 	unnumbered atomic.Bool
 
@@ -136,6 +138,10 @@
 // run writes a stream from the event after the caller's last one, until stopped is closed or, if it
 // is above 0, only to event last.
 func (p *movePlatform) run(c net.Conn, r *http.Request, stopped <-chan struct{}, last int) bool {
+	severed := p.severed
+	if stopped == nil || r.Header.Get("Copy") != "" {
+		severed = nil
+	}
 	p.count(1)
 	ended := sync.OnceFunc(func() { p.count(-1) })
 	defer ended()
@@ -160,6 +166,10 @@
 				_, _ = io.WriteString(c, "0\r\n\r\n")
 			}
 			return false
+		case <-severed:
+			_ = c.Close()
+			<-stopped
+			return false
 		case <-time.After(moveEventGap):
 		}
 	}
@@ -334,6 +344,36 @@
 	}
 }
 
+// Guards against a run that may run once and that continues from a copy while its endpoint still runs it: the call to
+// stop it was lost, and its connection too.
+func TestRunThatWasNotStoppedDoesNotContinue(t *testing.T) {
+	for _, answers := range []bool{true, false} {
+		stops := 0
+		p := &movePlatform{severed: make(chan struct{}), onCopy: func(p *movePlatform, r migrate.CopyRequest) migrate.CopyAnswer {
+			if !r.Stop {
+				return migrate.CopyAnswer{Result: migrate.Copied, Handle: "handle"}
+			}
+			if stops++; stops == 1 {
+				close(p.severed)
+			}
+			if stops > 1 && answers {
+				return copyAndStop(p, r)
+			}
+			return migrate.CopyAnswer{Result: migrate.Unknown, Err: errors.New("lost")}
+		}}
+		s, answer := startMove(t, moveSpec(), p, "/stream/x", moveNotice, p.target)
+		got := <-answer
+		if isWhole := got.err == nil && got.body == allMoveEvents(); isWhole != answers {
+			t.Errorf("source answers %v: got %d bytes, %v, whole %v", answers, len(got.body), got.err, isWhole)
+		}
+		p.mu.Lock()
+		if p.mostRunning != 1 {
+			t.Errorf("source answers %v: got %d runs at a time, want 1; endpoints: %s", answers, p.mostRunning, s.visits())
+		}
+		p.mu.Unlock()
+	}
+}
+
 // dyingTarget breaks off forty events after it has continued the run.
 func dyingTarget(p *movePlatform) script {
 	return func(c net.Conn, r *http.Request) bool {
--- a/pkg/forward/openrun.go
+++ b/pkg/forward/openrun.go
@@ -64,10 +64,11 @@
 	if ended.state == migrate.WasCopied {
 		return copyOf{run.source.Address, ended.handle}
 	}
+	go c.f.freeCopy(run.source, ended.handle)
 	return copyOf{}
 }
 
-// endRun ends a run and waits for that, for endRunWait at most. A copy that nobody uses is freed.
+// endRun ends a run and waits for that, for endRunWait at most. The caller uses or frees the copy.
 func (f *Forwarder) endRun(ctx context.Context, run *openRun, target string) endedRun {
 	result := make(chan endedRun, 1)
 	stopCtx, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), endRunTimeout)
@@ -84,9 +85,6 @@
 	select {
 	case ended := <-result:
 		f.metrics.endedRuns.WithLabelValues(run.endpoint.Service, ended.state.String()).Inc()
-		if ended.state == migrate.WasStopped {
-			go f.freeCopy(run.source, ended.handle)
-		}
 		return ended
 	case <-ctx.Done():
 		f.metrics.endedRuns.WithLabelValues(run.endpoint.Service, migrate.MayContinue.String()).Inc()
@@ -146,8 +144,6 @@
 	}
 	f.router.Done(target, route.Result{Refused: true}, f.clock())
 	ended := f.endRun(ctx, run, target.Endpoint.Address)
-	if ended.state == migrate.WasCopied {
-		go f.freeCopy(run.source, ended.handle)
-	}
+	go f.freeCopy(run.source, ended.handle)
 	return ended
 }
