soak: sever connections, repeat responses, and start endpoints again under their IDs

What callers saw: nothing; the random soak had none of these, and did not look at overlaps.

Change: half of the endpoints continue a stream after its connection was closed; hosts' connections are reset or silenced at their side alone; responses of plain endpoints arrive twice; half of the endpoints that crash start again under their IDs. A request that runs at two endpoints for more than 0.4 s while no host has another fault is a violation.

--- a/pkg/soak/links.go
+++ b/pkg/soak/links.go
@@ -104,6 +104,15 @@
 	}
 }
 
+// setRepeats sets whether the responses of a target arrive twice.
+func (l *endpointLinks) setRepeats(target string, repeats bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p := l.proxies[target]; p != nil {
+		p.repeats.Store(repeats)
+	}
+}
+
 // setDown sets whether a target refuses connections, as one without a process does. The link then
 // refuses them too; otherwise it would accept and reset them.
 func (l *endpointLinks) setDown(target string, down bool) {
--- a/pkg/soak/overlaps.go
+++ b/pkg/soak/overlaps.go
@@ -68,10 +68,8 @@
 	if err != nil {
 		return Outcome{}, OverlapOutcome{}, err
 	}
-	if severed.Severance == AtBothEnds {
-		for _, e := range r.endpoints {
-			e.SetLingering(true)
-		}
+	for _, e := range r.endpoints {
+		e.SetLingering(severed.Severance == AtBothEnds)
 	}
 	r.wait(ctx, meetTime)
 	var got OverlapOutcome
@@ -90,9 +88,8 @@
 	}
 	// The last runs at endpoints that continue them end meanwhile.
 	r.wait(ctx, 2*time.Second)
-	requests, longest := r.requestLog.OverlappingRuns()
-	overlapping, longestOfAll := r.requestLog.OverlappingStreams()
-	got.Requests, got.Streams, got.Longest = len(requests), len(overlapping), max(longest, longestOfAll)
+	streams, longest := r.requestLog.OverlappingStreams()
+	got.Requests, got.Streams, got.Longest = len(r.requestLog.Overlaps()), len(streams), longest
 	return r.outcome(), got, ctx.Err()
 }
 
--- a/pkg/soak/proxy.go
+++ b/pkg/soak/proxy.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -70,6 +71,8 @@
 type Proxy struct {
 	listener *net.TCPListener
 	target   string
+	// repeats is set if each chunk of a response is forwarded twice.
+	repeats atomic.Bool
 
 	mu   sync.Mutex
 	mode Mode
@@ -326,6 +329,11 @@
 				reset(from)
 				break
 			}
+			if responses && p.repeats.Load() {
+				time.Sleep(repeatDelay)
+				// The first write shows whether the connection is open.
+				_, _ = to.Write(buffer[:n])
+			}
 		}
 		if err != nil {
 			p.awaitHangEnd()
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -109,6 +109,7 @@
 	r.startRejections()
 	r.startLimits()
 	r.startEndings()
+	r.startSevers()
 	r.startRestores(ctx)
 	r.startCuts()
 	r.injectFaults(ctx)
@@ -231,12 +232,17 @@
 // startEndpointAt starts endpoint i behind a proxy that listens on the given address. The caller
 // holds r.mu.
 func (r *run) startEndpointAt(i int, service string, version standin.Version, listenAddress string) error {
+	return r.startEndpointAs(fmt.Sprintf("i-%d-%d", i, r.endpointsStarted), i, service, version, listenAddress)
+}
+
+// startEndpointAs is startEndpointAt with an ID.
+func (r *run) startEndpointAs(id string, i int, service string, version standin.Version, listenAddress string) error {
 	var proxy *Proxy
 	shared := r.fragility
 	if service != standin.PlainService {
 		shared = nil
 	}
-	e, err := standin.StartFragileEndpoint(fmt.Sprintf("i-%d-%d", i, r.endpointsStarted), service, version, r.store, r.requestLog, shared, func(address string) (string, error) {
+	e, err := standin.StartFragileEndpoint(id, service, version, r.store, r.requestLog, shared, func(address string) (string, error) {
 		var err error
 		if proxy, err = NewProxyAt(listenAddress, address); err != nil {
 			return "", err
@@ -246,14 +252,15 @@
 	if err != nil {
 		return err
 	}
-	e.OnCrash(func() { r.handleCrash(i, service, version, proxy) })
+	e.SetLingering(r.lingers(i))
+	e.OnCrash(func() { r.handleCrash(id, i, service, version, proxy) })
 	r.endpoints[i], r.proxies[i] = e, proxy
 	return nil
 }
 
 // handleCrash closes the proxy of an endpoint that a request has crashed, and starts another endpoint
 // at the same address after endpointRestartDelay.
-func (r *run) handleCrash(i int, service string, version standin.Version, proxy *Proxy) {
+func (r *run) handleCrash(id string, i int, service string, version standin.Version, proxy *Proxy) {
 	proxy.Close()
 	r.setEndpointDown(proxy.Address(), true)
 	r.log("endpoint %d crashed by a request", i)
@@ -264,7 +271,10 @@
 			return
 		}
 		r.endpointsStarted++
-		if err := r.startEndpointAt(i, service, version, proxy.Address()); err != nil {
+		if !r.restartsUnderID(i) {
+			id = fmt.Sprintf("i-%d-%d", i, r.endpointsStarted)
+		}
+		if err := r.startEndpointAs(id, i, service, version, proxy.Address()); err != nil {
 			r.report.addViolation("endpoint %d: %v", i, err)
 		}
 		r.setEndpointDown(proxy.Address(), false)
@@ -355,6 +365,7 @@
 		}
 	}
 	r.checkEndings()
+	r.checkOverlaps()
 	r.checkNotices()
 	r.checkLimits()
 	r.checkDeadlines()
