stream: end the run of an attempt that broke off before another one begins

What callers saw: nothing; engines generated tokens that nobody read.

Change: after a broken attempt the runner cancels the stream at its engine and waits 0.3 s at most; ironhollow_stream_may_continue_total counts calls that failed.

Evidence: TestResumedStreamRunsAtOneEngine failed with 340 tokens generated for an answer of 200; passes now.

--- a/pkg/stream/attempt.go
+++ b/pkg/stream/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"syscall"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -109,11 +110,41 @@
 		p.avoid = append(p.avoid, choice.Endpoint.Ref())
 	}
 	r.router.Done(choice, result, time.Now())
+	r.endRun(p, choice.Endpoint, end)
 	r.recordOutcome(p, choice.Endpoint, end, result.Tokens > 0)
 	p.records = append(p.records, AttemptRecord{choice.Endpoint.ID, choice.Expected, choice.Wait, choice.CachedTokens, len(p.tokens), outcomeName(end)})
 	return end
 }
 
+// Timing of the end of a run whose connection broke off.
+const (
+	// endRunWait is how long the next attempt waits for it, endRunTimeout bounds the call.
+	endRunWait    = 300 * time.Millisecond
+	endRunTimeout = time.Second
+)
+
+// endRun ends the run of an attempt that broke off before another one begins: engines keep a stream whose reader
+// is gone, so that it can be attached to.
+func (r *Runner) endRun(p *progress, info endpoint.Info, end outcome) {
+	interrupted, isBroken := end.(broken)
+	if !isBroken || errors.Is(interrupted.err, syscall.ECONNREFUSED) {
+		return
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		ctx, cancel := context.WithTimeout(context.Background(), endRunTimeout)
+		defer cancel()
+		if err := r.engines.Cancel(ctx, info.Address, p.request.Prompt.RequestID); err != nil {
+			r.counters.MayContinue.Inc()
+		}
+	}()
+	select {
+	case <-ended:
+	case <-time.After(endRunWait):
+	}
+}
+
 // outcomeName returns the name of an outcome for traces and explanations.
 func outcomeName(end outcome) string {
 	switch end.(type) {
--- a/pkg/stream/counters.go
+++ b/pkg/stream/counters.go
@@ -19,6 +19,8 @@
 	Tokens        prometheus.Counter
 	Recomputed    prometheus.Counter
 	BudgetEmpty   prometheus.Counter
+	// MayContinue counts runs of broken attempts that engines did not say to have ended.
+	MayContinue prometheus.Counter
 }
 
 // NewCounters registers the counters and returns them.
@@ -36,5 +38,6 @@
 		Tokens:        group.Counter("tokens_total", "Tokens passed on."),
 		Recomputed:    group.Counter("recomputed_tokens_total", "Prompt and answer tokens computed again, as reckoned when a stream is resumed."),
 		BudgetEmpty:   group.Counter("retry_budget_empty_total", "Retries that had to wait for the budget."),
+		MayContinue:   group.Counter("may_continue_total", "Runs of attempts that broke off which the engine did not say to have ended."),
 	}
 }
--- a/pkg/stream/runner.go
+++ b/pkg/stream/runner.go
@@ -352,6 +352,7 @@
 	if isFailure(end) {
 		p.avoid = append(p.avoid, info.Ref())
 	}
+	r.endRun(p, info, end)
 	r.recordOutcome(p, info, end, reader.tokenCount > 0)
 	p.records = append(p.records, AttemptRecord{EndpointID: info.ID, Tokens: len(p.tokens), Outcome: outcomeName(end)})
 	return end
--- a/pkg/stream/runner_test.go
+++ b/pkg/stream/runner_test.go
@@ -284,3 +284,25 @@
 
 func (s failingSink) Token(stream.Token) error { return s.err }
 func (s failingSink) Flush() error             { return s.err }
+
+// Guards against streams that are resumed while the engine before continues their run.
+func TestResumedStreamRunsAtOneEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2)
+		done := f.start(request("r", answerTokens))
+		time.Sleep(500 * time.Millisecond)
+		f.direct.SetFaults(f.infos[f.busyEngine(t)].Address, engines.StreamFaults{CutAfter: 60})
+		if got := <-done; got.err != nil || got.text != wantText(answerTokens) {
+			t.Fatalf("got %d characters, %v, want the complete answer", len(got.text), got.err)
+		}
+		time.Sleep(time.Minute)
+		generated := int64(0)
+		for _, e := range f.engines {
+			tokens, _ := e.Counts()
+			generated += tokens
+		}
+		if generated > answerTokens+5 {
+			t.Errorf("got %d tokens generated for an answer of %d, want each once", generated, answerTokens)
+		}
+	})
+}
