--- a/pkg/soak/cut.go
+++ b/pkg/soak/cut.go
@@ -142,6 +142,7 @@
 			for _, host := range cut.Hosts {
 				r.nodes[host].markFaulty(time.Now().Add(cut.Duration + residualEffectTime))
 			}
+			r.markUnreachable(cut.Duration)
 			r.cutOff(cut)
 			time.Sleep(cut.Duration)
 			r.heal(cut.Hosts)
--- a/pkg/soak/fault.go
+++ b/pkg/soak/fault.go
@@ -108,6 +108,7 @@
 		r.schedule(f.duration, func() { r.setMode(n.storeProxy, Pass) })
 	case disruptEndpointLink:
 		proxy := r.endpointProxy(f.endpoint)
+		r.markUnreachable(f.duration)
 		r.markAllFaulty(f.duration + residualEffectTime)
 		r.setMode(proxy, f.mode)
 		r.schedule(f.duration, func() { r.setMode(proxy, Pass) })
@@ -138,6 +139,7 @@
 	n.signal(f.signal)
 	r.recordStop()
 	if f.signal == syscall.SIGSTOP {
+		r.markUnreachable(f.duration)
 		r.schedule(f.duration, func() { n.signal(syscall.SIGCONT) })
 	}
 }
--- a/pkg/soak/proxy.go
+++ b/pkg/soak/proxy.go
@@ -3,6 +3,7 @@
 package soak
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -71,7 +72,7 @@
 type Proxy struct {
 	listener *net.TCPListener
 	target   string
-	// repeats is set if each chunk of a response is forwarded twice.
+	// repeats is set if responses with a length are forwarded twice.
 	repeats atomic.Bool
 
 	mu   sync.Mutex
@@ -329,7 +330,8 @@
 				reset(from)
 				break
 			}
-			if responses && p.repeats.Load() {
+			// What follows a response without a length is a part of it.
+			if responses && p.repeats.Load() && bytes.Contains(buffer[:n], []byte("Content-Length: ")) {
 				time.Sleep(repeatDelay)
 				// The first write shows whether the connection is open.
 				_, _ = to.Write(buffer[:n])
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -88,6 +88,8 @@
 	endpointsStarted int
 	// stopTimes are the times at which hosts were stopped, killed or suspended.
 	stopTimes []time.Time
+	// unreachable are the times at which hosts may not have reached endpoints.
+	unreachable []window
 	// stopped is true once no more endpoints may be started.
 	stopped bool
 	// streamVersions are the versions of the endpoints of the stream service.
