forward: clear the write deadline of an interrupted request's connection

Cause: a take-up sets a deadline in the past on the caller's connection, so that a caller that reads nothing does not keep the request from its end. If the request was complete at that moment its connection was kept with the deadline.

Change: the deadline is cleared when the request has ended. The race is too narrow for a test; the tests of the package pass with the race detector.

--- a/pkg/forward/takenup.go
+++ b/pkg/forward/takenup.go
@@ -121,6 +121,8 @@
 	s.interrupt = nil
 	if s.isTakenUp {
 		c.logEntry.addNote("ended: its caller has taken the stream up")
+		// The request may have been complete already, and its connection may serve another one.
+		_ = http.NewResponseController(c.w).SetWriteDeadline(time.Time{})
 	}
 	s.mu.Unlock()
 	if n := len(c.usedHosts); n > 0 && c.open == nil {
