--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -183,7 +183,7 @@
 	isDemandCounted bool
 	// open is the run of the latest attempt, nil if it is known to have ended.
 	open *openRun
-	// takeable is set if the caller may take the stream up, cancel ends the request's context.
+	// takeable is set if the caller may resume the stream with another request, cancel ends the request's context.
 	takeable *takeable
 	cancel   context.CancelFunc
 	// endsByClose is set if the response ends with the caller's connection.
--- a/pkg/forward/openrun.go
+++ b/pkg/forward/openrun.go
@@ -22,11 +22,10 @@
 
 // Timing of the calls that end a run.
 const (
-	// endRunWait is how long the next attempt waits until the run before has ended. A copy of a long prompt
-	// takes a third of it.
+	// endRunWait is how long the next attempt waits for the end of the previous run.
 	endRunWait = 300 * time.Millisecond
 	// endRunTimeout bounds the calls. They continue after endRunWait, so that a run at an endpoint that is
-	// slow to answer ends nevertheless.
+	// slow to answer still ends.
 	endRunTimeout = time.Second
 )
 
@@ -38,7 +37,7 @@
 	c.open = &openRun{endpoint: choice.Endpoint, source: migrate.Source{Address: choice.Endpoint.Address, ConnectionLimit: c.connectionLimit()}, id: c.meta.ID}
 }
 
-// adoptOpenRun takes over the run that the host which forwards the request has not ended.
+// adoptOpenRun records the open run of the host that forwards the request, which has not ended it.
 func (c *call) adoptOpenRun(endpointID string) {
 	if info, ok := c.f.router.Lookup(endpointID); ok {
 		c.openRunAt(route.Choice{Endpoint: info})
@@ -122,7 +121,7 @@
 	return r
 }
 
-// endAbandonedRun ends the run of a stream that breaks off for its caller, who may take it up at once.
+// endAbandonedRun ends the run of a stream that breaks off for its caller, which may resume it at once.
 func (c *call) endAbandonedRun(ctx context.Context, err error) {
 	if c.open == nil || !c.route.MayRepeat() || errors.Is(err, errCallerDisconnected) || ctx.Err() != nil {
 		return
--- a/pkg/forward/takenup.go
+++ b/pkg/forward/takenup.go
@@ -15,25 +15,25 @@
 	"ironhollow/pkg/upstream"
 )
 
-// A caller that takes a stream up has given up its earlier attempt, which this system may still relay: the
-// caller's connection may have been reset at its side alone, or have fallen silent. The host that
-// relays the earlier attempt ends it, and its run, before the stream continues.
+// A caller that resumes a stream has abandoned its previous request, which this system may still relay: the
+// caller's connection may have been reset at its side only, or have stalled. The host that relays the
+// previous request ends it, and its run, before the stream continues.
 
 const (
 	// StreamsPath is the path at which hosts ask each other to end a stream; its key follows, in hex.
 	StreamsPath = "/streams/"
-	// headerTakenUpBy holds the address of the host at which the stream was taken up. headerForwarded is set if
+	// headerTakenUpBy holds the address of the host at which the caller has resumed the stream. headerForwarded is set if
 	// the host that was asked first knew that another one relays the stream.
 	headerTakenUpBy = "Ironhollow-Taken-Up-By"
 	headerForwarded = "Ironhollow-Forwarded"
-	// takeUpWait is how long a take-up waits for the host that relays the earlier attempt: it ends the run
-	// first.
+	// takeUpWait is how long the resuming host waits for the host that relays the previous request, which
+	// ends the run first.
 	takeUpWait = endRunWait + 100*time.Millisecond
 	// maxTakeables bounds the streams in the table; the least recently used are dropped first.
 	maxTakeables = 8 << 10
 )
 
-// takeable is a stream that its caller may take up.
+// takeable is a stream that its caller may resume with another request.
 type takeable struct {
 	mu sync.Mutex
 	// interrupt ends the caller's request, nil once it has ended. isTakenUp is set once it was called.
@@ -48,7 +48,7 @@
 	hop string
 }
 
-// takeables holds the streams that callers may take up, by the attempt that brought their first events. It
+// takeables holds the streams that callers may resume, by the attempt that brought their first events. It
 // is safe for concurrent use.
 type takeables struct {
 	mu      sync.Mutex
@@ -79,7 +79,7 @@
 	t.streams.Add(key, s)
 }
 
-// drop removes a stream that nothing needs to be ended of.
+// drop removes a stream of which nothing is left to end.
 func (t *takeables) drop(key origin.Key, s *takeable) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -88,7 +88,7 @@
 	}
 }
 
-// streamKey returns the key under which the caller takes the stream up.
+// streamKey returns the key by which the caller resumes the stream.
 func (c *call) streamKey() origin.Key {
 	attempt := c.meta.ID
 	if c.meta.Resumes != "" {
@@ -97,15 +97,15 @@
 	return origin.KeyOf(c.teamName(), attempt)
 }
 
-// trackTakeable registers the request's stream, unless its caller may not take it up.
+// trackTakeable registers the request's stream if its caller may resume it.
 func (c *call) trackTakeable() {
 	if c.takeable != nil || !c.route.MayRepeat() {
 		return
 	}
 	c.takeable = &takeable{ended: make(chan struct{}), until: c.deadline, interrupt: func() {
 		c.cancel()
-		// A caller that reads nothing must not keep the request from its end. Not all connections have
-		// deadlines; the request then ends with its own.
+		// Unblocks a write to a caller that does not read. If the connection has no deadlines, the request
+		// ends at its own deadline.
 		_ = http.NewResponseController(c.w).SetWriteDeadline(time.Now())
 	}}
 	c.f.takeables.add(c.streamKey(), c.takeable)
@@ -135,8 +135,8 @@
 	}
 }
 
-// endEarlier ends the earlier attempt at a stream that is taken up here: at the host that relays it, or did so
-// last, and at this one, which may have relayed it for another.
+// endEarlier ends the previous request of a stream that the caller resumes here: at the host that relays it, or
+// relayed it last, and at this one, which may have relayed it for another host.
 func (c *call) endEarlier(ctx context.Context, host string) (outcome string) {
 	key := c.streamKey()
 	ctx, cancel := context.WithTimeout(ctx, takeUpWait)
@@ -226,7 +226,7 @@
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
-	// The host that asks had an older record.
+	// The record of the host that sent the call is outdated.
 	if err := f.endAtHost(r.Context(), host, key, http.Header{headerTakenUpBy: {takenUpBy}, headerForwarded: {"1"}}); err != nil {
 		f.log.Warn().Err(err).Str("host", host).Msg("failed to end a stream at the host that relays it now")
 		w.WriteHeader(http.StatusBadGateway)
--- a/pkg/migrate/calls.go
+++ b/pkg/migrate/calls.go
@@ -22,7 +22,7 @@
 	Target string
 	// Stop is set if the run stops before the rest is copied.
 	Stop bool
-	// NewConnection is set if no idle connection is used: one may be as dead as that of the run.
+	// NewConnection is set if no idle connection is used, as it may have failed like that of the run.
 	NewConnection bool
 }
 
--- a/pkg/migrate/stop.go
+++ b/pkg/migrate/stop.go
@@ -31,15 +31,15 @@
 	return [...]string{"may-continue", "ended", "copied", "stopped", "gone"}[s]
 }
 
-// Pauses between the calls that stop a run, which bound their number: a call may be lost with its
-// connection, or meet another call for the run.
+// stopPauses are the pauses before each repetition of the call that stops a run. The call may be lost with its
+// connection, or be rejected while another call for the run is in progress.
 var stopPauses = []time.Duration{10 * time.Millisecond, 40 * time.Millisecond, 160 * time.Millisecond}
 
 // Stop stops a run whose connection has ended, so that it may continue elsewhere. The endpoint drops most
 // such runs by itself. handle names the run's memory if the run was stopped.
 func Stop(ctx context.Context, calls Calls, request CopyRequest) (state RunState, handle string) {
 	request.Stop, request.NewConnection = true, true
-	// The connection of the run counts no more, idle ones may still.
+	// Idle connections may use up the limit, although the run's own connection is closed.
 	request.Source.ConnectionLimit = 0
 	for try := 0; ; try++ {
 		answer := calls.Copy(ctx, request)
--- a/pkg/soak/overlaps.go
+++ b/pkg/soak/overlaps.go
@@ -25,11 +25,11 @@
 )
 
 // Overlaps are streams whose connections are severed and that continue: within a request if the host
-// resumes them, else since their callers take them up.
+// resumes them, otherwise over further requests of their callers.
 type Overlaps struct {
 	Severance Severance
 	Rounds    int
-	// StreamsPerRound are severed at once. TakeUpElsewhere lets callers take streams up at the next host.
+	// StreamsPerRound are severed at once. TakeUpElsewhere lets callers resume streams at the next host.
 	StreamsPerRound int
 	TakeUpElsewhere bool
 }
@@ -93,7 +93,7 @@
 	return r.outcome(), got, ctx.Err()
 }
 
-// openDoors starts a proxy before the callers' address of each host.
+// openDoors starts a proxy in front of the callers' address of each host.
 func (r *run) openDoors() (map[*node]*Proxy, error) {
 	doors := map[*node]*Proxy{}
 	for _, n := range r.nodes {
--- a/pkg/stream/attempt.go
+++ b/pkg/stream/attempt.go
@@ -123,8 +123,8 @@
 	endRunTimeout = time.Second
 )
 
-// endRun ends the run of an attempt that broke off before another one begins: engines keep a stream whose reader
-// is gone, so that it can be attached to.
+// endRun ends the run of an attempt that broke off before another one begins: engines keep streams without a
+// reader, so that they can be attached to.
 func (r *Runner) endRun(p *progress, info endpoint.Info, end outcome) {
 	interrupted, isBroken := end.(broken)
 	if !isBroken || errors.Is(interrupted.err, syscall.ECONNREFUSED) {
