forward, upstream: connection of each attempt in the request's log line

Callers' requests that may run once ran twice; the logs could not tell whether the response of an attempt was one that its connection still owed to an earlier attempt. Connections of a pool are numbered, and the line of a request names for each attempt the connection that its response came over and how many requests it had carried: hop1-connection, hop1-connection-requests.

The tests of forward and upstream pass.

--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -91,6 +91,7 @@
 	c.sentAt, c.continues = c.f.clock(), from.handle != ""
 	c.hasBegun = false
 	c.notice = endpoint.Notice{}
+	c.connection, c.connectionRequests = 0, 0
 	ctx, request.DialContext = c.untilCut(ctx)
 	outcome := c.f.pool.Send(ctx, choice.Endpoint.Address, c.connectionLimit(), request)
 	switch o := outcome.(type) {
@@ -102,6 +103,7 @@
 	case upstream.MaybeSent:
 		return unclear{o.Err}
 	case upstream.Answered:
+		c.connection, c.connectionRequests = o.Exchange.Connection()
 		r := c.classify(choice, o.Exchange)
 		if s, isStream := r.(streaming); isStream {
 			s.ctx = ctx
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -147,6 +147,10 @@
 	// sentAt is the time of the latest attempt, continues is set if it continues from a copy of a run's memory.
 	sentAt    time.Time
 	continues bool
+	// connection is the connection that the response to the latest attempt came over, and connectionRequests how
+	// many requests it had carried; 0 without a response.
+	connection         upstream.ConnectionID
+	connectionRequests int
 	// notice is what the response to the latest attempt reports about its endpoint.
 	notice endpoint.Notice
 	// avoid lists the endpoints that the request failed at.
--- a/pkg/forward/request_log.go
+++ b/pkg/forward/request_log.go
@@ -12,6 +12,7 @@
 	"ironhollow/pkg/migrate"
 	"ironhollow/pkg/quarantine"
 	"ironhollow/pkg/route"
+	"ironhollow/pkg/upstream"
 )
 
 // requestLog is the content of a request's log line.
@@ -49,6 +50,10 @@
 	// endpoints is how many endpoints have received the request in an attempt through another host, 0
 	// if unknown.
 	endpoints int
+	// connection is the connection that the response came over, and connectionRequests how many requests it had
+	// carried then; 0 without a response.
+	connection         upstream.ConnectionID
+	connectionRequests int
 	// startedAfter is the time from the beginning of the request.
 	startedAfter time.Duration
 	// runEnd is how the run ended if its connection did not show that, runEndTook how long the answer to
@@ -70,6 +75,7 @@
 
 func (c *call) recordAttempt(choice route.Choice, r result, duration time.Duration) {
 	a := attemptRecord{endpoint: choice.Endpoint.ID, release: choice.Endpoint.Release, rowVersion: choice.Endpoint.Counter, expected: choice.Expected, queued: choice.Queued, cached: choice.CachedTokens, duration: duration, delivered: true, notice: c.notice, startedAfter: c.sentAt.Sub(c.started), continues: c.continues}
+	a.connection, a.connectionRequests = c.connection, c.connectionRequests
 	switch r := r.(type) {
 	case notRun:
 		a.outcome = "not run: " + r.err.Error()
@@ -219,6 +225,9 @@
 		if a.framing != "" {
 			line = line.Str(prefix+"-framing", a.framing)
 		}
+		if a.connectionRequests > 0 {
+			line = line.Int64(prefix+"-connection", int64(a.connection)).Int(prefix+"-connection-requests", a.connectionRequests)
+		}
 		if a.runEnd != "" {
 			line = line.Str(prefix+"-run", a.runEnd).Dur(prefix+"-run-took", a.runEndTook)
 		}
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -32,6 +32,10 @@
 	isHead bool
 }
 
+// Connection returns the connection that the response comes over, and how many requests it has carried, this
+// one included.
+func (e *Exchange) Connection() (id ConnectionID, requests int) { return e.conn.id, e.conn.requests }
+
 // Status returns the status code of the response.
 func (e *Exchange) Status() int { return e.response.StatusCode }
 
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -109,6 +110,8 @@
 	mu        sync.Mutex
 	byAddress map[string]*addressConns
 	dials     int64
+
+	lastID atomic.Int64
 }
 
 // addressConns holds the connections to one address.
@@ -119,10 +122,16 @@
 	open int
 }
 
+// ConnectionID identifies a connection of a pool. IDs are not used again.
+type ConnectionID int64
+
 // conn is a connection. At most one Exchange uses it at a time.
 type conn struct {
 	net.Conn
+	id      ConnectionID
 	address string
+	// requests is the number of requests that were sent over the connection.
+	requests int
 	reader  *bufio.Reader
 	// raw is what reader reads from.
 	raw *limitedReader
@@ -211,6 +220,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	e := &Exchange{pool: p, conn: c, ctx: ctx, stopCancel: stop}
+	c.requests++
 	written, err := c.Write(request.encode())
 	if err != nil {
 		// The endpoint may have responded before it read the complete request.
@@ -465,7 +475,7 @@
 
 func (p *Pool) newConn(raw net.Conn, address string) *conn {
 	limited := &limitedReader{conn: raw, observer: p.observer, left: unlimited}
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(limited, bufferBytes), raw: limited, idleTimeout: defaultIdleTimeout}
+	return &conn{Conn: raw, id: ConnectionID(p.lastID.Add(1)), address: address, reader: bufio.NewReaderSize(limited, bufferBytes), raw: limited, idleTimeout: defaultIdleTimeout}
 }
 
 // errHeadTooLong means that an endpoint has sent httpx.MaxHeadBytes without the end of a head.
