upstream, forward: do not send a request over a connection that carried an earlier attempt of it

Callers saw requests that may run once run twice, and a 503 that says "not run" for requests that ran.

Cause: all attempts of a request have one ID, and the ID is all that tells a surplus response from the one that is due. An endpoint that has the address of one that ended rejects the attempt for its predecessor with 421; a route of one attempt continues after that. The next attempt may go to this endpoint, over the connection that has just become idle. If the endpoint repeats the 421 there, it counts as the response, and the request is sent to a third endpoint while it runs.

Change: an attempt names the connections of earlier attempts, and the pool does not use them for it. A connection that is idle only for others is closed if the limit of connections leaves no other way. Then the ID is unambiguous again: over each connection a request is sent once at most.

--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -138,6 +138,7 @@
 		Body:    c.body,
 		HasBody: c.hasBody,
 		MaxIdle: c.maxIdle(),
+		Avoid:   c.usedConnections(),
 	}
 }
 
--- a/pkg/forward/request_log.go
+++ b/pkg/forward/request_log.go
@@ -156,6 +156,17 @@
 	return n
 }
 
+// usedConnections returns the connections that responses to earlier attempts came over.
+func (c *call) usedConnections() []upstream.ConnectionID {
+	var used []upstream.ConnectionID
+	for _, a := range c.logEntry.attempts {
+		if a.connectionRequests > 0 {
+			used = append(used, a.connection)
+		}
+	}
+	return used
+}
+
 // lastEndpoint returns the ID of the endpoint of the latest attempt.
 func (c *call) lastEndpoint() string {
 	if n := len(c.logEntry.attempts); n > 0 {
--- a/pkg/soak/links.go
+++ b/pkg/soak/links.go
@@ -22,6 +22,8 @@
 	// down holds the targets that refuse connections.
 	down   map[string]bool
 	closed bool
+	// repeatsMisdirected is that of all links.
+	repeatsMisdirected bool
 }
 
 func newEndpointLinks(onOpen func(address, target string), onError func(error)) *endpointLinks {
@@ -44,6 +46,7 @@
 		return target
 	}
 	l.proxies[target] = p
+	p.repeatsMisdirected.Store(l.repeatsMisdirected)
 	l.onOpen(p.Address(), target)
 	l.applyMode(target, p)
 	return p.Address()
@@ -113,6 +116,16 @@
 	}
 }
 
+// repeatMisdirected makes responses with status 421 arrive again where the next ones are due, on all links.
+func (l *endpointLinks) repeatMisdirected() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.repeatsMisdirected = true
+	for _, p := range l.proxies {
+		p.repeatsMisdirected.Store(true)
+	}
+}
+
 // setDown sets whether a target refuses connections, as one without a process does. The link then
 // refuses them too; otherwise it would accept and reset them.
 func (l *endpointLinks) setDown(target string, down bool) {
--- a/pkg/soak/proxy.go
+++ b/pkg/soak/proxy.go
@@ -72,8 +72,9 @@
 type Proxy struct {
 	listener *net.TCPListener
 	target   string
-	// repeats is set if responses with a length are forwarded twice.
-	repeats atomic.Bool
+	// repeats is set if responses with a length are forwarded twice, repeatsMisdirected if those with status 421
+	// arrive again where the next response on their connection is due.
+	repeats, repeatsMisdirected atomic.Bool
 
 	mu   sync.Mutex
 	mode Mode
@@ -278,8 +279,9 @@
 		return
 	}
 	lostHangs := p.track(client, upstream)
-	go p.copyDirection(upstream, client, false, lostHangs)
-	p.copyDirection(client, upstream, true, lostHangs)
+	var misdirected lastResponse
+	go p.copyDirection(upstream, client, false, lostHangs, &misdirected)
+	p.copyDirection(client, upstream, true, lostHangs, &misdirected)
 }
 
 // track adds the connections of a client and returns p.lostHangs.
@@ -307,9 +309,30 @@
 	}
 }
 
+// lastResponse is the last response of a kind on a connection. It is safe for concurrent use.
+type lastResponse struct {
+	mu   sync.Mutex
+	text []byte
+}
+
+func (r *lastResponse) set(text []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.text = bytes.Clone(text)
+}
+
+// take returns the response once.
+func (r *lastResponse) take() []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	text := r.text
+	r.text = nil
+	return text
+}
+
 // copyDirection copies one direction of a connection; responses is true for the one from the target,
-// lostHangs is p.lostHangs when the connection was opened.
-func (p *Proxy) copyDirection(to, from net.Conn, responses bool, lostHangs int) {
+// lostHangs is p.lostHangs when the connection was opened, misdirected is shared by both directions.
+func (p *Proxy) copyDirection(to, from net.Conn, responses bool, lostHangs int, misdirected *lastResponse) {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -326,10 +349,17 @@
 				reset(from)
 				break
 			}
+			if !responses && p.repeatsMisdirected.Load() {
+				// An error shows at the next read.
+				_, _ = from.Write(misdirected.take())
+			}
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				reset(from)
 				break
 			}
+			if responses && bytes.HasPrefix(buffer[:n], []byte("HTTP/1.1 421 ")) {
+				misdirected.set(buffer[:n])
+			}
 			// What follows a response without a length is a part of it.
 			if responses && p.repeats.Load() && bytes.Contains(buffer[:n], []byte("Content-Length: ")) {
 				time.Sleep(repeatDelay)
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -10,6 +10,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -57,6 +58,9 @@
 	// no limit. A request that must not be repeated needs one, as the endpoint may be closing
 	// a connection that was idle for long.
 	MaxIdle time.Duration
+	// Avoid are the connections that carried earlier attempts of the request. An endpoint may repeat a
+	// response, and over these connections nothing would tell it from the response to this attempt.
+	Avoid []ConnectionID
 	// DialContext, if it is not nil, also ends the opening of a connection, after which the outcome is
 	// NotSent.
 	DialContext context.Context
@@ -132,7 +136,7 @@
 	address string
 	// requests is the number of requests that were sent over the connection.
 	requests int
-	reader  *bufio.Reader
+	reader   *bufio.Reader
 	// raw is what reader reads from.
 	raw *limitedReader
 	// The endpoint may close the connection idleTimeout after idleSince.
@@ -214,7 +218,7 @@
 	if request.DialContext != nil {
 		dialContext = request.DialContext
 	}
-	c, err := p.acquire(dialContext, address, limit, request.MaxIdle)
+	c, err := p.acquire(dialContext, address, limit, request)
 	if err != nil {
 		return NotSent{err}
 	}
@@ -287,9 +291,9 @@
 }
 
 // acquire returns an idle connection, or opens one if there is none.
-func (p *Pool) acquire(ctx context.Context, address string, limit int, maxIdle time.Duration) (*conn, error) {
+func (p *Pool) acquire(ctx context.Context, address string, limit int, request Request) (*conn, error) {
 	for {
-		c := p.takeIdle(address, maxIdle)
+		c := p.takeIdle(address, request)
 		if c == nil {
 			break
 		}
@@ -298,7 +302,7 @@
 		}
 		p.drop(c)
 	}
-	if !p.reserve(address, limit) {
+	if !p.reserve(address, limit) && !(p.dropIdle(address, request.Avoid) && p.reserve(address, limit)) {
 		return nil, ErrConnectionLimit
 	}
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
@@ -344,23 +348,47 @@
 	p.release(c.address)
 }
 
-// takeIdle returns the connection that has been idle for the shortest time, or nil if there is
-// none or if it exceeds maxIdle. One that exceeds its idleTimeout is returned all the same, so
-// that acquire drops it.
-func (p *Pool) takeIdle(address string, maxIdle time.Duration) *conn {
+// takeIdle returns the connection that has been idle for the shortest time and that the request may use, or
+// nil if there is none. One that exceeds its idleTimeout is returned all the same, so that acquire drops it.
+func (p *Pool) takeIdle(address string, request Request) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.byAddress[address]
-	if conns == nil || len(conns.idle) == 0 {
+	if conns == nil {
 		return nil
 	}
-	c := conns.idle[len(conns.idle)-1]
-	idle := boottime.Since(c.idleSince)
-	if maxIdle > 0 && idle > maxIdle && idle <= c.idleTimeout {
-		return nil
+	for i, c := range slices.Backward(conns.idle) {
+		if slices.Contains(request.Avoid, c.id) {
+			continue
+		}
+		idle := boottime.Since(c.idleSince)
+		if request.MaxIdle > 0 && idle > request.MaxIdle && idle <= c.idleTimeout {
+			return nil
+		}
+		conns.idle = slices.Delete(conns.idle, i, i+1)
+		return c
+	}
+	return nil
+}
+
+// dropIdle closes an idle connection out of ids. It returns false if there is none.
+func (p *Pool) dropIdle(address string, ids []ConnectionID) bool {
+	p.mu.Lock()
+	conns := p.byAddress[address]
+	if conns == nil {
+		p.mu.Unlock()
+		return false
 	}
-	conns.idle = conns.idle[:len(conns.idle)-1]
-	return c
+	i := slices.IndexFunc(conns.idle, func(c *conn) bool { return slices.Contains(ids, c.id) })
+	if i < 0 {
+		p.mu.Unlock()
+		return false
+	}
+	c := conns.idle[i]
+	conns.idle = slices.Delete(conns.idle, i, i+1)
+	p.mu.Unlock()
+	p.drop(c)
+	return true
 }
 
 // put adds a connection to the idle ones.
--- a/pkg/upstream/pool_test.go
+++ b/pkg/upstream/pool_test.go
@@ -445,3 +445,31 @@
 		}
 	}
 }
+
+// Guards against a response to an earlier attempt that is read as the response to the next one.
+func TestConnectionOfEarlierAttemptIsNotUsed(t *testing.T) {
+	e := serve(t, func(c net.Conn, _ *http.Request) bool {
+		_, err := io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	})
+	pool := upstream.New(time.Second)
+	const limit = 1
+	send := func(avoid ...upstream.ConnectionID) (id upstream.ConnectionID, requests int) {
+		t.Helper()
+		answer, ok := pool.Send(context.Background(), e.address, limit, upstream.Request{Method: http.MethodGet, Target: "/", Avoid: avoid}).(upstream.Answered)
+		if !ok {
+			t.Fatal("got no response")
+		}
+		_, _ = io.Copy(io.Discard, answer.Exchange)
+		answer.Exchange.Close()
+		return answer.Exchange.Connection()
+	}
+	first, _ := send()
+	second, requests := send(first)
+	if second == first || requests != 1 {
+		t.Errorf("got connection %d with %d requests for the second attempt, want another one than %d", second, requests, first)
+	}
+	if other, requests := send(first); other != second || requests != 2 {
+		t.Errorf("got connection %d with %d requests for another request, want the idle one, %d", other, requests, second)
+	}
+}
