--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -147,8 +147,8 @@
 	// sentAt is the time of the latest attempt, continues is set if it continues from a copy of a run's memory.
 	sentAt    time.Time
 	continues bool
-	// connection is the connection that the response to the latest attempt came over, and connectionRequests how
-	// many requests it had carried; 0 without a response.
+	// connection is the connection that the response to the latest attempt came over, and connectionRequests how many
+	// requests were sent over it; 0 without a response.
 	connection         upstream.ConnectionID
 	connectionRequests int
 	// notice is what the response to the latest attempt reports about its endpoint.
--- a/pkg/forward/request_log.go
+++ b/pkg/forward/request_log.go
@@ -50,8 +50,8 @@
 	// endpoints is how many endpoints have received the request in an attempt through another host, 0
 	// if unknown.
 	endpoints int
-	// connection is the connection that the response came over, and connectionRequests how many requests it had
-	// carried then; 0 without a response.
+	// connection is the connection that the response came over, and connectionRequests how many requests were
+	// sent over it until then; 0 without a response.
 	connection         upstream.ConnectionID
 	connectionRequests int
 	// startedAfter is the time from the beginning of the request.
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -32,7 +32,7 @@
 	isHead bool
 }
 
-// Connection returns the connection that the response comes over, and how many requests it has carried, this
+// Connection returns the connection that the response comes over, and how many requests were sent over it, this
 // one included.
 func (e *Exchange) Connection() (id ConnectionID, requests int) { return e.conn.id, e.conn.requests }
 
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -58,8 +58,8 @@
 	// no limit. A request that must not be repeated needs one, as the endpoint may be closing
 	// a connection that was idle for long.
 	MaxIdle time.Duration
-	// Avoid are the connections that carried earlier attempts of the request. An endpoint may repeat a
-	// response, and over these connections nothing would tell it from the response to this attempt.
+	// Avoid are the connections that earlier attempts of the request used. An endpoint may repeat a
+	// response, and over these connections that has the ID of this attempt too.
 	Avoid []ConnectionID
 	// DialContext, if it is not nil, also ends the opening of a connection, after which the outcome is
 	// NotSent.
