forward: a request that runs once by either host's route is not repeated at the host it is forwarded to

Callers' requests that may run once could run twice if a host that had lost its links forwarded them to another one with a newer configuration, in which their route was gone and a shorter prefix of another kind matched. That host decided by its own route alone.

Evidence: TestForwardedRequestIsNotRepeatedByAnotherRoute got two runs, now one.

Change: a forwarded request says whether the route by which it was admitted lets it run once only (runs_once), and mayRepeat holds if both routes do. Hosts of earlier versions send no such member and ignore it. Whether the users saw this is not known: their record does not show a forwarded request.

--- a/pkg/forward/detour.go
+++ b/pkg/forward/detour.go
@@ -95,7 +95,7 @@
 	})
 	// The list of hosts is not read here, since it is costly in a large fleet.
 	hasOtherHost := c.detour != nil || c.f.fleet.Advertised() > 1
-	if c.route.MayRepeat() && c.deliveredAttempts()+1 < c.route.MaxAttempts && hasOtherHost {
+	if c.mayRepeat() && c.deliveredAttempts()+1 < c.route.MaxAttempts && hasOtherHost {
 		return dial, dial
 	}
 	return ctx, dial
@@ -186,7 +186,7 @@
 	}
 	d := detour{
 		configVersion: c.table.Version(), attempts: c.deliveredAttempts(), isBudgeted: c.isBudgeted, remaining: time.Until(c.deadline),
-		isResume: isResume, lastEventID: lastEventID, origin: c.origin,
+		isResume: isResume, lastEventID: lastEventID, origin: c.origin, runsOnce: !c.mayRepeat(),
 	}
 	if c.open != nil {
 		d.openRun = c.open.endpoint.ID
--- a/pkg/forward/detourfaults_test.go
+++ b/pkg/forward/detourfaults_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -255,3 +256,23 @@
 		t.Errorf("got %+v, want the answer of the host in touch", got)
 	}
 }
+
+// Guards against requests that run twice at another host whose newer configuration has a route for them that may be repeated.
+func TestForwardedRequestIsNotRepeatedByAnotherRoute(t *testing.T) {
+	cut, _ := newCutHosts(t, attemptsSpec(2), nil)
+	newer := attemptsSpec(2)
+	newer.Version++
+	for i := range newer.Routes {
+		if newer.Routes[i].Prefix == "/safe/" {
+			newer.Routes[i].Prefix = "/"
+		}
+	}
+	newer.Routes = slices.DeleteFunc(newer.Routes, func(r routetable.Route) bool { return r.Prefix != "/" })
+	other := newHarness(t, newer, true, closeWithoutResponse, closeWithoutResponse)
+	_, address := other.servePeers()
+	cut.links.hosts = append(cut.links.hosts, address)
+	got := cut.send("POST", "/once/x", "body")
+	if runs := len(other.requests()); runs != 1 || got.status != http.StatusBadGateway {
+		t.Errorf("got %d runs and status %d, want 1 and %d", runs, got.status, http.StatusBadGateway)
+	}
+}
--- a/pkg/forward/moved.go
+++ b/pkg/forward/moved.go
@@ -70,7 +70,7 @@
 
 // mayResume reports whether the stream may be resumed at another endpoint if it breaks off.
 func (c *call) mayResume() bool {
-	return c.route.MayRepeat() && c.deliveredAttempts() < c.route.MaxAttempts
+	return c.mayRepeat() && c.deliveredAttempts() < c.route.MaxAttempts
 }
 
 // expectedTokens returns the caller's estimate of the answer's length. If the caller states only a
--- a/pkg/forward/openrun.go
+++ b/pkg/forward/openrun.go
@@ -123,7 +123,7 @@
 
 // endAbandonedRun ends the run of a stream that breaks off for its caller, which may resume it at once.
 func (c *call) endAbandonedRun(ctx context.Context, err error) {
-	if c.open == nil || !c.route.MayRepeat() || errors.Is(err, errCallerDisconnected) || ctx.Err() != nil {
+	if c.open == nil || !c.mayRepeat() || errors.Is(err, errCallerDisconnected) || ctx.Err() != nil {
 		return
 	}
 	startedAt := c.f.clock()
--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -89,7 +89,7 @@
 
 // relayResponse forwards a response that is not a stream.
 func (c *call) relayResponse(a answered) error {
-	if promisesNotRun(a.status) && !c.route.MayRepeat() {
+	if promisesNotRun(a.status) && !c.mayRepeat() {
 		// The endpoint does not say that it has not run the request, and its status would.
 		if a.unread != nil {
 			a.unread.Close()
--- a/pkg/forward/run.go
+++ b/pkg/forward/run.go
@@ -51,7 +51,7 @@
 
 // maxIdle is how long a connection for the request may have been idle, 0 for any time.
 func (c *call) maxIdle() time.Duration {
-	if c.route.MayRepeat() {
+	if c.mayRepeat() {
 		return 0
 	}
 	return nonRepeatableMaxIdle
@@ -217,6 +217,12 @@
 	c.f.runCounter.RunStarted(c.teamName())
 }
 
+// mayRepeat reports whether the request may run more than once. The route of the host that forwards it may be another
+// one, of an older configuration: both must allow it.
+func (c *call) mayRepeat() bool {
+	return c.route.MayRepeat() && (c.detour == nil || !c.detour.runsOnce)
+}
+
 // mayRetry reports whether the request may be sent to another endpoint after a result:
 // only within the route's attempts, and only if it may run again or provably did not run.
 func (c *call) mayRetry(ctx context.Context, last result) bool {
@@ -239,5 +245,5 @@
 		return true
 	}
 	c.attempts = c.deliveredAttempts()
-	return c.attempts < c.route.MaxAttempts && (isNotRun || c.route.MayRepeat())
+	return c.attempts < c.route.MaxAttempts && (isNotRun || c.mayRepeat())
 }
--- a/pkg/forward/takenup.go
+++ b/pkg/forward/takenup.go
@@ -99,7 +99,7 @@
 
 // trackTakeable registers the request's stream if its caller may resume it.
 func (c *call) trackTakeable() {
-	if c.takeable != nil || !c.route.MayRepeat() {
+	if c.takeable != nil || !c.mayRepeat() {
 		return
 	}
 	c.takeable = &takeable{ended: make(chan struct{}), until: c.deadline, interrupt: func() {
