--- a/pkg/soak/takeups.go
+++ b/pkg/soak/takeups.go
@@ -27,11 +27,12 @@
 // Break is how a host's streams are broken.
 type Break int
 
-// The ways: the caller closes its connection, or the host is killed or suspended.
+// The ways: the caller closes its connection, the host is killed or suspended, or all hosts are killed.
 const (
 	BreakByCaller Break = iota
 	BreakByKill
 	BreakBySuspension
+	BreakByKillOfAll
 )
 
 // TakeUpOutcome counts streams and take-ups.
@@ -56,6 +57,8 @@
 	meetTime, settleTime = 3 * time.Second, 500 * time.Millisecond
 	// minEvents is the least number of events of the streams used.
 	minEvents = 18
+	// eventIntervalBeforeKill lets hosts save where streams began before they are all killed.
+	eventIntervalBeforeKill = 150 * time.Millisecond
 )
 
 // RunTakeUps breaks streams of a service with several releases and takes them up.
@@ -66,16 +69,29 @@
 	if err := r.start(); err != nil {
 		return Outcome{}, TakeUpOutcome{}, err
 	}
+	if takeUps.Break == BreakByKillOfAll {
+		r.requestLog.SetEventInterval(eventIntervalBeforeKill)
+	}
 	r.wait(ctx, meetTime)
 	var got TakeUpOutcome
 	for round := range takeUps.Rounds {
 		var streams []*brokenStream
 		for i := range takeUps.StreamsPerRound {
-			streams = append(streams, r.newStream(fmt.Sprintf("s%d-%d-%d", o.Seed, round, i)))
+			s := r.newStream(fmt.Sprintf("s%d-%d-%d", o.Seed, round, i))
+			if takeUps.Break == BreakByKillOfAll {
+				s.silence = 2 * eventIntervalBeforeKill
+			}
+			streams = append(streams, s)
 		}
 		for hop := range 2 {
 			host := (round + hop) % len(r.nodes)
 			r.readAndBreak(ctx, streams, host, takeUps.Break)
+			if takeUps.Break != BreakByKillOfAll {
+				continue
+			}
+			if err := r.waitReady(startTimeout); err != nil {
+				return Outcome{}, got, err
+			}
 		}
 		r.eachStream(streams, func(s *brokenStream) { s.takeUp(ctx, (round+2)%len(r.nodes), func() {}, false) })
 		for _, s := range streams {
@@ -98,6 +114,10 @@
 		switch how {
 		case BreakByKill:
 			r.nodes[host].signal(syscall.SIGKILL)
+		case BreakByKillOfAll:
+			for _, n := range r.nodes {
+				n.signal(syscall.SIGKILL)
+			}
 		case BreakBySuspension:
 			r.nodes[host].signal(syscall.SIGSTOP)
 			time.AfterFunc(time.Second, func() { r.nodes[host].signal(syscall.SIGCONT) })
--- a/pkg/soak/takeups_test.go
+++ b/pkg/soak/takeups_test.go
@@ -36,3 +36,32 @@
 		})
 	}
 }
+
+// Guards against streams that no host continues, or that continue at another release, after all hosts have been killed at once.
+func TestStreamsTakenUpAfterAllHostsWereKilledGoOn(t *testing.T) {
+	program := buildNode(t)
+	for name, versions := range map[string][]string{
+		"three releases": {"v1", "v1.1", "v1.2", "v1", "v1.1", "v1.2"}, "one release": {"v1", "v1", "v1", "v1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const rounds, streams = 2, 40
+			outcome, got, err := soak.RunTakeUps(context.Background(), soak.Options{
+				Program: program, Folder: t.TempDir(), Seed: 1, Nodes: 4, Log: t.Output(),
+			}, versions, soak.TakeUps{Rounds: rounds, StreamsPerRound: streams, Break: soak.BreakByKillOfAll})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, violation := range outcome.Violations {
+				t.Error(violation)
+			}
+			t.Logf("%d streams began, %d mixed releases; %d of %d take-ups went on", got.Begun, got.Mixed, got.WentOn, got.TakenUp)
+			if got.Mixed > 0 {
+				t.Errorf("got %d of %d streams with events of several releases, want none", got.Mixed, got.Begun)
+			}
+			if wanted := rounds * streams; 2*got.Begun < wanted || 2*got.WentOn*wanted < got.TakenUp*got.Begun || got.TakenUp == 0 {
+				t.Errorf("got %d of %d taken up go on, and %d of %d begin, want half of that share at least", got.WentOn, got.TakenUp, got.Begun, wanted)
+			}
+		})
+	}
+}
