originlog: save where streams began to the store, so that they can be taken up after all hosts have ended

After all hosts were killed at once, callers that took their streams up got 503 from every host (LOST), though endpoints of the streams' release served.

Cause: where a stream began was kept in the memory of four hosts only. What must outlive all processes has to be in the store.

Change: each host that relays streams has a row with the places where streams of each route may begin, and with the streams themselves while a route has several. A host without a record elsewhere reads the rows: a named stream began where its row says, any other one at the only place of its route by all rows and the endpoints of now. Everything else stays unknown and is refused.

--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -27,6 +27,7 @@
 	"ironhollow/pkg/loadsync"
 	"ironhollow/pkg/notice"
 	"ironhollow/pkg/origin"
+	"ironhollow/pkg/originlog"
 	"ironhollow/pkg/pause"
 	"ironhollow/pkg/quarantine"
 	"ironhollow/pkg/quarantinesync"
@@ -96,6 +97,7 @@
 	peerPool             peerPool
 	origins              *origin.Directory
 	originSender         *originSender
+	originLog            *originlog.Log
 	forwarder            *forward.Forwarder
 	registry             *prometheus.Registry
 	row                  *rowState
@@ -176,6 +178,7 @@
 	go n.logCalls(background)
 	go n.followRollouts(background, source)
 	go n.syncQuarantine(background)
+	go n.originLog.Run(background)
 	if err := n.startGossip(background); err != nil {
 		return err
 	}
--- a/pkg/app/node/origins.go
+++ b/pkg/app/node/origins.go
@@ -1,12 +1,20 @@
 package node
 
 import (
+	"slices"
+	"sync"
 	"sync/atomic"
 
+	"github.com/phuslu/log"
+
+	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/gossip"
 	"ironhollow/pkg/origin"
+	"ironhollow/pkg/originlog"
+	"ironhollow/pkg/routetable"
 	"ironhollow/pkg/storeclock"
 	"ironhollow/pkg/storeview"
+	"ironhollow/pkg/table"
 )
 
 // originSender sends datagrams about the origins of streams once the exchange with other hosts has
@@ -47,3 +55,51 @@
 	}
 	return origin.New(s.PeerAddress, peers, sender, clock.Now)
 }
+
+func newOriginLog(view *storeview.View, writer *table.Writer, clock *storeclock.Clock, s Settings, logger *log.Logger) *originlog.Log {
+	places := &streamPlaces{view: view}
+	hosts := func() int { return view.Roster().Advertised() }
+	return originlog.New(s.Node, writer, clock, places.byRoute, hosts, view.StoreEra, logger)
+}
+
+// streamPlaces finds where streams of each route may begin. It is safe for concurrent use.
+type streamPlaces struct {
+	view *storeview.View
+
+	mu sync.Mutex
+	// table and generation are those that places were found for.
+	table      *routetable.Table
+	generation uint64
+	places     map[string][]origin.Source
+}
+
+// byRoute returns the services of each route with streams that may be resumed, with the releases of their endpoints.
+func (p *streamPlaces) byRoute() map[string][]origin.Source {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	table, _ := p.view.RouteTables().Current()
+	endpoints := p.view.Directory().View()
+	if p.places != nil && table == p.table && endpoints.Generation() == p.generation {
+		return p.places
+	}
+	p.table, p.generation, p.places = table, endpoints.Generation(), map[string][]origin.Source{}
+	if table == nil {
+		return p.places
+	}
+	byService := map[string][]origin.Source{}
+	for _, info := range endpoints.Infos() {
+		source := origin.Source{Service: info.Service, Release: info.Release}
+		if info.State != endpoint.Gone && !slices.Contains(byService[info.Service], source) {
+			byService[info.Service] = append(byService[info.Service], source)
+		}
+	}
+	routes := table.Routes()
+	for i := range routes {
+		if r := &routes[i]; r.Kind == routetable.Stream && r.MayRepeat() {
+			for _, split := range r.Splits {
+				p.places[r.Name] = append(p.places[r.Name], byService[split.Service]...)
+			}
+		}
+	}
+	return p.places
+}
--- a/pkg/app/node/providers.go
+++ b/pkg/app/node/providers.go
@@ -25,6 +25,7 @@
 	"ironhollow/pkg/loadsync"
 	"ironhollow/pkg/notice"
 	"ironhollow/pkg/origin"
+	"ironhollow/pkg/originlog"
 	"ironhollow/pkg/quarantine"
 	"ironhollow/pkg/quarantinesync"
 	"ironhollow/pkg/reach"
@@ -246,7 +247,7 @@
 }
 
 func newForwarder(platform Platform, view *storeview.View, location route.Location, router *route.Router, limiter *limit.CostLimiter, budget *retry.WindowBudget,
-	pool *upstream.Pool, links *reach.Monitor, detours *forward.Detours, origins *origin.Directory, counter *usage.Counter, rollouts *rollout.Splitter, watch *quarantine.Watch, noticeTracker *notice.Tracker, lifecycle *lifecycle, known readiness, clock *storeclock.Clock, registry *prometheus.Registry, logger *log.Logger,
+	pool *upstream.Pool, links *reach.Monitor, detours *forward.Detours, origins *origin.Directory, originLog *originlog.Log, counter *usage.Counter, rollouts *rollout.Splitter, watch *quarantine.Watch, noticeTracker *notice.Tracker, lifecycle *lifecycle, known readiness, clock *storeclock.Clock, registry *prometheus.Registry, logger *log.Logger,
 ) *forward.Forwarder {
 	// Once the process is ready, it stays ready.
 	var ready atomic.Bool
@@ -265,6 +266,7 @@
 	forwarder.UseLinks(links)
 	forwarder.UseDetours(detours)
 	forwarder.UseOrigins(origins)
+	forwarder.UseOriginLog(originLog)
 	forwarder.MoveStreams(forward.NewMover(platform.MoveCalls(pool), pool, view.Directory(), router, view.RouteTables(), clock.Now, registry, logger))
 	return forwarder
 }
--- a/pkg/app/node/wire_gen.go
+++ b/pkg/app/node/wire_gen.go
@@ -49,9 +49,10 @@
 	detours := newDetours(view, settings, clock, nodePeerPool, registry)
 	nodeOriginSender := newOriginSender()
 	directory := newOrigins(view, settings, nodeOriginSender, clock)
+	log := newOriginLog(view, writer, clock, settings, logger)
 	windowBudget := newRetryBudget(settings)
 	watch := newQuarantineWatch(registry, logger)
-	forwarder := newForwarder(platform, view, location, router, costLimiter, windowBudget, pool, monitor, detours, directory, counter, splitter, watch, tracker, nodeLifecycle, nodeReadiness, clock, registry, logger)
+	forwarder := newForwarder(platform, view, location, router, costLimiter, windowBudget, pool, monitor, detours, directory, log, counter, splitter, watch, tracker, nodeLifecycle, nodeReadiness, clock, registry, logger)
 	nodeRowState := &rowState{}
 	nodeFleetRole := &fleetRole{}
 	coordinator := newCoordinator(platform, splitter, view, writer, clock, manager, logger)
@@ -91,6 +92,7 @@
 		peerPool:             nodePeerPool,
 		origins:              directory,
 		originSender:         nodeOriginSender,
+		originLog:            log,
 		forwarder:            forwarder,
 		registry:             registry,
 		row:                  nodeRowState,
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -69,6 +69,8 @@
 	detours *Detours
 	links   Links
 	origins *origin.Directory
+	// originLog is nil if origins are kept in the memory of hosts only.
+	originLog OriginLog
 	// takeables are the streams that this host relays.
 	takeables *takeables
 	// slotQueues holds the requests that wait for slots of fragile endpoints.
@@ -209,6 +211,7 @@
 	}
 	err := c.serve()
 	c.endTakeable(err)
+	c.forgetOrigin(err)
 	c.freeOpenCopy()
 	for _, end := range c.atEnd {
 		end()
--- a/pkg/forward/takeup.go
+++ b/pkg/forward/takeup.go
@@ -18,6 +18,19 @@
 // streams up that began at other hosts. It must be called before the first request.
 func (f *Forwarder) UseOrigins(directory *origin.Directory) { f.origins = directory }
 
+// OriginLog keeps where streams began beyond the end of all hosts.
+type OriginLog interface {
+	// Add adds a stream of a route, which may be taken up during its life.
+	Add(key origin.Key, route string, source origin.Source, life time.Duration)
+	// Remove removes a stream that is complete.
+	Remove(key origin.Key)
+	// Find finds where a stream of a route began. It returns false if that is not certain.
+	Find(ctx context.Context, key origin.Key, route string) (source origin.Source, ok bool)
+}
+
+// UseOriginLog sets the log of origins. It must be called before the first request.
+func (f *Forwarder) UseOriginLog(l OriginLog) { f.originLog = l }
+
 // returnTime is how long after its deadline the origin of a stream is kept for callers that take it
 // up.
 const returnTime = 30 * time.Second
@@ -42,7 +55,7 @@
 		return nil
 	}
 	started := c.f.clock()
-	t := &takeUp{finding: c.f.origins.Find(ctx, origin.KeyOf(c.teamName(), c.meta.Resumes))}
+	t := &takeUp{finding: c.lookUpOrigin(ctx)}
 	t.took = c.f.clock().Sub(started)
 	c.logEntry.takeUp = t
 	if t.finding.Result != origin.Known {
@@ -57,6 +70,19 @@
 	return nil
 }
 
+// lookUpOrigin asks the other hosts where the stream began, and the log if none of them has a record.
+func (c *call) lookUpOrigin(ctx context.Context) origin.Finding {
+	key := origin.KeyOf(c.teamName(), c.meta.Resumes)
+	finding := c.f.origins.Find(ctx, key)
+	if c.f.originLog == nil || finding.Result != origin.Unknown && finding.Result != origin.Unanswered {
+		return finding
+	}
+	if source, ok := c.f.originLog.Find(ctx, key, c.route.Name); ok {
+		finding.Result, finding.Source, finding.From = origin.Known, source, "store"
+	}
+	return finding
+}
+
 // adoptOrigin restricts the request to the service and the release at which its stream began.
 func (c *call) adoptOrigin(source origin.Source) error {
 	if !c.route.LeadsTo(source.Service) {
@@ -97,10 +123,31 @@
 		return
 	}
 	life := time.Until(c.deadline) + returnTime
-	c.f.origins.Record(origin.KeyOf(c.teamName(), c.meta.ID), source, life)
+	for _, key := range c.originKeys() {
+		c.f.origins.Record(key, source, life)
+		if c.f.originLog != nil && c.mayRepeat() {
+			c.f.originLog.Add(key, c.route.Name, source, life)
+		}
+	}
+}
+
+// originKeys returns the keys by which the caller may take the stream up: it names the first attempt again if it
+// takes the stream up once more.
+func (c *call) originKeys() []origin.Key {
+	keys := []origin.Key{origin.KeyOf(c.teamName(), c.meta.ID)}
 	if c.meta.Resumes != "" {
-		// The caller names the first attempt again if it takes the stream up once more.
-		c.f.origins.Record(origin.KeyOf(c.teamName(), c.meta.Resumes), source, life)
+		keys = append(keys, origin.KeyOf(c.teamName(), c.meta.Resumes))
+	}
+	return keys
+}
+
+// forgetOrigin removes a complete stream from the log.
+func (c *call) forgetOrigin(err error) {
+	if err != nil || c.f.originLog == nil || c.detour != nil || c.origin == nil || c.logEntry.status != http.StatusOK {
+		return
+	}
+	for _, key := range c.originKeys() {
+		c.f.originLog.Remove(key)
 	}
 }
 
--- /dev/null
+++ b/pkg/originlog/originlog.go
@@ -0,0 +1,309 @@
+// Package originlog saves where streams began to the store, so that callers can take them up after all hosts
+// have ended at once. Each host that relays streams has a row. It names the places where streams of each route
+// may begin: services with the releases of their endpoints. While a route has one place, that is the
+// origin of all its streams, and nothing is written for a stream. While it has several, the row also names the
+// streams themselves.
+//
+// A stream that no row names is only continued if its route had one place by all rows. A row that is lost or late
+// means that an origin is not known.
+package originlog
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"ironhollow/pkg/origin"
+	"ironhollow/pkg/pause"
+	"ironhollow/pkg/table"
+)
+
+// Timing of a log.
+const (
+	// retention is how long after its last sight a place counts, and how long a row does after it was
+	// written. Streams are taken up sooner.
+	retention = time.Minute
+	// minInterval is the least time between two writes of a host. Streams that began within it are lost if all
+	// hosts end. With many hosts the interval is longer: intervalPerHost for each of them.
+	minInterval     = 400 * time.Millisecond
+	intervalPerHost = 10 * time.Millisecond
+	// placeInterval is the time between two checks for new places, which are written at once.
+	placeInterval = 100 * time.Millisecond
+	// refreshInterval is the time after which a row is written again if nothing has changed, while streams run.
+	refreshInterval = retention / 3
+	writeTimeout    = 2 * time.Second
+	retryInterval   = time.Second
+	// readTimeout bounds a search, readInterval is the time for which the rows read are used.
+	readTimeout  = 300 * time.Millisecond
+	readInterval = 300 * time.Millisecond
+	// expiredRows is the age from which on the rows of other hosts are deleted, maxDeleted how many a read deletes.
+	expiredRows = 10 * time.Minute
+	maxDeleted  = 20
+	// maxTracked bounds the streams in memory; further ones are not saved.
+	maxTracked = 8 << 10
+	// pageSize is the number of rows that one call reads, the store's maximum.
+	pageSize = 500
+)
+
+// Places returns where streams of each route may begin now, by the name of the route.
+type Places func() map[string][]origin.Source
+
+// Clock is the clock of the store.
+type Clock interface {
+	Now() time.Time
+	StoreTime() (time.Duration, bool)
+}
+
+// routePlace is a place of a route.
+type routePlace struct {
+	route  string
+	source origin.Source
+}
+
+// begun is a stream that began at this host.
+type begun struct {
+	place routePlace
+	until time.Time
+}
+
+// Log is the log of one host. It is safe for concurrent use.
+type Log struct {
+	node   string
+	writer *table.Writer
+	clock  Clock
+	places Places
+	// hosts returns the number of hosts that relay streams.
+	hosts    func() int
+	storeEra func() int64
+	log      *log.Logger
+
+	mu sync.Mutex
+	// streams are those that began here, seen is when each place was last there. Both have what the previous
+	// process of this host had written, once isLoaded is set; nothing is written before.
+	streams  map[origin.Key]begun
+	seen     map[routePlace]time.Time
+	isLoaded bool
+	// hasNew is set if streams have begun since the last write.
+	hasNew bool
+
+	readMu sync.Mutex
+	// read is what was read last, at readAt.
+	read   snapshot
+	readAt time.Time
+
+	// The rest is used by Run only. version is that of this host's row as last known, 0 for none; written are the
+	// places that it names.
+	version   int64
+	written   map[routePlace]bool
+	writtenAt time.Time
+	era       int64
+}
+
+// New returns a log. node is the name of this host.
+func New(node string, writer *table.Writer, clock Clock, places Places, hosts func() int, storeEra func() int64, logger *log.Logger) *Log {
+	return &Log{
+		node: node, writer: writer, clock: clock, places: places, hosts: hosts, storeEra: storeEra, log: logger,
+		streams: map[origin.Key]begun{}, seen: map[routePlace]time.Time{}, written: map[routePlace]bool{},
+	}
+}
+
+// Add adds a stream that began. life is how long it may be taken up.
+func (l *Log) Add(key origin.Key, route string, source origin.Source, life time.Duration) {
+	now := l.clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	place := routePlace{route, source}
+	l.seen[place] = now
+	if len(l.streams) < maxTracked {
+		l.streams[key] = begun{place, now.Add(life)}
+		l.hasNew = true
+	}
+}
+
+// Remove removes a stream that has ended and is not taken up.
+func (l *Log) Remove(key origin.Key) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.streams, key)
+}
+
+// Run writes this host's row until ctx ends.
+func (l *Log) Run(ctx context.Context) {
+	for pause.For(ctx, placeInterval) {
+		if !l.step(ctx) {
+			pause.For(ctx, retryInterval)
+		}
+	}
+}
+
+// step writes the row if that is due. It returns false if the store did not take it.
+func (l *Log) step(ctx context.Context) (done bool) {
+	storeNow, known := l.clock.StoreTime()
+	if !known || !l.relaysStreams() {
+		return true
+	}
+	if !l.isLoaded {
+		return l.loadOwn(ctx)
+	}
+	now := l.clock.Now()
+	places := l.currentPlaces(now)
+	isRestored := l.storeEra() > l.era
+	isNewPlace := slices.ContainsFunc(places, func(p routePlace) bool { return !l.written[p] })
+	interval := max(minInterval, time.Duration(l.hosts())*intervalPerHost)
+	age := now.Sub(l.writtenAt)
+	if !isNewPlace && !isRestored && age < refreshInterval && (age < interval || !l.hasNewAmbiguous(places)) {
+		return true
+	}
+	l.era = l.storeEra()
+	return l.write(ctx, places, now, storeNow)
+}
+
+// relaysStreams reports whether streams have begun at this host recently.
+func (l *Log) relaysStreams() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.seen) > 0
+}
+
+// currentPlaces notes the places there are now, and returns those of the last retention.
+func (l *Log) currentPlaces(now time.Time) []routePlace {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for route, sources := range l.places() {
+		for _, s := range sources {
+			l.seen[routePlace{route, s}] = now
+		}
+	}
+	maps.DeleteFunc(l.seen, func(_ routePlace, at time.Time) bool { return now.Sub(at) > retention })
+	maps.DeleteFunc(l.streams, func(_ origin.Key, s begun) bool { return now.After(s.until) })
+	return slices.Collect(maps.Keys(l.seen))
+}
+
+// hasNewAmbiguous reports whether streams have begun since the last write whose routes have several places.
+func (l *Log) hasNewAmbiguous(places []routePlace) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.hasNew && len(ambiguousRoutes(places)) > 0
+}
+
+// ambiguousRoutes returns the routes with several places.
+func ambiguousRoutes(places []routePlace) map[string]bool {
+	count, ambiguous := map[string]int{}, map[string]bool{}
+	for _, p := range places {
+		if count[p.route]++; count[p.route] > 1 {
+			ambiguous[p.route] = true
+		}
+	}
+	return ambiguous
+}
+
+func (l *Log) write(ctx context.Context, places []routePlace, now time.Time, storeNow time.Duration) (done bool) {
+	value, err := encode(l.row(places, now, storeNow))
+	if err != nil {
+		l.log.Error().Err(err).Msg("failed to encode where streams began")
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	// A late copy of an earlier write must not replace this one.
+	var condition table.Condition = table.Absent{}
+	if l.version != 0 {
+		condition = table.AtVersion{Version: l.version}
+	}
+	switch o := l.writer.Commit(ctx, table.Write{Key: keyOf(l.node), Value: value, If: condition}).(type) {
+	case table.Committed:
+		l.version, l.writtenAt = o.Version, now
+		l.written = map[routePlace]bool{}
+		for _, p := range places {
+			l.written[p] = true
+		}
+		return true
+	case table.Refused:
+		l.log.Warn().Err(o.Err).Int("conflicts", len(o.Conflicts)).Msg("the store refused where streams began")
+	case table.Unknown:
+		l.log.Warn().Err(o.Err).Msg("failed to save where streams began")
+	}
+	l.setNew()
+	return l.readVersion(ctx)
+}
+
+func (l *Log) setNew() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hasNew = true
+}
+
+// readVersion reads the version of this host's row after a write that did not succeed.
+func (l *Log) readVersion(ctx context.Context) (done bool) {
+	stored, ok, err := l.writer.Store().Get(ctx, keyOf(l.node))
+	if err != nil {
+		return false
+	}
+	l.version = 0
+	if ok {
+		l.version = stored.Version
+	}
+	return true
+}
+
+// row returns the row to write.
+func (l *Log) row(places []routePlace, now time.Time, storeNow time.Duration) row {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hasNew = false
+	r, index := row{WrittenMS: toMS(storeNow)}, map[routePlace]uint16{}
+	for _, p := range places {
+		index[p] = uint16(len(r.Places))
+		r.Places = append(r.Places, place{Route: p.route, Service: p.source.Service, Release: p.source.Release, LastMS: toMS(storeNow - now.Sub(l.seen[p]))})
+	}
+	ambiguous := ambiguousRoutes(places)
+	for key, s := range l.streams {
+		if i, ok := index[s.place]; ok && ambiguous[s.place.route] {
+			r.Streams = append(r.Streams, stream{Key: key[:], Place: i, UntilMS: toMS(storeNow + s.until.Sub(now))})
+		}
+	}
+	if len(r.Streams) > maxStreams {
+		slices.SortFunc(r.Streams, func(a, b stream) int { return int(b.UntilMS - a.UntilMS) })
+		r.Streams = r.Streams[:maxStreams]
+	}
+	return r
+}
+
+// loadOwn takes over what the previous process of this host has written, which the first write would replace.
+func (l *Log) loadOwn(ctx context.Context) (done bool) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	stored, ok, err := l.writer.Store().Get(ctx, keyOf(l.node))
+	storeNow, known := l.clock.StoreTime()
+	if err != nil || !known {
+		return false
+	}
+	var r row
+	if ok {
+		l.version = stored.Version
+		if r, err = decode(stored.Value); err != nil {
+			l.log.Error().Err(err).Str("row", stored.Key).Msg("failed to decode where streams began")
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.isLoaded = true
+	now := l.clock.Now()
+	local := func(ms int64) time.Time { return now.Add(fromMS(ms) - storeNow) }
+	for _, p := range r.Places {
+		place := routePlace{p.Route, p.source()}
+		if at := local(p.LastMS); at.After(l.seen[place]) && !at.After(now) {
+			l.seen[place] = at
+		}
+	}
+	for _, s := range r.Streams {
+		if key := origin.Key(s.Key); l.streams[key].until.IsZero() {
+			l.streams[key] = begun{routePlace{r.Places[s.Place].Route, r.Places[s.Place].source()}, local(s.UntilMS)}
+		}
+	}
+	return true
+}
--- a/pkg/routetable/routetable.go
+++ b/pkg/routetable/routetable.go
@@ -186,6 +186,9 @@
 // Services returns all services. The slice must not be changed.
 func (t *Table) Services() []Service { return t.spec.Services }
 
+// Routes returns all routes, which must not be changed.
+func (t *Table) Routes() []Route { return t.spec.Routes }
+
 // Service returns the service with a name.
 func (t *Table) Service(name string) (*Service, bool) {
 	s, ok := t.services[name]
