forward: a stream is ended also if the host that asked for it has stopped waiting

Cause, by reading and by test: the host that relays the earlier attempt removed its entry, and then waited for the attempt's end and called the endpoint with the context of the call. The host that asked leaves after 0.4 s; if the relaying host was slower, nothing ended the run any more. The asking host also waited for the other host first and then for its own relay, with one limit for both.

Change: what a call has begun to end is ended in the background, within 2 s, however long the asking host waits; the asking host ends its own relay at the same time.

That this was the cause of the run that was seen is not shown: its logs were not kept.

--- a/pkg/forward/openrun_test.go
+++ b/pkg/forward/openrun_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -15,6 +17,7 @@
 
 	"ironhollow/pkg/forward"
 	"ironhollow/pkg/migrate"
+	"ironhollow/pkg/origin"
 	"ironhollow/pkg/upstream"
 )
 
@@ -115,3 +118,30 @@
 	}
 	return strings.Join(starts, ", ")
 }
+
+// Guards against runs that nobody ends because the host at which the caller resumes its stream has stopped waiting.
+func TestRunIsEndedAfterTheAskingHostStoppedWaiting(t *testing.T) {
+	stopped := make(chan string, 9)
+	p := &movePlatform{stopped: make(chan struct{})}
+	calls := &endingCalls{freed: make(chan string, 9), stop: func(context.Context) migrate.CopyAnswer {
+		stopped <- "run"
+		return migrate.CopyAnswer{Result: migrate.NoRun}
+	}}
+	s := newHarness(t, moveSpec(), true)
+	s.forwarder.MoveStreams(forward.NewMover(calls, upstream.New(time.Second), s.directory, s.router, s.tables, time.Now, prometheus.NewRegistry(), &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}))
+	run := func(conn net.Conn, r *http.Request) bool { return p.run(conn, r, nil, 0) }
+	s.addEndpoint("e0", run)
+	s.addEndpoint("e1", run)
+	go s.send("POST", "/resume/x", "body", "Id", "first")
+	time.Sleep(moveEvents / 4 * moveEventGap)
+	key := origin.KeyOf("team", "first")
+	asked, stopWaiting := context.WithCancel(t.Context())
+	stopWaiting()
+	request := httptest.NewRequestWithContext(asked, http.MethodDelete, forward.StreamsPath+hex.EncodeToString(key[:]), nil)
+	s.forwarder.ServeStreamEnd(httptest.NewRecorder(), request)
+	select {
+	case <-stopped:
+	case <-time.After(2 * time.Second):
+		t.Error("the run was not ended")
+	}
+}
--- a/pkg/forward/takenup.go
+++ b/pkg/forward/takenup.go
@@ -141,6 +141,8 @@
 	key := c.streamKey()
 	ctx, cancel := context.WithTimeout(ctx, takeUpWait)
 	defer cancel()
+	endedHere := make(chan bool, 1)
+	go func() { endedHere <- c.f.endStream(ctx, key) }()
 	outcome = "none"
 	if host != "" {
 		outcome = "ended"
@@ -149,14 +151,17 @@
 			outcome = "unanswered"
 		}
 	}
-	if c.f.endStream(ctx, key) {
+	if <-endedHere {
 		outcome = "ended here"
 	}
 	return outcome
 }
 
-// endStream ends a stream that this host relays, and its run if the endpoint may continue it. It returns
-// false if this host relays none with that key.
+// interruptTimeout bounds the end of a stream after its request was interrupted.
+const interruptTimeout = 2 * time.Second
+
+// endStream ends a stream that this host relays, and its run if the endpoint may continue it. It waits for that
+// until ctx ends, but the stream is ended all the same. It returns false if this host relays none with that key.
 func (f *Forwarder) endStream(ctx context.Context, key origin.Key) bool {
 	s := f.takeables.take(key)
 	if s == nil {
@@ -168,10 +173,27 @@
 		s.interrupt()
 	}
 	s.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), interruptTimeout)
+		defer cancel()
+		f.endInterrupted(ctx, s, key)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	return true
+}
+
+// endInterrupted ends what remains of a stream once its request has ended.
+func (f *Forwarder) endInterrupted(ctx context.Context, s *takeable, key origin.Key) {
 	select {
 	case <-s.ended:
 	case <-ctx.Done():
-		return true
+		f.log.Warn().Err(ctx.Err()).Msg("the request of a stream that was taken up has not ended")
+		return
 	}
 	if s.hop != "" {
 		if err := f.endAtHost(ctx, s.hop, key, http.Header{}); err != nil {
@@ -181,7 +203,6 @@
 	if s.open != nil && time.Now().Before(s.until) {
 		f.endUnusedRun(ctx, s.open)
 	}
-	return true
 }
 
 // errStreamNotEnded means that another host did not say that it has ended a stream.
