forward: a take-up can be ended while it waits for the end of the attempt before

Cause, traced by the hosts' logs: the second request of the caller waited at node-1 for the end of the first at node-0 (earlier-took 159 ms). Its connection was reset too, and 114 ms after it had begun the caller went on to node-2. node-0 forwarded the call to end the stream to node-1, which knew of none: a take-up was registered only after that wait. It then ran beside the third request.

Change: a take-up is registered, and can be ended, before it ends the attempt that it replaces. A call that is forwarded to another host has a time limit of its own; before, a silent host kept it open.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -282,8 +282,11 @@
 	if c.f.links.NoneReachable() {
 		return c.reject(code.New(code.NoEndpoint, "no endpoint can be reached from any host"), retryAfterShort)
 	}
+	ctx, cancel := context.WithDeadline(c.incoming.Context(), c.deadline)
+	defer cancel()
+	c.cancel = cancel
 	service := c.service
-	if err = c.findOrigin(c.incoming.Context()); err != nil {
+	if err = c.findOrigin(ctx); err != nil {
 		return c.reject(err, retryAfterShort)
 	}
 	if c.service != service {
@@ -296,9 +299,6 @@
 			return c.reject(code.New(code.OverRate, "the team is over its rate"), wait)
 		}
 	}
-	ctx, cancel := context.WithDeadline(c.incoming.Context(), c.deadline)
-	defer cancel()
-	c.cancel = cancel
 	if c.meta.Resumes != "" && c.origin != nil {
 		c.trackTakeable()
 	}
--- a/pkg/forward/takenup.go
+++ b/pkg/forward/takenup.go
@@ -73,10 +73,13 @@
 	return s
 }
 
-func (t *takeables) add(key origin.Key, s *takeable) {
+// add adds a stream and returns the one that it replaces, nil if there is none.
+func (t *takeables) add(key origin.Key, s *takeable) (previous *takeable) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	previous, _ = t.streams.Peek(key)
 	t.streams.Add(key, s)
+	return previous
 }
 
 // drop removes a stream of which nothing is left to end.
@@ -97,10 +100,11 @@
 	return origin.KeyOf(c.teamName(), attempt)
 }
 
-// trackTakeable registers the request's stream if its caller may resume it.
-func (c *call) trackTakeable() {
+// trackTakeable registers the request's stream if its caller may resume it, and returns the stream of an earlier
+// request that it replaces, nil if there is none.
+func (c *call) trackTakeable() (earlier *takeable) {
 	if c.takeable != nil || !c.mayRepeat() {
-		return
+		return nil
 	}
 	c.takeable = &takeable{ended: make(chan struct{}), until: c.deadline, interrupt: func() {
 		c.cancel()
@@ -108,7 +112,7 @@
 		// ends at its own deadline.
 		_ = http.NewResponseController(c.w).SetWriteDeadline(time.Now())
 	}}
-	c.f.takeables.add(c.streamKey(), c.takeable)
+	return c.f.takeables.add(c.streamKey(), c.takeable)
 }
 
 // endTakeable records that the request has ended with err.
@@ -136,13 +140,15 @@
 }
 
 // endEarlier ends the previous request of a stream that the caller resumes here: at the host that relays it, or
-// relayed it last, and at this one, which may have relayed it for another host.
+// relayed it last, and at this one, which may have relayed it for another host. The caller may abandon this request
+// too meanwhile, and resume the stream once more.
 func (c *call) endEarlier(ctx context.Context, host string) (outcome string) {
 	key := c.streamKey()
+	earlier := c.trackTakeable()
 	ctx, cancel := context.WithTimeout(ctx, takeUpWait)
 	defer cancel()
 	endedHere := make(chan bool, 1)
-	go func() { endedHere <- c.f.endStream(ctx, key) }()
+	go func() { endedHere <- c.f.endTakenUp(ctx, earlier, key) }()
 	outcome = "none"
 	if host != "" {
 		outcome = "ended"
@@ -163,7 +169,11 @@
 // endStream ends a stream that this host relays, and its run if the endpoint may continue it. It waits for that
 // until ctx ends, but the stream is ended all the same. It returns false if this host relays none with that key.
 func (f *Forwarder) endStream(ctx context.Context, key origin.Key) bool {
-	s := f.takeables.take(key)
+	return f.endTakenUp(ctx, f.takeables.take(key), key)
+}
+
+// endTakenUp is endStream for a stream that is not in the table any more, nil for none.
+func (f *Forwarder) endTakenUp(ctx context.Context, s *takeable, key origin.Key) bool {
 	if s == nil {
 		return false
 	}
@@ -248,7 +258,9 @@
 		return
 	}
 	// The record of the host that sent the call is outdated.
-	if err := f.endAtHost(r.Context(), host, key, http.Header{headerTakenUpBy: {takenUpBy}, headerForwarded: {"1"}}); err != nil {
+	ctx, cancel := context.WithTimeout(r.Context(), takeUpWait)
+	defer cancel()
+	if err := f.endAtHost(ctx, host, key, http.Header{headerTakenUpBy: {takenUpBy}, headerForwarded: {"1"}}); err != nil {
 		f.log.Warn().Err(err).Str("host", host).Msg("failed to end a stream at the host that relays it now")
 		w.WriteHeader(http.StatusBadGateway)
 		return
--- a/pkg/forward/takeup_test.go
+++ b/pkg/forward/takeup_test.go
@@ -1,14 +1,18 @@
 package forward_test
 
 import (
+	"context"
+	"encoding/hex"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"ironhollow/pkg/forward"
 	"ironhollow/pkg/origin"
 )
 
@@ -129,3 +133,26 @@
 		t.Errorf("got error %v, then status %d, %s, want a broken stream and 503 origin-unknown", got.err, again.status, again.body)
 	}
 }
+
+// Guards against a take-up that its caller abandons for another host while it waits for the end of the attempt before, and that begins all the same.
+func TestAbandonedTakeUpDoesNotBegin(t *testing.T) {
+	s := newHarness(t, spec(), true)
+	s.setRelease(s.addNumberedEndpoint(0, breakAfterTwoEvents("v0")), "v0")
+	s.servePeers()
+	// The host that relays the first attempt accepts connections and does not answer.
+	silent := s.listen()
+	key := origin.KeyOf("team", "first")
+	s.origins.Apply([]origin.Record{{Key: key, Source: origin.Source{Service: "svc", Release: "v0"}, Life: minuteLife, Host: silent.Addr().String()}}, nil, "other")
+	abandoned := make(chan callerResponse, 1)
+	go func() {
+		abandoned <- s.send("POST", "/resume/x", "body", "Id", "second", "Resumes", "first", "Last-Event", "2")
+	}()
+	time.Sleep(100 * time.Millisecond)
+	asked, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	request := httptest.NewRequestWithContext(asked, http.MethodDelete, forward.StreamsPath+hex.EncodeToString(key[:]), nil)
+	s.forwarder.ServeStreamEnd(httptest.NewRecorder(), request)
+	if got, n := <-abandoned, len(s.requests()); n != 0 || got.status == http.StatusOK {
+		t.Errorf("got status %d and %d requests at endpoints, want none", got.status, n)
+	}
+}
