rollout: an owner that has taken over late waits for the reports of live hosts

TestRollouts failed once: a version of which half of the answers fail was completed after 8.8 s of 9, with 27 of 500 requests at it. The order's owner is killed in that test, so that another one takes over shortly before the end.

Cause, by reading and by test: an owner that takes over decides after a second, on whatever reports it has. If most hosts have not reported by then, nothing speaks against the target, and the final test completes it.

Change: such an owner waits for the missing reports, for 3 s in all, and beyond the deadline while most are missing. If they do not come, the order is reverted: without the answers that most hosts have counted nothing shows that the target is sound.

TestLateOwnerWaitsForReportsOfLiveHosts: a bad target was completed when the reports came 1.5 s after the takeover, and when none came; both are reverted now, and a sound target is completed. The tests of rollout, rolloutsync (four times) and rolloutlab pass. That this was the cause of the run that was seen is not shown: its logs were not kept.

--- a/pkg/rollout/owner.go
+++ b/pkg/rollout/owner.go
@@ -23,6 +23,8 @@
 	// takeoverDelay is how long an owner that has taken over receives reports before it decides
 	// anything but a revert.
 	takeoverDelay = time.Second
+	// maxTakeoverDelay is how long it waits for hosts that have not reported to it.
+	maxTakeoverDelay = 3 * time.Second
 	// maxRampTime bounds the time from the first higher share to all requests. For short periods
 	// the time is a sixth of the period, see rampParts.
 	maxRampTime = 2 * time.Second
@@ -229,11 +231,11 @@
 		return 0, ""
 	}
 	o.addSnapshot(e, now)
-	if now-o.ownedSince < takeoverDelay {
+	times := o.schedule()
+	if o.awaitsReports(f, times, now) {
 		o.share = o.trialShare(f)
 		return 0, ""
 	}
-	times := o.schedule()
 	switch o.state.Phase {
 	case Trying:
 		return o.decideTrial(f, &e, times, now)
@@ -245,6 +247,28 @@
 	return 0, ""
 }
 
+// awaitsReports reports whether an owner that has taken over decides nothing but a revert yet, as hosts have not
+// reported to it. For most of them it waits beyond the deadline.
+func (o *Owner) awaitsReports(f Fleet, times schedule, now time.Duration) bool {
+	age := now - o.ownedSince
+	if age < takeoverDelay {
+		return true
+	}
+	missing := o.unreported(f)
+	return age < maxTakeoverDelay && (missing > 0 && now < times.deadline-writeReserve || 2*missing > len(f.Live))
+}
+
+// unreported returns the number of hosts that serve and have not reported to this owner.
+func (o *Owner) unreported(f Fleet) int {
+	missing := 0
+	for _, incarnation := range f.Live {
+		if _, ok := o.reports[incarnation]; !ok {
+			missing++
+		}
+	}
+	return missing
+}
+
 // evaluate tests the target. A single endpoint that accounts for the bad answers is excluded once
 // the others have cleared the target, unless many answers were bad already.
 func (o *Owner) evaluate(e *Evidence, f Fleet, point DecisionPoint) Finding {
@@ -294,6 +318,11 @@
 
 // decideFinal decides at the latest possible time whether the target gets all requests.
 func (o *Owner) decideFinal(f Fleet, e *Evidence, times schedule, now time.Duration) (Phase, string) {
+	if missing := o.unreported(f); 2*missing > len(f.Live) {
+		// Without the answers that most hosts have counted, nothing shows that the target is sound.
+		o.revert(fmt.Sprintf("%d of %d hosts have not reported", missing, len(f.Live)))
+		return 0, ""
+	}
 	point := FinalDecision
 	left := (times.deadline - now).Seconds()
 	if float64(o.targetRequests())+o.requestRate*left <= o.allowedTargetRequests(times, now) {
--- a/pkg/rollout/owner_test.go
+++ b/pkg/rollout/owner_test.go
@@ -89,3 +89,44 @@
 		o.Next(fleet, now)
 	}
 }
+
+// Guards against completing a bad target because an owner that has taken over late decides before most hosts have reported to it.
+func TestLateOwnerWaitsForReportsOfLiveHosts(t *testing.T) {
+	const takeoverAfter = 17500 * time.Millisecond
+	start := time.Minute
+	for name, c := range map[string]struct {
+		// reportAfter is when the other hosts report, 0 for never; bad is set if their answers of the target are.
+		reportAfter time.Duration
+		bad         bool
+		want        rollout.Phase
+	}{
+		"bad target":   {takeoverAfter + 1500*time.Millisecond, true, rollout.Reverted},
+		"sound target": {takeoverAfter + 1500*time.Millisecond, false, rollout.Draining},
+		"no reports":   {0, true, rollout.Reverted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := rollout.NewOwner(rollout.State{Order: order, Phase: rollout.Trying, Started: start}, bounds, rollout.DefaultBayesTest(), 14, start+takeoverAfter)
+			fleet := rollout.Fleet{Advertised: 3, OtherEndpoints: 4, TargetEndpoints: 4, Live: []string{"own", "a", "b"}}
+			report := rollout.Report{Service: service, Order: order.ID, Phase: rollout.Trying, Epoch: 14}
+			count := rollout.Count{Answers: 12}
+			if c.bad {
+				count.Bad = 6
+			}
+			var got rollout.Phase
+			for now := start + takeoverAfter; now < start+order.Period+time.Second && got == 0; now += 100 * time.Millisecond {
+				o.ApplyReport("own", report)
+				if c.reportAfter > 0 && now >= start+c.reportAfter {
+					other := report
+					other.Requests, other.TargetRequests = 340, 12
+					other.Tallies = []rollout.Tally{{Kind: 4, Count: rollout.Count{Answers: 330}}, {Kind: 4, Endpoint: "e", Count: count}}
+					o.ApplyReport("a", other)
+					o.ApplyReport("b", other)
+				}
+				got = o.Next(fleet, now).Write
+			}
+			if got != c.want {
+				t.Errorf("got phase %v, want %v", got, c.want)
+			}
+		})
+	}
+}
