forward: a run that was not shown to have ended is ended again when its stream is taken up

Cause, by reading and by test: before a stream breaks off for its caller, its host stops the run and waits 0.3 s. If the endpoint does not answer in time, the run counted as done with, and the request that takes the stream up had nothing to end.

Change: such a run stays with the stream's entry, and the take-up ends it.

TestRunThatDidNotEndIsEndedByTheTakeUp got no call at the take-up, now one.

--- a/pkg/forward/openrun.go
+++ b/pkg/forward/openrun.go
@@ -129,7 +129,12 @@
 	startedAt := c.f.clock()
 	ended := c.f.endUnusedRun(ctx, c.open)
 	c.logEntry.recordEnd(ended.state, c.f.clock().Sub(startedAt))
-	c.open = nil
+	if ended.state != migrate.MayContinue {
+		c.open = nil
+		return
+	}
+	// The request with which the caller resumes the stream ends the run again. The calls in progress free the copy.
+	c.open.handle = ""
 }
 
 // endUnusedRun ends a run that is not continued here. The call must name an endpoint that takes the run's memory.
--- a/pkg/forward/openrun_test.go
+++ b/pkg/forward/openrun_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -145,3 +146,38 @@
 		t.Error("the run was not ended")
 	}
 }
+
+// Guards against runs that are left to continue because their endpoint did not answer in time when their stream broke off.
+func TestRunThatDidNotEndIsEndedByTheTakeUp(t *testing.T) {
+	answers := make(chan bool, 1)
+	var stops atomic.Int32
+	p := &movePlatform{stopped: make(chan struct{})}
+	calls := &endingCalls{freed: make(chan string, 9), stop: func(ctx context.Context) migrate.CopyAnswer {
+		stops.Add(1)
+		if len(answers) == 0 {
+			<-ctx.Done()
+			return migrate.CopyAnswer{Err: ctx.Err()}
+		}
+		return migrate.CopyAnswer{Result: migrate.NoRun}
+	}}
+	once := moveSpec()
+	for i := range once.Routes {
+		once.Routes[i].MaxAttempts = 1
+	}
+	s := newHarness(t, once, true)
+	s.forwarder.MoveStreams(forward.NewMover(calls, upstream.New(time.Second), s.directory, s.router, s.tables, time.Now, prometheus.NewRegistry(), &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}))
+	breaks := func(conn net.Conn, r *http.Request) bool { return p.run(conn, r, nil, moveEvents/2) }
+	s.addEndpoint("e0", breaks)
+	s.addEndpoint("e1", breaks)
+	if got := s.send("POST", "/resume/x", "body", "Id", "first"); got.err == nil {
+		t.Fatal("got the stream whole, want it broken off")
+	}
+	time.Sleep(time.Second)
+	answers <- true
+	before := stops.Load()
+	key := origin.KeyOf("team", "first")
+	s.forwarder.ServeStreamEnd(httptest.NewRecorder(), httptest.NewRequest(http.MethodDelete, forward.StreamsPath+hex.EncodeToString(key[:]), nil))
+	if got := stops.Load() - before; before == 0 || got != 1 {
+		t.Errorf("got %d calls to stop the run at its break and %d at the take-up, want some and 1", before, got)
+	}
+}
