originlog: a host stops writing its row once no streams have begun there for a minute

Each host that had ever relayed a stream wrote its row every 20 s for good, as the places that exist now were counted as recent. Found when reading the change again; callers saw nothing.

--- a/pkg/originlog/originlog.go
+++ b/pkg/originlog/originlog.go
@@ -87,8 +87,9 @@
 	streams  map[origin.Key]begun
 	seen     map[routePlace]time.Time
 	isLoaded bool
-	// hasNew is set if streams have begun since the last write.
-	hasNew bool
+	// hasNew is set if streams have begun since the last write, addedAt is when the latest one did.
+	hasNew  bool
+	addedAt time.Time
 
 	readMu sync.Mutex
 	// read is what was read last, at readAt.
@@ -117,7 +118,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	place := routePlace{route, source}
-	l.seen[place] = now
+	l.seen[place], l.addedAt = now, now
 	if len(l.streams) < maxTracked {
 		l.streams[key] = begun{place, now.Add(life)}
 		l.hasNew = true
@@ -162,11 +163,11 @@
 	return l.write(ctx, places, now, storeNow)
 }
 
-// relaysStreams reports whether streams have begun at this host recently.
+// relaysStreams reports whether a stream has begun at this host recently.
 func (l *Log) relaysStreams() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.seen) > 0
+	return !l.addedAt.IsZero() && l.clock.Now().Sub(l.addedAt) < retention
 }
 
 // currentPlaces notes the places there are now, and returns those of the last retention.
