originlog: metrics of searches, writes and rows that cannot be read; soak: one check of take-ups

Operators could not see whether streams that no host knows are found in the store, nor whether hosts' rows are written. Searches are counted by result, writes by outcome, and rows that cannot be decoded. The two tests of take-ups share their check, which is the same as before.

--- a/pkg/app/node/origins.go
+++ b/pkg/app/node/origins.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 
 	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/gossip"
@@ -56,10 +57,10 @@
 	return origin.New(s.PeerAddress, peers, sender, clock.Now)
 }
 
-func newOriginLog(view *storeview.View, writer *table.Writer, clock *storeclock.Clock, s Settings, logger *log.Logger) *originlog.Log {
+func newOriginLog(view *storeview.View, writer *table.Writer, clock *storeclock.Clock, s Settings, registry *prometheus.Registry, logger *log.Logger) *originlog.Log {
 	places := &streamPlaces{view: view}
 	hosts := func() int { return view.Roster().Advertised() }
-	return originlog.New(s.Node, writer, clock, places.byRoute, hosts, view.StoreEra, logger)
+	return originlog.New(s.Node, writer, clock, places.byRoute, hosts, view.StoreEra, registry, logger)
 }
 
 // streamPlaces finds where streams of each route may begin. It is safe for concurrent use.
--- a/pkg/originlog/find.go
+++ b/pkg/originlog/find.go
@@ -16,18 +16,45 @@
 
 // Find finds in the store where a stream of a route began. It returns false if that is not certain.
 func (l *Log) Find(ctx context.Context, key origin.Key, route string) (source origin.Source, ok bool) {
+	source, r := l.find(ctx, key, route)
+	l.metrics.searches.WithLabelValues(r.String()).Inc()
+	return source, r == named || r == onlyPlace
+}
+
+// result is the result of a search.
+type result int
+
+// The results.
+const (
+	// named means that a row names the stream, onlyPlace that its route had one place.
+	named result = iota
+	onlyPlace
+	// ambiguous means that the rows give several sources, noRow that none gives any, badRow that one could not be
+	// decoded, and noAnswer that the store did not answer.
+	ambiguous
+	noRow
+	badRow
+	noAnswer
+)
+
+// String returns the label of the result in counters.
+func (r result) String() string {
+	return [...]string{"named", "only-place", "ambiguous", "no-row", "bad-row", "no-answer"}[r]
+}
+
+func (l *Log) find(ctx context.Context, key origin.Key, route string) (origin.Source, result) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	read := l.readRows(ctx)
 	storeNow, known := l.clock.StoreTime()
 	if read.isFailed || !known {
-		return origin.Source{}, false
+		return origin.Source{}, noAnswer
 	}
-	var named, possible []origin.Source
+	var begun, possible []origin.Source
 	for _, r := range read.rows {
 		for _, s := range r.Streams {
 			if origin.Key(s.Key) == key && storeNow < fromMS(s.UntilMS) {
-				named = append(named, r.Places[s.Place].source())
+				begun = append(begun, r.Places[s.Place].source())
 			}
 		}
 		for _, p := range r.Places {
@@ -37,24 +64,26 @@
 		}
 	}
 	switch {
-	case len(named) > 0:
-		return only(named)
-	case len(possible) == 0 || read.isPartial:
-		return origin.Source{}, false
+	case len(begun) > 0:
+		return only(begun, named)
+	case read.isPartial:
+		return origin.Source{}, badRow
+	case len(possible) == 0:
+		return origin.Source{}, noRow
 	default:
 		// Hosts may have ended before they wrote of their latest places.
-		return only(append(possible, l.places()[route]...))
+		return only(append(possible, l.places()[route]...), onlyPlace)
 	}
 }
 
-// only returns the element of a list whose elements are all equal.
-func only(sources []origin.Source) (origin.Source, bool) {
+// only returns the element of a list whose elements are all equal, with the given result.
+func only(sources []origin.Source, r result) (origin.Source, result) {
 	for _, s := range sources[1:] {
 		if s != sources[0] {
-			return origin.Source{}, false
+			return origin.Source{}, ambiguous
 		}
 	}
-	return sources[0], true
+	return sources[0], r
 }
 
 // readRows returns the rows of all hosts, which may have been read by another search.
@@ -80,6 +109,7 @@
 		for _, stored := range page {
 			r, err := decode(stored.Value)
 			if err != nil {
+				l.metrics.badRows.Inc()
 				l.log.Error().Err(err).Str("row", stored.Key).Msg("failed to decode where streams began")
 				read.isPartial = true
 				continue
--- a/pkg/originlog/originlog.go
+++ b/pkg/originlog/originlog.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"ironhollow/pkg/origin"
 	"ironhollow/pkg/pause"
@@ -79,6 +80,7 @@
 	// hosts returns the number of hosts that relay streams.
 	hosts    func() int
 	storeEra func() int64
+	metrics  *metrics
 	log      *log.Logger
 
 	mu sync.Mutex
@@ -105,9 +107,9 @@
 }
 
 // New returns a log. node is the name of this host.
-func New(node string, writer *table.Writer, clock Clock, places Places, hosts func() int, storeEra func() int64, logger *log.Logger) *Log {
+func New(node string, writer *table.Writer, clock Clock, places Places, hosts func() int, storeEra func() int64, registry prometheus.Registerer, logger *log.Logger) *Log {
 	return &Log{
-		node: node, writer: writer, clock: clock, places: places, hosts: hosts, storeEra: storeEra, log: logger,
+		node: node, writer: writer, clock: clock, places: places, hosts: hosts, storeEra: storeEra, metrics: newMetrics(registry), log: logger,
 		streams: map[origin.Key]begun{}, seen: map[routePlace]time.Time{}, written: map[routePlace]bool{},
 	}
 }
@@ -217,6 +219,7 @@
 	}
 	switch o := l.writer.Commit(ctx, table.Write{Key: keyOf(l.node), Value: value, If: condition}).(type) {
 	case table.Committed:
+		l.metrics.writes.WithLabelValues("committed").Inc()
 		l.version, l.writtenAt = o.Version, now
 		l.written = map[routePlace]bool{}
 		for _, p := range places {
@@ -224,8 +227,10 @@
 		}
 		return true
 	case table.Refused:
+		l.metrics.writes.WithLabelValues("refused").Inc()
 		l.log.Warn().Err(o.Err).Int("conflicts", len(o.Conflicts)).Msg("the store refused where streams began")
 	case table.Unknown:
+		l.metrics.writes.WithLabelValues("unknown").Inc()
 		l.log.Warn().Err(o.Err).Msg("failed to save where streams began")
 	}
 	l.setNew()
@@ -287,6 +292,7 @@
 	if ok {
 		l.version = stored.Version
 		if r, err = decode(stored.Value); err != nil {
+			l.metrics.badRows.Inc()
 			l.log.Error().Err(err).Str("row", stored.Key).Msg("failed to decode where streams began")
 		}
 	}
--- a/pkg/originlog/originlog_test.go
+++ b/pkg/originlog/originlog_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"ironhollow/pkg/origin"
 	"ironhollow/pkg/originlog"
@@ -47,7 +48,7 @@
 func (f *fleet) start(node string) (l *originlog.Log, stop func()) {
 	f.boots++
 	writer := table.NewWriter(f.store, node+"."+string(rune('a'+f.boots)))
-	l = originlog.New(node, writer, f.clock, func() map[string][]origin.Source { return f.places }, func() int { return 1 }, func() int64 { return 0 },
+	l = originlog.New(node, writer, f.clock, func() map[string][]origin.Source { return f.places }, func() int { return 1 }, func() int64 { return 0 }, prometheus.NewRegistry(),
 		&log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/pkg/soak/takeups_test.go
+++ b/pkg/soak/takeups_test.go
@@ -7,6 +7,22 @@
 	"ironhollow/pkg/soak"
 )
 
+// checkTakeUps checks that no stream mixes releases, and that the share of take-ups that continue is at least half of the share that begins of
+// the wanted streams.
+func checkTakeUps(t *testing.T, outcome soak.Outcome, got soak.TakeUpOutcome, wanted int) {
+	t.Helper()
+	for _, violation := range outcome.Violations {
+		t.Error(violation)
+	}
+	t.Logf("%d streams began, %d mixed releases; %d of %d take-ups went on", got.Begun, got.Mixed, got.WentOn, got.TakenUp)
+	if got.Mixed > 0 {
+		t.Errorf("got %d of %d streams with events of several releases, want none", got.Mixed, got.Begun)
+	}
+	if 2*got.Begun < wanted || 2*got.WentOn*wanted < got.TakenUp*got.Begun || got.TakenUp == 0 {
+		t.Errorf("got %d of %d taken up go on, and %d of %d begin, want half of that share at least", got.WentOn, got.TakenUp, got.Begun, wanted)
+	}
+}
+
 // Guards against streams that callers take up at another host and that continue at another release.
 func TestStreamTakenUpElsewhereGoesOnAtItsRelease(t *testing.T) {
 	program := buildNode(t)
@@ -23,16 +39,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			for _, violation := range outcome.Violations {
-				t.Error(violation)
-			}
-			t.Logf("%d streams began, %d mixed releases; %d of %d take-ups went on", got.Begun, got.Mixed, got.WentOn, got.TakenUp)
-			if got.Mixed > 0 {
-				t.Errorf("got %d of %d streams with events of several releases, want none", got.Mixed, got.Begun)
-			}
-			if wanted := 4 * 40; 2*got.Begun < wanted || 2*got.WentOn*wanted < got.TakenUp*got.Begun || got.TakenUp == 0 {
-				t.Errorf("got %d of %d taken up go on, and %d of %d begin, want half of that share at least", got.WentOn, got.TakenUp, got.Begun, wanted)
-			}
+			checkTakeUps(t, outcome, got, 4*40)
 		})
 	}
 }
@@ -52,16 +59,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			for _, violation := range outcome.Violations {
-				t.Error(violation)
-			}
-			t.Logf("%d streams began, %d mixed releases; %d of %d take-ups went on", got.Begun, got.Mixed, got.WentOn, got.TakenUp)
-			if got.Mixed > 0 {
-				t.Errorf("got %d of %d streams with events of several releases, want none", got.Mixed, got.Begun)
-			}
-			if wanted := rounds * streams; 2*got.Begun < wanted || 2*got.WentOn*wanted < got.TakenUp*got.Begun || got.TakenUp == 0 {
-				t.Errorf("got %d of %d taken up go on, and %d of %d begin, want half of that share at least", got.WentOn, got.TakenUp, got.Begun, wanted)
-			}
+			checkTakeUps(t, outcome, got, rounds*streams)
 		})
 	}
 }
