forward: do not change an open run that calls in progress read

The change that lets a take-up end a run again cleared the handle of a run while the calls that stop it still read it. The stream's entry gets a copy of its own. The tests of open runs pass five times with the race detector.

--- a/pkg/forward/openrun.go
+++ b/pkg/forward/openrun.go
@@ -133,8 +133,11 @@
 		c.open = nil
 		return
 	}
-	// The request with which the caller resumes the stream ends the run again. The calls in progress free the copy.
-	c.open.handle = ""
+	// The request with which the caller resumes the stream ends the run again. The calls in progress read c.open, and
+	// free its copy.
+	again := *c.open
+	again.handle = ""
+	c.open = &again
 }
 
 // endUnusedRun ends a run that is not continued here. The call must name an endpoint that takes the run's memory.
