forward: the test of a stream resumed through another host leaves that host alone

It closed the connections of both other hosts 100 ms after the request, so that the host through which the stream was resumed could lose its connection too, with the route's two attempts used up.

The test was wrong about its own timers. It closes the connections of the host that the stream was forwarded to, and checks in addition that two hosts got the request.

--- a/pkg/forward/detour_test.go
+++ b/pkg/forward/detour_test.go
@@ -193,22 +193,30 @@
 
 // Guards against a stream that ends with the host it was forwarded to, although the route lets it be resumed.
 func TestStreamIsResumedThroughAnotherHost(t *testing.T) {
+	begun := make(chan string, 2)
 	answer := func(c net.Conn, r *http.Request) bool {
 		if r.Header.Get("Last-Event") == "1" {
 			return respond(streamHead+chunk(secondEvent)+"0\r\n\r\n", true)(c, r)
 		}
 		_, _ = io.WriteString(c, strings.ReplaceAll(streamHead, "%id", r.Header.Get("Id"))+chunk(firstEvent))
+		begun <- r.Header.Get("Meant")
 		time.Sleep(300 * time.Millisecond)
 		return false
 	}
 	cut, _, others := newCutHost(t, answer, answer)
-	for _, other := range others {
-		time.AfterFunc(100*time.Millisecond, other.closePeers)
-	}
+	go func() {
+		// The host through which the stream is resumed stays.
+		i, _ := strconv.Atoi(strings.TrimPrefix(<-begun, "endpoint-"))
+		time.Sleep(100 * time.Millisecond)
+		others[i].closePeers()
+	}()
 	got := cut.send("POST", "/resume/x", "prompt")
 	if want := firstEvent + secondEvent; got.body != want || got.err != nil {
 		t.Errorf("stream: got %q, %v, want %q", got.body, got.err, want)
 	}
+	if n := len(others[0].requests()) + len(others[1].requests()); n != 2 {
+		t.Errorf("requests at the other hosts: got %d, want 2", n)
+	}
 }
 
 // Guards against endpoints that continue with a forwarded request whose caller has left.
