forward: a forwarded request may be repeated only if the host that forwards it says so

Callers' requests that may run once could run twice while two of our releases are side by side: a host of an earlier release that has lost its links forwards a request, and at a host with a newer configuration a route matches that may be repeated. The member that says that a request runs once was absent, and read as may be repeated.

Evidence: TestRequestForwardedByAnEarlierReleaseIsNotRepeated got two runs and status 502, now one run.

Change: the member is may_repeat, and its absence means that the request runs once. While hosts of earlier releases are there, what they forward is not repeated by the host that it is forwarded to; they repeat it themselves. The other direction stays: a host of an earlier release repeats by its own route. The tests of forward pass.

--- a/pkg/forward/detour.go
+++ b/pkg/forward/detour.go
@@ -186,7 +186,7 @@
 	}
 	d := detour{
 		configVersion: c.table.Version(), attempts: c.deliveredAttempts(), isBudgeted: c.isBudgeted, remaining: time.Until(c.deadline),
-		isResume: isResume, lastEventID: lastEventID, origin: c.origin, runsOnce: !c.mayRepeat(),
+		isResume: isResume, lastEventID: lastEventID, origin: c.origin, mayRepeat: c.mayRepeat(),
 	}
 	if c.open != nil {
 		d.openRun = c.open.endpoint.ID
--- a/pkg/forward/detourfaults_test.go
+++ b/pkg/forward/detourfaults_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"regexp"
 	"slices"
 	"strconv"
@@ -18,6 +19,7 @@
 
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/forward"
+	"ironhollow/pkg/httpx"
 	"ironhollow/pkg/routetable"
 	"ironhollow/pkg/upstream"
 )
@@ -257,9 +259,10 @@
 	}
 }
 
-// Guards against requests that run twice at another host whose newer configuration has a route for them that may be repeated.
-func TestForwardedRequestIsNotRepeatedByAnotherRoute(t *testing.T) {
-	cut, _ := newCutHosts(t, attemptsSpec(2), nil)
+// newOtherRoutes returns a cut host, and one with a newer configuration in which all routes are of a kind that may be repeated.
+func newOtherRoutes(t *testing.T) (cut, other *harness) {
+	t.Helper()
+	cut, _ = newCutHosts(t, attemptsSpec(2), nil)
 	newer := attemptsSpec(2)
 	newer.Version++
 	for i := range newer.Routes {
@@ -268,7 +271,12 @@
 		}
 	}
 	newer.Routes = slices.DeleteFunc(newer.Routes, func(r routetable.Route) bool { return r.Prefix != "/" })
-	other := newHarness(t, newer, true, closeWithoutResponse, closeWithoutResponse)
+	return cut, newHarness(t, newer, true, closeWithoutResponse, closeWithoutResponse)
+}
+
+// Guards against requests that run twice at another host whose newer configuration has a route for them that may be repeated.
+func TestForwardedRequestIsNotRepeatedByAnotherRoute(t *testing.T) {
+	cut, other := newOtherRoutes(t)
 	_, address := other.servePeers()
 	cut.links.hosts = append(cut.links.hosts, address)
 	got := cut.send("POST", "/once/x", "body")
@@ -276,3 +284,22 @@
 		t.Errorf("got %d runs and status %d, want 1 and %d", runs, got.status, http.StatusBadGateway)
 	}
 }
+
+// Guards against requests that run twice as the host that forwards them is of a release that does not say whether they may be repeated.
+func TestRequestForwardedByAnEarlierReleaseIsNotRepeated(t *testing.T) {
+	cut, other := newOtherRoutes(t)
+	other.servePeers()
+	member := regexp.MustCompile(`,"(may_repeat|runs_once)":true`)
+	earlier := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Header.Set("Ironhollow-Detour", member.ReplaceAllString(r.Header.Get("Ironhollow-Detour"), ""))
+		other.forwarder.ServeDetour(w, r)
+	}))
+	earlier.Config.ConnContext = httpx.WithCallerConn
+	earlier.Start()
+	t.Cleanup(earlier.Close)
+	cut.links.hosts = append(cut.links.hosts, earlier.Listener.Addr().String())
+	got := cut.send("POST", "/once/x", "body")
+	if runs := len(other.requests()); runs != 1 || got.status != http.StatusBadGateway {
+		t.Errorf("got %d runs and status %d, want 1 and %d", runs, got.status, http.StatusBadGateway)
+	}
+}
--- a/pkg/forward/detourwire.go
+++ b/pkg/forward/detourwire.go
@@ -45,8 +45,9 @@
 	origin *origin.Source
 	// openRun is the ID of the endpoint that may run the request, empty if none does.
 	openRun string
-	// runsOnce is set if the route by which the request was admitted does not allow it to run again.
-	runsOnce bool
+	// mayRepeat is set if the route by which the request was admitted allows it to run again. Hosts of earlier releases
+	// do not say so.
+	mayRepeat bool
 }
 
 type wireDetour struct {
@@ -59,7 +60,7 @@
 	Avoid         []string    `json:"avoid,omitempty"`
 	Origin        *wireOrigin `json:"origin,omitempty"`
 	OpenRun       string      `json:"open_run,omitempty"`
-	RunsOnce      bool        `json:"runs_once,omitempty"`
+	MayRepeat     bool        `json:"may_repeat,omitempty"`
 }
 
 type wireOrigin struct {
@@ -83,7 +84,7 @@
 
 func (d detour) encode() string {
 	// A struct of numbers and strings can always be encoded.
-	text, _ := json.Marshal(wireDetour{d.configVersion, d.attempts, d.isBudgeted, d.remaining.Milliseconds(), d.isResume, d.lastEventID, d.avoid, (*wireOrigin)(d.origin), d.openRun, d.runsOnce})
+	text, _ := json.Marshal(wireDetour{d.configVersion, d.attempts, d.isBudgeted, d.remaining.Milliseconds(), d.isResume, d.lastEventID, d.avoid, (*wireOrigin)(d.origin), d.openRun, d.mayRepeat})
 	return string(text)
 }
 
@@ -92,7 +93,7 @@
 	if err := json.Unmarshal([]byte(text), &w); err != nil {
 		return detour{}, err
 	}
-	return detour{w.ConfigVersion, max(w.Attempts, 0), w.IsBudgeted, time.Duration(max(w.RemainingMS, 0)) * time.Millisecond, w.IsResume, w.LastEventID, w.Avoid, (*origin.Source)(w.Origin), w.OpenRun, w.RunsOnce}, nil
+	return detour{w.ConfigVersion, max(w.Attempts, 0), w.IsBudgeted, time.Duration(max(w.RemainingMS, 0)) * time.Millisecond, w.IsResume, w.LastEventID, w.Avoid, (*origin.Source)(w.Origin), w.OpenRun, w.MayRepeat}, nil
 }
 
 // removeDetourHeaders removes the headers between hosts from those of a caller or an endpoint.
--- a/pkg/forward/run.go
+++ b/pkg/forward/run.go
@@ -220,7 +220,7 @@
 // mayRepeat reports whether the request may run more than once. The route of the host that forwards it may be another
 // one, of an older configuration: both must allow it.
 func (c *call) mayRepeat() bool {
-	return c.route.MayRepeat() && (c.detour == nil || !c.detour.runsOnce)
+	return c.route.MayRepeat() && (c.detour == nil || c.detour.mayRepeat)
 }
 
 // mayRetry reports whether the request may be sent to another endpoint after a result:
