--- a/pkg/app/soak/soak.go
+++ b/pkg/app/soak/soak.go
@@ -36,6 +36,7 @@
 	}
 	flags := command.Flags()
 	flags.StringVar(&o.Program, "program", "bin/ironhollow-node", "path of ironhollow-node")
+	flags.StringVar(&o.OtherProgram, "other-program", "", "path of another release of ironhollow-node, which every other host runs")
 	flags.Uint64Var(&firstSeed, "seed", uint64(time.Now().Unix()), "first seed; the current time if omitted")
 	flags.IntVar(&seeds, "seeds", 1, "number of seeds to run one after the other")
 	flags.DurationVar(&o.Length, "length", 15*time.Second, "how long faults are injected for each seed")
--- a/pkg/soak/caller.go
+++ b/pkg/soak/caller.go
@@ -110,6 +110,10 @@
 	// callerTimeout is how long a caller waits for a complete response: the request's deadline
 	// and some time for what is still in transit.
 	callerTimeout = 6 * time.Second
+	// One request in longBodyInterval has a body of longBodyBytes, if it may run once. Neither kernels nor proxies buffer
+	// all of it.
+	longBodyInterval = 8
+	longBodyBytes    = 900 << 10
 )
 
 var requestKinds = []standin.RequestKind{standin.Safe, standin.Once, standin.Once, standin.Stream, standin.Resume}
@@ -158,6 +162,9 @@
 	c.requests++
 	id := fmt.Sprintf("%s-%s-%d", c.name, kind, c.requests)
 	body := "body of " + id
+	if kind == standin.Once && c.requests%longBodyInterval == 0 {
+		body += strings.Repeat(".", longBodyBytes)
+	}
 	r, err := standin.NewRequest(address, kind, id, body)
 	if err != nil {
 		c.report.addViolation("%s: %v", id, err)
--- a/pkg/soak/proxy.go
+++ b/pkg/soak/proxy.go
@@ -3,11 +3,13 @@
 package soak
 
 import (
+	"bufio"
 	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -360,8 +362,7 @@
 			if responses && bytes.HasPrefix(buffer[:n], []byte("HTTP/1.1 421 ")) {
 				misdirected.set(buffer[:n])
 			}
-			// What follows a response without a length is a part of it.
-			if responses && p.repeats.Load() && bytes.Contains(buffer[:n], []byte("Content-Length: ")) {
+			if responses && p.repeats.Load() && isWholeResponse(buffer[:n]) {
 				time.Sleep(repeatDelay)
 				// The first write shows whether the connection is open.
 				_, _ = to.Write(buffer[:n])
@@ -388,6 +389,16 @@
 	p.closeConns(to, from)
 }
 
+// isWholeResponse reports whether a chunk is a complete response with a length. What follows another one is a part of it.
+func isWholeResponse(chunk []byte) bool {
+	response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(chunk)), nil)
+	if err != nil || response.ContentLength < 0 {
+		return false
+	}
+	read, err := io.Copy(io.Discard, response.Body)
+	return err == nil && read == response.ContentLength
+}
+
 // applyMode delays a chunk as the mode requires before it is forwarded. isLost is set if it is discarded.
 func (p *Proxy) applyMode(responses bool) (isLost bool) {
 	for {
--- a/pkg/soak/replacements.go
+++ b/pkg/soak/replacements.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"syscall"
 	"time"
 
 	"ironhollow/platform/standin"
@@ -16,8 +18,12 @@
 	Replaced, Rejected int
 }
 
-// replacementPause is the time between two replacements.
-const replacementPause = 400 * time.Millisecond
+const (
+	// replacementPause is the time between two replacements.
+	replacementPause = 400 * time.Millisecond
+	// maxBindTries bounds the attempts to listen at the address of an endpoint that has crashed.
+	maxBindTries = 50
+)
 
 // RunReplacements runs callers while plain endpoints crash one after the other. Another one with a new ID starts at
 // the address of each at once, while hosts still know the one before, and repeats its rejections of requests for that one.
@@ -52,9 +58,19 @@
 	r.proxies[i].Close()
 	r.endpointsStarted++
 	id := fmt.Sprintf("i-%d-%d", i, r.endpointsStarted)
-	if err := r.startEndpointAs(id, i, standin.PlainService, standin.Version{Name: initialVersion}, address); err != nil {
+	start := func() error {
+		return r.startEndpointAs(id, i, standin.PlainService, standin.Version{Name: initialVersion}, address)
+	}
+	err := start()
+	for tries := 1; errors.Is(err, syscall.EADDRINUSE) && tries < maxBindTries; tries++ {
+		// The previous proxy may still be closing its connections.
+		time.Sleep(acceptRetryPause)
+		err = start()
+	}
+	if err != nil {
 		r.report.addViolation("endpoint %d: %v", i, err)
 		return
 	}
+	r.setEndpointDown(address, false)
 	r.log("endpoint %d replaced by %s at %s", i, id, address)
 }
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -18,7 +18,9 @@
 type Options struct {
 	// Program is the path of ironhollow-node, Folder the folder for settings and logs.
 	Program, Folder string
-	Seed            uint64
+	// OtherProgram is the path of another release of it, which every other host runs; empty for none.
+	OtherProgram string
+	Seed         uint64
 	// Length is how long faults are injected.
 	Length  time.Duration
 	Nodes   int
@@ -29,6 +31,14 @@
 	Log io.Writer
 }
 
+// programOf returns the program of a host.
+func (o Options) programOf(host int) string {
+	if o.OtherProgram != "" && host%2 == 1 {
+		return o.OtherProgram
+	}
+	return o.Program
+}
+
 // Outcome is the result of a run.
 type Outcome struct {
 	Served, Failed int
@@ -112,6 +122,7 @@
 	r.startLimits()
 	r.startEndings()
 	r.startSevers()
+	r.startSendFaults()
 	r.startRestores(ctx)
 	r.startCuts()
 	r.injectFaults(ctx)
@@ -187,7 +198,7 @@
 				return err
 			}
 		}
-		n, err := newNode(i, r.options.Program, r.options.Folder, storeAddress, cloudAddress)
+		n, err := newNode(i, r.options.programOf(i), r.options.Folder, storeAddress, cloudAddress)
 		if err != nil {
 			return err
 		}
