forward: wait for an endpoint that accepts connections to say that a run has ended

Callers see nothing of it.

Cause, traced by its logs: an endpoint on an overloaded machine did not answer within 0.3 s that its run had ended. It was then taken for one that cannot be reached, and the stream went on elsewhere. A host that asked another one to end a stream stopped waiting after 0.4 s in the same way.

Change: once the connection of the call that ends a run has been accepted, the next attempt waits for the calls, which last 1 s at most. One that is not accepted is waited for 0.3 s, as before. A host that is asked to end a stream answers 202 if it has not within 0.3 s, and is asked again, for 1.1 s in all. A host of an earlier release takes the 202 for no answer and goes on, as it did after 0.4 s.

TestStreamIsResumedOnceItsRunHasEnded, slow answer: the next request began after 0.30 s while the endpoint took 0.6 s, now after it. TestTakeUpWaitsForTheHostThatEndsTheRun: 0.30 s, now after 0.6 s. The tests of forward, upstream, migrate and platform pass with the race detector.

--- a/pkg/forward/openrun.go
+++ b/pkg/forward/openrun.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"ironhollow/pkg/endpoint"
@@ -22,10 +23,11 @@
 
 // Timing of the calls that end a run.
 const (
-	// endRunWait is how long the next attempt waits for the end of the previous run.
+	// endRunWait is how long the next attempt waits for the end of the previous run while its endpoint does not accept
+	// connections.
 	endRunWait = 300 * time.Millisecond
-	// endRunTimeout bounds the calls. They continue after endRunWait, so that a run at an endpoint that is
-	// slow to answer still ends.
+	// endRunTimeout bounds the calls, and the wait for an endpoint that accepts connections: it works, and may be
+	// slow to answer.
 	endRunTimeout = time.Second
 )
 
@@ -67,28 +69,44 @@
 	return copyOf{}
 }
 
-// endRun ends a run and waits for that, for endRunWait at most. The caller uses or frees the copy.
+// endRun ends a run and waits for that. The caller uses or frees the copy.
 func (f *Forwarder) endRun(ctx context.Context, run *openRun, target string) endedRun {
-	result := make(chan endedRun, 1)
+	result, connected := make(chan endedRun, 1), make(chan struct{})
 	stopCtx, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), endRunTimeout)
+	request := migrate.CopyRequest{Source: run.source, RunID: run.id, Target: target, OnConnected: sync.OnceFunc(func() { close(connected) })}
 	go func() {
 		defer cancelStop()
-		state, handle := migrate.Stop(stopCtx, f.mover.calls, migrate.CopyRequest{Source: run.source, RunID: run.id, Target: target})
+		state, handle := migrate.Stop(stopCtx, f.mover.calls, request)
 		result <- endedRun{state, handle}
 		if run.handle != handle {
 			f.freeCopy(run.source, run.handle)
 		}
 	}()
-	ctx, cancel := context.WithTimeout(ctx, endRunWait)
-	defer cancel()
-	select {
-	case ended := <-result:
-		f.metrics.endedRuns.WithLabelValues(run.endpoint.Service, ended.state.String()).Inc()
-		return ended
-	case <-ctx.Done():
-		f.metrics.endedRuns.WithLabelValues(run.endpoint.Service, migrate.MayContinue.String()).Inc()
+	ended, ok := awaitEnd(ctx, result, connected)
+	f.metrics.endedRuns.WithLabelValues(run.endpoint.Service, ended.state.String()).Inc()
+	if !ok {
 		go func() { f.freeCopy(run.source, (<-result).handle) }()
-		return endedRun{}
+	}
+	return ended
+}
+
+// awaitEnd waits for the result of the calls that end a run: for endRunWait, or as long as they last once their
+// connection has been accepted. It returns false without a result.
+func awaitEnd(ctx context.Context, result <-chan endedRun, connected <-chan struct{}) (endedRun, bool) {
+	timer := time.NewTimer(endRunWait)
+	defer timer.Stop()
+	unconnected := timer.C
+	for {
+		select {
+		case ended := <-result:
+			return ended, true
+		case <-connected:
+			connected, unconnected = nil, nil
+		case <-unconnected:
+			return endedRun{}, false
+		case <-ctx.Done():
+			return endedRun{}, false
+		}
 	}
 }
 
--- a/pkg/forward/openrun_test.go
+++ b/pkg/forward/openrun_test.go
@@ -27,9 +27,14 @@
 	migrate.Calls
 	stop  func(ctx context.Context) migrate.CopyAnswer
 	freed chan string
+	// accepts is set if the endpoint accepts connections at once.
+	accepts bool
 }
 
-func (c *endingCalls) Copy(ctx context.Context, _ migrate.CopyRequest) migrate.CopyAnswer {
+func (c *endingCalls) Copy(ctx context.Context, request migrate.CopyRequest) migrate.CopyAnswer {
+	if c.accepts && request.OnConnected != nil {
+		request.OnConnected()
+	}
 	return c.stop(ctx)
 }
 
@@ -38,7 +43,7 @@
 	return nil
 }
 
-// Guards against streams that wait for an endpoint without an answer, and against copies that nobody frees.
+// Guards against streams that wait for an endpoint without an answer or not for a slow one, and against copies that nobody frees.
 func TestStreamIsResumedOnceItsRunHasEnded(t *testing.T) {
 	lost := errors.New("lost")
 	noAnswer := func(ctx context.Context) migrate.CopyAnswer {
@@ -49,6 +54,14 @@
 		return func(context.Context) migrate.CopyAnswer { return a }
 	}
 	copied := answers(migrate.CopyAnswer{Result: migrate.Copied, Handle: "h"})
+	slow := func(ctx context.Context) migrate.CopyAnswer {
+		select {
+		case <-time.After(600 * time.Millisecond):
+			return migrate.CopyAnswer{Result: migrate.NoRun}
+		case <-ctx.Done():
+			return migrate.CopyAnswer{Err: lost}
+		}
+	}
 	for _, c := range []struct {
 		name string
 		stop func(context.Context) migrate.CopyAnswer
@@ -57,16 +70,19 @@
 		want, wantFreed string
 		// least is the least time from the break to the next request.
 		least time.Duration
+		// accepts is set if the endpoint accepts the connection of the call.
+		accepts bool
 	}{
 		{name: "no run", stop: answers(migrate.CopyAnswer{Result: migrate.NoRun}), want: "whole, whole"},
 		{name: "no answer", stop: noAnswer, want: "whole, whole", least: 250 * time.Millisecond},
+		{name: "slow answer", stop: slow, accepts: true, want: "whole, whole", least: 550 * time.Millisecond},
 		{name: "copied", stop: copied, want: "whole, copy"},
 		{name: "copied, then refused", stop: copied, refusesCopy: true, want: "whole, copy, whole", wantFreed: "h"},
 		{name: "stopped only", stop: answers(migrate.CopyAnswer{Result: migrate.NoRoom, Handle: "h"}), want: "whole, whole", wantFreed: "h"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			p, calls := &movePlatform{stopped: make(chan struct{})}, &endingCalls{stop: c.stop, freed: make(chan string, 9)}
+			p, calls := &movePlatform{stopped: make(chan struct{})}, &endingCalls{stop: c.stop, freed: make(chan string, 9), accepts: c.accepts}
 			broken, resumed := make(chan time.Time, 1), make(chan time.Time, 9)
 			s := newHarness(t, moveSpec(), true, func(conn net.Conn, r *http.Request) bool {
 				defer func() { broken <- time.Now() }()
--- a/pkg/forward/takenup.go
+++ b/pkg/forward/takenup.go
@@ -26,9 +26,10 @@
 	// the host that was asked first knew that another one relays the stream.
 	headerTakenUpBy = "Ironhollow-Taken-Up-By"
 	headerForwarded = "Ironhollow-Forwarded"
-	// takeUpWait is how long the resuming host waits for the host that relays the previous request, which
-	// ends the run first.
-	takeUpWait = endRunWait + 100*time.Millisecond
+	// takeUpWait is how long the resuming host waits for an answer of the host that relays the previous request. One
+	// that has not ended it answers within endRunWait, and is asked again, for maxTakeUpWait in all.
+	takeUpWait    = endRunWait + 100*time.Millisecond
+	maxTakeUpWait = endRunTimeout + 100*time.Millisecond
 	// maxTakeables bounds the streams in the table; the least recently used are dropped first.
 	maxTakeables = 8 << 10
 )
@@ -39,6 +40,8 @@
 	// interrupt ends the caller's request, nil once it has ended. isTakenUp is set once it was called.
 	interrupt func()
 	isTakenUp bool
+	// removed is closed once the request and its run have ended since the caller has resumed the stream; nil before.
+	removed chan struct{}
 	// ended is closed once the request has ended; open and hop are valid after that.
 	ended chan struct{}
 	// open is the run that may continue, until its deadline.
@@ -61,15 +64,11 @@
 	return &takeables{streams: streams}
 }
 
-// take removes a stream from the table.
-func (t *takeables) take(key origin.Key) *takeable {
+// get returns a stream, nil if there is none.
+func (t *takeables) get(key origin.Key) *takeable {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s, ok := t.streams.Peek(key)
-	if !ok {
-		return nil
-	}
-	t.streams.Remove(key)
+	s, _ := t.streams.Peek(key)
 	return s
 }
 
@@ -139,16 +138,27 @@
 	}
 }
 
+// streamEnd is what became of a stream that was to end.
+type streamEnd int
+
+const (
+	// notRelayed means that this host relays no such stream.
+	notRelayed streamEnd = iota
+	// streamEnded means that the request and its run have ended, streamEnding that they still may.
+	streamEnded
+	streamEnding
+)
+
 // endEarlier ends the previous request of a stream that the caller resumes here: at the host that relays it, or
 // relayed it last, and at this one, which may have relayed it for another host. The caller may abandon this request
 // too meanwhile, and resume the stream once more.
 func (c *call) endEarlier(ctx context.Context, host string) (outcome string) {
 	key := c.streamKey()
 	earlier := c.trackTakeable()
-	ctx, cancel := context.WithTimeout(ctx, takeUpWait)
+	ctx, cancel := context.WithTimeout(ctx, maxTakeUpWait)
 	defer cancel()
-	endedHere := make(chan bool, 1)
-	go func() { endedHere <- c.f.endTakenUp(ctx, earlier, key) }()
+	endedHere := make(chan streamEnd, 1)
+	go func() { endedHere <- c.f.endStream(ctx, earlier, key) }()
 	outcome = "none"
 	if host != "" {
 		outcome = "ended"
@@ -157,8 +167,11 @@
 			outcome = "unanswered"
 		}
 	}
-	if <-endedHere {
+	switch <-endedHere {
+	case streamEnded:
 		outcome = "ended here"
+	case streamEnding:
+		outcome = "not ended here"
 	}
 	return outcome
 }
@@ -166,35 +179,37 @@
 // interruptTimeout bounds the end of a stream after its request was interrupted.
 const interruptTimeout = 2 * time.Second
 
-// endStream ends a stream that this host relays, and its run if the endpoint may continue it. It waits for that
-// until ctx ends, but the stream is ended all the same. It returns false if this host relays none with that key.
-func (f *Forwarder) endStream(ctx context.Context, key origin.Key) bool {
-	return f.endTakenUp(ctx, f.takeables.take(key), key)
-}
-
-// endTakenUp is endStream for a stream that is not in the table any more, nil for none.
-func (f *Forwarder) endTakenUp(ctx context.Context, s *takeable, key origin.Key) bool {
+// endStream ends a stream that this host relays, nil for none, and its run if the endpoint may continue it. It waits
+// for that until ctx ends, but the stream is ended all the same.
+func (f *Forwarder) endStream(ctx context.Context, s *takeable, key origin.Key) streamEnd {
 	if s == nil {
-		return false
+		return notRelayed
 	}
 	s.mu.Lock()
 	if s.interrupt != nil {
 		s.isTakenUp = true
 		s.interrupt()
 	}
+	isFirst := s.removed == nil
+	if isFirst {
+		s.removed = make(chan struct{})
+	}
 	s.mu.Unlock()
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), interruptTimeout)
-		defer cancel()
-		f.endInterrupted(ctx, s, key)
-	}()
+	if isFirst {
+		go func() {
+			defer close(s.removed)
+			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), interruptTimeout)
+			defer cancel()
+			f.endInterrupted(ctx, s, key)
+			f.takeables.drop(key, s)
+		}()
+	}
 	select {
-	case <-done:
+	case <-s.removed:
+		return streamEnded
 	case <-ctx.Done():
+		return streamEnding
 	}
-	return true
 }
 
 // endInterrupted ends what remains of a stream once its request has ended.
@@ -218,30 +233,47 @@
 // errStreamNotEnded means that another host did not say that it has ended a stream.
 var errStreamNotEnded = errors.New("the other host did not end the stream")
 
-// endAtHost asks another host to end a stream.
+// endAtHost asks another host to end a stream, until it has, does not answer, or ctx ends.
 func (f *Forwarder) endAtHost(ctx context.Context, host string, key origin.Key, header http.Header) error {
 	if f.detours == nil {
 		return nil
 	}
+	for {
+		hasEnded, err := f.askToEnd(ctx, host, key, header)
+		if hasEnded || err != nil {
+			return err
+		}
+	}
+}
+
+// askToEnd asks another host to end a stream, once. It returns false without an error if the host has begun to.
+func (f *Forwarder) askToEnd(ctx context.Context, host string, key origin.Key, header http.Header) (hasEnded bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, takeUpWait)
+	defer cancel()
 	request := upstream.Request{
 		Method: http.MethodDelete, Target: StreamsPath + hex.EncodeToString(key[:]), Host: host,
 		Header: header, MaxIdle: nonRepeatableMaxIdle,
 	}
 	switch o := f.detours.pool.Send(ctx, host, 0, request).(type) {
 	case upstream.NotSent:
-		return o.Err
+		return false, o.Err
 	case upstream.MaybeSent:
-		return o.Err
+		return false, o.Err
 	case upstream.Answered:
 		defer o.Exchange.Close()
-		if o.Exchange.Status() != http.StatusNoContent {
-			return errStreamNotEnded
+		switch o.Exchange.Status() {
+		case http.StatusNoContent:
+			return true, nil
+		case http.StatusAccepted:
+			drainBody(o.Exchange)
+			return false, nil
 		}
 	}
-	return nil
+	return false, errStreamNotEnded
 }
 
-// ServeStreamEnd answers another host that asks this one to end a stream.
+// ServeStreamEnd answers another host that asks this one to end a stream: with 204 once it has ended, with 202 if it
+// has not within endRunWait.
 func (f *Forwarder) ServeStreamEnd(w http.ResponseWriter, r *http.Request) {
 	raw, err := hex.DecodeString(strings.TrimPrefix(r.URL.Path, StreamsPath))
 	if err != nil || len(raw) != len(origin.Key{}) {
@@ -253,13 +285,18 @@
 	if takenUpBy != "" {
 		f.origins.SetHost(key, takenUpBy)
 	}
-	if f.endStream(r.Context(), key) || host == "" || host == takenUpBy || r.Header.Get(headerForwarded) != "" {
+	ctx, cancel := context.WithTimeout(r.Context(), endRunWait)
+	defer cancel()
+	end := f.endStream(ctx, f.takeables.get(key), key)
+	if end == streamEnding {
+		w.WriteHeader(http.StatusAccepted)
+		return
+	}
+	if end == streamEnded || host == "" || host == takenUpBy || r.Header.Get(headerForwarded) != "" {
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
 	// The record of the host that sent the call is outdated.
-	ctx, cancel := context.WithTimeout(r.Context(), takeUpWait)
-	defer cancel()
 	if err := f.endAtHost(ctx, host, key, http.Header{headerTakenUpBy: {takenUpBy}, headerForwarded: {"1"}}); err != nil {
 		f.log.Warn().Err(err).Str("host", host).Msg("failed to end a stream at the host that relays it now")
 		w.WriteHeader(http.StatusBadGateway)
--- a/pkg/forward/takeup_test.go
+++ b/pkg/forward/takeup_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/hex"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -12,8 +13,13 @@
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+
 	"ironhollow/pkg/forward"
+	"ironhollow/pkg/migrate"
 	"ironhollow/pkg/origin"
+	"ironhollow/pkg/upstream"
 )
 
 // Guards against streams that are continued although it is not known, or not possible, to continue them
@@ -156,3 +162,32 @@
 		t.Errorf("got status %d and %d requests at endpoints, want none", got.status, n)
 	}
 }
+
+// Guards against a take-up that begins while the host that relays the attempt before still waits for the end of its run.
+func TestTakeUpWaitsForTheHostThatEndsTheRun(t *testing.T) {
+	const endsAfter = 600 * time.Millisecond
+	p := &movePlatform{stopped: make(chan struct{})}
+	calls := &endingCalls{accepts: true, freed: make(chan string, 9), stop: func(context.Context) migrate.CopyAnswer {
+		time.Sleep(endsAfter)
+		return migrate.CopyAnswer{Result: migrate.NoRun}
+	}}
+	relaying := newHarness(t, moveSpec(), true)
+	relaying.forwarder.MoveStreams(forward.NewMover(calls, upstream.New(time.Second), relaying.directory, relaying.router, relaying.tables, time.Now, prometheus.NewRegistry(), &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}))
+	for _, id := range []string{"e0", "e1"} {
+		relaying.addEndpoint(id, func(conn net.Conn, r *http.Request) bool { return p.run(conn, r, nil, 0) })
+	}
+	ends := httptest.NewServer(http.HandlerFunc(relaying.forwarder.ServeStreamEnd))
+	t.Cleanup(ends.Close)
+	go relaying.send("POST", "/resume/x", "body", "Id", "first")
+	time.Sleep(moveEvents / 4 * moveEventGap)
+
+	next := newHarness(t, spec(), true)
+	next.setRelease(next.addNumberedEndpoint(0, breakAfterTwoEvents("v0")), "v0")
+	next.servePeers()
+	next.origins.Apply([]origin.Record{{Key: origin.KeyOf("team", "first"), Source: origin.Source{Service: "svc", Release: "v0"}, Life: minuteLife, Host: ends.Listener.Addr().String()}}, nil, "other")
+	startedAt := time.Now()
+	got := next.send("POST", "/resume/x", "body", "Id", "second", "Resumes", "first", "Last-Event", "2")
+	if took := time.Since(startedAt); got.status != http.StatusOK || took < endsAfter {
+		t.Errorf("got status %d after %v, want 200 after the run has ended, %v", got.status, took, endsAfter)
+	}
+}
--- a/pkg/migrate/calls.go
+++ b/pkg/migrate/calls.go
@@ -24,6 +24,8 @@
 	Stop bool
 	// NewConnection is set if no idle connection is used, as it may have failed like that of the run.
 	NewConnection bool
+	// OnConnected is called once the source has accepted the connection of the call; it may be nil.
+	OnConnected func()
 }
 
 // CopyResult is the result of a CopyRequest.
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -64,6 +64,8 @@
 	// DialContext, if it is not nil, also ends the opening of a connection, after which the outcome is
 	// NotSent.
 	DialContext context.Context
+	// OnConnected, if it is not nil, is called before the request is sent over its connection.
+	OnConnected func()
 }
 
 // Parameters of connections.
@@ -225,6 +227,9 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	e := &Exchange{pool: p, conn: c, ctx: ctx, stopCancel: stop}
 	c.requests++
+	if request.OnConnected != nil {
+		request.OnConnected()
+	}
 	written, err := c.Write(request.encode())
 	if err != nil {
 		// The endpoint may have responded before it read the complete request.
