forward: log that a request which may run once is sent again before it is

The record of the incident has no line of the host that sent the request twice. A request's line is written at its end: it is missing if the host ends before, or if the queue of lines is full.

Change: a warning names the request, the endpoint that rejected it, its address and the connection before the next attempt. It has the lines' budget of failed requests.

--- a/pkg/forward/repeated_response_test.go
+++ b/pkg/forward/repeated_response_test.go
@@ -65,3 +65,20 @@
 	status = s.send("POST", path, "body").status
 	return runs.Load(), status
 }
+
+// Guards against a request that is sent again without a trace if its host ends before the request does.
+func TestResendOfARequestThatMayRunOnceIsLogged(t *testing.T) {
+	s := newHarness(t, spec(), true, respond(movedResponse, true))
+	release := make(chan struct{})
+	s.addEndpoint("e1", func(c net.Conn, r *http.Request) bool {
+		<-release
+		return respond(okResponse, true)(c, r)
+	})
+	answered := make(chan callerResponse, 1)
+	go func() { answered <- s.send("POST", "/once/x", "body") }()
+	line := s.waitForLogLine()
+	close(release)
+	if got := <-answered; got.status != http.StatusOK || !strings.Contains(line, "sent again") || !strings.Contains(line, "request-1") || !strings.Contains(line, `"endpoint":"e0"`) {
+		t.Errorf("got status %d and the line %q before the response, want 200 and the request, its endpoint and that it is sent again", got.status, line)
+	}
+}
--- a/pkg/forward/request_log.go
+++ b/pkg/forward/request_log.go
@@ -252,6 +252,18 @@
 	line.Int("status", c.logEntry.status).Float64("cost", c.logEntry.limitCost).Int("bytes", c.logEntry.bytes).Strs("notes", c.logEntry.notes).Msg("request")
 }
 
+// logResend records that a request which may run once is sent again. Its own line may be lost if this process ends.
+func (c *call) logResend(choice route.Choice, rejected notRun) {
+	write, dropped := c.f.logLimit.allow(true, c.f.clock())
+	if !write {
+		c.f.metrics.dropped.Inc()
+		return
+	}
+	c.f.log.Warn().Str("request", c.meta.ID).Str("service", c.service.Name).Str("endpoint", choice.Endpoint.ID).Str("address", choice.Endpoint.Address).
+		Int64("connection", int64(c.connection)).Int("connection-requests", c.connectionRequests).Int("dropped", dropped).
+		Err(rejected.err).Msg("request that may run once is sent again: an endpoint has rejected it")
+}
+
 func (c *call) routeKind() string {
 	if c.route == nil {
 		return "none"
--- a/pkg/forward/run.go
+++ b/pkg/forward/run.go
@@ -95,7 +95,11 @@
 		if !c.mayRetry(ctx, last) {
 			return c.giveUp(ctx, last)
 		}
-		if n, isNotRun := last.(notRun); isNotRun && !n.rejectedByAny {
+		n, isNotRun := last.(notRun)
+		if isNotRun && n.rejectedByAny && !c.mayRepeat() {
+			c.logResend(choice, n)
+		}
+		if isNotRun && !n.rejectedByAny {
 			// No endpoint received the request, so the next attempt counts as the first.
 			continue
 		}
