forward, origin: put take-ups of one stream in order, so that the latest one runs alone

The callers' streams are whole.

Cause, traced by the lines of the requests: a caller that loses its connections resumes its stream at one host and 2 to 40 ms later at the next. Both ask the host of the first attempt to end it. Where the earlier one arrived last, it took the record over, and the third take-up ended it instead of the one that ran. Where the first attempt was still being ended, the host did not pass the call on to the take-up in between; this second part came with.

Change: the call that ends a stream has the age of the take-up, and so have the records of hosts. A host that knows of a later take-up answers 409; the earlier one is then refused as not run, as its caller has left it. A host that is ending the first attempt also passes the call on. Hosts of earlier releases send no age: it counts as 0, as before.

TestLatestTakeUpEndsTheOthers, the later one first: on the later take-up was ended and the earlier one got 204, now it gets 409 and nothing is ended. TestLaterTakeUpIsKept checks the order of records. The tests of forward, origin and originlog pass with the race detector.

--- a/pkg/forward/takenup.go
+++ b/pkg/forward/takenup.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"errors"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -25,7 +26,10 @@
 	// headerTakenUpBy holds the address of the host at which the caller has resumed the stream. headerForwarded is set if
 	// the host that was asked first knew that another one relays the stream.
 	headerTakenUpBy = "Ironhollow-Taken-Up-By"
-	headerForwarded = "Ironhollow-Forwarded"
+	// headerTakenUpAge is the age of the request that resumes the stream, in milliseconds. Hosts of earlier versions do
+	// not send it; it is 0 then.
+	headerTakenUpAge = "Ironhollow-Taken-Up-Age"
+	headerForwarded  = "Ironhollow-Forwarded"
 	// takeUpWait is how long the resuming host waits for an answer of the host that relays the previous request. One
 	// that has not ended it answers within endRunWait, and is asked again, for maxTakeUpWait in all.
 	takeUpWait    = endRunWait + 100*time.Millisecond
@@ -36,7 +40,9 @@
 
 // takeable is a stream that its caller may resume with another request.
 type takeable struct {
-	mu sync.Mutex
+	// since is when the request began.
+	since time.Time
+	mu    sync.Mutex
 	// interrupt ends the caller's request, nil once it has ended. isTakenUp is set once it was called.
 	interrupt func()
 	isTakenUp bool
@@ -105,7 +111,7 @@
 	if c.takeable != nil || !c.mayRepeat() {
 		return nil
 	}
-	c.takeable = &takeable{ended: make(chan struct{}), until: c.deadline, interrupt: func() {
+	c.takeable = &takeable{since: c.started, ended: make(chan struct{}), until: c.deadline, interrupt: func() {
 		c.cancel()
 		// Unblocks a write to a caller that does not read. If the connection has no deadlines, the request
 		// ends at its own deadline.
@@ -151,8 +157,8 @@
 
 // endEarlier ends the previous request of a stream that the caller resumes here: at the host that relays it, or
 // relayed it last, and at this one, which may have relayed it for another host. The caller may abandon this request
-// too meanwhile, and resume the stream once more.
-func (c *call) endEarlier(ctx context.Context, host string) (outcome string) {
+// too meanwhile, and resume the stream once more: isOutdated is set if another host has received that request first.
+func (c *call) endEarlier(ctx context.Context, host string) (outcome string, isOutdated bool) {
 	key := c.streamKey()
 	earlier := c.trackTakeable()
 	ctx, cancel := context.WithTimeout(ctx, maxTakeUpWait)
@@ -162,7 +168,9 @@
 	outcome = "none"
 	if host != "" {
 		outcome = "ended"
-		if err := c.f.endAtHost(ctx, host, key, http.Header{headerTakenUpBy: {c.f.origins.Self()}}); err != nil {
+		by := takeUpBy{host: c.f.origins.Self(), at: c.started}
+		if err := c.f.endAtHost(ctx, host, key, by); err != nil {
+			isOutdated = errors.Is(err, errOutdatedTakeUp)
 			c.f.log.Warn().Err(err).Str("host", host).Str("request", c.meta.ID).Msg("failed to end the earlier attempt at a stream")
 			outcome = "unanswered"
 		}
@@ -173,7 +181,7 @@
 	case streamEnding:
 		outcome = "not ended here"
 	}
-	return outcome
+	return outcome, isOutdated
 }
 
 // interruptTimeout bounds the end of a stream after its request was interrupted.
@@ -221,7 +229,7 @@
 		return
 	}
 	if s.hop != "" {
-		if err := f.endAtHost(ctx, s.hop, key, http.Header{}); err != nil {
+		if err := f.endAtHost(ctx, s.hop, key, takeUpBy{}); err != nil {
 			f.log.Warn().Err(err).Str("host", s.hop).Msg("failed to end a stream at the host that it was forwarded to")
 		}
 	}
@@ -230,16 +238,51 @@
 	}
 }
 
-// errStreamNotEnded means that another host did not say that it has ended a stream.
-var errStreamNotEnded = errors.New("the other host did not end the stream")
+// takeUpBy is the request that resumes a stream, empty if none does.
+type takeUpBy struct {
+	// host is the address of the host that received it, at the given time.
+	host string
+	at   time.Time
+	// isForwarded is set if the host that was asked first knew that another one relays the stream.
+	isForwarded bool
+}
+
+func (f *Forwarder) encodeTakeUp(by takeUpBy) http.Header {
+	h := http.Header{}
+	if by.host != "" {
+		h.Set(headerTakenUpBy, by.host)
+		h.Set(headerTakenUpAge, strconv.FormatInt(f.clock().Sub(by.at).Milliseconds(), 10))
+	}
+	if by.isForwarded {
+		h.Set(headerForwarded, "1")
+	}
+	return h
+}
+
+func (f *Forwarder) decodeTakeUp(h http.Header) takeUpBy {
+	// A missing or malformed age counts as 0.
+	ms, _ := strconv.ParseInt(h.Get(headerTakenUpAge), 10, 64)
+	age := time.Duration(min(max(ms, 0), maxTakeUpAge.Milliseconds())) * time.Millisecond
+	return takeUpBy{host: h.Get(headerTakenUpBy), at: f.clock().Add(-age), isForwarded: h.Get(headerForwarded) != ""}
+}
+
+// maxTakeUpAge bounds the age of a request that resumes a stream.
+const maxTakeUpAge = time.Hour
+
+var (
+	// errStreamNotEnded means that another host did not say that it has ended a stream.
+	errStreamNotEnded = errors.New("the other host did not end the stream")
+	// errOutdatedTakeUp means that a later request of the caller has resumed the stream.
+	errOutdatedTakeUp = errors.New("a later request has resumed the stream")
+)
 
 // endAtHost asks another host to end a stream, until it has, does not answer, or ctx ends.
-func (f *Forwarder) endAtHost(ctx context.Context, host string, key origin.Key, header http.Header) error {
+func (f *Forwarder) endAtHost(ctx context.Context, host string, key origin.Key, by takeUpBy) error {
 	if f.detours == nil {
 		return nil
 	}
 	for {
-		hasEnded, err := f.askToEnd(ctx, host, key, header)
+		hasEnded, err := f.askToEnd(ctx, host, key, by)
 		if hasEnded || err != nil {
 			return err
 		}
@@ -247,12 +290,12 @@
 }
 
 // askToEnd asks another host to end a stream, once. It returns false without an error if the host has begun to.
-func (f *Forwarder) askToEnd(ctx context.Context, host string, key origin.Key, header http.Header) (hasEnded bool, err error) {
+func (f *Forwarder) askToEnd(ctx context.Context, host string, key origin.Key, by takeUpBy) (hasEnded bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, takeUpWait)
 	defer cancel()
 	request := upstream.Request{
 		Method: http.MethodDelete, Target: StreamsPath + hex.EncodeToString(key[:]), Host: host,
-		Header: header, MaxIdle: nonRepeatableMaxIdle,
+		Header: f.encodeTakeUp(by), MaxIdle: nonRepeatableMaxIdle,
 	}
 	switch o := f.detours.pool.Send(ctx, host, 0, request).(type) {
 	case upstream.NotSent:
@@ -267,40 +310,57 @@
 		case http.StatusAccepted:
 			drainBody(o.Exchange)
 			return false, nil
+		case http.StatusConflict:
+			drainBody(o.Exchange)
+			return false, errOutdatedTakeUp
 		}
 	}
 	return false, errStreamNotEnded
 }
 
 // ServeStreamEnd answers another host that asks this one to end a stream: with 204 once it has ended, with 202 if it
-// has not within endRunWait.
+// has not within endRunWait, and with 409 if a later request has resumed the stream.
 func (f *Forwarder) ServeStreamEnd(w http.ResponseWriter, r *http.Request) {
 	raw, err := hex.DecodeString(strings.TrimPrefix(r.URL.Path, StreamsPath))
 	if err != nil || len(raw) != len(origin.Key{}) {
 		http.Error(w, "malformed key of a stream", http.StatusBadRequest)
 		return
 	}
-	key, takenUpBy := origin.Key(raw), r.Header.Get(headerTakenUpBy)
-	host := f.origins.HostOf(key)
-	if takenUpBy != "" {
-		f.origins.SetHost(key, takenUpBy)
+	key, by := origin.Key(raw), f.decodeTakeUp(r.Header)
+	s, previous, isOutdated := f.takeables.get(key), "", false
+	if by.host != "" {
+		previous, isOutdated = f.origins.TakeUp(key, by.host, f.clock().Sub(by.at))
+		isOutdated = isOutdated || s != nil && s.since.After(by.at)
+	}
+	if isOutdated {
+		w.WriteHeader(http.StatusConflict)
+		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), endRunWait)
 	defer cancel()
-	end := f.endStream(ctx, f.takeables.get(key), key)
-	if end == streamEnding {
+	forwarded := make(chan error, 1)
+	go func() { forwarded <- f.forwardEnd(ctx, previous, key, by) }()
+	end := f.endStream(ctx, s, key)
+	err = <-forwarded
+	switch {
+	case errors.Is(err, errOutdatedTakeUp):
+		w.WriteHeader(http.StatusConflict)
+	case err != nil:
+		f.log.Warn().Err(err).Str("host", previous).Msg("failed to end a stream at the host that relays it now")
+		w.WriteHeader(http.StatusBadGateway)
+	case end == streamEnding:
 		w.WriteHeader(http.StatusAccepted)
-		return
-	}
-	if end == streamEnded || host == "" || host == takenUpBy || r.Header.Get(headerForwarded) != "" {
+	default:
 		w.WriteHeader(http.StatusNoContent)
-		return
 	}
-	// The record of the host that sent the call is outdated.
-	if err := f.endAtHost(ctx, host, key, http.Header{headerTakenUpBy: {takenUpBy}, headerForwarded: {"1"}}); err != nil {
-		f.log.Warn().Err(err).Str("host", host).Msg("failed to end a stream at the host that relays it now")
-		w.WriteHeader(http.StatusBadGateway)
-		return
+}
+
+// forwardEnd asks the host that relays a stream by the record here to end it: the record of the host that asked this
+// one is outdated.
+func (f *Forwarder) forwardEnd(ctx context.Context, previous string, key origin.Key, by takeUpBy) error {
+	if previous == "" || previous == by.host || by.isForwarded {
+		return nil
 	}
-	w.WriteHeader(http.StatusNoContent)
+	by.isForwarded = true
+	return f.endAtHost(ctx, previous, key, by)
 }
--- a/pkg/forward/takeup.go
+++ b/pkg/forward/takeup.go
@@ -65,8 +65,12 @@
 		return err
 	}
 	started = c.f.clock()
-	t.earlier = c.endEarlier(ctx, t.finding.Host)
+	var isOutdated bool
+	t.earlier, isOutdated = c.endEarlier(ctx, t.finding.Host)
 	t.earlierTook = c.f.clock().Sub(started)
+	if isOutdated {
+		return code.New(code.OriginUnknown, "a later request has resumed the stream at another host")
+	}
 	return nil
 }
 
@@ -124,7 +128,7 @@
 	}
 	life := time.Until(c.deadline) + returnTime
 	for _, key := range c.originKeys() {
-		c.f.origins.Record(key, source, life)
+		c.f.origins.Record(key, source, c.f.clock().Sub(c.started), life)
 		if c.f.originLog != nil && c.mayRepeat() {
 			c.f.originLog.Add(key, c.route.Name, source, life)
 		}
--- a/pkg/forward/takeup_test.go
+++ b/pkg/forward/takeup_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,7 +27,7 @@
 // at the release that began them.
 func TestTakeUpWithoutItsReleaseIsRefused(t *testing.T) {
 	begun := func(s *harness, source origin.Source) {
-		s.origins.Record(origin.KeyOf("team", "first"), source, minuteLife)
+		s.origins.Record(origin.KeyOf("team", "first"), source, 0, minuteLife)
 	}
 	v0 := origin.Source{Service: "svc", Release: "v0"}
 	for _, c := range []struct {
@@ -38,7 +39,7 @@
 		{"known", func(s *harness) { begun(s, v0) }, []string{"Resumes", "first"}, ""},
 		{"not known", func(*harness) {}, []string{"Resumes", "first"}, "origin-unknown"},
 		{"malformed", func(s *harness) { begun(s, v0) }, []string{"Resumes", "first, \"" + strings.Repeat("x", 4<<10)}, "origin-unknown"},
-		{"another team's", func(s *harness) { s.origins.Record(origin.KeyOf("other", "first"), v0, minuteLife) }, []string{"Resumes", "first"}, "origin-unknown"},
+		{"another team's", func(s *harness) { s.origins.Record(origin.KeyOf("other", "first"), v0, 0, minuteLife) }, []string{"Resumes", "first"}, "origin-unknown"},
 		{"release gone", func(s *harness) { begun(s, origin.Source{Service: "svc", Release: "v9"}) }, []string{"Resumes", "first"}, "release-unavailable"},
 		{"no release", func(s *harness) { begun(s, origin.Source{Service: "svc"}) }, []string{"Resumes", "first"}, "release-unavailable"},
 		{"another service", func(s *harness) { begun(s, origin.Source{Service: "old", Release: "v0"}) }, []string{"Resumes", "first"}, "release-unavailable"},
@@ -102,7 +103,7 @@
 		}), release)
 	}
 	for _, release := range []string{"v0", "v1"} {
-		s.origins.Record(origin.KeyOf("team", release), origin.Source{Service: "svc", Release: release}, minuteLife)
+		s.origins.Record(origin.KeyOf("team", release), origin.Source{Service: "svc", Release: release}, 0, minuteLife)
 		s.send("POST", "/resume/x", "body", "Id", "first", "Resumes", release, "Last-Event", "2")
 	}
 	var group sync.WaitGroup
@@ -191,3 +192,40 @@
 		t.Errorf("got status %d after %v, want 200 after the run has ended, %v", got.status, took, endsAfter)
 	}
 }
+
+// Guards against two attempts at a stream that run at once: its caller resumes it at two hosts one after the other, before the first is ended.
+func TestLatestTakeUpEndsTheOthers(t *testing.T) {
+	for name, ages := range map[string][2]time.Duration{"in order": {80 * time.Millisecond, 40 * time.Millisecond}, "the later one first": {40 * time.Millisecond, 80 * time.Millisecond}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			relaying := newHarness(t, moveSpec(), true)
+			relaying.servePeers()
+			p := &movePlatform{stopped: make(chan struct{})}
+			relaying.addEndpoint("e0", func(conn net.Conn, r *http.Request) bool { return p.run(conn, r, nil, 0) })
+			go relaying.send("POST", "/resume/x", "body", "Id", "first")
+			time.Sleep(moveEvents / 2 * moveEventGap)
+			var asked [2]atomic.Int32
+			var statuses [2]int
+			for i, age := range ages {
+				host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					asked[i].Add(1)
+					w.WriteHeader(http.StatusNoContent)
+				}))
+				t.Cleanup(host.Close)
+				key, w := origin.KeyOf("team", "first"), httptest.NewRecorder()
+				r := httptest.NewRequestWithContext(t.Context(), http.MethodDelete, forward.StreamsPath+hex.EncodeToString(key[:]), nil)
+				r.Header.Set("Ironhollow-Taken-Up-By", host.Listener.Addr().String())
+				r.Header.Set("Ironhollow-Taken-Up-Age", strconv.FormatInt(age.Milliseconds(), 10))
+				relaying.forwarder.ServeStreamEnd(w, r)
+				statuses[i] = w.Code
+			}
+			isInOrder := ages[0] > ages[1]
+			if got := asked[0].Load() == 1; got != isInOrder || asked[1].Load() != 0 {
+				t.Errorf("ends of the first and the second take-up: got %d, %d, want the earlier one's if it came first", asked[0].Load(), asked[1].Load())
+			}
+			if got := statuses[1] != http.StatusConflict; got != isInOrder || statuses[0] != http.StatusNoContent {
+				t.Errorf("got statuses %v, want 204 and 409 for an earlier one that came second", statuses)
+			}
+		})
+	}
+}
--- a/pkg/origin/directory.go
+++ b/pkg/origin/directory.go
@@ -68,32 +68,33 @@
 	return &Directory{self: self, peers: peers, sender: sender, clock: clock, table: newTable(), searches: map[Key][]chan answer{}}
 }
 
-// Record records where a stream that this host relays began, here and at other hosts. life is how long the record is needed.
-func (d *Directory) Record(key Key, source Source, life time.Duration) {
+// Record records where a stream that this host relays began, here and at other hosts. age is the age of the request by
+// which it does, life how long the record is needed.
+func (d *Directory) Record(key Key, source Source, age, life time.Duration) {
 	now := d.clock()
-	d.table.merge(Record{Key: key, Source: source, Life: life, Host: d.self}, now)
+	d.table.merge(Record{Key: key, Source: source, Life: life, Host: d.self, HostAge: age}, now)
 	record, _ := d.table.find(key, now)
 	for _, p := range d.ranked(key, copies) {
 		d.sender.SendOrigins([]Record{record}, nil, p.Address)
 	}
 }
 
-// SetHost records that another host relays a stream from now on.
-func (d *Directory) SetHost(key Key, host string) {
+// TakeUp records that the request of another host, of the given age, resumes a stream. It returns the other host that
+// relays the stream by the record here, empty if there is none, and whether a later request has resumed it at another
+// host already.
+func (d *Directory) TakeUp(key Key, host string, age time.Duration) (previous string, isOutdated bool) {
 	now := d.clock()
-	if r, ok := d.table.find(key, now); ok {
-		r.Host, r.HostAge = host, 0
-		d.table.merge(r, now)
-	}
-}
-
-// HostOf returns the address of the other host that relays a stream by the record here, empty if there is none.
-func (d *Directory) HostOf(key Key) string {
-	r, ok := d.table.find(key, d.clock())
+	r, ok := d.table.find(key, now)
 	if !ok {
-		return ""
+		return "", false
+	}
+	if r.Host != "" && r.Host != host && r.HostAge < age {
+		return "", true
 	}
-	return d.findingOf(r, "", 0).Host
+	previous = d.findingOf(r, "", 0).Host
+	r.Host, r.HostAge = host, age
+	d.table.merge(r, now)
+	return previous, false
 }
 
 // Self returns the address of this host.
--- a/pkg/origin/origin_test.go
+++ b/pkg/origin/origin_test.go
@@ -89,7 +89,7 @@
 		found, datagrams := 0, 0
 		for i := range streams {
 			key := origin.KeyOf("team", fmt.Sprint("attempt-", i))
-			f.hosts["host-0"].Record(key, source, life)
+			f.hosts["host-0"].Record(key, source, 0, life)
 		}
 		// The processes of the lost hosts start again, without records.
 		for lost := range c.lost {
@@ -116,7 +116,7 @@
 	for _, order := range [][]origin.Source{{source, other}, {other, source}, {source, other, source}} {
 		f := newFleet(5, 0)
 		for i, s := range order {
-			f.hosts[fmt.Sprint("host-", i)].Record(key, s, life)
+			f.hosts[fmt.Sprint("host-", i)].Record(key, s, 0, life)
 		}
 		for host := range f.hosts {
 			if got := f.find(host, key); got.Result != origin.Conflicting {
@@ -129,7 +129,7 @@
 // Guards against records that answer for others, or for longer than they are valid.
 func TestOriginOfOthersIsUnknown(t *testing.T) {
 	f := newFleet(5, 0)
-	f.hosts["host-0"].Record(key, source, life)
+	f.hosts["host-0"].Record(key, source, 0, life)
 	for _, other := range []origin.Key{origin.KeyOf("other", "attempt"), origin.KeyOf("team", "other"), origin.KeyOf("teamattempt", "")} {
 		if got := f.find("host-1", other); got.Result != origin.Unknown || got.Asked != 4 {
 			t.Errorf("got %v by %d hosts, want unknown by 4", got.Result, got.Asked)
@@ -154,20 +154,44 @@
 // Guards against a take-up that ends the wrong attempt since a record names a host that relayed the stream earlier.
 func TestRecordsLeadToTheHostThatRelays(t *testing.T) {
 	f := newFleet(9, 0)
-	f.hosts["host-0"].Record(key, source, life)
+	f.hosts["host-0"].Record(key, source, 0, life)
 	f.now = f.now.Add(time.Second)
-	f.hosts["host-1"].Record(key, source, life)
-	f.hosts["host-0"].SetHost(key, "host-1")
+	f.hosts["host-1"].Record(key, source, 0, life)
+	f.hosts["host-0"].TakeUp(key, "host-1", 0)
 	for host := range f.hosts {
 		got := f.find(host, key).Host
 		if got == "host-0" {
-			got = f.hosts[got].HostOf(key)
+			got, _ = f.hosts[got].TakeUp(key, "host-9", 0)
 		}
 		if want := "host-1"; got != want && host != want {
 			t.Errorf("at %s: got host %q, want %q", host, got, want)
 		}
 	}
-	if got := f.hosts["host-1"].HostOf(key); got != "" {
-		t.Errorf("at the host that relays it: got %q, want none other", got)
+	if got, isOutdated := f.hosts["host-1"].TakeUp(key, "host-9", 0); got != "" || isOutdated {
+		t.Errorf("at the host that relays it: got %q, outdated %v, want none other", got, isOutdated)
+	}
+}
+
+// Guards against an earlier take-up that replaces a later one since it arrives after it.
+func TestLaterTakeUpIsKept(t *testing.T) {
+	f := newFleet(3, 0)
+	d := f.hosts["host-0"]
+	d.Record(key, source, 0, life)
+	f.now = f.now.Add(time.Second)
+	for _, c := range []struct {
+		host       string
+		age        time.Duration
+		previous   string
+		isOutdated bool
+	}{
+		{"host-1", 100 * time.Millisecond, "", false},
+		{"host-2", 50 * time.Millisecond, "host-1", false},
+		{"host-1", 100 * time.Millisecond, "", true},
+		{"host-2", 50 * time.Millisecond, "host-2", false},
+		{"host-1", 10 * time.Millisecond, "host-2", false},
+	} {
+		if previous, isOutdated := d.TakeUp(key, c.host, c.age); previous != c.previous || isOutdated != c.isOutdated {
+			t.Errorf("take-up at %s, %v ago: got previous %q, outdated %v, want %q, %v", c.host, c.age, previous, isOutdated, c.previous, c.isOutdated)
+		}
 	}
 }
