soak: endpoints listen below the range of outgoing connections

In 2 of 76 random runs an endpoint could not be started again at its address (bind: address already in use, for 0.5 s): while no process listened there, an outgoing connection had taken the port. Nothing of the product was at fault.

Endpoints get ports like hosts, from the range that the kernel does not give to outgoing connections.

--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -236,7 +236,12 @@
 	if i >= plainEndpoints {
 		service, version = standin.StreamService, r.streamVersions[i-plainEndpoints]
 	}
-	return r.startEndpointAt(i, service, standin.Version{Name: version}, anyPortAddress)
+	// Outgoing connections cannot take the port while the endpoint is restarted.
+	address, _, err := freePort()
+	if err != nil {
+		return err
+	}
+	return r.startEndpointAt(i, service, standin.Version{Name: version}, address)
 }
 
 // initialVersion is the version of all endpoints at the start of a run.
