forward: a host that gives a forwarded request back ends its run first

Its caller got its whole stream.

Cause, traced by the lines of the request: a host to which it was forwarded got the response to another request, had no other endpoint, and answered that the outcome is not known. The run at its endpoint went on, and the host that forwarded the request sent it to a further host, which does not know of that run. No call to stop it would have been made anyway: such a call names an endpoint that takes the run's memory, and none had room.

Change: before a host gives a forwarded request back without a clear answer, it ends its run. The call that stops a run names an endpoint with room if there is one, otherwise any other of the service: the run stops before the copy is refused.

TestForwardedRequestEndsItsRunBeforeItIsGivenBack: no call before the next run began, now one. The tests of forward pass with the race detector.

--- a/pkg/forward/mover.go
+++ b/pkg/forward/mover.go
@@ -17,13 +17,14 @@
 // Mover moves the streams that this host relays away from endpoints that leave. It is safe for
 // concurrent use.
 type Mover struct {
-	calls   migrate.Calls
-	pool    *upstream.Pool
-	router  *route.Router
-	tables  RouteTableSource
-	clock   Clock
-	metrics *moverMetrics
-	log     *log.Logger
+	calls     migrate.Calls
+	pool      *upstream.Pool
+	directory *endpoint.Directory
+	router    *route.Router
+	tables    RouteTableSource
+	clock     Clock
+	metrics   *moverMetrics
+	log       *log.Logger
 
 	mu sync.Mutex
 	// streams holds the streams that are being relayed from each endpoint, by request id.
@@ -60,7 +61,7 @@
 // NewMover returns a mover that learns from a directory which endpoints leave.
 func NewMover(calls migrate.Calls, pool *upstream.Pool, directory *endpoint.Directory, router *route.Router, tables RouteTableSource, clock Clock, registry prometheus.Registerer, logger *log.Logger) *Mover {
 	m := &Mover{
-		calls: calls, pool: pool, router: router, tables: tables, clock: clock, metrics: newMoverMetrics(registry), log: logger,
+		calls: calls, pool: pool, directory: directory, router: router, tables: tables, clock: clock, metrics: newMoverMetrics(registry), log: logger,
 		streams: map[endpoint.Ref]map[string]*relayedStream{}, departures: map[endpoint.Ref]*departure{}, lengths: migrate.NewLengths(),
 	}
 	directory.SubscribeLeaving(m.endpointLeaves)
--- a/pkg/forward/openrun.go
+++ b/pkg/forward/openrun.go
@@ -158,17 +158,31 @@
 	c.open = &again
 }
 
-// endUnusedRun ends a run that is not continued here. The call must name an endpoint that takes the run's memory.
+// endUnusedRun ends a run that is not continued here. The call must name an endpoint that takes the run's memory. One
+// without room will do, as the run stops first.
 func (f *Forwarder) endUnusedRun(ctx context.Context, run *openRun) endedRun {
-	info := run.endpoint
-	query := route.Query{Target: route.TargetOf(info), AnswerTokens: 1, Continues: true, Avoid: []endpoint.Ref{info.Ref()}}
-	query.Rule.OnlyRelease, query.Rule.IsPinned = info.Release, true
-	target, ok := f.router.Choose(query, route.Expected, f.clock())
+	target, ok := f.targetOf(run)
 	if !ok {
 		return endedRun{}
 	}
-	f.router.Done(target, route.Result{Refused: true}, f.clock())
-	ended := f.endRun(ctx, run, target.Endpoint.Address)
+	ended := f.endRun(ctx, run, target)
 	go f.freeCopy(run.source, ended.handle)
 	return ended
 }
+
+// targetOf returns the address of another endpoint of a run's service, if possible one with room.
+func (f *Forwarder) targetOf(run *openRun) (address string, ok bool) {
+	info := run.endpoint
+	query := route.Query{Target: route.TargetOf(info), AnswerTokens: 1, Continues: true, Avoid: []endpoint.Ref{info.Ref()}}
+	query.Rule.OnlyRelease, query.Rule.IsPinned = info.Release, true
+	if target, ok := f.router.Choose(query, route.Expected, f.clock()); ok {
+		f.router.Done(target, route.Result{Refused: true}, f.clock())
+		return target.Endpoint.Address, true
+	}
+	for _, other := range f.mover.directory.View().Infos() {
+		if other.Service == info.Service && other.ID != info.ID && other.Address != "" && other.Address != info.Address {
+			return other.Address, true
+		}
+	}
+	return "", false
+}
--- a/pkg/forward/openrun_test.go
+++ b/pkg/forward/openrun_test.go
@@ -16,6 +16,7 @@
 	"github.com/phuslu/log"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/forward"
 	"ironhollow/pkg/migrate"
 	"ironhollow/pkg/origin"
@@ -197,3 +198,38 @@
 		t.Errorf("got %d calls to stop the run at its break and %d at the take-up, want some and 1", before, got)
 	}
 }
+
+// Guards against a run that continues at the endpoint of a host to which the request was forwarded, while the next host runs it too.
+func TestForwardedRequestEndsItsRunBeforeItIsGivenBack(t *testing.T) {
+	twoAttempts := moveSpec()
+	for i := range twoAttempts.Routes {
+		twoAttempts.Routes[i].MaxAttempts = 2
+	}
+	var arrivals, stops, stopsBefore atomic.Int32
+	p := &movePlatform{stopped: make(chan struct{})}
+	calls := &endingCalls{freed: make(chan string, 9), stop: func(context.Context) migrate.CopyAnswer {
+		stops.Add(1)
+		return migrate.CopyAnswer{Result: migrate.NoRun}
+	}}
+	cut := newHarness(t, twoAttempts, true)
+	links, _ := cut.servePeers()
+	links.cut.Store(true)
+	for i := range 2 {
+		host := newHarness(t, twoAttempts, true)
+		host.addNumberedEndpoint(i, func(conn net.Conn, r *http.Request) bool {
+			if arrivals.Add(1) == 1 {
+				return respond("HTTP/1.1 200 OK\r\nId: another\r\nSigned: yes\r\nContent-Length: 0\r\n\r\n", true)(conn, r)
+			}
+			stopsBefore.Store(stops.Load())
+			return p.run(conn, r, nil, 0)
+		})
+		host.directory.Merge(endpoint.Info{ID: "leaving", Incarnation: 1, State: endpoint.Leaving, Service: "svc", Address: "127.0.0.1:1"})
+		host.forwarder.MoveStreams(forward.NewMover(calls, upstream.New(time.Second), host.directory, host.router, host.tables, time.Now, prometheus.NewRegistry(), &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}))
+		_, address := host.servePeers()
+		links.hosts = append(links.hosts, address)
+	}
+	got := cut.send("POST", "/resume/x", "body")
+	if got.err != nil || got.body != allMoveEvents() || stopsBefore.Load() == 0 {
+		t.Errorf("got %d bytes, error %v and %d calls that end the first run before the next, want the whole stream and one", len(got.body), got.err, stopsBefore.Load())
+	}
+}
--- a/pkg/forward/refuse.go
+++ b/pkg/forward/refuse.go
@@ -36,6 +36,10 @@
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			return c.reject(code.New(code.DeadlinePassed, "deadline exceeded while an endpoint was processing the request"), 0)
 		}
+		if c.detour != nil {
+			// The host that forwards the request may send it elsewhere.
+			c.endAbandonedRun(ctx, r.err)
+		}
 		return c.reject(code.New(code.CallUnknown, r.err.Error()), 0)
 	case answered:
 		return c.relayResponse(r)
