forward: a take-up ends the runs of all earlier attempts that were not shown to have ended

The callers' streams are whole.

Cause, traced by the lines of the requests: while a host waited for the first endpoint to say that its run had ended, the caller gave up, after 0.48 and 0.54 s. The host had taken that run for done with when it began to wait, and the stream's entry had the run of the attempt that was never sent. The take-up ended that one alone.

Change: a run that was not shown to have ended stays with the request besides the one of the latest attempt, and the take-up ends all of them.

TestRunOfAnEarlierAttemptIsEndedByTheTakeUp: no call at the take-up, now one. The tests of forward pass with the race detector.

--- a/pkg/forward/detour.go
+++ b/pkg/forward/detour.go
@@ -188,8 +188,8 @@
 		configVersion: c.table.Version(), attempts: c.deliveredAttempts(), isBudgeted: c.isBudgeted, remaining: time.Until(c.deadline),
 		isResume: isResume, lastEventID: lastEventID, origin: c.origin, mayRepeat: c.mayRepeat(),
 	}
-	if c.open != nil {
-		d.openRun = c.open.endpoint.ID
+	if runs := c.openRuns(); len(runs) > 0 {
+		d.openRun = runs[len(runs)-1].endpoint.ID
 	}
 	for _, ref := range c.avoid {
 		d.avoid = append(d.avoid, ref.ID)
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -187,8 +187,10 @@
 	slotRetryAfter time.Duration
 	// isDemandCounted is set while the request waits for a slot, once a choice has counted its work.
 	isDemandCounted bool
-	// open is the run of the latest attempt, nil if it is known to have ended.
-	open *openRun
+	// open is the run of the latest attempt, nil if it is known to have ended. unended are runs of earlier attempts that
+	// were not shown to have ended.
+	open    *openRun
+	unended []*openRun
 	// takeable is set if the caller may resume the stream with another request, cancel ends the request's context.
 	takeable *takeable
 	cancel   context.CancelFunc
--- a/pkg/forward/openrun.go
+++ b/pkg/forward/openrun.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -65,6 +66,9 @@
 	if ended.state == migrate.WasCopied {
 		return copyOf{run.source.Address, ended.handle}
 	}
+	if ended.state == migrate.MayContinue {
+		c.unended = append(c.unended, run.withoutHandle())
+	}
 	go c.f.freeCopy(run.source, ended.handle)
 	return copyOf{}
 }
@@ -151,11 +155,23 @@
 		c.open = nil
 		return
 	}
-	// The request with which the caller resumes the stream ends the run again. The calls in progress read c.open, and
-	// free its copy.
-	again := *c.open
+	// The request with which the caller resumes the stream ends the run again.
+	c.open = c.open.withoutHandle()
+}
+
+// withoutHandle returns the run for calls that end it again, while those in progress use it and free its copy.
+func (r *openRun) withoutHandle() *openRun {
+	again := *r
 	again.handle = ""
-	c.open = &again
+	return &again
+}
+
+// openRuns returns the runs of the request that may continue.
+func (c *call) openRuns() []*openRun {
+	if c.open == nil {
+		return c.unended
+	}
+	return append(slices.Clone(c.unended), c.open)
 }
 
 // endUnusedRun ends a run that is not continued here. The call must name an endpoint that takes the run's memory. One
--- a/pkg/forward/openrun_test.go
+++ b/pkg/forward/openrun_test.go
@@ -233,3 +233,51 @@
 		t.Errorf("got %d bytes, error %v and %d calls that end the first run before the next, want the whole stream and one", len(got.body), got.err, stopsBefore.Load())
 	}
 }
+
+// Guards against a run that continues beside the stream that its caller resumes, as the caller left while the host waited for its end.
+func TestRunOfAnEarlierAttemptIsEndedByTheTakeUp(t *testing.T) {
+	var stops atomic.Int32
+	answers := make(chan struct{})
+	p := &movePlatform{stopped: make(chan struct{})}
+	calls := &endingCalls{accepts: true, freed: make(chan string, 9), stop: func(ctx context.Context) migrate.CopyAnswer {
+		stops.Add(1)
+		select {
+		case <-answers:
+			return migrate.CopyAnswer{Result: migrate.NoRun}
+		case <-ctx.Done():
+			return migrate.CopyAnswer{Err: ctx.Err()}
+		}
+	}}
+	s := newHarness(t, moveSpec(), true)
+	s.forwarder.MoveStreams(forward.NewMover(calls, upstream.New(time.Second), s.directory, s.router, s.tables, time.Now, prometheus.NewRegistry(), &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}))
+	breaks := func(conn net.Conn, r *http.Request) bool { return p.run(conn, r, nil, moveEvents/4) }
+	s.addEndpoint("e0", breaks)
+	s.addEndpoint("e1", breaks)
+	s.addEndpoint("e2", breaks)
+	ctx, leave := context.WithCancel(t.Context())
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, s.server.URL+"/resume/x", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h.example"
+	r.Header.Set("Id", "first")
+	r.Header.Set("Key", "key")
+	go func() {
+		if response, err := http.DefaultClient.Do(r); err == nil {
+			_, _ = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+		}
+	}()
+	for end := time.Now().Add(2 * time.Second); stops.Load() == 0 && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	leave()
+	s.waitForLogLine()
+	before := stops.Load()
+	close(answers)
+	key := origin.KeyOf("team", "first")
+	s.forwarder.ServeStreamEnd(httptest.NewRecorder(), httptest.NewRequest(http.MethodDelete, forward.StreamsPath+hex.EncodeToString(key[:]), nil))
+	if got := stops.Load() - before; before == 0 || got == 0 {
+		t.Errorf("got %d calls that end the run before its caller left and %d at the take-up, want some each", before, got)
+	}
+}
--- a/pkg/forward/takenup.go
+++ b/pkg/forward/takenup.go
@@ -48,10 +48,10 @@
 	isTakenUp bool
 	// removed is closed once the request and its run have ended since the caller has resumed the stream; nil before.
 	removed chan struct{}
-	// ended is closed once the request has ended; open and hop are valid after that.
+	// ended is closed once the request has ended; runs and hop are valid after that.
 	ended chan struct{}
-	// open is the run that may continue, until its deadline.
-	open  *openRun
+	// runs are those that may continue, until their deadline.
+	runs  []*openRun
 	until time.Time
 	// hop is the host through which the stream was last relayed, empty if there is none.
 	hop string
@@ -137,9 +137,9 @@
 	if n := len(c.usedHosts); n > 0 && c.open == nil {
 		s.hop = c.usedHosts[n-1]
 	}
-	s.open = c.open
+	s.runs = c.openRuns()
 	close(s.ended)
-	if err == nil || s.open == nil && s.hop == "" {
+	if err == nil || len(s.runs) == 0 && s.hop == "" {
 		c.f.takeables.drop(c.streamKey(), s)
 	}
 }
@@ -233,9 +233,14 @@
 			f.log.Warn().Err(err).Str("host", s.hop).Msg("failed to end a stream at the host that it was forwarded to")
 		}
 	}
-	if s.open != nil && time.Now().Before(s.until) {
-		f.endUnusedRun(ctx, s.open)
+	if !time.Now().Before(s.until) {
+		return
+	}
+	var ending sync.WaitGroup
+	for _, run := range s.runs {
+		ending.Go(func() { f.endUnusedRun(ctx, run) })
 	}
+	ending.Wait()
 }
 
 // takeUpBy is the request that resumes a stream, empty if none does.
