upstream: send nothing once the context of a request has ended

Seen in TestTakenUpStreamRunsAtOneEndpoint on beside eight busy loops: one of three streams that ran at two endpoints was sent to an endpoint as its caller left, and ran there for 1.1 s beside the attempt that its caller had begun.

Cause, traced by its line (the attempt begins and the request ends at 1,596 ms): a context that has ended closes the connection on a goroutine of its own, and the request may be written before.

Change: a request whose context has ended when its connection is there is not sent, and the connection is kept.

TestRequestOfAnEndedContextIsNotSent: 1 of 20 requests was sent, now none. The tests of upstream pass twice with the race detector.

--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -224,6 +224,10 @@
 	if err != nil {
 		return NotSent{err}
 	}
+	if err := ctx.Err(); err != nil {
+		p.put(c)
+		return NotSent{err}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	e := &Exchange{pool: p, conn: c, ctx: ctx, stopCancel: stop}
 	c.requests++
--- a/pkg/upstream/pool_test.go
+++ b/pkg/upstream/pool_test.go
@@ -473,3 +473,35 @@
 		t.Errorf("got connection %d with %d requests for another request, want the idle one, %d", other, requests, second)
 	}
 }
+
+// Guards against requests that begin to run after their callers have left.
+func TestRequestOfAnEndedContextIsNotSent(t *testing.T) {
+	e := serve(t, func(c net.Conn, _ *http.Request) bool {
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	})
+	p := upstream.New(time.Second)
+	request := upstream.Request{Method: "POST", Target: "/", Host: "host", Body: []byte("body")}
+	warm, ok := p.Send(t.Context(), e.address, 0, request).(upstream.Answered)
+	if !ok {
+		t.Fatal("got no answer, want one")
+	}
+	_, _ = io.Copy(io.Discard, warm.Exchange)
+	warm.Exchange.Close()
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 20 {
+		if o := p.Send(ended, e.address, 0, request); !isNotSent(o) {
+			t.Errorf("got %T, want NotSent", o)
+		}
+	}
+	time.Sleep(50 * time.Millisecond)
+	if got := len(e.requests); got != 1 {
+		t.Errorf("got %d requests, want that of the live context alone", got)
+	}
+}
+
+func isNotSent(o upstream.Outcome) bool {
+	_, ok := o.(upstream.NotSent)
+	return ok
+}
