soak: try another port for an endpoint if one was taken meanwhile

Links to endpoints do the same already. What held the port for that moment is not known; no process did 40 s later.

TestShortSoak, TestRequestsRunOnceWhileEndpointsAreReplaced and TestResumedStreamRunsAtOneEndpoint pass with the race detector.

--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -236,12 +237,18 @@
 	if i >= plainEndpoints {
 		service, version = standin.StreamService, r.streamVersions[i-plainEndpoints]
 	}
-	// Outgoing connections cannot take the port while the endpoint is restarted.
-	address, _, err := freePort()
-	if err != nil {
-		return err
+	for try := 1; ; try++ {
+		// Outgoing connections cannot take the port while the endpoint is restarted.
+		address, _, err := freePort()
+		if err != nil {
+			return err
+		}
+		err = r.startEndpointAt(i, service, standin.Version{Name: version}, address)
+		if !errors.Is(err, syscall.EADDRINUSE) || try == maxLinkAttempts {
+			return err
+		}
+		// The port was taken meanwhile.
 	}
-	return r.startEndpointAt(i, service, standin.Version{Name: version}, address)
 }
 
 // initialVersion is the version of all endpoints at the start of a run.
