forward: end a run that begins after the call that was to end it

Seen in TestTakenUpStreamRunsAtOneEndpoint on beside eight busy loops: two of 120 streams ran at two endpoints for 0.8 s after take-ups. The callers' streams are whole.

Cause, by the lines of the requests: a request was sent to the next endpoint 22 and 69 ms before its caller left. The call that ends its run was answered, so that the take-up began, and the request began to run after it: it was still on its way, or in the endpoint's queue. That the call came first is a conclusion from these times; the stand-in records no arrivals.

Change: where an endpoint had not begun its response, the call that ends its run is repeated 0.1, 0.3 and 0.7 s after an answer that there is no run, in the background. Not for forwarded requests, which another host may send to the same endpoint again.

TestRunThatBeginsLateIsEnded: one call, now two, and the copy of the late run is freed. The tests of forward pass with the race detector.

--- a/pkg/forward/openrun.go
+++ b/pkg/forward/openrun.go
@@ -9,6 +9,7 @@
 
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/migrate"
+	"ironhollow/pkg/pause"
 	"ironhollow/pkg/route"
 )
 
@@ -20,8 +21,14 @@
 	id       string
 	// handle names a copy of the run's memory that a move has left, empty if there is none.
 	handle string
+	// isUnanswered is set if the endpoint had not begun its response: the request may still wait in its queue, or
+	// arrive after a call that ends it.
+	isUnanswered bool
 }
 
+// lateEndPauses are the pauses before each repetition of the call that ends a run which had not begun.
+var lateEndPauses = []time.Duration{100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond}
+
 // Timing of the calls that end a run.
 const (
 	// endRunWait is how long the next attempt waits for the end of the previous run while its endpoint does not accept
@@ -85,6 +92,9 @@
 		if run.handle != handle {
 			f.freeCopy(run.source, run.handle)
 		}
+		if state == migrate.HasEnded && run.isUnanswered {
+			f.endLate(run, target)
+		}
 	}()
 	ended, ok := awaitEnd(ctx, result, connected)
 	f.metrics.endedRuns.WithLabelValues(run.endpoint.Service, ended.state.String()).Inc()
@@ -94,6 +104,23 @@
 	return ended
 }
 
+// endLate ends a run that begins after a call that was to end it.
+func (f *Forwarder) endLate(run *openRun, target string) {
+	ctx, cancel := context.WithTimeout(context.Background(), endRunTimeout)
+	defer cancel()
+	for _, d := range lateEndPauses {
+		if !pause.For(ctx, d) {
+			return
+		}
+		state, handle := migrate.Stop(ctx, f.mover.calls, migrate.CopyRequest{Source: run.source, RunID: run.id, Target: target})
+		f.freeCopy(run.source, handle)
+		if state != migrate.HasEnded {
+			f.metrics.endedRuns.WithLabelValues(run.endpoint.Service, "late-"+state.String()).Inc()
+			return
+		}
+	}
+}
+
 // awaitEnd waits for the result of the calls that end a run: for endRunWait, or as long as they last once their
 // connection has been accepted. It returns false without a result.
 func awaitEnd(ctx context.Context, result <-chan endedRun, connected <-chan struct{}) (endedRun, bool) {
--- a/pkg/forward/openrun_test.go
+++ b/pkg/forward/openrun_test.go
@@ -281,3 +281,23 @@
 		t.Errorf("got %d calls that end the run before its caller left and %d at the take-up, want some each", before, got)
 	}
 }
+
+// Guards against a run that begins at the endpoint of an earlier attempt after the call that was to end it, while the request runs elsewhere.
+func TestRunThatBeginsLateIsEnded(t *testing.T) {
+	var stops atomic.Int32
+	p := &movePlatform{stopped: make(chan struct{})}
+	calls := &endingCalls{freed: make(chan string, 9), stop: func(context.Context) migrate.CopyAnswer {
+		if stops.Add(1) == 1 {
+			return migrate.CopyAnswer{Result: migrate.NoRun}
+		}
+		return migrate.CopyAnswer{Result: migrate.Copied, Handle: "late"}
+	}}
+	s := newHarness(t, moveSpec(), true, closeWithoutResponse)
+	s.forwarder.MoveStreams(forward.NewMover(calls, upstream.New(time.Second), s.directory, s.router, s.tables, time.Now, prometheus.NewRegistry(), &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}))
+	s.addEndpoint("e1", func(conn net.Conn, r *http.Request) bool { return p.run(conn, r, nil, 0) })
+	s.addEndpoint("e2", func(conn net.Conn, r *http.Request) bool { return p.run(conn, r, nil, 0) })
+	got := s.send("POST", "/resume/x", "body")
+	if got.err != nil || got.body != allMoveEvents() || stops.Load() != 2 || len(calls.freed) != 1 {
+		t.Errorf("got %d bytes, error %v, %d calls that end the run and %d freed copies, want the whole stream, 2 and 1", len(got.body), got.err, stops.Load(), len(calls.freed))
+	}
+}
--- a/pkg/forward/request_log.go
+++ b/pkg/forward/request_log.go
@@ -84,6 +84,10 @@
 		a.outcome = "unclear: " + r.err.Error()
 		a.mayHaveRun = true
 		c.openRunAt(choice)
+		if c.open != nil && c.detour == nil {
+			// Another host may send a forwarded request to the same endpoint again, and that run must not be ended.
+			c.open.isUnanswered = true
+		}
 	case answered:
 		a.outcome = strconv.Itoa(r.status)
 		a.framing = r.framing.String()
