--- a/pkg/forward/openrun_test.go
+++ b/pkg/forward/openrun_test.go
@@ -234,7 +234,7 @@
 	}
 }
 
-// Guards against a run that continues beside the stream that its caller resumes, as the caller left while the host waited for its end.
+// Guards against a run that is not ended when its stream is resumed, as the caller had left while the host waited for its end.
 func TestRunOfAnEarlierAttemptIsEndedByTheTakeUp(t *testing.T) {
 	var stops atomic.Int32
 	answers := make(chan struct{})
--- a/pkg/soak/sendfaults.go
+++ b/pkg/soak/sendfaults.go
@@ -14,7 +14,7 @@
 	// earlyTime is how long an endpoint rejects long requests early, slowTime how long a host is slow.
 	earlyTime = 1500 * time.Millisecond
 	slowTime  = 2 * time.Second
-	// A slow host runs for slowRun and stands for slowPause in turn.
+	// A slow host runs for slowRun and is suspended for slowPause in turn.
 	slowRun   = 8 * time.Millisecond
 	slowPause = 40 * time.Millisecond
 )
