discovery, relay: count an endpoint's notice from its earliest possible write

Cause: a host counted the time for which a leaving endpoint may get requests from its own reading of the row. The reserve for that, 1.2 s, is less than the pause between two reads, 1.3 s, and where hosts follow relays the pauses add up.

Change: a row was written after the batch before, which did not have it. A batch says at which time of the store's clock it was complete, also through a relay, and a notice counts from that time. The reserve, 0.25 s, is for a request's way to its endpoint and depends on no pause. So is the earliest end of the endpoint, by which requests are chosen; moves are still planned by the latest end. A notice of unknown age counts as old. Relays of earlier versions send no such time: their followers use no leaving endpoints.

The tests of discovery start with an empty batch where they check a notice: one in the first batch has no known age.

TestLeavingCountsFromTheBatchBefore, TestNoticeOfUnknownAgeCountsAsOld and TestFollowerKnowsWhenItsRelayWasComplete. The tests of the packages and of platform pass with the race detector.

--- a/pkg/app/node/providers.go
+++ b/pkg/app/node/providers.go
@@ -166,8 +166,9 @@
 }
 
 // leavingReserve is the part of the time for which a leaving endpoint may get requests that is not
-// used. A host reads an endpoint's row up to a second after the store has accepted it.
-const leavingReserve = 1200 * time.Millisecond
+// used: a request arrives some time after its endpoint has been chosen. How late the host has read the
+// endpoint's row is known, see discovery.Syncer.
+const leavingReserve = 250 * time.Millisecond
 
 func newRouter(view *storeview.View, location route.Location, clock *storeclock.Clock, s Settings) *route.Router {
 	seed := uint64(clock.Now().UnixNano())
--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -15,6 +15,16 @@
 	"ironhollow/pkg/storeversion"
 )
 
+// Clock is the clock of the process, related to that of the store.
+type Clock interface {
+	Now() time.Time
+	// StoreTime returns the store's clock now, or false if it is not known.
+	StoreTime() (time.Duration, bool)
+}
+
+// unknownAge is the assumed age of a notice if it is not known when its row was written.
+const unknownAge = time.Minute
+
 // DecodeFunc decodes an endpoint's row; id is its key.
 type DecodeFunc func(id string, value []byte) (endpoint.Info, error)
 
@@ -26,7 +36,7 @@
 type Syncer struct {
 	directory *endpoint.Directory
 	decode    DecodeFunc
-	now       func() time.Time
+	clock     Clock
 
 	// minOutage is the shortest outage of the store through which rows may expire.
 	minOutage time.Duration
@@ -44,8 +54,9 @@
 	mu sync.Mutex
 	// era is the highest era of the store received in a batch.
 	era int64
-	// appliedAt is when rows were last applied.
-	appliedAt time.Time
+	// appliedAt is when rows were last applied, completeAt the CompleteAt of their batch.
+	appliedAt  time.Time
+	completeAt time.Duration
 	// graceUntil is when the grace ends of endpoints whose rows expired during an outage.
 	graceUntil map[string]time.Time
 	// leftStartedAt is the start time of endpoints that were removed after they had reported that
@@ -61,9 +72,9 @@
 
 // New returns a syncer that has applied no rows. heartbeatInterval is the time between two writes
 // of an endpoint's row; storeReachedByPeer becomes Syncer.peerReachedStore.
-func New(directory *endpoint.Directory, decode DecodeFunc, heartbeatInterval time.Duration, storeReachedByPeer func(time.Duration) bool, now func() time.Time, logger *log.Logger) *Syncer {
+func New(directory *endpoint.Directory, decode DecodeFunc, heartbeatInterval time.Duration, storeReachedByPeer func(time.Duration) bool, clock Clock, logger *log.Logger) *Syncer {
 	return &Syncer{
-		directory: directory, decode: decode, minOutage: minMissedHeartbeats * heartbeatInterval, peerReachedStore: storeReachedByPeer, now: now, changes: newChangeLog(logger),
+		directory: directory, decode: decode, minOutage: minMissedHeartbeats * heartbeatInterval, peerReachedStore: storeReachedByPeer, clock: clock, changes: newChangeLog(logger),
 		graceUntil:    map[string]time.Time{},
 		leftStartedAt: map[string]int64{},
 	}
@@ -86,7 +97,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	defer s.changes.flush()
-	now := s.now()
+	now := s.clock.Now()
 	sinceApplied := now.Sub(s.appliedAt)
 	outage := s.storeUnavailable.Swap(false) && sinceApplied > s.minOutage && !s.peerReachedStore(sinceApplied)
 	// After a restore, rows first written since the backup are missing until they are written
@@ -94,6 +105,8 @@
 	era := storeversion.Era(batch.Version)
 	outage = outage || s.loaded.Load() && era > s.era
 	s.appliedAt, s.era = now, max(s.era, era)
+	written := s.writtenBetween(now)
+	s.completeAt = batch.CompleteAt
 	listed := map[string]bool{}
 	for _, row := range batch.Rows {
 		if row.Deleted {
@@ -101,7 +114,7 @@
 			continue
 		}
 		listed[row.Key] = true
-		s.applyRow(row)
+		s.applyRow(row, written)
 	}
 	if batch.Full {
 		for _, info := range s.directory.View().Infos() {
@@ -119,7 +132,7 @@
 func (s *Syncer) Expire() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.expireGrace(s.now())
+	s.expireGrace(s.clock.Now())
 	s.changes.flush()
 }
 
@@ -157,7 +170,33 @@
 	s.changes.gone(info, reason)
 }
 
-func (s *Syncer) applyRow(row feed.Row) {
+// writeTime bounds the time at which a row was written.
+type writeTime struct {
+	earliest, latest time.Time
+	isKnown          bool
+}
+
+// writtenBetween returns when the rows of a batch were written: after the batch before, which did not have them.
+func (s *Syncer) writtenBetween(now time.Time) writeTime {
+	storeNow, known := s.clock.StoreTime()
+	if !known || s.completeAt == 0 {
+		return writeTime{latest: now}
+	}
+	return writeTime{earliest: now.Add(-max(storeNow-s.completeAt, 0)), latest: now, isKnown: true}
+}
+
+// addNotice sets the times of a leaving endpoint's row.
+func (t writeTime) addNotice(info *endpoint.Info) {
+	info.LeavingSince = t.latest.Add(-unknownAge)
+	if t.isKnown {
+		info.LeavingSince = t.earliest
+	}
+	if info.LeavesIn > 0 {
+		info.LeaveBy, info.MayStopAt = t.latest.Add(info.LeavesIn), t.earliest.Add(info.LeavesIn)
+	}
+}
+
+func (s *Syncer) applyRow(row feed.Row, written writeTime) {
 	delete(s.graceUntil, row.Key)
 	received, err := s.decode(row.Key, row.Value)
 	if err != nil {
@@ -166,15 +205,12 @@
 	}
 	received.Counter = row.Version
 	if received.State == endpoint.Leaving {
-		received.LeavingSince = s.now()
+		written.addNotice(&received)
 		if call := s.onLeavingRow.Load(); call != nil {
 			(*call)(received)
 		}
 	}
-	if received.LeavesIn > 0 {
-		received.LeaveBy = received.LeavingSince.Add(received.LeavesIn)
-		received.LeavesIn = 0
-	}
+	received.LeavesIn = 0
 	current, known := s.directory.Get(row.Key)
 	if known && current.State != endpoint.Gone && !hasRestarted(current, received) {
 		received.Incarnation = current.Incarnation
@@ -217,7 +253,7 @@
 	if !known || info.State != endpoint.Live || info.StartedMS != startedMS {
 		return
 	}
-	info.State, info.LeavingSince = endpoint.Leaving, s.now()
+	info.State, info.LeavingSince = endpoint.Leaving, s.clock.Now().Add(-unknownAge)
 	if merged, changed := s.directory.Merge(info); changed {
 		s.changes.stateChanged(info, merged.State, info.Counter)
 		s.changes.flush()
--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -24,6 +24,8 @@
 	version   int64
 	// peerReachedFor is how long another host has reached the store without interruption.
 	peerReachedFor time.Duration
+	// relayLag is how long before each batch its relay last had an answer of the store.
+	relayLag time.Duration
 }
 
 func decode(id string, value []byte) (endpoint.Info, error) {
@@ -45,13 +47,23 @@
 func newFixture() *fixture {
 	s := &fixture{directory: endpoint.NewDirectory(), now: time.Unix(1000, 0)}
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
-	s.Syncer = discovery.New(s.directory, decode, 1200*time.Millisecond, func(d time.Duration) bool { return s.peerReachedFor >= d }, func() time.Time { return s.now }, logger)
+	s.Syncer = discovery.New(s.directory, decode, 1200*time.Millisecond, func(d time.Duration) bool { return s.peerReachedFor >= d }, fixtureClock{s}, logger)
 	return s
 }
 
+// fixtureClock is the clock of a fixture. The store's clock shows Unix time.
+type fixtureClock struct{ s *fixture }
+
+func (c fixtureClock) Now() time.Time { return c.s.now }
+
+func (c fixtureClock) StoreTime() (time.Duration, bool) {
+	return time.Duration(c.s.now.UnixNano()), true
+}
+
 // applyRows applies rows given as pairs of ID and state. An empty state removes the row.
 func (s *fixture) applyRows(full bool, pairs ...string) {
-	batch := feed.Batch{Full: full}
+	storeNow, _ := fixtureClock{s}.StoreTime()
+	batch := feed.Batch{Full: full, StoreTime: storeNow, CompleteAt: storeNow - s.relayLag}
 	for i := 0; i+1 < len(pairs); i += 2 {
 		s.version++
 		batch.Version = s.version
@@ -228,7 +240,8 @@
 func TestEndOfReclaimedEndpointIsKept(t *testing.T) {
 	for _, first := range []string{"live", "leaving"} {
 		s := newFixture()
-		s.applyRows(true, "a", first)
+		s.applyRows(true)
+		s.applyRows(false, "a", first)
 		noticed := s.now
 		for range 2 {
 			s.applyRows(false, "a", "reclaimed")
@@ -241,6 +254,38 @@
 	}
 }
 
+// Guards against requests to a leaving endpoint after the bound, which counts from the write of its row and not from the reading.
+func TestLeavingCountsFromTheBatchBefore(t *testing.T) {
+	const pause, lag = 1300 * time.Millisecond, 700 * time.Millisecond
+	for name, relayLag := range map[string]time.Duration{"store": 0, "relay": lag} {
+		s := newFixture()
+		s.relayLag = relayLag
+		s.applyRows(true, "a", "live")
+		before := s.now.Add(-relayLag)
+		s.now = s.now.Add(pause)
+		s.applyRows(false, "a", "reclaimed")
+		info, _ := s.directory.Get("a")
+		if got, want := info.LeavingSince, before; !got.Equal(want) {
+			t.Errorf("%s: got leaving since %v, want %v", name, got, want)
+		}
+		if first, last := before.Add(2*time.Second), s.now.Add(2*time.Second); !info.MayStopAt.Equal(first) || !info.LeaveBy.Equal(last) {
+			t.Errorf("%s: got an end from %v to %v, want %v to %v", name, info.MayStopAt, info.LeaveBy, first, last)
+		}
+	}
+}
+
+// Guards against requests to an endpoint whose notice may be older than is known, as another host's state or a row of the first batch.
+func TestNoticeOfUnknownAgeCountsAsOld(t *testing.T) {
+	s := newFixture()
+	s.applyRows(true, "a", "reclaimed", "b", "live 5")
+	s.MarkLeaving("b", 5)
+	for _, id := range []string{"a", "b"} {
+		if info, _ := s.directory.Get(id); info.State != endpoint.Leaving || s.now.Sub(info.LeavingSince) < time.Minute {
+			t.Errorf("%s: got state %v, leaving since %v, want leaving for a minute at least", id, info.State, info.LeavingSince)
+		}
+	}
+}
+
 // An endpoint that drains is then reclaimed too. Guards against sending it requests for the whole
 // bound after its second notice, as the bound counts from the first one.
 func TestLeavingCountsFromFirstNotice(t *testing.T) {
--- a/pkg/discovery/lines_test.go
+++ b/pkg/discovery/lines_test.go
@@ -12,6 +12,7 @@
 	"ironhollow/pkg/discovery"
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/feed"
+	"ironhollow/pkg/storeclock"
 )
 
 // A batch with many changes is logged in one line with the number of changes of each kind.
@@ -22,7 +23,7 @@
 	}{{3, 3, `"e2"`}, {3000, 1, "svc live: 3000"}} {
 		var output bytes.Buffer
 		logger := &log.Logger{Writer: &log.IOWriter{Writer: &output}}
-		rows := discovery.New(endpoint.NewDirectory(), decode, time.Second, func(time.Duration) bool { return false }, time.Now, logger)
+		rows := discovery.New(endpoint.NewDirectory(), decode, time.Second, func(time.Duration) bool { return false }, storeclock.New(), logger)
 		batch := feed.Batch{Full: true}
 		for i := range c.endpoints {
 			batch.Rows = append(batch.Rows, feed.Row{Key: fmt.Sprint("e", i), Value: []byte("live"), Version: int64(i + 1)})
--- a/pkg/endpoint/endpoint.go
+++ b/pkg/endpoint/endpoint.go
@@ -73,9 +73,10 @@
 	Release string
 	// Cold is set if the endpoint has just started and is still slow.
 	Cold bool
-	// LeaveBy is the time at which a leaving endpoint stops; zero if unknown.
-	LeaveBy time.Time
-	// LeavingSince is when this process read in the endpoint's row that it leaves; zero before.
+	// LeaveBy is the time at which a leaving endpoint stops at the latest, MayStopAt the earliest: its row has been
+	// written before it is read. Both are zero if unknown.
+	LeaveBy, MayStopAt time.Time
+	// LeavingSince is the earliest time at which the endpoint's row may have said that it leaves; zero before it does.
 	LeavingSince time.Time
 	// LeavesIn is the time left to a leaving endpoint as its row states it; 0 if it states none. A
 	// directory holds LeaveBy instead.
@@ -91,6 +92,14 @@
 // Ref returns the reference to the endpoint's incarnation.
 func (i Info) Ref() Ref { return Ref{i.ID, i.Incarnation} }
 
+// EarliestStop returns the earliest time at which a leaving endpoint may stop; zero if unknown.
+func (i Info) EarliestStop() time.Time {
+	if i.MayStopAt.IsZero() {
+		return i.LeaveBy
+	}
+	return i.MayStopAt
+}
+
 // AcceptsWork reports whether the endpoint may be sent new work.
 func (i Info) AcceptsWork() bool { return i.State == Live }
 
@@ -104,13 +113,13 @@
 	if received.Counter > held.Counter {
 		next = received
 		next.State = held.State
-		next.LeaveBy, next.LeavingSince = held.LeaveBy, held.LeavingSince
+		next.LeaveBy, next.MayStopAt, next.LeavingSince = held.LeaveBy, held.MayStopAt, held.LeavingSince
 	}
 	if received.State > held.State {
 		next.State = received.State
 	}
 	if held.LeaveBy.IsZero() || (received.State > held.State && !received.LeaveBy.IsZero()) {
-		next.LeaveBy = received.LeaveBy
+		next.LeaveBy, next.MayStopAt = received.LeaveBy, received.MayStopAt
 	}
 	if held.LeavingSince.IsZero() {
 		next.LeavingSince = received.LeavingSince
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -34,12 +34,18 @@
 	// StoreTime is the store's monotonic clock at the time of the response, relative to its own
 	// zero.
 	StoreTime time.Duration
+	// CompleteAt is a time of the same clock at which the batch, with those before it, had all changes; 0 if unknown.
+	// It is earlier than StoreTime if the batch comes from a relay.
+	CompleteAt time.Duration
 }
 
-// AppendPage appends a page of the same snapshot.
+// AppendPage appends a page of the same snapshot. CompleteAt remains that of the first page.
 func (b *Batch) AppendPage(page Batch) {
 	b.Rows = append(b.Rows, page.Rows...)
 	b.StoreTime = page.StoreTime
+	if b.CompleteAt == 0 {
+		b.CompleteAt = page.CompleteAt
+	}
 }
 
 // Source is a store whose tables can be followed.
--- a/pkg/relay/compress.go
+++ b/pkg/relay/compress.go
@@ -24,6 +24,8 @@
 const (
 	versionHeader   = "Relay-Version"
 	storeTimeHeader = "Relay-Store-Ms"
+	// completeHeader is missing in responses of earlier versions.
+	completeHeader = "Relay-Complete-Ms"
 )
 
 // compress compresses encoded rows with gzip; it returns nil if they are too short.
@@ -51,6 +53,7 @@
 	h.Set("Content-Encoding", contentEncoding)
 	h.Set(versionHeader, strconv.FormatInt(resp.version, 10))
 	h.Set(storeTimeHeader, strconv.FormatInt(resp.storeTime.Milliseconds(), 10))
+	h.Set(completeHeader, strconv.FormatInt(resp.completeAt.Milliseconds(), 10))
 	// Ignore the error: the follower has disconnected.
 	_, _ = w.Write(resp.rows.compressed)
 }
@@ -78,5 +81,12 @@
 		return feed.Batch{}, fmt.Errorf("relay: store time: %w", err)
 	}
 	batch.Version, batch.StoreTime = version, time.Duration(storeMS)*time.Millisecond
+	if text := response.Header.Get(completeHeader); text != "" {
+		completeMS, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return feed.Batch{}, fmt.Errorf("relay: time of the store's answer: %w", err)
+		}
+		batch.CompleteAt = time.Duration(completeMS) * time.Millisecond
+	}
 	return batch, nil
 }
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -373,3 +374,22 @@
 		t.Errorf("right after a failure: got %v, want another call to the store", err)
 	}
 }
+
+// Guards against followers that take a relay's copy for as recent as its response, compressed or not.
+func TestFollowerKnowsWhenItsRelayWasComplete(t *testing.T) {
+	const lag = 700 * time.Millisecond
+	for _, rows := range []int{1, 400} {
+		c := &fakeClock{now: time.Now()}
+		replica, _, source := newFollower(t, c)
+		var snapshot []feed.Row
+		for i := range rows {
+			snapshot = append(snapshot, row(fmt.Sprint("row-", i), int64(i+1)))
+		}
+		replica.Reset("t", feed.Batch{Version: 500, Rows: snapshot, StoreTime: time.Minute, CompleteAt: time.Minute})
+		c.advance(lag)
+		batch, err := source.Snapshot(t.Context(), "t")
+		if err != nil || len(batch.Rows) != rows || batch.StoreTime != time.Minute+lag || batch.CompleteAt != time.Minute {
+			t.Errorf("%d rows: got %d, store time %v, complete at %v, error %v, want %v and %v", rows, len(batch.Rows), batch.StoreTime, batch.CompleteAt, err, time.Minute+lag, time.Minute)
+		}
+	}
+}
--- a/pkg/relay/server.go
+++ b/pkg/relay/server.go
@@ -24,8 +24,10 @@
 type wireBatch struct {
 	Rows    []wireRow `cbor:"1,keyasint,omitempty"`
 	Version int64     `cbor:"2,keyasint"`
-	// StoreMS is the store's clock at the time of the response, in milliseconds.
-	StoreMS int64 `cbor:"3,keyasint"`
+	// StoreMS is the store's clock at the time of the response, CompleteMS when the relay had all changes, in
+	// milliseconds. Relays of earlier versions do not send the latter.
+	StoreMS    int64 `cbor:"3,keyasint"`
+	CompleteMS int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // wireRows is the part of a wireBatch that is shared by all followers that make the same request.
@@ -35,8 +37,9 @@
 
 // wireState is the rest of a wireBatch.
 type wireState struct {
-	Version int64 `cbor:"2,keyasint"`
-	StoreMS int64 `cbor:"3,keyasint"`
+	Version    int64 `cbor:"2,keyasint"`
+	StoreMS    int64 `cbor:"3,keyasint"`
+	CompleteMS int64 `cbor:"4,keyasint,omitempty"`
 }
 
 type wireRow struct {
@@ -107,9 +110,10 @@
 // tableResponse is the response to a follower.
 type tableResponse struct {
 	// rows are shared among followers; empty if there are none.
-	rows      encodedRows
-	version   int64
-	storeTime time.Duration
+	rows    encodedRows
+	version int64
+	// storeTime is the store's clock at the response, completeAt at the store's latest answer.
+	storeTime, completeAt time.Duration
 }
 
 // cborMapHeader is the first byte of a CBOR map of up to 23 members; its low bits are the number
@@ -124,7 +128,7 @@
 		resp.writeCompressed(w)
 		return
 	}
-	state, err := cbor.Marshal(wireState{Version: resp.version, StoreMS: resp.storeTime.Milliseconds()})
+	state, err := cbor.Marshal(wireState{Version: resp.version, StoreMS: resp.storeTime.Milliseconds(), CompleteMS: resp.completeAt.Milliseconds()})
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
@@ -155,7 +159,7 @@
 		return tableResponse{}, errStale
 	}
 	resp, err := get(t)
-	resp.storeTime = t.storeTime + age
+	resp.storeTime, resp.completeAt = t.storeTime+age, t.storeTime
 	return resp, err
 }
 
--- a/pkg/relay/source.go
+++ b/pkg/relay/source.go
@@ -268,7 +268,7 @@
 	if err := cbor.Unmarshal(data, &wire); err != nil {
 		return feed.Batch{}, fmt.Errorf("relay: %w", err)
 	}
-	batch := feed.Batch{Version: wire.Version, StoreTime: time.Duration(wire.StoreMS) * time.Millisecond}
+	batch := feed.Batch{Version: wire.Version, StoreTime: time.Duration(wire.StoreMS) * time.Millisecond, CompleteAt: time.Duration(wire.CompleteMS) * time.Millisecond}
 	for _, row := range wire.Rows {
 		batch.Rows = append(batch.Rows, feed.Row{Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted})
 	}
--- a/pkg/route/leaving.go
+++ b/pkg/route/leaving.go
@@ -39,8 +39,8 @@
 // leavingEnd returns the time from which a leaving endpoint gets no request.
 func (r *Router) leavingEnd(info endpoint.Info) time.Time {
 	end := info.LeavingSince.Add(time.Duration(r.leavingWindow.Load()))
-	if info.LeaveBy.Before(end) {
-		return info.LeaveBy
+	if stop := info.EarliestStop(); stop.Before(end) {
+		return stop
 	}
 	return end
 }
@@ -54,7 +54,7 @@
 		return false
 	}
 	// The row of a leaving endpoint need not contain its address.
-	s.info.State, s.info.LeaveBy, s.info.LeavingSince = info.State, info.LeaveBy, info.LeavingSince
+	s.info.State, s.info.LeaveBy, s.info.MayStopAt, s.info.LeavingSince = info.State, info.LeaveBy, info.MayStopAt, info.LeavingSince
 	s.leaving = true
 	g.leaving = append(g.leaving, s)
 	if end.After(g.leavingUntil) {
@@ -105,5 +105,5 @@
 // stops.
 func finishesBeforeLeaving(s *slot, sc score, now time.Time) bool {
 	duration := leavingDurationFactor*(sc.wait+sc.decode) + leavingMargin
-	return now.Add(duration).Before(s.info.LeaveBy)
+	return now.Add(duration).Before(s.info.EarliestStop())
 }
--- a/pkg/storeview/view.go
+++ b/pkg/storeview/view.go
@@ -119,7 +119,7 @@
 		clock:       c,
 		directory:   directory,
 		routeTables: routetable.NewHolder(staleAfter, c.Now),
-		endpoints:   discovery.New(directory, decodeAndObserve(decoder, rollouts, c), heartbeat, peerReachedStore, c.Now, logger),
+		endpoints:   discovery.New(directory, decodeAndObserve(decoder, rollouts, c), heartbeat, peerReachedStore, c, logger),
 		roster:      members,
 		log:         logger,
 		home:        home,
