originlog: save new streams of routes with several releases each 0.2 s

Cause, by the lines of the requests: 18, 21, 33 and 24 of 38, 42, 55 and 46 take-ups had no origin, as their streams began within the last 0.4 s before the end, since the hosts' last write.

Change: the least time between two writes is 0.2 s. That is 45 writes a second for nine hosts, and only while a route has several releases; from 20 advertised hosts on nothing changes (10 ms for each).

The tests of originlog and of take-ups pass.

--- a/pkg/originlog/originlog.go
+++ b/pkg/originlog/originlog.go
@@ -30,7 +30,7 @@
 	retention = time.Minute
 	// minInterval is the least time between two writes of a host. Streams that began within it are lost if all
 	// hosts end. With many hosts the interval is longer: intervalPerHost for each of them.
-	minInterval     = 400 * time.Millisecond
+	minInterval     = 200 * time.Millisecond
 	intervalPerHost = 10 * time.Millisecond
 	// placeInterval is the time between two checks for new places, which are written at once.
 	placeInterval = 100 * time.Millisecond
