originlog, forward, upstream: usual terms and clearer log lines after reading the change again

Log lines say which row could not be read or written, and the warning about a rejected request no longer says that it is sent again, as there may be no other endpoint. A test's pattern loses the name of a member that no release has sent. Stored rows and messages are unchanged: their members have numbers.

No logic has been changed. The tests of originlog, origin and upstream and those of forward that the words touch pass.

--- a/pkg/app/node/origins.go
+++ b/pkg/app/node/origins.go
@@ -58,34 +58,34 @@
 }
 
 func newOriginLog(view *storeview.View, writer *table.Writer, clock *storeclock.Clock, s Settings, registry *prometheus.Registry, logger *log.Logger) *originlog.Log {
-	places := &streamPlaces{view: view}
+	sources := &streamSources{view: view}
 	hosts := func() int { return view.Roster().Advertised() }
-	return originlog.New(s.Node, writer, clock, places.byRoute, hosts, view.StoreEra, registry, logger)
+	return originlog.New(s.Node, writer, clock, sources.byRoute, hosts, view.StoreEra, registry, logger)
 }
 
-// streamPlaces finds where streams of each route may begin. It is safe for concurrent use.
-type streamPlaces struct {
+// streamSources finds where streams of each route may begin. It is safe for concurrent use.
+type streamSources struct {
 	view *storeview.View
 
 	mu sync.Mutex
-	// table and generation are those that places were found for.
+	// table and generation are those that sources were found for.
 	table      *routetable.Table
 	generation uint64
-	places     map[string][]origin.Source
+	sources    map[string][]origin.Source
 }
 
 // byRoute returns the services of each route with streams that may be resumed, with the releases of their endpoints.
-func (p *streamPlaces) byRoute() map[string][]origin.Source {
+func (p *streamSources) byRoute() map[string][]origin.Source {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	table, _ := p.view.RouteTables().Current()
 	endpoints := p.view.Directory().View()
-	if p.places != nil && table == p.table && endpoints.Generation() == p.generation {
-		return p.places
+	if p.sources != nil && table == p.table && endpoints.Generation() == p.generation {
+		return p.sources
 	}
-	p.table, p.generation, p.places = table, endpoints.Generation(), map[string][]origin.Source{}
+	p.table, p.generation, p.sources = table, endpoints.Generation(), map[string][]origin.Source{}
 	if table == nil {
-		return p.places
+		return p.sources
 	}
 	byService := map[string][]origin.Source{}
 	for _, info := range endpoints.Infos() {
@@ -98,9 +98,9 @@
 	for i := range routes {
 		if r := &routes[i]; r.Kind == routetable.Stream && r.MayRepeat() {
 			for _, split := range r.Splits {
-				p.places[r.Name] = append(p.places[r.Name], byService[split.Service]...)
+				p.sources[r.Name] = append(p.sources[r.Name], byService[split.Service]...)
 			}
 		}
 	}
-	return p.places
+	return p.sources
 }
--- a/pkg/forward/detourfaults_test.go
+++ b/pkg/forward/detourfaults_test.go
@@ -289,7 +289,7 @@
 func TestRequestForwardedByAnEarlierReleaseIsNotRepeated(t *testing.T) {
 	cut, other := newOtherRoutes(t)
 	other.servePeers()
-	member := regexp.MustCompile(`,"(may_repeat|runs_once)":true`)
+	member := regexp.MustCompile(`,"may_repeat":true`)
 	earlier := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		r.Header.Set("Ironhollow-Detour", member.ReplaceAllString(r.Header.Get("Ironhollow-Detour"), ""))
 		other.forwarder.ServeDetour(w, r)
--- a/pkg/forward/openrun.go
+++ b/pkg/forward/openrun.go
@@ -34,8 +34,8 @@
 	// endRunWait is how long the next attempt waits for the end of the previous run while its endpoint does not accept
 	// connections.
 	endRunWait = 300 * time.Millisecond
-	// endRunTimeout bounds the calls, and the wait for an endpoint that accepts connections: it works, and may be
-	// slow to answer.
+	// endRunTimeout bounds the calls, and the wait for an endpoint that accepts connections and may only be slow to
+	// answer.
 	endRunTimeout = time.Second
 )
 
@@ -201,8 +201,8 @@
 	return append(slices.Clone(c.unended), c.open)
 }
 
-// endUnusedRun ends a run that is not continued here. The call must name an endpoint that takes the run's memory. One
-// without room will do, as the run stops first.
+// endUnusedRun ends a run that is not continued here. The call must name an endpoint that takes the run's memory. It
+// may be one without room, as the run stops first.
 func (f *Forwarder) endUnusedRun(ctx context.Context, run *openRun) endedRun {
 	target, ok := f.targetOf(run)
 	if !ok {
--- a/pkg/forward/repeated_response_test.go
+++ b/pkg/forward/repeated_response_test.go
@@ -78,7 +78,7 @@
 	go func() { answered <- s.send("POST", "/once/x", "body") }()
 	line := s.waitForLogLine()
 	close(release)
-	if got := <-answered; got.status != http.StatusOK || !strings.Contains(line, "sent again") || !strings.Contains(line, "request-1") || !strings.Contains(line, `"endpoint":"e0"`) {
+	if got := <-answered; got.status != http.StatusOK || !strings.Contains(line, "rejected a non-repeatable request") || !strings.Contains(line, "request-1") || !strings.Contains(line, `"endpoint":"e0"`) {
 		t.Errorf("got status %d and the line %q before the response, want 200 and the request, its endpoint and that it is sent again", got.status, line)
 	}
 }
--- a/pkg/forward/request_log.go
+++ b/pkg/forward/request_log.go
@@ -256,7 +256,7 @@
 	line.Int("status", c.logEntry.status).Float64("cost", c.logEntry.limitCost).Int("bytes", c.logEntry.bytes).Strs("notes", c.logEntry.notes).Msg("request")
 }
 
-// logResend records that a request which may run once is sent again. Its own line may be lost if this process ends.
+// logResend records that a request which may run once may be sent again. Its own line is lost if this process ends first.
 func (c *call) logResend(choice route.Choice, rejected notRun) {
 	write, dropped := c.f.logLimit.allow(true, c.f.clock())
 	if !write {
@@ -265,7 +265,7 @@
 	}
 	c.f.log.Warn().Str("request", c.meta.ID).Str("service", c.service.Name).Str("endpoint", choice.Endpoint.ID).Str("address", choice.Endpoint.Address).
 		Int64("connection", int64(c.connection)).Int("connection-requests", c.connectionRequests).Int("dropped", dropped).
-		Err(rejected.err).Msg("request that may run once is sent again: an endpoint has rejected it")
+		Err(rejected.err).Msg("endpoint rejected a non-repeatable request, which may be sent to another one")
 }
 
 func (c *call) routeKind() string {
--- a/pkg/forward/takenup.go
+++ b/pkg/forward/takenup.go
@@ -46,7 +46,7 @@
 	// interrupt ends the caller's request, nil once it has ended. isTakenUp is set once it was called.
 	interrupt func()
 	isTakenUp bool
-	// removed is closed once the request and its run have ended since the caller has resumed the stream; nil before.
+	// removed is nil until the caller resumes the stream, and closed once the request and its runs have ended after that.
 	removed chan struct{}
 	// ended is closed once the request has ended; runs and hop are valid after that.
 	ended chan struct{}
@@ -144,13 +144,13 @@
 	}
 }
 
-// streamEnd is what became of a stream that was to end.
+// streamEnd is the state of a stream after a call to end it.
 type streamEnd int
 
 const (
 	// notRelayed means that this host relays no such stream.
 	notRelayed streamEnd = iota
-	// streamEnded means that the request and its run have ended, streamEnding that they still may.
+	// streamEnded means that the request and its runs have ended, streamEnding that this is in progress.
 	streamEnded
 	streamEnding
 )
@@ -188,7 +188,7 @@
 const interruptTimeout = 2 * time.Second
 
 // endStream ends a stream that this host relays, nil for none, and its run if the endpoint may continue it. It waits
-// for that until ctx ends, but the stream is ended all the same.
+// for that until ctx ends; the stream ends also if ctx does.
 func (f *Forwarder) endStream(ctx context.Context, s *takeable, key origin.Key) streamEnd {
 	if s == nil {
 		return notRelayed
@@ -225,7 +225,7 @@
 	select {
 	case <-s.ended:
 	case <-ctx.Done():
-		f.log.Warn().Err(ctx.Err()).Msg("the request of a stream that was taken up has not ended")
+		f.log.Warn().Err(ctx.Err()).Msg("the earlier request of a resumed stream did not end in time")
 		return
 	}
 	if s.hop != "" {
@@ -275,7 +275,7 @@
 const maxTakeUpAge = time.Hour
 
 var (
-	// errStreamNotEnded means that another host did not say that it has ended a stream.
+	// errStreamNotEnded means that another host did not confirm the end of a stream.
 	errStreamNotEnded = errors.New("the other host did not end the stream")
 	// errOutdatedTakeUp means that a later request of the caller has resumed the stream.
 	errOutdatedTakeUp = errors.New("a later request has resumed the stream")
--- a/pkg/forward/takeup.go
+++ b/pkg/forward/takeup.go
@@ -18,9 +18,9 @@
 // streams up that began at other hosts. It must be called before the first request.
 func (f *Forwarder) UseOrigins(directory *origin.Directory) { f.origins = directory }
 
-// OriginLog keeps where streams began beyond the end of all hosts.
+// OriginLog saves where streams began, so that it is known after all hosts have ended.
 type OriginLog interface {
-	// Add adds a stream of a route, which may be taken up during its life.
+	// Add adds a stream of a route, which its caller may resume during its life.
 	Add(key origin.Key, route string, source origin.Source, life time.Duration)
 	// Remove removes a stream that is complete.
 	Remove(key origin.Key)
@@ -135,8 +135,8 @@
 	}
 }
 
-// originKeys returns the keys by which the caller may take the stream up: it names the first attempt again if it
-// takes the stream up once more.
+// originKeys returns the keys by which the caller may resume the stream: it names the first attempt again if it
+// resumes the stream once more.
 func (c *call) originKeys() []origin.Key {
 	keys := []origin.Key{origin.KeyOf(c.teamName(), c.meta.ID)}
 	if c.meta.Resumes != "" {
--- a/pkg/origin/directory.go
+++ b/pkg/origin/directory.go
@@ -68,8 +68,8 @@
 	return &Directory{self: self, peers: peers, sender: sender, clock: clock, table: newTable(), searches: map[Key][]chan answer{}}
 }
 
-// Record records where a stream that this host relays began, here and at other hosts. age is the age of the request by
-// which it does, life how long the record is needed.
+// Record records where a stream that this host relays began, here and at other hosts. age is the age of the request that
+// it relays, life how long the record is needed.
 func (d *Directory) Record(key Key, source Source, age, life time.Duration) {
 	now := d.clock()
 	d.table.merge(Record{Key: key, Source: source, Life: life, Host: d.self, HostAge: age}, now)
--- a/pkg/originlog/find.go
+++ b/pkg/originlog/find.go
@@ -18,7 +18,7 @@
 func (l *Log) Find(ctx context.Context, key origin.Key, route string) (source origin.Source, ok bool) {
 	source, r := l.find(ctx, key, route)
 	l.metrics.searches.WithLabelValues(r.String()).Inc()
-	return source, r == named || r == onlyPlace
+	return source, r == named || r == onlySource
 }
 
 // result is the result of a search.
@@ -26,9 +26,9 @@
 
 // The results.
 const (
-	// named means that a row names the stream, onlyPlace that its route had one place.
+	// named means that a row names the stream, onlySource that its route had one source.
 	named result = iota
-	onlyPlace
+	onlySource
 	// ambiguous means that the rows give several sources, noRow that none gives any, badRow that one could not be
 	// decoded, and noAnswer that the store did not answer.
 	ambiguous
@@ -39,7 +39,7 @@
 
 // String returns the label of the result in counters.
 func (r result) String() string {
-	return [...]string{"named", "only-place", "ambiguous", "no-row", "bad-row", "no-answer"}[r]
+	return [...]string{"named", "only-source", "ambiguous", "no-row", "bad-row", "no-answer"}[r]
 }
 
 func (l *Log) find(ctx context.Context, key origin.Key, route string) (origin.Source, result) {
@@ -54,10 +54,10 @@
 	for _, r := range read.rows {
 		for _, s := range r.Streams {
 			if origin.Key(s.Key) == key && storeNow < fromMS(s.UntilMS) {
-				begun = append(begun, r.Places[s.Place].source())
+				begun = append(begun, r.Sources[s.Source].source())
 			}
 		}
-		for _, p := range r.Places {
+		for _, p := range r.Sources {
 			if p.Route == route && storeNow-fromMS(p.LastMS) <= retention {
 				possible = append(possible, p.source())
 			}
@@ -71,8 +71,8 @@
 	case len(possible) == 0:
 		return origin.Source{}, noRow
 	default:
-		// Hosts may have ended before they wrote of their latest places.
-		return only(append(possible, l.places()[route]...), onlyPlace)
+		// Hosts may have ended before they wrote their latest sources.
+		return only(append(possible, l.sources()[route]...), onlySource)
 	}
 }
 
@@ -103,14 +103,14 @@
 	for after := ""; ; {
 		page, err := l.writer.Store().List(ctx, Table+"/", after, pageSize)
 		if err != nil {
-			l.log.Warn().Err(err).Msg("failed to read where streams began from the store")
+			l.log.Warn().Err(err).Msg("failed to read the rows of stream origins")
 			return snapshot{isFailed: true}
 		}
 		for _, stored := range page {
 			r, err := decode(stored.Value)
 			if err != nil {
 				l.metrics.badRows.Inc()
-				l.log.Error().Err(err).Str("row", stored.Key).Msg("failed to decode where streams began")
+				l.log.Error().Err(err).Str("row", stored.Key).Msg("failed to decode a row of stream origins")
 				read.isPartial = true
 				continue
 			}
--- a/pkg/originlog/originlog.go
+++ b/pkg/originlog/originlog.go
@@ -1,11 +1,10 @@
-// Package originlog saves where streams began to the store, so that callers can take them up after all hosts
-// have ended at once. Each host that relays streams has a row. It names the places where streams of each route
-// may begin: services with the releases of their endpoints. While a route has one place, that is the
-// origin of all its streams, and nothing is written for a stream. While it has several, the row also names the
-// streams themselves.
+// Package originlog saves where streams began to the store, so that callers can resume them after all hosts
+// have ended at once. Each host that relays streams has a row. It names the sources of each route: services, with the
+// releases of their endpoints, at which its streams may begin. While a route has one source, all its streams
+// began there, and nothing is written for a stream. While it has several, the row also names the streams.
 //
-// A stream that no row names is only continued if its route had one place by all rows. A row that is lost or late
-// means that an origin is not known.
+// A stream that no row names is only continued if its route had one source by all rows. A row that is lost or late
+// means that an origin is unknown.
 package originlog
 
 import (
@@ -25,15 +24,15 @@
 
 // Timing of a log.
 const (
-	// retention is how long after its last sight a place counts, and how long a row does after it was
-	// written. Streams are taken up sooner.
+	// retention is how long a source counts after it was last seen, and a row after it was written. Callers
+	// resume streams sooner.
 	retention = time.Minute
 	// minInterval is the least time between two writes of a host. Streams that began within it are lost if all
 	// hosts end. With many hosts the interval is longer: intervalPerHost for each of them.
 	minInterval     = 200 * time.Millisecond
 	intervalPerHost = 10 * time.Millisecond
-	// placeInterval is the time between two checks for new places, which are written at once.
-	placeInterval = 100 * time.Millisecond
+	// sourceInterval is the time between two checks for new sources, which are written at once.
+	sourceInterval = 100 * time.Millisecond
 	// refreshInterval is the time after which a row is written again if nothing has changed, while streams run.
 	refreshInterval = retention / 3
 	writeTimeout    = 2 * time.Second
@@ -50,8 +49,8 @@
 	pageSize = 500
 )
 
-// Places returns where streams of each route may begin now, by the name of the route.
-type Places func() map[string][]origin.Source
+// Sources returns where streams of each route may begin now, by the name of the route.
+type Sources func() map[string][]origin.Source
 
 // Clock is the clock of the store.
 type Clock interface {
@@ -59,24 +58,24 @@
 	StoreTime() (time.Duration, bool)
 }
 
-// routePlace is a place of a route.
-type routePlace struct {
+// routeSource is a source of a route.
+type routeSource struct {
 	route  string
 	source origin.Source
 }
 
 // begun is a stream that began at this host.
 type begun struct {
-	place routePlace
-	until time.Time
+	begunAt routeSource
+	until   time.Time
 }
 
 // Log is the log of one host. It is safe for concurrent use.
 type Log struct {
-	node   string
-	writer *table.Writer
-	clock  Clock
-	places Places
+	node    string
+	writer  *table.Writer
+	clock   Clock
+	sources Sources
 	// hosts returns the number of hosts that relay streams.
 	hosts    func() int
 	storeEra func() int64
@@ -84,10 +83,10 @@
 	log      *log.Logger
 
 	mu sync.Mutex
-	// streams are those that began here, seen is when each place was last there. Both have what the previous
+	// streams are those that began here, seen is when each source was last there. Both have what the previous
 	// process of this host had written, once isLoaded is set; nothing is written before.
 	streams  map[origin.Key]begun
-	seen     map[routePlace]time.Time
+	seen     map[routeSource]time.Time
 	isLoaded bool
 	// hasNew is set if streams have begun since the last write, addedAt is when the latest one did.
 	hasNew  bool
@@ -99,35 +98,35 @@
 	readAt time.Time
 
 	// The rest is used by Run only. version is that of this host's row as last known, 0 for none; written are the
-	// places that it names.
+	// sources that it names.
 	version   int64
-	written   map[routePlace]bool
+	written   map[routeSource]bool
 	writtenAt time.Time
 	era       int64
 }
 
 // New returns a log. node is the name of this host.
-func New(node string, writer *table.Writer, clock Clock, places Places, hosts func() int, storeEra func() int64, registry prometheus.Registerer, logger *log.Logger) *Log {
+func New(node string, writer *table.Writer, clock Clock, sources Sources, hosts func() int, storeEra func() int64, registry prometheus.Registerer, logger *log.Logger) *Log {
 	return &Log{
-		node: node, writer: writer, clock: clock, places: places, hosts: hosts, storeEra: storeEra, metrics: newMetrics(registry), log: logger,
-		streams: map[origin.Key]begun{}, seen: map[routePlace]time.Time{}, written: map[routePlace]bool{},
+		node: node, writer: writer, clock: clock, sources: sources, hosts: hosts, storeEra: storeEra, metrics: newMetrics(registry), log: logger,
+		streams: map[origin.Key]begun{}, seen: map[routeSource]time.Time{}, written: map[routeSource]bool{},
 	}
 }
 
-// Add adds a stream that began. life is how long it may be taken up.
+// Add adds a stream that began. life is how long its caller may resume it.
 func (l *Log) Add(key origin.Key, route string, source origin.Source, life time.Duration) {
 	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	place := routePlace{route, source}
-	l.seen[place], l.addedAt = now, now
+	begunAt := routeSource{route, source}
+	l.seen[begunAt], l.addedAt = now, now
 	if len(l.streams) < maxTracked {
-		l.streams[key] = begun{place, now.Add(life)}
+		l.streams[key] = begun{begunAt, now.Add(life)}
 		l.hasNew = true
 	}
 }
 
-// Remove removes a stream that has ended and is not taken up.
+// Remove removes a stream that is complete.
 func (l *Log) Remove(key origin.Key) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -136,7 +135,7 @@
 
 // Run writes this host's row until ctx ends.
 func (l *Log) Run(ctx context.Context) {
-	for pause.For(ctx, placeInterval) {
+	for pause.For(ctx, sourceInterval) {
 		if !l.step(ctx) {
 			pause.For(ctx, retryInterval)
 		}
@@ -153,16 +152,16 @@
 		return l.loadOwn(ctx)
 	}
 	now := l.clock.Now()
-	places := l.currentPlaces(now)
+	sources := l.currentSources(now)
 	isRestored := l.storeEra() > l.era
-	isNewPlace := slices.ContainsFunc(places, func(p routePlace) bool { return !l.written[p] })
+	isNewSource := slices.ContainsFunc(sources, func(p routeSource) bool { return !l.written[p] })
 	interval := max(minInterval, time.Duration(l.hosts())*intervalPerHost)
 	age := now.Sub(l.writtenAt)
-	if !isNewPlace && !isRestored && age < refreshInterval && (age < interval || !l.hasNewAmbiguous(places)) {
+	if !isNewSource && !isRestored && age < refreshInterval && (age < interval || !l.hasNewAmbiguous(sources)) {
 		return true
 	}
 	l.era = l.storeEra()
-	return l.write(ctx, places, now, storeNow)
+	return l.write(ctx, sources, now, storeNow)
 }
 
 // relaysStreams reports whether a stream has begun at this host recently.
@@ -172,31 +171,31 @@
 	return !l.addedAt.IsZero() && l.clock.Now().Sub(l.addedAt) < retention
 }
 
-// currentPlaces notes the places there are now, and returns those of the last retention.
-func (l *Log) currentPlaces(now time.Time) []routePlace {
+// currentSources notes the sources there are now, and returns those of the last retention.
+func (l *Log) currentSources(now time.Time) []routeSource {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for route, sources := range l.places() {
+	for route, sources := range l.sources() {
 		for _, s := range sources {
-			l.seen[routePlace{route, s}] = now
+			l.seen[routeSource{route, s}] = now
 		}
 	}
-	maps.DeleteFunc(l.seen, func(_ routePlace, at time.Time) bool { return now.Sub(at) > retention })
+	maps.DeleteFunc(l.seen, func(_ routeSource, at time.Time) bool { return now.Sub(at) > retention })
 	maps.DeleteFunc(l.streams, func(_ origin.Key, s begun) bool { return now.After(s.until) })
 	return slices.Collect(maps.Keys(l.seen))
 }
 
-// hasNewAmbiguous reports whether streams have begun since the last write whose routes have several places.
-func (l *Log) hasNewAmbiguous(places []routePlace) bool {
+// hasNewAmbiguous reports whether streams have begun since the last write whose routes have several sources.
+func (l *Log) hasNewAmbiguous(sources []routeSource) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.hasNew && len(ambiguousRoutes(places)) > 0
+	return l.hasNew && len(ambiguousRoutes(sources)) > 0
 }
 
-// ambiguousRoutes returns the routes with several places.
-func ambiguousRoutes(places []routePlace) map[string]bool {
+// ambiguousRoutes returns the routes with several sources.
+func ambiguousRoutes(sources []routeSource) map[string]bool {
 	count, ambiguous := map[string]int{}, map[string]bool{}
-	for _, p := range places {
+	for _, p := range sources {
 		if count[p.route]++; count[p.route] > 1 {
 			ambiguous[p.route] = true
 		}
@@ -204,10 +203,10 @@
 	return ambiguous
 }
 
-func (l *Log) write(ctx context.Context, places []routePlace, now time.Time, storeNow time.Duration) (done bool) {
-	value, err := encode(l.row(places, now, storeNow))
+func (l *Log) write(ctx context.Context, sources []routeSource, now time.Time, storeNow time.Duration) (done bool) {
+	value, err := encode(l.row(sources, now, storeNow))
 	if err != nil {
-		l.log.Error().Err(err).Msg("failed to encode where streams began")
+		l.log.Error().Err(err).Msg("failed to encode this host's row of stream origins")
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
@@ -221,17 +220,17 @@
 	case table.Committed:
 		l.metrics.writes.WithLabelValues("committed").Inc()
 		l.version, l.writtenAt = o.Version, now
-		l.written = map[routePlace]bool{}
-		for _, p := range places {
+		l.written = map[routeSource]bool{}
+		for _, p := range sources {
 			l.written[p] = true
 		}
 		return true
 	case table.Refused:
 		l.metrics.writes.WithLabelValues("refused").Inc()
-		l.log.Warn().Err(o.Err).Int("conflicts", len(o.Conflicts)).Msg("the store refused where streams began")
+		l.log.Warn().Err(o.Err).Int("conflicts", len(o.Conflicts)).Msg("the store refused this host's row of stream origins")
 	case table.Unknown:
 		l.metrics.writes.WithLabelValues("unknown").Inc()
-		l.log.Warn().Err(o.Err).Msg("failed to save where streams began")
+		l.log.Warn().Err(o.Err).Msg("failed to write this host's row of stream origins")
 	}
 	l.setNew()
 	return l.readVersion(ctx)
@@ -257,19 +256,19 @@
 }
 
 // row returns the row to write.
-func (l *Log) row(places []routePlace, now time.Time, storeNow time.Duration) row {
+func (l *Log) row(sources []routeSource, now time.Time, storeNow time.Duration) row {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.hasNew = false
-	r, index := row{WrittenMS: toMS(storeNow)}, map[routePlace]uint16{}
-	for _, p := range places {
-		index[p] = uint16(len(r.Places))
-		r.Places = append(r.Places, place{Route: p.route, Service: p.source.Service, Release: p.source.Release, LastMS: toMS(storeNow - now.Sub(l.seen[p]))})
+	r, index := row{WrittenMS: toMS(storeNow)}, map[routeSource]uint16{}
+	for _, p := range sources {
+		index[p] = uint16(len(r.Sources))
+		r.Sources = append(r.Sources, rowSource{Route: p.route, Service: p.source.Service, Release: p.source.Release, LastMS: toMS(storeNow - now.Sub(l.seen[p]))})
 	}
-	ambiguous := ambiguousRoutes(places)
+	ambiguous := ambiguousRoutes(sources)
 	for key, s := range l.streams {
-		if i, ok := index[s.place]; ok && ambiguous[s.place.route] {
-			r.Streams = append(r.Streams, stream{Key: key[:], Place: i, UntilMS: toMS(storeNow + s.until.Sub(now))})
+		if i, ok := index[s.begunAt]; ok && ambiguous[s.begunAt.route] {
+			r.Streams = append(r.Streams, stream{Key: key[:], Source: i, UntilMS: toMS(storeNow + s.until.Sub(now))})
 		}
 	}
 	if len(r.Streams) > maxStreams {
@@ -293,7 +292,7 @@
 		l.version = stored.Version
 		if r, err = decode(stored.Value); err != nil {
 			l.metrics.badRows.Inc()
-			l.log.Error().Err(err).Str("row", stored.Key).Msg("failed to decode where streams began")
+			l.log.Error().Err(err).Str("row", stored.Key).Msg("failed to decode this host's row of stream origins")
 		}
 	}
 	l.mu.Lock()
@@ -301,15 +300,15 @@
 	l.isLoaded = true
 	now := l.clock.Now()
 	local := func(ms int64) time.Time { return now.Add(fromMS(ms) - storeNow) }
-	for _, p := range r.Places {
-		place := routePlace{p.Route, p.source()}
-		if at := local(p.LastMS); at.After(l.seen[place]) && !at.After(now) {
-			l.seen[place] = at
+	for _, p := range r.Sources {
+		known := routeSource{p.Route, p.source()}
+		if at := local(p.LastMS); at.After(l.seen[known]) && !at.After(now) {
+			l.seen[known] = at
 		}
 	}
 	for _, s := range r.Streams {
 		if key := origin.Key(s.Key); l.streams[key].until.IsZero() {
-			l.streams[key] = begun{routePlace{r.Places[s.Place].Route, r.Places[s.Place].source()}, local(s.UntilMS)}
+			l.streams[key] = begun{routeSource{r.Sources[s.Source].Route, r.Sources[s.Source].source()}, local(s.UntilMS)}
 		}
 	}
 	return true
--- a/pkg/originlog/originlog_test.go
+++ b/pkg/originlog/originlog_test.go
@@ -30,25 +30,25 @@
 
 var key, other = origin.KeyOf("team", "attempt"), origin.KeyOf("team", "other")
 
-// fleet is a store and the logs of hosts, which know the same places.
+// fleet is a store and the logs of hosts, which know the same sources.
 type fleet struct {
-	t      *testing.T
-	store  *tables.Store
-	clock  clock
-	places map[string][]origin.Source
-	boots  int
+	t       *testing.T
+	store   *tables.Store
+	clock   clock
+	sources map[string][]origin.Source
+	boots   int
 }
 
-func newFleet(t *testing.T, places ...origin.Source) *fleet {
+func newFleet(t *testing.T, sources ...origin.Source) *fleet {
 	t.Helper()
-	return &fleet{t: t, store: tables.New(), clock: clock{time.Now()}, places: at(places...)}
+	return &fleet{t: t, store: tables.New(), clock: clock{time.Now()}, sources: at(sources...)}
 }
 
 // start starts a host, or starts it again without what it knew. It runs until stop is called.
 func (f *fleet) start(node string) (l *originlog.Log, stop func()) {
 	f.boots++
 	writer := table.NewWriter(f.store, node+"."+string(rune('a'+f.boots)))
-	l = originlog.New(node, writer, f.clock, func() map[string][]origin.Source { return f.places }, func() int { return 1 }, func() int64 { return 0 }, prometheus.NewRegistry(),
+	l = originlog.New(node, writer, f.clock, func() map[string][]origin.Source { return f.sources }, func() int { return 1 }, func() int64 { return 0 }, prometheus.NewRegistry(),
 		&log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -109,9 +109,9 @@
 func TestOriginThatIsNotCertainIsUnknown(t *testing.T) {
 	t.Parallel()
 	for name, change := range map[string]func(f *fleet){
-		"another release now":    func(f *fleet) { f.places = at(v("v1"), v("v2")) },
+		"another release now":    func(f *fleet) { f.sources = at(v("v1"), v("v2")) },
 		"another release before": func(f *fleet) { f.addAt("b", other, v("v0")) },
-		"only another release":   func(f *fleet) { f.places = at(v("v2")) },
+		"only another release":   func(f *fleet) { f.sources = at(v("v2")) },
 		"row that cannot be read": func(f *fleet) {
 			f.store.Commit(context.Background(), table.Commit{Writes: []table.Write{{Key: originlog.Table + "/bad", Value: []byte("bad"), If: table.Absent{}}}})
 		},
--- a/pkg/originlog/row.go
+++ b/pkg/originlog/row.go
@@ -17,13 +17,13 @@
 
 // row is the stored form of what one host knows. Its times are of the store's steady clock.
 type row struct {
-	WrittenMS int64    `cbor:"1,keyasint"`
-	Places    []place  `cbor:"2,keyasint,omitempty"`
-	Streams   []stream `cbor:"3,keyasint,omitempty"`
+	WrittenMS int64       `cbor:"1,keyasint"`
+	Sources   []rowSource `cbor:"2,keyasint,omitempty"`
+	Streams   []stream    `cbor:"3,keyasint,omitempty"`
 }
 
-// place is where streams of a route may have begun, last at LastMS.
-type place struct {
+// rowSource is a source of a route, last seen at LastMS.
+type rowSource struct {
 	_       struct{} `cbor:",toarray"`
 	Route   string
 	Service string
@@ -31,11 +31,11 @@
 	LastMS  int64
 }
 
-// stream is a stream that began at the source of Places[Place].
+// stream is a stream that began at the source of Sources[Source].
 type stream struct {
-	_     struct{} `cbor:",toarray"`
-	Key   []byte
-	Place uint16
+	_      struct{} `cbor:",toarray"`
+	Key    []byte
+	Source uint16
 	// UntilMS is when the record expires.
 	UntilMS int64
 }
@@ -55,20 +55,22 @@
 	if r.WrittenMS < 0 || r.WrittenMS > maxMS {
 		return row{}, fmt.Errorf("time out of range: %d ms", r.WrittenMS)
 	}
-	for _, p := range r.Places {
+	for _, p := range r.Sources {
 		if p.LastMS < 0 || p.LastMS > maxMS {
-			return row{}, fmt.Errorf("time of a place out of range: %d ms", p.LastMS)
+			return row{}, fmt.Errorf("time of a source out of range: %d ms", p.LastMS)
 		}
 	}
 	for _, s := range r.Streams {
-		if len(s.Key) != len(origin.Key{}) || int(s.Place) >= len(r.Places) || s.UntilMS < 0 || s.UntilMS > maxMS {
-			return row{}, fmt.Errorf("stream with a key of %d bytes at place %d of %d", len(s.Key), s.Place, len(r.Places))
+		if len(s.Key) != len(origin.Key{}) || int(s.Source) >= len(r.Sources) || s.UntilMS < 0 || s.UntilMS > maxMS {
+			return row{}, fmt.Errorf("stream with a key of %d bytes at source %d of %d", len(s.Key), s.Source, len(r.Sources))
 		}
 	}
 	return r, nil
 }
 
-func (p place) source() origin.Source { return origin.Source{Service: p.Service, Release: p.Release} }
+func (p rowSource) source() origin.Source {
+	return origin.Source{Service: p.Service, Release: p.Release}
+}
 
 func toMS(d time.Duration) int64 { return max(d.Milliseconds(), 0) }
 
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -58,13 +58,13 @@
 	// no limit. A request that must not be repeated needs one, as the endpoint may be closing
 	// a connection that was idle for long.
 	MaxIdle time.Duration
-	// Avoid are the connections that earlier attempts of the request used. An endpoint may repeat a
-	// response, and over these connections that has the ID of this attempt too.
+	// Avoid are the connections that earlier attempts of the request used. A response that an endpoint
+	// repeats there has the ID of this attempt too.
 	Avoid []ConnectionID
 	// DialContext, if it is not nil, also ends the opening of a connection, after which the outcome is
 	// NotSent.
 	DialContext context.Context
-	// OnConnected, if it is not nil, is called before the request is sent over its connection.
+	// OnConnected, if it is not nil, is called when the request has a connection, before it is sent.
 	OnConnected func()
 }
 
