node: name the requests that the end of a stopping process cuts

The users' record of requests cut around SIGTERM has no line that names one: the line of a request is written when it ends, and the process ends first. The one warning there was came from http.Server.Shutdown, which returns an error whenever a connection is open when its context ends, whether a request runs or not.

The forwarder keeps the set of the requests that were read and have no complete response. A stopping process logs how many there are when it begins to close idle connections, and at its end a line for each plain request that is cut, with its endpoint, its age and the time since SIGTERM, and the number of streams.

No change of behaviour.

--- a/pkg/app/node/lifecycle.go
+++ b/pkg/app/node/lifecycle.go
@@ -6,6 +6,7 @@
 
 	"ironhollow/pkg/boottime"
 	"ironhollow/pkg/forward"
+	"ironhollow/pkg/routetable"
 	"ironhollow/pkg/storeclock"
 )
 
@@ -41,6 +42,22 @@
 	}
 }
 
+// logUnfinished names the requests that the end of the process cuts.
+func (n *node) logUnfinished(after time.Duration) {
+	streams := 0
+	for _, r := range n.forwarder.InProgress() {
+		if r.Kind == routetable.Stream {
+			streams++
+			continue
+		}
+		n.log.Warn().Str("request", r.ID).Str("service", r.Service).Stringer("kind", r.Kind).Str("endpoint", r.Endpoint).Dur("age", r.Age).Dur("after", after).
+			Msg("request cut by the end of the process")
+	}
+	if streams > 0 {
+		n.log.Warn().Int("streams", streams).Dur("after", after).Msg("streams cut by the end of the process")
+	}
+}
+
 // suspendLog is the total suspended time of the machine when it was last logged. Only one goroutine
 // uses it.
 type suspendLog struct{ logged time.Duration }
--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -215,13 +215,15 @@
 	pause.For(background, n.settings.GracePeriod-stopMargin-closeTimeout-time.Since(started))
 	closeCtx, cancelClose := context.WithTimeout(background, closeTimeout)
 	defer cancelClose()
+	n.log.Info().Dur("after", time.Since(started)).Int("requests", len(n.forwarder.InProgress())).Msg("closing idle connections")
 	n.detours.AwaitIdle(closeCtx)
 	for _, s := range servers {
 		if err := s.Shutdown(closeCtx); err != nil {
-			n.log.Warn().Err(err).Msg("requests were still running at the end of the grace period")
+			n.log.Warn().Err(err).Msg("connections were still open at the end of the grace period")
 		}
 	}
-	n.log.Info().Msg("stopped")
+	n.logUnfinished(time.Since(started))
+	n.log.Info().Dur("after", time.Since(started)).Msg("stopped")
 	if async, ok := n.log.Writer.(io.Closer); ok {
 		_ = async.Close()
 	}
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -93,6 +93,7 @@
 	c.notice = endpoint.Notice{}
 	c.connection, c.connectionRequests = 0, 0
 	ctx, request.DialContext = c.untilCut(ctx)
+	c.f.progress.sentTo(c, choice.Endpoint.ID)
 	outcome := c.f.pool.Send(ctx, choice.Endpoint.Address, c.connectionLimit(), request)
 	switch o := outcome.(type) {
 	case upstream.NotSent:
--- a/pkg/forward/detour.go
+++ b/pkg/forward/detour.go
@@ -198,6 +198,7 @@
 	request := upstream.Request{
 		Method: c.incoming.Method, Target: c.incoming.RequestURI, Host: c.incoming.Host, Header: h, Body: c.body, HasBody: c.hasBody, MaxIdle: c.maxIdle(),
 	}
+	c.f.progress.sentTo(c, "host "+host)
 	switch o := c.f.detours.pool.Send(ctx, host, 0, request).(type) {
 	case upstream.NotSent:
 		return notRun{err: fmt.Errorf("host %s: %w", host, o.Err)}, 0
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -75,6 +75,7 @@
 	takeables *takeables
 	// slotQueues holds the requests that wait for slots of fragile endpoints.
 	slotQueues *slotQueues
+	progress   *progress
 }
 
 // MoveStreams makes a mover move the streams that the forwarder relays. It must be called before the
@@ -103,7 +104,7 @@
 	queues := newSlotQueues()
 	router.OnRelease(queues.wakeNext)
 	return &Forwarder{
-		slotQueues: queues, takeables: newTakeables(),
+		slotQueues: queues, takeables: newTakeables(), progress: newProgress(),
 		protocol: protocol, tables: tables, router: router, limits: limits, budget: budget, pool: pool,
 		runCounter: runs, fleet: fleet, rollouts: rollouts, crashes: watch, notices: notices, phase: phase, clock: clock, metrics: metrics, log: logger, logLimit: newLogLimiter(clock()), links: soundLinks{},
 		origins: origin.New("", func() []origin.Peer { return nil }, nil, clock),
@@ -211,6 +212,7 @@
 	if phase := f.phase(); phase == Draining || phase == Stopping {
 		w.Header().Set("Connection", "close")
 	}
+	defer f.progress.remove(c)
 	err := c.serve()
 	c.endTakeable(err)
 	c.forgetOrigin(err)
@@ -278,6 +280,7 @@
 	if err = c.readBody(); err != nil {
 		return c.reject(err, 0)
 	}
+	c.f.progress.add(c)
 	if remaining, err := c.checkQuarantine(); err != nil {
 		return c.reject(err, remaining)
 	}
