--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -103,6 +103,8 @@
 	unreachable []window
 	// stopped is true once no more endpoints may be started.
 	stopped bool
+	// plainVersion is the version of the endpoints of the plain service.
+	plainVersion standin.Version
 	// streamVersions are the versions of the endpoints of the stream service.
 	streamVersions []string
 	// separateLinks is set if each host reaches endpoints over links of its own, node.links.
@@ -148,7 +150,7 @@
 	return &run{
 		options: o, random: rand.New(rand.NewPCG(o.Seed, 0)), store: standin.NewStore(), cloud: standin.NewCloud(),
 		requestLog: standin.NewRequestLog(), report: newReport(), configVersion: 1, started: time.Now(),
-		streamVersions: slices.Repeat([]string{initialVersion}, streamEndpoints),
+		plainVersion: standin.Version{Name: initialVersion}, streamVersions: slices.Repeat([]string{initialVersion}, streamEndpoints),
 	}
 }
 
@@ -233,9 +235,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.endpointsStarted++
-	service, version := standin.PlainService, initialVersion
+	service, version := standin.PlainService, r.plainVersion
 	if i >= plainEndpoints {
-		service, version = standin.StreamService, r.streamVersions[i-plainEndpoints]
+		service, version = standin.StreamService, standin.Version{Name: r.streamVersions[i-plainEndpoints]}
 	}
 	for try := 1; ; try++ {
 		// Outgoing connections cannot take the port while the endpoint is restarted.
@@ -243,7 +245,7 @@
 		if err != nil {
 			return err
 		}
-		err = r.startEndpointAt(i, service, standin.Version{Name: version}, address)
+		err = r.startEndpointAt(i, service, version, address)
 		if !errors.Is(err, syscall.EADDRINUSE) || try == maxLinkAttempts {
 			return err
 		}
