forward, node: a stopping process answers the requests that it has accepted

Cause: nothing that accepts a request or gives it a time limit knew when the process ends. Plain requests were accepted until 0.7 s before the end of the grace period, and what still ran 0.3 s before it was cut by the end of the process. A request needs more than 0.4 s for that: a slow or stalled endpoint, or a queue.

Now the lifecycle knows the time until which requests can run. What runs 0.15 s before the process ends is answered: as not run if it was sent to no endpoint, with an unknown outcome (502) otherwise; streams break off as before. A host that forwards a request to one that ends gets the same answers, and sends it elsewhere if it may. Idle connections are closed while requests end, not after them.

--- a/pkg/app/node/listen.go
+++ b/pkg/app/node/listen.go
@@ -33,12 +33,18 @@
 	maxPeerHeaderBytes = maxHeaderBytes + 4<<10
 )
 
+// servers are the servers to shut down at the end of the process.
+type servers struct{ callers, peers *http.Server }
+
 // listen starts the servers of all ports. It returns those to shut down at the end.
-func (n *node) listen(faults chan<- error) ([]*http.Server, error) {
+func (n *node) listen(faults chan<- error) (servers, error) {
 	callers := &http.Server{
 		Handler: n.forwarder, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnContext: httpx.WithCallerConn,
 	}
+	peers := &http.Server{
+		Handler: n.peersHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxPeerHeaderBytes, ConnContext: httpx.WithCallerConn,
+	}
 	ports := []struct {
 		name, address string
 		server        *http.Server
@@ -46,30 +52,24 @@
 		{"callers", n.settings.CallerAddress, callers},
 		{"ready", n.settings.ReadyAddress, &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}},
 		{"directory", n.settings.DirectoryAddress, &http.Server{Handler: n.directoryHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}},
-		{"peers", n.settings.PeerAddress, &http.Server{
-			Handler: n.peersHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxPeerHeaderBytes, ConnContext: httpx.WithCallerConn,
-		}},
+		{"peers", n.settings.PeerAddress, peers},
 		{"metrics", n.settings.AdminAddress, &http.Server{Handler: process.AdminMux(n.registry, n.checkReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}},
 	}
 	config := net.ListenConfig{
 		Control:         upstream.ControlUserTimeout(unackedTimeout),
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3},
 	}
-	var servers []*http.Server
 	for _, p := range ports {
 		if p.address == "" {
 			continue
 		}
 		listener, err := config.Listen(context.Background(), "tcp", p.address)
 		if err != nil {
-			return nil, fmt.Errorf("port of %s: %w", p.name, err)
+			return servers{}, fmt.Errorf("port of %s: %w", p.name, err)
 		}
 		process.Serve(p.server, listener, faults)
-		if p.server == callers {
-			servers = append(servers, p.server)
-		}
 	}
-	return servers, nil
+	return servers{callers, peers}, nil
 }
 
 func (n *node) readyHandler() http.Handler {
--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -51,8 +51,12 @@
 	// stopMargin is the part of the grace period that is not used: the process must have exited
 	// before the period ends.
 	stopMargin = 300 * time.Millisecond
-	// closeTimeout bounds the time for closing idle connections at the end.
+	// closeTimeout is the time at the end of a shutdown in which no request is accepted and idle connections are closed.
+	// Requests in progress are ended answerTime before its end.
 	closeTimeout = 400 * time.Millisecond
+	answerTime   = 150 * time.Millisecond
+	// peersCloseTimeout bounds the wait for responses to other hosts that are being written at the end.
+	peersCloseTimeout = 30 * time.Millisecond
 	// maxPendingFaults is how many faults of the ports and the watchdog can be pending.
 	maxPendingFaults = 8
 	// sweepInterval is the time between searches for connections that have been idle for too long.
@@ -205,29 +209,38 @@
 		stopDuties()
 		return err
 	}
-	started := time.Now()
-	n.lifecycle.startLeaving()
-	n.log.Info().Dur("grace", n.settings.GracePeriod).Msg("stopping")
 	stopDuties()
+	n.shutDown(background, servers)
+	if async, ok := n.log.Writer.(io.Closer); ok {
+		_ = async.Close()
+	}
+	return nil
+}
+
+// shutDown lets callers leave for other hosts until the grace period is nearly over, and then ends the requests in
+// progress.
+func (n *node) shutDown(background context.Context, servers servers) {
+	started := time.Now()
+	total := max(n.settings.GracePeriod-stopMargin, closeTimeout)
+	n.lifecycle.startLeaving(total - answerTime)
+	n.log.Info().Dur("grace", n.settings.GracePeriod).Int("requests", len(n.forwarder.InProgress())).Msg("stopping")
 	if n.writesRow() {
 		go n.writeRow(background)
 	}
-	pause.For(background, n.settings.GracePeriod-stopMargin-closeTimeout-time.Since(started))
-	closeCtx, cancelClose := context.WithTimeout(background, closeTimeout)
+	pause.For(background, total-closeTimeout-time.Since(started))
+	closeCtx, cancelClose := context.WithDeadline(background, started.Add(total))
 	defer cancelClose()
 	n.log.Info().Dur("after", time.Since(started)).Int("requests", len(n.forwarder.InProgress())).Msg("closing idle connections")
+	endRequests := time.AfterFunc(closeTimeout-answerTime, n.forwarder.EndRequests)
+	defer endRequests.Stop()
+	// Connections that are still open are closed by the end of the process.
+	callersErr := servers.callers.Shutdown(closeCtx)
 	n.detours.AwaitIdle(closeCtx)
-	for _, s := range servers {
-		if err := s.Shutdown(closeCtx); err != nil {
-			n.log.Warn().Err(err).Msg("connections were still open at the end of the grace period")
-		}
-	}
+	peersCtx, cancelPeers := context.WithTimeout(closeCtx, peersCloseTimeout)
+	defer cancelPeers()
+	peersErr := servers.peers.Shutdown(peersCtx)
 	n.logUnfinished(time.Since(started))
-	n.log.Info().Dur("after", time.Since(started)).Msg("stopped")
-	if async, ok := n.log.Writer.(io.Closer); ok {
-		_ = async.Close()
-	}
-	return nil
+	n.log.Info().Dur("after", time.Since(started)).AnErr("callers", callersErr).AnErr("peers", peersErr).Msg("stopped")
 }
 
 // Parameters of the first start of all hosts.
--- a/pkg/app/node/providers.go
+++ b/pkg/app/node/providers.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -250,20 +249,15 @@
 func newForwarder(platform Platform, view *storeview.View, location route.Location, router *route.Router, limiter *limit.CostLimiter, budget *retry.WindowBudget,
 	pool *upstream.Pool, links *reach.Monitor, detours *forward.Detours, origins *origin.Directory, originLog *originlog.Log, counter *usage.Counter, rollouts *rollout.Splitter, watch *quarantine.Watch, noticeTracker *notice.Tracker, lifecycle *lifecycle, known readiness, clock *storeclock.Clock, registry *prometheus.Registry, logger *log.Logger,
 ) *forward.Forwarder {
-	// Once the process is ready, it stays ready.
-	var ready atomic.Bool
-	phase := func() forward.Phase {
-		if !ready.Load() {
-			if !known() {
-				return forward.Starting
-			}
+	state := &forwarderLifecycle{lifecycle: lifecycle, isReady: func() bool {
+		if known() {
 			limiter.FleetRestarted(view.IdleBeforeStart())
-			ready.Store(true)
+			return true
 		}
-		return lifecycle.phase()
-	}
+		return false
+	}}
 	forwarder := forward.New(platform.Protocol(), view.RouteTables(), router, limiter, budget, pool, counter,
-		fleet{view.Roster(), location.Node}, rollouts, watch, noticeTracker, phase, clock.Now, forward.NewMetrics(registry), logger)
+		fleet{view.Roster(), location.Node}, rollouts, watch, noticeTracker, state, clock.Now, forward.NewMetrics(registry), logger)
 	forwarder.UseLinks(links)
 	forwarder.UseDetours(detours)
 	forwarder.UseOrigins(origins)
--- a/pkg/forward/detour.go
+++ b/pkg/forward/detour.go
@@ -323,7 +323,7 @@
 	taken, takenBytes := f.detours.taken.Add(1), f.detours.takenBytes.Add(length)
 	defer f.detours.taken.Add(-1)
 	defer f.detours.takenBytes.Add(-length)
-	phase := f.phase()
+	phase := f.lifecycle.Phase()
 	switch {
 	case err != nil:
 		c.detourError = code.New(code.BadHeader, "malformed detour: "+err.Error())
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -62,7 +62,7 @@
 	metrics    *Metrics
 	log        *log.Logger
 	logLimit   *logLimiter
-	phase      func() Phase
+	lifecycle  Lifecycle
 	// mover is nil if streams are never moved.
 	mover *Mover
 	// detours is nil if requests are never forwarded to other hosts.
@@ -82,6 +82,13 @@
 // first request.
 func (f *Forwarder) MoveStreams(mover *Mover) { f.mover = mover }
 
+// Lifecycle is the state of the process between its start and its end. It is safe for concurrent use.
+type Lifecycle interface {
+	Phase() Phase
+	// TimeLeft is how long requests can still run before the process ends. It is known during a shutdown only.
+	TimeLeft() (left time.Duration, known bool)
+}
+
 // Phase is the lifecycle phase of the process.
 type Phase int
 
@@ -91,7 +98,7 @@
 	Serving Phase = iota
 	// Draining serves requests and asks callers to close their connections.
 	Draining
-	// Stopping rejects streams, which would not be complete before the process exits.
+	// Stopping rejects streams, and other requests whose time limit is after the end of the process.
 	Stopping
 	// Starting lasts until the process has all that it needs to serve.
 	Starting
@@ -99,14 +106,14 @@
 
 // New returns a forwarder.
 func New(protocol Protocol, tables RouteTableSource, router *route.Router, limits *limit.CostLimiter, budget *retry.WindowBudget, pool *upstream.Pool,
-	runs RunCounter, fleet Fleet, rollouts *rollout.Splitter, watch *quarantine.Watch, notices *notice.Tracker, phase func() Phase, clock Clock, metrics *Metrics, logger *log.Logger,
+	runs RunCounter, fleet Fleet, rollouts *rollout.Splitter, watch *quarantine.Watch, notices *notice.Tracker, lifecycle Lifecycle, clock Clock, metrics *Metrics, logger *log.Logger,
 ) *Forwarder {
 	queues := newSlotQueues()
 	router.OnRelease(queues.wakeNext)
 	return &Forwarder{
 		slotQueues: queues, takeables: newTakeables(), progress: newProgress(),
 		protocol: protocol, tables: tables, router: router, limits: limits, budget: budget, pool: pool,
-		runCounter: runs, fleet: fleet, rollouts: rollouts, crashes: watch, notices: notices, phase: phase, clock: clock, metrics: metrics, log: logger, logLimit: newLogLimiter(clock()), links: soundLinks{},
+		runCounter: runs, fleet: fleet, rollouts: rollouts, crashes: watch, notices: notices, lifecycle: lifecycle, clock: clock, metrics: metrics, log: logger, logLimit: newLogLimiter(clock()), links: soundLinks{},
 		origins: origin.New("", func() []origin.Peer { return nil }, nil, clock),
 	}
 }
@@ -209,7 +216,7 @@
 func (f *Forwarder) answer(c *call) {
 	w := c.w
 	f.awaitReady(c.incoming.Context())
-	if phase := f.phase(); phase == Draining || phase == Stopping {
+	if phase := f.lifecycle.Phase(); phase == Draining || phase == Stopping {
 		w.Header().Set("Connection", "close")
 	}
 	defer f.progress.remove(c)
@@ -241,7 +248,7 @@
 
 // awaitReady waits until the process can serve, for startupWait at most.
 func (f *Forwarder) awaitReady(ctx context.Context) {
-	for waited := time.Duration(0); f.phase() == Starting && waited < startupWait; waited += startupPoll {
+	for waited := time.Duration(0); f.lifecycle.Phase() == Starting && waited < startupWait; waited += startupPoll {
 		if !pause.For(ctx, startupPoll) {
 			return
 		}
@@ -266,9 +273,6 @@
 	if err = c.authorize(); err != nil {
 		return c.reject(err, retryAfterShort)
 	}
-	if c.route.Kind == routetable.Stream && c.f.phase() == Stopping {
-		return c.reject(code.New(code.Stopping, "host is stopping and would cut the stream off"), retryAfterOtherHost)
-	}
 	c.deadline = time.Now().Add(c.route.Timeout)
 	if c.meta.HasTimeout {
 		c.deadline = time.Now().Add(min(c.route.Timeout, c.meta.Timeout))
@@ -277,19 +281,24 @@
 		c.deadline = time.Now().Add(min(c.route.Timeout, c.detour.remaining))
 		c.adoptDetour()
 	}
+	if c.f.lifecycle.Phase() == Stopping && c.mayOutlastProcess() {
+		return c.reject(code.New(code.Stopping, "host is stopping and would cut the request off"), retryAfterOtherHost)
+	}
 	if err = c.readBody(); err != nil {
 		return c.reject(err, 0)
 	}
-	c.f.progress.add(c)
+	ctx, cancel := context.WithDeadline(c.incoming.Context(), c.deadline)
+	defer cancel()
+	c.cancel = cancel
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	c.f.progress.add(c, end)
 	if remaining, err := c.checkQuarantine(); err != nil {
 		return c.reject(err, remaining)
 	}
 	if c.f.links.NoneReachable() {
 		return c.reject(code.New(code.NoEndpoint, "no endpoint can be reached from any host"), retryAfterShort)
 	}
-	ctx, cancel := context.WithDeadline(c.incoming.Context(), c.deadline)
-	defer cancel()
-	c.cancel = cancel
 	service := c.service
 	if err = c.findOrigin(ctx); err != nil {
 		return c.reject(err, retryAfterShort)
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -119,7 +119,9 @@
 	rollouts  *rollout.Splitter
 	watch     *quarantine.Watch
 	phase     atomic.Int64
-	logLines  logCapture
+	// timeLeft is the time until the end of the process, 0 if it is not known.
+	timeLeft atomic.Int64
+	logLines logCapture
 	// links and detours are set by servePeers, and closePeers closes the connections of other hosts.
 	links      *testLinks
 	origins    *origin.Directory
@@ -188,7 +190,7 @@
 	s.tables = staticTables{routetable.New(spec), fresh}
 	forwarder := forward.New(testProtocol{}, s.tables, router, limit.NewCostLimiter(limit.Tolerance{}, now.Add(-time.Hour)),
 		retry.NewWindowBudget(0.2, 58, 10*time.Second), upstream.New(time.Second), s.runs, singleHost{}, s.rollouts, s.watch, board,
-		func() forward.Phase { return forward.Phase(s.phase.Load()) }, time.Now, forward.NewMetrics(registry), logger)
+		(*testLifecycle)(s), time.Now, forward.NewMetrics(registry), logger)
 	s.origins = origin.New("", func() []origin.Peer { return nil }, nil, time.Now)
 	forwarder.UseOrigins(s.origins)
 	s.forwarder = forwarder
@@ -199,6 +201,16 @@
 	return s
 }
 
+// testLifecycle is the lifecycle that a test sets.
+type testLifecycle harness
+
+func (l *testLifecycle) Phase() forward.Phase { return forward.Phase(l.phase.Load()) }
+
+func (l *testLifecycle) TimeLeft() (time.Duration, bool) {
+	left := time.Duration(l.timeLeft.Load())
+	return left, left > 0
+}
+
 // addNumberedEndpoint adds endpoint e<number> and returns its ID.
 func (s *harness) addNumberedEndpoint(number int, answer script) string {
 	id := "e" + strconv.Itoa(number)
--- a/pkg/forward/progress.go
+++ b/pkg/forward/progress.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -21,24 +23,37 @@
 // progress is the set of the requests in progress. It is safe for concurrent use.
 type progress struct {
 	mu    sync.Mutex
-	calls map[*call]InProgress
+	calls map[*call]*runningCall
+	// hasEnded is set once requests are no longer to be continued, as the process ends.
+	hasEnded bool
 }
 
-func newProgress() *progress { return &progress{calls: map[*call]InProgress{}} }
+// runningCall is a request in progress. end ends the request's context.
+type runningCall struct {
+	request InProgress
+	end     context.CancelCauseFunc
+}
+
+func newProgress() *progress { return &progress{calls: map[*call]*runningCall{}} }
+
+// errProcessEnds is the cause of the end of a request that the process cannot continue.
+var errProcessEnds = errors.New("the process of this host ends")
 
-func (p *progress) add(c *call) {
+func (p *progress) add(c *call, end context.CancelCauseFunc) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.calls[c] = InProgress{ID: c.meta.ID, Service: c.service.Name, Kind: c.route.Kind}
+	p.calls[c] = &runningCall{InProgress{ID: c.meta.ID, Service: c.service.Name, Kind: c.route.Kind}, end}
+	if p.hasEnded {
+		end(errProcessEnds)
+	}
 }
 
 // sentTo records where a request is sent.
 func (p *progress) sentTo(c *call, endpoint string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if request, ok := p.calls[c]; ok {
-		request.Endpoint = endpoint
-		p.calls[c] = request
+	if running, ok := p.calls[c]; ok {
+		running.request.Endpoint = endpoint
 	}
 }
 
@@ -54,9 +69,30 @@
 	defer f.progress.mu.Unlock()
 	now := f.clock()
 	requests := make([]InProgress, 0, len(f.progress.calls))
-	for c, request := range f.progress.calls {
+	for c, running := range f.progress.calls {
+		request := running.request
 		request.Age = now.Sub(c.started)
 		requests = append(requests, request)
 	}
 	return requests
 }
+
+// EndRequests ends the requests in progress and those that begin later. Requests whose response has not begun are
+// answered: as not run if they were sent to no endpoint, otherwise with an unknown outcome.
+func (f *Forwarder) EndRequests() {
+	f.progress.mu.Lock()
+	defer f.progress.mu.Unlock()
+	f.progress.hasEnded = true
+	for _, running := range f.progress.calls {
+		running.end(errProcessEnds)
+	}
+}
+
+// mayOutlastProcess reports whether the request may run until after the end of the process. Streams last for seconds.
+func (c *call) mayOutlastProcess() bool {
+	if c.route.Kind == routetable.Stream {
+		return true
+	}
+	left, known := c.f.lifecycle.TimeLeft()
+	return known && time.Until(c.deadline) > left
+}
--- a/pkg/forward/refuse.go
+++ b/pkg/forward/refuse.go
@@ -23,6 +23,9 @@
 				return c.reject(err, remaining)
 			}
 		}
+		if errors.Is(context.Cause(ctx), errProcessEnds) {
+			return c.reject(code.New(code.Stopping, "the process ends before an endpoint accepted the request"), retryAfterOtherHost)
+		}
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			return c.reject(code.New(code.NoEndpoint, "deadline exceeded before an endpoint accepted the request"), retryAfterShort)
 		}
@@ -36,6 +39,9 @@
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			return c.reject(code.New(code.DeadlinePassed, "deadline exceeded while an endpoint was processing the request"), 0)
 		}
+		if errors.Is(context.Cause(ctx), errProcessEnds) {
+			return c.reject(code.New(code.CallUnknown, "the process ends while an endpoint is processing the request"), 0)
+		}
 		if c.detour != nil {
 			// The host that forwards the request may send it elsewhere.
 			c.endAbandonedRun(ctx, r.err)
