soak: configuration changes and SIGHUP while hosts stop

TestStoppingHostsAnswerWhatTheyAccept sends SIGHUP to all hosts and changes the configuration every 0.3 s during each shutdown.

--- a/pkg/soak/shutdowns.go
+++ b/pkg/soak/shutdowns.go
@@ -27,8 +27,9 @@
 // rejectionPause is the time after which a rejected caller of RunShutdowns sends its next request.
 const rejectionPause = 20 * time.Millisecond
 
-// RunShutdowns stops the hosts one after the other with SIGTERM, while callers go on sending requests that may run
-// once to each of them until its process has ended. The plain endpoints have the given version.
+// RunShutdowns stops the hosts one after the other with SIGTERM. Meanwhile the configuration changes, all hosts get
+// SIGHUP, and callers go on sending requests that may run once to each host until its process has ended. The plain
+// endpoints have the given version.
 func RunShutdowns(ctx context.Context, o Options, version standin.Version) (ShutdownOutcome, error) {
 	r := newRun(o)
 	r.plainVersion = version
@@ -47,7 +48,9 @@
 	for _, n := range r.nodes {
 		r.wait(ctx, time.Second)
 		r.log("SIGTERM to %s", n.settings.Name)
+		stopChanges := r.startChanges(ctx)
 		n.terminate()
+		stopChanges()
 		if err := r.waitReady(startTimeout); err != nil {
 			r.report.addViolation("%v", err)
 		}
@@ -58,6 +61,29 @@
 	return ShutdownOutcome{r.outcome(), int(counts.rejected.Load()), int(counts.abandoned.Load()), int(counts.cut.Load())}, ctx.Err()
 }
 
+// changePause is the time between two changes during a shutdown.
+const changePause = 300 * time.Millisecond
+
+// startChanges changes the configuration and sends SIGHUP to all hosts in turn, until stop is called.
+func (r *run) startChanges(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for ctx.Err() == nil {
+			for _, n := range r.nodes {
+				n.signal(syscall.SIGHUP)
+			}
+			r.reconfigure()
+			r.wait(ctx, changePause)
+		}
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
 // terminate sends SIGTERM and waits until the process has ended.
 func (n *node) terminate() {
 	n.mu.Lock()
