process: a log whose reader has stopped does not keep a process from ending, and dropped lines are counted

A stopping process writes out its queued log lines before it exits. If the reader of its log had stopped reading, it waited for good, was killed at the end of the grace period and had logged nothing; callers' requests ended with it. A goroutine that logged after the log was closed made the process panic. Lines that the full queue dropped were counted nowhere, so that a missing line showed nothing.

--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"os"
 	"os/signal"
@@ -74,6 +73,7 @@
 	platform    Platform
 	incarnation Incarnation
 	log         *log.Logger
+	logQueue    *process.LogQueue
 	clock       *storeclock.Clock
 	lifecycle   *lifecycle
 	store       *storecalls.CountingStore
@@ -156,7 +156,7 @@
 	tuneMemory(settings)
 	n := build(platform, settings, newIncarnation(settings))
 	n.log.Info().Str("incarnation", string(n.incarnation)).Str("dc", settings.DataCenter).Msg("start")
-	n.registry.MustRegister(n.loadSync)
+	n.registry.MustRegister(n.loadSync, n.logQueue)
 	go n.watchReloads()
 	return n.serve(ctx)
 }
@@ -211,9 +211,8 @@
 	}
 	stopDuties()
 	n.shutDown(background, servers)
-	if async, ok := n.log.Writer.(io.Closer); ok {
-		_ = async.Close()
-	}
+	// An error means that nobody reads the log.
+	_ = n.logQueue.Close()
 	return nil
 }
 
@@ -240,7 +239,7 @@
 	defer cancelPeers()
 	peersErr := servers.peers.Shutdown(peersCtx)
 	n.logUnfinished(time.Since(started))
-	n.log.Info().Dur("after", time.Since(started)).AnErr("callers", callersErr).AnErr("peers", peersErr).Msg("stopped")
+	n.log.Info().Dur("after", time.Since(started)).AnErr("callers", callersErr).AnErr("peers", peersErr).Int64("dropped-lines", n.logQueue.Dropped()).Msg("stopped")
 }
 
 // Parameters of the first start of all hosts.
--- a/pkg/app/node/providers.go
+++ b/pkg/app/node/providers.go
@@ -82,7 +82,11 @@
 	return peerClient{&http.Client{Transport: httpx.NewRenewingTransport(newTransport())}}
 }
 
-func newLogger(s Settings) *log.Logger { return process.NewAsyncLogger(os.Stdout, s.Node) }
+func newLogQueue() *process.LogQueue { return process.NewLogQueue(os.Stdout) }
+
+func newLogger(s Settings, queue *process.LogQueue) *log.Logger {
+	return process.NewQueuedLogger(queue, s.Node)
+}
 
 func newPool(links *reach.Monitor) *upstream.Pool {
 	pool := upstream.New(upstream.UserTimeout)
--- a/pkg/app/node/wire_gen.go
+++ b/pkg/app/node/wire_gen.go
@@ -15,7 +15,8 @@
 // Injectors from wire.go:
 
 func build(platform Platform, settings Settings, incarnation Incarnation) *node {
-	logger := newLogger(settings)
+	logQueue := newLogQueue()
+	logger := newLogger(settings, logQueue)
 	clock := storeclock.New()
 	nodeLifecycle := newLifecycle(clock)
 	nodeStoreClient := newStoreClient()
@@ -66,6 +67,7 @@
 		platform:             platform,
 		incarnation:          incarnation,
 		log:                  logger,
+		logQueue:             logQueue,
 		clock:                clock,
 		lifecycle:            nodeLifecycle,
 		store:                countingStore,
--- a/pkg/app/process/process.go
+++ b/pkg/app/process/process.go
@@ -102,24 +102,6 @@
 	}
 }
 
-// logQueueSize is the number of lines that are queued for a slow reader.
-const logQueueSize = 1024
-
-// NewAsyncLogger returns a logger that never blocks on the reader of w: lines are dropped while the
-// queue is full. Closing the logger's writer writes out the queued lines.
-func NewAsyncLogger(w io.Writer, node string) *log.Logger {
-	return &log.Logger{
-		Level:      log.InfoLevel,
-		TimeFormat: time.RFC3339Nano,
-		Context:    log.NewContext(nil).Str("node", node).Value(),
-		Writer: &log.AsyncWriter{
-			ChannelSize:   logQueueSize,
-			DiscardOnFull: true,
-			Writer:        &log.IOWriter{Writer: w},
-		},
-	}
-}
-
 // NewRegistry returns a registry with the metrics of the process and of the Go runtime.
 func NewRegistry() *prometheus.Registry {
 	registry := prometheus.NewRegistry()
