forward: a run that breaks off at a cut host can still be ended

A host that has lost its links to endpoints dropped the run of an attempt before it sent the request on: neither the host that it forwarded to nor the caller's next request could end it, and an endpoint that works on after its connection has ended ran the stream beside the next one. The run is now kept with those that were not shown to have ended.

TestRunThatBreaksOffAtACutHostIsEndedByTheTakeUp: one call for two runs before, two now.

--- a/pkg/forward/openrun.go
+++ b/pkg/forward/openrun.go
@@ -64,7 +64,12 @@
 // that the run continues from there, if there is one.
 func (c *call) endOpenRun(ctx context.Context, target string) copyOf {
 	run := c.open
-	if c.open = nil; run == nil || c.f.links.IsCut() {
+	if c.open = nil; run == nil {
+		return copyOf{}
+	}
+	if c.f.links.IsCut() {
+		// The endpoint cannot be asked now. The host that the request is forwarded to ends the run, or the caller's next request.
+		c.unended = append(c.unended, run)
 		return copyOf{}
 	}
 	startedAt := c.f.clock()
--- a/pkg/forward/openrun_test.go
+++ b/pkg/forward/openrun_test.go
@@ -301,3 +301,32 @@
 		t.Errorf("got %d bytes, error %v, %d calls that end the run and %d freed copies, want the whole stream, 2 and 1", len(got.body), got.err, stops.Load(), len(calls.freed))
 	}
 }
+
+// Guards against a run that is left to continue as its host had lost its links to endpoints when its stream broke off.
+func TestRunThatBreaksOffAtACutHostIsEndedByTheTakeUp(t *testing.T) {
+	var stops atomic.Int32
+	p := &movePlatform{stopped: make(chan struct{})}
+	calls := &endingCalls{freed: make(chan string, 9), stop: func(context.Context) migrate.CopyAnswer {
+		stops.Add(1)
+		return migrate.CopyAnswer{Result: migrate.NoRun}
+	}}
+	s := newHarness(t, moveSpec(), true)
+	links, _ := s.servePeers()
+	s.forwarder.MoveStreams(forward.NewMover(calls, upstream.New(time.Second), s.directory, s.router, s.tables, time.Now, prometheus.NewRegistry(), &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}))
+	var attempts atomic.Int32
+	breaks := func(conn net.Conn, r *http.Request) bool {
+		links.cut.Store(true)
+		return p.run(conn, r, nil, int(attempts.Add(1))*moveEvents/4)
+	}
+	s.addEndpoint("e0", breaks)
+	s.addEndpoint("e1", breaks)
+	if got := s.send("POST", "/resume/x", "body", "Id", "first"); got.err == nil || len(s.requests()) != 2 {
+		t.Fatalf("got %d attempts, error %v, want two and a stream that breaks off", len(s.requests()), got.err)
+	}
+	links.cut.Store(false)
+	key := origin.KeyOf("team", "first")
+	s.forwarder.ServeStreamEnd(httptest.NewRecorder(), httptest.NewRequest(http.MethodDelete, forward.StreamsPath+hex.EncodeToString(key[:]), nil))
+	if got := stops.Load(); got != 2 {
+		t.Errorf("got %d calls that end a run, want one for each attempt", got)
+	}
+}
