forward: a stream whose request is still in progress is not reported as ended

A host that is asked to end a stream interrupts its request and waits 2 s for it. If the request had not ended by then, for instance as it wrote to a caller that does not read, on a connection without deadlines, the host forgot the stream and answered 204: the caller's next request began while the earlier one could still run. Now it answers 202 until the request has ended, and each call tries again.

TestStreamInProgressIsNotReportedAsEnded: 204 after 2.1 s before, 202 until the end now.

--- a/pkg/forward/takenup.go
+++ b/pkg/forward/takenup.go
@@ -46,8 +46,8 @@
 	// interrupt ends the caller's request, nil once it has ended. isTakenUp is set once it was called.
 	interrupt func()
 	isTakenUp bool
-	// removed is nil until the caller resumes the stream, and closed once the request and its runs have ended after that.
-	removed chan struct{}
+	// ending is nil unless the stream is being ended for a caller that resumes it.
+	ending *streamEnding
 	// ended is closed once the request has ended; runs and hop are valid after that.
 	ended chan struct{}
 	// runs are those that may continue, until their deadline.
@@ -57,6 +57,12 @@
 	hop string
 }
 
+// streamEnding is one try to end a stream. done is closed after it; hasEnded is valid then.
+type streamEnding struct {
+	done     chan struct{}
+	hasEnded bool
+}
+
 // takeables holds the streams that callers may resume, by the attempt that brought their first events. It
 // is safe for concurrent use.
 type takeables struct {
@@ -150,9 +156,9 @@
 const (
 	// notRelayed means that this host relays no such stream.
 	notRelayed streamEnd = iota
-	// streamEnded means that the request and its runs have ended, streamEnding that this is in progress.
+	// streamEnded means that the request and its runs have ended, streamContinues that they may not have yet.
 	streamEnded
-	streamEnding
+	streamContinues
 )
 
 // endEarlier ends the previous request of a stream that the caller resumes here: at the host that relays it, or
@@ -178,7 +184,7 @@
 	switch <-endedHere {
 	case streamEnded:
 		outcome = "ended here"
-	case streamEnding:
+	case streamContinues:
 		outcome = "not ended here"
 	}
 	return outcome, isOutdated
@@ -198,35 +204,47 @@
 		s.isTakenUp = true
 		s.interrupt()
 	}
-	isFirst := s.removed == nil
+	isFirst := s.ending == nil
 	if isFirst {
-		s.removed = make(chan struct{})
+		s.ending = &streamEnding{done: make(chan struct{})}
 	}
+	ending := s.ending
 	s.mu.Unlock()
 	if isFirst {
-		go func() {
-			defer close(s.removed)
-			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), interruptTimeout)
-			defer cancel()
-			f.endInterrupted(ctx, s, key)
-			f.takeables.drop(key, s)
-		}()
+		go f.tryToEnd(context.WithoutCancel(ctx), s, key, ending)
 	}
 	select {
-	case <-s.removed:
-		return streamEnded
+	case <-ending.done:
+		if ending.hasEnded {
+			return streamEnded
+		}
 	case <-ctx.Done():
-		return streamEnding
 	}
+	return streamContinues
 }
 
-// endInterrupted ends what remains of a stream once its request has ended.
-func (f *Forwarder) endInterrupted(ctx context.Context, s *takeable, key origin.Key) {
+// tryToEnd ends an interrupted stream and removes it. One that has not ended in time can be tried again.
+func (f *Forwarder) tryToEnd(ctx context.Context, s *takeable, key origin.Key, ending *streamEnding) {
+	ctx, cancel := context.WithTimeout(ctx, interruptTimeout)
+	defer cancel()
+	ending.hasEnded = f.endInterrupted(ctx, s, key)
+	if ending.hasEnded {
+		f.takeables.drop(key, s)
+	} else {
+		s.mu.Lock()
+		s.ending = nil
+		s.mu.Unlock()
+	}
+	close(ending.done)
+}
+
+// endInterrupted ends what remains of a stream once its request has ended. It returns false if that has not ended.
+func (f *Forwarder) endInterrupted(ctx context.Context, s *takeable, key origin.Key) bool {
 	select {
 	case <-s.ended:
 	case <-ctx.Done():
 		f.log.Warn().Err(ctx.Err()).Msg("the earlier request of a resumed stream did not end in time")
-		return
+		return false
 	}
 	if s.hop != "" {
 		if err := f.endAtHost(ctx, s.hop, key, takeUpBy{}); err != nil {
@@ -234,13 +252,14 @@
 		}
 	}
 	if !time.Now().Before(s.until) {
-		return
+		return true
 	}
 	var ending sync.WaitGroup
 	for _, run := range s.runs {
 		ending.Go(func() { f.endUnusedRun(ctx, run) })
 	}
 	ending.Wait()
+	return true
 }
 
 // takeUpBy is the request that resumes a stream, empty if none does.
@@ -353,7 +372,7 @@
 	case err != nil:
 		f.log.Warn().Err(err).Str("host", previous).Msg("failed to end a stream at the host that relays it now")
 		w.WriteHeader(http.StatusBadGateway)
-	case end == streamEnding:
+	case end == streamContinues:
 		w.WriteHeader(http.StatusAccepted)
 	default:
 		w.WriteHeader(http.StatusNoContent)
--- /dev/null
+++ b/pkg/forward/takeupend_test.go
@@ -0,0 +1,58 @@
+package forward_test
+
+import (
+	"encoding/hex"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"ironhollow/pkg/forward"
+	"ironhollow/pkg/origin"
+)
+
+// stuckWriter is a response whose reader has stopped, on a connection without deadlines.
+type stuckWriter struct {
+	http.ResponseWriter
+	released chan struct{}
+}
+
+func (w stuckWriter) Write(p []byte) (int, error) {
+	<-w.released
+	return len(p), nil
+}
+
+// end asks the host to end a stream and returns its answer.
+func (s *harness) end(attempt string) int {
+	key, w := origin.KeyOf("team", attempt), httptest.NewRecorder()
+	s.forwarder.ServeStreamEnd(w, httptest.NewRequest(http.MethodDelete, forward.StreamsPath+hex.EncodeToString(key[:]), nil))
+	return w.Code
+}
+
+// Guards against a host that reports the end of a stream while its request is still in progress.
+func TestStreamInProgressIsNotReportedAsEnded(t *testing.T) {
+	s := newHarness(t, spec(), true, breakAfterTwoEvents("v0"))
+	w := stuckWriter{httptest.NewRecorder(), make(chan struct{})}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		defer func() { _ = recover() }()
+		r := httptest.NewRequest(http.MethodPost, "http://h.example/resume/x", nil)
+		r.RequestURI = "/resume/x"
+		r.Header.Set("Id", "first")
+		r.Header.Set("Key", "key")
+		s.forwarder.ServeHTTP(w, r)
+	}()
+	s.awaitRequest()
+	time.Sleep(100 * time.Millisecond)
+	for until := time.Now().Add(2500 * time.Millisecond); time.Now().Before(until); {
+		if got := s.end("first"); got != http.StatusAccepted {
+			t.Fatalf("while the request is in progress: got %d, want 202", got)
+		}
+	}
+	close(w.released)
+	<-done
+	if got := s.end("first"); got != http.StatusNoContent {
+		t.Errorf("once the request has ended: got %d, want 204", got)
+	}
+}
