forward: a host that has not ended a stream is asked again after a pause

A host answers 202 after 0.3 s if it has not ended a stream, and is asked again at once. One that answers 202 without that wait was asked in a tight loop for 1.1 s, for each take-up.

--- a/pkg/forward/takenup.go
+++ b/pkg/forward/takenup.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"ironhollow/pkg/origin"
+	"ironhollow/pkg/pause"
 	"ironhollow/pkg/upstream"
 )
 
@@ -34,6 +35,8 @@
 	// that has not ended it answers within endRunWait, and is asked again, for maxTakeUpWait in all.
 	takeUpWait    = endRunWait + 100*time.Millisecond
 	maxTakeUpWait = endRunTimeout + 100*time.Millisecond
+	// askAgainPause is the time before a host that has not ended a stream is asked again.
+	askAgainPause = 20 * time.Millisecond
 	// maxTakeables bounds the streams in the table; the least recently used are dropped first.
 	maxTakeables = 8 << 10
 )
@@ -310,6 +313,9 @@
 		if hasEnded || err != nil {
 			return err
 		}
+		if !pause.For(ctx, askAgainPause) {
+			return ctx.Err()
+		}
 	}
 }
 
--- a/pkg/forward/takeupend_test.go
+++ b/pkg/forward/takeupend_test.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -56,3 +57,21 @@
 		t.Errorf("once the request has ended: got %d, want 204", got)
 	}
 }
+
+// Guards against hosts that call each other in a tight loop.
+func TestHostThatHasNotEndedAStreamIsAskedAgainAfterAPause(t *testing.T) {
+	var asked atomic.Int32
+	host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		asked.Add(1)
+		w.WriteHeader(http.StatusAccepted)
+	}))
+	t.Cleanup(host.Close)
+	s := newHarness(t, spec(), true)
+	s.setRelease(s.addNumberedEndpoint(0, breakAfterTwoEvents("v0")), "v0")
+	s.servePeers()
+	s.origins.Apply([]origin.Record{{Key: origin.KeyOf("team", "first"), Source: origin.Source{Service: "svc", Release: "v0"}, Life: minuteLife, Host: host.Listener.Addr().String()}}, nil, "other")
+	s.send("POST", "/resume/x", "body", "Id", "second", "Resumes", "first", "Last-Event", "2")
+	if got := asked.Load(); got < 2 || got > 60 {
+		t.Errorf("got %d calls within the time that a take-up waits, want 2 to 60", got)
+	}
+}
