forward: a take-up that a later one has replaced has a code of its own

It was refused as origin-unknown, whose text sends the caller to another host. It is now stream-taken-up (2010, 503, not run). TestReplacedTakeUpIsReportedAsSuch: origin-unknown before.

--- a/pkg/code/code.go
+++ b/pkg/code/code.go
@@ -68,6 +68,7 @@
 	Quarantined        = Code{2007, "quarantined", http.StatusServiceUnavailable, NotRun, "Endpoints ended while they ran earlier tries of this request, or requests with one of the parts of its prompt; Retry-After says when it may have been tried again."}
 	OriginUnknown      = Code{2008, "origin-unknown", http.StatusServiceUnavailable, NotRun, "It is not known at which release the stream began, so it cannot be continued here; Retry-After says when to ask another host."}
 	ReleaseUnavailable = Code{2009, "release-unavailable", http.StatusServiceUnavailable, NotRun, "No endpoint of the release at which the stream began takes it; no other may continue it."}
+	StreamTakenUp      = Code{2010, "stream-taken-up", http.StatusServiceUnavailable, NotRun, "A later request of the caller has taken the stream up, and goes on instead of this one."}
 	CallNotRun         = Code{3001, "not-run", http.StatusServiceUnavailable, NotRun, "The call did not run and never will under this key."}
 	CallUnknown        = Code{3002, "unknown", http.StatusBadGateway, Unknown, "The call was sent and its end is not known; it is never sent again."}
 	CallInProgress     = Code{3003, "in-progress", http.StatusConflict, Unknown, "A call with this key is under way; ask again after Retry-After."}
@@ -90,7 +91,7 @@
 func All() []Code {
 	return []Code{
 		BadBody, BodyTooLong, UnknownKey, BadHeader, UnknownService, UnknownJob, WrongKind,
-		OverRate, Overloaded, NoEndpoint, StreamLost, CannotResume, DeadlinePassed, Quarantined, OriginUnknown, ReleaseUnavailable,
+		OverRate, Overloaded, NoEndpoint, StreamLost, CannotResume, DeadlinePassed, Quarantined, OriginUnknown, ReleaseUnavailable, StreamTakenUp,
 		CallNotRun, CallUnknown, CallInProgress, KeyReused, StoreDown, AcceptUnknown, JobFailed,
 		RevisionConflict, BadConfig, ApplyUnknown,
 		NotReady, Internal, UnknownPath, Stopping, CutOff, HostBusy,
--- a/pkg/forward/takeup.go
+++ b/pkg/forward/takeup.go
@@ -69,7 +69,7 @@
 	t.earlier, isOutdated = c.endEarlier(ctx, t.finding.Host)
 	t.earlierTook = c.f.clock().Sub(started)
 	if isOutdated {
-		return code.New(code.OriginUnknown, "a later request has resumed the stream at another host")
+		return code.New(code.StreamTakenUp, "a later request has resumed the stream at another host")
 	}
 	return nil
 }
--- a/pkg/forward/takeupend_test.go
+++ b/pkg/forward/takeupend_test.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -75,3 +76,17 @@
 		t.Errorf("got %d calls within the time that a take-up waits, want 2 to 60", got)
 	}
 }
+
+// Guards against a take-up that a later one has replaced and that is reported as one of an unknown origin.
+func TestReplacedTakeUpIsReportedAsSuch(t *testing.T) {
+	host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusConflict) }))
+	t.Cleanup(host.Close)
+	s := newHarness(t, spec(), true)
+	s.setRelease(s.addNumberedEndpoint(0, breakAfterTwoEvents("v0")), "v0")
+	s.servePeers()
+	s.origins.Apply([]origin.Record{{Key: origin.KeyOf("team", "first"), Source: origin.Source{Service: "svc", Release: "v0"}, Life: minuteLife, Host: host.Listener.Addr().String()}}, nil, "other")
+	got := s.send("POST", "/resume/x", "body", "Id", "second", "Resumes", "first", "Last-Event", "2")
+	if got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, "stream-taken-up") || len(s.requests()) != 0 {
+		t.Errorf("got %d %s and %d requests at endpoints, want 503 stream-taken-up and none", got.status, got.body, len(s.requests()))
+	}
+}
