--- a/pkg/soak/shutdowns.go
+++ b/pkg/soak/shutdowns.go
@@ -28,7 +28,7 @@
 const rejectionPause = 20 * time.Millisecond
 
 // RunShutdowns stops the hosts one after the other with SIGTERM. Meanwhile the configuration changes, all hosts get
-// SIGHUP, and callers go on sending requests that may run once to each host until its process has ended. The plain
+// SIGHUP, and callers keep sending requests that may run once to each host until its process has ended. The plain
 // endpoints have the given version.
 func RunShutdowns(ctx context.Context, o Options, version standin.Version) (ShutdownOutcome, error) {
 	r := newRun(o)
