node: receive SIGHUP before the node is built

A SIGHUP that reached a process while it built its components ended it, as the signal was only registered after that. It is now registered first, with SIGTERM.

--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -153,11 +153,13 @@
 func run(platform Platform, settings Settings) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	tuneMemory(settings)
 	n := build(platform, settings, newIncarnation(settings))
 	n.log.Info().Str("incarnation", string(n.incarnation)).Str("dc", settings.DataCenter).Msg("start")
 	n.registry.MustRegister(n.loadSync, n.logQueue)
-	go n.watchReloads()
+	go n.checkSettings(reloads)
 	return n.serve(ctx)
 }
 
@@ -336,11 +338,9 @@
 	}
 }
 
-// watchReloads checks the settings on SIGHUP. Changes take effect only when the process restarts.
-func (n *node) watchReloads() {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	for range signals {
+// checkSettings checks the settings on each signal. Changes take effect only when the process restarts.
+func (n *node) checkSettings(reloads <-chan os.Signal) {
+	for range reloads {
 		if _, err := n.platform.ReadSettings(); err != nil {
 			n.log.Error().Err(err).Msg("settings are invalid")
 			continue
