node: a process that is late still answers its requests before it ends

The timer that ends the requests in progress counted from when the process woke up, the end of the process from SIGTERM. A host that was suspended or slow for over 0.15 s at that moment reached its end first, skipped the answers and cut the requests, with 0.3 s of the grace period unused. Found in review.

The times now all count from SIGTERM, requests are ended in any case, and a process that is late uses the rest of the grace period but for 0.1 s.

Callers of the test start one after the other, so that requests are under way at any moment.

--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -51,9 +51,11 @@
 	// before the period ends.
 	stopMargin = 300 * time.Millisecond
 	// closeTimeout is the time at the end of a shutdown in which no request is accepted and idle connections are closed.
-	// Requests in progress are ended answerTime before its end.
+	// Requests in progress are ended answerTime before its end. A process that is late uses of the stopMargin for that all
+	// but exitMargin.
 	closeTimeout = 400 * time.Millisecond
 	answerTime   = 150 * time.Millisecond
+	exitMargin   = 100 * time.Millisecond
 	// peersCloseTimeout bounds the wait for responses to other hosts that are being written at the end.
 	peersCloseTimeout = 30 * time.Millisecond
 	// maxPendingFaults is how many faults of the ports and the watchdog can be pending.
@@ -222,26 +224,46 @@
 // progress.
 func (n *node) shutDown(background context.Context, servers servers) {
 	started := time.Now()
-	total := max(n.settings.GracePeriod-stopMargin, closeTimeout)
-	n.lifecycle.startLeaving(total - answerTime)
+	end := started.Add(max(n.settings.GracePeriod-stopMargin, closeTimeout))
+	n.lifecycle.startLeaving(time.Until(end) - answerTime)
 	n.log.Info().Dur("grace", n.settings.GracePeriod).Int("requests", len(n.forwarder.InProgress())).Msg("stopping")
 	if n.writesRow() {
 		go n.writeRow(background)
 	}
-	pause.For(background, total-closeTimeout-time.Since(started))
-	closeCtx, cancelClose := context.WithDeadline(background, started.Add(total))
-	defer cancelClose()
+	pause.For(background, time.Until(end)-closeTimeout)
 	n.log.Info().Dur("after", time.Since(started)).Int("requests", len(n.forwarder.InProgress())).Msg("closing idle connections")
-	endRequests := time.AfterFunc(closeTimeout-answerTime, n.forwarder.EndRequests)
-	defer endRequests.Stop()
-	// Connections that are still open are closed by the end of the process.
-	callersErr := servers.callers.Shutdown(closeCtx)
-	n.detours.AwaitIdle(closeCtx)
+	closeCtx, cancelClose := context.WithDeadline(background, end.Add(stopMargin-exitMargin))
+	defer cancelClose()
+	idle := make(chan struct{})
+	go func() {
+		defer close(idle)
+		// Connections that are open at the end are closed by the end of the process.
+		_ = servers.callers.Shutdown(closeCtx)
+		n.detours.AwaitIdle(closeCtx)
+	}()
+	awaitUntil(idle, end.Add(-answerTime))
+	n.forwarder.EndRequests()
+	awaitUntil(idle, latest(end, time.Now().Add(answerTime)))
 	peersCtx, cancelPeers := context.WithTimeout(closeCtx, peersCloseTimeout)
 	defer cancelPeers()
-	peersErr := servers.peers.Shutdown(peersCtx)
+	_ = servers.peers.Shutdown(peersCtx)
 	n.logUnfinished(time.Since(started))
-	n.log.Info().Dur("after", time.Since(started)).AnErr("callers", callersErr).AnErr("peers", peersErr).Int64("dropped-lines", n.logQueue.Dropped()).Msg("stopped")
+	n.log.Info().Dur("after", time.Since(started)).Int64("dropped-lines", n.logQueue.Dropped()).Msg("stopped")
+}
+
+// awaitUntil waits until the channel is closed, until the given time at most.
+func awaitUntil(done <-chan struct{}, end time.Time) {
+	select {
+	case <-done:
+	case <-time.After(time.Until(end)):
+	}
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // Parameters of the first start of all hosts.
--- a/pkg/soak/shutdowns.go
+++ b/pkg/soak/shutdowns.go
@@ -24,15 +24,28 @@
 // shutdownCounts are the counters of a ShutdownOutcome.
 type shutdownCounts struct{ rejected, abandoned, cut atomic.Int64 }
 
+// callerStagger is the time between the first requests of two callers of RunShutdowns.
+const callerStagger = 30 * time.Millisecond
+
 // rejectionPause is the time after which a rejected caller of RunShutdowns sends its next request.
 const rejectionPause = 20 * time.Millisecond
 
+// Shutdowns describes the endpoints and the hosts of a run of RunShutdowns.
+type Shutdowns struct {
+	// Version is that of the plain endpoints.
+	Version standin.Version
+	// Stall is how long each process is suspended from stallBegin on, counted from SIGTERM.
+	Stall time.Duration
+}
+
+// stallBegin is shortly before a stopping process ends the requests in progress.
+const stallBegin = 2250 * time.Millisecond
+
 // RunShutdowns stops the hosts one after the other with SIGTERM. Meanwhile the configuration changes, all hosts get
-// SIGHUP, and callers keep sending requests that may run once to each host until its process has ended. The plain
-// endpoints have the given version.
-func RunShutdowns(ctx context.Context, o Options, version standin.Version) (ShutdownOutcome, error) {
+// SIGHUP, and callers keep sending requests that may run once to each host until its process has ended.
+func RunShutdowns(ctx context.Context, o Options, s Shutdowns) (ShutdownOutcome, error) {
 	r := newRun(o)
-	r.plainVersion = version
+	r.plainVersion = s.Version
 	defer r.stop()
 	if err := r.start(); err != nil {
 		return ShutdownOutcome{}, err
@@ -49,7 +62,7 @@
 		r.wait(ctx, time.Second)
 		r.log("SIGTERM to %s", n.settings.Name)
 		stopChanges := r.startChanges(ctx)
-		n.terminate()
+		n.terminate(s.Stall)
 		stopChanges()
 		if err := r.waitReady(startTimeout); err != nil {
 			r.report.addViolation("%v", err)
@@ -84,12 +97,20 @@
 	}
 }
 
-// terminate sends SIGTERM and waits until the process has ended.
-func (n *node) terminate() {
+// terminate sends SIGTERM, suspends the process for a while if stall is above 0, and waits until it has ended.
+func (n *node) terminate(stall time.Duration) {
 	n.mu.Lock()
 	done := n.done
 	n.mu.Unlock()
 	n.signal(syscall.SIGTERM)
+	if stall > 0 {
+		stalling := time.AfterFunc(stallBegin, func() {
+			n.signal(syscall.SIGSTOP)
+			time.Sleep(stall)
+			n.signal(syscall.SIGCONT)
+		})
+		defer stalling.Stop()
+	}
 	<-done
 }
 
@@ -98,6 +119,7 @@
 	n := r.nodes[number%len(r.nodes)]
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
 	defer client.CloseIdleConnections()
+	r.wait(ctx, time.Duration(number)*callerStagger)
 	for i := 0; ctx.Err() == nil; i++ {
 		id := fmt.Sprintf("s%d-%d", number, i)
 		body := "body of " + id
--- a/pkg/soak/shutdowns_test.go
+++ b/pkg/soak/shutdowns_test.go
@@ -11,14 +11,15 @@
 
 // Guards against requests that the end of a stopping process cuts while an endpoint runs them.
 func TestStoppingHostsAnswerWhatTheyAccept(t *testing.T) {
-	for name, version := range map[string]standin.Version{
-		"endpoints that take up to 1 s": {Name: "v1", SlowShare: 0.7, SlowDelay: time.Second},
-		"endpoints that stall":          {Name: "v1", SlowShare: 0.5, SlowDelay: 3500 * time.Millisecond},
+	for name, shutdowns := range map[string]soak.Shutdowns{
+		"endpoints that take up to 1 s": {Version: standin.Version{Name: "v1", SlowShare: 0.7, SlowDelay: time.Second}},
+		"endpoints that stall":          {Version: standin.Version{Name: "v1", SlowShare: 0.5, SlowDelay: 3500 * time.Millisecond}},
+		"hosts that stall too":          {Version: standin.Version{Name: "v1", SlowShare: 0.8, SlowDelay: 3500 * time.Millisecond}, Stall: 250 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			outcome, err := soak.RunShutdowns(context.Background(), soak.Options{
-				Program: buildNode(t), Folder: t.TempDir(), Seed: 1, Nodes: 3, Callers: 48, Log: t.Output(),
-			}, version)
+				Program: buildNode(t), Folder: t.TempDir(), Seed: 1, Nodes: 2, Callers: 64, Log: t.Output(),
+			}, shutdowns)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -29,7 +30,7 @@
 			if outcome.Cut > 0 || outcome.Served == 0 {
 				t.Errorf("got %d requests served and %d cut, want none cut", outcome.Served, outcome.Cut)
 			}
-			if version.SlowDelay <= time.Second && outcome.Abandoned > 0 {
+			if shutdowns.Version.SlowDelay <= time.Second && outcome.Abandoned > 0 {
 				t.Errorf("got %d requests that were accepted and not served, want 0", outcome.Abandoned)
 			}
 		})
