lifecycle: a process that is stopped while it starts is stopping, and its grace period counts from the signal

Until a process had been ready, its phase was 'starting', also after SIGTERM: requests were accepted whatever their time limit. And the grace period counted from the end of the start, not from the signal, so that a process that started slowly could be killed before its own end. Found in review.

The lifecycle is a package of its own now, with the start of the process in it. TestProcessThatIsStoppedWhileItStartsIsNotStarting: phase starting before.

--- a/pkg/app/node/heartbeat.go
+++ b/pkg/app/node/heartbeat.go
@@ -165,7 +165,7 @@
 		PeerAddress:   n.settings.PeerAddress,
 		StartedAt:     n.clock.StoreStartTime(),
 		Millicores:    int(millicoresPerCore * n.settings.Cores),
-		Leaving:       n.lifecycle.leaving(),
+		Leaving:       n.lifecycle.IsLeaving(),
 	}
 }
 
--- a/pkg/app/node/listen.go
+++ b/pkg/app/node/listen.go
@@ -103,7 +103,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+n.platform.DirectoryPath(), func(w http.ResponseWriter, _ *http.Request) {
 		entries := n.view.Roster().EntryHosts(n.clock.Now())
-		if len(entries) == 0 && !n.lifecycle.leaving() {
+		if len(entries) == 0 && !n.lifecycle.IsLeaving() {
 			entries = []roster.AdvertisedHost{{Node: n.settings.Node, DataCenter: n.settings.DataCenter, CallerAddress: n.settings.CallerAddress}}
 		}
 		if err := n.platform.EncodeEntries(w, entries, entriesMaxAge); err != nil {
--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -22,6 +22,7 @@
 	"ironhollow/pkg/forward"
 	"ironhollow/pkg/gossip"
 	"ironhollow/pkg/lease"
+	"ironhollow/pkg/lifecycle"
 	"ironhollow/pkg/limit"
 	"ironhollow/pkg/loadsync"
 	"ironhollow/pkg/notice"
@@ -77,7 +78,7 @@
 	log         *log.Logger
 	logQueue    *process.LogQueue
 	clock       *storeclock.Clock
-	lifecycle   *lifecycle
+	lifecycle   *lifecycle.Lifecycle
 	store       *storecalls.CountingStore
 	// storeReplica is the replica of the store that other hosts follow through this host.
 	storeReplica         *relay.Replica
@@ -155,6 +156,8 @@
 func run(platform Platform, settings Settings) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	signalledAt := make(chan time.Time, 1)
+	context.AfterFunc(ctx, func() { signalledAt <- time.Now() })
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
 	tuneMemory(settings)
@@ -162,7 +165,7 @@
 	n.log.Info().Str("incarnation", string(n.incarnation)).Str("dc", settings.DataCenter).Msg("start")
 	n.registry.MustRegister(n.loadSync, n.logQueue)
 	go n.checkSettings(reloads)
-	return n.serve(ctx)
+	return n.serve(ctx, signalledAt)
 }
 
 func tuneMemory(s Settings) {
@@ -173,8 +176,8 @@
 }
 
 // serve runs until ctx is done, and then until the grace period is nearly over, so that callers can
-// leave.
-func (n *node) serve(ctx context.Context) error {
+// leave. The grace period counts from signalledAt, which gets the time at which ctx is done.
+func (n *node) serve(ctx context.Context, signalledAt <-chan time.Time) error {
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	source := relay.NewSource(n.store, n.storeReplica, n.relayClient.Client, n.view.Relays, n.view.MaxRelayLag, n.view.IsAdvertised, n.log)
@@ -214,7 +217,7 @@
 		return err
 	}
 	stopDuties()
-	n.shutDown(background, servers)
+	n.shutDown(background, servers, <-signalledAt)
 	// An error means that nobody reads the log.
 	_ = n.logQueue.Close()
 	return nil
@@ -222,10 +225,9 @@
 
 // shutDown lets callers leave for other hosts until the grace period is nearly over, and then ends the requests in
 // progress.
-func (n *node) shutDown(background context.Context, servers servers) {
-	started := time.Now()
+func (n *node) shutDown(background context.Context, servers servers, started time.Time) {
 	end := started.Add(max(n.settings.GracePeriod-stopMargin, closeTimeout))
-	n.lifecycle.startLeaving(time.Until(end) - answerTime)
+	n.lifecycle.Leave(time.Until(end) - answerTime)
 	n.log.Info().Dur("grace", n.settings.GracePeriod).Int("requests", len(n.forwarder.InProgress())).Msg("stopping")
 	if n.writesRow() {
 		go n.writeRow(background)
@@ -311,7 +313,7 @@
 // checkReady returns nil if the process accepts callers, otherwise an error with the reason.
 func (n *node) checkReady() error {
 	switch {
-	case n.lifecycle.leaving():
+	case n.lifecycle.IsLeaving():
 		return errors.New("stopping")
 	case n.watchdog.Stalled() != nil:
 		return n.watchdog.Stalled()
--- a/pkg/app/node/providers.go
+++ b/pkg/app/node/providers.go
@@ -20,6 +20,7 @@
 	"ironhollow/pkg/hazard"
 	"ironhollow/pkg/httpx"
 	"ironhollow/pkg/lease"
+	"ironhollow/pkg/lifecycle"
 	"ironhollow/pkg/limit"
 	"ironhollow/pkg/loadsync"
 	"ironhollow/pkg/notice"
@@ -250,18 +251,21 @@
 	return notice.New(view.Directory(), router, logger)
 }
 
-func newForwarder(platform Platform, view *storeview.View, location route.Location, router *route.Router, limiter *limit.CostLimiter, budget *retry.WindowBudget,
-	pool *upstream.Pool, links *reach.Monitor, detours *forward.Detours, origins *origin.Directory, originLog *originlog.Log, counter *usage.Counter, rollouts *rollout.Splitter, watch *quarantine.Watch, noticeTracker *notice.Tracker, lifecycle *lifecycle, known readiness, clock *storeclock.Clock, registry *prometheus.Registry, logger *log.Logger,
-) *forward.Forwarder {
-	state := &forwarderLifecycle{lifecycle: lifecycle, isReady: func() bool {
+func newLifecycle(clock *storeclock.Clock, known readiness, limiter *limit.CostLimiter, view *storeview.View) *lifecycle.Lifecycle {
+	return lifecycle.New(clock, func() bool {
 		if known() {
 			limiter.FleetRestarted(view.IdleBeforeStart())
 			return true
 		}
 		return false
-	}}
+	})
+}
+
+func newForwarder(platform Platform, view *storeview.View, location route.Location, router *route.Router, limiter *limit.CostLimiter, budget *retry.WindowBudget,
+	pool *upstream.Pool, links *reach.Monitor, detours *forward.Detours, origins *origin.Directory, originLog *originlog.Log, counter *usage.Counter, rollouts *rollout.Splitter, watch *quarantine.Watch, noticeTracker *notice.Tracker, lifecycle *lifecycle.Lifecycle, clock *storeclock.Clock, registry *prometheus.Registry, logger *log.Logger,
+) *forward.Forwarder {
 	forwarder := forward.New(platform.Protocol(), view.RouteTables(), router, limiter, budget, pool, counter,
-		fleet{view.Roster(), location.Node}, rollouts, watch, noticeTracker, state, clock.Now, forward.NewMetrics(registry), logger)
+		fleet{view.Roster(), location.Node}, rollouts, watch, noticeTracker, lifecycle, clock.Now, forward.NewMetrics(registry), logger)
 	forwarder.UseLinks(links)
 	forwarder.UseDetours(detours)
 	forwarder.UseOrigins(origins)
--- a/pkg/app/node/wire_gen.go
+++ b/pkg/app/node/wire_gen.go
@@ -18,12 +18,6 @@
 	logQueue := newLogQueue()
 	logger := newLogger(settings, logQueue)
 	clock := storeclock.New()
-	nodeLifecycle := newLifecycle(clock)
-	nodeStoreClient := newStoreClient()
-	registry := process.NewRegistry()
-	countingStore := newStore(platform, nodeStoreClient, settings, registry)
-	replica := newReplica(platform, clock)
-	nodePeerClient := newPeerClient()
 	location := newLocation(settings)
 	splitter := newSplitter(settings)
 	view := newView(platform, settings, clock, location, incarnation, splitter, logger)
@@ -32,8 +26,14 @@
 	nodeHostState := newHostState(view, tracker, clock, logger)
 	syncer := newStateSyncer(nodeHostState, settings, logger)
 	nodeReadiness := newReadiness(view, syncer)
-	sync := newLoadSync(router, view, incarnation)
 	costLimiter := newLimiter(settings, clock)
+	lifecycle := newLifecycle(clock, nodeReadiness, costLimiter, view)
+	nodeStoreClient := newStoreClient()
+	registry := process.NewRegistry()
+	countingStore := newStore(platform, nodeStoreClient, settings, registry)
+	replica := newReplica(platform, clock)
+	nodePeerClient := newPeerClient()
+	sync := newLoadSync(router, view, incarnation)
 	monitor := newLinks(platform, view, settings, clock, registry, logger)
 	pool := newPool(monitor)
 	counter := newCounter(settings, clock, view)
@@ -53,7 +53,7 @@
 	log := newOriginLog(view, writer, clock, settings, registry, logger)
 	windowBudget := newRetryBudget(settings)
 	watch := newQuarantineWatch(registry, logger)
-	forwarder := newForwarder(platform, view, location, router, costLimiter, windowBudget, pool, monitor, detours, directory, log, counter, splitter, watch, tracker, nodeLifecycle, nodeReadiness, clock, registry, logger)
+	forwarder := newForwarder(platform, view, location, router, costLimiter, windowBudget, pool, monitor, detours, directory, log, counter, splitter, watch, tracker, lifecycle, clock, registry, logger)
 	nodeRowState := &rowState{}
 	nodeFleetRole := &fleetRole{}
 	coordinator := newCoordinator(platform, splitter, view, writer, clock, manager, logger)
@@ -69,7 +69,7 @@
 		log:                  logger,
 		logQueue:             logQueue,
 		clock:                clock,
-		lifecycle:            nodeLifecycle,
+		lifecycle:            lifecycle,
 		store:                countingStore,
 		storeReplica:         replica,
 		relayClient:          nodePeerClient,
