forward: responses that have begun are relayed until the process ends

A response whose head the caller had already got was ended with them, although nothing can replace it and its rest may be on its way. Such responses, streams too, are now relayed until the process ends. Found in review.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -292,7 +292,9 @@
 	c.cancel = cancel
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
-	c.f.progress.add(c, end)
+	if !c.f.progress.add(c, end) {
+		return c.reject(code.New(code.Stopping, "the process of this host ends"), retryAfterOtherHost)
+	}
 	if remaining, err := c.checkQuarantine(); err != nil {
 		return c.reject(err, remaining)
 	}
--- a/pkg/forward/progress.go
+++ b/pkg/forward/progress.go
@@ -24,14 +24,15 @@
 type progress struct {
 	mu    sync.Mutex
 	calls map[*call]*runningCall
-	// hasEnded is set once requests are no longer to be continued, as the process ends.
+	// hasEnded is set once the process ends and no request begins any more.
 	hasEnded bool
 }
 
-// runningCall is a request in progress. end ends the request's context.
+// runningCall is a request in progress.
 type runningCall struct {
 	request InProgress
-	end     context.CancelCauseFunc
+	// end ends the request's context. It is nil once the response has begun, which cannot be replaced then.
+	end context.CancelCauseFunc
 }
 
 func newProgress() *progress { return &progress{calls: map[*call]*runningCall{}} }
@@ -39,13 +40,15 @@
 // errProcessEnds is the cause of the end of a request that the process cannot continue.
 var errProcessEnds = errors.New("the process of this host ends")
 
-func (p *progress) add(c *call, end context.CancelCauseFunc) {
+// add adds a request. It returns false if the process ends.
+func (p *progress) add(c *call, end context.CancelCauseFunc) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.calls[c] = &runningCall{InProgress{ID: c.meta.ID, Service: c.service.Name, Kind: c.route.Kind}, end}
 	if p.hasEnded {
-		end(errProcessEnds)
+		return false
 	}
+	p.calls[c] = &runningCall{InProgress{ID: c.meta.ID, Service: c.service.Name, Kind: c.route.Kind}, end}
+	return true
 }
 
 // sentTo records where a request is sent.
@@ -57,6 +60,15 @@
 	}
 }
 
+// responseBegins records that the caller gets the head of a response.
+func (p *progress) responseBegins(c *call) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if running, ok := p.calls[c]; ok {
+		running.end = nil
+	}
+}
+
 func (p *progress) remove(c *call) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -77,14 +89,16 @@
 	return requests
 }
 
-// EndRequests ends the requests in progress and those that begin later. Requests whose response has not begun are
+// EndRequests ends the requests in progress whose response has not begun, and those that come later. They are
 // answered: as not run if they were sent to no endpoint, otherwise with an unknown outcome.
 func (f *Forwarder) EndRequests() {
 	f.progress.mu.Lock()
 	defer f.progress.mu.Unlock()
 	f.progress.hasEnded = true
 	for _, running := range f.progress.calls {
-		running.end(errProcessEnds)
+		if running.end != nil {
+			running.end(errProcessEnds)
+		}
 	}
 }
 
--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -30,6 +30,7 @@
 // writeHead forwards an endpoint's status and headers. A response whose end the endpoint does not
 // mark is forwarded in the same way: it ends with the caller's connection.
 func (c *call) writeHead(status int, header http.Header, framing upstream.Framing) {
+	c.f.progress.responseBegins(c)
 	h := c.w.Header()
 	for name, values := range endToEndHeaders(header) {
 		h[name] = values
--- a/pkg/forward/shutdown_test.go
+++ b/pkg/forward/shutdown_test.go
@@ -1,8 +1,11 @@
 package forward_test
 
 import (
+	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -107,3 +110,24 @@
 		}
 	}
 }
+
+// Guards against responses that are cut before the process ends although the rest is on its way.
+func TestResponseThatHasBegunIsRelayedWhileTheProcessEnds(t *testing.T) {
+	long := strings.Repeat("x", 300<<10)
+	half := make(chan struct{})
+	s := newHarness(t, spec(), true, func(c net.Conn, r *http.Request) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\nSigned: yes\r\nContent-Length: "+strconv.Itoa(len(long))+"\r\n\r\n"+long[:len(long)/2])
+		<-half
+		_, _ = io.WriteString(c, long[len(long)/2:])
+		return true
+	})
+	answered := make(chan callerResponse, 1)
+	go func() { answered <- s.send(http.MethodPost, "/once/x", "body") }()
+	s.awaitRequest()
+	time.Sleep(100 * time.Millisecond)
+	s.forwarder.EndRequests()
+	close(half)
+	if got := <-answered; got.err != nil || got.body != long {
+		t.Errorf("got %d of %d bytes, error %v, want all", len(got.body), len(long), got.err)
+	}
+}
