node: a process that ends for a fault answers its requests and logs the fault

A process that the watchdog ends, or one of its ports, printed the fault without a line in the log, left queued lines unwritten, and cut all requests in progress. It now answers them as at the end of a shutdown, names those that it cuts, logs the fault and writes the log out.

TestProcessThatEndsForAFaultLogsIt: no such line before.

--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -165,7 +165,13 @@
 	n.log.Info().Str("incarnation", string(n.incarnation)).Str("dc", settings.DataCenter).Msg("start")
 	n.registry.MustRegister(n.loadSync, n.logQueue)
 	go n.checkSettings(reloads)
-	return n.serve(ctx, signalledAt)
+	err := n.serve(ctx, signalledAt)
+	if err != nil {
+		n.log.Error().Err(err).Msg("the process ends for a fault")
+	}
+	// An error means that nobody reads the log.
+	_ = n.logQueue.Close()
+	return err
 }
 
 func tuneMemory(s Settings) {
@@ -214,12 +220,11 @@
 	case <-ctx.Done():
 	case err := <-faults:
 		stopDuties()
+		n.endForFault()
 		return err
 	}
 	stopDuties()
 	n.shutDown(background, servers, <-signalledAt)
-	// An error means that nobody reads the log.
-	_ = n.logQueue.Close()
 	return nil
 }
 
@@ -253,6 +258,13 @@
 	n.log.Info().Dur("after", time.Since(started)).Int64("dropped-lines", n.logQueue.Dropped()).Msg("stopped")
 }
 
+// endForFault answers the requests in progress before the process ends for a fault.
+func (n *node) endForFault() {
+	n.forwarder.EndRequests()
+	time.Sleep(answerTime)
+	n.logUnfinished(0)
+}
+
 // awaitUntil waits until the channel is closed, until the given time at most.
 func awaitUntil(done <-chan struct{}, end time.Time) {
 	select {
--- a/pkg/soak/shutdowns_test.go
+++ b/pkg/soak/shutdowns_test.go
@@ -2,10 +2,16 @@
 
 import (
 	"context"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
 	"ironhollow/pkg/soak"
+	"ironhollow/platform"
 	"ironhollow/platform/standin"
 )
 
@@ -36,3 +42,31 @@
 		})
 	}
 }
+
+// Guards against a process that ends for a fault without a line in its log.
+func TestProcessThatEndsForAFaultLogsIt(t *testing.T) {
+	var addresses [5]string
+	peerPort := 0
+	for i := range addresses {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = listener.Close() }()
+		addresses[i], peerPort = listener.Addr().String(), listener.Addr().(*net.TCPAddr).Port
+	}
+	settings := standin.NodeSettings{
+		Name: "node", Store: "127.0.0.1:9", Cloud: "127.0.0.1:9", GraceS: 3, LeaseMS: 3000, ReportWindowS: 2, RetryWindowS: 10,
+		Callers: addresses[0], Ready: addresses[1], Directory: addresses[2], Admin: addresses[3], PeerPort: peerPort,
+	}
+	path := filepath.Join(t.TempDir(), "node.toml")
+	if err := os.WriteFile(path, []byte(settings.TOML()), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	process := exec.Command(buildNode(t))
+	process.Env = append(os.Environ(), platform.SettingsPathVariable+"="+path)
+	text, err := process.Output()
+	if want := "the process ends for a fault"; err == nil || !strings.Contains(string(text), want) {
+		t.Errorf("got error %v and the log %q, want a failure and %q", err, text, want)
+	}
+}
