quarantine: the end of an answer shows nothing of the parts of its prompt

The end of an answer counted as a beginning too. A stream that had begun before a part of its prompt began to crash endpoints cleared the part at its end: the crashes meanwhile were dropped, and requests with the part went to further endpoints. Answers now credit the parts when they begin, also plain ones and long bodies, and their end credits the request alone.

--- a/pkg/forward/crash.go
+++ b/pkg/forward/crash.go
@@ -69,6 +69,9 @@
 func (c *call) recordOutcome(ctx context.Context, choice route.Choice, r result) {
 	switch r := r.(type) {
 	case answered:
+		if r.status < http.StatusInternalServerError && (r.unread != nil || r.framing != upstream.ByClose) {
+			c.recordBeginning(choice)
+		}
 		if r.unread == nil {
 			c.recordEnd(choice, r.status, r.framing)
 		}
--- a/pkg/quarantine/blame_test.go
+++ b/pkg/quarantine/blame_test.go
@@ -144,3 +144,17 @@
 		t.Error("after 90 reports of three crashes, up to a second late: got admitted, want rejected")
 	}
 }
+
+// Guards against a part that crashes endpoints and is cleared by the end of an answer that began before the crashes.
+func TestAnswerThatBeganBeforeTheCrashesClearsNoPart(t *testing.T) {
+	w := newWatch()
+	long := prompt("red", "long", "deadly")
+	w.AnswerBegan(long, at(0))
+	for i := range 4 {
+		crash(w, fmt.Sprint("e", i), 20+float64(i), prompt("red", fmt.Sprint(i), "deadly"))
+	}
+	w.AnswerCompleted(long, at(25))
+	if isAdmitted(w, prompt("red", "next", "deadly"), 25.1) {
+		t.Error("after the end of an answer that began before the crashes: got admitted, want rejected")
+	}
+}
--- a/pkg/quarantine/watch.go
+++ b/pkg/quarantine/watch.go
@@ -130,9 +130,9 @@
 	}
 }
 
-// AnswerCompleted records that a request was answered completely.
+// AnswerCompleted records that a request was answered completely. It shows nothing of the parts of the prompt, whose
+// answer may have begun long ago.
 func (w *Watch) AnswerCompleted(r Request, now time.Time) {
-	w.AnswerBegan(r, now)
 	w.RecordSuccess(r.fingerprint, now)
 }
 
