--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -136,11 +136,11 @@
 }
 
 // RecordSuccess records that a request was answered completely, so that it does not crash
-// endpoints.
-func (q *Quarantine) RecordSuccess(f Fingerprint, now time.Time) {
+// endpoints. It returns whether the request is no longer quarantined by it.
+func (q *Quarantine) RecordSuccess(f Fingerprint, now time.Time) (cleared bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.recordSuccess(f, now)
+	return q.recordSuccess(f, now)
 }
 
 // RecordAnswer records that the answer to a request has begun, so that no part of its prompt crashes
--- a/pkg/quarantine/watch.go
+++ b/pkg/quarantine/watch.go
@@ -43,7 +43,7 @@
 				Name: "ironhollow_quarantine_rejected_total", Help: "Requests rejected because endpoints ended under the request or under a part of its prompt.",
 			}, []string{"kind"}),
 			cleared: prometheus.NewCounterVec(prometheus.CounterOpts{
-				Name: "ironhollow_quarantine_cleared_total", Help: "Quarantined parts of prompts that an answer at this host has cleared.",
+				Name: "ironhollow_quarantine_cleared_total", Help: "Quarantined requests and parts of prompts that an answer at this host has cleared.",
 			}, []string{"kind"}),
 			trials: prometheus.NewCounter(prometheus.CounterOpts{
 				Name: "ironhollow_quarantine_trials_total", Help: "Quarantined requests that this host has admitted to find out whether they still end endpoints.",
@@ -133,7 +133,10 @@
 // AnswerCompleted records that a request was answered completely. It shows nothing of the parts of the prompt, whose
 // answer may have begun long ago.
 func (w *Watch) AnswerCompleted(r Request, now time.Time) {
-	w.RecordSuccess(r.fingerprint, now)
+	if w.RecordSuccess(r.fingerprint, now) {
+		w.metrics.cleared.WithLabelValues(kindRequest).Inc()
+		w.log.Info().Stringer("fingerprint", r.fingerprint).Msg("request cleared: it was answered")
+	}
 }
 
 // DiscardSince removes the interrupted runs and crashes that this process has recorded since a given
