quarantine: find the cases that explain a crash by its endpoint

For each request with a quarantined part, all cases were searched for those that explain its crashes, under the lock that every request takes. Cases are bounded at 4,096: a flood of requests under a part that is held back, while many other cases exist, would take the host's processor for the rejections. The implicated cases are now held by endpoint, until a case changes or a second has passed.

Decisions are the same (tests of quarantine, quarantinesync and crashlab).

--- a/pkg/quarantine/blame.go
+++ b/pkg/quarantine/blame.go
@@ -82,28 +82,6 @@
 	return cmp.Or(cmp.Compare(e.crashCount(), other.crashCount()), slices.Compare(e.Fingerprint[:], other.Fingerprint[:]))
 }
 
-// isExplained reports whether each crash of a case is also a crash of another case with as much evidence
-// that is not one of the given subjects. A request without those cases is then not known to crash
-// endpoints: if it does, its own cases have more crashes than those that explained them. The caller holds
-// the lock.
-func (q *Quarantine) isExplained(e *entry, subjects []subject, now time.Time) bool {
-	var others []*entry
-	for f, other := range q.cases {
-		if len(other.Crashes) < crashThreshold || other.crashCount() < e.crashCount() || !other.isImplicated(crashThreshold, now) {
-			continue
-		}
-		if !slices.ContainsFunc(subjects, func(s subject) bool { return s.fingerprint == f }) {
-			others = append(others, other)
-		}
-	}
-	for _, crash := range e.Crashes {
-		if !slices.ContainsFunc(others, func(other *entry) bool { return slices.ContainsFunc(other.Crashes, crash.isSame) }) {
-			return false
-		}
-	}
-	return true
-}
-
 // DueTrials returns the quarantined cases for which this host has rejected a request recently and that may
 // be tried again.
 func (q *Quarantine) DueTrials(now time.Time) []Case {
--- a/pkg/quarantine/blame_test.go
+++ b/pkg/quarantine/blame_test.go
@@ -158,3 +158,19 @@
 		t.Error("after the end of an answer that began before the crashes: got admitted, want rejected")
 	}
 }
+
+// Requests with a part that is held back, while 1,300 other requests have crashed three endpoints each.
+func BenchmarkAdmissionUnderManyCases(b *testing.B) {
+	w := newWatch()
+	for i := range 3 {
+		crash(w, fmt.Sprint("e", i), float64(i), prompt("red", fmt.Sprint(i), "deadly"))
+	}
+	for i := range 1300 {
+		for j := range 3 {
+			crash(w, fmt.Sprint("f", i, j), 4+float64(j)*0.001, prompt("red", fmt.Sprint("x", i)))
+		}
+	}
+	for b.Loop() {
+		w.CheckRequest(prompt("red", "next", "deadly"), at(5))
+	}
+}
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -84,6 +84,7 @@
 	successes      [2]map[Fingerprint]time.Time
 	successesSince time.Time
 	crashTimes     crashTimes
+	explanations   explanations
 	// nextQuarantined is the position in the rotation of quarantined cases to send again.
 	nextQuarantined int
 	// round counts the calls of Reports.
@@ -126,6 +127,7 @@
 	e, before := q.getOrCreate(s.fingerprint, now)
 	e.part, e.IsPart = s.part, s.part != ""
 	crash.Team = s.team
+	q.explanations.isOutdated = true
 	q.crashTimes.add(crash)
 	if e.add(crash) {
 		e.local = true
@@ -164,9 +166,12 @@
 		return false
 	}
 	_, before := q.quarantined(e, now)
+	wasSound := e.wasSound()
 	if e.applySuccess(now) {
 		e.markChanged(now)
+		q.explanations.isOutdated = true
 	}
+	q.explanations.isOutdated = q.explanations.isOutdated || e.wasSound() != wasSound
 	_, after := q.quarantined(e, now)
 	return before && !after
 }
@@ -176,6 +181,7 @@
 func (q *Quarantine) Merge(received []Case, now time.Time) []Case {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.explanations.isOutdated = q.explanations.isOutdated || len(received) > 0
 	var quarantined []Case
 	for _, c := range received {
 		e, before := q.getOrCreate(c.Fingerprint, now)
@@ -201,6 +207,7 @@
 func (q *Quarantine) Discard(since, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.explanations.isOutdated = true
 	for f, e := range q.cases {
 		if !e.local {
 			continue
@@ -259,6 +266,7 @@
 	if len(q.cases) < maxCases {
 		return
 	}
+	q.explanations.isOutdated = true
 	list := make([]*entry, 0, len(q.cases))
 	for _, e := range q.cases {
 		list = append(list, e)
