quarantine: only a case that is held back itself explains the crashes of another

A popular part that happened to be in the crashing requests too, and that has too small a share of all crashes to be held back, still explained the crashes of the part that caused them: neither was held back, and the requests went to further endpoints.

TestPartWithASmallShareOfCrashesExplainsNoOther: admitted before, rejected now. crashlab's scenarios hold as before.

--- a/pkg/quarantine/blame_test.go
+++ b/pkg/quarantine/blame_test.go
@@ -159,6 +159,24 @@
 	}
 }
 
+// Guards against a crashing part that is admitted since a popular one, which is not held back itself, explains its crashes.
+func TestPartWithASmallShareOfCrashesExplainsNoOther(t *testing.T) {
+	w := newWatch()
+	for i := range 3 {
+		crash(w, fmt.Sprint("e", i), 10*float64(i), prompt("red", fmt.Sprint(i), "popular", "deadly"))
+	}
+	for i := range 40 {
+		crash(w, fmt.Sprint("other ", i), 25+float64(i), prompt("red", fmt.Sprint("other ", i), fmt.Sprint("part ", i)))
+	}
+	crash(w, "e3", 70, prompt("red", "3", "popular", "part"))
+	if !isAdmitted(w, prompt("red", "next", "popular"), 71) {
+		t.Error("request with the popular part: got rejected, want admitted, as it has 4 of 44 crashes")
+	}
+	if isAdmitted(w, prompt("red", "next", "deadly"), 71) {
+		t.Error("request with the crashing part: got admitted, want rejected")
+	}
+}
+
 // Requests with a part that is held back, while 1,300 other requests have crashed three endpoints each.
 func BenchmarkAdmissionUnderManyCases(b *testing.B) {
 	w := newWatch()
--- a/pkg/quarantine/explain.go
+++ b/pkg/quarantine/explain.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// explanationTTL is how long the implicated cases are used without a change: they expire an hour after their last crash.
+// explanationTTL is how long the quarantined cases are used without a change: they expire an hour after their last crash.
 const explanationTTL = time.Second
 
-// explanations are the implicated cases by the endpoints that crashed, so that a request is compared with few of them.
+// explanations are the quarantined cases by the endpoints that crashed, so that a request is compared with few of them.
 type explanations struct {
 	byEndpoint map[string][]explanation
 	builtAt    time.Time
@@ -16,7 +16,7 @@
 	isOutdated bool
 }
 
-// explanation is an implicated case and its number of crashes.
+// explanation is a quarantined case and its number of crashes.
 type explanation struct {
 	*entry
 	count int
@@ -30,7 +30,10 @@
 	}
 	x.byEndpoint, x.builtAt, x.isOutdated = map[string][]explanation{}, now, false
 	for _, e := range q.cases {
-		if len(e.Crashes) < crashThreshold || !e.isImplicated(crashThreshold, now) {
+		if len(e.Crashes) < crashThreshold {
+			continue
+		}
+		if _, isQuarantined := q.quarantined(e, now); !isQuarantined {
 			continue
 		}
 		item := explanation{e, e.crashCount()}
