quarantine: a huge number of trials no longer ends hosts

What callers would see: hosts that end as soon as a request of an odd case arrives, and again after each restart, because the row stays in the store. One datagram with such a case ends every host that receives it.

Cause: trialDue adds 1 to the number of trials of a case that was not known to be sound, and uses the sum, bounded above only, as an index. A row of table quarantine or a report of another host with 2^63-1 trials makes the sum negative: "index out of range [-]" in Admit, which runs for each request; DueTrials, which the syncer calls in its own goroutine, calls the same function.

Change: the number is bounded before the addition. Rows with more than a million trials are rejected like other unreadable rows (one log line, overwritten by the next write), and the trials of such a report are ignored. The bounds are on integers, so they do not depend on the machine.

--- a/pkg/quarantine/case.go
+++ b/pkg/quarantine/case.go
@@ -87,7 +87,7 @@
 // trialDue returns when the next request of a quarantined case may be admitted for a trial. A case that
 // was sound just before its first crash is tried sooner, as the crashes may have another cause.
 func (c Case) trialDue() time.Time {
-	index := c.Trials
+	index := min(c.Trials, len(trialDelays))
 	if !c.wasSound() {
 		index += unsoundTrialDelays
 	}
@@ -143,9 +143,12 @@
 	return dropped
 }
 
+// MaxTrials bounds the number of trials that is accepted from other hosts and from the store.
+const MaxTrials = 1_000_000
+
 // applyTrials applies what another host knows of trials, and reports whether that is newer.
 func (c *Case) applyTrials(trials int, at time.Time) bool {
-	if trials <= c.Trials || at.Before(c.LastSuccess) {
+	if trials <= c.Trials || trials > MaxTrials || at.Before(c.LastSuccess) {
 		return false
 	}
 	c.Trials, c.TrialAt = trials, at
--- a/pkg/quarantinesync/row.go
+++ b/pkg/quarantinesync/row.go
@@ -75,7 +75,7 @@
 			return decodedRow{}, fmt.Errorf("quarantinesync: row %q: time of a crash out of range: %d ms", key, e.AtMS)
 		}
 	}
-	if r.TrialAtMS < 0 || r.TrialAtMS > maxMS || r.Trials < 0 {
+	if r.TrialAtMS < 0 || r.TrialAtMS > maxMS || r.Trials < 0 || r.Trials > quarantine.MaxTrials {
 		return decodedRow{}, fmt.Errorf("quarantinesync: row %q: trials out of range: %d at %d ms", key, r.Trials, r.TrialAtMS)
 	}
 	if len(r.Teams) != 0 && len(r.Teams) != len(r.Crashes) {
