lease: a row that cannot be decoded is replaced

What operators would see: no host reports usage, orders endpoints or decides roll-outs any more, without a log line, from the moment when another writer leaves one unreadable row under the key of the lease; restarts do not help.

Cause: tryAcquire returned when the row could not be decoded, and the holder drops its lease when its renewal finds such a row, so no host ever acquired it again.

Change: such a row counts as that of an unknown holder. It is replaced, on the condition of its version, once it has not changed for the duration of a lease: a holder of another release renews it before that. The manager gets a logger and writes one line for each version of such a row.

--- a/pkg/app/control/app.go
+++ b/pkg/app/control/app.go
@@ -92,8 +92,8 @@
 	return table.NewWriter(store, "control-"+membership.OwnerOf(s.id, int64(incarnation)))
 }
 
-func newLeaseManager(writer *table.Writer, s Settings) *lease.Manager {
-	return lease.New(writer, writer.Incarnation(), s.leaseTiming, boottime.Now)
+func newLeaseManager(writer *table.Writer, s Settings, logger *log.Logger) *lease.Manager {
+	return lease.New(writer, writer.Incarnation(), s.leaseTiming, boottime.Now, logger)
 }
 
 func newMesh(s Settings, incarnation Incarnation, nodes *membership.Table, endpoints *endpoint.Directory, holder *config.Holder) *peer.Mesh {
--- a/pkg/app/control/notices_internal_test.go
+++ b/pkg/app/control/notices_internal_test.go
@@ -42,9 +42,10 @@
 		endpoints, registry := endpoint.NewDirectory(), prometheus.NewRegistry()
 		mesh := peer.NewAttached(membership.Node{ID: "c"}, membership.NewTable(), endpoints, config.NewHolder())
 		provider := &fakeCloud{notice: cloud.Notice{Sequence: 1, Endpoint: endpoint.Ref{ID: "e", Incarnation: 1}, LeaveBy: time.Now().Add(time.Minute)}}
+		logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 		app := &App{
-			log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, cloud: provider, endpoints: endpoints, mesh: mesh,
-			settings: Settings{shardCount: 1}, counters: NewCounters(registry), leases: lease.New(table.NewWriter(tables.New(), "c"), "c", timing, time.Now),
+			log: logger, cloud: provider, endpoints: endpoints, mesh: mesh,
+			settings: Settings{shardCount: 1}, counters: NewCounters(registry), leases: lease.New(table.NewWriter(tables.New(), "c"), "c", timing, time.Now, logger),
 			peers: peer.NewServer(t.Context(), mesh, peer.RoleControl, nil, peer.NewCounters(registry)),
 		}
 		app.leases.Step(t.Context(), map[lease.Shard]lease.Intent{0: lease.Acquire})
--- a/pkg/app/control/wire_gen.go
+++ b/pkg/app/control/wire_gen.go
@@ -35,7 +35,7 @@
 	registerer := newRegisterer(registry)
 	counters := peer.NewCounters(registerer)
 	server := newPeers(ctx, mesh, tls, counters)
-	manager := newLeaseManager(writer, settings)
+	manager := newLeaseManager(writer, settings, logger)
 	api := newEngineAPI(client)
 	cloudAPI := newCloudAPI(settings, client)
 	source := newHostListSource(settings, client)
--- a/pkg/app/node/providers.go
+++ b/pkg/app/node/providers.go
@@ -207,8 +207,8 @@
 	return table.NewWriter(store, string(self))
 }
 
-func newLeaseManager(writer *table.Writer, self Incarnation, s Settings) *lease.Manager {
-	return lease.New(writer, string(self), lease.Timing{Duration: s.LeaseDuration, RenewInterval: s.LeaseDuration / renewalsPerLease}, boottime.Now)
+func newLeaseManager(writer *table.Writer, self Incarnation, s Settings, logger *log.Logger) *lease.Manager {
+	return lease.New(writer, string(self), lease.Timing{Duration: s.LeaseDuration, RenewInterval: s.LeaseDuration / renewalsPerLease}, boottime.Now, logger)
 }
 
 func newDutyCloud(platform Platform, client storeClient, s Settings, leases *lease.Manager) *dutyCloud {
--- a/pkg/app/node/wire_gen.go
+++ b/pkg/app/node/wire_gen.go
@@ -38,7 +38,7 @@
 	pool := newPool(monitor)
 	counter := newCounter(settings, clock, view)
 	writer := newWriter(countingStore, incarnation)
-	manager := newLeaseManager(writer, incarnation, settings)
+	manager := newLeaseManager(writer, incarnation, settings, logger)
 	nodeDutyCloud := newDutyCloud(platform, nodeStoreClient, settings, manager)
 	reporter := newReporter(counter, view, writer, nodeDutyCloud, logger)
 	reconciler := newReconciler(nodeDutyCloud, logger)
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"ironhollow/pkg/storeversion"
 	"ironhollow/pkg/table"
 )
@@ -71,6 +73,7 @@
 	holder string
 	timing Timing
 	now    func() time.Time
+	log    *log.Logger
 
 	mu   sync.Mutex
 	held map[Shard]*heldLease
@@ -98,8 +101,8 @@
 
 // New returns a manager; holder is this process's incarnation. The clock now must include the
 // time for which the machine is suspended, as another process may hold the lease when it resumes.
-func New(writer *table.Writer, holder string, timing Timing, now func() time.Time) *Manager {
-	return &Manager{writer: writer, holder: holder, timing: timing, now: now, held: map[Shard]*heldLease{}, observed: map[Shard]observation{}}
+func New(writer *table.Writer, holder string, timing Timing, now func() time.Time, logger *log.Logger) *Manager {
+	return &Manager{writer: writer, holder: holder, timing: timing, now: now, log: logger, held: map[Shard]*heldLease{}, observed: map[Shard]observation{}}
 }
 
 func rowKey(s Shard) string { return fmt.Sprintf("lease/%04d", s) }
@@ -151,8 +154,12 @@
 	}
 }
 
-// unreadHolder is the holder in an observation whose row has not been read.
-const unreadHolder = "heard"
+// unreadHolder is the holder in an observation whose row has not been read, unknownHolder that in one whose
+// row cannot be decoded.
+const (
+	unreadHolder  = "heard"
+	unknownHolder = "unknown"
+)
 
 // MayHaveExpired reports whether no renewal of a shard has been observed for the duration
 // of a lease.
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -28,7 +28,7 @@
 }
 
 func newHolder(store *tables.Store, name string, intent lease.Intent) *holder {
-	h := &holder{Manager: lease.New(table.NewWriter(store, name), name, timing, time.Now), intent: intent, stop: make(chan struct{})}
+	h := &holder{Manager: lease.New(table.NewWriter(store, name), name, timing, time.Now, discardLogger), intent: intent, stop: make(chan struct{})}
 	go func() {
 		for {
 			if !h.paused.Load() {
@@ -96,7 +96,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := tables.New()
 		first := newHolder(store, "a", lease.Acquire)
-		second := lease.New(table.NewWriter(store, "b"), "b", timing, time.Now)
+		second := lease.New(table.NewWriter(store, "b"), "b", timing, time.Now, discardLogger)
 		step := func() { second.Step(context.Background(), map[lease.Shard]lease.Intent{shard: lease.Acquire}) }
 		holders := []*holder{first, {Manager: second}}
 		for range 100 {
@@ -263,7 +263,7 @@
 func TestRenewalsAreOneCommit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := tables.New()
-		m := lease.New(table.NewWriter(store, "a"), "a", timing, time.Now)
+		m := lease.New(table.NewWriter(store, "a"), "a", timing, time.Now, discardLogger)
 		intents := map[lease.Shard]lease.Intent{}
 		for s := range 50 {
 			intents[lease.Shard(s)] = lease.Acquire
@@ -290,8 +290,8 @@
 		store := tables.New()
 		suspended := time.Duration(0)
 		suspendedClock := func() time.Time { return time.Now().Add(suspended) }
-		first := lease.New(table.NewWriter(store, "a"), "a", timing, suspendedClock)
-		second := lease.New(table.NewWriter(store, "b"), "b", timing, time.Now)
+		first := lease.New(table.NewWriter(store, "a"), "a", timing, suspendedClock, discardLogger)
+		second := lease.New(table.NewWriter(store, "b"), "b", timing, time.Now, discardLogger)
 		intents := map[lease.Shard]lease.Intent{0: lease.Acquire}
 		first.Step(t.Context(), intents)
 		if _, held := first.Held(0); !held {
@@ -304,7 +304,7 @@
 			t.Fatal("second, after the duration of a lease: got no lease, want it")
 		}
 		// The same time passes for a suspended holder, though its monotonic clock does not advance.
-		third := lease.New(table.NewWriter(store, "c"), "c", timing, suspendedClock)
+		third := lease.New(table.NewWriter(store, "c"), "c", timing, suspendedClock, discardLogger)
 		third.Step(t.Context(), map[lease.Shard]lease.Intent{1: lease.Acquire})
 		suspended += timing.Duration
 		if grant, held := third.Held(1); held || third.Remaining(1) != 0 || third.RowVersion(1) != 0 || len(third.Grants()) != 0 {
--- a/pkg/lease/take.go
+++ b/pkg/lease/take.go
@@ -18,10 +18,7 @@
 		m.acquireMissing(ctx, s, intent, row.Version)
 		return
 	}
-	var current record
-	if json.Unmarshal(row.Value, &current) != nil {
-		return
-	}
+	current := m.decode(s, row)
 	last := m.observe(s, row.Version, current)
 	if !m.isAvailable(last, intent) {
 		return
@@ -29,6 +26,27 @@
 	m.acquire(ctx, s, current.Epoch+1, table.AtVersion{Version: row.Version}, row.Version)
 }
 
+// decode decodes a row that was read. One that cannot be decoded counts as that of an unknown holder, so that
+// it is replaced once it has not changed for the duration of a lease: its holder, if any, renews it.
+func (m *Manager) decode(s Shard, row table.Row) record {
+	var current record
+	if err := json.Unmarshal(row.Value, &current); err != nil {
+		if !m.isObserved(s, row.Version) {
+			m.log.Error().Err(err).Str("row", row.Key).Int64("version", row.Version).Msg("failed to decode the row of a lease")
+		}
+		return record{Holder: unknownHolder}
+	}
+	return current
+}
+
+// isObserved reports whether the row has been observed at a version.
+func (m *Manager) isObserved(s Shard, version int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	last, ok := m.observed[s]
+	return ok && last.version == version
+}
+
 // acquireMissing acquires a shard whose row was missing when read at readVersion. If a row was
 // observed before or the store was ever restored, the row may have been lost in a restore while its
 // holder is still active. The shard is then acquired only after the duration of a lease.
--- a/pkg/rolloutsync/coordinator_test.go
+++ b/pkg/rolloutsync/coordinator_test.go
@@ -96,7 +96,7 @@
 	clock := storeclock.New()
 	clock.Observe(time.Since(f.began) + time.Minute)
 	writer := table.NewWriter(f.store, name)
-	h.leases = lease.New(writer, name, lease.Timing{Duration: 3 * time.Second, RenewInterval: 750 * time.Millisecond}, time.Now)
+	h.leases = lease.New(writer, name, lease.Timing{Duration: 3 * time.Second, RenewInterval: 750 * time.Millisecond}, time.Now, discardLogger)
 	held := func() (lease.Grant, time.Duration, bool) {
 		grant, ok := h.leases.Held(shard)
 		return grant, h.leases.Remaining(shard), ok
