usage: odd rows no longer hold up or end reports

What operators would see: a window that is never reported, and those after it late, because another writer left a row under its key; reports with negative or impossible numbers that stand in such a row; and after a restore, with an odd number in the row of the restore, no report at all any more, from any holder.

Cause: Step returned at the first window whose row could not be decoded and tried it again until it was too old. Decoded numbers were not checked, and a row `null` was reported as no counts. The first window of a restore's row was used as it was, so every window before 2^60 counted as one that an earlier holder may have reported.

Change: rows are checked as they are decoded: counts from 0 to 10^12, an object. A holder that has reported all due windows of its epoch replaces an odd row, on its version, as no other holder can have reported the window; one that has just taken over skips that window, as after a restore, with a log line, and goes on. The row of a restore whose window is negative, or later than the clock allows, is replaced like one that cannot be decoded.

--- a/pkg/usage/reporter.go
+++ b/pkg/usage/reporter.go
@@ -75,7 +75,7 @@
 			continue
 		}
 		err := r.report(ctx, window, held)
-		if errors.Is(err, errMayBeReported) {
+		if errors.Is(err, errMayBeReported) || errors.Is(err, errOddRow) {
 			r.log.Warn().Int64("window", window).Err(err).Msg("usage report skipped")
 		} else if err != nil {
 			r.log.Warn().Int64("window", window).Err(err).Msg("failed to report usage, will retry")
@@ -143,51 +143,88 @@
 	if window >= r.rowsIntactFrom {
 		return nil, nil
 	}
-	counts, ok, err := r.readCounts(ctx, window)
-	if err == nil && !ok {
+	counts, version, err := r.readCounts(ctx, window)
+	if err == nil && version == 0 {
 		err = errMayBeReported
 	}
 	return counts, err
 }
 
-func (r *Reporter) readCounts(ctx context.Context, window int64) (counts map[string]int, ok bool, err error) {
+// readCounts returns the stored counts of a window and the version of their row, 0 if there is none. The
+// version is also set if the row cannot be used; the error is then errOddRow.
+func (r *Reporter) readCounts(ctx context.Context, window int64) (counts map[string]int, version int64, err error) {
 	row, ok, err := r.writer.Store().Get(ctx, rowKey(window))
 	if err != nil || !ok {
-		return nil, false, err
+		return nil, 0, err
 	}
-	counts = map[string]int{}
-	return counts, true, json.Unmarshal(row.Value, &counts)
+	counts, err = decodeCounts(row.Value)
+	return counts, row.Version, err
+}
+
+// maxCount bounds the requests of a team in a window.
+const maxCount = 1_000_000_000_000
+
+// errOddRow means that the row of a window is not one that a holder writes.
+var errOddRow = errors.New("the row is not one of usage")
+
+func decodeCounts(value []byte) (map[string]int, error) {
+	var counts map[string]int
+	if err := json.Unmarshal(value, &counts); err != nil {
+		return nil, errors.Join(errOddRow, err)
+	}
+	if counts == nil {
+		return nil, errOddRow
+	}
+	for team, count := range counts {
+		if count < 0 || count > maxCount {
+			return nil, fmt.Errorf("%w: %d requests of team %q", errOddRow, count, team)
+		}
+	}
+	return counts, nil
 }
 
 // writeCounts writes the counts of a window that are known to this process and returns them. If the
 // row already exists, it returns the counts in the row.
 func (r *Reporter) writeCounts(ctx context.Context, window int64) (map[string]int, error) {
+	counts, version, err := r.writeCountsIf(ctx, window, table.Absent{})
+	if !errors.Is(err, errOddRow) || !r.caughtUp {
+		return counts, err
+	}
+	// No earlier holder has reported the window, so the row may be replaced.
+	r.log.Error().Int64("window", window).Err(err).Msg("replacing a usage row")
+	counts, _, err = r.writeCountsIf(ctx, window, table.AtVersion{Version: version})
+	return counts, err
+}
+
+// writeCountsIf writes the row of a window on a condition. If that does not hold, it returns what the row has,
+// like readCounts.
+func (r *Reporter) writeCountsIf(ctx context.Context, window int64, condition table.Condition) (map[string]int, int64, error) {
 	counts := r.roster.StartedRequests(window)
-	switch o := r.commitCounts(ctx, window, counts).(type) {
+	switch o := r.commitCounts(ctx, window, counts, condition).(type) {
 	case table.Committed:
 		if storeversion.Era(o.Version) != r.era {
-			return nil, r.deleteRow(ctx, window, o.Version)
+			return nil, 0, r.deleteRow(ctx, window, o.Version)
 		}
 		r.deleteOldRow(ctx, window-retainedReports)
-		return counts, nil
+		return counts, o.Version, nil
 	case table.Refused:
-		stored, ok, err := r.readCounts(ctx, window)
-		if err == nil && !ok {
+		stored, version, err := r.readCounts(ctx, window)
+		if err == nil && version == 0 {
 			err = fmt.Errorf("usage of window %d was not written: %w", window, errors.Join(o.Err, errNotWritten))
 		}
-		return stored, err
+		return stored, version, err
 	default:
-		return nil, errNotWritten
+		return nil, 0, errNotWritten
 	}
 }
 
-// commitCounts writes the row of a window unless it exists.
-func (r *Reporter) commitCounts(ctx context.Context, window int64, counts map[string]int) table.Outcome {
+// commitCounts writes the row of a window on a condition.
+func (r *Reporter) commitCounts(ctx context.Context, window int64, counts map[string]int, condition table.Condition) table.Outcome {
 	value, err := json.Marshal(counts)
 	if err != nil {
 		return table.Refused{Err: err}
 	}
-	return r.writer.Commit(ctx, table.Write{Key: rowKey(window), Value: value, If: table.Absent{}})
+	return r.writer.Commit(ctx, table.Write{Key: rowKey(window), Value: value, If: condition})
 }
 
 var errNotWritten = errors.New("the store did not confirm the write")
--- a/pkg/usage/restore.go
+++ b/pkg/usage/restore.go
@@ -29,6 +29,12 @@
 	First int64 `json:"first"`
 }
 
+// isPlausible reports whether the row may have been written when a window up to lastDue was the last due one.
+// The clocks of hosts may differ by some windows. A later window would have no window reported until then.
+func (r restoreRecord) isPlausible(lastDue int64) bool {
+	return r.First >= 0 && r.First <= lastDue+1+retainedWindows
+}
+
 // updateEpochAndEra rewrites lost rows and updates rowsIntactFrom when the lease's epoch or the store's
 // era has changed. It does nothing but store both if the store was never restored.
 func (r *Reporter) updateEpochAndEra(ctx context.Context, grant lease.Grant) error {
@@ -66,7 +72,7 @@
 		if window <= r.lastDue()-retainedWindows {
 			continue
 		}
-		switch o := r.commitCounts(ctx, window, counts).(type) {
+		switch o := r.commitCounts(ctx, window, counts, table.Absent{}).(type) {
 		case table.Committed:
 		case table.Refused:
 			if len(o.Conflicts) == 0 {
@@ -93,7 +99,7 @@
 			r.log.Error().Err(err).Str("row", restoredKey).Msg("replacing malformed usage row")
 			record = restoreRecord{}
 		}
-		if record.Era == era {
+		if record.Era == era && record.isPlausible(r.lastDue()) {
 			return record.First, nil
 		}
 		condition = table.AtVersion{Version: row.Version}
