rolloutsync: odd rows and numbers no longer hold up roll-outs

What operators would see: a roll-out that is never completed and never reverted, because another writer, or a host of another release, left a row under the service's key of table rollouts: one that cannot be decoded, of an order that does not exist yet, with an unknown phase, another target or a start in 292 million years. Also, without any odd row: a roll-out whose period_s has more than three decimals is not completed once another host has taken it over.

Cause: the owner gave up a takeover when it could not decode the row, or when the row named a later order, and did so again every 100 ms. Numbers of rows and datagrams were not checked: a threshold NaN or 0 makes every threshold of the order NaN, a share of 10^30 is converted to an int with a result that depends on the machine, counts overflow in sums. The order of the row, whose period is in whole milliseconds, replaced the operator's, so an owner that took over was dropped as one of another order and taken over again without end.

Change: numbers are bounded where they are decoded, with limits on the decoded integers and floats. An odd row, also one of another service or of an order later than the row's own version, is logged and replaced on its version; the phase that the host itself knows is kept from Draining on. Of a sound row only phase, start and reason are used, and the start is not in the future. In a datagram, odd directives and reports are left out, and the others are applied.

--- a/pkg/app/node/rollouts.go
+++ b/pkg/app/node/rollouts.go
@@ -118,8 +118,7 @@
 func (n *node) receiveRollouts(update gossip.Update, now time.Time) {
 	directives, reports, err := rolloutsync.Decode(update.Rollouts)
 	if err != nil {
-		n.log.Debug().Err(err).Str("from", update.Incarnation).Msg("failed to decode roll-out datagram")
-		return
+		n.log.Debug().Err(err).Str("from", update.Incarnation).Msg("failed to decode all of a roll-out datagram")
 	}
 	for _, r := range reports {
 		n.rolloutCoordinator.ApplyReport(update.Incarnation, r)
--- a/pkg/rolloutsync/coordinator.go
+++ b/pkg/rolloutsync/coordinator.go
@@ -170,27 +170,26 @@
 	}
 	state := rollout.State{Order: order, Phase: rollout.Trying, Started: now}
 	condition := table.Condition(table.Absent{})
-	renumbered := false
+	renumbered, isOdd := false, false
 	if exists {
 		condition = table.AtVersion{Version: stored.Version}
-		written, err := DecodeState(stored.Value)
-		if err != nil {
-			c.log.Error().Err(err).Str("service", order.Service).Msg("failed to decode roll-out state")
-			return nil
+		written, err := decodeStored(stored, order)
+		isOdd = err != nil
+		if isOdd {
+			c.log.Error().Err(err).Str("service", order.Service).Int64("row", stored.Version).Msg("failed to decode roll-out state, replacing it")
+		} else {
+			renumbered = c.splitter.WasRenumberedFrom(order, written.Order)
 		}
-		renumbered = c.splitter.WasRenumberedFrom(order, written.Order)
 		switch {
-		case renumbered:
-			state = written
-			state.Order = order
+		case isOdd:
+		case renumbered || written.Order.ID == order.ID:
+			state.Phase, state.Started, state.Reason = written.Phase, min(written.Started, now), written.Reason
 		case written.Order.ID > order.ID:
 			// A later order that this process has not received yet.
 			return nil
-		case written.Order.ID == order.ID:
-			state = written
 		}
 	}
-	recovered := c.recoverPhase(&state)
+	recovered := c.recoverPhase(&state, isOdd)
 	if state.Phase.Ended() && !recovered && !renumbered {
 		c.splitter.ApplyState(state, c.clock.Now())
 		return nil
@@ -220,17 +219,27 @@
 	return o
 }
 
-// recoverPhase raises a state read from a restored store to the phase that this host knows was
-// written before the restore. It reports whether the restore had lost that phase.
-func (c *Coordinator) recoverPhase(state *rollout.State) bool {
-	if !storeversion.IsRestored(storeversion.Era(state.Order.ID)) {
+// decodeStored decodes the row of an order's service. A row of another service, or of an order later than the
+// row itself, is not one that an owner has written.
+func decodeStored(stored table.Row, order rollout.Order) (rollout.State, error) {
+	state, err := DecodeState(stored.Value)
+	if err == nil && (state.Order.Service != order.Service || state.Order.ID > max(stored.Version, order.ID)) {
+		err = fmt.Errorf("rolloutsync: row of service %q and order %d", state.Order.Service, state.Order.ID)
+	}
+	return state, err
+}
+
+// recoverPhase raises a state read from a restored store, or from a row that another writer has replaced, to
+// the phase that this host knows was written before. It reports whether that phase was lost.
+func (c *Coordinator) recoverPhase(state *rollout.State, isOdd bool) bool {
+	if !isOdd && !storeversion.IsRestored(storeversion.Era(state.Order.ID)) {
 		return false
 	}
 	phase := c.splitter.Phase(state.Order)
 	if phase < rollout.Draining || phase <= state.Phase {
 		return false
 	}
-	state.Phase, state.Reason = phase, "written before the store was restored"
+	state.Phase, state.Reason = phase, "written before, and lost by the store"
 	return true
 }
 
--- a/pkg/rolloutsync/wire.go
+++ b/pkg/rolloutsync/wire.go
@@ -3,9 +3,9 @@
 package rolloutsync
 
 import (
+	"errors"
 	"fmt"
 	"slices"
-	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -136,32 +136,45 @@
 	return list
 }
 
-// Decode decodes a datagram of directives or of reports.
+// Decode decodes a datagram of directives or of reports. Those with odd values are left out; the error says
+// which. The others are returned with it.
 func Decode(data []byte) (directives []rollout.Directive, reports []rollout.Report, err error) {
 	var m message
 	if err := cbor.Unmarshal(data, &m); err != nil {
 		return nil, nil, fmt.Errorf("rolloutsync: %w", err)
 	}
 	for _, d := range m.Directives {
-		directives = append(directives, rollout.Directive{
-			Service: d.Service, Order: d.Order, Target: d.Target, Period: time.Duration(d.PeriodMS) * time.Millisecond, Phase: rollout.Phase(d.Phase), Share: float64(d.Share), Slack: d.Slack,
-			Epoch: d.Epoch, Number: d.Number, Suspects: d.Suspects, SlowThresholds: decodeSlowThresholds(d.SlowThresholds),
-		})
+		if odd := d.check(); odd != nil {
+			err = errors.Join(err, odd)
+			continue
+		}
+		directives = append(directives, d.decode())
 	}
 	for _, r := range m.Reports {
-		decoded, err := r.decode()
-		if err != nil {
-			return nil, nil, err
+		decoded, odd := r.decode()
+		if odd != nil {
+			err = errors.Join(err, odd)
+			continue
 		}
 		reports = append(reports, decoded)
 	}
-	return directives, reports, nil
+	return directives, reports, err
+}
+
+func (d wireDirective) decode() rollout.Directive {
+	return rollout.Directive{
+		Service: d.Service, Order: d.Order, Target: d.Target, Period: fromMS(d.PeriodMS), Phase: rollout.Phase(d.Phase), Share: float64(d.Share), Slack: d.Slack,
+		Epoch: d.Epoch, Number: d.Number, Suspects: d.Suspects, SlowThresholds: decodeSlowThresholds(d.SlowThresholds),
+	}
 }
 
 func (r wireReport) decode() (rollout.Report, error) {
 	report := rollout.Report{
 		Service: r.Service, Order: r.Order, Phase: rollout.Phase(r.Phase), Epoch: r.Epoch, Number: r.Number, Requests: r.Requests, TargetRequests: r.TargetRequests,
-		OthersRunning: r.OthersRunning, LongestOther: time.Duration(r.LongestOtherMS) * time.Millisecond, SlowThresholds: decodeSlowThresholds(r.SlowThresholds),
+		OthersRunning: r.OthersRunning, LongestOther: fromMS(r.LongestOtherMS), SlowThresholds: decodeSlowThresholds(r.SlowThresholds),
+	}
+	if err := r.check(); err != nil {
+		return report, err
 	}
 	for _, t := range r.Tallies {
 		if t.Endpoint < 0 || t.Endpoint > len(r.Endpoints) || t.Kind < 0 || t.Kind >= len(r.Kinds) {
@@ -208,10 +221,12 @@
 	if err := cbor.Unmarshal(value, &r); err != nil {
 		return rollout.State{}, fmt.Errorf("rolloutsync: decode roll-out state: %w", err)
 	}
-	return rollout.State{
-		Order: rollout.Order{
-			Service: r.Service, Target: r.Target, Period: time.Duration(r.PeriodMS) * time.Millisecond, ID: r.Order,
-		},
-		Phase: rollout.Phase(r.Phase), Started: time.Duration(r.StartedMS) * time.Millisecond, Reason: r.Reason,
-	}, nil
+	if err := r.check(); err != nil {
+		return rollout.State{}, err
+	}
+	state := rollout.State{
+		Order: rollout.Order{Service: r.Service, Target: r.Target, Period: fromMS(r.PeriodMS), ID: r.Order},
+		Phase: rollout.Phase(r.Phase), Started: fromMS(r.StartedMS), Reason: r.Reason,
+	}
+	return state, state.Order.Check()
 }
