originlog, storeview: a host with an outdated view does not take its only release for the origin of a stream

What callers saw: a host was cut from the store while endpoints of another release started. Streams that began at the new release through other hosts broke, were taken up at that host, and went on at the old release.

Cause: if no other host has a record, the store's rows of origins decide. A stream that no row names was taken to have begun at the only source of its route, if the rows and this host's view of the endpoints agree on one. Hosts use a release before a row names it (0.1 to 0.3 s after the first stream, and only while they reach the store), and the view of a host that was suspended or cut may be seconds old. Nothing that such a host looked at had the new release.

Change: the last condition uses what the store lists after the caller has resumed the stream: the view, and all changes of the endpoints' rows since it, read in one call that does not wait. An endpoint that another host has used had a row by then. The call is made only if the rows give one source; concurrent searches share it. The age of the rows that are kept for 0.3 s counts from the beginning of the read: a process that was suspended during a read took old rows for new ones.

TestOriginThatIsNotCertainIsUnknown fails in the two new cases if the known sources are used in place of the latest ones (got v1, want unknown).

--- a/pkg/app/node/origins.go
+++ b/pkg/app/node/origins.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -9,10 +10,12 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"ironhollow/pkg/endpoint"
+	"ironhollow/pkg/feed"
 	"ironhollow/pkg/gossip"
 	"ironhollow/pkg/origin"
 	"ironhollow/pkg/originlog"
 	"ironhollow/pkg/routetable"
+	"ironhollow/pkg/storecalls"
 	"ironhollow/pkg/storeclock"
 	"ironhollow/pkg/storeview"
 	"ironhollow/pkg/table"
@@ -57,15 +60,16 @@
 	return origin.New(s.PeerAddress, peers, sender, clock.Now)
 }
 
-func newOriginLog(view *storeview.View, writer *table.Writer, clock *storeclock.Clock, s Settings, registry *prometheus.Registry, logger *log.Logger) *originlog.Log {
-	sources := &streamSources{view: view}
+func newOriginLog(view *storeview.View, store *storecalls.CountingStore, writer *table.Writer, clock *storeclock.Clock, s Settings, registry *prometheus.Registry, logger *log.Logger) *originlog.Log {
+	sources := &streamSources{view: view, store: store}
 	hosts := func() int { return view.Roster().Advertised() }
-	return originlog.New(s.Node, writer, clock, sources.byRoute, hosts, view.StoreEra, registry, logger)
+	return originlog.New(s.Node, writer, clock, sources, hosts, view.StoreEra, registry, logger)
 }
 
 // streamSources finds where streams of each route may begin. It is safe for concurrent use.
 type streamSources struct {
-	view *storeview.View
+	view  *storeview.View
+	store feed.Source
 
 	mu sync.Mutex
 	// table and generation are those that sources were found for.
@@ -74,21 +78,36 @@
 	sources    map[string][]origin.Source
 }
 
-// byRoute returns the services of each route with streams that may be resumed, with the releases of their endpoints.
-func (p *streamSources) byRoute() map[string][]origin.Source {
+// Known implements originlog.Sources.
+func (p *streamSources) Known() map[string][]origin.Source {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	table, _ := p.view.RouteTables().Current()
 	endpoints := p.view.Directory().View()
-	if p.sources != nil && table == p.table && endpoints.Generation() == p.generation {
-		return p.sources
+	if p.sources == nil || table != p.table || endpoints.Generation() != p.generation {
+		p.table, p.generation, p.sources = table, endpoints.Generation(), sourcesByRoute(table, endpoints.Infos())
 	}
-	p.table, p.generation, p.sources = table, endpoints.Generation(), map[string][]origin.Source{}
+	return p.sources
+}
+
+// Latest implements originlog.Sources.
+func (p *streamSources) Latest(ctx context.Context) (map[string][]origin.Source, error) {
+	endpoints, err := p.view.LatestEndpoints(ctx, p.store)
+	if err != nil {
+		return nil, err
+	}
+	table, _ := p.view.RouteTables().Current()
+	return sourcesByRoute(table, endpoints), nil
+}
+
+// sourcesByRoute returns the services of each route with streams that may be resumed, with the releases of their endpoints.
+func sourcesByRoute(table *routetable.Table, endpoints []endpoint.Info) map[string][]origin.Source {
+	sources := map[string][]origin.Source{}
 	if table == nil {
-		return p.sources
+		return sources
 	}
 	byService := map[string][]origin.Source{}
-	for _, info := range endpoints.Infos() {
+	for _, info := range endpoints {
 		source := origin.Source{Service: info.Service, Release: info.Release}
 		if info.State != endpoint.Gone && !slices.Contains(byService[info.Service], source) {
 			byService[info.Service] = append(byService[info.Service], source)
@@ -98,9 +117,9 @@
 	for i := range routes {
 		if r := &routes[i]; r.Kind == routetable.Stream && r.MayRepeat() {
 			for _, split := range r.Splits {
-				p.sources[r.Name] = append(p.sources[r.Name], byService[split.Service]...)
+				sources[r.Name] = append(sources[r.Name], byService[split.Service]...)
 			}
 		}
 	}
-	return p.sources
+	return sources
 }
--- a/pkg/app/node/wire_gen.go
+++ b/pkg/app/node/wire_gen.go
@@ -50,7 +50,7 @@
 	detours := newDetours(view, settings, clock, nodePeerPool, registry)
 	nodeOriginSender := newOriginSender()
 	directory := newOrigins(view, settings, nodeOriginSender, clock)
-	log := newOriginLog(view, writer, clock, settings, registry, logger)
+	log := newOriginLog(view, countingStore, writer, clock, settings, registry, logger)
 	windowBudget := newRetryBudget(settings)
 	watch := newQuarantineWatch(registry, logger)
 	forwarder := newForwarder(platform, view, location, router, costLimiter, windowBudget, pool, monitor, detours, directory, log, counter, splitter, watch, tracker, lifecycle, clock, registry, logger)
--- a/pkg/originlog/find.go
+++ b/pkg/originlog/find.go
@@ -70,10 +70,34 @@
 		return origin.Source{}, badRow
 	case len(possible) == 0:
 		return origin.Source{}, noRow
-	default:
-		// Hosts may have ended before they wrote their latest sources.
-		return only(append(possible, l.sources()[route]...), onlySource)
 	}
+	// Hosts may have ended, or may be cut from the store, before they wrote their latest sources.
+	if _, r := only(append(possible, l.sources.Known()[route]...), onlySource); r == ambiguous {
+		return origin.Source{}, ambiguous
+	}
+	latest, err := l.latestSources(ctx)
+	if err != nil {
+		l.log.Warn().Err(err).Msg("failed to read where streams may begin")
+		return origin.Source{}, noAnswer
+	}
+	return only(append(possible, latest[route]...), onlySource)
+}
+
+// latestSources returns where streams may begin by what the store says during the call. Concurrent searches share a
+// call to the store.
+func (l *Log) latestSources(ctx context.Context) (map[string][]origin.Source, error) {
+	calledAt := l.clock.Now()
+	l.latestMu.Lock()
+	defer l.latestMu.Unlock()
+	if l.latest != nil && !l.latestAt.Before(calledAt) {
+		return l.latest, nil
+	}
+	startedAt := l.clock.Now()
+	latest, err := l.sources.Latest(ctx)
+	if err == nil {
+		l.latest, l.latestAt = latest, startedAt
+	}
+	return latest, err
 }
 
 // only returns the element of a list whose elements are all equal, with the given result.
@@ -91,8 +115,10 @@
 	l.readMu.Lock()
 	defer l.readMu.Unlock()
 	if l.readAt.IsZero() || l.clock.Now().Sub(l.readAt) >= readInterval {
-		l.read = l.readAll(ctx)
 		l.readAt = l.clock.Now()
+		if l.read = l.readAll(ctx); l.read.isFailed {
+			l.readAt = l.clock.Now()
+		}
 	}
 	return l.read
 }
--- a/pkg/originlog/originlog.go
+++ b/pkg/originlog/originlog.go
@@ -3,8 +3,9 @@
 // releases of their endpoints, at which its streams may begin. While a route has one source, all its streams
 // began there, and nothing is written for a stream. While it has several, the row also names the streams.
 //
-// A stream that no row names is only continued if its route had one source by all rows. A row that is lost or late
-// means that an origin is unknown.
+// A stream that no row names is only continued if its route had one source by all rows, and has the same one by what the
+// store says of the endpoints after its caller has resumed it: this host's view of them may be outdated. A row that is lost
+// or late means that an origin is unknown.
 package originlog
 
 import (
@@ -49,8 +50,14 @@
 	pageSize = 500
 )
 
-// Sources returns where streams of each route may begin now, by the name of the route.
-type Sources func() map[string][]origin.Source
+// Sources knows where streams of each route may begin, by the name of the route.
+type Sources interface {
+	// Known returns the sources by this host's view of the endpoints, which may be outdated.
+	Known() map[string][]origin.Source
+	// Latest returns those of Known and of the endpoints that the store lists during the call. It returns an error if
+	// that is not known.
+	Latest(ctx context.Context) (map[string][]origin.Source, error)
+}
 
 // Clock is the clock of the store.
 type Clock interface {
@@ -93,10 +100,15 @@
 	addedAt time.Time
 
 	readMu sync.Mutex
-	// read is what was read last, at readAt.
+	// read is what was read last. That began at readAt, or failed then.
 	read   snapshot
 	readAt time.Time
 
+	latestMu sync.Mutex
+	// latest is what Sources.Latest returned last without an error. The call began at latestAt.
+	latest   map[string][]origin.Source
+	latestAt time.Time
+
 	// The rest is used by Run only. version is that of this host's row as last known, 0 for none; written are the
 	// sources that it names.
 	version   int64
@@ -175,7 +187,7 @@
 func (l *Log) currentSources(now time.Time) []routeSource {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for route, sources := range l.sources() {
+	for route, sources := range l.sources.Known() {
 		for _, s := range sources {
 			l.seen[routeSource{route, s}] = now
 		}
--- a/pkg/originlog/originlog_test.go
+++ b/pkg/originlog/originlog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"testing"
 	"time"
@@ -36,7 +37,16 @@
 	store   *tables.Store
 	clock   clock
 	sources map[string][]origin.Source
-	boots   int
+	// newer are sources that the store has and the hosts have not read yet, err is what a read of them fails with.
+	newer []origin.Source
+	err   error
+	boots int
+}
+
+func (f *fleet) Known() map[string][]origin.Source { return f.sources }
+
+func (f *fleet) Latest(context.Context) (map[string][]origin.Source, error) {
+	return at(append(f.newer, f.sources["route"]...)...), f.err
 }
 
 func newFleet(t *testing.T, sources ...origin.Source) *fleet {
@@ -48,7 +58,7 @@
 func (f *fleet) start(node string) (l *originlog.Log, stop func()) {
 	f.boots++
 	writer := table.NewWriter(f.store, node+"."+string(rune('a'+f.boots)))
-	l = originlog.New(node, writer, f.clock, func() map[string][]origin.Source { return f.sources }, func() int { return 1 }, func() int64 { return 0 }, prometheus.NewRegistry(),
+	l = originlog.New(node, writer, f.clock, f, func() int { return 1 }, func() int64 { return 0 }, prometheus.NewRegistry(),
 		&log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -112,6 +122,8 @@
 		"another release now":    func(f *fleet) { f.sources = at(v("v1"), v("v2")) },
 		"another release before": func(f *fleet) { f.addAt("b", other, v("v0")) },
 		"only another release":   func(f *fleet) { f.sources = at(v("v2")) },
+		"another release unread": func(f *fleet) { f.newer = []origin.Source{v("v2")} },
+		"endpoints not readable": func(f *fleet) { f.err = errors.New("no answer") },
 		"row that cannot be read": func(f *fleet) {
 			f.store.Commit(context.Background(), table.Commit{Writes: []table.Write{{Key: originlog.Table + "/bad", Value: []byte("bad"), If: table.Absent{}}}})
 		},
--- a/pkg/soak/takeups.go
+++ b/pkg/soak/takeups.go
@@ -152,12 +152,14 @@
 	silence   time.Duration
 	// host is the number of the host that the next attempt goes to.
 	host int
+	// eventsBeforeBreak is how many events an attempt has when reached is called.
+	eventsBeforeBreak int
 	// longestGap is the longest time between two events within an attempt.
 	longestGap time.Duration
 }
 
 func (r *run) newStream(name string) *brokenStream {
-	return &brokenStream{run: r, name: name, addressOf: func(n *node) string { return n.settings.Callers }, silence: silenceTimeout}
+	return &brokenStream{run: r, name: name, addressOf: func(n *node) string { return n.settings.Callers }, silence: silenceTimeout, eventsBeforeBreak: eventsBeforeBreak}
 }
 
 func (o *TakeUpOutcome) add(s *brokenStream) {
@@ -251,7 +253,7 @@
 			}
 			lastAt = time.Now()
 		}
-		if events >= eventsBeforeBreak {
+		if events >= s.eventsBeforeBreak {
 			reached()
 			if breaks {
 				return
--- a/pkg/storeview/view.go
+++ b/pkg/storeview/view.go
@@ -101,6 +101,8 @@
 	applyMu sync.Mutex
 	// rows are the rows of hosts and endpoints as they were received.
 	rows rowCache
+	// endpointRows is how far the endpoints' rows have been applied.
+	endpointRows appliedRows
 	// storeEra is the highest store era received, or 0 if none.
 	storeEra atomic.Int64
 	// ordersEndpoints reports whether this host orders endpoints at present; nil if it never does.
@@ -189,6 +191,9 @@
 				v.rows.apply(name, batch)
 			}
 			apply(batch)
+			if name == tables.Endpoints {
+				v.endpointRows.record(batch.Version, v.clock.Now())
+			}
 		}
 		go feed.New(source, name, timing, receive, v.handleFeedResult).Run(ctx)
 	}
