callerapi, entry: a drain answers the requests that it has accepted

Callers of an entry that drains would see their connections close without a response at the end of drain.most, while an endpoint runs their calls. The log gave only a number.

Cause: requests were accepted during the whole drain by their service's deadline, and nothing knew when the drain ends. Shutdown got a context that had already ended. While a job ran, callers were not even asked to close their connections: the wait for jobs came first. The claim of a cut call with a key stayed in progress until 5 s after its deadline.

Now the API knows the drain: its responses ask to close the connection; after the notice (or half of the time) requests whose deadline is after the end are rejected as not run (stopping, Retry-After, the list of other entries). What still runs 0.5 s before the end of drain.most is ended and answered: as not run if it was sent to no endpoint, otherwise with an unknown outcome, which is recorded for a call with a key, so that other entries know it at once. Streams that have begun break off, and callers resume them elsewhere; a wait for a job returns the job as it is. Each of these requests has a line in the log, and so has one that is cut nevertheless.

go test ./pkg/app/entry -run TestDrainAnswersTheRequestsThatItAccepted -count=1 (drain.most 2 s, endpoints that never answer, a job running).

--- a/pkg/app/entry/run.go
+++ b/pkg/app/entry/run.go
@@ -200,35 +200,53 @@
 	a.drainOnce.Do(func() { close(a.drainRequested) })
 }
 
-// drainPollInterval is the interval at which a drain checks for requests in flight.
-const drainPollInterval = 20 * time.Millisecond
+const (
+	// drainPollInterval is the interval at which a drain checks for requests in flight.
+	drainPollInterval = 20 * time.Millisecond
+	// answerTime is the part of a drain in which requests that still run are ended and answered. The
+	// outcome of a call with a key is recorded before its answer.
+	answerTime = 500 * time.Millisecond
+)
 
 // drain stops the entry as planned. The entry is no longer advertised, and serves until the lists
 // of entries that callers cache have expired and no request or job is left, or until the drain
-// times out.
+// times out. Requests that still run then are ended and answered.
 func (a *App) drain(ctx context.Context, servers []*http.Server) {
-	a.log.Info().Msg("draining")
+	requestTime := a.settings.drainTimeout - answerTime
+	notice := max(a.settings.drainNotice, a.config.Current().Policy().EntryListTTL())
+	a.log.Info().Int64("requests", a.api.InFlight()).Msg("draining")
+	a.api.StartDrain(min(notice, requestTime/2), requestTime)
 	a.peers.Send(a.mesh.Leave())
+	endRequests := time.AfterFunc(requestTime, a.api.EndRequests)
+	defer endRequests.Stop()
 	ctx, cancel := context.WithTimeout(ctx, a.settings.drainTimeout)
 	defer cancel()
-	notice := max(a.settings.drainNotice, a.config.Current().Policy().EntryListTTL())
+	a.awaitIdle(ctx, notice, requestTime, servers[0])
+	err := servers[0].Shutdown(ctx)
+	for _, r := range a.api.InProgress() {
+		a.log.Warn().Str("method", r.Method).Str("path", r.Path).Dur("age", time.Since(r.StartedAt)).Msg("request cut by the end of the process")
+	}
+	a.claims.Wait()
+	waiting, running := a.worker.Depth()
+	a.log.Info().Int64("requests_left", a.api.InFlight()).Int("jobs_left", waiting+running).AnErr("callers", err).Msg("drained")
+	for _, server := range servers[1:] {
+		_ = server.Close()
+	}
+}
+
+// awaitIdle waits for notice, and then until no request or running job is left. It returns after
+// requestTime at the latest.
+func (a *App) awaitIdle(ctx context.Context, notice, requestTime time.Duration, callers *http.Server) {
+	ctx, cancel := context.WithTimeout(ctx, requestTime)
+	defer cancel()
 	pause.For(ctx, notice)
-	a.worker.Drain(ctx)
 	// The callers' keep-alive connections are closed when they become idle. A request that
 	// arrives on one before that is served.
-	for _, server := range servers[:1] {
-		server.SetKeepAlivesEnabled(false)
-	}
+	callers.SetKeepAlivesEnabled(false)
+	a.worker.Drain(ctx)
 	for pause.For(ctx, drainPollInterval) {
 		if a.api.InFlight() == 0 {
-			break
+			return
 		}
 	}
-	_ = servers[0].Shutdown(ctx)
-	a.claims.Wait()
-	waiting, running := a.worker.Depth()
-	a.log.Info().Int64("requests_left", a.api.InFlight()).Int("jobs_left", waiting+running).Msg("drained")
-	for _, server := range servers[1:] {
-		_ = server.Close()
-	}
 }
--- a/pkg/callerapi/api.go
+++ b/pkg/callerapi/api.go
@@ -11,6 +11,7 @@
 	"runtime/debug"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -75,11 +76,19 @@
 	inFlight atomic.Int64
 	// started counts all requests so far. A drain waits until inFlight is 0.
 	started atomic.Int64
+	// drain is nil before a drain.
+	drain atomic.Pointer[drain]
+	// running holds the requests in progress, each as an *InProgress.
+	running sync.Map
+	// ending is done once the process can no longer continue requests, and end ends it.
+	ending context.Context
+	end    context.CancelFunc
 }
 
 // New returns an API.
 func New(deps Deps) *API {
 	a := &API{Deps: deps}
+	a.ending, a.end = context.WithCancel(context.Background())
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", a.authenticated(a.serveChat))
 	mux.HandleFunc("GET /v1/models", a.authenticated(a.serveModels))
@@ -90,7 +99,10 @@
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		writeError(w, code.New(code.UnknownPath, r.Method+" "+r.URL.Path))
 	})
-	chain := negroni.New(negroni.HandlerFunc(a.resetIncomplete), negroni.HandlerFunc(a.recoverPanic), negroni.HandlerFunc(a.limitInFlight))
+	chain := negroni.New(
+		negroni.HandlerFunc(a.resetIncomplete), negroni.HandlerFunc(a.recoverPanic), negroni.HandlerFunc(a.limitInFlight),
+		negroni.HandlerFunc(a.endWithProcess),
+	)
 	chain.UseHandler(mux)
 	a.handler = chain
 	return a
@@ -221,6 +233,8 @@
 	}, time.Now())
 	var deadlineErr limit.DeadlineError
 	switch {
+	case err != nil && endedByProcess(ctx):
+		return permit, errNotSent()
 	case errors.As(err, &deadlineErr):
 		a.APICounters.Overloaded.WithLabelValues(s.Name()).Inc()
 		return permit, retryAfterError{code.New(code.Overloaded, "the deadline can't be met at present"), deadlineErr.RetryAfter}
--- a/pkg/callerapi/chat.go
+++ b/pkg/callerapi/chat.go
@@ -23,9 +23,14 @@
 
 // readBody reads a request body up to the limit.
 func (a *API) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	// A caller that sends its body slowly must not delay the answer at the end of the process.
+	stop := context.AfterFunc(r.Context(), func() { _ = http.NewResponseController(w).SetReadDeadline(time.Now()) })
+	defer stop()
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.Limits.BodyBytes))
 	var tooLong *http.MaxBytesError
 	switch {
+	case err != nil && endedByProcess(r.Context()):
+		return nil, errNotSent()
 	case errors.As(err, &tooLong):
 		return nil, code.New(code.BodyTooLong, fmt.Sprintf("the limit is %d bytes", tooLong.Limit))
 	case err != nil:
@@ -84,10 +89,13 @@
 	if err != nil {
 		return chatCall{}, err
 	}
+	now := time.Now()
+	if err := a.checkDrain(now.Add(s.Deadline())); err != nil {
+		return chatCall{}, err
+	}
 	if err := a.checkRate(team); err != nil {
 		return chatCall{}, err
 	}
-	now := time.Now()
 	call := chatCall{service: s, team: team, body: body, started: now, cursor: chat.Cursor{RequestID: newID()}}
 	if lastEventID := r.Header.Get(headerLastEventID); lastEventID != "" {
 		call.cursor, err = chat.ParseCursor(lastEventID)
@@ -132,6 +140,14 @@
 	a.APICounters.Duration.WithLabelValues(call.service.Name()).Observe(duration.Seconds())
 }
 
+// processEndError returns the error for a call without a response that the end of the process ended.
+func (c chatCall) processEndError(result stream.Result) error {
+	if len(result.AttemptRecords) == 0 && c.request.LastEndpointID == "" {
+		return errNotSent()
+	}
+	return code.New(code.StreamLost, "the process of this host ends while an endpoint generates the answer")
+}
+
 // completion is a complete response in the OpenAI format.
 type completion struct {
 	ID      string             `json:"id"`
@@ -166,6 +182,9 @@
 	result, err := a.Runner.Run(ctx, call.request, collector)
 	a.recordResult(call, result, err)
 	if err != nil {
+		if endedByProcess(ctx) {
+			err = call.processEndError(result)
+		}
 		writeError(w, err)
 		return
 	}
@@ -186,6 +205,12 @@
 	result, err := a.Runner.Run(ctx, call.request, sink)
 	a.recordResult(call, result, err)
 	switch {
+	case err != nil && endedByProcess(ctx):
+		if sink.headerSent {
+			// The caller resumes a stream that breaks off at another host.
+			panic(http.ErrAbortHandler)
+		}
+		writeError(w, call.processEndError(result))
 	case errors.Is(err, chat.ErrMismatch):
 		sink.sendError(w, code.New(code.CannotResume, err.Error()))
 	case err != nil:
--- a/pkg/callerapi/framing_test.go
+++ b/pkg/callerapi/framing_test.go
@@ -85,6 +85,8 @@
 	framing string
 	body    string
 	err     error
+	// asksToClose is set if the response asks the caller to close the connection.
+	asksToClose bool
 }
 
 // open sends a request with the given protocol version, header lines and body, and returns the response
@@ -111,7 +113,7 @@
 	if err != nil {
 		return rawResponse{err: err}
 	}
-	got := rawResponse{status: response.StatusCode, header: response.Header, framing: "close"}
+	got := rawResponse{status: response.StatusCode, header: response.Header, framing: "close", asksToClose: response.Close}
 	if response.ContentLength >= 0 {
 		got.framing = "length"
 	}
--- a/pkg/callerapi/jobs.go
+++ b/pkg/callerapi/jobs.go
@@ -114,7 +114,7 @@
 )
 
 // serveJobGet returns a job. With wait=DURATION it first waits until the job has finished, for
-// that long at most.
+// that long at most, or until the process ends.
 func (a *API) serveJobGet(w http.ResponseWriter, r *http.Request, _ *fleet.Config, team fleet.Team) {
 	wait := time.Duration(0)
 	if text := r.URL.Query().Get("wait"); text != "" {
@@ -145,6 +145,9 @@
 			return j, err
 		}
 		if !pause.For(ctx, min(interval, time.Until(deadline)+time.Millisecond)) {
+			if endedByProcess(ctx) {
+				return j, nil
+			}
 			return j, ctx.Err()
 		}
 		interval = min(interval*3/2, maxPollInterval)
--- a/pkg/callerapi/plain.go
+++ b/pkg/callerapi/plain.go
@@ -23,6 +23,10 @@
 // servePlain forwards a call to a plain service.
 func (a *API) servePlain(w http.ResponseWriter, r *http.Request, c *fleet.Config, team fleet.Team) {
 	s, err := findService(c, team, r.PathValue("service"), fleet.Plain)
+	deadline := time.Now().Add(s.Deadline())
+	if err == nil {
+		err = a.checkDrain(deadline)
+	}
 	if err == nil {
 		err = a.checkRate(team)
 	}
@@ -30,7 +34,6 @@
 		writeError(w, err)
 		return
 	}
-	deadline := time.Now().Add(s.Deadline())
 	spanCtx, span := a.startSpan(r, "entry.call")
 	defer span.End()
 	ctx, cancel := context.WithDeadline(spanCtx, deadline)
@@ -183,6 +186,8 @@
 	// The call continues if the caller disconnects, so that its outcome is recorded.
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), p.deadline)
 	defer cancel()
+	ctx, release := p.api.untilProcessEnds(ctx)
+	defer release()
 	id := claim.Key{Team: p.team.Name(), Service: p.service.Name(), Key: key}
 	p.writeOutcome(w, p.api.Claims.Run(ctx, id, p.fingerprint(body), p.deadline, send))
 }
