callerapi: a draining entry accepts no jobs that it will not start

A job posted late in a drain would be accepted and not run until the process has ended, up to drain.most later, and other entries count it as lost. A repeat of the request at another entry returned the waiting job.

Cause: the worker starts no jobs after the notice, and jobs were accepted until the end.

Now a job that comes after the notice is rejected as not run (stopping), and another entry accepts and runs it. Without another entry it is accepted as before, for the next start.

go test ./pkg/callerapi -run TestJobPostedLateInDrainRunsAtAnotherEntry -count=1. Before: 202 at the draining entry, and the job is not done 2 s after its repeat at the other. Now 503, and the job is done at the other entry, in 3 of 3 runs with -race.

--- a/pkg/callerapi/drain.go
+++ b/pkg/callerapi/drain.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/urfave/negroni/v3"
 
 	"ironhollow/pkg/code"
+	"ironhollow/pkg/membership"
 )
 
 // drain is a planned stop of this host.
@@ -59,6 +61,20 @@
 	return code.New(code.Stopping, "this host is stopping and would cut the request off")
 }
 
+// checkDrainForJob returns an error for a job that comes late in a drain, when this host starts no jobs
+// any more. If there is no other host, the job is accepted for the next one to start.
+func (a *API) checkDrainForJob() error {
+	d := a.drain.Load()
+	if d == nil || time.Now().Before(d.rejectFrom) || !a.hasOtherEntry() {
+		return nil
+	}
+	return code.New(code.Stopping, "this host is stopping and starts no more jobs")
+}
+
+func (a *API) hasOtherEntry() bool {
+	return slices.ContainsFunc(a.Nodes.ServingNodes(), func(n membership.Node) bool { return n.ID != a.Node })
+}
+
 // errNotSent is the error for a request that the end of the process ended before an endpoint received it.
 func errNotSent() error {
 	return code.New(code.Stopping, "the process of this host ends before the request was sent to an endpoint")
--- a/pkg/callerapi/drain_test.go
+++ b/pkg/callerapi/drain_test.go
@@ -161,3 +161,26 @@
 		t.Errorf("got %d + %d characters, error %v; want all %d in total", len(text), len(restText), err, len(want))
 	}
 }
+
+// Guards against jobs that a draining entry accepts and does not start, so that they wait until its process has ended.
+func TestJobPostedLateInDrainRunsAtAnotherEntry(t *testing.T) {
+	s := newSite(t)
+	first, second := s.newEntry(t, "n1"), s.newEntry(t, "n2")
+	first.api.StartDrain(0, time.Minute)
+	first.api.Worker.Drain(t.Context())
+	post := func(e *entry, key string) rawResponse {
+		return e.sendRaw(t, http.MethodPost, "/v1/jobs", "HTTP/1.1", "Idempotency-Key: "+key+"\r\n", chatBody)
+	}
+	if got := post(first, "alone"); got.status != http.StatusAccepted {
+		t.Errorf("without another entry: got %+v, want the job accepted", got)
+	}
+	first.nodes.Merge(second.self)
+	if got := post(first, "k"); got.header.Get("Ironhollow-Code") != strconv.Itoa(code.Stopping.Number()) || got.header.Get("Retry-After") == "" {
+		t.Errorf("with another entry: got %+v, want it rejected as stopping", got)
+	}
+	accepted := post(second, "k")
+	done := second.sendRaw(t, http.MethodGet, accepted.header.Get("Location")+"?wait=2s", "HTTP/1.1", "", "")
+	if !strings.Contains(done.body, `"status":"done"`) {
+		t.Errorf("at the other entry: got %+v, want it done", done)
+	}
+}
--- a/pkg/callerapi/jobs.go
+++ b/pkg/callerapi/jobs.go
@@ -53,8 +53,8 @@
 	return body
 }
 
-// serveJobPost accepts a job. The response is sent only after the commit. A host that is
-// leaving still accepts jobs: other hosts take over those that it does not run.
+// serveJobPost accepts a job. The response is sent only after the commit. Other hosts take over the
+// jobs that a host accepted and has not run when its process ends.
 func (a *API) serveJobPost(w http.ResponseWriter, r *http.Request, c *fleet.Config, team fleet.Team) {
 	requested, err := a.prepareJob(w, r, c, team)
 	if err != nil {
@@ -94,6 +94,9 @@
 	if err != nil {
 		return job.Job{}, err
 	}
+	if err := a.checkDrainForJob(); err != nil {
+		return job.Job{}, err
+	}
 	if err := a.checkRate(team); err != nil {
 		return job.Job{}, err
 	}
