entry: the test of the drain does not depend on the time that a rejection takes

A late request counted as accepted if it had no response after 50 ms, which a rejection can take on a busy machine. It is now told by its code: one that is accepted is answered at the end of the drain, with another code or none.

--- a/pkg/app/entry/drain_internal_test.go
+++ b/pkg/app/entry/drain_internal_test.go
@@ -210,15 +210,10 @@
 	}
 	time.Sleep(time.Second)
 	for _, path := range []string{"/v1/services/ledger/confirmations", "/v1/services/ledger/notes", "/v1/chat/completions"} {
-		late := make(chan drainAnswer, 1)
-		go func() { late <- s.send("", http.MethodPost, path, "late", drainChat) }()
-		select {
-		case got := <-late:
-			if got.header.Get("Ironhollow-Code") != strconv.Itoa(code.Stopping.Number()) || got.header.Get("Retry-After") == "" || !got.willClose {
-				t.Errorf("%s late in the drain: got %+v, want it rejected as stopping", path, got)
-			}
-		case <-time.After(50 * time.Millisecond):
-			t.Errorf("%s late in the drain: accepted, want it rejected as stopping", path)
+		// An accepted request gets another code at the end of the drain.
+		got := s.send("", http.MethodPost, path, "late", drainChat)
+		if got.header.Get("Ironhollow-Code") != strconv.Itoa(code.Stopping.Number()) || got.header.Get("Retry-After") == "" || !got.willClose {
+			t.Errorf("%s late in the drain: got %+v, want it rejected as stopping", path, got)
 		}
 	}
 	if err := <-served; err != nil {
@@ -235,7 +230,7 @@
 				t.Errorf("%s: got %+v, want status %d and code %s", want.path, got, want.status, want.code.Name())
 			}
 			answered++
-		case <-time.After(time.Until(ended.Add(100 * time.Millisecond))):
+		case <-time.After(time.Until(ended.Add(time.Second))):
 		}
 	}
 	if answered < len(requests) {
