control: operators' requests in progress are answered when the process stops

An apply in progress when a control process got SIGTERM would lose its connection without an answer, although the revision may have been written. The client sends it again with the same request ID; with one control process it may report that the outcome is not known.

Cause: the process ended once its leases were released and shut no server down; an apply has no time limit of its own while the store does not answer.

Now the operator port is shut down while the leases are released, within the same 3 s. A request that still runs 0.5 s before the end is ended, and an apply that was sent to the store is answered as apply-unknown.

--- a/pkg/app/control/run.go
+++ b/pkg/app/control/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"net"
 	"net/http"
 	"time"
 
@@ -49,14 +50,21 @@
 	return app.Serve(ctx, lifetime)
 }
 
-// releaseTimeout bounds the release of the leases when the process stops.
-const releaseTimeout = 3 * time.Second
+const (
+	// stopTimeout bounds the release of the leases and the requests in progress when the process stops.
+	stopTimeout = 3 * time.Second
+	// answerTime is the part of stopTimeout in which requests that still run are ended and answered.
+	answerTime = 500 * time.Millisecond
+)
 
 // Serve runs the process until stop is done. It then releases its leases, so that other processes
-// acquire the shards without waiting for the leases to expire.
+// acquire the shards without waiting for the leases to expire, and answers the requests in progress.
 func (a *App) Serve(stop, lifetime context.Context) error {
 	serveErrors := make(chan error, 2)
-	if err := a.listen(serveErrors); err != nil {
+	requests, endRequests := context.WithCancel(context.WithoutCancel(lifetime))
+	defer endRequests()
+	operators, err := a.listen(requests, serveErrors)
+	if err != nil {
 		return err
 	}
 	lifetime, endLifetime := context.WithCancel(lifetime)
@@ -69,29 +77,39 @@
 	case <-stop.Done():
 	}
 	endLifetime()
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(lifetime), releaseTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(lifetime), stopTimeout)
 	defer cancel()
+	defer time.AfterFunc(stopTimeout-answerTime, endRequests).Stop()
+	closed := make(chan error, 1)
+	go func() { closed <- operators.Shutdown(ctx) }()
 	a.leases.Release(ctx)
+	if err := <-closed; err != nil {
+		a.log.Warn().Err(err).Msg("connections of operators were still open at the end of the process")
+	}
 	a.log.Info().Msg("control stopped")
 	return nil
 }
 
-func (a *App) listen(serveErrors chan<- error) error {
+// listen starts the servers of the operator and admin ports, and returns the first. The requests of
+// operators end with the context.
+func (a *App) listen(requests context.Context, serveErrors chan<- error) (*http.Server, error) {
 	operatorListener, err := process.Listen("[node] operator-address", a.settings.operatorAddress)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if config := a.tls.ExternalServer(); config != nil {
 		operatorListener = tls.NewListener(operatorListener, config)
 	}
 	adminListener, err := process.Listen("[node] admin-address", a.settings.adminAddress)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	const readTimeout = 30 * time.Second
-	process.Serve(process.NewServer(a.operatorMux(), readTimeout), operatorListener, serveErrors)
+	operators := process.NewServer(a.operatorMux(), readTimeout)
+	operators.BaseContext = func(net.Listener) context.Context { return requests }
+	process.Serve(operators, operatorListener, serveErrors)
 	process.Serve(process.NewServer(process.AdminMux(a.registry, a.ready), readTimeout), adminListener, serveErrors)
-	return nil
+	return operators, nil
 }
 
 func (a *App) operatorMux() http.Handler {
