callerapi: a repeatable call that one endpoint received is not reported as not run

A caller would get "not run" (3001) for a call that one endpoint had received and broken off, if the next endpoint refused the connection or rejected the call.

Cause: the error of the last attempt decided the outcome, whatever came before it.

Now the error of an attempt that may have run decides it.

go test ./pkg/callerapi -run TestCallThatMayHaveRunIsNotReportedAsNotRun -count=3.

--- a/pkg/callerapi/plain.go
+++ b/pkg/callerapi/plain.go
@@ -96,10 +96,13 @@
 		if err == nil {
 			return response, nil
 		}
+		// The outcome is that of an attempt that may have run, if there is one.
+		if lastErr == nil || errors.Is(lastErr, plainservice.ErrNotSent) {
+			lastErr = err
+		}
 		if ctx.Err() != nil {
-			return response, err
+			break
 		}
-		lastErr = err
 		avoid = append(avoid, choice.Endpoint.Ref())
 	}
 	if lastErr == nil {
