plainservice: a call that ends before it is connected is not run

A call whose connection to the endpoint was still being opened when its deadline passed, or its host stopped, would get an unknown outcome (3002), although nothing was sent.

Cause: only the error of a failed dial counted as not sent. When the call's context ends first, net/http returns the cause of that in its place.

Now a call that never got a connection counts as not sent. A call on a kept connection that broke does not, also if a new dial failed after it.

go test ./pkg/callerapi -run TestCallEndedBeforeItIsConnectedIsNotRun -count=1.

--- a/pkg/callerapi/drain_test.go
+++ b/pkg/callerapi/drain_test.go
@@ -3,16 +3,19 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"ironhollow/pkg/code"
+	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/load"
 	"ironhollow/pkg/standin/services"
 )
@@ -184,3 +187,48 @@
 		t.Errorf("at the other entry: got %+v, want it done", done)
 	}
 }
+
+// listenWithoutAccepting returns an address at which connections stay half-open: the queue of the listener is full.
+func listenWithoutAccepting(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := net.JoinHostPort("127.0.0.1", strconv.Itoa(bound.(*syscall.SockaddrInet4).Port))
+	for range 10 {
+		c, err := net.DialTimeout("tcp", address, 100*time.Millisecond)
+		if err != nil {
+			return address
+		}
+		t.Cleanup(func() { _ = c.Close() })
+	}
+	t.Fatal("the queue of the listener does not fill up")
+	return ""
+}
+
+// Guards against an unknown outcome of a call that ends while its connection to the endpoint is being opened.
+func TestCallEndedBeforeItIsConnectedIsNotRun(t *testing.T) {
+	address := listenWithoutAccepting(t)
+	for _, request := range plainRequests {
+		s := newSite(t)
+		s.infos = append(s.infos, endpoint.Info{ID: "p0", Incarnation: 1, State: endpoint.Live, Kind: endpoint.Plain, Service: "ledger", Address: address})
+		e := s.newEntry(t, "n1")
+		answered := make(chan rawResponse, 1)
+		go func() { answered <- e.sendRaw(t, http.MethodPost, request.path, "HTTP/1.1", request.headers, "x") }()
+		awaitCount(t, 1, e.api.InFlight)
+		time.Sleep(100 * time.Millisecond)
+		e.api.EndRequests()
+		if got := <-answered; got.err != nil || got.header.Get("Ironhollow-Outcome") != "not-run" || got.header.Get("Retry-After") == "" {
+			t.Errorf("%s: got %+v, want it not run", request.name, got)
+		}
+	}
+}
--- a/pkg/callerapi/plain.go
+++ b/pkg/callerapi/plain.go
@@ -225,6 +225,9 @@
 			return claim.Response{}, err
 		}
 		lastErr = err
+		if ctx.Err() != nil {
+			break
+		}
 		avoid = append(avoid, choice.Endpoint.Ref())
 	}
 	return claim.Response{}, errors.Join(claim.ErrNotSent, lastErr)
--- a/pkg/httpx/connection.go
+++ b/pkg/httpx/connection.go
@@ -39,6 +39,9 @@
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { t.conn.Store(&info) }}), t
 }
 
+// HasConnection reports whether the call has got a connection. Nothing was sent before.
+func (t *ConnectionTrace) HasConnection() bool { return t.conn.Load() != nil }
+
 // ReusedConnectionError is the error of a call on a connection from the pool. It does not show that the
 // other host is unavailable, as the connection may have fallen silent or been closed.
 type ReusedConnectionError struct {
--- a/pkg/plainservice/plainservice.go
+++ b/pkg/plainservice/plainservice.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -112,6 +111,7 @@
 
 // Send sends a call. A call with AtMostOnce set leaves this process at most once.
 func (c *Client) Send(ctx context.Context, address string, call Call) (Response, error) {
+	ctx, trace := httpx.TraceConnection(ctx)
 	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, unseekableBody(call))
 	if err != nil {
 		return Response{}, errors.Join(ErrNotSent, err)
@@ -127,7 +127,10 @@
 	}
 	response, err := client.Do(request)
 	if err != nil {
-		return Response{}, markNotSent(err)
+		if !trace.HasConnection() {
+			err = errors.Join(ErrNotSent, err)
+		}
+		return Response{}, err
 	}
 	if response.Header.Get(HeaderNotRun) != "" {
 		_ = response.Body.Close()
@@ -152,16 +155,6 @@
 	return struct{ io.Reader }{call.Body}
 }
 
-// markNotSent adds ErrNotSent to the error of a failed dial, after which nothing was sent. Other
-// errors are returned unchanged.
-func markNotSent(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return errors.Join(ErrNotSent, err)
-	}
-	return err
-}
-
 // hopByHopHeaders are the headers that apply to a single connection (RFC 9110, section 7.6.1).
 var hopByHopHeaders = []string{
 	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
