roster, gossip: odd numbers and addresses of hosts are not used

What callers would see: for some seconds after each start, addresses that are none or have a port out of range in the directory's answers, because another writer left a row among those of the hosts; datagrams of all hosts late while the name in such a row is looked up. Operators would see reports with 2^63 requests of a team, orders for the most or the fewest endpoints, and endpoints that count as full or as empty.

Cause: rows and datagrams were used as they were decoded. A demand of NaN or 3e38 is converted to an int, with a result that depends on the machine; counts overflow in sums; 2^63-1 ms overflow as a duration. A peer address was resolved for each datagram, which is a DNS query if it has a name.

Change: a host without a name, or whose addresses are not an IP address and a port, is not used: its row is rejected with a log line, its status dropped, and left out of a digest. Loads, counts, demands, work and team usage out of bounds are left out, the others of the row or datagram are used. Times out of range are unknown. Datagrams are sent to IP addresses only.

The fixtures of four tests had names as addresses, which the settings of hosts never allow; they have IP addresses now and check the same.

--- a/pkg/gossip/digest.go
+++ b/pkg/gossip/digest.go
@@ -61,10 +61,13 @@
 		d.LiveHosts = append(d.LiveHosts, roster.LiveHost{Hash: live.Hash, Age: time.Duration(min(max(live.AgeMS, 0), maxAge.Milliseconds())) * time.Millisecond, Leaving: live.Leaving, Advertised: live.Advertised})
 	}
 	for _, h := range m.Hosts {
-		d.Hosts = append(d.Hosts, roster.Host{
+		host := roster.Host{
 			Incarnation: h.Incarnation, Node: h.Node, DataCenter: h.DataCenter, CallerAddress: h.CallerAddress, PeerAddress: h.PeerAddress,
-			StartedAt: time.Duration(h.StartedAtMS) * time.Millisecond, Millicores: h.Millicores, Leaving: h.Leaving,
-		})
+			StartedAt: roster.FromMS(h.StartedAtMS), Millicores: h.Millicores, Leaving: h.Leaving,
+		}
+		if host.Check() == nil {
+			d.Hosts = append(d.Hosts, host)
+		}
 	}
 	return d
 }
--- a/pkg/gossip/events.go
+++ b/pkg/gossip/events.go
@@ -76,10 +76,11 @@
 	if err := cbor.Unmarshal(data, &m); err != nil {
 		return Update{}, err
 	}
-	if m.Subscribes && len(m.Hosts) == 1 && m.Hosts[0].Incarnation == m.Incarnation {
-		return Update{Status: roster.Status{Host: m.digest().Hosts[0]}, Brief: true, Subscribes: true}, nil
+	digest := m.digest()
+	if m.Subscribes && len(digest.Hosts) == 1 && digest.Hosts[0].Incarnation == m.Incarnation {
+		return Update{Status: roster.Status{Host: digest.Hosts[0]}, Brief: true, Subscribes: true}, nil
 	}
-	update := Update{Brief: true, Cases: m.cases(now), Notices: m.notices(), TeamUsage: decodeTeamUsage(m.TeamUsage), Work: m.work(), Digest: m.digest(), Speeds: m.speeds(), Origins: m.origins()}
+	update := Update{Brief: true, Cases: m.cases(now), Notices: m.notices(), TeamUsage: decodeTeamUsage(m.TeamUsage), Work: m.work(), Digest: digest, Speeds: m.speeds(), Origins: m.origins()}
 	if m.Links <= LinksRestored {
 		update.Links = m.Links
 	}
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -264,12 +264,13 @@
 
 func (e *Exchange) write(data []byte, peers []string) {
 	for _, address := range peers {
-		udpAddress, err := net.ResolveUDPAddr("udp4", address)
+		// Names are not looked up, as that may take seconds.
+		peer, err := netip.ParseAddrPort(address)
 		if err != nil {
-			e.log.Debug().Err(err).Str("peer", address).Msg("failed to resolve peer address")
+			e.log.Debug().Err(err).Str("peer", address).Msg("peer address without an IP address")
 			continue
 		}
-		if _, err := e.conn.WriteToUDP(data, udpAddress); err != nil {
+		if _, err := e.conn.WriteToUDPAddrPort(data, peer); err != nil {
 			// The host is probably gone; its row will show that soon.
 			e.log.Debug().Err(err).Str("peer", address).Msg("failed to send datagram")
 		}
@@ -306,5 +307,5 @@
 	if err := cbor.Unmarshal(data, &m); err != nil {
 		return Update{}, err
 	}
-	return m.update(), nil
+	return m.update()
 }
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -100,7 +100,7 @@
 
 func host(i, millicores int) roster.Host {
 	name := fmt.Sprintf("h%02d", i)
-	return roster.Host{Incarnation: name, Node: name, DataCenter: fmt.Sprint("dc", i%4), CallerAddress: name, Millicores: millicores}
+	return roster.Host{Incarnation: name, Node: name, DataCenter: fmt.Sprint("dc", i%4), CallerAddress: fmt.Sprintf("10.0.%d.%d:1", i/250, i%250), Millicores: millicores}
 }
 
 // In a large fleet, hosts that share the callers receive datagrams five times a second, all
--- a/pkg/gossip/teams.go
+++ b/pkg/gossip/teams.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"math"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -166,10 +167,21 @@
 	return encoded
 }
 
+// Bounds of team usage in a datagram. Sums over all hosts remain exact enough to admit single requests.
+const (
+	maxAdmitted = 1_000_000_000_000_000
+	maxRate     = 1e12
+)
+
+// decodeTeamUsage leaves out usage that no host can have.
 func decodeTeamUsage(list []wireTeamUsage) []limit.TeamUsage {
 	var decoded []limit.TeamUsage
 	for _, u := range list {
-		decoded = append(decoded, limit.TeamUsage{Team: u.Team, Admitted: float64(u.Admitted), RequestedRate: float64(u.RequestedRate), Available: float64(u.Available), Synced: u.Synced})
+		rate := float64(u.RequestedRate)
+		if u.Admitted < 0 || u.Admitted > maxAdmitted || u.Available < 0 || u.Available > maxAdmitted || math.IsNaN(rate) || rate < 0 || rate > maxRate {
+			continue
+		}
+		decoded = append(decoded, limit.TeamUsage{Team: u.Team, Admitted: float64(u.Admitted), RequestedRate: rate, Available: float64(u.Available), Synced: u.Synced})
 	}
 	return decoded
 }
@@ -187,5 +199,5 @@
 	for _, c := range list {
 		decoded = append(decoded, roster.RequestCount{Window: c.Window, Team: c.Team, Started: c.Started})
 	}
-	return decoded
+	return roster.ValidCounts(decoded)
 }
--- a/pkg/gossip/wire.go
+++ b/pkg/gossip/wire.go
@@ -1,8 +1,6 @@
 package gossip
 
 import (
-	"time"
-
 	"github.com/fxamacker/cbor/v2"
 
 	"ironhollow/pkg/roster"
@@ -118,12 +116,19 @@
 // data fits in one datagram. It leaves room for most loads.
 const maxTeamStatsWithLoads = 16
 
-func (m statusMessage) update() Update {
+// update decodes the message. What no host can have is left out, and a whole status of a host that cannot be
+// used is an error.
+func (m statusMessage) update() (Update, error) {
 	host := roster.Host{
 		Incarnation: m.Incarnation, Node: m.Node, DataCenter: m.DataCenter, CallerAddress: m.CallerAddress, PeerAddress: m.PeerAddress, Leaving: m.Leaving,
-		StartedAt: time.Duration(m.StartedAtMS) * time.Millisecond, Millicores: m.Millicores,
+		StartedAt: roster.FromMS(m.StartedAtMS), Millicores: m.Millicores,
+	}
+	if !m.Brief {
+		if err := host.Check(); err != nil {
+			return Update{}, err
+		}
 	}
-	u := Update{Brief: m.Brief, Rollouts: m.Rollouts, Status: roster.Status{Host: host, Sequence: m.Sequence, StoreReachableFor: time.Duration(m.StoreReachableMS) * time.Millisecond, LeaseVersion: m.LeaseVersion}}
+	u := Update{Brief: m.Brief, Rollouts: m.Rollouts, Status: roster.Status{Host: host, Sequence: m.Sequence, StoreReachableFor: millis(m.StoreReachableMS), LeaseVersion: m.LeaseVersion}}
 	for _, l := range m.Loads {
 		u.Loads = append(u.Loads, roster.Load{Endpoint: l.Endpoint, Running: l.Running, PrefillTokens: l.PrefillTokens})
 	}
@@ -133,7 +138,8 @@
 	for _, d := range m.Demands {
 		u.Demands = append(u.Demands, roster.Demand{Service: d.Service, Rate: float64(d.Rate)})
 	}
+	u.Loads, u.Demands = roster.ValidLoads(u.Loads), roster.ValidDemands(u.Demands)
 	u.Counts = decodeCounts(m.Counts)
 	u.TeamUsage = decodeTeamUsage(m.TeamUsage)
-	return u
+	return u, nil
 }
--- a/pkg/roster/advertised_test.go
+++ b/pkg/roster/advertised_test.go
@@ -26,7 +26,7 @@
 
 func hostWithCores(i int, cores float64) roster.Host {
 	name := fmt.Sprintf("h%02d", i)
-	return roster.Host{Incarnation: name, Node: name, DataCenter: fmt.Sprint("dc", i%4), CallerAddress: name, PeerAddress: name + ":1", Millicores: int(1000 * cores)}
+	return roster.Host{Incarnation: name, Node: name, DataCenter: fmt.Sprint("dc", i%4), CallerAddress: fmt.Sprintf("10.0.%d.%d:1", i/250, i%250), PeerAddress: fmt.Sprintf("10.1.%d.%d:1", i/250, i%250), Millicores: int(1000 * cores)}
 }
 
 // The largest hosts of a large fleet are advertised, some in each data centre.
--- a/pkg/roster/row.go
+++ b/pkg/roster/row.go
@@ -164,7 +164,7 @@
 	return cbor.Marshal(w)
 }
 
-// Decode decodes a stored row.
+// Decode decodes a stored row. Loads, counts and demands that no host can have are left out.
 func Decode(incarnation string, value []byte) (Row, error) {
 	var w wireRow
 	if err := cbor.Unmarshal(value, &w); err != nil {
@@ -174,10 +174,16 @@
 		Host: Host{
 			Incarnation: incarnation, Node: w.Node, DataCenter: w.DataCenter,
 			CallerAddress: w.CallerAddress, PeerAddress: w.PeerAddress, Millicores: w.Millicores, Leaving: w.Leaving,
-			StartedAt: time.Duration(w.StartedAtMS) * time.Millisecond,
+			StartedAt: FromMS(w.StartedAtMS),
 		},
 		Sequence: w.Sequence, ClockOffset: time.Duration(w.ClockOffsetMS) * time.Millisecond,
-		WrittenAt: time.Duration(w.WrittenAtMS) * time.Millisecond,
+		WrittenAt: FromMS(w.WrittenAtMS),
+	}
+	if err := r.Check(); err != nil {
+		return Row{}, fmt.Errorf("row %q: %w", incarnation, err)
+	}
+	if w.ClockOffsetMS < -maxMS || w.ClockOffsetMS > maxMS {
+		return Row{}, fmt.Errorf("roster: row %q: clock offset out of range: %d ms", incarnation, w.ClockOffsetMS)
 	}
 	for _, l := range w.Loads {
 		r.Loads = append(r.Loads, Load{Endpoint: l.Endpoint, Running: l.Running, PrefillTokens: l.PrefillTokens})
@@ -191,5 +197,6 @@
 	for _, o := range w.Work {
 		r.Work = append(r.Work, Work{o.Service, float64(o.SlotTime), float64(o.TokenTime), float64(o.Offered), float64(o.Refused)})
 	}
+	r.Loads, r.Counts, r.Demands = ValidLoads(r.Loads), ValidCounts(r.Counts), ValidDemands(r.Demands)
 	return r, nil
 }
--- a/pkg/roster/work.go
+++ b/pkg/roster/work.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math"
 	"time"
 )
 
@@ -74,10 +73,11 @@
 	return Work{other.Service, w.SlotTime + other.SlotTime, w.TokenTime + other.TokenTime, w.Offered + other.Offered, w.Refused + other.Refused}
 }
 
-// isValid reports whether the values are numbers from 0 and no more work is refused than offered.
+// isValid reports whether the values are numbers from 0 that a host can have, and no more work is refused than
+// offered.
 func (w Work) isValid() bool {
 	for _, value := range []float64{w.SlotTime, w.TokenTime, w.Offered, w.Refused} {
-		if math.IsNaN(value) || math.IsInf(value, 0) || value < 0 {
+		if !isWithin(value, maxWork) {
 			return false
 		}
 	}
--- a/pkg/roster/work_test.go
+++ b/pkg/roster/work_test.go
@@ -50,7 +50,7 @@
 
 // Rows of the earlier version have no work, and those of this one keep it.
 func TestRowKeepsWork(t *testing.T) {
-	want := roster.Row{Host: roster.Host{Incarnation: "a", Node: "a"}, Work: []roster.Work{{Service: "svc", SlotTime: 2, TokenTime: 100, Offered: 1, Refused: 0.25}}}
+	want := roster.Row{Host: roster.Host{Incarnation: "a", Node: "a", CallerAddress: "10.0.0.1:1"}, Work: []roster.Work{{Service: "svc", SlotTime: 2, TokenTime: 100, Offered: 1, Refused: 0.25}}}
 	value, err := want.Encode()
 	if err != nil {
 		t.Fatal(err)
--- a/pkg/storeview/idle_test.go
+++ b/pkg/storeview/idle_test.go
@@ -51,7 +51,7 @@
 		var list []roster.Row
 		for i := range count {
 			at := written - time.Duration(i)*100*time.Millisecond
-			list = append(list, roster.Row{Host: roster.Host{Node: fmt.Sprint("n", written, i), StartedAt: startedAt}, Sequence: 1, WrittenAt: at})
+			list = append(list, roster.Row{Host: roster.Host{Node: fmt.Sprint("n", written, i), CallerAddress: "10.0.0.1:1", StartedAt: startedAt}, Sequence: 1, WrittenAt: at})
 		}
 		return list
 	}
