ratelimit: a rejection of a request sent before the share was known does not lower it

Cause: a host that has not heard of the number of rejections sends without a bound. Its requests that were on the way when it received the first report came back rejected, and each rejection lowered the number in flight to what the endpoint had accepted and doubled the time until it is raised again. The number of a process that has just started is still 0 then, so that it held no slots at all for that time. Under load more requests are on the way.

Change: Slots keeps the time from which on it applies. A rejection of a request that was sent earlier counts against the rejections that are left, and no longer lowers the number or lengthens the time. Such an endpoint was full of requests beyond all shares, which says nothing about the share. If there is less room than the row reports, requests sent within the share show it.

--- a/pkg/notice/fragile_test.go
+++ b/pkg/notice/fragile_test.go
@@ -45,6 +45,29 @@
 	}
 }
 
+// Guards against slots that stay unused because endpoints rejected requests that were sent before the
+// host knew of its share.
+func TestRejectionsOfEarlierRequestsLeaveSlotsInUse(t *testing.T) {
+	for _, c := range []struct {
+		what string
+		sent time.Duration
+		want int
+	}{
+		{"sent before the first report", -time.Millisecond, 8},
+		{"sent after it", time.Millisecond, 1},
+	} {
+		h := newHost(1, 5, 1)
+		h.ApplyResponse(h.info(0), endpoint.Notice{MaxRejections: 3}, now, now)
+		for range 4 {
+			h.ApplyResponse(h.info(0), endpoint.Notice{MaxRejections: 3, Refused: true}, now.Add(c.sent), now.Add(2*time.Millisecond))
+		}
+		room, _ := h.router.Room(route.Query{Target: route.Target{Service: "s"}}, now.Add(2*time.Second))
+		if room.Slots != c.want {
+			t.Errorf("2 s after rejections of requests %s: got %d slots in use, want %d", c.what, room.Slots, c.want)
+		}
+	}
+}
+
 // Checks that other hosts apply a number of rejections that one host receives, and its withdrawal.
 func TestMaxRejectionsReachOtherHost(t *testing.T) {
 	a, b := newHost(1, 5, 1), newHost(7, 5, 1)
--- a/pkg/notice/tracker.go
+++ b/pkg/notice/tracker.go
@@ -99,7 +99,7 @@
 	isLeaving := n.Leaving && t.applyLeaving(current, "answer")
 	backoffUntil := t.applyBackoff(current, n, now)
 	if n.Refused {
-		t.router.RecordRejection(current.Ref(), now)
+		t.router.RecordRejection(current.Ref(), sent, now)
 	}
 	if n.Refused && n.Backoff == 0 {
 		t.router.Penalize(current.Ref(), now)
--- a/pkg/ratelimit/slots.go
+++ b/pkg/ratelimit/slots.go
@@ -48,6 +48,8 @@
 	// slots is the number of the endpoint's slots, maxRejections the number of requests that it may
 	// reject within a second.
 	slots, maxRejections int
+	// createdAt is the time from which on this host keeps to the share.
+	createdAt time.Time
 	// hosts are the hosts that share and rejectionShare were computed for.
 	hosts *Hosts
 	// share is the number of slots of this host, rejectionShare the number of its requests that may
@@ -73,7 +75,7 @@
 // NewSlots returns the share of the slots of an endpoint that has just reported how many rejections
 // it stands. The other hosts may have more requests in flight there than they hold slots.
 func NewSlots(endpointID string, slots, maxRejections int, hosts *Hosts, now time.Time) *Slots {
-	s := &Slots{endpoint: endpointID, slots: slots, maxRejections: maxRejections}
+	s := &Slots{endpoint: endpointID, slots: slots, maxRejections: maxRejections, createdAt: now}
 	s.computeShare(hosts, now)
 	s.raiseAt = later(hosts.startedAt, hosts.changedAt).Add(newSlotsDelay)
 	if !now.Before(s.raiseAt) {
@@ -190,17 +192,21 @@
 	}
 }
 
-// RecordRejection records that the endpoint rejected one of this host's requests. As many as it
-// accepted, and 1 at least, may be in flight from then on.
-func (s *Slots) RecordRejection(accepted int, now time.Time) {
+// RecordRejection records that the endpoint rejected a request that this host sent at sentAt. As many as
+// it accepted, and 1 at least, may be in flight from then on. A request that was sent before this host
+// kept to its share does not lower that number: the endpoint was full of requests beyond all shares.
+func (s *Slots) RecordRejection(accepted int, sentAt, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.rejectedAt = append(s.rejectedAt, now)
+	s.cautiousUntil = later(s.cautiousUntil, now.Add(cautiousTime))
+	if sentAt.Before(s.createdAt) {
+		return
+	}
 	s.limit = min(s.limit, max(accepted, 1))
 	decayed := int(now.Sub(s.lastRejectedAt) / holdDecayTime)
 	s.holdDoublings = max(s.holdDoublings-decayed, 0)
 	s.raiseAt = later(s.raiseAt, now.Add(firstHold<<s.holdDoublings))
 	s.holdDoublings = min(s.holdDoublings+1, maxHoldDoublings)
 	s.lastRejectedAt = now
-	s.cautiousUntil = later(s.cautiousUntil, now.Add(cautiousTime))
 }
--- a/pkg/ratelimit/slots_test.go
+++ b/pkg/ratelimit/slots_test.go
@@ -37,7 +37,7 @@
 					limit, _ := s.Limit(hosts[i], start)
 					held += limit
 					for inFlight := 0; s.Allows(inFlight, hosts[i], start); {
-						s.RecordRejection(inFlight, start)
+						s.RecordRejection(inFlight, start, start)
 						rejected++
 					}
 				}
--- a/pkg/route/fragile.go
+++ b/pkg/route/fragile.go
@@ -168,15 +168,15 @@
 	return l.fragile
 }
 
-// RecordRejection records that an endpoint rejected a request of this host that is still counted as in
-// flight.
-func (r *Router) RecordRejection(ref endpoint.Ref, now time.Time) {
+// RecordRejection records that an endpoint rejected a request that this host sent at sent and that is
+// still counted as in flight.
+func (r *Router) RecordRejection(ref endpoint.Ref, sent, now time.Time) {
 	if !r.HasFragile(now) {
 		return
 	}
 	r.withSlot(ref, func(s *slot) {
 		if s.load.fragile != nil {
-			s.load.fragile.RecordRejection(s.load.localRunning-1, now)
+			s.load.fragile.RecordRejection(s.load.localRunning-1, sent, now)
 		}
 	})
 }
