--- a/pkg/migrate/plan.go
+++ b/pkg/migrate/plan.go
@@ -43,9 +43,12 @@
 	if crossesDataCenters {
 		seconds *= crossingFactor
 	}
-	return time.Duration(seconds * float64(time.Second))
+	return time.Duration(min(seconds, maxCopyTime.Seconds()) * float64(time.Second))
 }
 
+// maxCopyTime bounds the estimate of a copy, so that sums of estimates do not overflow.
+const maxCopyTime = 24 * time.Hour
+
 // Stream is a running stream at a leaving endpoint.
 type Stream struct {
 	ID string
