scalesync: a row with an impossible epoch is replaced

What operators would see: after each change of the holder of the duties, ordered endpoints that still boot are ordered again or given up, because another writer left a row with epoch 2^63-1 under the service's key of table autoscale.

Cause: such a row counted as that of a later holder, which no holder may replace.

Change: an epoch is the version of an earlier row, so a row whose epoch is higher than its own version is replaced like one that cannot be decoded. The fixtures of two tests had rows of later holders at versions below their epochs, which no store has; their stores now start at such versions, and the checks are the same.

--- a/pkg/scalesync/syncer.go
+++ b/pkg/scalesync/syncer.go
@@ -142,7 +142,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e.condition = table.AtVersion{Version: stored.Version}
-	if err == nil && rowEpoch > epoch {
+	// An epoch is the version of an earlier row, so a higher one is not of a holder.
+	if err == nil && rowEpoch > epoch && rowEpoch <= stored.Version {
 		e.superseded = true
 		s.log.Warn().Str("service", service).Int64("epoch", epoch).Int64("row-epoch", rowEpoch).Msg("state of ordered endpoints is of a later holder")
 		return false
--- a/pkg/scalesync/syncer_test.go
+++ b/pkg/scalesync/syncer_test.go
@@ -24,6 +24,15 @@
 	return scalesync.New(table.NewWriter(store, name), clock, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}), clock
 }
 
+// newStore returns a store at a version: the epoch of a holder is a version before those of its rows.
+func newStore(version int) *tables.Store {
+	store := tables.New()
+	for range version {
+		store.Commit(context.Background(), table.Commit{Writes: []table.Write{{Key: "lease/0000", Value: []byte("{}"), If: table.Always{}}}})
+	}
+	return store
+}
+
 func stateAt(now time.Time, ordered int) autoscale.State {
 	pool := autoscale.Pool{Service: "svc", DataCenter: "a", Reclaimable: true}
 	return autoscale.State{
@@ -39,7 +48,7 @@
 func TestStatePassesToNextHolder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		began := time.Now()
-		store := tables.New()
+		store := newStore(12)
 		first, clock := newSyncer(store, "first", time.Hour)
 		go first.Run(t.Context())
 		firstGrant := lease.Grant{Epoch: 5, First: true}
@@ -82,7 +91,7 @@
 		"negative":      {[]byte{0xa2, 0x01, 0x01, 0x02, 0x81, 0x86, 0x61, 'a', 0xf5, 0x20, 0x00, 0x00, 0x00}, nil},
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			store := tables.New()
+			store := newStore(99)
 			store.Commit(t.Context(), table.Commit{Token: table.Token{Writer: "x", Sequence: 1}, Writes: []table.Write{{Key: "autoscale/svc", Value: c.value, If: table.Absent{}}}})
 			if c.fault != nil {
 				store.SetFaults(func(tables.Call) tables.Fault { return c.fault })
