originlog: an odd row no longer hides the origins of streams for good

What callers would see: after all hosts have ended at once, streams whose route had one source are not resumed, from the moment when another writer leaves one unreadable row in table origins, and for as long as it stays there.

Cause: a search that meets a row that cannot be decoded gives no origin, as the row may be that of a host that knows another source. Such a row was never deleted, as its age is in it.

Change: a row counts for a minute after it was written, and hosts write theirs every 20 s while they relay streams. So a row that cannot be decoded counts for a minute after this host first read it at its version; then it is ignored and deleted on its version. It is logged once for each version, and counted as before.

--- a/pkg/originlog/find.go
+++ b/pkg/originlog/find.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"ironhollow/pkg/origin"
 	"ironhollow/pkg/table"
@@ -125,7 +126,7 @@
 
 func (l *Log) readAll(ctx context.Context) (read snapshot) {
 	storeNow, known := l.clock.StoreTime()
-	deleted := 0
+	deleted, odd := 0, map[string]oddRow{}
 	for after := ""; ; {
 		page, err := l.writer.Store().List(ctx, Table+"/", after, pageSize)
 		if err != nil {
@@ -136,8 +137,13 @@
 			r, err := decode(stored.Value)
 			if err != nil {
 				l.metrics.badRows.Inc()
-				l.log.Error().Err(err).Str("row", stored.Key).Msg("failed to decode a row of stream origins")
-				read.isPartial = true
+				odd[stored.Key] = l.noteOddRow(stored, err)
+				if odd[stored.Key].mayCount(l.clock.Now()) {
+					read.isPartial = true
+				} else if deleted < maxDeleted {
+					deleted++
+					go l.deleteExpired(stored)
+				}
 				continue
 			}
 			if known && storeNow-fromMS(r.WrittenMS) > expiredRows && deleted < maxDeleted {
@@ -147,12 +153,33 @@
 			read.rows = append(read.rows, r)
 		}
 		if len(page) < pageSize {
+			l.oddRows = odd
 			return read
 		}
 		after = page[len(page)-1].Key
 	}
 }
 
+// oddRow is a row that cannot be decoded, as first read at a version.
+type oddRow struct {
+	version int64
+	since   time.Time
+}
+
+// noteOddRow returns what is known of a row that cannot be decoded. The caller must hold l.readMu.
+func (l *Log) noteOddRow(stored table.Row, err error) oddRow {
+	known, ok := l.oddRows[stored.Key]
+	if !ok || known.version != stored.Version {
+		l.log.Error().Err(err).Str("row", stored.Key).Int64("version", stored.Version).Msg("failed to decode a row of stream origins")
+		known = oddRow{stored.Version, l.clock.Now()}
+	}
+	return known
+}
+
+// mayCount reports whether the row may be that of a host that has written it within retention. Hosts write their
+// rows more often while they relay streams.
+func (o oddRow) mayCount(now time.Time) bool { return now.Sub(o.since) <= retention }
+
 // deleteExpired deletes the row of a host that has not written for long. Another host may do so too.
 func (l *Log) deleteExpired(stored table.Row) {
 	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
