scalesync: impossible peaks of the demand are not taken over

What operators would see: a new holder of the duties orders the most endpoints, or the fewest, after another writer left a row with a peak of 3e38.

Cause: the check of a row rejected infinite peaks only. Numbers of endpoints are computed from a peak by a conversion to int, whose result for such a float is the highest int on arm64, so that later sums overflow, and the lowest on x86-64.

Change: peaks are at most 10^12, else the row is not loaded.

--- a/pkg/scalesync/oddrow_test.go
+++ b/pkg/scalesync/oddrow_test.go
@@ -14,6 +14,9 @@
 	"ironhollow/pkg/table"
 )
 
+// maxDemand is more than any fleet's, and can be converted to an int on every machine.
+const maxDemand = 1e15
+
 // Guards against orders that no holder can pass on because another writer left a row under the service's key, also
 // one whose epoch is higher than any.
 func TestOddStateIsReplaced(t *testing.T) {
@@ -34,7 +37,10 @@
 				first, clock := newSyncer(store, "first", time.Hour)
 				go first.Run(ctx)
 				grant := lease.Grant{Epoch: 1}
-				first.Load(ctx, "svc", grant)
+				loaded, _ := first.Load(ctx, "svc", grant)
+				if d := loaded.Demand; max(d.Load, d.SlotTime, d.TokenTime, d.Refused) > maxDemand {
+					t.Errorf("demand: got %+v, want at most %g", d, maxDemand)
+				}
 				first.Save("svc", grant, stateAt(clock.Now(), 40))
 				time.Sleep(3 * time.Second)
 				next, _ := newSyncer(store, "next", time.Hour+3*time.Second)
--- a/pkg/scalesync/row.go
+++ b/pkg/scalesync/row.go
@@ -63,6 +63,8 @@
 	// maxCount bounds counts of endpoints and losses, maxItems the pools and data centres.
 	maxCount = 1_000_000
 	maxItems = 1000
+	// maxPeak bounds the peaks of the demand, from which numbers of endpoints are computed.
+	maxPeak = 1e12
 )
 
 // converter converts between this process's clock and the store's, whose present times are
@@ -177,7 +179,7 @@
 		}
 	}
 	for _, value := range []float32{r.Peak.Load, r.Peak.SlotTime, r.Peak.TokenTime, r.Peak.Refused} {
-		if v := float64(value); math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
+		if v := float64(value); math.IsNaN(v) || v < 0 || v > maxPeak {
 			return fmt.Errorf("scalesync: peak out of range: %v", value)
 		}
 	}
