upstream: a huge Keep-Alive time-out keeps the connection

What callers would see: slower requests, as each opens a connection, to endpoints that answer with a Keep-Alive time-out beyond 292 years.

Cause: the seconds were multiplied without a bound; the overflow is negative for 2^63-1 and counted as no idle time.

--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -148,6 +148,9 @@
 	return fmt.Errorf("upstream: more than %d informational answers", maxInformational)
 }
 
+// maxKeepAliveSeconds bounds the time that an endpoint keeps idle connections.
+const maxKeepAliveSeconds = 24 * 3600
+
 // keepAliveTimeout returns how long a connection may be idle according to the Keep-Alive header
 // of a response.
 func keepAliveTimeout(h http.Header) time.Duration {
@@ -157,7 +160,7 @@
 			continue
 		}
 		if seconds, err := strconv.Atoi(value); err == nil {
-			return max(time.Duration(seconds)*time.Second-idleMargin, 0)
+			return max(time.Duration(min(seconds, maxKeepAliveSeconds))*time.Second-idleMargin, 0)
 		}
 	}
 	return defaultIdleTimeout
--- a/pkg/upstream/keepalive_test.go
+++ b/pkg/upstream/keepalive_test.go
@@ -46,3 +46,19 @@
 		t.Error("earlier values, silent for 1.2 s: got open, want closed")
 	}
 }
+
+// Guards against connections that are used only once because the endpoint's Keep-Alive time-out overflows.
+func TestHugeKeepAliveTimeoutKeepsConnection(t *testing.T) {
+	for _, timeout := range []string{"9223372037", "9223372036854775807", "60"} {
+		e := serve(t, reply("HTTP/1.1 200 OK\r\nKeep-Alive: timeout="+timeout+"\r\nContent-Length: 2\r\n\r\nok"))
+		p := upstream.New(time.Second)
+		for range 3 {
+			if _, err := readAll(t, send(t, p, e.address)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if got := p.Dials(); got != 1 {
+			t.Errorf("time-out of %s s: got %d connections for 3 requests, want 1", timeout, got)
+		}
+	}
+}
