--- a/pkg/usage/oddrow_test.go
+++ b/pkg/usage/oddrow_test.go
@@ -41,7 +41,7 @@
 	values := oddrows.Values()
 	maps.Copy(values, oddrows.JSON(map[string]string{"t": "3", "u": "4"}))
 	// These can be decoded: an empty row and one without a team, and large but possible numbers.
-	maps.DeleteFunc(values, func(name string, value []byte) bool { return strings.Contains(string(value), ":null") })
+	maps.DeleteFunc(values, func(_ string, value []byte) bool { return strings.Contains(string(value), ":null") })
 	return values
 }
 
