storeview: a row written in the future does not hide that all hosts had stopped

What callers would see: after a restart of all hosts, requests of teams below their limits rejected for two seconds, if another writer left a row among those of the hosts with a time in the future.

Cause: the latest write counts as the time until which a host was alive, and with a future one the time without hosts is negative, which counts as none.

Change: rows written after the read are ignored in this computation.

A comment of the tests of usage is corrected too.

--- a/pkg/storeview/view.go
+++ b/pkg/storeview/view.go
@@ -337,7 +337,8 @@
 	var written []time.Duration
 	for _, stored := range batch.Rows {
 		row, err := roster.Decode(stored.Key, stored.Value)
-		if err == nil && !stored.Deleted && row.WrittenAt > 0 && batch.StoreTime-row.StartedAt > recentStart {
+		isWritten := err == nil && !stored.Deleted && row.WrittenAt > 0 && row.WrittenAt <= batch.StoreTime
+		if isWritten && batch.StoreTime-row.StartedAt > recentStart {
 			written = append(written, row.WrittenAt)
 		}
 	}
--- a/pkg/usage/oddrow_test.go
+++ b/pkg/usage/oddrow_test.go
@@ -40,7 +40,7 @@
 func oddCounts() map[string][]byte {
 	values := oddrows.Values()
 	maps.Copy(values, oddrows.JSON(map[string]string{"t": "3", "u": "4"}))
-	// These can be decoded: an empty row and one without a team, and large but possible numbers.
+	// Null is decoded as no requests, which a holder may write.
 	maps.DeleteFunc(values, func(_ string, value []byte) bool { return strings.Contains(string(value), ":null") })
 	return values
 }
