forward, upstream: continue no stream at an endpoint that may have started again as another release

Cause: the release of an endpoint is that of its row as last read, up to 1.3 s ago. That the connections to the endpoint had been reset or refused in between was not used.

Change: the pool records when a connection to an address was last lost, and discovery after which time a row was written. A request that continues a stream, and a move, use an endpoint only if its row was written after the latest loss; this is checked again once the request has its connection. They use another endpoint of the release, or wait for the row for 3 s at most, while the endpoints' rows are read every 0.2 s. The origin of a stream that begins at an unconfirmed endpoint is recorded once a row confirms it.

The run that wrote a row after the loss was there after the loss, so the row's release is that of the process at the other end of connections opened since.

Not covered: an endpoint that restarts while the host has no connection to it and tries none (docs/design/origins.md).

--- a/pkg/app/node/providers.go
+++ b/pkg/app/node/providers.go
@@ -270,6 +270,7 @@
 	forwarder.UseDetours(detours)
 	forwarder.UseOrigins(origins)
 	forwarder.UseOriginLog(originLog)
+	forwarder.UseRowReader(view.HurryEndpoints)
 	forwarder.MoveStreams(forward.NewMover(platform.MoveCalls(pool), pool, view.Directory(), router, view.RouteTables(), clock.Now, registry, logger))
 	return forwarder
 }
--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -114,7 +114,7 @@
 			continue
 		}
 		listed[row.Key] = true
-		s.applyRow(row, written)
+		s.applyRow(row, written, batch.Full)
 	}
 	if batch.Full {
 		for _, info := range s.directory.View().Infos() {
@@ -196,7 +196,16 @@
 	}
 }
 
-func (s *Syncer) applyRow(row feed.Row, written writeTime) {
+// writtenAfter returns the time after which a row was written; zero if it is not known, as the rows of a snapshot may
+// be from a backup.
+func (t writeTime) writtenAfter(isSnapshot bool) time.Time {
+	if !t.isKnown || isSnapshot {
+		return time.Time{}
+	}
+	return t.earliest
+}
+
+func (s *Syncer) applyRow(row feed.Row, written writeTime, isSnapshot bool) {
 	delete(s.graceUntil, row.Key)
 	received, err := s.decode(row.Key, row.Value)
 	if err != nil {
@@ -211,9 +220,13 @@
 		}
 	}
 	received.LeavesIn = 0
+	received.WrittenAfter = written.writtenAfter(isSnapshot)
 	current, known := s.directory.Get(row.Key)
 	if known && current.State != endpoint.Gone && !hasRestarted(current, received) {
 		received.Incarnation = current.Incarnation
+		if received.WrittenAfter.Before(current.WrittenAfter) {
+			received.WrittenAfter = current.WrittenAfter
+		}
 	} else {
 		// A row that returns after its removal is from an endpoint that was disconnected and serves
 		// again: it counts as a new incarnation. So does an endpoint that has restarted under its
--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -311,3 +311,31 @@
 		t.Errorf("leaving rows: got %q, want c", got)
 	}
 }
+
+// Guards against rows that confirm an endpoint although it may have written them before a connection to it was lost.
+func TestRowIsWrittenAfterTheBatchBefore(t *testing.T) {
+	s := newFixture()
+	writtenAfter := func() time.Time {
+		info, _ := s.directory.Get("a")
+		return info.WrittenAfter
+	}
+	s.applyRows(true, "a", "live 1")
+	if got := writtenAfter(); !got.IsZero() {
+		t.Errorf("first snapshot: got %v, want none", got)
+	}
+	before := s.now
+	s.now = s.now.Add(time.Second)
+	s.applyRows(false, "a", "live 1")
+	if got := writtenAfter(); !got.Equal(before) {
+		t.Errorf("changes: got %v, want the time of the batch before, %v", got, before)
+	}
+	s.now = s.now.Add(time.Second)
+	s.applyRows(true, "a", "live 1")
+	if got := writtenAfter(); !got.Equal(before) {
+		t.Errorf("later snapshot: got %v, want %v as before", got, before)
+	}
+	s.applyRows(true, "a", "live 2")
+	if got := writtenAfter(); !got.IsZero() {
+		t.Errorf("next run in a snapshot: got %v, want none", got)
+	}
+}
--- a/pkg/endpoint/endpoint.go
+++ b/pkg/endpoint/endpoint.go
@@ -78,6 +78,8 @@
 	LeaveBy, MayStopAt time.Time
 	// LeavingSince is the earliest time at which the endpoint's row may have said that it leaves; zero before it does.
 	LeavingSince time.Time
+	// WrittenAfter is a time after which the incarnation wrote its row; zero if none is known.
+	WrittenAfter time.Time
 	// LeavesIn is the time left to a leaving endpoint as its row states it; 0 if it states none. A
 	// directory holds LeaveBy instead.
 	LeavesIn time.Duration
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -65,6 +65,9 @@
 // a busy table.
 const longBatchRows = 500
 
+// minPollDelay is the least delay between a response and the next call that a follower is hurried to make.
+const minPollDelay = 200 * time.Millisecond
+
 // Timing holds the delays and timeouts of a follower.
 type Timing struct {
 	// PollTimeout is how long the store may hold a call for changes. It bounds the time until a
@@ -73,6 +76,8 @@
 	// PollDelay is the delay between a response and the next call, so that the changes of a busy
 	// table are read in batches. There is none after a long batch.
 	PollDelay func() time.Duration
+	// Hurry ends PollDelay early, after minPollDelay at the least; nil if nothing does.
+	Hurry <-chan struct{}
 	// RetryDelay is the mean delay after a failure. The actual delay is random, between 0.5 and
 	// 1.5 times this value, so that nodes do not reconnect at the same time. There is none after
 	// the first failure on a reused connection, which shows nothing about the store.
@@ -125,7 +130,25 @@
 				delay = 0
 			}
 		}
-		pause.For(ctx, delay)
+		f.pause(ctx, delay, err == nil)
+	}
+}
+
+// pause waits for a delay, part of which a follower may skip if it is hurried.
+func (f *Follower) pause(ctx context.Context, delay time.Duration, skips bool) {
+	least := delay
+	if skips {
+		least = min(delay, minPollDelay)
+	}
+	if !pause.For(ctx, least) || delay == least {
+		return
+	}
+	rest := time.NewTimer(delay - least)
+	defer rest.Stop()
+	select {
+	case <-ctx.Done():
+	case <-rest.C:
+	case <-f.timing.Hurry:
 	}
 }
 
--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -156,3 +156,26 @@
 		t.Errorf("calls: got %d within 10 s, want 5", len(s.requestedAfter))
 	}
 }
+
+// Guards against streams that wait for a row during the pause between two calls.
+func TestHurriedFollowerReadsSoon(t *testing.T) {
+	constant := func(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
+	hurry := make(chan struct{}, 1)
+	read := func() time.Duration {
+		s := &store{done: make(chan struct{}), responses: []response{{batch: feed.Batch{Version: 5}}, {batch: feed.Batch{Version: 6}}}}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		timing := feed.Timing{PollTimeout: constant(0), PollDelay: constant(time.Second), Hurry: hurry}
+		startedAt := time.Now()
+		go feed.New(s, "t", timing, func(feed.Batch) {}, func(string, error) {}).Run(ctx)
+		<-s.done
+		return time.Since(startedAt)
+	}
+	if got := read(); got < time.Second {
+		t.Errorf("second call: got after %v, want after the pause", got)
+	}
+	hurry <- struct{}{}
+	if got := read(); got < 150*time.Millisecond || got > 600*time.Millisecond {
+		t.Errorf("second call of a hurried follower: got after %v, want after a fifth of a second", got)
+	}
+}
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -93,11 +93,15 @@
 	c.notice = endpoint.Notice{}
 	c.connection, c.connectionRequests = 0, 0
 	ctx, request.DialContext = c.untilCut(ctx)
+	if c.origin != nil && !c.continues {
+		// A lost connection may show only now that the request needs one.
+		request.Accepts = func() bool { return c.f.confirmsNow(choice) }
+	}
 	c.f.progress.sentTo(c, choice.Endpoint.ID)
 	outcome := c.f.pool.Send(ctx, choice.Endpoint.Address, c.connectionLimit(), request)
 	switch o := outcome.(type) {
 	case upstream.NotSent:
-		if !errors.Is(o.Err, upstream.ErrConnectionLimit) && ctx.Err() == nil {
+		if !errors.Is(o.Err, upstream.ErrConnectionLimit) && !errors.Is(o.Err, upstream.ErrDeclined) && ctx.Err() == nil {
 			c.unreachable++
 		}
 		return notRun{err: o.Err}
@@ -218,7 +222,8 @@
 func routerResult(r result) route.Result {
 	switch r := r.(type) {
 	case notRun:
-		return route.Result{Failed: !r.rejectedByTarget, Refused: r.rejectedByTarget}
+		isRefused := r.rejectedByTarget || errors.Is(r.err, upstream.ErrDeclined)
+		return route.Result{Failed: !isRefused, Refused: isRefused}
 	case unclear:
 		return route.Result{Failed: !errors.Is(r.err, context.Canceled) && !errors.Is(r.err, errCutOff) && !errors.Is(r.err, errProcessEnds)}
 	case answered:
--- a/pkg/forward/crash.go
+++ b/pkg/forward/crash.go
@@ -113,6 +113,7 @@
 // if the endpoint had sent the beginning of the answer.
 func (c *call) recordBreak(choice route.Choice, err error, answered bool) {
 	id := choice.Endpoint.ID
+	c.recordLoss(choice, err)
 	if id == noChoice.Endpoint.ID || c.incoming.Context().Err() != nil || !isPeerDisconnect(err) || c.f.links.IsCut() {
 		return
 	}
--- a/pkg/forward/evacuation.go
+++ b/pkg/forward/evacuation.go
@@ -225,6 +225,7 @@
 func (e *evacuation) chooseTarget(s *relayedStream) (route.Choice, bool) {
 	query := s.targetQuery()
 	query.Continues = true
+	query.Confirms = func(info endpoint.Info) bool { return isConfirmed(e.pool, info) }
 	query.Rule.OnlyRelease, query.Rule.IsPinned = e.info.Release, true
 	query.Avoid = append(query.Avoid, e.info.Ref())
 	query.Accepts = func(c route.Choice) bool {
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -76,6 +76,8 @@
 	// slotQueues holds the requests that wait for slots of fragile endpoints.
 	slotQueues *slotQueues
 	progress   *progress
+	// readRowsSoon lets the rows of endpoints be read soon.
+	readRowsSoon func()
 }
 
 // MoveStreams makes a mover move the streams that the forwarder relays. It must be called before the
@@ -114,7 +116,8 @@
 		slotQueues: queues, takeables: newTakeables(), progress: newProgress(),
 		protocol: protocol, tables: tables, router: router, limits: limits, budget: budget, pool: pool,
 		runCounter: runs, fleet: fleet, rollouts: rollouts, crashes: watch, notices: notices, lifecycle: lifecycle, clock: clock, metrics: metrics, log: logger, logLimit: newLogLimiter(clock()), links: soundLinks{},
-		origins: origin.New("", func() []origin.Peer { return nil }, nil, clock),
+		readRowsSoon: func() {},
+		origins:      origin.New("", func() []origin.Peer { return nil }, nil, clock),
 	}
 }
 
@@ -172,6 +175,10 @@
 	attempts int
 	// origin is where the stream that the request continues began, nil if it continues none.
 	origin *origin.Source
+	// unsettled is the presumed origin of a stream whose release is not certain yet, nil if there is none.
+	// isUnconfirmed is set if the latest choice left out an endpoint for that reason alone.
+	unsettled     *unsettledOrigin
+	isUnconfirmed bool
 	// returns is how often a stopped run was to continue at its leaving source.
 	returns int
 	// retryAfter is the caller's Retry-After, above 0 once the request is rejected for the
@@ -223,6 +230,7 @@
 	err := c.serve()
 	c.endTakeable(err)
 	c.forgetOrigin(err)
+	c.endUnsettled(err)
 	c.freeOpenCopy()
 	for _, end := range c.atEnd {
 		end()
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -297,7 +297,7 @@
 func (s *harness) serve(id string, listener net.Listener, answer script) {
 	s.directory.Merge(endpoint.Info{
 		ID: id, Incarnation: 1, State: endpoint.Live, Kind: endpoint.Plain, Service: "svc",
-		Address: listener.Addr().String(), Slots: 4,
+		Address: listener.Addr().String(), Slots: 4, WrittenAfter: time.Now().Add(time.Hour),
 	})
 	go func() {
 		for {
--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -14,7 +14,6 @@
 	"ironhollow/pkg/code"
 	"ironhollow/pkg/httpx"
 	"ironhollow/pkg/migrate"
-	"ironhollow/pkg/origin"
 	"ironhollow/pkg/route"
 	"ironhollow/pkg/upstream"
 )
@@ -167,7 +166,7 @@
 // continues the run.
 func (c *call) relayStream(ctx context.Context, choice route.Choice, current streaming, firstToken time.Duration) error {
 	e := current.exchange
-	originErr := c.beginStream(origin.Source{Service: c.service.Name, Release: choice.Endpoint.Release}, e.Header(), current.isDetour)
+	originErr := c.beginAt(choice, e.Header(), current.isDetour)
 	c.writeHead(e.Status(), e.Header(), e.Framing())
 	s := &stream{call: c, lastEventID: c.meta.LastEventID}
 	observed := route.Result{PrefillDone: true, FirstToken: firstToken}
@@ -185,7 +184,7 @@
 		}
 		observed.Decode = c.f.clock().Sub(startedAt)
 		observed.Tokens = (s.eventCount - 1) * c.service.TokensPerEvent
-		if err != nil && originErr == nil && c.hasChangedRelease(choice) {
+		if err != nil && originErr == nil && c.unsettled == nil && c.hasChangedRelease(choice) {
 			originErr = errChangedRelease
 		}
 		at := c.endTracking(ctx, s.relayed, err)
@@ -224,7 +223,7 @@
 			return errors.Join(errTruncated, err)
 		}
 		c.avoid = append(c.avoid, refOf(choice))
-		if originErr != nil {
+		if originErr = errors.Join(originErr, c.awaitOrigin(ctx)); originErr != nil {
 			return errors.Join(errTruncated, err, originErr)
 		}
 		var ok bool
@@ -282,7 +281,7 @@
 			return choice, s, true
 		}
 		c.finishAttempt(choice, rolloutSend, routerResult(last))
-		c.avoid = append(c.avoid, refOf(choice))
+		c.avoidAfter(choice, last)
 		last = resumeFailure(last)
 	}
 	return noChoice, streaming{}, false
@@ -356,6 +355,7 @@
 		s.call.hasBegun = true
 		s.call.recordBeginning(s.choice)
 	}
+	s.call.settleOrigin()
 	s.eventCount += count
 	s.totalEvents += count
 	s.relayed.relayedEvents(events, count)
--- a/pkg/forward/run.go
+++ b/pkg/forward/run.go
@@ -31,6 +31,9 @@
 		Rule:         c.rule(),
 		Connected:    c.hasIdleConnection,
 	}
+	if c.origin != nil {
+		q.Confirms = c.f.confirms
+	}
 	if c.f.fleet.Advertised() >= largeFleetHosts {
 		q.SampleSize = largeFleetSample
 	}
@@ -126,6 +129,7 @@
 // chooseNow picks the next endpoint, of another version if no endpoint of the intended version
 // accepts the request. A request that continues a stream goes to no other version.
 func (c *call) chooseNow() (route.Choice, bool) {
+	c.isUnconfirmed = false
 	if c.origin != nil && !c.mayContinueAtOrigin() {
 		return route.Choice{}, false
 	}
@@ -147,6 +151,9 @@
 	q := c.query()
 	q.Accepts = c.acceptChoice
 	q.Continues = c.isDemandCounted
+	if c.origin != nil {
+		q.Confirms = c.confirmsChoice
+	}
 	return c.f.router.Choose(q, route.Expected, c.f.clock())
 }
 
@@ -200,7 +207,7 @@
 		c.delivered = c.delivered || r.rejectedByTarget
 	}
 	c.finishAttempt(choice, rolloutSend, routerResult(r))
-	c.avoid = append(c.avoid, refOf(choice))
+	c.avoidAfter(choice, r)
 	return r
 }
 
--- a/pkg/forward/slotwait.go
+++ b/pkg/forward/slotwait.go
@@ -70,9 +70,10 @@
 	return *c.origin
 }
 
-// chooseEndpoint picks the next endpoint. If this host may send no more to the service's fragile
+// chooseWithSlot picks the next endpoint. If this host may send no more to the service's fragile
 // endpoints, the request waits for a slot, behind those that wait already.
-func (c *call) chooseEndpoint(ctx context.Context) (route.Choice, bool) {
+func (c *call) chooseWithSlot(ctx context.Context) (route.Choice, bool) {
+	c.isUnconfirmed = false
 	if ctx.Err() != nil {
 		return route.Choice{}, false
 	}
--- a/pkg/route/backoff.go
+++ b/pkg/route/backoff.go
@@ -155,3 +155,12 @@
 	}
 	return count
 }
+
+// usesEjected reports whether ejected endpoints may take the request.
+func (g *group) usesEjected(q *Query, now time.Time) bool {
+	unavailable, total := g.unavailable(q.hosts, now), len(g.slots)
+	if q.Rule.IsPinned {
+		unavailable, total = g.unavailableOf(q, now)
+	}
+	return float64(unavailable) > maxEjectShare*float64(total)
+}
--- a/pkg/route/query.go
+++ b/pkg/route/query.go
@@ -52,6 +52,9 @@
 	SampleSize int
 	// Rule determines which endpoints may take the request.
 	Rule rollout.Rule
+	// Confirms reports whether an endpoint's release is certain; nil if that does not matter. An endpoint
+	// that is not confirmed does not take the request.
+	Confirms func(endpoint.Info) bool
 	// Connected reports whether this entry has a connection to an address that the request can
 	// use; nil if it has one to every address.
 	Connected func(address string) bool
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -393,12 +393,8 @@
 	if now.Before(s.load.backoff.requestedUntil) || !s.allows(q.hosts, now) {
 		return false
 	}
-	if now.Before(s.load.ejectedUntil) {
-		unavailable, total := g.unavailable(q.hosts, now), len(g.slots)
-		if q.Rule.IsPinned {
-			unavailable, total = g.unavailableOf(&q, now)
-		}
-		return float64(unavailable) > maxEjectShare*float64(total)
+	if now.Before(s.load.ejectedUntil) && !g.usesEjected(&q, now) {
+		return false
 	}
-	return true
+	return q.Confirms == nil || q.Confirms(s.info)
 }
--- a/pkg/route/work.go
+++ b/pkg/route/work.go
@@ -127,7 +127,7 @@
 		return
 	}
 	anyVersion := q
-	anyVersion.Rule = rollout.Rule{}
+	anyVersion.Rule, anyVersion.Confirms = rollout.Rule{}, nil
 	for _, s := range g.slots {
 		if g.usable(s, anyVersion, now) {
 			return
--- a/pkg/storeview/pace.go
+++ b/pkg/storeview/pace.go
@@ -19,6 +19,14 @@
 	return v.byRole(relayPause, endpointPause)()
 }
 
+// HurryEndpoints lets the endpoints' rows be read soon, as something waits for a row. It does not block.
+func (v *View) HurryEndpoints() {
+	select {
+	case v.hurry <- struct{}{}:
+	default:
+	}
+}
+
 // byRole returns a function that returns one of two durations, depending on whether this host is a
 // relay.
 func (v *View) byRole(relay, other time.Duration) func() time.Duration {
--- a/pkg/storeview/view.go
+++ b/pkg/storeview/view.go
@@ -107,6 +107,8 @@
 	storeEra atomic.Int64
 	// ordersEndpoints reports whether this host orders endpoints at present; nil if it never does.
 	ordersEndpoints atomic.Pointer[func() bool]
+	// hurry ends the pause between reads of the endpoints' rows.
+	hurry chan struct{}
 }
 
 // New returns the view of the host whose process has the incarnation self. heartbeat is
@@ -127,6 +129,7 @@
 		home:        home,
 		self:        self,
 		rollouts:    rollouts,
+		hurry:       make(chan struct{}, 1),
 	}
 }
 
@@ -182,6 +185,9 @@
 	tables := v.decoder.Tables()
 	startFeed := func(name string, pause func() time.Duration, apply feed.BatchHandler) {
 		timing := feed.Timing{PollTimeout: v.byRole(relayWait, feedWait), PollDelay: pause, RetryDelay: feedRetry}
+		if name == tables.Endpoints {
+			timing.Hurry = v.hurry
+		}
 		receive := func(batch feed.Batch) {
 			v.clock.Observe(batch.StoreTime)
 			v.recordEra(name, batch)
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"maps"
 	"math"
 	"net"
 	"net/http"
@@ -40,6 +41,9 @@
 func (MaybeSent) outcome() {}
 func (Answered) outcome()  {}
 
+// ErrDeclined is returned if the request does not use its connection (Request.Accepts).
+var ErrDeclined = errors.New("upstream: the request does not use the connection")
+
 // ErrConnectionLimit is returned if all connections that are allowed to an endpoint are in use.
 var ErrConnectionLimit = errors.New("upstream: all connections to the endpoint are in use")
 
@@ -64,6 +68,9 @@
 	// DialContext, if it is not nil, also ends the opening of a connection, after which the outcome is
 	// NotSent.
 	DialContext context.Context
+	// Accepts, if it is not nil, reports whether the request is sent now that it has a connection. Otherwise the
+	// outcome is NotSent with ErrDeclined.
+	Accepts func() bool
 	// OnConnected, if it is not nil, is called when the request has a connection, before it is sent.
 	OnConnected func()
 }
@@ -116,6 +123,8 @@
 	mu        sync.Mutex
 	byAddress map[string]*addressConns
 	dials     int64
+	// lostAt is when a connection to an address was last lost.
+	lostAt map[string]time.Time
 
 	lastID atomic.Int64
 }
@@ -157,6 +166,7 @@
 		},
 		observer:  noObserver{},
 		byAddress: map[string]*addressConns{},
+		lostAt:    map[string]time.Time{},
 	}
 }
 
@@ -228,6 +238,10 @@
 		p.put(c)
 		return NotSent{err}
 	}
+	if request.Accepts != nil && !request.Accepts() {
+		p.put(c)
+		return NotSent{ErrDeclined}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	e := &Exchange{pool: p, conn: c, ctx: ctx, stopCancel: stop}
 	c.requests++
@@ -271,9 +285,27 @@
 	if ctx.Err() != nil || limited && !time.Now().Before(deadline) || errors.Is(err, net.ErrClosed) {
 		return
 	}
+	p.RecordLoss(address)
 	p.observer.Failed(address)
 }
 
+// RecordLoss records that a connection to an address has broken, could not be opened, or was closed by the endpoint
+// before its idle time-out.
+func (p *Pool) RecordLoss(address string) {
+	now := boottime.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lostAt[address] = now
+}
+
+// LostAt returns when a connection to an address was last found to be lost, zero if none was: another process may
+// have the address since.
+func (p *Pool) LostAt(address string) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lostAt[address]
+}
+
 // earlyResponseTimeout is how long to wait for a response if the endpoint accepts no more bytes of
 // the request.
 const earlyResponseTimeout = 50 * time.Millisecond
@@ -309,6 +341,9 @@
 		if c.isUsable() {
 			return c, nil
 		}
+		if !c.isExpired() {
+			p.RecordLoss(address)
+		}
 		p.drop(c)
 	}
 	if !p.reserve(address, limit) && !(p.dropIdle(address, request.Avoid) && p.reserve(address, limit)) {
@@ -415,10 +450,11 @@
 // caller of HasIdle holds.
 func (p *Pool) Sweep(keep func(address string) bool) {
 	unused := map[string]bool{}
-	for _, address := range p.idleAddresses() {
+	for _, address := range p.addresses() {
 		unused[address] = !keep(address)
 	}
 	p.mu.Lock()
+	maps.DeleteFunc(p.lostAt, func(address string, _ time.Time) bool { return unused[address] })
 	var expired []*conn
 	for address, conns := range p.byAddress {
 		kept := conns.idle[:0]
@@ -438,11 +474,11 @@
 	}
 }
 
-// idleAddresses returns the addresses that have idle connections.
-func (p *Pool) idleAddresses() []string {
+// addresses returns the addresses that have idle connections or have lost one.
+func (p *Pool) addresses() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var addresses []string
+	addresses := slices.Collect(maps.Keys(p.lostAt))
 	for address, conns := range p.byAddress {
 		if len(conns.idle) > 0 {
 			addresses = append(addresses, address)
@@ -505,6 +541,9 @@
 	}
 	p.mu.Unlock()
 	for _, c := range closed {
+		if !c.isExpired() {
+			p.RecordLoss(address)
+		}
 		p.drop(c)
 	}
 	return anyOpen
@@ -545,10 +584,13 @@
 	return n, err
 }
 
+// isExpired reports whether an idle connection has exceeded its idleTimeout, after which the endpoint may close it.
+func (c *conn) isExpired() bool { return boottime.Since(c.idleSince) > c.idleTimeout }
+
 // isUsable reports whether an idle connection is still open, has not exceeded its idleTimeout
 // and has no bytes to be read. Unsolicited bytes do not belong to any request.
 func (c *conn) isUsable() bool {
-	if c.reader.Buffered() > 0 || boottime.Since(c.idleSince) > c.idleTimeout {
+	if c.reader.Buffered() > 0 || c.isExpired() {
 		return false
 	}
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
