forward: the test bed of moves answers a call that stops a run once it has ended

TestRunThatWasNotStoppedDoesNotContinue failed once in four runs with -race on a busy machine: two runs at a time. The bed answered the call before the goroutine of the run had counted itself out, so that the next run could begin first; endpoints answer once the run has ended. It checks the same.

--- a/pkg/forward/mover_test.go
+++ b/pkg/forward/mover_test.go
@@ -86,11 +86,21 @@
 	return migrate.Report{}, errors.New("no report")
 }
 
+// stop stops the run of the source. Endpoints answer a call that stops a run once it has ended.
 func (p *movePlatform) stop() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	close(p.stopped)
 	p.stopped = make(chan struct{})
+	before := p.running
+	p.mu.Unlock()
+	for deadline := time.Now().Add(time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		p.mu.Lock()
+		hasEnded := p.running < before || before == 0
+		p.mu.Unlock()
+		if hasEnded {
+			return
+		}
+	}
 }
 
 func (p *movePlatform) count(change int) {
