--- a/pkg/quarantine/blame_test.go
+++ b/pkg/quarantine/blame_test.go
@@ -159,7 +159,7 @@
 	}
 }
 
-// Guards against a crashing part that is admitted since a popular one, which is not held back itself, explains its crashes.
+// Guards against a crashing part that is admitted since a popular one, which is not quarantined itself, explains its crashes.
 func TestPartWithASmallShareOfCrashesExplainsNoOther(t *testing.T) {
 	w := newWatch()
 	for i := range 3 {
@@ -177,7 +177,7 @@
 	}
 }
 
-// Requests with a part that is held back, while 1,300 other requests have crashed three endpoints each.
+// Requests with a quarantined part, while 1,300 other requests have crashed three endpoints each.
 func BenchmarkAdmissionUnderManyCases(b *testing.B) {
 	w := newWatch()
 	for i := range 3 {
