--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -48,17 +48,6 @@
 
 // Parameters of a node.
 const (
-	// stopMargin is the part of the grace period that is not used: the process must have exited
-	// before the period ends.
-	stopMargin = 300 * time.Millisecond
-	// closeTimeout is the time at the end of a shutdown in which no request is accepted and idle connections are closed.
-	// Requests in progress are ended answerTime before its end. A process that is late uses of the stopMargin for that all
-	// but exitMargin.
-	closeTimeout = 400 * time.Millisecond
-	answerTime   = 150 * time.Millisecond
-	exitMargin   = 100 * time.Millisecond
-	// peersCloseTimeout bounds the wait for responses to other hosts that are being written at the end.
-	peersCloseTimeout = 30 * time.Millisecond
 	// maxPendingFaults is how many faults of the ports and the watchdog can be pending.
 	maxPendingFaults = 8
 	// sweepInterval is the time between searches for connections that have been idle for too long.
@@ -228,58 +217,6 @@
 	return nil
 }
 
-// shutDown lets callers leave for other hosts until the grace period is nearly over, and then ends the requests in
-// progress.
-func (n *node) shutDown(background context.Context, servers servers, started time.Time) {
-	end := started.Add(max(n.settings.GracePeriod-stopMargin, closeTimeout))
-	n.lifecycle.Leave(time.Until(end) - answerTime)
-	n.log.Info().Dur("grace", n.settings.GracePeriod).Int("requests", len(n.forwarder.InProgress())).Msg("stopping")
-	if n.writesRow() {
-		go n.writeRow(background)
-	}
-	pause.For(background, time.Until(end)-closeTimeout)
-	n.log.Info().Dur("after", time.Since(started)).Int("requests", len(n.forwarder.InProgress())).Msg("closing idle connections")
-	closeCtx, cancelClose := context.WithDeadline(background, end.Add(stopMargin-exitMargin))
-	defer cancelClose()
-	idle := make(chan struct{})
-	go func() {
-		defer close(idle)
-		// Connections that are open at the end are closed by the end of the process.
-		_ = servers.callers.Shutdown(closeCtx)
-		n.detours.AwaitIdle(closeCtx)
-	}()
-	awaitUntil(idle, end.Add(-answerTime))
-	n.forwarder.EndRequests()
-	awaitUntil(idle, latest(end, time.Now().Add(answerTime)))
-	peersCtx, cancelPeers := context.WithTimeout(closeCtx, peersCloseTimeout)
-	defer cancelPeers()
-	_ = servers.peers.Shutdown(peersCtx)
-	n.logUnfinished(time.Since(started))
-	n.log.Info().Dur("after", time.Since(started)).Int64("dropped-lines", n.logQueue.Dropped()).Msg("stopped")
-}
-
-// endForFault answers the requests in progress before the process ends for a fault.
-func (n *node) endForFault() {
-	n.forwarder.EndRequests()
-	time.Sleep(answerTime)
-	n.logUnfinished(0)
-}
-
-// awaitUntil waits until the channel is closed, until the given time at most.
-func awaitUntil(done <-chan struct{}, end time.Time) {
-	select {
-	case <-done:
-	case <-time.After(time.Until(end)):
-	}
-}
-
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // Parameters of the first start of all hosts.
 const (
 	// largeHostCores is the processor share, in cores, from which on a host starts without delay.
