--- a/pkg/gossip/oddvalues_test.go
+++ b/pkg/gossip/malformed_test.go
@@ -13,7 +13,7 @@
 
 	"ironhollow/pkg/gossip"
 	"ironhollow/pkg/roster"
-	"ironhollow/pkg/standin/oddrows"
+	"ironhollow/pkg/standin/malformedrows"
 )
 
 // checkUpdate fails if a received update has numbers that no host can have.
@@ -52,8 +52,8 @@
 	}
 }
 
-// oddDatagrams returns odd datagrams of a status, and of a digest and the numbers of teams.
-func oddDatagrams(t *testing.T) map[string][]byte {
+// malformedDatagrams returns malformed datagrams of a status, and of a digest and the numbers of teams.
+func malformedDatagrams(t *testing.T) map[string][]byte {
 	t.Helper()
 	status := []any{
 		"p", "n", "dc", "10.0.0.9:1", "10.0.0.9:2", 1000, 2000, false, 1,
@@ -65,24 +65,24 @@
 		[]any{},
 		false, nil,
 	}
-	values, err := oddrows.Elements(status)
+	values, err := malformedrows.Elements(status)
 	if err != nil {
 		t.Fatal(err)
 	}
 	host := []any{"q", "m", "dc", "10.0.0.8:1", "10.0.0.8:2", 1000, 800, false}
-	others, err := oddrows.CBOR(map[int]any{1: "p", 5: []any{[]any{"t", 5, 0.5, 6, true}}, 6: []any{[]any{7, "t", 8}}, 7: []any{[]any{9, 10, false, true}}, 8: []any{host}, 9: 0.5, 11: 3})
+	others, err := malformedrows.CBOR(map[int]any{1: "p", 5: []any{[]any{"t", 5, 0.5, 6, true}}, 6: []any{[]any{7, "t", 8}}, 7: []any{[]any{9, 10, false, true}}, 8: []any{host}, 9: 0.5, 11: 3})
 	if err != nil {
 		t.Fatal(err)
 	}
 	maps.Copy(values, others)
-	maps.Copy(values, oddrows.Values())
+	maps.Copy(values, malformedrows.Values())
 	maps.DeleteFunc(values, func(_ string, data []byte) bool { return len(data) > 1400 })
 	return values
 }
 
 // Guards against limits, orders and choices by numbers that no host can have, and against callers sent to addresses
 // that are none, after a datagram of a host of another release.
-func TestOddDatagramIsNotUsed(t *testing.T) {
+func TestMalformedDatagramIsNotUsed(t *testing.T) {
 	updates := make(chan gossip.Update, 1)
 	address := freeAddress(t)
 	members := roster.New(silence, gossip.Interval)
@@ -96,8 +96,8 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = conn.Close() }()
-	for name, data := range oddDatagrams(t) {
-		// The next datagram shows that the odd one has been handled.
+	for name, data := range malformedDatagrams(t) {
+		// The next datagram shows that the malformed one has been handled.
 		mark, err := cbor.Marshal(map[int]any{1: "mark " + name})
 		if err != nil {
 			t.Fatal(err)
--- a/pkg/lease/oddrow_test.go
+++ b/pkg/lease/malformedrow_test.go
@@ -10,7 +10,7 @@
 	"github.com/phuslu/log"
 
 	"ironhollow/pkg/lease"
-	"ironhollow/pkg/standin/oddrows"
+	"ironhollow/pkg/standin/malformedrows"
 	"ironhollow/pkg/standin/tables"
 	"ironhollow/pkg/table"
 )
@@ -18,9 +18,9 @@
 var discardLogger = &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 
 // Guards against duties that no host performs any more because the lease's row cannot be decoded.
-func TestOddLeaseRowDoesNotEndDuties(t *testing.T) {
-	values := oddrows.Values()
-	maps.Copy(values, oddrows.JSON(map[string]string{"holder": `"other"`, "epoch": "7"}))
+func TestMalformedLeaseRowDoesNotEndDuties(t *testing.T) {
+	values := malformedrows.Values()
+	maps.Copy(values, malformedrows.JSON(map[string]string{"holder": `"other"`, "epoch": "7"}))
 	for name, value := range values {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/pkg/originlog/find.go
+++ b/pkg/originlog/find.go
@@ -126,7 +126,7 @@
 
 func (l *Log) readAll(ctx context.Context) (read snapshot) {
 	storeNow, known := l.clock.StoreTime()
-	deleted, odd := 0, map[string]oddRow{}
+	deleted, malformed := 0, map[string]malformedRow{}
 	for after := ""; ; {
 		page, err := l.writer.Store().List(ctx, Table+"/", after, pageSize)
 		if err != nil {
@@ -137,8 +137,8 @@
 			r, err := decode(stored.Value)
 			if err != nil {
 				l.metrics.badRows.Inc()
-				odd[stored.Key] = l.noteOddRow(stored, err)
-				if odd[stored.Key].mayCount(l.clock.Now()) {
+				malformed[stored.Key] = l.noteMalformedRow(stored, err)
+				if malformed[stored.Key].mayCount(l.clock.Now()) {
 					read.isPartial = true
 				} else if deleted < maxDeleted {
 					deleted++
@@ -153,32 +153,32 @@
 			read.rows = append(read.rows, r)
 		}
 		if len(page) < pageSize {
-			l.oddRows = odd
+			l.malformedRows = malformed
 			return read
 		}
 		after = page[len(page)-1].Key
 	}
 }
 
-// oddRow is a row that cannot be decoded, as first read at a version.
-type oddRow struct {
+// malformedRow is a row that cannot be decoded, as first read at a version.
+type malformedRow struct {
 	version int64
 	since   time.Time
 }
 
-// noteOddRow returns what is known of a row that cannot be decoded. The caller must hold l.readMu.
-func (l *Log) noteOddRow(stored table.Row, err error) oddRow {
-	known, ok := l.oddRows[stored.Key]
+// noteMalformedRow returns what is known of a row that cannot be decoded. The caller must hold l.readMu.
+func (l *Log) noteMalformedRow(stored table.Row, err error) malformedRow {
+	known, ok := l.malformedRows[stored.Key]
 	if !ok || known.version != stored.Version {
 		l.log.Error().Err(err).Str("row", stored.Key).Int64("version", stored.Version).Msg("failed to decode a row of stream origins")
-		known = oddRow{stored.Version, l.clock.Now()}
+		known = malformedRow{stored.Version, l.clock.Now()}
 	}
 	return known
 }
 
 // mayCount reports whether the row may be that of a host that has written it within retention. Hosts write their
 // rows more often while they relay streams.
-func (o oddRow) mayCount(now time.Time) bool { return now.Sub(o.since) <= retention }
+func (o malformedRow) mayCount(now time.Time) bool { return now.Sub(o.since) <= retention }
 
 // deleteExpired deletes the row of a host that has not written for long. Another host may do so too.
 func (l *Log) deleteExpired(stored table.Row) {
--- a/pkg/originlog/oddrow_test.go
+++ b/pkg/originlog/malformedrow_test.go
@@ -7,24 +7,24 @@
 	"time"
 
 	"ironhollow/pkg/originlog"
-	"ironhollow/pkg/standin/oddrows"
+	"ironhollow/pkg/standin/malformedrows"
 	"ironhollow/pkg/table"
 )
 
 // Guards against streams that can never be resumed again from the store because another writer left a row among
 // those of the hosts.
-func TestOddRowDoesNotHideOriginsForever(t *testing.T) {
-	values, err := oddrows.CBOR(map[int]any{1: 1000, 2: []any{[]any{"route", "svc", "v1", 1000}}, 3: []any{[]any{other[:], 0, 1000}}})
+func TestMalformedRowDoesNotHideOriginsForever(t *testing.T) {
+	values, err := malformedrows.CBOR(map[int]any{1: 1000, 2: []any{[]any{"route", "svc", "v1", 1000}}, 3: []any{[]any{other[:], 0, 1000}}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	maps.Copy(values, oddrows.Values())
+	maps.Copy(values, malformedrows.Values())
 	for name, value := range values {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				several, one := newFleet(t, v("v1"), v("v2")), newFleet(t, v("v1"))
 				for _, f := range []*fleet{several, one} {
-					write := table.Write{Key: originlog.Table + "/odd", Value: value, If: table.Always{}}
+					write := table.Write{Key: originlog.Table + "/malformed", Value: value, If: table.Always{}}
 					table.NewWriter(f.store, "other").Commit(t.Context(), write)
 					f.addAt("a", key, v("v1"))
 				}
--- a/pkg/originlog/originlog.go
+++ b/pkg/originlog/originlog.go
@@ -103,8 +103,8 @@
 	// read is what was read last. That began at readAt, or failed then.
 	read   snapshot
 	readAt time.Time
-	// oddRows are the rows that could not be decoded, by key.
-	oddRows map[string]oddRow
+	// malformedRows are the rows that could not be decoded, by key.
+	malformedRows map[string]malformedRow
 
 	latestMu sync.Mutex
 	// latest is what Sources.Latest returned last without an error. The call began at latestAt.
--- a/pkg/quarantinesync/oddrow_test.go
+++ b/pkg/quarantinesync/malformedrow_test.go
@@ -24,17 +24,17 @@
 			writer.crash(sound, 3)
 			go writer.syncer.Run(t.Context())
 			time.Sleep(time.Second)
-			odd := quarantine.FingerprintOf("POST", "/x", "red", []byte("odd"))
+			malformed := quarantine.FingerprintOf("POST", "/x", "red", []byte("malformed"))
 			crashes := []any{[]any{"o0", 3_600_000}, []any{"o1", 3_600_000}, []any{"o2", 3_600_000}}
 			value, err := cbor.Marshal(map[int]any{1: crashes, 3: trials, 4: 3_600_000})
 			if err != nil {
 				t.Fatal(err)
 			}
-			table.NewWriter(store, "other").Commit(t.Context(), table.Write{Key: quarantinesync.Table + "/" + odd.String(), Value: value, If: table.Always{}})
+			table.NewWriter(store, "other").Commit(t.Context(), table.Write{Key: quarantinesync.Table + "/" + malformed.String(), Value: value, If: table.Always{}})
 			reader := newHost(store, "reader", time.Hour+time.Second).loaded(t)
 			go reader.syncer.Run(t.Context())
 			for range 30 {
-				for _, f := range []quarantine.Fingerprint{odd, sound} {
+				for _, f := range []quarantine.Fingerprint{malformed, sound} {
 					reader.watch.CheckRequest(quarantine.NewRequest(f, quarantine.Prompt{}), reader.clock.Now())
 				}
 				time.Sleep(100 * time.Millisecond)
@@ -50,7 +50,7 @@
 func TestReportOfHugeTrialCountDoesNotEndHost(t *testing.T) {
 	store := tables.New()
 	h := newHost(store, "host", time.Hour)
-	f := quarantine.FingerprintOf("POST", "/x", "red", []byte("odd"))
+	f := quarantine.FingerprintOf("POST", "/x", "red", []byte("malformed"))
 	now := h.clock.Now()
 	var crashes []quarantine.Crash
 	for _, id := range []string{"e0", "e1", "e2"} {
--- a/pkg/rolloutsync/coordinator.go
+++ b/pkg/rolloutsync/coordinator.go
@@ -170,18 +170,18 @@
 	}
 	state := rollout.State{Order: order, Phase: rollout.Trying, Started: now}
 	condition := table.Condition(table.Absent{})
-	renumbered, isOdd := false, false
+	renumbered, isMalformed := false, false
 	if exists {
 		condition = table.AtVersion{Version: stored.Version}
 		written, err := decodeStored(stored, order)
-		isOdd = err != nil
-		if isOdd {
+		isMalformed = err != nil
+		if isMalformed {
 			c.log.Error().Err(err).Str("service", order.Service).Int64("row", stored.Version).Msg("failed to decode roll-out state, replacing it")
 		} else {
 			renumbered = c.splitter.WasRenumberedFrom(order, written.Order)
 		}
 		switch {
-		case isOdd:
+		case isMalformed:
 		case renumbered || written.Order.ID == order.ID:
 			state.Phase, state.Started, state.Reason = written.Phase, min(written.Started, now), written.Reason
 		case written.Order.ID > order.ID:
@@ -189,7 +189,7 @@
 			return nil
 		}
 	}
-	recovered := c.recoverPhase(&state, isOdd)
+	recovered := c.recoverPhase(&state, isMalformed)
 	if state.Phase.Ended() && !recovered && !renumbered {
 		c.splitter.ApplyState(state, c.clock.Now())
 		return nil
@@ -231,8 +231,8 @@
 
 // recoverPhase raises a state read from a restored store, or from a row that another writer has replaced, to
 // the phase that this host knows was written before. It reports whether that phase was lost.
-func (c *Coordinator) recoverPhase(state *rollout.State, isOdd bool) bool {
-	if !isOdd && !storeversion.IsRestored(storeversion.Era(state.Order.ID)) {
+func (c *Coordinator) recoverPhase(state *rollout.State, isMalformed bool) bool {
+	if !isMalformed && !storeversion.IsRestored(storeversion.Era(state.Order.ID)) {
 		return false
 	}
 	phase := c.splitter.Phase(state.Order)
--- a/pkg/rolloutsync/oddrow_test.go
+++ b/pkg/rolloutsync/malformedrow_test.go
@@ -14,19 +14,19 @@
 
 	"ironhollow/pkg/rollout"
 	"ironhollow/pkg/rolloutsync"
-	"ironhollow/pkg/standin/oddrows"
+	"ironhollow/pkg/standin/malformedrows"
 	"ironhollow/pkg/standin/tables"
 	"ironhollow/pkg/table"
 )
 
-// oddStates returns odd rows of the order's state. The row that they are made from is of an earlier order.
-func oddStates(t *testing.T) map[string][]byte {
+// malformedStates returns malformed rows of the order's state. The row that they are made from is of an earlier order.
+func malformedStates(t *testing.T) map[string][]byte {
 	t.Helper()
-	values, err := oddrows.CBOR(map[int]any{1: service, 2: "v2", 3: 20_000, 4: order.ID, 5: int(rollout.Trying), 6: 60_000, 7: "reason", 8: 1})
+	values, err := malformedrows.CBOR(map[int]any{1: service, 2: "v2", 3: 20_000, 4: order.ID, 5: int(rollout.Trying), 6: 60_000, 7: "reason", 8: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
-	maps.Copy(values, oddrows.Values())
+	maps.Copy(values, malformedrows.Values())
 	// Of the rows that cannot be decoded for the same reason, one is enough.
 	seen := map[string]bool{}
 	for _, name := range slices.Sorted(maps.Keys(values)) {
@@ -63,8 +63,8 @@
 
 // Guards against an order that is never completed because another writer left a row under its service, before
 // the order, while it is tried, or before another owner takes over.
-func TestOddRolloutRowDoesNotHoldUpOrder(t *testing.T) {
-	for name, value := range oddStates(t) {
+func TestMalformedRolloutRowDoesNotHoldUpOrder(t *testing.T) {
+	for name, value := range malformedStates(t) {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := &fleet{store: tables.New(), random: rand.New(rand.NewPCG(1, 1)), began: time.Now(), hosts: make([]*host, 1), starts: 3}
@@ -145,14 +145,14 @@
 
 // Guards against roll-outs that never end, or never stop, because a host of another release sends numbers that
 // no owner or host counts.
-func TestOddNumbersInDatagramsAreRejected(t *testing.T) {
+func TestNumbersOutOfRangeInDatagramsAreRejected(t *testing.T) {
 	directive := []any{service, 5, "v2", 1000, 2, 0.25, 3, 2, 9, []any{"e1"}, []any{[]any{4, 0.5, 20}}}
 	report := []any{service, 5, 2, 2, 9, 100, 7, 2, 3000, []any{"e1"}, []any{4}, []any{[]any{0, 1, 7, 3}}, []any{[]any{4, 0.5, 20}}}
-	values, err := oddrows.Elements([]any{[]any{directive}, []any{report}})
+	values, err := malformedrows.Elements([]any{[]any{directive}, []any{report}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	maps.Copy(values, oddrows.Values())
+	maps.Copy(values, malformedrows.Values())
 	for name, value := range values {
 		t.Run(name, func(t *testing.T) {
 			directives, reports, _ := rolloutsync.Decode(value)
@@ -165,13 +165,13 @@
 		})
 	}
 	sound := []any{service, 6, "v3", 1000, 2, 0.25, 3, 2, 9, []any{}, []any{}}
-	odd := []any{service, 5, "v2", math.MinInt64, 2, 0.25, 3, 2, 9, []any{}, []any{}}
-	data, err := cbor.Marshal([]any{[]any{odd, sound}, []any{}})
+	malformed := []any{service, 5, "v2", math.MinInt64, 2, 0.25, 3, 2, 9, []any{}, []any{}}
+	data, err := cbor.Marshal([]any{[]any{malformed, sound}, []any{}})
 	if err != nil {
 		t.Fatal(err)
 	}
 	directives, _, err := rolloutsync.Decode(data)
 	if err == nil || !strings.Contains(err.Error(), "period") || len(directives) != 1 || directives[0].Order != 6 {
-		t.Errorf("odd directive before a sound one: got %+v and error %v, want the sound one and an error", directives, err)
+		t.Errorf("malformed directive before a sound one: got %+v and error %v, want the sound one and an error", directives, err)
 	}
 }
--- a/pkg/rolloutsync/wire.go
+++ b/pkg/rolloutsync/wire.go
@@ -136,7 +136,7 @@
 	return list
 }
 
-// Decode decodes a datagram of directives or of reports. Those with odd values are left out; the error says
+// Decode decodes a datagram of directives or of reports. Those with malformed values are left out; the error says
 // which. The others are returned with it.
 func Decode(data []byte) (directives []rollout.Directive, reports []rollout.Report, err error) {
 	var m message
@@ -144,16 +144,16 @@
 		return nil, nil, fmt.Errorf("rolloutsync: %w", err)
 	}
 	for _, d := range m.Directives {
-		if odd := d.check(); odd != nil {
-			err = errors.Join(err, odd)
+		if malformed := d.check(); malformed != nil {
+			err = errors.Join(err, malformed)
 			continue
 		}
 		directives = append(directives, d.decode())
 	}
 	for _, r := range m.Reports {
-		decoded, odd := r.decode()
-		if odd != nil {
-			err = errors.Join(err, odd)
+		decoded, malformed := r.decode()
+		if malformed != nil {
+			err = errors.Join(err, malformed)
 			continue
 		}
 		reports = append(reports, decoded)
--- a/pkg/roster/oddrow_test.go
+++ b/pkg/roster/malformedrow_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"ironhollow/pkg/roster"
-	"ironhollow/pkg/standin/oddrows"
+	"ironhollow/pkg/standin/malformedrows"
 )
 
 const maxPlausible = 1e15
@@ -40,22 +40,22 @@
 
 // Guards against callers sent to addresses that are none, and against orders and choices by numbers that no host
 // can have, because another writer left a row among those of the hosts.
-func TestOddHostRowIsNotUsed(t *testing.T) {
-	values, err := oddrows.CBOR(map[int]any{
+func TestMalformedHostRowIsNotUsed(t *testing.T) {
+	values, err := malformedrows.CBOR(map[int]any{
 		1: "n", 2: "dc", 3: "10.0.0.9:1", 4: 5, 5: false, 6: 1000, 7: []any{[]any{"e", 2, 30}}, 9: []any{[]any{7, "t", 6}}, 10: []any{[]any{"svc", 0.5}},
 		11: "10.0.0.9:2", 12: 1000, 13: 800, 14: 2000, 20: []any{[]any{"svc", 0.1, 0.2, 0.4, 0.3}},
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	maps.Copy(values, oddrows.Values())
+	maps.Copy(values, malformedrows.Values())
 	for name, value := range values {
 		t.Run(name, func(t *testing.T) {
 			r := roster.New(silence, interval)
 			r.NoteStoreResponse(start)
 			good := roster.Host{Incarnation: "good", Node: "good", CallerAddress: "10.0.0.1:1", PeerAddress: "10.0.0.1:2"}
 			r.Merge(roster.Row{Host: good, Sequence: 1, Loads: []roster.Load{{Endpoint: "e", Running: 1}}, Counts: []roster.RequestCount{{Window: 7, Team: "t", Started: 1}}}, start)
-			row, err := roster.Decode("odd", value)
+			row, err := roster.Decode("malformed", value)
 			if err == nil {
 				r.Merge(row, start)
 				if row.WrittenAt > 200*365*24*time.Hour || row.WrittenAt < -200*365*24*time.Hour {
--- a/pkg/scalesync/oddrow_test.go
+++ b/pkg/scalesync/malformedrow_test.go
@@ -9,7 +9,7 @@
 
 	"ironhollow/pkg/lease"
 	"ironhollow/pkg/scalesync"
-	"ironhollow/pkg/standin/oddrows"
+	"ironhollow/pkg/standin/malformedrows"
 	"ironhollow/pkg/standin/tables"
 	"ironhollow/pkg/table"
 )
@@ -19,14 +19,14 @@
 
 // Guards against orders that no holder can pass on because another writer left a row under the service's key, also
 // one whose epoch is higher than any.
-func TestOddStateIsReplaced(t *testing.T) {
-	values, err := oddrows.CBOR(map[int]any{
+func TestMalformedStateIsReplaced(t *testing.T) {
+	values, err := malformedrows.CBOR(map[int]any{
 		1: 1, 2: []any{[]any{"dc", true, 3, 1, 1000, 1000}}, 3: []any{[]any{"dc", 1000}}, 4: []any{false, 0, 0, 0}, 5: []any{1000, 1000, 0.5, 0.5, 0.5, 0.5}, 6: 1,
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	maps.Copy(values, oddrows.Values())
+	maps.Copy(values, malformedrows.Values())
 	for name, value := range values {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/pkg/standin/oddrows/oddrows.go
+++ b/pkg/standin/malformedrows/malformedrows.go
@@ -1,6 +1,6 @@
-// Package oddrows holds values that another writer, or a host of another release, may leave in a row.
+// Package malformedrows holds values that another writer, or a host of another release, may leave in a row.
 // Tests feed them to decoders.
-package oddrows
+package malformedrows
 
 import (
 	"bytes"
@@ -18,7 +18,7 @@
 	length = 256 << 10
 )
 
-// jsonValues are the odd values of a JSON field.
+// jsonValues are the malformed values of a JSON field.
 func jsonValues() []string {
 	return []string{
 		strings.Repeat("[", depth) + strings.Repeat("]", depth),
@@ -28,7 +28,7 @@
 	}
 }
 
-// cborValues are the odd values of a CBOR item.
+// cborValues are the malformed values of a CBOR item.
 func cborValues() []any {
 	nested := any(1)
 	for range 30 {
@@ -68,25 +68,25 @@
 	}
 }
 
-// JSON returns the JSON object of the given members, each of them replaced in turn by each odd value.
+// JSON returns the JSON object of the given members, each of them replaced in turn by each malformed value.
 func JSON(members map[string]string) map[string][]byte {
 	values := map[string][]byte{}
 	for name := range members {
-		for i, odd := range jsonValues() {
+		for i, malformed := range jsonValues() {
 			var fields []string
 			for other, text := range members {
 				if other == name {
-					text = odd
+					text = malformed
 				}
 				fields = append(fields, fmt.Sprintf("%q:%s", other, text))
 			}
-			values[fmt.Sprintf("%s: value %d %.20s", name, i, odd)] = []byte("{" + strings.Join(fields, ",") + "}")
+			values[fmt.Sprintf("%s: value %d %.20s", name, i, malformed)] = []byte("{" + strings.Join(fields, ",") + "}")
 		}
 	}
 	return values
 }
 
-// CBOR returns the encoded CBOR map, each of its items replaced in turn by each odd value: the members and,
+// CBOR returns the encoded CBOR map, each of its items replaced in turn by each malformed value: the members and,
 // at any depth, the elements of their lists.
 func CBOR(members map[int]any) (map[string][]byte, error) {
 	values := map[string][]byte{}
@@ -107,7 +107,7 @@
 	return values, nil
 }
 
-// Elements returns the encoded CBOR array, each of its items replaced in turn by each odd value.
+// Elements returns the encoded CBOR array, each of its items replaced in turn by each malformed value.
 func Elements(list []any) (map[string][]byte, error) {
 	values := map[string][]byte{}
 	for i, replaced := range replacements(list) {
@@ -120,7 +120,7 @@
 	return values, nil
 }
 
-// replacements returns the value with each of its items replaced by each odd value, itself included.
+// replacements returns the value with each of its items replaced by each malformed value, itself included.
 func replacements(value any) []any {
 	all := cborValues()
 	list, isList := value.([]any)
--- a/pkg/storeview/idle_test.go
+++ b/pkg/storeview/idle_test.go
@@ -65,7 +65,7 @@
 		{"all stopped 1.7 s ago", stopped, 1200 * time.Millisecond},
 		{"one has written since", append(hosts(1, now-200*time.Millisecond, time.Second), stopped...), 0},
 		{"one that has just started has written since", append(hosts(1, now-200*time.Millisecond, now-time.Second), stopped...), 1200 * time.Millisecond},
-		{"an odd row was written in the future", append(hosts(1, now+time.Hour, time.Second), stopped...), 1200 * time.Millisecond},
+		{"a malformed row was written in the future", append(hosts(1, now+time.Hour, time.Second), stopped...), 1200 * time.Millisecond},
 		{"too few hosts", hosts(3, now-1700*time.Millisecond, time.Second), 0},
 		{"next writes may not be due yet", hosts(6, now-800*time.Millisecond, time.Second), 0},
 	} {
--- a/pkg/usage/oddrow_test.go
+++ b/pkg/usage/malformedrow_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"ironhollow/pkg/roster"
-	"ironhollow/pkg/standin/oddrows"
+	"ironhollow/pkg/standin/malformedrows"
 	"ironhollow/pkg/standin/tables"
 	"ironhollow/pkg/table"
 )
@@ -36,10 +36,10 @@
 	h.step(epoch)
 }
 
-// oddCounts are odd rows of a window.
-func oddCounts() map[string][]byte {
-	values := oddrows.Values()
-	maps.Copy(values, oddrows.JSON(map[string]string{"t": "3", "u": "4"}))
+// malformedCounts are malformed rows of a window.
+func malformedCounts() map[string][]byte {
+	values := malformedrows.Values()
+	maps.Copy(values, malformedrows.JSON(map[string]string{"t": "3", "u": "4"}))
 	// Null is decoded as no requests, which a holder may write.
 	maps.DeleteFunc(values, func(_ string, value []byte) bool { return strings.Contains(string(value), ":null") })
 	return values
@@ -47,8 +47,8 @@
 
 // Guards against windows that are not reported, or late, because another writer left a row under the key of
 // one of them, and against reports of its numbers.
-func TestOddUsageRowDoesNotHoldUpReports(t *testing.T) {
-	for name, value := range oddCounts() {
+func TestMalformedUsageRowDoesNotHoldUpReports(t *testing.T) {
+	for name, value := range malformedCounts() {
 		t.Run(name, func(t *testing.T) {
 			store, s := tables.New(), &sink{}
 			h := newHolder("h", store, s)
@@ -73,8 +73,8 @@
 
 // Guards against a window reported with other counts than before: a holder that cannot read the row of an
 // earlier one skips it, and reports those after it.
-func TestWindowWithOddRowIsNotReportedByTheNextHolder(t *testing.T) {
-	for name, value := range oddCounts() {
+func TestWindowWithMalformedRowIsNotReportedByTheNextHolder(t *testing.T) {
+	for name, value := range malformedCounts() {
 		t.Run(name, func(t *testing.T) {
 			store, s := tables.New(), &sink{}
 			newHolder("first", store, s).stepAt(1, 1009)
--- a/pkg/usage/reporter.go
+++ b/pkg/usage/reporter.go
@@ -75,7 +75,7 @@
 			continue
 		}
 		err := r.report(ctx, window, held)
-		if errors.Is(err, errMayBeReported) || errors.Is(err, errOddRow) {
+		if errors.Is(err, errMayBeReported) || errors.Is(err, errMalformedRow) {
 			r.log.Warn().Int64("window", window).Err(err).Msg("usage report skipped")
 		} else if err != nil {
 			r.log.Warn().Int64("window", window).Err(err).Msg("failed to report usage, will retry")
@@ -151,7 +151,7 @@
 }
 
 // readCounts returns the stored counts of a window and the version of their row, 0 if there is none. The
-// version is also set if the row cannot be used; the error is then errOddRow.
+// version is also set if the row cannot be used; the error is then errMalformedRow.
 func (r *Reporter) readCounts(ctx context.Context, window int64) (counts map[string]int, version int64, err error) {
 	row, ok, err := r.writer.Store().Get(ctx, rowKey(window))
 	if err != nil || !ok {
@@ -164,20 +164,20 @@
 // maxCount bounds the requests of a team in a window.
 const maxCount = 1_000_000_000_000
 
-// errOddRow means that the row of a window is not one that a holder writes.
-var errOddRow = errors.New("the row is not one of usage")
+// errMalformedRow means that the row of a window is not one that a holder writes.
+var errMalformedRow = errors.New("the row is not one of usage")
 
 func decodeCounts(value []byte) (map[string]int, error) {
 	var counts map[string]int
 	if err := json.Unmarshal(value, &counts); err != nil {
-		return nil, errors.Join(errOddRow, err)
+		return nil, errors.Join(errMalformedRow, err)
 	}
 	if counts == nil {
-		return nil, errOddRow
+		return nil, errMalformedRow
 	}
 	for team, count := range counts {
 		if count < 0 || count > maxCount {
-			return nil, fmt.Errorf("%w: %d requests of team %q", errOddRow, count, team)
+			return nil, fmt.Errorf("%w: %d requests of team %q", errMalformedRow, count, team)
 		}
 	}
 	return counts, nil
@@ -187,7 +187,7 @@
 // row already exists, it returns the counts in the row.
 func (r *Reporter) writeCounts(ctx context.Context, window int64) (map[string]int, error) {
 	counts, version, err := r.writeCountsIf(ctx, window, table.Absent{})
-	if !errors.Is(err, errOddRow) || !r.caughtUp {
+	if !errors.Is(err, errMalformedRow) || !r.caughtUp {
 		return counts, err
 	}
 	// No earlier holder has reported the window, so the row may be replaced.
