--- a/pkg/code/code.go
+++ b/pkg/code/code.go
@@ -10,7 +10,7 @@
 	"github.com/ansel1/merry/v2"
 )
 
-// Outcome is what a code says about the execution of a request.
+// Outcome is what a code states about the execution of a request.
 type Outcome string
 
 // The outcomes.
--- a/pkg/endpoint/notice.go
+++ b/pkg/endpoint/notice.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// Notice is what a response says about the endpoint itself, apart from the request. The zero value
-// says nothing.
+// Notice is what a response reports about the endpoint itself, apart from the request. The zero value
+// reports nothing.
 type Notice struct {
 	// Refused is set if the endpoint rejected the request without running it.
 	Refused bool
@@ -89,7 +89,7 @@
 // again.
 const MaxBackoff = time.Hour
 
-// IsZero reports whether the response says nothing about its endpoint.
+// IsZero reports whether the response states nothing about its endpoint.
 func (n Notice) IsZero() bool { return n == Notice{} }
 
 // String describes the notice for log lines, without the refusal. It may be empty.
--- a/pkg/forward/confirm.go
+++ b/pkg/forward/confirm.go
@@ -129,7 +129,7 @@
 	return nil
 }
 
-// settlement is what the rows of endpoints say about the presumed origin of a stream.
+// settlement is what the rows of endpoints show about the presumed origin of a stream.
 type settlement int
 
 const (
--- a/pkg/forward/detourwire.go
+++ b/pkg/forward/detourwire.go
@@ -24,7 +24,7 @@
 	headerDetourOrigin = "Ironhollow-Detour-Origin"
 )
 
-// detour is what the host that forwards a request says about it.
+// detour is what the host that forwards a request states about it.
 type detour struct {
 	// configVersion is the configuration by which the request was admitted. A host with an older one
 	// refuses it.
--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -77,7 +77,7 @@
 	c.setResetOnClose(false)
 }
 
-// promisesNotRun reports whether a status says to callers that their request has not run and never will.
+// promisesNotRun reports whether a status promises callers that their request has not run and never will.
 func promisesNotRun(status int) bool {
 	switch status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
--- a/pkg/fragilelab/server.go
+++ b/pkg/fragilelab/server.go
@@ -167,7 +167,7 @@
 	}}
 }
 
-// noticeOf returns what the endpoint's response says about it.
+// noticeOf returns what the endpoint's response reports about it.
 func (f *fleet) noticeOf(e *server, refused bool) endpoint.Notice {
 	n := endpoint.Notice{Refused: refused}
 	if !f.isFragile() {
--- a/pkg/httpx/callerconn.go
+++ b/pkg/httpx/callerconn.go
@@ -30,7 +30,7 @@
 }
 
 // Reset resets the connection of a server's request at once. A handler that aborts a response which
-// ends with the connection calls it first: the server closes a TLS connection with an alert that says
+// ends with the connection calls it first: the server closes a TLS connection with an alert that signals
 // that all data was sent, and its reader gets the alert before the reset.
 func Reset(ctx context.Context) error {
 	tcp, err := callerTCPConn(ctx)
--- a/pkg/httpx/notice.go
+++ b/pkg/httpx/notice.go
@@ -21,7 +21,7 @@
 // applies.
 const HeaderMaxRejections = "X-Max-Rejections"
 
-// ParseNotice returns what a response says about the endpoint itself: the backoff and the limit
+// ParseNotice returns what a response reports about the endpoint itself: the backoff and the limit
 // that it asks for, and the number of rejections that it stands.
 func ParseNotice(status int, h http.Header) endpoint.Notice {
 	return ParseBackoff(status, h).WithLimit(h.Get(HeaderRequestLimit)).WithMaxRejections(h.Get(HeaderMaxRejections))
--- a/pkg/job/store.go
+++ b/pkg/job/store.go
@@ -180,7 +180,7 @@
 	return data, nil
 }
 
-// UnusableError says that a job's row or body cannot be used, so that nobody can run the job. It does
+// UnusableError means that a job's row or body cannot be used, so that nobody can run the job. It does
 // not concern other jobs.
 type UnusableError struct {
 	ID  string
--- a/pkg/originlog/find.go
+++ b/pkg/originlog/find.go
@@ -84,7 +84,7 @@
 	return only(append(possible, latest[route]...), onlySource)
 }
 
-// latestSources returns where streams may begin by what the store says during the call. Concurrent searches share a
+// latestSources returns where streams may begin by what the store lists during the call. Concurrent searches share a
 // call to the store.
 func (l *Log) latestSources(ctx context.Context) (map[string][]origin.Source, error) {
 	calledAt := l.clock.Now()
--- a/pkg/originlog/originlog.go
+++ b/pkg/originlog/originlog.go
@@ -4,7 +4,7 @@
 // began there, and nothing is written for a stream. While it has several, the row also names the streams.
 //
 // A stream that no row names is only continued if its route had one source by all rows, and has the same one by what the
-// store says of the endpoints after its caller has resumed it: this host's view of them may be outdated. A row that is lost
+// store lists of the endpoints after its caller has resumed it: this host's view of them may be outdated. A row that is lost
 // or late means that an origin is unknown.
 package originlog
 
--- a/pkg/peer/mesh.go
+++ b/pkg/peer/mesh.go
@@ -20,7 +20,7 @@
 	// declared dead.
 	suspicionTimeout = 3 * time.Second
 	// pauseThreshold is the gap between ticks above which this process was probably paused
-	// itself, so that the silence of its links says nothing about the other nodes.
+	// itself, so that the silence of its links shows nothing about the other nodes.
 	pauseThreshold = 2500 * time.Millisecond
 	// digestsBeforePull is how many consecutive digests must differ before a pull: updates
 	// that are still on the way make digests differ for a moment.
--- a/pkg/relay/server.go
+++ b/pkg/relay/server.go
@@ -81,7 +81,7 @@
 	return req, nil
 }
 
-// errStale says that this host does not follow the store or is too far behind it.
+// errStale means that this host does not follow the store or is too far behind it.
 var errStale = errors.New("relay: not up to date with the store")
 
 // ServeHTTP responds with a snapshot or waits for changes.
--- a/pkg/relay/source.go
+++ b/pkg/relay/source.go
@@ -153,7 +153,7 @@
 	return batch, err
 }
 
-// errStoreUnavailable says that the store failed a moment ago and no relay is up to date.
+// errStoreUnavailable means that the store failed a moment ago and no relay is up to date.
 var errStoreUnavailable = errors.New("relay: the store failed a moment ago and no relay is up to date")
 
 // isStoreInBackoff reports whether the store has just failed for a table while the relays also
--- a/pkg/rolloutsync/wire.go
+++ b/pkg/rolloutsync/wire.go
@@ -136,7 +136,7 @@
 	return list
 }
 
-// Decode decodes a datagram of directives or of reports. Those with malformed values are left out; the error says
+// Decode decodes a datagram of directives or of reports. Those with malformed values are left out; the error names
 // which. The others are returned with it.
 func Decode(data []byte) (directives []rollout.Directive, reports []rollout.Report, err error) {
 	var m message
--- a/pkg/soak/process.go
+++ b/pkg/soak/process.go
@@ -159,7 +159,7 @@
 	return at.Before(n.faultyUntil)
 }
 
-// ready reports whether the node says that it is ready.
+// ready reports whether the node reports that it is ready.
 func (n *node) ready(client *http.Client) bool {
 	response, err := client.Get(standin.ReadyURL(n.settings.Ready))
 	if err != nil {
