httpx: the address without a server in a test cannot be taken by another process

The address is now that of a bound socket that does not listen, which refuses connections and stays taken.

--- a/pkg/httpx/connection_test.go
+++ b/pkg/httpx/connection_test.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/http/httptrace"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -25,11 +26,7 @@
 	}))
 	defer server.Close()
 	defer close(silent)
-	unused, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	_ = unused.Close()
+	unused := boundAddress(t)
 	client := httpx.NewClient(1)
 	call := func(url string) error {
 		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
@@ -49,7 +46,7 @@
 		{server.URL + "/silent", "(new connection)"},
 		{server.URL + "/", ""},
 		{server.URL + "/silent", "(connection reused after "},
-		{"http://" + unused.Addr().String(), "(no connection)"},
+		{"http://" + unused, "(no connection)"},
 	} {
 		got := ""
 		if err := call(c.url); err != nil {
@@ -61,6 +58,24 @@
 	}
 }
 
+// boundAddress returns an address that refuses connections, and that no other process can take during the test.
+func boundAddress(t *testing.T) string {
+	t.Helper()
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(socket) })
+	if err := syscall.Bind(socket, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(socket)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+}
+
 // Guards against calls that are repeated on the other connections of a pool after one broke off its response.
 func TestConnectionsAreRenewedAfterFailure(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
