--- a/review/_lab2/main.go
+++ b/review/_lab2/main.go
@@ -26,6 +26,7 @@
 	"memory":     memory,
 	"takeup":     takeUp,
 	"duties":     duties,
+	"drills":     drills,
 	"late-entry": lateEntry,
 }
 
