--- a/review/_lab2/keys.go
+++ b/review/_lab2/keys.go
@@ -25,7 +25,7 @@
 	send := func(key string) (status int, ran bool) {
 		sent++
 		id := fmt.Sprintf("%016x", sent)
-		l.record.line("consumer sends %s with %s", id, key)
+		l.record.line("consumer sends %s with key %q", id, key)
 		r, err := client.Do(newRequest(context.Background(), n, http.MethodGet, "/balance/7", id, key, nil))
 		check(err)
 		body, _ := io.ReadAll(r.Body)
@@ -44,7 +44,7 @@
 	}
 	// Twice the time within which a manifest has to be in force.
 	time.Sleep(2 * configApply)
-	droppedRan, neverHeldRan := 0, 0
+	droppedRan, neverHeldRan, withoutRan := 0, 0, 0
 	for range 5 {
 		if _, ran := send("key-never-held"); ran {
 			neverHeldRan++
@@ -52,10 +52,13 @@
 		if _, ran := send("key-held"); ran && l.trouble {
 			droppedRan++
 		}
+		if _, ran := send(""); ran {
+			withoutRan++
+		}
 		time.Sleep(200 * time.Millisecond)
 	}
-	if neverHeldRan+droppedRan == 0 {
+	if neverHeldRan+droppedRan+withoutRan == 0 {
 		return ""
 	}
-	return fmt.Sprintf("ROUTE: %d of 5 requests ran with a key that no manifest ever held; CONFIG: %d of 5 ran with a key dropped over %v before", neverHeldRan, droppedRan, 2*configApply)
+	return fmt.Sprintf("ROUTE: %d of 5 requests ran with a key that no manifest ever held; CONFIG: %d of 5 ran with a key dropped over %v before; %d of 5 ran without a key", neverHeldRan, droppedRan, 2*configApply, withoutRan)
 }
