review/8: streams cannot be taken up after their key has passed to another tenant

The record of a stream is kept under the name of the tenant that held the key, so that none is found.

--- a/review/_lab2/fleet.go
+++ b/review/_lab2/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -153,11 +154,22 @@
 	exited    chan struct{}
 }
 
+// Ports below the range from which the system takes those of outgoing connections, so that none is taken while a process
+// starts or starts again.
+const firstPort, lastPort = 12000, 30000
+
 func freeAddress(ip string) string {
-	l, err := net.Listen("tcp", ip+":0")
-	check(err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	for range 100 {
+		address := net.JoinHostPort(ip, strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort)))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		check(l.Close())
+		return address
+	}
+	fail("no free port at %s", ip)
+	return ""
 }
 
 func newLab(folder string) *lab {
@@ -245,7 +257,8 @@
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
-	fail("%s was not ready within 20 s", n.name)
+	text, _ := os.ReadFile(n.log.Name())
+	fail("%s was not ready within 20 s; the end of its log:\n%s", n.name, text[max(len(text)-2000, 0):])
 }
 
 // residentMB returns the memory that the process holds.
--- a/review/_lab2/main.go
+++ b/review/_lab2/main.go
@@ -28,6 +28,7 @@
 	"duties":     duties,
 	"drills":     drills,
 	"late-entry": lateEntry,
+	"passed-key": passedKey,
 }
 
 func main() { os.Exit(run()) }
--- a/review/_lab2/takeup.go
+++ b/review/_lab2/takeup.go
@@ -39,9 +39,9 @@
 	running  map[string]bool
 }
 
-func (l *lab) addEngine(id string) *engine {
-	e := &engine{l: l, id: id, version: "v1", running: map[string]bool{}}
-	e.start("v1")
+func (l *lab) addEngine(id, version string) *engine {
+	e := &engine{l: l, id: id, version: version, running: map[string]bool{}}
+	e.start(version)
 	return e
 }
 
@@ -49,7 +49,7 @@
 func (e *engine) start(version string) {
 	address := e.address
 	if address == "" {
-		address = "127.0.0.1:0"
+		address = freeAddress("127.0.0.1")
 	}
 	listener, err := net.Listen("tcp", address)
 	check(err)
@@ -152,6 +152,8 @@
 	last     int
 	versions []string
 	complete bool
+	// takeUps is how often the consumer has taken the stream up.
+	takeUps int
 }
 
 // read sends one attempt and reads its events until it ends.
@@ -204,6 +206,8 @@
 	engines       []*engine
 	first, second *node
 	readers       []*reader
+	// manifest returns a manifest of the fleet with tenants.
+	manifest func(version int, tenants ...map[string]any) map[string]any
 	// comeBack is closed when the consumers whose streams broke may take them up.
 	comeBack chan struct{}
 	all      sync.WaitGroup
@@ -211,19 +215,22 @@
 	broken atomic.Int64
 }
 
-// startStreams starts the streams. The consumers whose streams break take them up at the second machine, one by one, from
+// startStreams starts streams at servers of the given versions. The consumers whose streams break take them up at the second machine, one by one, from
 // when comeBack is closed.
-func (l *lab) startStreams() *streamFleet {
+func (l *lab) startStreams(streams int, versions ...string) *streamFleet {
 	f := &streamFleet{l: l, comeBack: make(chan struct{})}
-	for i := range 4 {
-		f.engines = append(f.engines, l.addEngine(fmt.Sprintf("i-assess-%d", i+1)))
+	for i, version := range versions {
+		f.engines = append(f.engines, l.addEngine(fmt.Sprintf("i-assess-%d", i+1), version))
 	}
 	assess := route("/assess/", "streaming", "assess", 15000)
 	assess["resumable"], assess["slo_ms"], assess["itl_target_ms"], assess["sticky"] = true, 1000, 500, true
 	services := []map[string]any{{"name": "assess", "health_path": "/healthz", "max_conns": 370, "protocol": "h1", "tls": false, "engine": map[string]any{
 		"slots": 64, "kv_capacity": 583597, "kv_bytes": 327680, "link_mbps": 270000.0, "moves": false, "stride": 3, "models": []map[string]any{{"name": "m"}},
 	}}}
-	l.operatorWrites(manifest(1, []map[string]any{assess}, services, []map[string]any{{"name": "branch", "api_keys": []string{"key-1"}}}))
+	f.manifest = func(version int, tenants ...map[string]any) map[string]any {
+		return manifest(version, []map[string]any{assess}, services, tenants)
+	}
+	l.operatorWrites(f.manifest(1, map[string]any{"name": "branch", "api_keys": []string{"key-1"}}))
 	f.first, f.second = l.addNode("edge-a-1"), l.addNode("edge-a-2")
 	f.first.start()
 	f.second.start()
@@ -231,7 +238,7 @@
 	f.second.awaitReady()
 	// The machines get to know each other.
 	time.Sleep(3 * time.Second)
-	for i := range streamCount {
+	for i := range streams {
 		c := &reader{l: l}
 		f.readers = append(f.readers, c)
 		f.all.Go(func() {
@@ -243,6 +250,7 @@
 			<-f.comeBack
 			time.Sleep(time.Duration(order) * comeBackGap)
 			for try := 2; try <= 4 && !c.complete; try++ {
+				c.takeUps++
 				c.read(f.second, fmt.Sprintf("%014x%02x", i+1, try))
 				time.Sleep(time.Second)
 			}
@@ -265,7 +273,7 @@
 			complete++
 		}
 	}
-	f.l.record.line("%d of %d streams complete, %d broke off once, %d hold events of two versions", complete, streamCount, f.broken.Load(), mixed)
+	f.l.record.line("%d of %d streams complete, %d broke off once, %d hold events of two versions", complete, len(f.readers), f.broken.Load(), mixed)
 	if complete == 0 {
 		fail("no stream was complete")
 	}
@@ -285,7 +293,7 @@
 // streams broke then take them up at the other machine. Machines read the changes of the servers' entries about every
 // 1.3 s; the server starts just after the other machine has read them, so that it reads the new entry a second later.
 func takeUp(l *lab) string {
-	f := l.startStreams()
+	f := l.startStreams(streamCount, "v1", "v1", "v1", "v1")
 	if l.trouble {
 		f.engines[0].crash()
 		time.Sleep(time.Second)
@@ -301,7 +309,7 @@
 // The store then applies a write of the server's previous process, which it had not answered, some seconds late. The
 // consumers come back once the other machine has read that.
 func lateEntry(l *lab) string {
-	f := l.startStreams()
+	f := l.startStreams(streamCount, "v1", "v1", "v1", "v1")
 	if !l.trouble {
 		close(f.comeBack)
 		return f.verdict()
