routetable, platform: an empty list of teams still requires keys

Cause: RequiresKeys meant "there is a team". The platform requires keys wherever the configuration has a list of teams, and the adapter decoded a missing list and an empty one to the same value.

Evidence: the hosts log the new configuration as in force with no teams, and requests without a key are served too, with no team sent to the endpoint. So the check was skipped; the configuration was neither late nor rejected. The line now says whether keys are required.

The zero value requires keys.

--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -136,6 +136,9 @@
 func TestRefusalsOfTheSystemsOwn(t *testing.T) {
 	s := newHarness(t, spec(), true)
 	old := newHarness(t, spec(), false)
+	withoutTeams := spec()
+	withoutTeams.Teams = nil
+	noTeams := newHarness(t, withoutTeams, true)
 	cases := []struct {
 		name, path, key string
 		harness         *harness
@@ -144,6 +147,8 @@
 		{"no endpoint", "/once/x", "key", s, 503},
 		{"unknown key", "/once/x", "other", s, 401},
 		{"unknown route", "/other/x", "key", s, 404},
+		{"no team is left", "/once/x", "key", noTeams, 401},
+		{"no team is left, no key", "/once/x", "", noTeams, 401},
 		{"unknown key, configuration may be old", "/once/x", "other", old, 503},
 		{"unknown route, configuration may be old", "/other/x", "key", old, 503},
 	}
--- a/pkg/routetable/routetable.go
+++ b/pkg/routetable/routetable.go
@@ -140,7 +140,10 @@
 	Routes   []Route
 	Services []Service
 	Teams    []Team
-	Limits   Limits
+	// WithoutKeys is set if no route requires a key, and then there are no teams. It is not implied by an
+	// empty list of teams: without a team there is no valid key.
+	WithoutKeys bool
+	Limits      Limits
 }
 
 // Table is a Spec with indexes for lookups.
@@ -195,9 +198,8 @@
 	return s, ok
 }
 
-// RequiresKeys reports whether routes that are not public require a key, which they do if any team
-// is configured.
-func (t *Table) RequiresKeys() bool { return len(t.spec.Teams) > 0 }
+// RequiresKeys reports whether routes that are not public require a key.
+func (t *Table) RequiresKeys() bool { return !t.spec.WithoutKeys }
 
 // TokenRate returns the total number of tokens per second that all teams may request. ok is false
 // if there are no teams or if one of them has no limit in tokens.
--- a/pkg/storeview/configuration.go
+++ b/pkg/storeview/configuration.go
@@ -39,7 +39,7 @@
 	}
 	v.configuration.Store(&statetransfer.Configuration{Version: spec.Version, Row: row})
 	v.log.Info().Int64("version", spec.Version).Int64("row", row.Version).Str("source", source).Int("routes", len(spec.Routes)).Int("teams", len(spec.Teams)).
-		Dur("unconfirmed", unconfirmed).Msg("configuration in force")
+		Bool("keys-required", !spec.WithoutKeys).Dur("unconfirmed", unconfirmed).Msg("configuration in force")
 }
 
 // applyOrder applies an operator's roll-out order. first is set if the row is from the first
