routetable: an empty key names no team

What callers could get: with an empty text among a team's keys, requests without a key are served as that team's.

Cause: a request without a key is looked up under the empty key.

Change: empty keys are not indexed.

Result: the new case of TestRefusalsOfTheSystemsOwn got 503 (no endpoint) in place of 401 before, and gets 401 now.

--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -139,6 +139,9 @@
 	withoutTeams := spec()
 	withoutTeams.Teams = nil
 	noTeams := newHarness(t, withoutTeams, true)
+	withEmptyKey := spec()
+	withEmptyKey.Teams = []routetable.Team{{Name: "team", Keys: []string{"", "key"}}}
+	emptyKey := newHarness(t, withEmptyKey, true)
 	cases := []struct {
 		name, path, key string
 		harness         *harness
@@ -149,6 +152,7 @@
 		{"unknown route", "/other/x", "key", s, 404},
 		{"no team is left", "/once/x", "key", noTeams, 401},
 		{"no team is left, no key", "/once/x", "", noTeams, 401},
+		{"a team with an empty key, no key", "/once/x", "", emptyKey, 401},
 		{"unknown key, configuration may be old", "/once/x", "other", old, 503},
 		{"unknown route, configuration may be old", "/other/x", "key", old, 503},
 	}
--- a/pkg/routetable/routetable.go
+++ b/pkg/routetable/routetable.go
@@ -171,7 +171,10 @@
 	}
 	for i := range spec.Teams {
 		for _, key := range spec.Teams[i].Keys {
-			t.byKey[fleet.HashKey(key)] = &spec.Teams[i]
+			// The empty key is that of callers who send none.
+			if key != "" {
+				t.byKey[fleet.HashKey(key)] = &spec.Teams[i]
+			}
 		}
 	}
 	for i := range spec.Services {
