forward, origin: streams can be taken up after their caller's key has passed to another team

Cause: where a stream began, and which host relays it, was recorded under the name of the team that held the caller's key at the time. The take-up searched under the name of the team that holds it now.

The host that relays a stream knows it under both keys; one to which it was forwarded is asked by both. The log in the store keeps one entry a stream. Records of hosts of earlier versions, by team, are still found. The table of streams has moved to a file of its own.

--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -78,13 +78,21 @@
 
 func (testProtocol) EncodeRefusal(h http.Header, id string) { h.Set("Id", id) }
 
-// staticTables is a route table that does not change.
-type staticTables struct {
-	table *routetable.Table
+// testTables is a route table that a test may replace.
+type testTables struct {
+	table *atomic.Pointer[routetable.Table]
 	fresh bool
 }
 
-func (t staticTables) Current() (*routetable.Table, bool) { return t.table, t.fresh }
+func newTestTables(spec routetable.Spec, fresh bool) testTables {
+	t := testTables{&atomic.Pointer[routetable.Table]{}, fresh}
+	t.apply(spec)
+	return t
+}
+
+func (t testTables) apply(spec routetable.Spec) { t.table.Store(routetable.New(spec)) }
+
+func (t testTables) Current() (*routetable.Table, bool) { return t.table.Load(), t.fresh }
 
 // startedRuns counts started runs by team.
 type startedRuns struct {
@@ -112,7 +120,7 @@
 	server    *httptest.Server
 	forwarder *forward.Forwarder
 	// tables are the forwarder's.
-	tables    staticTables
+	tables    testTables
 	router    *route.Router
 	directory *endpoint.Directory
 	runs      *startedRuns
@@ -187,7 +195,7 @@
 	registry := prometheus.NewRegistry()
 	s.watch = quarantine.NewWatch(registry, logger)
 	board := notice.New(s.directory, router, logger)
-	s.tables = staticTables{routetable.New(spec), fresh}
+	s.tables = newTestTables(spec, fresh)
 	forwarder := forward.New(testProtocol{}, s.tables, router, limit.NewCostLimiter(limit.Tolerance{}, now.Add(-time.Hour)),
 		retry.NewWindowBudget(0.2, 58, 10*time.Second), upstream.New(time.Second), s.runs, singleHost{}, s.rollouts, s.watch, board,
 		(*testLifecycle)(s), time.Now, forward.NewMetrics(registry), logger)
--- a/pkg/forward/takenup.go
+++ b/pkg/forward/takenup.go
@@ -10,8 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/hashicorp/golang-lru/v2/simplelru"
-
 	"ironhollow/pkg/origin"
 	"ironhollow/pkg/pause"
 	"ironhollow/pkg/upstream"
@@ -37,81 +35,15 @@
 	maxTakeUpWait = endRunTimeout + 100*time.Millisecond
 	// askAgainPause is the time before a host that has not ended a stream is asked again.
 	askAgainPause = 20 * time.Millisecond
-	// maxTakeables bounds the streams in the table; the least recently used are dropped first.
-	maxTakeables = 8 << 10
 )
 
-// takeable is a stream that its caller may resume with another request.
-type takeable struct {
-	// since is when the request began.
-	since time.Time
-	mu    sync.Mutex
-	// interrupt ends the caller's request, nil once it has ended. isTakenUp is set once it was called.
-	interrupt func()
-	isTakenUp bool
-	// ending is nil unless the stream is being ended for a caller that resumes it.
-	ending *streamEnding
-	// ended is closed once the request has ended; runs and hop are valid after that.
-	ended chan struct{}
-	// runs are those that may continue, until their deadline.
-	runs  []*openRun
-	until time.Time
-	// hop is the host through which the stream was last relayed, empty if there is none.
-	hop string
-}
-
-// streamEnding is one try to end a stream. done is closed after it; hasEnded is valid then.
-type streamEnding struct {
-	done     chan struct{}
-	hasEnded bool
-}
-
-// takeables holds the streams that callers may resume, by the attempt that brought their first events. It
-// is safe for concurrent use.
-type takeables struct {
-	mu      sync.Mutex
-	streams *simplelru.LRU[origin.Key, *takeable]
-}
-
-func newTakeables() *takeables {
-	// The size is positive, which is all that the constructor checks.
-	streams, _ := simplelru.NewLRU[origin.Key, *takeable](maxTakeables, nil)
-	return &takeables{streams: streams}
-}
-
-// get returns a stream, nil if there is none.
-func (t *takeables) get(key origin.Key) *takeable {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s, _ := t.streams.Peek(key)
-	return s
-}
-
-// add adds a stream and returns the one that it replaces, nil if there is none.
-func (t *takeables) add(key origin.Key, s *takeable) (previous *takeable) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	previous, _ = t.streams.Peek(key)
-	t.streams.Add(key, s)
-	return previous
-}
-
-// drop removes a stream of which nothing is left to end.
-func (t *takeables) drop(key origin.Key, s *takeable) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if held, ok := t.streams.Peek(key); ok && held == s {
-		t.streams.Remove(key)
-	}
-}
-
-// streamKey returns the key by which the caller resumes the stream.
-func (c *call) streamKey() origin.Key {
+// streamKeys returns the keys by which the caller resumes the stream.
+func (c *call) streamKeys() []origin.Key {
 	attempt := c.meta.ID
 	if c.meta.Resumes != "" {
 		attempt = c.meta.Resumes
 	}
-	return origin.KeyOf(c.teamName(), attempt)
+	return c.attemptKeys(attempt)
 }
 
 // trackTakeable registers the request's stream if its caller may resume it, and returns the stream of an earlier
@@ -120,13 +52,13 @@
 	if c.takeable != nil || !c.mayRepeat() {
 		return nil
 	}
-	c.takeable = &takeable{since: c.started, ended: make(chan struct{}), until: c.deadline, interrupt: func() {
+	c.takeable = &takeable{keys: c.streamKeys(), since: c.started, ended: make(chan struct{}), until: c.deadline, interrupt: func() {
 		c.cancel()
 		// Unblocks a write to a caller that does not read. If the connection has no deadlines, the request
 		// ends at its own deadline.
 		_ = http.NewResponseController(c.w).SetWriteDeadline(time.Now())
 	}}
-	return c.f.takeables.add(c.streamKey(), c.takeable)
+	return c.f.takeables.add(c.takeable)
 }
 
 // endTakeable records that the request has ended with err.
@@ -149,7 +81,7 @@
 	s.runs = c.openRuns()
 	close(s.ended)
 	if err == nil || len(s.runs) == 0 && s.hop == "" {
-		c.f.takeables.drop(c.streamKey(), s)
+		c.f.takeables.drop(s)
 	}
 }
 
@@ -164,16 +96,15 @@
 	streamContinues
 )
 
-// endEarlier ends the previous request of a stream that the caller resumes here: at the host that relays it, or
+// endEarlier ends the previous request of a stream that the caller resumes here: at the host that relays it under a key, or
 // relayed it last, and at this one, which may have relayed it for another host. The caller may abandon this request
 // too meanwhile, and resume the stream once more: isOutdated is set if another host has received that request first.
-func (c *call) endEarlier(ctx context.Context, host string) (outcome string, isOutdated bool) {
-	key := c.streamKey()
+func (c *call) endEarlier(ctx context.Context, host string, key origin.Key) (outcome string, isOutdated bool) {
 	earlier := c.trackTakeable()
 	ctx, cancel := context.WithTimeout(ctx, maxTakeUpWait)
 	defer cancel()
 	endedHere := make(chan streamEnd, 1)
-	go func() { endedHere <- c.f.endStream(ctx, earlier, key) }()
+	go func() { endedHere <- c.f.endStream(ctx, earlier) }()
 	outcome = "none"
 	if host != "" {
 		outcome = "ended"
@@ -198,7 +129,7 @@
 
 // endStream ends a stream that this host relays, nil for none, and its run if the endpoint may continue it. It waits
 // for that until ctx ends; the stream ends also if ctx does.
-func (f *Forwarder) endStream(ctx context.Context, s *takeable, key origin.Key) streamEnd {
+func (f *Forwarder) endStream(ctx context.Context, s *takeable) streamEnd {
 	if s == nil {
 		return notRelayed
 	}
@@ -214,7 +145,7 @@
 	ending := s.ending
 	s.mu.Unlock()
 	if isFirst {
-		go f.tryToEnd(context.WithoutCancel(ctx), s, key, ending)
+		go f.tryToEnd(context.WithoutCancel(ctx), s, ending)
 	}
 	select {
 	case <-ending.done:
@@ -227,12 +158,12 @@
 }
 
 // tryToEnd ends an interrupted stream and removes it. One that has not ended in time can be tried again.
-func (f *Forwarder) tryToEnd(ctx context.Context, s *takeable, key origin.Key, ending *streamEnding) {
+func (f *Forwarder) tryToEnd(ctx context.Context, s *takeable, ending *streamEnding) {
 	ctx, cancel := context.WithTimeout(ctx, interruptTimeout)
 	defer cancel()
-	ending.hasEnded = f.endInterrupted(ctx, s, key)
+	ending.hasEnded = f.endInterrupted(ctx, s)
 	if ending.hasEnded {
-		f.takeables.drop(key, s)
+		f.takeables.drop(s)
 	} else {
 		s.mu.Lock()
 		s.ending = nil
@@ -242,22 +173,29 @@
 }
 
 // endInterrupted ends what remains of a stream once its request has ended. It returns false if that has not ended.
-func (f *Forwarder) endInterrupted(ctx context.Context, s *takeable, key origin.Key) bool {
+func (f *Forwarder) endInterrupted(ctx context.Context, s *takeable) bool {
 	select {
 	case <-s.ended:
 	case <-ctx.Done():
 		f.log.Warn().Err(ctx.Err()).Msg("the earlier request of a resumed stream did not end in time")
 		return false
 	}
+	var ending sync.WaitGroup
 	if s.hop != "" {
-		if err := f.endAtHost(ctx, s.hop, key, takeUpBy{}); err != nil {
-			f.log.Warn().Err(err).Str("host", s.hop).Msg("failed to end a stream at the host that it was forwarded to")
+		// The other host may know the stream by one of the keys only: by its configuration the caller may be of
+		// another team.
+		for _, key := range s.keys {
+			ending.Go(func() {
+				if err := f.endAtHost(ctx, s.hop, key, takeUpBy{}); err != nil {
+					f.log.Warn().Err(err).Str("host", s.hop).Msg("failed to end a stream at the host that it was forwarded to")
+				}
+			})
 		}
+		ending.Wait()
 	}
 	if !time.Now().Before(s.until) {
 		return true
 	}
-	var ending sync.WaitGroup
 	for _, run := range s.runs {
 		ending.Go(func() { f.endUnusedRun(ctx, run) })
 	}
@@ -359,8 +297,7 @@
 	key, by := origin.Key(raw), f.decodeTakeUp(r.Header)
 	s, previous, isOutdated := f.takeables.get(key), "", false
 	if by.host != "" {
-		previous, isOutdated = f.origins.TakeUp(key, by.host, f.clock().Sub(by.at))
-		isOutdated = isOutdated || s != nil && s.since.After(by.at)
+		previous, isOutdated = f.recordTakeUp(s, key, by)
 	}
 	if isOutdated {
 		w.WriteHeader(http.StatusConflict)
@@ -370,7 +307,7 @@
 	defer cancel()
 	forwarded := make(chan error, 1)
 	go func() { forwarded <- f.forwardEnd(ctx, previous, key, by) }()
-	end := f.endStream(ctx, s, key)
+	end := f.endStream(ctx, s)
 	err = <-forwarded
 	switch {
 	case errors.Is(err, errOutdatedTakeUp):
@@ -385,6 +322,23 @@
 	}
 }
 
+// recordTakeUp records that the request of another host resumes the stream with a key, under all of its keys if this
+// host relays it, nil if not. It returns the other host that relays the stream, empty if there is none, and whether a later
+// request has resumed it already.
+func (f *Forwarder) recordTakeUp(s *takeable, key origin.Key, by takeUpBy) (previous string, isOutdated bool) {
+	age := f.clock().Sub(by.at)
+	previous, isOutdated = f.origins.TakeUp(key, by.host, age)
+	if s == nil {
+		return previous, isOutdated
+	}
+	for _, other := range s.keys {
+		if other != key && !isOutdated {
+			_, isOutdated = f.origins.TakeUp(other, by.host, age)
+		}
+	}
+	return previous, isOutdated || s.since.After(by.at)
+}
+
 // forwardEnd asks the host that relays a stream by the record here to end it: the record of the host that asked this
 // one is outdated.
 func (f *Forwarder) forwardEnd(ctx context.Context, previous string, key origin.Key, by takeUpBy) error {
--- a/pkg/forward/takeup.go
+++ b/pkg/forward/takeup.go
@@ -24,8 +24,9 @@
 	Add(key origin.Key, route string, source origin.Source, life time.Duration)
 	// Remove removes a stream that is complete.
 	Remove(key origin.Key)
-	// Find finds where a stream of a route began. It returns false if that is not certain.
-	Find(ctx context.Context, key origin.Key, route string) (source origin.Source, ok bool)
+	// Find finds where a stream of a route began that may be saved under any of the keys. It returns false if that is not
+	// certain.
+	Find(ctx context.Context, keys []origin.Key, route string) (source origin.Source, ok bool)
 }
 
 // UseOriginLog sets the log of origins. It must be called before the first request.
@@ -35,10 +36,15 @@
 // up.
 const returnTime = 30 * time.Second
 
+// fromStore is where an origin is from that the log of origins has.
+const fromStore = "store"
+
 // takeUp is what was found for a caller's request to continue a stream.
 type takeUp struct {
 	finding origin.Finding
-	took    time.Duration
+	// key is the one under which the stream was found, teamKey the one of the caller's team.
+	key, teamKey origin.Key
+	took         time.Duration
 	// earlier is what became of the earlier attempt, earlierTook how long that took.
 	earlier     string
 	earlierTook time.Duration
@@ -55,7 +61,7 @@
 		return nil
 	}
 	started := c.f.clock()
-	t := &takeUp{finding: c.lookUpOrigin(ctx)}
+	t := c.lookUpOrigin(ctx)
 	t.took = c.f.clock().Sub(started)
 	c.logEntry.takeUp = t
 	if t.finding.Result != origin.Known {
@@ -66,7 +72,7 @@
 	}
 	started = c.f.clock()
 	var isOutdated bool
-	t.earlier, isOutdated = c.endEarlier(ctx, t.finding.Host)
+	t.earlier, isOutdated = c.endEarlier(ctx, t.finding.Host, t.key)
 	t.earlierTook = c.f.clock().Sub(started)
 	if isOutdated {
 		return code.New(code.StreamTakenUp, "a later request has resumed the stream at another host")
@@ -75,16 +81,28 @@
 }
 
 // lookUpOrigin asks the other hosts where the stream began, and the log if none of them has a record.
-func (c *call) lookUpOrigin(ctx context.Context) origin.Finding {
-	key := origin.KeyOf(c.teamName(), c.meta.Resumes)
-	finding := c.f.origins.Find(ctx, key)
+func (c *call) lookUpOrigin(ctx context.Context) *takeUp {
+	keys := c.attemptKeys(c.meta.Resumes)
+	finding, key := c.f.origins.FindAny(ctx, keys)
+	t := &takeUp{finding: finding, key: key, teamKey: keys[len(keys)-1]}
 	if c.f.originLog == nil || finding.Result != origin.Unknown && finding.Result != origin.Unanswered {
-		return finding
+		return t
 	}
-	if source, ok := c.f.originLog.Find(ctx, key, c.route.Name); ok {
-		finding.Result, finding.Source, finding.From = origin.Known, source, "store"
+	if source, ok := c.f.originLog.Find(ctx, keys, c.route.Name); ok {
+		t.finding.Result, t.finding.Source, t.finding.From = origin.Known, source, fromStore
 	}
-	return finding
+	return t
+}
+
+// attemptKeys returns the keys under which an attempt of the caller is recorded. The first is the one that the caller most
+// likely still has when it resumes the stream: a bearer key may pass to another team while the stream runs, and a team's
+// caller may change to another bearer key.
+func (c *call) attemptKeys(attempt string) []origin.Key {
+	byTeam := origin.KeyOf(c.teamName(), attempt)
+	if c.meta.Key == "" {
+		return []origin.Key{byTeam}
+	}
+	return []origin.Key{origin.KeyOfBearer(c.meta.Key, attempt), byTeam}
 }
 
 // adoptOrigin restricts the request to the service and the release at which its stream began.
@@ -129,18 +147,37 @@
 	life := time.Until(c.deadline) + returnTime
 	for _, key := range c.originKeys() {
 		c.f.origins.Record(key, source, c.f.clock().Sub(c.started), life)
-		if c.f.originLog != nil && c.mayRepeat() {
+	}
+	if c.f.originLog != nil && c.mayRepeat() {
+		for _, key := range c.logKeys() {
 			c.f.originLog.Add(key, c.route.Name, source, life)
 		}
 	}
 }
 
-// originKeys returns the keys by which the caller may resume the stream: it names the first attempt again if it
-// resumes the stream once more.
-func (c *call) originKeys() []origin.Key {
-	keys := []origin.Key{origin.KeyOf(c.teamName(), c.meta.ID)}
+// resumableAttempts returns the attempts that the caller may name to resume the stream: it names the first one again
+// if it resumes the stream once more.
+func (c *call) resumableAttempts() []string {
 	if c.meta.Resumes != "" {
-		keys = append(keys, origin.KeyOf(c.teamName(), c.meta.Resumes))
+		return []string{c.meta.ID, c.meta.Resumes}
+	}
+	return []string{c.meta.ID}
+}
+
+// originKeys returns the keys by which the caller may resume the stream.
+func (c *call) originKeys() []origin.Key {
+	var keys []origin.Key
+	for _, attempt := range c.resumableAttempts() {
+		keys = append(keys, c.attemptKeys(attempt)...)
+	}
+	return keys
+}
+
+// logKeys returns the keys under which the stream is saved in the log, whose rows the store limits: one for each attempt.
+func (c *call) logKeys() []origin.Key {
+	var keys []origin.Key
+	for _, attempt := range c.resumableAttempts() {
+		keys = append(keys, c.attemptKeys(attempt)[0])
 	}
 	return keys
 }
@@ -150,7 +187,7 @@
 	if err != nil || c.f.originLog == nil || c.detour != nil || c.origin == nil || c.logEntry.status != http.StatusOK {
 		return
 	}
-	for _, key := range c.originKeys() {
+	for _, key := range c.logKeys() {
 		c.f.originLog.Remove(key)
 	}
 }
@@ -167,10 +204,21 @@
 	return true
 }
 
+// by returns what the stream was found by, as logged.
+func (t *takeUp) by() string {
+	switch {
+	case t.finding.Result != origin.Known || t.finding.From == fromStore:
+		return ""
+	case t.key == t.teamKey:
+		return "team"
+	}
+	return "bearer-key"
+}
+
 // log adds the take-up to a request's line.
 func (t *takeUp) log(line *log.Entry) *log.Entry {
 	f := t.finding
-	return line.Str("origin", f.Result.String()).Str("origin-service", f.Source.Service).Str("origin-release", f.Source.Release).
+	return line.Str("origin", f.Result.String()).Str("origin-by", t.by()).Str("origin-service", f.Source.Service).Str("origin-release", f.Source.Release).
 		Str("origin-from", f.From).Dur("origin-age", f.Age).Int("origin-asked", f.Asked).Dur("origin-took", t.took).
 		Str("earlier", t.earlier).Dur("earlier-took", t.earlierTook)
 }
--- a/pkg/forward/takeup_test.go
+++ b/pkg/forward/takeup_test.go
@@ -20,6 +20,7 @@
 	"ironhollow/pkg/forward"
 	"ironhollow/pkg/migrate"
 	"ironhollow/pkg/origin"
+	"ironhollow/pkg/routetable"
 	"ironhollow/pkg/upstream"
 )
 
@@ -84,6 +85,40 @@
 	}
 }
 
+// Guards against streams that cannot be taken up because their caller's key has passed to another team, or its team has another key.
+func TestStreamIsTakenUpAfterItsKeyHasPassed(t *testing.T) {
+	for _, c := range []struct {
+		name, team, key string
+		wantRefused     bool
+	}{
+		{"the key has passed to another team", "office", "key", false},
+		{"the team has another key", "team", "key-2", false},
+		{"another team and another key", "office", "key-2", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newHarness(t, spec(), true)
+			for i := range 6 {
+				release := "v" + string(rune('0'+i%3))
+				s.setRelease(s.addNumberedEndpoint(i, breakAfterTwoEvents(release)), release)
+			}
+			first := s.send("POST", "/stream/x", "body", "Id", "first")
+			next := spec()
+			next.Version, next.Teams = 2, []routetable.Team{{Name: c.team, Keys: []string{c.key}}}
+			s.tables.apply(next)
+			got := s.send("POST", "/resume/x", "body", "Id", "second", "Key", c.key, "Resumes", "first", "Last-Event", "2")
+			if c.wantRefused {
+				if got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, "origin-unknown") {
+					t.Errorf("got status %d, %s, want 503 origin-unknown", got.status, got.body)
+				}
+				return
+			}
+			if found := releasesIn(first.body + got.body); got.status != http.StatusOK || len(found) != 1 {
+				t.Errorf("got status %d and events by release %v, want 200 and one release", got.status, found)
+			}
+		})
+	}
+}
+
 // Guards against streams that wait behind requests for slots that they may not use, or are refused because of
 // them.
 func TestTakeUpDoesNotWaitForSlotsOfOtherReleases(t *testing.T) {
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -17,18 +17,24 @@
 	Release string
 }
 
-// Key identifies an attempt of a team's caller.
+// Key identifies an attempt of a caller.
 type Key [12]byte
 
-// KeyOf returns the key of an attempt. A team's callers cannot find or change the records of another
+// KeyOf returns the key of an attempt of a team's callers. They cannot find or change the records of another
 // team, whatever IDs they name.
-func KeyOf(team, attempt string) Key {
-	h := sha256.New()
-	// Writing to a hash never fails.
-	_, _ = h.Write([]byte(team))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(attempt))
-	return Key(h.Sum(nil)[:len(Key{})])
+func KeyOf(team, attempt string) Key { return keyOf(team, attempt) }
+
+// KeyOfBearer returns the key of an attempt of the callers with a bearer key. It stays the same if the bearer key
+// passes to another team.
+func KeyOfBearer(bearer, attempt string) Key {
+	digest := sha256.Sum256([]byte(bearer))
+	// An attempt's ID has no control characters, so that no key of KeyOf is of the same text.
+	return keyOf("", "\x00"+string(digest[:])+"\x00"+attempt)
+}
+
+func keyOf(caller, attempt string) Key {
+	sum := sha256.Sum256([]byte(caller + "\x00" + attempt))
+	return Key(sum[:len(Key{})])
 }
 
 // Record is what hosts send each other of a stream.
--- a/pkg/origin/origin_test.go
+++ b/pkg/origin/origin_test.go
@@ -126,11 +126,41 @@
 	}
 }
 
+// Guards against streams that are not found because they are recorded under another key of their caller.
+func TestOriginIsFoundUnderAnyKey(t *testing.T) {
+	byBearer, byTeam := origin.KeyOfBearer("bearer", "attempt"), key
+	for _, c := range []struct {
+		name     string
+		recorded []origin.Key
+		want     origin.Result
+		// wantKey is the key under which it is found, zero for any.
+		wantKey origin.Key
+	}{
+		{"both", []origin.Key{byBearer, byTeam}, origin.Known, origin.Key{}},
+		{"the bearer key's only", []origin.Key{byBearer}, origin.Known, byBearer},
+		{"the team's only", []origin.Key{byTeam}, origin.Known, byTeam},
+		{"none", nil, origin.Unknown, origin.Key{}},
+		{"those of others", []origin.Key{origin.KeyOfBearer("other", "attempt"), origin.KeyOf("other", "attempt")}, origin.Unknown, origin.Key{}},
+	} {
+		f := newFleet(9, 0)
+		for _, k := range c.recorded {
+			f.hosts["host-0"].Record(k, source, 0, life)
+		}
+		f.start("host-0")
+		for host := range f.hosts {
+			got, gotKey := f.hosts[host].FindAny(context.Background(), []origin.Key{byBearer, byTeam})
+			if got.Result != c.want || c.wantKey != (origin.Key{}) && gotKey != c.wantKey {
+				t.Errorf("%s at %s: got %v under %x, want %v under %x", c.name, host, got.Result, gotKey, c.want, c.wantKey)
+			}
+		}
+	}
+}
+
 // Guards against records that answer for others, or for longer than they are valid.
 func TestOriginOfOthersIsUnknown(t *testing.T) {
 	f := newFleet(5, 0)
 	f.hosts["host-0"].Record(key, source, 0, life)
-	for _, other := range []origin.Key{origin.KeyOf("other", "attempt"), origin.KeyOf("team", "other"), origin.KeyOf("teamattempt", "")} {
+	for _, other := range []origin.Key{origin.KeyOf("other", "attempt"), origin.KeyOf("team", "other"), origin.KeyOf("teamattempt", ""), origin.KeyOfBearer("team", "attempt")} {
 		if got := f.find("host-1", other); got.Result != origin.Unknown || got.Asked != 4 {
 			t.Errorf("got %v by %d hosts, want unknown by 4", got.Result, got.Asked)
 		}
--- a/pkg/originlog/find.go
+++ b/pkg/originlog/find.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"ironhollow/pkg/origin"
@@ -15,9 +16,10 @@
 	isPartial, isFailed bool
 }
 
-// Find finds in the store where a stream of a route began. It returns false if that is not certain.
-func (l *Log) Find(ctx context.Context, key origin.Key, route string) (source origin.Source, ok bool) {
-	source, r := l.find(ctx, key, route)
+// Find finds in the store where a stream of a route began that may be saved under any of the keys. It returns false if
+// that is not certain.
+func (l *Log) Find(ctx context.Context, keys []origin.Key, route string) (source origin.Source, ok bool) {
+	source, r := l.find(ctx, keys, route)
 	l.metrics.searches.WithLabelValues(r.String()).Inc()
 	return source, r == named || r == onlySource
 }
@@ -43,7 +45,7 @@
 	return [...]string{"named", "only-source", "ambiguous", "no-row", "bad-row", "no-answer"}[r]
 }
 
-func (l *Log) find(ctx context.Context, key origin.Key, route string) (origin.Source, result) {
+func (l *Log) find(ctx context.Context, keys []origin.Key, route string) (origin.Source, result) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	read := l.readRows(ctx)
@@ -54,7 +56,7 @@
 	var begun, possible []origin.Source
 	for _, r := range read.rows {
 		for _, s := range r.Streams {
-			if origin.Key(s.Key) == key && storeNow < fromMS(s.UntilMS) {
+			if slices.Contains(keys, origin.Key(s.Key)) && storeNow < fromMS(s.UntilMS) {
 				begun = append(begun, r.Sources[s.Source].source())
 			}
 		}
--- a/pkg/originlog/malformedrow_test.go
+++ b/pkg/originlog/malformedrow_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"ironhollow/pkg/origin"
 	"ironhollow/pkg/originlog"
 	"ironhollow/pkg/standin/malformedrows"
 	"ironhollow/pkg/table"
@@ -31,13 +32,13 @@
 				several.expect(key, v("v1"), true)
 				running, _ := one.start("a")
 				finder, _ := one.start("b")
-				finder.Find(t.Context(), other, "route")
+				finder.Find(t.Context(), []origin.Key{other}, "route")
 				time.Sleep(2 * time.Minute)
 				running.Add(key, "route", v("v1"), life)
 				time.Sleep(writeTime)
-				finder.Find(t.Context(), other, "route")
+				finder.Find(t.Context(), []origin.Key{other}, "route")
 				time.Sleep(time.Second)
-				if got, ok := finder.Find(t.Context(), other, "route"); !ok || got != v("v1") {
+				if got, ok := finder.Find(t.Context(), []origin.Key{other}, "route"); !ok || got != v("v1") {
 					t.Errorf("stream that no row names, two minutes later: got %v, %v, want the only source, v1", got, ok)
 				}
 				one.expect(other, v("v1"), true)
--- a/pkg/originlog/originlog_test.go
+++ b/pkg/originlog/originlog_test.go
@@ -87,7 +87,7 @@
 	f.t.Helper()
 	l, stop := f.start("new")
 	defer stop()
-	if got, ok := l.Find(context.Background(), k, "route"); got != want || ok != wantOK {
+	if got, ok := l.Find(context.Background(), []origin.Key{k}, "route"); got != want || ok != wantOK {
 		f.t.Errorf("got %v, %v, want %v, %v", got, ok, want, wantOK)
 	}
 }
