httpx, upstream: a reset during the upload is no end of a response

Cause: a socket reports a reset once. The failed write of the request takes it, and the read that follows gets the end of the connection, as if the endpoint had closed it. A response whose end is not marked then looks complete.

Evidence: a connection that is written to until it fails and then read gives the part and io.EOF; read first, it gives ECONNRESET. A request whose upload has gone out whole reports the reset. The line of a request now has hop1-early if the endpoint had answered without reading the whole request.

Change: httpx.ReportResets wraps the connections of clients. All clients of ours use it: the pool of endpoints, hops and moves, the store, cloud, state transfer, relays, engines, plain services, operators.

--- a/pkg/app/node/providers.go
+++ b/pkg/app/node/providers.go
@@ -294,13 +294,13 @@
 		Control:         upstream.ControlUserTimeout(controlUnackedTimeout),
 	}
 	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		DialContext: httpx.DialReportingResets(func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if tcp, ok := conn.(*net.TCPConn); ok {
 				err = errors.Join(err, tcp.SetLinger(0))
 			}
 			return conn, err
-		},
+		}),
 		MaxResponseHeaderBytes: httpx.MaxHeadBytes,
 		MaxIdleConnsPerHost:    8,
 		IdleConnTimeout:        20 * time.Second,
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -91,7 +91,7 @@
 	c.sentAt, c.continues = c.f.clock(), from.handle != ""
 	c.hasBegun = false
 	c.notice = endpoint.Notice{}
-	c.connection, c.connectionRequests = 0, 0
+	c.connection, c.connectionRequests, c.isEarly = 0, 0, false
 	ctx, request.DialContext = c.untilCut(ctx)
 	if c.origin != nil && !c.continues {
 		// A lost connection may show only now that the request needs one.
@@ -109,6 +109,7 @@
 		return unclear{o.Err}
 	case upstream.Answered:
 		c.connection, c.connectionRequests = o.Exchange.Connection()
+		c.isEarly = o.Exchange.IsEarly()
 		r := c.classify(choice, o.Exchange)
 		if s, isStream := r.(streaming); isStream {
 			s.ctx = ctx
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -164,6 +164,9 @@
 	// requests were sent over it; 0 without a response.
 	connection         upstream.ConnectionID
 	connectionRequests int
+	// isEarly is set if the endpoint has responded to the latest attempt without reading the whole request, and has ended
+	// the connection.
+	isEarly bool
 	// notice is what the response to the latest attempt reports about its endpoint.
 	notice endpoint.Notice
 	// avoid lists the endpoints that the request failed at.
--- a/pkg/forward/request_log.go
+++ b/pkg/forward/request_log.go
@@ -54,6 +54,8 @@
 	// sent over it until then; 0 without a response.
 	connection         upstream.ConnectionID
 	connectionRequests int
+	// isEarly is set if the endpoint had responded without reading the whole request, and had ended the connection.
+	isEarly bool
 	// startedAfter is the time from the beginning of the request.
 	startedAfter time.Duration
 	// runEnd is how the run ended if its connection did not show that, runEndTook how long the answer to
@@ -75,7 +77,7 @@
 
 func (c *call) recordAttempt(choice route.Choice, r result, duration time.Duration) {
 	a := attemptRecord{endpoint: choice.Endpoint.ID, release: choice.Endpoint.Release, rowVersion: choice.Endpoint.Counter, expected: choice.Expected, queued: choice.Queued, cached: choice.CachedTokens, duration: duration, delivered: true, notice: c.notice, startedAfter: c.sentAt.Sub(c.started), continues: c.continues}
-	a.connection, a.connectionRequests = c.connection, c.connectionRequests
+	a.connection, a.connectionRequests, a.isEarly = c.connection, c.connectionRequests, c.isEarly
 	switch r := r.(type) {
 	case notRun:
 		a.outcome = "not run: " + r.err.Error()
@@ -243,6 +245,9 @@
 		if a.connectionRequests > 0 {
 			line = line.Int64(prefix+"-connection", int64(a.connection)).Int(prefix+"-connection-requests", a.connectionRequests)
 		}
+		if a.isEarly {
+			line = line.Bool(prefix+"-early", true)
+		}
 		if a.runEnd != "" {
 			line = line.Str(prefix+"-run", a.runEnd).Dur(prefix+"-run-took", a.runEndTook)
 		}
--- a/pkg/httpx/httpx.go
+++ b/pkg/httpx/httpx.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -26,6 +27,7 @@
 	return &http.Client{
 		Transport: &http.Transport{
 			Proxy:                  nil,
+			DialContext:            DialReportingResets((&net.Dialer{}).DialContext),
 			MaxResponseHeaderBytes: MaxHeadBytes,
 			MaxIdleConns:           4 * maxIdlePerHost,
 			MaxIdleConnsPerHost:    maxIdlePerHost,
--- a/pkg/operatorclient/client.go
+++ b/pkg/operatorclient/client.go
@@ -40,7 +40,7 @@
 
 // New returns a client that tries the servers in order. If caFile is empty, it does not use TLS.
 func New(servers []string, key, caFile string) (*Client, error) {
-	c := &Client{servers: servers, key: key, scheme: "http", httpClient: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: httpx.MaxHeadBytes}}}
+	c := &Client{servers: servers, key: key, scheme: "http", httpClient: &http.Client{Timeout: callTimeout, Transport: newTransport(nil)}}
 	if caFile == "" {
 		return c, nil
 	}
@@ -53,10 +53,16 @@
 		return nil, fmt.Errorf("--ca: %s holds no certificate", caFile)
 	}
 	c.scheme = "https"
-	c.httpClient.Transport = &http.Transport{MaxResponseHeaderBytes: httpx.MaxHeadBytes, TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}}
+	c.httpClient.Transport = newTransport(&tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12})
 	return c, nil
 }
 
+func newTransport(config *tls.Config) *http.Transport {
+	return &http.Transport{
+		DialContext: httpx.DialReportingResets((&net.Dialer{}).DialContext), MaxResponseHeaderBytes: httpx.MaxHeadBytes, TLSClientConfig: config,
+	}
+}
+
 // Error is an error response of a server.
 type Error struct {
 	Body operatorwire.Error
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -94,8 +95,11 @@
 	}
 	return &Server{
 		mesh: mesh, role: role, scheme: scheme, counters: counters, ctx: ctx,
-		client: &http.Client{Transport: &http.Transport{TLSClientConfig: clientTLS, Proxy: nil, MaxResponseHeaderBytes: httpx.MaxHeadBytes}},
-		conns:  map[LinkID]*conn{}, dialing: map[string]bool{}, dialFailures: map[string]int{},
+		client: &http.Client{Transport: &http.Transport{
+			TLSClientConfig: clientTLS, Proxy: nil, MaxResponseHeaderBytes: httpx.MaxHeadBytes,
+			DialContext: httpx.DialReportingResets((&net.Dialer{}).DialContext),
+		}},
+		conns: map[LinkID]*conn{}, dialing: map[string]bool{}, dialFailures: map[string]int{},
 		handler: func(Sender, Message) {},
 	}
 }
--- a/pkg/plainservice/plainservice.go
+++ b/pkg/plainservice/plainservice.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -103,7 +104,10 @@
 // call would run twice.
 func New(client *http.Client) *Client {
 	atMostOnce := &http.Client{
-		Transport:     &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: httpx.MaxHeadBytes},
+		Transport: &http.Transport{
+			DialContext:       httpx.DialReportingResets((&net.Dialer{}).DialContext),
+			DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: httpx.MaxHeadBytes,
+		},
 		CheckRedirect: client.CheckRedirect,
 	}
 	return &Client{repeatable: client, atMostOnce: atMostOnce}
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -28,6 +28,8 @@
 	// must not be reused for another reason.
 	readFailed, noReuse bool
 	closed              bool
+	// isEarly is set if the endpoint has responded and accepts no more bytes of the request.
+	isEarly bool
 	// isHead is set for a response to a HEAD request, which has no body.
 	isHead bool
 }
@@ -42,6 +44,9 @@
 // Header returns the headers of the response.
 func (e *Exchange) Header() http.Header { return e.response.Header }
 
+// IsEarly reports whether the endpoint has responded without reading the whole request, and has ended the connection.
+func (e *Exchange) IsEarly() bool { return e.isEarly }
+
 // ContentLength returns the length of the body, or -1 if it is unknown.
 func (e *Exchange) ContentLength() int64 { return e.response.ContentLength }
 
@@ -79,7 +84,7 @@
 func (e *Exchange) IsDelimited() bool { return e.Framing() != ByClose }
 
 // Read reads the body. It returns io.EOF only after a complete body. A response that is not
-// delimited is complete when the endpoint closes the connection without a reset.
+// delimited is complete when the endpoint closes the connection without a reset, and has read the whole request.
 func (e *Exchange) Read(p []byte) (int, error) {
 	n, err := e.response.Body.Read(p)
 	if err != nil && !isEOF(err) {
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"ironhollow/pkg/boottime"
+	"ironhollow/pkg/httpx"
 )
 
 // Outcome is the outcome of a send: NotSent, MaybeSent or Answered.
@@ -254,6 +255,7 @@
 		if written > 0 && ctx.Err() == nil {
 			_ = c.SetReadDeadline(time.Now().Add(earlyResponseTimeout))
 			if e.readHead(request.Method) == nil {
+				e.isEarly = true
 				e.DisableReuse()
 				return Answered{e}
 			}
@@ -550,6 +552,7 @@
 }
 
 func (p *Pool) newConn(raw net.Conn, address string) *conn {
+	raw = httpx.ReportResets(raw)
 	limited := &limitedReader{conn: raw, observer: p.observer, left: unlimited}
 	return &conn{Conn: raw, id: ConnectionID(p.lastID.Add(1)), address: address, reader: bufio.NewReaderSize(limited, bufferBytes), raw: limited, idleTimeout: defaultIdleTimeout}
 }
