httpx, upstream: a response without a valid status is no response

What callers saw: an endpoint answered with status 000 (also 001, 042, 099, +20). The caller's connection closed without any response, and the host left out what it does at the end of a request: no line of the request, no usage of its outcome. A response of HTTP/2.0 or HTTP/0.9 was forwarded.

Cause: net/http parses any three characters that are a number as a status, and any version. WriteHeader panics for a status below 100.

Evidence: the panic in the server's log, `invalid WriteHeader code 0`.

Change: such a response is an error of the connection, also if it comes before or after an informational one: the request may have run, is sent again where the route allows it, and ends with 502 otherwise. The net/http clients (store, cloud, hosts, engines, plain services, operators) check the same through httpx.StrictTransport.

--- a/pkg/app/node/links.go
+++ b/pkg/app/node/links.go
@@ -11,6 +11,7 @@
 
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/gossip"
+	"ironhollow/pkg/httpx"
 	"ironhollow/pkg/pause"
 	"ironhollow/pkg/quarantine"
 	"ironhollow/pkg/reach"
@@ -26,7 +27,7 @@
 func newLinks(platform Platform, view *storeview.View, s Settings, clock *storeclock.Clock, registry *prometheus.Registry, logger *log.Logger) *reach.Monitor {
 	transport := newTransport()
 	transport.DisableKeepAlives = true
-	network := reach.NewSockets(&http.Client{Transport: transport}, platform.ProbePath())
+	network := reach.NewSockets(&http.Client{Transport: httpx.NewStrictTransport(transport)}, platform.ProbePath())
 	return reach.NewMonitor(network, checkFleet{view, s, clock}, time.Now, reach.NewMetrics(registry), logger)
 }
 
--- a/pkg/app/node/providers.go
+++ b/pkg/app/node/providers.go
@@ -76,11 +76,11 @@
 )
 
 func newStoreClient() storeClient {
-	return storeClient{&http.Client{Transport: httpx.NewRenewingTransport(newTransport())}}
+	return storeClient{&http.Client{Transport: httpx.NewStrictTransport(httpx.NewRenewingTransport(newTransport()))}}
 }
 
 func newPeerClient() peerClient {
-	return peerClient{&http.Client{Transport: httpx.NewRenewingTransport(newTransport())}}
+	return peerClient{&http.Client{Transport: httpx.NewStrictTransport(httpx.NewRenewingTransport(newTransport()))}}
 }
 
 func newLogQueue() *process.LogQueue { return process.NewLogQueue(os.Stdout) }
@@ -120,7 +120,7 @@
 	transport := newTransport()
 	transport.DisableKeepAlives, transport.DisableCompression = true, false
 	peers := func() []string { return state.Roster().LivePeerAddresses(s.Node) }
-	return statetransfer.NewSyncer(&http.Client{Transport: transport}, state, peers, s.SeedAddresses, logger)
+	return statetransfer.NewSyncer(&http.Client{Transport: httpx.NewStrictTransport(transport)}, state, peers, s.SeedAddresses, logger)
 }
 
 // newReplica returns a replica that forwards a row of an endpoint only if its decoded content has
--- /dev/null
+++ b/pkg/forward/malformed_test.go
@@ -0,0 +1,35 @@
+package forward_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// sendToMalformed sends a request to two endpoints that answer with the same bytes and checks that the caller gets a failure of
+// this system's own.
+func sendToMalformed(t *testing.T, path, answer string) {
+	t.Helper()
+	t.Run(path+" "+answer, func(t *testing.T) {
+		s := newHarness(t, spec(), true, respond(answer, false), respond(answer, false))
+		got := s.send("POST", path, "body")
+		if got.err != nil || got.status != http.StatusBadGateway || got.header.Get("Signed") != "" || !strings.Contains(got.body, "unknown") {
+			t.Errorf("got status %d, body %q, error %v, want 502 of the host", got.status, got.body, got.err)
+		}
+		if line := s.waitForLogLine(); !strings.Contains(line, `"outcome":`) {
+			t.Errorf("got the line %s, want that of the request", line)
+		}
+	})
+}
+
+// Guards against callers whose connection closes without a response, as the status of the endpoint's cannot be forwarded.
+func TestResponseWithoutAValidStatusIsNoResponse(t *testing.T) {
+	for _, line := range []string{"HTTP/1.1 000 Zero", "HTTP/1.1 001 One", "HTTP/1.1 042 Low", "HTTP/1.1 099 Low", "HTTP/1.1 +20 Sign", "HTTP/1.1 -01 Sign", "HTTP/2.0 200 OK", "HTTP/0.9 200 OK"} {
+		for _, path := range []string{"/once/x", "/safe/x", "/stream/x", "/resume/x"} {
+			rest := "\r\nId: %id\r\nSigned: yes\r\nContent-Length: 4\r\n\r\nbody"
+			sendToMalformed(t, path, line+rest)
+			sendToMalformed(t, path, "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"+line+rest)
+			sendToMalformed(t, path, line+"\r\nA: b\r\n\r\nHTTP/1.1 200 OK"+rest)
+		}
+	}
+}
--- a/pkg/httpx/httpx.go
+++ b/pkg/httpx/httpx.go
@@ -25,7 +25,7 @@
 // connections, follows no redirects and uses no proxy.
 func NewClient(maxIdlePerHost int) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: NewStrictTransport(&http.Transport{
 			Proxy:                  nil,
 			DialContext:            DialReportingResets((&net.Dialer{}).DialContext),
 			MaxResponseHeaderBytes: MaxHeadBytes,
@@ -35,7 +35,7 @@
 			DisableCompression:     true,
 			ReadBufferSize:         8 << 10,
 			WriteBufferSize:        8 << 10,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/pkg/operatorclient/client.go
+++ b/pkg/operatorclient/client.go
@@ -57,10 +57,10 @@
 	return c, nil
 }
 
-func newTransport(config *tls.Config) *http.Transport {
-	return &http.Transport{
+func newTransport(config *tls.Config) http.RoundTripper {
+	return httpx.NewStrictTransport(&http.Transport{
 		DialContext: httpx.DialReportingResets((&net.Dialer{}).DialContext), MaxResponseHeaderBytes: httpx.MaxHeadBytes, TLSClientConfig: config,
-	}
+	})
 }
 
 // Error is an error response of a server.
--- a/pkg/plainservice/plainservice.go
+++ b/pkg/plainservice/plainservice.go
@@ -104,10 +104,10 @@
 // call would run twice.
 func New(client *http.Client) *Client {
 	atMostOnce := &http.Client{
-		Transport: &http.Transport{
+		Transport: httpx.NewStrictTransport(&http.Transport{
 			DialContext:       httpx.DialReportingResets((&net.Dialer{}).DialContext),
 			DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: httpx.MaxHeadBytes,
-		},
+		}),
 		CheckRedirect: client.CheckRedirect,
 	}
 	return &Client{repeatable: client, atMostOnce: atMostOnce}
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -144,6 +144,9 @@
 		if err != nil {
 			return err
 		}
+		if err := httpx.CheckResponse(response); err != nil {
+			return err
+		}
 		if response.StatusCode/100 != 1 {
 			e.response, e.isHead = response, method == http.MethodHead
 			e.conn.idleTimeout = keepAliveTimeout(response.Header)
