forward: a panic ends its request with a response and a line

What callers saw: where a fault of the program panicked, as a status of 000 did, their connection closed without a response, and nothing of the request was recorded at its end: no line, no counters, streams that could not be taken up, runs left open.

Cause: what ends a request ran after it, not also when it panics.

Change: the panic is caught where the request is served. The caller gets 500 with the code `internal`, or a response that breaks off if it has begun; the request ends like any other. The new counter ironhollow_panics_total and a line with the stack tell.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/phuslu/log"
@@ -212,9 +213,9 @@
 	// takeable is set if the caller may resume the stream with another request, cancel ends the request's context.
 	takeable *takeable
 	cancel   context.CancelFunc
-	// endsByClose is set if the response ends with the caller's connection.
-	endsByClose bool
-	logEntry    requestLog
+	// endsByClose is set if the response ends with the caller's connection, hasHead once its head was written.
+	endsByClose, hasHead bool
+	logEntry             requestLog
 }
 
 // ServeHTTP answers one request.
@@ -230,7 +231,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer f.progress.remove(c)
-	err := c.serve()
+	err := c.serveSafely()
 	c.endTakeable(err)
 	c.forgetOrigin(err)
 	c.endUnsettled(err)
@@ -248,6 +249,31 @@
 	}
 }
 
+// serveSafely answers the request. After a panic the caller gets an error, or a response that breaks off if it has begun,
+// and the end of the request is recorded like any other.
+func (c *call) serveSafely() (err error) {
+	defer func() {
+		recovered := recover()
+		if recovered == nil {
+			return
+		}
+		c.f.metrics.panics.Inc()
+		c.f.log.Error().Str("request", c.meta.ID).Any("panic", recovered).Bytes("stack", debug.Stack()).Msg("panic while serving a request")
+		if c.hasHead {
+			err = errTruncated
+			return
+		}
+		// What an endpoint's response has set does not belong to this one.
+		clear(c.w.Header())
+		if c.endsByClose {
+			c.endsByClose = false
+			c.setResetOnClose(false)
+		}
+		err = c.reject(code.New(code.Internal, "fault in this host"), 0)
+	}()
+	return c.serve()
+}
+
 // Timing of the wait for startup.
 const (
 	// startupWait is how long a request waits for a process that has just started, which
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -66,6 +66,9 @@
 }
 
 func (testProtocol) DecodeResponse(status int, h http.Header) forward.ResponseMeta {
+	if h.Get("Panic") != "" {
+		panic("a fault of the protocol")
+	}
 	rest, _ := time.ParseDuration(h.Get("Rest"))
 	limit, _ := strconv.ParseFloat(h.Get("Limit"), 64)
 	maxRejections, _ := strconv.Atoi(h.Get("Max-Rejections"))
--- a/pkg/forward/malformed_test.go
+++ b/pkg/forward/malformed_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // sendToMalformed sends a request to two endpoints that answer with the same bytes and checks that the caller gets a failure of
@@ -33,3 +34,22 @@
 		}
 	}
 }
+
+// Guards against a fault of this program that closes a caller's connection without a response, and of which no line of the
+// request tells.
+func TestPanicEndsItsRequestOnly(t *testing.T) {
+	for _, path := range []string{"/once/x", "/safe/x", "/stream/x", "/resume/x"} {
+		s := newHarness(t, spec(), true, respond("HTTP/1.1 200 OK\r\nId: %id\r\nSigned: yes\r\nPanic: yes\r\nContent-Length: 4\r\n\r\nbody", false))
+		got := s.send("POST", path, "body")
+		if got.err != nil || got.status != http.StatusInternalServerError || !strings.Contains(got.body, "internal") || got.header.Get("Signed") != "" {
+			t.Errorf("%s: got status %d, body %q, error %v, want 500 of the host", path, got.status, got.body, got.err)
+		}
+		line := s.waitForLogLine()
+		for until := time.Now().Add(time.Second); !strings.Contains(line, `"outcome":"internal"`); line = s.waitForLogLine() {
+			if time.Now().After(until) {
+				t.Fatalf("%s: got the line %s, want that of the request", path, line)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
--- a/pkg/forward/refuse.go
+++ b/pkg/forward/refuse.go
@@ -89,6 +89,7 @@
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	c.logEntry.status = status
 	c.w.WriteHeader(status)
+	c.hasHead = true
 	_, _ = io.WriteString(c.w, body)
 	return err
 }
--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -56,7 +56,7 @@
 		}
 	}
 	c.w.WriteHeader(status)
-	c.logEntry.status = status
+	c.logEntry.status, c.hasHead = status, true
 }
 
 // setResetOnClose sets whether the caller's connection is reset when it is closed. While a response
--- a/pkg/forward/request_log.go
+++ b/pkg/forward/request_log.go
@@ -295,6 +295,8 @@
 	takeUps *prometheus.CounterVec
 	// endedRuns counts the runs that were ended since their connections had not shown their ends.
 	endedRuns *prometheus.CounterVec
+	// panics counts the requests that a panic has ended.
+	panics prometheus.Counter
 }
 
 // NewMetrics registers the metrics.
@@ -332,6 +334,9 @@
 	m.endedRuns = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "ironhollow_ended_runs_total", Help: "Runs that an endpoint was asked to end after their connections broke off, by service and what became of them.",
 	}, []string{"service", "state"})
-	registry.MustRegister(m.endedRuns, m.takeUps, m.requests, m.attempts, m.seconds, m.dropped, m.reserved, m.notices, m.leaving, m.unmarkedEnds)
+	m.panics = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "ironhollow_panics_total", Help: "Requests that ended by a fault of this program.",
+	})
+	registry.MustRegister(m.panics, m.endedRuns, m.takeUps, m.requests, m.attempts, m.seconds, m.dropped, m.reserved, m.notices, m.leaving, m.unmarkedEnds)
 	return m
 }
