upstream, httpx: a response with a malformed name in its head is no response

What callers saw: an endpoint's response had a blank in or at the end of a header's name (`Content-Length : 3`, `Transfer-Encoding : chunked`). It was forwarded, with a body that was framed as if the line were not there: the bytes of the chunks, or bytes beyond the length. A line without a name was dropped, and chunks in HTTP/1.0 were forwarded as the body.

Cause: the parser of net/http keeps names with blanks, by which no lookup finds them, skips lines without a name, and ignores Transfer-Encoding in HTTP/1.0.

Change: the pool records the bytes of a head while it is parsed, within its bound of 64 KiB, and checks the names in them; those of trailers are checked at the end of the body. The net/http clients check the names that they get. golang.org/x/net/http/httpguts, so far an indirect dependency, has the rule.

--- a/pkg/forward/malformed_test.go
+++ b/pkg/forward/malformed_test.go
@@ -35,6 +35,37 @@
 	}
 }
 
+// Guards against a body that is framed as if a line of the head were not there, and against lines that are left out.
+func TestResponseWithAMalformedNameIsNoResponse(t *testing.T) {
+	const signed, body = "Id: %id\r\nSigned: yes\r\n", "4\r\nbody\r\n0\r\n\r\n"
+	for _, line := range []string{
+		"Content-Length : 3", "Transfer-Encoding : chunked", "Transfer-Encoding\t: chunked", "A B: c", "Content Length: 3", ": c",
+		"A\x01: b", "A\x00B: c", "A\x7f: b", "A(): b", "\x80: b", "A", "A\r: b",
+	} {
+		for _, path := range []string{"/once/x", "/safe/x", "/stream/x", "/resume/x"} {
+			for _, head := range []string{
+				"HTTP/1.1 200 OK\r\n" + signed + line + "\r\n\r\n",
+				"HTTP/1.1 200 OK\r\n" + signed + line + "\r\nContent-Length: 4\r\n\r\n",
+				"HTTP/1.1 103 Early Hints\r\nA: b\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\n" + signed + "Content-Length: 4\r\n\r\n",
+			} {
+				sendToMalformed(t, path, head+body)
+			}
+		}
+	}
+	sendToMalformed(t, "/once/x", "HTTP/1.0 200 OK\r\n"+signed+"Transfer-Encoding: chunked\r\n\r\n"+body)
+	sendToMalformed(t, "/once/x", "HTTP/1.1 200 OK\r\n"+signed+"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nA B: c\r\n\r\n")
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\n" + signed + "A:\r\n b\r\nC:d\r\nContent-Length: 4\r\n\r\nbody",
+		"HTTP/1.1 200 OK\n" + strings.ReplaceAll(signed, "\r", "") + "Content-Length: 4\n\nbody",
+		"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\n" + signed + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nC: d\r\n\r\n",
+	} {
+		s := newHarness(t, spec(), true, respond(head, false))
+		if got := s.send("POST", "/once/x", "body"); got.status != http.StatusOK || got.body != "body" || got.err != nil {
+			t.Errorf("%q: got status %d, body %q, error %v, want 200", head, got.status, got.body, got.err)
+		}
+	}
+}
+
 // Guards against a fault of this program that closes a caller's connection without a response, and of which no line of the
 // request tells.
 func TestPanicEndsItsRequestOnly(t *testing.T) {
--- a/pkg/httpx/response.go
+++ b/pkg/httpx/response.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformedResponse means that the head of a response is malformed although net/http accepts it.
@@ -13,8 +15,16 @@
 const minStatus, maxStatus = 100, 999
 
 // CheckResponse returns ErrMalformedResponse if a response is none of HTTP/1: net/http accepts statuses such as 000 and
-// +20, and any version.
+// +20, any version, and names of headers with blanks.
 func CheckResponse(r *http.Response) error {
+	if err := CheckStatusLine(r); err != nil {
+		return err
+	}
+	return CheckNames(r.Header)
+}
+
+// CheckStatusLine returns ErrMalformedResponse if the status or the version of a response is none of HTTP/1.
+func CheckStatusLine(r *http.Response) error {
 	if r.StatusCode < minStatus || r.StatusCode > maxStatus {
 		return fmt.Errorf("%w: status %q", ErrMalformedResponse, r.Status)
 	}
@@ -24,6 +34,17 @@
 	return nil
 }
 
+// CheckNames returns ErrMalformedResponse if a header has a name that is none. net/http accepts names with blanks, by which
+// no header is found.
+func CheckNames(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: header name %q", ErrMalformedResponse, name)
+		}
+	}
+	return nil
+}
+
 // StrictTransport makes calls with another transport, and fails those whose responses are malformed.
 type StrictTransport struct{ transport http.RoundTripper }
 
--- a/pkg/httpx/response_test.go
+++ b/pkg/httpx/response_test.go
@@ -21,6 +21,8 @@
 		"HTTP/1.1 099 Low\r\nContent-Length: 2\r\n":       httpx.ErrMalformedResponse,
 		"HTTP/1.1 +20 Sign\r\nContent-Length: 2\r\n":      httpx.ErrMalformedResponse,
 		"HTTP/2.0 200 OK\r\nContent-Length: 2\r\n":        httpx.ErrMalformedResponse,
+		"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n":       httpx.ErrMalformedResponse,
+		"HTTP/1.1 200 OK\r\nA b: c\r\n":                   httpx.ErrMalformedResponse,
 	} {
 		address := listen(t, func(peer *net.TCPConn) {
 			if _, err := http.ReadRequest(bufio.NewReader(peer)); err == nil {
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -87,6 +87,11 @@
 // delimited is complete when the endpoint closes the connection without a reset, and has read the whole request.
 func (e *Exchange) Read(p []byte) (int, error) {
 	n, err := e.response.Body.Read(p)
+	if isEOF(err) {
+		if malformed := httpx.CheckNames(e.response.Trailer); malformed != nil {
+			err = malformed
+		}
+	}
 	if err != nil && !isEOF(err) {
 		e.readFailed = true
 		e.pool.noteFailure(e.ctx, e.conn.address, err)
@@ -137,14 +142,14 @@
 // are skipped. Together they have httpx.MaxHeadBytes at most.
 func (e *Exchange) readHead(method string) error {
 	request := &http.Request{Method: method}
-	e.conn.raw.left = httpx.MaxHeadBytes
-	defer func() { e.conn.raw.left = unlimited }()
+	e.conn.raw.beginHead()
+	defer e.conn.raw.endHead()
 	for range maxInformational {
 		response, err := http.ReadResponse(e.conn.reader, request)
 		if err != nil {
 			return err
 		}
-		if err := httpx.CheckResponse(response); err != nil {
+		if err := checkHead(e.conn.raw.takeHead(e.conn.reader.Buffered()), response); err != nil {
 			return err
 		}
 		if response.StatusCode/100 != 1 {
