--- a/pkg/forward/malformed_test.go
+++ b/pkg/forward/malformed_test.go
@@ -66,8 +66,8 @@
 	}
 }
 
-// Guards against a fault of this program that closes a caller's connection without a response, and of which no line of the
-// request tells.
+// Guards against a fault of this program that closes a caller's connection without a response, and leaves no line of the
+// request.
 func TestPanicEndsItsRequestOnly(t *testing.T) {
 	for _, path := range []string{"/once/x", "/safe/x", "/stream/x", "/resume/x"} {
 		s := newHarness(t, spec(), true, respond("HTTP/1.1 200 OK\r\nId: %id\r\nSigned: yes\r\nPanic: yes\r\nContent-Length: 4\r\n\r\nbody", false))
