forward: incomplete events of all streams share a budget of memory

What could happen: endpoints that send an event of up to 256 KiB without its end, and then nothing, to many streams at once take 256 KiB of the host for each. 300 streams, with the calls that end their runs, held 131 MB of 128.

Cause: the bound on an event was one for each stream, with none over all.

Change: a stream's first 8 KiB are its own, as events are usually shorter. What it needs beyond comes from a budget of a sixteenth of the process's memory limit (32 MiB without one); a stream that finds none breaks off as with an event that is too long, and is resumed elsewhere where the route allows it.

Result: TestIncompleteEventsShareABudget failed without the bound (a second long event was served).

--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -151,6 +151,7 @@
 	signal.Notify(reloads, syscall.SIGHUP)
 	tuneMemory(settings)
 	n := build(platform, settings, newIncarnation(settings))
+	n.forwarder.LimitMemory(int64(settings.MemoryLimitMB) << 20)
 	n.log.Info().Str("incarnation", string(n.incarnation)).Str("dc", settings.DataCenter).Msg("start")
 	n.registry.MustRegister(n.loadSync, n.logQueue)
 	go n.checkSettings(reloads)
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -9,6 +9,7 @@
 
 	"github.com/phuslu/log"
 
+	"ironhollow/pkg/buffers"
 	"ironhollow/pkg/code"
 	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/limit"
@@ -79,6 +80,8 @@
 	progress   *progress
 	// readRowsSoon lets the rows of endpoints be read soon.
 	readRowsSoon func()
+	// eventBuffers bounds the incomplete events of all streams, beyond a first buffer of each.
+	eventBuffers *buffers.Budget
 }
 
 // MoveStreams makes a mover move the streams that the forwarder relays. It must be called before the
@@ -113,13 +116,15 @@
 ) *Forwarder {
 	queues := newSlotQueues()
 	router.OnRelease(queues.wakeNext)
-	return &Forwarder{
+	f := &Forwarder{
 		slotQueues: queues, takeables: newTakeables(), progress: newProgress(),
 		protocol: protocol, tables: tables, router: router, limits: limits, budget: budget, pool: pool,
 		runCounter: runs, fleet: fleet, rollouts: rollouts, crashes: watch, notices: notices, lifecycle: lifecycle, clock: clock, metrics: metrics, log: logger, logLimit: newLogLimiter(clock()), links: soundLinks{},
 		readRowsSoon: func() {},
 		origins:      origin.New("", func() []origin.Peer { return nil }, nil, clock),
 	}
+	f.LimitMemory(0)
+	return f
 }
 
 // Retry-After values and the default body limit.
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -244,6 +244,42 @@
 	}
 }
 
+// Guards against incomplete events that together take a host's memory. Usual events need none of the budget.
+func TestIncompleteEventsShareABudget(t *testing.T) {
+	long := "data: " + strings.Repeat("x", 60<<10)
+	stalled := make(chan struct{})
+	t.Cleanup(func() { close(stalled) })
+	s := newHarness(t, spec(), true, func(c net.Conn, r *http.Request) bool {
+		head := strings.ReplaceAll(streamHead, "%id", r.Header.Get("Id"))
+		switch body, _ := io.ReadAll(r.Body); string(body) {
+		case "stalls":
+			_, _ = io.WriteString(c, head+chunk(firstEvent)+"f000\r\n"+long[:0xf000])
+			<-stalled
+		case "long":
+			_, _ = io.WriteString(c, head+"f008\r\n"+long+"\n\n\r\n0\r\n\r\n")
+		default:
+			_, _ = io.WriteString(c, head+chunk(firstEvent)+"0\r\n\r\n")
+		}
+		return false
+	})
+	// The budget is that of one event of 64 KiB.
+	s.forwarder.LimitMemory(1 << 20)
+	if got := s.send("POST", "/stream/x", "long", "Id", "alone"); got.err != nil || len(got.body) != len(long)+2 {
+		t.Errorf("a long event alone: got %d bytes, %v, want all", len(got.body), got.err)
+	}
+	go s.send("POST", "/stream/x", "stalls", "Id", "stalled")
+	for until := time.Now().Add(2 * time.Second); len(s.requests()) < 2 && time.Now().Before(until); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	time.Sleep(100 * time.Millisecond)
+	if got := s.send("POST", "/stream/x", "long", "Id", "second"); got.err == nil {
+		t.Errorf("a second long event: got %d bytes with a clean end, want the stream broken off", len(got.body))
+	}
+	if got := s.send("POST", "/stream/x", "usual", "Id", "usual"); got.err != nil || got.body != firstEvent {
+		t.Errorf("a usual event: got %q, %v, want all", got.body, got.err)
+	}
+}
+
 // A failure response to a resumed stream must not be forwarded as part of the stream.
 func TestStreamDoesNotGoOnWithAFailure(t *testing.T) {
 	answer := func(c net.Conn, r *http.Request) bool {
--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -149,7 +149,11 @@
 	maxEventBytes = 256 << 10
 )
 
-var errEventTooLong = errors.New("event exceeds the maximum size")
+var (
+	errEventTooLong = errors.New("event exceeds the maximum size")
+	// errNoEventBuffer means that incomplete events take as much memory as they may.
+	errNoEventBuffer = errors.New("no memory for a long event")
+)
 
 var (
 	// errInsideEvent means that a stream ended inside an event: it was broken off, however its end
@@ -316,13 +320,18 @@
 // copyEvents forwards complete events until the stream ends. It returns nil if the stream ended
 // between events. An incomplete event at its end is dropped.
 func (s *stream) copyEvents(e *upstream.Exchange) error {
-	buffer := make([]byte, 0, streamBufferBytes)
+	buffer, taken := make([]byte, 0, streamBufferBytes), int64(0)
+	defer func() { s.call.f.eventBuffers.Return(taken) }()
 	for {
 		if len(buffer) >= maxEventBytes {
 			return errEventTooLong
 		}
 		if len(buffer) == cap(buffer) {
-			buffer = append(buffer, 0)[:len(buffer)]
+			if !s.call.f.eventBuffers.Take(int64(cap(buffer))) {
+				return errNoEventBuffer
+			}
+			taken += int64(cap(buffer))
+			buffer = append(make([]byte, 0, 2*cap(buffer)), buffer...)
 		}
 		n, err := e.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
