httpx, relay, statetransfer: the responses of the platform and of other hosts share a budget of memory

What could happen: a host that starts asks three others for their state. If these send bytes without end, it held 201 MB of 128; with a relay for each table it can be more.

Cause: each response could have 32 MiB, with no bound over all, and io.ReadAll leaves as much garbage as it grows.

Change: one response has 8 MiB at most (the rows of 1,000 hosts and 3,000 endpoints take some 2 MB), and all that are being read share an eighth of the process's memory limit: httpx.BoundedTransport, for the store, the cloud, relays and the transfer of state.

--- a/pkg/app/node/providers.go
+++ b/pkg/app/node/providers.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"errors"
@@ -15,6 +16,7 @@
 	"ironhollow/pkg/app/process"
 	"ironhollow/pkg/autoscale"
 	"ironhollow/pkg/boottime"
+	"ironhollow/pkg/buffers"
 	"ironhollow/pkg/forward"
 	"ironhollow/pkg/gossip"
 	"ironhollow/pkg/hazard"
@@ -75,12 +77,31 @@
 	peerClient  struct{ *http.Client }
 )
 
-func newStoreClient() storeClient {
-	return storeClient{&http.Client{Transport: httpx.NewStrictTransport(httpx.NewRenewingTransport(newTransport()))}}
+func newStoreClient(budget *buffers.Budget) storeClient {
+	return storeClient{newClient(httpx.NewRenewingTransport(newTransport()), budget)}
 }
 
-func newPeerClient() peerClient {
-	return peerClient{&http.Client{Transport: httpx.NewStrictTransport(httpx.NewRenewingTransport(newTransport()))}}
+func newPeerClient(budget *buffers.Budget) peerClient {
+	return peerClient{newClient(httpx.NewRenewingTransport(newTransport()), budget)}
+}
+
+// newClient returns a client that makes its calls with a transport, and rejects malformed responses and those for which
+// there is no memory.
+func newClient(transport http.RoundTripper, budget *buffers.Budget) *http.Client {
+	return &http.Client{Transport: httpx.NewBoundedTransport(httpx.NewStrictTransport(transport), budget)}
+}
+
+const (
+	// responseShare is the share of the memory limit that the responses of the platform and of other hosts may take while
+	// they are read, as a divisor.
+	responseShare = 8
+	// usualMemoryMB is assumed for a process without a memory limit.
+	usualMemoryMB = 512
+)
+
+// newResponseBudget returns the budget of the responses of the platform and of other hosts.
+func newResponseBudget(s Settings) *buffers.Budget {
+	return buffers.NewBudget(int64(cmp.Or(s.MemoryLimitMB, usualMemoryMB)) << 20 / responseShare)
 }
 
 func newLogQueue() *process.LogQueue { return process.NewLogQueue(os.Stdout) }
@@ -116,11 +137,11 @@
 	return func() bool { return syncer.Asked() && view.Loaded() }
 }
 
-func newStateSyncer(state *hostState, s Settings, logger *log.Logger) *statetransfer.Syncer {
+func newStateSyncer(state *hostState, s Settings, budget *buffers.Budget, logger *log.Logger) *statetransfer.Syncer {
 	transport := newTransport()
 	transport.DisableKeepAlives, transport.DisableCompression = true, false
 	peers := func() []string { return state.Roster().LivePeerAddresses(s.Node) }
-	return statetransfer.NewSyncer(&http.Client{Transport: httpx.NewStrictTransport(transport)}, state, peers, s.SeedAddresses, logger)
+	return statetransfer.NewSyncer(newClient(transport, budget), state, peers, s.SeedAddresses, logger)
 }
 
 // newReplica returns a replica that forwards a row of an endpoint only if its decoded content has
--- a/pkg/relay/source.go
+++ b/pkg/relay/source.go
@@ -43,8 +43,8 @@
 	// while no relay is up to date. The store is then unavailable to all hosts, and the relays
 	// notice first that it is back.
 	storeRetryInterval = 1200 * time.Millisecond
-	// maxResponseBytes bounds the body of a response.
-	maxResponseBytes = 32 << 20
+	// maxResponseBytes bounds the body of a response. The rows of 3,000 endpoints take some 1 MB.
+	maxResponseBytes = 8 << 20
 )
 
 // Selector returns the addresses of the relays to follow, the best first. It returns none if the
--- a/pkg/statetransfer/syncer.go
+++ b/pkg/statetransfer/syncer.go
@@ -35,8 +35,8 @@
 	checkInterval = time.Second
 	// pollInterval is the interval at which a start checks whether the store has answered.
 	pollInterval = 20 * time.Millisecond
-	// maxResponseBytes bounds the body of a response.
-	maxResponseBytes = 32 << 20
+	// maxResponseBytes bounds the body of a response. The rows of 1,000 hosts and 3,000 endpoints take some 2 MB.
+	maxResponseBytes = 8 << 20
 )
 
 // View is a host's view of the fleet.
