bodies, forward: the bodies of callers share a bound of memory and have the time of their request

What callers saw: clients that sent many large bodies at once, most of them stopping short of their end, ended a host, which ran out of memory, and with it the requests of all its callers. A refused request whose body was incomplete got no response at all.

Causes: bodies were held whole, with nothing over all of them; each took several times its length while it was read and encoded for an endpoint; the server of callers had no limit of time for a body; one beyond the limit was held up to the limit before it was refused, also if its length was announced.

Evidence: pkg/hostile measures a host of 128 MB under 150 such clients: 163 to 194 MB with bodies of 1 MiB, 138 MB with 1,200 of 60 KiB.

Change: pkg/bodies bounds all bodies to 30 % of the memory limit, those of more than 64 KiB to 25 %, so that short ones have memory left. One that finds none is refused, 503 no-memory, not run. While memory is short, bodies that arrive at less than 64 KiB a second are given up, 408 body-timeout, not run. A body has until the deadline of its request, then 408. The rest of a refused one is read for 0.2 s. An announced length beyond the limit is refused at once.

Result, TestCrowdsOfBodiesFitIntoMemory (crowd and bounds fixed before the change): five of eight cases took 138 to 194 MB of 128 before, 64 to 86 MB now; an ordinary request is served beside the crowd, and a single body of 1 MiB after it. TestIncompleteBodyEndsWithItsRequest: 6 of 6 without a response before. TestBodiesAreReadWhole, TestStoppedBodiesMakeRoom.

--- a/pkg/app/node/node.go
+++ b/pkg/app/node/node.go
@@ -153,7 +153,9 @@
 	n := build(platform, settings, newIncarnation(settings))
 	n.forwarder.LimitMemory(int64(settings.MemoryLimitMB) << 20)
 	n.log.Info().Str("incarnation", string(n.incarnation)).Str("dc", settings.DataCenter).Msg("start")
-	n.registry.MustRegister(n.loadSync, n.logQueue)
+	n.registry.MustRegister(n.loadSync, n.logQueue, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "ironhollow_body_bytes", Help: "Memory that the bodies of callers' requests take.",
+	}, func() float64 { return float64(n.forwarder.BodyBytes()) }))
 	go n.checkSettings(reloads)
 	err := n.serve(ctx, signalledAt)
 	if err != nil {
--- a/pkg/code/code.go
+++ b/pkg/code/code.go
@@ -59,6 +59,7 @@
 	UnknownService     = Code{1005, "unknown-service", http.StatusNotFound, NotRun, "The configuration in force has no such service."}
 	UnknownJob         = Code{1006, "unknown-job", http.StatusNotFound, NotRun, "No job has this id for this team."}
 	WrongKind          = Code{1007, "wrong-kind", http.StatusBadRequest, NotRun, "The service is of another kind than this call serves."}
+	BodyTimeout        = Code{1008, "body-timeout", http.StatusRequestTimeout, NotRun, "The body did not arrive in the time that the request has, or arrived slowly while others needed its memory."}
 	OverRate           = Code{2001, "over-rate", http.StatusTooManyRequests, NotRun, "The team is over its rate; Retry-After says when to come back."}
 	Overloaded         = Code{2002, "overloaded", http.StatusServiceUnavailable, NotRun, "The deadline cannot be met at present; Retry-After says when to come back."}
 	NoEndpoint         = Code{2003, "no-endpoint", http.StatusServiceUnavailable, NotRun, "No endpoint can take the request; Retry-After says when to come back."}
@@ -84,17 +85,18 @@
 	Stopping           = Code{5005, "stopping", http.StatusServiceUnavailable, NotRun, "This host is stopping; another one takes the request."}
 	CutOff             = Code{5006, "cut-off", http.StatusServiceUnavailable, NotRun, "This host does not reach the endpoints; another one takes the request."}
 	HostBusy           = Code{5007, "host-busy", http.StatusServiceUnavailable, NotRun, "This host has taken on as many requests of other hosts as it can."}
+	NoMemory           = Code{5008, "no-memory", http.StatusServiceUnavailable, NotRun, "The bodies of requests take as much memory of this host as they may; Retry-After says when to come back."}
 	UnknownPath        = Code{5004, "no-such-path", http.StatusNotFound, NotRun, "No such path."}
 )
 
 // All returns all codes, ordered by number.
 func All() []Code {
 	return []Code{
-		BadBody, BodyTooLong, UnknownKey, BadHeader, UnknownService, UnknownJob, WrongKind,
+		BadBody, BodyTooLong, UnknownKey, BadHeader, UnknownService, UnknownJob, WrongKind, BodyTimeout,
 		OverRate, Overloaded, NoEndpoint, StreamLost, CannotResume, DeadlinePassed, Quarantined, OriginUnknown, ReleaseUnavailable, StreamTakenUp,
 		CallNotRun, CallUnknown, CallInProgress, KeyReused, StoreDown, AcceptUnknown, JobFailed,
 		RevisionConflict, BadConfig, ApplyUnknown,
-		NotReady, Internal, UnknownPath, Stopping, CutOff, HostBusy,
+		NotReady, Internal, UnknownPath, Stopping, CutOff, HostBusy, NoMemory,
 	}
 }
 
--- a/pkg/forward/detour.go
+++ b/pkg/forward/detour.go
@@ -257,7 +257,7 @@
 	switch {
 	case !ok:
 		return unclear{fmt.Errorf("the other host answered with the unknown code %q", number)}
-	case refused == code.CutOff || refused == code.HostBusy || refused == code.Stopping || refused == code.NotReady:
+	case refused == code.CutOff || refused == code.HostBusy || refused == code.Stopping || refused == code.NotReady || refused == code.NoMemory:
 		return notRun{err: fmt.Errorf("the other host answered %s", refused.Name())}
 	case refused.Outcome() == code.NotRun:
 		return refusedByHost{refused, retryAfter}
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -9,6 +9,7 @@
 
 	"github.com/phuslu/log"
 
+	"ironhollow/pkg/bodies"
 	"ironhollow/pkg/buffers"
 	"ironhollow/pkg/code"
 	"ironhollow/pkg/endpoint"
@@ -82,6 +83,8 @@
 	readRowsSoon func()
 	// eventBuffers bounds the incomplete events of all streams, beyond a first buffer of each.
 	eventBuffers *buffers.Budget
+	// bodies holds the bodies of requests.
+	bodies *bodies.Store
 }
 
 // MoveStreams makes a mover move the streams that the forwarder relays. It must be called before the
@@ -220,7 +223,9 @@
 	cancel   context.CancelFunc
 	// endsByClose is set if the response ends with the caller's connection, hasHead once its head was written.
 	endsByClose, hasHead bool
-	logEntry             requestLog
+	// hasReadBody is set once the body was read.
+	hasReadBody bool
+	logEntry    requestLog
 }
 
 // ServeHTTP answers one request.
@@ -326,12 +331,16 @@
 	if c.f.lifecycle.Phase() == Stopping && c.mayOutlastProcess() {
 		return c.reject(code.New(code.Stopping, "host is stopping and would cut the request off"), retryAfterOtherHost)
 	}
-	if err = c.readBody(); err != nil {
-		return c.reject(err, 0)
-	}
 	ctx, cancel := context.WithDeadline(c.incoming.Context(), c.deadline)
 	defer cancel()
 	c.cancel = cancel
+	if err = c.readBody(ctx); err != nil {
+		retryAfter := time.Duration(0)
+		if code.Of(err) == code.NoMemory {
+			retryAfter = retryAfterShort
+		}
+		return c.reject(err, retryAfter)
+	}
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
 	if !c.f.progress.add(c, end) {
--- a/pkg/forward/intake.go
+++ b/pkg/forward/intake.go
@@ -1,15 +1,17 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"time"
 
+	"ironhollow/pkg/bodies"
 	"ironhollow/pkg/code"
 	"ironhollow/pkg/limit"
 	"ironhollow/pkg/routetable"
@@ -80,26 +82,49 @@
 	return c.team.Name
 }
 
-func (c *call) readBody() error {
+// unreadBodyTime is how long the rest of a refused request's body is read, so that its caller receives the response. The
+// HTTP server closes the connection if there is more.
+const unreadBodyTime = 200 * time.Millisecond
+
+// readBody reads the request's body, until the request's deadline.
+func (c *call) readBody(ctx context.Context) error {
 	maxBytes := c.table.Limits().MaxBodyBytes
 	if maxBytes <= 0 {
 		maxBytes = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.incoming.Body, maxBytes))
-	var tooLong *http.MaxBytesError
-	if errors.As(err, &tooLong) {
+	c.limitBodyTime(c.deadline)
+	source := bodies.Source{Reader: c.incoming.Body, Length: c.incoming.ContentLength, Interrupt: func() { c.limitBodyTime(time.Now()) }}
+	body, err := c.f.bodies.Read(ctx, source, maxBytes)
+	switch {
+	case errors.Is(err, bodies.ErrTooLong):
 		return code.New(code.BodyTooLong, "the body is longer than "+strconv.FormatInt(maxBytes, 10)+" bytes")
-	}
-	if err != nil {
+	case errors.Is(err, bodies.ErrNoMemory):
+		return code.New(code.NoMemory, err.Error())
+	case errors.Is(err, bodies.ErrTooSlow), errors.Is(err, os.ErrDeadlineExceeded):
+		return code.New(code.BodyTimeout, err.Error())
+	case err != nil:
 		return code.New(code.BadBody, err.Error())
 	}
-	c.body = body
-	c.hasBody = c.incoming.ContentLength > 0 || len(body) > 0 || c.incoming.Header.Get("Content-Length") != "" || len(c.incoming.TransferEncoding) > 0
+	c.hasReadBody = true
+	c.limitBodyTime(time.Time{})
+	c.body = body.Bytes()
+	c.atEnd = append(c.atEnd, body.Release)
+	c.hasBody = c.incoming.ContentLength > 0 || len(c.body) > 0 || c.incoming.Header.Get("Content-Length") != "" || len(c.incoming.TransferEncoding) > 0
 	c.header = endToEndHeaders(c.incoming.Header)
 	removeDetourHeaders(c.header)
 	return nil
 }
 
+// limitBodyTime sets until when the body is read, zero for no limit. A connection of another kind has no limit.
+func (c *call) limitBodyTime(until time.Time) {
+	if c.incoming.Body == nil || c.incoming.Body == http.NoBody {
+		return
+	}
+	if err := http.NewResponseController(c.w).SetReadDeadline(until); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		c.f.log.Debug().Err(err).Msg("failed to limit the time of a body")
+	}
+}
+
 // endToEndHeaders copies headers without those that apply to a single connection.
 func endToEndHeaders(h http.Header) http.Header {
 	kept := make(http.Header, len(h))
--- a/pkg/forward/memory.go
+++ b/pkg/forward/memory.go
@@ -1,13 +1,19 @@
 package forward
 
-import "ironhollow/pkg/buffers"
+import (
+	"ironhollow/pkg/bodies"
+	"ironhollow/pkg/buffers"
+)
 
-// Shares of the memory limit of the process.
 const (
-	// defaultMemoryLimit is assumed for a process without a limit.
+	// defaultMemoryLimit is assumed for a process without a memory limit.
 	defaultMemoryLimit = 512 << 20
-	// eventShare is the divisor for the events that are incomplete and longer than streamBufferBytes.
+	// eventShare is the share of the memory limit that incomplete events longer than streamBufferBytes may take, as a
+	// divisor.
 	eventShare = 16
+	// bodyPercent is the share of the memory limit that the bodies of requests may take, longBodyPercent that of the long
+	// ones among them. While a body is read and forwarded, it takes its own size and little more.
+	bodyPercent, longBodyPercent = 30, 25
 )
 
 // LimitMemory sets the memory limit of the process in bytes, 0 for none. What requests hold is bounded by shares
@@ -17,4 +23,8 @@
 		bytes = defaultMemoryLimit
 	}
 	f.eventBuffers = buffers.NewBudget(bytes / eventShare)
+	f.bodies = bodies.New(bodies.Limits{Total: bytes * bodyPercent / 100, Long: bytes * longBodyPercent / 100})
 }
+
+// BodyBytes returns the memory that the bodies of requests take.
+func (f *Forwarder) BodyBytes() int64 { return f.bodies.Used() }
--- a/pkg/forward/refuse.go
+++ b/pkg/forward/refuse.go
@@ -75,6 +75,9 @@
 		// An earlier attempt may have run, so "not run" can't be promised.
 		errCode, status = code.CallUnknown, code.CallUnknown.Status()
 	}
+	if !c.hasReadBody {
+		c.limitBodyTime(time.Now().Add(unreadBodyTime))
+	}
 	h := c.w.Header()
 	c.f.protocol.EncodeRefusal(h, c.meta.ID)
 	if c.detour != nil {
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -5,15 +5,16 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
+	"io"
 	"maps"
 	"math"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -249,7 +250,7 @@
 	if request.OnConnected != nil {
 		request.OnConnected()
 	}
-	written, err := c.Write(request.encode())
+	written, err := request.write(c)
 	if err != nil {
 		// The endpoint may have responded before it read the complete request.
 		if written > 0 && ctx.Err() == nil {
@@ -312,10 +313,29 @@
 // the request.
 const earlyResponseTimeout = 50 * time.Millisecond
 
-// encode returns the request as sent.
-func (r Request) encode() []byte {
-	var b strings.Builder
-	b.Grow(1024 + len(r.Body))
+// headBytes is the usual size of the head of a request.
+const headBytes = 1 << 10
+
+// maxCopiedBody is the length up to which a body is copied behind the head, to send both with one call.
+const maxCopiedBody = 16 << 10
+
+// write sends the request. It returns how many bytes were written.
+func (r Request) write(w io.Writer) (written int, err error) {
+	head := r.encodeHead()
+	if len(r.Body) <= maxCopiedBody {
+		return w.Write(append(head, r.Body...))
+	}
+	if written, err = w.Write(head); err != nil {
+		return written, err
+	}
+	n, err := w.Write(r.Body)
+	return written + n, err
+}
+
+// encodeHead returns the head of the request as sent.
+func (r Request) encodeHead() []byte {
+	var b bytes.Buffer
+	b.Grow(headBytes + min(len(r.Body), maxCopiedBody))
 	b.WriteString(r.Method)
 	b.WriteByte(' ')
 	b.WriteString(r.Target)
@@ -329,8 +349,7 @@
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
-	return []byte(b.String())
+	return b.Bytes()
 }
 
 // acquire returns an idle connection, or opens one if there is none.
