node: a client that stalls does not keep a connection to the list of hosts

What could happen: a client that announces a body and does not send it kept its connection to the list of hosts, or to the readiness of a host, for as long as it liked, without a response.

Cause: the handlers read no body, but the HTTP server reads up to 256 KiB before it answers, with no limit of time.

Change: requests to these two have 10 s. Their handlers answer at once.

--- a/pkg/app/node/listen.go
+++ b/pkg/app/node/listen.go
@@ -25,6 +25,9 @@
 	entriesMaxAge = 2 * time.Second
 	// headerTimeout bounds the time that a client may take to send its headers.
 	headerTimeout = 10 * time.Second
+	// requestTimeout bounds the time that a client may take to send a request whose handler reads no body. The HTTP
+	// server reads a body before it answers, and cancels the context of a handler that takes longer than this.
+	requestTimeout = 10 * time.Second
 	// idleTimeout is how long a client's connection may be idle.
 	idleTimeout = 30 * time.Second
 	// maxHeaderBytes bounds the size of a caller's headers.
@@ -50,8 +53,8 @@
 		server        *http.Server
 	}{
 		{"callers", n.settings.CallerAddress, callers},
-		{"ready", n.settings.ReadyAddress, &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}},
-		{"directory", n.settings.DirectoryAddress, &http.Server{Handler: n.directoryHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}},
+		{"ready", n.settings.ReadyAddress, &http.Server{Handler: n.readyHandler(), ReadTimeout: requestTimeout, IdleTimeout: idleTimeout}},
+		{"directory", n.settings.DirectoryAddress, &http.Server{Handler: n.directoryHandler(), ReadTimeout: requestTimeout, IdleTimeout: idleTimeout}},
 		{"peers", n.settings.PeerAddress, peers},
 		{"metrics", n.settings.AdminAddress, &http.Server{Handler: process.AdminMux(n.registry, n.checkReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}},
 	}
--- a/pkg/soak/host.go
+++ b/pkg/soak/host.go
@@ -99,6 +99,13 @@
 // Address is the address for callers.
 func (h *Host) Address() string { return h.node.settings.Callers }
 
+// DirectoryAddress is the address at which callers ask for hosts, ReadyAddress the one at which the platform asks whether the
+// host is ready.
+func (h *Host) DirectoryAddress() string { return h.node.settings.Directory }
+
+// ReadyAddress is described at DirectoryAddress.
+func (h *Host) ReadyAddress() string { return h.node.settings.Ready }
+
 // PutEndpoint adds an endpoint at an address to those that the store lists. The endpoint is the caller's.
 func (h *Host) PutEndpoint(id, service, address string) error {
 	row := map[string]any{"service": service, "address": address, "zone": "dc", "slots": maxListedSlots, "state": "ready", "version": initialVersion, "sequence": 1, "born": time.Now().UnixMilli()}
