--- a/pkg/bodies/bodies.go
+++ b/pkg/bodies/bodies.go
@@ -87,6 +87,9 @@
 	if source.Length > limit {
 		return nil, ErrTooLong
 	}
+	if source.Length == 0 {
+		return &Body{store: s}, nil
+	}
 	a := newArrival(source)
 	s.add(a)
 	defer a.end()
