bodies: a single long body may exceed the share of the long ones

Where the configuration allows bodies beyond 25 % of a host's memory limit, none of that length could be served, not even alone.

Result: the new case of TestStoppedBodiesMakeRoom got no memory before.

--- a/pkg/bodies/bodies.go
+++ b/pkg/bodies/bodies.go
@@ -37,7 +37,8 @@
 
 // Limits bounds the bytes of bodies.
 type Limits struct {
-	// Total bounds all of them, Long those of more than ShortBytes, so that short ones have memory left.
+	// Total bounds all of them, Long those of more than ShortBytes, so that short ones have memory left. A single long
+	// body may exceed Long.
 	Total, Long int64
 }
 
@@ -205,7 +206,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	taken := a.taken + size
-	fits, longFits := s.total+size <= s.limits.Total, s.long-longPart(a.taken)+longPart(taken) <= s.limits.Long
+	otherLong := s.long - longPart(a.taken)
+	fits, longFits := s.total+size <= s.limits.Total, otherLong == 0 || otherLong+longPart(taken) <= s.limits.Long
 	if fits && longFits {
 		s.total += size
 		s.long += longPart(taken) - longPart(a.taken)
--- a/pkg/bodies/bodies_test.go
+++ b/pkg/bodies/bodies_test.go
@@ -85,6 +85,8 @@
 		{"long ones make room", bodies.Limits{Total: 4 << 20, Long: 3 << 20}, 3, 900 << 10, 2 * time.Second, 1 << 20, nil, 1},
 		{"long ones that may go on keep theirs", bodies.Limits{Total: 4 << 20, Long: 3 << 20}, 3, 900 << 10, 500 * time.Millisecond, 1 << 20, bodies.ErrNoMemory, 0},
 		{"short ones have memory of their own", bodies.Limits{Total: 4 << 20, Long: 3 << 20}, 3, 900 << 10, 500 * time.Millisecond, 60 << 10, nil, 0},
+		{"a single long one", bodies.Limits{Total: 4 << 20, Long: 1 << 20}, 0, 0, 0, 2 << 20, nil, 0},
+		{"one that is longer than all may be", bodies.Limits{Total: 1 << 20, Long: 1 << 20}, 0, 0, 0, 2 << 20, bodies.ErrNoMemory, 0},
 		{"short ones make room", bodies.Limits{Total: 1 << 20, Long: 512 << 10}, 16, 50 << 10, 2 * time.Second, 4 << 10, nil, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/pkg/soak/host.go
+++ b/pkg/soak/host.go
@@ -99,11 +99,10 @@
 // Address is the address for callers.
 func (h *Host) Address() string { return h.node.settings.Callers }
 
-// DirectoryAddress is the address at which callers ask for hosts, ReadyAddress the one at which the platform asks whether the
-// host is ready.
+// DirectoryAddress is the address at which callers ask for hosts.
 func (h *Host) DirectoryAddress() string { return h.node.settings.Directory }
 
-// ReadyAddress is described at DirectoryAddress.
+// ReadyAddress is the address at which the platform asks whether the host is ready.
 func (h *Host) ReadyAddress() string { return h.node.settings.Ready }
 
 // PutEndpoint adds an endpoint at an address to those that the store lists. The endpoint is the caller's.
