forward: the bodies of callers may take 40 % of a host's memory

What callers saw: clients inside the limits of the configuration were refused for memory where the host still had some.

Cause: the shares of 30 %, and 25 % for long bodies, fit 17 bodies of that length.

Change: 40 %, and 34 % for long ones, which fit 24. A bound over all bodies can still be met by enough clients inside the limits.

TestUsualBodiesFindMemory had requests refused with the shares before (5 in one run).

--- a/pkg/forward/memory.go
+++ b/pkg/forward/memory.go
@@ -13,7 +13,7 @@
 	eventShare = 16
 	// bodyPercent is the share of the memory limit that the bodies of requests may take, longBodyPercent that of the long
 	// ones among them. While a body is read and forwarded, it takes its own size and little more.
-	bodyPercent, longBodyPercent = 30, 25
+	bodyPercent, longBodyPercent = 40, 34
 )
 
 // LimitMemory sets the memory limit of the process in bytes, 0 for none. What requests hold is bounded by shares
--- a/pkg/forward/slowbody_test.go
+++ b/pkg/forward/slowbody_test.go
@@ -5,7 +5,10 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -82,3 +85,34 @@
 		time.Sleep(2 * time.Second)
 	}
 }
+
+// Guards against callers inside the limits of the configuration who are refused for memory on a usual day: 22 bodies of 4 MiB at a
+// time at a host with 284 MB, all a tenth as large here.
+func TestUsualBodiesFindMemory(t *testing.T) {
+	const callers, hostBytes, bodyBytes = 22, 284 << 20 / 10, 4 << 20 / 10
+	var arrived atomic.Int32
+	all := make(chan struct{})
+	s := newHarness(t, patientSpec(), true)
+	for i := range 6 {
+		s.addNumberedEndpoint(i, func(c net.Conn, r *http.Request) bool {
+			if arrived.Add(1) == callers {
+				close(all)
+			}
+			select {
+			case <-all:
+			case <-time.After(3 * time.Second):
+			}
+			return respondOK("answer")(c, r)
+		})
+	}
+	s.forwarder.LimitMemory(hostBytes)
+	var group sync.WaitGroup
+	for i := range callers {
+		group.Go(func() {
+			if got := s.send("POST", "/once/x", strings.Repeat("b", bodyBytes), "Id", "request-"+strconv.Itoa(i)); got.status != http.StatusOK {
+				t.Errorf("request %d: got status %d, %s, error %v, want 200", i, got.status, got.body, got.err)
+			}
+		})
+	}
+	group.Wait()
+}
