upstream, forward: requests, heads and events have files of their own

Change: the code of requests, of reading heads and of events is moved without other changes; the harness can serve an endpoint by a function for each connection.

--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -306,6 +306,11 @@
 }
 
 func (s *harness) serve(id string, listener net.Listener, answer script) {
+	s.serveConnections(id, listener, func(c net.Conn) { s.serveConnection(id, c, answer) })
+}
+
+// serveConnections adds an endpoint each of whose connections is served by a function.
+func (s *harness) serveConnections(id string, listener net.Listener, serve func(net.Conn)) {
 	s.directory.Merge(endpoint.Info{
 		ID: id, Incarnation: 1, State: endpoint.Live, Kind: endpoint.Plain, Service: "svc",
 		Address: listener.Addr().String(), Slots: 4, WrittenAfter: time.Now().Add(time.Hour),
@@ -316,7 +321,7 @@
 			if err != nil {
 				return
 			}
-			go s.serveConnection(id, c, answer)
+			go serve(c)
 		}
 	}()
 }
--- a/pkg/forward/reset_test.go
+++ b/pkg/forward/reset_test.go
@@ -11,7 +11,6 @@
 	"testing"
 	"time"
 
-	"ironhollow/pkg/endpoint"
 	"ironhollow/pkg/routetable"
 )
 
@@ -28,33 +27,20 @@
 // addEarlyEndpoint adds an endpoint that answers as soon as it has the head of a request, and ends the connection with
 // the body unread after a delay.
 func (s *harness) addEarlyEndpoint(number int, answer string, reset bool, delay time.Duration) {
-	listener, id := s.listen(), fmt.Sprint("e", number)
-	s.directory.Merge(endpoint.Info{
-		ID: id, Incarnation: 1, State: endpoint.Live, Kind: endpoint.Plain, Service: "svc",
-		Address: listener.Addr().String(), Slots: 4, WrittenAfter: time.Now().Add(time.Hour),
-	})
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				tcp := c.(*net.TCPConn)
-				_ = tcp.SetReadBuffer(4 << 10)
-				r, err := http.ReadRequest(bufio.NewReaderSize(c, 512))
-				if err != nil {
-					return
-				}
-				_, _ = io.WriteString(c, strings.ReplaceAll(answer, "%id", r.Header.Get("Id")))
-				time.Sleep(delay)
-				if reset {
-					_ = tcp.SetLinger(0)
-				}
-			}()
+	s.serveConnections(fmt.Sprint("e", number), s.listen(), func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		tcp := c.(*net.TCPConn)
+		_ = tcp.SetReadBuffer(4 << 10)
+		r, err := http.ReadRequest(bufio.NewReaderSize(c, 512))
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, strings.ReplaceAll(answer, "%id", r.Header.Get("Id")))
+		time.Sleep(delay)
+		if reset {
+			_ = tcp.SetLinger(0)
 		}
-	}()
+	})
 }
 
 // Guards against a part of a response that its caller gets as the whole: the endpoint answered a long upload without
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -5,16 +5,11 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"maps"
-	"math"
 	"net"
-	"net/http"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -49,34 +44,6 @@
 // ErrConnectionLimit is returned if all connections that are allowed to an endpoint are in use.
 var ErrConnectionLimit = errors.New("upstream: all connections to the endpoint are in use")
 
-// Request is a request to an endpoint.
-type Request struct {
-	Method string
-	// Target is the request target exactly as the caller sent it.
-	Target string
-	Host   string
-	// Header must not contain hop-by-hop headers or Content-Length.
-	Header http.Header
-	Body   []byte
-	// HasBody is set if Content-Length is sent even if Body is empty.
-	HasBody bool
-	// MaxIdle is how long a connection may have been idle to be used for this request; 0 for
-	// no limit. A request that must not be repeated needs one, as the endpoint may be closing
-	// a connection that was idle for long.
-	MaxIdle time.Duration
-	// Avoid are the connections that earlier attempts of the request used. A response that an endpoint
-	// repeats there has the ID of this attempt too.
-	Avoid []ConnectionID
-	// DialContext, if it is not nil, also ends the opening of a connection, after which the outcome is
-	// NotSent.
-	DialContext context.Context
-	// Accepts, if it is not nil, reports whether the request is sent now that it has a connection. Otherwise the
-	// outcome is NotSent with ErrDeclined.
-	Accepts func() bool
-	// OnConnected, if it is not nil, is called when the request has a connection, before it is sent.
-	OnConnected func()
-}
-
 // Parameters of connections.
 const (
 	// dialTimeout limits the opening of a connection. Endpoints are less than 10 ms away, so
@@ -313,45 +280,6 @@
 // the request.
 const earlyResponseTimeout = 50 * time.Millisecond
 
-// headBytes is the usual size of the head of a request.
-const headBytes = 1 << 10
-
-// maxCopiedBody is the length up to which a body is copied behind the head, to send both with one call.
-const maxCopiedBody = 16 << 10
-
-// write sends the request. It returns how many bytes were written.
-func (r Request) write(w io.Writer) (written int, err error) {
-	head := r.encodeHead()
-	if len(r.Body) <= maxCopiedBody {
-		return w.Write(append(head, r.Body...))
-	}
-	if written, err = w.Write(head); err != nil {
-		return written, err
-	}
-	n, err := w.Write(r.Body)
-	return written + n, err
-}
-
-// encodeHead returns the head of the request as sent.
-func (r Request) encodeHead() []byte {
-	var b bytes.Buffer
-	b.Grow(headBytes + min(len(r.Body), maxCopiedBody))
-	b.WriteString(r.Method)
-	b.WriteByte(' ')
-	b.WriteString(r.Target)
-	b.WriteString(" HTTP/1.1\r\nHost: ")
-	b.WriteString(r.Host)
-	b.WriteString("\r\n")
-	_ = r.Header.Write(&b)
-	if r.HasBody || len(r.Body) > 0 {
-		b.WriteString("Content-Length: ")
-		b.WriteString(strconv.Itoa(len(r.Body)))
-		b.WriteString("\r\n")
-	}
-	b.WriteString("\r\n")
-	return b.Bytes()
-}
-
 // acquire returns an idle connection, or opens one if there is none.
 func (p *Pool) acquire(ctx context.Context, address string, limit int, request Request) (*conn, error) {
 	for {
@@ -576,54 +504,6 @@
 	return &conn{Conn: raw, id: ConnectionID(p.lastID.Add(1)), address: address, reader: bufio.NewReaderSize(limited, bufferBytes), raw: limited, idleTimeout: defaultIdleTimeout}
 }
 
-// errHeadTooLong means that an endpoint has sent httpx.MaxHeadBytes without the end of a head.
-var errHeadTooLong = errors.New("upstream: the head of the response is too long")
-
-// unlimited is the value of limitedReader.left outside heads.
-const unlimited = math.MaxInt
-
-// limitedReader reads from a connection, fails after a number of bytes of heads, and reports that bytes have
-// arrived. The parser of heads has no bound of its own.
-type limitedReader struct {
-	conn     net.Conn
-	observer Observer
-	// left is the number of bytes that may still be read.
-	left int
-	// head has the bytes that were read while heads are read, and that takeHead has not returned.
-	head []byte
-}
-
-// beginHead begins to limit and record what is read. All that was read before belongs to another response.
-func (r *limitedReader) beginHead() { r.left, r.head = httpx.MaxHeadBytes, r.head[:0] }
-
-// takeHead returns the bytes of a head that was parsed; the last ones that were read are not part of it. They are valid
-// until the next read.
-func (r *limitedReader) takeHead(unparsed int) []byte {
-	end := len(r.head) - unparsed
-	head := r.head[:end]
-	r.head = r.head[end:]
-	return head
-}
-
-// endHead ends the limit and frees what was recorded.
-func (r *limitedReader) endHead() { r.left, r.head = unlimited, nil }
-
-// Read implements io.Reader.
-func (r *limitedReader) Read(b []byte) (int, error) {
-	if r.left <= 0 {
-		return 0, errHeadTooLong
-	}
-	n, err := r.conn.Read(b[:min(len(b), r.left)])
-	if n > 0 {
-		r.observer.Received()
-	}
-	if r.left != unlimited {
-		r.left -= n
-		r.head = append(r.head, b[:n]...)
-	}
-	return n, err
-}
-
 // isExpired reports whether an idle connection has exceeded its idleTimeout, after which the endpoint may close it.
 func (c *conn) isExpired() bool { return boottime.Since(c.idleSince) > c.idleTimeout }
 
